--- a/cmake/JayJunction.cmake
+++ b/cmake/JayJunction.cmake
@@ -15,6 +15,7 @@
 
 option(JJ_WERROR "Treat warnings as errors" ON)
 set(JJ_SANITIZE "" CACHE STRING "Sanitizers: empty, 'address,undefined' or 'thread'")
+option(JJ_DAEMON_ONLY "Build only the platform's daemon and what it needs, without tests" OFF)
 option(JJ_CORE_ONLY "Build only the core libraries (no CAF, no Beast): the sanitizer builds of CI" OFF)
 
 find_program(JJ_CCACHE ccache)
@@ -38,7 +39,9 @@
 endif()
 
 # Libraries without sockets or CAF: what the sanitizer builds of CI cover, and what is installed for others to embed.
-set(JJ_CORE_PARTS base tables wire events objects membership follower orders decisions jobs settings enginemodel replay)
+set(JJ_CORE_PARTS base tables wire events objects membership follower orders decisions jobs settings enginemodel replay routes capacity ledger)
+# What the platform's daemon is made of.
+set(JJ_DAEMON_PARTS base tables wire events settings telemetry objects membership http routes capacity ledger serving)
 # Parts that read outside bytes and are sanitized too, though they are not installed.
 # Not by the thread sanitizer: it doesn't know the fences that Asio uses and would report what is no race.
 if(NOT JJ_SANITIZE STREQUAL "thread")
@@ -53,6 +56,9 @@
     if(JJ_CORE_ONLY AND NOT (folder STREQUAL "libs" AND (name IN_LIST JJ_CORE_PARTS OR name IN_LIST JJ_SANITIZED_PARTS)))
       continue()
     endif()
+    if(JJ_DAEMON_ONLY AND NOT (folder STREQUAL "libs" AND name IN_LIST JJ_DAEMON_PARTS))
+      continue()
+    endif()
     add_subdirectory("${dir}")
   endforeach()
 endfunction()
@@ -83,6 +89,9 @@
 # One program for all tests of a part, so that doctest's main is compiled once a part. Each TEST_CASE is its own CTest entry
 # name, so that docs can name single tests.
 function(jj_test name)
+  if(JJ_DAEMON_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp")
   if(NOT sources)
@@ -111,4 +120,6 @@
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
 endfunction()
 
-add_library(jj_doctest_main STATIC "${CMAKE_CURRENT_SOURCE_DIR}/cmake/doctest_main.cpp")
+if(NOT JJ_DAEMON_ONLY)
+  add_library(jj_doctest_main STATIC "${CMAKE_CURRENT_SOURCE_DIR}/cmake/doctest_main.cpp")
+endif()
--- /dev/null
+++ b/libs/capacity/include/capacity/NodeUse.h
@@ -0,0 +1,33 @@
+// What one node runs on each engine, as it tells the other nodes.
+#pragma once
+
+#include "base/Id.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace jj {
+
+enum class WorkClass : std::uint8_t {
+    Question, // somebody waits for its first event
+    BatchItem, // gives way to questions and goes on later
+};
+
+// Invariant: a whole count, not a difference, so that a lost datagram is made good by the next one.
+struct EngineUse {
+    UpstreamId engine_;
+    std::uint16_t questions_ = 0;
+    std::uint16_t batchItems_ = 0;
+
+    friend bool operator==(const EngineUse&, const EngineUse&) = default;
+};
+
+struct NodeUse {
+    NodeId node_;
+    Incarnation incarnation_; // of the process; a report of an older one is dropped
+    std::uint32_t sequence_ = 0; // grows with each report of the process
+    std::vector<EngineUse> uses_; // only engines with work
+    std::vector<UpstreamId> shunned_; // engines that failed the node lately
+};
+
+} // namespace jj
--- /dev/null
+++ b/libs/capacity/src/CapacityBoard.cpp
@@ -0,0 +1,336 @@
+// Counts, and the order in which engines are preferred.
+#include "capacity/CapacityBoard.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace jj {
+
+namespace {
+
+    // Part of a new measurement in the running mean of a question's time in its slot.
+    constexpr double meanGain = 0.05;
+    // An engine that said "full" has been found out by an entry whose counts lag; its queue needs a step or two.
+    constexpr Duration fullPause = 30ms;
+
+} // namespace
+
+CapacityBoard::CapacityBoard(CapacitySettings settings, RegionId region, FailureDomainId domain, std::uint64_t seed)
+    : settings_(settings)
+    , region_(region)
+    , domain_(domain)
+    , random_(seed)
+    , meanRunSeconds_(toSeconds(settings.assumedRun_))
+{
+}
+
+// ---- discovery
+
+void CapacityBoard::upsert(const EngineEntry& entry)
+{
+    const auto [place, isNew] = engines_.try_emplace(entry.id_);
+    place->second.entry_ = entry;
+    place->second.own_.engine_ = entry.id_;
+    if (!isNew)
+        return;
+    // Others may have reported work on it before this node heard of it.
+    for (const auto& [node, report] : reports_) {
+        for (const EngineUse& use : report.use_.uses_) {
+            if (use.engine_ != entry.id_)
+                continue;
+            place->second.othersQuestions_ += use.questions_;
+            place->second.othersBatch_ += use.batchItems_;
+        }
+    }
+}
+
+void CapacityBoard::remove(UpstreamId engine) { engines_.erase(engine); }
+
+const EngineEntry* CapacityBoard::find(UpstreamId engine) const
+{
+    const auto found = engines_.find(engine);
+    return found == engines_.end() ? nullptr : &found->second.entry_;
+}
+
+std::vector<UpstreamId> CapacityBoard::engines() const
+{
+    std::vector<UpstreamId> ids;
+    for (const auto& [id, engine] : engines_)
+        ids.push_back(id);
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
+// ---- own work
+
+void CapacityBoard::started(UpstreamId engine, WorkClass work)
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    ++(work == WorkClass::Question ? found->second.own_.questions_ : found->second.own_.batchItems_);
+}
+
+void CapacityBoard::ended(UpstreamId engine, WorkClass work)
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    std::uint16_t& count = work == WorkClass::Question ? found->second.own_.questions_ : found->second.own_.batchItems_;
+    // Work of an engine that left and came back in between was counted on the entry that is gone.
+    if (count > 0)
+        --count;
+}
+
+void CapacityBoard::measured(Duration run) { meanRunSeconds_ += meanGain * (toSeconds(run) - meanRunSeconds_); }
+
+NodeUse CapacityBoard::ownUse(TimePoint now) const
+{
+    NodeUse use;
+    for (const auto& [id, engine] : engines_) {
+        if (engine.own_.questions_ > 0 || engine.own_.batchItems_ > 0)
+            use.uses_.push_back(engine.own_);
+        if (engine.failures_ > 0 && now < engine.shunnedUntil_)
+            use.shunned_.push_back(id);
+    }
+    return use;
+}
+
+// ---- other nodes
+
+void CapacityBoard::subtract(const NodeUse& use)
+{
+    for (const EngineUse& one : use.uses_) {
+        const auto found = engines_.find(one.engine_);
+        if (found == engines_.end())
+            continue;
+        found->second.othersQuestions_ -= std::min<std::uint32_t>(one.questions_, found->second.othersQuestions_);
+        found->second.othersBatch_ -= std::min<std::uint32_t>(one.batchItems_, found->second.othersBatch_);
+    }
+}
+
+void CapacityBoard::add(const NodeUse& use)
+{
+    for (const EngineUse& one : use.uses_) {
+        const auto found = engines_.find(one.engine_);
+        if (found == engines_.end())
+            continue;
+        found->second.othersQuestions_ += one.questions_;
+        found->second.othersBatch_ += one.batchItems_;
+    }
+}
+
+void CapacityBoard::heard(const NodeUse& use, TimePoint now)
+{
+    Report& report = reports_[use.node_];
+    const bool isKnown = !report.use_.node_.isNone();
+    const bool isOld = isKnown && (use.incarnation_ < report.use_.incarnation_ || (use.incarnation_ == report.use_.incarnation_ && use.sequence_ <= report.use_.sequence_));
+    if (isOld)
+        return;
+    if (isKnown)
+        subtract(report.use_);
+    report = { use, now };
+    add(use);
+    for (const UpstreamId id : use.shunned_) {
+        const auto found = engines_.find(id);
+        if (found != engines_.end())
+            found->second.hearsayUntil_ = now + settings_.hearsay_;
+    }
+}
+
+void CapacityBoard::forget(NodeId node)
+{
+    const auto found = reports_.find(node);
+    if (found == reports_.end())
+        return;
+    subtract(found->second.use_);
+    reports_.erase(found);
+}
+
+void CapacityBoard::dropSilent(TimePoint now)
+{
+    for (auto place = reports_.begin(); place != reports_.end();) {
+        if (now - place->second.at_ <= settings_.reportTimeout_) {
+            ++place;
+            continue;
+        }
+        subtract(place->second.use_);
+        place = reports_.erase(place);
+    }
+}
+
+std::vector<NodeId> CapacityBoard::batchHolders(UpstreamId engine) const
+{
+    std::vector<std::pair<std::uint16_t, NodeId>> holders;
+    for (const auto& [node, report] : reports_) {
+        for (const EngineUse& use : report.use_.uses_) {
+            if (use.engine_ == engine && use.batchItems_ > 0)
+                holders.push_back({ use.batchItems_, node });
+        }
+    }
+    std::sort(holders.begin(), holders.end(), std::greater<>());
+    std::vector<NodeId> nodes;
+    for (const auto& [count, node] : holders)
+        nodes.push_back(node);
+    return nodes;
+}
+
+// ---- answers
+
+Duration CapacityBoard::failed(UpstreamId engine, TimePoint now)
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end())
+        return {};
+    Engine& one = found->second;
+    // The streams of one crash end together; they are one failure.
+    if (one.failures_ > 0 && now < one.shunnedUntil_)
+        return one.shunnedUntil_ - now;
+    constexpr std::uint32_t mostDoublings = 8;
+    const Duration shun = std::min<Duration>(settings_.longestShun_, settings_.firstShun_ * (1LL << std::min(one.failures_, mostDoublings)));
+    ++one.failures_;
+    one.shunnedUntil_ = now + shun;
+    return shun;
+}
+
+void CapacityBoard::succeeded(UpstreamId engine)
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    found->second.failures_ = 0;
+    found->second.shunnedUntil_ = {};
+    found->second.hearsayUntil_ = {};
+}
+
+void CapacityBoard::refusedAsFull(UpstreamId engine, TimePoint now)
+{
+    const auto found = engines_.find(engine);
+    if (found != engines_.end())
+        found->second.fullUntil_ = now + fullPause;
+}
+
+std::vector<UpstreamId> CapacityBoard::dueForProbe(TimePoint now) const
+{
+    std::vector<UpstreamId> due;
+    for (const auto& [id, engine] : engines_) {
+        if (engine.failures_ > 0 && now >= engine.shunnedUntil_)
+            due.push_back(id);
+    }
+    return due;
+}
+
+// ---- picks
+
+bool CapacityBoard::isUsable(const Engine& engine, TimePoint now) const
+{
+    return !engine.entry_.draining_ && engine.failures_ == 0 && now >= engine.fullUntil_;
+}
+
+std::vector<CapacityBoard::Candidate> CapacityBoard::candidates(std::string_view service, std::span<const UpstreamId> tried, TimePoint now)
+{
+    std::vector<Candidate> found;
+    std::vector<Candidate> doubtful;
+    for (auto& [id, engine] : engines_) {
+        if (engine.entry_.service_ != service || !isUsable(engine, now) || std::find(tried.begin(), tried.end(), id) != tried.end())
+            continue;
+        auto& list = now < engine.hearsayUntil_ ? doubtful : found;
+        list.push_back({ &engine, engine.entry_.region_ != region_ });
+    }
+    // What others say counts only as long as something else is left.
+    if (found.empty())
+        found = std::move(doubtful);
+    std::shuffle(found.begin(), found.end(), random_);
+    return found;
+}
+
+// Questions end one after the other: with n slots busy, one comes free each n-th part of a run.
+Duration CapacityBoard::queueWait(const Engine& engine) const
+{
+    const std::uint32_t slots = std::max(1U, engine.entry_.slots_);
+    const std::uint32_t waiting = engine.questions() >= slots ? engine.questions() - slots + 1 : 0;
+    return fromSeconds(meanRunSeconds_ * waiting / slots);
+}
+
+EnginePick CapacityBoard::pickQuestion(std::string_view service, Duration bound, std::span<const UpstreamId> tried, TimePoint now)
+{
+    dropSilent(now);
+    // In order of what the caller gets: a free slot near, one that batch gives up, a free slot far, a short wait.
+    struct Best {
+        const Engine* engine_ = nullptr;
+        std::uint64_t rank_ = 0;
+    };
+    Best best;
+    EnginePick pick;
+    Duration shortest = bound;
+    for (const Candidate& candidate : candidates(service, tried, now)) {
+        const Engine& engine = *candidate.engine_;
+        const bool isFree = engine.total() < engine.entry_.slots_;
+        const bool displaces = !isFree && engine.questions() < engine.entry_.slots_;
+        const Duration far = candidate.far_ ? settings_.farCost_ : Duration::zero();
+        const Duration wait = isFree || displaces ? far : far + queueWait(engine);
+        shortest = std::min(shortest, wait);
+        if (wait + settings_.firstEvent_ > bound)
+            continue;
+        const PickKind kind = isFree ? PickKind::Free : displaces ? PickKind::Displaces
+                                                                  : PickKind::Queues;
+        const std::uint64_t stage = (isFree ? 0 : displaces ? 1
+                                                            : 3)
+            + (candidate.far_ ? 2 : 0);
+        constexpr std::uint64_t stageWeight = 1ULL << 32;
+        constexpr std::uint64_t otherDomain = 1;
+        const std::uint64_t load = isFree ? engine.total() : displaces ? engine.questions()
+                                                                       : static_cast<std::uint64_t>(wait / 1ms);
+        const std::uint64_t rank = stage * stageWeight + load * 2 + (engine.entry_.domain_ == domain_ ? 0 : otherDomain);
+        if (best.engine_ && rank >= best.rank_)
+            continue;
+        best = { &engine, rank };
+        pick = { kind, engine.entry_.id_, wait };
+    }
+    if (!pick.isSome())
+        pick.wait_ = shortest;
+    return pick;
+}
+
+EnginePick CapacityBoard::pickBatch(std::string_view service, bool urgent, std::span<const UpstreamId> tried, TimePoint now)
+{
+    dropSilent(now);
+    const std::uint32_t reserve = urgent ? 0 : settings_.batchReserve_;
+    std::optional<std::uint64_t> bestRank;
+    EnginePick pick;
+    for (const Candidate& candidate : candidates(service, tried, now)) {
+        const Engine& engine = *candidate.engine_;
+        if (engine.total() + reserve >= engine.entry_.slots_)
+            continue;
+        constexpr std::uint64_t farWeight = 1ULL << 32;
+        const std::uint64_t rank = (candidate.far_ ? farWeight : 0) + engine.total() * 2ULL + (engine.entry_.domain_ == domain_ ? 0 : 1);
+        if (bestRank && rank >= *bestRank)
+            continue;
+        bestRank = rank;
+        pick = { PickKind::Free, engine.entry_.id_, {} };
+    }
+    return pick;
+}
+
+CapacityBoard::Usage CapacityBoard::usage(std::string_view service, TimePoint now) const
+{
+    Usage usage;
+    for (const auto& [id, engine] : engines_) {
+        if (engine.entry_.service_ != service || !isUsable(engine, now))
+            continue;
+        usage.slots_ += engine.entry_.slots_;
+        usage.questions_ += engine.questions();
+        usage.batchItems_ += engine.batch();
+    }
+    return usage;
+}
+
+EngineUse CapacityBoard::useOf(UpstreamId engine) const
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end())
+        return { engine, 0, 0 };
+    return { engine, static_cast<std::uint16_t>(found->second.questions()), static_cast<std::uint16_t>(found->second.batch()) };
+}
+
+} // namespace jj
--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -33,7 +33,8 @@
 
 struct ClientSettings {
     Duration connectTime_ = std::chrono::seconds(1);
-    Duration pooledIdle_ = std::chrono::seconds(30); // an unused connection is closed after this
+    // An unused connection is closed after this, or sooner when the other side names a shorter time (Keep-Alive: timeout=).
+    Duration pooledIdle_ = std::chrono::seconds(30);
     std::size_t pooledPerEndpoint_ = 64;
     std::size_t headerBytes_ = 16 * 1024;
     std::size_t bodyBytes_ = 16 * 1024 * 1024; // of a whole answer (fetch); streams have no limit
@@ -42,6 +43,10 @@
 struct CallOptions {
     Duration idle_ = std::chrono::seconds(30); // the call ends with NoProgress after so long without a byte from the other side
     bool fresh_ = false; // on a new connection: a pooled one may be half dead, which matters when a call may not be repeated
+    // A header that the other side repeats in its answer. An answer with another value belongs to an earlier request of the
+    // connection, such as a second answer that came late: it is read over, and the one after it is waited for.
+    std::string echoName_ {};
+    std::string echoValue_ {};
 };
 
 // run_ is NotRun only when no byte of the request was handed to the socket; Ran when the answer's head was there.
--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -112,6 +112,9 @@
     // Where it listens, with the port that the system chose.
     const Endpoint& local() const;
 
+    // From now on, for open connections too. Not while several threads run the io_context.
+    void setLimits(const ServerLimits& limits);
+
     // Takes no new connection; idle connections are closed, busy ones after the answer under way.
     void drain();
     std::size_t openConnections() const;
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <charconv>
 
 namespace jj::http::detail {
 
@@ -21,6 +22,27 @@
         return call.sent_ ? RunState::OutcomeUnknown : RunState::NotRun;
     }
 
+    // A request that is sent just when the other side closes an idle connection is lost, and nobody can tell whether it ran. So
+    // this side closes first: a second sooner than named, which is more than any delay on the way.
+    constexpr Duration keepAliveMargin = std::chrono::seconds(1);
+
+    template <class Fields>
+    Duration keepAliveOf(const Fields& fields)
+    {
+        constexpr std::string_view key = "timeout=";
+        const auto field = fields[beast::http::field::keep_alive];
+        const std::string_view value(field.data(), field.size());
+        const std::size_t place = value.find(key);
+        if (place == std::string_view::npos)
+            return Duration::max();
+        int seconds = 0;
+        const std::string_view digits = value.substr(place + key.size());
+        const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+        if (error != std::errc() || end == digits.data())
+            return Duration::max();
+        return std::max<Duration>(std::chrono::seconds(seconds) - keepAliveMargin, std::chrono::milliseconds(100));
+    }
+
 } // namespace
 
 ClientConnection::ClientConnection(std::shared_ptr<ClientShared> shared, Endpoint endpoint)
@@ -76,6 +98,7 @@
     parser_->body_limit(boost::none);
     parser_->skip(call_->isHead_);
     written_ = false;
+    readingOver_ = false;
     if (connected_)
         send();
     else
@@ -169,6 +192,11 @@
             parser_->body_limit(boost::none);
             continue;
         }
+        if (isForeign()) {
+            if (!readOver())
+                return;
+            continue;
+        }
         if (!deliver())
             return;
         if (parser_->is_done())
@@ -178,6 +206,37 @@
     }
 }
 
+// Failure met: an engine answers a request twice, and the second answer arrives when the next request of the connection waits. Handed
+// on, a caller would get another caller's bytes. Answers name the request that they belong to, so the wrong one shows in its head.
+// An answer that names none is taken as the expected one.
+bool ClientConnection::isForeign() const
+{
+    if (readingOver_)
+        return true;
+    if (call_->headSeen_ || call_->options_.echoName_.empty())
+        return false;
+    const auto& fields = parser_->get();
+    const auto found = fields.find(call_->options_.echoName_);
+    return found != fields.end() && found->value() != call_->options_.echoValue_;
+}
+
+// Drops what was parsed of a foreign answer; false when there is no more of it yet, or when nothing can follow it.
+bool ClientConnection::readOver()
+{
+    readingOver_ = true;
+    parser_->get().body().clear();
+    if (!parser_->is_done())
+        return false;
+    readingOver_ = false;
+    const bool mayFollow = parser_->keep_alive();
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(shared_->settings_.headerBytes_));
+    parser_->body_limit(boost::none);
+    if (!mayFollow)
+        fail(Error::Closed);
+    return mayFollow;
+}
+
 // Hands on what was parsed; false when a callback cancelled the call.
 bool ClientConnection::deliver()
 {
@@ -185,6 +244,7 @@
     auto& message = parser_->get();
     if (!call->headSeen_) {
         call->headSeen_ = true;
+        keepAlive_ = keepAliveOf(message);
         if (call->handlers_.onHead_)
             call->handlers_.onHead_({ static_cast<int>(message.result_int()), copyHeaders(message) });
     }
@@ -220,7 +280,7 @@
             return false;
         idle.push_back(shared_from_this());
     }
-    expectProgress(shared_->settings_.pooledIdle_);
+    expectProgress(std::min(shared_->settings_.pooledIdle_, keepAlive_));
     readSome(); // so that the peer's closing is seen while the connection waits
     return true;
 }
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -67,6 +67,8 @@
     void onReadEnd(error_code error);
     void process();
     bool deliver();
+    bool isForeign() const;
+    bool readOver();
     void finish(bool reusable);
     bool backToPool();
     void leavePool();
@@ -89,6 +91,8 @@
     bool closed_ = false;
     bool reading_ = false;
     bool written_ = false;
+    bool readingOver_ = false; // the answer that is being read belongs to an earlier request
+    Duration keepAlive_ = Duration::max(); // as the other side named it
     bool timerArmed_ = false;
     std::chrono::steady_clock::time_point deadline_; // of the state it is in
     std::chrono::steady_clock::time_point armedUntil_;
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -116,6 +116,8 @@
 
 const Endpoint& Server::local() const { return shared_->local_; }
 
+void Server::setLimits(const ServerLimits& limits) { shared_->settings_.limits_ = limits; }
+
 void Server::drain()
 {
     shared_->draining_ = true;
--- /dev/null
+++ b/libs/ledger/include/ledger/JobDesk.h
@@ -0,0 +1,275 @@
+// One node's jobs: those that it owns, their items and results, and reads, ends, takeovers and handovers.
+//
+//     JobDesk desk(settings, outlets);
+//     desk.adopt(job, now);                                  // this node is the owner of an accepted job
+//     while (auto run = desk.startNext(service, now)) ...    // the most urgent item that waits
+//     desk.event(run->id_, eventId, data);                   // of its stream
+//     desk.ended(run->id_, RunEnd::Completed, now);
+//     desk.read(job, after, wait, force, now, done);
+//     desk.tick(now, wall);
+//
+// Ownership is no lease. The head names the owner; whoever finds it dead writes itself in under the head's version, and goes on from the
+// result pages. Failure met: the owner was only paused or cut off, wakes, and adds results of its own. It shows as an item with two
+// results, or as results whose positions differ from node to node. The guard: the K-th result page is created if absent, so of two owners
+// only one gets position K; the other reads that page, drops what it lists, and goes on behind it.
+//
+// A node that may have been replaced without knowing it (it was paused, or can't hear its peers) asks the store before it answers
+// a read of an open job: what another owner has listed must not be missing from its answer.
+#pragma once
+
+#include "ledger/Acceptor.h"
+#include "ledger/Records.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace jj {
+
+// One run of an item at an engine.
+using RunId = Id<struct RunTag>;
+
+struct DeskSettings {
+    // Results that finish within it share a page, so that a job of ten items costs some five store calls in place of ten. Callers
+    // read about twice a second.
+    Duration commitWindow_ = 300ms;
+    // An item that fails is tried again after it, twice as long after each further failure, up to longestRetry_.
+    Duration firstRetry_ = 100ms;
+    Duration longestRetry_ = 4s;
+    // Store calls that no caller waits for go on for so long; they carry on over an outage.
+    Duration patience_ = std::chrono::minutes(10);
+    // A read that has to ask the store waits for at most so long.
+    Duration readBound_ = 1s;
+    // Items that haven't arrived by then won't: the submission was given up.
+    Duration itemsBound_ = 10s;
+    // A gap between two ticks over this means that the process was paused, and others may have taken over.
+    Duration pauseBound_ = 1s;
+    // While this node may have been replaced: how old the store's word may be for a read.
+    Duration trustedFor_ = 500ms;
+    // Wall clocks differ between hosts and jump; nothing is given up before this much extra.
+    Duration clockSlack_ = 5s;
+    // A finished job that nobody reads leaves memory after it, and is read from the store again when needed.
+    Duration keepIdle_ = 20s;
+    // Objects of a job that isn't open are removed after so long.
+    Duration retention_ = 150s;
+    std::size_t answerBytes_ = 900 * 1024; // of results in one answer; at least one result is given
+};
+
+struct ItemRun {
+    RunId id_;
+    JobName job_;
+    std::string host_;
+    std::string item_;
+    std::string path_;
+    ItemHeaders headers_;
+    std::string body_; // decoded
+    std::optional<std::uint64_t> resumeAfter_; // the last event that is held; the run goes on after it
+    TimePoint due_ {};
+};
+
+enum class RunEnd : std::uint8_t {
+    Completed, // all events came, and the answer's end
+    GivenWay, // stopped for a question, or never begun; goes on where it stopped
+    Broken, // the engine or the connection was lost; goes on where it stopped
+    OutOfStep, // the run didn't go on after the event that was asked for; begins anew
+    Failed, // the engine's own failure
+    Impossible, // the engine says that the item can never be done
+    RouteGone, // no configuration carries the item any more
+};
+
+enum class ReadOutcome : std::uint8_t {
+    Found,
+    Missing, // no such job
+    Unsure, // the store can't be asked now
+    Elsewhere, // owner_ has it
+};
+
+struct ReadAnswer {
+    ReadOutcome outcome_ = ReadOutcome::Unsure;
+    NodeId owner_;
+    std::uint32_t total_ = 0;
+    std::uint32_t next_ = 0;
+    std::vector<JobResult> results_;
+};
+
+struct BodyAnswer {
+    ReadOutcome outcome_ = ReadOutcome::Unsure;
+    NodeId owner_;
+    std::string body_; // decoded
+};
+
+struct EndAnswer {
+    ReadOutcome outcome_ = ReadOutcome::Unsure;
+    NodeId owner_;
+};
+
+// A job that changes hands, with what its runs have brought so far.
+struct JobTransfer {
+    struct Progress {
+        std::string item_;
+        std::string text_;
+        std::uint32_t events_ = 0;
+        std::uint64_t lastEvent_ = 0;
+        std::uint32_t failures_ = 0;
+    };
+
+    JobName job_;
+    JobHead head_;
+    ObjectVersion headVersion_;
+    std::vector<JobItem> items_;
+    std::uint32_t resultPages_ = 0; // that are known to exist
+    std::vector<Progress> progress_;
+};
+
+// What a node decided about a job, for the log.
+enum class DeskNote : std::uint8_t {
+    Adopted,
+    TakenOver,
+    Lost, // another owner stands in the head
+    Listed, // results were committed
+    ConflictMet, // another owner had written the page
+    ItemErrored,
+    ItemRetried,
+    JobDone,
+    JobEnded,
+    JobVoid,
+    HandedOver,
+    Removed,
+    StoreFailed,
+};
+std::string_view toString(DeskNote note);
+
+struct DeskEvent {
+    DeskNote note_ = DeskNote::Adopted;
+    std::string_view job_;
+    std::string_view item_;
+    std::uint64_t count_ = 0; // Listed: results so far; others: see the place
+    std::error_code error_;
+};
+
+struct DeskOutlets {
+    LedgerStore store_;
+    NodeId self_;
+    std::function<bool(NodeId)> isLive_;
+    // Who should own a job after `former`, of the live nodes that run jobs; none when there are none.
+    std::function<NodeId(std::string_view job, NodeId former)> preferredOwner_;
+    std::function<void(RunId)> stop_; // the run is of no use any more; nothing more is said of it
+    std::function<void(NodeId to, JobTransfer)> transfer_;
+    std::function<void(const DeskEvent&)> note_;
+    // Which service carries the item now; nullopt when no configuration is known, empty when none of its routes does.
+    std::function<std::optional<std::string>(std::string_view host, std::string_view path)> serviceOf_;
+};
+
+class JobDesk {
+public:
+    using ReadDone = std::function<void(ReadAnswer)>;
+    using BodyDone = std::function<void(BodyAnswer)>;
+    using EndDone = std::function<void(EndAnswer)>;
+
+    JobDesk(DeskSettings settings, DeskOutlets outlets);
+    ~JobDesk();
+
+    // ---- ownership
+    void adopt(JobTransfer job, TimePoint now, WallTime wall);
+    // Reads all heads, now and each time it is called; takes over what has no live owner. Stale heads will do but for the first time.
+    void scan(bool stale, TimePoint now);
+    // Gives all jobs to other nodes; afterwards none is taken.
+    void beginLeaving(TimePoint now);
+    bool hasLeft() const;
+    // Others may have replaced this node without its knowing, until told otherwise.
+    void setCautious(bool cautious) { cautious_ = cautious; }
+    void suspectAll();
+
+    // ---- runs
+    // The most urgent item that waits and whose service is `service`; it counts as running from then on.
+    std::optional<ItemRun> startNext(std::string_view service, TimePoint now);
+    // When the most urgent item that waits for `service` is due, and how many wait; nullopt when none does.
+    struct Waiting {
+        TimePoint due_ {};
+        std::size_t count_ = 0;
+    };
+    std::map<std::string, Waiting> waiting(TimePoint now);
+    void event(RunId run, std::uint64_t eventId, std::string_view data);
+    void ended(RunId run, RunEnd end, TimePoint now);
+    std::optional<TimePoint> dueOf(RunId run) const;
+
+    // ---- callers. `force`: answer from the store, whoever owns the job.
+    void read(const JobName& job, std::uint32_t after, Duration wait, bool force, TimePoint now, ReadDone done);
+    void body(const JobName& job, const std::string& item, bool force, TimePoint now, BodyDone done);
+    void end(const JobName& job, bool force, TimePoint now, EndDone done);
+
+    void tick(TimePoint now, WallTime wall);
+    std::size_t openJobs() const;
+    std::size_t heldJobs() const { return jobs_.size(); }
+
+private:
+    struct Item;
+    struct Job;
+    struct Running {
+        JobName job_;
+        std::size_t item_ = 0;
+    };
+    using JobPtr = std::shared_ptr<Job>;
+
+    Job* owned(const JobName& name);
+    void note(DeskNote note, std::string_view job, std::string_view item = {}, std::uint64_t count = 0, std::error_code error = {}) const;
+    void store(ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) { outlets_.store_(std::move(call), callClass, until, std::move(done)); }
+    TimePoint dueAt(const JobHead& head, TimePoint now, WallTime wall) const;
+
+    // Loading
+    void loadOwned(const JobName& name, const JobHead& head, ObjectVersion version, TimePoint now);
+    void loadItems(const JobPtr& job, std::uint32_t page, TimePoint now);
+    void loadResults(const JobPtr& job, std::uint32_t page, TimePoint now);
+    void loaded(const JobPtr& job, TimePoint now);
+    void makeVoid(const JobPtr& job, TimePoint now);
+    void applyResults(const JobPtr& job, std::vector<JobResult> results);
+    void consider(const JobName& name, const JobHead& head, ObjectVersion version, TimePoint now);
+    void listHeads(std::string after, bool stale, TimePoint now);
+    void takeOver(const JobName& name, TimePoint now);
+    void claim(const JobName& name, JobHead head, ObjectVersion version, TimePoint now);
+    void refresh(const JobPtr& job, TimePoint now, std::function<void(bool known, TimePoint)> then);
+    void drop(const JobName& name);
+
+    // Results
+    void finishItem(const JobPtr& job, std::size_t item, ResultState state, TimePoint now);
+    void commitIfDue(const JobPtr& job, TimePoint now);
+    void commit(const JobPtr& job, TimePoint now);
+    void committed(const JobPtr& job, const SettledAnswer& answer, TimePoint now);
+    void settleConflict(const JobPtr& job, TimePoint now);
+    void setState(const JobPtr& job, JobState state, TimePoint now, std::function<void(bool, TimePoint)> then);
+    void completeIfDone(const JobPtr& job, TimePoint now);
+    void stopRuns(const JobPtr& job, bool keepText);
+    void abandonOverdue(const JobPtr& job, TimePoint now);
+
+    // Reads
+    void answerReaders(const JobPtr& job, TimePoint now, bool all);
+    ReadAnswer slice(const Job& job, std::uint32_t after) const;
+    void readOwned(const JobPtr& job, std::uint32_t after, Duration wait, TimePoint now, ReadDone done);
+    void readFromStore(const JobName& name, const JobHead& head, std::uint32_t after, TimePoint now, const ReadDone& done);
+    void lookUp(const JobName& name, TimePoint now, std::function<void(ReadOutcome, const JobHead&, ObjectVersion, TimePoint)> then);
+    void endInStore(const JobName& name, TimePoint now, TimePoint until, EndDone done);
+
+    // Handover
+    void handOver(const JobPtr& job, TimePoint now);
+    void removeExpired(const JobPtr& job, WallTime wall, TimePoint now);
+
+    DeskSettings settings_;
+    DeskOutlets outlets_;
+    std::map<JobName, JobPtr> jobs_; // that this node owns, to its knowledge
+    std::unordered_map<RunId, Running> runs_;
+    std::uint64_t nextRun_ = 1;
+    std::map<JobName, TimePoint> claiming_; // takeovers under way, so that two scans don't start two
+    TimePoint lastTick_ {};
+    WallTime wall_ {};
+    bool cautious_ = false;
+    bool leaving_ = false;
+    bool scanning_ = false;
+};
+
+} // namespace jj
--- /dev/null
+++ b/libs/ledger/src/DeskReads.cpp
@@ -0,0 +1,277 @@
+// What callers ask: results, bodies, ends.
+#include "DeskJob.h"
+
+#include <algorithm>
+
+namespace jj {
+
+namespace {
+
+    std::size_t sizeOf(const JobResult& result)
+    {
+        constexpr std::size_t punctuation = 64;
+        return result.item_.size() + result.text_.size() + punctuation;
+    }
+
+    // Results from `after` on, as many as fit; at least one if there is one.
+    ReadAnswer sliceOf(const std::vector<JobResult>& results, std::uint32_t total, std::uint32_t after, std::size_t bytes)
+    {
+        ReadAnswer answer;
+        answer.outcome_ = ReadOutcome::Found;
+        answer.total_ = total;
+        std::size_t used = 0;
+        for (std::size_t place = after; place < results.size(); ++place) {
+            used += sizeOf(results[place]);
+            if (used > bytes && !answer.results_.empty())
+                break;
+            answer.results_.push_back(results[place]);
+        }
+        answer.next_ = after + static_cast<std::uint32_t>(answer.results_.size());
+        return answer;
+    }
+
+} // namespace
+
+// The head as the store has it now.
+void JobDesk::lookUp(const JobName& name, TimePoint now, std::function<void(ReadOutcome, const JobHead&, ObjectVersion, TimePoint)> then)
+{
+    store(ObjectCall::get(headKey(name)), CallClass::Read, now + settings_.readBound_, [then = std::move(then)](const SettledAnswer& answer, TimePoint at) {
+        if (answer.is(ObjectError::NotFound))
+            return then(ReadOutcome::Missing, {}, ObjectVersion::none(), at);
+        const Result<JobHead> head = answer.ok() ? decodeHead(answer.answer_.value_) : Result<JobHead>(LedgerError::BadRecord);
+        if (!head)
+            return then(ReadOutcome::Unsure, {}, ObjectVersion::none(), at);
+        // One that never had all its items was never accepted.
+        const ReadOutcome outcome = head.value().state_ == JobState::Void ? ReadOutcome::Missing : ReadOutcome::Found;
+        then(outcome, head.value(), answer.answer_.version_, at);
+    });
+}
+
+// ---- results
+
+ReadAnswer JobDesk::slice(const Job& job, std::uint32_t after) const { return sliceOf(job.listed_, job.head_.total_, after, settings_.answerBytes_); }
+
+void JobDesk::read(const JobName& name, std::uint32_t after, Duration wait, bool force, TimePoint now, ReadDone done)
+{
+    if (const auto found = jobs_.find(name); found != jobs_.end() && !force)
+        return readOwned(found->second, after, wait, now, std::move(done));
+    lookUp(name, now, [this, name, after, wait, force, done = std::move(done)](ReadOutcome outcome, const JobHead& head, ObjectVersion version, TimePoint at) {
+        ReadAnswer answer;
+        answer.outcome_ = outcome;
+        if (outcome != ReadOutcome::Found)
+            return done(std::move(answer));
+        const bool isMine = head.owner_ == outlets_.self_ && !leaving_;
+        if (isMine && !force) {
+            loadOwned(name, head, version, at);
+            return readOwned(jobs_.at(name), after, wait, at, done);
+        }
+        answer.outcome_ = ReadOutcome::Elsewhere;
+        answer.owner_ = head.owner_;
+        if (!force && outlets_.isLive_(head.owner_) && !isMine)
+            return done(std::move(answer));
+        if (!force && head.state_ == JobState::Open && !leaving_ && outlets_.preferredOwner_(name, head.owner_) == outlets_.self_)
+            takeOver(name, at);
+        readFromStore(name, head, after, at, done);
+    });
+}
+
+void JobDesk::readOwned(const JobPtr& job, std::uint32_t after, Duration wait, TimePoint now, ReadDone done)
+{
+    job->lastUse_ = now;
+    const TimePoint until = now + std::min(wait, settings_.readBound_);
+    if (!job->loaded_) {
+        job->readers_.push_back({ after, std::max(until, now + settings_.readBound_), std::move(done) });
+        return;
+    }
+    const bool isOldNews = cautious_ && now - job->checkedAt_ > settings_.trustedFor_;
+    const bool mustAsk = job->isOpen() && !job->isComplete() && (job->suspect_ || isOldNews);
+    // Somebody has seen more than is known here.
+    const bool isBehind = after > job->listed_.size() && !job->isComplete();
+    if (mustAsk || isBehind) {
+        return refresh(job, now, [this, job, after, wait, isBehind, done = std::move(done)](bool known, TimePoint at) {
+            if (!known || isBehind) {
+                // What another owner has listed is in the store, and the head tells whose the job is now.
+                return read(job->name_, after, wait, true, at, done);
+            }
+            readOwned(job, after, wait, at, done);
+        });
+    }
+    const bool hasMore = after < job->listed_.size();
+    if (hasMore || job->isComplete() || !job->isOpen() || wait <= Duration::zero())
+        return done(slice(*job, after));
+    job->readers_.push_back({ after, until, std::move(done) });
+}
+
+void JobDesk::answerReaders(const JobPtr& job, TimePoint now, bool all)
+{
+    if (job->readers_.empty())
+        return;
+    std::vector<Job::Reader> ready;
+    std::erase_if(job->readers_, [&](Job::Reader& reader) {
+        const bool hasNews = job->loaded_ && (reader.after_ < job->listed_.size() || job->isComplete() || !job->isOpen());
+        if (!all && !hasNews && now < reader.until_)
+            return false;
+        ready.push_back(std::move(reader));
+        return true;
+    });
+    for (Job::Reader& reader : ready)
+        reader.done_(job->loaded_ ? slice(*job, reader.after_) : ReadAnswer {});
+}
+
+namespace {
+
+    // Reads the result pages one after the other.
+    struct StoreRead {
+        LedgerStore store_;
+        JobName job_;
+        JobHead head_;
+        std::uint32_t after_ = 0;
+        std::size_t bytes_ = 0;
+        TimePoint until_;
+        std::vector<JobResult> results_;
+        JobDesk::ReadDone done_;
+    };
+
+    void readPage(const std::shared_ptr<StoreRead>& reading, std::uint32_t page)
+    {
+        reading->store_(ObjectCall::get(resultPageKey(reading->job_, page)), CallClass::Read, reading->until_, [reading, page](const SettledAnswer& answer, TimePoint) {
+            if (answer.is(ObjectError::NotFound))
+                return reading->done_(sliceOf(reading->results_, reading->head_.total_, reading->after_, reading->bytes_));
+            auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
+            if (!results)
+                return reading->done_({});
+            for (JobResult& result : results.value())
+                reading->results_.push_back(std::move(result));
+            if (reading->results_.size() >= reading->head_.total_)
+                return reading->done_(sliceOf(reading->results_, reading->head_.total_, reading->after_, reading->bytes_));
+            readPage(reading, page + 1);
+        });
+    }
+
+} // namespace
+
+void JobDesk::readFromStore(const JobName& name, const JobHead& head, std::uint32_t after, TimePoint now, const ReadDone& done)
+{
+    readPage(std::make_shared<StoreRead>(StoreRead { outlets_.store_, name, head, after, settings_.answerBytes_, now + settings_.readBound_, {}, done }), 0);
+}
+
+// ---- bodies
+
+void JobDesk::body(const JobName& name, const std::string& item, bool force, TimePoint now, BodyDone done)
+{
+    const Job* job = owned(name);
+    if (job && job->loaded_ && job->isOpen() && !force) {
+        const auto found = job->byId_.find(item);
+        BodyAnswer answer;
+        const bool isThere = found != job->byId_.end() && job->items_[found->second].state_ != ItemState::Listed;
+        answer.outcome_ = isThere ? ReadOutcome::Found : ReadOutcome::Missing;
+        if (isThere) {
+            if (auto bytes = fromBase64(job->items_[found->second].item_.body_))
+                answer.body_ = std::move(bytes.value());
+        }
+        return done(std::move(answer));
+    }
+    lookUp(name, now, [this, name, item, force, done = std::move(done)](ReadOutcome outcome, const JobHead& head, ObjectVersion, TimePoint at) {
+        BodyAnswer answer;
+        answer.outcome_ = outcome;
+        answer.owner_ = head.owner_;
+        if (outcome != ReadOutcome::Found)
+            return done(std::move(answer));
+        const bool isElsewhere = !force && head.owner_ != outlets_.self_ && outlets_.isLive_(head.owner_);
+        if (isElsewhere) {
+            answer.outcome_ = ReadOutcome::Elsewhere;
+            return done(std::move(answer));
+        }
+        // The items' own pages stay until the job is removed.
+        auto seek = std::make_shared<std::function<void(std::uint32_t, TimePoint)>>();
+        *seek = [this, name, item, head, done, seek](std::uint32_t page, TimePoint then) {
+            BodyAnswer found;
+            if (page >= head.itemPages_) {
+                found.outcome_ = ReadOutcome::Missing;
+                done(std::move(found));
+                *seek = nullptr;
+                return;
+            }
+            store(ObjectCall::get(itemPageKey(name, page)), CallClass::Read, then + settings_.readBound_, [item, page, done, seek](const SettledAnswer& settled, TimePoint later) {
+                const auto items = settled.ok() ? decodeItems(settled.answer_.value_) : Result<std::vector<JobItem>>(LedgerError::BadRecord);
+                if (!items) {
+                    done({});
+                    *seek = nullptr;
+                    return;
+                }
+                const auto place = std::find_if(items.value().begin(), items.value().end(), [&](const JobItem& one) { return one.id_ == item; });
+                if (place == items.value().end())
+                    return (*seek)(page + 1, later);
+                BodyAnswer hit;
+                const auto bytes = fromBase64(place->body_);
+                hit.outcome_ = bytes ? ReadOutcome::Found : ReadOutcome::Missing;
+                if (bytes)
+                    hit.body_ = bytes.value();
+                done(std::move(hit));
+                *seek = nullptr;
+            });
+        };
+        const auto first = *seek;
+        first(0, at);
+    });
+}
+
+// ---- ends
+
+void JobDesk::end(const JobName& name, bool force, TimePoint now, EndDone done)
+{
+    const auto found = jobs_.find(name);
+    if (found != jobs_.end() && !force) {
+        const JobPtr job = found->second;
+        if (!job->isOpen())
+            return done({ ReadOutcome::Found, outlets_.self_ });
+        // Runs stop before the acknowledgement, so nothing of the job begins after it.
+        stopRuns(job, false);
+        if (!job->stateChanging_) {
+            return setState(job, JobState::Ended, now, [this, job, done = std::move(done)](bool ended, TimePoint at) {
+                if (!ended)
+                    return done({});
+                job->lastUse_ = at;
+                job->pending_.clear();
+                job->items_.clear();
+                job->byId_.clear();
+                note(DeskNote::JobEnded, job->name_, {}, job->listed_.size());
+                answerReaders(job, at, true);
+                done({ ReadOutcome::Found, outlets_.self_ });
+            });
+        }
+        return done({}); // the head is being changed: the caller comes again
+    }
+    lookUp(name, now, [this, name, force, now, done = std::move(done)](ReadOutcome outcome, const JobHead& head, ObjectVersion, TimePoint at) {
+        if (outcome != ReadOutcome::Found)
+            return done({ outcome, {} });
+        if (head.state_ != JobState::Open)
+            return done({ ReadOutcome::Found, head.owner_ });
+        if (!force && head.owner_ != outlets_.self_ && outlets_.isLive_(head.owner_))
+            return done({ ReadOutcome::Elsewhere, head.owner_ });
+        endInStore(name, at, now + settings_.readBound_, done);
+    });
+}
+
+// The owner can't be reached, so the head is changed under its version; the owner meets that version at its next change or scan.
+void JobDesk::endInStore(const JobName& name, TimePoint now, TimePoint until, EndDone done)
+{
+    lookUp(name, now, [this, name, until, done = std::move(done)](ReadOutcome outcome, JobHead head, ObjectVersion version, TimePoint) {
+        if (outcome != ReadOutcome::Found)
+            return done({ outcome, {} });
+        if (head.state_ != JobState::Open)
+            return done({ ReadOutcome::Found, head.owner_ });
+        head.state_ = JobState::Ended;
+        store(ObjectCall::update(headKey(name), encode(head), version), CallClass::Accept, until, [this, name, until, done](const SettledAnswer& answer, TimePoint later) {
+            if (answer.ok()) {
+                note(DeskNote::JobEnded, name);
+                return done({ ReadOutcome::Found, {} });
+            }
+            if (answer.is(ObjectError::Conflict) && later < until)
+                return endInStore(name, later, until, done);
+            done({});
+        });
+    });
+}
+
+} // namespace jj
--- /dev/null
+++ b/libs/ledger/src/DeskRuns.cpp
@@ -0,0 +1,260 @@
+// Items that run, and how their results get into the store.
+#include "DeskJob.h"
+
+#include <algorithm>
+
+namespace jj {
+
+std::map<std::string, JobDesk::Waiting> JobDesk::waiting(TimePoint now)
+{
+    std::map<std::string, Waiting> found;
+    if (leaving_)
+        return found;
+    for (const auto& [name, job] : jobs_) {
+        if (!job->loaded_ || !job->isOpen())
+            continue;
+        for (const Item& item : job->items_) {
+            if (item.state_ != ItemState::Waiting || now < item.notBefore_)
+                continue;
+            const auto service = outlets_.serviceOf_(job->head_.host_, item.item_.path_);
+            if (!service)
+                continue;
+            Waiting& entry = found[*service];
+            entry.due_ = entry.count_ == 0 ? job->due_ : std::min(entry.due_, job->due_);
+            ++entry.count_;
+        }
+    }
+    return found;
+}
+
+std::optional<ItemRun> JobDesk::startNext(std::string_view service, TimePoint now)
+{
+    if (leaving_)
+        return std::nullopt;
+    JobPtr chosen;
+    std::size_t place = 0;
+    for (const auto& [name, job] : jobs_) {
+        if (!job->loaded_ || !job->isOpen() || (chosen && job->due_ >= chosen->due_))
+            continue;
+        for (std::size_t index = 0; index < job->items_.size(); ++index) {
+            const Item& item = job->items_[index];
+            if (item.state_ != ItemState::Waiting || now < item.notBefore_)
+                continue;
+            const auto carried = outlets_.serviceOf_(job->head_.host_, item.item_.path_);
+            if (!carried || *carried != service)
+                continue;
+            chosen = job;
+            place = index;
+            break;
+        }
+    }
+    if (!chosen)
+        return std::nullopt;
+    Item& item = chosen->items_[place];
+    auto body = fromBase64(item.item_.body_);
+    if (service.empty() || !body) {
+        // No configuration carries it any more, or its body was never one.
+        finishItem(chosen, place, ResultState::Errored, now);
+        return std::nullopt;
+    }
+    item.state_ = ItemState::Running;
+    item.run_ = RunId(nextRun_++);
+    runs_[item.run_] = { chosen->name_, place };
+    ItemRun run { item.run_, chosen->name_, chosen->head_.host_, item.item_.id_, item.item_.path_, item.item_.headers_, std::move(body.value()), std::nullopt, chosen->due_ };
+    if (item.events_ > 0)
+        run.resumeAfter_ = item.lastEvent_;
+    return run;
+}
+
+std::optional<TimePoint> JobDesk::dueOf(RunId run) const
+{
+    const auto found = runs_.find(run);
+    if (found == runs_.end())
+        return std::nullopt;
+    return jobs_.at(found->second.job_)->due_;
+}
+
+void JobDesk::event(RunId run, std::uint64_t eventId, std::string_view data)
+{
+    const auto found = runs_.find(run);
+    if (found == runs_.end())
+        return;
+    Item& item = jobs_.at(found->second.job_)->items_[found->second.item_];
+    if (item.events_ > 0)
+        item.text_.push_back('\n');
+    item.text_.append(data);
+    item.lastEvent_ = eventId;
+    item.setbacks_ = 0;
+    ++item.events_;
+}
+
+void JobDesk::ended(RunId run, RunEnd end, TimePoint now)
+{
+    const auto found = runs_.find(run);
+    if (found == runs_.end())
+        return;
+    const JobPtr job = jobs_.at(found->second.job_);
+    const std::size_t place = found->second.item_;
+    runs_.erase(found);
+    Item& item = job->items_[place];
+    item.state_ = ItemState::Waiting;
+    const auto retryLater = [&] {
+        constexpr std::uint32_t mostDoublings = 10;
+        item.notBefore_ = now + std::min<Duration>(settings_.longestRetry_, settings_.firstRetry_ * (1LL << std::min(item.setbacks_, mostDoublings)));
+        ++item.setbacks_;
+        note(DeskNote::ItemRetried, job->name_, item.item_.id_, item.setbacks_);
+    };
+    switch (end) {
+    case RunEnd::Completed:
+        // An answer without any event is no output of an item.
+        if (item.events_ == 0)
+            return retryLater();
+        return finishItem(job, place, ResultState::Completed, now);
+    case RunEnd::GivenWay:
+        return;
+    case RunEnd::Broken:
+        return retryLater();
+    case RunEnd::OutOfStep:
+        item.startAnew();
+        return retryLater();
+    case RunEnd::Failed:
+        ++item.failures_;
+        if (item.failures_ >= std::max(1U, job->head_.maxAttempts_))
+            return finishItem(job, place, ResultState::Errored, now);
+        return retryLater();
+    case RunEnd::Impossible:
+    case RunEnd::RouteGone:
+        return finishItem(job, place, ResultState::Errored, now);
+    }
+}
+
+void JobDesk::stopRuns(const JobPtr& job, bool keepText)
+{
+    for (Item& item : job->items_) {
+        if (item.state_ != ItemState::Running)
+            continue;
+        runs_.erase(item.run_);
+        outlets_.stop_(item.run_);
+        item.state_ = ItemState::Waiting;
+        if (!keepText)
+            item.startAnew();
+    }
+}
+
+// ---- results
+
+void JobDesk::finishItem(const JobPtr& job, std::size_t place, ResultState state, TimePoint now)
+{
+    Item& item = job->items_[place];
+    item.state_ = ItemState::Finished;
+    if (state == ResultState::Errored) {
+        note(DeskNote::ItemErrored, job->name_, item.item_.id_, item.failures_);
+        item.text_.clear();
+    }
+    if (job->pending_.empty())
+        job->pendingSince_ = now;
+    job->pending_.push_back({ item.item_.id_, state, std::move(item.text_) });
+    item.text_ = {};
+    commitIfDue(job, now);
+}
+
+void JobDesk::commitIfDue(const JobPtr& job, TimePoint now)
+{
+    if (job->pending_.empty() || job->isCommitting_ || !job->isOpen() || now < job->commitAgainAt_)
+        return;
+    const bool isLast = job->listed_.size() + job->pending_.size() >= job->head_.total_;
+    const bool isLate = now + settings_.commitWindow_ * 2 >= job->due_;
+    if (isLast || isLate || now - job->pendingSince_ >= settings_.commitWindow_)
+        commit(job, now);
+}
+
+void JobDesk::commit(const JobPtr& job, TimePoint now)
+{
+    job->isCommitting_ = true;
+    job->committing_ = std::exchange(job->pending_, {});
+    store(ObjectCall::create(resultPageKey(job->name_, job->pages_), encode(job->committing_)), CallClass::Commit, now + settings_.patience_, [this, job](const SettledAnswer& answer, TimePoint at) {
+        if (owned(job->name_) == job.get())
+            committed(job, answer, at);
+    });
+}
+
+void JobDesk::committed(const JobPtr& job, const SettledAnswer& answer, TimePoint now)
+{
+    job->isCommitting_ = false;
+    if (answer.ok()) {
+        ++job->pages_;
+        job->checkedAt_ = now;
+        applyResults(job, std::exchange(job->committing_, {}));
+        note(DeskNote::Listed, job->name_, {}, job->listed_.size());
+        answerReaders(job, now, false);
+        return completeIfDone(job, now);
+    }
+    job->pending_.insert(job->pending_.begin(), std::make_move_iterator(job->committing_.begin()), std::make_move_iterator(job->committing_.end()));
+    job->committing_.clear();
+    if (answer.is(ObjectError::Conflict))
+        return settleConflict(job, now);
+    note(DeskNote::StoreFailed, job->name_, {}, job->pages_, answer.answer_.error_);
+    job->commitAgainAt_ = now + settings_.trustedFor_;
+}
+
+// Another owner has written this page: what it lists stands, and this node goes on behind it, if it still owns the job.
+void JobDesk::settleConflict(const JobPtr& job, TimePoint now)
+{
+    note(DeskNote::ConflictMet, job->name_, {}, job->pages_);
+    job->isCommitting_ = true;
+    store(ObjectCall::get(resultPageKey(job->name_, job->pages_)), CallClass::Commit, now + settings_.patience_, [this, job](const SettledAnswer& answer, TimePoint at) {
+        if (owned(job->name_) != job.get())
+            return;
+        job->isCommitting_ = false;
+        auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
+        if (!results) {
+            note(DeskNote::StoreFailed, job->name_, {}, job->pages_, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
+            job->commitAgainAt_ = at + settings_.trustedFor_;
+            return;
+        }
+        ++job->pages_;
+        applyResults(job, std::move(results.value()));
+        answerReaders(job, at, false);
+        refresh(job, at, [this, job](bool known, TimePoint later) {
+            if (known)
+                completeIfDone(job, later);
+        });
+    });
+}
+
+void JobDesk::completeIfDone(const JobPtr& job, TimePoint now)
+{
+    if (!job->isOpen() || !job->isComplete() || job->stateChanging_)
+        return;
+    setState(job, JobState::Done, now, [this, job](bool done, TimePoint at) {
+        if (!done)
+            return;
+        job->lastUse_ = at;
+        job->items_.clear();
+        job->byId_.clear();
+        note(DeskNote::JobDone, job->name_, {}, job->listed_.size());
+    });
+}
+
+void JobDesk::setState(const JobPtr& job, JobState state, TimePoint now, std::function<void(bool, TimePoint)> then)
+{
+    JobHead head = job->head_;
+    head.state_ = state;
+    job->stateChanging_ = true;
+    store(ObjectCall::update(headKey(job->name_), encode(head), job->headVersion_), CallClass::Commit, now + settings_.itemsBound_, [this, job, head, then = std::move(then)](const SettledAnswer& answer, TimePoint at) {
+        job->stateChanging_ = false;
+        if (owned(job->name_) != job.get())
+            return then(false, at);
+        if (answer.ok()) {
+            job->head_ = head;
+            job->headVersion_ = answer.answer_.version_;
+            return then(true, at);
+        }
+        // Another node changed the head, or the store is away: what stands is read before it is tried again.
+        job->commitAgainAt_ = at + settings_.trustedFor_;
+        refresh(job, at, [](bool, TimePoint) {});
+        then(false, at);
+    });
+}
+
+} // namespace jj
--- a/libs/objects/include/objects/MemoryStore.h
+++ b/libs/objects/include/objects/MemoryStore.h
@@ -47,6 +47,8 @@
     ObjectVersion version() const { return ObjectVersion(version_); }
     const StoreCounts& counts() const { return counts_; }
     const std::map<std::string, ObjectEntry, std::less<>>& objects() const { return objects_; }
+    // What was last reported of each object (ObjectVerb::Report).
+    const std::map<std::string, std::string, std::less<>>& reports() const { return reports_; }
 
 private:
     struct Bucket {
@@ -59,6 +61,7 @@
     Duration take(Bucket& bucket, TimePoint now) const;
     ObjectAnswer get(const ObjectCall& call) const;
     ObjectAnswer list(const ObjectCall& call) const;
+    ObjectAnswer changes(const ObjectCall& call) const;
     ObjectAnswer write(const ObjectCall& call);
     void record(ChangeKind kind, const std::string& key, const std::string& value);
 
@@ -68,6 +71,7 @@
     bool outage_ = false;
     std::uint64_t version_ = 0;
     std::map<std::string, ObjectEntry, std::less<>> objects_;
+    std::map<std::string, std::string, std::less<>> reports_;
     // Invariant: versions in changes_ are consecutive and end at version_.
     std::deque<ObjectChange> changes_;
     StoreCounts counts_;
--- a/libs/objects/include/objects/ObjectApi.h
+++ b/libs/objects/include/objects/ObjectApi.h
@@ -38,17 +38,22 @@
     Put, // whatever stands
     Remove, // only if the version stands, when one is given
     List,
+    Changes, // waits for changes under a prefix after a version
+    Report, // replaces what the system says of an object that operators own; the object's own value stays
 };
 
 // One call. Build it with the named functions below.
 struct ObjectCall {
     ObjectVerb verb_ = ObjectVerb::Get;
-    std::string key_; // of a List: the prefix
+    std::string key_; // of a List and of Changes: the prefix
     std::string value_;
-    ObjectVersion expected_; // Update and Remove: none means no condition (Remove only)
+    // Update and Remove: none means no condition (Remove only). Changes: the version that the caller has seen.
+    ObjectVersion expected_;
     std::uint32_t limit_ = 0; // List: entries in one answer, 0 for the store's own limit
     std::string after_; // List: only keys after this one
     bool withValues_ = false; // List
+    bool stale_ = false; // Get and List: an answer that is seconds old will do, which is cheaper where the store prices calls
+    Duration wait_ {}; // Changes: the longest that the store holds the call open
 
     static ObjectCall get(std::string key);
     static ObjectCall create(std::string key, std::string value);
@@ -56,8 +61,10 @@
     static ObjectCall put(std::string key, std::string value);
     static ObjectCall remove(std::string key, ObjectVersion expected = ObjectVersion::none());
     static ObjectCall list(std::string prefix, bool withValues = false, std::string after = {}, std::uint32_t limit = 0);
+    static ObjectCall changes(std::string prefix, ObjectVersion seen, Duration wait);
+    static ObjectCall report(std::string key, std::string value);
 
-    bool isWrite() const { return verb_ != ObjectVerb::Get && verb_ != ObjectVerb::List; }
+    bool isWrite() const { return verb_ != ObjectVerb::Get && verb_ != ObjectVerb::List && verb_ != ObjectVerb::Changes; }
 };
 
 struct ObjectEntry {
@@ -67,20 +74,6 @@
     std::string value_; // empty unless asked for
 };
 
-// The answer to one call; error_ is empty on success.
-struct ObjectAnswer {
-    std::error_code error_;
-    // Get: of the object. Writes: the new version. List: of the store. Conflict: the version that stands, none when absent.
-    ObjectVersion version_;
-    std::string value_; // Get
-    std::vector<ObjectEntry> entries_; // List, by key
-    std::string next_; // List: pass as `after` to go on; empty at the end
-    Duration retryAfter_ {}; // RateLimited and Unavailable: zero when the store named no time
-
-    bool ok() const { return !error_; }
-    static ObjectAnswer failed(ObjectError error);
-};
-
 enum class ChangeKind : std::uint8_t {
     Put,
     Remove,
@@ -94,6 +87,21 @@
     std::string value_;
 };
 
+// The answer to one call; error_ is empty on success.
+struct ObjectAnswer {
+    std::error_code error_;
+    // Get: of the object. Writes: the new version. List and Changes: of the store. Conflict: the version that stands, none when absent.
+    ObjectVersion version_;
+    std::string value_; // Get
+    std::vector<ObjectEntry> entries_; // List, by key
+    std::string next_; // List: pass as `after` to go on; empty at the end
+    std::vector<ObjectChange> changes_; // Changes, in order; version_ is where to go on from
+    Duration retryAfter_ {}; // RateLimited and Unavailable: zero when the store named no time
+
+    bool ok() const { return !error_; }
+    static ObjectAnswer failed(ObjectError error);
+};
+
 bool isValidKey(std::string_view key);
 
 } // namespace jj
--- a/libs/objects/src/CallQueue.cpp
+++ b/libs/objects/src/CallQueue.cpp
@@ -121,7 +121,8 @@
 
 void CallQueue::answerLost(Call& call, TimePoint now)
 {
-    if (call.step_ == Step::Send && call.call_.isWrite()) {
+    // A report is no condition and no value that could be read back: it is sent again as it is.
+    if (call.step_ == Step::Send && call.call_.isWrite() && call.call_.verb_ != ObjectVerb::Report) {
         call.answerLost_ = true;
         call.step_ = Step::ReadBack;
     }
--- a/libs/objects/src/MemoryStore.cpp
+++ b/libs/objects/src/MemoryStore.cpp
@@ -49,6 +49,8 @@
     ++(call.isWrite() ? counts_.writes_ : counts_.reads_);
     if (call.verb_ == ObjectVerb::List)
         return list(call);
+    if (call.verb_ == ObjectVerb::Changes)
+        return changes(call);
     if (!isValidKey(call.key_))
         return ObjectAnswer::failed(ObjectError::BadCall);
     return call.isWrite() ? write(call) : get(call);
@@ -82,11 +84,31 @@
     return answer;
 }
 
+// Answers at once, also without a change: whoever plays the network holds the call open.
+ObjectAnswer MemoryStore::changes(const ObjectCall& call) const
+{
+    auto found = changesAfter(call.key_, call.expected_);
+    if (!found)
+        return ObjectAnswer::failed(ObjectError::Expired);
+    ObjectAnswer answer;
+    answer.version_ = version();
+    answer.changes_ = std::move(*found);
+    return answer;
+}
+
 ObjectAnswer MemoryStore::write(const ObjectCall& call)
 {
     if (call.value_.size() > maxObjectBytes)
         return ObjectAnswer::failed(ObjectError::TooLarge);
     const auto found = objects_.find(call.key_);
+    if (call.verb_ == ObjectVerb::Report) {
+        if (found == objects_.end())
+            return ObjectAnswer::failed(ObjectError::NotFound);
+        reports_[call.key_] = call.value_;
+        ObjectAnswer reported;
+        reported.version_ = found->second.version_;
+        return reported;
+    }
     const ObjectVersion standing = found == objects_.end() ? ObjectVersion::none() : found->second.version_;
     const bool removes = call.verb_ == ObjectVerb::Remove;
     if (removes && standing.isNone())
--- a/libs/objects/src/ObjectApi.cpp
+++ b/libs/objects/src/ObjectApi.cpp
@@ -96,6 +96,22 @@
     return call;
 }
 
+ObjectCall ObjectCall::changes(std::string prefix, ObjectVersion seen, Duration wait)
+{
+    ObjectCall call = get(std::move(prefix));
+    call.verb_ = ObjectVerb::Changes;
+    call.expected_ = seen;
+    call.wait_ = wait;
+    return call;
+}
+
+ObjectCall ObjectCall::report(std::string key, std::string value)
+{
+    ObjectCall call = put(std::move(key), std::move(value));
+    call.verb_ = ObjectVerb::Report;
+    return call;
+}
+
 ObjectAnswer ObjectAnswer::failed(ObjectError error)
 {
     ObjectAnswer answer;
--- /dev/null
+++ b/libs/serving/src/Context.cpp
@@ -0,0 +1,109 @@
+// Small helpers of all parts.
+#include "Context.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <cstdio>
+
+namespace jj {
+
+namespace {
+
+    // A living engine answers in a millisecond; one in another region in some thirty.
+    constexpr Duration probeBound = 250ms;
+
+    bool isConnectionHeader(std::string_view name)
+    {
+        static constexpr std::string_view names[] = { "connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "te", "trailer", "expect", "proxy-connection" };
+        return std::any_of(std::begin(names), std::end(names), [name](std::string_view one) { return boost::beast::iequals(name, one); });
+    }
+
+    // Names that a Connection header adds to the list.
+    bool isNamed(std::string_view connection, std::string_view name)
+    {
+        while (!connection.empty()) {
+            const std::size_t comma = connection.find(',');
+            std::string_view word = connection.substr(0, comma);
+            while (word.starts_with(' '))
+                word.remove_prefix(1);
+            while (word.ends_with(' '))
+                word.remove_suffix(1);
+            if (boost::beast::iequals(word, name))
+                return true;
+            connection.remove_prefix(comma == std::string_view::npos ? connection.size() : comma + 1);
+        }
+        return false;
+    }
+
+} // namespace
+
+ServingMetrics::ServingMetrics(Metrics& metrics)
+    : metrics_(metrics)
+    , answered_(metrics.counter("jj_requests_answered_total", "requests whose answer was passed on whole"))
+    , refused_(metrics.counter("jj_requests_refused_total", "requests refused, not run"))
+    , failed_(metrics.counter("jj_requests_failed_total", "requests answered with a failure after they may have run"))
+    , brokenOff_(metrics.counter("jj_requests_broken_total", "answers cut after they had begun"))
+    , left_(metrics.counter("jj_requests_left_total", "requests whose caller went away"))
+    , resent_(metrics.counter("jj_requests_resent_total", "requests sent to another engine"))
+    , displaced_(metrics.counter("jj_questions_displacing_total", "questions that took a batch item's slot"))
+    , queued_(metrics.counter("jj_questions_queued_total", "questions that waited in an engine's queue"))
+    , itemRuns_(metrics.counter("jj_item_runs_total", "runs of batch items"))
+    , itemsGivenWay_(metrics.counter("jj_items_given_way_total", "batch items stopped for a question"))
+    , firstEvent_(metrics.distribution("jj_first_event_ms", "from a request's arrival to its answer's first bytes"))
+    , accept_(metrics.distribution("jj_job_accept_ms", "from a submission's arrival to its acknowledgement"))
+{
+}
+
+void Context::failed(UpstreamId engine, std::error_code error)
+{
+    const EngineEntry* entry = board_.find(engine);
+    if (!entry)
+        return;
+    const Duration shun = board_.failed(engine, now());
+    log_.line("engineShunned").with("engine", entry->name_).with("error", error.message()).with("forMs", shun);
+    fleet_->tell();
+}
+
+void Context::suspect(UpstreamId engine)
+{
+    const EngineEntry* entry = board_.find(engine);
+    if (!entry)
+        return;
+    http::CallOptions options;
+    options.idle_ = probeBound;
+    options.fresh_ = true;
+    engines_.fetch(entry->at_, { "GET", translation_.enginePath_, {}, {} }, options, [this, engine](const Result<http::Response>& response, RunState) {
+        const EngineEntry* known = board_.find(engine);
+        if (!known)
+            return;
+        if (!response)
+            return failed(engine, response.error());
+        board_.succeeded(engine);
+        log_.line("engineProbed").with("engine", known->name_).with("status", response.value().status_);
+    });
+}
+
+http::Response refusal(const Translation& translation, int status, std::string_view code, std::string_view message, RunState run, Duration retryAfter)
+{
+    http::Response response = http::errorResponse(status, code, message, run);
+    if (retryAfter > Duration::zero()) {
+        std::array<char, 32> text {};
+        std::snprintf(text.data(), text.size(), "%.3f", toSeconds(retryAfter));
+        response.headers_.add(translation.headers_.retryAfter_, text.data());
+    }
+    return response;
+}
+
+http::Headers passedHeaders(const http::Headers& headers)
+{
+    const std::string_view connection = headers.find("Connection");
+    http::Headers passed;
+    for (const http::Header& header : headers) {
+        if (!isConnectionHeader(header.name_) && !isNamed(connection, header.name_))
+            passed.add(header.name_, header.value_);
+    }
+    return passed;
+}
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/DecisionLog.cpp
@@ -0,0 +1,141 @@
+// Text is put together by hand: a line costs a microsecond, and a request has some.
+#include "DecisionLog.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace jj {
+
+namespace {
+
+    constexpr std::size_t bufferBytes = 128 * 1024;
+    constexpr Duration flushPeriod = 200ms;
+
+    void appendEscaped(std::string& out, std::string_view text)
+    {
+        constexpr unsigned char firstPrintable = 0x20;
+        out.push_back('"');
+        for (const char c : text) {
+            if (c == '"' || c == '\\') {
+                out.push_back('\\');
+                out.push_back(c);
+            } else if (static_cast<unsigned char>(c) < firstPrintable) {
+                std::array<char, 8> code {};
+                std::snprintf(code.data(), code.size(), "\\u%04x", static_cast<unsigned>(c));
+                out.append(code.data());
+            } else {
+                out.push_back(c);
+            }
+        }
+        out.push_back('"');
+    }
+
+} // namespace
+
+DecisionLog::DecisionLog(std::string host, std::uint32_t linesPerSecond, int descriptor)
+    : linesPerSecond_(linesPerSecond)
+    , descriptor_(descriptor)
+    , budget_(linesPerSecond)
+{
+    prefix_ = ",\"host\":";
+    appendEscaped(prefix_, host);
+    prefix_ += ",\"event\":";
+    const int flags = ::fcntl(descriptor_, F_GETFL);
+    if (flags >= 0)
+        ::fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+}
+
+bool DecisionLog::mayWrite()
+{
+    const TimePoint now = SystemClock().now();
+    if (filledAt_ != TimePoint())
+        budget_ = std::min(linesPerSecond_, budget_ + toSeconds(now - filledAt_) * linesPerSecond_);
+    filledAt_ = now;
+    constexpr std::size_t room = 4 * 1024;
+    if (budget_ < 1 || buffer_.size() + room > bufferBytes) {
+        ++dropped_;
+        ++droppedTotal_;
+        return false;
+    }
+    budget_ -= 1;
+    return true;
+}
+
+void DecisionLog::begin(std::string_view event)
+{
+    buffer_ += "{\"ts\":";
+    buffer_ += std::to_string(SystemClock().wallNow().time_since_epoch().count());
+    buffer_ += prefix_;
+    appendEscaped(buffer_, event);
+    if (dropped_ > 0) {
+        buffer_ += ",\"linesDropped\":" + std::to_string(dropped_);
+        dropped_ = 0;
+    }
+}
+
+DecisionLog::Line DecisionLog::line(std::string_view event) { return { mayWrite() ? this : nullptr, event }; }
+
+void DecisionLog::flushIfDue(TimePoint now)
+{
+    if (now - flushedAt_ < flushPeriod && buffer_.size() < bufferBytes / 2)
+        return;
+    flushedAt_ = now;
+    flush();
+}
+
+void DecisionLog::flush()
+{
+    if (buffer_.empty())
+        return;
+    const ssize_t written = ::write(descriptor_, buffer_.data(), buffer_.size());
+    if (written > 0)
+        buffer_.erase(0, static_cast<std::size_t>(written));
+}
+
+DecisionLog::Line::Line(DecisionLog* log, std::string_view event)
+    : log_(log)
+{
+    if (log_)
+        log_->begin(event);
+}
+
+DecisionLog::Line::~Line()
+{
+    if (log_)
+        log_->buffer_ += "}\n";
+}
+
+DecisionLog::Line& DecisionLog::Line::raw(std::string_view key, std::string_view value)
+{
+    if (!log_)
+        return *this;
+    log_->buffer_.push_back(',');
+    appendEscaped(log_->buffer_, key);
+    log_->buffer_.push_back(':');
+    log_->buffer_.append(value);
+    return *this;
+}
+
+DecisionLog::Line& DecisionLog::Line::with(std::string_view key, std::string_view value)
+{
+    if (!log_)
+        return *this;
+    log_->buffer_.push_back(',');
+    appendEscaped(log_->buffer_, key);
+    log_->buffer_.push_back(':');
+    constexpr std::size_t longest = 200;
+    appendEscaped(log_->buffer_, value.substr(0, longest));
+    return *this;
+}
+
+DecisionLog::Line& DecisionLog::Line::with(std::string_view key, double value)
+{
+    std::array<char, 32> text {};
+    std::snprintf(text.data(), text.size(), "%.3f", value);
+    return raw(key, text.data());
+}
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/EventScanner.cpp
@@ -0,0 +1,71 @@
+// Fields are read line by line, as the HTML standard has it; lines end in LF or CRLF.
+#include "EventScanner.h"
+
+#include <charconv>
+
+namespace jj {
+
+namespace {
+
+    std::string_view valueOf(std::string_view line, std::string_view name)
+    {
+        line.remove_prefix(name.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        return line;
+    }
+
+    StreamEvent parse(std::string_view raw)
+    {
+        StreamEvent event;
+        event.raw_ = raw;
+        std::string_view rest = raw;
+        while (!rest.empty()) {
+            const std::size_t end = rest.find('\n');
+            std::string_view line = rest.substr(0, end);
+            rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+            if (line.ends_with('\r'))
+                line.remove_suffix(1);
+            if (line.starts_with("data:")) {
+                event.data_ = valueOf(line, "data:");
+            } else if (line.starts_with("id:")) {
+                const std::string_view text = valueOf(line, "id:");
+                std::uint64_t id = 0;
+                const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), id);
+                if (error == std::errc() && stop == text.data() + text.size())
+                    event.id_ = id;
+            }
+        }
+        return event;
+    }
+
+    // Where the first event ends, or npos.
+    std::size_t endOfEvent(std::string_view bytes)
+    {
+        const std::size_t plain = bytes.find("\n\n");
+        const std::size_t withReturn = bytes.find("\n\r\n");
+        if (plain == std::string_view::npos && withReturn == std::string_view::npos)
+            return std::string_view::npos;
+        return plain < withReturn ? plain + 2 : withReturn + 3;
+    }
+
+} // namespace
+
+void EventScanner::feed(std::string_view bytes, const std::function<void(const StreamEvent&)>& onEvent)
+{
+    // Mostly events come whole, and nothing is copied.
+    std::string joined;
+    if (!partial_.empty()) {
+        joined = std::move(partial_);
+        joined.append(bytes);
+        partial_.clear();
+        bytes = joined;
+    }
+    for (std::size_t end = endOfEvent(bytes); end != std::string_view::npos; end = endOfEvent(bytes)) {
+        onEvent(parse(bytes.substr(0, end)));
+        bytes.remove_prefix(end);
+    }
+    partial_.assign(bytes);
+}
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/Fleet.cpp
@@ -0,0 +1,405 @@
+// Sockets around the membership core, and the words that nodes tell each other.
+#include "Fleet.h"
+
+#include "base/Hash.h"
+#include "http/Client.h"
+#include "http/Server.h"
+#include "wire/DatagramCodec.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+
+namespace jj {
+
+namespace {
+
+    using Udp = boost::asio::ip::udp;
+
+    // Membership's own periods are 60 ms and more.
+    constexpr Duration membershipTick = 45ms;
+    // Everybody hears the whole word again, so that lost datagrams are made good.
+    constexpr Duration refreshPeriod = 500ms;
+    // Other regions only use what is left over here, and each byte to them is paid.
+    constexpr Duration farPeriod = 50ms;
+    // At start nobody is known; by then membership has met everybody who lives.
+    constexpr Duration settleTime = 4s;
+    // A word that is so fresh proves more than a probe that failed.
+    constexpr Duration freshWord = 1200ms;
+    constexpr std::size_t datagramBytes = 2048;
+    constexpr std::size_t callBytes = 16 * 1024 * 1024;
+    constexpr std::string_view callPath = "/peer";
+
+    Udp::endpoint nativeOf(const PeerAddress& address) { return { boost::asio::ip::address_v4(address.ip_), address.port_ }; }
+
+    PeerAddress nextPort(PeerAddress address)
+    {
+        ++address.port_;
+        return address;
+    }
+
+    Endpoint endpointOf(const PeerAddress& address) { return parseEndpoint(address.toString()).value(); }
+
+    std::string_view nameOf(MemberState state)
+    {
+        static constexpr std::string_view names[] = { "alive", "suspect", "dead", "left" };
+        return names[static_cast<std::size_t>(state)];
+    }
+
+    // Whole datagrams in, one handler call each.
+    class Datagrams {
+    public:
+        Datagrams(boost::asio::io_context& io, std::function<void(std::string_view)> handler)
+            : socket_(io)
+            , handler_(std::move(handler))
+        {
+        }
+
+        bool open(const PeerAddress& address)
+        {
+            boost::system::error_code error;
+            socket_.open(Udp::v4(), error);
+            if (!error)
+                socket_.bind(nativeOf(address), error);
+            if (!error)
+                socket_.non_blocking(true, error);
+            if (error)
+                return false;
+            receive();
+            return true;
+        }
+
+        // Lost when the system has no room: datagrams may be lost anyhow.
+        void send(const PeerAddress& to, std::string_view bytes)
+        {
+            boost::system::error_code ignored;
+            socket_.send_to(boost::asio::buffer(bytes.data(), bytes.size()), nativeOf(to), 0, ignored);
+        }
+
+    private:
+        void receive()
+        {
+            socket_.async_receive_from(boost::asio::buffer(buffer_), from_, [this](const boost::system::error_code& error, std::size_t size) {
+                if (error == boost::asio::error::operation_aborted)
+                    return;
+                // Other errors are a peer's "port unreachable": the socket itself is well.
+                if (!error)
+                    handler_(std::string_view(buffer_.data(), size));
+                receive();
+            });
+        }
+
+        Udp::socket socket_;
+        std::function<void(std::string_view)> handler_;
+        std::array<char, datagramBytes> buffer_ {};
+        Udp::endpoint from_;
+    };
+
+} // namespace
+
+struct Fleet::Sockets {
+    Sockets(boost::asio::io_context& io, Fleet& fleet)
+        : membership_(io, [&fleet](std::string_view bytes) { fleet.onMembershipDatagram(bytes); })
+        , words_(io, [&fleet](std::string_view bytes) { fleet.onWord(bytes); })
+        , codec_(fleet.options_.key_, fleet.self_)
+        , client_(io, { .connectTime_ = 300ms, .pooledIdle_ = 20s, .pooledPerEndpoint_ = 8, .headerBytes_ = 4096, .bodyBytes_ = callBytes })
+    {
+    }
+
+    Datagrams membership_;
+    Datagrams words_;
+    DatagramCodec codec_;
+    http::Client client_;
+    std::unique_ptr<http::Server> server_;
+};
+
+Fleet::Fleet(boost::asio::io_context& io, FleetOptions options, DecisionLog& log, FleetHandlers handlers)
+    : io_(io)
+    , options_(std::move(options))
+    , log_(log)
+    , handlers_(std::move(handlers))
+    , self_(nodeIdOf(options_.at_))
+    , startedAt_(SystemClock().now())
+    , now_(startedAt_)
+{
+}
+
+Fleet::~Fleet() { *alive_ = false; }
+
+Result<std::unique_ptr<Fleet>> Fleet::create(boost::asio::io_context& io, const FleetOptions& options, DecisionLog& log, FleetHandlers handlers)
+{
+    std::unique_ptr<Fleet> fleet(new Fleet(io, options, log, std::move(handlers)));
+    if (auto opened = fleet->open(); !opened)
+        return opened.error();
+    return fleet;
+}
+
+Result<void> Fleet::open()
+{
+    sockets_ = std::make_unique<Sockets>(io_, *this);
+    if (!sockets_->membership_.open(options_.at_) || !sockets_->words_.open(nextPort(options_.at_)))
+        return BaseError::Closed;
+    http::ServerSettings server;
+    server.listen_ = endpointOf(options_.at_);
+    server.limits_.bodyBytes_ = callBytes;
+    server.limits_.idle_ = 60s;
+    const auto onCall = [this](std::shared_ptr<http::Exchange> exchange) {
+        auto call = decodeCall(options_.key_, exchange->request().body_);
+        if (!call) {
+            log_.line("peerCallRefused").with("error", call.error().message());
+            return exchange->respond({ 400, {}, {} });
+        }
+        handlers_.onCall_(std::move(call.value()), [this, exchange](const PeerReply& reply) { exchange->respond({ 200, {}, encode(options_.key_, reply) }); });
+    };
+    BOOST_OUTCOME_TRY(sockets_->server_, http::Server::create(io_, server, onCall));
+    const WallTime wall = SystemClock().wallNow();
+    core_ = std::make_unique<MembershipCore>(MembershipCore::Self { options_.at_, options_.region_, options_.domain_ }, options_.membership_, now_, wall, self_.value());
+    HostsListed listed;
+    for (const PeerAddress& seed : options_.seeds_) {
+        if (seed != options_.at_)
+            listed.hosts_.push_back({ seed, {}, options_.region_, false });
+    }
+    core_->handle(listed, now_, wall);
+    runCommands();
+    return success();
+}
+
+// ---- membership
+
+void Fleet::tick(TimePoint now, WallTime wall)
+{
+    now_ = now;
+    if (now - tickedAt_ >= membershipTick) {
+        tickedAt_ = now;
+        core_->tick(now, wall);
+        runCommands();
+    }
+    if (now - refreshedAt_ >= refreshPeriod)
+        sendWord(true);
+    else if (farDirty_ && now - toldFarAt_ >= farPeriod)
+        sendWord(true);
+}
+
+void Fleet::onMembershipDatagram(std::string_view bytes)
+{
+    const auto datagram = sockets_->codec_.decode(bytes);
+    const WallTime wall = SystemClock().wallNow();
+    now_ = SystemClock().now();
+    if (datagram)
+        core_->handle(DatagramReceived { datagram.value().sender_, datagram.value().incarnation_, datagram.value().message_ }, now_, wall);
+    else if (datagram.error() == WireError::StaleIncarnation)
+        core_->handle(StaleDatagram { sockets_->codec_.staleSender() }, now_, wall);
+    runCommands();
+}
+
+void Fleet::runCommands()
+{
+    for (auto commands = core_->takeCommands(); !commands.empty(); commands = core_->takeCommands()) {
+        for (const MembershipCommand& command : commands)
+            std::visit([this](const auto& one) { perform(one); }, command);
+    }
+}
+
+void Fleet::perform(const SendDatagram& command)
+{
+    const auto bytes = sockets_->codec_.encode(command.target_, command.selfIncarnation_, command.message_);
+    if (bytes)
+        sockets_->membership_.send(command.endpoint_, bytes.value());
+}
+
+void Fleet::perform(const MemberChanged& command)
+{
+    const MemberRumor& member = command.member_;
+    Peer& peer = peers_[member.node_];
+    const bool wasLive = !peer.node_.isNone() && peer.isLive();
+    peer.node_ = member.node_;
+    peer.at_ = member.endpoint_;
+    peer.region_ = member.region_;
+    peer.domain_ = member.domain_;
+    peer.state_ = member.state_;
+    peer.leaving_ = member.leaving_;
+    log_.line("peerChanged").with("peer", member.endpoint_.toString()).with("state", nameOf(member.state_)).with("leaving", member.leaving_ ? "yes" : "no").with("incarnation", member.incarnation_.value());
+    if (wasLive && !peer.isLive())
+        handlers_.onGone_(member.node_);
+    if (!wasLive && peer.isLive())
+        tell();
+}
+
+void Fleet::perform(const Rejoined& command)
+{
+    log_.line("rejoined").with("incarnation", command.incarnation_.value());
+    handlers_.onRejoined_();
+}
+
+void Fleet::perform(const RegionReachChanged& command)
+{
+    log_.line(command.reachable_ ? "regionRegained" : "regionLost").with("region", command.region_.value());
+}
+
+// ---- words
+
+void Fleet::tell()
+{
+    farDirty_ = true;
+    if (tellPending_)
+        return;
+    tellPending_ = true;
+    boost::asio::post(io_, [this, alive = alive_] {
+        if (!*alive)
+            return;
+        tellPending_ = false;
+        sendWord(false);
+    });
+}
+
+void Fleet::sendWord(bool toAll)
+{
+    NodeTold told = handlers_.ownWord_();
+    told.use_.node_ = self_;
+    told.use_.incarnation_ = options_.incarnation_;
+    told.use_.sequence_ = ++sequence_;
+    told.runsJobs_ = options_.runsJobs_;
+    told.leaving_ = leaving_;
+    const std::string bytes = encode(options_.key_, PeerDatagram(told));
+    for (const auto& [node, peer] : peers_) {
+        if (peer.isLive() && (toAll || peer.region_ == options_.region_))
+            sockets_->words_.send(nextPort(peer.at_), bytes);
+    }
+    if (!toAll)
+        return;
+    farDirty_ = false;
+    toldFarAt_ = now_;
+    refreshedAt_ = now_;
+}
+
+void Fleet::giveWay(NodeId holder, UpstreamId engine)
+{
+    const auto found = peers_.find(holder);
+    if (found != peers_.end())
+        sockets_->words_.send(nextPort(found->second.at_), encode(options_.key_, PeerDatagram(GiveWay { self_, engine })));
+}
+
+void Fleet::onWord(std::string_view bytes)
+{
+    const auto datagram = decodeDatagram(options_.key_, bytes);
+    if (!datagram)
+        return;
+    if (const auto* ask = std::get_if<GiveWay>(&datagram.value()))
+        return handlers_.onGiveWay_(*ask);
+    const auto& told = std::get<NodeTold>(datagram.value());
+    const auto found = peers_.find(told.use_.node_);
+    if (found != peers_.end()) {
+        Peer& peer = found->second;
+        peer.runsJobs_ = told.runsJobs_;
+        peer.leaving_ = peer.leaving_ || told.leaving_;
+        peer.heardAt_ = SystemClock().now();
+        peer.configVersion_ = told.configVersion_;
+        peer.enginesVersion_ = told.enginesVersion_;
+    }
+    handlers_.onTold_(told);
+}
+
+// ---- calls
+
+void Fleet::ask(NodeId node, const PeerCall& call, Duration bound, ReplyHandler done)
+{
+    const auto found = peers_.find(node);
+    if (found == peers_.end()) {
+        boost::asio::post(io_, [done = std::move(done)] { done(PeerError::Unreachable); });
+        return;
+    }
+    http::CallOptions options;
+    options.idle_ = bound;
+    const Endpoint to = endpointOf(found->second.at_);
+    http::Request request { "POST", std::string(callPath), {}, encode(options_.key_, call) };
+    sockets_->client_.fetch(to, request, options, [this, alive = alive_, to, done = std::move(done)](const Result<http::Response>& response, RunState) {
+        if (!*alive)
+            return;
+        if (!response && response.error() == http::Error::NoProgress)
+            sockets_->client_.dropPooled(to);
+        if (!response || response.value().status_ != 200)
+            return done(PeerError::Unreachable);
+        done(decodeReply(options_.key_, response.value().body_));
+    });
+}
+
+// ---- leaving
+
+void Fleet::beginLeaving()
+{
+    leaving_ = true;
+    core_->handle(LeaveStarted {}, SystemClock().now(), SystemClock().wallNow());
+    runCommands();
+    sendWord(true);
+}
+
+void Fleet::finishLeaving()
+{
+    core_->handle(LeaveFinished {}, SystemClock().now(), SystemClock().wallNow());
+    runCommands();
+}
+
+// ---- who lives
+
+bool Fleet::isLive(NodeId node) const
+{
+    if (node == self_)
+        return true;
+    const auto found = peers_.find(node);
+    if (found == peers_.end())
+        return now_ - startedAt_ < settleTime;
+    return found->second.isLive() || now_ - found->second.heardAt_ < freshWord;
+}
+
+std::vector<NodeId> Fleet::livePeers() const
+{
+    std::vector<NodeId> live;
+    for (const auto& [node, peer] : peers_) {
+        if (peer.isLive())
+            live.push_back(node);
+    }
+    return live;
+}
+
+RegionId Fleet::regionOf(NodeId node) const
+{
+    const auto found = peers_.find(node);
+    return found == peers_.end() ? options_.region_ : found->second.region_;
+}
+
+NodeId Fleet::preferredOwner(std::string_view job, NodeId former) const
+{
+    const RegionId region = former == self_ || former.isNone() ? options_.region_ : regionOf(former);
+    const std::uint64_t jobHash = hash64(job);
+    // In order: runs jobs and stands in the region, runs jobs, any node.
+    std::array<std::pair<std::uint64_t, NodeId>, 3> best {};
+    const auto consider = [&](NodeId node, RegionId nodeRegion, bool runsJobs) {
+        const std::uint64_t weight = mixHash(jobHash, node.value());
+        const std::size_t rank = !runsJobs ? 2 : nodeRegion == region ? 0
+                                                                      : 1;
+        if (best[rank].second.isNone() || weight > best[rank].first)
+            best[rank] = { weight, node };
+    };
+    if (!leaving_)
+        consider(self_, options_.region_, options_.runsJobs_);
+    for (const auto& [node, peer] : peers_) {
+        if (peer.isLive() && !peer.leaving_)
+            consider(node, peer.region_, peer.runsJobs_);
+    }
+    for (const auto& [weight, node] : best) {
+        if (!node.isNone())
+            return node;
+    }
+    return NodeId::none();
+}
+
+bool Fleet::mayBeReplaced() const
+{
+    return std::any_of(peers_.begin(), peers_.end(), [this](const auto& entry) {
+        const Peer& peer = entry.second;
+        return peer.runsJobs_ && peer.state_ != MemberState::Left && now_ - peer.heardAt_ > freshWord && now_ - peer.heardAt_ < 60s;
+    });
+}
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/Fleet.h
@@ -0,0 +1,130 @@
+// The other nodes: who lives, what each runs at the engines, and calls between nodes.
+//
+// Membership (libs/membership) finds and buries nodes. On top of it every node tells its own region what it runs at once, when that
+// changes, and everybody now and then. All on the caller's thread.
+#pragma once
+
+#include "DecisionLog.h"
+#include "PeerMessages.h"
+#include "base/Result.h"
+#include "membership/MembershipCore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jj {
+
+struct FleetOptions {
+    PeerAddress at_; // UDP of membership and TCP of calls; loads are told on the port after it
+    std::vector<PeerAddress> seeds_;
+    RegionId region_;
+    FailureDomainId domain_;
+    bool runsJobs_ = false;
+    WireKey key_;
+    Incarnation incarnation_;
+    MembershipSettings membership_;
+};
+
+struct FleetHandlers {
+    // What goes out with each word of this node; node, incarnation and sequence are filled in here.
+    std::function<NodeTold()> ownWord_;
+    std::function<void(const NodeTold&)> onTold_;
+    std::function<void(const GiveWay&)> onGiveWay_;
+    std::function<void(NodeId)> onGone_;
+    // The membership of this node had lapsed: others believed it dead.
+    std::function<void()> onRejoined_;
+    // Answers a peer's call, now or later; at most once.
+    std::function<void(PeerCall, std::function<void(PeerReply)>)> onCall_;
+};
+
+struct Peer {
+    NodeId node_;
+    PeerAddress at_;
+    RegionId region_;
+    FailureDomainId domain_;
+    MemberState state_ = MemberState::Alive;
+    bool leaving_ = false;
+    bool runsJobs_ = false;
+    TimePoint heardAt_ {}; // of its last own word
+    std::uint64_t configVersion_ = 0;
+    std::uint64_t enginesVersion_ = 0;
+
+    bool isLive() const { return state_ == MemberState::Alive || state_ == MemberState::Suspect; }
+};
+
+class Fleet {
+public:
+    // Errors: the address can't be listened on.
+    static Result<std::unique_ptr<Fleet>> create(boost::asio::io_context& io, const FleetOptions& options, DecisionLog& log, FleetHandlers handlers);
+    ~Fleet();
+
+    void tick(TimePoint now, WallTime wall);
+    // This node's word has changed; it goes out before the loop turns again.
+    void tell();
+    void giveWay(NodeId holder, UpstreamId engine);
+    using ReplyHandler = std::function<void(Result<PeerReply>)>;
+    // Calls a peer; completes with Unreachable after `bound`.
+    void ask(NodeId node, const PeerCall& call, Duration bound, ReplyHandler done);
+
+    void beginLeaving();
+    // The last words, before the process ends.
+    void finishLeaving();
+
+    NodeId self() const { return self_; }
+    RegionId region() const { return options_.region_; }
+    // A node that was never heard of counts as live until this node has been up for settleTime.
+    bool isLive(NodeId node) const;
+    const std::map<NodeId, Peer>& peers() const { return peers_; }
+    std::vector<NodeId> livePeers() const;
+    // Of the live nodes that run jobs and don't leave, in the region of `former` if there are any: who should own the job.
+    // Without such nodes any live node serves. None when this node is alone and leaves.
+    NodeId preferredOwner(std::string_view job, NodeId former) const;
+    // Some node that runs jobs can't be heard, so it may believe the same of this one.
+    bool mayBeReplaced() const;
+
+private:
+    Fleet(boost::asio::io_context& io, FleetOptions options, DecisionLog& log, FleetHandlers handlers);
+
+    struct Sockets;
+
+    Result<void> open();
+    void onMembershipDatagram(std::string_view bytes);
+    void onWord(std::string_view bytes);
+    void runCommands();
+    void perform(const SendDatagram& command);
+    void perform(const MemberChanged& command);
+    void perform(const Rejoined& command);
+    void perform(const ConfigVersionLearned&) { }
+    void perform(const LoadLearned&) { }
+    void perform(const QuarantineLearned&) { }
+    void perform(const UpstreamMarkLearned&) { }
+    void perform(const RegionReachChanged& command);
+    void sendWord(bool toAll);
+    RegionId regionOf(NodeId node) const;
+
+    boost::asio::io_context& io_;
+    FleetOptions options_;
+    DecisionLog& log_;
+    FleetHandlers handlers_;
+    NodeId self_;
+    std::unique_ptr<Sockets> sockets_;
+    std::unique_ptr<MembershipCore> core_;
+    std::map<NodeId, Peer> peers_;
+    std::uint32_t sequence_ = 0;
+    bool tellPending_ = false;
+    bool farDirty_ = false; // other regions have not heard the last change
+    TimePoint toldFarAt_ {};
+    TimePoint refreshedAt_ {};
+    TimePoint tickedAt_ {};
+    TimePoint startedAt_ {};
+    TimePoint now_ {};
+    bool leaving_ = false;
+    // Lives as long as this object; what is posted looks at it first.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/ItemRunner.cpp
@@ -0,0 +1,196 @@
+// Runs are kept by their id; whatever comes for a run that is gone is dropped.
+#include "ItemRunner.h"
+
+#include <algorithm>
+
+namespace jj {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusImpossible = 422;
+    constexpr int statusMisdirected = 421;
+    constexpr int statusFailed = 500;
+    constexpr double meanGain = 0.1;
+
+} // namespace
+
+ItemRunner::ItemRunner(Context& context, JobDesk& desk, ItemRunnerSettings settings)
+    : context_(context)
+    , desk_(desk)
+    , settings_(settings)
+    , meanRunSeconds_(toSeconds(settings.assumedRun_))
+{
+}
+
+bool ItemRunner::isUrgent(TimePoint due, TimePoint now) const { return due - now < fromSeconds(meanRunSeconds_) + settings_.urgentMargin_; }
+
+bool ItemRunner::isCurrent(const RunPtr& run) const
+{
+    const auto found = runs_.find(run->item_.id_);
+    return found != runs_.end() && found->second == run;
+}
+
+void ItemRunner::pump(TimePoint now)
+{
+    std::size_t starts = 0;
+    for (const auto& [service, waiting] : desk_.waiting(now)) {
+        for (std::size_t left = waiting.count_; left > 0 && starts < settings_.startsPerTurn_; --left) {
+            EnginePick pick;
+            if (!service.empty())
+                pick = context_.board_.pickBatch(service, isUrgent(waiting.due_, now), {}, now);
+            if (!service.empty() && !pick.isSome())
+                break;
+            auto item = desk_.startNext(service, now);
+            if (!item)
+                continue; // it was ended on the spot
+            ++starts;
+            auto run = std::make_shared<Run>();
+            run->item_ = std::move(*item);
+            run->engine_ = pick.engine_;
+            run->sentAt_ = now;
+            runs_[run->item_.id_] = run;
+            send(run);
+        }
+    }
+}
+
+void ItemRunner::send(const RunPtr& run)
+{
+    const EngineEntry* entry = context_.board_.find(run->engine_);
+    const HeaderNames& names = context_.translation_.headers_;
+    context_.board_.started(run->engine_, WorkClass::BatchItem);
+    context_.fleet_->tell();
+    context_.metrics_.metrics_.add(context_.metrics_.itemRuns_);
+    const ItemRun& item = run->item_;
+    http::Request request { "POST", item.path_, { { "Host", item.host_ } }, item.body_ };
+    for (const auto& [name, value] : item.headers_)
+        request.headers_.add(name, value);
+    request.headers_.add(names.attemptId_, item.item_);
+    request.headers_.add(names.expectInstance_, entry->name_);
+    if (item.resumeAfter_)
+        request.headers_.add(names.resumeAfter_, std::to_string(*item.resumeAfter_));
+    context_.log_.line("itemSent").with("request", item.item_).with("job", item.job_).with("engine", entry->name_).with("resumeAfter", item.resumeAfter_ ? static_cast<std::int64_t>(*item.resumeAfter_) : -1).with("dueInMs", item.due_ - run->sentAt_);
+    http::CallOptions options;
+    options.idle_ = settings_.silence_;
+    options.echoName_ = names.attemptId_;
+    options.echoValue_ = item.item_;
+    http::CallHandlers handlers;
+    handlers.onHead_ = [this, run](const http::ResponseHead& head) { onHead(run, head); };
+    handlers.onData_ = [this, run](std::string_view data) { onData(run, data); };
+    handlers.onEnd_ = [this, run] { onEnd(run); };
+    handlers.onError_ = [this, run](const http::CallFailure& failure) { onError(run, failure); };
+    run->call_ = context_.engines_.send(entry->at_, request, options, std::move(handlers));
+}
+
+void ItemRunner::onHead(const RunPtr& run, const http::ResponseHead& head)
+{
+    run->status_ = head.status_;
+    run->rejected_ = head.headers_.has(context_.translation_.headers_.notExecuted_) || head.status_ == statusMisdirected;
+}
+
+void ItemRunner::onData(const RunPtr& run, std::string_view data)
+{
+    if (!isCurrent(run) || run->status_ != statusOk || run->rejected_)
+        return;
+    bool outOfStep = false;
+    run->scanner_.feed(data, [&](const StreamEvent& event) {
+        if (outOfStep || !event.id_)
+            return;
+        std::optional<std::uint64_t>& held = run->item_.resumeAfter_;
+        // The first event of a fresh run may bear any number; all others follow the one before.
+        if (held && *event.id_ != *held + 1) {
+            outOfStep = true;
+            return;
+        }
+        held = event.id_;
+        desk_.event(run->item_.id_, *event.id_, event.data_);
+    });
+    if (outOfStep)
+        finish(run, RunEnd::OutOfStep, "outOfStep");
+}
+
+void ItemRunner::onEnd(const RunPtr& run)
+{
+    if (!isCurrent(run))
+        return;
+    run->call_ = nullptr;
+    if (run->rejected_) {
+        if (run->status_ == statusMisdirected)
+            context_.failed(run->engine_, http::Error::Malformed);
+        else
+            context_.board_.refusedAsFull(run->engine_, context_.now());
+        return finish(run, RunEnd::GivenWay, "notExecuted");
+    }
+    context_.board_.succeeded(run->engine_);
+    switch (run->status_) {
+    case statusOk: {
+        const bool isWhole = run->scanner_.rest().empty();
+        if (isWhole)
+            meanRunSeconds_ += meanGain * (toSeconds(context_.now() - run->sentAt_) - meanRunSeconds_);
+        return finish(run, isWhole ? RunEnd::Completed : RunEnd::Broken, isWhole ? "completed" : "endedInsideEvent");
+    }
+    case statusImpossible:
+        return finish(run, RunEnd::Impossible, "impossible");
+    case statusFailed:
+        return finish(run, RunEnd::Failed, "failed");
+    default:
+        return finish(run, RunEnd::Broken, "unexpectedStatus");
+    }
+}
+
+void ItemRunner::onError(const RunPtr& run, const http::CallFailure& failure)
+{
+    if (!isCurrent(run))
+        return;
+    run->call_ = nullptr;
+    if (failure.run_ == RunState::NotRun) {
+        context_.failed(run->engine_, failure.code_);
+        return finish(run, RunEnd::GivenWay, "notConnected");
+    }
+    context_.suspect(run->engine_);
+    finish(run, RunEnd::Broken, failure.code_.message());
+}
+
+void ItemRunner::finish(const RunPtr& run, RunEnd end, std::string_view why)
+{
+    runs_.erase(run->item_.id_);
+    if (run->call_)
+        run->call_->cancel();
+    run->call_ = nullptr;
+    context_.board_.ended(run->engine_, WorkClass::BatchItem);
+    context_.fleet_->tell();
+    context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1);
+    desk_.ended(run->item_.id_, end, context_.now());
+}
+
+void ItemRunner::giveWay(UpstreamId engine, TimePoint now)
+{
+    // The one that is due last has the most time to go on elsewhere.
+    RunPtr chosen;
+    for (const auto& [id, run] : runs_) {
+        if (run->engine_ == engine && (!chosen || run->item_.due_ > chosen->item_.due_))
+            chosen = run;
+    }
+    if (!chosen || isUrgent(chosen->item_.due_, now))
+        return;
+    context_.metrics_.metrics_.add(context_.metrics_.itemsGivenWay_);
+    finish(chosen, RunEnd::GivenWay, "gaveWay");
+}
+
+void ItemRunner::stop(RunId id)
+{
+    const auto found = runs_.find(id);
+    if (found == runs_.end())
+        return;
+    const RunPtr run = found->second;
+    runs_.erase(found);
+    if (run->call_)
+        run->call_->cancel();
+    run->call_ = nullptr;
+    context_.board_.ended(run->engine_, WorkClass::BatchItem);
+    context_.fleet_->tell();
+    context_.log_.line("itemStopped").with("request", run->item_.item_).with("job", run->item_.job_);
+}
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/JobFront.cpp
@@ -0,0 +1,223 @@
+// Reads, bodies and ends take the same way: to the owner, to the owner that it names, and at last to the store from here.
+#include "JobFront.h"
+
+namespace jj {
+
+namespace {
+
+    // A read is held for a second by its owner; then the way there and back.
+    constexpr Duration readMargin = 600ms;
+    constexpr Duration callBound = 1200ms;
+    constexpr int mostHops = 3;
+    constexpr int mostHandTries = 3;
+    constexpr Duration retryAfter = 300ms;
+    constexpr std::size_t mostOwners = 8192;
+
+    Duration waitOf(const JobCall& call)
+    {
+        const auto* read = std::get_if<JobRead>(&call);
+        return read ? read->wait_ : Duration::zero();
+    }
+
+    const JobName& jobOf(const JobCall& call)
+    {
+        return std::visit([](const auto& one) -> const JobName& { return one.job_; }, call);
+    }
+
+    PeerCall peerCallOf(const JobCall& call)
+    {
+        if (const auto* read = std::get_if<JobRead>(&call))
+            return ReadAsk { read->job_, read->after_, static_cast<std::uint32_t>(read->wait_ / 1ms) };
+        if (const auto* body = std::get_if<JobBody>(&call))
+            return BodyAsk { body->job_, body->item_ };
+        return EndAsk { std::get<JobEnd>(call).job_ };
+    }
+
+    std::string_view nameOf(const JobCall& call)
+    {
+        static constexpr std::string_view names[] = { "read", "body", "end" };
+        return names[call.index()];
+    }
+
+} // namespace
+
+struct JobFront::Asked {
+    std::shared_ptr<http::Exchange> exchange_;
+    JobCall call_;
+    TimePoint began_ {};
+    int hops_ = 0;
+    NodeId next_; // to ask
+};
+
+JobFront::JobFront(Context& context, JobDesk& desk, StoreLink& store)
+    : context_(context)
+    , desk_(desk)
+    , acceptor_([&store](ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) { store.send(std::move(call), callClass, until, std::move(done)); })
+{
+}
+
+// ---- submissions
+
+void JobFront::submit(std::shared_ptr<http::Exchange> exchange, const Route& route)
+{
+    const TimePoint began = context_.now();
+    auto submission = context_.translation_.readSubmission_(exchange->request());
+    if (!submission) {
+        context_.log_.line("jobRefused").with("request", exchange->request().headers_.find(context_.translation_.headers_.attemptId_)).with("error", submission.error().message());
+        return exchange->respond(refusal(context_.translation_, 400, "job.Unreadable", submission.error().message(), RunState::NotRun, {}));
+    }
+    JobSubmission& job = submission.value();
+    job.head_.host_ = hostName(exchange->request().headers_.find("Host"));
+    job.head_.runTarget_ = route.runTarget_;
+    job.head_.abandonAfter_ = route.abandonAfter_;
+    job.head_.maxAttempts_ = route.maxAttempts_;
+    const NodeId owner = context_.fleet_->preferredOwner(job.job_, context_.fleet_->self());
+    const JobName name = job.job_;
+    acceptor_.accept(std::move(job), owner, context_.settings_.acceptBound_, began, SystemClock().wallNow(), [this, exchange, name, began](const Acceptance& acceptance, TimePoint now) { accepted(exchange, name, acceptance, began, now); });
+}
+
+void JobFront::accepted(const std::shared_ptr<http::Exchange>& exchange, const JobName& job, const Acceptance& acceptance, TimePoint began, TimePoint now)
+{
+    static constexpr std::string_view outcomes[] = { "accepted", "alreadyAccepted", "notAccepted", "unknown", "invalid" };
+    context_.log_.line("jobSubmitted").with("request", job).with("job", job).with("outcome", outcomes[static_cast<std::size_t>(acceptance.outcome_)]).with("items", acceptance.items_.size()).with("owner", acceptance.head_.owner_.value()).with("afterMs", now - began);
+    switch (acceptance.outcome_) {
+    case AcceptOutcome::Accepted:
+        context_.metrics_.metrics_.observe(context_.metrics_.accept_, toMilliseconds(now - began));
+        exchange->respond({ 202, { { "Content-Type", "application/json" } }, "{}" });
+        remember(job, acceptance.head_.owner_);
+        return handToOwner(job, acceptance, 0);
+    case AcceptOutcome::AlreadyAccepted:
+        return exchange->respond({ 202, { { "Content-Type", "application/json" } }, "{}" });
+    case AcceptOutcome::NotAccepted:
+        context_.metrics_.metrics_.add(context_.metrics_.refused_);
+        return exchange->respond(refusal(context_.translation_, 503, "store.Unavailable", "the store can't take the job now; no item of it runs", RunState::NotRun, retryAfter));
+    case AcceptOutcome::Unknown:
+        context_.metrics_.metrics_.add(context_.metrics_.failed_);
+        return exchange->respond(refusal(context_.translation_, 500, "store.OutcomeUnknown", "the store gave no answer; the job may be accepted, send it again", RunState::OutcomeUnknown, {}));
+    case AcceptOutcome::Invalid:
+        return exchange->respond(refusal(context_.translation_, 400, "job.Invalid", acceptance.failure_.message(), RunState::NotRun, {}));
+    }
+}
+
+// A message that doesn't arrive costs time, not the job: its owner, or who should own it, finds it in the store.
+void JobFront::handToOwner(const JobName& job, const Acceptance& acceptance, int tries)
+{
+    JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, {} };
+    const NodeId owner = acceptance.head_.owner_;
+    if (owner == context_.fleet_->self())
+        return desk_.adopt(std::move(transfer), context_.now(), SystemClock().wallNow());
+    context_.fleet_->ask(owner, AdoptAsk { std::move(transfer) }, callBound, [this, job, acceptance, tries](const Result<PeerReply>& reply) {
+        if (reply)
+            return;
+        context_.log_.line("ownerUnreachable").with("job", job).with("tries", tries + 1).with("error", reply.error().message());
+        if (tries + 1 < mostHandTries)
+            handToOwner(job, acceptance, tries + 1);
+    });
+}
+
+// ---- calls
+
+NodeId JobFront::ownerOf(const JobName& job) const
+{
+    const auto found = owners_.find(job);
+    if (found != owners_.end() && context_.fleet_->isLive(found->second))
+        return found->second;
+    return context_.fleet_->preferredOwner(job, context_.fleet_->self());
+}
+
+void JobFront::remember(const JobName& job, NodeId owner)
+{
+    if (owners_.size() >= mostOwners)
+        owners_.clear();
+    owners_[job] = owner;
+}
+
+void JobFront::call(std::shared_ptr<http::Exchange> exchange, JobCall call)
+{
+    auto asked = std::make_shared<Asked>();
+    asked->exchange_ = std::move(exchange);
+    asked->next_ = ownerOf(jobOf(call));
+    asked->call_ = std::move(call);
+    asked->began_ = context_.now();
+    askOwner(asked);
+}
+
+void JobFront::askOwner(const AskedPtr& asked)
+{
+    if (asked->next_ == context_.fleet_->self() || asked->next_.isNone())
+        return askHere(asked, asked->next_.isNone());
+    const Duration bound = asked->hops_ == 0 ? waitOf(asked->call_) + readMargin : readMargin;
+    context_.fleet_->ask(asked->next_, peerCallOf(asked->call_), bound, [this, asked](Result<PeerReply> reply) {
+        if (!reply) {
+            context_.log_.line("ownerUnreachable").with("job", jobOf(asked->call_)).with("call", nameOf(asked->call_)).with("owner", asked->next_.value()).with("error", reply.error().message());
+            return askHere(asked, true);
+        }
+        ReadOutcome outcome = ReadOutcome::Unsure;
+        NodeId owner;
+        if (const auto* read = std::get_if<ReadAnswer>(&reply.value())) {
+            outcome = read->outcome_;
+            owner = read->owner_;
+        } else if (const auto* body = std::get_if<BodyAnswer>(&reply.value())) {
+            outcome = body->outcome_;
+            owner = body->owner_;
+        } else if (const auto* end = std::get_if<EndAnswer>(&reply.value())) {
+            outcome = end->outcome_;
+            owner = end->owner_;
+        }
+        answered(asked, outcome, owner, false, std::move(reply.value()));
+    });
+}
+
+void JobFront::askHere(const AskedPtr& asked, bool force)
+{
+    const TimePoint now = context_.now();
+    if (const auto* read = std::get_if<JobRead>(&asked->call_)) {
+        return desk_.read(read->job_, read->after_, read->wait_, force, now, [this, asked](ReadAnswer answer) {
+            const ReadOutcome outcome = answer.outcome_;
+            const NodeId owner = answer.owner_;
+            answered(asked, outcome, owner, true, std::move(answer));
+        });
+    }
+    if (const auto* body = std::get_if<JobBody>(&asked->call_)) {
+        return desk_.body(body->job_, body->item_, force, now, [this, asked](BodyAnswer answer) {
+            const ReadOutcome outcome = answer.outcome_;
+            const NodeId owner = answer.owner_;
+            answered(asked, outcome, owner, true, std::move(answer));
+        });
+    }
+    desk_.end(std::get<JobEnd>(asked->call_).job_, force, now, [this, asked](EndAnswer answer) { answered(asked, answer.outcome_, answer.owner_, true, answer); });
+}
+
+void JobFront::answered(const AskedPtr& asked, ReadOutcome outcome, NodeId owner, bool wasHere, PeerReply reply)
+{
+    const bool mayGoOn = ++asked->hops_ < mostHops && context_.now() - asked->began_ < waitOf(asked->call_) + callBound;
+    if (outcome == ReadOutcome::Elsewhere && mayGoOn) {
+        remember(jobOf(asked->call_), owner);
+        asked->next_ = owner;
+        return owner == context_.fleet_->self() && wasHere ? askHere(asked, true) : askOwner(asked);
+    }
+    if (outcome == ReadOutcome::Unsure && !wasHere && mayGoOn)
+        return askHere(asked, true);
+    if (outcome == ReadOutcome::Found && !wasHere)
+        remember(jobOf(asked->call_), asked->next_);
+    respond(*asked, outcome, reply);
+}
+
+void JobFront::respond(const Asked& asked, ReadOutcome outcome, const PeerReply& reply)
+{
+    http::Exchange& exchange = *asked.exchange_;
+    const bool isUnsure = outcome == ReadOutcome::Unsure || outcome == ReadOutcome::Elsewhere;
+    if (isUnsure || outcome == ReadOutcome::Missing)
+        context_.log_.line("jobCallFailed").with("job", jobOf(asked.call_)).with("call", nameOf(asked.call_)).with("outcome", isUnsure ? "unsure" : "missing").with("hops", asked.hops_).with("afterMs", context_.now() - asked.began_);
+    if (isUnsure)
+        return exchange.respond(refusal(context_.translation_, 503, "job.Unsure", "neither the job's owner nor the store can be asked now", RunState::NotRun, retryAfter));
+    if (outcome == ReadOutcome::Missing)
+        return exchange.respond(refusal(context_.translation_, 404, "job.NotFound", "no such job or item", RunState::NotRun, {}));
+    if (const auto* read = std::get_if<ReadAnswer>(&reply))
+        return exchange.respond({ 200, { { "Content-Type", "application/json" } }, context_.translation_.writeResults_(*read) });
+    if (const auto* body = std::get_if<BodyAnswer>(&reply))
+        return exchange.respond({ 200, { { "Content-Type", "application/octet-stream" } }, body->body_ });
+    exchange.respond({ 200, { { "Content-Type", "application/json" } }, "{}" });
+}
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/JobFront.h
@@ -0,0 +1,41 @@
+// Callers' calls about jobs: taken in here, answered by the job's owner wherever it is.
+#pragma once
+
+#include "Context.h"
+#include "ledger/Acceptor.h"
+#include "ledger/JobDesk.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace jj {
+
+class JobFront {
+public:
+    JobFront(Context& context, JobDesk& desk, StoreLink& store);
+
+    void submit(std::shared_ptr<http::Exchange> exchange, const Route& route);
+    void call(std::shared_ptr<http::Exchange> exchange, JobCall call);
+
+private:
+    struct Asked;
+    using AskedPtr = std::shared_ptr<Asked>;
+
+    void accepted(const std::shared_ptr<http::Exchange>& exchange, const JobName& job, const Acceptance& acceptance, TimePoint began, TimePoint now);
+    void handToOwner(const JobName& job, const Acceptance& acceptance, int tries);
+    void askOwner(const AskedPtr& asked);
+    void askHere(const AskedPtr& asked, bool force);
+    void answered(const AskedPtr& asked, ReadOutcome outcome, NodeId owner, bool wasHere, PeerReply reply);
+    void respond(const Asked& asked, ReadOutcome outcome, const PeerReply& reply);
+    NodeId ownerOf(const JobName& job) const;
+    void remember(const JobName& job, NodeId owner);
+
+    Context& context_;
+    JobDesk& desk_;
+    Acceptor acceptor_;
+    // Owners as last heard; a wrong one costs a hop.
+    std::map<JobName, NodeId> owners_;
+};
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/PeerMessages.cpp
@@ -0,0 +1,256 @@
+// Fields in the order in which the header declares them.
+#include "PeerMessages.h"
+
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+
+namespace jj {
+
+namespace {
+
+    class PeerCategory : public std::error_category {
+    public:
+        const char* name() const noexcept override { return "peers"; }
+        std::string message(int value) const override
+        {
+            switch (static_cast<PeerError>(value)) {
+            case PeerError::Unauthentic:
+                return "a message of a peer doesn't carry the fleet's code";
+            case PeerError::Unreadable:
+                return "a message of a peer can't be read";
+            case PeerError::Unreachable:
+                return "the peer gave no answer";
+            }
+            return "unknown error";
+        }
+    };
+
+    // Each kind of message has its own label under the code, so that one is never taken for another.
+    constexpr std::string_view datagramLabel = "serving datagram 1";
+    constexpr std::string_view callLabel = "serving call 1";
+    constexpr std::string_view replyLabel = "serving reply 1";
+
+} // namespace
+
+std::error_code make_error_code(PeerError error)
+{
+    static const PeerCategory category;
+    return { static_cast<int>(error), category };
+}
+
+// ---- cereal finds these by their arguments; its names are its own.
+// NOLINTBEGIN(readability-identifier-naming)
+
+// An error travels as its number; only the store's errors are sent.
+template <class Archive>
+void save(Archive& archive, const ObjectAnswer& answer)
+{
+    archive(answer.error_.value(), answer.version_, answer.value_, answer.entries_, answer.next_, answer.changes_, answer.retryAfter_);
+}
+
+template <class Archive>
+void load(Archive& archive, ObjectAnswer& answer)
+{
+    int error = 0;
+    archive(error, answer.version_, answer.value_, answer.entries_, answer.next_, answer.changes_, answer.retryAfter_);
+    if (error != 0)
+        answer.error_ = static_cast<ObjectError>(error);
+}
+
+template <class Archive>
+void save(Archive& archive, const JobHead& head)
+{
+    archive(head.host_, head.owner_, head.total_, head.itemPages_, head.acceptedAt_.time_since_epoch(), head.runTarget_, head.abandonAfter_, head.maxAttempts_, head.state_);
+}
+
+template <class Archive>
+void load(Archive& archive, JobHead& head)
+{
+    std::chrono::milliseconds at {};
+    archive(head.host_, head.owner_, head.total_, head.itemPages_, at, head.runTarget_, head.abandonAfter_, head.maxAttempts_, head.state_);
+    head.acceptedAt_ = WallTime(at);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ObjectEntry& entry)
+{
+    archive(entry.key_, entry.version_, entry.size_, entry.value_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ObjectChange& change)
+{
+    archive(change.kind_, change.version_, change.key_, change.value_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ObjectCall& call)
+{
+    archive(call.verb_, call.key_, call.value_, call.expected_, call.limit_, call.after_, call.withValues_, call.stale_, call.wait_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, EngineUse& use)
+{
+    archive(use.engine_, use.questions_, use.batchItems_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, NodeUse& use)
+{
+    archive(use.node_, use.incarnation_, use.sequence_, use.uses_, use.shunned_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, NodeTold& told)
+{
+    archive(told.use_, told.runsJobs_, told.leaving_, told.configVersion_, told.enginesVersion_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, GiveWay& ask)
+{
+    archive(ask.from_, ask.engine_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobItem& item)
+{
+    archive(item.id_, item.path_, item.headers_, item.body_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobResult& result)
+{
+    archive(result.item_, result.state_, result.text_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobTransfer::Progress& progress)
+{
+    archive(progress.item_, progress.text_, progress.events_, progress.lastEvent_, progress.failures_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobTransfer& job)
+{
+    archive(job.job_, job.head_, job.headVersion_, job.items_, job.resultPages_, job.progress_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, StoreAsk& ask)
+{
+    archive(ask.call_);
+}
+
+template <class Archive>
+void serialize(Archive& /*archive*/, ConfigAsk& /*ask*/)
+{
+}
+
+template <class Archive>
+void serialize(Archive& archive, AdoptAsk& ask)
+{
+    archive(ask.job_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ReadAsk& ask)
+{
+    archive(ask.job_, ask.after_, ask.waitMs_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, BodyAsk& ask)
+{
+    archive(ask.job_, ask.item_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, EndAsk& ask)
+{
+    archive(ask.job_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ConfigTold& told)
+{
+    archive(told.version_, told.value_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, AdoptTold& told)
+{
+    archive(told.taken_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ReadAnswer& answer)
+{
+    archive(answer.outcome_, answer.owner_, answer.total_, answer.next_, answer.results_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, BodyAnswer& answer)
+{
+    archive(answer.outcome_, answer.owner_, answer.body_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, EndAnswer& answer)
+{
+    archive(answer.outcome_, answer.owner_);
+}
+
+// NOLINTEND(readability-identifier-naming)
+
+namespace {
+
+    template <class Message>
+    std::string encodeAs(const WireKey& key, std::string_view label, const Message& message)
+    {
+        std::ostringstream out;
+        cereal::BinaryOutputArchive archive(out);
+        archive(message);
+        std::string bytes = std::move(out).str();
+        const auto code = key.mac({ label, bytes });
+        bytes.append(code.data(), code.size());
+        return bytes;
+    }
+
+    template <class Message>
+    Result<Message> decodeAs(const WireKey& key, std::string_view label, std::string_view bytes)
+    {
+        if (bytes.size() < macBytes)
+            return PeerError::Unauthentic;
+        const std::string_view code = bytes.substr(bytes.size() - macBytes);
+        bytes.remove_suffix(macBytes);
+        if (!key.verify(code, { label, bytes }))
+            return PeerError::Unauthentic;
+        std::istringstream in { std::string(bytes) };
+        try {
+            cereal::BinaryInputArchive archive(in);
+            Message message;
+            archive(message);
+            return message;
+        } catch (const std::exception&) {
+            return PeerError::Unreadable;
+        }
+    }
+
+} // namespace
+
+std::string encode(const WireKey& key, const PeerDatagram& datagram) { return encodeAs(key, datagramLabel, datagram); }
+std::string encode(const WireKey& key, const PeerCall& call) { return encodeAs(key, callLabel, call); }
+std::string encode(const WireKey& key, const PeerReply& reply) { return encodeAs(key, replyLabel, reply); }
+
+Result<PeerDatagram> decodeDatagram(const WireKey& key, std::string_view bytes) { return decodeAs<PeerDatagram>(key, datagramLabel, bytes); }
+Result<PeerCall> decodeCall(const WireKey& key, std::string_view bytes) { return decodeAs<PeerCall>(key, callLabel, bytes); }
+Result<PeerReply> decodeReply(const WireKey& key, std::string_view bytes) { return decodeAs<PeerReply>(key, replyLabel, bytes); }
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/PeerMessages.h
@@ -0,0 +1,90 @@
+// What serving nodes say to each other. Datagrams tell loads and ask for slots; calls carry jobs, reads and calls of the store.
+//
+// Coded with cereal and closed with a code of the fleet's key (wire/Key.h). Bytes that don't verify are never decoded, so a decoder
+// sees only what a peer encoded.
+#pragma once
+
+#include "base/Result.h"
+#include "capacity/NodeUse.h"
+#include "ledger/JobDesk.h"
+#include "objects/ObjectApi.h"
+#include "wire/Key.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace jj {
+
+// ---- datagrams
+
+// A node's own word; the latest replaces all earlier ones.
+struct NodeTold {
+    NodeUse use_;
+    bool runsJobs_ = false;
+    bool leaving_ = false;
+    std::uint64_t configVersion_ = 0; // that it applies; 0: none
+    std::uint64_t enginesVersion_ = 0; // the store's version up to which it knows the engines; 0: none
+};
+
+// The sender sends a question to an engine whose slots are full, and the receiver has a batch item there.
+struct GiveWay {
+    NodeId from_;
+    UpstreamId engine_;
+};
+
+using PeerDatagram = std::variant<NodeTold, GiveWay>;
+
+// ---- calls
+
+// The store doesn't serve the sender; the receiver makes the call in its place.
+struct StoreAsk {
+    ObjectCall call_;
+};
+struct ConfigAsk { };
+struct AdoptAsk {
+    JobTransfer job_;
+};
+struct ReadAsk {
+    JobName job_;
+    std::uint32_t after_ = 0;
+    std::uint32_t waitMs_ = 0;
+};
+struct BodyAsk {
+    JobName job_;
+    std::string item_;
+};
+struct EndAsk {
+    JobName job_;
+};
+using PeerCall = std::variant<StoreAsk, ConfigAsk, AdoptAsk, ReadAsk, BodyAsk, EndAsk>;
+
+struct ConfigTold {
+    std::uint64_t version_ = 0; // 0: the receiver has none
+    std::string value_; // as the store holds it
+};
+struct AdoptTold {
+    bool taken_ = false;
+};
+using PeerReply = std::variant<ObjectAnswer, ConfigTold, AdoptTold, ReadAnswer, BodyAnswer, EndAnswer>;
+
+enum class PeerError : int {
+    Unauthentic = 1, // the code doesn't fit the bytes
+    Unreadable, // another version of the program wrote them
+    Unreachable, // no answer
+};
+std::error_code make_error_code(PeerError error);
+
+std::string encode(const WireKey& key, const PeerDatagram& datagram);
+std::string encode(const WireKey& key, const PeerCall& call);
+std::string encode(const WireKey& key, const PeerReply& reply);
+Result<PeerDatagram> decodeDatagram(const WireKey& key, std::string_view bytes);
+Result<PeerCall> decodeCall(const WireKey& key, std::string_view bytes);
+Result<PeerReply> decodeReply(const WireKey& key, std::string_view bytes);
+
+} // namespace jj
+
+template <>
+struct std::is_error_code_enum<jj::PeerError> : std::true_type {
+};
--- /dev/null
+++ b/libs/serving/src/RetirementDuty.h
@@ -0,0 +1,43 @@
+// Empties this host when an operator asks for it, and reports how far it is.
+//
+// What a host holds is jobs that it owns; they go to other nodes, and then the host can be taken away.
+#pragma once
+
+#include "DecisionLog.h"
+#include "StoreLink.h"
+#include "serving/Translation.h"
+
+#include <functional>
+#include <string>
+
+namespace jj {
+
+class RetirementDuty {
+public:
+    // `begin`: no new jobs, hand over those held. `isEmpty`: none is left.
+    RetirementDuty(StoreLink& store, const Translation& translation, DecisionLog& log, std::string host, std::function<void()> begin, std::function<bool()> isEmpty);
+
+    void tick(TimePoint now);
+
+private:
+    void read();
+    void watch();
+    void again(TimePoint now);
+    void learned(const std::string& key);
+    void report(bool completed);
+
+    StoreLink& store_;
+    const Translation& translation_;
+    DecisionLog& log_;
+    std::string key_; // of the order for this host
+    std::function<void()> begin_;
+    std::function<bool()> isEmpty_;
+    ObjectVersion seen_;
+    bool busy_ = false;
+    TimePoint nextAt_ {};
+    bool asked_ = false;
+    bool reported_ = false; // as completed
+    bool reporting_ = false;
+};
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/ServingSettings.cpp
@@ -0,0 +1,115 @@
+// Reads and checks the INI file, section by section.
+#include "serving/ServingSettings.h"
+
+#include "settings/SettingsError.h"
+
+#include <set>
+
+namespace jj {
+
+namespace {
+
+    std::optional<Endpoint> endpointOf(SectionReader& reader, std::string_view key, bool mayBeAbsent)
+    {
+        const std::string text = reader.text(key, mayBeAbsent ? std::optional<std::string>("") : std::nullopt);
+        if (text.empty())
+            return std::nullopt;
+        const auto endpoint = parseEndpoint(text);
+        if (endpoint)
+            return endpoint.value();
+        reader.fail(SettingsError::BadValue, key, text, "IP:PORT");
+        return std::nullopt;
+    }
+
+    void readRegions(SectionReader& reader, ServingSettings& settings)
+    {
+        for (const std::string& pair : reader.list("regions")) {
+            const std::size_t colon = pair.find(':');
+            if (colon == std::string::npos)
+                reader.fail(SettingsError::BadValue, "regions", pair, "domain:region pairs");
+            else
+                settings.regions_[pair.substr(0, colon)] = pair.substr(colon + 1);
+        }
+        settings.regions_[settings.domain_] = settings.region_;
+    }
+
+    void readNode(const IniText& text, ServingSettings& settings, Failures& failures)
+    {
+        SectionReader reader(text, "node", failures);
+        settings.name_ = reader.text("name");
+        settings.domain_ = reader.text("failure-domain");
+        settings.region_ = reader.text("region");
+        readRegions(reader, settings);
+        settings.callers_ = endpointOf(reader, "callers", true);
+        settings.ready_ = endpointOf(reader, "ready", true);
+        settings.metrics_ = endpointOf(reader, "metrics", true);
+        settings.peers_ = endpointOf(reader, "peers", false).value_or(Endpoint {});
+        for (const std::string& seed : reader.list("seeds")) {
+            const std::string host = seed.substr(0, seed.rfind(':'));
+            if (parseEndpoint(host + ":1"))
+                settings.seeds_.push_back(host);
+            else
+                reader.fail(SettingsError::BadValue, "seeds", seed, "IP or IP:PORT");
+        }
+        settings.runsJobs_ = reader.flag("runs-jobs", false);
+        settings.keyFile_ = reader.text("key-file", "");
+        reader.finish();
+    }
+
+    void readPlatform(const IniText& text, ServingSettings& settings, Failures& failures)
+    {
+        SectionReader reader(text, "platform", failures);
+        settings.store_ = endpointOf(reader, "store", false).value_or(Endpoint {});
+        settings.storeReadsPerSecond_ = reader.real("reads-per-second", { 1, 1e6 }, settings.storeReadsPerSecond_);
+        settings.storeWritesPerSecond_ = reader.real("writes-per-second", { 1, 1e6 }, settings.storeWritesPerSecond_);
+        reader.finish();
+    }
+
+    void readBounds(const IniText& text, ServingSettings& settings, Failures& failures)
+    {
+        SectionReader reader(text, "bounds", failures);
+        settings.grace_ = reader.milliseconds("grace-ms", { 100, 3'600'000 }, settings.grace_ / 1ms);
+        settings.engineGrace_ = reader.milliseconds("engine-grace-ms", { 0, 60'000 }, settings.engineGrace_ / 1ms);
+        settings.acceptBound_ = reader.milliseconds("accept-ms", { 10, 60'000 }, settings.acceptBound_ / 1ms);
+        reader.finish();
+    }
+
+    void readLimits(const IniText& text, ServingSettings& settings, Failures& failures)
+    {
+        SectionReader limits(text, "limits", failures);
+        settings.descriptors_ = static_cast<std::size_t>(limits.integer("descriptors", { 64, 10'000'000 }, static_cast<std::int64_t>(settings.descriptors_)));
+        limits.finish();
+        SectionReader log(text, "log", failures);
+        settings.logLinesPerSecond_ = static_cast<std::uint32_t>(log.integer("lines-per-second", { 1, 1'000'000 }, settings.logLinesPerSecond_));
+        log.finish();
+    }
+
+    void refuseUnknownSections(const IniText& text, Failures& failures)
+    {
+        static const std::set<std::string, std::less<>> known { "node", "platform", "bounds", "limits", "log" };
+        for (const IniSection& section : text.sections()) {
+            if (!known.contains(section.name_))
+                failures.push_back({ SettingsError::UnknownSection, "[" + section.name_ + "]" });
+        }
+    }
+
+} // namespace
+
+Audited<ServingSettings> parseServingSettings(std::string_view ini)
+{
+    const Checked<IniText> text = IniText::parse(ini);
+    if (!text)
+        return Failures { text.error() };
+    Failures failures;
+    ServingSettings settings;
+    readNode(text.value(), settings, failures);
+    readPlatform(text.value(), settings, failures);
+    readBounds(text.value(), settings, failures);
+    readLimits(text.value(), settings, failures);
+    refuseUnknownSections(text.value(), failures);
+    if (!failures.empty())
+        return failures;
+    return settings;
+}
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/tests/EventScannerTest.cpp
@@ -0,0 +1,56 @@
+// Whole events only, whatever the pieces in which their bytes arrive.
+#include "EventScanner.h"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace jj;
+
+namespace {
+
+struct Seen {
+    std::vector<std::uint64_t> ids_;
+    std::string data_;
+    std::string raw_;
+};
+
+Seen scan(std::string_view bytes, std::size_t piece)
+{
+    Seen seen;
+    EventScanner scanner;
+    for (std::size_t at = 0; at < bytes.size(); at += piece) {
+        scanner.feed(bytes.substr(at, piece), [&](const StreamEvent& event) {
+            seen.ids_.push_back(event.id_.value_or(0));
+            seen.data_ += std::string(event.data_) + "|";
+            seen.raw_ += event.raw_;
+        });
+    }
+    return seen;
+}
+
+} // namespace
+
+TEST_CASE("serving: events are whole in whatever pieces their bytes come")
+{
+    const std::string stream = "id: 1\ndata: one\n\nid:2\r\ndata:two\r\n\r\n: comment\nid: 3\ndata: three\n\n";
+    for (std::size_t piece = 1; piece <= stream.size(); ++piece) {
+        const Seen seen = scan(stream, piece);
+        CHECK(seen.ids_ == std::vector<std::uint64_t> { 1, 2, 3 });
+        CHECK(seen.data_ == "one|two|three|");
+        CHECK(seen.raw_ == stream);
+    }
+}
+
+// An engine dies in the middle of an event. Its caller would see the first half of the event, then, from the engine at which the
+// stream goes on, the whole event again: bytes of two runs joined.
+TEST_CASE("serving: the bytes of an event that was cut never leave the scanner")
+{
+    EventScanner scanner;
+    std::string out;
+    scanner.feed("id: 1\ndata: one\n\nid: 2\ndata: tw", [&](const StreamEvent& event) { out += event.raw_; });
+    CHECK(out == "id: 1\ndata: one\n\n");
+    CHECK(scanner.rest() == "id: 2\ndata: tw");
+    scanner.reset();
+    scanner.feed("id: 2\ndata: two\n\n", [&](const StreamEvent& event) { out += event.raw_; });
+    CHECK(out == "id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+}
