Ledger: nothing starts while a job's end is on its way; a pause is noticed by the first read

Found while writing the test: a read that is the first thing after a pause was answered from memory, before the tick saw the gap. Ruled out: lifetimes of read and body callbacks (read through, each holds what it uses). After: both tests hold.

--- a/libs/ledger/include/ledger/JobDesk.h
+++ b/libs/ledger/include/ledger/JobDesk.h
@@ -245,6 +245,7 @@
     void setState(const JobPtr& job, JobState state, TimePoint now, std::function<void(bool, TimePoint)> then);
     void completeIfDone(const JobPtr& job, TimePoint now);
     void stopRuns(const JobPtr& job, bool keepText);
+    void noticePause(TimePoint now);
     void abandonOverdue(const JobPtr& job, TimePoint now);
 
     // Reads
--- a/libs/ledger/src/DeskJob.h
+++ b/libs/ledger/src/DeskJob.h
@@ -62,9 +62,11 @@
     TimePoint checkedAt_ {}; // when the store last confirmed that nobody does
     TimePoint lastUse_ {};
     bool stateChanging_ = false; // an update of the head is under way
+    bool ending_ = false; // its caller has asked for the end, which isn't in the store yet
     std::map<std::string, JobTransfer::Progress> progress_; // brought by a transfer, until the items are loaded
 
     bool isOpen() const { return head_.state_ == JobState::Open; }
+    bool mayRun() const { return loaded_ && isOpen() && !ending_; }
     bool isComplete() const { return listed_.size() >= head_.total_; }
 };
 
--- a/libs/ledger/src/DeskReads.cpp
+++ b/libs/ledger/src/DeskReads.cpp
@@ -53,6 +53,7 @@
 
 void JobDesk::read(const JobName& name, std::uint32_t after, Duration wait, bool force, TimePoint now, ReadDone done)
 {
+    noticePause(now);
     if (const auto found = jobs_.find(name); found != jobs_.end() && !force)
         return readOwned(found->second, after, wait, now, std::move(done));
     lookUp(name, now, [this, name, after, wait, force, done = std::move(done)](ReadOutcome outcome, const JobHead& head, ObjectVersion version, TimePoint at) {
@@ -225,10 +226,12 @@
         const JobPtr job = found->second;
         if (!job->isOpen())
             return done({ ReadOutcome::Found, outlets_.self_ });
-        // Runs stop before the acknowledgement, so nothing of the job begins after it.
+        // Runs stop before the acknowledgement, and none starts while the end is on its way: nothing of the job begins after it.
         stopRuns(job, false);
         if (!job->stateChanging_) {
+            job->ending_ = true;
             return setState(job, JobState::Ended, now, [this, job, done = std::move(done)](bool ended, TimePoint at) {
+                job->ending_ = false;
                 if (!ended)
                     return done({});
                 job->lastUse_ = at;
--- a/libs/ledger/src/DeskRuns.cpp
+++ b/libs/ledger/src/DeskRuns.cpp
@@ -11,7 +11,7 @@
     if (leaving_)
         return found;
     for (const auto& [name, job] : jobs_) {
-        if (!job->loaded_ || !job->isOpen())
+        if (!job->mayRun())
             continue;
         for (const Item& item : job->items_) {
             if (item.state_ != ItemState::Waiting || now < item.notBefore_)
@@ -34,7 +34,7 @@
     JobPtr chosen;
     std::size_t place = 0;
     for (const auto& [name, job] : jobs_) {
-        if (!job->loaded_ || !job->isOpen() || (chosen && job->due_ >= chosen->due_))
+        if (!job->mayRun() || (chosen && job->due_ >= chosen->due_))
             continue;
         for (std::size_t index = 0; index < job->items_.size(); ++index) {
             const Item& item = job->items_[index];
--- a/libs/ledger/src/JobDesk.cpp
+++ b/libs/ledger/src/JobDesk.cpp
@@ -359,11 +359,17 @@
 
 // ---- periodic work
 
-void JobDesk::tick(TimePoint now, WallTime wall)
+// Whatever comes first after a pause may be a caller's read: it is met here as well as by the tick.
+void JobDesk::noticePause(TimePoint now)
 {
-    wall_ = wall;
     if (lastTick_ != TimePoint() && now - lastTick_ > settings_.pauseBound_)
         suspectAll();
+}
+
+void JobDesk::tick(TimePoint now, WallTime wall)
+{
+    wall_ = wall;
+    noticePause(now);
     lastTick_ = now;
     std::vector<JobPtr> all;
     for (const auto& [name, job] : jobs_)
--- /dev/null
+++ b/libs/ledger/tests/DeskTest.cpp
@@ -0,0 +1,386 @@
+// A job's way: taken in, run, read, ended, handed over, taken over.
+#include "LedgerWorld.h"
+
+using namespace jj;
+
+TEST_CASE("ledger: a job is accepted, run, listed and done")
+{
+    LedgerWorld world(1);
+    world.submit(0, "j", 10, 1);
+    world.advance(50ms);
+    CHECK(world.outcomes_["j"] == std::vector { AcceptOutcome::Accepted });
+    world.advance(2s);
+    const ReadAnswer answer = world.read(1, "j");
+    CHECK(answer.outcome_ == ReadOutcome::Found);
+    CHECK(answer.total_ == 10);
+    CHECK(answer.next_ == 10);
+    world.checkResults("j");
+    CHECK(world.notes_[DeskNote::JobDone] == 1);
+    // Results come back from any node, by way of the store.
+    CHECK(world.read(0, "j", 4, {}, true).results_.size() == 6);
+}
+
+TEST_CASE("ledger: a reader that waits hears of the next result")
+{
+    LedgerWorld world(2);
+    world.submit(0, "j", 1, 1);
+    world.advance(30ms);
+    const ReadAnswer answer = world.read(1, "j", 0, 1s);
+    CHECK(answer.results_.size() == 1);
+    const ReadAnswer empty = world.read(1, "j", 1, 1s);
+    CHECK(empty.outcome_ == ReadOutcome::Found);
+    CHECK(empty.results_.empty());
+}
+
+TEST_CASE("ledger: a job that comes again is the same job")
+{
+    LedgerWorld world(3);
+    world.submit(0, "j", 3, 1);
+    world.advance(100ms);
+    world.submit(1, "j", 3, 0);
+    world.advance(2s);
+    CHECK(world.outcomes_["j"] == std::vector { AcceptOutcome::Accepted, AcceptOutcome::AlreadyAccepted });
+    CHECK(world.stored("j").size() == 3);
+    world.checkResults("j");
+}
+
+TEST_CASE("ledger: submissions that can't be taken are refused with their fault")
+{
+    LedgerWorld world(4);
+    const auto outcomeOf = [&world](JobSubmission job) {
+        std::optional<Acceptance> got;
+        world.host(0).acceptor_->accept(std::move(job), NodeId(100), 1s, world.now(), world.wall(), [&got](const Acceptance& acceptance, TimePoint) { got = acceptance; });
+        REQUIRE(got);
+        return *got;
+    };
+    CHECK(outcomeOf(LedgerWorld::submission("no/slash", 1)).failure_.code_ == LedgerError::BadJobName);
+    CHECK(outcomeOf(LedgerWorld::submission("j", 0)).failure_.code_ == LedgerError::NoItems);
+    JobSubmission twice = LedgerWorld::submission("j", 2);
+    twice.items_[1].id_ = twice.items_[0].id_;
+    CHECK(outcomeOf(twice).failure_.code_ == LedgerError::DuplicateItem);
+    JobSubmission large = LedgerWorld::submission("j", 1);
+    large.items_[0].body_.assign(maxObjectBytes, 'A');
+    CHECK(outcomeOf(large).failure_.code_ == LedgerError::ItemTooLarge);
+}
+
+// A clerk ends a job. While the end is on its way to the store, slots are free, and the owner starts items of the job again. When the
+// end is written, the job's items go, and the next event of such a run speaks of an item that isn't there: the process crashes.
+TEST_CASE("ledger: nothing of a job starts while its end is on its way to the store")
+{
+    LedgerWorld world(5, 1);
+    world.store_.faults().delay_ = 30ms;
+    world.slots_ = 2;
+    world.submit(0, "j", 20, 0);
+    world.advance(150ms);
+    std::optional<EndAnswer> ended;
+    const std::size_t startedBefore = world.starts_.size();
+    world.desk(0).end("j", false, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
+    world.advance(1s);
+    REQUIRE(ended);
+    CHECK(ended->outcome_ == ReadOutcome::Found);
+    CHECK(world.starts_.size() == startedBefore);
+    CHECK(world.host(0).runs_.empty());
+    CHECK(world.read(0, "j").total_ == 20);
+}
+
+TEST_CASE("ledger: an end is acknowledged again, at any node")
+{
+    LedgerWorld world(6);
+    world.submit(0, "j", 20, 1);
+    world.advance(60ms);
+    for (const bool force : { false, true, true }) {
+        std::optional<EndAnswer> ended;
+        world.desk(force ? 0 : 1).end("j", force, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
+        world.advance(500ms);
+        REQUIRE(ended);
+        CHECK(ended->outcome_ == ReadOutcome::Found);
+    }
+    std::optional<EndAnswer> unknown;
+    world.desk(0).end("none", false, world.now(), [&unknown](const EndAnswer& answer) { unknown = answer; });
+    world.advance(500ms);
+    CHECK(unknown->outcome_ == ReadOutcome::Missing);
+}
+
+// The owner can't be reached by the node that takes the end, so the end is written past it. The owner still runs items: its next look
+// at the heads, or its next write, tells it.
+TEST_CASE("ledger: an owner stops a job that was ended past it")
+{
+    LedgerWorld world(7);
+    world.slots_ = 1;
+    world.pace_ = 40;
+    world.submit(0, "j", 20, 1);
+    world.advance(100ms);
+    std::optional<EndAnswer> ended;
+    world.desk(0).end("j", true, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
+    world.advance(100ms);
+    REQUIRE(ended);
+    CHECK(ended->outcome_ == ReadOutcome::Found);
+    world.desk(1).scan(true, world.now());
+    world.advance(100ms);
+    CHECK(world.host(1).runs_.empty());
+    const std::size_t startedBefore = world.starts_.size();
+    world.advance(3s);
+    CHECK(world.starts_.size() == startedBefore);
+}
+
+TEST_CASE("ledger: an item that fails is listed as errored after its attempts, one that is impossible at once")
+{
+    LedgerWorld world(8);
+    std::map<std::string, int> runs;
+    world.endOf_ = [&runs](const ItemRun& run) {
+        ++runs[run.item_];
+        return run.item_ == "j-0" ? RunEnd::Failed : run.item_ == "j-1" ? RunEnd::Impossible
+                                                                        : RunEnd::Completed;
+    };
+    world.submit(0, "j", 3, 1);
+    world.advance(5s);
+    CHECK(runs["j-0"] == 3);
+    CHECK(runs["j-1"] == 1);
+    int errored = 0;
+    for (const JobResult& result : world.stored("j"))
+        errored += result.state_ == ResultState::Errored ? 1 : 0;
+    CHECK(errored == 2);
+    CHECK(world.notes_[DeskNote::JobDone] == 1);
+}
+
+TEST_CASE("ledger: an item goes on behind its last event, or begins anew when the engine is out of step")
+{
+    LedgerWorld world(9);
+    std::vector<std::optional<std::uint64_t>> resumes;
+    world.submit(0, "j", 1, 1);
+    world.advance(30ms);
+    world.slots_ = 0;
+    world.advance(30ms);
+    REQUIRE(world.host(1).runs_.size() == 1);
+    const ItemRun first = world.host(1).runs_[0];
+    world.host(1).runs_.clear();
+    world.desk(1).ended(first.id_, RunEnd::Broken, world.now());
+    world.advance(500ms);
+    const auto second = world.desk(1).startNext("s", world.now());
+    REQUIRE(second);
+    CHECK(second->resumeAfter_);
+    world.desk(1).ended(second->id_, RunEnd::OutOfStep, world.now());
+    world.advance(2s);
+    const auto third = world.desk(1).startNext("s", world.now());
+    REQUIRE(third);
+    CHECK_FALSE(third->resumeAfter_);
+    world.desk(1).ended(third->id_, RunEnd::GivenWay, world.now());
+    world.slots_ = 1;
+    world.advance(3s);
+    CHECK(world.stored("j").size() == 1);
+    world.checkResults("j");
+}
+
+// The owner dies. The other node lists the heads, finds the job without a live owner, takes it, and lists the rest behind what the
+// dead owner had listed. A reader sees the same positions as before.
+TEST_CASE("ledger: a dead owner's job is taken over behind what it had listed")
+{
+    LedgerWorld world(10);
+    world.pace_ = 12;
+    world.slots_ = 2;
+    world.submit(0, "j", 12, 1);
+    world.advance(700ms);
+    const auto before = world.stored("j");
+    REQUIRE_FALSE(before.empty());
+    REQUIRE(before.size() < 12);
+    world.kill(1);
+    world.bury(1);
+    world.desk(0).scan(false, world.now());
+    world.advance(4s);
+    const auto after = world.stored("j");
+    CHECK(after.size() == 12);
+    CHECK(std::equal(before.begin(), before.end(), after.begin()));
+    world.checkResults("j");
+    CHECK(world.notes_[DeskNote::TakenOver] == 1);
+}
+
+// The owner stands still for seconds; another node takes its job and lists results. The owner wakes with finished items in hand and
+// writes them. An item with two results, or another order of positions on each node, is what a caller would see.
+TEST_CASE("ledger: a paused owner that wakes changes nothing that another has listed")
+{
+    LedgerWorld world(11);
+    world.slots_ = 3;
+    world.submit(0, "j", 12, 1);
+    world.advance(300ms);
+    world.pause(1);
+    world.bury(1);
+    world.desk(0).scan(false, world.now());
+    world.advance(600ms);
+    const auto byOther = world.stored("j");
+    world.bury(1, false);
+    world.wake(1);
+    world.advance(5s);
+    const auto all = world.stored("j");
+    CHECK(all.size() == 12);
+    CHECK(std::equal(byOther.begin(), byOther.end(), all.begin()));
+    world.checkResults("j");
+}
+
+// The same, and a reader asks the owner right after it has woken, for what the other node had already shown.
+TEST_CASE("ledger: a paused owner that wakes asks the store before it answers a read")
+{
+    LedgerWorld world(12);
+    world.slots_ = 3;
+    world.submit(0, "j", 12, 1);
+    world.advance(300ms);
+    world.pause(1);
+    world.bury(1);
+    world.desk(0).scan(false, world.now());
+    world.advance(5s);
+    REQUIRE(world.stored("j").size() == 12);
+    world.wake(1);
+    const ReadAnswer answer = world.read(1, "j", 0);
+    CHECK(answer.outcome_ == ReadOutcome::Found);
+    CHECK(answer.next_ == 12);
+}
+
+TEST_CASE("ledger: a restarted owner finds its jobs, and the store's word is enough")
+{
+    LedgerWorld world(13);
+    world.slots_ = 2;
+    world.submit(0, "j", 12, 1);
+    world.advance(400ms);
+    world.kill(1);
+    world.advance(500ms);
+    world.start(1);
+    world.desk(1).tick(world.now(), world.wall());
+    world.desk(1).scan(false, world.now());
+    world.advance(5s);
+    CHECK(world.stored("j").size() == 12);
+    world.checkResults("j");
+}
+
+// The accepting node dies right after its acknowledgement, and the owner never heard of the job.
+TEST_CASE("ledger: an owner finds a job that nobody told it of")
+{
+    LedgerWorld world(14);
+    world.loseTransfers_ = true;
+    world.submit(0, "j", 3, 1);
+    world.advance(100ms);
+    REQUIRE(world.outcomes_["j"] == std::vector { AcceptOutcome::Accepted });
+    world.kill(0);
+    world.desk(1).scan(true, world.now());
+    world.advance(3s);
+    CHECK(world.stored("j").size() == 3);
+}
+
+TEST_CASE("ledger: a node that leaves hands its jobs on with what their runs have brought")
+{
+    LedgerWorld world(15);
+    world.pace_ = 30;
+    world.submit(0, "j", 4, 1);
+    world.advance(250ms);
+    world.leaving_.insert(world.host(1).id_);
+    world.desk(1).beginLeaving(world.now());
+    world.advance(300ms);
+    CHECK(world.desk(1).hasLeft());
+    CHECK(world.desk(0).openJobs() == 1);
+    bool resumed = false;
+    for (const ItemRun& run : world.host(0).runs_)
+        resumed = resumed || run.resumeAfter_.has_value();
+    CHECK(resumed);
+    world.advance(5s);
+    CHECK(world.stored("j").size() == 4);
+    world.checkResults("j");
+}
+
+// The store is away when a job comes. "Not run" must be true: nothing of the job runs when the store is back.
+TEST_CASE("ledger: a job that the store refused never runs")
+{
+    LedgerWorld world(16);
+    world.store_.core().setOutage(true);
+    world.submit(0, "j", 3, 1);
+    world.advance(4s);
+    CHECK(world.outcomes_["j"] == std::vector { AcceptOutcome::NotAccepted });
+    world.store_.core().setOutage(false);
+    world.desk(0).scan(false, world.now());
+    world.desk(1).scan(false, world.now());
+    world.advance(5s);
+    CHECK(world.starts_.empty());
+}
+
+// The store is away while the owner has results in hand. They are listed when it is back, once each.
+TEST_CASE("ledger: results wait for the store to come back")
+{
+    LedgerWorld world(17);
+    world.submit(0, "j", 6, 1);
+    world.advance(30ms);
+    world.store_.core().setOutage(true);
+    world.advance(3s);
+    CHECK(world.stored("j").empty());
+    CHECK(world.read(1, "j").outcome_ == ReadOutcome::Found);
+    world.store_.core().setOutage(false);
+    world.advance(3s);
+    CHECK(world.stored("j").size() == 6);
+    world.checkResults("j");
+}
+
+// A submission's head arrives and its items never do. Nobody was told "accepted"; the job must not stay open for ever.
+TEST_CASE("ledger: a head without items is given up, and revived by the next submission")
+{
+    LedgerWorld world(18);
+    JobHead head = LedgerWorld::submission("j", 1).head_;
+    head.owner_ = world.host(1).id_;
+    head.total_ = 2;
+    head.itemPages_ = 1;
+    head.acceptedAt_ = world.wall();
+    world.store_.core().apply(ObjectCall::create(headKey("j"), encode(head)), world.now());
+    world.desk(1).tick(world.now(), world.wall());
+    world.desk(1).scan(false, world.now());
+    world.advance(15s);
+    CHECK(world.notes_[DeskNote::JobVoid] == 1);
+    CHECK(world.read(0, "j").outcome_ == ReadOutcome::Missing);
+    world.submit(0, "j", 2, 1);
+    world.advance(3s);
+    CHECK(world.outcomes_["j"] == std::vector { AcceptOutcome::Accepted });
+    CHECK(world.stored("j").size() == 2);
+}
+
+TEST_CASE("ledger: bodies are given until their items are listed")
+{
+    LedgerWorld world(19);
+    world.pace_ = 200;
+    world.submit(0, "j", 2, 1);
+    world.advance(50ms);
+    const auto body = [&world](std::size_t place, const std::string& item, bool force) {
+        std::optional<BodyAnswer> got;
+        world.desk(place).body("j", item, force, world.now(), [&got](BodyAnswer answer) { got = std::move(answer); });
+        world.advance(300ms);
+        REQUIRE(got);
+        return *got;
+    };
+    CHECK(body(1, "j-0", false).body_ == "a");
+    CHECK(body(0, "j-1", true).body_ == "a");
+    CHECK(body(0, "j-1", false).outcome_ == ReadOutcome::Elsewhere);
+    CHECK(body(1, "j-9", false).outcome_ == ReadOutcome::Missing);
+    CHECK(body(0, "j-9", true).outcome_ == ReadOutcome::Missing);
+}
+
+TEST_CASE("ledger: items whose route is gone are listed as errored, those of an unknown configuration wait")
+{
+    LedgerWorld world(20);
+    world.slots_ = 0;
+    world.service_ = std::nullopt;
+    world.submit(0, "j", 2, 1);
+    world.advance(500ms);
+    CHECK(world.desk(1).waiting(world.now()).empty());
+    world.service_ = "";
+    world.desk(1).startNext("", world.now());
+    world.desk(1).startNext("", world.now());
+    world.advance(1s);
+    CHECK(world.stored("j").size() == 2);
+    CHECK(world.stored("j")[0].state_ == ResultState::Errored);
+}
+
+TEST_CASE("ledger: a job's objects go when its retention is over")
+{
+    LedgerWorld world(21);
+    world.submit(0, "j", 2, 1);
+    world.advance(2s);
+    REQUIRE(world.notes_[DeskNote::JobDone] == 1);
+    world.advance(160s);
+    world.desk(1).scan(true, world.now());
+    world.advance(10s);
+    for (const auto& [key, entry] : world.store_.core().objects())
+        CHECK_MESSAGE(false, key);
+}
--- /dev/null
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -0,0 +1,303 @@
+// Some desks over one store in virtual time, engines that finish an item after a while, and callers that check what they see.
+#pragma once
+
+#include "ledger/Acceptor.h"
+#include "ledger/JobDesk.h"
+#include "objects/VirtualStore.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jj {
+
+class LedgerWorld {
+public:
+    static constexpr std::uint32_t eventsPerItem = 3;
+    static constexpr Duration step = 5ms;
+    static constexpr WallTime wallStart { std::chrono::milliseconds(1'000'000'000) };
+
+    struct Host {
+        NodeId id_;
+        bool alive_ = true; // its process runs
+        bool paused_ = false; // stands still
+        bool storeCut_ = false; // its calls reach the store no more
+        std::unique_ptr<CallQueue> queue_;
+        std::unique_ptr<JobDesk> desk_;
+        std::unique_ptr<Acceptor> acceptor_;
+        std::uint64_t life_ = 0; // what belongs to an earlier process is dropped
+        std::vector<ItemRun> runs_; // at engines
+        std::map<RunId, std::uint32_t> sent_; // events of a run so far
+        std::set<NodeId> deadTo_; // hosts that it believes dead
+        std::vector<std::function<void()>> held_; // what came while it was paused
+    };
+
+    explicit LedgerWorld(std::uint64_t seed, std::size_t hosts = 2)
+        : store_(seed, MemoryStoreSettings { 0, 0, 1s, 100'000, 50 })
+        , random_(seed)
+    {
+        for (std::size_t place = 0; place < hosts; ++place) {
+            hosts_.push_back(std::make_unique<Host>());
+            hosts_.back()->id_ = NodeId(100 + place);
+            start(place);
+        }
+    }
+
+    Host& host(std::size_t place) { return *hosts_[place]; }
+    JobDesk& desk(std::size_t place) { return *hosts_[place]->desk_; }
+    TimePoint now() const { return now_; }
+    WallTime wall() const { return wallStart + std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch()); }
+
+    void start(std::size_t place)
+    {
+        Host& host = *hosts_[place];
+        ++host.life_;
+        host.alive_ = true;
+        host.runs_.clear();
+        host.sent_.clear();
+        CallQueueSettings queue;
+        queue.budget_.readsPerSecond_ = 1e6;
+        queue.budget_.writesPerSecond_ = 1e6;
+        queue.budget_.probeEvery_ = 50ms;
+        queue.budget_.rampTime_ = 100ms;
+        queue.longestBackoff_ = 200ms;
+        queue.answerBound_ = 1s;
+        host.queue_ = std::make_unique<CallQueue>(queue, random_());
+        LedgerStore send = [this, place, life = host.life_](ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) {
+            Host& own = *hosts_[place];
+            if (own.life_ == life)
+                own.queue_->send(std::move(call), callClass, until, std::move(done));
+        };
+        DeskOutlets outlets;
+        outlets.store_ = send;
+        outlets.self_ = host.id_;
+        outlets.isLive_ = [this, place](NodeId node) { return !hosts_[place]->deadTo_.contains(node); };
+        outlets.preferredOwner_ = [this, place](std::string_view, NodeId) { return preferred(place); };
+        outlets.stop_ = [this, place](RunId run) { std::erase_if(hosts_[place]->runs_, [run](const ItemRun& one) { return one.id_ == run; }); };
+        outlets.transfer_ = [this](NodeId to, JobTransfer job) {
+            for (std::size_t other = 0; other < hosts_.size(); ++other) {
+                if (hosts_[other]->id_ == to && !loseTransfers_)
+                    at(other, [this, other, job] { desk(other).adopt(job, now_, wall()); });
+            }
+        };
+        outlets.note_ = [this](const DeskEvent& event) { ++notes_[event.note_]; };
+        outlets.serviceOf_ = [this](std::string_view, std::string_view) { return service_; };
+        host.desk_ = std::make_unique<JobDesk>(DeskSettings(), std::move(outlets));
+        host.acceptor_ = std::make_unique<Acceptor>(send);
+    }
+
+    void kill(std::size_t place)
+    {
+        Host& host = *hosts_[place];
+        host.alive_ = false;
+        host.runs_.clear();
+        host.held_.clear();
+        ++host.life_;
+    }
+
+    // Everybody else believes the host dead, or alive again.
+    void bury(std::size_t place, bool dead = true)
+    {
+        for (auto& host : hosts_) {
+            if (host->id_ == hosts_[place]->id_)
+                continue;
+            if (dead)
+                host->deadTo_.insert(hosts_[place]->id_);
+            else
+                host->deadTo_.erase(hosts_[place]->id_);
+        }
+    }
+
+    void pause(std::size_t place) { hosts_[place]->paused_ = true; }
+    void wake(std::size_t place)
+    {
+        hosts_[place]->paused_ = false;
+        // What came while it stood still is there all at once, before its own tick has seen the gap.
+        for (const auto& action : std::exchange(hosts_[place]->held_, {}))
+            action();
+    }
+
+    static JobSubmission submission(const JobName& job, std::uint32_t items)
+    {
+        JobSubmission submission;
+        submission.job_ = job;
+        submission.head_.host_ = "h";
+        submission.head_.runTarget_ = 18s;
+        submission.head_.abandonAfter_ = 60s;
+        submission.head_.maxAttempts_ = 3;
+        for (std::uint32_t place = 0; place < items; ++place)
+            submission.items_.push_back({ job + "-" + std::to_string(place), "/p/" + std::to_string(place), {}, "YQ==" });
+        return submission;
+    }
+
+    // Submits through one host, for another one to own. The outcome stands in outcomes_ when it is known.
+    void submit(std::size_t place, const JobName& job, std::uint32_t items, std::size_t owner)
+    {
+        Host& host = *hosts_[place];
+        const NodeId ownerId = hosts_[owner]->id_;
+        host.acceptor_->accept(submission(job, items), ownerId, 2s, now_, wall(), [this, job, owner](const Acceptance& acceptance, TimePoint) {
+            outcomes_[job].push_back(acceptance.outcome_);
+            if (acceptance.outcome_ != AcceptOutcome::Accepted || loseTransfers_)
+                return;
+            JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, {} };
+            at(owner, [this, owner, transfer] { desk(owner).adopt(transfer, now_, wall()); });
+        });
+    }
+
+    // One step of virtual time: the store, then each host's tick, its engines and its queue.
+    void advance(Duration time)
+    {
+        const TimePoint end = now_ + time;
+        while (now_ < end) {
+            now_ += step;
+            store_.advanceTo(now_);
+            for (std::size_t place = 0; place < hosts_.size(); ++place) {
+                if (hosts_[place]->alive_ && !hosts_[place]->paused_)
+                    turn(place);
+            }
+        }
+    }
+
+    ReadAnswer read(std::size_t place, const JobName& job, std::uint32_t after = 0, Duration wait = {}, bool force = false)
+    {
+        std::optional<ReadAnswer> got;
+        desk(place).read(job, after, wait, force, now_, [&got](ReadAnswer answer) { got = std::move(answer); });
+        for (int turns = 0; turns < 400 && !got; ++turns)
+            advance(step);
+        REQUIRE(got);
+        return *got;
+    }
+
+    // All results as the store has them.
+    std::vector<JobResult> stored(const JobName& job)
+    {
+        std::vector<JobResult> results;
+        for (std::uint32_t page = 0;; ++page) {
+            const auto found = store_.core().objects().find(resultPageKey(job, page));
+            if (found == store_.core().objects().end())
+                return results;
+            const auto decoded = decodeResults(found->second.value_);
+            REQUIRE(decoded);
+            results.insert(results.end(), decoded.value().begin(), decoded.value().end());
+        }
+    }
+
+    static std::string wholeText()
+    {
+        std::string text;
+        for (std::uint32_t event = 1; event <= eventsPerItem; ++event)
+            text += (event > 1 ? "\n" : "") + std::string("e") + std::to_string(event);
+        return text;
+    }
+
+    // No item stands twice, and completed texts are whole.
+    void checkResults(const JobName& job)
+    {
+        std::set<std::string> seen;
+        for (const JobResult& result : stored(job)) {
+            CAPTURE(result.item_);
+            CHECK(seen.insert(result.item_).second);
+            if (result.state_ == ResultState::Completed)
+                CHECK(result.text_ == wholeText());
+        }
+    }
+
+    VirtualStore store_;
+    std::mt19937_64 random_;
+    std::map<JobName, std::vector<AcceptOutcome>> outcomes_;
+    std::map<DeskNote, int> notes_;
+    std::optional<std::string> service_ = "s";
+    std::vector<std::string> starts_; // items as they began to run at an engine, once a run
+    std::size_t slots_ = 4; // runs that a host has at a time
+    int pace_ = 4; // steps between two events of a run
+    std::function<RunEnd(const ItemRun&)> endOf_ = [](const ItemRun&) { return RunEnd::Completed; };
+    bool loseTransfers_ = false;
+
+private:
+    // To the host as it is now; a host that stands still gets it when it wakes, a process that ended never.
+    void at(std::size_t place, std::function<void()> action)
+    {
+        Host& host = *hosts_[place];
+        if (!host.alive_)
+            return;
+        if (host.paused_)
+            host.held_.push_back(std::move(action));
+        else
+            action();
+    }
+
+    NodeId preferred(std::size_t place) const
+    {
+        // The first host that it believes alive and that doesn't leave.
+        for (const auto& host : hosts_) {
+            if (host->alive_ && !hosts_[place]->deadTo_.contains(host->id_) && !leaving_.contains(host->id_))
+                return host->id_;
+        }
+        return NodeId::none();
+    }
+
+    void turn(std::size_t place)
+    {
+        Host& host = *hosts_[place];
+        runEngines(host);
+        host.desk_->tick(now_, wall());
+        while (host.runs_.size() < slots_) {
+            auto run = host.desk_->startNext("s", now_);
+            if (!run)
+                break;
+            starts_.push_back(run->item_);
+            host.sent_[run->id_] = 0;
+            host.runs_.push_back(std::move(*run));
+        }
+        pump(place);
+    }
+
+    void runEngines(Host& host)
+    {
+        const auto runs = host.runs_;
+        for (const ItemRun& run : runs) {
+            const std::uint32_t turns = ++host.sent_[run.id_];
+            if (turns % static_cast<std::uint32_t>(pace_) != 0)
+                continue;
+            const std::uint64_t event = run.resumeAfter_.value_or(0) + turns / static_cast<std::uint32_t>(pace_);
+            if (event <= eventsPerItem) {
+                host.desk_->event(run.id_, event, "e" + std::to_string(event));
+                continue;
+            }
+            std::erase_if(host.runs_, [&run](const ItemRun& one) { return one.id_ == run.id_; });
+            host.desk_->ended(run.id_, endOf_(run), now_);
+        }
+    }
+
+    void pump(std::size_t place)
+    {
+        Host& host = *hosts_[place];
+        host.queue_->tick(now_);
+        for (OutgoingCall& call : host.queue_->take()) {
+            if (host.storeCut_)
+                continue;
+            const CallId id = call.id_;
+            store_.call(std::move(call.call_), [this, place, id, life = host.life_](ObjectAnswer answer) {
+                at(place, [this, place, id, life, answer = std::move(answer)]() mutable {
+                    Host& own = *hosts_[place];
+                    if (own.life_ == life)
+                        own.queue_->answered(id, std::move(answer), now_);
+                });
+            });
+        }
+    }
+
+public:
+    std::set<NodeId> leaving_;
+
+private:
+    std::vector<std::unique_ptr<Host>> hosts_;
+    TimePoint now_ { 1s };
+};
+
+} // namespace jj
