Serving: two watchers a region, the others hear news from peers

Ruled out: longer held-open calls (each change ends them all at once, whoever waits). Change: two nodes of a region, by hash, follow the store; words between nodes carry versions, and a node that is behind asks the peer that knows more for what changed. A node that hears no watcher follows the store itself. Calls after changes wait 200 ms for more.

--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -21,8 +21,10 @@
     constexpr Duration membershipTick = 45ms;
     // Everybody hears the whole word again, so that lost datagrams are made good.
     constexpr Duration refreshPeriod = 500ms;
-    // Other regions only use what is left over here, and each byte to them is paid.
-    constexpr Duration farPeriod = 50ms;
+    // Other regions only use what is left over here, and each byte to them is paid: this much for each node there, so that a fleet
+    // tells its other regions at the same rate whatever its size.
+    constexpr Duration farPeriodPerNode = 15ms;
+    constexpr Duration leastFarPeriod = 45ms;
     // At start nobody is known; by then membership has met everybody who lives.
     constexpr Duration settleTime = 4s;
     // A word that is so fresh proves more than a probe that failed.
@@ -177,10 +179,16 @@
     }
     if (now - refreshedAt_ >= refreshPeriod)
         sendWord(true);
-    else if (farDirty_ && now - toldFarAt_ >= farPeriod)
+    else if (farDirty_ && now - toldFarAt_ >= farPeriod())
         sendWord(true);
 }
 
+Duration Fleet::farPeriod() const
+{
+    const auto far = std::count_if(peers_.begin(), peers_.end(), [this](const auto& entry) { return entry.second.isLive() && entry.second.region_ != options_.region_; });
+    return std::max<Duration>(leastFarPeriod, farPeriodPerNode * far);
+}
+
 void Fleet::onMembershipDatagram(std::string_view bytes)
 {
     const auto datagram = sockets_->codec_.decode(bytes);
@@ -296,6 +304,7 @@
         peer.heardAt_ = SystemClock().now();
         peer.configVersion_ = told.configVersion_;
         peer.enginesVersion_ = told.enginesVersion_;
+        peer.watching_ = told.watching_;
     }
     handlers_.onTold_(told);
 }
@@ -394,6 +403,26 @@
     return NodeId::none();
 }
 
+// Two of a region, by a hash that all nodes compute alike: one may fall silent, and what the other tells shows it.
+bool Fleet::isElectedWatcher() const
+{
+    constexpr std::size_t watchers = 2;
+    constexpr std::uint64_t label = 0x77617463;
+    const std::uint64_t own = mixHash(label, self_.value());
+    const auto ahead = std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        const Peer& peer = entry.second;
+        return peer.isLive() && !peer.leaving_ && peer.region_ == options_.region_ && mixHash(label, peer.node_.value()) > own;
+    });
+    return !leaving_ && static_cast<std::size_t>(ahead) < watchers;
+}
+
+bool Fleet::hearsWatcher() const
+{
+    return std::any_of(peers_.begin(), peers_.end(), [this](const auto& entry) {
+        return entry.second.watching_ && now_ - entry.second.heardAt_ < freshWord;
+    });
+}
+
 bool Fleet::mayBeReplaced() const
 {
     return std::any_of(peers_.begin(), peers_.end(), [this](const auto& entry) {
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -52,6 +52,7 @@
     TimePoint heardAt_ {}; // of its last own word
     std::uint64_t configVersion_ = 0;
     std::uint64_t enginesVersion_ = 0;
+    bool watching_ = false;
 
     bool isLive() const { return state_ == MemberState::Alive || state_ == MemberState::Suspect; }
 };
@@ -83,6 +84,10 @@
     // Of the live nodes that run jobs and don't leave, in the region of `former` if there are any: who should own the job.
     // Without such nodes any live node serves. None when this node is alone and leaves.
     NodeId preferredOwner(std::string_view job, NodeId former) const;
+    // Is this node one of the few of its region that follow the store?
+    bool isElectedWatcher() const;
+    // Another node follows the store and was heard just now.
+    bool hearsWatcher() const;
     // Some node that runs jobs can't be heard, so it may believe the same of this one.
     bool mayBeReplaced() const;
 
@@ -104,6 +109,7 @@
     void perform(const UpstreamMarkLearned&) { }
     void perform(const RegionReachChanged& command);
     void sendWord(bool toAll);
+    Duration farPeriod() const;
     RegionId regionOf(NodeId node) const;
 
     boost::asio::io_context& io_;
--- a/libs/serving/src/Follower.cpp
+++ b/libs/serving/src/Follower.cpp
@@ -27,14 +27,13 @@
 {
 }
 
-void ConfigFollower::start(TimePoint now) { read(now); }
-
 void ConfigFollower::tick(TimePoint now)
 {
-    if (!busy_ && now >= nextAt_)
+    if (!busy_ && !passive_ && now >= nextAt_)
         seen_.isNone() ? read(now) : watch();
     const bool isBehind = peerVersion_ > version();
-    if (isBehind && now - peerAheadSince_ >= times_.behindBound_ && now - askedAt_ >= times_.askEvery_) {
+    const Duration patience = passive_ ? Duration::zero() : times_.behindBound_;
+    if (isBehind && now - peerAheadSince_ >= patience && now - askedAt_ >= times_.askEvery_) {
         askedAt_ = now;
         askPeer_();
     }
@@ -46,6 +45,10 @@
         return;
     peerVersion_ = peerVersion;
     peerAheadSince_ = now;
+    if (!passive_)
+        return;
+    askedAt_ = now;
+    askPeer_();
 }
 
 void ConfigFollower::again(TimePoint now)
@@ -68,7 +71,7 @@
         failures_ = 0;
         seen_ = answer.version_;
         take(answer.value_, "store");
-        watch();
+        nextAt_ = at;
     });
 }
 
@@ -87,7 +90,8 @@
         }
         seen_ = answer.version_;
         nextAt_ = at;
-        watch();
+        if (!passive_)
+            watch();
     });
 }
 
@@ -117,7 +121,7 @@
 
 // ---- engines
 
-EngineFeed::EngineFeed(StoreLink& store, const Translation& translation, DecisionLog& log, FollowerTimes times, Duration grace, std::map<std::string, std::string> regions, Changed changed, Removed removed)
+EngineFeed::EngineFeed(StoreLink& store, const Translation& translation, DecisionLog& log, FollowerTimes times, Duration grace, std::map<std::string, std::string> regions, Changed changed, Removed removed, AskPeer askPeer)
     : store_(store)
     , translation_(translation)
     , log_(log)
@@ -126,14 +130,13 @@
     , regions_(std::move(regions))
     , changed_(std::move(changed))
     , removed_(std::move(removed))
+    , askPeer_(std::move(askPeer))
 {
 }
 
-void EngineFeed::start(TimePoint now) { list({}, now); }
-
 void EngineFeed::tick(TimePoint now)
 {
-    if (!busy_ && now >= nextAt_)
+    if (!busy_ && !passive_ && now >= nextAt_)
         seen_.isNone() ? list({}, now) : watch();
     std::vector<std::string> over;
     for (const auto& [key, known] : known_) {
@@ -142,12 +145,17 @@
     }
     for (const std::string& key : over)
         remove(key, "missingAfterOutage");
-    const bool isBehind = peerVersion_ > newest_ && listedOnce_;
-    if (isBehind && now - peerAheadSince_ >= times_.behindBound_ && now - askedAt_ >= times_.askEvery_) {
-        askedAt_ = now;
-        log_.line("enginesBehind").with("known", newest_).with("peer", peerVersion_);
-        list({}, now);
-    }
+    const bool isBehind = peerVersion_ > newest_;
+    const Duration patience = passive_ ? Duration::zero() : times_.behindBound_;
+    if (!isBehind || now - peerAheadSince_ < patience || now - askedAt_ < times_.askEvery_)
+        return;
+    askedAt_ = now;
+    if (passive_)
+        return askPeer_();
+    if (!listedOnce_)
+        return;
+    log_.line("enginesBehind").with("known", newest_).with("peer", peerVersion_);
+    list({}, now);
 }
 
 void EngineFeed::peerHas(std::uint64_t version, TimePoint now)
@@ -156,6 +164,10 @@
         return;
     peerVersion_ = version;
     peerAheadSince_ = now;
+    if (!passive_)
+        return;
+    askedAt_ = now;
+    askPeer_();
 }
 
 void EngineFeed::again(TimePoint now)
@@ -196,16 +208,19 @@
                 gone.push_back(key);
         }
         const bool wasOut = lostAt_ != TimePoint() && at - lostAt_ < grace_ + times_.longestRetry_;
+        // The list doesn't say when they went; peers that know less are told as of now.
+        if (!gone.empty())
+            newest_ = std::max(newest_, listedAt_.value());
         for (const std::string& key : gone)
             missing(key, at, wasOut ? grace_ : Duration::zero());
         busy_ = false;
         failures_ = 0;
         listedOnce_ = true;
         seen_ = listedAt_;
+        nextAt_ = at;
         // A removal has no entry that could tell its version: what the peer had seen is in this list if the store was there by then.
         if (listedAt_.value() >= peerVersion_)
             newest_ = std::max(newest_, peerVersion_);
-        watch();
     });
 }
 
@@ -222,15 +237,16 @@
         failures_ = 0;
         const bool wasOut = lostAt_ != TimePoint() && at - lostAt_ < grace_;
         for (const ObjectChange& change : answer.changes_) {
+            newest_ = std::max(newest_, change.version_.value());
             if (change.kind_ == ChangeKind::Remove)
                 missing(change.key_, at, wasOut ? grace_ : Duration::zero());
             else
                 apply(change.key_, change.value_, change.version_);
-            newest_ = std::max(newest_, change.version_.value());
         }
         seen_ = answer.version_;
-        nextAt_ = at;
-        watch();
+        nextAt_ = at + (answer.changes_.empty() ? Duration::zero() : times_.betweenChanges_);
+        if (!passive_ && answer.changes_.empty())
+            watch();
     });
 }
 
@@ -248,6 +264,8 @@
         remove(key, "replaced");
     const auto [place, isNew] = known_.try_emplace(key);
     place->second.missingSince_ = neverTime;
+    place->second.value_ = value;
+    place->second.version_ = version;
     if (!isNew && place->second.entry_ == entry.value())
         return;
     place->second.entry_ = entry.value();
@@ -274,8 +292,71 @@
         return;
     const EngineEntry entry = found->second.entry_;
     known_.erase(found);
+    noteRemoval(key);
     log_.line("engineRemoved").with("engine", entry.name_).with("at", toString(entry.at_)).with("why", why);
     removed_(entry);
 }
 
+// ---- news for peers
+
+void EngineFeed::noteRemoval(const std::string& key)
+{
+    constexpr std::size_t mostRemovals = 512;
+    removals_.push_back({ newest_, key });
+    if (removals_.size() <= mostRemovals)
+        return;
+    removalsSince_ = removals_.front().first;
+    removals_.pop_front();
+}
+
+EngineNews EngineFeed::newsSince(std::uint64_t since) const
+{
+    EngineNews news;
+    if (!listedOnce_)
+        return news;
+    news.version_ = newest_;
+    news.isWhole_ = since <= removalsSince_;
+    for (const auto& [key, known] : known_) {
+        const bool isNews = news.isWhole_ || known.version_.value() > since;
+        if (isNews && known.missingSince_ == neverTime)
+            news.entries_.push_back({ key, known.version_, known.value_.size(), known.value_ });
+    }
+    if (news.isWhole_)
+        return news;
+    for (const auto& [version, key] : removals_) {
+        if (version > since && !known_.contains(key))
+            news.removed_.push_back(key);
+    }
+    return news;
+}
+
+// Changes that this node knows already are newer than what a peer says of the same entry.
+void EngineFeed::take(const EngineNews& news)
+{
+    if (news.version_ == 0 || news.version_ <= newest_)
+        return;
+    const std::uint64_t before = newest_;
+    newest_ = news.version_;
+    std::set<std::string> named;
+    for (const ObjectEntry& entry : news.entries_) {
+        named.insert(entry.key_);
+        const auto found = known_.find(entry.key_);
+        if (found == known_.end() || found->second.version_ < entry.version_)
+            apply(entry.key_, entry.value_, entry.version_);
+    }
+    for (const std::string& key : news.removed_)
+        remove(key, "goneByPeer");
+    if (news.isWhole_) {
+        std::vector<std::string> gone;
+        for (const auto& [key, known] : known_) {
+            if (!named.contains(key) && known.version_.value() <= news.version_)
+                gone.push_back(key);
+        }
+        for (const std::string& key : gone)
+            remove(key, "goneByPeer");
+    }
+    listedOnce_ = true;
+    log_.line("enginesByPeer").with("before", before).with("version", newest_).with("changed", news.entries_.size()).with("removed", news.removed_.size());
+}
+
 } // namespace jj
--- a/libs/serving/src/Follower.h
+++ b/libs/serving/src/Follower.h
@@ -1,13 +1,19 @@
 // What this node knows from the store: the configuration in force, and the engines.
 //
-// Each of the two is read once and then followed by calls that the store holds open. Peers tell which version they have; one that
-// is behind them for longer than a message takes asks at once, so a call that silently hears nothing costs no more than behindBound_.
+// A node that watches reads each of the two once and then follows it by calls that the store holds open. The others are passive:
+// they hear from peers which versions there are, and ask the peer that told them. So the store's calls grow with the watchers, two
+// a region, and not with the nodes: 84 nodes that all watched made 130 calls a second while engines registered.
+//
+// Peers' versions guard the watchers too: one that is behind them for longer than a message takes reads again, so a call that silently
+// hears nothing costs no more than behindBound_.
 #pragma once
 
 #include "DecisionLog.h"
+#include "PeerMessages.h"
 #include "StoreLink.h"
 #include "serving/Translation.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,18 +30,21 @@
     // A peer has had a newer version for so long: this node asks.
     Duration behindBound_ = 250ms;
     Duration askEvery_ = 400ms;
+    // Between two held-open calls that brought something: engines register one by one, and one call for each of them would be many.
+    Duration betweenChanges_ = 200ms;
 };
 
 // The configuration in force. It only ever moves forward: an older version, from wherever it comes, is dropped.
 class ConfigFollower {
 public:
     using Applied = std::function<void(const std::shared_ptr<const RouteTable>&)>;
-    // Asks some peer for its configuration; nothing happens when there is none.
+    // Asks a peer for news; nothing happens when there is none.
     using AskPeer = std::function<void()>;
 
     ConfigFollower(StoreLink& store, const Translation& translation, DecisionLog& log, FollowerTimes times, Applied applied, AskPeer askPeer);
 
-    void start(TimePoint now);
+    // Passive until told otherwise: the store isn't called.
+    void setPassive(bool passive) { passive_ = passive; }
     void tick(TimePoint now);
     // From the store or from a peer.
     void take(std::string_view value, std::string_view source);
@@ -59,6 +68,7 @@
     std::shared_ptr<const RouteTable> table_;
     std::string value_; // as the store holds it, for peers
     ObjectVersion seen_; // of the store, up to which changes are known; none: has to be read
+    bool passive_ = false;
     bool busy_ = false; // a call is under way
     std::uint32_t failures_ = 0;
     TimePoint nextAt_ {};
@@ -77,17 +87,26 @@
     using Changed = std::function<void(const EngineEntry&)>;
     using Removed = std::function<void(const EngineEntry&)>;
 
-    EngineFeed(StoreLink& store, const Translation& translation, DecisionLog& log, FollowerTimes times, Duration grace, std::map<std::string, std::string> regions, Changed changed, Removed removed);
+    using AskPeer = std::function<void()>;
+
+    EngineFeed(StoreLink& store, const Translation& translation, DecisionLog& log, FollowerTimes times, Duration grace, std::map<std::string, std::string> regions, Changed changed, Removed removed, AskPeer askPeer);
 
-    void start(TimePoint now);
+    void setPassive(bool passive) { passive_ = passive; }
     void tick(TimePoint now);
     void peerHas(std::uint64_t version, TimePoint now);
     std::uint64_t version() const { return newest_; }
     bool isKnown() const { return listedOnce_; }
+    // The store answers, and its changes are followed.
+    bool isFollowing() const { return !passive_ && !seen_.isNone() && failures_ == 0; }
+    // For a peer that knows of changes up to `since`.
+    EngineNews newsSince(std::uint64_t since) const;
+    void take(const EngineNews& news);
 
 private:
     struct Known {
         EngineEntry entry_;
+        std::string value_; // as the store holds it
+        ObjectVersion version_;
         TimePoint missingSince_ = neverTime; // gone from the store, kept for the grace time
     };
 
@@ -97,6 +116,7 @@
     void apply(const std::string& key, const std::string& value, ObjectVersion version);
     void missing(const std::string& key, TimePoint now, Duration grace);
     void remove(const std::string& key, std::string_view why);
+    void noteRemoval(const std::string& key);
 
     StoreLink& store_;
     const Translation& translation_;
@@ -106,7 +126,12 @@
     std::map<std::string, std::string> regions_;
     Changed changed_;
     Removed removed_;
+    AskPeer askPeer_;
     std::map<std::string, Known> known_; // by the entry's key
+    // Removals, oldest first, for peers that heard of the entry and not of its end. Invariant: versions don't fall.
+    std::deque<std::pair<std::uint64_t, std::string>> removals_;
+    std::uint64_t removalsSince_ = 0; // removals before it are not kept
+    bool passive_ = false;
     std::set<std::string> listing_; // keys that the list under way has named
     ObjectVersion seen_;
     ObjectVersion listedAt_;
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -109,7 +109,7 @@
 template <class Archive>
 void serialize(Archive& archive, NodeTold& told)
 {
-    archive(told.use_, told.runsJobs_, told.leaving_, told.configVersion_, told.enginesVersion_);
+    archive(told.use_, told.runsJobs_, told.leaving_, told.configVersion_, told.enginesVersion_, told.watching_);
 }
 
 template <class Archive>
@@ -149,8 +149,9 @@
 }
 
 template <class Archive>
-void serialize(Archive& /*archive*/, ConfigAsk& /*ask*/)
+void serialize(Archive& archive, NewsAsk& ask)
 {
+    archive(ask.configVersion_, ask.enginesVersion_);
 }
 
 template <class Archive>
@@ -178,9 +179,15 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, ConfigTold& told)
+void serialize(Archive& archive, EngineNews& news)
 {
-    archive(told.version_, told.value_);
+    archive(news.version_, news.isWhole_, news.entries_, news.removed_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, NewsTold& told)
+{
+    archive(told.config_, told.engines_);
 }
 
 template <class Archive>
--- a/libs/serving/src/PeerMessages.h
+++ b/libs/serving/src/PeerMessages.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace jj {
 
@@ -25,7 +26,8 @@
     bool runsJobs_ = false;
     bool leaving_ = false;
     std::uint64_t configVersion_ = 0; // that it applies; 0: none
-    std::uint64_t enginesVersion_ = 0; // the store's version up to which it knows the engines; 0: none
+    std::uint64_t enginesVersion_ = 0; // of the last change of an engine's entry that it knows; 0: none
+    bool watching_ = false; // it follows the store itself, and the store answers it
 };
 
 // The sender sends a question to an engine whose slots are full, and the receiver has a batch item there.
@@ -42,7 +44,11 @@
 struct StoreAsk {
     ObjectCall call_;
 };
-struct ConfigAsk { };
+// What has changed since the versions that the sender has.
+struct NewsAsk {
+    std::uint64_t configVersion_ = 0;
+    std::uint64_t enginesVersion_ = 0;
+};
 struct AdoptAsk {
     JobTransfer job_;
 };
@@ -58,16 +64,22 @@
 struct EndAsk {
     JobName job_;
 };
-using PeerCall = std::variant<StoreAsk, ConfigAsk, AdoptAsk, ReadAsk, BodyAsk, EndAsk>;
+using PeerCall = std::variant<StoreAsk, NewsAsk, AdoptAsk, ReadAsk, BodyAsk, EndAsk>;
 
-struct ConfigTold {
-    std::uint64_t version_ = 0; // 0: the receiver has none
-    std::string value_; // as the store holds it
+struct EngineNews {
+    std::uint64_t version_ = 0; // of the newest change in it; 0: the receiver knows no engines
+    bool isWhole_ = false; // engines that it doesn't name are gone
+    std::vector<ObjectEntry> entries_; // with values, as the store holds them
+    std::vector<std::string> removed_; // keys
+};
+struct NewsTold {
+    std::string config_; // as the store holds it; empty: none newer
+    EngineNews engines_;
 };
 struct AdoptTold {
     bool taken_ = false;
 };
-using PeerReply = std::variant<ObjectAnswer, ConfigTold, AdoptTold, ReadAnswer, BodyAnswer, EndAnswer>;
+using PeerReply = std::variant<ObjectAnswer, NewsTold, AdoptTold, ReadAnswer, BodyAnswer, EndAnswer>;
 
 enum class PeerError : int {
     Unauthentic = 1, // the code doesn't fit the bytes
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -52,12 +52,13 @@
     constexpr Duration graceMargin = 400ms;
     // The last words to peers need a moment.
     constexpr Duration farewell = 100ms;
+    constexpr Duration summaryPeriod = 10s;
     // Every job node lists the jobs' heads so often, from stale data: an orphan whose owner is known to be dead is found at once.
     constexpr Duration scanPeriod = 4s;
     constexpr Duration scanAfterLoss = 150ms;
     // Membership has met everybody by then; before, a live owner may look dead.
     constexpr Duration firstScan = 600ms;
-    constexpr Duration configAskBound = 600ms;
+    constexpr Duration newsBound = 600ms;
     constexpr Duration notReadyRetry = 300ms;
     // Descriptors that aren't connections of callers: engines, peers, the store, files.
     constexpr std::size_t reservedDescriptors = 700;
@@ -108,10 +109,13 @@
     void tick();
     void probeEngines(TimePoint now);
     void scanJobs(TimePoint now);
+    void summarize(TimePoint now);
     void onCaller(std::shared_ptr<http::Exchange> exchange);
     void onPeerCall(PeerCall call, const std::function<void(PeerReply)>& reply);
     bool routeToPeer(const ObjectCall& call, Duration bound, StoreLink::Completion done);
-    void askPeerForConfig();
+    void askForNews();
+    NodeId newsSource();
+    void chooseWatching();
     void onConfig(const std::shared_ptr<const RouteTable>& table);
     void waitForSignal();
     void reload();
@@ -150,7 +154,9 @@
     std::set<UpstreamId> probing_;
     std::size_t peerTurn_ = 0;
     TimePoint scanAt_ {};
-    bool scannedOnce_ = false;
+    TimePoint summarizedAt_ {};
+    bool watching_ = true;
+    bool askingNews_ = false;
     bool freshScan_ = true; // the next scan must not be stale
     bool draining_ = false;
     bool listening_ = true;
@@ -177,8 +183,6 @@
         return failure;
     const TimePoint now = context_.now();
     scanAt_ = now + firstScan;
-    config_->start(now);
-    feed_->start(now);
     log_.line("started").with("callers", settings_.callers_ ? toString(*settings_.callers_) : "").with("peers", toString(settings_.peers_)).with("store", toString(settings_.store_)).with("runsJobs", settings_.runsJobs_ ? "yes" : "no").with("incarnation", incarnation_.value());
     return std::nullopt;
 }
@@ -197,10 +201,16 @@
     store_ = std::make_unique<StoreLink>(io_, link, translation_, log_, seed_);
     store_->setPeerRoute([this](const ObjectCall& call, Duration bound, StoreLink::Completion done) { return routeToPeer(call, bound, std::move(done)); });
     config_ = std::make_unique<ConfigFollower>(
-        *store_, translation_, log_, FollowerTimes(), [this](const auto& table) { onConfig(table); }, [this] { askPeerForConfig(); });
-    const auto changed = [this](const EngineEntry& entry) { board_.upsert(entry); };
-    const auto removed = [this](const EngineEntry& entry) { board_.remove(entry.id_); };
-    feed_ = std::make_unique<EngineFeed>(*store_, translation_, log_, FollowerTimes(), settings_.engineGrace_, settings_.regions_, changed, removed);
+        *store_, translation_, log_, FollowerTimes(), [this](const auto& table) { onConfig(table); }, [this] { askForNews(); });
+    const auto changed = [this](const EngineEntry& entry) {
+        board_.upsert(entry);
+        fleet_->tell();
+    };
+    const auto removed = [this](const EngineEntry& entry) {
+        board_.remove(entry.id_);
+        fleet_->tell();
+    };
+    feed_ = std::make_unique<EngineFeed>(*store_, translation_, log_, FollowerTimes(), settings_.engineGrace_, settings_.regions_, changed, removed, [this] { askForNews(); });
 }
 
 std::optional<Failure> ServingNode::Parts::openFleet()
@@ -237,6 +247,7 @@
         told.use_ = board_.ownUse(context_.now());
         told.configVersion_ = config_->version();
         told.enginesVersion_ = feed_->version();
+        told.watching_ = feed_->isFollowing() && !store_->isAway();
         return told;
     };
     handlers.onTold_ = [this](const NodeTold& told) {
@@ -266,7 +277,7 @@
     outlets.stop_ = [this](RunId run) { runner_->stop(run); };
     outlets.transfer_ = [this](NodeId to, JobTransfer job) {
         const std::string name = job.job_;
-        fleet_->ask(to, AdoptAsk { std::move(job) }, configAskBound, [this, name](const Result<PeerReply>& reply) {
+        fleet_->ask(to, AdoptAsk { std::move(job) }, newsBound, [this, name](const Result<PeerReply>& reply) {
             if (!reply)
                 log_.line("transferLost").with("job", name).with("error", reply.error().message());
         });
@@ -350,6 +361,7 @@
     const WallTime wall = SystemClock().wallNow();
     fleet_->tick(now, wall);
     store_->tick(now);
+    chooseWatching();
     config_->tick(now);
     feed_->tick(now);
     desk_->setCautious(fleet_->mayBeReplaced());
@@ -361,6 +373,7 @@
     scanJobs(now);
     if (draining_)
         continueDrain(now);
+    summarize(now);
     log_.flushIfDue(now);
 }
 
@@ -375,6 +388,18 @@
     std::erase_if(probing_, [&](UpstreamId engine) { return std::find(due.begin(), due.end(), engine) == due.end(); });
 }
 
+// Once in a while, what a person would ask first: how full the engines are, and what the store is called for.
+void ServingNode::Parts::summarize(TimePoint now)
+{
+    if (now - summarizedAt_ < summaryPeriod)
+        return;
+    summarizedAt_ = now;
+    auto line = log_.line("summary");
+    line.with("requests", relay_->open()).with("items", runner_->running()).with("jobs", desk_->openJobs()).with("config", config_->version()).with("peers", fleet_->livePeers().size()).with("linesDroppedTotal", log_.dropped());
+    for (const auto& [call, count] : store_->callCounts())
+        line.with(std::string("store ").append(call), count);
+}
+
 void ServingNode::Parts::scanJobs(TimePoint now)
 {
     const bool mayOwn = settings_.runsJobs_ || desk_->heldJobs() > 0;
@@ -453,18 +478,54 @@
     return true;
 }
 
-void ServingNode::Parts::askPeerForConfig()
+// The peer that knows most, or any peer when none is ahead.
+NodeId ServingNode::Parts::newsSource()
 {
-    const NodeId peer = anyPeer(true);
-    if (peer.isNone())
+    NodeId best = NodeId::none();
+    std::uint64_t bestEngines = feed_->version();
+    std::uint64_t bestConfig = config_->version();
+    for (const auto& [node, peer] : fleet_->peers()) {
+        if (!peer.isLive() || peer.enginesVersion_ < bestEngines || peer.configVersion_ < bestConfig)
+            continue;
+        if (peer.enginesVersion_ == bestEngines && peer.configVersion_ == bestConfig)
+            continue;
+        best = node;
+        bestEngines = peer.enginesVersion_;
+        bestConfig = peer.configVersion_;
+    }
+    return best.isNone() ? anyPeer(true) : best;
+}
+
+void ServingNode::Parts::askForNews()
+{
+    const NodeId peer = newsSource();
+    if (peer.isNone() || askingNews_)
         return;
-    fleet_->ask(peer, ConfigAsk {}, configAskBound, [this](const Result<PeerReply>& reply) {
-        const auto* told = reply ? std::get_if<ConfigTold>(&reply.value()) : nullptr;
-        if (told && told->version_ > config_->version())
-            config_->take(told->value_, "peer");
+    askingNews_ = true;
+    fleet_->ask(peer, NewsAsk { config_->version(), feed_->version() }, newsBound, [this](const Result<PeerReply>& reply) {
+        askingNews_ = false;
+        const auto* told = reply ? std::get_if<NewsTold>(&reply.value()) : nullptr;
+        if (!told)
+            return;
+        if (!told->config_.empty())
+            config_->take(told->config_, "peer");
+        feed_->take(told->engines_);
+        fleet_->tell();
     });
 }
 
+// Watchers follow the store; the others hear from them, and watch themselves as soon as they hear none.
+void ServingNode::Parts::chooseWatching()
+{
+    const bool mustWatch = fleet_->isElectedWatcher() || !fleet_->hearsWatcher();
+    if (mustWatch == watching_)
+        return;
+    watching_ = mustWatch;
+    log_.line(mustWatch ? "watchBegan" : "watchLeft").with("config", config_->version()).with("engines", feed_->version());
+    config_->setPassive(!mustWatch);
+    feed_->setPassive(!mustWatch);
+}
+
 void ServingNode::Parts::onPeerCall(PeerCall call, const std::function<void(PeerReply)>& reply)
 {
     const TimePoint now = context_.now();
@@ -472,8 +533,8 @@
         store_->countForPeer();
         return store_->direct(ask->call_, [reply](ObjectAnswer answer) { reply(std::move(answer)); });
     }
-    if (std::holds_alternative<ConfigAsk>(call))
-        return reply(ConfigTold { config_->version(), config_->value() });
+    if (const auto* ask = std::get_if<NewsAsk>(&call))
+        return reply(NewsTold { config_->version() > ask->configVersion_ ? config_->value() : std::string(), feed_->newsSince(ask->enginesVersion_) });
     if (auto* ask = std::get_if<AdoptAsk>(&call)) {
         desk_->adopt(std::move(ask->job_), now, SystemClock().wallNow());
         runner_->pump(now);
--- a/libs/serving/src/StoreLink.cpp
+++ b/libs/serving/src/StoreLink.cpp
@@ -87,6 +87,7 @@
 void StoreLink::direct(const ObjectCall& call, Completion done)
 {
     ++counts_.direct_;
+    ++callCounts_[std::string(verbName(call.verb_)).append(" ").append(call.key_.substr(0, call.key_.find('/')))];
     http::CallOptions options;
     options.idle_ = boundOf(call);
     client_.fetch(settings_.store_, translation_.writeStoreCall_(call), options, [this, call, done = std::move(done)](const Result<http::Response>& response, RunState run) {
--- a/libs/serving/src/StoreLink.h
+++ b/libs/serving/src/StoreLink.h
@@ -13,6 +13,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
+#include <string>
 
 namespace jj {
 
@@ -29,6 +31,9 @@
     Duration peersPause_ = 1500ms;
 };
 
+// Calls by verb and kind of object, as in "get jobs".
+using StoreCallCounts = std::map<std::string, std::uint64_t>;
+
 struct StoreCounts {
     std::uint64_t direct_ = 0;
     std::uint64_t viaPeers_ = 0;
@@ -60,6 +65,7 @@
     // Since when it can be reached again; the start counts too.
     TimePoint backSince() const { return backSince_; }
     const StoreCounts& counts() const { return counts_; }
+    const StoreCallCounts& callCounts() const { return callCounts_; }
     void countForPeer() { ++counts_.forPeers_; }
 
 private:
@@ -82,6 +88,7 @@
     TimePoint backSince_ {};
     bool pumping_ = false;
     StoreCounts counts_;
+    StoreCallCounts callCounts_;
 };
 
 } // namespace jj
