Capacity: engines are judged by what becomes of requests; ledger: a late owner asks the store first

Change: a failure puts an engine on trial; only a request of one node that may be sent again ends the trial; strikes fade with 4 s. Change: a node that started, was paused or was believed dead within 10 s, and one that gets the message anew, asks the store before it answers and before it goes on.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -12,6 +12,13 @@
 // nodes of a region are exact but for the last millisecond or two, ties are broken at random, and nothing of batch is ever sent to an
 // engine without a free slot.
 //
+// Failure met: an engine resets each request and answers its health check. With nothing running it looks the emptiest, so it draws
+// questions like a hole; a health check, or the end of an older stream, must not clear it. It shows as one engine with far more
+// arrivals than others and failures in a row. The guard: an engine that failed is left alone, longer after each failure; then one
+// request at a time tries it, of one node only, and one that may be sent elsewhere if it fails. Until that ends well the node tells
+// the others, which use the engine only when nothing else is left. When many engines fail a node within a moment, its own network is
+// the likelier cause, and none is blamed.
+//
 // Two nodes that pick in the same millisecond may both take the last slot of an engine; the second waits there for one slot to end.
 #pragma once
 
@@ -22,6 +29,7 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -59,6 +67,12 @@
     bool isSome() const { return kind_ != PickKind::None; }
 };
 
+enum class EngineFault : std::uint8_t {
+    NotConnected, // refused or timed out
+    Lost, // the connection ended, or fell silent, after a request was sent
+    Failure, // an answer that is the engine's own failure; it may be the request's fault
+};
+
 struct CapacitySettings {
     // A node that hasn't reported for so long counts as running nothing: four reports in a row were lost, or it is gone.
     Duration reportTimeout_ = 2s;
@@ -67,9 +81,17 @@
     std::uint32_t batchReserve_ = 1;
     // An engine that failed is left alone for firstShun_, and twice as long after each further failure, up to longestShun_.
     Duration firstShun_ = 500ms;
-    Duration longestShun_ = 3s;
-    // Another node's word that an engine fails counts for so long: one slice of the network may fail for that node alone.
-    Duration hearsay_ = 1s;
+    Duration longestShun_ = 6s;
+    // Failures are remembered with this half-life, also over a success: an engine that fails four in ten is not soon trusted again.
+    Duration failureHalfLife_ = 4s;
+    // An own answer of an engine that is so fresh counts for more than another node's word that it fails.
+    Duration freshSuccess_ = 1s;
+    // More than this part of a service's engines, and more than three, lost a connection of this node within sharedFault_: the fault
+    // is the node's own or the network's.
+    double sharedFaultPart_ = 0.3;
+    Duration sharedFault_ = 400ms;
+    // An engine that nobody tried for so long after its time is tried with requests too that can't be sent again.
+    Duration untriedFor_ = 3s;
     // Extra time of a request to another region: a round trip and the connection.
     Duration farCost_ = 30ms;
     // What a question's first event takes on an idle engine; the bound on the wait leaves room for it.
@@ -80,7 +102,7 @@
 
 class CapacityBoard {
 public:
-    CapacityBoard(CapacitySettings settings, RegionId region, FailureDomainId domain, std::uint64_t seed);
+    CapacityBoard(CapacitySettings settings, NodeId self, RegionId region, FailureDomainId domain, std::uint64_t seed);
 
     // ---- what discovery says
     void upsert(const EngineEntry& entry);
@@ -94,24 +116,28 @@
     // How long a question that ended well held its slot.
     void measured(Duration run);
     // What this node tells the others; node, incarnation and sequence are the caller's to fill.
-    NodeUse ownUse(TimePoint now) const;
+    NodeUse ownUse() const;
 
     // ---- what other nodes say
     void heard(const NodeUse& use, TimePoint now);
     void forget(NodeId node);
 
     // ---- what answers say
-    // The engine gave no answer or refused the connection. Says for how long it is left alone.
-    Duration failed(UpstreamId engine, TimePoint now);
-    void succeeded(UpstreamId engine);
+    // Says for how long the engine is left alone; zero when it isn't blamed.
+    Duration failed(UpstreamId engine, EngineFault fault, TimePoint now);
+    // A request that this node sent there ended well, or its stream began.
+    void succeeded(UpstreamId engine, TimePoint now);
+    // A probe found that it lives; it may be tried with a request.
+    void probed(UpstreamId engine);
     // The engine said that it is full although the counts say that it has room: nothing is sent there for a moment.
     void refusedAsFull(UpstreamId engine, TimePoint now);
-    // Engines that are left alone and whose time is over: one answer of theirs (succeeded) brings them back.
+    // Engines that are left alone and whose time is over: they are probed before a request tries them.
     std::vector<UpstreamId> dueForProbe(TimePoint now) const;
 
     // ---- picks
-    // `bound`: how long the question's first event may take. `tried`: engines that it was sent to before.
-    EnginePick pickQuestion(std::string_view service, Duration bound, std::span<const UpstreamId> tried, TimePoint now);
+    // `bound`: how long the question's first event may take. `tried`: engines that it was sent to before. `repeatable`: it may be sent
+    // to another engine if one fails it.
+    EnginePick pickQuestion(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now);
     // `urgent`: due so soon that it may use the reserve.
     EnginePick pickBatch(std::string_view service, bool urgent, std::span<const UpstreamId> tried, TimePoint now);
     // The nodes that run batch items on the engine, the one with most first.
@@ -122,7 +148,7 @@
         std::uint32_t questions_ = 0;
         std::uint32_t batchItems_ = 0;
     };
-    Usage usage(std::string_view service, TimePoint now) const;
+    Usage usage(std::string_view service) const;
     // Work on one engine, of all nodes.
     EngineUse useOf(UpstreamId engine) const;
 
@@ -133,10 +159,15 @@
         // Invariant: the sum of the reports in reports_ for this engine.
         std::uint32_t othersQuestions_ = 0;
         std::uint32_t othersBatch_ = 0;
-        std::uint32_t failures_ = 0; // in a row
+        double strikes_ = 0; // failures, fading; as of strikesAt_
+        TimePoint strikesAt_ {};
+        bool isOnTrial_ = false; // failed, and no request has ended well since its time was over
+        bool isProbed_ = false; // on trial, and a probe found it alive
         TimePoint shunnedUntil_ {};
         TimePoint fullUntil_ {};
-        TimePoint hearsayUntil_ {};
+        TimePoint lostAt_ {}; // a connection of this node
+        TimePoint succeededAt_ {};
+        std::set<NodeId> accusers_; // other nodes that have it on trial
 
         std::uint32_t questions() const { return own_.questions_ + othersQuestions_; }
         std::uint32_t batch() const { return own_.batchItems_ + othersBatch_; }
@@ -154,11 +185,16 @@
     void dropSilent(TimePoint now);
     void subtract(const NodeUse& use);
     void add(const NodeUse& use);
-    std::vector<Candidate> candidates(std::string_view service, std::span<const UpstreamId> tried, TimePoint now);
+    std::vector<Candidate> candidates(std::string_view service, bool repeatable, std::span<const UpstreamId> tried, TimePoint now);
     Duration queueWait(const Engine& engine) const;
-    bool isUsable(const Engine& engine, TimePoint now) const;
+    bool isUsable(const Engine& engine, bool repeatable, TimePoint now) const;
+    bool isDoubtful(const Engine& engine, TimePoint now) const;
+    bool isTester(const Engine& engine) const;
+    bool isSharedFault(const Engine& engine, TimePoint now) const;
+    void addAccusations(const NodeUse& use, bool stands);
 
     CapacitySettings settings_;
+    NodeId self_;
     RegionId region_;
     FailureDomainId domain_;
     std::mt19937_64 random_;
--- a/libs/capacity/src/CapacityBoard.cpp
+++ b/libs/capacity/src/CapacityBoard.cpp
@@ -2,6 +2,7 @@
 #include "capacity/CapacityBoard.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 namespace jj {
@@ -15,8 +16,9 @@
 
 } // namespace
 
-CapacityBoard::CapacityBoard(CapacitySettings settings, RegionId region, FailureDomainId domain, std::uint64_t seed)
+CapacityBoard::CapacityBoard(CapacitySettings settings, NodeId self, RegionId region, FailureDomainId domain, std::uint64_t seed)
     : settings_(settings)
+    , self_(self)
     , region_(region)
     , domain_(domain)
     , random_(seed)
@@ -41,6 +43,9 @@
             place->second.othersQuestions_ += use.questions_;
             place->second.othersBatch_ += use.batchItems_;
         }
+        const auto& shunned = report.use_.shunned_;
+        if (std::find(shunned.begin(), shunned.end(), entry.id_) != shunned.end())
+            place->second.accusers_.insert(node);
     }
 }
 
@@ -84,13 +89,13 @@
 
 void CapacityBoard::measured(Duration run) { meanRunSeconds_ += meanGain * (toSeconds(run) - meanRunSeconds_); }
 
-NodeUse CapacityBoard::ownUse(TimePoint now) const
+NodeUse CapacityBoard::ownUse() const
 {
     NodeUse use;
     for (const auto& [id, engine] : engines_) {
         if (engine.own_.questions_ > 0 || engine.own_.batchItems_ > 0)
             use.uses_.push_back(engine.own_);
-        if (engine.failures_ > 0 && now < engine.shunnedUntil_)
+        if (engine.isOnTrial_)
             use.shunned_.push_back(id);
     }
     return use;
@@ -107,6 +112,7 @@
         found->second.othersQuestions_ -= std::min<std::uint32_t>(one.questions_, found->second.othersQuestions_);
         found->second.othersBatch_ -= std::min<std::uint32_t>(one.batchItems_, found->second.othersBatch_);
     }
+    addAccusations(use, false);
 }
 
 void CapacityBoard::add(const NodeUse& use)
@@ -118,6 +124,20 @@
         found->second.othersQuestions_ += one.questions_;
         found->second.othersBatch_ += one.batchItems_;
     }
+    addAccusations(use, true);
+}
+
+void CapacityBoard::addAccusations(const NodeUse& use, bool stands)
+{
+    for (const UpstreamId id : use.shunned_) {
+        const auto found = engines_.find(id);
+        if (found == engines_.end())
+            continue;
+        if (stands)
+            found->second.accusers_.insert(use.node_);
+        else
+            found->second.accusers_.erase(use.node_);
+    }
 }
 
 void CapacityBoard::heard(const NodeUse& use, TimePoint now)
@@ -131,11 +151,6 @@
         subtract(report.use_);
     report = { use, now };
     add(use);
-    for (const UpstreamId id : use.shunned_) {
-        const auto found = engines_.find(id);
-        if (found != engines_.end())
-            found->second.hearsayUntil_ = now + settings_.hearsay_;
-    }
 }
 
 void CapacityBoard::forget(NodeId node)
@@ -177,30 +192,70 @@
 
 // ---- answers
 
-Duration CapacityBoard::failed(UpstreamId engine, TimePoint now)
+// A service's engines don't lose their connections to one node at the same moment by themselves.
+bool CapacityBoard::isSharedFault(const Engine& engine, TimePoint now) const
+{
+    constexpr std::size_t alwaysBlamed = 3;
+    std::size_t all = 0;
+    std::size_t lost = 0;
+    for (const auto& [id, one] : engines_) {
+        if (one.entry_.service_ != engine.entry_.service_)
+            continue;
+        ++all;
+        lost += one.lostAt_ != TimePoint() && now - one.lostAt_ <= settings_.sharedFault_ ? 1 : 0;
+    }
+    return lost > alwaysBlamed && static_cast<double>(lost) > settings_.sharedFaultPart_ * static_cast<double>(all);
+}
+
+Duration CapacityBoard::failed(UpstreamId engine, EngineFault fault, TimePoint now)
 {
     const auto found = engines_.find(engine);
     if (found == engines_.end())
         return {};
     Engine& one = found->second;
+    if (fault == EngineFault::Lost) {
+        one.lostAt_ = now;
+        if (isSharedFault(one, now))
+            return {};
+    }
     // The streams of one crash end together; they are one failure.
-    if (one.failures_ > 0 && now < one.shunnedUntil_)
+    if (one.isOnTrial_ && now < one.shunnedUntil_)
         return one.shunnedUntil_ - now;
-    constexpr std::uint32_t mostDoublings = 8;
-    const Duration shun = std::min<Duration>(settings_.longestShun_, settings_.firstShun_ * (1LL << std::min(one.failures_, mostDoublings)));
-    ++one.failures_;
+    constexpr double weights[] = { 1, 1, 0.5 };
+    const Duration since = std::max<Duration>(now - one.strikesAt_, Duration::zero());
+    const double faded = std::exp2(-toSeconds(since) / toSeconds(settings_.failureHalfLife_));
+    one.strikes_ = one.strikes_ * faded + weights[static_cast<std::size_t>(fault)];
+    one.strikesAt_ = now;
+    if (one.strikes_ < 1)
+        return {};
+    constexpr double mostStrikes = 8;
+    one.strikes_ = std::min(one.strikes_, mostStrikes);
+    const Duration shun = std::min<Duration>(settings_.longestShun_, fromSeconds(toSeconds(settings_.firstShun_) * std::exp2(one.strikes_ - 1)));
+    one.isOnTrial_ = true;
+    one.isProbed_ = false;
     one.shunnedUntil_ = now + shun;
+    // While it is left alone it can't prove itself, so nothing fades.
+    one.strikesAt_ = one.shunnedUntil_;
     return shun;
 }
 
-void CapacityBoard::succeeded(UpstreamId engine)
+void CapacityBoard::succeeded(UpstreamId engine, TimePoint now)
 {
     const auto found = engines_.find(engine);
     if (found == engines_.end())
         return;
-    found->second.failures_ = 0;
-    found->second.shunnedUntil_ = {};
-    found->second.hearsayUntil_ = {};
+    Engine& one = found->second;
+    one.succeededAt_ = now;
+    // A stream that began before the failure says nothing about requests that come after it.
+    if (one.isOnTrial_ && now >= one.shunnedUntil_)
+        one.isOnTrial_ = false;
+}
+
+void CapacityBoard::probed(UpstreamId engine)
+{
+    const auto found = engines_.find(engine);
+    if (found != engines_.end())
+        found->second.isProbed_ = true;
 }
 
 void CapacityBoard::refusedAsFull(UpstreamId engine, TimePoint now)
@@ -214,7 +269,7 @@
 {
     std::vector<UpstreamId> due;
     for (const auto& [id, engine] : engines_) {
-        if (engine.failures_ > 0 && now >= engine.shunnedUntil_)
+        if (engine.isOnTrial_ && !engine.isProbed_ && now >= engine.shunnedUntil_)
             due.push_back(id);
     }
     return due;
@@ -222,19 +277,39 @@
 
 // ---- picks
 
-bool CapacityBoard::isUsable(const Engine& engine, TimePoint now) const
+// Of the nodes that have the engine on trial one tries it: the others would each lose a request to learn the same.
+bool CapacityBoard::isTester(const Engine& engine) const
+{
+    return engine.accusers_.empty() || self_ < *engine.accusers_.begin();
+}
+
+bool CapacityBoard::isUsable(const Engine& engine, bool repeatable, TimePoint now) const
+{
+    if (engine.entry_.draining_ || now < engine.fullUntil_)
+        return false;
+    if (!engine.isOnTrial_)
+        return true;
+    const bool mayTry = repeatable || now >= engine.shunnedUntil_ + settings_.untriedFor_;
+    const bool isIdleHere = engine.own_.questions_ + engine.own_.batchItems_ == 0;
+    return engine.isProbed_ && now >= engine.shunnedUntil_ && isIdleHere && mayTry && isTester(engine);
+}
+
+// Other nodes say that it fails, and this one has no fresh answer of it.
+bool CapacityBoard::isDoubtful(const Engine& engine, TimePoint now) const
 {
-    return !engine.entry_.draining_ && engine.failures_ == 0 && now >= engine.fullUntil_;
+    if (engine.accusers_.empty() || engine.isOnTrial_)
+        return false;
+    return engine.succeededAt_ == TimePoint() || now - engine.succeededAt_ > settings_.freshSuccess_;
 }
 
-std::vector<CapacityBoard::Candidate> CapacityBoard::candidates(std::string_view service, std::span<const UpstreamId> tried, TimePoint now)
+std::vector<CapacityBoard::Candidate> CapacityBoard::candidates(std::string_view service, bool repeatable, std::span<const UpstreamId> tried, TimePoint now)
 {
     std::vector<Candidate> found;
     std::vector<Candidate> doubtful;
     for (auto& [id, engine] : engines_) {
-        if (engine.entry_.service_ != service || !isUsable(engine, now) || std::find(tried.begin(), tried.end(), id) != tried.end())
+        if (engine.entry_.service_ != service || !isUsable(engine, repeatable, now) || std::find(tried.begin(), tried.end(), id) != tried.end())
             continue;
-        auto& list = now < engine.hearsayUntil_ ? doubtful : found;
+        auto& list = isDoubtful(engine, now) ? doubtful : found;
         list.push_back({ &engine, engine.entry_.region_ != region_ });
     }
     // What others say counts only as long as something else is left.
@@ -252,7 +327,7 @@
     return fromSeconds(meanRunSeconds_ * waiting / slots);
 }
 
-EnginePick CapacityBoard::pickQuestion(std::string_view service, Duration bound, std::span<const UpstreamId> tried, TimePoint now)
+EnginePick CapacityBoard::pickQuestion(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now)
 {
     dropSilent(now);
     // In order of what the caller gets: a free slot near, one that batch gives up, a free slot far, a short wait.
@@ -263,7 +338,7 @@
     Best best;
     EnginePick pick;
     Duration shortest = bound;
-    for (const Candidate& candidate : candidates(service, tried, now)) {
+    for (const Candidate& candidate : candidates(service, repeatable, tried, now)) {
         const Engine& engine = *candidate.engine_;
         const bool isFree = engine.total() < engine.entry_.slots_;
         const bool displaces = !isFree && engine.questions() < engine.entry_.slots_;
@@ -298,7 +373,7 @@
     const std::uint32_t reserve = urgent ? 0 : settings_.batchReserve_;
     std::optional<std::uint64_t> bestRank;
     EnginePick pick;
-    for (const Candidate& candidate : candidates(service, tried, now)) {
+    for (const Candidate& candidate : candidates(service, true, tried, now)) {
         const Engine& engine = *candidate.engine_;
         if (engine.total() + reserve >= engine.entry_.slots_)
             continue;
@@ -312,11 +387,11 @@
     return pick;
 }
 
-CapacityBoard::Usage CapacityBoard::usage(std::string_view service, TimePoint now) const
+CapacityBoard::Usage CapacityBoard::usage(std::string_view service) const
 {
     Usage usage;
     for (const auto& [id, engine] : engines_) {
-        if (engine.entry_.service_ != service || !isUsable(engine, now))
+        if (engine.entry_.service_ != service || engine.entry_.draining_ || engine.isOnTrial_)
             continue;
         usage.slots_ += engine.entry_.slots_;
         usage.questions_ += engine.questions();
--- /dev/null
+++ b/libs/capacity/tests/CapacityBoardTest.cpp
@@ -0,0 +1,225 @@
+// Who gets which slot, by what the nodes tell each other.
+#include "capacity/CapacityBoard.h"
+
+#include <doctest/doctest.h>
+
+using namespace jj;
+
+namespace {
+
+constexpr RegionId near { 1 };
+constexpr RegionId far { 2 };
+constexpr FailureDomainId domain { 1 };
+constexpr Duration bound = 300ms;
+
+EngineEntry engine(std::uint64_t id, RegionId region = near, std::uint32_t slots = 8)
+{
+    EngineEntry entry;
+    entry.id_ = UpstreamId(id);
+    entry.name_ = "e" + std::to_string(id);
+    entry.service_ = "s";
+    entry.region_ = region;
+    entry.domain_ = domain;
+    entry.slots_ = slots;
+    return entry;
+}
+
+struct World {
+    explicit World(std::size_t engines = 3, NodeId self = NodeId(1))
+        : board_({}, self, near, domain, 7)
+    {
+        for (std::uint64_t id = 1; id <= engines; ++id)
+            board_.upsert(engine(id));
+    }
+
+    void hear(std::uint64_t node, std::vector<EngineUse> uses, std::vector<UpstreamId> shunned = {})
+    {
+        NodeUse use;
+        use.node_ = NodeId(node);
+        use.incarnation_ = Incarnation(1);
+        use.sequence_ = ++sequence_;
+        use.uses_ = std::move(uses);
+        use.shunned_ = std::move(shunned);
+        board_.heard(use, now_);
+    }
+
+    EnginePick ask(bool repeatable = false) { return board_.pickQuestion("s", bound, repeatable, {}, now_); }
+    EnginePick batch(bool urgent = false) { return board_.pickBatch("s", urgent, {}, now_); }
+
+    CapacityBoard board_;
+    TimePoint now_ { 10s };
+    std::uint32_t sequence_ = 0;
+};
+
+EngineUse use(std::uint64_t id, std::uint16_t questions, std::uint16_t items = 0) { return { UpstreamId(id), questions, items }; }
+
+} // namespace
+
+TEST_CASE("capacity: a question goes to the emptiest engine by what all nodes run")
+{
+    World world;
+    world.hear(2, { use(1, 5), use(2, 1, 1) });
+    world.hear(3, { use(1, 1), use(3, 4) });
+    CHECK(world.ask().engine_ == UpstreamId(2));
+    world.board_.started(UpstreamId(2), WorkClass::Question);
+    world.board_.started(UpstreamId(2), WorkClass::Question);
+    world.board_.started(UpstreamId(2), WorkClass::Question);
+    CHECK(world.ask().engine_ == UpstreamId(3));
+}
+
+TEST_CASE("capacity: a later report replaces the one before, an older one changes nothing")
+{
+    World world(1);
+    world.hear(2, { use(1, 5) });
+    world.hear(2, { use(1, 2) });
+    CHECK(world.board_.useOf(UpstreamId(1)).questions_ == 2);
+    NodeUse old;
+    old.node_ = NodeId(2);
+    old.incarnation_ = Incarnation(1);
+    old.sequence_ = 1;
+    old.uses_ = { use(1, 7) };
+    world.board_.heard(old, world.now_);
+    CHECK(world.board_.useOf(UpstreamId(1)).questions_ == 2);
+    world.board_.forget(NodeId(2));
+    CHECK(world.board_.useOf(UpstreamId(1)).questions_ == 0);
+}
+
+TEST_CASE("capacity: the work of a node that fell silent is forgotten")
+{
+    World world(1);
+    world.hear(2, { use(1, 8) });
+    CHECK(world.ask().kind_ == PickKind::Queues);
+    world.now_ += 3s;
+    CHECK(world.ask().kind_ == PickKind::Free);
+}
+
+TEST_CASE("capacity: full engines: batch gives way first, then a free slot far, then a short wait")
+{
+    World world(2);
+    world.board_.upsert(engine(9, far));
+    world.hear(2, { use(1, 8), use(2, 6, 2) });
+    CHECK(world.ask().kind_ == PickKind::Displaces);
+    CHECK(world.ask().engine_ == UpstreamId(2));
+    CHECK(world.board_.batchHolders(UpstreamId(2)) == std::vector { NodeId(2) });
+    world.hear(2, { use(1, 8), use(2, 8) });
+    CHECK(world.ask().kind_ == PickKind::Free);
+    CHECK(world.ask().engine_ == UpstreamId(9));
+    world.hear(2, { use(1, 9), use(2, 8), use(9, 8) });
+    CHECK(world.ask().kind_ == PickKind::Queues);
+    CHECK(world.ask().engine_ == UpstreamId(2));
+}
+
+// A burst of more than there are slots: a question that can't begin in time is told so at once, with the time until one can.
+TEST_CASE("capacity: a question that can't begin in time gets no engine, and a time")
+{
+    World world(2);
+    world.hear(2, { use(1, 12), use(2, 11) });
+    const EnginePick pick = world.ask();
+    CHECK(pick.kind_ == PickKind::None);
+    CHECK(pick.wait_ > Duration::zero());
+}
+
+TEST_CASE("capacity: batch takes no slot of the reserve unless it is urgent, and never queues")
+{
+    World world(1);
+    world.hear(2, { use(1, 6) });
+    CHECK(world.batch().isSome());
+    world.hear(2, { use(1, 7) });
+    CHECK_FALSE(world.batch().isSome());
+    CHECK(world.batch(true).isSome());
+    world.hear(2, { use(1, 8) });
+    CHECK_FALSE(world.batch(true).isSome());
+}
+
+// Six questions a second meet an engine that resets each of them and answers its health check: empty as it always is, it would draw
+// every one. Callers see one answer in two lost while other engines stand idle.
+TEST_CASE("capacity: an engine that resets what it is sent doesn't draw questions because it is empty")
+{
+    World world(3);
+    world.hear(2, { use(1, 4), use(2, 4) });
+    int lost = 0;
+    for (int question = 0; question < 120; ++question) {
+        world.now_ += 160ms;
+        world.hear(2, { use(1, 4), use(2, 4) });
+        for (const UpstreamId due : world.board_.dueForProbe(world.now_))
+            world.board_.probed(due);
+        const EnginePick pick = world.ask(true);
+        REQUIRE(pick.isSome());
+        if (pick.engine_ == UpstreamId(3)) {
+            ++lost;
+            world.board_.failed(pick.engine_, EngineFault::Lost, world.now_);
+        } else {
+            world.board_.succeeded(pick.engine_, world.now_);
+        }
+    }
+    // 19 s: at 0, 0.5, 1.5 s and so on, then each 6 s.
+    CHECK(lost <= 8);
+}
+
+TEST_CASE("capacity: the end of an older stream doesn't clear an engine that failed since")
+{
+    World world(2);
+    world.hear(2, { use(2, 3) });
+    REQUIRE(world.ask().engine_ == UpstreamId(1));
+    world.board_.failed(UpstreamId(1), EngineFault::Lost, world.now_);
+    world.board_.succeeded(UpstreamId(1), world.now_ + 50ms);
+    CHECK(world.ask(true).engine_ == UpstreamId(2));
+    world.now_ += 600ms;
+    world.board_.probed(UpstreamId(1));
+    // A question that can't be sent again isn't what an engine is tried with.
+    CHECK(world.ask(false).engine_ == UpstreamId(2));
+    CHECK(world.ask(true).engine_ == UpstreamId(1));
+    world.board_.succeeded(UpstreamId(1), world.now_);
+    CHECK(world.ask(false).engine_ == UpstreamId(1));
+}
+
+TEST_CASE("capacity: one node tries an engine that failed several, the others wait for it")
+{
+    World second(2, NodeId(5));
+    second.board_.failed(UpstreamId(1), EngineFault::Lost, second.now_);
+    second.hear(3, {}, { UpstreamId(1) });
+    second.now_ += 700ms;
+    second.hear(3, { use(2, 4) }, { UpstreamId(1) });
+    second.board_.probed(UpstreamId(1));
+    CHECK(second.ask(true).engine_ == UpstreamId(2));
+    second.hear(3, { use(2, 4) });
+    CHECK(second.ask(true).engine_ == UpstreamId(1));
+}
+
+TEST_CASE("capacity: an engine that others accuse is used when nothing else is left, or when it has just answered here")
+{
+    World world(2);
+    world.hear(2, { use(2, 3) }, { UpstreamId(1) });
+    CHECK(world.ask().engine_ == UpstreamId(2));
+    world.board_.succeeded(UpstreamId(1), world.now_);
+    CHECK(world.ask().engine_ == UpstreamId(1));
+    world.now_ += 1500ms;
+    world.hear(2, { use(2, 3) }, { UpstreamId(1) });
+    CHECK(world.ask().engine_ == UpstreamId(2));
+    world.board_.remove(UpstreamId(2));
+    CHECK(world.ask().engine_ == UpstreamId(1));
+}
+
+// Something between a node and its engines drops open connections. All its streams end in one moment, and all engines are well.
+TEST_CASE("capacity: when many engines lose a node's connections at once, none is blamed")
+{
+    World world(12);
+    int blamed = 0;
+    for (std::uint64_t id = 1; id <= 12; ++id)
+        blamed += world.board_.failed(UpstreamId(id), EngineFault::Lost, world.now_) > Duration::zero() ? 1 : 0;
+    CHECK(blamed <= 4);
+    CHECK(world.ask().isSome());
+}
+
+TEST_CASE("capacity: an engine that leaves or refuses gets nothing new")
+{
+    World world(2);
+    EngineEntry leaving = engine(1);
+    leaving.draining_ = true;
+    world.board_.upsert(leaving);
+    CHECK(world.ask().engine_ == UpstreamId(2));
+    world.board_.refusedAsFull(UpstreamId(2), world.now_);
+    CHECK_FALSE(world.ask().isSome());
+    world.now_ += 50ms;
+    CHECK(world.ask().engine_ == UpstreamId(2));
+}
--- a/libs/ledger/include/ledger/JobDesk.h
+++ b/libs/ledger/include/ledger/JobDesk.h
@@ -52,6 +52,9 @@
     Duration pauseBound_ = 1s;
     // While this node may have been replaced: how old the store's word may be for a read.
     Duration trustedFor_ = 500ms;
+    // A node that started, was paused or was believed dead within it may have been replaced as the owner of a job that it is told of
+    // now: detection and takeover take some three seconds.
+    Duration newcomer_ = 10s;
     // Wall clocks differ between hosts and jump; nothing is given up before this much extra.
     Duration clockSlack_ = 5s;
     // A finished job that nobody reads leaves memory after it, and is read from the store again when needed.
@@ -124,6 +127,7 @@
     ObjectVersion headVersion_;
     std::vector<JobItem> items_;
     std::uint32_t resultPages_ = 0; // that are known to exist
+    bool isResent_ = false; // an earlier message with it had no answer
     std::vector<Progress> progress_;
 };
 
@@ -184,7 +188,7 @@
     bool hasLeft() const;
     // Others may have replaced this node without its knowing, until told otherwise.
     void setCautious(bool cautious) { cautious_ = cautious; }
-    void suspectAll();
+    void suspectAll(TimePoint now);
 
     // ---- runs
     // The most urgent item that waits and whose service is `service`; it counts as running from then on.
@@ -266,6 +270,8 @@
     std::unordered_map<RunId, Running> runs_;
     std::uint64_t nextRun_ = 1;
     std::map<JobName, TimePoint> claiming_; // takeovers under way, so that two scans don't start two
+    TimePoint firstUse_ {}; // when the process began
+    TimePoint awayAt_ {}; // when it was last found to have been paused or believed dead
     TimePoint lastTick_ {};
     WallTime wall_ {};
     bool cautious_ = false;
--- a/libs/ledger/src/DeskJob.h
+++ b/libs/ledger/src/DeskJob.h
@@ -59,6 +59,7 @@
 
     std::vector<Reader> readers_;
     bool suspect_ = false; // another node may own the job by now
+    TimePoint askAgainAt_ {};
     TimePoint checkedAt_ {}; // when the store last confirmed that nobody does
     TimePoint lastUse_ {};
     bool stateChanging_ = false; // an update of the head is under way
--- a/libs/ledger/src/JobDesk.cpp
+++ b/libs/ledger/src/JobDesk.cpp
@@ -49,6 +49,9 @@
 void JobDesk::adopt(JobTransfer transfer, TimePoint now, WallTime wall)
 {
     wall_ = wall;
+    noticePause(now);
+    if (firstUse_ == TimePoint())
+        firstUse_ = now;
     if (const Job* known = owned(transfer.job_); known && known->headVersion_ >= transfer.headVersion_)
         return;
     drop(transfer.job_);
@@ -59,6 +62,11 @@
     job->due_ = dueAt(transfer.head_, now, wall);
     job->loadStarted_ = now;
     job->lastUse_ = now;
+    // Failure met: the message was on its way for long, and others, who believed this node dead, gave the job to another owner that
+    // has listed results. A reader that is sent here would find nothing where it had read something. A node that was away lately
+    // asks the store first; one that was there all the while can't have been replaced.
+    const bool wasAway = now - firstUse_ < settings_.newcomer_ || (awayAt_ != TimePoint() && now - awayAt_ < settings_.newcomer_);
+    job->suspect_ = wasAway || transfer.isResent_;
     for (JobTransfer::Progress& progress : transfer.progress_)
         job->progress_[progress.item_] = std::move(progress);
     for (JobItem& item : transfer.items_) {
@@ -280,8 +288,9 @@
     });
 }
 
-void JobDesk::suspectAll()
+void JobDesk::suspectAll(TimePoint now)
 {
+    awayAt_ = now;
     for (auto& [name, job] : jobs_)
         job->suspect_ = job->isOpen();
 }
@@ -345,7 +354,7 @@
             return;
         if (!answer.ok())
             return refresh(job, at, [](bool, TimePoint) {});
-        JobTransfer transfer { job->name_, head, answer.answer_.version_, {}, job->pages_, {} };
+        JobTransfer transfer { job->name_, head, answer.answer_.version_, {}, job->pages_, false, {} };
         for (Item& item : job->items_) {
             if (item.events_ > 0 && item.state_ == ItemState::Waiting)
                 transfer.progress_.push_back({ item.item_.id_, item.text_, item.events_, item.lastEvent_, item.failures_ });
@@ -362,8 +371,10 @@
 // Whatever comes first after a pause may be a caller's read: it is met here as well as by the tick.
 void JobDesk::noticePause(TimePoint now)
 {
-    if (lastTick_ != TimePoint() && now - lastTick_ > settings_.pauseBound_)
-        suspectAll();
+    if (lastTick_ == TimePoint() || now - lastTick_ <= settings_.pauseBound_)
+        return;
+    lastTick_ = now;
+    suspectAll(now);
 }
 
 void JobDesk::tick(TimePoint now, WallTime wall)
@@ -371,6 +382,8 @@
     wall_ = wall;
     noticePause(now);
     lastTick_ = now;
+    if (firstUse_ == TimePoint())
+        firstUse_ = now;
     std::vector<JobPtr> all;
     for (const auto& [name, job] : jobs_)
         all.push_back(job);
@@ -391,6 +404,14 @@
             handOver(job, now);
             continue;
         }
+        // What another owner has begun meanwhile is not to be run a second time.
+        const bool mustAsk = job->isOpen() && job->suspect_ && now >= job->askAgainAt_;
+        if (mustAsk) {
+            job->askAgainAt_ = now + settings_.trustedFor_;
+            refresh(job, now, [](bool, TimePoint) {});
+            if (owned(job->name_) != job.get())
+                continue;
+        }
         abandonOverdue(job, now);
         commitIfDue(job, now);
         completeIfDone(job, now);
--- a/libs/ledger/tests/DeskTest.cpp
+++ b/libs/ledger/tests/DeskTest.cpp
@@ -384,3 +384,37 @@
     for (const auto& [key, entry] : world.store_.core().objects())
         CHECK_MESSAGE(false, key);
 }
+
+// The message that makes a node the owner of a new job is lost on the way and sent again. Meanwhile the others believe that node dead,
+// and one of them takes the job, runs it and shows its results. Then the message arrives. The late owner knows of no result: a reader
+// that is sent to it would find nothing where it has just read something.
+TEST_CASE("ledger: a node that hears late that it owns a job asks the store before it answers")
+{
+    LedgerWorld world(22);
+    world.loseTransfers_ = true;
+    world.submit(0, "j", 6, 1);
+    world.advance(50ms);
+    REQUIRE(world.outcomes_["j"] == std::vector { AcceptOutcome::Accepted });
+    const auto stored = world.store_.core().objects().find(headKey("j"));
+    const JobTransfer late { "j", decodeHead(stored->second.value_).value(), stored->second.version_, LedgerWorld::submission("j", 6).items_, 0, false, {} };
+    world.pause(1);
+    world.bury(1);
+    world.desk(0).scan(false, world.now());
+    world.advance(3s);
+    REQUIRE(world.read(0, "j").next_ == 6);
+    world.bury(1, false);
+    SUBCASE("after a pause") { }
+    SUBCASE("after a restart")
+    {
+        world.kill(1);
+        world.start(1);
+    }
+    world.wake(1);
+    const std::size_t startedBefore = world.starts_.size();
+    world.desk(1).adopt(late, world.now(), world.wall());
+    CHECK(world.read(1, "j").next_ == 6);
+    world.advance(2s);
+    CHECK(world.starts_.size() <= startedBefore + world.slots_);
+    CHECK(world.desk(1).openJobs() == 0);
+    CHECK(world.stored("j").size() == 6);
+}
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -144,7 +144,7 @@
             outcomes_[job].push_back(acceptance.outcome_);
             if (acceptance.outcome_ != AcceptOutcome::Accepted || loseTransfers_)
                 return;
-            JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, {} };
+            JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, false, {} };
             at(owner, [this, owner, transfer] { desk(owner).adopt(transfer, now_, wall()); });
         });
     }
--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -55,17 +55,19 @@
 {
 }
 
-void Context::failed(UpstreamId engine, std::error_code error)
+void Context::failed(UpstreamId engine, EngineFault fault, std::error_code error)
 {
     const EngineEntry* entry = board_.find(engine);
     if (!entry)
         return;
-    const Duration shun = board_.failed(engine, now());
-    log_.line("engineShunned").with("engine", entry->name_).with("error", error.message()).with("forMs", shun);
-    fleet_->tell();
+    static constexpr std::string_view faults[] = { "notConnected", "lost", "failure" };
+    const Duration shun = board_.failed(engine, fault, now());
+    log_.line("engineFailed").with("engine", entry->name_).with("fault", faults[static_cast<std::size_t>(fault)]).with("error", error ? error.message() : "").with("leftAloneMs", shun);
+    if (shun > Duration::zero())
+        fleet_->tell();
 }
 
-void Context::suspect(UpstreamId engine)
+void Context::probe(UpstreamId engine)
 {
     const EngineEntry* entry = board_.find(engine);
     if (!entry)
@@ -78,8 +80,8 @@
         if (!known)
             return;
         if (!response)
-            return failed(engine, response.error());
-        board_.succeeded(engine);
+            return failed(engine, EngineFault::NotConnected, response.error());
+        board_.probed(engine);
         log_.line("engineProbed").with("engine", known->name_).with("status", response.value().status_);
     });
 }
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -48,10 +48,9 @@
     std::shared_ptr<const RouteTable> table_ {}; // null until the first configuration
 
     TimePoint now() const { return SystemClock().now(); }
-    // An engine gave no answer: asks it on a fresh connection whether it lives, and leaves it alone if it doesn't.
-    void suspect(UpstreamId engine);
-    // It can't be connected to.
-    void failed(UpstreamId engine, std::error_code error);
+    // Asks an engine that is left alone on a fresh connection whether it lives; only then a request tries it.
+    void probe(UpstreamId engine);
+    void failed(UpstreamId engine, EngineFault fault, std::error_code error);
 };
 
 // A refusal with its type, in the product's form. `retryAfter` zero leaves the header out.
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -117,12 +117,13 @@
     run->call_ = nullptr;
     if (run->rejected_) {
         if (run->status_ == statusMisdirected)
-            context_.failed(run->engine_, http::Error::Malformed);
+            context_.failed(run->engine_, EngineFault::NotConnected, {});
         else
             context_.board_.refusedAsFull(run->engine_, context_.now());
         return finish(run, RunEnd::GivenWay, "notExecuted");
     }
-    context_.board_.succeeded(run->engine_);
+    // An item may be what makes an engine fail, so its failure isn't held against the engine.
+    context_.board_.succeeded(run->engine_, context_.now());
     switch (run->status_) {
     case statusOk: {
         const bool isWhole = run->scanner_.rest().empty();
@@ -145,10 +146,10 @@
         return;
     run->call_ = nullptr;
     if (failure.run_ == RunState::NotRun) {
-        context_.failed(run->engine_, failure.code_);
+        context_.failed(run->engine_, EngineFault::NotConnected, failure.code_);
         return finish(run, RunEnd::GivenWay, "notConnected");
     }
-    context_.suspect(run->engine_);
+    context_.failed(run->engine_, EngineFault::Lost, failure.code_);
     finish(run, RunEnd::Broken, failure.code_.message());
 }
 
--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -102,7 +102,7 @@
 // A message that doesn't arrive costs time, not the job: its owner, or who should own it, finds it in the store.
 void JobFront::handToOwner(const JobName& job, const Acceptance& acceptance, int tries)
 {
-    JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, {} };
+    JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, tries > 0, {} };
     const NodeId owner = acceptance.head_.owner_;
     if (owner == context_.fleet_->self())
         return desk_.adopt(std::move(transfer), context_.now(), SystemClock().wallNow());
--- a/libs/serving/src/Relay.cpp
+++ b/libs/serving/src/Relay.cpp
@@ -168,10 +168,10 @@
             return;
         phase_ = Phase::Picking;
         const TimePoint now = context_.now();
-        const EnginePick pick = offers_ < mostOffers ? context_.board_.pickQuestion(service_, pickBound(), tried_, now) : EnginePick {};
+        const EnginePick pick = offers_ < mostOffers ? context_.board_.pickQuestion(service_, pickBound(), route_.isRepeatable(), tried_, now) : EnginePick {};
         if (pick.isSome())
             return send(pick);
-        const CapacityBoard::Usage usage = context_.board_.usage(service_, now);
+        const CapacityBoard::Usage usage = context_.board_.usage(service_);
         line("noEngine").with("service", service_).with("offers", offers_).with("runs", runs_).with("slots", usage.slots_).with("questions", usage.questions_).with("batchItems", usage.batchItems_).with("waitMs", pick.wait_);
         if (started_ || mayHaveRun())
             return lost(http::Error::ConnectFailed);
@@ -268,6 +268,7 @@
         }
         if (!started_) {
             started_ = true;
+            context_.board_.succeeded(engine_, context_.now());
             exchange_->start(head_.status_, passedHeaders(head_.headers_));
             context_.metrics_.metrics_.observe(context_.metrics_.firstEvent_, toMilliseconds(context_.now() - arrived_));
             line("firstEvent").with("afterMs", context_.now() - arrived_).with("engineMs", context_.now() - sentAt_);
@@ -286,12 +287,15 @@
         const bool isCallersFault = head_.status_ >= 400 && head_.status_ < firstServerError && head_.status_ != 429 && head_.status_ != misdirected;
         if (rejected_ && !isCallersFault)
             return notExecuted();
-        context_.board_.succeeded(engine_);
+        if (head_.status_ >= firstServerError)
+            context_.failed(engine_, EngineFault::Failure, {});
+        else
+            context_.board_.succeeded(engine_, context_.now());
         if (isStream() && head_.status_ == statusOk)
             return finishStream();
         const bool mayRunAgain = head_.status_ >= firstServerError && route_.isRepeatable() && runs_ < route_.maxAttempts_ && left() > Duration::zero() && !started_;
         if (mayRunAgain) {
-            line("engineFailed").with("status", head_.status_).with("runs", runs_);
+            line("runAgain").with("status", head_.status_).with("runs", runs_);
             leaveEngine();
             context_.metrics_.metrics_.add(context_.metrics_.resent_);
             return dispatch();
@@ -334,7 +338,7 @@
     {
         line("notExecuted").with("status", head_.status_).with("offer", offers_);
         if (head_.status_ == misdirected)
-            context_.failed(engine_, http::Error::Malformed);
+            context_.failed(engine_, EngineFault::NotConnected, {});
         else
             context_.board_.refusedAsFull(engine_, context_.now());
         --runs_;
@@ -349,7 +353,7 @@
         call_ = nullptr;
         if (failure.run_ == RunState::NotRun) {
             line("notConnected").with("error", failure.code_.message()).with("offer", offers_);
-            context_.failed(engine_, failure.code_);
+            context_.failed(engine_, EngineFault::NotConnected, failure.code_);
             --runs_;
             leaveEngine();
             return dispatch();
@@ -357,7 +361,7 @@
         // The head said "not executed" and only the rest of that answer was lost.
         if (rejected_)
             return notExecuted();
-        context_.suspect(engine_);
+        context_.failed(engine_, EngineFault::Lost, failure.code_);
         lost(failure.code_);
     }
 
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -65,6 +65,12 @@
     constexpr std::size_t leastConnections = 64;
     constexpr std::string_view noKey = "0000000000000000000000000000000000000000000000000000000000000000";
 
+    NodeId selfOf(const ServingSettings& settings)
+    {
+        const auto at = PeerAddress::parse(toString(settings.peers_));
+        return at ? nodeIdOf(at.value()) : NodeId::none();
+    }
+
     std::string readWord(const std::string& path)
     {
         std::ifstream file(path);
@@ -90,7 +96,7 @@
         , counts_(metrics_)
         , incarnation_(static_cast<std::uint64_t>(SystemClock().wallNow().time_since_epoch().count()))
         , seed_(mixHash(hash64(settings.name_), incarnation_.value()))
-        , board_(CapacitySettings(), idFromName<RegionId>(settings.region_), idFromName<FailureDomainId>(settings.domain_), seed_)
+        , board_(CapacitySettings(), selfOf(settings), idFromName<RegionId>(settings.region_), idFromName<FailureDomainId>(settings.domain_), seed_)
         , engines_(io_, { .connectTime_ = 250ms, .pooledIdle_ = 12s, .pooledPerEndpoint_ = 32, .headerBytes_ = 32 * 1024, .bodyBytes_ = 16 * 1024 * 1024 })
         , context_ { io_, settings_, translation_, log_, counts_, board_, engines_ }
         , timer_(io_)
@@ -244,7 +250,7 @@
     FleetHandlers handlers;
     handlers.ownWord_ = [this] {
         NodeTold told;
-        told.use_ = board_.ownUse(context_.now());
+        told.use_ = board_.ownUse();
         told.configVersion_ = config_->version();
         told.enginesVersion_ = feed_->version();
         told.watching_ = feed_->isFollowing() && !store_->isAway();
@@ -262,7 +268,7 @@
         scanAt_ = std::min(scanAt_, context_.now() + scanAfterLoss);
         freshScan_ = true;
     };
-    handlers.onRejoined_ = [this] { desk_->suspectAll(); };
+    handlers.onRejoined_ = [this] { desk_->suspectAll(context_.now()); };
     handlers.onCall_ = [this](PeerCall call, const std::function<void(PeerReply)>& reply) { onPeerCall(std::move(call), reply); };
     return handlers;
 }
@@ -383,7 +389,7 @@
     for (const UpstreamId engine : due) {
         if (!probing_.insert(engine).second)
             continue;
-        context_.suspect(engine);
+        context_.probe(engine);
     }
     std::erase_if(probing_, [&](UpstreamId engine) { return std::find(due.begin(), due.end(), engine) == due.end(); });
 }
