Objects: a call whose answer is overdue is tried again beside the first try

Ruled out: a shorter bound for all calls (a store that is sixty times slower than usual would look away). Change: a try that takes longer than mean and four spreads of the answers so far, 60 ms at least, is followed by another; the first answer settles the call. Unconditional writes are never hedged.

--- a/libs/objects/include/objects/CallQueue.h
+++ b/libs/objects/include/objects/CallQueue.h
@@ -8,6 +8,11 @@
 // believes that somebody else won. The guard: after a lost answer the object is read back; if it holds exactly the bytes that this
 // call writes, the call has succeeded. So a value must differ between writers where that matters: values carry a writer's mark.
 // A write that lands late is harmless, because the same conditional write is sent again, never a different one in its place.
+//
+// Failure met: an answer is lost, and its caller waits for the bound of a slow day, hundreds of times the usual answer. The guard: a
+// try that takes far longer than answers lately took is followed by another one of the same call, and the first answer settles it.
+// How long that is follows from the answers (mean and four times their spread), so a store that is slow as a whole isn't asked twice for
+// long. A hedged write counts as one whose answer was lost, so its conflict is read back.
 #pragma once
 
 #include "objects/CallBudget.h"
@@ -44,6 +49,8 @@
     Duration longestBackoff_ = 2s;
     Duration answerBound_ = 5s; // a try without an answer for so long counts as lost
     std::uint32_t inFlight_ = 64; // tries waiting for an answer
+    std::uint32_t hedges_ = 0; // further tries of a call while earlier ones have no answer
+    Duration leastHedge_ = 60ms; // answers come in some milliseconds, and from another region in thirty
 };
 
 class CallQueue {
@@ -79,7 +86,12 @@
         TimePoint notBefore_ {};
         std::uint32_t backoffs_ = 0;
         TimePoint firstSentAt_ = neverTime;
-        CallId inFlight_;
+        CallId inFlight_; // the latest try
+        TimePoint sentAt_ {};
+        std::uint32_t hedged_ = 0; // further tries since the last one that was given up
+    };
+    struct Try {
+        std::pair<CallClass, std::uint64_t> call_;
         TimePoint sentAt_ {};
     };
     using Place = std::uint64_t; // order of entry
@@ -89,6 +101,11 @@
     void finish(Queue::iterator place, ObjectAnswer answer, TimePoint now);
     void backOff(Call& call, Duration atLeast, TimePoint now);
     void answerLost(Call& call, TimePoint now);
+    static bool mayHedge(const Call& call);
+    void hedge(Queue::iterator place, TimePoint now);
+    Duration hedgeAfter() const;
+    void learnDelay(Duration delay);
+    void dropTries(const std::pair<CallClass, Place>& call);
     void sendAnswered(Queue::iterator place, ObjectAnswer answer, TimePoint now);
     void readBackAnswered(Queue::iterator place, ObjectAnswer answer, TimePoint now);
 
@@ -96,7 +113,9 @@
     CallBudget budget_;
     std::mt19937_64 random_;
     Queue calls_;
-    std::map<CallId, std::pair<CallClass, Place>> tries_;
+    std::map<CallId, Try> tries_;
+    double meanSeconds_ = 0; // of answers
+    double spreadSeconds_ = 0;
     std::vector<OutgoingCall> outgoing_;
     Place nextPlace_ = 0;
     std::uint64_t sent_ = 0;
--- a/libs/objects/src/CallQueue.cpp
+++ b/libs/objects/src/CallQueue.cpp
@@ -2,6 +2,7 @@
 #include "objects/CallQueue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace jj {
@@ -29,8 +30,9 @@
     std::vector<Queue::key_type> expired;
     for (auto& [key, call] : calls_) {
         if (!call.inFlight_.isNone() && now - call.sentAt_ >= settings_.answerBound_) {
-            tries_.erase(call.inFlight_);
+            dropTries(key);
             call.inFlight_ = CallId::none();
+            call.hedged_ = 0;
             budget_.answered(ObjectError::OutcomeUnknown, now);
             answerLost(call, now);
         }
@@ -44,8 +46,11 @@
     }
     // In order of class, then of entry: a completion above may have added calls.
     for (auto place = calls_.begin(); place != calls_.end() && tries_.size() < settings_.inFlight_; ++place) {
-        if (place->second.inFlight_.isNone() && now >= place->second.notBefore_)
+        Call& call = place->second;
+        if (call.inFlight_.isNone() && now >= call.notBefore_)
             release(place, now);
+        else if (!call.inFlight_.isNone() && call.hedged_ < settings_.hedges_ && mayHedge(call) && now - call.sentAt_ >= hedgeAfter() * (1LL << call.hedged_))
+            hedge(place, now);
     }
 }
 
@@ -58,7 +63,7 @@
     call.inFlight_ = CallId(sent_++);
     call.sentAt_ = now;
     call.firstSentAt_ = std::min(call.firstSentAt_, now);
-    tries_[call.inFlight_] = place->first;
+    tries_[call.inFlight_] = { place->first, now };
     outgoing_.push_back({ call.inFlight_, call.step_ == Step::Send ? call.call_ : ObjectCall::get(call.call_.key_) });
 }
 
@@ -68,10 +73,21 @@
     const auto attempt = tries_.find(id);
     if (attempt == tries_.end())
         return;
-    const auto place = calls_.find(attempt->second);
-    tries_.erase(attempt);
-    place->second.inFlight_ = CallId::none();
+    const auto place = calls_.find(attempt->second.call_);
+    const bool isAnswer = answer.error_ != ObjectError::OutcomeUnknown;
+    if (isAnswer)
+        learnDelay(now - attempt->second.sentAt_);
     budget_.answered(answer.error_, now);
+    // Another try of the call is still under way, and this one ended without telling anything.
+    const bool isLast = std::count_if(tries_.begin(), tries_.end(), [&](const auto& entry) { return entry.second.call_ == place->first; }) == 1;
+    const bool tellsNothing = !isAnswer || answer.error_ == ObjectError::Unavailable || answer.error_ == ObjectError::RateLimited;
+    if (!isLast && tellsNothing) {
+        tries_.erase(attempt);
+        return;
+    }
+    dropTries(place->first);
+    place->second.inFlight_ = CallId::none();
+    place->second.hedged_ = 0;
     if (answer.error_ == ObjectError::RateLimited || answer.error_ == ObjectError::Unavailable)
         backOff(place->second, answer.retryAfter_, now);
     else if (place->second.step_ == Step::ReadBack)
@@ -80,6 +96,49 @@
         sendAnswered(place, std::move(answer), now);
 }
 
+// A write without a condition that lands late could undo what came after it.
+bool CallQueue::mayHedge(const Call& call)
+{
+    const bool isUnconditional = call.call_.verb_ == ObjectVerb::Put || call.call_.verb_ == ObjectVerb::Report || (call.call_.verb_ == ObjectVerb::Remove && call.call_.expected_.isNone());
+    return call.step_ == Step::ReadBack || !isUnconditional;
+}
+
+// The same try again, beside the one that is under way. Its effect may come first or second; both want the same.
+void CallQueue::hedge(Queue::iterator place, TimePoint now)
+{
+    Call& call = place->second;
+    const bool isWrite = call.step_ == Step::Send && call.call_.isWrite();
+    if (!budget_.tryTake(call.class_, isWrite, now))
+        return;
+    if (isWrite)
+        call.answerLost_ = true;
+    ++call.hedged_;
+    call.inFlight_ = CallId(sent_++);
+    tries_[call.inFlight_] = { place->first, now };
+    outgoing_.push_back({ call.inFlight_, call.step_ == Step::Send ? call.call_ : ObjectCall::get(call.call_.key_) });
+}
+
+Duration CallQueue::hedgeAfter() const
+{
+    constexpr double spreads = 4;
+    return std::max<Duration>(settings_.leastHedge_, fromSeconds(meanSeconds_ + spreads * spreadSeconds_));
+}
+
+void CallQueue::learnDelay(Duration delay)
+{
+    // The gains with which TCP learns its round trip.
+    constexpr double meanGain = 0.125;
+    constexpr double spreadGain = 0.25;
+    const double seconds = toSeconds(delay);
+    spreadSeconds_ += spreadGain * (std::abs(seconds - meanSeconds_) - spreadSeconds_);
+    meanSeconds_ += meanGain * (seconds - meanSeconds_);
+}
+
+void CallQueue::dropTries(const std::pair<CallClass, Place>& call)
+{
+    std::erase_if(tries_, [&call](const auto& entry) { return entry.second.call_ == call; });
+}
+
 void CallQueue::sendAnswered(Queue::iterator place, ObjectAnswer answer, TimePoint now)
 {
     Call& call = place->second;
--- a/libs/objects/tests/CallQueueTest.cpp
+++ b/libs/objects/tests/CallQueueTest.cpp
@@ -185,3 +185,87 @@
     run(store, client, 5s);
     CHECK(order == "024");
 }
+
+namespace {
+
+CallQueueSettings hedging()
+{
+    CallQueueSettings settings;
+    settings.hedges_ = 2;
+    return settings;
+}
+
+// When the call was settled, after it was sent; a second when it wasn't by then.
+Duration timeOf(VirtualStore& store, Client& client, ObjectCall call, SettledAnswer& seen)
+{
+    const TimePoint began = store.now();
+    std::optional<TimePoint> ended;
+    client.queue_.send(std::move(call), CallClass::Commit, neverTime, [&](const SettledAnswer& answer, TimePoint now) {
+        seen = answer;
+        ended = now;
+    });
+    for (int turns = 0; turns < 100 && !ended; ++turns)
+        run(store, client, 10ms);
+    return ended ? *ended - began : Duration(1s);
+}
+
+} // namespace
+
+TEST_CASE("a lost answer costs a hedge and not the bound of a silent store")
+{
+    // A clerk's job is acknowledged seconds late. The store took it at once; one answer was lost, and the node waited for it as
+    // long as the store might take on its worst day. Here: answers in 4 ms, a bound of 500 ms.
+    for (const bool isWrite : { true, false }) {
+        CAPTURE(isWrite);
+        VirtualStore store(1);
+        store.core().apply(ObjectCall::put("there", "value"), {});
+        Client client { store, CallQueue(hedging(), 1) };
+        SettledAnswer seen;
+        for (int warm = 0; warm < 5; ++warm)
+            timeOf(store, client, ObjectCall::get("there"), seen);
+        store.loseNextAnswer();
+        const Duration time = timeOf(store, client, isWrite ? ObjectCall::create("k", "mine") : ObjectCall::get("there"), seen);
+        CHECK(seen.ok());
+        CHECK(time <= 120ms);
+    }
+}
+
+TEST_CASE("a store that is slow as a whole is not asked twice for long")
+{
+    // Each call of a slow store would be followed by a second and a third one, which makes it slower still.
+    VirtualStore store(1);
+    store.core().apply(ObjectCall::put("there", "value"), {});
+    store.faults().delay_ = 100ms;
+    store.faults().giveUp_ = 2s;
+    Client client { store, CallQueue(hedging(), 1) };
+    SettledAnswer seen;
+    constexpr int calls = 40;
+    for (int call = 0; call < calls; ++call) {
+        timeOf(store, client, ObjectCall::get("there"), seen);
+        CHECK(seen.ok());
+    }
+    CHECK(client.queue_.sent() <= calls + 8);
+}
+
+TEST_CASE("a hedged write that meets another writer's object stays a conflict")
+{
+    VirtualStore store(1);
+    Client client { store, CallQueue(hedging(), 1) };
+    store.core().apply(ObjectCall::put("k", "other"), {});
+    store.loseNextAnswer();
+    SettledAnswer seen;
+    timeOf(store, client, ObjectCall::create("k", "mine"), seen);
+    CHECK(seen.is(ObjectError::Conflict));
+    CHECK(store.core().objects().at("k").value_ == "other");
+}
+
+TEST_CASE("a write without a condition is never hedged")
+{
+    // The second one could land after a later write of the same caller, and undo it.
+    VirtualStore store(1);
+    store.faults().delay_ = 150ms;
+    Client client { store, CallQueue(hedging(), 1) };
+    SettledAnswer seen;
+    timeOf(store, client, ObjectCall::put("k", "mine"), seen);
+    CHECK(client.queue_.sent() == 1);
+}
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -204,6 +204,7 @@
     link.queue_.budget_.rampTime_ = 1500ms;
     link.queue_.budget_.rampStart_ = 0.3;
     link.queue_.longestBackoff_ = 500ms;
+    link.queue_.hedges_ = 2;
     store_ = std::make_unique<StoreLink>(io_, link, translation_, log_, seed_);
     store_->setPeerRoute([this](const ObjectCall& call, Duration bound, StoreLink::Completion done) { return routeToPeer(call, bound, std::move(done)); });
     config_ = std::make_unique<ConfigFollower>(
