--- a/libs/capacity/src/CapacityBoard.cpp
+++ b/libs/capacity/src/CapacityBoard.cpp
@@ -349,7 +349,9 @@
     const std::uint32_t slots = std::max(1U, engine.entry_.slots_);
     const std::uint32_t fixed = engine.fixed(now);
     const std::uint32_t waiting = fixed >= slots ? fixed - slots + 1 : 0;
-    return fromSeconds(meanRunSeconds_ * waiting / slots);
+    // Firm items keep their slots for seconds, so only the others come free at a question's pace.
+    const std::uint32_t turning = std::max(1U, slots - std::min(slots, engine.firm()));
+    return fromSeconds(meanRunSeconds_ * waiting / turning);
 }
 
 EnginePick CapacityBoard::pickQuestion(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now)
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -22,7 +22,7 @@
     // Before any was measured: 219 events on a busy engine.
     Duration assumedRun_ = 5s;
     // Of the items that are in time only if they run now, so many on an engine don't give way: a share for batch, never the whole.
-    std::uint16_t firmPerEngine_ = 2;
+    std::uint16_t firmPerEngine_ = 1;
     // Starts in one turn of the loop: nodes that see the same free slots at the same moment don't all take them.
     std::size_t startsPerTurn_ = 4;
 };
