--- a/build.sh
+++ b/build.sh
@@ -83,6 +83,7 @@
   check_format
   build
   lint
+  scripts/check-platform-names.sh
   [ ! -x scripts/check-invariants.sh ] || scripts/check-invariants.sh
   unit
 }
--- a/tests/cli/jj_test.py
+++ b/tests/cli/jj_test.py
@@ -27,6 +27,17 @@
         self.addCleanup(lambda: process.is_running() and process.kill())
         return process
 
+    def test_trace_shows_one_request_over_several_logs_in_order(self):
+        """An engineer asks for one request: lines of two processes, one behind a collector's words, one of another request."""
+        first, second = self.folder / "a.log", self.folder / "b.log"
+        first.write_text('{"ts":30,"host":"a","event":"answered","request":"r1"}\n{"ts":10,"host":"a","event":"sent","request":"r1","engine":"e1"}\nno json\n')
+        second.write_text('12.5 b {"ts":20,"host":"b","event":"engineFailed","engine":"e1"}\n{"ts":15,"host":"b","event":"sent","request":"r2"}\n')
+        words = lambda run: [line.split()[2] for line in run.stdout.splitlines()]
+        self.assertEqual(words(self.jj("trace", "--id", "r1", str(first), str(second))), ["sent", "answered"])
+        self.assertEqual(words(self.jj("trace", "--engine", "e1", str(first), str(second))), ["sent", "engineFailed"])
+        self.jj("trace", "--id", "r9", str(first), expect=FINDINGS)
+        self.jj("trace", str(first), expect=BAD_INPUT)
+
     def jj(self, *arguments, expect=DONE, typed=""):
         done = subprocess.run([str(bin_folder() / "jj"), *map(str, arguments)], input=typed, capture_output=True, text=True, timeout=60)
         self.assertEqual(done.returncode, expect, done.stdout + done.stderr)
--- a/tools/jj/Command.h
+++ b/tools/jj/Command.h
@@ -42,6 +42,7 @@
 void addCancel(CLI::App& app, Context& context);
 void addDrain(CLI::App& app, Context& context);
 void addTimeline(CLI::App& app, Context& context);
+void addTrace(CLI::App& app, Context& context);
 void addAudit(CLI::App& app, Context& context);
 
 // ---- Output
--- a/tools/jj/main.cpp
+++ b/tools/jj/main.cpp
@@ -20,6 +20,7 @@
     addCancel(app, context);
     addDrain(app, context);
     addTimeline(app, context);
+    addTrace(app, context);
     addAudit(app, context);
     for (CLI::App* command : app.get_subcommands({}))
         command->footer(exitCodesHelp);
