Http: an answer that is read over no longer stops the reading of its connection; soak of jjserve under faults

Cause: written as a test of the guard against second answers: after the head of a foreign answer the client waited for bytes that were already in its buffer, so the right answer behind it was read only when more arrived, or never. Ruled out: the server's side of the test (the same bytes in one write pass when nothing is foreign). Before: the call fails. After: both answers are read, and the connection stays.

--- a/build.sh
+++ b/build.sh
@@ -23,6 +23,7 @@
 ./build.sh demo [SITE]      set up and run the main job on the stand-ins (SITE: umthunzi, bodegas; both if none)
 ./build.sh measure NAME     a benchmark against its baseline in the same run; without NAME, the list
 ./build.sh soak MIN SEED    failure runs for MIN minutes from SEED
+./build.sh soak-platform SECONDS SEED ...   randomized faults against jjserve processes, one run a seed
 HELP
 }
 
@@ -97,6 +98,7 @@
 
 demo() { setup; build; exec scripts/demo.sh "$@"; }
 soak() { build; exec scripts/soak.sh "$@"; }
+soak-platform() { build; exec python3 platform/tests/e2e/soak.py "$BUILD/platform/jjserve" "$@"; }
 
 measure() {
   if [ $# -eq 0 ]; then echo "measures:"; ls scripts/measure 2>/dev/null | sed 's/\.sh$//; s/^/  /'; return 0; fi
@@ -110,6 +112,6 @@
 command=${1:-help}
 [ $# -eq 0 ] || shift
 case "$command" in
-  setup | build | test | unit | sanitize | format | lint | demo | measure | soak | help) "$command" "$@" ;;
+  setup | build | test | unit | sanitize | format | lint | demo | measure | soak | soak-platform | help) "$command" "$@" ;;
   *) help >&2; exit 2 ;;
 esac
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -193,7 +193,7 @@
             continue;
         }
         if (isForeign()) {
-            if (!readOver())
+            if (!readOver() || buffer_.size() == before)
                 return;
             continue;
         }
@@ -220,13 +220,13 @@
     return found != fields.end() && found->value() != call_->options_.echoValue_;
 }
 
-// Drops what was parsed of a foreign answer; false when there is no more of it yet, or when nothing can follow it.
+// Drops what was parsed of a foreign answer; false when it was its connection's last, and the call has failed.
 bool ClientConnection::readOver()
 {
     readingOver_ = true;
     parser_->get().body().clear();
     if (!parser_->is_done())
-        return false;
+        return true;
     readingOver_ = false;
     const bool mayFollow = parser_->keep_alive();
     parser_.emplace();
--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -285,3 +285,56 @@
     CHECK(body == first + second);
     exchange->respond({ 200, {}, "" });
 }
+
+// An engine answers a request twice. The second answer arrives just when the next request of the same connection waits for its own:
+// passed on, one caller would read what another one asked for.
+TEST_CASE("a second answer to an earlier request is read over")
+{
+    boost::asio::io_context io;
+    tcp::acceptor listener(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    const Endpoint at { "127.0.0.1", listener.local_endpoint().port() };
+    std::thread engine([&listener] {
+        tcp::socket socket = listener.accept();
+        std::array<char, 4096> request {};
+        const auto answer = [](const std::string& id, const std::string& body) {
+            return "HTTP/1.1 200 OK\r\nEcho: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        };
+        socket.read_some(boost::asio::buffer(request));
+        boost::asio::write(socket, boost::asio::buffer(answer("first", "one")));
+        socket.read_some(boost::asio::buffer(request));
+        boost::asio::write(socket, boost::asio::buffer(answer("first", "one") + answer("second", "two")));
+        boost::system::error_code ended;
+        socket.read_some(boost::asio::buffer(request), ended);
+    });
+    Client client(io, {});
+    std::vector<std::string> bodies;
+    for (const char* id : { "first", "second" }) {
+        CallOptions options;
+        options.echoName_ = "Echo";
+        options.echoValue_ = id;
+        client.fetch(at, {}, options, [&bodies](const Result<Response>& response, RunState) { bodies.push_back(response ? response.value().body_ : "failed"); });
+        while (bodies.size() < (std::string_view(id) == "first" ? 1U : 2U))
+            io.run_one();
+    }
+    CHECK(bodies == std::vector<std::string> { "one", "two" });
+    CHECK(client.pooledConnections() == 1);
+    client.dropPooled(at);
+    io.poll();
+    engine.join();
+}
+
+// The other side says that it closes idle connections after a second. A request sent at that moment is lost, and nobody knows if it ran.
+TEST_CASE("an idle connection is given up before the other side closes it")
+{
+    Fixture fixture([](const std::shared_ptr<Exchange>& exchange) { exchange->respond({ 200, { { "Keep-Alive", "timeout=1" } }, "x" }); });
+    boost::asio::io_context io;
+    Client client(io, {});
+    bool done = false;
+    client.fetch(fixture.at(), {}, {}, [&done](const Result<Response>&, RunState) { done = true; });
+    while (!done)
+        io.run_one();
+    CHECK(client.pooledConnections() == 1);
+    // Ends by itself when the connection is closed: nothing else is left to do.
+    io.run();
+    CHECK(client.pooledConnections() == 0);
+}
