Ledger: an owner that was away goes on asking the store while others may still believe it dead

Ruled out: readers that wait over the pause (their callers have given up by then); bodies and ends (immutable, and conditional).

--- a/libs/capacity/src/CapacityBoard.cpp
+++ b/libs/capacity/src/CapacityBoard.cpp
@@ -382,7 +382,7 @@
         constexpr std::uint64_t stageWeight = 1ULL << 32;
         constexpr std::uint64_t otherDomain = 1;
         const std::uint64_t load = isFree ? engine.total(now) : displaces ? engine.fixed(now)
-                                                                       : static_cast<std::uint64_t>(wait / 1ms);
+                                                                          : static_cast<std::uint64_t>(wait / 1ms);
         const std::uint64_t rank = stage * stageWeight + load * 2 + (engine.entry_.domain_ == domain_ ? 0 : otherDomain);
         if (best.engine_ && rank >= best.rank_)
             continue;
--- a/libs/ledger/include/ledger/JobDesk.h
+++ b/libs/ledger/include/ledger/JobDesk.h
@@ -266,6 +266,8 @@
     void completeIfDone(const JobPtr& job, TimePoint now);
     void stopRuns(const JobPtr& job, bool keepText);
     void noticePause(TimePoint now);
+    // It may have been replaced without knowing it.
+    bool wasAway(TimePoint now) const;
     void abandonOverdue(const JobPtr& job, TimePoint now);
     ItemHaste hasteOf(const Job& job, const Item& item, TimePoint now) const;
 
--- a/libs/ledger/src/DeskReads.cpp
+++ b/libs/ledger/src/DeskReads.cpp
@@ -84,7 +84,9 @@
         job->readers_.push_back({ after, std::max(until, now + settings_.readBound_), std::move(done) });
         return;
     }
-    const bool isOldNews = cautious_ && now - job->checkedAt_ > settings_.trustedFor_;
+    // Once asked isn't enough: others may not have heard yet that this node is back, and take the job after the answer.
+    const bool mayBeReplaced = cautious_ || wasAway(now);
+    const bool isOldNews = mayBeReplaced && now - job->checkedAt_ > settings_.trustedFor_;
     const bool mustAsk = job->isOpen() && !job->isComplete() && (job->suspect_ || isOldNews);
     // Somebody has seen more than is known here.
     const bool isBehind = after > job->listed_.size() && !job->isComplete();
--- a/libs/ledger/src/JobDesk.cpp
+++ b/libs/ledger/src/JobDesk.cpp
@@ -65,8 +65,7 @@
     // Failure met: the message was on its way for long, and others, who believed this node dead, gave the job to another owner that
     // has listed results. A reader that is sent here would find nothing where it had read something. A node that was away lately
     // asks the store first; one that was there all the while can't have been replaced.
-    const bool wasAway = now - firstUse_ < settings_.newcomer_ || (awayAt_ != TimePoint() && now - awayAt_ < settings_.newcomer_);
-    job->suspect_ = wasAway || transfer.isResent_;
+    job->suspect_ = wasAway(now) || transfer.isResent_;
     for (JobTransfer::Progress& progress : transfer.progress_)
         job->progress_[progress.item_] = std::move(progress);
     for (JobItem& item : transfer.items_) {
@@ -373,6 +372,11 @@
 
 // ---- periodic work
 
+bool JobDesk::wasAway(TimePoint now) const
+{
+    return now - firstUse_ < settings_.newcomer_ || (awayAt_ != TimePoint() && now - awayAt_ < settings_.newcomer_);
+}
+
 // Whatever comes first after a pause may be a caller's read: it is met here as well as by the tick.
 void JobDesk::noticePause(TimePoint now)
 {
