Ledger: an empty page fences off what an earlier owner has on its way

Ruled out: a stale answer of the woken worker (it noted jobLost 13 ms after waking and answered nothing). Change: whoever takes or loads an open job creates the next page empty before it serves; a page that was on its way meets a conflict; nobody commits while it may have been replaced. One write a takeover.

--- a/libs/ledger/include/ledger/JobDesk.h
+++ b/libs/ledger/include/ledger/JobDesk.h
@@ -246,6 +246,7 @@
     void loadOwned(const JobName& name, const JobHead& head, ObjectVersion version, TimePoint now);
     void loadItems(const JobPtr& job, std::uint32_t page, TimePoint now);
     void loadResults(const JobPtr& job, std::uint32_t page, TimePoint now);
+    void fence(const JobPtr& job, TimePoint now);
     void loaded(const JobPtr& job, TimePoint now);
     void makeVoid(const JobPtr& job, TimePoint now);
     void applyResults(const JobPtr& job, std::vector<JobResult> results);
--- a/libs/ledger/include/ledger/Records.h
+++ b/libs/ledger/include/ledger/Records.h
@@ -2,7 +2,7 @@
 //
 //   jobs/ID             head: how many items, who owns the job, is it open. Changed under its version only.
 //   job-items/ID.P      page P of the items, written once when the job is accepted.
-//   job-results/ID.K    the K-th group of results. Created if absent, never changed.
+//   job-results/ID.K    the K-th group of results. Created if absent, never changed. An empty one marks a change of the owner.
 //
 // A job is accepted when its head and all its item pages exist. Positions of results follow from the order of the result pages. So
 // whoever believes to own the job can add a page and never change one: two owners at a time cost work, never a result.
--- a/libs/ledger/src/DeskRuns.cpp
+++ b/libs/ledger/src/DeskRuns.cpp
@@ -184,7 +184,8 @@
 
 void JobDesk::commitIfDue(const JobPtr& job, TimePoint now)
 {
-    if (job->pending_.empty() || job->isCommitting_ || !job->isOpen() || now < job->commitAgainAt_)
+    // Whoever may have been replaced looks at the head first: behind another owner's fence nothing of this one may be listed.
+    if (job->pending_.empty() || job->isCommitting_ || !job->isOpen() || job->suspect_ || now < job->commitAgainAt_)
         return;
     const bool isLast = job->listed_.size() + job->pending_.size() >= job->head_.total_;
     const bool isLate = now + settings_.commitWindow_ * 2 >= job->due_;
@@ -239,6 +240,7 @@
         ++job->pages_;
         applyResults(job, std::move(results.value()));
         answerReaders(job, at, false);
+        job->suspect_ = true;
         refresh(job, at, [this, job](bool known, TimePoint later) {
             if (known)
                 completeIfDone(job, later);
--- a/libs/ledger/src/JobDesk.cpp
+++ b/libs/ledger/src/JobDesk.cpp
@@ -144,7 +144,7 @@
         if (owned(job->name_) != job.get())
             return;
         if (answer.is(ObjectError::NotFound))
-            return loaded(job, at);
+            return job->isOpen() && !job->isComplete() ? fence(job, at) : loaded(job, at);
         auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
         if (!results) {
             note(DeskNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
@@ -157,6 +157,27 @@
     });
 }
 
+// Failure met: an earlier owner, or an earlier process of this node, has a result page on its way to the store. Arriving now, it would be
+// listed without this owner's knowledge: readers that ask the store would see results that this owner, who answers from memory, doesn't
+// show. The guard: the next page is taken by an empty one. What was on its way then meets a conflict, and whoever sent it looks at the
+// head before it writes again. It costs one write a takeover.
+void JobDesk::fence(const JobPtr& job, TimePoint now)
+{
+    const std::uint32_t page = job->pages_;
+    store(ObjectCall::create(resultPageKey(job->name_, page), encode(std::vector<JobResult>())), CallClass::Commit, now + settings_.patience_, [this, job, page](const SettledAnswer& answer, TimePoint at) {
+        if (owned(job->name_) != job.get())
+            return;
+        if (answer.ok()) {
+            job->pages_ = page + 1;
+            return loaded(job, at);
+        }
+        if (answer.is(ObjectError::Conflict))
+            return loadResults(job, page, at);
+        note(DeskNote::StoreFailed, job->name_, {}, page, answer.answer_.error_);
+        job->commitAgainAt_ = at + settings_.trustedFor_;
+    });
+}
+
 void JobDesk::loaded(const JobPtr& job, TimePoint now)
 {
     job->loaded_ = true;
