--- /dev/null
+++ b/libs/serving/src/ServingParts.h
@@ -0,0 +1,89 @@
+// All parts of a serving node and how they meet. Private to this library.
+#pragma once
+
+#include "Context.h"
+#include "Follower.h"
+#include "ItemRunner.h"
+#include "JobFront.h"
+#include "Relay.h"
+#include "RetirementDuty.h"
+#include "serving/ServingNode.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+
+namespace jj {
+
+struct ServingNode::Parts {
+    Parts(const ServingSettings& settings, const Translation& translation, Reload reload);
+
+    std::optional<Failure> build();
+    std::optional<Failure> openFleet();
+    std::optional<Failure> openServers();
+    // Of callers; the rest of the descriptors is for engines, peers, the store and files.
+    std::size_t callerConnections() const;
+    void buildStore();
+    void buildDesk();
+    FleetHandlers fleetHandlers();
+
+    void turn();
+    void tick();
+    void probeEngines(TimePoint now);
+    void scanJobs(TimePoint now);
+    void summarize(TimePoint now);
+    void onCaller(std::shared_ptr<http::Exchange> exchange);
+    void onPeerCall(PeerCall call, const std::function<void(PeerReply)>& reply);
+    bool routeToPeer(const ObjectCall& call, Duration bound, StoreLink::Completion done);
+    void askForNews();
+    NodeId newsSource();
+    void chooseWatching();
+    void onConfig(const std::shared_ptr<const RouteTable>& table);
+    void waitForSignal();
+    void reload();
+    bool isReady() const { return !draining_ && context_.table_ && feed_->isKnown(); }
+    void beginDrain();
+    void continueDrain(TimePoint now);
+    NodeId anyPeer(bool ownRegionFirst);
+
+    ServingSettings settings_;
+    const Translation& translation_;
+    Reload reload_;
+    boost::asio::io_context io_ { 1 };
+    DecisionLog log_;
+    Metrics metrics_;
+    ServingMetrics counts_;
+    Incarnation incarnation_;
+    std::uint64_t seed_;
+    WireKey key_;
+    CapacityBoard board_;
+    http::Client engines_;
+    Context context_;
+    std::unique_ptr<StoreLink> store_;
+    std::unique_ptr<Fleet> fleet_;
+    std::unique_ptr<ConfigFollower> config_;
+    std::unique_ptr<EngineFeed> feed_;
+    std::unique_ptr<JobDesk> desk_;
+    std::unique_ptr<ItemRunner> runner_;
+    std::unique_ptr<JobFront> jobs_;
+    std::unique_ptr<Relay> relay_;
+    std::unique_ptr<RetirementDuty> retirement_;
+    std::unique_ptr<http::Server> callers_;
+    std::unique_ptr<http::Server> ready_;
+    std::unique_ptr<http::Server> metricsServer_;
+    boost::asio::steady_timer timer_;
+    boost::asio::signal_set signals_;
+    std::set<UpstreamId> probing_;
+    std::size_t peerTurn_ = 0;
+    TimePoint scanAt_ {};
+    TimePoint summarizedAt_ {};
+    bool watching_ = true;
+    bool askingNews_ = false;
+    bool freshScan_ = true; // the next scan must not be stale
+    bool draining_ = false;
+    bool listening_ = true;
+    TimePoint drainBegan_ {};
+    TimePoint endAt_ = neverTime;
+};
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/ServingTurn.cpp
@@ -0,0 +1,292 @@
+// What a serving node does in each turn of its loop: periodic work, callers, peers, signals, and the drain.
+#include "ServingParts.h"
+
+#include <algorithm>
+
+namespace jj {
+
+namespace {
+
+    constexpr Duration tickPeriod = 20ms;
+    // The platform asks for readiness each second and takes a node out after two misses; new connections come until then.
+    constexpr Duration leavingNoticed = 2300ms;
+    // The process ends so long before it would be killed.
+    constexpr Duration graceMargin = 400ms;
+    // The last words to peers need a moment.
+    constexpr Duration farewell = 100ms;
+    constexpr Duration summaryPeriod = 10s;
+    // Every job node lists the jobs' heads so often, from stale data: an orphan whose owner is known to be dead is found at once.
+    constexpr Duration scanPeriod = 4s;
+    constexpr Duration newsBound = 600ms;
+    constexpr Duration notReadyRetry = 300ms;
+
+} // namespace
+
+// ---- the wheel
+
+void ServingNode::Parts::turn()
+{
+    timer_.expires_after(tickPeriod);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        tick();
+        turn();
+    });
+}
+
+void ServingNode::Parts::tick()
+{
+    const TimePoint now = context_.now();
+    const WallTime wall = SystemClock().wallNow();
+    fleet_->tick(now, wall);
+    store_->tick(now);
+    chooseWatching();
+    config_->tick(now);
+    feed_->tick(now);
+    desk_->setCautious(fleet_->mayBeReplaced());
+    desk_->tick(now, wall);
+    if (!settings_.runsJobs_ && desk_->openJobs() > 0)
+        desk_->passOn(now);
+    runner_->pump(now);
+    if (retirement_)
+        retirement_->tick(now);
+    probeEngines(now);
+    scanJobs(now);
+    if (draining_)
+        continueDrain(now);
+    summarize(now);
+    log_.flushIfDue(now);
+}
+
+void ServingNode::Parts::probeEngines(TimePoint now)
+{
+    const auto due = board_.dueForProbe(now);
+    for (const UpstreamId engine : due) {
+        if (!probing_.insert(engine).second)
+            continue;
+        context_.probe(engine);
+    }
+    std::erase_if(probing_, [&](UpstreamId engine) { return std::find(due.begin(), due.end(), engine) == due.end(); });
+}
+
+// Once in a while, what a person would ask first: how full the engines are, and what the store is called for.
+void ServingNode::Parts::summarize(TimePoint now)
+{
+    if (now - summarizedAt_ < summaryPeriod)
+        return;
+    summarizedAt_ = now;
+    auto line = log_.line("summary");
+    line.with("requests", relay_->open()).with("items", runner_->running()).with("jobs", desk_->openJobs()).with("config", config_->version()).with("peers", fleet_->livePeers().size()).with("linesDroppedTotal", log_.dropped());
+    for (const auto& [call, count] : store_->callCounts())
+        line.with(std::string("store ").append(call), count);
+}
+
+void ServingNode::Parts::scanJobs(TimePoint now)
+{
+    const bool mayOwn = settings_.runsJobs_ || desk_->heldJobs() > 0;
+    if (now < scanAt_ || !mayOwn || draining_)
+        return;
+    scanAt_ = now + scanPeriod;
+    desk_->scan(!freshScan_, now);
+    freshScan_ = false;
+}
+
+void ServingNode::Parts::onConfig(const std::shared_ptr<const RouteTable>& table)
+{
+    context_.table_ = table;
+    if (callers_) {
+        http::ServerLimits limits;
+        limits.headerBytes_ = std::max(table->limits().headerBytes_ * 2, limits.headerBytes_);
+        limits.bodyBytes_ = table->limits().bodyBytes_;
+        limits.connections_ = callerConnections();
+        limits.idle_ = table->limits().idle_;
+        limits.requestTime_ = std::max<Duration>(limits.requestTime_, table->limits().headerTime_);
+        callers_->setLimits(limits);
+    }
+    if (fleet_)
+        fleet_->tell();
+}
+
+// ---- callers
+
+void ServingNode::Parts::onCaller(std::shared_ptr<http::Exchange> exchange)
+{
+    const http::Request& request = exchange->request();
+    const auto table = context_.table_;
+    if (!table)
+        return exchange->respond(refusal(translation_, 503, "config.None", "this node knows no configuration yet", RunState::NotRun, notReadyRetry));
+    const std::string_view host = request.headers_.find("Host");
+    if (auto call = translation_.readJobCall_(request); call && table->batchRouteOf(host))
+        return jobs_->call(std::move(exchange), std::move(*call));
+    const Route* route = table->select(host, request.target_);
+    if (!route) {
+        log_.line("noRoute").with("request", request.headers_.find(translation_.headers_.attemptId_)).with("host", host).with("path", request.path()).with("config", table->version());
+        return exchange->respond(refusal(translation_, 404, "route.None", "no route carries this host and path", RunState::NotRun, {}));
+    }
+    if (route->kind_ == RouteKind::Batch)
+        return jobs_->submit(exchange, *route);
+    relay_->handle(std::move(exchange), table, *route);
+}
+
+// ---- peers
+
+NodeId ServingNode::Parts::anyPeer(bool ownRegionFirst)
+{
+    std::vector<NodeId> near;
+    std::vector<NodeId> far;
+    for (const auto& [node, peer] : fleet_->peers()) {
+        if (peer.isLive())
+            (peer.region_ == fleet_->region() ? near : far).push_back(node);
+    }
+    const std::vector<NodeId>& from = ownRegionFirst && !near.empty() ? near : far.empty() ? near
+                                                                                           : far;
+    return from.empty() ? NodeId::none() : from[peerTurn_++ % from.size()];
+}
+
+bool ServingNode::Parts::routeToPeer(const ObjectCall& call, Duration bound, StoreLink::Completion done)
+{
+    const NodeId peer = anyPeer(true);
+    if (peer.isNone())
+        return false;
+    const bool isWrite = call.isWrite();
+    fleet_->ask(peer, StoreAsk { call }, bound, [isWrite, done = std::move(done)](Result<PeerReply> reply) {
+        if (reply) {
+            if (auto* answer = std::get_if<ObjectAnswer>(&reply.value()))
+                return done(std::move(*answer));
+        }
+        done(ObjectAnswer::failed(isWrite ? ObjectError::OutcomeUnknown : ObjectError::Unavailable));
+    });
+    return true;
+}
+
+// The peer that knows most, or any peer when none is ahead.
+NodeId ServingNode::Parts::newsSource()
+{
+    NodeId best = NodeId::none();
+    std::uint64_t bestEngines = feed_->version();
+    std::uint64_t bestConfig = config_->version();
+    for (const auto& [node, peer] : fleet_->peers()) {
+        if (!peer.isLive() || peer.enginesVersion_ < bestEngines || peer.configVersion_ < bestConfig)
+            continue;
+        if (peer.enginesVersion_ == bestEngines && peer.configVersion_ == bestConfig)
+            continue;
+        best = node;
+        bestEngines = peer.enginesVersion_;
+        bestConfig = peer.configVersion_;
+    }
+    return best.isNone() ? anyPeer(true) : best;
+}
+
+void ServingNode::Parts::askForNews()
+{
+    const NodeId peer = newsSource();
+    if (peer.isNone() || askingNews_)
+        return;
+    askingNews_ = true;
+    fleet_->ask(peer, NewsAsk { config_->version(), feed_->version() }, newsBound, [this](const Result<PeerReply>& reply) {
+        askingNews_ = false;
+        const auto* told = reply ? std::get_if<NewsTold>(&reply.value()) : nullptr;
+        if (!told)
+            return;
+        if (!told->config_.empty())
+            config_->take(told->config_, "peer");
+        feed_->take(told->engines_);
+        fleet_->tell();
+    });
+}
+
+// Watchers follow the store; the others hear from them, and watch themselves as soon as they hear none.
+void ServingNode::Parts::chooseWatching()
+{
+    const bool mustWatch = fleet_->isElectedWatcher() || !fleet_->hearsWatcher();
+    if (mustWatch == watching_)
+        return;
+    watching_ = mustWatch;
+    log_.line(mustWatch ? "watchBegan" : "watchLeft").with("config", config_->version()).with("engines", feed_->version());
+    config_->setPassive(!mustWatch);
+    feed_->setPassive(!mustWatch);
+}
+
+void ServingNode::Parts::onPeerCall(PeerCall call, const std::function<void(PeerReply)>& reply)
+{
+    const TimePoint now = context_.now();
+    if (auto* ask = std::get_if<StoreAsk>(&call)) {
+        store_->countForPeer();
+        return store_->direct(ask->call_, [reply](ObjectAnswer answer) { reply(std::move(answer)); });
+    }
+    if (const auto* ask = std::get_if<NewsAsk>(&call))
+        return reply(NewsTold { config_->version() > ask->configVersion_ ? config_->value() : std::string(), feed_->newsSince(ask->enginesVersion_) });
+    if (auto* ask = std::get_if<AdoptAsk>(&call)) {
+        desk_->adopt(std::move(ask->job_), now, SystemClock().wallNow());
+        runner_->pump(now);
+        return reply(AdoptTold { true });
+    }
+    if (const auto* ask = std::get_if<ReadAsk>(&call))
+        return desk_->read(ask->job_, ask->after_, std::chrono::milliseconds(ask->waitMs_), false, now, [reply](ReadAnswer answer) { reply(std::move(answer)); });
+    if (const auto* ask = std::get_if<BodyAsk>(&call))
+        return desk_->body(ask->job_, ask->item_, false, now, [reply](BodyAnswer answer) { reply(std::move(answer)); });
+    const auto& ask = std::get<EndAsk>(call);
+    desk_->end(ask.job_, false, now, [reply](EndAnswer answer) { reply(answer); });
+}
+
+// ---- signals and the end
+
+void ServingNode::Parts::waitForSignal()
+{
+    signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            reload();
+        else
+            beginDrain();
+        waitForSignal();
+    });
+}
+
+void ServingNode::Parts::reload()
+{
+    const auto fresh = reload_();
+    if (!fresh) {
+        log_.line("reloadRefused").with("faults", describe(fresh.error()));
+        return;
+    }
+    // Addresses and the place in the fleet belong to a process; another one takes them up at its start.
+    settings_.acceptBound_ = fresh.value().acceptBound_;
+    settings_.grace_ = fresh.value().grace_;
+    log_.line("reloaded").with("graceMs", settings_.grace_).with("acceptMs", settings_.acceptBound_);
+}
+
+void ServingNode::Parts::beginDrain()
+{
+    if (draining_)
+        return;
+    draining_ = true;
+    drainBegan_ = context_.now();
+    log_.line("stopping").with("requests", relay_->open()).with("jobs", desk_->openJobs());
+    fleet_->beginLeaving();
+    desk_->beginLeaving(drainBegan_);
+}
+
+void ServingNode::Parts::continueDrain(TimePoint now)
+{
+    const Duration sofar = now - drainBegan_;
+    if (callers_ && listening_ && sofar >= leavingNoticed) {
+        listening_ = false;
+        callers_->drain();
+    }
+    const bool isQuiet = (!callers_ || (!listening_ && callers_->openExchanges() == 0)) && desk_->hasLeft() && !store_->hasWork();
+    const bool isLate = sofar >= settings_.grace_ - graceMargin;
+    if (endAt_ == neverTime && (isQuiet || isLate)) {
+        log_.line("stopped").with("late", isLate && !isQuiet ? "yes" : "no").with("requests", relay_->open()).with("jobs", desk_->openJobs());
+        fleet_->finishLeaving();
+        endAt_ = now + farewell;
+    }
+    if (now < endAt_)
+        return;
+    log_.flush();
+    io_.stop();
+}
+
+} // namespace jj
