--- a/libs/ledger/tests/ExploreTest.cpp
+++ b/libs/ledger/tests/ExploreTest.cpp
@@ -184,7 +184,9 @@
     {
         look();
         world_.advance(500ms);
-        for (auto& [job, seen] : seen_) {
+        for (const auto& entry : seen_) {
+            const JobName& job = entry.first;
+            const Seen& seen = entry.second;
             CAPTURE(job);
             world_.checkResults(job);
             const auto stored = world_.stored(job);
