Ledger: an end that meets the owner's own change of the head is acknowledged

Cause: a job's owner that writes a change of the head (done, handed over, ended) answered an end of the job with "can't be asked now", and the front sent 503. Ruled out: the stand-in of the store (its log has no refused call), an owner that isn't found (hops 1, 0 ms). Change: a complete job's end is acknowledged at once, since nothing of it can run again; other ends wait for the change under way, at most as long as a read may, then the end is written, or the job's new owner or the store is asked. An end that could not be written no longer throws away what its items' runs had brought. A job that became this node's while the store was asked is ended by its owner's way. Conclusion: a race of the product, not of the test.

--- a/libs/ledger/include/ledger/JobDesk.h
+++ b/libs/ledger/include/ledger/JobDesk.h
@@ -278,6 +278,9 @@
     void readOwned(const JobPtr& job, std::uint32_t after, Duration wait, TimePoint now, ReadDone done);
     void readFromStore(const JobName& name, const JobHead& head, std::uint32_t after, TimePoint now, const ReadDone& done);
     void lookUp(const JobName& name, TimePoint now, std::function<void(ReadOutcome, const JobHead&, ObjectVersion, TimePoint)> then);
+    void writeEnd(const JobPtr& job, TimePoint now);
+    static void answerEnders(const JobPtr& job, const EndAnswer& answer);
+    void answerLateEnders(const JobPtr& job, TimePoint now);
     void endInStore(const JobName& name, TimePoint now, TimePoint until, EndDone done);
 
     // Handover
--- a/libs/ledger/src/DeskJob.h
+++ b/libs/ledger/src/DeskJob.h
@@ -39,6 +39,11 @@
         ReadDone done_;
     };
 
+    struct Ender {
+        TimePoint asked_ {};
+        EndDone done_;
+    };
+
     JobName name_;
     JobHead head_;
     ObjectVersion headVersion_;
@@ -63,11 +68,12 @@
     TimePoint checkedAt_ {}; // when the store last confirmed that nobody does
     TimePoint lastUse_ {};
     bool stateChanging_ = false; // an update of the head is under way
-    bool ending_ = false; // its caller has asked for the end, which isn't in the store yet
+    std::vector<Ender> enders_; // callers who asked for the end and have no answer yet
+    bool ending_ = false; // the update of the head that is under way is the end
     std::map<std::string, JobTransfer::Progress> progress_; // brought by a transfer, until the items are loaded
 
     bool isOpen() const { return head_.state_ == JobState::Open; }
-    bool mayRun() const { return loaded_ && isOpen() && !ending_; }
+    bool mayRun() const { return loaded_ && isOpen() && !ending_ && enders_.empty(); }
     bool isComplete() const { return listed_.size() >= head_.total_; }
 };
 
--- a/libs/ledger/src/DeskReads.cpp
+++ b/libs/ledger/src/DeskReads.cpp
@@ -226,38 +226,71 @@
     const auto found = jobs_.find(name);
     if (found != jobs_.end() && !force) {
         const JobPtr job = found->second;
-        if (!job->isOpen())
+        // All results stand in the store, so nothing of the job can run again, whatever its head says.
+        if (!job->isOpen() || job->isComplete())
             return done({ ReadOutcome::Found, outlets_.self_ });
         // Runs stop before the acknowledgement, and none starts while the end is on its way: nothing of the job begins after it.
-        stopRuns(job, false);
-        if (!job->stateChanging_) {
-            job->ending_ = true;
-            return setState(job, JobState::Ended, now, [this, job, done = std::move(done)](bool ended, TimePoint at) {
-                job->ending_ = false;
-                if (!ended)
-                    return done({});
-                job->lastUse_ = at;
-                job->pending_.clear();
-                job->items_.clear();
-                job->byId_.clear();
-                note(DeskNote::JobEnded, job->name_, {}, job->listed_.size());
-                answerReaders(job, at, true);
-                done({ ReadOutcome::Found, outlets_.self_ });
-            });
-        }
-        return done({}); // the head is being changed: the caller comes again
+        stopRuns(job, true);
+        job->enders_.push_back({ now, std::move(done) });
+        return writeEnd(job, now);
     }
     lookUp(name, now, [this, name, force, now, done = std::move(done)](ReadOutcome outcome, const JobHead& head, ObjectVersion, TimePoint at) {
         if (outcome != ReadOutcome::Found)
             return done({ outcome, {} });
         if (head.state_ != JobState::Open)
             return done({ ReadOutcome::Found, head.owner_ });
+        if (!force && owned(name))
+            return end(name, false, now, done); // it became this node's meanwhile
         if (!force && head.owner_ != outlets_.self_ && outlets_.isLive_(head.owner_))
             return done({ ReadOutcome::Elsewhere, head.owner_ });
         endInStore(name, at, now + settings_.readBound_, done);
     });
 }
 
+// Failure met: a caller ended a job in the moment in which its owner wrote another change of the head (done, or handed over), and was told
+// that nobody can tell, though the store answered. The callers wait until that change has settled: then the job is over, is another
+// node's (drop() asks anew), or the end is written.
+void JobDesk::writeEnd(const JobPtr& job, TimePoint now)
+{
+    if (job->enders_.empty() || job->stateChanging_)
+        return;
+    if (!job->isOpen() || job->isComplete())
+        return answerEnders(job, { ReadOutcome::Found, outlets_.self_ });
+    job->ending_ = true;
+    setState(job, JobState::Ended, now, [this, job](bool ended, TimePoint at) {
+        job->ending_ = false;
+        if (!ended)
+            return answerEnders(job, {});
+        job->lastUse_ = at;
+        job->pending_.clear();
+        job->items_.clear();
+        job->byId_.clear();
+        note(DeskNote::JobEnded, job->name_, {}, job->listed_.size());
+        answerReaders(job, at, true);
+        answerEnders(job, { ReadOutcome::Found, outlets_.self_ });
+    });
+}
+
+void JobDesk::answerEnders(const JobPtr& job, const EndAnswer& answer)
+{
+    for (Job::Ender& ender : std::exchange(job->enders_, {}))
+        ender.done_(answer);
+}
+
+// Who has waited for as long as a read may is told that nobody can tell; an end that is on its way goes on.
+void JobDesk::answerLateEnders(const JobPtr& job, TimePoint now)
+{
+    std::vector<Job::Ender> late;
+    std::erase_if(job->enders_, [&](Job::Ender& ender) {
+        if (now - ender.asked_ < settings_.readBound_)
+            return false;
+        late.push_back(std::move(ender));
+        return true;
+    });
+    for (Job::Ender& ender : late)
+        ender.done_({});
+}
+
 // The owner can't be reached, so the head is changed under its version; the owner meets that version at its next change or scan.
 void JobDesk::endInStore(const JobName& name, TimePoint now, TimePoint until, EndDone done)
 {
--- a/libs/ledger/src/JobDesk.cpp
+++ b/libs/ledger/src/JobDesk.cpp
@@ -227,6 +227,9 @@
     jobs_.erase(found);
     for (Job::Reader& reader : std::exchange(job->readers_, {}))
         reader.done_({});
+    // Its new owner, or the store, knows what became of the job.
+    for (Job::Ender& ender : std::exchange(job->enders_, {}))
+        end(name, false, ender.asked_, std::move(ender.done_));
 }
 
 // ---- taking over
@@ -428,6 +431,8 @@
             job->items_.empty() ? loadItems(job, 0, now) : loadResults(job, 0, now);
         }
         answerReaders(job, now, false);
+        answerLateEnders(job, now);
+        writeEnd(job, now);
         if (!job->loaded_)
             continue;
         if (leaving_) {
--- a/libs/ledger/tests/DeskTest.cpp
+++ b/libs/ledger/tests/DeskTest.cpp
@@ -83,6 +83,72 @@
     CHECK(world.read(0, "j").total_ == 20);
 }
 
+// A clerk reads the last results of a job and ends it in the same moment. Its owner is just then writing the head that says the job is
+// done, so it turned the end away as "can't be asked now", though nothing of the job is left to run and the store answers.
+TEST_CASE("ledger: an end that meets the owner's own change of the head is acknowledged")
+{
+    LedgerWorld world(14, 1);
+    world.submit(0, "j", 2, 0);
+    world.advance(30ms);
+    world.store_.faults().delay_ = 200ms;
+    while (world.notes_[DeskNote::Listed] == 0)
+        world.advance(LedgerWorld::step);
+    REQUIRE(world.notes_[DeskNote::JobDone] == 0);
+    std::vector<ReadOutcome> ends;
+    for (int call = 0; call < 2; ++call)
+        world.desk(0).end("j", false, world.now(), [&ends](const EndAnswer& answer) { ends.push_back(answer.outcome_); });
+    world.advance(1s);
+    CHECK(ends == std::vector { ReadOutcome::Found, ReadOutcome::Found });
+    world.checkResults("j");
+}
+
+// A clerk's end of a job is on its way to the store when the same call comes again, since the first answer took long. The second caller
+// was told that the job can't be asked for, and its client went on asking.
+TEST_CASE("ledger: a second end waits for the first")
+{
+    LedgerWorld world(15, 1);
+    world.store_.faults().delay_ = 200ms;
+    world.submit(0, "j", 20, 0);
+    world.advance(1s);
+    std::vector<ReadOutcome> ends;
+    for (int call = 0; call < 2; ++call)
+        world.desk(0).end("j", false, world.now(), [&ends](const EndAnswer& answer) { ends.push_back(answer.outcome_); });
+    world.advance(1s);
+    CHECK(ends == std::vector { ReadOutcome::Found, ReadOutcome::Found });
+    CHECK(world.notes_[DeskNote::JobEnded] == 1);
+}
+
+// The job's owner leaves and hands the job to another host when its end arrives: the end follows the job to its new owner. When the store
+// goes silent under that change, the caller hears within the bound of a read that nobody can tell.
+TEST_CASE("ledger: an end that meets a handover is sent on, or answered in time")
+{
+    LedgerWorld world(16);
+    world.store_.faults().delay_ = 200ms;
+    world.pace_ = 1000; // no result is under way, so the handover begins at once
+    world.submit(1, "j", 20, 0);
+    world.advance(1s);
+    world.leaving_.insert(world.host(0).id_);
+    world.desk(0).beginLeaving(world.now());
+    std::optional<EndAnswer> ended;
+    const auto end = [&] { world.desk(0).end("j", false, world.now(), [&ended](const EndAnswer& answer) { ended = answer; }); };
+    SUBCASE("the change arrives")
+    {
+        end();
+        world.advance(1s);
+        REQUIRE(ended);
+        CHECK(ended->outcome_ == ReadOutcome::Elsewhere);
+        CHECK(ended->owner_ == world.host(1).id_);
+    }
+    SUBCASE("the store is silent")
+    {
+        world.host(0).storeCut_ = true;
+        end();
+        world.advance(DeskSettings().readBound_ + 50ms);
+        REQUIRE(ended);
+        CHECK(ended->outcome_ == ReadOutcome::Unsure);
+    }
+}
+
 TEST_CASE("ledger: an end is acknowledged again, at any node")
 {
     LedgerWorld world(6);
