Node: an item that lapsed before it was sent frees its slot at the home

Time line and the home's tables of such a run: every 6 s some 18 items were sent and done, and 46 stood as running at the home without ever having been sent. They had waited beyond the time in which they may begin. The home's plane then told the decisions "cancelled by the caller"; where entry and home are one node the entry took that event, answered it, and asked the plane to cancel at the home, which had forgotten the run already, so the home's decisions never heard. The 46 kept their slots until the silence bound, counted as three and more silent failures, and the circuit of the sound engine opened: 5 s without any work, in which the next items lapsed. Change: a lapsed dispatch is a failed attempt of a class of its own; the home gives the item back as expired, not run, with its slot free and no failure on the engine.

Also: one run of "e2e: node frozen past its lease and woken" failed beside other tests with "jjnode said nothing". Its log: the callers' address can't be listened on, 40 times in 10 s. The test draws ports from the range that the system gives out and closes them; a listener of a test beside it was given one and kept it.

--- a/libs/decisions/include/decisions/Events.h
+++ b/libs/decisions/include/decisions/Events.h
@@ -121,8 +121,9 @@
     Disconnected, // connection lost with the attempt in flight
     Crashed, // connection lost and a new one to the same upstream was refused: its process died with the attempt in flight
     Silent, // no progress within the bound
+    Lapsed, // the time in which it was allowed to begin was over before it was sent; the upstream had no part in it
 };
-BOOST_DESCRIBE_ENUM(FailureClass, Connect, Overloaded, Rejected, ServerError, Disconnected, Crashed, Silent)
+BOOST_DESCRIBE_ENUM(FailureClass, Connect, Overloaded, Rejected, ServerError, Disconnected, Crashed, Silent, Lapsed)
 
 struct AttemptFailed {
     AttemptId attempt_;
--- a/libs/decisions/src/HomeRole.cpp
+++ b/libs/decisions/src/HomeRole.cpp
@@ -233,6 +233,11 @@
         back.runState_ = RunState::Ran;
         return handBack(request, back, out);
     }
+    if (failure == FailureClass::Lapsed) {
+        back.outcome_ = HandOverOutcome::Refused;
+        back.reason_ = RefusalReason::Expired;
+        return handBack(request, back, out);
+    }
     const bool opened = state.circuit_.onFailure(failure, now);
     if (failure == FailureClass::Crashed && bytesSent) {
         back.crashes_ = quarantine_.addCrash(spec.fingerprint_, upstream, now);
--- a/libs/decisions/tests/FailureTest.cpp
+++ b/libs/decisions/tests/FailureTest.cpp
@@ -39,6 +39,25 @@
     CHECK((refusal.runState_ == RunState::OutcomeUnknown));
 }
 
+// The clerk's item has waited at the home for longer than its holder may let it begin. The home gives it back without sending it, its slot
+// is free at once, and the engine, which never saw it, goes on getting work.
+TEST_CASE("An item that lapsed before it was sent frees its slot and doesn't count against the engine")
+{
+    Bench bench(1);
+    constexpr std::uint64_t lapsed = 6; // more failures than open a circuit
+    for (std::uint64_t id = 1; id <= lapsed; ++id) {
+        bench.arrive(id, RequestClass::Batch);
+        REQUIRE(bench.dispatches(id) == 1);
+        bench.fail(id, FailureClass::Lapsed, false);
+        const Refuse refusal = bench.last<Refuse>();
+        CHECK(refusal.reason_ == RefusalReason::Expired);
+        CHECK((refusal.runState_ == RunState::NotRun));
+        CHECK(bench.core().counts().homeRunning_ == 0);
+    }
+    bench.arrive(10);
+    CHECK(bench.dispatches(10) == 1);
+}
+
 // All engines fail whatever they get. Retried without a budget each question would come back three times, and the engines,
 // failing under load, would never recover.
 TEST_CASE("Retries are a small share of the requests when every engine fails")
--- a/libs/node/src/RequestPlane.h
+++ b/libs/node/src/RequestPlane.h
@@ -105,7 +105,7 @@
 
     void accept(const RequestStart& start, NodeId entry);
     void sendToPeer(const SendToHome& command, const Entry& entry);
-    bool refuseLateStart(const std::shared_ptr<Run>& run);
+    bool refuseLateStart(const Run& run, const Dispatch& command);
     void startEngine(const std::shared_ptr<Run>& run, const Dispatch& command, const UpstreamPlace& place);
     void startPlain(const std::shared_ptr<Run>& run, const Dispatch& command, const UpstreamPlace& place);
     void tokens(Run& run, const AttemptId& attempt, std::uint32_t position, std::uint32_t count, std::string_view text);
--- a/libs/node/src/RequestRuns.cpp
+++ b/libs/node/src/RequestRuns.cpp
@@ -87,7 +87,7 @@
     const auto run = this->run({ command.attempt_.request_, command.attempt_.handOver_ });
     if (!run)
         return;
-    if (refuseLateStart(run))
+    if (refuseLateStart(*run, command))
         return;
     const auto view = view_.current();
     const UpstreamPlace* place = view ? view->upstream(command.upstream_) : nullptr;
@@ -108,23 +108,15 @@
 // The failure this meets: an item waits at another node's home while its holder loses the lease; the job is cancelled, the cancel is
 // acknowledged since the lease ran out, and then the item starts. The holder's validity travels with the item as time left, and the
 // home begins nothing after it, whether or not it hears of the holder again.
-bool RequestPlane::refuseLateStart(const std::shared_ptr<Run>& run)
+//
+// The home's decisions hear of it as a failed attempt, since they count the item as running. Told as the caller's cancel it got lost
+// where entry and home are one node: the slot stayed taken until the silence bound, then the engine's circuit opened, and a job of
+// 1,000 items stood still for 5 s of every 6.
+bool RequestPlane::refuseLateStart(const Run& run, const Dispatch& command)
 {
-    if (SystemClock().now() < run->startBefore_)
+    if (SystemClock().now() < run.startBefore_)
         return false;
-    const RunKey key = run->key_;
-    if (!takeRun(key))
-        return true;
-    feed_(RequestCancelled { key.request_ });
-    HandedBack refused;
-    refused.handOver_ = key;
-    refused.outcome_ = HandOverOutcome::Refused;
-    refused.reason_ = RefusalReason::Expired;
-    refused.runState_ = RunState::NotRun;
-    if (run->entry_ == self_)
-        feed_(refused);
-    else
-        (void)links_->send(run->entry_, toWire(refused, { key.request_, key.number_, run->entryIncarnation_ }));
+    feed_(AttemptFailed { command.attempt_, FailureClass::Lapsed, false, command.position_ });
     return true;
 }
 
--- a/tests/e2e/fleet.py
+++ b/tests/e2e/fleet.py
@@ -9,12 +9,12 @@
 """
 
 import pathlib
-import socket
 import subprocess
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "support"))
+from ports import free_port  # noqa: E402
 from processes import BOUND, Process, bin_folder, request, start_on_known_port  # noqa: E402
 
 DOMAINS = (("gauteng", "gau-north"), ("gauteng", "gau-south"), ("kzn", "kzn-coast"))
@@ -69,14 +69,8 @@
 
 
 def free_addresses(count):
-    """Addresses that nothing listens on now; held open together, so that they differ."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    addresses = ["127.0.0.1:%d" % each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return addresses
+    """Addresses that nothing listens on now, and that no other process is given."""
+    return [f"127.0.0.1:{free_port()}" for _ in range(count)]
 
 
 def jj(*arguments, check=True):
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -95,8 +95,7 @@
 def start_on_known_port(start):
     """Starts a program on a port that was chosen before; gives what `start` gives.
 
-    Between the choice and the start, or while the program was down, an outgoing connection of any process may have been given the port.
-    Such a connection goes, so the start is tried again for a while.
+    A connection of the program's earlier process may still hold the port for a moment, so the start is tried again for a while.
     """
     tries = 40
     for number in range(tries):
