--- a/libs/ledger/include/ledger/Acceptor.h
+++ b/libs/ledger/include/ledger/Acceptor.h
@@ -31,7 +31,9 @@
     NotAccepted, // the store took nothing that could make it run, now or later
     Unknown, // an answer of the store is missing: it may be accepted
     Invalid,
+    Kept, // on the disks of enough hosts, which bring it to the store (JobIntake.h)
 };
+std::string_view toString(AcceptOutcome outcome);
 
 struct Acceptance {
     AcceptOutcome outcome_ = AcceptOutcome::NotAccepted;
--- a/libs/ledger/include/ledger/JobDesk.h
+++ b/libs/ledger/include/ledger/JobDesk.h
@@ -180,6 +180,8 @@
     std::function<void(const DeskEvent&)> note_;
     // Which service carries the item now; nullopt when no configuration is known, empty when none of its routes does.
     std::function<std::optional<std::string>(std::string_view host, std::string_view path)> serviceOf_;
+    // A job that isn't in the store may be on its way there from some host's disk, so nobody can say that there is no such job.
+    std::function<bool()> mayBeKept_;
 };
 
 class JobDesk {
--- a/libs/ledger/src/Acceptor.cpp
+++ b/libs/ledger/src/Acceptor.cpp
@@ -80,6 +80,12 @@
 
 } // namespace
 
+std::string_view toString(AcceptOutcome outcome)
+{
+    static constexpr std::string_view names[] = { "accepted", "alreadyAccepted", "notAccepted", "unknown", "invalid", "kept" };
+    return names[static_cast<std::size_t>(outcome)];
+}
+
 void Acceptor::accept(JobSubmission submission, NodeId owner, Duration bound, TimePoint now, WallTime wall, Done done)
 {
     auto taking = std::make_shared<Taking>();
--- a/libs/ledger/src/DeskReads.cpp
+++ b/libs/ledger/src/DeskReads.cpp
@@ -32,17 +32,21 @@
 
 } // namespace
 
-// The head as the store has it now.
+// The head as the store has it now. A job that isn't there may be kept on disks, and may have been brought from there while the answer was
+// on its way: 6 of 20,000 explored schedules told the caller of an acknowledged job that there is none, until both ends of the call
+// counted.
 void JobDesk::lookUp(const JobName& name, TimePoint now, std::function<void(ReadOutcome, const JobHead&, ObjectVersion, TimePoint)> then)
 {
-    store(ObjectCall::get(headKey(name)), CallClass::Read, now + settings_.readBound_, [then = std::move(then)](const SettledAnswer& answer, TimePoint at) {
+    const bool mightBeKept = outlets_.mayBeKept_();
+    store(ObjectCall::get(headKey(name)), CallClass::Read, now + settings_.readBound_, [this, mightBeKept, then = std::move(then)](const SettledAnswer& answer, TimePoint at) {
+        const ReadOutcome missing = mightBeKept || outlets_.mayBeKept_() ? ReadOutcome::Unsure : ReadOutcome::Missing;
         if (answer.is(ObjectError::NotFound))
-            return then(ReadOutcome::Missing, {}, ObjectVersion::none(), at);
+            return then(missing, {}, ObjectVersion::none(), at);
         const Result<JobHead> head = answer.ok() ? decodeHead(answer.answer_.value_) : Result<JobHead>(LedgerError::BadRecord);
         if (!head)
             return then(ReadOutcome::Unsure, {}, ObjectVersion::none(), at);
         // One that never had all its items was never accepted.
-        const ReadOutcome outcome = head.value().state_ == JobState::Void ? ReadOutcome::Missing : ReadOutcome::Found;
+        const ReadOutcome outcome = head.value().state_ == JobState::Void ? missing : ReadOutcome::Found;
         then(outcome, head.value(), answer.answer_.version_, at);
     });
 }
--- /dev/null
+++ b/libs/ledger/src/FileDisk.cpp
@@ -0,0 +1,141 @@
+// POSIX files; the daemon's only disk.
+#include "ledger/FileDisk.h"
+
+#include <cerrno>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <unistd.h>
+
+namespace jj {
+
+namespace {
+
+    namespace fs = std::filesystem;
+
+    // Names may be anything that a job's id may be, "." too.
+    constexpr std::string_view suffix = ".job";
+    constexpr std::string_view unfinished = ".part";
+
+    std::error_code lastError() { return { errno, std::system_category() }; }
+
+    // An open descriptor, closed with its scope.
+    class Descriptor {
+    public:
+        explicit Descriptor(int number)
+            : number_(number)
+        {
+        }
+        ~Descriptor()
+        {
+            if (number_ >= 0)
+                ::close(number_);
+        }
+        Descriptor(const Descriptor&) = delete;
+        Descriptor& operator=(const Descriptor&) = delete;
+
+        bool isOpen() const { return number_ >= 0; }
+        int number() const { return number_; }
+
+    private:
+        int number_;
+    };
+
+    bool writeAll(int file, std::string_view text)
+    {
+        while (!text.empty()) {
+            const ssize_t written = ::write(file, text.data(), text.size());
+            if (written < 0 && errno == EINTR)
+                continue;
+            if (written <= 0)
+                return false;
+            text.remove_prefix(static_cast<std::size_t>(written));
+        }
+        return true;
+    }
+
+} // namespace
+
+Result<FileDisk> FileDisk::open(std::string folder)
+{
+    std::error_code error;
+    fs::create_directories(folder, error);
+    if (error)
+        return error;
+    FileDisk disk(std::move(folder));
+    std::vector<fs::path> left;
+    for (const auto& entry : fs::directory_iterator(disk.folder_, error)) {
+        if (entry.path().extension() == unfinished)
+            left.push_back(entry.path());
+    }
+    for (const fs::path& path : left)
+        fs::remove(path, error);
+    if (error)
+        return error;
+    BOOST_OUTCOME_TRY(disk.syncFolder());
+    return disk;
+}
+
+std::vector<std::string> FileDisk::names()
+{
+    std::vector<std::string> names;
+    std::error_code error;
+    for (const auto& entry : fs::directory_iterator(folder_, error)) {
+        std::string name = entry.path().filename().string();
+        if (!name.ends_with(suffix))
+            continue;
+        name.resize(name.size() - suffix.size());
+        names.push_back(std::move(name));
+    }
+    return names;
+}
+
+Result<std::string> FileDisk::read(const std::string& name)
+{
+    std::ifstream file(pathOf(name), std::ios::binary);
+    if (!file)
+        return std::make_error_code(std::errc::no_such_file_or_directory);
+    std::string text { std::istreambuf_iterator<char>(file), {} };
+    if (file.bad())
+        return std::make_error_code(std::errc::io_error);
+    return text;
+}
+
+Result<void> FileDisk::write(const std::string& name, std::string_view text)
+{
+    const std::string beside = pathOf(name) + std::string(unfinished);
+    constexpr int mode = 0600;
+    {
+        const Descriptor file(::open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, mode));
+        if (!file.isOpen() || !writeAll(file.number(), text) || ::fdatasync(file.number()) != 0)
+            return lastError();
+    }
+    if (::rename(beside.c_str(), pathOf(name).c_str()) != 0)
+        return lastError();
+    return syncFolder();
+}
+
+Result<void> FileDisk::remove(const std::string& name)
+{
+    std::error_code error;
+    fs::remove(pathOf(name), error);
+    if (error)
+        return error;
+    return success();
+}
+
+std::string FileDisk::pathOf(const std::string& name) const
+{
+    return std::string(folder_).append("/").append(name).append(suffix);
+}
+
+Result<void> FileDisk::syncFolder()
+{
+    const Descriptor folder(::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    if (!folder.isOpen() || ::fsync(folder.number()) != 0)
+        return lastError();
+    return success();
+}
+
+} // namespace jj
--- a/libs/ledger/tests/ExploreTest.cpp
+++ b/libs/ledger/tests/ExploreTest.cpp
@@ -1,5 +1,6 @@
 // Many schedules of the job core, each from a seed: jobs come in and are read, ended and sent again while hosts die, stand still, are cut
-// off or leave, and the store loses answers, is slow or away. Whatever happens, the promises to callers hold.
+// off or leave, one of them loses its disk again and again, and the store loses answers, is slow or away. Whatever happens, the promises
+// to callers hold.
 #include "LedgerWorld.h"
 
 #include <chrono>
@@ -63,7 +64,11 @@
         if (!usable(through))
             return;
         ++seen_[job].submissions_;
-        world_.submit(through, job, 2 + static_cast<std::uint32_t>(job.back() - '0') * 3, pick(hosts));
+        const std::uint32_t items = 2 + static_cast<std::uint32_t>(job.back() - '0') * 3;
+        if (pick(2) == 0)
+            world_.submit(through, job, items, pick(hosts));
+        else
+            world_.take(through, job, items);
     }
 
     void disturb()
@@ -78,6 +83,9 @@
         case 1:
             if (!host.alive_) {
                 host.paused_ = false;
+                // Two copies bear the loss of one disk at a time.
+                if (place == weakDisk_ && pick(2) == 0)
+                    world_.wipe(place);
                 world_.start(place);
                 world_.desk(place).tick(world_.now(), world_.wall());
                 world_.desk(place).scan(false, world_.now());
@@ -143,7 +151,7 @@
         for (auto& [job, seen] : seen_) {
             seen.refusals_ = 0;
             for (const AcceptOutcome outcome : world_.outcomes_[job]) {
-                seen.acknowledged_ = seen.acknowledged_ || outcome == AcceptOutcome::Accepted || outcome == AcceptOutcome::AlreadyAccepted;
+                seen.acknowledged_ = seen.acknowledged_ || outcome == AcceptOutcome::Accepted || outcome == AcceptOutcome::AlreadyAccepted || outcome == AcceptOutcome::Kept;
                 seen.refusals_ += outcome == AcceptOutcome::NotAccepted ? 1 : 0;
             }
             const std::size_t place = pick(hosts);
@@ -210,6 +218,7 @@
     LedgerWorld world_;
     std::mt19937_64 random_;
     std::map<JobName, Seen> seen_;
+    const std::size_t weakDisk_ = pick(hosts);
 };
 
 } // namespace
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -3,6 +3,8 @@
 
 #include "ledger/Acceptor.h"
 #include "ledger/JobDesk.h"
+#include "ledger/JobIntake.h"
+#include "ledger/JobSpool.h"
 #include "objects/VirtualStore.h"
 
 #include <algorithm>
@@ -16,10 +18,43 @@
 
 namespace jj {
 
+// A disk that outlives the process, and is empty after a loss.
+struct MemoryDisk {
+    std::shared_ptr<std::map<std::string, std::string>> texts_ = std::make_shared<std::map<std::string, std::string>>();
+
+    std::vector<std::string> names() const
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, text] : *texts_)
+            names.push_back(name);
+        return names;
+    }
+    Result<std::string> read(const std::string& name) const
+    {
+        const auto found = texts_->find(name);
+        if (found == texts_->end())
+            return std::make_error_code(std::errc::no_such_file_or_directory);
+        return found->second;
+    }
+    Result<void> write(const std::string& name, std::string_view text) const
+    {
+        (*texts_)[name] = text;
+        return success();
+    }
+    Result<void> remove(const std::string& name) const
+    {
+        texts_->erase(name);
+        return success();
+    }
+};
+
 class LedgerWorld {
 public:
     static constexpr std::uint32_t eventsPerItem = 3;
     static constexpr Duration step = 5ms;
+    // Disks that may be lost at a time, and one more.
+    static constexpr std::size_t copies = 2;
+    static constexpr Duration keepBound = 600ms;
     static constexpr WallTime wallStart { std::chrono::milliseconds(1'000'000'000) };
 
     struct Host {
@@ -30,6 +65,9 @@
         std::unique_ptr<CallQueue> queue_;
         std::unique_ptr<JobDesk> desk_;
         std::unique_ptr<Acceptor> acceptor_;
+        MemoryDisk disk_;
+        std::unique_ptr<JobSpool<MemoryDisk>> spool_;
+        std::unique_ptr<JobIntake> intake_;
         std::uint64_t life_ = 0; // what belongs to an earlier process is dropped
         std::vector<ItemRun> runs_; // at engines
         std::map<RunId, std::uint32_t> sent_; // events of a run so far
@@ -87,8 +125,20 @@
         };
         outlets.note_ = [this](const DeskEvent& event) { ++notes_[event.note_]; };
         outlets.serviceOf_ = [this](std::string_view, std::string_view) { return service_; };
+        // Hosts tell each other within milliseconds whether they keep jobs.
+        outlets.mayBeKept_ = [this] { return std::any_of(hosts_.begin(), hosts_.end(), [](const auto& each) { return !each->disk_.texts_->empty(); }); };
         host.desk_ = std::make_unique<JobDesk>(DeskSettings(), std::move(outlets));
         host.acceptor_ = std::make_unique<Acceptor>(send);
+        startIntake(place, send);
+    }
+
+    // The host comes back with an empty disk.
+    void wipe(std::size_t place) { hosts_[place]->disk_.texts_->clear(); }
+
+    // A caller's submission as an entry takes it: into the store, or onto disks.
+    void take(std::size_t place, const JobName& job, std::uint32_t items)
+    {
+        hosts_[place]->intake_->submit(submission(job, items), 2s, now_, wall(), [this, job](const IntakeAnswer& answer, TimePoint) { outcomes_[job].push_back(answer.outcome_); });
     }
 
     void kill(std::size_t place)
@@ -156,6 +206,7 @@
         while (now_ < end) {
             now_ += step;
             store_.advanceTo(now_);
+            endAsks();
             for (std::size_t place = 0; place < hosts_.size(); ++place) {
                 if (hosts_[place]->alive_ && !hosts_[place]->paused_)
                     turn(place);
@@ -211,6 +262,7 @@
     std::mt19937_64 random_;
     std::map<JobName, std::vector<AcceptOutcome>> outcomes_;
     std::map<DeskNote, int> notes_;
+    std::map<SpoolNote, int> spoolNotes_;
     std::optional<std::string> service_ = "s";
     std::vector<std::string> starts_; // items as they began to run at an engine, once a run
     std::size_t slots_ = 4; // runs that a host has at a time
@@ -219,6 +271,72 @@
     bool loseTransfers_ = false;
 
 private:
+    // Nothing says that the store is away but that it gave no answer for a while.
+    bool storeLooksAway(std::size_t place) { return hosts_[place]->storeCut_ || store_.core().isOut(); }
+
+    void startIntake(std::size_t place, const LedgerStore& send)
+    {
+        Host& host = *hosts_[place];
+        const auto isAway = [this, place] { return storeLooksAway(place); };
+        const auto ownerOf = [this, place](const JobName&) { return preferred(place); };
+        const auto hand = [this](const JobName& job, const Acceptance& acceptance) {
+            if (loseTransfers_)
+                return;
+            const JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, false, {} };
+            const std::size_t owner = placeOf(acceptance.head_.owner_);
+            at(owner, [this, owner, transfer] { desk(owner).adopt(transfer, now_, wall()); });
+        };
+        SpoolOutlets spool { send, isAway, ownerOf, hand, [this](SpoolNote note, const JobName&, std::error_code) { ++spoolNotes_[note]; }, [] {} };
+        host.spool_ = std::make_unique<JobSpool<MemoryDisk>>(host.disk_, SpoolSettings(), std::move(spool));
+        host.spool_->load(now_);
+        IntakeOutlets intake;
+        intake.store_ = send;
+        intake.storeIsAway_ = isAway;
+        intake.keepers_ = [this, place] { return keepers(place); };
+        intake.keep_ = [this](NodeId to, KeptJob job, std::function<void(KeepOutcome, TimePoint)> done) { keep(to, std::move(job), std::move(done)); };
+        intake.forget_ = [this](NodeId to, const JobName& job) { at(placeOf(to), [this, to, job] { hosts_[placeOf(to)]->spool_->forget(job); }); };
+        intake.ownerOf_ = ownerOf;
+        intake.accepted_ = hand;
+        host.intake_ = std::make_unique<JobIntake>(IntakeSettings(), std::move(intake));
+    }
+
+    std::size_t placeOf(NodeId node) const { return static_cast<std::size_t>(node.value() - hosts_.front()->id_.value()); }
+
+    std::vector<NodeId> keepers(std::size_t place)
+    {
+        std::vector<NodeId> found;
+        for (const auto& host : hosts_) {
+            if (!hosts_[place]->deadTo_.contains(host->id_))
+                found.push_back(host->id_);
+        }
+        std::shuffle(found.begin(), found.end(), random_);
+        if (found.size() < copies)
+            return {};
+        found.resize(copies);
+        return found;
+    }
+
+    // An answer that comes after the bound is of no use; the copy may stand all the same.
+    void keep(NodeId to, KeptJob job, std::function<void(KeepOutcome, TimePoint)> done)
+    {
+        auto open = std::make_shared<std::function<void(KeepOutcome, TimePoint)>>(std::move(done));
+        const auto answer = [open](KeepOutcome outcome, TimePoint now) {
+            if (*open)
+                std::exchange(*open, {})(outcome, now);
+        };
+        asks_.push_back({ now_ + keepBound, answer });
+        at(placeOf(to), [this, to, job = std::move(job), answer] { answer(hosts_[placeOf(to)]->spool_->keep(job, now_), now_); });
+    }
+
+    void endAsks()
+    {
+        while (!asks_.empty() && asks_.front().first <= now_) {
+            const auto answer = std::move(asks_.front().second);
+            asks_.pop_front();
+            answer(KeepOutcome::Unknown, now_);
+        }
+    }
+
     // To the host as it is now; a host that stands still gets it when it wakes, a process that ended never.
     void at(std::size_t place, std::function<void()> action)
     {
@@ -246,6 +364,8 @@
         Host& host = *hosts_[place];
         runEngines(host);
         host.desk_->tick(now_, wall());
+        host.intake_->tick(now_);
+        host.spool_->tick(now_, wall());
         while (host.runs_.size() < slots_) {
             auto run = host.desk_->startNext("s", now_);
             if (!run)
@@ -297,6 +417,7 @@
 
 private:
     std::vector<std::unique_ptr<Host>> hosts_;
+    std::deque<std::pair<TimePoint, std::function<void(KeepOutcome, TimePoint)>>> asks_; // open ones, by the time of their bound
     TimePoint now_ { 1s };
 };
 
--- /dev/null
+++ b/libs/ledger/tests/SpoolTest.cpp
@@ -0,0 +1,204 @@
+// Jobs that come while the store is away: kept on disks, brought to the store when it is back, never lost and never doubled.
+#include "LedgerWorld.h"
+
+#include "ledger/FileDisk.h"
+
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+using namespace jj;
+
+namespace {
+
+constexpr std::uint32_t items = 6;
+
+void expectDone(LedgerWorld& world, const JobName& job)
+{
+    CHECK(world.stored(job).size() == items);
+    world.checkResults(job);
+}
+
+} // namespace
+
+// A clerk sends a job while the store is down for four seconds. It was refused, sent once more, refused again and given up. Now two
+// hosts keep it, the clerk has an acknowledgement within milliseconds, and the job runs when the store is back, each item once.
+TEST_CASE("ledger: a job that comes while the store is away is acknowledged at once and runs when it is back")
+{
+    LedgerWorld world(1, 3);
+    world.store_.core().setOutage(true);
+    world.advance(100ms);
+    world.take(0, "j", items);
+    world.advance(20ms);
+    CHECK(world.outcomes_["j"] == std::vector { AcceptOutcome::Kept });
+    world.advance(4s);
+    CHECK(world.read(0, "j").outcome_ == ReadOutcome::Unsure);
+    world.store_.core().setOutage(false);
+    world.advance(8s);
+    expectDone(world, "j");
+    CHECK(world.spoolNotes_[SpoolNote::Kept] == 2);
+    CHECK(world.host(0).disk_.texts_->empty());
+    CHECK(world.starts_.size() == items);
+}
+
+// The store falls silent, and nobody knows yet. The caller's acknowledgement is due after 400 ms.
+TEST_CASE("ledger: a store that gives no answer in time is not waited for")
+{
+    LedgerWorld world(2, 3);
+    for (std::size_t place = 0; place < 3; ++place)
+        world.host(place).storeCut_ = true;
+    world.take(0, "j", items);
+    world.host(0).storeCut_ = false;
+    world.store_.faults().delay_ = 3s;
+    world.advance(400ms);
+    CHECK(world.outcomes_["j"] == std::vector { AcceptOutcome::Kept });
+}
+
+// A slow store takes a job after 300 ms, when two hosts keep it already. They hear of it and let it go: no call of theirs is spent on it.
+TEST_CASE("ledger: copies of a job that the store took after all are forgotten")
+{
+    LedgerWorld world(3, 3);
+    world.store_.faults().delay_ = 150ms;
+    world.take(0, "j", items);
+    world.advance(260ms);
+    CHECK(world.outcomes_["j"] == std::vector { AcceptOutcome::Kept });
+    world.advance(6s);
+    CHECK(world.spoolNotes_[SpoolNote::Forgotten] == 2);
+    CHECK(world.spoolNotes_[SpoolNote::Known] == 0);
+    expectDone(world, "j");
+}
+
+// One of the two hosts that keep a job loses its disk while the store is away, the other one is restarted.
+TEST_CASE("ledger: a kept job survives the loss of one disk and a restart")
+{
+    LedgerWorld world(4, 3);
+    world.store_.core().setOutage(true);
+    world.take(0, "j", items);
+    world.advance(50ms);
+    bool isWiped = false;
+    for (std::size_t place = 0; place < 3; ++place) {
+        world.kill(place);
+        const bool holdsCopy = world.host(place).disk_.texts_->contains("j");
+        if (holdsCopy && !isWiped) {
+            world.wipe(place);
+            isWiped = true;
+        }
+        world.start(place);
+    }
+    CHECK(isWiped);
+    world.advance(2s);
+    world.store_.core().setOutage(false);
+    world.advance(8s);
+    expectDone(world, "j");
+}
+
+// Too few hosts with a disk live. The job is refused, and the refusal is true: no copy stands anywhere.
+TEST_CASE("ledger: with too few hosts to keep it a job is refused and never runs")
+{
+    LedgerWorld world(5, 2);
+    world.store_.core().setOutage(true);
+    world.bury(1);
+    world.take(0, "j", items);
+    world.advance(3s);
+    CHECK(world.outcomes_["j"] == std::vector { AcceptOutcome::NotAccepted });
+    world.store_.core().setOutage(false);
+    world.advance(5s);
+    CHECK(world.starts_.empty());
+}
+
+// One of two hosts keeps the job, the other one died a moment ago. "Not run" would be a lie: the copy brings the job to the store.
+TEST_CASE("ledger: a job with one copy too few has an unknown outcome and may run")
+{
+    LedgerWorld world(6, 2);
+    world.store_.core().setOutage(true);
+    world.kill(1);
+    world.take(0, "j", items);
+    world.advance(3s);
+    CHECK(world.outcomes_["j"] == std::vector { AcceptOutcome::Unknown });
+    world.store_.core().setOutage(false);
+    world.advance(8s);
+    expectDone(world, "j");
+}
+
+// A host was away for longer than jobs are held. Its copy is of a job that was done and removed; brought again it would run once more.
+TEST_CASE("ledger: a copy older than the retention is dropped")
+{
+    LedgerWorld world(7, 3);
+    world.store_.core().setOutage(true);
+    world.take(0, "j", items);
+    world.advance(50ms);
+    for (std::size_t place = 0; place < 3; ++place)
+        world.kill(place);
+    world.advance(SpoolSettings().retention_ + 1s);
+    world.store_.core().setOutage(false);
+    for (std::size_t place = 0; place < 3; ++place)
+        world.start(place);
+    world.advance(5s);
+    CHECK(world.spoolNotes_[SpoolNote::Outdated] == 2);
+    CHECK(world.starts_.empty());
+}
+
+TEST_CASE("ledger: a spool has a bound, and a job that passes it is refused")
+{
+    MemoryDisk disk;
+    SpoolSettings settings;
+    KeptJob job { LedgerWorld::submission("j", items), 0 };
+    settings.mostBytes_ = encode(job).size() + 1;
+    const auto ignore = [](SpoolNote, const JobName&, std::error_code) {};
+    SpoolOutlets outlets { [](const ObjectCall&, CallClass, TimePoint, const SettledCompletion&) {}, [] { return true; }, [](const JobName&) { return NodeId(1); }, [](const JobName&, const Acceptance&) {}, ignore, [] {} };
+    JobSpool<MemoryDisk> spool(disk, settings, outlets);
+    CHECK(spool.keep(job, TimePoint(1s)) == KeepOutcome::Kept);
+    CHECK(spool.keep(job, TimePoint(1s)) == KeepOutcome::Kept); // the same job again takes no room
+    job.submission_.job_ = "k";
+    CHECK(spool.keep(job, TimePoint(1s)) == KeepOutcome::Refused);
+    CHECK(disk.texts_->size() == 1);
+}
+
+TEST_CASE("ledger: a kept job's text gives the job back, and a damaged one nothing")
+{
+    KeptJob job { LedgerWorld::submission("j", items), 1 };
+    job.submission_.items_[0].headers_ = { { "Name", "a \"quoted\"\nvalue" } };
+    job.submission_.head_.acceptedAt_ = LedgerWorld::wallStart;
+    const std::string text = encode(job);
+    const auto back = decodeKept(text);
+    REQUIRE(back);
+    CHECK(back.value().rank_ == 1);
+    CHECK(back.value().submission_.job_ == "j");
+    CHECK(back.value().submission_.head_.acceptedAt_ == LedgerWorld::wallStart);
+    CHECK(back.value().submission_.head_.runTarget_ == job.submission_.head_.runTarget_);
+    CHECK(back.value().submission_.items_.size() == items);
+    CHECK(back.value().submission_.items_[0].headers_ == job.submission_.items_[0].headers_);
+    for (std::size_t size = 0; size < text.size(); ++size)
+        CHECK_FALSE(decodeKept(text.substr(0, size)));
+    for (std::size_t place = 0; place < text.size(); place += 3) {
+        std::string damaged = text;
+        damaged[place] = static_cast<char>(damaged[place] ^ 1);
+        CHECK_FALSE(decodeKept(damaged));
+    }
+}
+
+TEST_CASE("ledger: files of a disk stay, and what an unfinished write left goes")
+{
+    const std::string folder = (std::filesystem::temp_directory_path() / ("jayjunction-spool-" + std::to_string(::getpid()))).string();
+    {
+        auto disk = FileDisk::open(folder);
+        REQUIRE(disk);
+        CHECK(disk.value().write("a", "text of a"));
+        CHECK(disk.value().write("..", "a name that is a folder's elsewhere"));
+        CHECK(disk.value().write("a", "newer text"));
+        CHECK(disk.value().write("b", "text of b"));
+        CHECK(disk.value().remove("b"));
+        CHECK(disk.value().remove("b"));
+        std::ofstream(folder + "/c.job.part") << "half a te";
+    }
+    auto disk = FileDisk::open(folder);
+    REQUIRE(disk);
+    auto names = disk.value().names();
+    std::sort(names.begin(), names.end());
+    CHECK(names == std::vector<std::string> { "..", "a" });
+    CHECK(disk.value().read("a").value() == "newer text");
+    CHECK_FALSE(disk.value().read("b"));
+    CHECK_FALSE(std::filesystem::exists(folder + "/c.job.part"));
+    std::filesystem::remove_all(folder);
+    CHECK_FALSE(FileDisk::open("/proc/no-such-place/x"));
+}
--- a/libs/serving/include/serving/ServingSettings.h
+++ b/libs/serving/include/serving/ServingSettings.h
@@ -2,7 +2,8 @@
 //
 //     [node]      name, failure-domain, region, regions, callers, ready, peers, seeds, runs-jobs, metrics, key-file
 //     [platform]  store, reads-per-second, writes-per-second
-//     [bounds]    drain-ms, grace-ms, engine-grace-ms, accept-ms
+//     [bounds]    grace-ms, engine-grace-ms, accept-ms, lost-hosts, lost-domains, lost-regions
+//     [disk]      folder, size-mb
 //     [limits]    memory-mb, descriptors
 //     [log]       lines-per-second
 //
@@ -40,6 +41,12 @@
     // After an outage of the store engines need a moment to register again; one that is missing after it is gone.
     Duration engineGrace_ = 2200ms;
     Duration acceptBound_ = 2500ms; // the longest that a submission waits for the store
+    // What may be lost at a time: a job that the disks keep while the store is away has one copy more.
+    std::uint32_t lostHosts_ = 1;
+    std::uint32_t lostDomains_ = 0;
+    std::uint32_t lostRegions_ = 0;
+    std::string diskFolder_; // empty: this node keeps nothing
+    std::size_t diskBytes_ = 64U * 1024 * 1024; // of the disk; a quarter of it is used
     std::size_t descriptors_ = 1024;
     std::uint32_t logLinesPerSecond_ = 400;
 };
--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -50,6 +50,7 @@
     , queued_(metrics.counter("jj_questions_queued_total", "questions that waited in an engine's queue"))
     , itemRuns_(metrics.counter("jj_item_runs_total", "runs of batch items"))
     , itemsGivenWay_(metrics.counter("jj_items_given_way_total", "batch items stopped for a question"))
+    , jobsKept_(metrics.counter("jj_jobs_kept_total", "jobs acknowledged on disks while the store gave no answer"))
     , firstEvent_(metrics.distribution("jj_first_event_ms", "from a request's arrival to its answer's first bytes"))
     , accept_(metrics.distribution("jj_job_accept_ms", "from a submission's arrival to its acknowledgement"))
 {
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -32,6 +32,7 @@
     CounterHandle queued_; // questions that waited in an engine's queue
     CounterHandle itemRuns_;
     CounterHandle itemsGivenWay_;
+    CounterHandle jobsKept_; // acknowledged on copies on disks
     DistributionHandle firstEvent_; // ms from a request's arrival to its answer's first bytes
     DistributionHandle accept_; // ms from a submission's arrival to its acknowledgement
 };
--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -29,6 +29,8 @@
     constexpr Duration settleTime = 4s;
     // A word that is so fresh proves more than a probe that failed.
     constexpr Duration freshWord = 1200ms;
+    // A host that died with jobs on its disk brings them when it is back; by then the others that keep them have done so.
+    constexpr Duration keptJobsRemembered = 60s;
     constexpr std::size_t datagramBytes = 2048;
     constexpr std::size_t callBytes = 16 * 1024 * 1024;
     constexpr std::string_view callPath = "/peer";
@@ -304,6 +306,8 @@
         peer.configVersion_ = told.configVersion_;
         peer.enginesVersion_ = told.enginesVersion_;
         peer.watching_ = told.watching_;
+        peer.keepsJobs_ = told.keepsJobs_;
+        peer.keptJobs_ = told.keptJobs_;
     }
     handlers_.onTold_(told);
 }
@@ -415,6 +419,22 @@
     return !leaving_ && static_cast<std::size_t>(ahead) < watchers;
 }
 
+std::vector<NodeId> Fleet::keepersOf(const TolerableLosses& losses)
+{
+    std::vector<KeeperCandidate> candidates;
+    for (const auto& [node, peer] : peers_) {
+        const bool isHeard = now_ - peer.heardAt_ < freshWord;
+        if (peer.isLive() && isHeard && !peer.leaving_ && peer.keepsJobs_)
+            candidates.push_back({ node, peer.domain_, peer.region_, peer.region_ == options_.region_ });
+    }
+    return chooseKeepers(std::move(candidates), losses, mixHash(self_.value(), ++keeperTurn_));
+}
+
+bool Fleet::anyKeepsJobs() const
+{
+    return std::any_of(peers_.begin(), peers_.end(), [this](const auto& entry) { return entry.second.keptJobs_ > 0 && now_ - entry.second.heardAt_ < keptJobsRemembered; });
+}
+
 bool Fleet::hearsWatcher() const
 {
     return std::any_of(peers_.begin(), peers_.end(), [this](const auto& entry) {
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "DecisionLog.h"
+#include "Keepers.h"
 #include "PeerMessages.h"
 #include "base/Result.h"
 #include "membership/MembershipCore.h"
@@ -53,6 +54,8 @@
     std::uint64_t configVersion_ = 0;
     std::uint64_t enginesVersion_ = 0;
     bool watching_ = false;
+    bool keepsJobs_ = false;
+    std::uint32_t keptJobs_ = 0;
 
     bool isLive() const { return state_ == MemberState::Alive || state_ == MemberState::Suspect; }
 };
@@ -72,6 +75,7 @@
     void ask(NodeId node, const PeerCall& call, Duration bound, ReplyHandler done);
 
     void beginLeaving();
+    bool isLeaving() const { return leaving_; }
     // The last words, before the process ends.
     void finishLeaving();
 
@@ -86,6 +90,10 @@
     NodeId preferredOwner(std::string_view job, NodeId former) const;
     // Is this node one of the few of its region that follow the store?
     bool isElectedWatcher() const;
+    // Hosts that can keep a job on their disks, as many as the losses to be borne ask for; empty when there are too few.
+    std::vector<NodeId> keepersOf(const TolerableLosses& losses);
+    // Some host had jobs on its disk when it was last heard.
+    bool anyKeepsJobs() const;
     // Another node follows the store and was heard just now.
     bool hearsWatcher() const;
     // Some node that runs jobs can't be heard, so it may believe the same of this one.
@@ -121,6 +129,7 @@
     std::unique_ptr<MembershipCore> core_;
     std::map<NodeId, Peer> peers_;
     std::uint32_t sequence_ = 0;
+    std::uint64_t keeperTurn_ = 0; // so that jobs spread over the hosts
     bool tellPending_ = false;
     bool farDirty_ = false; // other regions have not heard the last change
     TimePoint toldFarAt_ {};
--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -8,6 +8,8 @@
     // A read is held for a second by its owner; then the way there and back.
     constexpr Duration readMargin = 600ms;
     constexpr Duration callBound = 1200ms;
+    // A host that keeps a job writes it to its disk, a millisecond, and may be a region away.
+    constexpr Duration keepBound = 600ms;
     constexpr int mostHops = 3;
     constexpr int mostHandTries = 3;
     constexpr Duration retryAfter = 300ms;
@@ -52,10 +54,26 @@
 JobFront::JobFront(Context& context, JobDesk& desk, StoreLink& store)
     : context_(context)
     , desk_(desk)
-    , acceptor_([&store](ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) { store.send(std::move(call), callClass, until, std::move(done)); })
+    , intake_(IntakeSettings(), intakeOutlets(store))
 {
 }
 
+IntakeOutlets JobFront::intakeOutlets(StoreLink& store)
+{
+    IntakeOutlets outlets;
+    outlets.store_ = [&store](ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) { store.send(std::move(call), callClass, until, std::move(done)); };
+    outlets.storeIsAway_ = [&store] { return store.isAway(); };
+    outlets.keepers_ = [this] { return context_.fleet_->keepersOf({ context_.settings_.lostHosts_, context_.settings_.lostDomains_, context_.settings_.lostRegions_ }); };
+    outlets.keep_ = [this](NodeId host, KeptJob job, std::function<void(KeepOutcome, TimePoint)> done) { keepAt(host, std::move(job), std::move(done)); };
+    outlets.forget_ = [this](NodeId host, const JobName& job) { forgetAt(host, job); };
+    outlets.ownerOf_ = [this](const JobName& job) { return context_.fleet_->preferredOwner(job, context_.fleet_->self()); };
+    outlets.accepted_ = [this](const JobName& job, const Acceptance& acceptance) {
+        remember(job, acceptance.head_.owner_);
+        handToOwner(job, acceptance, 0);
+    };
+    return outlets;
+}
+
 // ---- submissions
 
 void JobFront::submit(const std::shared_ptr<http::Exchange>& exchange, const Route& route)
@@ -71,21 +89,40 @@
     job.head_.runTarget_ = route.runTarget_;
     job.head_.abandonAfter_ = route.abandonAfter_;
     job.head_.maxAttempts_ = route.maxAttempts_;
-    const NodeId owner = context_.fleet_->preferredOwner(job.job_, context_.fleet_->self());
     const JobName name = job.job_;
-    acceptor_.accept(std::move(job), owner, context_.settings_.acceptBound_, began, SystemClock().wallNow(), [this, exchange, name, began](const Acceptance& acceptance, TimePoint now) { accepted(exchange, name, acceptance, began, now); });
+    intake_.submit(std::move(job), context_.settings_.acceptBound_, began, SystemClock().wallNow(), [this, exchange, name, began](const IntakeAnswer& answer, TimePoint now) { respond(exchange, name, answer, began, now); });
+}
+
+void JobFront::keepAt(NodeId host, KeptJob job, std::function<void(KeepOutcome, TimePoint)> done)
+{
+    const JobName name = job.submission_.job_;
+    context_.fleet_->ask(host, KeepAsk { std::move(job) }, keepBound, [this, host, name, done = std::move(done)](const Result<PeerReply>& reply) {
+        const auto* told = reply ? std::get_if<KeepTold>(&reply.value()) : nullptr;
+        const KeepOutcome outcome = told ? told->outcome_ : KeepOutcome::Unknown;
+        if (outcome != KeepOutcome::Kept)
+            context_.log_.line("copyMissing").with("job", name).with("host", host.value()).with("outcome", told ? "refused" : "unknown");
+        done(outcome, context_.now());
+    });
 }
 
-void JobFront::accepted(const std::shared_ptr<http::Exchange>& exchange, const JobName& job, const Acceptance& acceptance, TimePoint began, TimePoint now)
+void JobFront::forgetAt(NodeId host, const JobName& job)
 {
-    static constexpr std::string_view outcomes[] = { "accepted", "alreadyAccepted", "notAccepted", "unknown", "invalid" };
-    context_.log_.line("jobSubmitted").with("request", job).with("job", job).with("outcome", outcomes[static_cast<std::size_t>(acceptance.outcome_)]).with("items", acceptance.items_.size()).with("owner", acceptance.head_.owner_.value()).with("afterMs", now - began);
-    switch (acceptance.outcome_) {
+    context_.fleet_->ask(host, ForgetAsk { job }, keepBound, [this, job](const Result<PeerReply>& reply) {
+        if (!reply)
+            context_.log_.line("copyNotForgotten").with("job", job).with("error", reply.error().message());
+    });
+}
+
+void JobFront::respond(const std::shared_ptr<http::Exchange>& exchange, const JobName& job, const IntakeAnswer& answer, TimePoint began, TimePoint now)
+{
+    context_.log_.line("jobSubmitted").with("request", job).with("job", job).with("outcome", toString(answer.outcome_)).with("items", answer.items_).with("owner", answer.owner_.value()).with("afterMs", now - began);
+    switch (answer.outcome_) {
     case AcceptOutcome::Accepted:
+    case AcceptOutcome::Kept:
         context_.metrics_.metrics_.observe(context_.metrics_.accept_, toMilliseconds(now - began));
-        exchange->respond({ 202, { { "Content-Type", "application/json" } }, "{}" });
-        remember(job, acceptance.head_.owner_);
-        return handToOwner(job, acceptance, 0);
+        if (answer.outcome_ == AcceptOutcome::Kept)
+            context_.metrics_.metrics_.add(context_.metrics_.jobsKept_);
+        return exchange->respond({ 202, { { "Content-Type", "application/json" } }, "{}" });
     case AcceptOutcome::AlreadyAccepted:
         return exchange->respond({ 202, { { "Content-Type", "application/json" } }, "{}" });
     case AcceptOutcome::NotAccepted:
@@ -95,7 +132,7 @@
         context_.metrics_.metrics_.add(context_.metrics_.failed_);
         return exchange->respond(refusal(context_.translation_, 500, "store.OutcomeUnknown", "the store gave no answer; the job may be accepted, send it again", RunState::OutcomeUnknown, {}));
     case AcceptOutcome::Invalid:
-        return exchange->respond(refusal(context_.translation_, 400, "job.Invalid", acceptance.failure_.message(), RunState::NotRun, {}));
+        return exchange->respond(refusal(context_.translation_, 400, "job.Invalid", answer.failure_.message(), RunState::NotRun, {}));
     }
 }
 
--- a/libs/serving/src/JobFront.h
+++ b/libs/serving/src/JobFront.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "Context.h"
-#include "ledger/Acceptor.h"
 #include "ledger/JobDesk.h"
+#include "ledger/JobIntake.h"
 
 #include <map>
 #include <memory>
@@ -17,12 +17,18 @@
 
     void submit(const std::shared_ptr<http::Exchange>& exchange, const Route& route);
     void call(std::shared_ptr<http::Exchange> exchange, JobCall call);
+    // The store has the job; its owner begins. A message that doesn't arrive costs time, not the job.
+    void handToOwner(const JobName& job, const Acceptance& acceptance) { handToOwner(job, acceptance, 0); }
+    void tick(TimePoint now) { intake_.tick(now); }
 
 private:
     struct Asked;
     using AskedPtr = std::shared_ptr<Asked>;
 
-    void accepted(const std::shared_ptr<http::Exchange>& exchange, const JobName& job, const Acceptance& acceptance, TimePoint began, TimePoint now);
+    IntakeOutlets intakeOutlets(StoreLink& store);
+    void keepAt(NodeId host, KeptJob job, std::function<void(KeepOutcome, TimePoint)> done);
+    void forgetAt(NodeId host, const JobName& job);
+    void respond(const std::shared_ptr<http::Exchange>& exchange, const JobName& job, const IntakeAnswer& answer, TimePoint began, TimePoint now);
     void handToOwner(const JobName& job, const Acceptance& acceptance, int tries);
     void askOwner(const AskedPtr& asked);
     void askHere(const AskedPtr& asked, bool force);
@@ -33,7 +39,7 @@
 
     Context& context_;
     JobDesk& desk_;
-    Acceptor acceptor_;
+    JobIntake intake_;
     // Owners as last heard; a wrong one costs a hop.
     std::map<JobName, NodeId> owners_;
 };
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -31,9 +31,9 @@
     };
 
     // Each kind of message has its own label under the code, so that one is never taken for another.
-    constexpr std::string_view datagramLabel = "serving datagram 1";
-    constexpr std::string_view callLabel = "serving call 1";
-    constexpr std::string_view replyLabel = "serving reply 1";
+    constexpr std::string_view datagramLabel = "serving datagram 2";
+    constexpr std::string_view callLabel = "serving call 2";
+    constexpr std::string_view replyLabel = "serving reply 2";
 
 } // namespace
 
@@ -109,7 +109,7 @@
 template <class Archive>
 void serialize(Archive& archive, NodeTold& told)
 {
-    archive(told.use_, told.runsJobs_, told.leaving_, told.configVersion_, told.enginesVersion_, told.watching_);
+    archive(told.use_, told.runsJobs_, told.leaving_, told.configVersion_, told.enginesVersion_, told.watching_, told.keepsJobs_, told.keptJobs_);
 }
 
 template <class Archive>
@@ -142,6 +142,36 @@
     archive(job.job_, job.head_, job.headVersion_, job.items_, job.resultPages_, job.isResent_, job.progress_);
 }
 
+template <class Archive>
+void serialize(Archive& archive, JobSubmission& submission)
+{
+    archive(submission.job_, submission.head_, submission.items_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, KeptJob& job)
+{
+    archive(job.submission_, job.rank_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, KeepAsk& ask)
+{
+    archive(ask.job_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ForgetAsk& ask)
+{
+    archive(ask.job_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, KeepTold& told)
+{
+    archive(told.outcome_);
+}
+
 template <class Archive>
 void serialize(Archive& archive, StoreAsk& ask)
 {
--- a/libs/serving/src/PeerMessages.h
+++ b/libs/serving/src/PeerMessages.h
@@ -7,6 +7,7 @@
 #include "base/Result.h"
 #include "capacity/NodeUse.h"
 #include "ledger/JobDesk.h"
+#include "ledger/KeptJob.h"
 #include "objects/ObjectApi.h"
 #include "wire/Key.h"
 
@@ -28,6 +29,8 @@
     std::uint64_t configVersion_ = 0; // that it applies; 0: none
     std::uint64_t enginesVersion_ = 0; // of the last change of an engine's entry that it knows; 0: none
     bool watching_ = false; // it follows the store itself, and the store answers it
+    bool keepsJobs_ = false; // it has a disk, and takes jobs onto it while the store is away
+    std::uint32_t keptJobs_ = 0; // on its disk now
 };
 
 // The sender sends a question to an engine whose slots are full, and the receiver has a batch item there.
@@ -64,7 +67,15 @@
 struct EndAsk {
     JobName job_;
 };
-using PeerCall = std::variant<StoreAsk, NewsAsk, AdoptAsk, ReadAsk, BodyAsk, EndAsk>;
+// The store takes no jobs; the receiver keeps this one on its disk until it does.
+struct KeepAsk {
+    KeptJob job_;
+};
+// The store has the job; a copy is of no use any more.
+struct ForgetAsk {
+    JobName job_;
+};
+using PeerCall = std::variant<StoreAsk, NewsAsk, AdoptAsk, ReadAsk, BodyAsk, EndAsk, KeepAsk, ForgetAsk>;
 
 struct EngineNews {
     std::uint64_t version_ = 0; // of the newest change in it; 0: the receiver knows no engines
@@ -79,7 +90,10 @@
 struct AdoptTold {
     bool taken_ = false;
 };
-using PeerReply = std::variant<ObjectAnswer, NewsTold, AdoptTold, ReadAnswer, BodyAnswer, EndAnswer>;
+struct KeepTold {
+    KeepOutcome outcome_ = KeepOutcome::Refused;
+};
+using PeerReply = std::variant<ObjectAnswer, NewsTold, AdoptTold, ReadAnswer, BodyAnswer, EndAnswer, KeepTold>;
 
 enum class PeerError : int {
     Unauthentic = 1, // the code doesn't fit the bytes
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -103,6 +103,7 @@
     buildDesk();
     relay_ = std::make_unique<Relay>(context_);
     jobs_ = std::make_unique<JobFront>(context_, *desk_, *store_);
+    buildSpool();
     if (auto failure = openServers())
         return failure;
     const TimePoint now = context_.now();
@@ -174,6 +175,8 @@
         told.configVersion_ = config_->version();
         told.enginesVersion_ = feed_->version();
         told.watching_ = feed_->isFollowing() && !store_->isAway();
+        told.keepsJobs_ = takesCopies();
+        told.keptJobs_ = spool_ ? static_cast<std::uint32_t>(spool_->size()) : 0;
         return told;
     };
     handlers.onTold_ = [this](const NodeTold& told) {
@@ -216,6 +219,7 @@
         if (event.error_)
             line.with("error", event.error_.message());
     };
+    outlets.mayBeKept_ = [this] { return mayBeKept(); };
     outlets.serviceOf_ = [this](std::string_view host, std::string_view path) -> std::optional<std::string> {
         if (!context_.table_)
             return std::nullopt;
@@ -230,7 +234,45 @@
         fleet_->beginLeaving();
         desk_->beginLeaving(context_.now());
     };
-    retirement_ = std::make_unique<RetirementDuty>(*store_, translation_, log_, settings_.name_, begin, [this] { return desk_->hasLeft(); });
+    retirement_ = std::make_unique<RetirementDuty>(*store_, translation_, log_, settings_.name_, begin, [this] { return hasHandedOn(); });
+}
+
+// A host whose disk fails serves on: jobs are kept elsewhere.
+void ServingNode::Parts::buildSpool()
+{
+    if (settings_.diskFolder_.empty())
+        return;
+    // The rest is for files that are being replaced, and for what others put there.
+    constexpr std::size_t usedPart = 4;
+    auto disk = FileDisk::open(settings_.diskFolder_ + "/jobs");
+    if (!disk) {
+        log_.line("diskUnusable").with("folder", settings_.diskFolder_).with("error", disk.error().message());
+        return;
+    }
+    SpoolSettings spool;
+    spool.mostBytes_ = settings_.diskBytes_ / usedPart;
+    SpoolOutlets outlets;
+    outlets.store_ = [this](ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) { store_->send(std::move(call), callClass, until, std::move(done)); };
+    outlets.storeIsAway_ = [this] { return store_->isAway(); };
+    outlets.ownerOf_ = [this](const JobName& job) { return fleet_->preferredOwner(job, fleet_->self()); };
+    outlets.accepted_ = [this](const JobName& job, const Acceptance& acceptance) { jobs_->handToOwner(job, acceptance); };
+    outlets.note_ = [this](SpoolNote note, const JobName& job, std::error_code error) {
+        auto line = log_.line(toString(note));
+        line.with("job", job);
+        if (error)
+            line.with("error", error.message());
+    };
+    outlets.changed_ = [this] { fleet_->tell(); };
+    spool_ = std::make_unique<JobSpool<FileDisk>>(std::move(disk.value()), spool, std::move(outlets));
+    spool_->load(context_.now());
+}
+
+bool ServingNode::Parts::mayBeKept() const
+{
+    // Jobs that were kept over an outage are brought within some 3 s of its end; the start counts as one, since nobody was heard yet.
+    constexpr Duration broughtWithin = 5s;
+    const bool wasAway = store_->isAway() || context_.now() - store_->backSince() < broughtWithin;
+    return wasAway || (spool_ && spool_->size() > 0) || fleet_->anyKeepsJobs();
 }
 
 std::size_t ServingNode::Parts::callerConnections() const
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -7,6 +7,8 @@
 #include "JobFront.h"
 #include "Relay.h"
 #include "RetirementDuty.h"
+#include "ledger/FileDisk.h"
+#include "ledger/JobSpool.h"
 #include "serving/ServingNode.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -25,6 +27,11 @@
     std::size_t callerConnections() const;
     void buildStore();
     void buildDesk();
+    void buildSpool();
+    bool takesCopies() const { return spool_ && !draining_ && !fleet_->isLeaving(); }
+    // A job may be on some host's disk and not in the store.
+    bool mayBeKept() const;
+    bool hasHandedOn() const { return desk_->hasLeft() && (!spool_ || spool_->size() == 0); }
     FleetHandlers fleetHandlers();
 
     void turn();
@@ -66,6 +73,7 @@
     std::unique_ptr<JobDesk> desk_;
     std::unique_ptr<ItemRunner> runner_;
     std::unique_ptr<JobFront> jobs_;
+    std::unique_ptr<JobSpool<FileDisk>> spool_; // null: this host has no disk
     std::unique_ptr<Relay> relay_;
     std::unique_ptr<RetirementDuty> retirement_;
     std::unique_ptr<http::Server> callers_;
--- a/libs/serving/src/ServingSettings.cpp
+++ b/libs/serving/src/ServingSettings.cpp
@@ -71,6 +71,18 @@
         settings.grace_ = reader.milliseconds("grace-ms", { 100, 3'600'000 }, settings.grace_ / 1ms);
         settings.engineGrace_ = reader.milliseconds("engine-grace-ms", { 0, 60'000 }, settings.engineGrace_ / 1ms);
         settings.acceptBound_ = reader.milliseconds("accept-ms", { 10, 60'000 }, settings.acceptBound_ / 1ms);
+        settings.lostHosts_ = static_cast<std::uint32_t>(reader.integer("lost-hosts", { 0, 100 }, settings.lostHosts_));
+        settings.lostDomains_ = static_cast<std::uint32_t>(reader.integer("lost-domains", { 0, 100 }, settings.lostDomains_));
+        settings.lostRegions_ = static_cast<std::uint32_t>(reader.integer("lost-regions", { 0, 100 }, settings.lostRegions_));
+        reader.finish();
+    }
+
+    void readDisk(const IniText& text, ServingSettings& settings, Failures& failures)
+    {
+        constexpr std::int64_t megabyte = 1024 * 1024;
+        SectionReader reader(text, "disk", failures);
+        settings.diskFolder_ = reader.text("folder", "");
+        settings.diskBytes_ = static_cast<std::size_t>(megabyte * reader.integer("size-mb", { 0, 1'000'000'000 }, static_cast<std::int64_t>(settings.diskBytes_) / megabyte));
         reader.finish();
     }
 
@@ -86,7 +98,7 @@
 
     void refuseUnknownSections(const IniText& text, Failures& failures)
     {
-        static const std::set<std::string, std::less<>> known { "node", "platform", "bounds", "limits", "log" };
+        static const std::set<std::string, std::less<>> known { "node", "platform", "bounds", "disk", "limits", "log" };
         for (const IniSection& section : text.sections()) {
             if (!known.contains(section.name_))
                 failures.push_back({ SettingsError::UnknownSection, "[" + section.name_ + "]" });
@@ -105,6 +117,7 @@
     readNode(text.value(), settings, failures);
     readPlatform(text.value(), settings, failures);
     readBounds(text.value(), settings, failures);
+    readDisk(text.value(), settings, failures);
     readLimits(text.value(), settings, failures);
     refuseUnknownSections(text.value(), failures);
     if (!failures.empty())
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -46,6 +46,9 @@
     feed_->tick(now);
     desk_->setCautious(fleet_->mayBeReplaced());
     desk_->tick(now, wall);
+    jobs_->tick(now);
+    if (spool_)
+        spool_->tick(now, wall);
     if (!settings_.runsJobs_ && desk_->openJobs() > 0)
         desk_->passOn(now);
     runner_->pump(now);
@@ -226,6 +229,13 @@
         return desk_->read(ask->job_, ask->after_, std::chrono::milliseconds(ask->waitMs_), false, now, [reply](ReadAnswer answer) { reply(std::move(answer)); });
     if (const auto* ask = std::get_if<BodyAsk>(&call))
         return desk_->body(ask->job_, ask->item_, false, now, [reply](BodyAnswer answer) { reply(std::move(answer)); });
+    if (const auto* ask = std::get_if<KeepAsk>(&call))
+        return reply(KeepTold { takesCopies() ? spool_->keep(ask->job_, now) : KeepOutcome::Refused });
+    if (const auto* ask = std::get_if<ForgetAsk>(&call)) {
+        if (spool_)
+            spool_->forget(ask->job_);
+        return reply(KeepTold { KeepOutcome::Refused });
+    }
     const auto& ask = std::get<EndAsk>(call);
     desk_->end(ask.job_, false, now, [reply](EndAnswer answer) { reply(answer); });
 }
@@ -276,7 +286,7 @@
         listening_ = false;
         callers_->drain();
     }
-    const bool isQuiet = (!callers_ || (!listening_ && callers_->openExchanges() == 0)) && desk_->hasLeft() && !store_->hasWork();
+    const bool isQuiet = (!callers_ || (!listening_ && callers_->openExchanges() == 0)) && hasHandedOn() && !store_->hasWork();
     const bool isLate = sofar >= settings_.grace_ - graceMargin;
     if (endAt_ == neverTime && (isQuiet || isLate)) {
         log_.line("stopped").with("late", isLate && !isQuiet ? "yes" : "no").with("requests", relay_->open()).with("jobs", desk_->openJobs());
--- /dev/null
+++ b/libs/serving/tests/KeepersTest.cpp
@@ -0,0 +1,59 @@
+// Which hosts keep a job.
+#include "Keepers.h"
+
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace jj;
+
+namespace {
+
+// Three hosts with a disk: two domains here, one in the other region.
+std::vector<KeeperCandidate> threeHosts()
+{
+    return { { NodeId(1), FailureDomainId(1), RegionId(1), true }, { NodeId(2), FailureDomainId(2), RegionId(1), true }, { NodeId(3), FailureDomainId(3), RegionId(2), false } };
+}
+
+} // namespace
+
+TEST_CASE("serving: a job is kept near, in different failure domains, by one host more than may be lost")
+{
+    CHECK(chooseKeepers(threeHosts(), { 1, 0, 0 }, 7).size() == 2);
+    for (const NodeId node : chooseKeepers(threeHosts(), { 1, 0, 0 }, 7))
+        CHECK(node != NodeId(3));
+    CHECK(chooseKeepers(threeHosts(), { 2, 0, 0 }, 7).size() == 3);
+    std::vector<KeeperCandidate> sameDomain = threeHosts();
+    sameDomain[1].domain_ = FailureDomainId(1);
+    const auto chosen = chooseKeepers(sameDomain, { 1, 0, 0 }, 7);
+    CHECK(std::find(chosen.begin(), chosen.end(), NodeId(3)) != chosen.end());
+}
+
+// A whole region may be lost: a copy in each of two regions, or no acknowledgement.
+TEST_CASE("serving: losses of domains and regions ask for copies beyond them")
+{
+    const auto overRegions = chooseKeepers(threeHosts(), { 1, 0, 1 }, 7);
+    REQUIRE(overRegions.size() == 2);
+    CHECK(std::find(overRegions.begin(), overRegions.end(), NodeId(3)) != overRegions.end());
+    std::vector<KeeperCandidate> here = threeHosts();
+    here.pop_back();
+    CHECK(chooseKeepers(here, { 1, 0, 1 }, 7).empty());
+    here[1].domain_ = FailureDomainId(1);
+    CHECK(chooseKeepers(here, { 1, 1, 0 }, 7).empty());
+    CHECK(chooseKeepers(here, { 1, 0, 0 }, 7).size() == 2);
+    CHECK(chooseKeepers({}, { 0, 0, 0 }, 7).empty());
+}
+
+TEST_CASE("serving: jobs spread over the hosts that can keep them")
+{
+    std::vector<KeeperCandidate> many;
+    for (std::uint64_t node = 1; node <= 6; ++node)
+        many.push_back({ NodeId(node), FailureDomainId(node), RegionId(1), true });
+    std::map<NodeId, int> uses;
+    for (std::uint64_t seed = 0; seed < 300; ++seed) {
+        for (const NodeId node : chooseKeepers(many, { 1, 0, 0 }, seed))
+            ++uses[node];
+    }
+    for (const auto& [node, count] : uses)
+        CHECK(count > 60);
+    CHECK(uses.size() == many.size());
+}
