Capacity: a question lines up for all of its time again

An answer that comes a tenth of a second late serves its caller better than one that has to be asked for again, so the prediction decides alone.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -100,9 +100,6 @@
     Duration farCost_ = 30ms;
     // What a question's first event takes on an idle engine; the bound on the wait leaves room for it.
     Duration firstEvent_ = 40ms;
-    // A question lines up when its predicted wait takes at most this part of the time that it has. Runs end in bunches: of those that were
-    // predicted to take more, nearly all were late, and refusing them cost no other question its time (tests/BurstTest.cpp).
-    double lineShare_ = 0.7;
     // How long a question occupies a slot before any was measured.
     Duration assumedRun_ = 800ms;
 };
--- a/libs/capacity/src/CapacityBoard.cpp
+++ b/libs/capacity/src/CapacityBoard.cpp
@@ -449,8 +449,7 @@
 
 bool CapacityBoard::isLineInTime(std::string_view service, Duration bound, TimePoint now) const
 {
-    const Duration room = bound - settings_.firstEvent_;
-    return toSeconds(lineWait(service, now)) <= settings_.lineShare_ * toSeconds(room);
+    return lineWait(service, now) <= bound - settings_.firstEvent_;
 }
 
 EnginePick CapacityBoard::pickBatch(std::string_view service, bool urgent, std::span<const UpstreamId> tried, TimePoint now)
