Ledger: an end past the owner leaves a mark that owners watch

Cause: read in the code while mending ends. An entry that can't reach a job's owner ends the job in the store; the owner, which reaches the engines, noticed at its next look at the heads, every 4 s and from a list that may be seconds old, while items must not start 3 s after the acknowledgement on the deployments at hand. Ruled out: reading heads more often (calls grow with open jobs), watching all heads (three events a job at each worker). Change: the end creates job-ends/ID before it is acknowledged; workers watch that kind, read the head and clear the mark. A repeated end marks again. Without its mark an end is not acknowledged. RetirementDuty and the new watch share KindWatch.

Also tests that were missing: a connection whose answer came before its request was sent whole carries no other request; a time of day that jumps gives nothing up and removes nothing early; the log of a tenfold burst stays within its budget and tells what is missing.

--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -323,6 +323,48 @@
     engine.join();
 }
 
+// An engine answers before it has read a long body, keeps the connection, and reads on where the rest of that body is due. A next request on
+// it would be taken for the body, and part of one caller's prompt would end in another's.
+TEST_CASE("a connection whose answer came before its request was sent whole carries no other request")
+{
+    boost::asio::io_context io;
+    tcp::acceptor listener(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    const Endpoint at { "127.0.0.1", listener.local_endpoint().port() };
+    constexpr std::size_t bodyBytes = 16U * 1024 * 1024; // more than both ends' socket buffers hold
+    std::string firstConnection;
+    std::string secondConnection;
+    std::thread engine([&] {
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        std::array<char, 4096> piece {};
+        tcp::socket first = listener.accept();
+        const std::size_t bytes = first.read_some(boost::asio::buffer(piece));
+        firstConnection.assign(piece.data(), bytes);
+        boost::asio::write(first, boost::asio::buffer(answer));
+        tcp::socket second = listener.accept();
+        secondConnection.assign(piece.data(), second.read_some(boost::asio::buffer(piece)));
+        boost::asio::write(second, boost::asio::buffer(answer));
+        boost::system::error_code ended;
+        boost::asio::read(first, boost::asio::dynamic_buffer(firstConnection), ended);
+    });
+    Client client(io, {});
+    std::vector<std::string> bodies;
+    const auto ask = [&](std::string target, std::string body) {
+        const std::size_t before = bodies.size();
+        client.fetch(at, { "POST", std::move(target), {}, std::move(body) }, {}, [&bodies](const Result<Response>& response, RunState) { bodies.push_back(response ? response.value().body_ : "failed"); });
+        while (bodies.size() == before)
+            io.run_one();
+    };
+    ask("/long", std::string(bodyBytes, 'a'));
+    ask("/next", "b");
+    client.dropPooled(at);
+    io.poll();
+    engine.join();
+    CHECK(bodies == std::vector<std::string> { "ok", "ok" });
+    CHECK(firstConnection.starts_with("POST /long"));
+    CHECK(firstConnection.find("/next") == std::string::npos);
+    CHECK(secondConnection.starts_with("POST /next"));
+}
+
 // The other side says that it closes idle connections after a second. A request sent at that moment is lost, and nobody knows if it ran.
 TEST_CASE("an idle connection is given up before the other side closes it")
 {
--- a/libs/ledger/include/ledger/JobDesk.h
+++ b/libs/ledger/include/ledger/JobDesk.h
@@ -226,6 +226,9 @@
     void body(const JobName& job, const std::string& item, bool force, TimePoint now, BodyDone done);
     void end(const JobName& job, bool force, TimePoint now, EndDone done);
 
+    // A mark says that the job was ended past its owner.
+    void endMarked(const JobName& job, TimePoint now);
+
     void tick(TimePoint now, WallTime wall);
     std::size_t openJobs() const;
     std::size_t heldJobs() const { return jobs_.size(); }
@@ -283,6 +286,7 @@
     void writeEnd(const JobPtr& job, TimePoint now);
     static void answerEnders(const JobPtr& job, const EndAnswer& answer);
     void answerLateEnders(const JobPtr& job, TimePoint now);
+    void markEnd(const JobName& name, TimePoint until, const EndDone& done);
     void endInStore(const JobName& name, TimePoint now, TimePoint until, EndDone done);
 
     // Handover
--- a/libs/ledger/include/ledger/Records.h
+++ b/libs/ledger/include/ledger/Records.h
@@ -2,6 +2,7 @@
 //
 //   jobs/ID             head: how many items, who owns the job, is it open. Changed under its version only.
 //   job-items/ID.P      page P of the items, written once when the job is accepted.
+//   job-ends/ID         a mark: the job was ended past its owner, who reads the head again when it sees the mark, and removes it.
 //   job-results/ID.K    the K-th group of results. Created if absent, never changed. An empty one marks a change of the owner.
 //
 // A job is accepted when its head and all its item pages exist. Positions of results follow from the order of the result pages. So
@@ -78,7 +79,11 @@
 };
 
 inline constexpr std::string_view headKind = "jobs/";
+inline constexpr std::string_view endMarkKind = "job-ends/";
 std::string headKey(std::string_view job);
+std::string endMarkKey(std::string_view job);
+// The job of a mark's key; empty when it is none.
+std::string_view jobOfEndMark(std::string_view key);
 std::string itemPageKey(std::string_view job, std::uint32_t page);
 std::string resultPageKey(std::string_view job, std::uint32_t page);
 // The job of a head's key; empty when it is none.
--- a/libs/ledger/src/DeskReads.cpp
+++ b/libs/ledger/src/DeskReads.cpp
@@ -241,6 +241,9 @@
     lookUp(name, now, [this, name, force, now, done = std::move(done)](ReadOutcome outcome, const JobHead& head, ObjectVersion, TimePoint at) {
         if (outcome != ReadOutcome::Found)
             return done({ outcome, {} });
+        // A caller who asks again may have been told nothing, since the mark was missing.
+        if (head.state_ == JobState::Ended && force)
+            return markEnd(name, now + settings_.readBound_, done);
         if (head.state_ != JobState::Open)
             return done({ ReadOutcome::Found, head.owner_ });
         if (!force && owned(name))
@@ -295,6 +298,29 @@
         ender.done_({});
 }
 
+// Failure met: the owner can't be reached from here, reaches the engines, and goes on starting items of a job whose end was acknowledged until
+// it looks at the heads again, which may take 4 s and a stale list. The guard: the end leaves a mark of a kind that owners watch, before
+// it is acknowledged. Such ends are few, so the watch costs a call each 15 s.
+void JobDesk::markEnd(const JobName& name, TimePoint until, const EndDone& done)
+{
+    store(ObjectCall::create(endMarkKey(name), "{}"), CallClass::Accept, until, [done](const SettledAnswer& answer, TimePoint) {
+        const bool isMarked = answer.ok() || answer.is(ObjectError::Conflict);
+        done({ isMarked ? ReadOutcome::Found : ReadOutcome::Unsure, {} });
+    });
+}
+
+void JobDesk::endMarked(const JobName& name, TimePoint now)
+{
+    const auto found = jobs_.find(name);
+    // Of a job that nobody has any more the mark is of no use; the one who would own it clears up.
+    if (found == jobs_.end() && outlets_.preferredOwner_(name, outlets_.self_) != outlets_.self_)
+        return;
+    const auto clear = [this, name](bool, TimePoint at) { store(ObjectCall::remove(endMarkKey(name)), CallClass::Background, at + settings_.patience_, [](const SettledAnswer&, TimePoint) {}); };
+    if (found == jobs_.end())
+        return clear(true, now);
+    refresh(found->second, now, clear);
+}
+
 // The owner can't be reached, so the head is changed under its version; the owner meets that version at its next change or scan.
 void JobDesk::endInStore(const JobName& name, TimePoint now, TimePoint until, EndDone done)
 {
@@ -307,7 +333,7 @@
         store(ObjectCall::update(headKey(name), encode(head), version), CallClass::Accept, until, [this, name, until, done](const SettledAnswer& answer, TimePoint later) {
             if (answer.ok()) {
                 note(DeskNote::JobEnded, name);
-                return done({ ReadOutcome::Found, {} });
+                return markEnd(name, until, done);
             }
             if (answer.is(ObjectError::Conflict) && later < until)
                 return endInStore(name, later, until, done);
--- a/libs/ledger/src/Records.cpp
+++ b/libs/ledger/src/Records.cpp
@@ -85,6 +85,10 @@
 
 std::string headKey(std::string_view job) { return std::string(headKind).append(job); }
 
+std::string endMarkKey(std::string_view job) { return std::string(endMarkKind).append(job); }
+
+std::string_view jobOfEndMark(std::string_view key) { return key.starts_with(endMarkKind) ? key.substr(endMarkKind.size()) : std::string_view(); }
+
 std::string itemPageKey(std::string_view job, std::uint32_t page) { return std::string("job-items/").append(job).append(".").append(std::to_string(page)); }
 
 std::string resultPageKey(std::string_view job, std::uint32_t page) { return std::string("job-results/").append(job).append(".").append(std::to_string(page)); }
--- a/libs/ledger/tests/DeskTest.cpp
+++ b/libs/ledger/tests/DeskTest.cpp
@@ -167,6 +167,54 @@
     CHECK(unknown->outcome_ == ReadOutcome::Missing);
 }
 
+// The owner can't be reached by the node that takes the end, and goes on running items until its next look at the heads, seconds after the
+// caller was told that nothing runs any more. The mark of such an end tells it at once.
+TEST_CASE("ledger: an owner that sees the mark of an end stops at once and clears it")
+{
+    LedgerWorld world(18);
+    world.slots_ = 1;
+    world.pace_ = 40;
+    world.submit(0, "j", 20, 1);
+    world.advance(100ms);
+    std::optional<EndAnswer> ended;
+    world.desk(0).end("j", true, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
+    world.advance(100ms);
+    REQUIRE(ended);
+    CHECK(ended->outcome_ == ReadOutcome::Found);
+    REQUIRE(world.store_.core().objects().contains(endMarkKey("j")));
+    world.desk(1).endMarked("j", world.now());
+    world.advance(50ms);
+    CHECK(world.host(1).runs_.empty());
+    CHECK_FALSE(world.store_.core().objects().contains(endMarkKey("j")));
+    // The same call again, when the first answer was lost, marks again: the owner may have missed the first one.
+    ended.reset();
+    world.desk(0).end("j", true, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
+    world.advance(100ms);
+    REQUIRE(ended);
+    CHECK(ended->outcome_ == ReadOutcome::Found);
+    CHECK(world.store_.core().objects().contains(endMarkKey("j")));
+}
+
+// The mark can't be written. "Ended" would promise that nothing starts any more, so the caller hears that nobody can tell and asks again.
+TEST_CASE("ledger: an end past the owner without its mark is not acknowledged")
+{
+    LedgerWorld world(19);
+    world.pace_ = 40;
+    world.submit(0, "j", 20, 1);
+    world.advance(100ms);
+    std::optional<EndAnswer> ended;
+    world.store_.faults().delay_ = 100ms;
+    world.desk(0).end("j", true, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
+    const auto stateInStore = [&world] { return decodeHead(world.store_.core().objects().find(headKey("j"))->second.value_).value().state_; };
+    while (stateInStore() == JobState::Open)
+        world.advance(LedgerWorld::step);
+    REQUIRE(world.notes_[DeskNote::JobEnded] == 0);
+    world.host(0).storeCut_ = true; // its answer arrives, and nothing leaves any more
+    world.advance(2s);
+    REQUIRE(ended);
+    CHECK(ended->outcome_ == ReadOutcome::Unsure);
+}
+
 // The owner can't be reached by the node that takes the end, so the end is written past it. The owner still runs items: its next look
 // at the heads, or its next write, tells it.
 TEST_CASE("ledger: an owner stops a job that was ended past it")
@@ -441,6 +489,40 @@
     CHECK(world.stored("j")[0].state_ == ResultState::Errored);
 }
 
+// The time of day of a host jumps ahead by some seconds, and back again. Items that wait for a slot were listed as errored before their
+// time, or a job's results removed while callers may still read them.
+TEST_CASE("ledger: a time of day that jumps gives nothing up and removes nothing early")
+{
+    LedgerWorld world(17, 1);
+    world.service_ = std::nullopt; // nothing runs: no configuration is known
+    world.submit(0, "j", 3, 0);
+    world.advance(1s);
+    const Duration abandonAfter = LedgerWorld::submission("j", 3).head_.abandonAfter_;
+    SUBCASE("ahead")
+    {
+        world.wallShift_ = 4s;
+    }
+    SUBCASE("back")
+    {
+        world.wallShift_ = -4s;
+    }
+    SUBCASE("to and fro")
+    {
+        for (int jump = 0; jump < 10; ++jump) {
+            world.wallShift_ = jump % 2 == 0 ? 4s : -4s;
+            world.advance(1s);
+        }
+    }
+    world.advance(abandonAfter - 13s);
+    CHECK(world.notes_[DeskNote::ItemErrored] == 0);
+    // Listed at last, when its time is over by any clock.
+    world.advance(30s);
+    CHECK(world.notes_[DeskNote::ItemErrored] == 3);
+    CHECK(world.read(0, "j").results_.size() == 3);
+    world.advance(DeskSettings().retention_ - abandonAfter - 25s);
+    CHECK(world.read(0, "j").results_.size() == 3);
+}
+
 TEST_CASE("ledger: a job's objects go when its retention is over")
 {
     LedgerWorld world(21);
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -89,7 +89,7 @@
     Host& host(std::size_t place) { return *hosts_[place]; }
     JobDesk& desk(std::size_t place) { return *hosts_[place]->desk_; }
     TimePoint now() const { return now_; }
-    WallTime wall() const { return wallStart + std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch()); }
+    WallTime wall() const { return wallStart + std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch()) + wallShift_; }
 
     void start(std::size_t place)
     {
@@ -269,6 +269,7 @@
     int pace_ = 4; // steps between two events of a run
     std::function<RunEnd(const ItemRun&)> endOf_ = [](const ItemRun&) { return RunEnd::Completed; };
     bool loseTransfers_ = false;
+    std::chrono::milliseconds wallShift_ {}; // of all hosts' time of day
 
 private:
     // Nothing says that the store is away but that it gave no answer for a while.
--- a/libs/serving/src/RetirementDuty.cpp
+++ b/libs/serving/src/RetirementDuty.cpp
@@ -1,13 +1,10 @@
-// Follows the orders like the configuration: read once, then calls that are held open.
+// The order is met once; how far the host is follows from what it still holds.
 #include "RetirementDuty.h"
 
 namespace jj {
 
 namespace {
 
-    // Orders give seconds, and each held-open call is priced.
-    constexpr Duration heldOpen = 15s;
-    constexpr Duration retryPeriod = 500ms;
     constexpr Duration reportBound = 30s;
 
 } // namespace
@@ -19,53 +16,17 @@
     , key_(translation.keys_.retirements_ + std::move(host))
     , begin_(std::move(begin))
     , isEmpty_(std::move(isEmpty))
+    , orders_(store, translation.keys_.retirements_, [this](const std::string& key) { learned(key); })
 {
 }
 
 void RetirementDuty::tick(TimePoint now)
 {
-    if (!busy_ && now >= nextAt_)
-        seen_.isNone() ? read() : watch();
+    orders_.tick(now);
     if (asked_ && !reported_ && !reporting_ && isEmpty_())
         report(true);
 }
 
-void RetirementDuty::again(TimePoint now)
-{
-    nextAt_ = now + retryPeriod;
-    seen_ = ObjectVersion::none();
-}
-
-void RetirementDuty::read()
-{
-    busy_ = true;
-    store_.once(ObjectCall::list(translation_.keys_.retirements_), [this](const ObjectAnswer& answer) {
-        busy_ = false;
-        if (!answer.ok())
-            return again(SystemClock().now());
-        for (const ObjectEntry& entry : answer.entries_)
-            learned(entry.key_);
-        seen_ = answer.version_;
-        watch();
-    });
-}
-
-void RetirementDuty::watch()
-{
-    busy_ = true;
-    store_.once(ObjectCall::changes(translation_.keys_.retirements_, seen_, heldOpen), [this](const ObjectAnswer& answer) {
-        busy_ = false;
-        if (!answer.ok())
-            return again(SystemClock().now());
-        for (const ObjectChange& change : answer.changes_) {
-            if (change.kind_ == ChangeKind::Put)
-                learned(change.key_);
-        }
-        seen_ = answer.version_;
-        watch();
-    });
-}
-
 void RetirementDuty::learned(const std::string& key)
 {
     if (key != key_ || asked_)
--- a/libs/serving/src/RetirementDuty.h
+++ b/libs/serving/src/RetirementDuty.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "DecisionLog.h"
-#include "StoreLink.h"
+#include "KindWatch.h"
 #include "serving/Translation.h"
 
 #include <functional>
@@ -20,9 +20,6 @@
     void tick(TimePoint now);
 
 private:
-    void read();
-    void watch();
-    void again(TimePoint now);
     void learned(const std::string& key);
     void report(bool completed);
 
@@ -32,9 +29,7 @@
     std::string key_; // of the order for this host
     std::function<void()> begin_;
     std::function<bool()> isEmpty_;
-    ObjectVersion seen_;
-    bool busy_ = false;
-    TimePoint nextAt_ {};
+    KindWatch orders_;
     bool asked_ = false;
     bool reported_ = false; // as completed
     bool reporting_ = false;
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -237,6 +237,11 @@
         fleet_->beginLeaving();
         desk_->beginLeaving(context_.now());
     };
+    ends_ = std::make_unique<KindWatch>(*store_, std::string(endMarkKind), [this](const std::string& key) {
+        const JobName job(jobOfEndMark(key));
+        log_.line("endMarked").with("job", job);
+        desk_->endMarked(job, context_.now());
+    });
     retirement_ = std::make_unique<RetirementDuty>(*store_, translation_, log_, settings_.name_, begin, [this] { return hasHandedOn(); });
 }
 
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -78,6 +78,7 @@
     std::unique_ptr<SlotLine> line_;
     std::unique_ptr<Relay> relay_;
     std::unique_ptr<RetirementDuty> retirement_;
+    std::unique_ptr<KindWatch> ends_; // of jobs, past their owners
     std::unique_ptr<http::Server> callers_;
     std::unique_ptr<http::Server> ready_;
     std::unique_ptr<http::Server> metricsServer_;
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -55,6 +55,8 @@
     runner_->pump(now);
     if (retirement_)
         retirement_->tick(now);
+    if (ends_)
+        ends_->tick(now);
     probeEngines(now);
     scanJobs(now);
     if (draining_)
--- /dev/null
+++ b/libs/serving/tests/DecisionLogTest.cpp
@@ -0,0 +1,114 @@
+// How many lines a burst may write, and what a reader is told of the rest.
+#include "DecisionLog.h"
+
+#include <array>
+#include <boost/json.hpp>
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <sstream>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+using namespace jj;
+
+namespace {
+
+namespace json = boost::json;
+
+class Pipe {
+public:
+    Pipe()
+    {
+        REQUIRE(::pipe(ends_.data()) == 0);
+        ::fcntl(ends_[0], F_SETFL, O_NONBLOCK);
+    }
+    ~Pipe()
+    {
+        ::close(ends_[0]);
+        ::close(ends_[1]);
+    }
+    Pipe(const Pipe&) = delete;
+    Pipe& operator=(const Pipe&) = delete;
+
+    int writeEnd() const { return ends_[1]; }
+
+    std::string take() const
+    {
+        std::string all;
+        std::array<char, 4096> piece {};
+        for (ssize_t got = ::read(ends_[0], piece.data(), piece.size()); got > 0; got = ::read(ends_[0], piece.data(), piece.size()))
+            all.append(piece.data(), static_cast<std::size_t>(got));
+        return all;
+    }
+
+private:
+    std::array<int, 2> ends_ {};
+};
+
+std::vector<json::object> linesOf(const std::string& text)
+{
+    std::vector<json::object> lines;
+    std::istringstream in(text);
+    for (std::string line; std::getline(in, line);)
+        lines.push_back(json::parse(line).as_object());
+    return lines;
+}
+
+constexpr std::uint32_t linesPerSecond = 400;
+
+} // namespace
+
+// Ten times the usual load, and whoever reads the log has stopped reading. The node must neither stop nor fill its memory; a reader that comes
+// back is told how many lines are missing.
+TEST_CASE("serving: the log of a tenfold burst stays within its budget and tells what is missing")
+{
+    const Pipe pipe;
+    DecisionLog log("node-1", linesPerSecond, pipe.writeEnd());
+    const TimePoint began = SystemClock().now();
+    constexpr std::uint64_t offered = 10 * 3 * linesPerSecond;
+    for (std::uint64_t number = 0; number < offered; ++number) {
+        log.line("sent").with("request", std::to_string(number)).with("engine", "an engine's name").with("pick", "free");
+        log.flushIfDue(SystemClock().now());
+    }
+    const double seconds = toSeconds(SystemClock().now() - began);
+    const auto written = offered - log.dropped();
+    CHECK(static_cast<double>(written) <= linesPerSecond * (1 + seconds) + 1);
+    log.flush();
+    const std::string text = pipe.take();
+    CHECK(text.size() <= 200 * written);
+}
+
+TEST_CASE("serving: the first line after dropped ones says how many they were")
+{
+    const Pipe pipe;
+    DecisionLog log("node-1", 2, pipe.writeEnd());
+    for (int number = 0; number < 5; ++number)
+        log.line("sent").with("request", number);
+    REQUIRE(log.dropped() >= 2);
+    const std::uint64_t missing = log.dropped();
+    std::vector<json::object> lines;
+    while (lines.empty() || !lines.back().contains("linesDropped")) {
+        log.line("next");
+        log.flush();
+        for (json::object& line : linesOf(pipe.take()))
+            lines.push_back(std::move(line));
+    }
+    CHECK(lines.front().at("event").as_string() == "sent");
+    CHECK(lines.front().at("host").as_string() == "node-1");
+    CHECK(lines.back().at("linesDropped").to_number<std::uint64_t>() >= missing);
+}
+
+TEST_CASE("serving: whatever a caller sends in an id stays one line of JSON")
+{
+    const Pipe pipe;
+    DecisionLog log("node \"1\"", linesPerSecond, pipe.writeEnd());
+    const std::string hostile = "a\"b\\c\nd\x01" + std::string(5000, 'e');
+    log.line("noRoute").with("request", hostile).with("waitMs", Duration(250ms)).with("share", 0.5);
+    log.flush();
+    const auto lines = linesOf(pipe.take());
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0].at("request").as_string().starts_with("a\"b\\c\nd\x01"));
+    CHECK(lines[0].at("request").as_string().size() == 200);
+    CHECK(lines[0].at("waitMs").as_int64() == 250);
+}
