--- a/libs/ledger/include/ledger/FileDisk.h
+++ b/libs/ledger/include/ledger/FileDisk.h
@@ -17,7 +17,7 @@
     // Makes the folder if it isn't there, and removes what unfinished writes left. Error: the system's.
     static Result<FileDisk> open(std::string folder);
 
-    std::vector<std::string> names();
+    Result<std::vector<std::string>> names();
     Result<std::string> read(const std::string& name);
     Result<void> write(const std::string& name, std::string_view text);
     // One that isn't there is removed.
--- a/libs/ledger/include/ledger/JobSpool.h
+++ b/libs/ledger/include/ledger/JobSpool.h
@@ -25,7 +25,7 @@
 {
     {
         disk.names()
-        } -> std::same_as<std::vector<std::string>>;
+        } -> std::same_as<Result<std::vector<std::string>>>;
     {
         disk.read(name)
         } -> std::same_as<Result<std::string>>;
@@ -60,7 +60,7 @@
     Known, // the store had it already
     Forgotten, // the entry says that the store has it
     Outdated, // dropped, older than the retention
-    Unreadable, // dropped: never acknowledged, or the disk is damaged
+    Unreadable, // dropped: never acknowledged, or the disk is damaged; without a job: the disk can't be listed
     TriedInVain,
 };
 std::string_view toString(SpoolNote note);
@@ -88,12 +88,15 @@
 
     void load(TimePoint now)
     {
-        for (const std::string& name : disk_.names()) {
+        const auto names = disk_.names();
+        if (!names)
+            return outlets_.note_(SpoolNote::Unreadable, {}, names.error());
+        for (const std::string& name : names.value()) {
             const auto text = disk_.read(name);
             const auto job = text ? decodeKept(text.value()) : Result<KeptJob>(text.error());
             if (!job) {
-                outlets_.note_(SpoolNote::Unreadable, name, job.error());
-                (void)disk_.remove(name);
+                const auto removed = disk_.remove(name);
+                outlets_.note_(SpoolNote::Unreadable, name, removed ? job.error() : removed.error());
                 continue;
             }
             bytes_ += text.value().size();
--- a/libs/ledger/src/FileDisk.cpp
+++ b/libs/ledger/src/FileDisk.cpp
@@ -77,7 +77,7 @@
     return disk;
 }
 
-std::vector<std::string> FileDisk::names()
+Result<std::vector<std::string>> FileDisk::names()
 {
     std::vector<std::string> names;
     std::error_code error;
@@ -88,6 +88,8 @@
         name.resize(name.size() - suffix.size());
         names.push_back(std::move(name));
     }
+    if (error)
+        return error;
     return names;
 }
 
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -22,7 +22,7 @@
 struct MemoryDisk {
     std::shared_ptr<std::map<std::string, std::string>> texts_ = std::make_shared<std::map<std::string, std::string>>();
 
-    std::vector<std::string> names() const
+    Result<std::vector<std::string>> names() const
     {
         std::vector<std::string> names;
         for (const auto& [name, text] : *texts_)
--- a/libs/ledger/tests/SpoolTest.cpp
+++ b/libs/ledger/tests/SpoolTest.cpp
@@ -217,12 +217,14 @@
     }
     auto disk = FileDisk::open(folder);
     REQUIRE(disk);
-    auto names = disk.value().names();
+    auto names = disk.value().names().value();
     std::sort(names.begin(), names.end());
     CHECK(names == std::vector<std::string> { "..", "a" });
     CHECK(disk.value().read("a").value() == "newer text");
     CHECK_FALSE(disk.value().read("b"));
     CHECK_FALSE(std::filesystem::exists(folder + "/c.job.part"));
     std::filesystem::remove_all(folder);
+    CHECK_FALSE(disk.value().names());
+    CHECK_FALSE(disk.value().write("d", "no folder"));
     CHECK_FALSE(FileDisk::open("/proc/no-such-place/x"));
 }
--- a/libs/serving/src/Relay.cpp
+++ b/libs/serving/src/Relay.cpp
@@ -186,7 +186,7 @@
         const TimePoint now = context_.now();
         const Duration bound = pickBound();
         EnginePick pick = offers_ < mostOffers ? context_.board_.pickQuestion(service_, bound, route_.isRepeatable(), tried_, now) : EnginePick {};
-        // A free slot belongs to those who wait for one already.
+        // A free slot belongs to those who wait for one already, and a line that is too long for this request will have it in a moment.
         const bool isFree = pick.kind_ == PickKind::Free || pick.kind_ == PickKind::Displaces;
         if (isFree && context_.board_.waiting(service_) == 0)
             return send(pick);
