Serving: a stream that goes on after a lost engine may wait for a slot

Cause: read in the change: a question may wait in line until four times its objective after its arrival. A stream that loses its engine later than that was cut at once when no slot was free, though its route lets it go on; engines' queues had taken it before. Change: such a request's time in line begins anew. No test of its own: the relay's parts are tested over processes, and its engine would have to be lost while all others are full.

--- a/libs/serving/src/Relay.cpp
+++ b/libs/serving/src/Relay.cpp
@@ -200,10 +200,12 @@
         refuse(usage.slots_ == 0 ? "noEngine" : "noSlotInTime", pick.wait_);
     }
 
-    // Callers leave a stream that gives nothing for seconds; well before, one that is late anyhow is told to come back.
+    // Callers leave a stream that gives nothing for seconds; well before, one that is late anyhow is told to come back. One that goes on after
+    // a lost engine waits anew: its caller has the first part, and to cut it for want of a slot would waste that.
     TimePoint RelayedRequest::keepUntil() const
     {
-        return std::min(arrived_ + route_.targetLatency_ * keepTargets, deadline_ - leastRetryAfter);
+        const TimePoint from = started_ || mayHaveRun() ? context_.now() : arrived_;
+        return std::min(from + route_.targetLatency_ * keepTargets, deadline_ - leastRetryAfter);
     }
 
     bool RelayedRequest::lineUp(Duration bound)
