Serving: peers hear of an engine that the teller still holds on to

Cause: a watcher that was just cut off from the store keeps a missing engine in use for 2.2 s. It counted as knowing of the removal at once and left it out of the news it gave, so peers that asked it in that time counted as knowing too and used the engine until it exited.

Change: the engines' catalog is a core of its own, without the store (EngineCatalog), and Follower is split in three. News name missing engines with the time that is left; each node lets go of them by itself.

--- /dev/null
+++ b/libs/serving/src/ConfigFollower.cpp
@@ -0,0 +1,108 @@
+// Read once, then held-open calls; after whatever goes wrong, read again.
+#include "ConfigFollower.h"
+
+namespace jj {
+
+ConfigFollower::ConfigFollower(StoreLink& store, const Translation& translation, DecisionLog& log, FollowerTimes times, Applied applied, AskPeer askPeer)
+    : store_(store)
+    , translation_(translation)
+    , log_(log)
+    , times_(times)
+    , applied_(std::move(applied))
+    , askPeer_(std::move(askPeer))
+{
+}
+
+void ConfigFollower::tick(TimePoint now)
+{
+    if (!busy_ && !passive_ && now >= nextAt_)
+        seen_.isNone() ? read(now) : watch();
+    const bool isBehind = peerVersion_ > version();
+    const Duration patience = passive_ ? Duration::zero() : times_.behindBound_;
+    if (isBehind && now - peerAheadSince_ >= patience && now - askedAt_ >= times_.askEvery_) {
+        askedAt_ = now;
+        askPeer_();
+    }
+}
+
+void ConfigFollower::peerHas(std::uint64_t peerVersion, TimePoint now)
+{
+    if (peerVersion <= std::max(version(), peerVersion_))
+        return;
+    peerVersion_ = peerVersion;
+    peerAheadSince_ = now;
+    if (!passive_)
+        return;
+    askedAt_ = now;
+    askPeer_();
+}
+
+void ConfigFollower::again(TimePoint now)
+{
+    nextAt_ = now + retryAfter(times_, failures_);
+    ++failures_;
+    seen_ = ObjectVersion::none();
+    if (version() == 0)
+        askPeer_();
+}
+
+void ConfigFollower::read(TimePoint /*now*/)
+{
+    busy_ = true;
+    store_.once(ObjectCall::get(translation_.keys_.config_), [this](const ObjectAnswer& answer) {
+        busy_ = false;
+        const TimePoint at = SystemClock().now();
+        if (!answer.ok())
+            return again(at);
+        failures_ = 0;
+        seen_ = answer.version_;
+        take(answer.value_, "store");
+        nextAt_ = at;
+    });
+}
+
+void ConfigFollower::watch()
+{
+    busy_ = true;
+    store_.once(ObjectCall::changes(translation_.keys_.config_, seen_, times_.heldOpen_), [this](const ObjectAnswer& answer) {
+        busy_ = false;
+        const TimePoint at = SystemClock().now();
+        if (!answer.ok())
+            return again(at);
+        failures_ = 0;
+        for (const ObjectChange& change : answer.changes_) {
+            if (change.kind_ == ChangeKind::Put && change.key_ == translation_.keys_.config_)
+                take(change.value_, "store");
+        }
+        seen_ = answer.version_;
+        nextAt_ = at;
+        if (!passive_)
+            watch();
+    });
+}
+
+void ConfigFollower::take(std::string_view value, std::string_view source)
+{
+    auto config = translation_.readConfig_(value);
+    if (!config) {
+        log_.line("configUnreadable").with("source", source).with("error", config.error().message());
+        return;
+    }
+    const std::uint64_t offered = config.value().version_;
+    if (offered <= version()) {
+        if (offered < version())
+            log_.line("configOlderDropped").with("source", source).with("version", offered).with("inForce", version());
+        return;
+    }
+    auto table = RouteTable::create(std::move(config.value()));
+    if (!table) {
+        log_.line("configRefused").with("source", source).with("version", offered).with("error", table.error().message());
+        return;
+    }
+    log_.line("configApplied").with("source", source).with("version", offered).with("before", version()).with("routes", table.value().routes().size());
+    table_ = std::make_shared<const RouteTable>(std::move(table.value()));
+    value_ = value;
+    applied_(table_);
+}
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/EngineCatalog.cpp
@@ -0,0 +1,182 @@
+#include "EngineCatalog.h"
+
+#include <algorithm>
+
+namespace jj {
+
+EngineCatalog::EngineCatalog(const Translation& translation, DecisionLog& log, std::map<std::string, std::string> regions, Changed changed, Removed removed)
+    : translation_(translation)
+    , log_(log)
+    , regions_(std::move(regions))
+    , changed_(std::move(changed))
+    , removed_(std::move(removed))
+{
+}
+
+// ---- from the store
+
+// An answer that was long under way may be older than what a peer has told since.
+bool EngineCatalog::isOlder(const std::string& key, ObjectVersion version) const
+{
+    const auto found = known_.find(key);
+    return found != known_.end() && version < found->second.version_;
+}
+
+void EngineCatalog::put(const std::string& key, const std::string& value, ObjectVersion version)
+{
+    if (isOlder(key, version))
+        return;
+    knowsUpTo(version.value());
+    const auto entry = translation_.readEngine_(key, value, regions_);
+    if (!entry) {
+        // An entry that can't be read names no engine; the one that it replaced is not used any more either.
+        log_.line("engineUnreadable").with("key", key).with("version", version.value()).with("error", entry.error().message());
+        return remove(key, "unreadable");
+    }
+    const auto found = known_.find(key);
+    if (found != known_.end() && found->second.entry_.id_ != entry.value().id_)
+        remove(key, "replaced");
+    const auto [place, isNew] = known_.try_emplace(key);
+    Known& known = place->second;
+    if (known.missingVersion_ < version)
+        known.goneAt_ = neverTime;
+    known.value_ = value;
+    known.version_ = version;
+    if (!isNew && known.entry_ == entry.value())
+        return;
+    known.entry_ = entry.value();
+    const EngineEntry& engine = entry.value();
+    log_.line("engineChanged").with("engine", engine.name_).with("service", engine.service_).with("at", toString(engine.at_)).with("draining", engine.draining_ ? "yes" : "no").with("slots", engine.slots_).with("version", version.value());
+    changed_(engine);
+}
+
+void EngineCatalog::gone(const std::string& key, ObjectVersion version, TimePoint now, Duration grace)
+{
+    knowsUpTo(version.value());
+    if (isOlder(key, version))
+        return;
+    if (grace == Duration::zero())
+        return remove(key, "gone");
+    miss(key, version, now + grace);
+}
+
+void EngineCatalog::listed(const std::set<std::string>& keys, ObjectVersion version, TimePoint now, Duration grace)
+{
+    std::vector<std::string> missing;
+    for (const auto& [key, known] : known_) {
+        if (!keys.contains(key))
+            missing.push_back(key);
+    }
+    // The list doesn't say when they went; peers that know less are told as of the list.
+    for (const std::string& key : missing)
+        gone(key, version, now, grace);
+    isKnown_ = true;
+}
+
+void EngineCatalog::miss(const std::string& key, ObjectVersion version, TimePoint goneAt)
+{
+    const auto found = known_.find(key);
+    if (found == known_.end())
+        return;
+    Known& known = found->second;
+    if (known.isMissing() && known.goneAt_ <= goneAt)
+        return;
+    known.goneAt_ = goneAt;
+    known.missingVersion_ = version;
+    log_.line("engineMissing").with("engine", known.entry_.name_).with("at", toString(known.entry_.at_)).with("version", version.value());
+}
+
+void EngineCatalog::tick(TimePoint now)
+{
+    std::vector<std::string> over;
+    for (const auto& [key, known] : known_) {
+        if (known.isMissing() && known.goneAt_ <= now)
+            over.push_back(key);
+    }
+    for (const std::string& key : over)
+        remove(key, "missingAfterOutage");
+}
+
+void EngineCatalog::remove(const std::string& key, std::string_view why)
+{
+    const auto found = known_.find(key);
+    if (found == known_.end())
+        return;
+    const EngineEntry entry = found->second.entry_;
+    known_.erase(found);
+    noteRemoval(key);
+    log_.line("engineRemoved").with("engine", entry.name_).with("at", toString(entry.at_)).with("why", why);
+    removed_(entry);
+}
+
+// ---- between nodes
+
+void EngineCatalog::knowsUpTo(std::uint64_t version) { newest_ = std::max(newest_, version); }
+
+void EngineCatalog::noteRemoval(const std::string& key)
+{
+    constexpr std::size_t mostRemovals = 512;
+    removals_.push_back({ newest_, key });
+    if (removals_.size() <= mostRemovals)
+        return;
+    removalsSince_ = removals_.front().first;
+    removals_.pop_front();
+}
+
+EngineNews EngineCatalog::newsSince(std::uint64_t since, TimePoint now) const
+{
+    EngineNews news;
+    if (!isKnown_)
+        return news;
+    news.version_ = newest_;
+    news.isWhole_ = since <= removalsSince_;
+    for (const auto& [key, known] : known_) {
+        if (news.isWhole_ || known.version_.value() > since)
+            news.entries_.push_back({ key, known.version_, known.value_.size(), known.value_ });
+        if (known.isMissing() && (news.isWhole_ || known.missingVersion_.value() > since))
+            news.missing_.push_back({ key, known.missingVersion_, std::max(Duration::zero(), known.goneAt_ - now) });
+    }
+    if (news.isWhole_)
+        return news;
+    for (const auto& [version, key] : removals_) {
+        if (version > since && !known_.contains(key))
+            news.removed_.push_back(key);
+    }
+    return news;
+}
+
+void EngineCatalog::removeUnnamed(const std::set<std::string>& named, ObjectVersion upTo)
+{
+    std::vector<std::string> unnamed;
+    for (const auto& [key, known] : known_) {
+        if (!named.contains(key) && known.version_ <= upTo)
+            unnamed.push_back(key);
+    }
+    for (const std::string& key : unnamed)
+        remove(key, "goneByPeer");
+}
+
+void EngineCatalog::take(const EngineNews& news, TimePoint now)
+{
+    if (news.version_ == 0 || news.version_ <= newest_)
+        return;
+    const std::uint64_t before = newest_;
+    knowsUpTo(news.version_);
+    std::set<std::string> named;
+    for (const ObjectEntry& entry : news.entries_) {
+        named.insert(entry.key_);
+        put(entry.key_, entry.value_, entry.version_);
+    }
+    for (const std::string& key : news.removed_)
+        remove(key, "goneByPeer");
+    if (news.isWhole_)
+        removeUnnamed(named, ObjectVersion(news.version_));
+    for (const MissingEngine& missing : news.missing_) {
+        if (!isOlder(missing.key_, missing.version_))
+            miss(missing.key_, missing.version_, now + missing.goneIn_);
+    }
+    isKnown_ = true;
+    log_.line("enginesByPeer").with("before", before).with("version", newest_).with("changed", news.entries_.size()).with("removed", news.removed_.size()).with("missing", news.missing_.size());
+}
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/EngineCatalog.h
@@ -0,0 +1,90 @@
+// The engines that this node knows, and what it tells peers of them. No store, socket or clock: changes and times go in.
+//
+// Each change of an engine's entry has a version of the store, and so has each removal. A node that says "I know up to version V" has
+// taken up every change up to V; peers that are behind ask one such node and then count as knowing V themselves. So whatever is
+// known up to V has to be in that node's answer, or it never reaches the asker.
+//
+// Failure met: while the store is away the entries of engines lapse, and after its return a list may be nearly empty although all engines
+// live. It shows as a node that refuses everything right after an outage. The guard: what a node misses after it couldn't reach the
+// store stays in use until the engines have had the time to register again.
+//
+// Failure met: one node was cut off from the store, comes back, and keeps an engine that left for that time. Peers that asked it for
+// news counted as knowing of the removal, were not told of it, and sent requests to the engine until it exited. The guard: an engine
+// that is missing but still in use is told as such, with the time that is left, and each node lets go of it by itself.
+#pragma once
+
+#include "DecisionLog.h"
+#include "PeerMessages.h"
+#include "serving/Translation.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jj {
+
+class EngineCatalog {
+public:
+    using Changed = std::function<void(const EngineEntry&)>;
+    using Removed = std::function<void(const EngineEntry&)>;
+
+    EngineCatalog(const Translation& translation, DecisionLog& log, std::map<std::string, std::string> regions, Changed changed, Removed removed);
+
+    // ---- from the store
+
+    // An entry as the store holds it. One that is older than what is known is dropped.
+    void put(const std::string& key, const std::string& value, ObjectVersion version);
+    // The entry is gone since `version`; the engine stays in use for `grace`.
+    void gone(const std::string& key, ObjectVersion version, TimePoint now, Duration grace);
+    // The store was listed at `version` and named these keys; the others are gone.
+    void listed(const std::set<std::string>& keys, ObjectVersion version, TimePoint now, Duration grace);
+
+    // Lets go of missing engines whose time is over.
+    void tick(TimePoint now);
+
+    // ---- between nodes
+
+    // Every change up to it is taken up; 0: none.
+    std::uint64_t version() const { return newest_; }
+    // Nothing that this node doesn't know happened up to `version`.
+    void knowsUpTo(std::uint64_t version);
+    bool isKnown() const { return isKnown_; }
+    // For a peer that knows of changes up to `since`.
+    EngineNews newsSince(std::uint64_t since, TimePoint now) const;
+    void take(const EngineNews& news, TimePoint now);
+
+private:
+    struct Known {
+        EngineEntry entry_;
+        std::string value_; // as the store holds it
+        ObjectVersion version_;
+        // Invariant: neverTime, or the store has removed the entry at missingVersion_ and the engine is in use until then.
+        TimePoint goneAt_ = neverTime;
+        ObjectVersion missingVersion_;
+
+        bool isMissing() const { return goneAt_ != neverTime; }
+    };
+
+    bool isOlder(const std::string& key, ObjectVersion version) const;
+    void miss(const std::string& key, ObjectVersion version, TimePoint goneAt);
+    void remove(const std::string& key, std::string_view why);
+    void removeUnnamed(const std::set<std::string>& named, ObjectVersion upTo);
+    void noteRemoval(const std::string& key);
+
+    const Translation& translation_;
+    DecisionLog& log_;
+    std::map<std::string, std::string> regions_; // by failure domain
+    Changed changed_;
+    Removed removed_;
+    std::map<std::string, Known> known_; // by the entry's key
+    // Removals, oldest first, for peers that heard of the entry and not of its end. Invariant: versions don't fall.
+    std::deque<std::pair<std::uint64_t, std::string>> removals_;
+    std::uint64_t removalsSince_ = 0; // removals before it are not kept
+    std::uint64_t newest_ = 0;
+    bool isKnown_ = false;
+};
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/EngineFeed.cpp
@@ -0,0 +1,156 @@
+// List once, then held-open calls; after whatever goes wrong, list again.
+#include "EngineFeed.h"
+
+#include <set>
+
+namespace jj {
+
+EngineFeed::EngineFeed(StoreLink& store, const Translation& translation, DecisionLog& log, FollowerTimes times, Duration grace, EngineCatalog& catalog, AskPeer askPeer)
+    : store_(store)
+    , translation_(translation)
+    , log_(log)
+    , times_(times)
+    , grace_(grace)
+    , catalog_(catalog)
+    , askPeer_(std::move(askPeer))
+{
+}
+
+void EngineFeed::tick(TimePoint now)
+{
+    if (!busy_ && !passive_ && now >= nextAt_)
+        seen_.isNone() ? list({}, now) : watch(now);
+    catalog_.tick(now);
+    const bool isBehind = peerVersion_ > catalog_.version();
+    const Duration patience = passive_ ? Duration::zero() : times_.behindBound_;
+    if (!isBehind || now - peerAheadSince_ < patience || now - askedAt_ < times_.askEvery_)
+        return;
+    askedAt_ = now;
+    if (passive_)
+        return askPeer_();
+    if (!catalog_.isKnown())
+        return;
+    log_.line("enginesBehind").with("known", catalog_.version()).with("peer", peerVersion_);
+    list({}, now);
+}
+
+void EngineFeed::peerHas(std::uint64_t version, TimePoint now)
+{
+    if (version <= std::max(catalog_.version(), peerVersion_))
+        return;
+    peerVersion_ = version;
+    peerAheadSince_ = now;
+    if (!passive_)
+        return;
+    askedAt_ = now;
+    askPeer_();
+}
+
+// ---- failures
+
+void EngineFeed::again(TimePoint now)
+{
+    busy_ = false;
+    nextAt_ = now + retryAfter(times_, failures_);
+    ++failures_;
+    seen_ = ObjectVersion::none();
+}
+
+void EngineFeed::listFailed(TimePoint now)
+{
+    lostAt_ = now;
+    again(now);
+}
+
+// A store that is well cuts held-open calls too, and forgets its history. Only silence to the end of the call's time tells that it
+// was out of reach; a cut by an outage is followed by a list that fails.
+void EngineFeed::watchFailed(std::error_code error, TimePoint now)
+{
+    if (now - calledAt_ >= times_.heldOpen_)
+        lostAt_ = now;
+    again(now);
+    if (error == ObjectError::Expired)
+        nextAt_ = now;
+}
+
+// How long engines stay in use that are missing now.
+Duration EngineFeed::graceAt(TimePoint now) const
+{
+    const bool wasLost = lostAt_ != neverTime && now - lostAt_ < grace_ + times_.longestRetry_;
+    const bool isJustBack = now - store_.backSince() < grace_;
+    return wasLost || isJustBack ? grace_ : Duration::zero();
+}
+
+// ---- list
+
+void EngineFeed::list(std::string after, TimePoint now)
+{
+    busy_ = true;
+    calledAt_ = now;
+    if (after.empty()) {
+        listing_.clear();
+        listedAt_ = ObjectVersion::none();
+    }
+    store_.once(ObjectCall::list(translation_.keys_.engines_, true, std::move(after)), [this, turn = ++turn_](const ObjectAnswer& answer) {
+        if (turn != turn_)
+            return;
+        const TimePoint at = SystemClock().now();
+        if (!answer.ok())
+            return listFailed(at);
+        // Changes that happen between two pages are told again by the watch, which goes on from the first page.
+        if (listedAt_.isNone())
+            listedAt_ = answer.version_;
+        listing_.insert(listing_.end(), answer.entries_.begin(), answer.entries_.end());
+        if (!answer.next_.empty())
+            return list(answer.next_, at);
+        takeList(at);
+    });
+}
+
+// All pages at once: a peer that asked between two of them would count as knowing of removals that it was not told.
+void EngineFeed::takeList(TimePoint now)
+{
+    std::set<std::string> keys;
+    for (const ObjectEntry& entry : listing_) {
+        keys.insert(entry.key_);
+        catalog_.put(entry.key_, entry.value_, entry.version_);
+    }
+    listing_.clear();
+    catalog_.listed(keys, listedAt_, now, graceAt(now));
+    // A removal has no entry that could tell its version: what the peer had seen is in this list if the store was there by then.
+    if (listedAt_.value() >= peerVersion_)
+        catalog_.knowsUpTo(peerVersion_);
+    busy_ = false;
+    failures_ = 0;
+    seen_ = listedAt_;
+    nextAt_ = now;
+}
+
+// ---- watch
+
+void EngineFeed::watch(TimePoint now)
+{
+    busy_ = true;
+    calledAt_ = now;
+    store_.once(ObjectCall::changes(translation_.keys_.engines_, seen_, times_.heldOpen_), [this, turn = ++turn_](const ObjectAnswer& answer) {
+        if (turn != turn_)
+            return;
+        busy_ = false;
+        const TimePoint at = SystemClock().now();
+        if (!answer.ok())
+            return watchFailed(answer.error_, at);
+        failures_ = 0;
+        for (const ObjectChange& change : answer.changes_) {
+            if (change.kind_ == ChangeKind::Remove)
+                catalog_.gone(change.key_, change.version_, at, graceAt(at));
+            else
+                catalog_.put(change.key_, change.value_, change.version_);
+        }
+        seen_ = answer.version_;
+        nextAt_ = at + (answer.changes_.empty() ? Duration::zero() : times_.betweenChanges_);
+        if (!passive_ && answer.changes_.empty())
+            watch(at);
+    });
+}
+
+} // namespace jj
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -214,10 +214,16 @@
     archive(ask.job_);
 }
 
+template <class Archive>
+void serialize(Archive& archive, MissingEngine& missing)
+{
+    archive(missing.key_, missing.version_, missing.goneIn_);
+}
+
 template <class Archive>
 void serialize(Archive& archive, EngineNews& news)
 {
-    archive(news.version_, news.isWhole_, news.entries_, news.removed_);
+    archive(news.version_, news.isWhole_, news.entries_, news.removed_, news.missing_);
 }
 
 template <class Archive>
--- a/libs/serving/src/PeerMessages.h
+++ b/libs/serving/src/PeerMessages.h
@@ -77,11 +77,18 @@
 };
 using PeerCall = std::variant<StoreAsk, NewsAsk, AdoptAsk, ReadAsk, BodyAsk, EndAsk, KeepAsk, ForgetAsk>;
 
+// An engine that the store doesn't name any more, and that the sender still uses; see EngineCatalog.h.
+struct MissingEngine {
+    std::string key_;
+    ObjectVersion version_; // of the removal
+    Duration goneIn_ {}; // from when this was sent
+};
 struct EngineNews {
     std::uint64_t version_ = 0; // of the newest change in it; 0: the receiver knows no engines
     bool isWhole_ = false; // engines that it doesn't name are gone
     std::vector<ObjectEntry> entries_; // with values, as the store holds them
     std::vector<std::string> removed_; // keys
+    std::vector<MissingEngine> missing_;
 };
 struct NewsTold {
     std::string config_; // as the store holds it; empty: none newer
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -138,7 +138,8 @@
         board_.remove(entry.id_);
         fleet_->tell();
     };
-    feed_ = std::make_unique<EngineFeed>(*store_, translation_, log_, FollowerTimes(), settings_.engineGrace_, settings_.regions_, changed, removed, [this] { askForNews(); });
+    catalog_ = std::make_unique<EngineCatalog>(translation_, log_, settings_.regions_, changed, removed);
+    feed_ = std::make_unique<EngineFeed>(*store_, translation_, log_, FollowerTimes(), settings_.engineGrace_, *catalog_, [this] { askForNews(); });
 }
 
 std::optional<Failure> ServingNode::Parts::openFleet()
@@ -175,7 +176,7 @@
         runner_->markFirm(context_.now());
         told.use_ = board_.ownUse();
         told.configVersion_ = config_->version();
-        told.enginesVersion_ = feed_->version();
+        told.enginesVersion_ = catalog_->version();
         told.watching_ = feed_->isFollowing() && !store_->isAway();
         told.keepsJobs_ = takesCopies();
         told.keptJobs_ = spool_ ? static_cast<std::uint32_t>(spool_->size()) : 0;
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -1,8 +1,9 @@
 // All parts of a serving node and how they meet. Private to this library.
 #pragma once
 
+#include "ConfigFollower.h"
 #include "Context.h"
-#include "Follower.h"
+#include "EngineFeed.h"
 #include "ItemRunner.h"
 #include "JobFront.h"
 #include "Relay.h"
@@ -49,7 +50,7 @@
     void onConfig(const std::shared_ptr<const RouteTable>& table);
     void waitForSignal();
     void reload();
-    bool isReady() const { return !draining_ && context_.table_ && feed_->isKnown(); }
+    bool isReady() const { return !draining_ && context_.table_ && catalog_->isKnown(); }
     void beginDrain();
     void continueDrain(TimePoint now);
     NodeId anyPeer(bool ownRegionFirst);
@@ -70,6 +71,7 @@
     std::unique_ptr<StoreLink> store_;
     std::unique_ptr<Fleet> fleet_;
     std::unique_ptr<ConfigFollower> config_;
+    std::unique_ptr<EngineCatalog> catalog_;
     std::unique_ptr<EngineFeed> feed_;
     std::unique_ptr<JobDesk> desk_;
     std::unique_ptr<ItemRunner> runner_;
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -170,7 +170,7 @@
 NodeId ServingNode::Parts::newsSource()
 {
     NodeId best = NodeId::none();
-    std::uint64_t bestEngines = feed_->version();
+    std::uint64_t bestEngines = catalog_->version();
     std::uint64_t bestConfig = config_->version();
     for (const auto& [node, peer] : fleet_->peers()) {
         if (!peer.isLive() || peer.enginesVersion_ < bestEngines || peer.configVersion_ < bestConfig)
@@ -190,14 +190,14 @@
     if (peer.isNone() || askingNews_)
         return;
     askingNews_ = true;
-    fleet_->ask(peer, NewsAsk { config_->version(), feed_->version() }, newsBound, [this](const Result<PeerReply>& reply) {
+    fleet_->ask(peer, NewsAsk { config_->version(), catalog_->version() }, newsBound, [this](const Result<PeerReply>& reply) {
         askingNews_ = false;
         const auto* told = reply ? std::get_if<NewsTold>(&reply.value()) : nullptr;
         if (!told)
             return;
         if (!told->config_.empty())
             config_->take(told->config_, "peer");
-        feed_->take(told->engines_);
+        catalog_->take(told->engines_, context_.now());
         fleet_->tell();
     });
 }
@@ -209,7 +209,7 @@
     if (mustWatch == watching_)
         return;
     watching_ = mustWatch;
-    log_.line(mustWatch ? "watchBegan" : "watchLeft").with("config", config_->version()).with("engines", feed_->version());
+    log_.line(mustWatch ? "watchBegan" : "watchLeft").with("config", config_->version()).with("engines", catalog_->version());
     config_->setPassive(!mustWatch);
     feed_->setPassive(!mustWatch);
 }
@@ -222,7 +222,7 @@
         return store_->direct(ask->call_, [reply](ObjectAnswer answer) { reply(std::move(answer)); });
     }
     if (const auto* ask = std::get_if<NewsAsk>(&call))
-        return reply(NewsTold { config_->version() > ask->configVersion_ ? config_->value() : std::string(), feed_->newsSince(ask->enginesVersion_) });
+        return reply(NewsTold { config_->version() > ask->configVersion_ ? config_->value() : std::string(), catalog_->newsSince(ask->enginesVersion_, now) });
     if (auto* ask = std::get_if<AdoptAsk>(&call)) {
         desk_->adopt(std::move(ask->job_), now, SystemClock().wallNow());
         runner_->pump(now);
--- /dev/null
+++ b/libs/serving/tests/EngineCatalogTest.cpp
@@ -0,0 +1,184 @@
+// What nodes know of the engines when one of them was cut off from the store, or hears an old answer.
+#include "EngineCatalog.h"
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace jj;
+
+namespace {
+
+constexpr Duration grace = 2200ms;
+
+// Entries whose value is the engine's state: "ready", "draining" or anything else, which can't be read.
+Translation plainEntries()
+{
+    Translation translation;
+    translation.readEngine_ = [](std::string_view key, std::string_view value, const std::map<std::string, std::string>&) -> Checked<EngineEntry> {
+        if (value != "ready" && value != "draining")
+            return Failure { PeerError::Unreadable, std::string(value) };
+        EngineEntry entry;
+        entry.name_ = key;
+        entry.id_ = UpstreamId(std::hash<std::string_view>()(key) | 1);
+        entry.draining_ = value == "draining";
+        return entry;
+    };
+    return translation;
+}
+
+class Node {
+public:
+    std::set<std::string> using_; // engines that may get requests
+    EngineCatalog catalog_ { translation(), log(), {}, [this](const EngineEntry& entry) { changed(entry); }, [this](const EngineEntry& entry) { using_.erase(entry.name_); } };
+
+    // What a node does that hears of a newer version.
+    void ask(const Node& peer, TimePoint now) { catalog_.take(peer.catalog_.newsSince(catalog_.version(), now), now); }
+
+private:
+    static const Translation& translation()
+    {
+        static const Translation all = plainEntries();
+        return all;
+    }
+    static DecisionLog& log()
+    {
+        static DecisionLog silent("node", 1000, ::open("/dev/null", O_WRONLY | O_CLOEXEC));
+        return silent;
+    }
+    void changed(const EngineEntry& entry)
+    {
+        if (entry.draining_)
+            using_.erase(entry.name_);
+        else
+            using_.insert(entry.name_);
+    }
+};
+
+ObjectVersion at(std::uint64_t version) { return ObjectVersion(version); }
+
+using Names = std::set<std::string>;
+
+} // namespace
+
+// A watcher was cut off from the store for a moment. Just after its return an engine leaves without a word: its entry goes. The
+// watcher keeps the engine in use for a while, as it can't tell whether the entry lapsed. A peer asks it for news, counts as knowing
+// of the removal, and never hears of it again: its callers' requests go to the engine until that exits.
+TEST_CASE("a peer learns of a removal that the teller itself holds back after an outage")
+{
+    const TimePoint start {};
+    Node watcher;
+    Node peer;
+    watcher.catalog_.put("a", "ready", at(10));
+    watcher.catalog_.put("b", "ready", at(11));
+    watcher.catalog_.listed({ "a", "b" }, at(11), start, grace);
+    peer.ask(watcher, start);
+    REQUIRE(peer.using_ == Names { "a", "b" });
+
+    watcher.catalog_.gone("a", at(20), start, grace);
+    watcher.catalog_.put("c", "ready", at(21));
+    peer.ask(watcher, start + 100ms);
+    CHECK(peer.using_ == Names { "a", "b", "c" });
+    CHECK(peer.catalog_.version() == 21);
+
+    for (Node* node : { &watcher, &peer }) {
+        node->catalog_.tick(start + grace - 1ms);
+        CHECK(node->using_ == Names { "a", "b", "c" });
+        node->catalog_.tick(start + grace);
+        CHECK(node->using_ == Names { "b", "c" });
+    }
+}
+
+// The same, and the news comes to a third node by way of the second, to a fourth that knew nothing, and to one that heard of the engine
+// again meanwhile.
+TEST_CASE("a held-back removal is passed on, and taken back when the engine registers again")
+{
+    const TimePoint start {};
+    Node watcher;
+    watcher.catalog_.put("a", "ready", at(10));
+    watcher.catalog_.listed({ "a" }, at(10), start, grace);
+    Node second;
+    Node third;
+    second.ask(watcher, start);
+    third.ask(watcher, start);
+    watcher.catalog_.gone("a", at(20), start, grace);
+
+    second.ask(watcher, start + 50ms);
+    third.ask(second, start + 100ms);
+    Node fourth;
+    fourth.ask(third, start + 150ms);
+    CHECK(fourth.using_ == Names { "a" });
+    Node fifth;
+    fifth.ask(watcher, start + 150ms);
+    watcher.catalog_.put("a", "ready", at(30));
+    fifth.ask(watcher, start + 200ms);
+
+    for (Node* node : { &watcher, &second, &third, &fourth, &fifth })
+        node->catalog_.tick(start + grace);
+    CHECK(second.using_.empty());
+    CHECK(third.using_.empty());
+    CHECK(fourth.using_.empty());
+    CHECK(watcher.using_ == Names { "a" });
+    CHECK(fifth.using_ == Names { "a" });
+}
+
+// A node asks the store for the list and its way there is slow. Meanwhile it hears from a peer that an engine drains. The list comes in and
+// still says "ready": the engine gets requests again, though it has said that it leaves.
+TEST_CASE("an old answer of the store takes nothing back")
+{
+    const TimePoint start {};
+    Node peer;
+    peer.catalog_.put("a", "draining", at(20));
+    peer.catalog_.put("b", "ready", at(21));
+    peer.catalog_.listed({ "a", "b" }, at(21), start, {});
+    Node node;
+    node.catalog_.put("a", "ready", at(10));
+    node.catalog_.listed({ "a" }, at(10), start, {});
+    node.ask(peer, start);
+    REQUIRE(node.using_ == Names { "b" });
+
+    node.catalog_.put("a", "ready", at(10));
+    node.catalog_.listed({ "a" }, at(15), start, {});
+    CHECK(node.using_ == Names { "b" });
+}
+
+TEST_CASE("news between nodes name what changed since, and removals")
+{
+    const TimePoint start {};
+    Node watcher;
+    watcher.catalog_.put("a", "ready", at(10));
+    watcher.catalog_.put("b", "ready", at(11));
+    watcher.catalog_.listed({ "a", "b" }, at(12), start, {});
+    Node peer;
+    peer.ask(watcher, start);
+
+    watcher.catalog_.put("a", "draining", at(20));
+    watcher.catalog_.gone("b", at(21), start, {});
+    const EngineNews news = watcher.catalog_.newsSince(peer.catalog_.version(), start);
+    CHECK_FALSE(news.isWhole_);
+    CHECK(news.entries_.size() == 1);
+    CHECK(news.removed_ == std::vector<std::string> { "b" });
+    peer.catalog_.take(news, start);
+    CHECK(peer.using_.empty());
+
+    // Told again: it takes nothing back.
+    watcher.catalog_.put("b", "ready", at(30));
+    peer.ask(watcher, start);
+    peer.catalog_.take(news, start);
+    CHECK(peer.using_ == Names { "b" });
+}
+
+// An engine's entry is overwritten by bytes that can't be read. It names no engine to use, and peers have to hear that too.
+TEST_CASE("an entry that turns unreadable ends the engine at all nodes")
+{
+    const TimePoint start {};
+    Node watcher;
+    watcher.catalog_.put("a", "ready", at(10));
+    watcher.catalog_.listed({ "a" }, at(10), start, {});
+    Node peer;
+    peer.ask(watcher, start);
+    watcher.catalog_.put("a", "\x01", at(20));
+    CHECK(watcher.using_.empty());
+    peer.ask(watcher, start);
+    CHECK(peer.using_.empty());
+}
