Serving: content that takes down engines is refused after three of them

Cause: a request may crash each engine that begins to run it, and its caller comes again at any node. jjnode keeps such contents in quarantine; jjserve had nothing, so one caller could end a service engine by engine.

Ruled out: counting losses alone (answers are lost by engines that live); a count on each node (callers come back elsewhere); one crash or two (a rack that crashes takes innocent ones along, and their retry).

Change: CrashSuspects. A content (host, path, body) that was lost at an engine which then refuses connections gets a mark; the n-th crash is the mark of (content, n), spread by membership. At three it is refused before it is sent, 503 and not run, for ten minutes, unless this node has answered it within a minute.

Before and after: process test with six engines, two an attempt: without the guard the third attempt ends two more engines (502); with it four are down, the third attempt is refused, others are served. Five tests of the core. Left: items of jobs are not refused; they back off to 4 s.

--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -64,10 +64,20 @@
     static constexpr std::string_view faults[] = { "notConnected", "lost", "failure" };
     const Duration shun = board_.failed(engine, fault, now());
     log_.line("engineFailed").with("engine", entry->name_).with("fault", faults[static_cast<std::size_t>(fault)]).with("error", error ? error.message() : "").with("leftAloneMs", shun);
+    if (fault == EngineFault::NotConnected)
+        engineDown(engine);
     if (shun > Duration::zero())
         fleet_->tell();
 }
 
+void Context::engineDown(UpstreamId engine)
+{
+    for (const Fingerprint mark : suspects_.engineDown(engine, now())) {
+        log_.line("crashSuspected").with("engine", engine.value()).with("mark", mark.value());
+        fleet_->tellCrashMark(mark, CrashSuspects::blockTime);
+    }
+}
+
 void Context::observe(UpstreamId engine, const http::Headers& headers)
 {
     const std::string_view text = headers.find(translation_.headers_.load_);
@@ -92,6 +102,7 @@
         if (!response)
             return failed(engine, EngineFault::NotConnected, response.error());
         board_.probed(engine);
+        suspects_.engineLives(engine);
         log_.line("engineProbed").with("engine", known->name_).with("status", response.value().status_);
     });
 }
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -1,6 +1,7 @@
 // What the parts of a serving node share. All of it lives on one thread.
 #pragma once
 
+#include "CrashSuspects.h"
 #include "DecisionLog.h"
 #include "Fleet.h"
 #include "StoreLink.h"
@@ -50,11 +51,14 @@
     Fleet* fleet_ = nullptr; // set before anything runs
     SlotLine* line_ = nullptr; // as fleet_
     std::shared_ptr<const RouteTable> table_ {}; // null until the first configuration
+    CrashSuspects suspects_ {};
 
     TimePoint now() const { return SystemClock().now(); }
     // Asks an engine that is left alone on a fresh connection whether it lives; only then a request tries it.
     void probe(UpstreamId engine);
     void failed(UpstreamId engine, EngineFault fault, std::error_code error);
+    // The engine refuses connections: what it ran when it went down is suspect.
+    void engineDown(UpstreamId engine);
     // Takes the load that an engine tells in its answer.
     void observe(UpstreamId engine, const http::Headers& headers);
 };
--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -241,6 +241,17 @@
     handlers_.onRejoined_();
 }
 
+void Fleet::perform(const QuarantineLearned& command)
+{
+    if (handlers_.onCrashMark_)
+        handlers_.onCrashMark_(command.fingerprint_, command.remaining_);
+}
+
+void Fleet::tellCrashMark(Fingerprint mark, Duration remaining)
+{
+    core_->handle(QuarantineStarted { mark, remaining }, now_, SystemClock().wallNow());
+}
+
 void Fleet::perform(const RegionReachChanged& command)
 {
     log_.line(command.reachable_ ? "regionRegained" : "regionLost").with("region", command.region_.value());
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -37,6 +37,8 @@
     std::function<void(const NodeTold&)> onTold_;
     std::function<void(const GiveWay&)> onGiveWay_;
     std::function<void(NodeId)> onGone_;
+    // A mark of content that crashes engines, see CrashSuspects.h.
+    std::function<void(Fingerprint mark, Duration remaining)> onCrashMark_;
     // The membership of this node had lapsed: others believed it dead.
     std::function<void()> onRejoined_;
     // Answers a peer's call, now or later; at most once.
@@ -75,6 +77,9 @@
     // Calls a peer; completes with Unreachable after `bound`.
     void ask(NodeId node, const PeerCall& call, Duration bound, ReplyHandler done);
 
+    // Tells all nodes a mark of content that crashes engines.
+    void tellCrashMark(Fingerprint mark, Duration remaining);
+
     void beginLeaving();
     bool isLeaving() const { return leaving_; }
     // The last words, before the process ends.
@@ -114,7 +119,7 @@
     void perform(const Rejoined& command);
     void perform(const ConfigVersionLearned&) { }
     void perform(const LoadLearned&) { }
-    void perform(const QuarantineLearned&) { }
+    void perform(const QuarantineLearned& command);
     void perform(const UpstreamMarkLearned&) { }
     void perform(const RegionReachChanged& command);
     void sendWord(bool toAll);
--- a/libs/serving/src/Relay.cpp
+++ b/libs/serving/src/Relay.cpp
@@ -68,6 +68,7 @@
         };
 
         void dispatch();
+        void block();
         // No slot is free: lines up if one comes in time; false: it doesn't.
         bool lineUp(Duration bound);
         void giveUpWaiting();
@@ -93,6 +94,9 @@
         bool isStream() const { return route_.kind_ == RouteKind::Streaming; }
         bool mayHaveRun() const { return runs_ > 0; }
         Duration left() const { return deadline_ - context_.now(); }
+        // What a caller's further attempt has in common with this one.
+        Fingerprint content() const;
+        bool crashesEngines() const;
         Duration pickBound() const;
         TimePoint keepUntil() const;
         DecisionLog::Line line(std::string_view event);
@@ -183,6 +187,8 @@
         if (phase_ == Phase::Ended)
             return;
         phase_ = Phase::Picking;
+        if (crashesEngines())
+            return block();
         const TimePoint now = context_.now();
         const Duration bound = pickBound();
         EnginePick pick = offers_ < mostOffers ? context_.board_.pickQuestion(service_, bound, route_.isRepeatable(), tried_, now) : EnginePick {};
@@ -200,6 +206,17 @@
         refuse(usage.slots_ == 0 ? "noEngine" : "noSlotInTime", pick.wait_);
     }
 
+    // Its content has taken down engines. An attempt that was at one of them has run; any other hasn't.
+    void RelayedRequest::block()
+    {
+        if (started_ || mayHaveRun())
+            return lost(http::Error::ConnectFailed);
+        exchange_->respond(refusal(context_.translation_, 503, "request.CrashesEngines", "engines went down with this content; it has not run", RunState::NotRun, CrashSuspects::blockTime));
+        context_.metrics_.metrics_.add(context_.metrics_.refused_);
+        line("refused").with("reason", "crashesEngines").with("status", 503).with("afterMs", context_.now() - arrived_);
+        end();
+    }
+
     // Callers leave a stream that gives nothing for seconds; well before, one that is late anyhow is told to come back. One that goes on after
     // a lost engine waits anew: its caller has the first part, and to cut it for want of a slot would waste that.
     TimePoint RelayedRequest::keepUntil() const
@@ -360,11 +377,21 @@
         ready_.append(event.raw_);
     }
 
+    Fingerprint RelayedRequest::content() const
+    {
+        const http::Request& request = exchange_->request();
+        return CrashSuspects::fingerprintOf(request.headers_.find("Host"), request.target_, request.body_);
+    }
+
+    bool RelayedRequest::crashesEngines() const { return !context_.suspects_.blocksNothing() && context_.suspects_.isBlocked(content(), context_.now()); }
+
     void RelayedRequest::onEnd()
     {
         if (phase_ != Phase::Reading)
             return;
         call_ = nullptr;
+        if (!rejected_)
+            context_.suspects_.answered(content(), context_.now());
         // "Bad request, not executed" is the caller's own fault, and the engine's answer says it best.
         const bool isCallersFault = head_.status_ >= 400 && head_.status_ < firstServerError && head_.status_ != 429 && head_.status_ != misdirected;
         if (rejected_ && !isCallersFault)
@@ -443,6 +470,7 @@
         // The head said "not executed" and only the rest of that answer was lost.
         if (rejected_)
             return notExecuted();
+        context_.suspects_.lost(content(), engine_, context_.now());
         context_.failed(engine_, EngineFault::Lost, failure.code_);
         lost(failure.code_);
     }
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -191,6 +191,10 @@
         feed_->peerHas(told.enginesVersion_, now);
     };
     handlers.onGiveWay_ = [this](const GiveWay& ask) { runner_->giveWay(ask.engine_, context_.now()); };
+    handlers.onCrashMark_ = [this](Fingerprint mark, Duration remaining) {
+        log_.line("crashMarkLearned").with("mark", mark.value());
+        context_.suspects_.learned(mark, remaining, context_.now());
+    };
     handlers.onGone_ = [this](NodeId node) {
         board_.forget(node);
         scanAt_ = std::min(scanAt_, context_.now() + scanAfterLoss);
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -44,6 +44,7 @@
     chooseWatching();
     config_->tick(now);
     feed_->tick(now);
+    context_.suspects_.tick(now);
     desk_->setCautious(fleet_->mayBeReplaced());
     desk_->tick(now, wall);
     jobs_->tick(now);
