Serving: words between nodes keep to a budget as the region grows

Cause: each change of what a node runs goes to its whole region, so words grow with the square of the region: worked out, 4,700 a second heard by each of 180 nodes, 5% of a core against 1.4% allowed. The refresh of all words to all nodes each 500 ms alone would be 718 a second at 360 nodes.

Ruled out for now: cells of some ten entries that tell only each other (exact within a cell, but balancers spread callers unevenly, and a cell that is full has to know of the others all the same).

Change: WordPace. While more than 1,000 words a second are heard, own words wait for each other, up to 250 ms; nodes that nobody relies on refresh their word to other regions as often as they tell them loads.

What that costs questions at that size is not measured.

--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -179,9 +179,21 @@
         core_->tick(now, wall);
         runCommands();
     }
+    pace_.tick(now);
     const bool isFarDue = farDirty_ && now - toldFarAt_ >= farPeriod();
-    if (isFarDue || now - refreshedAt_ >= refreshPeriod)
+    if (isFarDue || now - toldFarAt_ >= farRefresh())
         sendWord(true);
+    else if (now - toldNearAt_ >= refreshPeriod)
+        sendWord(false);
+    else
+        sendPendingWord();
+}
+
+// Others rely on hearing of nodes that run jobs or follow the store; of the rest only loads.
+Duration Fleet::farRefresh() const
+{
+    const bool isReliedOn = options_.runsJobs_ || saidWatching_;
+    return isReliedOn ? refreshPeriod : std::max(refreshPeriod, farPeriod());
 }
 
 Duration Fleet::farPeriod() const
@@ -266,13 +278,19 @@
         return;
     tellPending_ = true;
     boost::asio::post(io_, [this, alive = alive_] {
-        if (!*alive)
-            return;
-        tellPending_ = false;
-        sendWord(false);
+        if (*alive)
+            sendPendingWord();
     });
 }
 
+// A word that comes too early goes with a later tick.
+void Fleet::sendPendingWord()
+{
+    if (!tellPending_ || SystemClock().now() < pace_.nextAt())
+        return;
+    sendWord(false);
+}
+
 void Fleet::sendWord(bool toAll)
 {
     NodeTold told = handlers_.ownWord_();
@@ -282,6 +300,10 @@
     told.runsJobs_ = options_.runsJobs_;
     told.leaving_ = leaving_;
     const std::string bytes = encode(options_.key_, PeerDatagram(told));
+    tellPending_ = false;
+    saidWatching_ = told.watching_;
+    toldNearAt_ = now_;
+    pace_.told(SystemClock().now());
     for (const auto& [node, peer] : peers_) {
         if (peer.isLive() && (toAll || peer.region_ == options_.region_))
             sockets_->words_.send(nextPort(peer.at_), bytes);
@@ -290,7 +312,6 @@
         return;
     farDirty_ = false;
     toldFarAt_ = now_;
-    refreshedAt_ = now_;
 }
 
 void Fleet::giveWay(NodeId holder, UpstreamId engine)
@@ -308,6 +329,7 @@
     if (const auto* ask = std::get_if<GiveWay>(&datagram.value()))
         return handlers_.onGiveWay_(*ask);
     const auto& told = std::get<NodeTold>(datagram.value());
+    pace_.heard();
     const auto found = peers_.find(told.use_.node_);
     if (found != peers_.end()) {
         Peer& peer = found->second;
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -8,6 +8,7 @@
 #include "Keepers.h"
 #include "PeerMessages.h"
 #include "WatchChoice.h"
+#include "WordPace.h"
 #include "base/Result.h"
 #include "membership/MembershipCore.h"
 
@@ -70,7 +71,7 @@
     ~Fleet();
 
     void tick(TimePoint now, WallTime wall);
-    // This node's word has changed; it goes out before the loop turns again.
+    // This node's word has changed; it goes out before the loop turns again, or at the region's pace if that is slower.
     void tell();
     void giveWay(NodeId holder, UpstreamId engine);
     using ReplyHandler = std::function<void(Result<PeerReply>)>;
@@ -123,7 +124,9 @@
     void perform(const UpstreamMarkLearned&) { }
     void perform(const RegionReachChanged& command);
     void sendWord(bool toAll);
+    void sendPendingWord();
     Duration farPeriod() const;
+    Duration farRefresh() const;
 
     boost::asio::io_context& io_;
     FleetOptions options_;
@@ -135,10 +138,12 @@
     std::map<NodeId, Peer> peers_;
     std::uint32_t sequence_ = 0;
     std::uint64_t keeperTurn_ = 0; // so that jobs spread over the hosts
-    bool tellPending_ = false;
+    WordPace pace_;
+    bool tellPending_ = false; // a word is to be sent, as soon as the pace allows
     bool farDirty_ = false; // other regions have not heard the last change
     TimePoint toldFarAt_ {};
-    TimePoint refreshedAt_ {};
+    TimePoint toldNearAt_ {};
+    bool saidWatching_ = false;
     TimePoint tickedAt_ {};
     TimePoint startedAt_ {};
     TimePoint now_ {};
--- /dev/null
+++ b/libs/serving/src/WordPace.cpp
@@ -0,0 +1,21 @@
+#include "WordPace.h"
+
+#include <algorithm>
+
+namespace jj {
+
+void WordPace::tick(TimePoint now)
+{
+    const Duration since = now - judgedAt_;
+    if (since < settings_.judgedEvery_)
+        return;
+    const double rate = heard_ / toSeconds(since);
+    if (rate > settings_.mostHeard_)
+        interval_ = std::min<Duration>(interval_ + settings_.step_, settings_.longest_);
+    else if (rate < settings_.mostHeard_ * settings_.easyPart_)
+        interval_ = std::max<Duration>(interval_ - settings_.step_, Duration::zero());
+    heard_ = 0;
+    judgedAt_ = now;
+}
+
+} // namespace jj
