Serving: a relayed request's way and its answer in files of their own

The class has a header of its own now; RelayedRequest.cpp brings a request to an engine, RelayAnswer.cpp answers its caller. Nothing else changes; constants stand with what uses them.

--- /dev/null
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -0,0 +1,257 @@
+// What becomes of a request at its engine, and how its caller is answered.
+#include "RelayedRequest.h"
+
+#include <algorithm>
+
+namespace jj {
+
+namespace {
+
+    // Longer than that nobody can tell what the engines will be doing.
+    constexpr Duration mostRetryAfter = 1500ms;
+    // Callers wait for at most a third of what they have left.
+    constexpr int retryShare = 3;
+
+    constexpr int statusOk = 200;
+    constexpr int firstNonSuccess = 300;
+    constexpr int firstServerError = 500;
+    constexpr int misdirected = 421;
+
+} // namespace
+
+// ---- the engine's answer
+
+void RelayedRequest::onHead(const http::ResponseHead& head)
+{
+    if (phase_ != Phase::Sent)
+        return;
+    phase_ = Phase::Reading;
+    head_ = head;
+    context_.observe(engine_, head.headers_);
+    rejected_ = head.headers_.has(context_.translation_.headers_.notExecuted_) || head.status_ == misdirected;
+}
+
+void RelayedRequest::onData(std::string_view data)
+{
+    if (phase_ != Phase::Reading)
+        return;
+    const bool streams = isStream() && head_.status_ == statusOk && !rejected_;
+    if (!streams) {
+        body_.append(data);
+        return;
+    }
+    scanner_.feed(data, [this](const StreamEvent& event) { onEvent(event); });
+    if (phase_ != Phase::Reading || ready_.empty())
+        return;
+    exchange_->write(ready_);
+    ready_.clear();
+}
+
+void RelayedRequest::onEvent(const StreamEvent& event)
+{
+    if (phase_ != Phase::Reading)
+        return;
+    // A run that doesn't go on behind the last event would leave a hole or say things twice.
+    const bool isOutOfStep = started_ && lastEvent_ && event.id_ && *event.id_ != *lastEvent_ + 1;
+    if (isOutOfStep) {
+        line("streamOutOfStep").with("expected", *lastEvent_ + 1).with("got", *event.id_);
+        return lost(http::Error::Malformed);
+    }
+    if (!started_) {
+        started_ = true;
+        context_.board_.succeeded(engine_, context_.now());
+        exchange_->start(head_.status_, passedHeaders(head_.headers_));
+        context_.metrics_.metrics_.observe(context_.metrics_.firstEvent_, toMilliseconds(context_.now() - arrived_));
+        line("firstEvent").with("afterMs", context_.now() - arrived_).with("engineMs", context_.now() - sentAt_);
+    }
+    if (event.id_)
+        lastEvent_ = event.id_;
+    ready_.append(event.raw_);
+}
+
+void RelayedRequest::onEnd()
+{
+    if (phase_ != Phase::Reading)
+        return;
+    call_ = nullptr;
+    if (!rejected_)
+        context_.suspects_.answered(content(), context_.now());
+    // "Bad request, not executed" is the caller's own fault, and the engine's answer says it best.
+    const bool isCallersFault = head_.status_ >= 400 && head_.status_ < firstServerError && head_.status_ != 429 && head_.status_ != misdirected;
+    if (rejected_ && !isCallersFault)
+        return notExecuted();
+    if (head_.status_ >= firstServerError)
+        context_.failed(engine_, EngineFault::Failure, {});
+    else
+        context_.board_.succeeded(engine_, context_.now());
+    if (isStream() && head_.status_ == statusOk)
+        return finishStream();
+    const bool mayRunAgain = head_.status_ >= firstServerError && route_.isRepeatable() && runs_ < route_.maxAttempts_ && left() > Duration::zero() && !started_;
+    if (mayRunAgain) {
+        line("runAgain").with("status", head_.status_).with("runs", runs_);
+        leaveEngine();
+        context_.metrics_.metrics_.add(context_.metrics_.resent_);
+        return dispatch();
+    }
+    passWhole();
+}
+
+void RelayedRequest::passWhole()
+{
+    if (started_)
+        return lost(http::Error::Truncated); // a failure in place of the rest of a stream
+    http::Response response { head_.status_, passedHeaders(head_.headers_), std::move(body_) };
+    exchange_->respond(response);
+    const bool isSuccess = head_.status_ < firstNonSuccess;
+    if (isSuccess) {
+        context_.board_.measured(context_.now() - sentAt_);
+        context_.metrics_.metrics_.observe(context_.metrics_.firstEvent_, toMilliseconds(context_.now() - arrived_));
+    }
+    context_.metrics_.metrics_.add(isSuccess ? context_.metrics_.answered_ : context_.metrics_.failed_);
+    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrived_).with("runs", runs_);
+    end();
+}
+
+void RelayedRequest::finishStream()
+{
+    if (!started_) {
+        exchange_->start(head_.status_, passedHeaders(head_.headers_));
+        started_ = true;
+    }
+    if (!scanner_.rest().empty())
+        exchange_->write(scanner_.rest());
+    exchange_->end();
+    context_.board_.measured(context_.now() - sentAt_);
+    context_.metrics_.metrics_.add(context_.metrics_.answered_);
+    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrived_).with("runs", runs_).with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1);
+    end();
+}
+
+void RelayedRequest::notExecuted()
+{
+    line("notExecuted").with("status", head_.status_).with("offer", offers_);
+    if (head_.status_ == misdirected)
+        context_.failed(engine_, EngineFault::NotConnected, {});
+    else
+        context_.board_.refusedAsFull(engine_, context_.now());
+    --runs_;
+    leaveEngine();
+    dispatch();
+}
+
+void RelayedRequest::onError(const http::CallFailure& failure)
+{
+    if (phase_ != Phase::Sent && phase_ != Phase::Reading)
+        return;
+    call_ = nullptr;
+    if (failure.run_ == RunState::NotRun) {
+        line("notConnected").with("error", failure.code_.message()).with("offer", offers_);
+        context_.failed(engine_, EngineFault::NotConnected, failure.code_);
+        --runs_;
+        leaveEngine();
+        return dispatch();
+    }
+    // The head said "not executed" and only the rest of that answer was lost.
+    if (rejected_)
+        return notExecuted();
+    context_.suspects_.lost(content(), engine_, context_.now());
+    context_.failed(engine_, EngineFault::Lost, failure.code_);
+    lost(failure.code_);
+}
+
+// The engine may have run it, and its answer is gone or can't be used.
+void RelayedRequest::lost(std::error_code error)
+{
+    const bool mayGoOn = route_.isRepeatable() && runs_ < std::max(route_.maxAttempts_, 1U) && left() > Duration::zero() && (isStream() || !started_);
+    line("answerLost").with("error", error.message()).with("runs", runs_).with("started", started_ ? "yes" : "no").with("goesOn", mayGoOn ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1);
+    if (!ready_.empty()) {
+        exchange_->write(ready_);
+        ready_.clear();
+    }
+    leaveEngine();
+    const bool wasAsked = phase_ != Phase::Picking;
+    if (mayGoOn && wasAsked) {
+        context_.metrics_.metrics_.add(context_.metrics_.resent_);
+        return dispatch();
+    }
+    if (!started_)
+        return fail(502, "engine.AnswerLost", "the engine's answer was lost; the request may have run", RunState::OutcomeUnknown);
+    exchange_->abort();
+    context_.metrics_.metrics_.add(context_.metrics_.brokenOff_);
+    end();
+}
+
+// ---- ends
+
+void RelayedRequest::refuse(std::string_view reason, Duration wait)
+{
+    const Duration most = std::min<Duration>(mostRetryAfter, left() / retryShare);
+    const Duration rest = context_.line_->refused(service_, wait, context_.now());
+    const Duration retry = std::clamp<Duration>(rest, std::min(leastRetryAfter, most), std::max(most, Duration(1ms)));
+    exchange_->respond(refusal(context_.translation_, 503, "overload.NoSlot", "no engine can take the request in time; it has not run", RunState::NotRun, retry));
+    context_.metrics_.metrics_.add(context_.metrics_.refused_);
+    line("refused").with("reason", reason).with("status", 503).with("retryAfterMs", retry).with("afterMs", context_.now() - arrived_);
+    end();
+}
+
+void RelayedRequest::fail(int status, std::string_view code, std::string_view message, RunState run)
+{
+    exchange_->respond(refusal(context_.translation_, status, code, message, run, {}));
+    context_.metrics_.metrics_.add(context_.metrics_.failed_);
+    line("failed").with("status", status).with("code", code).with("afterMs", context_.now() - arrived_).with("runs", runs_);
+    end();
+}
+
+void RelayedRequest::onTimeout()
+{
+    if (phase_ == Phase::Ended)
+        return;
+    line("timedOut").with("runs", runs_).with("started", started_ ? "yes" : "no");
+    const bool ran = mayHaveRun();
+    leaveEngine();
+    if (started_) {
+        exchange_->abort();
+        context_.metrics_.metrics_.add(context_.metrics_.brokenOff_);
+        return end();
+    }
+    if (ran)
+        return fail(504, "request.TimedOut", "no answer within the request's time; it may have run", RunState::OutcomeUnknown);
+    refuse("timedOut", leastRetryAfter);
+}
+
+void RelayedRequest::onCallerLeft()
+{
+    if (phase_ == Phase::Ended)
+        return;
+    line("callerLeft").with("afterMs", context_.now() - arrived_).with("started", started_ ? "yes" : "no").with("runs", runs_);
+    context_.metrics_.metrics_.add(context_.metrics_.left_);
+    leaveEngine();
+    end();
+}
+
+void RelayedRequest::leaveEngine()
+{
+    if (!ticket_.isNone()) {
+        context_.line_->leave(ticket_);
+        ticket_ = LineTicket::none();
+    }
+    if (engine_.isNone())
+        return;
+    if (call_)
+        call_->cancel();
+    call_ = nullptr;
+    context_.board_.ended(engine_, WorkClass::Question);
+    engine_ = UpstreamId::none();
+    context_.line_->slotEnded();
+    context_.fleet_->tell();
+}
+
+void RelayedRequest::end()
+{
+    leaveEngine();
+    phase_ = Phase::Ended;
+    timer_.cancel();
+    slotTimer_.cancel();
+}
+
+} // namespace jj
