Ledger: an owner that may have been replaced asks the store half as often

What the store says was trusted for 500 ms after its answer, and callers read each 500 ms.

Ruled out: less caution (a node that can't hear a peer may have lost its jobs to it at any time); one list of all heads in place of single reads (at 960 heads the bytes between zones cost as much).

Change: trusted for 900 ms, counted from when the store was asked, since what one node has answered all others must know a second later. The time until a store call is tried again is a setting of its own and stays at 500 ms.

Calls of the store: not measured apart yet.

--- a/libs/ledger/src/DeskJob.h
+++ b/libs/ledger/src/DeskJob.h
@@ -60,12 +60,13 @@
     TimePoint pendingSince_ {};
     std::vector<JobResult> committing_; // in the create of page pages_ that is under way
     bool isCommitting_ = false;
+    TimePoint commitSentAt_ {};
     TimePoint commitAgainAt_ {};
 
     std::vector<Reader> readers_;
     bool suspect_ = false; // another node may own the job by now
     TimePoint askAgainAt_ {};
-    TimePoint checkedAt_ {}; // when the store last confirmed that nobody does
+    TimePoint checkedAt_ {}; // when the store was asked that last confirmed that nobody does
     TimePoint lastUse_ {};
     bool stateChanging_ = false; // an update of the head is under way
     std::vector<Ender> enders_; // callers who asked for the end and have no answer yet
--- a/libs/ledger/src/DeskRuns.cpp
+++ b/libs/ledger/src/DeskRuns.cpp
@@ -196,6 +196,7 @@
 void JobDesk::commit(const JobPtr& job, TimePoint now)
 {
     job->isCommitting_ = true;
+    job->commitSentAt_ = now;
     job->committing_ = std::exchange(job->pending_, {});
     store(ObjectCall::create(resultPageKey(job->name_, job->pages_), encode(job->committing_)), CallClass::Commit, now + settings_.patience_, [this, job](const SettledAnswer& answer, TimePoint at) {
         if (owned(job->name_) == job.get())
@@ -208,7 +209,7 @@
     job->isCommitting_ = false;
     if (answer.ok()) {
         ++job->pages_;
-        job->checkedAt_ = now;
+        job->checkedAt_ = std::max(job->checkedAt_, job->commitSentAt_);
         applyResults(job, std::exchange(job->committing_, {}));
         note(DeskNote::Listed, job->name_, {}, job->listed_.size());
         answerReaders(job, now, false);
@@ -219,7 +220,7 @@
     if (answer.is(ObjectError::Conflict))
         return settleConflict(job, now);
     note(DeskNote::StoreFailed, job->name_, {}, job->pages_, answer.answer_.error_);
-    job->commitAgainAt_ = now + settings_.trustedFor_;
+    job->commitAgainAt_ = now + settings_.storeRetry_;
 }
 
 // Another owner has written this page: what it lists stands, and this node goes on behind it, if it still owns the job.
@@ -234,7 +235,7 @@
         auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
         if (!results) {
             note(DeskNote::StoreFailed, job->name_, {}, job->pages_, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
-            job->commitAgainAt_ = at + settings_.trustedFor_;
+            job->commitAgainAt_ = at + settings_.storeRetry_;
             return;
         }
         ++job->pages_;
@@ -277,7 +278,7 @@
             return then(true, at);
         }
         // Another node changed the head, or the store is away: what stands is read before it is tried again.
-        job->commitAgainAt_ = at + settings_.trustedFor_;
+        job->commitAgainAt_ = at + settings_.storeRetry_;
         refresh(job, at, [](bool, TimePoint) {});
         then(false, at);
     });
--- a/libs/ledger/src/JobDesk.cpp
+++ b/libs/ledger/src/JobDesk.cpp
@@ -122,7 +122,7 @@
         if (answer.is(ObjectError::NotFound) && at - job->loadStarted_ > settings_.itemsBound_)
             return makeVoid(job, at);
         note(DeskNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
-        job->commitAgainAt_ = at + settings_.trustedFor_; // tick() loads again from the start
+        job->commitAgainAt_ = at + settings_.storeRetry_; // tick() loads again from the start
         job->items_.clear();
         job->byId_.clear();
     });
@@ -148,7 +148,7 @@
         auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
         if (!results) {
             note(DeskNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
-            job->commitAgainAt_ = at + settings_.trustedFor_;
+            job->commitAgainAt_ = at + settings_.storeRetry_;
             return;
         }
         job->pages_ = page + 1;
@@ -174,14 +174,14 @@
         if (answer.is(ObjectError::Conflict))
             return loadResults(job, page, at);
         note(DeskNote::StoreFailed, job->name_, {}, page, answer.answer_.error_);
-        job->commitAgainAt_ = at + settings_.trustedFor_;
+        job->commitAgainAt_ = at + settings_.storeRetry_;
     });
 }
 
 void JobDesk::loaded(const JobPtr& job, TimePoint now)
 {
     job->loaded_ = true;
-    job->checkedAt_ = now;
+    job->checkedAt_ = job->loadStarted_;
     for (auto& [id, progress] : job->progress_) {
         const auto found = job->byId_.find(id);
         if (found == job->byId_.end() || job->items_[found->second].state_ != ItemState::Waiting)
@@ -321,7 +321,7 @@
 // Asks the store who owns the job and what is listed. `known`: this node does, and holds all that is listed.
 void JobDesk::refresh(const JobPtr& job, TimePoint now, std::function<void(bool, TimePoint)> then)
 {
-    lookUp(job->name_, now, [this, job, then = std::move(then)](ReadOutcome outcome, const JobHead& head, ObjectVersion version, TimePoint at) {
+    lookUp(job->name_, now, [this, job, now, then = std::move(then)](ReadOutcome outcome, const JobHead& head, ObjectVersion version, TimePoint at) {
         if (owned(job->name_) != job.get())
             return then(false, at);
         if (outcome == ReadOutcome::Unsure)
@@ -337,7 +337,7 @@
             stopRuns(job, false);
         }
         job->suspect_ = false;
-        job->checkedAt_ = at;
+        job->checkedAt_ = std::max(job->checkedAt_, now);
         then(true, at);
     });
 }
@@ -442,7 +442,7 @@
         // What another owner has begun meanwhile is not to be run a second time.
         const bool mustAsk = job->isOpen() && job->suspect_ && now >= job->askAgainAt_;
         if (mustAsk) {
-            job->askAgainAt_ = now + settings_.trustedFor_;
+            job->askAgainAt_ = now + settings_.storeRetry_;
             refresh(job, now, [](bool, TimePoint) {});
             if (owned(job->name_) != job.get())
                 continue;
