Serving: news spreads from node to node in place of from one to all

All nodes that are behind asked the one that is ahead of all; worked out, 40 KB for 295 nodes fill a link of 30 Mbit/s for 3 s, askers give up after 0.6 s and ask again, and 0.9 MB of engines for each never arrive.

Ruled out: the store (acknowledged within 150 ms), entries' processors (26%).

Change: NewsSpread. Who is behind asks any of those that are ahead, near ones first, the newer of two; a node takes no more askers than its link can answer soon and tells the others at once to ask elsewhere. Passive nodes ask at most each 400 ms while engines register one by one.

Before and after, model of links (NewsSpreadTest, 300 nodes): 40 KB to all in over 3 s, now under 1 s; 0.9 MB to all in over 30 s, now under 8 s.

--- a/libs/serving/src/ConfigFollower.cpp
+++ b/libs/serving/src/ConfigFollower.cpp
@@ -31,7 +31,8 @@
         return;
     peerVersion_ = peerVersion;
     peerAheadSince_ = now;
-    if (!passive_)
+    // While engines register there are new versions all the time; tick() asks again.
+    if (!passive_ || now - askedAt_ < times_.askEvery_)
         return;
     askedAt_ = now;
     askPeer_();
--- a/libs/serving/src/EngineFeed.cpp
+++ b/libs/serving/src/EngineFeed.cpp
@@ -40,7 +40,8 @@
         return;
     peerVersion_ = version;
     peerAheadSince_ = now;
-    if (!passive_)
+    // While engines register there are new versions all the time; tick() asks again.
+    if (!passive_ || now - askedAt_ < times_.askEvery_)
         return;
     askedAt_ = now;
     askPeer_();
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -229,7 +229,7 @@
 template <class Archive>
 void serialize(Archive& archive, NewsTold& told)
 {
-    archive(told.config_, told.engines_);
+    archive(told.config_, told.engines_, told.isBusy_);
 }
 
 template <class Archive>
@@ -302,4 +302,13 @@
 Result<PeerCall> decodeCall(const WireKey& key, std::string_view bytes) { return decodeAs<PeerCall>(key, callLabel, bytes); }
 Result<PeerReply> decodeReply(const WireKey& key, std::string_view bytes) { return decodeAs<PeerReply>(key, replyLabel, bytes); }
 
+std::size_t EngineNews::bytes() const
+{
+    constexpr std::size_t frame = 40; // lengths, versions and keys
+    std::size_t sum = (entries_.size() + removed_.size() + missing_.size()) * frame;
+    for (const ObjectEntry& entry : entries_)
+        sum += entry.value_.size();
+    return sum;
+}
+
 } // namespace jj
--- a/libs/serving/src/PeerMessages.h
+++ b/libs/serving/src/PeerMessages.h
@@ -89,10 +89,14 @@
     std::vector<ObjectEntry> entries_; // with values, as the store holds them
     std::vector<std::string> removed_; // keys
     std::vector<MissingEngine> missing_;
+
+    // About what it takes on the wire.
+    std::size_t bytes() const;
 };
 struct NewsTold {
     std::string config_; // as the store holds it; empty: none newer
     EngineNews engines_;
+    bool isBusy_ = false; // nothing is told: the sender has too many askers, and another peer has the same
 };
 struct AdoptTold {
     bool taken_ = false;
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -82,6 +82,7 @@
     , counts_(metrics_)
     , incarnation_(static_cast<std::uint64_t>(SystemClock().wallNow().time_since_epoch().count()))
     , seed_(mixHash(hash64(settings.name_), incarnation_.value()))
+    , random_(seed_)
     , board_(CapacitySettings(), selfOf(settings), idFromName<RegionId>(settings.region_), idFromName<FailureDomainId>(settings.domain_), seed_)
     , engines_(io_, { .connectTime_ = 250ms, .pooledIdle_ = 12s, .pooledPerEndpoint_ = 32, .headerBytes_ = 32 * 1024, .bodyBytes_ = 16 * 1024 * 1024 })
     , context_ { io_, settings_, translation_, log_, counts_, board_, engines_ }
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -6,6 +6,7 @@
 #include "EngineFeed.h"
 #include "ItemRunner.h"
 #include "JobFront.h"
+#include "NewsSpread.h"
 #include "Relay.h"
 #include "RetirementDuty.h"
 #include "SlotLine.h"
@@ -15,6 +16,7 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <random>
 #include <set>
 
 namespace jj {
@@ -54,6 +56,7 @@
     void beginDrain();
     void continueDrain(TimePoint now);
     NodeId anyPeer(bool ownRegionFirst);
+    void tellNews(const NewsAsk& ask, const std::function<void(PeerReply)>& reply);
 
     ServingSettings settings_;
     const Translation& translation_;
@@ -64,6 +67,7 @@
     ServingMetrics counts_;
     Incarnation incarnation_;
     std::uint64_t seed_;
+    std::mt19937_64 random_;
     WireKey key_;
     CapacityBoard board_;
     http::Client engines_;
@@ -93,6 +97,8 @@
     TimePoint summarizedAt_ {};
     bool watching_ = false;
     bool askingNews_ = false;
+    TimePoint newsAgainAt_ = neverTime;
+    NewsBudget newsBudget_;
     bool freshScan_ = true; // the next scan must not be stale
     bool draining_ = false;
     bool listening_ = true;
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -18,6 +18,8 @@
     // Every job node lists the jobs' heads so often, from stale data: an orphan whose owner is known to be dead is found at once.
     constexpr Duration scanPeriod = 4s;
     constexpr Duration newsBound = 600ms;
+    // A peer that has too many askers, or is gone: another one is asked after about so long.
+    constexpr Duration busyRetry = 100ms;
     constexpr Duration notReadyRetry = 300ms;
 
 } // namespace
@@ -44,6 +46,8 @@
     chooseWatching();
     config_->tick(now);
     feed_->tick(now);
+    if (now >= newsAgainAt_)
+        askForNews();
     context_.suspects_.tick(now);
     desk_->setCautious(fleet_->mayBeReplaced());
     desk_->tick(now, wall);
@@ -167,22 +171,14 @@
     return true;
 }
 
-// The peer that knows most, or any peer when none is ahead.
 NodeId ServingNode::Parts::newsSource()
 {
-    NodeId best = NodeId::none();
-    std::uint64_t bestEngines = catalog_->version();
-    std::uint64_t bestConfig = config_->version();
+    std::vector<NewsPeer> known;
     for (const auto& [node, peer] : fleet_->peers()) {
-        if (!peer.isLive() || peer.enginesVersion_ < bestEngines || peer.configVersion_ < bestConfig)
-            continue;
-        if (peer.enginesVersion_ == bestEngines && peer.configVersion_ == bestConfig)
-            continue;
-        best = node;
-        bestEngines = peer.enginesVersion_;
-        bestConfig = peer.configVersion_;
+        if (peer.isLive())
+            known.push_back({ node, peer.region_ == fleet_->region(), peer.configVersion_, peer.enginesVersion_ });
     }
-    return best.isNone() ? anyPeer(true) : best;
+    return pickNewsSource(known, config_->version(), catalog_->version(), random_);
 }
 
 void ServingNode::Parts::askForNews()
@@ -191,11 +187,15 @@
     if (peer.isNone() || askingNews_)
         return;
     askingNews_ = true;
+    newsAgainAt_ = neverTime;
     fleet_->ask(peer, NewsAsk { config_->version(), catalog_->version() }, newsBound, [this](const Result<PeerReply>& reply) {
         askingNews_ = false;
         const auto* told = reply ? std::get_if<NewsTold>(&reply.value()) : nullptr;
-        if (!told)
+        if (!told || told->isBusy_) {
+            // Not all at the same moment.
+            newsAgainAt_ = context_.now() + std::chrono::milliseconds(std::uniform_int_distribution<int>(busyRetry / 2ms, busyRetry * 3 / 2ms)(random_));
             return;
+        }
         if (!told->config_.empty())
             config_->take(told->config_, "peer");
         catalog_->take(told->engines_, context_.now());
@@ -203,6 +203,19 @@
     });
 }
 
+void ServingNode::Parts::tellNews(const NewsAsk& ask, const std::function<void(PeerReply)>& reply)
+{
+    const TimePoint now = context_.now();
+    if (!newsBudget_.mayTell(now)) {
+        NewsTold busy;
+        busy.isBusy_ = true;
+        return reply(busy);
+    }
+    NewsTold told { config_->version() > ask.configVersion_ ? config_->value() : std::string(), catalog_->newsSince(ask.enginesVersion_, now), false };
+    newsBudget_.told(told.config_.size() + told.engines_.bytes(), now);
+    reply(std::move(told));
+}
+
 // Watchers follow the store; the others hear from them.
 void ServingNode::Parts::chooseWatching()
 {
@@ -223,7 +236,7 @@
         return store_->direct(ask->call_, [reply](ObjectAnswer answer) { reply(std::move(answer)); });
     }
     if (const auto* ask = std::get_if<NewsAsk>(&call))
-        return reply(NewsTold { config_->version() > ask->configVersion_ ? config_->value() : std::string(), catalog_->newsSince(ask->enginesVersion_, now) });
+        return tellNews(*ask, reply);
     if (auto* ask = std::get_if<AdoptAsk>(&call)) {
         desk_->adopt(std::move(ask->job_), now, SystemClock().wallNow());
         runner_->pump(now);
--- /dev/null
+++ b/libs/serving/tests/NewsSpreadTest.cpp
@@ -0,0 +1,107 @@
+// How long until all nodes of a large fleet have what four of them know.
+//
+// The load: 300 nodes with links of 30 Mbit/s, two watchers in each of two regions. A configuration of 40 KB changes; or all nodes were
+// killed at once and each needs the whole list of 3,000 engines, 0.9 MB. A word reaches everybody 50 ms after its sender's change. Who
+// gets no byte for 600 ms asks again.
+#include "NewsSpread.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <random>
+#include <vector>
+
+using namespace jj;
+
+namespace {
+
+constexpr std::size_t nodes = 300;
+constexpr std::size_t watchers = 4;
+constexpr double linkBytesPerSecond = 30e6 / 8;
+constexpr Duration wordDelay = 50ms;
+constexpr Duration giveUpAfter = 600ms;
+constexpr Duration askEvery = 400ms;
+constexpr Duration askElsewhere = 100ms;
+
+enum class Rule : std::uint8_t {
+    AskTheNewest, // all ask the same node
+    Spread,
+};
+
+Duration timeToAll(Rule rule, std::size_t bytes)
+{
+    struct Node {
+        TimePoint knowsAt_ = neverTime;
+        TimePoint linkFreeAt_ {};
+        TimePoint asksAt_ {};
+        NewsBudget budget_;
+    };
+    std::mt19937_64 random(11);
+    std::vector<Node> all(nodes);
+    for (std::size_t watcher = 0; watcher < watchers; ++watcher)
+        all[watcher * 50].knowsAt_ = TimePoint();
+    const Duration sendTime = fromSeconds(static_cast<double>(bytes) / linkBytesPerSecond);
+    std::size_t known = watchers;
+    for (TimePoint now = TimePoint() + wordDelay; now < TimePoint() + 60s; now += 10ms) {
+        std::vector<NewsPeer> heard;
+        for (std::size_t index = 0; index < nodes; ++index) {
+            const bool isHeard = all[index].knowsAt_ != neverTime && now - all[index].knowsAt_ >= wordDelay;
+            heard.push_back({ NodeId(index + 1), index < nodes / 2, isHeard ? 1U : 0U, 0 });
+        }
+        for (std::size_t index = 0; index < nodes; ++index) {
+            Node& node = all[index];
+            if (node.knowsAt_ != neverTime || now < node.asksAt_)
+                continue;
+            const std::size_t source = rule == Rule::AskTheNewest ? 0 : pickNewsSource(heard, 0, 0, random).value() - 1;
+            Node& from = all[source];
+            if (from.knowsAt_ == neverTime || now < from.knowsAt_) {
+                node.asksAt_ = now + askEvery;
+                continue;
+            }
+            if (rule == Rule::Spread && !from.budget_.mayTell(now)) {
+                node.asksAt_ = now + askElsewhere;
+                continue;
+            }
+            from.budget_.told(bytes, now);
+            const TimePoint begins = std::max(from.linkFreeAt_, now);
+            from.linkFreeAt_ = begins + sendTime;
+            if (begins - now > giveUpAfter) {
+                node.asksAt_ = now + giveUpAfter;
+                continue;
+            }
+            node.knowsAt_ = from.linkFreeAt_;
+            ++known;
+        }
+        const bool isDone = known == nodes && std::ranges::all_of(all, [now](const Node& node) { return node.knowsAt_ <= now; });
+        if (isDone)
+            return now - TimePoint();
+    }
+    return 60s;
+}
+
+} // namespace
+
+TEST_CASE("a configuration reaches 300 nodes within a second")
+{
+    CHECK(timeToAll(Rule::AskTheNewest, 40'000) > 3s);
+    CHECK(timeToAll(Rule::Spread, 40'000) < 1s);
+}
+
+TEST_CASE("the whole list of 3,000 engines reaches 300 nodes within some seconds")
+{
+    CHECK(timeToAll(Rule::AskTheNewest, 900'000) > 30s);
+    CHECK(timeToAll(Rule::Spread, 900'000) < 8s);
+}
+
+TEST_CASE("who is behind asks those that are ahead, near ones first, and anybody when none is")
+{
+    std::mt19937_64 random(3);
+    const NewsPeer behind { NodeId(1), true, 1, 5 };
+    const NewsPeer far { NodeId(2), false, 2, 5 };
+    const NewsPeer near { NodeId(3), true, 1, 6 };
+    for (int turn = 0; turn < 20; ++turn) {
+        CHECK(pickNewsSource({ behind, far, near }, 1, 5, random) == NodeId(3));
+        CHECK(pickNewsSource({ behind, far }, 1, 5, random) == NodeId(2));
+        CHECK(pickNewsSource({ behind }, 1, 5, random) == NodeId(1));
+    }
+    CHECK(pickNewsSource({}, 1, 5, random).isNone());
+}
