--- a/build.sh
+++ b/build.sh
@@ -85,6 +85,7 @@
   build
   lint
   scripts/check-platform-names.sh
+  scripts/check-events.sh
   [ ! -x scripts/check-invariants.sh ] || scripts/check-invariants.sh
   unit
 }
