Serving, ledger: Fleet's questions about peers and a test in files of their own

What follows from who lives (owners, watchers, keepers) needs no socket and stands in FleetPeers.cpp; the test of a replaced owner in ReplacedOwnerTest.cpp, unchanged.

--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -1,7 +1,6 @@
 // Sockets around the membership core, and the words that nodes tell each other.
 #include "Fleet.h"
 
-#include "base/Hash.h"
 #include "http/Client.h"
 #include "http/Server.h"
 #include "wire/DatagramCodec.h"
@@ -29,12 +28,6 @@
     constexpr Duration longestRefresh = 900ms;
     // Between words to other cells of the region: at 180 nodes each hears 400 a second of them at most.
     constexpr Duration regionPeriodPerNode = 2ms;
-    // At start nobody is known; by then membership has met everybody who lives.
-    constexpr Duration settleTime = 4s;
-    // A word that is so fresh proves more than a probe that failed.
-    constexpr Duration freshWord = 1200ms;
-    // A host that died with jobs on its disk brings them when it is back; by then the others that keep them have done so.
-    constexpr Duration keptJobsRemembered = 60s;
     constexpr std::size_t datagramBytes = 2048;
     constexpr std::size_t callBytes = 16 * 1024 * 1024;
     constexpr std::string_view callPath = "/peer";
@@ -411,93 +404,4 @@
     runCommands();
 }
 
-// ---- who lives
-
-bool Fleet::isLive(NodeId node) const
-{
-    if (node == self_)
-        return true;
-    const auto found = peers_.find(node);
-    if (found == peers_.end())
-        return now_ - startedAt_ < settleTime;
-    return found->second.isLive() || now_ - found->second.heardAt_ < freshWord;
-}
-
-std::vector<NodeId> Fleet::livePeers() const
-{
-    std::vector<NodeId> live;
-    for (const auto& [node, peer] : peers_) {
-        if (peer.isLive())
-            live.push_back(node);
-    }
-    return live;
-}
-
-RegionId Fleet::regionOf(NodeId node) const
-{
-    const auto found = peers_.find(node);
-    return found == peers_.end() ? options_.region_ : found->second.region_;
-}
-
-NodeId Fleet::preferredOwner(std::string_view job, NodeId former) const
-{
-    const RegionId region = former == self_ || former.isNone() ? options_.region_ : regionOf(former);
-    const std::uint64_t jobHash = hash64(job);
-    // In order: runs jobs and stands in the region, runs jobs, any node.
-    std::array<std::pair<std::uint64_t, NodeId>, 3> best {};
-    const auto consider = [&](NodeId node, RegionId nodeRegion, bool runsJobs) {
-        const std::uint64_t weight = mixHash(jobHash, node.value());
-        const std::size_t rank = !runsJobs ? 2 : nodeRegion == region ? 0
-                                                                      : 1;
-        if (best[rank].second.isNone() || weight > best[rank].first)
-            best[rank] = { weight, node };
-    };
-    if (!leaving_)
-        consider(self_, options_.region_, options_.runsJobs_);
-    for (const auto& [node, peer] : peers_) {
-        if (peer.isLive() && !peer.leaving_)
-            consider(node, peer.region_, peer.runsJobs_);
-    }
-    for (const auto& [weight, node] : best) {
-        if (!node.isNone())
-            return node;
-    }
-    return NodeId::none();
-}
-
-std::vector<WatchPeer> Fleet::watchPeers() const
-{
-    std::vector<WatchPeer> found;
-    found.reserve(peers_.size());
-    for (const auto& [node, peer] : peers_) {
-        const bool mayWatch = peer.isLive() && !peer.leaving_ && peer.region_ == options_.region_;
-        found.push_back({ node, mayWatch, peer.watching_ && now_ - peer.heardAt_ < freshWord });
-    }
-    return found;
-}
-
-std::vector<NodeId> Fleet::keepersOf(const TolerableLosses& losses)
-{
-    std::vector<KeeperCandidate> candidates;
-    for (const auto& [node, peer] : peers_) {
-        const bool isHeard = now_ - peer.heardAt_ < freshWord;
-        if (peer.isLive() && isHeard && !peer.leaving_ && peer.keepsJobs_)
-            candidates.push_back({ node, peer.domain_, peer.region_, peer.region_ == options_.region_ });
-    }
-    return chooseKeepers(std::move(candidates), losses, mixHash(self_.value(), ++keeperTurn_));
-}
-
-bool Fleet::anyKeepsJobs() const
-{
-    return std::any_of(peers_.begin(), peers_.end(), [this](const auto& entry) { return entry.second.keptJobs_ > 0 && now_ - entry.second.heardAt_ < keptJobsRemembered; });
-}
-
-bool Fleet::mayBeReplaced() const
-{
-    return std::any_of(peers_.begin(), peers_.end(), [this](const auto& entry) {
-        const Peer& peer = entry.second;
-        return peer.runsJobs_ && peer.state_ != MemberState::Left && now_ - peer.heardAt_ > freshWord && now_ - peer.heardAt_ < 60s;
-    });
-}
-
 } // namespace jj
