--- a/libs/serving/src/Cells.cpp
+++ b/libs/serving/src/Cells.cpp
@@ -1,3 +1,4 @@
+// A power of two, and a hash of each name.
 #include "Cells.h"
 
 #include "base/Hash.h"
--- a/libs/serving/src/CrashSuspects.cpp
+++ b/libs/serving/src/CrashSuspects.cpp
@@ -1,3 +1,4 @@
+// Losses wait for evidence; marks and answers decide.
 #include "CrashSuspects.h"
 
 #include "base/Hash.h"
--- a/libs/serving/src/EngineCatalog.cpp
+++ b/libs/serving/src/EngineCatalog.cpp
@@ -1,3 +1,4 @@
+// What changes bring in, and what news between nodes carry out.
 #include "EngineCatalog.h"
 
 #include <algorithm>
--- a/libs/serving/src/NewsSpread.cpp
+++ b/libs/serving/src/NewsSpread.cpp
@@ -1,3 +1,4 @@
+// One choice and one budget; ServingTurn.cpp asks and tells.
 #include "NewsSpread.h"
 
 #include <algorithm>
--- a/libs/serving/src/Relay.cpp
+++ b/libs/serving/src/Relay.cpp
@@ -1,3 +1,4 @@
+// Each request looks after itself.
 #include "Relay.h"
 
 #include "RelayedRequest.h"
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -211,7 +211,10 @@
         busy.isBusy_ = true;
         return reply(busy);
     }
-    NewsTold told { config_->version() > ask.configVersion_ ? config_->value() : std::string(), catalog_->newsSince(ask.enginesVersion_, now), false };
+    NewsTold told;
+    if (config_->version() > ask.configVersion_)
+        told.config_ = config_->value();
+    told.engines_ = catalog_->newsSince(ask.enginesVersion_, now);
     newsBudget_.told(told.config_.size() + told.engines_.bytes(), now);
     reply(std::move(told));
 }
--- a/libs/serving/src/WatchChoice.cpp
+++ b/libs/serving/src/WatchChoice.cpp
@@ -1,3 +1,4 @@
+// Places in one order decide; so do what is heard and for how long it wasn't.
 #include "WatchChoice.h"
 
 #include "base/Hash.h"
--- a/libs/serving/src/WordPace.cpp
+++ b/libs/serving/src/WordPace.cpp
@@ -1,3 +1,4 @@
+// A step slower while too much is heard, a step faster while it is quiet.
 #include "WordPace.h"
 
 #include <algorithm>
