--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -133,8 +133,8 @@
     void setFirm(UpstreamId engine, std::uint16_t items);
     // How many questions wait here for a slot of the service.
     void setWaiting(std::string_view service, std::uint16_t count);
-    // This node's batch work for a service; due times count from `now`.
-    void setItems(std::string_view service, ItemsWaiting items, TimePoint now);
+    // How many batch items wait here that can still be in time, and when the first of them is due.
+    void setItemsWaiting(std::string_view service, std::uint16_t count, TimePoint firstDue);
     // What this node tells the others; node, incarnation and sequence are the caller's to fill.
     NodeUse ownUse(TimePoint now) const;
 
@@ -174,10 +174,6 @@
     EnginePick pickBatch(std::string_view service, bool urgent, TimePoint due, std::span<const UpstreamId> tried, TimePoint now);
     // Must an item that runs and is due then leave its slot to one that waits elsewhere?
     bool mustCedeItem(std::string_view service, TimePoint due, TimePoint now);
-    // Looks at the slots that questions hold now; to be called in even steps.
-    void sampleShares(TimePoint now);
-    // Slot time that batch work of this node may count on until then: what questions leave, less what other nodes have promised.
-    Duration batchTimeUntil(std::string_view service, TimePoint due, TimePoint now) const;
     // The nodes that run batch items on the engine, the one with most first.
     std::vector<NodeId> batchHolders(UpstreamId engine) const;
     // Slots in use by anybody, of those engines of the service that can be sent to.
@@ -251,13 +247,12 @@
     std::unordered_map<UpstreamId, Engine> engines_;
     std::map<NodeId, Report> reports_;
     struct OwnItems {
-        ItemsWaiting items_;
-        TimePoint at_ {};
+        std::uint16_t count_ = 0;
+        TimePoint firstDue_ {};
     };
 
     std::map<ServiceId, std::uint16_t> ownWaiting_;
     std::map<ServiceId, OwnItems> ownItems_;
-    std::map<std::string, BatchShare, std::less<>> shares_;
     double meanRunSeconds_;
 };
 
--- a/libs/capacity/include/capacity/NodeUse.h
+++ b/libs/capacity/include/capacity/NodeUse.h
@@ -3,7 +3,6 @@
 
 #include "base/Id.h"
 #include "base/Time.h"
-#include "capacity/Demand.h"
 
 #include <cstdint>
 #include <vector>
@@ -38,7 +37,6 @@
     ServiceId service_;
     std::uint16_t count_ = 0;
     Duration dueIn_ {}; // of the one that is due first, from when this was sent
-    std::vector<DemandStep> demand_; // of all its items that can still be in time, those that run included
 
     friend bool operator==(const ItemsWaiting&, const ItemsWaiting&) = default;
 };
--- a/libs/capacity/src/CapacityBoard.cpp
+++ b/libs/capacity/src/CapacityBoard.cpp
@@ -102,10 +102,9 @@
 
 void CapacityBoard::setWaiting(std::string_view service, std::uint16_t count) { ownWaiting_[idFromName<ServiceId>(service)] = count; }
 
-void CapacityBoard::setItems(std::string_view service, ItemsWaiting items, TimePoint now)
+void CapacityBoard::setItemsWaiting(std::string_view service, std::uint16_t count, TimePoint firstDue)
 {
-    items.service_ = idFromName<ServiceId>(service);
-    ownItems_[items.service_] = { std::move(items), now };
+    ownItems_[idFromName<ServiceId>(service)] = { count, firstDue };
 }
 
 void CapacityBoard::observed(UpstreamId engine, std::uint32_t running, std::uint32_t waiting, TimePoint now)
@@ -135,14 +134,9 @@
         if (count > 0)
             use.waiting_.push_back({ service, count });
     }
-    for (const auto& [service, own] : ownItems_) {
-        if (own.items_.demand_.empty())
-            continue;
-        ItemsWaiting items = own.items_;
-        items.dueIn_ -= now - own.at_;
-        for (DemandStep& step : items.demand_)
-            step.dueIn_ -= now - own.at_;
-        use.items_.push_back(std::move(items));
+    for (const auto& [service, items] : ownItems_) {
+        if (items.count_ > 0)
+            use.items_.push_back({ service, items.count_, items.firstDue_ - now });
     }
     return use;
 }
@@ -490,32 +484,6 @@
     return count;
 }
 
-void CapacityBoard::sampleShares(TimePoint now)
-{
-    for (const auto& [id, engine] : engines_)
-        shares_.try_emplace(engine.entry_.service_);
-    for (auto& [service, share] : shares_) {
-        const Usage use = usage(service);
-        share.sample(use.slots_, use.questions_, now);
-    }
-}
-
-Duration CapacityBoard::batchTimeUntil(std::string_view service, TimePoint due, TimePoint now) const
-{
-    const auto share = shares_.find(service);
-    if (share == shares_.end())
-        return {};
-    Duration promised {};
-    const auto id = idFromName<ServiceId>(service);
-    for (const auto& [node, report] : reports_) {
-        for (const ItemsWaiting& items : report.use_.items_) {
-            if (items.service_ == id)
-                promised += workBefore(items.demand_, due - report.at_);
-        }
-    }
-    return share->second.until(due, now) - promised;
-}
-
 // Failure met: jobs are spread over workers by a hash, so one worker has two jobs and another eight. Each took slots for its own items in
 // turn; items due in ten seconds ran at one while items due in two waited at another, and a third of a burst of jobs came late
 // although the slots would have done for all. The guard: a node leaves as many free slots as more urgent items wait elsewhere.
--- a/libs/ledger/include/ledger/JobDesk.h
+++ b/libs/ledger/include/ledger/JobDesk.h
@@ -17,7 +17,6 @@
 // a read of an open job: what another owner has listed must not be missing from its answer.
 #pragma once
 
-#include "capacity/Demand.h"
 #include "ledger/Acceptor.h"
 #include "ledger/Records.h"
 
@@ -56,12 +55,6 @@
     Duration urgentMargin_ = 2500ms;
     // With less than this part of the rest of its run left, an item can't be in time.
     double hopelessPart_ = 0.7;
-    // A job stands back when the work that is due by its time is over the time there is by this factor, and is taken up again under the
-    // second one. Between them lies what estimates of runs and of questions are off by.
-    double standBackOver_ = 1.25;
-    double takeUpUnder_ = 0.6;
-    // One job in each of these steps: by the next one the other nodes have told what they let go.
-    Duration triageStep_ = 300ms;
     // A gap between two ticks over this means that the process was paused, and others may have taken over.
     Duration pauseBound_ = 1s;
     // While this node may have been replaced: how old the store's word may be for a read, counted from when the store was asked. What one
@@ -162,8 +155,6 @@
     TakenOver,
     Lost, // another owner stands in the head
     Listed, // results were committed
-    StoodBack, // it can't be in time beside those due before it
-    TakenUp, // it can, after all
     ConflictMet, // another owner had written the page
     ItemErrored,
     ItemRetried,
@@ -195,8 +186,6 @@
     std::function<void(const DeskEvent&)> note_;
     // Which service carries the item now; nullopt when no configuration is known, empty when none of its routes does.
     std::function<std::optional<std::string>(std::string_view host, std::string_view path)> serviceOf_;
-    // Slot time that this node's work for the service may count on until `due`.
-    std::function<Duration(std::string_view service, TimePoint due, TimePoint now)> batchTimeUntil_;
     // A job that isn't in the store may be on its way there from some host's disk, so nobody can say that there is no such job.
     std::function<bool()> mayBeKept_;
 };
@@ -232,14 +221,11 @@
         std::size_t count_ = 0;
         std::size_t inTime_ = 0; // of them: those that can still be in time
         TimePoint firstDue_ = neverTime; // of those in time; never: there are none
-        std::vector<DemandStep> demand_; // what all open jobs need for the service, but for those that stand back; due from `now` on
     };
     std::map<std::string, Waiting> waiting(TimePoint now);
     void event(RunId run, std::uint64_t eventId, std::string_view data);
     void ended(RunId run, RunEnd end, TimePoint now);
     ItemHaste hasteOf(RunId run, TimePoint now) const;
-    // Lets a job stand back that can't be done in time beside those that are due before it, or takes one up again that can.
-    void triage(TimePoint now);
     // What a whole run takes lately.
     void setRunTime(Duration time) { runTime_ = time; }
 
@@ -298,12 +284,6 @@
     bool wasAway(TimePoint now) const;
     void abandonOverdue(const JobPtr& job, TimePoint now);
     ItemHaste hasteOf(const Job& job, const Item& item, TimePoint now) const;
-    // What is left of an item's run.
-    Duration restOf(const Item& item) const;
-    // What is left of all runs of a job that have not ended.
-    Duration restOf(const Job& job) const;
-    // The service that carries the job's items, by the first that isn't done; empty: none, or nobody knows.
-    std::string serviceOf(const Job& job) const;
 
     // Reads
     void answerReaders(const JobPtr& job, TimePoint now, bool all);
@@ -333,7 +313,6 @@
     WallTime wall_ {};
     Duration runTime_ = 5s;
     double meanEvents_ = 0; // of whole items; 0: none has ended yet
-    TimePoint triageAt_ {};
     bool cautious_ = false;
     bool leaving_ = false;
     bool scanning_ = false;
--- a/libs/ledger/src/DeskJob.h
+++ b/libs/ledger/src/DeskJob.h
@@ -73,8 +73,6 @@
     bool ending_ = false; // the update of the head that is under way is the end
     std::map<std::string, JobTransfer::Progress> progress_; // brought by a transfer, until the items are loaded
 
-    bool standsBack_ = false; // can't be in time: runs after all that can
-
     bool isOpen() const { return head_.state_ == JobState::Open; }
     bool mayRun() const { return loaded_ && isOpen() && !ending_ && enders_.empty(); }
     bool isComplete() const { return listed_.size() >= head_.total_; }
--- a/libs/ledger/src/DeskRuns.cpp
+++ b/libs/ledger/src/DeskRuns.cpp
@@ -8,9 +8,11 @@
 // Late items first would cost those that can still be in time, so they come after all others.
 ItemHaste JobDesk::hasteOf(const Job& job, const Item& item, TimePoint now) const
 {
-    const Duration rest = restOf(item);
+    constexpr double leastRest = 0.1;
+    const double done = meanEvents_ > 0 ? item.events_ / meanEvents_ : 0;
+    const Duration rest = fromSeconds(toSeconds(runTime_) * std::max(leastRest, 1 - done));
     const Duration left = job.due_ - now;
-    if (job.standsBack_ || left < fromSeconds(toSeconds(rest) * settings_.hopelessPart_))
+    if (left < fromSeconds(toSeconds(rest) * settings_.hopelessPart_))
         return ItemHaste::Late;
     return left < rest + settings_.urgentMargin_ ? ItemHaste::Urgent : ItemHaste::Relaxed;
 }
@@ -24,6 +26,35 @@
     return hasteOf(job, job.items_[found->second.item_], now);
 }
 
+std::map<std::string, JobDesk::Waiting> JobDesk::waiting(TimePoint now)
+{
+    std::map<std::string, Waiting> found;
+    if (leaving_)
+        return found;
+    for (const auto& [name, job] : jobs_) {
+        if (!job->mayRun())
+            continue;
+        for (const Item& item : job->items_) {
+            if (item.state_ != ItemState::Waiting || now < item.notBefore_)
+                continue;
+            const auto service = outlets_.serviceOf_(job->head_.host_, item.item_.path_);
+            if (!service)
+                continue;
+            Waiting& entry = found[*service];
+            const ItemHaste haste = hasteOf(*job, item, now);
+            const bool isFirst = entry.count_ == 0 || entry.haste_ == ItemHaste::Late || (haste == ItemHaste::Urgent);
+            if (isFirst)
+                entry.haste_ = haste;
+            ++entry.count_;
+            if (haste == ItemHaste::Late)
+                continue;
+            ++entry.inTime_;
+            entry.firstDue_ = std::min(entry.firstDue_, job->due_);
+        }
+    }
+    return found;
+}
+
 std::optional<ItemRun> JobDesk::startNext(std::string_view service, TimePoint now)
 {
     if (leaving_)
--- a/libs/ledger/src/JobDesk.cpp
+++ b/libs/ledger/src/JobDesk.cpp
@@ -9,7 +9,7 @@
 
 std::string_view toString(DeskNote note)
 {
-    static constexpr std::string_view names[] = { "jobAdopted", "jobTakenOver", "jobLost", "resultsListed", "jobStoodBack", "jobTakenUp", "pageConflict", "itemErrored", "itemRetried", "jobDone", "jobEnded", "jobVoid", "jobHandedOver", "jobRemoved", "jobStoreFailed" };
+    static constexpr std::string_view names[] = { "jobAdopted", "jobTakenOver", "jobLost", "resultsListed", "pageConflict", "itemErrored", "itemRetried", "jobDone", "jobEnded", "jobVoid", "jobHandedOver", "jobRemoved", "jobStoreFailed" };
     return names[static_cast<std::size_t>(note)];
 }
 
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -12,8 +12,6 @@
     constexpr int statusMisdirected = 421;
     constexpr int statusFailed = 500;
     constexpr double meanGain = 0.1;
-    // Steps of the demand in a word to other nodes.
-    constexpr std::size_t toldSteps = 8;
 
 } // namespace
 
@@ -70,17 +68,13 @@
     std::map<std::string, JobDesk::Waiting> waiting = desk_.waiting(now);
     for (const auto& [service, before] : told_)
         waiting.try_emplace(service);
-    for (auto& [service, items] : waiting) {
-        ItemsWaiting tells;
-        tells.count_ = static_cast<std::uint16_t>(std::min<std::size_t>(items.inTime_, UINT16_MAX));
-        tells.dueIn_ = items.inTime_ > 0 ? items.firstDue_ - now : Duration::zero();
-        tells.demand_ = joined(std::move(items.demand_), toldSteps);
-        context_.board_.setItems(service, std::move(tells), now);
+    for (const auto& [service, items] : waiting) {
         ToldItems& told = told_[service];
         const ToldItems current { items.inTime_, items.firstDue_ };
         if (told == current)
             continue;
         told = current;
+        context_.board_.setItemsWaiting(service, static_cast<std::uint16_t>(std::min<std::size_t>(items.inTime_, UINT16_MAX)), items.firstDue_);
         context_.fleet_->tell();
     }
 }
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -106,16 +106,10 @@
     archive(waiting.service_, waiting.count_);
 }
 
-template <class Archive>
-void serialize(Archive& archive, DemandStep& step)
-{
-    archive(step.dueIn_, step.work_);
-}
-
 template <class Archive>
 void serialize(Archive& archive, ItemsWaiting& waiting)
 {
-    archive(waiting.service_, waiting.count_, waiting.dueIn_, waiting.demand_);
+    archive(waiting.service_, waiting.count_, waiting.dueIn_);
 }
 
 template <class Archive>
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -240,7 +240,6 @@
         if (event.error_)
             line.with("error", event.error_.message());
     };
-    outlets.batchTimeUntil_ = [this](std::string_view service, TimePoint due, TimePoint now) { return board_.batchTimeUntil(service, due, now); };
     outlets.mayBeKept_ = [this] { return mayBeKept(); };
     outlets.serviceOf_ = [this](std::string_view host, std::string_view path) -> std::optional<std::string> {
         if (!context_.table_)
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -57,8 +57,6 @@
     if (!settings_.runsJobs_ && desk_->openJobs() > 0)
         desk_->passOn(now);
     line_->tick(now);
-    board_.sampleShares(now);
-    desk_->triage(now);
     runner_->pump(now);
     if (retirement_)
         retirement_->tick(now);
