Ledger: an item that would be late at the pace of late begins after those that can be in time

Cause: with more batch work than the questions leave (half the engines of a deployment; 148 items, 43 late, most by 1 to 3 s), items begin when an uninterrupted run would just be in time, give way to the next burst, and end too late: all are late by a little.

Change: the desk learns what giving way makes of a run's length, and what hasn't begun and has less time than that goes after all others.

--- a/libs/ledger/include/ledger/JobDesk.h
+++ b/libs/ledger/include/ledger/JobDesk.h
@@ -91,7 +91,8 @@
 enum class ItemHaste : std::uint8_t {
     Relaxed, // may give way and still be in time
     Urgent, // in time only if it runs now
-    Late, // can't be in time any more: after all that can
+    Doubtful, // not begun, and what began with so little time left was late of late: after all that can be in time
+    Late, // can't be in time any more: after all others
 };
 
 enum class RunEnd : std::uint8_t {
@@ -284,6 +285,7 @@
     bool wasAway(TimePoint now) const;
     void abandonOverdue(const JobPtr& job, TimePoint now);
     ItemHaste hasteOf(const Job& job, const Item& item, TimePoint now) const;
+    void learnStretch(const Item& item, TimePoint now);
 
     // Reads
     void answerReaders(const JobPtr& job, TimePoint now, bool all);
@@ -313,6 +315,8 @@
     WallTime wall_ {};
     Duration runTime_ = 5s;
     double meanEvents_ = 0; // of whole items; 0: none has ended yet
+    // From an item's first run to its end, in lengths of an uninterrupted run: what giving way to questions makes of it.
+    double meanStretch_ = 1;
     bool cautious_ = false;
     bool leaving_ = false;
     bool scanning_ = false;
--- a/libs/ledger/src/DeskJob.h
+++ b/libs/ledger/src/DeskJob.h
@@ -21,6 +21,7 @@
     std::uint32_t failures_ = 0; // answers that were the engine's own failure
     std::uint32_t setbacks_ = 0; // runs in a row that brought nothing
     TimePoint notBefore_ {};
+    TimePoint begunAt_ {}; // its first run here; none: it hasn't run
     RunId run_; // while Running
 
     // Text and position go together: a run that resumed behind text that is gone would leave a hole in the result.
--- a/libs/ledger/src/DeskRuns.cpp
+++ b/libs/ledger/src/DeskRuns.cpp
@@ -14,6 +14,11 @@
     const Duration left = job.due_ - now;
     if (left < fromSeconds(toSeconds(rest) * settings_.hopelessPart_))
         return ItemHaste::Late;
+    // Failure met: when more is wanted than there is, items wait until they can just be in time if nothing interrupts them. They begin, give way
+    // to a burst of questions, and end too late; nearly all are late by a little, and the work on them is of no use. What can't
+    // be in time at the pace of late stands back, so that what has begun is finished.
+    if (item.begunAt_ == TimePoint() && item.events_ == 0 && left < fromSeconds(toSeconds(rest) * meanStretch_))
+        return ItemHaste::Doubtful;
     return left < rest + settings_.urgentMargin_ ? ItemHaste::Urgent : ItemHaste::Relaxed;
 }
 
@@ -42,11 +47,12 @@
                 continue;
             Waiting& entry = found[*service];
             const ItemHaste haste = hasteOf(*job, item, now);
-            const bool isFirst = entry.count_ == 0 || entry.haste_ == ItemHaste::Late || (haste == ItemHaste::Urgent);
+            const bool isInTime = haste == ItemHaste::Relaxed || haste == ItemHaste::Urgent;
+            const bool isFirst = entry.count_ == 0 || haste == ItemHaste::Urgent || (isInTime ? entry.haste_ > ItemHaste::Urgent : haste < entry.haste_);
             if (isFirst)
                 entry.haste_ = haste;
             ++entry.count_;
-            if (haste == ItemHaste::Late)
+            if (!isInTime)
                 continue;
             ++entry.inTime_;
             entry.firstDue_ = std::min(entry.firstDue_, job->due_);
@@ -61,7 +67,7 @@
         return std::nullopt;
     JobPtr chosen;
     std::size_t place = 0;
-    bool chosenIsLate = false;
+    ItemHaste chosenStage = ItemHaste::Late;
     for (const auto& [name, job] : jobs_) {
         if (!job->mayRun())
             continue;
@@ -69,8 +75,9 @@
             const Item& item = job->items_[index];
             if (item.state_ != ItemState::Waiting || now < item.notBefore_)
                 continue;
-            const bool isLate = hasteOf(*job, item, now) == ItemHaste::Late;
-            const bool isBetter = !chosen || (isLate != chosenIsLate ? !isLate : job->due_ < chosen->due_);
+            // Of those that can be in time the one that is due first.
+            const ItemHaste stage = std::max(hasteOf(*job, item, now), ItemHaste::Urgent);
+            const bool isBetter = !chosen || (stage != chosenStage ? stage < chosenStage : job->due_ < chosen->due_);
             if (!isBetter)
                 continue;
             const auto carried = outlets_.serviceOf_(job->head_.host_, item.item_.path_);
@@ -78,7 +85,7 @@
                 continue;
             chosen = job;
             place = index;
-            chosenIsLate = isLate;
+            chosenStage = stage;
         }
     }
     if (!chosen)
@@ -92,6 +99,8 @@
     }
     item.state_ = ItemState::Running;
     item.run_ = RunId(nextRun_++);
+    if (item.begunAt_ == TimePoint())
+        item.begunAt_ = now;
     runs_[item.run_] = { chosen->name_, place };
     ItemRun run { item.run_, chosen->name_, chosen->head_.host_, item.item_.id_, item.item_.path_, item.item_.headers_, std::move(body.value()), std::nullopt, chosen->due_ };
     if (item.events_ > 0)
@@ -134,6 +143,7 @@
         // An answer without any event is no output of an item.
         if (item.events_ == 0)
             return retryLater();
+        learnStretch(item, now);
         return finishItem(job, place, ResultState::Completed, now);
     case RunEnd::GivenWay:
         return;
@@ -153,6 +163,15 @@
     }
 }
 
+void JobDesk::learnStretch(const Item& item, TimePoint now)
+{
+    constexpr double meanGain = 0.1;
+    // One item that hung for long says little of the next ones.
+    constexpr double mostStretch = 4;
+    const double stretch = toSeconds(now - item.begunAt_) / std::max(0.001, toSeconds(runTime_));
+    meanStretch_ += meanGain * (std::clamp(stretch, 1.0, mostStretch) - meanStretch_);
+}
+
 void JobDesk::stopRuns(const JobPtr& job, bool keepText)
 {
     for (Item& item : job->items_) {
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -222,8 +222,8 @@
     RunPtr chosen;
     ItemHaste chosenHaste = ItemHaste::Urgent;
     std::uint16_t urgent = 0;
-    const auto rank = [](ItemHaste haste) { return haste == ItemHaste::Late ? 2 : haste == ItemHaste::Relaxed ? 1
-                                                                                                              : 0; };
+    const auto rank = [](ItemHaste haste) { return haste >= ItemHaste::Doubtful ? 2 : haste == ItemHaste::Relaxed ? 1
+                                                                                                                  : 0; };
     for (const auto& [id, run] : runs_) {
         if (run->engine_ != engine)
             continue;
