Serving, capacity: refused callers come back behind the burst and are then kept

Bursts last 2.4 s, so callers came back into the same burst and were refused again; callers try no third time.

One who gives less time than others of its route has been here before: it lines up also when it will be late.

--- /dev/null
+++ b/libs/capacity/tests/ReturnTest.cpp
@@ -0,0 +1,215 @@
+// Callers who are refused in a burst and come back once, and how many of them are served in the end.
+//
+// Pattern: questions at random, for 2.4 s of each 5.8 s at 1.9 times the mean and at 0.38 times it in between; the bursts ask for 1.4 times the
+// slots there are, and some room is left between them. A question holds its slot for 0.75 s, give or take a quarter. Its first
+// event is due 300 ms after each attempt. A caller waits 5 s in all, heeds at most a third of what is left of it, and comes back once.
+#include "capacity/CallerPatience.h"
+#include "capacity/CapacityBoard.h"
+#include "capacity/FullPhases.h"
+#include "capacity/WaitingLine.h"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <random>
+#include <vector>
+
+using namespace jj;
+
+namespace {
+
+constexpr std::size_t engines = 6;
+constexpr std::uint32_t slots = 8;
+constexpr Duration objective = 300ms;
+constexpr Duration callerTime = 5s;
+constexpr Duration keepTime = 4 * objective;
+constexpr Duration leastRetry = 150ms;
+constexpr Duration meanRun = 750ms;
+constexpr RegionId region { 1 };
+
+enum class Policy : std::uint8_t {
+    SoonAgain, // back when one slot is expected to be free; each attempt is as good as another
+    BehindTheBurst, // back when the full phase is over; who comes back is kept, be it late
+};
+
+struct Outcome {
+    int asked_ = 0;
+    int inTime_ = 0; // of its first or of its second attempt
+    int late_ = 0;
+    int refused_ = 0; // for good
+};
+
+class Callers {
+public:
+    Callers(Policy policy, std::uint64_t seed)
+        : policy_(policy)
+        , random_(seed)
+        , board_(settings(), NodeId(1), region, FailureDomainId(1), seed)
+    {
+        for (std::size_t engine = 0; engine < engines; ++engine) {
+            EngineEntry one;
+            one.id_ = UpstreamId(engine + 1);
+            one.service_ = "s";
+            one.region_ = region;
+            one.slots_ = slots;
+            board_.upsert(one);
+        }
+    }
+
+    Outcome run(Duration length)
+    {
+        constexpr double slotsPerSecond = engines * slots / 0.75;
+        constexpr double mean = 1.4 * slotsPerSecond / 1.9;
+        const TimePoint end = now_ + length;
+        while (now_ < end) {
+            now_ += 1ms;
+            endRuns();
+            serve();
+            expire();
+            const bool isBurst = (now_ - TimePoint()) % 5800ms < 2400ms;
+            if (std::bernoulli_distribution(mean * (isBurst ? 1.9 : 0.38) / 1000)(random_)) {
+                ++outcome_.asked_;
+                attempt({ now_, now_, false });
+            }
+            for (auto place = back_.begin(); place != back_.end() && place->first <= now_; place = back_.erase(place))
+                attempt({ place->second.first_, now_, true });
+        }
+        return outcome_;
+    }
+
+private:
+    struct Question {
+        TimePoint first_ {}; // its caller's first attempt
+        TimePoint arrived_ {}; // this attempt
+        bool isSecond_ = false;
+    };
+
+    static CapacitySettings settings()
+    {
+        CapacitySettings settings;
+        settings.assumedRun_ = meanRun;
+        return settings;
+    }
+
+    void attempt(const Question& question)
+    {
+        const Duration timeLeft = question.first_ + callerTime - now_;
+        const bool isBack = policy_ == Policy::BehindTheBurst && patience_.hasReturned("r", timeLeft, now_);
+        const EnginePick pick = board_.pickQuestion("s", objective, false, {}, now_);
+        if (pick.kind_ == PickKind::Free && line_.empty())
+            return send(question, pick.engine_);
+        if (!isBack && !board_.isLineInTime("s", objective, now_))
+            return refuse(question);
+        const LineTicket ticket = line_.enter("s", now_ + objective - board_.settings().firstEvent_, now_ + keepTime);
+        waiters_[ticket] = question;
+        board_.setWaiting("s", line_.size("s"));
+    }
+
+    void refuse(const Question& question)
+    {
+        if (question.isSecond_) {
+            ++outcome_.refused_;
+            return;
+        }
+        phases_.refused(now_);
+        const Duration most = (question.first_ + callerTime - now_) / 3;
+        Duration wait = board_.lineWait("s", now_);
+        if (policy_ == Policy::BehindTheBurst)
+            wait = std::max(wait, phases_.remaining(now_));
+        back_.emplace(now_ + std::clamp<Duration>(wait, leastRetry, most), question);
+    }
+
+    void serve()
+    {
+        while (const auto ticket = line_.first("s", now_)) {
+            const EnginePick pick = board_.pickQuestion("s", 10s, false, {}, now_);
+            if (pick.kind_ != PickKind::Free)
+                return;
+            const Question question = waiters_.at(*ticket);
+            leave(*ticket);
+            send(question, pick.engine_);
+        }
+    }
+
+    void expire()
+    {
+        for (const LineTicket ticket : line_.expired(now_)) {
+            const Question question = waiters_.at(ticket);
+            leave(ticket);
+            refuse(question);
+        }
+    }
+
+    void leave(LineTicket ticket)
+    {
+        waiters_.erase(ticket);
+        line_.leave(ticket);
+        board_.setWaiting("s", line_.size("s"));
+    }
+
+    void send(const Question& question, UpstreamId engine)
+    {
+        constexpr Duration firstEvent = 25ms;
+        board_.started(engine, WorkClass::Question);
+        ++(now_ + firstEvent - question.arrived_ <= objective ? outcome_.inTime_ : outcome_.late_);
+        const double seconds = std::normal_distribution<double>(toSeconds(meanRun), 0.25 * toSeconds(meanRun))(random_);
+        runs_.emplace(now_ + fromSeconds(std::clamp(seconds, 0.2, 1.3)), engine);
+    }
+
+    void endRuns()
+    {
+        for (auto place = runs_.begin(); place != runs_.end() && place->first <= now_; place = runs_.erase(place))
+            board_.ended(place->second, WorkClass::Question);
+    }
+
+    Policy policy_;
+    std::mt19937_64 random_;
+    TimePoint now_ { 5800ms };
+    CapacityBoard board_;
+    WaitingLine line_;
+    FullPhases phases_;
+    CallerPatience patience_;
+    std::map<LineTicket, Question> waiters_;
+    std::multimap<TimePoint, Question> back_;
+    std::multimap<TimePoint, UpstreamId> runs_;
+    Outcome outcome_;
+};
+
+} // namespace
+
+// A caller is refused in a burst and told 0.3 s: it comes back into the same burst, is refused again and gives up, while a second later half of the
+// slots are free. One in seven callers went without an answer.
+TEST_CASE("capacity: callers who are refused in a burst come back behind it and are served")
+{
+    Outcome soon;
+    Outcome behind;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        const Outcome one = Callers(Policy::SoonAgain, seed).run(35s);
+        const Outcome other = Callers(Policy::BehindTheBurst, seed).run(35s);
+        soon.asked_ += one.asked_;
+        soon.inTime_ += one.inTime_;
+        soon.refused_ += one.refused_;
+        behind.asked_ += other.asked_;
+        behind.inTime_ += other.inTime_;
+        behind.refused_ += other.refused_;
+    }
+    const auto part = [](int count, const Outcome& of) { return static_cast<double>(count) / of.asked_; };
+    MESSAGE("soon again: in time " << part(soon.inTime_, soon) << ", refused for good " << part(soon.refused_, soon));
+    MESSAGE("behind the burst: in time " << part(behind.inTime_, behind) << ", refused for good " << part(behind.refused_, behind));
+    CHECK(part(behind.refused_, behind) < 0.01);
+    CHECK(part(soon.refused_, soon) > 0.04);
+    CHECK(part(behind.inTime_, behind) > part(soon.inTime_, soon));
+}
+
+TEST_CASE("capacity: who gives less time than others of its route has been here before")
+{
+    CallerPatience patience;
+    const TimePoint now { 10s };
+    CHECK_FALSE(patience.hasReturned("r", 5s, now));
+    CHECK_FALSE(patience.hasReturned("r", 4980ms, now)); // on its way for longer
+    CHECK(patience.hasReturned("r", 3500ms, now));
+    CHECK_FALSE(patience.hasReturned("other", 3500ms, now));
+    // Callers give less time from now on; that is known when nobody has given more for a while.
+    CHECK(patience.hasReturned("r", 3s, now + 5s));
+    CHECK_FALSE(patience.hasReturned("r", 3s, now + 20s));
+    CHECK_FALSE(patience.hasReturned("r", 3s, now + 21s));
+}
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -7,10 +7,9 @@
 
 namespace {
 
-    // Longer than that nobody can tell what the engines will be doing.
-    constexpr Duration mostRetryAfter = 1500ms;
-    // Callers wait for at most a third of what they have left.
+    // Callers wait for at most a third of what they have left when the answer reaches them.
     constexpr int retryShare = 3;
+    constexpr Duration retryMargin = 20ms;
 
     constexpr int statusOk = 200;
     constexpr int firstNonSuccess = 300;
@@ -62,7 +61,7 @@
         context_.board_.succeeded(engine_, context_.now());
         exchange_->start(head_.status_, passedHeaders(head_.headers_));
         context_.metrics_.metrics_.observe(context_.metrics_.firstEvent_, toMilliseconds(context_.now() - arrived_));
-        line("firstEvent").with("afterMs", context_.now() - arrived_).with("engineMs", context_.now() - sentAt_);
+        line("firstEvent").with("afterMs", context_.now() - arrived_).with("engineMs", context_.now() - sentAt_).with("objectiveMs", route_.targetLatency_);
     }
     if (event.id_)
         lastEvent_ = event.id_;
@@ -185,7 +184,7 @@
 
 void RelayedRequest::refuse(std::string_view reason, Duration wait)
 {
-    const Duration most = std::min<Duration>(mostRetryAfter, left() / retryShare);
+    const Duration most = std::max<Duration>(left() / retryShare - retryMargin, Duration::zero());
     const Duration rest = context_.line_->refused(service_, wait, context_.now());
     const Duration retry = std::clamp<Duration>(rest, std::min(leastRetryAfter, most), std::max(most, Duration(1ms)));
     exchange_->respond(refusal(context_.translation_, 503, "overload.NoSlot", "no engine can take the request in time; it has not run", RunState::NotRun, retry));
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -47,7 +47,9 @@
 {
     const http::Request& request = exchange_->request();
     id_ = request.headers_.find(context_.translation_.headers_.attemptId_);
-    deadline_ = arrived_ + std::min(deadlineOf(request, context_.translation_.headers_), route_.timeout_);
+    const Duration patience = deadlineOf(request, context_.translation_.headers_);
+    deadline_ = arrived_ + std::min(patience, route_.timeout_);
+    hasReturned_ = context_.line_->hasReturned(route_.name_, patience, arrived_);
     service_ = RouteTable::pickService(route_, hash64(id_));
     if (const std::string_view resume = request.headers_.find(context_.translation_.headers_.resumeAfter_); !resume.empty()) {
         std::uint64_t event = 0;
@@ -122,7 +124,8 @@
 bool RelayedRequest::lineUp(Duration bound)
 {
     const TimePoint now = context_.now();
-    if (!context_.board_.isLineInTime(service_, bound, now) || now >= keepUntil())
+    const bool isWorthIt = hasReturned_ || context_.board_.isLineInTime(service_, bound, now);
+    if (!isWorthIt || now >= keepUntil())
         return false;
     phase_ = Phase::Waiting;
     SlotLine::Waiter waiter;
--- a/libs/serving/src/SlotLine.h
+++ b/libs/serving/src/SlotLine.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "Context.h"
+#include "capacity/CallerPatience.h"
 #include "capacity/FullPhases.h"
 #include "capacity/WaitingLine.h"
 
@@ -45,6 +46,8 @@
 
     // A question was refused now: when to come back, at least `wait` later.
     Duration refused(const std::string& service, Duration wait, TimePoint now);
+    // Was the caller of a question that came now refused before, to all appearance?
+    bool hasReturned(const std::string& route, Duration timeLeft, TimePoint now) { return patience_.hasReturned(route, timeLeft, now); }
 
 private:
     void pump(bool isOwnSlot);
@@ -59,6 +62,7 @@
     WaitingLine line_;
     std::map<LineTicket, Waiter> waiters_;
     std::map<std::string, FullPhases> phases_;
+    CallerPatience patience_;
     boost::asio::steady_timer timer_;
     bool timerArmed_ = false;
     bool pumping_ = false;
