--- /dev/null
+++ b/libs/losses/src/LossTable.cpp
@@ -0,0 +1,55 @@
+// Counts only; each record stands in its route's group and in its moment.
+#include "losses/LossTable.h"
+
+#include <algorithm>
+
+namespace jj {
+
+namespace {
+
+    void count(LossGroup& group, LossCause cause, bool isPossible)
+    {
+        ++group.asked_;
+        group.possible_ += isPossible ? 1 : 0;
+        if (cause == LossCause::None) {
+            ++group.inTime_;
+            return;
+        }
+        LossRow& row = group.causes_[cause];
+        ++row.lost_;
+        row.avoidable_ += isPossible ? 1 : 0;
+    }
+
+} // namespace
+
+LossTable tableOf(const DayRecord& day, const ReferenceResult& reference, std::int64_t stepMs)
+{
+    LossTable table;
+    table.stepMs_ = stepMs;
+    std::int64_t first = INT64_MAX;
+    for (const QuestionRecord& question : day.questions_)
+        first = std::min(first, question.arrivedMs_);
+    for (const ItemRecord& item : day.items_)
+        first = std::min(first, item.arrivedMs_);
+    const auto countMoment = [&](std::int64_t arrivedMs, LossCause cause, bool isPossible) {
+        if (stepMs <= 0)
+            return;
+        const auto moment = static_cast<std::size_t>((arrivedMs - first) / stepMs);
+        if (moment >= table.moments_.size())
+            table.moments_.resize(moment + 1);
+        count(table.moments_[moment], cause, isPossible);
+    };
+    for (const QuestionRecord& question : day.questions_) {
+        const bool isPossible = reference.questions_.contains(question.id_);
+        count(table.groups_[question.route_], question.cause_, isPossible);
+        countMoment(question.arrivedMs_, question.cause_, isPossible);
+    }
+    for (const ItemRecord& item : day.items_) {
+        const bool isPossible = reference.items_.contains(item.id_);
+        count(table.groups_["items"], item.cause_, isPossible);
+        countMoment(item.arrivedMs_, item.cause_, isPossible);
+    }
+    return table;
+}
+
+} // namespace jj
--- a/tools/jj/Command.h
+++ b/tools/jj/Command.h
@@ -44,6 +44,7 @@
 void addTimeline(CLI::App& app, Context& context);
 void addTrace(CLI::App& app, Context& context);
 void addAudit(CLI::App& app, Context& context);
+void addLosses(CLI::App& app, Context& context);
 
 // ---- Output
 
--- a/tools/jj/main.cpp
+++ b/tools/jj/main.cpp
@@ -22,6 +22,7 @@
     addTimeline(app, context);
     addTrace(app, context);
     addAudit(app, context);
+    addLosses(app, context);
     for (CLI::App* command : app.get_subcommands({}))
         command->footer(exitCodesHelp);
     try {
