Serving, capacity: a question that is late lets those that can be in time go first, at all nodes

A line is in order at its own node only: a late waiter took the slot that its node saw come free while one that could be in time waited at another node; and late ones counted as being ahead of whoever came, who was refused for it. Ruled out: slots idle in bursts (48 to 50 of 48 in use).

Change: nodes tell how many of their waiters can be in time; a late one takes its turn behind those, and a wait is predicted from those alone. In BurstTest the policy named Line now does as the product does; the former one stays beside it under its own name; bounds are as they were.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -131,8 +131,8 @@
     void measured(Duration run);
     // How many of its own batch items on the engine don't give way.
     void setFirm(UpstreamId engine, std::uint16_t items);
-    // How many questions wait here for a slot of the service.
-    void setWaiting(std::string_view service, std::uint16_t count);
+    // How many questions wait here for a slot of the service, and how many of them can still be in time.
+    void setWaiting(std::string_view service, std::uint16_t count, std::uint16_t inTime);
     // How many batch items wait here that can still be in time, and when the first of them is due.
     void setItemsWaiting(std::string_view service, std::uint16_t count, TimePoint firstDue);
     // What this node tells the others; node, incarnation and sequence are the caller's to fill.
@@ -162,13 +162,14 @@
     // `bound`: how long the question's first event may take. `tried`: engines that it was sent to before. `repeatable`: it may be sent
     // to another engine if one fails it.
     EnginePick pickQuestion(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now);
-    // How long a question would wait that lines up now, behind all that wait in this region.
+    // How long a question would wait that lines up now, behind all that wait in this region and can be in time.
     Duration lineWait(std::string_view service, TimePoint now) const;
     // Would a question that lines up now, and whose first event may take `bound`, be in time?
     bool isLineInTime(std::string_view service, Duration bound, TimePoint now) const;
-    // Questions that wait at that node, and at all nodes of this region, this one included.
-    std::uint32_t waitingAt(NodeId node, std::string_view service) const;
+    // Questions that wait at another node, and at all nodes of this region, this one included.
+    ServiceWaiting waitingAt(NodeId node, std::string_view service) const;
     std::uint32_t waiting(std::string_view service) const;
+    std::uint32_t waitingInTime(std::string_view service) const;
     // `urgent`: due so soon that it may use the reserve, and a slot that questions wait for. `due`: of the item; items of other nodes
     // that are due earlier go first.
     EnginePick pickBatch(std::string_view service, bool urgent, TimePoint due, std::span<const UpstreamId> tried, TimePoint now);
@@ -251,7 +252,10 @@
         TimePoint firstDue_ {};
     };
 
-    std::map<ServiceId, std::uint16_t> ownWaiting_;
+    // Sums over this node and its region.
+    ServiceWaiting allWaiting(std::string_view service) const;
+
+    std::map<ServiceId, ServiceWaiting> ownWaiting_;
     std::map<ServiceId, OwnItems> ownItems_;
     double meanRunSeconds_;
 };
--- a/libs/capacity/include/capacity/NodeUse.h
+++ b/libs/capacity/include/capacity/NodeUse.h
@@ -28,6 +28,7 @@
 struct ServiceWaiting {
     ServiceId service_;
     std::uint16_t count_ = 0;
+    std::uint16_t inTime_ = 0; // of them: those that can still be in time
 
     friend bool operator==(const ServiceWaiting&, const ServiceWaiting&) = default;
 };
--- a/libs/capacity/include/capacity/WaitingLine.h
+++ b/libs/capacity/include/capacity/WaitingLine.h
@@ -37,6 +37,9 @@
     std::vector<LineTicket> expired(TimePoint now) const;
     std::vector<std::string> services() const;
     std::uint16_t size(std::string_view service) const;
+    // Those that can still be in time.
+    std::uint16_t inTime(std::string_view service, TimePoint now) const;
+    bool isInTime(LineTicket ticket, TimePoint now) const;
     bool empty() const { return waiters_.empty(); }
 
 private:
--- a/libs/capacity/src/CapacityBoard.cpp
+++ b/libs/capacity/src/CapacityBoard.cpp
@@ -100,7 +100,11 @@
         found->second.own_.firmItems_ = items;
 }
 
-void CapacityBoard::setWaiting(std::string_view service, std::uint16_t count) { ownWaiting_[idFromName<ServiceId>(service)] = count; }
+void CapacityBoard::setWaiting(std::string_view service, std::uint16_t count, std::uint16_t inTime)
+{
+    const auto id = idFromName<ServiceId>(service);
+    ownWaiting_[id] = { id, count, inTime };
+}
 
 void CapacityBoard::setItemsWaiting(std::string_view service, std::uint16_t count, TimePoint firstDue)
 {
@@ -130,9 +134,9 @@
         if (engine.isOnTrial_)
             use.shunned_.push_back(id);
     }
-    for (const auto& [service, count] : ownWaiting_) {
-        if (count > 0)
-            use.waiting_.push_back({ service, count });
+    for (const auto& [service, waiting] : ownWaiting_) {
+        if (waiting.count_ > 0)
+            use.waiting_.push_back(waiting);
     }
     for (const auto& [service, items] : ownItems_) {
         if (items.count_ > 0)
@@ -415,28 +419,35 @@
 
 // ---- the line
 
-std::uint32_t CapacityBoard::waitingAt(NodeId node, std::string_view service) const
+ServiceWaiting CapacityBoard::waitingAt(NodeId node, std::string_view service) const
 {
+    const auto id = idFromName<ServiceId>(service);
     const auto found = reports_.find(node);
     if (found == reports_.end())
-        return 0;
-    const auto id = idFromName<ServiceId>(service);
-    for (const ServiceWaiting& waiting : found->second.use_.waiting_) {
-        if (waiting.service_ == id)
-            return waiting.count_;
-    }
-    return 0;
+        return { id };
+    const auto& waiting = found->second.use_.waiting_;
+    const auto place = std::find_if(waiting.begin(), waiting.end(), [id](const ServiceWaiting& one) { return one.service_ == id; });
+    return place == waiting.end() ? ServiceWaiting { id } : *place;
 }
 
-std::uint32_t CapacityBoard::waiting(std::string_view service) const
+ServiceWaiting CapacityBoard::allWaiting(std::string_view service) const
 {
     const auto own = ownWaiting_.find(idFromName<ServiceId>(service));
-    std::uint32_t all = own == ownWaiting_.end() ? 0 : own->second;
-    for (const auto& [node, report] : reports_)
-        all += report.region_ == region_ ? waitingAt(node, service) : 0;
+    ServiceWaiting all = own == ownWaiting_.end() ? ServiceWaiting() : own->second;
+    for (const auto& [node, report] : reports_) {
+        if (report.region_ != region_)
+            continue;
+        const ServiceWaiting there = waitingAt(node, service);
+        all.count_ += there.count_;
+        all.inTime_ += there.inTime_;
+    }
     return all;
 }
 
+std::uint32_t CapacityBoard::waiting(std::string_view service) const { return allWaiting(service).count_; }
+
+std::uint32_t CapacityBoard::waitingInTime(std::string_view service) const { return allWaiting(service).inTime_; }
+
 // With n slots that turn over, one comes free each n-th part of a run, whoever waits for it.
 Duration CapacityBoard::lineWait(std::string_view service, TimePoint now) const
 {
@@ -453,7 +464,7 @@
     const std::uint32_t slots = near > 0 ? near : all;
     if (slots == 0)
         return neverWait;
-    return fromSeconds(meanRunSeconds_ * (waiting(service) + 1) / slots);
+    return fromSeconds(meanRunSeconds_ * (waitingInTime(service) + 1) / slots);
 }
 
 bool CapacityBoard::isLineInTime(std::string_view service, Duration bound, TimePoint now) const
--- a/libs/capacity/src/WaitingLine.cpp
+++ b/libs/capacity/src/WaitingLine.cpp
@@ -52,4 +52,15 @@
     return static_cast<std::uint16_t>(std::count_if(waiters_.begin(), waiters_.end(), [service](const auto& entry) { return entry.second.service_ == service; }));
 }
 
+std::uint16_t WaitingLine::inTime(std::string_view service, TimePoint now) const
+{
+    return static_cast<std::uint16_t>(std::count_if(waiters_.begin(), waiters_.end(), [&](const auto& entry) { return entry.second.service_ == service && now <= entry.second.inTimeUntil_; }));
+}
+
+bool WaitingLine::isInTime(LineTicket ticket, TimePoint now) const
+{
+    const auto found = waiters_.find(ticket);
+    return found != waiters_.end() && now <= found->second.inTimeUntil_;
+}
+
 } // namespace jj
--- a/libs/capacity/tests/BurstTest.cpp
+++ b/libs/capacity/tests/BurstTest.cpp
@@ -28,7 +28,8 @@
 
 enum class Policy : std::uint8_t {
     EngineQueue, // bound to the engine that is predicted to be soonest, where it waits in order of arrival
-    Line, // waits at its entry for the first slot of any engine
+    LineForItself, // waits at its entry for the first slot of any engine, late or not
+    Line, // waits so; one that is late lets those in time at other entries go first
 };
 
 struct Outcome {
@@ -114,7 +115,7 @@
         }
         const LineTicket ticket = lines_[entry].enter("s", now_ + objective - firstEvent, now_ + 4 * objective);
         waiters_[{ entry, ticket }] = { entry, now_ };
-        board.setWaiting("s", lines_[entry].size("s"));
+        board.setWaiting("s", lines_[entry].size("s"), lines_[entry].inTime("s", now_));
         tell(entry);
     }
 
@@ -125,10 +126,9 @@
             const EnginePick pick = board.pickQuestion("s", 10s, false, {}, now_);
             if (pick.kind_ != PickKind::Free)
                 return;
-            std::size_t ahead = 0;
-            for (std::size_t other = 0; other < entries; ++other)
-                ahead += other != entry && (other + pick.engine_.value()) % entries < (entry + pick.engine_.value()) % entries && board.waitingAt(NodeId(other + 1), "s") > 0 ? 1 : 0;
-            if (ahead > 0 && !isOwnTurn) {
+            const bool standsBack = policy_ == Policy::Line && !lines_[entry].isInTime(*ticket, now_) && board.waitingInTime("s") > 0;
+            const std::size_t ahead = entriesAhead(entry, pick.engine_, standsBack);
+            if (ahead > 0 && (!isOwnTurn || standsBack)) {
                 if (turnAt_[entry] == neverTime)
                     turnAt_[entry] = now_ + turnStep * ahead;
                 return;
@@ -136,11 +136,22 @@
             const Question question = waiters_.at({ entry, *ticket });
             waiters_.erase({ entry, *ticket });
             lines_[entry].leave(*ticket);
-            board.setWaiting("s", lines_[entry].size("s"));
+            board.setWaiting("s", lines_[entry].size("s"), lines_[entry].inTime("s", now_));
             send(question, pick.engine_);
         }
     }
 
+    std::size_t entriesAhead(std::size_t entry, UpstreamId engine, bool standsBack)
+    {
+        std::size_t ahead = 0;
+        for (std::size_t other = 0; other < entries; ++other) {
+            const ServiceWaiting waiting = boards_[entry]->waitingAt(NodeId(other + 1), "s");
+            const bool isBefore = (other + engine.value()) % entries < (entry + engine.value()) % entries;
+            ahead += other != entry && ((isBefore && waiting.count_ > 0) || (standsBack && waiting.inTime_ > 0)) ? 1 : 0;
+        }
+        return ahead;
+    }
+
     void expire(std::size_t entry)
     {
         for (const LineTicket ticket : lines_[entry].expired(now_)) {
@@ -148,7 +159,7 @@
             waiters_.erase({ entry, ticket });
             ++outcome_.refused_;
         }
-        boards_[entry]->setWaiting("s", lines_[entry].size("s"));
+        boards_[entry]->setWaiting("s", lines_[entry].size("s"), lines_[entry].inTime("s", now_));
     }
 
     void send(const Question& question, UpstreamId engine)
@@ -255,3 +266,17 @@
     CHECK(lined.late_ < queued.late_);
     CHECK(lined.refused_ < queued.refused_);
 }
+
+// In a burst nine entries have questions in line, some of them late. A late one took the slot that its own entry saw come free; at another entry one that
+// had 50 ms left became late by it. Each late answer cost another one its time.
+TEST_CASE("capacity: in bursts a question that is late doesn't take the slot of one that can be in time at another entry")
+{
+    int inTime = 0;
+    int inTimeBehind = 0;
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        inTime += Burst(Policy::LineForItself, seed).run(24s).inTime_;
+        inTimeBehind += Burst(Policy::Line, seed).run(24s).inTime_;
+    }
+    MESSAGE("in time: each entry for itself " << inTime << ", late ones behind " << inTimeBehind);
+    CHECK(inTimeBehind > inTime);
+}
--- a/libs/capacity/tests/ReturnTest.cpp
+++ b/libs/capacity/tests/ReturnTest.cpp
@@ -101,7 +101,7 @@
             return refuse(question);
         const LineTicket ticket = line_.enter("s", now_ + objective - board_.settings().firstEvent_, now_ + keepTime);
         waiters_[ticket] = question;
-        board_.setWaiting("s", line_.size("s"));
+        board_.setWaiting("s", line_.size("s"), line_.inTime("s", now_));
     }
 
     void refuse(const Question& question)
@@ -143,7 +143,7 @@
     {
         waiters_.erase(ticket);
         line_.leave(ticket);
-        board_.setWaiting("s", line_.size("s"));
+        board_.setWaiting("s", line_.size("s"), line_.inTime("s", now_));
     }
 
     void send(const Question& question, UpstreamId engine)
--- a/libs/capacity/tests/WaitingLineTest.cpp
+++ b/libs/capacity/tests/WaitingLineTest.cpp
@@ -62,13 +62,13 @@
     return board;
 }
 
-NodeUse waitersOf(std::uint64_t node, std::uint16_t count)
+NodeUse waitersOf(std::uint64_t node, std::uint16_t count, std::uint16_t inTime)
 {
     NodeUse use;
     use.node_ = NodeId(node);
     use.incarnation_ = Incarnation(1);
     use.sequence_ = 1;
-    use.waiting_ = { { idFromName<ServiceId>("s"), count } };
+    use.waiting_ = { { idFromName<ServiceId>("s"), count, inTime } };
     return use;
 }
 
@@ -81,15 +81,15 @@
     CapacityBoard board = boardWith(8, 80);
     const TimePoint now { 10s };
     CHECK(board.lineWait("s", now) == 100ms);
-    board.setWaiting("s", 2);
-    board.heard(waitersOf(2, 5), here, now);
-    board.heard(waitersOf(3, 40), there, now);
+    board.setWaiting("s", 2, 2);
+    board.heard(waitersOf(2, 5, 5), here, now);
+    board.heard(waitersOf(3, 40, 40), there, now);
     CHECK(board.waiting("s") == 7);
     CHECK(board.lineWait("s", now) == 800ms);
-    CHECK(board.ownUse(now).waiting_ == std::vector<ServiceWaiting> { { idFromName<ServiceId>("s"), 2 } });
+    CHECK(board.ownUse(now).waiting_ == std::vector<ServiceWaiting> { { idFromName<ServiceId>("s"), 2, 2 } });
     board.forget(NodeId(2));
     CHECK(board.waiting("s") == 2);
-    board.setWaiting("s", 0);
+    board.setWaiting("s", 0, 0);
     CHECK(board.ownUse(now).waiting_.empty());
     CHECK(board.lineWait("unknown", now) >= 1h);
 }
@@ -99,11 +99,30 @@
     CapacityBoard board = boardWith(8, 8);
     const TimePoint now { 10s };
     CHECK(board.pickBatch("s", false, now + 10s, {}, now).isSome());
-    board.heard(waitersOf(2, 1), here, now);
+    board.heard(waitersOf(2, 1, 1), here, now);
     CHECK_FALSE(board.pickBatch("s", false, now + 10s, {}, now).isSome());
     CHECK(board.pickBatch("s", true, now + 10s, {}, now).isSome());
 }
 
+// Six questions of another node are late already and wait for what is left. One that comes now goes before them, so it is told a wait of one slot
+// and not of seven, and isn't refused.
+TEST_CASE("capacity: questions that are late already don't lengthen the wait of those that can be in time")
+{
+    CapacityBoard board = boardWith(8, 80);
+    const TimePoint now { 10s };
+    board.heard(waitersOf(2, 6, 0), here, now);
+    CHECK(board.waiting("s") == 6);
+    CHECK(board.waitingInTime("s") == 0);
+    CHECK(board.lineWait("s", now) == 100ms);
+    WaitingLine line;
+    const LineTicket late = line.enter("s", now - 1ms, now + 1s);
+    const LineTicket fresh = line.enter("s", now + 200ms, now + 1s);
+    CHECK(line.inTime("s", now) == 1);
+    CHECK_FALSE(line.isInTime(late, now));
+    CHECK(line.isInTime(fresh, now));
+    CHECK(line.first("s", now) == fresh);
+}
+
 // Bursts of some 2 s, 4 s apart. From the second one on a caller who is refused is told to come back into the middle of the pause behind the
 // burst: at its end he would meet all others who were refused, and its last runs.
 TEST_CASE("capacity: a refused caller comes back when the burst is usually over")
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -103,7 +103,7 @@
 template <class Archive>
 void serialize(Archive& archive, ServiceWaiting& waiting)
 {
-    archive(waiting.service_, waiting.count_);
+    archive(waiting.service_, waiting.count_, waiting.inTime_);
 }
 
 template <class Archive>
--- a/libs/serving/src/SlotLine.cpp
+++ b/libs/serving/src/SlotLine.cpp
@@ -42,10 +42,17 @@
 
 void SlotLine::told(const std::string& service)
 {
-    context_.board_.setWaiting(service, line_.size(service));
+    context_.board_.setWaiting(service, line_.size(service), line_.inTime(service, context_.now()));
     context_.fleet_->tell();
 }
 
+// Time alone makes waiters late.
+void SlotLine::countInTime(TimePoint now)
+{
+    for (const std::string& service : line_.services())
+        context_.board_.setWaiting(service, line_.size(service), line_.inTime(service, now));
+}
+
 void SlotLine::tick(TimePoint now)
 {
     for (const LineTicket ticket : line_.expired(now)) {
@@ -53,6 +60,7 @@
         leave(ticket);
         giveUp();
     }
+    countInTime(now);
     pump(false);
 }
 
@@ -78,7 +86,11 @@
     const EnginePick pick = context_.board_.pickQuestion(service, waiter.keepUntil_ - now, waiter.repeatable_, waiter.tried_, now);
     if (pick.kind_ != PickKind::Free && pick.kind_ != PickKind::Displaces)
         return false;
-    const std::size_t ahead = isOwnSlot ? 0 : nodesAhead(service, pick.engine_);
+    const bool isInTime = line_.isInTime(*ticket, now);
+    // Failure met: a question that was late already took the slot that its own node saw come free, while one that could still be in time waited
+    // at another node; in a burst each late answer cost one in time. The late one takes its turn behind those.
+    const bool goesFirst = isOwnSlot && (isInTime || context_.board_.waitingInTime(service) == 0);
+    const std::size_t ahead = goesFirst ? 0 : nodesAhead(service, pick.engine_, isInTime);
     if (ahead > 0 && !timerArmed_) {
         pumpLater(turnStep * ahead);
         return false;
@@ -91,14 +103,18 @@
     return true;
 }
 
-std::size_t SlotLine::nodesAhead(const std::string& service, UpstreamId engine) const
+std::size_t SlotLine::nodesAhead(const std::string& service, UpstreamId engine, bool isInTime) const
 {
     const std::uint64_t own = mixHash(engine.value(), context_.fleet_->self().value());
     const RegionId ownCell = context_.fleet_->cellOf(context_.fleet_->self());
     const auto& peers = context_.fleet_->peers();
     return static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), [&](const auto& entry) {
         const Peer& peer = entry.second;
-        return peer.isLive() && context_.fleet_->cellOf(peer.node_) == ownCell && mixHash(engine.value(), peer.node_.value()) < own && context_.board_.waitingAt(peer.node_, service) > 0;
+        if (!peer.isLive() || context_.fleet_->cellOf(peer.node_) != ownCell)
+            return false;
+        const ServiceWaiting waiting = context_.board_.waitingAt(peer.node_, service);
+        const bool isBefore = mixHash(engine.value(), peer.node_.value()) < own;
+        return isInTime ? waiting.inTime_ > 0 && isBefore : waiting.inTime_ > 0 || (waiting.count_ > 0 && isBefore);
     }));
 }
 
--- a/libs/serving/src/SlotLine.h
+++ b/libs/serving/src/SlotLine.h
@@ -53,8 +53,9 @@
     void pump(bool isOwnSlot);
     // Serves the first waiter of the service; false: nobody can be served now.
     bool serveOne(const std::string& service, bool isOwnSlot, TimePoint now);
-    // Nodes with waiters that go before this one at the engine.
-    std::size_t nodesAhead(const std::string& service, UpstreamId engine) const;
+    // Nodes with waiters that go before this one's first at the engine.
+    std::size_t nodesAhead(const std::string& service, UpstreamId engine, bool isInTime) const;
+    void countInTime(TimePoint now);
     void pumpLater(Duration delay);
     void told(const std::string& service);
 
