--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -79,12 +79,12 @@
     // Slots of each engine that batch items leave free for the questions of the next milliseconds. Measured on bursts of 1.9 times the mean
     // at three quarters of the slots in use.
     std::uint32_t batchReserve_ = 1;
-    // Items of other nodes go first when they are due earlier by so much; differences below are as old as the words that tell them.
+    // Items of other nodes go first when they are due earlier by so much; differences below are as old as the reports that tell them.
     Duration dueStep_ = 250ms;
     // An item that runs leaves its slot to one that waits elsewhere and is due earlier by so much. Going on elsewhere costs 10 to 30 ms of
     // an engine's reading, so it isn't done for less than the length of a short run.
     Duration cedeStep_ = 3s;
-    // What an engine says of its load counts for so long, and from this much more than the nodes told: words are a millisecond or two
+    // What an engine says of its load counts for so long, and from this much more than the nodes told: reports are a millisecond or two
     // behind, so a difference of one is usual.
     Duration loadFresh_ = 150ms;
     std::uint32_t leastUnheard_ = 2;
@@ -93,7 +93,7 @@
     Duration longestShun_ = 6s;
     // Failures are remembered with this half-life, also over a success: an engine that fails four in ten is not soon trusted again.
     Duration failureHalfLife_ = 4s;
-    // An own answer of an engine that is so fresh counts for more than another node's word that it fails.
+    // An own answer of an engine that is so fresh counts for more than another node's report that it fails.
     Duration freshSuccess_ = 1s;
     // More than this part of a service's engines, and more than three, lost a connection of this node within sharedFault_: the fault
     // is the node's own or the network's.
@@ -163,9 +163,9 @@
     // to another engine if one fails it.
     EnginePick pickQuestion(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now);
     // How long a question would wait that lines up now, behind all that wait in this region and can be in time.
-    Duration lineWait(std::string_view service, TimePoint now) const;
+    Duration queueWait(std::string_view service, TimePoint now) const;
     // Would a question that lines up now, and whose first event may take `bound`, be in time?
-    bool isLineInTime(std::string_view service, Duration bound, TimePoint now) const;
+    bool isQueueInTime(std::string_view service, Duration bound, TimePoint now) const;
     // Questions that wait at another node, and at all nodes of this region, this one included.
     ServiceWaiting waitingAt(NodeId node, std::string_view service) const;
     std::uint32_t waiting(std::string_view service) const;
@@ -229,7 +229,7 @@
     void subtract(const NodeUse& use);
     void add(const NodeUse& use);
     std::vector<Candidate> candidates(std::string_view service, bool repeatable, std::span<const UpstreamId> tried, TimePoint now);
-    Duration queueWait(const Engine& engine, TimePoint now) const;
+    Duration engineWait(const Engine& engine, TimePoint now) const;
     // Slots that batch items may take now.
     std::uint32_t batchRoom(std::span<const Candidate> engines, std::uint32_t reserve, TimePoint now) const;
     // Items that wait at other nodes and are due before `due`.
--- a/libs/capacity/include/capacity/WaitingLine.h
+++ b/libs/capacity/include/capacity/WaitingQueue.h
@@ -1,7 +1,7 @@
 // Questions that wait at this node for a slot, and who of them goes first.
 //
-//     WaitingLine line;
-//     const LineTicket ticket = line.enter("chat", inTimeUntil, keepUntil);
+//     WaitingQueue line;
+//     const QueueTicket ticket = line.enter("chat", inTimeUntil, keepUntil);
 //     if (const auto first = line.first("chat", now)) ...       // a slot is free: it is this one's
 //     line.leave(ticket);
 //
@@ -24,22 +24,22 @@
 
 namespace jj {
 
-using LineTicket = Id<struct LineTicketTag>;
+using QueueTicket = Id<struct QueueTicketTag>;
 
-class WaitingLine {
+class WaitingQueue {
 public:
     // `inTimeUntil`: sent by then its first event is in time. `keepUntil`: after it waiting serves nobody.
-    LineTicket enter(std::string_view service, TimePoint inTimeUntil, TimePoint keepUntil);
-    void leave(LineTicket ticket);
+    QueueTicket enter(std::string_view service, TimePoint inTimeUntil, TimePoint keepUntil);
+    void leave(QueueTicket ticket);
     // Who gets the next slot; none: nobody waits.
-    std::optional<LineTicket> first(std::string_view service, TimePoint now) const;
+    std::optional<QueueTicket> first(std::string_view service, TimePoint now) const;
     // Those whose time is over; they stay until they leave.
-    std::vector<LineTicket> expired(TimePoint now) const;
+    std::vector<QueueTicket> expired(TimePoint now) const;
     std::vector<std::string> services() const;
     std::uint16_t size(std::string_view service) const;
     // Those that can still be in time.
     std::uint16_t inTime(std::string_view service, TimePoint now) const;
-    bool isInTime(LineTicket ticket, TimePoint now) const;
+    bool isInTime(QueueTicket ticket, TimePoint now) const;
     bool empty() const { return waiters_.empty(); }
 
 private:
@@ -49,7 +49,7 @@
         TimePoint keepUntil_ {};
     };
 
-    std::map<LineTicket, Waiter> waiters_; // tickets grow, so the oldest comes first
+    std::map<QueueTicket, Waiter> waiters_; // tickets grow, so the oldest comes first
     std::uint64_t nextTicket_ = 1;
 };
 
--- /dev/null
+++ b/libs/capacity/src/CapacityAnswers.cpp
@@ -0,0 +1,111 @@
+// What answers say of engines: failures, trials, and the load that they tell.
+#include "capacity/CapacityBoard.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jj {
+
+namespace {
+
+    // An engine that said "full" has been found out by an entry whose counts lag; its queue needs a step or two.
+    constexpr Duration fullPause = 30ms;
+
+} // namespace
+
+// A service's engines don't lose their connections to one node at the same moment by themselves.
+bool CapacityBoard::isSharedFault(const Engine& engine, TimePoint now) const
+{
+    constexpr std::size_t alwaysBlamed = 3;
+    std::size_t all = 0;
+    std::size_t lost = 0;
+    for (const auto& [id, one] : engines_) {
+        if (one.entry_.service_ != engine.entry_.service_)
+            continue;
+        ++all;
+        lost += one.lostAt_ != TimePoint() && now - one.lostAt_ <= settings_.sharedFault_ ? 1 : 0;
+    }
+    return lost > alwaysBlamed && static_cast<double>(lost) > settings_.sharedFaultPart_ * static_cast<double>(all);
+}
+
+Duration CapacityBoard::failed(UpstreamId engine, EngineFault fault, TimePoint now)
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end())
+        return {};
+    Engine& one = found->second;
+    if (fault == EngineFault::Lost) {
+        one.lostAt_ = now;
+        if (isSharedFault(one, now))
+            return {};
+    }
+    // The streams of one crash end together; they are one failure.
+    if (one.isOnTrial_ && now < one.shunnedUntil_)
+        return one.shunnedUntil_ - now;
+    constexpr double weights[] = { 1, 1, 0.5 };
+    const Duration since = std::max<Duration>(now - one.strikesAt_, Duration::zero());
+    const double faded = std::exp2(-toSeconds(since) / toSeconds(settings_.failureHalfLife_));
+    one.strikes_ = one.strikes_ * faded + weights[static_cast<std::size_t>(fault)];
+    one.strikesAt_ = now;
+    if (one.strikes_ < 1)
+        return {};
+    constexpr double mostStrikes = 8;
+    one.strikes_ = std::min(one.strikes_, mostStrikes);
+    const Duration shun = std::min<Duration>(settings_.longestShun_, fromSeconds(toSeconds(settings_.firstShun_) * std::exp2(one.strikes_ - 1)));
+    one.isOnTrial_ = true;
+    one.isProbed_ = false;
+    one.shunnedUntil_ = now + shun;
+    // While it is left alone it can't prove itself, so nothing fades.
+    one.strikesAt_ = one.shunnedUntil_;
+    return shun;
+}
+
+void CapacityBoard::succeeded(UpstreamId engine, TimePoint now)
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    Engine& one = found->second;
+    one.succeededAt_ = now;
+    // A stream that began before the failure says nothing about requests that come after it.
+    if (one.isOnTrial_ && now >= one.shunnedUntil_)
+        one.isOnTrial_ = false;
+}
+
+void CapacityBoard::probed(UpstreamId engine)
+{
+    const auto found = engines_.find(engine);
+    if (found != engines_.end())
+        found->second.isProbed_ = true;
+}
+
+void CapacityBoard::refusedAsFull(UpstreamId engine, TimePoint now)
+{
+    const auto found = engines_.find(engine);
+    if (found != engines_.end())
+        found->second.fullUntil_ = now + fullPause;
+}
+
+std::vector<UpstreamId> CapacityBoard::dueForProbe(TimePoint now) const
+{
+    std::vector<UpstreamId> due;
+    for (const auto& [id, engine] : engines_) {
+        if (engine.isOnTrial_ && !engine.isProbed_ && now >= engine.shunnedUntil_)
+            due.push_back(id);
+    }
+    return due;
+}
+
+void CapacityBoard::observed(UpstreamId engine, std::uint32_t running, std::uint32_t waiting, TimePoint now)
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    Engine& one = found->second;
+    const std::uint32_t told = one.questions() + one.batch();
+    const std::uint32_t unheard = running + waiting > told ? running + waiting - told : 0;
+    one.unheard_ = unheard >= settings_.leastUnheard_ ? unheard : 0;
+    one.unheardUntil_ = now + settings_.loadFresh_;
+}
+
+} // namespace jj
--- /dev/null
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -0,0 +1,247 @@
+// The order in which engines are preferred, and who waits for what they leave.
+#include "capacity/CapacityBoard.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace jj {
+
+namespace {
+
+    // No engine at all: longer than any question waits.
+    constexpr Duration neverWait = std::chrono::hours(1);
+
+} // namespace
+
+// ---- picks
+
+// Of the nodes that have the engine on trial one tries it: the others would each lose a request to learn the same.
+bool CapacityBoard::isTester(const Engine& engine) const
+{
+    return engine.accusers_.empty() || self_ < *engine.accusers_.begin();
+}
+
+bool CapacityBoard::isUsable(const Engine& engine, bool repeatable, TimePoint now) const
+{
+    if (engine.entry_.draining_ || now < engine.fullUntil_)
+        return false;
+    if (!engine.isOnTrial_)
+        return true;
+    const bool mayTry = repeatable || now >= engine.shunnedUntil_ + settings_.untriedFor_;
+    const bool isIdleHere = engine.own_.questions_ + engine.own_.batchItems_ == 0;
+    return engine.isProbed_ && now >= engine.shunnedUntil_ && isIdleHere && mayTry && isTester(engine);
+}
+
+// Other nodes say that it fails, and this one has no fresh answer of it.
+bool CapacityBoard::isDoubtful(const Engine& engine, TimePoint now) const
+{
+    if (engine.accusers_.empty() || engine.isOnTrial_)
+        return false;
+    return engine.succeededAt_ == TimePoint() || now - engine.succeededAt_ > settings_.freshSuccess_;
+}
+
+std::vector<CapacityBoard::Candidate> CapacityBoard::candidates(std::string_view service, bool repeatable, std::span<const UpstreamId> tried, TimePoint now)
+{
+    std::vector<Candidate> found;
+    std::vector<Candidate> doubtful;
+    for (auto& [id, engine] : engines_) {
+        if (engine.entry_.service_ != service || !isUsable(engine, repeatable, now) || std::find(tried.begin(), tried.end(), id) != tried.end())
+            continue;
+        auto& list = isDoubtful(engine, now) ? doubtful : found;
+        list.push_back({ &engine, engine.entry_.region_ != region_ });
+    }
+    // What others say counts only as long as something else is left.
+    if (found.empty())
+        found = std::move(doubtful);
+    std::shuffle(found.begin(), found.end(), random_);
+    return found;
+}
+
+// Questions end one after the other: with n slots busy, one comes free each n-th part of a run.
+Duration CapacityBoard::engineWait(const Engine& engine, TimePoint now) const
+{
+    const std::uint32_t slots = std::max(1U, engine.entry_.slots_);
+    const std::uint32_t fixed = engine.fixed(now);
+    const std::uint32_t waiting = fixed >= slots ? fixed - slots + 1 : 0;
+    // Firm items keep their slots for seconds, so only the others come free at a question's pace.
+    const std::uint32_t turning = std::max(1U, slots - std::min(slots, engine.firm()));
+    return fromSeconds(meanRunSeconds_ * waiting / turning);
+}
+
+EnginePick CapacityBoard::pickQuestion(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now)
+{
+    dropSilent(now);
+    // In order of what the caller gets: a free slot near, one that batch gives up, a free slot far, a short wait.
+    struct Best {
+        const Engine* engine_ = nullptr;
+        std::uint64_t rank_ = 0;
+    };
+    Best best;
+    EnginePick pick;
+    Duration shortest = bound;
+    for (const Candidate& candidate : candidates(service, repeatable, tried, now)) {
+        const Engine& engine = *candidate.engine_;
+        const bool isFree = engine.total(now) < engine.entry_.slots_;
+        const bool displaces = !isFree && engine.fixed(now) < engine.entry_.slots_;
+        const Duration far = candidate.far_ ? settings_.farCost_ : Duration::zero();
+        const Duration wait = isFree || displaces ? far : far + engineWait(engine, now);
+        shortest = std::min(shortest, wait);
+        if (wait + settings_.firstEvent_ > bound)
+            continue;
+        const PickKind kind = isFree ? PickKind::Free : displaces ? PickKind::Displaces
+                                                                  : PickKind::Queues;
+        const std::uint64_t stage = (isFree ? 0 : displaces ? 1
+                                                            : 3)
+            + (candidate.far_ ? 2 : 0);
+        constexpr std::uint64_t stageWeight = 1ULL << 32;
+        constexpr std::uint64_t otherDomain = 1;
+        const std::uint64_t load = isFree ? engine.total(now) : displaces ? engine.fixed(now)
+                                                                          : static_cast<std::uint64_t>(wait / 1ms);
+        const std::uint64_t rank = stage * stageWeight + load * 2 + (engine.entry_.domain_ == domain_ ? 0 : otherDomain);
+        if (best.engine_ && rank >= best.rank_)
+            continue;
+        best = { &engine, rank };
+        pick = { kind, engine.entry_.id_, wait };
+    }
+    if (!pick.isSome())
+        pick.wait_ = shortest;
+    return pick;
+}
+
+// ---- the line
+
+ServiceWaiting CapacityBoard::waitingAt(NodeId node, std::string_view service) const
+{
+    const auto id = idFromName<ServiceId>(service);
+    const auto found = reports_.find(node);
+    if (found == reports_.end())
+        return { id };
+    const auto& waiting = found->second.use_.waiting_;
+    const auto place = std::find_if(waiting.begin(), waiting.end(), [id](const ServiceWaiting& one) { return one.service_ == id; });
+    return place == waiting.end() ? ServiceWaiting { id } : *place;
+}
+
+ServiceWaiting CapacityBoard::allWaiting(std::string_view service) const
+{
+    const auto own = ownWaiting_.find(idFromName<ServiceId>(service));
+    ServiceWaiting all = own == ownWaiting_.end() ? ServiceWaiting() : own->second;
+    for (const auto& [node, report] : reports_) {
+        if (report.region_ != region_)
+            continue;
+        const ServiceWaiting there = waitingAt(node, service);
+        all.count_ += there.count_;
+        all.inTime_ += there.inTime_;
+    }
+    return all;
+}
+
+std::uint32_t CapacityBoard::waiting(std::string_view service) const { return allWaiting(service).count_; }
+
+std::uint32_t CapacityBoard::waitingInTime(std::string_view service) const { return allWaiting(service).inTime_; }
+
+// With n slots that turn over, one comes free each n-th part of a run, whoever waits for it.
+Duration CapacityBoard::queueWait(std::string_view service, TimePoint now) const
+{
+    std::uint32_t near = 0;
+    std::uint32_t all = 0;
+    for (const auto& [id, engine] : engines_) {
+        if (engine.entry_.service_ != service || !isUsable(engine, false, now))
+            continue;
+        const std::uint32_t turning = engine.entry_.slots_ - std::min(engine.entry_.slots_, engine.firm());
+        all += turning;
+        near += engine.entry_.region_ == region_ ? turning : 0;
+    }
+    // Slots of other regions go to those who wait there; their frees are heard too late here.
+    const std::uint32_t slots = near > 0 ? near : all;
+    if (slots == 0)
+        return neverWait;
+    return fromSeconds(meanRunSeconds_ * (waitingInTime(service) + 1) / slots);
+}
+
+bool CapacityBoard::isQueueInTime(std::string_view service, Duration bound, TimePoint now) const
+{
+    return queueWait(service, now) <= bound - settings_.firstEvent_;
+}
+
+std::uint32_t CapacityBoard::batchRoom(std::span<const Candidate> engines, std::uint32_t reserve, TimePoint now) const
+{
+    std::uint32_t room = 0;
+    for (const Candidate& candidate : engines) {
+        const std::uint32_t taken = candidate.engine_->total(now) + reserve;
+        room += candidate.engine_->entry_.slots_ - std::min(candidate.engine_->entry_.slots_, taken);
+    }
+    return room;
+}
+
+std::uint32_t CapacityBoard::itemsDueBefore(std::string_view service, TimePoint due) const
+{
+    const auto id = idFromName<ServiceId>(service);
+    std::uint32_t count = 0;
+    for (const auto& [node, report] : reports_) {
+        for (const ItemsWaiting& items : report.use_.items_) {
+            if (items.service_ == id && report.at_ + items.dueIn_ < due)
+                count += items.count_;
+        }
+    }
+    return count;
+}
+
+// Failure met: jobs are spread over workers by a hash, so one worker has two jobs and another eight. Each took slots for its own items in
+// turn; items due in ten seconds ran at one while items due in two waited at another, and a third of a burst of jobs came late
+// although the slots would have done for all. The guard: a node leaves as many free slots as more urgent items wait elsewhere.
+EnginePick CapacityBoard::pickBatch(std::string_view service, bool urgent, TimePoint due, std::span<const UpstreamId> tried, TimePoint now)
+{
+    dropSilent(now);
+    // Each slot that comes free is a waiting question's.
+    if (!urgent && waiting(service) > 0)
+        return {};
+    const std::uint32_t reserve = urgent ? 0 : settings_.batchReserve_;
+    const std::vector<Candidate> engines = candidates(service, true, tried, now);
+    if (batchRoom(engines, reserve, now) <= itemsDueBefore(service, due - settings_.dueStep_))
+        return {};
+    std::optional<std::uint64_t> bestRank;
+    EnginePick pick;
+    for (const Candidate& candidate : engines) {
+        const Engine& engine = *candidate.engine_;
+        if (engine.total(now) + reserve >= engine.entry_.slots_)
+            continue;
+        constexpr std::uint64_t farWeight = 1ULL << 32;
+        const std::uint64_t rank = (candidate.far_ ? farWeight : 0) + engine.total(now) * 2ULL + (engine.entry_.domain_ == domain_ ? 0 : 1);
+        if (bestRank && rank >= *bestRank)
+            continue;
+        bestRank = rank;
+        pick = { PickKind::Free, engine.entry_.id_, {} };
+    }
+    return pick;
+}
+
+bool CapacityBoard::mustCedeItem(std::string_view service, TimePoint due, TimePoint now)
+{
+    const std::uint32_t ahead = itemsDueBefore(service, due - settings_.cedeStep_);
+    return ahead > 0 && batchRoom(candidates(service, true, {}, now), settings_.batchReserve_, now) < ahead;
+}
+
+CapacityBoard::Usage CapacityBoard::usage(std::string_view service) const
+{
+    Usage usage;
+    for (const auto& [id, engine] : engines_) {
+        if (engine.entry_.service_ != service || engine.entry_.draining_ || engine.isOnTrial_)
+            continue;
+        usage.slots_ += engine.entry_.slots_;
+        usage.questions_ += engine.questions();
+        usage.batchItems_ += engine.batch();
+    }
+    return usage;
+}
+
+EngineUse CapacityBoard::useOf(UpstreamId engine) const
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end())
+        return { engine, 0, 0, 0 };
+    return { engine, static_cast<std::uint16_t>(found->second.questions()), static_cast<std::uint16_t>(found->second.batch()), static_cast<std::uint16_t>(found->second.firm()) };
+}
+
+} // namespace jj
--- a/libs/capacity/src/WaitingLine.cpp
+++ b/libs/capacity/src/WaitingQueue.cpp
@@ -1,23 +1,23 @@
 // A node holds a handful of waiters, so a walk over all of them is what it costs.
-#include "capacity/WaitingLine.h"
+#include "capacity/WaitingQueue.h"
 
 #include <algorithm>
 #include <set>
 
 namespace jj {
 
-LineTicket WaitingLine::enter(std::string_view service, TimePoint inTimeUntil, TimePoint keepUntil)
+QueueTicket WaitingQueue::enter(std::string_view service, TimePoint inTimeUntil, TimePoint keepUntil)
 {
-    const LineTicket ticket(nextTicket_++);
+    const QueueTicket ticket(nextTicket_++);
     waiters_[ticket] = { std::string(service), inTimeUntil, keepUntil };
     return ticket;
 }
 
-void WaitingLine::leave(LineTicket ticket) { waiters_.erase(ticket); }
+void WaitingQueue::leave(QueueTicket ticket) { waiters_.erase(ticket); }
 
-std::optional<LineTicket> WaitingLine::first(std::string_view service, TimePoint now) const
+std::optional<QueueTicket> WaitingQueue::first(std::string_view service, TimePoint now) const
 {
-    std::optional<LineTicket> late;
+    std::optional<QueueTicket> late;
     for (const auto& [ticket, waiter] : waiters_) {
         if (waiter.service_ != service)
             continue;
@@ -29,9 +29,9 @@
     return late;
 }
 
-std::vector<LineTicket> WaitingLine::expired(TimePoint now) const
+std::vector<QueueTicket> WaitingQueue::expired(TimePoint now) const
 {
-    std::vector<LineTicket> found;
+    std::vector<QueueTicket> found;
     for (const auto& [ticket, waiter] : waiters_) {
         if (now > waiter.keepUntil_)
             found.push_back(ticket);
@@ -39,7 +39,7 @@
     return found;
 }
 
-std::vector<std::string> WaitingLine::services() const
+std::vector<std::string> WaitingQueue::services() const
 {
     std::set<std::string> names;
     for (const auto& [ticket, waiter] : waiters_)
@@ -47,17 +47,17 @@
     return { names.begin(), names.end() };
 }
 
-std::uint16_t WaitingLine::size(std::string_view service) const
+std::uint16_t WaitingQueue::size(std::string_view service) const
 {
     return static_cast<std::uint16_t>(std::count_if(waiters_.begin(), waiters_.end(), [service](const auto& entry) { return entry.second.service_ == service; }));
 }
 
-std::uint16_t WaitingLine::inTime(std::string_view service, TimePoint now) const
+std::uint16_t WaitingQueue::inTime(std::string_view service, TimePoint now) const
 {
     return static_cast<std::uint16_t>(std::count_if(waiters_.begin(), waiters_.end(), [&](const auto& entry) { return entry.second.service_ == service && now <= entry.second.inTimeUntil_; }));
 }
 
-bool WaitingLine::isInTime(LineTicket ticket, TimePoint now) const
+bool WaitingQueue::isInTime(QueueTicket ticket, TimePoint now) const
 {
     const auto found = waiters_.find(ticket);
     return found != waiters_.end() && now <= found->second.inTimeUntil_;
--- a/libs/capacity/tests/BurstTest.cpp
+++ b/libs/capacity/tests/BurstTest.cpp
@@ -2,10 +2,10 @@
 //
 // Pattern: questions come at random, for 2.4 s of each 6 s at 1.9 times the mean and at 0.39 times it in between, as callers of a shop do in
 // waves. They hold a slot for 0.75 s, give or take a quarter: answers of 32 events, 20 to 24 ms each with eight running. Eight slots an
-// engine; nine entries, whose words are 2 ms on their way. Bursts ask for 1.15 times the slots there are: what is left when a sixth of the
+// engine; nine entries, whose reports are 2 ms on their way. Bursts ask for 1.15 times the slots there are: what is left when a sixth of the
 // engines is away. In time is a first event after 300 ms, 25 ms of which the engine takes.
 #include "capacity/CapacityBoard.h"
-#include "capacity/WaitingLine.h"
+#include "capacity/WaitingQueue.h"
 
 #include <deque>
 #include <doctest/doctest.h>
@@ -22,7 +22,7 @@
 constexpr std::size_t slots = 8;
 constexpr Duration objective = 300ms;
 constexpr Duration firstEvent = 25ms;
-constexpr Duration wordDelay = 2ms;
+constexpr Duration reportDelay = 2ms;
 constexpr Duration turnStep = 3ms;
 constexpr Duration meanRun = 750ms;
 
@@ -59,7 +59,7 @@
                 boards_.back()->upsert(one);
             }
         }
-        lines_.resize(entries);
+        waitingQueues_.resize(entries);
         turnAt_.resize(entries, neverTime);
     }
 
@@ -70,7 +70,7 @@
         const TimePoint end = now_ + length;
         while (now_ < end) {
             now_ += 1ms;
-            hearWords();
+            hearReports();
             endRuns();
             for (std::size_t entry = 0; entry < entries; ++entry) {
                 if (now_ >= turnAt_[entry]) {
@@ -109,24 +109,24 @@
         const bool isFree = pick.kind_ == PickKind::Free;
         if (policy_ == Policy::EngineQueue ? pick.isSome() : isFree && board.waiting("s") == 0)
             return send({ entry, now_ }, pick.engine_);
-        if (policy_ == Policy::EngineQueue || !board.isLineInTime("s", objective, now_)) {
+        if (policy_ == Policy::EngineQueue || !board.isQueueInTime("s", objective, now_)) {
             ++outcome_.refused_;
             return;
         }
-        const LineTicket ticket = lines_[entry].enter("s", now_ + objective - firstEvent, now_ + 4 * objective);
+        const QueueTicket ticket = waitingQueues_[entry].enter("s", now_ + objective - firstEvent, now_ + 4 * objective);
         waiters_[{ entry, ticket }] = { entry, now_ };
-        board.setWaiting("s", lines_[entry].size("s"), lines_[entry].inTime("s", now_));
+        board.setWaiting("s", waitingQueues_[entry].size("s"), waitingQueues_[entry].inTime("s", now_));
         tell(entry);
     }
 
     void serve(std::size_t entry, bool isOwnTurn)
     {
         CapacityBoard& board = *boards_[entry];
-        while (const auto ticket = lines_[entry].first("s", now_)) {
+        while (const auto ticket = waitingQueues_[entry].first("s", now_)) {
             const EnginePick pick = board.pickQuestion("s", 10s, false, {}, now_);
             if (pick.kind_ != PickKind::Free)
                 return;
-            const bool standsBack = policy_ == Policy::Line && !lines_[entry].isInTime(*ticket, now_) && board.waitingInTime("s") > 0;
+            const bool standsBack = policy_ == Policy::Line && !waitingQueues_[entry].isInTime(*ticket, now_) && board.waitingInTime("s") > 0;
             const std::size_t ahead = entriesAhead(entry, pick.engine_, standsBack);
             if (ahead > 0 && (!isOwnTurn || standsBack)) {
                 if (turnAt_[entry] == neverTime)
@@ -135,8 +135,8 @@
             }
             const Question question = waiters_.at({ entry, *ticket });
             waiters_.erase({ entry, *ticket });
-            lines_[entry].leave(*ticket);
-            board.setWaiting("s", lines_[entry].size("s"), lines_[entry].inTime("s", now_));
+            waitingQueues_[entry].leave(*ticket);
+            board.setWaiting("s", waitingQueues_[entry].size("s"), waitingQueues_[entry].inTime("s", now_));
             send(question, pick.engine_);
         }
     }
@@ -154,12 +154,12 @@
 
     void expire(std::size_t entry)
     {
-        for (const LineTicket ticket : lines_[entry].expired(now_)) {
-            lines_[entry].leave(ticket);
+        for (const QueueTicket ticket : waitingQueues_[entry].expired(now_)) {
+            waitingQueues_[entry].leave(ticket);
             waiters_.erase({ entry, ticket });
             ++outcome_.refused_;
         }
-        boards_[entry]->setWaiting("s", lines_[entry].size("s"), lines_[entry].inTime("s", now_));
+        boards_[entry]->setWaiting("s", waitingQueues_[entry].size("s"), waitingQueues_[entry].inTime("s", now_));
     }
 
     void send(const Question& question, UpstreamId engine)
@@ -208,14 +208,14 @@
         use.node_ = NodeId(entry + 1);
         use.incarnation_ = Incarnation(1);
         use.sequence_ = ++sequence_;
-        words_.push_back({ now_ + wordDelay, std::move(use) });
+        reports_.push_back({ now_ + reportDelay, std::move(use) });
     }
 
-    void hearWords()
+    void hearReports()
     {
-        while (!words_.empty() && words_.front().first <= now_) {
-            const NodeUse use = std::move(words_.front().second);
-            words_.pop_front();
+        while (!reports_.empty() && reports_.front().first <= now_) {
+            const NodeUse use = std::move(reports_.front().second);
+            reports_.pop_front();
             for (std::size_t entry = 0; entry < entries; ++entry) {
                 if (NodeId(entry + 1) != use.node_)
                     boards_[entry]->heard(use, RegionId(1), now_);
@@ -227,13 +227,13 @@
     std::mt19937_64 random_;
     TimePoint now_ { 6s };
     std::vector<std::unique_ptr<CapacityBoard>> boards_;
-    std::vector<WaitingLine> lines_;
+    std::vector<WaitingQueue> waitingQueues_;
     std::vector<TimePoint> turnAt_;
-    std::map<std::pair<std::size_t, LineTicket>, Question> waiters_;
+    std::map<std::pair<std::size_t, QueueTicket>, Question> waiters_;
     std::deque<Question> queues_[engines];
     std::size_t running_[engines] = {};
     std::vector<Run> runs_;
-    std::deque<std::pair<TimePoint, NodeUse>> words_;
+    std::deque<std::pair<TimePoint, NodeUse>> reports_;
     std::uint32_t sequence_ = 0;
     Outcome outcome_;
 };
--- a/libs/capacity/tests/CapacityBoardTest.cpp
+++ b/libs/capacity/tests/CapacityBoardTest.cpp
@@ -244,7 +244,7 @@
     world.now_ += 200ms;
     world.board_.started(UpstreamId(2), WorkClass::Question);
     CHECK(world.ask().engine_ == UpstreamId(1));
-    // One more than told is the usual delay of words.
+    // One more than told is the usual delay of reports.
     world.hear(2, { use(1, 3) });
     world.board_.observed(UpstreamId(1), 4, 0, world.now_);
     CHECK(world.board_.useOf(UpstreamId(1)).questions_ == 3);
--- a/libs/capacity/tests/ItemOrderTest.cpp
+++ b/libs/capacity/tests/ItemOrderTest.cpp
@@ -3,7 +3,7 @@
 // Pattern: a job of ten items comes each 4 s to one of two workers, and each 30 s six at once to a third one, as a hash deals them out when
 // jobs are few and clerks begin their shift together. All are due after 18 s. For 2.4 s of each 5.8 s questions take all slots but two of
 // each engine, and a quarter of them in between. An item holds a slot for 4.7 s in all and goes on where it stopped. Together
-// they ask for four fifths of what the questions leave. Words are 2 ms on their way.
+// they ask for four fifths of what the questions leave. Reports are 2 ms on their way.
 #include "base/Hash.h"
 #include "capacity/CapacityBoard.h"
 
@@ -20,7 +20,7 @@
 constexpr std::size_t engines = 6;
 constexpr std::uint16_t slots = 8;
 constexpr NodeId entryNode { 100 };
-constexpr Duration wordDelay = 2ms;
+constexpr Duration reportDelay = 2ms;
 constexpr Duration tick = 20ms;
 constexpr Duration runTime = 4700ms;
 constexpr Duration runTarget = 18s;
@@ -68,7 +68,7 @@
                 addJobs(6, 0);
                 nextBunch += 30s;
             }
-            hearWords();
+            hearReports();
             setQuestions();
             work();
             for (std::size_t worker = 0; worker < workers; ++worker)
@@ -93,10 +93,10 @@
         const bool isBurst = (now_ - TimePoint()) % 5800ms < 2400ms;
         const std::uint16_t perEngine = isBurst ? slots - 2 : 2;
         // A node tells again and again; one that falls silent counts as running nothing.
-        if (perEngine == questions_ && now_ - questionsToldAt_ < 500ms)
+        if (perEngine == questions_ && now_ - questionsReportedAt_ < 500ms)
             return;
         questions_ = perEngine;
-        questionsToldAt_ = now_;
+        questionsReportedAt_ = now_;
         NodeUse use;
         use.node_ = entryNode;
         for (std::size_t engine = 0; engine < engines; ++engine)
@@ -206,15 +206,15 @@
     {
         use.incarnation_ = Incarnation(1);
         use.sequence_ = ++sequence_;
-        words_.push_back({ now_ + wordDelay, std::move(use) });
+        reports_.push_back({ now_ + reportDelay, std::move(use) });
     }
 
-    void hearWords()
+    void hearReports()
     {
-        for (; !words_.empty() && words_.front().first <= now_; words_.pop_front()) {
+        for (; !reports_.empty() && reports_.front().first <= now_; reports_.pop_front()) {
             for (std::size_t worker = 0; worker < workers; ++worker) {
-                if (NodeId(worker + 1) != words_.front().second.node_)
-                    boards_[worker]->heard(words_.front().second, RegionId(1), now_);
+                if (NodeId(worker + 1) != reports_.front().second.node_)
+                    boards_[worker]->heard(reports_.front().second, RegionId(1), now_);
             }
         }
     }
@@ -224,9 +224,9 @@
     TimePoint now_ { 60s };
     std::vector<std::unique_ptr<CapacityBoard>> boards_;
     std::vector<std::vector<TestItem>> items_;
-    std::deque<std::pair<TimePoint, NodeUse>> words_;
+    std::deque<std::pair<TimePoint, NodeUse>> reports_;
     std::uint16_t questions_ = 0;
-    TimePoint questionsToldAt_ {};
+    TimePoint questionsReportedAt_ {};
     std::uint32_t sequence_ = 0;
     int asked_ = 0;
     int inTime_ = 0;
--- a/libs/capacity/tests/ReturnTest.cpp
+++ b/libs/capacity/tests/ReturnTest.cpp
@@ -6,7 +6,7 @@
 #include "capacity/CallerPatience.h"
 #include "capacity/CapacityBoard.h"
 #include "capacity/FullPhases.h"
-#include "capacity/WaitingLine.h"
+#include "capacity/WaitingQueue.h"
 
 #include <doctest/doctest.h>
 #include <map>
@@ -95,13 +95,13 @@
         const Duration timeLeft = question.first_ + callerTime - now_;
         const bool isBack = policy_ == Policy::BehindTheBurst && patience_.hasReturned("r", timeLeft, now_);
         const EnginePick pick = board_.pickQuestion("s", objective, false, {}, now_);
-        if (pick.kind_ == PickKind::Free && line_.empty())
+        if (pick.kind_ == PickKind::Free && queue_.empty())
             return send(question, pick.engine_);
-        if (!isBack && !board_.isLineInTime("s", objective, now_))
+        if (!isBack && !board_.isQueueInTime("s", objective, now_))
             return refuse(question);
-        const LineTicket ticket = line_.enter("s", now_ + objective - board_.settings().firstEvent_, now_ + keepTime);
+        const QueueTicket ticket = queue_.enter("s", now_ + objective - board_.settings().firstEvent_, now_ + keepTime);
         waiters_[ticket] = question;
-        board_.setWaiting("s", line_.size("s"), line_.inTime("s", now_));
+        board_.setWaiting("s", queue_.size("s"), queue_.inTime("s", now_));
     }
 
     void refuse(const Question& question)
@@ -112,7 +112,7 @@
         }
         phases_.refused(now_);
         const Duration most = (question.first_ + callerTime - now_) / 3;
-        Duration wait = board_.lineWait("s", now_);
+        Duration wait = board_.queueWait("s", now_);
         if (policy_ == Policy::BehindTheBurst)
             wait = std::max(wait, phases_.remaining(now_));
         back_.emplace(now_ + std::clamp<Duration>(wait, leastRetry, most), question);
@@ -120,7 +120,7 @@
 
     void serve()
     {
-        while (const auto ticket = line_.first("s", now_)) {
+        while (const auto ticket = queue_.first("s", now_)) {
             const EnginePick pick = board_.pickQuestion("s", 10s, false, {}, now_);
             if (pick.kind_ != PickKind::Free)
                 return;
@@ -132,18 +132,18 @@
 
     void expire()
     {
-        for (const LineTicket ticket : line_.expired(now_)) {
+        for (const QueueTicket ticket : queue_.expired(now_)) {
             const Question question = waiters_.at(ticket);
             leave(ticket);
             refuse(question);
         }
     }
 
-    void leave(LineTicket ticket)
+    void leave(QueueTicket ticket)
     {
         waiters_.erase(ticket);
-        line_.leave(ticket);
-        board_.setWaiting("s", line_.size("s"), line_.inTime("s", now_));
+        queue_.leave(ticket);
+        board_.setWaiting("s", queue_.size("s"), queue_.inTime("s", now_));
     }
 
     void send(const Question& question, UpstreamId engine)
@@ -165,10 +165,10 @@
     std::mt19937_64 random_;
     TimePoint now_ { 5800ms };
     CapacityBoard board_;
-    WaitingLine line_;
+    WaitingQueue queue_;
     FullPhases phases_;
     CallerPatience patience_;
-    std::map<LineTicket, Question> waiters_;
+    std::map<QueueTicket, Question> waiters_;
     std::multimap<TimePoint, Question> back_;
     std::multimap<TimePoint, UpstreamId> runs_;
     Outcome outcome_;
--- a/libs/capacity/tests/WaitingLineTest.cpp
+++ b/libs/capacity/tests/WaitingQueueTest.cpp
@@ -1,5 +1,5 @@
 // Who goes first, how long a line is, and when a refused caller comes back.
-#include "capacity/WaitingLine.h"
+#include "capacity/WaitingQueue.h"
 #include "capacity/CapacityBoard.h"
 #include "capacity/FullPhases.h"
 
@@ -11,12 +11,12 @@
 
 TEST_CASE("capacity: the oldest question that can be in time goes first, late ones after all that can")
 {
-    WaitingLine line;
+    WaitingQueue line;
     const TimePoint start { 10s };
-    const LineTicket late = line.enter("s", start + 50ms, start + 1s);
-    const LineTicket older = line.enter("s", start + 300ms, start + 1s);
-    const LineTicket newer = line.enter("s", start + 300ms, start + 1s);
-    const LineTicket other = line.enter("t", start + 300ms, start + 1s);
+    const QueueTicket late = line.enter("s", start + 50ms, start + 1s);
+    const QueueTicket older = line.enter("s", start + 300ms, start + 1s);
+    const QueueTicket newer = line.enter("s", start + 300ms, start + 1s);
+    const QueueTicket other = line.enter("t", start + 300ms, start + 1s);
     CHECK(line.first("s", start) == late);
     CHECK(line.first("s", start + 100ms) == older);
     CHECK(line.first("t", start) == other);
@@ -31,9 +31,9 @@
 
 TEST_CASE("capacity: a question whose time in line is over is named until it leaves")
 {
-    WaitingLine line;
+    WaitingQueue line;
     const TimePoint start { 10s };
-    const LineTicket ticket = line.enter("s", start + 100ms, start + 500ms);
+    const QueueTicket ticket = line.enter("s", start + 100ms, start + 500ms);
     CHECK(line.expired(start + 500ms).empty());
     CHECK(line.expired(start + 501ms) == std::vector { ticket });
     line.leave(ticket);
@@ -80,18 +80,18 @@
 {
     CapacityBoard board = boardWith(8, 80);
     const TimePoint now { 10s };
-    CHECK(board.lineWait("s", now) == 100ms);
+    CHECK(board.queueWait("s", now) == 100ms);
     board.setWaiting("s", 2, 2);
     board.heard(waitersOf(2, 5, 5), here, now);
     board.heard(waitersOf(3, 40, 40), there, now);
     CHECK(board.waiting("s") == 7);
-    CHECK(board.lineWait("s", now) == 800ms);
+    CHECK(board.queueWait("s", now) == 800ms);
     CHECK(board.ownUse(now).waiting_ == std::vector<ServiceWaiting> { { idFromName<ServiceId>("s"), 2, 2 } });
     board.forget(NodeId(2));
     CHECK(board.waiting("s") == 2);
     board.setWaiting("s", 0, 0);
     CHECK(board.ownUse(now).waiting_.empty());
-    CHECK(board.lineWait("unknown", now) >= 1h);
+    CHECK(board.queueWait("unknown", now) >= 1h);
 }
 
 TEST_CASE("capacity: batch leaves free slots to questions that wait, unless it is due")
@@ -113,10 +113,10 @@
     board.heard(waitersOf(2, 6, 0), here, now);
     CHECK(board.waiting("s") == 6);
     CHECK(board.waitingInTime("s") == 0);
-    CHECK(board.lineWait("s", now) == 100ms);
-    WaitingLine line;
-    const LineTicket late = line.enter("s", now - 1ms, now + 1s);
-    const LineTicket fresh = line.enter("s", now + 200ms, now + 1s);
+    CHECK(board.queueWait("s", now) == 100ms);
+    WaitingQueue line;
+    const QueueTicket late = line.enter("s", now - 1ms, now + 1s);
+    const QueueTicket fresh = line.enter("s", now + 200ms, now + 1s);
     CHECK(line.inTime("s", now) == 1);
     CHECK_FALSE(line.isInTime(late, now));
     CHECK(line.isInTime(fresh, now));
--- a/libs/ledger/include/ledger/JobDesk.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -1,12 +1,12 @@
 // One node's jobs: those that it owns, their items and results, and reads, ends, takeovers and handovers.
 //
-//     JobDesk desk(settings, outlets);
-//     desk.adopt(job, now);                                  // this node is the owner of an accepted job
-//     while (auto run = desk.startNext(service, now)) ...    // the most urgent item that waits
-//     desk.event(run->id_, eventId, data);                   // of its stream
-//     desk.ended(run->id_, RunEnd::Completed, now);
-//     desk.read(job, after, wait, force, now, done);
-//     desk.tick(now, wall);
+//     JobScheduler scheduler(settings, outlets);
+//     scheduler.adopt(job, now);                                  // this node is the owner of an accepted job
+//     while (auto run = scheduler.startNext(service, now)) ...    // the most urgent item that waits
+//     scheduler.event(run->id_, eventId, data);                   // of its stream
+//     scheduler.ended(run->id_, RunEnd::Completed, now);
+//     scheduler.read(job, after, wait, force, now, done);
+//     scheduler.tick(now, wall);
 //
 // Ownership is no lease. The head names the owner; whoever finds it dead writes itself in under the head's version, and goes on from the
 // result pages. Failure met: the owner was only paused or cut off, wakes, and adds results of its own. It shows as an item with two
@@ -35,7 +35,7 @@
 // One run of an item at an engine.
 using RunId = Id<struct RunTag>;
 
-struct DeskSettings {
+struct SchedulerSettings {
     // Results that finish within it share a page, while the job has more to do and time to do it. A caller sees a result half of it later
     // on average, and never the last one; with 300 ms a third of a fleet's store calls were pages.
     Duration commitWindow_ = 1s;
@@ -88,7 +88,7 @@
 };
 
 // How an item stands against its due time, by what runs take lately.
-enum class ItemHaste : std::uint8_t {
+enum class ItemUrgency : std::uint8_t {
     Relaxed, // may give way and still be in time
     Urgent, // in time only if it runs now
     Doubtful, // not begun, and what began with so little time left was late of late: after all that can be in time
@@ -151,7 +151,7 @@
 };
 
 // What a node decided about a job, for the log.
-enum class DeskNote : std::uint8_t {
+enum class SchedulerNote : std::uint8_t {
     Adopted,
     TakenOver,
     Lost, // another owner stands in the head
@@ -166,17 +166,17 @@
     Removed,
     StoreFailed,
 };
-std::string_view toString(DeskNote note);
+std::string_view toString(SchedulerNote note);
 
-struct DeskEvent {
-    DeskNote note_ = DeskNote::Adopted;
+struct SchedulerEvent {
+    SchedulerNote note_ = SchedulerNote::Adopted;
     std::string_view job_;
     std::string_view item_;
     std::uint64_t count_ = 0; // Listed: results so far; others: see the place
     std::error_code error_;
 };
 
-struct DeskOutlets {
+struct SchedulerOutlets {
     LedgerStore store_;
     NodeId self_;
     std::function<bool(NodeId)> isLive_;
@@ -184,21 +184,21 @@
     std::function<NodeId(std::string_view job, NodeId former)> preferredOwner_;
     std::function<void(RunId)> stop_; // the run is of no use any more; nothing more is said of it
     std::function<void(NodeId to, JobTransfer)> transfer_;
-    std::function<void(const DeskEvent&)> note_;
+    std::function<void(const SchedulerEvent&)> note_;
     // Which service carries the item now; nullopt when no configuration is known, empty when none of its routes does.
     std::function<std::optional<std::string>(std::string_view host, std::string_view path)> serviceOf_;
     // A job that isn't in the store may be on its way there from some host's disk, so nobody can say that there is no such job.
     std::function<bool()> mayBeKept_;
 };
 
-class JobDesk {
+class JobScheduler {
 public:
     using ReadDone = std::function<void(ReadAnswer)>;
     using BodyDone = std::function<void(BodyAnswer)>;
     using EndDone = std::function<void(EndAnswer)>;
 
-    JobDesk(DeskSettings settings, DeskOutlets outlets);
-    ~JobDesk();
+    JobScheduler(SchedulerSettings settings, SchedulerOutlets outlets);
+    ~JobScheduler();
 
     // ---- ownership
     void adopt(JobTransfer job, TimePoint now, WallTime wall);
@@ -218,7 +218,7 @@
     std::optional<ItemRun> startNext(std::string_view service, TimePoint now);
     // Of the items that wait for a service: how the one stands that startNext() would give, and how many there are.
     struct Waiting {
-        ItemHaste haste_ = ItemHaste::Late;
+        ItemUrgency urgency_ = ItemUrgency::Late;
         std::size_t count_ = 0;
         std::size_t inTime_ = 0; // of them: those that can still be in time
         TimePoint firstDue_ = neverTime; // of those in time; never: there are none
@@ -226,7 +226,7 @@
     std::map<std::string, Waiting> waiting(TimePoint now);
     void event(RunId run, std::uint64_t eventId, std::string_view data);
     void ended(RunId run, RunEnd end, TimePoint now);
-    ItemHaste hasteOf(RunId run, TimePoint now) const;
+    ItemUrgency urgencyOf(RunId run, TimePoint now) const;
     // What a whole run takes lately.
     void setRunTime(Duration time) { runTime_ = time; }
 
@@ -252,7 +252,7 @@
     using JobPtr = std::shared_ptr<Job>;
 
     Job* owned(const JobName& name);
-    void note(DeskNote note, std::string_view job, std::string_view item = {}, std::uint64_t count = 0, std::error_code error = {}) const;
+    void note(SchedulerNote note, std::string_view job, std::string_view item = {}, std::uint64_t count = 0, std::error_code error = {}) const;
     void store(ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) { outlets_.store_(std::move(call), callClass, until, std::move(done)); }
     TimePoint dueAt(const JobHead& head, TimePoint now, WallTime wall) const;
 
@@ -284,7 +284,7 @@
     // It may have been replaced without knowing it.
     bool wasAway(TimePoint now) const;
     void abandonOverdue(const JobPtr& job, TimePoint now);
-    ItemHaste hasteOf(const Job& job, const Item& item, TimePoint now) const;
+    ItemUrgency urgencyOf(const Job& job, const Item& item, TimePoint now) const;
     void learnStretch(const Item& item, TimePoint now);
 
     // Reads
@@ -303,8 +303,8 @@
     void handOver(const JobPtr& job, TimePoint now);
     void removeExpired(const JobPtr& job, WallTime wall, TimePoint now);
 
-    DeskSettings settings_;
-    DeskOutlets outlets_;
+    SchedulerSettings settings_;
+    SchedulerOutlets outlets_;
     std::map<JobName, JobPtr> jobs_; // that this node owns, to its knowledge
     std::unordered_map<RunId, Running> runs_;
     std::uint64_t nextRun_ = 1;
--- a/libs/ledger/include/ledger/JobSpool.h
+++ b/libs/ledger/include/ledger/JobSpool.h
@@ -49,7 +49,7 @@
     Duration bound_ = 2s;
     std::size_t mostAtOnce_ = 4;
     // A copy that is older may be of a job that was done and removed from the store: it would run once more. So it goes unread. Callers
-    // have given up on it long before. The same time as DeskSettings::retention_.
+    // have given up on it long before. The same time as SchedulerSettings::retention_.
     Duration retention_ = 150s;
 };
 
--- a/libs/ledger/src/JobDesk.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -1,52 +1,52 @@
 // Ownership: loading, taking over, giving away, and the periodic work.
-#include "ledger/JobDesk.h"
+#include "ledger/JobScheduler.h"
 
-#include "DeskJob.h"
+#include "ScheduledJob.h"
 
 #include <algorithm>
 
 namespace jj {
 
-std::string_view toString(DeskNote note)
+std::string_view toString(SchedulerNote note)
 {
     static constexpr std::string_view names[] = { "jobAdopted", "jobTakenOver", "jobLost", "resultsListed", "pageConflict", "itemErrored", "itemRetried", "jobDone", "jobEnded", "jobVoid", "jobHandedOver", "jobRemoved", "jobStoreFailed" };
     return names[static_cast<std::size_t>(note)];
 }
 
-JobDesk::JobDesk(DeskSettings settings, DeskOutlets outlets)
+JobScheduler::JobScheduler(SchedulerSettings settings, SchedulerOutlets outlets)
     : settings_(settings)
     , outlets_(std::move(outlets))
 {
 }
 
-JobDesk::~JobDesk() = default;
+JobScheduler::~JobScheduler() = default;
 
-JobDesk::Job* JobDesk::owned(const JobName& name)
+JobScheduler::Job* JobScheduler::owned(const JobName& name)
 {
     const auto found = jobs_.find(name);
     return found == jobs_.end() ? nullptr : found->second.get();
 }
 
-void JobDesk::note(DeskNote note, std::string_view job, std::string_view item, std::uint64_t count, std::error_code error) const
+void JobScheduler::note(SchedulerNote note, std::string_view job, std::string_view item, std::uint64_t count, std::error_code error) const
 {
     outlets_.note_({ note, job, item, count, error });
 }
 
 // A clock that was set back would make a job due in the far future; no job is due later than if it came this moment.
-TimePoint JobDesk::dueAt(const JobHead& head, TimePoint now, WallTime wall) const
+TimePoint JobScheduler::dueAt(const JobHead& head, TimePoint now, WallTime wall) const
 {
     const Duration left = std::chrono::duration_cast<Duration>(head.acceptedAt_ - wall) + head.runTarget_;
     return now + std::min(left, head.runTarget_);
 }
 
-std::size_t JobDesk::openJobs() const
+std::size_t JobScheduler::openJobs() const
 {
     return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [](const auto& entry) { return entry.second->isOpen(); }));
 }
 
 // ---- taking in
 
-void JobDesk::adopt(JobTransfer transfer, TimePoint now, WallTime wall)
+void JobScheduler::adopt(JobTransfer transfer, TimePoint now, WallTime wall)
 {
     wall_ = wall;
     noticePause(now);
@@ -74,7 +74,7 @@
         job->items_.back().item_ = std::move(item);
     }
     jobs_[job->name_] = job;
-    note(DeskNote::Adopted, job->name_, {}, job->head_.total_);
+    note(SchedulerNote::Adopted, job->name_, {}, job->head_.total_);
     if (job->items_.size() != job->head_.total_) {
         job->items_.clear();
         job->byId_.clear();
@@ -86,7 +86,7 @@
     loadResults(job, 0, now);
 }
 
-void JobDesk::loadOwned(const JobName& name, const JobHead& head, ObjectVersion version, TimePoint now)
+void JobScheduler::loadOwned(const JobName& name, const JobHead& head, ObjectVersion version, TimePoint now)
 {
     if (owned(name))
         return;
@@ -101,7 +101,7 @@
     loadItems(job, 0, now);
 }
 
-void JobDesk::loadItems(const JobPtr& job, std::uint32_t page, TimePoint now)
+void JobScheduler::loadItems(const JobPtr& job, std::uint32_t page, TimePoint now)
 {
     // Nothing is left to run of a job that isn't open.
     if (page >= job->head_.itemPages_ || !job->isOpen())
@@ -121,24 +121,24 @@
         // The items of a job come with its head or soon after; those of a submission that was given up never do.
         if (answer.is(ObjectError::NotFound) && at - job->loadStarted_ > settings_.itemsBound_)
             return makeVoid(job, at);
-        note(DeskNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
+        note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
         job->commitAgainAt_ = at + settings_.storeRetry_; // tick() loads again from the start
         job->items_.clear();
         job->byId_.clear();
     });
 }
 
-void JobDesk::makeVoid(const JobPtr& job, TimePoint now)
+void JobScheduler::makeVoid(const JobPtr& job, TimePoint now)
 {
     setState(job, JobState::Void, now, [this, job](bool done, TimePoint) {
         if (!done)
             return;
-        note(DeskNote::JobVoid, job->name_);
+        note(SchedulerNote::JobVoid, job->name_);
         drop(job->name_);
     });
 }
 
-void JobDesk::loadResults(const JobPtr& job, std::uint32_t page, TimePoint now)
+void JobScheduler::loadResults(const JobPtr& job, std::uint32_t page, TimePoint now)
 {
     store(ObjectCall::get(resultPageKey(job->name_, page)), CallClass::Commit, now + settings_.patience_, [this, job, page](const SettledAnswer& answer, TimePoint at) {
         if (owned(job->name_) != job.get())
@@ -147,7 +147,7 @@
             return job->isOpen() && !job->isComplete() ? fence(job, at) : loaded(job, at);
         auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
         if (!results) {
-            note(DeskNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
+            note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
             job->commitAgainAt_ = at + settings_.storeRetry_;
             return;
         }
@@ -161,7 +161,7 @@
 // listed without this owner's knowledge: readers that ask the store would see results that this owner, who answers from memory, doesn't
 // show. The guard: the next page is taken by an empty one. What was on its way then meets a conflict, and whoever sent it looks at the
 // head before it writes again. It costs one write a takeover.
-void JobDesk::fence(const JobPtr& job, TimePoint now)
+void JobScheduler::fence(const JobPtr& job, TimePoint now)
 {
     const std::uint32_t page = job->pages_;
     store(ObjectCall::create(resultPageKey(job->name_, page), encode(std::vector<JobResult>())), CallClass::Commit, now + settings_.patience_, [this, job, page](const SettledAnswer& answer, TimePoint at) {
@@ -173,12 +173,12 @@
         }
         if (answer.is(ObjectError::Conflict))
             return loadResults(job, page, at);
-        note(DeskNote::StoreFailed, job->name_, {}, page, answer.answer_.error_);
+        note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.answer_.error_);
         job->commitAgainAt_ = at + settings_.storeRetry_;
     });
 }
 
-void JobDesk::loaded(const JobPtr& job, TimePoint now)
+void JobScheduler::loaded(const JobPtr& job, TimePoint now)
 {
     job->loaded_ = true;
     job->checkedAt_ = job->loadStarted_;
@@ -198,7 +198,7 @@
 }
 
 // Results that stand in the store: whatever this node has of the same items is of no use any more.
-void JobDesk::applyResults(const JobPtr& job, std::vector<JobResult> results)
+void JobScheduler::applyResults(const JobPtr& job, std::vector<JobResult> results)
 {
     for (JobResult& result : results) {
         std::erase_if(job->pending_, [&](const JobResult& own) { return own.item_ == result.item_; });
@@ -217,7 +217,7 @@
     }
 }
 
-void JobDesk::drop(const JobName& name)
+void JobScheduler::drop(const JobName& name)
 {
     const auto found = jobs_.find(name);
     if (found == jobs_.end())
@@ -234,7 +234,7 @@
 
 // ---- taking over
 
-void JobDesk::scan(bool stale, TimePoint now)
+void JobScheduler::scan(bool stale, TimePoint now)
 {
     if (scanning_)
         return;
@@ -242,14 +242,14 @@
     listHeads({}, stale, now);
 }
 
-void JobDesk::listHeads(std::string after, bool stale, TimePoint now)
+void JobScheduler::listHeads(std::string after, bool stale, TimePoint now)
 {
     ObjectCall call = ObjectCall::list(std::string(headKind), true, std::move(after));
     call.stale_ = stale;
     store(std::move(call), CallClass::Read, now + settings_.readBound_ * 4, [this, stale](const SettledAnswer& answer, TimePoint at) {
         if (!answer.ok()) {
             scanning_ = false;
-            return note(DeskNote::StoreFailed, {}, {}, 0, answer.answer_.error_);
+            return note(SchedulerNote::StoreFailed, {}, {}, 0, answer.answer_.error_);
         }
         for (const ObjectEntry& entry : answer.answer_.entries_) {
             const Result<JobHead> head = decodeHead(entry.value_);
@@ -263,7 +263,7 @@
     });
 }
 
-void JobDesk::consider(const JobName& name, const JobHead& head, ObjectVersion version, TimePoint now)
+void JobScheduler::consider(const JobName& name, const JobHead& head, ObjectVersion version, TimePoint now)
 {
     if (Job* job = owned(name)) {
         const bool isNews = version > job->headVersion_ && !job->stateChanging_;
@@ -281,7 +281,7 @@
 }
 
 // The list may be stale, so the head itself is read before anything is done about it.
-void JobDesk::takeOver(const JobName& name, TimePoint now)
+void JobScheduler::takeOver(const JobName& name, TimePoint now)
 {
     const auto [claim, isNew] = claiming_.try_emplace(name, now);
     if (!isNew)
@@ -298,7 +298,7 @@
     });
 }
 
-void JobDesk::claim(const JobName& name, JobHead head, ObjectVersion version, TimePoint now)
+void JobScheduler::claim(const JobName& name, JobHead head, ObjectVersion version, TimePoint now)
 {
     claiming_[name] = now;
     head.owner_ = outlets_.self_;
@@ -306,12 +306,12 @@
         claiming_.erase(name);
         if (!answer.ok())
             return;
-        note(DeskNote::TakenOver, name, {}, answer.answer_.version_.value());
+        note(SchedulerNote::TakenOver, name, {}, answer.answer_.version_.value());
         loadOwned(name, head, answer.answer_.version_, at);
     });
 }
 
-void JobDesk::suspectAll(TimePoint now)
+void JobScheduler::suspectAll(TimePoint now)
 {
     awayAt_ = now;
     for (auto& [name, job] : jobs_)
@@ -319,7 +319,7 @@
 }
 
 // Asks the store who owns the job and what is listed. `known`: this node does, and holds all that is listed.
-void JobDesk::refresh(const JobPtr& job, TimePoint now, std::function<void(bool, TimePoint)> then)
+void JobScheduler::refresh(const JobPtr& job, TimePoint now, std::function<void(bool, TimePoint)> then)
 {
     lookUp(job->name_, now, [this, job, now, then = std::move(then)](ReadOutcome outcome, const JobHead& head, ObjectVersion version, TimePoint at) {
         if (owned(job->name_) != job.get())
@@ -327,7 +327,7 @@
         if (outcome == ReadOutcome::Unsure)
             return then(false, at);
         if (outcome == ReadOutcome::Missing || head.owner_ != outlets_.self_) {
-            note(DeskNote::Lost, job->name_, {}, version.isNone() ? 0 : version.value());
+            note(SchedulerNote::Lost, job->name_, {}, version.isNone() ? 0 : version.value());
             drop(job->name_);
             return then(false, at);
         }
@@ -344,13 +344,13 @@
 
 // ---- giving away
 
-void JobDesk::beginLeaving(TimePoint now)
+void JobScheduler::beginLeaving(TimePoint now)
 {
     leaving_ = true;
     passOn(now);
 }
 
-void JobDesk::passOn(TimePoint now)
+void JobScheduler::passOn(TimePoint now)
 {
     std::vector<JobPtr> all;
     for (const auto& [name, job] : jobs_)
@@ -359,9 +359,9 @@
         handOver(job, now);
 }
 
-bool JobDesk::hasLeft() const { return leaving_ && openJobs() == 0; }
+bool JobScheduler::hasLeft() const { return leaving_ && openJobs() == 0; }
 
-void JobDesk::handOver(const JobPtr& job, TimePoint now)
+void JobScheduler::handOver(const JobPtr& job, TimePoint now)
 {
     if (!job->isOpen())
         return;
@@ -388,7 +388,7 @@
                 transfer.progress_.push_back({ item.item_.id_, item.text_, item.events_, item.lastEvent_, item.failures_ });
             transfer.items_.push_back(item.item_);
         }
-        note(DeskNote::HandedOver, job->name_, {}, head.owner_.value());
+        note(SchedulerNote::HandedOver, job->name_, {}, head.owner_.value());
         drop(job->name_);
         outlets_.transfer_(head.owner_, std::move(transfer));
     });
@@ -396,13 +396,13 @@
 
 // ---- periodic work
 
-bool JobDesk::wasAway(TimePoint now) const
+bool JobScheduler::wasAway(TimePoint now) const
 {
     return now - firstUse_ < settings_.newcomer_ || (awayAt_ != TimePoint() && now - awayAt_ < settings_.newcomer_);
 }
 
 // Whatever comes first after a pause may be a caller's read: it is met here as well as by the tick.
-void JobDesk::noticePause(TimePoint now)
+void JobScheduler::noticePause(TimePoint now)
 {
     if (lastTick_ == TimePoint() || now - lastTick_ <= settings_.pauseBound_)
         return;
@@ -410,7 +410,7 @@
     suspectAll(now);
 }
 
-void JobDesk::tick(TimePoint now, WallTime wall)
+void JobScheduler::tick(TimePoint now, WallTime wall)
 {
     wall_ = wall;
     noticePause(now);
@@ -458,7 +458,7 @@
     }
 }
 
-void JobDesk::abandonOverdue(const JobPtr& job, TimePoint now)
+void JobScheduler::abandonOverdue(const JobPtr& job, TimePoint now)
 {
     const bool isOverdue = job->isOpen() && job->head_.abandonAfter_ > Duration::zero() && wall_ - job->head_.acceptedAt_ > job->head_.abandonAfter_ + settings_.clockSlack_;
     if (!isOverdue)
@@ -471,7 +471,7 @@
 }
 
 // The head goes last: while it is there, whoever finds it goes on removing.
-void JobDesk::removeExpired(const JobPtr& job, WallTime /*wall*/, TimePoint now)
+void JobScheduler::removeExpired(const JobPtr& job, WallTime /*wall*/, TimePoint now)
 {
     const auto ignore = [](const SettledAnswer&, TimePoint) {};
     for (std::uint32_t page = 0; page < job->pages_; ++page)
@@ -479,7 +479,7 @@
     for (std::uint32_t page = 0; page < job->head_.itemPages_; ++page)
         store(ObjectCall::remove(itemPageKey(job->name_, page)), CallClass::Background, now + settings_.patience_, ignore);
     store(ObjectCall::remove(headKey(job->name_)), CallClass::Background, now + settings_.patience_, ignore);
-    note(DeskNote::Removed, job->name_);
+    note(SchedulerNote::Removed, job->name_);
     drop(job->name_);
 }
 
--- a/libs/ledger/src/DeskJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -1,7 +1,7 @@
 // A job in its owner's memory. Private to this library.
 #pragma once
 
-#include "ledger/JobDesk.h"
+#include "ledger/JobScheduler.h"
 
 namespace jj {
 
@@ -12,7 +12,7 @@
     Listed,
 };
 
-struct JobDesk::Item {
+struct JobScheduler::Item {
     JobItem item_;
     ItemState state_ = ItemState::Waiting;
     std::string text_; // data of the events that came, separated by line feeds
@@ -33,7 +33,7 @@
     }
 };
 
-struct JobDesk::Job {
+struct JobScheduler::Job {
     struct Reader {
         std::uint32_t after_ = 0;
         TimePoint until_ {};
--- a/libs/ledger/src/DeskReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -1,5 +1,5 @@
 // What callers ask: results, bodies, ends.
-#include "DeskJob.h"
+#include "ScheduledJob.h"
 
 #include <algorithm>
 
@@ -35,7 +35,7 @@
 // The head as the store has it now. A job that isn't there may be kept on disks, and may have been brought from there while the answer was
 // on its way: 6 of 20,000 explored schedules told the caller of an acknowledged job that there is none, until both ends of the call
 // counted.
-void JobDesk::lookUp(const JobName& name, TimePoint now, std::function<void(ReadOutcome, const JobHead&, ObjectVersion, TimePoint)> then)
+void JobScheduler::lookUp(const JobName& name, TimePoint now, std::function<void(ReadOutcome, const JobHead&, ObjectVersion, TimePoint)> then)
 {
     const bool mightBeKept = outlets_.mayBeKept_();
     store(ObjectCall::get(headKey(name)), CallClass::Read, now + settings_.readBound_, [this, mightBeKept, then = std::move(then)](const SettledAnswer& answer, TimePoint at) {
@@ -53,9 +53,9 @@
 
 // ---- results
 
-ReadAnswer JobDesk::slice(const Job& job, std::uint32_t after) const { return sliceOf(job.listed_, job.head_.total_, after, settings_.answerBytes_); }
+ReadAnswer JobScheduler::slice(const Job& job, std::uint32_t after) const { return sliceOf(job.listed_, job.head_.total_, after, settings_.answerBytes_); }
 
-void JobDesk::read(const JobName& name, std::uint32_t after, Duration wait, bool force, TimePoint now, ReadDone done)
+void JobScheduler::read(const JobName& name, std::uint32_t after, Duration wait, bool force, TimePoint now, ReadDone done)
 {
     noticePause(now);
     if (const auto found = jobs_.find(name); found != jobs_.end() && !force)
@@ -80,7 +80,7 @@
     });
 }
 
-void JobDesk::readOwned(const JobPtr& job, std::uint32_t after, Duration wait, TimePoint now, ReadDone done)
+void JobScheduler::readOwned(const JobPtr& job, std::uint32_t after, Duration wait, TimePoint now, ReadDone done)
 {
     job->lastUse_ = now;
     const TimePoint until = now + std::min(wait, settings_.readBound_);
@@ -109,7 +109,7 @@
     job->readers_.push_back({ after, until, std::move(done) });
 }
 
-void JobDesk::answerReaders(const JobPtr& job, TimePoint now, bool all)
+void JobScheduler::answerReaders(const JobPtr& job, TimePoint now, bool all)
 {
     if (job->readers_.empty())
         return;
@@ -136,7 +136,7 @@
         std::size_t bytes_ = 0;
         TimePoint until_;
         std::vector<JobResult> results_;
-        JobDesk::ReadDone done_;
+        JobScheduler::ReadDone done_;
     };
 
     void readPage(const std::shared_ptr<StoreRead>& reading, std::uint32_t page)
@@ -157,14 +157,14 @@
 
 } // namespace
 
-void JobDesk::readFromStore(const JobName& name, const JobHead& head, std::uint32_t after, TimePoint now, const ReadDone& done)
+void JobScheduler::readFromStore(const JobName& name, const JobHead& head, std::uint32_t after, TimePoint now, const ReadDone& done)
 {
     readPage(std::make_shared<StoreRead>(StoreRead { outlets_.store_, name, head, after, settings_.answerBytes_, now + settings_.readBound_, {}, done }), 0);
 }
 
 // ---- bodies
 
-void JobDesk::body(const JobName& name, const std::string& item, bool force, TimePoint now, BodyDone done)
+void JobScheduler::body(const JobName& name, const std::string& item, bool force, TimePoint now, BodyDone done)
 {
     const Job* job = owned(name);
     if (job && job->loaded_ && job->isOpen() && !force) {
@@ -225,7 +225,7 @@
 
 // ---- ends
 
-void JobDesk::end(const JobName& name, bool force, TimePoint now, EndDone done)
+void JobScheduler::end(const JobName& name, bool force, TimePoint now, EndDone done)
 {
     const auto found = jobs_.find(name);
     if (found != jobs_.end() && !force) {
@@ -257,7 +257,7 @@
 // Failure met: a caller ended a job in the moment in which its owner wrote another change of the head (done, or handed over), and was told
 // that nobody can tell, though the store answered. The callers wait until that change has settled: then the job is over, is another
 // node's (drop() asks anew), or the end is written.
-void JobDesk::writeEnd(const JobPtr& job, TimePoint now)
+void JobScheduler::writeEnd(const JobPtr& job, TimePoint now)
 {
     if (job->enders_.empty() || job->stateChanging_)
         return;
@@ -272,20 +272,20 @@
         job->pending_.clear();
         job->items_.clear();
         job->byId_.clear();
-        note(DeskNote::JobEnded, job->name_, {}, job->listed_.size());
+        note(SchedulerNote::JobEnded, job->name_, {}, job->listed_.size());
         answerReaders(job, at, true);
         answerEnders(job, { ReadOutcome::Found, outlets_.self_ });
     });
 }
 
-void JobDesk::answerEnders(const JobPtr& job, const EndAnswer& answer)
+void JobScheduler::answerEnders(const JobPtr& job, const EndAnswer& answer)
 {
     for (Job::Ender& ender : std::exchange(job->enders_, {}))
         ender.done_(answer);
 }
 
 // Who has waited for as long as a read may is told that nobody can tell; an end that is on its way goes on.
-void JobDesk::answerLateEnders(const JobPtr& job, TimePoint now)
+void JobScheduler::answerLateEnders(const JobPtr& job, TimePoint now)
 {
     std::vector<Job::Ender> late;
     std::erase_if(job->enders_, [&](Job::Ender& ender) {
@@ -301,7 +301,7 @@
 // Failure met: the owner can't be reached from here, reaches the engines, and goes on starting items of a job whose end was acknowledged until
 // it looks at the heads again, which may take 4 s and a stale list. The guard: the end leaves a mark of a kind that owners watch, before
 // it is acknowledged. Such ends are few, so the watch costs a call each 15 s.
-void JobDesk::markEnd(const JobName& name, TimePoint until, const EndDone& done)
+void JobScheduler::markEnd(const JobName& name, TimePoint until, const EndDone& done)
 {
     store(ObjectCall::create(endMarkKey(name), "{}"), CallClass::Accept, until, [done](const SettledAnswer& answer, TimePoint) {
         const bool isMarked = answer.ok() || answer.is(ObjectError::Conflict);
@@ -309,7 +309,7 @@
     });
 }
 
-void JobDesk::endMarked(const JobName& name, TimePoint now)
+void JobScheduler::endMarked(const JobName& name, TimePoint now)
 {
     const auto found = jobs_.find(name);
     // Of a job that nobody has any more the mark is of no use; the one who would own it clears up.
@@ -322,7 +322,7 @@
 }
 
 // The owner can't be reached, so the head is changed under its version; the owner meets that version at its next change or scan.
-void JobDesk::endInStore(const JobName& name, TimePoint now, TimePoint until, EndDone done)
+void JobScheduler::endInStore(const JobName& name, TimePoint now, TimePoint until, EndDone done)
 {
     lookUp(name, now, [this, name, until, done = std::move(done)](ReadOutcome outcome, JobHead head, ObjectVersion version, TimePoint) {
         if (outcome != ReadOutcome::Found)
@@ -332,7 +332,7 @@
         head.state_ = JobState::Ended;
         store(ObjectCall::update(headKey(name), encode(head), version), CallClass::Accept, until, [this, name, until, done](const SettledAnswer& answer, TimePoint later) {
             if (answer.ok()) {
-                note(DeskNote::JobEnded, name);
+                note(SchedulerNote::JobEnded, name);
                 return markEnd(name, until, done);
             }
             if (answer.is(ObjectError::Conflict) && later < until)
--- a/libs/ledger/src/DeskRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -1,37 +1,37 @@
 // Items that run, and how their results get into the store.
-#include "DeskJob.h"
+#include "ScheduledJob.h"
 
 #include <algorithm>
 
 namespace jj {
 
 // Late items first would cost those that can still be in time, so they come after all others.
-ItemHaste JobDesk::hasteOf(const Job& job, const Item& item, TimePoint now) const
+ItemUrgency JobScheduler::urgencyOf(const Job& job, const Item& item, TimePoint now) const
 {
     constexpr double leastRest = 0.1;
     const double done = meanEvents_ > 0 ? item.events_ / meanEvents_ : 0;
     const Duration rest = fromSeconds(toSeconds(runTime_) * std::max(leastRest, 1 - done));
     const Duration left = job.due_ - now;
     if (left < fromSeconds(toSeconds(rest) * settings_.hopelessPart_))
-        return ItemHaste::Late;
+        return ItemUrgency::Late;
     // Failure met: when more is wanted than there is, items wait until they can just be in time if nothing interrupts them. They begin, give way
     // to a burst of questions, and end too late; nearly all are late by a little, and the work on them is of no use. What can't
     // be in time at the pace of late stands back, so that what has begun is finished.
     if (item.begunAt_ == TimePoint() && item.events_ == 0 && left < fromSeconds(toSeconds(rest) * meanStretch_))
-        return ItemHaste::Doubtful;
-    return left < rest + settings_.urgentMargin_ ? ItemHaste::Urgent : ItemHaste::Relaxed;
+        return ItemUrgency::Doubtful;
+    return left < rest + settings_.urgentMargin_ ? ItemUrgency::Urgent : ItemUrgency::Relaxed;
 }
 
-ItemHaste JobDesk::hasteOf(RunId run, TimePoint now) const
+ItemUrgency JobScheduler::urgencyOf(RunId run, TimePoint now) const
 {
     const auto found = runs_.find(run);
     if (found == runs_.end())
-        return ItemHaste::Late;
+        return ItemUrgency::Late;
     const Job& job = *jobs_.at(found->second.job_);
-    return hasteOf(job, job.items_[found->second.item_], now);
+    return urgencyOf(job, job.items_[found->second.item_], now);
 }
 
-std::map<std::string, JobDesk::Waiting> JobDesk::waiting(TimePoint now)
+std::map<std::string, JobScheduler::Waiting> JobScheduler::waiting(TimePoint now)
 {
     std::map<std::string, Waiting> found;
     if (leaving_)
@@ -46,11 +46,11 @@
             if (!service)
                 continue;
             Waiting& entry = found[*service];
-            const ItemHaste haste = hasteOf(*job, item, now);
-            const bool isInTime = haste == ItemHaste::Relaxed || haste == ItemHaste::Urgent;
-            const bool isFirst = entry.count_ == 0 || haste == ItemHaste::Urgent || (isInTime ? entry.haste_ > ItemHaste::Urgent : haste < entry.haste_);
+            const ItemUrgency urgency = urgencyOf(*job, item, now);
+            const bool isInTime = urgency == ItemUrgency::Relaxed || urgency == ItemUrgency::Urgent;
+            const bool isFirst = entry.count_ == 0 || urgency == ItemUrgency::Urgent || (isInTime ? entry.urgency_ > ItemUrgency::Urgent : urgency < entry.urgency_);
             if (isFirst)
-                entry.haste_ = haste;
+                entry.urgency_ = urgency;
             ++entry.count_;
             if (!isInTime)
                 continue;
@@ -61,13 +61,13 @@
     return found;
 }
 
-std::optional<ItemRun> JobDesk::startNext(std::string_view service, TimePoint now)
+std::optional<ItemRun> JobScheduler::startNext(std::string_view service, TimePoint now)
 {
     if (leaving_)
         return std::nullopt;
     JobPtr chosen;
     std::size_t place = 0;
-    ItemHaste chosenStage = ItemHaste::Late;
+    ItemUrgency chosenStage = ItemUrgency::Late;
     for (const auto& [name, job] : jobs_) {
         if (!job->mayRun())
             continue;
@@ -76,7 +76,7 @@
             if (item.state_ != ItemState::Waiting || now < item.notBefore_)
                 continue;
             // Of those that can be in time the one that is due first.
-            const ItemHaste stage = std::max(hasteOf(*job, item, now), ItemHaste::Urgent);
+            const ItemUrgency stage = std::max(urgencyOf(*job, item, now), ItemUrgency::Urgent);
             const bool isBetter = !chosen || (stage != chosenStage ? stage < chosenStage : job->due_ < chosen->due_);
             if (!isBetter)
                 continue;
@@ -108,7 +108,7 @@
     return run;
 }
 
-void JobDesk::event(RunId run, std::uint64_t eventId, std::string_view data)
+void JobScheduler::event(RunId run, std::uint64_t eventId, std::string_view data)
 {
     const auto found = runs_.find(run);
     if (found == runs_.end())
@@ -122,7 +122,7 @@
     ++item.events_;
 }
 
-void JobDesk::ended(RunId run, RunEnd end, TimePoint now)
+void JobScheduler::ended(RunId run, RunEnd end, TimePoint now)
 {
     const auto found = runs_.find(run);
     if (found == runs_.end())
@@ -136,7 +136,7 @@
         constexpr std::uint32_t mostDoublings = 10;
         item.notBefore_ = now + std::min<Duration>(settings_.longestRetry_, settings_.firstRetry_ * (1LL << std::min(item.setbacks_, mostDoublings)));
         ++item.setbacks_;
-        note(DeskNote::ItemRetried, job->name_, item.item_.id_, item.setbacks_);
+        note(SchedulerNote::ItemRetried, job->name_, item.item_.id_, item.setbacks_);
     };
     switch (end) {
     case RunEnd::Completed:
@@ -163,7 +163,7 @@
     }
 }
 
-void JobDesk::learnStretch(const Item& item, TimePoint now)
+void JobScheduler::learnStretch(const Item& item, TimePoint now)
 {
     constexpr double meanGain = 0.1;
     // One item that hung for long says little of the next ones.
@@ -172,7 +172,7 @@
     meanStretch_ += meanGain * (std::clamp(stretch, 1.0, mostStretch) - meanStretch_);
 }
 
-void JobDesk::stopRuns(const JobPtr& job, bool keepText)
+void JobScheduler::stopRuns(const JobPtr& job, bool keepText)
 {
     for (Item& item : job->items_) {
         if (item.state_ != ItemState::Running)
@@ -187,7 +187,7 @@
 
 // ---- results
 
-void JobDesk::finishItem(const JobPtr& job, std::size_t place, ResultState state, TimePoint now)
+void JobScheduler::finishItem(const JobPtr& job, std::size_t place, ResultState state, TimePoint now)
 {
     Item& item = job->items_[place];
     constexpr double meanGain = 0.1;
@@ -195,7 +195,7 @@
         meanEvents_ = meanEvents_ > 0 ? meanEvents_ + meanGain * (item.events_ - meanEvents_) : item.events_;
     item.state_ = ItemState::Finished;
     if (state == ResultState::Errored) {
-        note(DeskNote::ItemErrored, job->name_, item.item_.id_, item.failures_);
+        note(SchedulerNote::ItemErrored, job->name_, item.item_.id_, item.failures_);
         item.text_.clear();
     }
     if (job->pending_.empty())
@@ -205,7 +205,7 @@
     commitIfDue(job, now);
 }
 
-void JobDesk::commitIfDue(const JobPtr& job, TimePoint now)
+void JobScheduler::commitIfDue(const JobPtr& job, TimePoint now)
 {
     // Whoever may have been replaced looks at the head first: behind another owner's fence nothing of this one may be listed.
     if (job->pending_.empty() || job->isCommitting_ || !job->isOpen() || job->suspect_ || now < job->commitAgainAt_)
@@ -216,7 +216,7 @@
         commit(job, now);
 }
 
-void JobDesk::commit(const JobPtr& job, TimePoint now)
+void JobScheduler::commit(const JobPtr& job, TimePoint now)
 {
     job->isCommitting_ = true;
     job->commitSentAt_ = now;
@@ -227,14 +227,14 @@
     });
 }
 
-void JobDesk::committed(const JobPtr& job, const SettledAnswer& answer, TimePoint now)
+void JobScheduler::committed(const JobPtr& job, const SettledAnswer& answer, TimePoint now)
 {
     job->isCommitting_ = false;
     if (answer.ok()) {
         ++job->pages_;
         job->checkedAt_ = std::max(job->checkedAt_, job->commitSentAt_);
         applyResults(job, std::exchange(job->committing_, {}));
-        note(DeskNote::Listed, job->name_, {}, job->listed_.size());
+        note(SchedulerNote::Listed, job->name_, {}, job->listed_.size());
         answerReaders(job, now, false);
         return completeIfDone(job, now);
     }
@@ -242,14 +242,14 @@
     job->committing_.clear();
     if (answer.is(ObjectError::Conflict))
         return settleConflict(job, now);
-    note(DeskNote::StoreFailed, job->name_, {}, job->pages_, answer.answer_.error_);
+    note(SchedulerNote::StoreFailed, job->name_, {}, job->pages_, answer.answer_.error_);
     job->commitAgainAt_ = now + settings_.storeRetry_;
 }
 
 // Another owner has written this page: what it lists stands, and this node goes on behind it, if it still owns the job.
-void JobDesk::settleConflict(const JobPtr& job, TimePoint now)
+void JobScheduler::settleConflict(const JobPtr& job, TimePoint now)
 {
-    note(DeskNote::ConflictMet, job->name_, {}, job->pages_);
+    note(SchedulerNote::ConflictMet, job->name_, {}, job->pages_);
     job->isCommitting_ = true;
     store(ObjectCall::get(resultPageKey(job->name_, job->pages_)), CallClass::Commit, now + settings_.patience_, [this, job](const SettledAnswer& answer, TimePoint at) {
         if (owned(job->name_) != job.get())
@@ -257,7 +257,7 @@
         job->isCommitting_ = false;
         auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
         if (!results) {
-            note(DeskNote::StoreFailed, job->name_, {}, job->pages_, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
+            note(SchedulerNote::StoreFailed, job->name_, {}, job->pages_, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
             job->commitAgainAt_ = at + settings_.storeRetry_;
             return;
         }
@@ -272,7 +272,7 @@
     });
 }
 
-void JobDesk::completeIfDone(const JobPtr& job, TimePoint now)
+void JobScheduler::completeIfDone(const JobPtr& job, TimePoint now)
 {
     if (!job->isOpen() || !job->isComplete() || job->stateChanging_)
         return;
@@ -282,11 +282,11 @@
         job->lastUse_ = at;
         job->items_.clear();
         job->byId_.clear();
-        note(DeskNote::JobDone, job->name_, {}, job->listed_.size());
+        note(SchedulerNote::JobDone, job->name_, {}, job->listed_.size());
     });
 }
 
-void JobDesk::setState(const JobPtr& job, JobState state, TimePoint now, std::function<void(bool, TimePoint)> then)
+void JobScheduler::setState(const JobPtr& job, JobState state, TimePoint now, std::function<void(bool, TimePoint)> then)
 {
     JobHead head = job->head_;
     head.state_ = state;
--- a/libs/ledger/tests/CommitTest.cpp
+++ b/libs/ledger/tests/CommitTest.cpp
@@ -23,7 +23,7 @@
 
 TEST_CASE("ledger: results that finish within a second share a page, and the last one waits for none")
 {
-    LedgerWorld world(31, 2, DeskSettings());
+    LedgerWorld world(31, 2, SchedulerSettings());
     world.pace_ = paceOf(5s);
     world.slots_ = 1;
     world.submit(0, "j", 10, 1);
@@ -32,7 +32,7 @@
         world.advance(250ms);
     world.advance(14700ms);
     CHECK(world.stored("j").size() == 10);
-    CHECK(world.notes_[DeskNote::JobDone] == 1);
+    CHECK(world.notes_[SchedulerNote::JobDone] == 1);
     CHECK(pagesOf(world, "j") <= 4);
     world.checkResults("j");
 }
@@ -40,7 +40,7 @@
 // A result is ready just before its job is due. Held back to share a page it would come late, though it was there in time.
 TEST_CASE("ledger: a result that is ready just before its job is due is listed at once")
 {
-    LedgerWorld world(32, 2, DeskSettings());
+    LedgerWorld world(32, 2, SchedulerSettings());
     world.pace_ = paceOf(5800ms);
     world.slots_ = 1;
     world.submit(0, "j", 10, 1);
--- a/libs/ledger/tests/EndTest.cpp
+++ b/libs/ledger/tests/EndTest.cpp
@@ -14,7 +14,7 @@
     world.advance(150ms);
     std::optional<EndAnswer> ended;
     const std::size_t startedBefore = world.starts_.size();
-    world.desk(0).end("j", false, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
+    world.scheduler(0).end("j", false, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
     world.advance(1s);
     REQUIRE(ended);
     CHECK(ended->outcome_ == ReadOutcome::Found);
@@ -31,12 +31,12 @@
     world.submit(0, "j", 2, 0);
     world.advance(30ms);
     world.store_.faults().delay_ = 200ms;
-    while (world.notes_[DeskNote::Listed] == 0)
+    while (world.notes_[SchedulerNote::Listed] == 0)
         world.advance(LedgerWorld::step);
-    REQUIRE(world.notes_[DeskNote::JobDone] == 0);
+    REQUIRE(world.notes_[SchedulerNote::JobDone] == 0);
     std::vector<ReadOutcome> ends;
     for (int call = 0; call < 2; ++call)
-        world.desk(0).end("j", false, world.now(), [&ends](const EndAnswer& answer) { ends.push_back(answer.outcome_); });
+        world.scheduler(0).end("j", false, world.now(), [&ends](const EndAnswer& answer) { ends.push_back(answer.outcome_); });
     world.advance(1s);
     CHECK(ends == std::vector { ReadOutcome::Found, ReadOutcome::Found });
     world.checkResults("j");
@@ -52,10 +52,10 @@
     world.advance(1s);
     std::vector<ReadOutcome> ends;
     for (int call = 0; call < 2; ++call)
-        world.desk(0).end("j", false, world.now(), [&ends](const EndAnswer& answer) { ends.push_back(answer.outcome_); });
+        world.scheduler(0).end("j", false, world.now(), [&ends](const EndAnswer& answer) { ends.push_back(answer.outcome_); });
     world.advance(1s);
     CHECK(ends == std::vector { ReadOutcome::Found, ReadOutcome::Found });
-    CHECK(world.notes_[DeskNote::JobEnded] == 1);
+    CHECK(world.notes_[SchedulerNote::JobEnded] == 1);
 }
 
 // The job's owner leaves and hands the job to another host when its end arrives: the end follows the job to its new owner. When the store
@@ -68,9 +68,9 @@
     world.submit(1, "j", 20, 0);
     world.advance(1s);
     world.leaving_.insert(world.host(0).id_);
-    world.desk(0).beginLeaving(world.now());
+    world.scheduler(0).beginLeaving(world.now());
     std::optional<EndAnswer> ended;
-    const auto end = [&] { world.desk(0).end("j", false, world.now(), [&ended](const EndAnswer& answer) { ended = answer; }); };
+    const auto end = [&] { world.scheduler(0).end("j", false, world.now(), [&ended](const EndAnswer& answer) { ended = answer; }); };
     SUBCASE("the change arrives")
     {
         end();
@@ -83,7 +83,7 @@
     {
         world.host(0).storeCut_ = true;
         end();
-        world.advance(DeskSettings().readBound_ + 50ms);
+        world.advance(SchedulerSettings().readBound_ + 50ms);
         REQUIRE(ended);
         CHECK(ended->outcome_ == ReadOutcome::Unsure);
     }
@@ -96,13 +96,13 @@
     world.advance(60ms);
     for (const bool force : { false, true, true }) {
         std::optional<EndAnswer> ended;
-        world.desk(force ? 0 : 1).end("j", force, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
+        world.scheduler(force ? 0 : 1).end("j", force, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
         world.advance(500ms);
         REQUIRE(ended);
         CHECK(ended->outcome_ == ReadOutcome::Found);
     }
     std::optional<EndAnswer> unknown;
-    world.desk(0).end("none", false, world.now(), [&unknown](const EndAnswer& answer) { unknown = answer; });
+    world.scheduler(0).end("none", false, world.now(), [&unknown](const EndAnswer& answer) { unknown = answer; });
     world.advance(500ms);
     CHECK(unknown->outcome_ == ReadOutcome::Missing);
 }
@@ -117,18 +117,18 @@
     world.submit(0, "j", 20, 1);
     world.advance(100ms);
     std::optional<EndAnswer> ended;
-    world.desk(0).end("j", true, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
+    world.scheduler(0).end("j", true, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
     world.advance(100ms);
     REQUIRE(ended);
     CHECK(ended->outcome_ == ReadOutcome::Found);
     REQUIRE(world.store_.core().objects().contains(endMarkKey("j")));
-    world.desk(1).endMarked("j", world.now());
+    world.scheduler(1).endMarked("j", world.now());
     world.advance(50ms);
     CHECK(world.host(1).runs_.empty());
     CHECK_FALSE(world.store_.core().objects().contains(endMarkKey("j")));
     // The same call again, when the first answer was lost, marks again: the owner may have missed the first one.
     ended.reset();
-    world.desk(0).end("j", true, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
+    world.scheduler(0).end("j", true, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
     world.advance(100ms);
     REQUIRE(ended);
     CHECK(ended->outcome_ == ReadOutcome::Found);
@@ -144,11 +144,11 @@
     world.advance(100ms);
     std::optional<EndAnswer> ended;
     world.store_.faults().delay_ = 100ms;
-    world.desk(0).end("j", true, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
+    world.scheduler(0).end("j", true, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
     const auto stateInStore = [&world] { return decodeHead(world.store_.core().objects().find(headKey("j"))->second.value_).value().state_; };
     while (stateInStore() == JobState::Open)
         world.advance(LedgerWorld::step);
-    REQUIRE(world.notes_[DeskNote::JobEnded] == 0);
+    REQUIRE(world.notes_[SchedulerNote::JobEnded] == 0);
     world.host(0).storeCut_ = true; // its answer arrives, and nothing leaves any more
     world.advance(2s);
     REQUIRE(ended);
@@ -165,11 +165,11 @@
     world.submit(0, "j", 20, 1);
     world.advance(100ms);
     std::optional<EndAnswer> ended;
-    world.desk(0).end("j", true, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
+    world.scheduler(0).end("j", true, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
     world.advance(100ms);
     REQUIRE(ended);
     CHECK(ended->outcome_ == ReadOutcome::Found);
-    world.desk(1).scan(true, world.now());
+    world.scheduler(1).scan(true, world.now());
     world.advance(100ms);
     CHECK(world.host(1).runs_.empty());
     const std::size_t startedBefore = world.starts_.size();
--- a/libs/ledger/tests/ExploreTest.cpp
+++ b/libs/ledger/tests/ExploreTest.cpp
@@ -49,7 +49,7 @@
         heal();
         world_.advance(7s);
         for (std::size_t place = 0; place < hosts; ++place)
-            world_.desk(place).scan(false, world_.now());
+            world_.scheduler(place).scan(false, world_.now());
         world_.advance(8s);
         check();
     }
@@ -87,8 +87,8 @@
                 if (place == weakDisk_ && pick(2) == 0)
                     world_.wipe(place);
                 world_.start(place);
-                world_.desk(place).tick(world_.now(), world_.wall());
-                world_.desk(place).scan(false, world_.now());
+                world_.scheduler(place).tick(world_.now(), world_.wall());
+                world_.scheduler(place).scan(false, world_.now());
             }
             break;
         case 2:
@@ -122,7 +122,7 @@
             break;
         case 11:
             if (usable(place))
-                world_.desk(place).scan(pick(2) == 0, world_.now());
+                world_.scheduler(place).scan(pick(2) == 0, world_.now());
             break;
         case 12:
             submit("j" + std::to_string(pick(seen_.size())));
@@ -143,7 +143,7 @@
         if (!usable(place))
             return;
         seen_[job].endAsked_ = true;
-        world_.desk(place).end(job, pick(2) == 0, world_.now(), [](const EndAnswer&) {});
+        world_.scheduler(place).end(job, pick(2) == 0, world_.now(), [](const EndAnswer&) {});
     }
 
     void look()
@@ -158,7 +158,7 @@
             if (!usable(place))
                 continue;
             const bool wasAcknowledged = seen.acknowledged_;
-            world_.desk(place).read(job, 0, {}, pick(3) == 0, world_.now(), [this, job = job, wasAcknowledged](const ReadAnswer& answer) { saw(job, answer, wasAcknowledged); });
+            world_.scheduler(place).read(job, 0, {}, pick(3) == 0, world_.now(), [this, job = job, wasAcknowledged](const ReadAnswer& answer) { saw(job, answer, wasAcknowledged); });
         }
     }
 
@@ -190,7 +190,7 @@
         }
         world_.advance(100ms);
         for (std::size_t place = 0; place < hosts; ++place)
-            world_.desk(place).scan(false, world_.now());
+            world_.scheduler(place).scan(false, world_.now());
     }
 
     void check()
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -1,9 +1,9 @@
-// Some desks over one store in virtual time, engines that finish an item after a while, and callers that check what they see.
+// Some schedulers over one store in virtual time, engines that finish an item after a while, and callers that check what they see.
 #pragma once
 
 #include "ledger/Acceptor.h"
-#include "ledger/JobDesk.h"
 #include "ledger/JobIntake.h"
+#include "ledger/JobScheduler.h"
 #include "ledger/JobSpool.h"
 #include "objects/VirtualStore.h"
 
@@ -63,7 +63,7 @@
         bool paused_ = false; // stands still
         bool storeCut_ = false; // its calls reach the store no more
         std::unique_ptr<CallQueue> queue_;
-        std::unique_ptr<JobDesk> desk_;
+        std::unique_ptr<JobScheduler> scheduler_;
         std::unique_ptr<Acceptor> acceptor_;
         MemoryDisk disk_;
         std::unique_ptr<JobSpool<MemoryDisk>> spool_;
@@ -76,15 +76,15 @@
     };
 
     // Items of these worlds take some 15 ms. A window in that measure gives a job several pages, so that losses fall between two of them.
-    static DeskSettings quickPages()
+    static SchedulerSettings quickPages()
     {
-        DeskSettings settings;
+        SchedulerSettings settings;
         settings.commitWindow_ = 300ms;
         return settings;
     }
 
-    explicit LedgerWorld(std::uint64_t seed, std::size_t hosts = 2, const DeskSettings& desk = quickPages())
-        : desk_(desk)
+    explicit LedgerWorld(std::uint64_t seed, std::size_t hosts = 2, const SchedulerSettings& scheduler = quickPages())
+        : scheduler_(scheduler)
         , store_(seed, MemoryStoreSettings { 0, 0, 1s, 100'000, 50 })
         , random_(seed)
     {
@@ -96,7 +96,7 @@
     }
 
     Host& host(std::size_t place) { return *hosts_[place]; }
-    JobDesk& desk(std::size_t place) { return *hosts_[place]->desk_; }
+    JobScheduler& scheduler(std::size_t place) { return *hosts_[place]->scheduler_; }
     TimePoint now() const { return now_; }
     WallTime wall() const { return wallStart + std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch()) + wallShift_; }
 
@@ -120,7 +120,7 @@
             if (own.life_ == life)
                 own.queue_->send(std::move(call), callClass, until, std::move(done));
         };
-        DeskOutlets outlets;
+        SchedulerOutlets outlets;
         outlets.store_ = send;
         outlets.self_ = host.id_;
         outlets.isLive_ = [this, place](NodeId node) { return !hosts_[place]->deadTo_.contains(node); };
@@ -129,14 +129,14 @@
         outlets.transfer_ = [this](NodeId to, const JobTransfer& job) {
             for (std::size_t other = 0; other < hosts_.size(); ++other) {
                 if (hosts_[other]->id_ == to && !loseTransfers_)
-                    at(other, [this, other, job] { desk(other).adopt(job, now_, wall()); });
+                    at(other, [this, other, job] { scheduler(other).adopt(job, now_, wall()); });
             }
         };
-        outlets.note_ = [this](const DeskEvent& event) { ++notes_[event.note_]; };
+        outlets.note_ = [this](const SchedulerEvent& event) { ++notes_[event.note_]; };
         outlets.serviceOf_ = [this](std::string_view, std::string_view) { return service_; };
         // Hosts tell each other within milliseconds whether they keep jobs.
         outlets.mayBeKept_ = [this] { return std::any_of(hosts_.begin(), hosts_.end(), [](const auto& each) { return !each->disk_.texts_->empty(); }); };
-        host.desk_ = std::make_unique<JobDesk>(desk_, std::move(outlets));
+        host.scheduler_ = std::make_unique<JobScheduler>(scheduler_, std::move(outlets));
         host.acceptor_ = std::make_unique<Acceptor>(send);
         startIntake(place, send);
     }
@@ -204,7 +204,7 @@
             if (acceptance.outcome_ != AcceptOutcome::Accepted || loseTransfers_)
                 return;
             JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, false, {} };
-            at(owner, [this, owner, transfer] { desk(owner).adopt(transfer, now_, wall()); });
+            at(owner, [this, owner, transfer] { scheduler(owner).adopt(transfer, now_, wall()); });
         });
     }
 
@@ -226,7 +226,7 @@
     ReadAnswer read(std::size_t place, const JobName& job, std::uint32_t after = 0, Duration wait = {}, bool force = false)
     {
         std::optional<ReadAnswer> got;
-        desk(place).read(job, after, wait, force, now_, [&got](ReadAnswer answer) { got = std::move(answer); });
+        scheduler(place).read(job, after, wait, force, now_, [&got](ReadAnswer answer) { got = std::move(answer); });
         for (int turns = 0; turns < 400 && !got; ++turns)
             advance(step);
         REQUIRE(got);
@@ -267,11 +267,11 @@
         }
     }
 
-    DeskSettings desk_;
+    SchedulerSettings scheduler_;
     VirtualStore store_;
     std::mt19937_64 random_;
     std::map<JobName, std::vector<AcceptOutcome>> outcomes_;
-    std::map<DeskNote, int> notes_;
+    std::map<SchedulerNote, int> notes_;
     std::map<SpoolNote, int> spoolNotes_;
     std::optional<std::string> service_ = "s";
     std::vector<std::string> starts_; // items as they began to run at an engine, once a run
@@ -295,7 +295,7 @@
                 return;
             const JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, false, {} };
             const std::size_t owner = placeOf(acceptance.head_.owner_);
-            at(owner, [this, owner, transfer] { desk(owner).adopt(transfer, now_, wall()); });
+            at(owner, [this, owner, transfer] { scheduler(owner).adopt(transfer, now_, wall()); });
         };
         SpoolOutlets spool { send, isAway, ownerOf, hand, [this](SpoolNote note, const JobName&, std::error_code) { ++spoolNotes_[note]; }, [] {} };
         host.spool_ = std::make_unique<JobSpool<MemoryDisk>>(host.disk_, SpoolSettings(), std::move(spool));
@@ -374,11 +374,11 @@
     {
         Host& host = *hosts_[place];
         runEngines(host);
-        host.desk_->tick(now_, wall());
+        host.scheduler_->tick(now_, wall());
         host.intake_->tick(now_);
         host.spool_->tick(now_, wall());
         while (host.runs_.size() < slots_) {
-            auto run = host.desk_->startNext("s", now_);
+            auto run = host.scheduler_->startNext("s", now_);
             if (!run)
                 break;
             starts_.push_back(run->item_);
@@ -397,11 +397,11 @@
                 continue;
             const std::uint64_t event = run.resumeAfter_.value_or(0) + turns / static_cast<std::uint32_t>(pace_);
             if (event <= eventsPerItem) {
-                host.desk_->event(run.id_, event, "e" + std::to_string(event));
+                host.scheduler_->event(run.id_, event, "e" + std::to_string(event));
                 continue;
             }
             std::erase_if(host.runs_, [&run](const ItemRun& one) { return one.id_ == run.id_; });
-            host.desk_->ended(run.id_, endOf_(run), now_);
+            host.scheduler_->ended(run.id_, endOf_(run), now_);
         }
     }
 
--- a/libs/ledger/tests/ReplacedOwnerTest.cpp
+++ b/libs/ledger/tests/ReplacedOwnerTest.cpp
@@ -8,25 +8,25 @@
 TEST_CASE("ledger: what the new owner has listed is known to the old one a second later")
 {
     constexpr Duration settled = 1s;
-    LedgerWorld world(41, 2, DeskSettings());
+    LedgerWorld world(41, 2, SchedulerSettings());
     world.pace_ = 5; // runs of 100 ms
     world.slots_ = 0;
     // Who was there all the while trusts itself but for what the fleet says.
-    world.advance(DeskSettings().newcomer_ + 1s);
+    world.advance(SchedulerSettings().newcomer_ + 1s);
     world.submit(0, "j", 2, 1);
     world.advance(60ms);
-    world.desk(1).setCautious(true);
+    world.scheduler(1).setCautious(true);
     // Its own runs never end, so it learns nothing from its commits.
     const auto readAtOld = [&world] {
         world.host(1).runs_.clear();
         return world.read(1, "j");
     };
     // The store has just said that the job is still its own.
-    world.advance(DeskSettings().trustedFor_ + 50ms);
+    world.advance(SchedulerSettings().trustedFor_ + 50ms);
     REQUIRE(readAtOld().outcome_ == ReadOutcome::Found);
     world.bury(1);
     world.slots_ = 4;
-    world.desk(0).scan(false, world.now());
+    world.scheduler(0).scan(false, world.now());
 
     std::map<TimePoint, std::size_t> readAtNew;
     std::size_t comparedWithListed = 0;
--- a/libs/ledger/tests/DeskTest.cpp
+++ b/libs/ledger/tests/SchedulerTest.cpp
@@ -15,7 +15,7 @@
     CHECK(answer.total_ == 10);
     CHECK(answer.next_ == 10);
     world.checkResults("j");
-    CHECK(world.notes_[DeskNote::JobDone] == 1);
+    CHECK(world.notes_[SchedulerNote::JobDone] == 1);
     // Results come back from any node, by way of the store.
     CHECK(world.read(0, "j", 4, {}, true).results_.size() == 6);
 }
@@ -80,7 +80,7 @@
     for (const JobResult& result : world.stored("j"))
         errored += result.state_ == ResultState::Errored ? 1 : 0;
     CHECK(errored == 2);
-    CHECK(world.notes_[DeskNote::JobDone] == 1);
+    CHECK(world.notes_[SchedulerNote::JobDone] == 1);
 }
 
 TEST_CASE("ledger: an item goes on behind its last event, or begins anew when the engine is out of step")
@@ -94,17 +94,17 @@
     REQUIRE(world.host(1).runs_.size() == 1);
     const ItemRun first = world.host(1).runs_[0];
     world.host(1).runs_.clear();
-    world.desk(1).ended(first.id_, RunEnd::Broken, world.now());
+    world.scheduler(1).ended(first.id_, RunEnd::Broken, world.now());
     world.advance(500ms);
-    const auto second = world.desk(1).startNext("s", world.now());
+    const auto second = world.scheduler(1).startNext("s", world.now());
     REQUIRE(second);
     CHECK(second->resumeAfter_);
-    world.desk(1).ended(second->id_, RunEnd::OutOfStep, world.now());
+    world.scheduler(1).ended(second->id_, RunEnd::OutOfStep, world.now());
     world.advance(2s);
-    const auto third = world.desk(1).startNext("s", world.now());
+    const auto third = world.scheduler(1).startNext("s", world.now());
     REQUIRE(third);
     CHECK_FALSE(third->resumeAfter_);
-    world.desk(1).ended(third->id_, RunEnd::GivenWay, world.now());
+    world.scheduler(1).ended(third->id_, RunEnd::GivenWay, world.now());
     world.slots_ = 1;
     world.advance(3s);
     CHECK(world.stored("j").size() == 1);
@@ -125,13 +125,13 @@
     REQUIRE(before.size() < 12);
     world.kill(1);
     world.bury(1);
-    world.desk(0).scan(false, world.now());
+    world.scheduler(0).scan(false, world.now());
     world.advance(4s);
     const auto after = world.stored("j");
     CHECK(after.size() == 12);
     CHECK(std::equal(before.begin(), before.end(), after.begin()));
     world.checkResults("j");
-    CHECK(world.notes_[DeskNote::TakenOver] == 1);
+    CHECK(world.notes_[SchedulerNote::TakenOver] == 1);
 }
 
 // The owner stands still for seconds; another node takes its job and lists results. The owner wakes with finished items in hand and
@@ -144,7 +144,7 @@
     world.advance(300ms);
     world.pause(1);
     world.bury(1);
-    world.desk(0).scan(false, world.now());
+    world.scheduler(0).scan(false, world.now());
     world.advance(600ms);
     const auto byOther = world.stored("j");
     world.bury(1, false);
@@ -165,7 +165,7 @@
     world.advance(300ms);
     world.pause(1);
     world.bury(1);
-    world.desk(0).scan(false, world.now());
+    world.scheduler(0).scan(false, world.now());
     world.advance(5s);
     REQUIRE(world.stored("j").size() == 12);
     world.wake(1);
@@ -183,8 +183,8 @@
     world.kill(1);
     world.advance(500ms);
     world.start(1);
-    world.desk(1).tick(world.now(), world.wall());
-    world.desk(1).scan(false, world.now());
+    world.scheduler(1).tick(world.now(), world.wall());
+    world.scheduler(1).scan(false, world.now());
     world.advance(5s);
     CHECK(world.stored("j").size() == 12);
     world.checkResults("j");
@@ -199,7 +199,7 @@
     world.advance(100ms);
     REQUIRE(world.outcomes_["j"] == std::vector { AcceptOutcome::Accepted });
     world.kill(0);
-    world.desk(1).scan(true, world.now());
+    world.scheduler(1).scan(true, world.now());
     world.advance(3s);
     CHECK(world.stored("j").size() == 3);
 }
@@ -211,10 +211,10 @@
     world.submit(0, "j", 4, 1);
     world.advance(250ms);
     world.leaving_.insert(world.host(1).id_);
-    world.desk(1).beginLeaving(world.now());
+    world.scheduler(1).beginLeaving(world.now());
     world.advance(300ms);
-    CHECK(world.desk(1).hasLeft());
-    CHECK(world.desk(0).openJobs() == 1);
+    CHECK(world.scheduler(1).hasLeft());
+    CHECK(world.scheduler(0).openJobs() == 1);
     bool resumed = false;
     for (const ItemRun& run : world.host(0).runs_)
         resumed = resumed || run.resumeAfter_.has_value();
@@ -233,8 +233,8 @@
     world.advance(4s);
     CHECK(world.outcomes_["j"] == std::vector { AcceptOutcome::NotAccepted });
     world.store_.core().setOutage(false);
-    world.desk(0).scan(false, world.now());
-    world.desk(1).scan(false, world.now());
+    world.scheduler(0).scan(false, world.now());
+    world.scheduler(1).scan(false, world.now());
     world.advance(5s);
     CHECK(world.starts_.empty());
 }
@@ -268,10 +268,10 @@
     head.itemPages_ = 1;
     head.acceptedAt_ = world.wall();
     world.store_.core().apply(ObjectCall::create(headKey("j"), encode(head)), world.now());
-    world.desk(1).tick(world.now(), world.wall());
-    world.desk(1).scan(false, world.now());
+    world.scheduler(1).tick(world.now(), world.wall());
+    world.scheduler(1).scan(false, world.now());
     world.advance(15s);
-    CHECK(world.notes_[DeskNote::JobVoid] == 1);
+    CHECK(world.notes_[SchedulerNote::JobVoid] == 1);
     CHECK(world.read(0, "j").outcome_ == ReadOutcome::Missing);
     world.submit(0, "j", 2, 1);
     world.advance(3s);
@@ -287,7 +287,7 @@
     world.advance(50ms);
     const auto body = [&world](std::size_t place, const std::string& item, bool force) {
         std::optional<BodyAnswer> got;
-        world.desk(place).body("j", item, force, world.now(), [&got](BodyAnswer answer) { got = std::move(answer); });
+        world.scheduler(place).body("j", item, force, world.now(), [&got](BodyAnswer answer) { got = std::move(answer); });
         world.advance(300ms);
         REQUIRE(got);
         return *got;
@@ -306,10 +306,10 @@
     world.service_ = std::nullopt;
     world.submit(0, "j", 2, 1);
     world.advance(500ms);
-    CHECK(world.desk(1).waiting(world.now()).empty());
+    CHECK(world.scheduler(1).waiting(world.now()).empty());
     world.service_ = "";
-    world.desk(1).startNext("", world.now());
-    world.desk(1).startNext("", world.now());
+    world.scheduler(1).startNext("", world.now());
+    world.scheduler(1).startNext("", world.now());
     world.advance(1s);
     CHECK(world.stored("j").size() == 2);
     CHECK(world.stored("j")[0].state_ == ResultState::Errored);
@@ -340,12 +340,12 @@
         }
     }
     world.advance(abandonAfter - 13s);
-    CHECK(world.notes_[DeskNote::ItemErrored] == 0);
+    CHECK(world.notes_[SchedulerNote::ItemErrored] == 0);
     // Listed at last, when its time is over by any clock.
     world.advance(30s);
-    CHECK(world.notes_[DeskNote::ItemErrored] == 3);
+    CHECK(world.notes_[SchedulerNote::ItemErrored] == 3);
     CHECK(world.read(0, "j").results_.size() == 3);
-    world.advance(DeskSettings().retention_ - abandonAfter - 25s);
+    world.advance(SchedulerSettings().retention_ - abandonAfter - 25s);
     CHECK(world.read(0, "j").results_.size() == 3);
 }
 
@@ -354,9 +354,9 @@
     LedgerWorld world(21);
     world.submit(0, "j", 2, 1);
     world.advance(2s);
-    REQUIRE(world.notes_[DeskNote::JobDone] == 1);
+    REQUIRE(world.notes_[SchedulerNote::JobDone] == 1);
     world.advance(160s);
-    world.desk(1).scan(true, world.now());
+    world.scheduler(1).scan(true, world.now());
     world.advance(10s);
     CHECK(world.store_.core().objects().empty());
 }
@@ -375,7 +375,7 @@
     const JobTransfer late { "j", decodeHead(stored->second.value_).value(), stored->second.version_, LedgerWorld::submission("j", 6).items_, 0, false, {} };
     world.pause(1);
     world.bury(1);
-    world.desk(0).scan(false, world.now());
+    world.scheduler(0).scan(false, world.now());
     world.advance(3s);
     REQUIRE(world.read(0, "j").next_ == 6);
     world.bury(1, false);
@@ -387,11 +387,11 @@
     }
     world.wake(1);
     const std::size_t startedBefore = world.starts_.size();
-    world.desk(1).adopt(late, world.now(), world.wall());
+    world.scheduler(1).adopt(late, world.now(), world.wall());
     CHECK(world.read(1, "j").next_ == 6);
     world.advance(2s);
     CHECK(world.starts_.size() <= startedBefore + world.slots_);
-    CHECK(world.desk(1).openJobs() == 0);
+    CHECK(world.scheduler(1).openJobs() == 0);
     CHECK(world.stored("j").size() == 6);
 }
 
@@ -413,7 +413,7 @@
     world.service_ = std::nullopt;
     world.host(1).runs_.clear();
     world.advance(100ms);
-    world.desk(0).scan(false, world.now());
+    world.scheduler(0).scan(false, world.now());
     world.advance(100ms);
     std::uint32_t page = 0;
     while (world.store_.core().objects().contains(resultPageKey("j", page)))
@@ -438,14 +438,14 @@
     {
         world.kill(1);
         world.bury(1);
-        world.desk(0).scan(false, world.now());
+        world.scheduler(0).scan(false, world.now());
     }
     SUBCASE("by the same node's next process")
     {
         world.kill(1);
         world.start(1);
-        world.desk(1).tick(world.now(), world.wall());
-        world.desk(1).scan(false, world.now());
+        world.scheduler(1).tick(world.now(), world.wall());
+        world.scheduler(1).scan(false, world.now());
     }
     std::uint32_t page = 0;
     while (world.store_.core().objects().contains(resultPageKey("j", page)))
--- a/libs/ledger/tests/StretchTest.cpp
+++ b/libs/ledger/tests/StretchTest.cpp
@@ -11,23 +11,23 @@
         : LedgerWorld(seed, 1)
     {
         slots_ = 0;
-        desk(0).setRunTime(5s);
+        scheduler(0).setRunTime(5s);
         submit(0, "a", 8, 0);
         advance(500ms);
         std::vector<RunId> runs;
-        while (auto run = desk(0).startNext("s", now())) {
+        while (auto run = scheduler(0).startNext("s", now())) {
             runs.push_back(run->id_);
-            desk(0).event(run->id_, 1, "e1");
+            scheduler(0).event(run->id_, 1, "e1");
         }
         REQUIRE(runs.size() == 8);
         advance(10s);
         for (const RunId run : runs)
-            desk(0).ended(run, RunEnd::Completed, now());
+            scheduler(0).ended(run, RunEnd::Completed, now());
     }
 
     std::string next()
     {
-        const auto run = desk(0).startNext("s", now());
+        const auto run = scheduler(0).startNext("s", now());
         return run ? run->item_ : std::string();
     }
 };
@@ -44,7 +44,7 @@
     world.advance(11500ms); // 6.5 s are left
     world.submit(0, "later", 1, 0);
     world.advance(200ms);
-    const auto waiting = world.desk(0).waiting(world.now());
+    const auto waiting = world.scheduler(0).waiting(world.now());
     REQUIRE(waiting.contains("s"));
     CHECK(waiting.at("s").count_ == 2);
     CHECK(waiting.at("s").inTime_ == 1);
@@ -58,10 +58,10 @@
     BusyWorld world(32);
     world.submit(0, "first", 1, 0);
     world.advance(500ms);
-    const auto run = world.desk(0).startNext("s", world.now());
+    const auto run = world.scheduler(0).startNext("s", world.now());
     REQUIRE(run);
-    world.desk(0).event(run->id_, 1, "e1");
-    world.desk(0).ended(run->id_, RunEnd::GivenWay, world.now());
+    world.scheduler(0).event(run->id_, 1, "e1");
+    world.scheduler(0).ended(run->id_, RunEnd::GivenWay, world.now());
     world.advance(11s);
     world.submit(0, "later", 1, 0);
     world.advance(200ms);
--- a/libs/serving/include/serving/Translation.h
+++ b/libs/serving/include/serving/Translation.h
@@ -6,7 +6,7 @@
 #include "base/Result.h"
 #include "capacity/CapacityBoard.h"
 #include "http/Message.h"
-#include "ledger/JobDesk.h"
+#include "ledger/JobScheduler.h"
 #include "objects/ObjectApi.h"
 #include "routes/RouteTable.h"
 
--- a/libs/serving/src/Cells.h
+++ b/libs/serving/src/Cells.h
@@ -1,6 +1,6 @@
 // A large region is cut into cells: nodes and engines that belong together, so that exact news stays among few.
 //
-// Failure met: what a node knows of the others' load has to be exact within milliseconds, or several nodes take the same slot. Words that
+// Failure met: what a node knows of the others' load has to be exact within milliseconds, or several nodes take the same slot. Reports that
 // come 100 ms late cost 16 of 100 questions their objective in bursts beyond the slots (0.896 in time to 0.735, the load of
 // capacity/tests/BurstTest.cpp). Told to a whole region of 180 nodes they would be 4,700 a second at each. The guard: a node tells each
 // change to its own cell, and the others what it runs now and then; it uses the engines of its own cell first, and others' when those
@@ -19,7 +19,7 @@
 
 class Cells {
 public:
-    // Today's largest region has 42 nodes, and each hears 500 words a second of 1,000 that it may spend time on.
+    // Today's largest region has 42 nodes, and each hears 500 reports a second of 1,000 that it may spend time on.
     static constexpr std::size_t mostNodes = 56;
     // Cut in halves a cell has some 28 nodes; below this two are joined again. The gap keeps the number steady while nodes come and go.
     static constexpr std::size_t fewestNodes = 20;
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -38,7 +38,7 @@
     DistributionHandle accept_; // ms from a submission's arrival to its acknowledgement
 };
 
-class SlotLine;
+class SlotQueue;
 
 struct Context {
     boost::asio::io_context& io_;
@@ -49,7 +49,7 @@
     CapacityBoard& board_;
     http::Client& engines_; // connections to engines
     Fleet* fleet_ = nullptr; // set before anything runs
-    SlotLine* line_ = nullptr; // as fleet_
+    SlotQueue* queue_ = nullptr; // as fleet_
     std::shared_ptr<const RouteTable> table_ {}; // null until the first configuration
     CrashSuspects suspects_ {};
 
--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -1,4 +1,4 @@
-// Sockets around the membership core, and the words that nodes tell each other.
+// Sockets around the membership core, and the reports that nodes tell each other.
 #include "Fleet.h"
 
 #include "http/Client.h"
@@ -18,7 +18,7 @@
 
     // Membership's own periods are 60 ms and more.
     constexpr Duration membershipTick = 45ms;
-    // Everybody hears the whole word again, so that lost datagrams are made good.
+    // Everybody hears the whole report again, so that lost datagrams are made good.
     constexpr Duration refreshPeriod = 500ms;
     // Other regions only use what is left over here, and each byte to them is paid: this much for each node there, so that a fleet
     // tells its other regions at the same rate whatever its size.
@@ -26,7 +26,7 @@
     constexpr Duration leastFarPeriod = 45ms;
     // A node that isn't heard for two seconds counts as running nothing.
     constexpr Duration longestRefresh = 900ms;
-    // Between words to other cells of the region: at 180 nodes each hears 400 a second of them at most.
+    // Between reports to other cells of the region: at 180 nodes each hears 400 a second of them at most.
     constexpr Duration regionPeriodPerNode = 2ms;
     constexpr std::size_t datagramBytes = 2048;
     constexpr std::size_t callBytes = 16 * 1024 * 1024;
@@ -102,14 +102,14 @@
 struct Fleet::Sockets {
     Sockets(boost::asio::io_context& io, Fleet& fleet)
         : membership_(io, [&fleet](std::string_view bytes) { fleet.onMembershipDatagram(bytes); })
-        , words_(io, [&fleet](std::string_view bytes) { fleet.onWord(bytes); })
+        , reports_(io, [&fleet](std::string_view bytes) { fleet.onReportDatagram(bytes); })
         , codec_(fleet.options_.key_, fleet.self_)
         , client_(io, { .connectTime_ = 300ms, .pooledIdle_ = 20s, .pooledPerEndpoint_ = 8, .headerBytes_ = 4096, .bodyBytes_ = callBytes })
     {
     }
 
     Datagrams membership_;
-    Datagrams words_;
+    Datagrams reports_;
     DatagramCodec codec_;
     http::Client client_;
     std::unique_ptr<http::Server> server_;
@@ -139,7 +139,7 @@
 Result<void> Fleet::open()
 {
     sockets_ = std::make_unique<Sockets>(io_, *this);
-    if (!sockets_->membership_.open(options_.at_) || !sockets_->words_.open(nextPort(options_.at_)))
+    if (!sockets_->membership_.open(options_.at_) || !sockets_->reports_.open(nextPort(options_.at_)))
         return BaseError::Closed;
     http::ServerSettings server;
     server.listen_ = endpointOf(options_.at_);
@@ -178,14 +178,14 @@
         countNodes();
     }
     pace_.tick(now);
-    const bool isFarDue = farDirty_ && now - toldFarAt_ >= farPeriod();
-    const bool isRegionDue = cells_.count() > 1 && regionDirty_ && now - toldRegionAt_ >= regionPeriod();
-    if (isFarDue || now - toldFarAt_ >= farRefresh())
-        sendWord(Reach::All);
-    else if (isRegionDue || now - toldRegionAt_ >= refreshPeriod)
-        sendWord(Reach::Region);
+    const bool isFarDue = farDirty_ && now - reportedFarAt_ >= farPeriod();
+    const bool isRegionDue = cells_.count() > 1 && regionDirty_ && now - reportedRegionAt_ >= regionPeriod();
+    if (isFarDue || now - reportedFarAt_ >= farRefresh())
+        sendReport(Reach::All);
+    else if (isRegionDue || now - reportedRegionAt_ >= refreshPeriod)
+        sendReport(Reach::Region);
     else
-        sendPendingWord();
+        sendPendingReport();
 }
 
 void Fleet::countNodes()
@@ -282,7 +282,7 @@
     log_.line(command.reachable_ ? "regionRegained" : "regionLost").with("region", command.region_.value());
 }
 
-// ---- words
+// ---- reports
 
 void Fleet::tell()
 {
@@ -293,75 +293,75 @@
     tellPending_ = true;
     boost::asio::post(io_, [this, alive = alive_] {
         if (*alive)
-            sendPendingWord();
+            sendPendingReport();
     });
 }
 
-// A word that comes too early goes with a later tick.
-void Fleet::sendPendingWord()
+// A report that comes too early goes with a later tick.
+void Fleet::sendPendingReport()
 {
     if (!tellPending_ || SystemClock().now() < pace_.nextAt())
         return;
-    sendWord(Reach::Cell);
+    sendReport(Reach::Cell);
 }
 
-void Fleet::sendWord(Reach reach)
+void Fleet::sendReport(Reach reach)
 {
-    NodeTold told = handlers_.ownWord_();
-    told.use_.node_ = self_;
-    told.use_.incarnation_ = options_.incarnation_;
-    told.use_.sequence_ = ++sequence_;
-    told.runsJobs_ = options_.runsJobs_;
-    told.leaving_ = leaving_;
-    const std::string bytes = encode(options_.key_, PeerDatagram(told));
+    NodeReport report = handlers_.ownReport_();
+    report.use_.node_ = self_;
+    report.use_.incarnation_ = options_.incarnation_;
+    report.use_.sequence_ = ++sequence_;
+    report.runsJobs_ = options_.runsJobs_;
+    report.leaving_ = leaving_;
+    const std::string bytes = encode(options_.key_, PeerDatagram(report));
     tellPending_ = false;
-    saidWatching_ = told.watching_;
-    pace_.told(SystemClock().now());
+    saidWatching_ = report.watching_;
+    pace_.sent(SystemClock().now());
     const RegionId ownCell = cellOf(self_);
     for (const auto& [node, peer] : peers_) {
         const bool isReached = reach == Reach::All || (reach == Reach::Region && peer.region_ == options_.region_) || cells_.cellOf(peer.region_, node) == ownCell;
         if (peer.isLive() && isReached)
-            sockets_->words_.send(nextPort(peer.at_), bytes);
+            sockets_->reports_.send(nextPort(peer.at_), bytes);
     }
     if (reach == Reach::Cell && cells_.count() > 1)
         return;
     regionDirty_ = false;
-    toldRegionAt_ = now_;
+    reportedRegionAt_ = now_;
     if (reach != Reach::All)
         return;
     farDirty_ = false;
-    toldFarAt_ = now_;
+    reportedFarAt_ = now_;
 }
 
 void Fleet::giveWay(NodeId holder, UpstreamId engine)
 {
     const auto found = peers_.find(holder);
     if (found != peers_.end())
-        sockets_->words_.send(nextPort(found->second.at_), encode(options_.key_, PeerDatagram(GiveWay { self_, engine })));
+        sockets_->reports_.send(nextPort(found->second.at_), encode(options_.key_, PeerDatagram(GiveWay { self_, engine })));
 }
 
-void Fleet::onWord(std::string_view bytes)
+void Fleet::onReportDatagram(std::string_view bytes)
 {
     const auto datagram = decodeDatagram(options_.key_, bytes);
     if (!datagram)
         return;
     if (const auto* ask = std::get_if<GiveWay>(&datagram.value()))
         return handlers_.onGiveWay_(*ask);
-    const auto& told = std::get<NodeTold>(datagram.value());
+    const auto& report = std::get<NodeReport>(datagram.value());
     pace_.heard();
-    const auto found = peers_.find(told.use_.node_);
+    const auto found = peers_.find(report.use_.node_);
     if (found != peers_.end()) {
         Peer& peer = found->second;
-        peer.runsJobs_ = told.runsJobs_;
-        peer.leaving_ = peer.leaving_ || told.leaving_;
+        peer.runsJobs_ = report.runsJobs_;
+        peer.leaving_ = peer.leaving_ || report.leaving_;
         peer.heardAt_ = SystemClock().now();
-        peer.configVersion_ = told.configVersion_;
-        peer.enginesVersion_ = told.enginesVersion_;
-        peer.watching_ = told.watching_;
-        peer.keepsJobs_ = told.keepsJobs_;
-        peer.keptJobs_ = told.keptJobs_;
+        peer.configVersion_ = report.configVersion_;
+        peer.enginesVersion_ = report.enginesVersion_;
+        peer.watching_ = report.watching_;
+        peer.keepsJobs_ = report.keepsJobs_;
+        peer.keptJobs_ = report.keptJobs_;
     }
-    handlers_.onTold_(told);
+    handlers_.onReport_(report);
 }
 
 // ---- calls
@@ -395,7 +395,7 @@
     leaving_ = true;
     core_->handle(LeaveStarted {}, SystemClock().now(), SystemClock().wallNow());
     runCommands();
-    sendWord(Reach::All);
+    sendReport(Reach::All);
 }
 
 void Fleet::finishLeaving()
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -8,8 +8,8 @@
 #include "DecisionLog.h"
 #include "Keepers.h"
 #include "PeerMessages.h"
+#include "ReportPace.h"
 #include "WatchChoice.h"
-#include "WordPace.h"
 #include "base/Result.h"
 #include "membership/MembershipCore.h"
 
@@ -34,9 +34,9 @@
 };
 
 struct FleetHandlers {
-    // What goes out with each word of this node; node, incarnation and sequence are filled in here.
-    std::function<NodeTold()> ownWord_;
-    std::function<void(const NodeTold&)> onTold_;
+    // What goes out with each report of this node; node, incarnation and sequence are filled in here.
+    std::function<NodeReport()> ownReport_;
+    std::function<void(const NodeReport&)> onReport_;
     std::function<void(const GiveWay&)> onGiveWay_;
     std::function<void(NodeId)> onGone_;
     // A mark of content that crashes engines, see CrashSuspects.h.
@@ -57,7 +57,7 @@
     MemberState state_ = MemberState::Alive;
     bool leaving_ = false;
     bool runsJobs_ = false;
-    TimePoint heardAt_ {}; // of its last own word
+    TimePoint heardAt_ {}; // of its last own report
     std::uint64_t configVersion_ = 0;
     std::uint64_t enginesVersion_ = 0;
     bool watching_ = false;
@@ -74,7 +74,7 @@
     ~Fleet();
 
     void tick(TimePoint now, WallTime wall);
-    // This node's word has changed; it goes out before the loop turns again, or at the region's pace if that is slower.
+    // This node's report has changed; it goes out before the loop turns again, or at the region's pace if that is slower.
     void tell();
     void giveWay(NodeId holder, UpstreamId engine);
     using ReplyHandler = std::function<void(Result<PeerReply>)>;
@@ -86,7 +86,7 @@
 
     void beginLeaving();
     bool isLeaving() const { return leaving_; }
-    // The last words, before the process ends.
+    // The last reports, before the process ends.
     void finishLeaving();
 
     NodeId self() const { return self_; }
@@ -119,7 +119,7 @@
 
     Result<void> open();
     void onMembershipDatagram(std::string_view bytes);
-    void onWord(std::string_view bytes);
+    void onReportDatagram(std::string_view bytes);
     void runCommands();
     void perform(const SendDatagram& command);
     void perform(const MemberChanged& command);
@@ -134,9 +134,9 @@
         Region,
         All,
     };
-    void sendWord(Reach reach);
+    void sendReport(Reach reach);
     void countNodes();
-    void sendPendingWord();
+    void sendPendingReport();
     Duration farPeriod() const;
     Duration farRefresh() const;
     Duration regionPeriod() const;
@@ -151,11 +151,11 @@
     std::map<NodeId, Peer> peers_;
     std::uint32_t sequence_ = 0;
     std::uint64_t keeperTurn_ = 0; // so that jobs spread over the hosts
-    WordPace pace_;
-    bool tellPending_ = false; // a word is to be sent, as soon as the pace allows
+    ReportPace pace_;
+    bool tellPending_ = false; // a report is to be sent, as soon as the pace allows
     bool farDirty_ = false; // other regions have not heard the last change
-    TimePoint toldFarAt_ {};
-    TimePoint toldRegionAt_ {};
+    TimePoint reportedFarAt_ {};
+    TimePoint reportedRegionAt_ {};
     bool regionDirty_ = false; // other cells have not heard the last change
     Cells cells_;
     bool saidWatching_ = false;
--- a/libs/serving/src/FleetPeers.cpp
+++ b/libs/serving/src/FleetPeers.cpp
@@ -12,7 +12,7 @@
 
     // At start nobody is known; by then membership has met everybody who lives.
     constexpr Duration settleTime = 4s;
-    // A word that is so fresh proves more than a probe that failed.
+    // A report that is so fresh proves more than a probe that failed.
     constexpr Duration freshWord = 1200ms;
     // A host that died with jobs on its disk brings them when it is back; by then the others that keep them have done so.
     constexpr Duration keptJobsRemembered = 60s;
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -15,9 +15,9 @@
 
 } // namespace
 
-ItemRunner::ItemRunner(Context& context, JobDesk& desk, ItemRunnerSettings settings)
+ItemRunner::ItemRunner(Context& context, JobScheduler& scheduler, ItemRunnerSettings settings)
     : context_(context)
-    , desk_(desk)
+    , scheduler_(scheduler)
     , settings_(settings)
     , meanRunSeconds_(toSeconds(settings.assumedRun_))
 {
@@ -31,23 +31,23 @@
 
 void ItemRunner::pump(TimePoint now)
 {
-    desk_.setRunTime(fromSeconds(meanRunSeconds_));
+    scheduler_.setRunTime(fromSeconds(meanRunSeconds_));
     cedeOne(now);
     std::size_t starts = 0;
     while (starts < settings_.startsPerTurn_ && startOne(now))
         ++starts;
-    tellWaiting(now);
+    reportWaiting(now);
 }
 
 bool ItemRunner::startOne(TimePoint now)
 {
-    for (const auto& [service, waiting] : desk_.waiting(now)) {
+    for (const auto& [service, waiting] : scheduler_.waiting(now)) {
         EnginePick pick;
         if (!service.empty())
-            pick = context_.board_.pickBatch(service, waiting.haste_ == ItemHaste::Urgent, waiting.firstDue_, {}, now);
+            pick = context_.board_.pickBatch(service, waiting.urgency_ == ItemUrgency::Urgent, waiting.firstDue_, {}, now);
         if (!service.empty() && !pick.isSome())
             continue;
-        auto item = desk_.startNext(service, now);
+        auto item = scheduler_.startNext(service, now);
         if (!item)
             return true; // it was ended on the spot
         auto run = std::make_shared<Run>();
@@ -63,17 +63,17 @@
 }
 
 // Other nodes leave free slots to the items that are due first, wherever those wait.
-void ItemRunner::tellWaiting(TimePoint now)
+void ItemRunner::reportWaiting(TimePoint now)
 {
-    std::map<std::string, JobDesk::Waiting> waiting = desk_.waiting(now);
-    for (const auto& [service, before] : told_)
+    std::map<std::string, JobScheduler::Waiting> waiting = scheduler_.waiting(now);
+    for (const auto& [service, before] : reported_)
         waiting.try_emplace(service);
     for (const auto& [service, items] : waiting) {
-        ToldItems& told = told_[service];
-        const ToldItems current { items.inTime_, items.firstDue_ };
-        if (told == current)
+        ReportedItems& reported = reported_[service];
+        const ReportedItems current { items.inTime_, items.firstDue_ };
+        if (reported == current)
             continue;
-        told = current;
+        reported = current;
         context_.board_.setItemsWaiting(service, static_cast<std::uint16_t>(std::min<std::size_t>(items.inTime_, UINT16_MAX)), items.firstDue_);
         context_.fleet_->tell();
     }
@@ -85,7 +85,7 @@
 {
     RunPtr last;
     for (const auto& [id, run] : runs_) {
-        if (desk_.hasteOf(id, now) == ItemHaste::Relaxed && (!last || run->item_.due_ > last->item_.due_))
+        if (scheduler_.urgencyOf(id, now) == ItemUrgency::Relaxed && (!last || run->item_.due_ > last->item_.due_))
             last = run;
     }
     if (!last || !context_.board_.mustCedeItem(last->service_, last->item_.due_, now))
@@ -143,7 +143,7 @@
             return;
         }
         held = event.id_;
-        desk_.event(run->item_.id_, *event.id_, event.data_);
+        scheduler_.event(run->item_.id_, *event.id_, event.data_);
     });
     if (outOfStep)
         finish(run, RunEnd::OutOfStep, "outOfStep");
@@ -201,7 +201,7 @@
     context_.board_.ended(run->engine_, WorkClass::BatchItem);
     context_.fleet_->tell();
     context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1);
-    desk_.ended(run->item_.id_, end, context_.now());
+    scheduler_.ended(run->item_.id_, end, context_.now());
 }
 
 void ItemRunner::markFirm(TimePoint now)
@@ -209,7 +209,7 @@
     std::map<UpstreamId, std::uint16_t> firm;
     for (const auto& [id, run] : runs_) {
         std::uint16_t& count = firm[run->engine_];
-        if (count < settings_.firmPerEngine_ && desk_.hasteOf(id, now) == ItemHaste::Urgent)
+        if (count < settings_.firmPerEngine_ && scheduler_.urgencyOf(id, now) == ItemUrgency::Urgent)
             ++count;
     }
     for (const auto& [engine, count] : firm)
@@ -220,22 +220,22 @@
 {
     // Those that are late lose nothing by waiting; of the others the one that is due last has the most time to go on elsewhere.
     RunPtr chosen;
-    ItemHaste chosenHaste = ItemHaste::Urgent;
+    ItemUrgency chosenUrgency = ItemUrgency::Urgent;
     std::uint16_t urgent = 0;
-    const auto rank = [](ItemHaste haste) { return haste >= ItemHaste::Doubtful ? 2 : haste == ItemHaste::Relaxed ? 1
-                                                                                                                  : 0; };
+    const auto rank = [](ItemUrgency urgency) { return urgency >= ItemUrgency::Doubtful ? 2 : urgency == ItemUrgency::Relaxed ? 1
+                                                                                                                              : 0; };
     for (const auto& [id, run] : runs_) {
         if (run->engine_ != engine)
             continue;
-        const ItemHaste haste = desk_.hasteOf(id, now);
-        urgent += haste == ItemHaste::Urgent ? 1 : 0;
-        const bool isBetter = !chosen || rank(haste) > rank(chosenHaste) || (rank(haste) == rank(chosenHaste) && run->item_.due_ > chosen->item_.due_);
+        const ItemUrgency urgency = scheduler_.urgencyOf(id, now);
+        urgent += urgency == ItemUrgency::Urgent ? 1 : 0;
+        const bool isBetter = !chosen || rank(urgency) > rank(chosenUrgency) || (rank(urgency) == rank(chosenUrgency) && run->item_.due_ > chosen->item_.due_);
         if (!isBetter)
             continue;
         chosen = run;
-        chosenHaste = haste;
+        chosenUrgency = urgency;
     }
-    const bool mayStay = chosenHaste == ItemHaste::Urgent && urgent <= settings_.firmPerEngine_;
+    const bool mayStay = chosenUrgency == ItemUrgency::Urgent && urgent <= settings_.firmPerEngine_;
     if (!chosen || mayStay)
         return;
     context_.metrics_.metrics_.add(context_.metrics_.itemsGivenWay_);
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -8,7 +8,7 @@
 
 #include "Context.h"
 #include "EventScanner.h"
-#include "ledger/JobDesk.h"
+#include "ledger/JobScheduler.h"
 
 #include <map>
 #include <memory>
@@ -29,7 +29,7 @@
 
 class ItemRunner {
 public:
-    ItemRunner(Context& context, JobDesk& desk, ItemRunnerSettings settings);
+    ItemRunner(Context& context, JobScheduler& scheduler, ItemRunnerSettings settings);
 
     // Starts what fits.
     void pump(TimePoint now);
@@ -37,7 +37,7 @@
     void giveWay(UpstreamId engine, TimePoint now);
     // How many of the engine's slots its items keep against questions.
     void markFirm(TimePoint now);
-    // The desk has no use for the run any more.
+    // The scheduler has no use for the run any more.
     void stop(RunId run);
     std::size_t running() const { return runs_.size(); }
 
@@ -54,17 +54,17 @@
     };
     using RunPtr = std::shared_ptr<Run>;
 
-    // What was told last of the items that wait for a service.
-    struct ToldItems {
+    // What was reported last of the items that wait for a service.
+    struct ReportedItems {
         std::size_t count_ = 0;
         TimePoint firstDue_ = neverTime;
 
-        friend bool operator==(const ToldItems&, const ToldItems&) = default;
+        friend bool operator==(const ReportedItems&, const ReportedItems&) = default;
     };
 
     // Starts the first item that fits; false: none does.
     bool startOne(TimePoint now);
-    void tellWaiting(TimePoint now);
+    void reportWaiting(TimePoint now);
     void cedeOne(TimePoint now);
     void send(const RunPtr& run);
     void onHead(const RunPtr& run, const http::ResponseHead& head);
@@ -75,10 +75,10 @@
     bool isCurrent(const RunPtr& run) const;
 
     Context& context_;
-    JobDesk& desk_;
+    JobScheduler& scheduler_;
     ItemRunnerSettings settings_;
     std::map<RunId, RunPtr> runs_;
-    std::map<std::string, ToldItems> told_;
+    std::map<std::string, ReportedItems> reported_;
     double meanRunSeconds_;
 };
 
--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -51,9 +51,9 @@
     NodeId next_; // to ask
 };
 
-JobFront::JobFront(Context& context, JobDesk& desk, StoreLink& store)
+JobFront::JobFront(Context& context, JobScheduler& scheduler, StoreLink& store)
     : context_(context)
-    , desk_(desk)
+    , scheduler_(scheduler)
     , intake_(IntakeSettings(), intakeOutlets(store))
 {
 }
@@ -97,10 +97,10 @@
 {
     const JobName name = job.submission_.job_;
     context_.fleet_->ask(host, KeepAsk { std::move(job) }, keepBound, [this, host, name, done = std::move(done)](const Result<PeerReply>& reply) {
-        const auto* told = reply ? std::get_if<KeepTold>(&reply.value()) : nullptr;
-        const KeepOutcome outcome = told ? told->outcome_ : KeepOutcome::Unknown;
+        const auto* kept = reply ? std::get_if<KeepReply>(&reply.value()) : nullptr;
+        const KeepOutcome outcome = kept ? kept->outcome_ : KeepOutcome::Unknown;
         if (outcome != KeepOutcome::Kept)
-            context_.log_.line("copyMissing").with("job", name).with("host", host.value()).with("outcome", told ? "refused" : "unknown");
+            context_.log_.line("copyMissing").with("job", name).with("host", host.value()).with("outcome", kept ? "refused" : "unknown");
         done(outcome, context_.now());
     });
 }
@@ -142,7 +142,7 @@
     JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, tries > 0, {} };
     const NodeId owner = acceptance.head_.owner_;
     if (owner == context_.fleet_->self())
-        return desk_.adopt(std::move(transfer), context_.now(), SystemClock().wallNow());
+        return scheduler_.adopt(std::move(transfer), context_.now(), SystemClock().wallNow());
     context_.fleet_->ask(owner, AdoptAsk { std::move(transfer) }, callBound, [this, job, acceptance, tries](const Result<PeerReply>& reply) {
         if (reply)
             return;
@@ -209,20 +209,20 @@
 {
     const TimePoint now = context_.now();
     if (const auto* read = std::get_if<JobRead>(&asked->call_)) {
-        return desk_.read(read->job_, read->after_, read->wait_, force, now, [this, asked](ReadAnswer answer) {
+        return scheduler_.read(read->job_, read->after_, read->wait_, force, now, [this, asked](ReadAnswer answer) {
             const ReadOutcome outcome = answer.outcome_;
             const NodeId owner = answer.owner_;
             answered(asked, outcome, owner, true, std::move(answer));
         });
     }
     if (const auto* body = std::get_if<JobBody>(&asked->call_)) {
-        return desk_.body(body->job_, body->item_, force, now, [this, asked](BodyAnswer answer) {
+        return scheduler_.body(body->job_, body->item_, force, now, [this, asked](BodyAnswer answer) {
             const ReadOutcome outcome = answer.outcome_;
             const NodeId owner = answer.owner_;
             answered(asked, outcome, owner, true, std::move(answer));
         });
     }
-    desk_.end(std::get<JobEnd>(asked->call_).job_, force, now, [this, asked](EndAnswer answer) { answered(asked, answer.outcome_, answer.owner_, true, answer); });
+    scheduler_.end(std::get<JobEnd>(asked->call_).job_, force, now, [this, asked](EndAnswer answer) { answered(asked, answer.outcome_, answer.owner_, true, answer); });
 }
 
 void JobFront::answered(const AskedPtr& asked, ReadOutcome outcome, NodeId owner, bool wasHere, const PeerReply& reply)
--- a/libs/serving/src/JobFront.h
+++ b/libs/serving/src/JobFront.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "Context.h"
-#include "ledger/JobDesk.h"
 #include "ledger/JobIntake.h"
+#include "ledger/JobScheduler.h"
 
 #include <map>
 #include <memory>
@@ -13,7 +13,7 @@
 
 class JobFront {
 public:
-    JobFront(Context& context, JobDesk& desk, StoreLink& store);
+    JobFront(Context& context, JobScheduler& scheduler, StoreLink& store);
 
     void submit(const std::shared_ptr<http::Exchange>& exchange, const Route& route);
     void call(std::shared_ptr<http::Exchange> exchange, JobCall call);
@@ -38,7 +38,7 @@
     void remember(const JobName& job, NodeId owner);
 
     Context& context_;
-    JobDesk& desk_;
+    JobScheduler& scheduler_;
     JobIntake intake_;
     // Owners as last heard; a wrong one costs a hop.
     std::map<JobName, NodeId> owners_;
--- a/libs/serving/src/NewsSpread.cpp
+++ b/libs/serving/src/NewsSpread.cpp
@@ -28,6 +28,6 @@
     return (isSecondNewer ? second : first)->node_;
 }
 
-void NewsBudget::told(std::size_t bytes, TimePoint now) { busyUntil_ = std::max(busyUntil_, now) + fromSeconds(static_cast<double>(bytes) / bytesPerSecond); }
+void NewsBudget::spent(std::size_t bytes, TimePoint now) { busyUntil_ = std::max(busyUntil_, now) + fromSeconds(static_cast<double>(bytes) / bytesPerSecond); }
 
 } // namespace jj
--- a/libs/serving/src/NewsSpread.h
+++ b/libs/serving/src/NewsSpread.h
@@ -1,6 +1,6 @@
 // How news of the configuration and of engines gets from the few nodes that follow the store to all others.
 //
-// Each node's word tells which versions it has; who is behind asks one that has more and can then tell others in turn.
+// Each node's report tells which versions it has; who is behind asks one that has more and can then tell others in turn.
 //
 // Failure met: all nodes ask the one node that is ahead of all. Its link is full for seconds, the askers give up before the first byte
 // and ask again, and what it sends is for nobody. It shows as configurations that come into force after 5 to 14 s in a fleet of 299 nodes,
@@ -19,7 +19,7 @@
 
 namespace jj {
 
-// What a peer has, by its last word.
+// What a peer has, by its last report.
 struct NewsPeer {
     NodeId node_;
     bool isNear_ = false; // in this node's region
@@ -39,7 +39,7 @@
     static constexpr Duration longestBacklog = 250ms;
 
     bool mayTell(TimePoint now) const { return busyUntil_ - now <= longestBacklog; }
-    void told(std::size_t bytes, TimePoint now);
+    void spent(std::size_t bytes, TimePoint now);
 
 private:
     TimePoint busyUntil_ {};
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -119,9 +119,9 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, NodeTold& told)
+void serialize(Archive& archive, NodeReport& report)
 {
-    archive(told.use_, told.runsJobs_, told.leaving_, told.configVersion_, told.enginesVersion_, told.watching_, told.keepsJobs_, told.keptJobs_);
+    archive(report.use_, report.runsJobs_, report.leaving_, report.configVersion_, report.enginesVersion_, report.watching_, report.keepsJobs_, report.keptJobs_);
 }
 
 template <class Archive>
@@ -179,9 +179,9 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, KeepTold& told)
+void serialize(Archive& archive, KeepReply& reply)
 {
-    archive(told.outcome_);
+    archive(reply.outcome_);
 }
 
 template <class Archive>
@@ -233,15 +233,15 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, NewsTold& told)
+void serialize(Archive& archive, NewsReply& reply)
 {
-    archive(told.config_, told.engines_, told.isBusy_);
+    archive(reply.config_, reply.engines_, reply.isBusy_);
 }
 
 template <class Archive>
-void serialize(Archive& archive, AdoptTold& told)
+void serialize(Archive& archive, AdoptReply& reply)
 {
-    archive(told.taken_);
+    archive(reply.taken_);
 }
 
 template <class Archive>
--- a/libs/serving/src/PeerMessages.h
+++ b/libs/serving/src/PeerMessages.h
@@ -6,7 +6,7 @@
 
 #include "base/Result.h"
 #include "capacity/NodeUse.h"
-#include "ledger/JobDesk.h"
+#include "ledger/JobScheduler.h"
 #include "ledger/KeptJob.h"
 #include "objects/ObjectApi.h"
 #include "wire/Key.h"
@@ -21,8 +21,8 @@
 
 // ---- datagrams
 
-// A node's own word; the latest replaces all earlier ones.
-struct NodeTold {
+// A node's own report; the latest replaces all earlier ones.
+struct NodeReport {
     NodeUse use_;
     bool runsJobs_ = false;
     bool leaving_ = false;
@@ -39,7 +39,7 @@
     UpstreamId engine_;
 };
 
-using PeerDatagram = std::variant<NodeTold, GiveWay>;
+using PeerDatagram = std::variant<NodeReport, GiveWay>;
 
 // ---- calls
 
@@ -93,18 +93,18 @@
     // About what it takes on the wire.
     std::size_t bytes() const;
 };
-struct NewsTold {
+struct NewsReply {
     std::string config_; // as the store holds it; empty: none newer
     EngineNews engines_;
     bool isBusy_ = false; // nothing is told: the sender has too many askers, and another peer has the same
 };
-struct AdoptTold {
+struct AdoptReply {
     bool taken_ = false;
 };
-struct KeepTold {
+struct KeepReply {
     KeepOutcome outcome_ = KeepOutcome::Refused;
 };
-using PeerReply = std::variant<ObjectAnswer, NewsTold, AdoptTold, ReadAnswer, BodyAnswer, EndAnswer, KeepTold>;
+using PeerReply = std::variant<ObjectAnswer, NewsReply, AdoptReply, ReadAnswer, BodyAnswer, EndAnswer, KeepReply>;
 
 enum class PeerError : int {
     Unauthentic = 1, // the code doesn't fit the bytes
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -185,7 +185,7 @@
 void RelayedRequest::refuse(std::string_view reason, Duration wait)
 {
     const Duration most = std::max<Duration>(left() / retryShare - retryMargin, Duration::zero());
-    const Duration rest = context_.line_->refused(service_, wait, context_.now());
+    const Duration rest = context_.queue_->refused(service_, wait, context_.now());
     const Duration retry = std::clamp<Duration>(rest, std::min(leastRetryAfter, most), std::max(most, Duration(1ms)));
     exchange_->respond(refusal(context_.translation_, 503, "overload.NoSlot", "no engine can take the request in time; it has not run", RunState::NotRun, retry));
     context_.metrics_.metrics_.add(context_.metrics_.refused_);
@@ -231,8 +231,8 @@
 void RelayedRequest::leaveEngine()
 {
     if (!ticket_.isNone()) {
-        context_.line_->leave(ticket_);
-        ticket_ = LineTicket::none();
+        context_.queue_->leave(ticket_);
+        ticket_ = QueueTicket::none();
     }
     if (engine_.isNone())
         return;
@@ -241,7 +241,7 @@
     call_ = nullptr;
     context_.board_.ended(engine_, WorkClass::Question);
     engine_ = UpstreamId::none();
-    context_.line_->slotEnded();
+    context_.queue_->slotEnded();
     context_.fleet_->tell();
 }
 
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -49,7 +49,7 @@
     id_ = request.headers_.find(context_.translation_.headers_.attemptId_);
     const Duration patience = deadlineOf(request, context_.translation_.headers_);
     deadline_ = arrived_ + std::min(patience, route_.timeout_);
-    hasReturned_ = context_.line_->hasReturned(route_.name_, patience, arrived_);
+    hasReturned_ = context_.queue_->hasReturned(route_.name_, patience, arrived_);
     service_ = RouteTable::pickService(route_, hash64(id_));
     if (const std::string_view resume = request.headers_.find(context_.translation_.headers_.resumeAfter_); !resume.empty()) {
         std::uint64_t event = 0;
@@ -92,9 +92,9 @@
     const bool isFree = pick.kind_ == PickKind::Free || pick.kind_ == PickKind::Displaces;
     if (isFree && context_.board_.waiting(service_) == 0)
         return send(pick);
-    if (offers_ < mostOffers && lineUp(bound))
+    if (offers_ < mostOffers && enqueue(bound))
         return;
-    pick.wait_ = std::max(pick.wait_, context_.board_.lineWait(service_, now));
+    pick.wait_ = std::max(pick.wait_, context_.board_.queueWait(service_, now));
     const CapacityBoard::Usage usage = context_.board_.usage(service_);
     line("noEngine").with("service", service_).with("offers", offers_).with("runs", runs_).with("slots", usage.slots_).with("questions", usage.questions_).with("batchItems", usage.batchItems_).with("waitMs", pick.wait_);
     if (started_ || mayHaveRun())
@@ -121,30 +121,30 @@
     return std::min(from + route_.targetLatency_ * keepTargets, deadline_ - leastRetryAfter);
 }
 
-bool RelayedRequest::lineUp(Duration bound)
+bool RelayedRequest::enqueue(Duration bound)
 {
     const TimePoint now = context_.now();
-    const bool isWorthIt = hasReturned_ || context_.board_.isLineInTime(service_, bound, now);
+    const bool isWorthIt = hasReturned_ || context_.board_.isQueueInTime(service_, bound, now);
     if (!isWorthIt || now >= keepUntil())
         return false;
     phase_ = Phase::Waiting;
-    SlotLine::Waiter waiter;
+    SlotQueue::Waiter waiter;
     waiter.service_ = service_;
     waiter.repeatable_ = route_.isRepeatable();
     waiter.tried_ = tried_;
     waiter.inTimeUntil_ = now + bound - context_.board_.settings().firstEvent_;
     waiter.keepUntil_ = keepUntil();
     waiter.take_ = [self = shared_from_this()](const EnginePick& pick) {
-        self->ticket_ = LineTicket::none();
+        self->ticket_ = QueueTicket::none();
         self->send(pick);
     };
     waiter.giveUp_ = [self = shared_from_this()] {
-        self->ticket_ = LineTicket::none();
+        self->ticket_ = QueueTicket::none();
         self->giveUpWaiting();
     };
-    ticket_ = context_.line_->enter(std::move(waiter));
-    line("linedUp").with("waiting", context_.board_.waiting(service_)).with("waitMs", context_.board_.lineWait(service_, now));
-    context_.line_->mayHaveRoom();
+    ticket_ = context_.queue_->enter(std::move(waiter));
+    line("linedUp").with("waiting", context_.board_.waiting(service_)).with("waitMs", context_.board_.queueWait(service_, now));
+    context_.queue_->mayHaveRoom();
     return true;
 }
 
@@ -153,7 +153,7 @@
     phase_ = Phase::Picking;
     if (started_ || mayHaveRun())
         return lost(http::Error::ConnectFailed);
-    refuse("noSlotCame", context_.board_.lineWait(service_, context_.now()));
+    refuse("noSlotCame", context_.board_.queueWait(service_, context_.now()));
 }
 
 void RelayedRequest::send(const EnginePick& pick)
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -3,7 +3,7 @@
 
 #include "Context.h"
 #include "EventScanner.h"
-#include "SlotLine.h"
+#include "SlotQueue.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -51,7 +51,7 @@
     void dispatch();
     void block();
     // No slot is free: lines up if one comes in time; false: it doesn't.
-    bool lineUp(Duration bound);
+    bool enqueue(Duration bound);
     void giveUpWaiting();
     void send(const EnginePick& pick);
     void onHead(const http::ResponseHead& head);
@@ -100,7 +100,7 @@
     std::vector<UpstreamId> tried_;
     std::size_t offers_ = 0;
     std::uint32_t runs_ = 0; // engines that may have begun to work on it
-    LineTicket ticket_; // while Waiting
+    QueueTicket ticket_; // while Waiting
     UpstreamId engine_; // that it is at; none while Picking or Waiting
     TimePoint sentAt_ {};
     std::shared_ptr<http::Call> call_;
--- a/libs/serving/src/WordPace.cpp
+++ b/libs/serving/src/ReportPace.cpp
@@ -1,11 +1,11 @@
 // A step slower while too much is heard, a step faster while it is quiet.
-#include "WordPace.h"
+#include "ReportPace.h"
 
 #include <algorithm>
 
 namespace jj {
 
-void WordPace::tick(TimePoint now)
+void ReportPace::tick(TimePoint now)
 {
     const Duration since = now - judgedAt_;
     if (since < settings_.judgedEvery_)
--- a/libs/serving/src/WordPace.h
+++ b/libs/serving/src/ReportPace.h
@@ -1,8 +1,8 @@
 // How often a node tells its region what it runs.
 //
-// Each change is told at once while the region is small. Failure met: every node hears every other one's words, so their number grows with
+// Each change is told at once while the region is small. Failure met: every node hears every other one's reports, so their number grows with
 // the square of the fleet; at 180 nodes of a region and 2,350 requests a second each would hear 4,700 a second, 5% of a core for news
-// alone. The guard: while more is heard than a node should spend on it, its own words wait for each other and carry several changes. All
+// alone. The guard: while more is heard than a node should spend on it, its own reports wait for each other and carry several changes. All
 // nodes hear about the same, so all slow down alike, and speed up again when it gets quiet.
 #pragma once
 
@@ -15,7 +15,7 @@
 struct WordPaceSettings {
     // One costs some 11 us on the users' hosts, so a thousand a second are 1.1% of a core; 1.4% are to be spent on control.
     double mostHeard_ = 1000; // a second
-    // Below this part of it words come sooner again.
+    // Below this part of it reports come sooner again.
     double easyPart_ = 0.8;
     Duration judgedEvery_ = 200ms;
     Duration step_ = 5ms;
@@ -23,26 +23,26 @@
     Duration longest_ = 250ms;
 };
 
-class WordPace {
+class ReportPace {
 public:
-    explicit WordPace(WordPaceSettings settings = {})
+    explicit ReportPace(WordPaceSettings settings = {})
         : settings_(settings)
     {
     }
 
     void heard() { ++heard_; }
-    void told(TimePoint now) { toldAt_ = now; }
+    void sent(TimePoint now) { reportedAt_ = now; }
     void tick(TimePoint now);
-    // When the next word may go.
-    TimePoint nextAt() const { return toldAt_ + interval_; }
+    // When the next report may go.
+    TimePoint nextAt() const { return reportedAt_ + interval_; }
     Duration interval() const { return interval_; }
 
 private:
     WordPaceSettings settings_;
     std::uint32_t heard_ = 0; // since judgedAt_
     TimePoint judgedAt_ {};
-    TimePoint toldAt_ {};
-    Duration interval_ {}; // between two words of this node
+    TimePoint reportedAt_ {};
+    Duration interval_ {}; // between two reports of this node
 };
 
 } // namespace jj
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -101,11 +101,11 @@
     buildStore();
     if (auto failure = openFleet())
         return failure;
-    buildDesk();
-    line_ = std::make_unique<SlotLine>(context_);
-    context_.line_ = line_.get();
+    buildScheduler();
+    queue_ = std::make_unique<SlotQueue>(context_);
+    context_.queue_ = queue_.get();
     relay_ = std::make_unique<Relay>(context_);
-    jobs_ = std::make_unique<JobFront>(context_, *desk_, *store_);
+    jobs_ = std::make_unique<JobFront>(context_, *scheduler_, *store_);
     buildSpool();
     if (auto failure = openServers())
         return failure;
@@ -179,23 +179,23 @@
 FleetHandlers ServingNode::Parts::fleetHandlers()
 {
     FleetHandlers handlers;
-    handlers.ownWord_ = [this] {
-        NodeTold told;
+    handlers.ownReport_ = [this] {
+        NodeReport report;
         runner_->markFirm(context_.now());
-        told.use_ = board_.ownUse(context_.now());
-        told.configVersion_ = config_->version();
-        told.enginesVersion_ = catalog_->version();
-        told.watching_ = feed_->isFollowing() && !store_->isAway();
-        told.keepsJobs_ = takesCopies();
-        told.keptJobs_ = spool_ ? static_cast<std::uint32_t>(spool_->size()) : 0;
-        return told;
+        report.use_ = board_.ownUse(context_.now());
+        report.configVersion_ = config_->version();
+        report.enginesVersion_ = catalog_->version();
+        report.watching_ = feed_->isFollowing() && !store_->isAway();
+        report.keepsJobs_ = takesCopies();
+        report.keptJobs_ = spool_ ? static_cast<std::uint32_t>(spool_->size()) : 0;
+        return report;
     };
-    handlers.onTold_ = [this](const NodeTold& told) {
+    handlers.onReport_ = [this](const NodeReport& report) {
         const TimePoint now = context_.now();
-        board_.heard(told.use_, fleet_->cellOf(told.use_.node_), now);
-        line_->mayHaveRoom();
-        config_->peerHas(told.configVersion_, now);
-        feed_->peerHas(told.enginesVersion_, now);
+        board_.heard(report.use_, fleet_->cellOf(report.use_.node_), now);
+        queue_->mayHaveRoom();
+        config_->peerHas(report.configVersion_, now);
+        feed_->peerHas(report.enginesVersion_, now);
     };
     handlers.onGiveWay_ = [this](const GiveWay& ask) { runner_->giveWay(ask.engine_, context_.now()); };
     handlers.onCellsChanged_ = [this] {
@@ -212,14 +212,14 @@
         scanAt_ = std::min(scanAt_, context_.now() + scanAfterLoss);
         freshScan_ = true;
     };
-    handlers.onRejoined_ = [this] { desk_->suspectAll(context_.now()); };
+    handlers.onRejoined_ = [this] { scheduler_->suspectAll(context_.now()); };
     handlers.onCall_ = [this](PeerCall call, const std::function<void(PeerReply)>& reply) { onPeerCall(std::move(call), reply); };
     return handlers;
 }
 
-void ServingNode::Parts::buildDesk()
+void ServingNode::Parts::buildScheduler()
 {
-    DeskOutlets outlets;
+    SchedulerOutlets outlets;
     outlets.store_ = [this](ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) { store_->send(std::move(call), callClass, until, std::move(done)); };
     outlets.self_ = fleet_->self();
     outlets.isLive_ = [this](NodeId node) { return fleet_->isLive(node); };
@@ -232,7 +232,7 @@
                 log_.line("transferLost").with("job", name).with("error", reply.error().message());
         });
     };
-    outlets.note_ = [this](const DeskEvent& event) {
+    outlets.note_ = [this](const SchedulerEvent& event) {
         auto line = log_.line(toString(event.note_));
         line.with("job", event.job_).with("count", event.count_);
         if (!event.item_.empty())
@@ -247,18 +247,18 @@
         const Route* route = context_.table_->select(host, path);
         return route ? RouteTable::pickService(*route, hash64(path)) : std::string();
     };
-    desk_ = std::make_unique<JobDesk>(DeskSettings(), std::move(outlets));
-    runner_ = std::make_unique<ItemRunner>(context_, *desk_, ItemRunnerSettings());
+    scheduler_ = std::make_unique<JobScheduler>(SchedulerSettings(), std::move(outlets));
+    runner_ = std::make_unique<ItemRunner>(context_, *scheduler_, ItemRunnerSettings());
     if (!settings_.runsJobs_)
         return;
     const auto begin = [this] {
         fleet_->beginLeaving();
-        desk_->beginLeaving(context_.now());
+        scheduler_->beginLeaving(context_.now());
     };
     ends_ = std::make_unique<KindWatch>(*store_, std::string(endMarkKind), [this](const std::string& key) {
         const JobName job(jobOfEndMark(key));
         log_.line("endMarked").with("job", job);
-        desk_->endMarked(job, context_.now());
+        scheduler_->endMarked(job, context_.now());
     });
     retirement_ = std::make_unique<RetirementDuty>(*store_, translation_, log_, settings_.name_, begin, [this] { return hasHandedOn(); });
 }
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -9,7 +9,7 @@
 #include "NewsSpread.h"
 #include "Relay.h"
 #include "RetirementDuty.h"
-#include "SlotLine.h"
+#include "SlotQueue.h"
 #include "ledger/FileDisk.h"
 #include "ledger/JobSpool.h"
 #include "serving/ServingNode.h"
@@ -30,12 +30,12 @@
     // Of callers; the rest of the descriptors is for engines, peers, the store and files.
     std::size_t callerConnections() const;
     void buildStore();
-    void buildDesk();
+    void buildScheduler();
     void buildSpool();
     bool takesCopies() const { return spool_ && !draining_ && !fleet_->isLeaving(); }
     // A job may be on some host's disk and not in the store.
     bool mayBeKept() const;
-    bool hasHandedOn() const { return desk_->hasLeft() && (!spool_ || spool_->size() == 0); }
+    bool hasHandedOn() const { return scheduler_->hasLeft() && (!spool_ || spool_->size() == 0); }
     FleetHandlers fleetHandlers();
 
     void turn();
@@ -80,11 +80,11 @@
     std::unique_ptr<WatchChoice> watchChoice_;
     std::unique_ptr<EngineCatalog> catalog_;
     std::unique_ptr<EngineFeed> feed_;
-    std::unique_ptr<JobDesk> desk_;
+    std::unique_ptr<JobScheduler> scheduler_;
     std::unique_ptr<ItemRunner> runner_;
     std::unique_ptr<JobFront> jobs_;
     std::unique_ptr<JobSpool<FileDisk>> spool_; // null: this host has no disk
-    std::unique_ptr<SlotLine> line_;
+    std::unique_ptr<SlotQueue> queue_;
     std::unique_ptr<Relay> relay_;
     std::unique_ptr<RetirementDuty> retirement_;
     std::unique_ptr<KindWatch> ends_; // of jobs, past their owners
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -49,14 +49,14 @@
     if (now >= newsAgainAt_)
         askForNews();
     context_.suspects_.tick(now);
-    desk_->setCautious(fleet_->mayBeReplaced());
-    desk_->tick(now, wall);
+    scheduler_->setCautious(fleet_->mayBeReplaced());
+    scheduler_->tick(now, wall);
     jobs_->tick(now);
     if (spool_)
         spool_->tick(now, wall);
-    if (!settings_.runsJobs_ && desk_->openJobs() > 0)
-        desk_->passOn(now);
-    line_->tick(now);
+    if (!settings_.runsJobs_ && scheduler_->openJobs() > 0)
+        scheduler_->passOn(now);
+    queue_->tick(now);
     runner_->pump(now);
     if (retirement_)
         retirement_->tick(now);
@@ -88,18 +88,18 @@
         return;
     summarizedAt_ = now;
     auto line = log_.line("summary");
-    line.with("requests", relay_->open()).with("items", runner_->running()).with("jobs", desk_->openJobs()).with("config", config_->version()).with("peers", fleet_->livePeers().size()).with("linesDroppedTotal", log_.dropped());
+    line.with("requests", relay_->open()).with("items", runner_->running()).with("jobs", scheduler_->openJobs()).with("config", config_->version()).with("peers", fleet_->livePeers().size()).with("linesDroppedTotal", log_.dropped());
     for (const auto& [call, count] : store_->callCounts())
         line.with(std::string("store ").append(call), count);
 }
 
 void ServingNode::Parts::scanJobs(TimePoint now)
 {
-    const bool mayOwn = settings_.runsJobs_ || desk_->heldJobs() > 0;
+    const bool mayOwn = settings_.runsJobs_ || scheduler_->heldJobs() > 0;
     if (now < scanAt_ || !mayOwn || draining_)
         return;
     scanAt_ = now + scanPeriod;
-    desk_->scan(!freshScan_, now);
+    scheduler_->scan(!freshScan_, now);
     freshScan_ = false;
 }
 
@@ -190,15 +190,15 @@
     newsAgainAt_ = neverTime;
     fleet_->ask(peer, NewsAsk { config_->version(), catalog_->version() }, newsBound, [this](const Result<PeerReply>& reply) {
         askingNews_ = false;
-        const auto* told = reply ? std::get_if<NewsTold>(&reply.value()) : nullptr;
-        if (!told || told->isBusy_) {
+        const auto* news = reply ? std::get_if<NewsReply>(&reply.value()) : nullptr;
+        if (!news || news->isBusy_) {
             // Not all at the same moment.
             newsAgainAt_ = context_.now() + std::chrono::milliseconds(std::uniform_int_distribution<int>(busyRetry / 2ms, busyRetry * 3 / 2ms)(random_));
             return;
         }
-        if (!told->config_.empty())
-            config_->take(told->config_, "peer");
-        catalog_->take(told->engines_, context_.now());
+        if (!news->config_.empty())
+            config_->take(news->config_, "peer");
+        catalog_->take(news->engines_, context_.now());
         fleet_->tell();
     });
 }
@@ -207,16 +207,16 @@
 {
     const TimePoint now = context_.now();
     if (!newsBudget_.mayTell(now)) {
-        NewsTold busy;
+        NewsReply busy;
         busy.isBusy_ = true;
         return reply(busy);
     }
-    NewsTold told;
+    NewsReply news;
     if (config_->version() > ask.configVersion_)
-        told.config_ = config_->value();
-    told.engines_ = catalog_->newsSince(ask.enginesVersion_, now);
-    newsBudget_.told(told.config_.size() + told.engines_.bytes(), now);
-    reply(std::move(told));
+        news.config_ = config_->value();
+    news.engines_ = catalog_->newsSince(ask.enginesVersion_, now);
+    newsBudget_.spent(news.config_.size() + news.engines_.bytes(), now);
+    reply(std::move(news));
 }
 
 // Watchers follow the store; the others hear from them.
@@ -241,23 +241,23 @@
     if (const auto* ask = std::get_if<NewsAsk>(&call))
         return tellNews(*ask, reply);
     if (auto* ask = std::get_if<AdoptAsk>(&call)) {
-        desk_->adopt(std::move(ask->job_), now, SystemClock().wallNow());
+        scheduler_->adopt(std::move(ask->job_), now, SystemClock().wallNow());
         runner_->pump(now);
-        return reply(AdoptTold { true });
+        return reply(AdoptReply { true });
     }
     if (const auto* ask = std::get_if<ReadAsk>(&call))
-        return desk_->read(ask->job_, ask->after_, std::chrono::milliseconds(ask->waitMs_), false, now, [reply](ReadAnswer answer) { reply(std::move(answer)); });
+        return scheduler_->read(ask->job_, ask->after_, std::chrono::milliseconds(ask->waitMs_), false, now, [reply](ReadAnswer answer) { reply(std::move(answer)); });
     if (const auto* ask = std::get_if<BodyAsk>(&call))
-        return desk_->body(ask->job_, ask->item_, false, now, [reply](BodyAnswer answer) { reply(std::move(answer)); });
+        return scheduler_->body(ask->job_, ask->item_, false, now, [reply](BodyAnswer answer) { reply(std::move(answer)); });
     if (const auto* ask = std::get_if<KeepAsk>(&call))
-        return reply(KeepTold { takesCopies() ? spool_->keep(ask->job_, now) : KeepOutcome::Refused });
+        return reply(KeepReply { takesCopies() ? spool_->keep(ask->job_, now) : KeepOutcome::Refused });
     if (const auto* ask = std::get_if<ForgetAsk>(&call)) {
         if (spool_)
             spool_->forget(ask->job_);
-        return reply(KeepTold { KeepOutcome::Refused });
+        return reply(KeepReply { KeepOutcome::Refused });
     }
     const auto& ask = std::get<EndAsk>(call);
-    desk_->end(ask.job_, false, now, [reply](EndAnswer answer) { reply(answer); });
+    scheduler_->end(ask.job_, false, now, [reply](EndAnswer answer) { reply(answer); });
 }
 
 // ---- signals and the end
@@ -294,9 +294,9 @@
         return;
     draining_ = true;
     drainBegan_ = context_.now();
-    log_.line("stopping").with("requests", relay_->open()).with("jobs", desk_->openJobs());
+    log_.line("stopping").with("requests", relay_->open()).with("jobs", scheduler_->openJobs());
     fleet_->beginLeaving();
-    desk_->beginLeaving(drainBegan_);
+    scheduler_->beginLeaving(drainBegan_);
 }
 
 void ServingNode::Parts::continueDrain(TimePoint now)
@@ -309,7 +309,7 @@
     const bool isQuiet = (!callers_ || (!listening_ && callers_->openExchanges() == 0)) && hasHandedOn() && !store_->hasWork();
     const bool isLate = sofar >= settings_.grace_ - graceMargin;
     if (endAt_ == neverTime && (isQuiet || isLate)) {
-        log_.line("stopped").with("late", isLate && !isQuiet ? "yes" : "no").with("requests", relay_->open()).with("jobs", desk_->openJobs());
+        log_.line("stopped").with("late", isLate && !isQuiet ? "yes" : "no").with("requests", relay_->open()).with("jobs", scheduler_->openJobs());
         fleet_->finishLeaving();
         endAt_ = now + farewell;
     }
--- a/libs/serving/src/SlotLine.cpp
+++ b/libs/serving/src/SlotQueue.cpp
@@ -1,5 +1,5 @@
 // One walk over the services each time that something may have come free.
-#include "SlotLine.h"
+#include "SlotQueue.h"
 
 #include "base/Hash.h"
 
@@ -9,53 +9,53 @@
 
 namespace {
 
-    // A word is under way for a millisecond or two within a region; by the next node's turn it has heard who took the slot.
+    // A report is under way for a millisecond or two within a region; by the next node's turn it has heard who took the slot.
     constexpr Duration turnStep = 3ms;
 
 } // namespace
 
-SlotLine::SlotLine(Context& context)
+SlotQueue::SlotQueue(Context& context)
     : context_(context)
     , timer_(context.io_)
 {
 }
 
-LineTicket SlotLine::enter(Waiter waiter)
+QueueTicket SlotQueue::enter(Waiter waiter)
 {
     const std::string service = waiter.service_;
-    const LineTicket ticket = line_.enter(service, waiter.inTimeUntil_, waiter.keepUntil_);
+    const QueueTicket ticket = queue_.enter(service, waiter.inTimeUntil_, waiter.keepUntil_);
     waiters_[ticket] = std::move(waiter);
-    told(service);
+    publishWaiting(service);
     return ticket;
 }
 
-void SlotLine::leave(LineTicket ticket)
+void SlotQueue::leave(QueueTicket ticket)
 {
     const auto found = waiters_.find(ticket);
     if (found == waiters_.end())
         return;
     const std::string service = found->second.service_;
     waiters_.erase(found);
-    line_.leave(ticket);
-    told(service);
+    queue_.leave(ticket);
+    publishWaiting(service);
 }
 
-void SlotLine::told(const std::string& service)
+void SlotQueue::publishWaiting(const std::string& service)
 {
-    context_.board_.setWaiting(service, line_.size(service), line_.inTime(service, context_.now()));
+    context_.board_.setWaiting(service, queue_.size(service), queue_.inTime(service, context_.now()));
     context_.fleet_->tell();
 }
 
 // Time alone makes waiters late.
-void SlotLine::countInTime(TimePoint now)
+void SlotQueue::countInTime(TimePoint now)
 {
-    for (const std::string& service : line_.services())
-        context_.board_.setWaiting(service, line_.size(service), line_.inTime(service, now));
+    for (const std::string& service : queue_.services())
+        context_.board_.setWaiting(service, queue_.size(service), queue_.inTime(service, now));
 }
 
-void SlotLine::tick(TimePoint now)
+void SlotQueue::tick(TimePoint now)
 {
-    for (const LineTicket ticket : line_.expired(now)) {
+    for (const QueueTicket ticket : queue_.expired(now)) {
         const auto giveUp = std::move(waiters_.at(ticket).giveUp_);
         leave(ticket);
         giveUp();
@@ -64,21 +64,21 @@
     pump(false);
 }
 
-void SlotLine::pump(bool isOwnSlot)
+void SlotQueue::pump(bool isOwnSlot)
 {
-    if (pumping_ || line_.empty())
+    if (pumping_ || queue_.empty())
         return;
     pumping_ = true;
     const TimePoint now = context_.now();
-    for (const std::string& service : line_.services()) {
+    for (const std::string& service : queue_.services()) {
         while (serveOne(service, isOwnSlot, now)) { }
     }
     pumping_ = false;
 }
 
-bool SlotLine::serveOne(const std::string& service, bool isOwnSlot, TimePoint now)
+bool SlotQueue::serveOne(const std::string& service, bool isOwnSlot, TimePoint now)
 {
-    const auto ticket = line_.first(service, now);
+    const auto ticket = queue_.first(service, now);
     if (!ticket)
         return false;
     Waiter& waiter = waiters_.at(*ticket);
@@ -86,7 +86,7 @@
     const EnginePick pick = context_.board_.pickQuestion(service, waiter.keepUntil_ - now, waiter.repeatable_, waiter.tried_, now);
     if (pick.kind_ != PickKind::Free && pick.kind_ != PickKind::Displaces)
         return false;
-    const bool isInTime = line_.isInTime(*ticket, now);
+    const bool isInTime = queue_.isInTime(*ticket, now);
     // Failure met: a question that was late already took the slot that its own node saw come free, while one that could still be in time waited
     // at another node; in a burst each late answer cost one in time. The late one takes its turn behind those.
     const bool goesFirst = isOwnSlot && (isInTime || context_.board_.waitingInTime(service) == 0);
@@ -103,7 +103,7 @@
     return true;
 }
 
-std::size_t SlotLine::nodesAhead(const std::string& service, UpstreamId engine, bool isInTime) const
+std::size_t SlotQueue::nodesAhead(const std::string& service, UpstreamId engine, bool isInTime) const
 {
     const std::uint64_t own = mixHash(engine.value(), context_.fleet_->self().value());
     const RegionId ownCell = context_.fleet_->cellOf(context_.fleet_->self());
@@ -119,7 +119,7 @@
 }
 
 // When this node's turn has come and the slot is still there, nobody before it wanted it.
-void SlotLine::pumpLater(Duration delay)
+void SlotQueue::pumpLater(Duration delay)
 {
     timerArmed_ = true;
     timer_.expires_after(delay);
@@ -130,7 +130,7 @@
     });
 }
 
-Duration SlotLine::refused(const std::string& service, Duration wait, TimePoint now)
+Duration SlotQueue::refused(const std::string& service, Duration wait, TimePoint now)
 {
     FullPhases& phases = phases_[service];
     phases.refused(now);
--- a/libs/serving/src/SlotLine.h
+++ b/libs/serving/src/SlotQueue.h
@@ -1,7 +1,7 @@
 // The questions of this node that wait for a slot, and the slots that come free for them.
 //
 // Slots come free in three ways. A stream of this node ends: its slot is taken by a waiter of this node before the others hear of it, so
-// nobody else sends there. A peer's word shows a free slot: the nodes with waiters take their turns in an order that all of them compute
+// nobody else sends there. A peer's report shows a free slot: the nodes with waiters take their turns in an order that all of them compute
 // alike for the engine, a few milliseconds apart, and the later ones see by then that it is gone. Engines come: as the second.
 //
 // Failure met: in a burst questions were bound to engines' own queues by counts. Ends of runs come in bunches, so of two thirds that were
@@ -11,7 +11,7 @@
 #include "Context.h"
 #include "capacity/CallerPatience.h"
 #include "capacity/FullPhases.h"
-#include "capacity/WaitingLine.h"
+#include "capacity/WaitingQueue.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -21,7 +21,7 @@
 
 namespace jj {
 
-class SlotLine {
+class SlotQueue {
 public:
     struct Waiter {
         std::string service_;
@@ -33,16 +33,16 @@
         std::function<void()> giveUp_; // its time is over; it has left the line
     };
 
-    explicit SlotLine(Context& context);
+    explicit SlotQueue(Context& context);
 
-    LineTicket enter(Waiter waiter);
-    void leave(LineTicket ticket);
+    QueueTicket enter(Waiter waiter);
+    void leave(QueueTicket ticket);
     // A stream of this node has ended: whoever waits here takes its slot now.
     void slotEnded() { pump(true); }
-    // Words or engines have changed.
+    // Reports or engines have changed.
     void mayHaveRoom() { pump(false); }
     void tick(TimePoint now);
-    bool empty() const { return line_.empty(); }
+    bool empty() const { return queue_.empty(); }
 
     // A question was refused now: when to come back, at least `wait` later.
     Duration refused(const std::string& service, Duration wait, TimePoint now);
@@ -57,11 +57,11 @@
     std::size_t nodesAhead(const std::string& service, UpstreamId engine, bool isInTime) const;
     void countInTime(TimePoint now);
     void pumpLater(Duration delay);
-    void told(const std::string& service);
+    void publishWaiting(const std::string& service);
 
     Context& context_;
-    WaitingLine line_;
-    std::map<LineTicket, Waiter> waiters_;
+    WaitingQueue queue_;
+    std::map<QueueTicket, Waiter> waiters_;
     std::map<std::string, FullPhases> phases_;
     CallerPatience patience_;
     boost::asio::steady_timer timer_;
--- a/libs/serving/tests/EngineCatalogTest.cpp
+++ b/libs/serving/tests/EngineCatalogTest.cpp
@@ -64,7 +64,7 @@
 // A watcher was cut off from the store for a moment. Just after its return an engine leaves without a word: its entry goes. The
 // watcher keeps the engine in use for a while, as it can't tell whether the entry lapsed. A peer asks it for news, counts as knowing
 // of the removal, and never hears of it again: its callers' requests go to the engine until that exits.
-TEST_CASE("a peer learns of a removal that the teller itself holds back after an outage")
+TEST_CASE("a peer learns of a removal that the sender itself holds back after an outage")
 {
     const TimePoint start {};
     Node watcher;
--- a/libs/serving/tests/NewsSpreadTest.cpp
+++ b/libs/serving/tests/NewsSpreadTest.cpp
@@ -1,7 +1,7 @@
 // How long until all nodes of a large fleet have what four of them know.
 //
 // The load: 300 nodes with links of 30 Mbit/s, two watchers in each of two regions. A configuration of 40 KB changes; or all nodes were
-// killed at once and each needs the whole list of 3,000 engines, 0.9 MB. A word reaches everybody 50 ms after its sender's change. Who
+// killed at once and each needs the whole list of 3,000 engines, 0.9 MB. A report reaches everybody 50 ms after its sender's change. Who
 // gets no byte for 600 ms asks again.
 #include "NewsSpread.h"
 
@@ -17,7 +17,7 @@
 constexpr std::size_t nodes = 300;
 constexpr std::size_t watchers = 4;
 constexpr double linkBytesPerSecond = 30e6 / 8;
-constexpr Duration wordDelay = 50ms;
+constexpr Duration reportDelay = 50ms;
 constexpr Duration giveUpAfter = 600ms;
 constexpr Duration askEvery = 400ms;
 constexpr Duration askElsewhere = 100ms;
@@ -41,10 +41,10 @@
         all[watcher * 50].knowsAt_ = TimePoint();
     const Duration sendTime = fromSeconds(static_cast<double>(bytes) / linkBytesPerSecond);
     std::size_t known = watchers;
-    for (TimePoint now = TimePoint() + wordDelay; now < TimePoint() + 60s; now += 10ms) {
+    for (TimePoint now = TimePoint() + reportDelay; now < TimePoint() + 60s; now += 10ms) {
         std::vector<NewsPeer> heard;
         for (std::size_t index = 0; index < nodes; ++index) {
-            const bool isHeard = all[index].knowsAt_ != neverTime && now - all[index].knowsAt_ >= wordDelay;
+            const bool isHeard = all[index].knowsAt_ != neverTime && now - all[index].knowsAt_ >= reportDelay;
             heard.push_back({ NodeId(index + 1), index < nodes / 2, isHeard ? 1U : 0U, 0 });
         }
         for (std::size_t index = 0; index < nodes; ++index) {
@@ -61,7 +61,7 @@
                 node.asksAt_ = now + askElsewhere;
                 continue;
             }
-            from.budget_.told(bytes, now);
+            from.budget_.spent(bytes, now);
             const TimePoint begins = std::max(from.linkFreeAt_, now);
             from.linkFreeAt_ = begins + sendTime;
             if (begins - now > giveUpAfter) {
--- a/libs/serving/tests/WordPaceTest.cpp
+++ b/libs/serving/tests/ReportPaceTest.cpp
@@ -1,8 +1,8 @@
-// How many words nodes hear when a region grows.
+// How many reports nodes hear when a region grows.
 //
 // The load: each entry takes requests at random moments; each request changes what the node runs twice. Today 42 nodes of a region change
 // 12 times a second each, which is what a day of 84 nodes showed; in two years 180 nodes change 26 times a second each.
-#include "WordPace.h"
+#include "ReportPace.h"
 
 #include <doctest/doctest.h>
 #include <random>
@@ -13,16 +13,16 @@
 namespace {
 
 struct Heard {
-    double perSecond_ = 0; // words that one node hears
-    Duration meanDelay_ {}; // from a change to the word that carries it
+    double perSecond_ = 0; // reports that one node hears
+    Duration meanDelay_ {}; // from a change to the report that carries it
 };
 
 // The last 20 of 30 s, in steps of a millisecond.
 Heard play(std::size_t nodes, double changesPerSecond)
 {
     struct Node {
-        WordPace pace_;
-        std::vector<TimePoint> untold_; // changes that wait for a word
+        ReportPace pace_;
+        std::vector<TimePoint> untold_; // changes that wait for a report
     };
     constexpr Duration step = 1ms;
     const TimePoint end = TimePoint() + 30s;
@@ -30,7 +30,7 @@
     std::mt19937_64 random(5);
     std::bernoulli_distribution changes(changesPerSecond * toSeconds(step));
     std::vector<Node> all(nodes);
-    double words = 0;
+    double reports = 0;
     double told = 0;
     Duration delays {};
     for (TimePoint now {}; now < end; now += step) {
@@ -41,20 +41,20 @@
             if (node.untold_.empty() || now < node.pace_.nextAt())
                 continue;
             if (now >= from) {
-                words += 1;
+                reports += 1;
                 told += static_cast<double>(node.untold_.size());
                 for (const TimePoint at : node.untold_)
                     delays += now - at;
             }
             node.untold_.clear();
-            node.pace_.told(now);
+            node.pace_.sent(now);
             for (Node& other : all) {
                 if (&other != &node)
                     other.pace_.heard();
             }
         }
     }
-    return { words / toSeconds(end - from), fromSeconds(toSeconds(delays) / told) };
+    return { reports / toSeconds(end - from), fromSeconds(toSeconds(delays) / told) };
 }
 
 } // namespace
@@ -66,8 +66,8 @@
     CHECK(heard.meanDelay_ == Duration::zero());
 }
 
-// The region has grown fourfold and each node takes twice the requests. Without a pace each node hears 4,700 words a second.
-TEST_CASE("in a region of 180 nodes a node hears a thousand words a second, and changes wait for a tenth of a second")
+// The region has grown fourfold and each node takes twice the requests. Without a pace each node hears 4,700 reports a second.
+TEST_CASE("in a region of 180 nodes a node hears a thousand reports a second, and changes wait for a tenth of a second")
 {
     const Heard heard = play(180, 26);
     CHECK(heard.perSecond_ < 1150);
--- a/libs/serving/tests/WatchChoiceTest.cpp
+++ b/libs/serving/tests/WatchChoiceTest.cpp
@@ -84,14 +84,14 @@
     }
     std::vector<WatchPeer> known(const Member& member) const
     {
-        constexpr Duration wordDelay = 40ms; // from the store's first answer to the peers
+        constexpr Duration reportDelay = 40ms; // from the store's first answer to the peers
         std::vector<WatchPeer> found;
         for (const Member& other : members_) {
             const Duration heardAfter = std::chrono::milliseconds(50 + mixHash(member.node_.value(), other.node_.value()) % 750);
             const bool isMet = now_ >= std::max(member.start_, other.start_) + heardAfter;
             if (&other == &member || !other.isUp_ || !isMet)
                 continue;
-            const bool isHeard = other.isServed_ && other.watching_ && now_ - other.watchingSince_ >= wordDelay;
+            const bool isHeard = other.isServed_ && other.watching_ && now_ - other.watchingSince_ >= reportDelay;
             found.push_back({ other.node_, !other.isLeaving_ && other.isNorth_ == member.isNorth_, isHeard });
         }
         return found;
