--- a/tests/cli/jj_test.py
+++ b/tests/cli/jj_test.py
@@ -102,6 +102,24 @@
         for command in commands:
             self.assertIn("outcome unknown", self.jj(command, "--help").stdout)
 
+    def test_losses_counts_what_was_not_in_time(self):
+        log = self.folder / "day.log"
+        log.write_text("\n".join([
+            '{"ts":1,"host":"n","event":"engineChanged","engine":"e","draining":"no","slots":4}',
+            'n 1.5 {"ts":1000,"host":"n","event":"sent","request":"a","route":"r"}',
+            '{"ts":1030,"host":"n","event":"firstEvent","request":"a","route":"r","afterMs":30,"engineMs":30,"objectiveMs":300}',
+            '{"ts":1800,"host":"n","event":"answered","request":"a","route":"r","afterMs":800}',
+            '{"ts":1100,"host":"n","event":"refused","request":"b","route":"r","reason":"noSlotInTime"}']) + "\n")
+        group = json.loads(self.jj("--json", "losses", str(log)).stdout)["groups"]["r"]
+        self.assertEqual((group["asked"], group["inTime"], group["possible"]), (2, 1, 2))
+        self.assertEqual(group["causes"], {"noSlot": {"lost": 1, "avoidable": 1}})
+        self.assertIn("from 0 ms", self.jj("losses", "--step", "1000", str(log)).stdout)
+        self.jj("losses", "--step", "5", str(log), expect=BAD_INPUT)
+        self.jj("losses", str(self.folder / "none.log"), expect=BAD_INPUT)
+        empty = self.folder / "empty.log"
+        empty.write_text("")
+        self.jj("losses", str(empty), expect=BAD_INPUT)
+
     def test_timeline_merges_filters_and_writes_a_trace(self):
         lines = [{"at": 5, "host": "a", "incarnation": 1, "seq": 0, "kind": "requestAccepted", "request": "0000000000000001"},
                  {"at": 9, "host": "a", "incarnation": 1, "seq": 1, "kind": "requestFinished", "request": "0000000000000001"}]
