Ledger, serving: a host that doesn't answer a job's keeping is replaced in time

Keepers were asked after 250 ms; one was the host that had just gone, which nobody believed dead yet, and its answer was waited for until the bound of that call, or the store's own answer. Ruled out: the store being believed away (it answered); too few hosts (three, two needed).

Change: who hasn't answered within 80 ms is replaced by another host that makes a full set; a set counts only when all of it keeps the job.

--- a/libs/ledger/include/ledger/JobIntake.h
+++ b/libs/ledger/include/ledger/JobIntake.h
@@ -21,6 +21,8 @@
     // A store that hasn't answered by then may not answer in time: its slow answers take some 240 ms, acknowledgements are due after 400 ms,
     // and keeping a job takes some 30 ms between regions.
     Duration keepAfter_ = 250ms;
+    // A host that hasn't answered by then may be gone without anybody knowing yet; others are asked in its place.
+    Duration spareAfter_ = 80ms;
 };
 
 struct IntakeAnswer {
@@ -33,8 +35,8 @@
 struct IntakeOutlets {
     LedgerStore store_;
     std::function<bool()> storeIsAway_;
-    // Hosts for one job, as many as must keep it; empty when there are too few.
-    std::function<std::vector<NodeId>()> keepers_;
+    // Hosts for one job, as many as must keep it, none of them among `silent`; empty when there are too few.
+    std::function<std::vector<NodeId>(const std::vector<NodeId>& silent)> keepers_;
     std::function<void(NodeId, KeptJob, std::function<void(KeepOutcome, TimePoint now)>)> keep_;
     // The store has the job; its copy there is of no use any more.
     std::function<void(NodeId, const JobName&)> forget_;
@@ -58,7 +60,9 @@
     struct Taking;
     using TakingPtr = std::shared_ptr<Taking>;
 
-    void keep(const TakingPtr& taking);
+    void keep(const TakingPtr& taking, TimePoint now);
+    void askKeepers(const TakingPtr& taking, const std::vector<NodeId>& keepers);
+    void replaceSilent(const TakingPtr& taking);
     void stored(const TakingPtr& taking, const Acceptance& acceptance, TimePoint now);
     void decide(const TakingPtr& taking, TimePoint now);
     void answer(const TakingPtr& taking, AcceptOutcome outcome, TimePoint now);
@@ -68,6 +72,7 @@
     IntakeOutlets outlets_;
     Acceptor acceptor_;
     std::list<TakingPtr> waiting_; // for the store, with no copy kept so far; oldest first
+    std::list<TakingPtr> keeping_; // hosts were asked, none in place of a silent one; oldest first
 };
 
 } // namespace jj
--- a/libs/ledger/src/JobIntake.cpp
+++ b/libs/ledger/src/JobIntake.cpp
@@ -1,7 +1,9 @@
 // One job's way in: what the store has said, what the hosts have said, and what follows for the caller.
 #include "ledger/JobIntake.h"
 
+#include <algorithm>
 #include <optional>
+#include <set>
 
 namespace jj {
 
@@ -13,13 +15,20 @@
     Acceptance acceptance_;
     bool isStored_ = false; // the store's outcome is known: acceptance_
     bool isKeeping_ = false; // hosts were asked, or there were too few
-    std::vector<NodeId> keepers_;
-    std::size_t keepsOpen_ = 0; // hosts without an answer
-    std::size_t kept_ = 0;
+    TimePoint keepingSince_ {};
+    std::vector<std::vector<NodeId>> sets_; // of hosts; each of them is enough when all of it keeps the job
+    std::set<NodeId> asked_;
+    std::set<NodeId> silent_; // asked, without an answer
+    std::set<NodeId> kept_;
     bool maybeKept_ = false; // some host may have a copy
 
     bool isInStore() const { return isStored_ && (acceptance_.outcome_ == AcceptOutcome::Accepted || acceptance_.outcome_ == AcceptOutcome::AlreadyAccepted); }
-    bool isSafe() const { return !keepers_.empty() && kept_ == keepers_.size(); }
+    bool isSafe() const
+    {
+        return std::any_of(sets_.begin(), sets_.end(), [this](const std::vector<NodeId>& hosts) {
+            return !hosts.empty() && std::all_of(hosts.begin(), hosts.end(), [this](NodeId host) { return kept_.contains(host); });
+        });
+    }
 };
 
 JobIntake::JobIntake(IntakeSettings settings, IntakeOutlets outlets)
@@ -41,7 +50,7 @@
     if (taking->isStored_)
         return;
     if (outlets_.storeIsAway_())
-        return keep(taking);
+        return keep(taking, now);
     waiting_.push_back(taking);
 }
 
@@ -51,22 +60,51 @@
         const TakingPtr taking = waiting_.front();
         waiting_.pop_front();
         if (!taking->isStored_)
-            keep(taking);
+            keep(taking, now);
+    }
+    while (!keeping_.empty() && now - keeping_.front()->keepingSince_ >= settings_.spareAfter_) {
+        const TakingPtr taking = keeping_.front();
+        keeping_.pop_front();
+        if (!taking->answered_)
+            replaceSilent(taking);
     }
 }
 
-void JobIntake::keep(const TakingPtr& taking)
+void JobIntake::keep(const TakingPtr& taking, TimePoint now)
 {
     taking->isKeeping_ = true;
-    taking->keepers_ = outlets_.keepers_();
-    taking->keepsOpen_ = taking->keepers_.size();
-    for (const NodeId keeper : std::vector(taking->keepers_)) {
+    taking->keepingSince_ = now;
+    keeping_.push_back(taking);
+    askKeepers(taking, outlets_.keepers_({}));
+}
+
+// Failure met: a host with a disk goes down while the store is slow; until it is believed dead, each second or two, jobs are sent to it, whose
+// callers wait for the bound of that call and get their acknowledgement too late. The guard: what has not answered soon is replaced; a set
+// of hosts counts only when all of it keeps the job, so no acknowledgement rests on fewer copies.
+void JobIntake::replaceSilent(const TakingPtr& taking)
+{
+    if (taking->silent_.empty())
+        return;
+    askKeepers(taking, outlets_.keepers_({ taking->silent_.begin(), taking->silent_.end() }));
+}
+
+void JobIntake::askKeepers(const TakingPtr& taking, const std::vector<NodeId>& keepers)
+{
+    taking->sets_.push_back(keepers);
+    std::vector<NodeId> fresh;
+    for (const NodeId keeper : keepers) {
+        if (taking->asked_.insert(keeper).second)
+            fresh.push_back(keeper);
+    }
+    taking->silent_.insert(fresh.begin(), fresh.end());
+    for (const NodeId keeper : fresh) {
         KeptJob copy = taking->job_;
         ++taking->job_.rank_;
-        outlets_.keep_(keeper, std::move(copy), [this, taking](KeepOutcome outcome, TimePoint now) {
-            taking->kept_ += outcome == KeepOutcome::Kept ? 1 : 0;
+        outlets_.keep_(keeper, std::move(copy), [this, taking, keeper](KeepOutcome outcome, TimePoint now) {
+            if (outcome == KeepOutcome::Kept)
+                taking->kept_.insert(keeper);
             taking->maybeKept_ = taking->maybeKept_ || outcome != KeepOutcome::Refused;
-            --taking->keepsOpen_;
+            taking->silent_.erase(keeper);
             decide(taking, now);
         });
     }
@@ -84,7 +122,7 @@
 void JobIntake::decide(const TakingPtr& taking, TimePoint now)
 {
     // A copy is forgotten only after its host has answered: the message would overtake the one that brings it.
-    if (taking->isInStore() && taking->keepsOpen_ == 0)
+    if (taking->isInStore() && taking->silent_.empty())
         forgetCopies(taking);
     if (taking->answered_)
         return;
@@ -96,8 +134,8 @@
     if (!taking->isStored_)
         return;
     if (!taking->isKeeping_)
-        keep(taking);
-    if (taking->answered_ || taking->keepsOpen_ > 0)
+        keep(taking, now);
+    if (taking->answered_ || !taking->silent_.empty())
         return;
     // A single copy may still bring the job to the store, so "not run" would be a lie.
     answer(taking, taking->maybeKept_ ? AcceptOutcome::Unknown : taking->acceptance_.outcome_, now);
@@ -116,7 +154,7 @@
 
 void JobIntake::forgetCopies(const TakingPtr& taking)
 {
-    for (const NodeId keeper : std::exchange(taking->keepers_, {}))
+    for (const NodeId keeper : std::exchange(taking->asked_, {}))
         outlets_.forget_(keeper, taking->job_.submission_.job_);
 }
 
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -303,7 +303,7 @@
         IntakeOutlets intake;
         intake.store_ = send;
         intake.storeIsAway_ = isAway;
-        intake.keepers_ = [this, place] { return keepers(place); };
+        intake.keepers_ = [this, place](const std::vector<NodeId>& silent) { return keepers(place, silent); };
         intake.keep_ = [this](NodeId to, KeptJob job, std::function<void(KeepOutcome, TimePoint)> done) { keep(to, std::move(job), std::move(done)); };
         intake.forget_ = [this](NodeId to, const JobName& job) { at(placeOf(to), [this, to, job] { hosts_[placeOf(to)]->spool_->forget(job); }); };
         intake.ownerOf_ = ownerOf;
@@ -313,11 +313,11 @@
 
     std::size_t placeOf(NodeId node) const { return static_cast<std::size_t>(node.value() - hosts_.front()->id_.value()); }
 
-    std::vector<NodeId> keepers(std::size_t place)
+    std::vector<NodeId> keepers(std::size_t place, const std::vector<NodeId>& silent)
     {
         std::vector<NodeId> found;
         for (const auto& host : hosts_) {
-            if (!hosts_[place]->deadTo_.contains(host->id_))
+            if (!hosts_[place]->deadTo_.contains(host->id_) && std::find(silent.begin(), silent.end(), host->id_) == silent.end())
                 found.push_back(host->id_);
         }
         std::shuffle(found.begin(), found.end(), random_);
--- a/libs/ledger/tests/SpoolTest.cpp
+++ b/libs/ledger/tests/SpoolTest.cpp
@@ -78,7 +78,7 @@
     IntakeOutlets outlets;
     outlets.store_ = [&](const ObjectCall&, CallClass, TimePoint, SettledCompletion done) { storeAnswers.push_back(std::move(done)); };
     outlets.storeIsAway_ = [] { return true; };
-    outlets.keepers_ = [] { return std::vector { NodeId(7) }; };
+    outlets.keepers_ = [](const std::vector<NodeId>&) { return std::vector { NodeId(7) }; };
     outlets.keep_ = [&](NodeId, const KeptJob&, std::function<void(KeepOutcome, TimePoint)> done) { hostAnswers = std::move(done); };
     outlets.forget_ = [&](NodeId, const JobName&) { said.push_back("forget"); };
     outlets.ownerOf_ = [](const JobName&) { return NodeId(1); };
@@ -92,6 +92,40 @@
     CHECK(said == std::vector<std::string> { "accepted", "forget" });
 }
 
+// The store answers in 370 ms, and one of three hosts with a disk went down a moment ago; nobody believes it dead yet. A job that is sent to it
+// for keeping was acknowledged after 450 to 750 ms, too late for its caller; another host is asked in its place.
+TEST_CASE("ledger: a host that doesn't answer is replaced before the caller's time is over")
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        CAPTURE(seed);
+        LedgerWorld world(seed, 4);
+        world.store_.faults().delay_ = 185ms;
+        world.kill(3);
+        world.take(0, "j", items);
+        world.advance(360ms);
+        CHECK(world.outcomes_["j"] == std::vector { AcceptOutcome::Kept });
+        world.advance(8s);
+        expectDone(world, "j");
+    }
+}
+
+// Two of four hosts are down unnoticed and the third is asked for nothing more: what one host alone keeps is never acknowledged.
+TEST_CASE("ledger: a job is not acknowledged on fewer copies than may be lost, however many hosts are asked")
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        CAPTURE(seed);
+        LedgerWorld world(seed, 3);
+        world.store_.core().setOutage(true);
+        world.kill(1);
+        world.kill(2);
+        world.take(0, "j", items);
+        world.advance(3s);
+        const auto& outcomes = world.outcomes_["j"];
+        const bool isKept = std::find(outcomes.begin(), outcomes.end(), AcceptOutcome::Kept) != outcomes.end();
+        CHECK_FALSE(isKept);
+    }
+}
+
 // One of the two hosts that keep a job loses its disk while the store is away, the other one is restarted.
 TEST_CASE("ledger: a kept job survives the loss of one disk and a restart")
 {
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -106,7 +106,7 @@
     // What decides whether this node follows the store.
     std::vector<WatchPeer> watchPeers() const;
     // Hosts that can keep a job on their disks, as many as the losses to be borne ask for; empty when there are too few.
-    std::vector<NodeId> keepersOf(const TolerableLosses& losses);
+    std::vector<NodeId> keepersOf(const TolerableLosses& losses, const std::vector<NodeId>& without);
     // Some host had jobs on its disk when it was last heard.
     bool anyKeepsJobs() const;
     // Some node that runs jobs can't be heard, so it may believe the same of this one.
--- a/libs/serving/src/FleetPeers.cpp
+++ b/libs/serving/src/FleetPeers.cpp
@@ -82,12 +82,13 @@
     return found;
 }
 
-std::vector<NodeId> Fleet::keepersOf(const TolerableLosses& losses)
+std::vector<NodeId> Fleet::keepersOf(const TolerableLosses& losses, const std::vector<NodeId>& without)
 {
     std::vector<KeeperCandidate> candidates;
     for (const auto& [node, peer] : peers_) {
         const bool isHeard = now_ - peer.heardAt_ < freshWord;
-        if (peer.isLive() && isHeard && !peer.leaving_ && peer.keepsJobs_)
+        const bool isOut = std::find(without.begin(), without.end(), node) != without.end();
+        if (peer.isLive() && isHeard && !peer.leaving_ && peer.keepsJobs_ && !isOut)
             candidates.push_back({ node, peer.domain_, peer.region_, peer.region_ == options_.region_ });
     }
     return chooseKeepers(std::move(candidates), losses, mixHash(self_.value(), ++keeperTurn_));
--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -63,7 +63,7 @@
     IntakeOutlets outlets;
     outlets.store_ = [&store](ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) { store.send(std::move(call), callClass, until, std::move(done)); };
     outlets.storeIsAway_ = [&store] { return store.isAway(); };
-    outlets.keepers_ = [this] { return context_.fleet_->keepersOf({ context_.settings_.lostHosts_, context_.settings_.lostDomains_, context_.settings_.lostRegions_ }); };
+    outlets.keepers_ = [this](const std::vector<NodeId>& silent) { return context_.fleet_->keepersOf({ context_.settings_.lostHosts_, context_.settings_.lostDomains_, context_.settings_.lostRegions_ }, silent); };
     outlets.keep_ = [this](NodeId host, KeptJob job, std::function<void(KeepOutcome, TimePoint)> done) { keepAt(host, std::move(job), std::move(done)); };
     outlets.forget_ = [this](NodeId host, const JobName& job) { forgetAt(host, job); };
     outlets.ownerOf_ = [this](const JobName& job) { return context_.fleet_->preferredOwner(job, context_.fleet_->self()); };
