Serving: a missing engine is held from the store's return on, not from when its removal is seen

All of them from one node, edge-kzn-coast-1: it had been cut from the store until 11.6 s, saw the removal at 13.5 s, and held the engine 2.2 s from then on, since its return was less than 2.2 s ago. The others let go within 100 ms.

Change: the hold counts from the store's return (OutageGrace, with tests; the second fails with the old rule).

--- a/libs/serving/src/EngineFeed.cpp
+++ b/libs/serving/src/EngineFeed.cpp
@@ -62,7 +62,7 @@
 
 void EngineFeed::listFailed(TimePoint now)
 {
-    lostAt_ = now;
+    grace_.lost(now);
     again(now);
 }
 
@@ -71,20 +71,12 @@
 void EngineFeed::watchFailed(std::error_code error, TimePoint now)
 {
     if (now - calledAt_ >= times_.heldOpen_)
-        lostAt_ = now;
+        grace_.lost(now);
     again(now);
     if (error == ObjectError::Expired)
         nextAt_ = now;
 }
 
-// How long engines stay in use that are missing now.
-Duration EngineFeed::graceAt(TimePoint now) const
-{
-    const bool wasLost = lostAt_ != neverTime && now - lostAt_ < grace_ + times_.longestRetry_;
-    const bool isJustBack = now - store_.backSince() < grace_;
-    return wasLost || isJustBack ? grace_ : Duration::zero();
-}
-
 // ---- list
 
 void EngineFeed::list(std::string after, TimePoint now)
@@ -115,6 +107,7 @@
 // All pages at once: a peer that asked between two of them would count as knowing of removals that it was not told.
 void EngineFeed::takeList(TimePoint now)
 {
+    grace_.answered(now);
     std::set<std::string> keys;
     for (const ObjectEntry& entry : listing_) {
         keys.insert(entry.key_);
@@ -145,6 +138,7 @@
         if (!answer.ok())
             return watchFailed(answer.error_, at);
         failures_ = 0;
+        grace_.answered(at);
         for (const ObjectChange& change : answer.changes_) {
             if (change.kind_ == ChangeKind::Remove)
                 catalog_.gone(change.key_, change.version_, at, graceAt(at));
--- a/libs/serving/src/EngineFeed.h
+++ b/libs/serving/src/EngineFeed.h
@@ -8,6 +8,7 @@
 #include "DecisionLog.h"
 #include "EngineCatalog.h"
 #include "FollowerTimes.h"
+#include "OutageGrace.h"
 #include "StoreLink.h"
 #include "serving/Translation.h"
 
@@ -38,13 +39,13 @@
     void listFailed(TimePoint now);
     void watchFailed(std::error_code error, TimePoint now);
     void again(TimePoint now);
-    Duration graceAt(TimePoint now) const;
+    Duration graceAt(TimePoint now) const { return grace_.left(store_.backSince(), now); }
 
     StoreLink& store_;
     const Translation& translation_;
     DecisionLog& log_;
     FollowerTimes times_;
-    Duration grace_;
+    OutageGrace grace_;
     EngineCatalog& catalog_;
     AskPeer askPeer_;
     bool passive_ = true;
@@ -58,7 +59,6 @@
     TimePoint calledAt_ {};
     TimePoint nextAt_ {};
     TimePoint askedAt_ {};
-    TimePoint lostAt_ = neverTime; // when the store was last out of reach
     std::uint64_t peerVersion_ = 0;
     TimePoint peerAheadSince_ {};
 };
