Serving: removals of engines that a node never knew are passed on; a fault of the watchers is listed

One entry used an engine until it exited: it never heard of its removal. Read in the code: a node that takes a removal of an engine that it doesn't know forgets it, so whoever asks that node doesn't hear of it. The test fails without the change.

--- a/libs/serving/src/EngineCatalog.cpp
+++ b/libs/serving/src/EngineCatalog.cpp
@@ -100,12 +100,14 @@
 
 void EngineCatalog::remove(const std::string& key, std::string_view why)
 {
+    // Failure met: an engine came and left between two news that a node heard, so the node never knew it, and told nobody of the removal; a peer
+    // that knew the engine asked this node and used it until it exited. So a removal is passed on also of what was never here.
+    noteRemoval(key);
     const auto found = known_.find(key);
     if (found == known_.end())
         return;
     const EngineEntry entry = found->second.entry_;
     known_.erase(found);
-    noteRemoval(key);
     log_.line("engineRemoved").with("engine", entry.name_).with("at", toString(entry.at_)).with("why", why);
     removed_(entry);
 }
--- a/libs/serving/tests/EngineCatalogTest.cpp
+++ b/libs/serving/tests/EngineCatalogTest.cpp
@@ -182,3 +182,24 @@
     peer.ask(watcher, start);
     CHECK(peer.using_.empty());
 }
+
+// Engines are replaced in quick succession. One comes and leaves between two news that a node hears, so that node never knew it. Another one, which
+// knew it, asks that node: it heard nothing of the removal and sent requests to the engine until it exited, 0.2 s longer than allowed.
+TEST_CASE("serving: a node passes on the removal of an engine that it never knew")
+{
+    const TimePoint start {};
+    Node watcher;
+    watcher.catalog_.put("a", "ready", at(10));
+    watcher.catalog_.listed({ "a" }, at(10), start, {});
+    Node slow;
+    Node quick;
+    slow.ask(watcher, start);
+    quick.ask(watcher, start);
+    watcher.catalog_.put("b", "ready", at(20));
+    quick.ask(watcher, start);
+    REQUIRE(quick.using_ == Names { "a", "b" });
+    watcher.catalog_.gone("b", at(21), start, {});
+    slow.ask(watcher, start);
+    quick.ask(slow, start);
+    CHECK(quick.using_ == Names { "a" });
+}
