Serving: the log names the peer of an update of engines, and what an answer of the store brought

The log couldn't tell a source without the removal in its record from a watcher whose call never brought it: enginesByPeer didn't name the peer nor whether the update named all engines, and a watcher wrote nothing about an answer of the store. Both are in the log now; at most two lines a second a watcher, as held-open calls are paced. No decision changes.

--- a/libs/serving/src/EngineCatalog.cpp
+++ b/libs/serving/src/EngineCatalog.cpp
@@ -165,7 +165,7 @@
         remove(key, "goneByPeer");
 }
 
-void EngineCatalog::take(const EngineNews& news, TimePoint now)
+void EngineCatalog::take(const EngineNews& news, std::string_view peer, TimePoint now)
 {
     if (news.version_ == 0 || news.version_ <= newest_)
         return;
@@ -185,7 +185,7 @@
             miss(missing.key_, missing.version_, now + missing.goneIn_);
     }
     isKnown_ = true;
-    log_.line("enginesByPeer").with("before", before).with("version", newest_).with("changed", news.entries_.size()).with("removed", news.removed_.size()).with("missing", news.missing_.size());
+    log_.line("enginesByPeer").with("peer", peer).with("whole", news.isWhole_ ? "yes" : "no").with("before", before).with("version", newest_).with("changed", news.entries_.size()).with("removed", news.removed_.size()).with("missing", news.missing_.size());
 }
 
 } // namespace jj
--- a/libs/serving/src/EngineCatalog.h
+++ b/libs/serving/src/EngineCatalog.h
@@ -55,7 +55,8 @@
     void forEach(const std::function<void(const EngineEntry&)>& visit) const;
     // For a peer that knows of changes up to `since`.
     EngineNews newsSince(std::uint64_t since, TimePoint now) const;
-    void take(const EngineNews& news, TimePoint now);
+    // `peer`: who sent it, for the log.
+    void take(const EngineNews& news, std::string_view peer, TimePoint now);
 
 private:
     struct Known {
--- a/libs/serving/src/EngineFeed.cpp
+++ b/libs/serving/src/EngineFeed.cpp
@@ -1,6 +1,7 @@
 // List once, then held-open calls; after whatever goes wrong, list again.
 #include "EngineFeed.h"
 
+#include <algorithm>
 #include <set>
 
 namespace jj {
@@ -50,6 +51,12 @@
     askPeer_();
 }
 
+// What an answer of the store brought: with the peers' updates it shows by which way a change came, or didn't.
+void EngineFeed::logAnswer(std::string_view call, ObjectVersion from, ObjectVersion upTo, std::size_t changed, std::size_t removed)
+{
+    log_.line("enginesByStore").with("call", call).with("from", from.value()).with("version", upTo.value()).with("changed", changed).with("removed", removed);
+}
+
 // ---- failures
 
 void EngineFeed::again(TimePoint now)
@@ -113,6 +120,7 @@
         keys.insert(entry.key_);
         catalog_.put(entry.key_, entry.value_, entry.version_);
     }
+    logAnswer("list", ObjectVersion::none(), listedAt_, listing_.size(), 0);
     listing_.clear();
     catalog_.listed(keys, listedAt_, now, graceAt(now));
     // A removal has no entry that could tell its version: what the peer had seen is in this list if the store was there by then.
@@ -139,6 +147,9 @@
             return watchFailed(answer.error_, at);
         failures_ = 0;
         grace_.answered(at);
+        const auto removed = static_cast<std::size_t>(std::count_if(answer.changes_.begin(), answer.changes_.end(), [](const ObjectChange& change) { return change.kind_ == ChangeKind::Remove; }));
+        if (!answer.changes_.empty())
+            logAnswer("watch", seen_, answer.version_, answer.changes_.size() - removed, removed);
         for (const ObjectChange& change : answer.changes_) {
             if (change.kind_ == ChangeKind::Remove)
                 catalog_.gone(change.key_, change.version_, at, graceAt(at));
--- a/libs/serving/src/EngineFeed.h
+++ b/libs/serving/src/EngineFeed.h
@@ -39,6 +39,7 @@
     void listFailed(TimePoint now);
     void watchFailed(std::error_code error, TimePoint now);
     void again(TimePoint now);
+    void logAnswer(std::string_view call, ObjectVersion from, ObjectVersion upTo, std::size_t changed, std::size_t removed);
     Duration graceAt(TimePoint now) const { return grace_.left(store_.backSince(), now); }
 
     StoreLink& store_;
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -100,6 +100,8 @@
     bool isLive(NodeId node) const;
     const std::map<NodeId, Peer>& peers() const { return peers_; }
     std::vector<NodeId> livePeers() const;
+    // For logs; empty when it isn't known.
+    std::string addressOf(NodeId node) const;
     // Of the live nodes that run jobs and don't leave, in the region of `former` if there are any: who should own the job.
     // Without such nodes any live node serves. None when this node is alone and leaves.
     NodeId preferredOwner(std::string_view job, NodeId former) const;
--- a/libs/serving/src/FleetPeers.cpp
+++ b/libs/serving/src/FleetPeers.cpp
@@ -39,6 +39,12 @@
     return live;
 }
 
+std::string Fleet::addressOf(NodeId node) const
+{
+    const auto found = peers_.find(node);
+    return found == peers_.end() ? std::string() : found->second.at_.toString();
+}
+
 RegionId Fleet::regionOf(NodeId node) const
 {
     const auto found = peers_.find(node);
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -188,7 +188,7 @@
         return;
     askingNews_ = true;
     newsAgainAt_ = neverTime;
-    fleet_->ask(peer, NewsAsk { config_->version(), catalog_->version() }, newsBound, [this](const Result<PeerReply>& reply) {
+    fleet_->ask(peer, NewsAsk { config_->version(), catalog_->version() }, newsBound, [this, peer](const Result<PeerReply>& reply) {
         askingNews_ = false;
         const auto* news = reply ? std::get_if<NewsReply>(&reply.value()) : nullptr;
         if (!news || news->isBusy_) {
@@ -198,7 +198,7 @@
         }
         if (!news->config_.empty())
             config_->take(news->config_, "peer");
-        catalog_->take(news->engines_, context_.now());
+        catalog_->take(news->engines_, fleet_->addressOf(peer), context_.now());
         fleet_->tell();
     });
 }
--- a/libs/serving/tests/EngineCatalogTest.cpp
+++ b/libs/serving/tests/EngineCatalogTest.cpp
@@ -33,7 +33,7 @@
     EngineCatalog catalog_ { translation(), log(), {}, [this](const EngineEntry& entry) { changed(entry); }, [this](const EngineEntry& entry) { using_.erase(entry.name_); } };
 
     // What a node does that hears of a newer version.
-    void ask(const Node& peer, TimePoint now) { catalog_.take(peer.catalog_.newsSince(catalog_.version(), now), now); }
+    void ask(const Node& peer, TimePoint now) { catalog_.take(peer.catalog_.newsSince(catalog_.version(), now), "peer", now); }
 
 private:
     static const Translation& translation()
@@ -158,13 +158,13 @@
     CHECK_FALSE(news.isWhole_);
     CHECK(news.entries_.size() == 1);
     CHECK(news.removed_ == std::vector<std::string> { "b" });
-    peer.catalog_.take(news, start);
+    peer.catalog_.take(news, "watcher", start);
     CHECK(peer.using_.empty());
 
     // Told again: it takes nothing back.
     watcher.catalog_.put("b", "ready", at(30));
     peer.ask(watcher, start);
-    peer.catalog_.take(news, start);
+    peer.catalog_.take(news, "watcher", start);
     CHECK(peer.using_ == Names { "b" });
 }
 
