--- a/build.sh
+++ b/build.sh
@@ -74,9 +74,24 @@
   echo "lint: clean"
 }
 
+# Entries of KNOWN-RED.txt that begin with: test "NAME as CTest lists it". As one regular expression; empty: none.
+known_red() {
+  [ -f KNOWN-RED.txt ] || return 0
+  sed -n 's/^test "\([^"]*\)".*/\1/p' KNOWN-RED.txt | sed 's/[][().*+?^$|\\]/\\&/g; s/^/^/; s/$/$/' | paste -sd '|'
+}
+
+# All tests but the known red ones, which are named.
+run_tests() {
+  local dir=$1 red
+  shift
+  red=$(known_red)
+  [ -z "$red" ] || { echo "passed over, known red:"; ctest --test-dir "$dir" -N -R "$red" | sed -n 's/^ *Test *#[0-9]*: /  /p'; }
+  ctest --test-dir "$dir" --output-on-failure -j "$JOBS" --no-tests=error ${red:+-E "$red"} "$@"
+}
+
 unit() {
   build
-  ctest --test-dir "$BUILD" --output-on-failure -j "$JOBS" --no-tests=error "$@"
+  run_tests "$BUILD" "$@"
 }
 
 test() {
@@ -94,7 +109,7 @@
   local kind=$1 dir="build-${1%%,*}"
   cmake -S . -B "$dir" -G Ninja -DJJ_SANITIZE="$kind" -DJJ_CORE_ONLY=ON >/dev/null
   cmake --build "$dir" -j "$JOBS" -- --quiet
-  UBSAN_OPTIONS=halt_on_error=1 ctest --test-dir "$dir" --output-on-failure -j "$JOBS" --no-tests=error
+  UBSAN_OPTIONS=halt_on_error=1 run_tests "$dir"
 }
 
 demo() { setup; build; exec scripts/demo.sh "$@"; }
