Serving: a host that took over a state says where it may have missed removals

Cause: a host that lists the store, or takes all engines from a peer, learns a state and no removals. It counted as knowing all up to its new version, and answered peers' questions for changes since a version in between by an incremental update that named no such removal. The peer then counted as knowing of it as well.

Change: RemovalHistory keeps the ranges of versions in which removals may be missing. A peer whose version lies in such a gap gets an update that names all engines: by key only where it knows them, so a restart costs no whole lists. Gaps are passed on with each update. An answer that is complete for an older version of the asker than it has by now is dropped; it asks again.

The test of incremental updates lists at the version of its newest entry: two versions further on, a whole update is right.

--- a/libs/serving/src/EngineCatalog.cpp
+++ b/libs/serving/src/EngineCatalog.cpp
@@ -27,16 +27,15 @@
 {
     if (isOlder(key, version))
         return;
-    knowsUpTo(version.value());
     const auto entry = translation_.readEngine_(key, value, regions_);
     if (!entry) {
         // An entry that can't be read names no engine; the one that it replaced is not used any more either.
         log_.line("engineUnreadable").with("key", key).with("version", version.value()).with("error", entry.error().message());
-        return remove(key, "unreadable");
+        return remove(key, version, "unreadable");
     }
     const auto found = known_.find(key);
     if (found != known_.end() && found->second.entry_.id_ != entry.value().id_)
-        remove(key, "replaced");
+        remove(key, version, "replaced");
     const auto [place, isNew] = known_.try_emplace(key);
     Known& known = place->second;
     if (known.missingVersion_ < version)
@@ -57,12 +56,32 @@
     if (isOlder(key, version))
         return;
     if (grace == Duration::zero())
-        return remove(key, "gone");
+        return remove(key, version, "gone");
     miss(key, version, now + grace);
 }
 
-void EngineCatalog::listed(const std::set<std::string>& keys, ObjectVersion version, TimePoint now, Duration grace)
+void EngineCatalog::follow(const std::vector<ObjectChange>& changes, TimePoint now, Duration grace)
+{
+    for (const ObjectChange& change : changes) {
+        if (change.kind_ != ChangeKind::Remove)
+            put(change.key_, change.value_, change.version_);
+        else
+            gone(change.key_, change.version_, now, grace);
+        knowsUpTo(change.version_.value());
+    }
+}
+
+void EngineCatalog::list(const std::vector<ObjectEntry>& entries, ObjectVersion version, TimePoint now, Duration grace)
 {
+    const std::uint64_t before = newest_;
+    std::uint64_t newestEntry = 0;
+    std::set<std::string> keys;
+    for (const ObjectEntry& entry : entries) {
+        keys.insert(entry.key_);
+        newestEntry = std::max(newestEntry, entry.version_.value());
+        put(entry.key_, entry.value_, entry.version_);
+    }
+    knowsUpTo(newestEntry);
     std::vector<std::string> missing;
     for (const auto& [key, known] : known_) {
         if (!keys.contains(key))
@@ -71,6 +90,7 @@
     // The list doesn't say when they went; peers that know less are told as of the list.
     for (const std::string& key : missing)
         gone(key, version, now, grace);
+    removals_.skip({ before, version.value() });
     isKnown_ = true;
 }
 
@@ -95,20 +115,20 @@
             over.push_back(key);
     }
     for (const std::string& key : over)
-        remove(key, "missingAfterOutage");
+        remove(key, ObjectVersion(newest_), "missingAfterOutage");
 }
 
-void EngineCatalog::remove(const std::string& key, std::string_view why)
+void EngineCatalog::remove(const std::string& key, ObjectVersion version, std::string_view why)
 {
     // Failure met: an engine came and left between two news that a node heard, so the node never knew it, and told nobody of the removal; a peer
     // that knew the engine asked this node and used it until it exited. So a removal is passed on also of what was never here.
-    noteRemoval(key);
+    removals_.add(std::max(newest_, version.value()), key);
     const auto found = known_.find(key);
     if (found == known_.end())
         return;
     const EngineEntry entry = found->second.entry_;
     known_.erase(found);
-    log_.line("engineRemoved").with("engine", entry.name_).with("at", toString(entry.at_)).with("why", why);
+    log_.line("engineRemoved").with("engine", entry.name_).with("at", toString(entry.at_)).with("why", why).with("version", version.value());
     removed_(entry);
 }
 
@@ -122,35 +142,27 @@
 
 void EngineCatalog::knowsUpTo(std::uint64_t version) { newest_ = std::max(newest_, version); }
 
-void EngineCatalog::noteRemoval(const std::string& key)
-{
-    constexpr std::size_t mostRemovals = 512;
-    removals_.push_back({ newest_, key });
-    if (removals_.size() <= mostRemovals)
-        return;
-    removalsSince_ = removals_.front().first;
-    removals_.pop_front();
-}
-
 EngineNews EngineCatalog::newsSince(std::uint64_t since, TimePoint now) const
 {
     EngineNews news;
     if (!isKnown_)
         return news;
     news.version_ = newest_;
-    news.isWhole_ = since <= removalsSince_;
+    news.isWhole_ = !removals_.covers(since);
+    news.gaps_ = removals_.gapsSince(since);
     for (const auto& [key, known] : known_) {
-        if (news.isWhole_ || known.version_.value() > since)
+        if (known.version_.value() <= since)
+            news.unchanged_.push_back(key);
+        else
             news.entries_.push_back({ key, known.version_, known.value_.size(), known.value_ });
         if (known.isMissing() && (news.isWhole_ || known.missingVersion_.value() > since))
             news.missing_.push_back({ key, known.missingVersion_, std::max(Duration::zero(), known.goneAt_ - now) });
     }
     if (news.isWhole_)
         return news;
-    for (const auto& [version, key] : removals_) {
-        if (version > since && !known_.contains(key))
-            news.removed_.push_back(key);
-    }
+    news.unchanged_.clear();
+    news.removed_ = removals_.keysSince(since);
+    std::erase_if(news.removed_, [this](const std::string& key) { return known_.contains(key); });
     return news;
 }
 
@@ -162,7 +174,7 @@
             unnamed.push_back(key);
     }
     for (const std::string& key : unnamed)
-        remove(key, "goneByPeer");
+        remove(key, upTo, "goneByPeer");
 }
 
 void EngineCatalog::take(const EngineNews& news, std::string_view peer, TimePoint now)
@@ -170,16 +182,23 @@
     if (news.version_ == 0 || news.version_ <= newest_)
         return;
     const std::uint64_t before = newest_;
+    // This node has moved on since it asked, and the answer isn't complete from here; it asks again.
+    if (!news.isWhole_ && std::any_of(news.gaps_.begin(), news.gaps_.end(), [before](const VersionGap& gap) { return gap.contains(before); }))
+        return;
     knowsUpTo(news.version_);
-    std::set<std::string> named;
+    std::set<std::string> named(news.unchanged_.begin(), news.unchanged_.end());
     for (const ObjectEntry& entry : news.entries_) {
         named.insert(entry.key_);
         put(entry.key_, entry.value_, entry.version_);
     }
     for (const std::string& key : news.removed_)
-        remove(key, "goneByPeer");
-    if (news.isWhole_)
+        remove(key, ObjectVersion(news.version_), "goneByPeer");
+    if (news.isWhole_) {
         removeUnnamed(named, ObjectVersion(news.version_));
+        removals_.skip({ before, news.version_ });
+    }
+    for (const VersionGap& gap : news.gaps_)
+        removals_.skip(gap);
     for (const MissingEngine& missing : news.missing_) {
         if (!isOlder(missing.key_, missing.version_))
             miss(missing.key_, missing.version_, now + missing.goneIn_);
--- a/libs/serving/src/EngineCatalog.h
+++ b/libs/serving/src/EngineCatalog.h
@@ -4,6 +4,8 @@
 // taken up every change up to V; peers that are behind ask one such node and then count as knowing V themselves. So whatever is
 // known up to V has to be in that node's answer, or it never reaches the asker.
 //
+// A state that is taken over, from a list of the store or from a peer, comes without the removals that led to it; see RemovalHistory.h.
+//
 // Failure met: while the store is away the entries of engines lapse, and after its return a list may be nearly empty although all engines
 // live. It shows as a node that refuses everything right after an outage. The guard: what a node misses after it couldn't reach the
 // store stays in use until the engines have had the time to register again.
@@ -15,9 +17,9 @@
 
 #include "DecisionLog.h"
 #include "PeerMessages.h"
+#include "RemovalHistory.h"
 #include "serving/Translation.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -35,12 +37,10 @@
 
     // ---- from the store
 
-    // An entry as the store holds it. One that is older than what is known is dropped.
-    void put(const std::string& key, const std::string& value, ObjectVersion version);
-    // The entry is gone since `version`; the engine stays in use for `grace`.
-    void gone(const std::string& key, ObjectVersion version, TimePoint now, Duration grace);
-    // The store was listed at `version` and named these keys; the others are gone.
-    void listed(const std::set<std::string>& keys, ObjectVersion version, TimePoint now, Duration grace);
+    // All entries, with values, as the store held them at `version`. An engine that isn't named is gone, and stays in use for `grace`.
+    void list(const std::vector<ObjectEntry>& entries, ObjectVersion version, TimePoint now, Duration grace);
+    // All changes since an earlier list or call, in their order.
+    void follow(const std::vector<ObjectChange>& changes, TimePoint now, Duration grace);
 
     // Lets go of missing engines whose time is over.
     void tick(TimePoint now);
@@ -70,21 +70,20 @@
         bool isMissing() const { return goneAt_ != neverTime; }
     };
 
+    void put(const std::string& key, const std::string& value, ObjectVersion version);
+    void gone(const std::string& key, ObjectVersion version, TimePoint now, Duration grace);
     bool isOlder(const std::string& key, ObjectVersion version) const;
     void miss(const std::string& key, ObjectVersion version, TimePoint goneAt);
-    void remove(const std::string& key, std::string_view why);
+    void remove(const std::string& key, ObjectVersion version, std::string_view why);
     void removeUnnamed(const std::set<std::string>& named, ObjectVersion upTo);
-    void noteRemoval(const std::string& key);
 
     const Translation& translation_;
     DecisionLog& log_;
     std::map<std::string, std::string> regions_; // by failure domain
     Changed changed_;
     Removed removed_;
-    std::map<std::string, Known> known_; // by the entry's key
-    // Removals, oldest first, for peers that heard of the entry and not of its end. Invariant: versions don't fall.
-    std::deque<std::pair<std::uint64_t, std::string>> removals_;
-    std::uint64_t removalsSince_ = 0; // removals before it are not kept
+    std::map<std::string, Known> known_; // by the entry's key. Invariant: none is newer than newest_.
+    RemovalHistory removals_; // for peers that heard of an engine and not of its end
     std::uint64_t newest_ = 0;
     bool isKnown_ = false;
 };
--- a/libs/serving/src/EngineFeed.cpp
+++ b/libs/serving/src/EngineFeed.cpp
@@ -2,7 +2,6 @@
 #include "EngineFeed.h"
 
 #include <algorithm>
-#include <set>
 
 namespace jj {
 
@@ -115,14 +114,9 @@
 void EngineFeed::takeList(TimePoint now)
 {
     grace_.answered(now);
-    std::set<std::string> keys;
-    for (const ObjectEntry& entry : listing_) {
-        keys.insert(entry.key_);
-        catalog_.put(entry.key_, entry.value_, entry.version_);
-    }
-    logAnswer("list", ObjectVersion::none(), listedAt_, listing_.size(), 0);
+    logAnswer("list", ObjectVersion(catalog_.version()), listedAt_, listing_.size(), 0);
+    catalog_.list(listing_, listedAt_, now, graceAt(now));
     listing_.clear();
-    catalog_.listed(keys, listedAt_, now, graceAt(now));
     // A removal has no entry that could tell its version: what the peer had seen is in this list if the store was there by then.
     if (listedAt_.value() >= peerVersion_)
         catalog_.knowsUpTo(peerVersion_);
@@ -150,12 +144,7 @@
         const auto removed = static_cast<std::size_t>(std::count_if(answer.changes_.begin(), answer.changes_.end(), [](const ObjectChange& change) { return change.kind_ == ChangeKind::Remove; }));
         if (!answer.changes_.empty())
             logAnswer("watch", seen_, answer.version_, answer.changes_.size() - removed, removed);
-        for (const ObjectChange& change : answer.changes_) {
-            if (change.kind_ == ChangeKind::Remove)
-                catalog_.gone(change.key_, change.version_, at, graceAt(at));
-            else
-                catalog_.put(change.key_, change.value_, change.version_);
-        }
+        catalog_.follow(answer.changes_, at, graceAt(at));
         seen_ = answer.version_;
         nextAt_ = at + (answer.changes_.empty() ? Duration::zero() : times_.betweenChanges_);
         if (!passive_ && answer.changes_.empty())
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -33,7 +33,7 @@
     // Each kind of message has its own label under the code, so that one is never taken for another.
     constexpr std::string_view datagramLabel = "serving datagram 3";
     constexpr std::string_view callLabel = "serving call 2";
-    constexpr std::string_view replyLabel = "serving reply 2";
+    constexpr std::string_view replyLabel = "serving reply 3";
 
 } // namespace
 
@@ -226,10 +226,16 @@
     archive(missing.key_, missing.version_, missing.goneIn_);
 }
 
+template <class Archive>
+void serialize(Archive& archive, VersionGap& gap)
+{
+    archive(gap.from_, gap.to_);
+}
+
 template <class Archive>
 void serialize(Archive& archive, EngineNews& news)
 {
-    archive(news.version_, news.isWhole_, news.entries_, news.removed_, news.missing_);
+    archive(news.version_, news.isWhole_, news.entries_, news.unchanged_, news.removed_, news.missing_, news.gaps_);
 }
 
 template <class Archive>
@@ -311,7 +317,7 @@
 std::size_t EngineNews::bytes() const
 {
     constexpr std::size_t frame = 40; // lengths, versions and keys
-    std::size_t sum = (entries_.size() + removed_.size() + missing_.size()) * frame;
+    std::size_t sum = (entries_.size() + unchanged_.size() + removed_.size() + missing_.size() + gaps_.size()) * frame;
     for (const ObjectEntry& entry : entries_)
         sum += entry.value_.size();
     return sum;
--- a/libs/serving/src/PeerMessages.h
+++ b/libs/serving/src/PeerMessages.h
@@ -4,6 +4,7 @@
 // sees only what a peer encoded.
 #pragma once
 
+#include "RemovalHistory.h"
 #include "base/Result.h"
 #include "capacity/NodeUse.h"
 #include "ledger/JobScheduler.h"
@@ -85,10 +86,12 @@
 };
 struct EngineNews {
     std::uint64_t version_ = 0; // of the newest change in it; 0: the receiver knows no engines
-    bool isWhole_ = false; // engines that it doesn't name are gone
+    bool isWhole_ = false; // engines that neither entries_ nor unchanged_ names are gone
     std::vector<ObjectEntry> entries_; // with values, as the store holds them
-    std::vector<std::string> removed_; // keys
+    std::vector<std::string> unchanged_; // whole: keys of engines that the receiver knows as they are
+    std::vector<std::string> removed_; // not whole: keys
     std::vector<MissingEngine> missing_;
+    std::vector<VersionGap> gaps_; // where the sender may have missed removals, see RemovalHistory.h
 
     // About what it takes on the wire.
     std::size_t bytes() const;
--- a/libs/serving/tests/CatalogNode.h
+++ b/libs/serving/tests/CatalogNode.h
@@ -41,26 +41,13 @@
     void ask(const Node& peer, TimePoint now) { catalog_.take(peer.catalog_.newsSince(catalog_.version(), now), "peer", now); }
 
     // The store was listed at `version`.
-    void list(const std::vector<ObjectEntry>& entries, ObjectVersion version)
-    {
-        std::set<std::string> keys;
-        for (const ObjectEntry& entry : entries) {
-            keys.insert(entry.key_);
-            catalog_.put(entry.key_, entry.value_, entry.version_);
-        }
-        catalog_.listed(keys, version, {}, {});
-    }
+    void list(const std::vector<ObjectEntry>& entries, ObjectVersion version, TimePoint now = {}, Duration held = {}) { catalog_.list(entries, version, now, held); }
 
     // A held-open call of the store brought these.
-    void follow(const std::vector<ObjectChange>& changes)
-    {
-        for (const ObjectChange& change : changes) {
-            if (change.kind_ == ChangeKind::Remove)
-                catalog_.gone(change.key_, change.version_, {}, {});
-            else
-                catalog_.put(change.key_, change.value_, change.version_);
-        }
-    }
+    void follow(const std::vector<ObjectChange>& changes, ObjectVersion, TimePoint now = {}, Duration held = {}) { catalog_.follow(changes, now, held); }
+
+    void put(const std::string& key, const std::string& value, ObjectVersion version) { catalog_.follow({ { ChangeKind::Put, version, key, value } }, {}, {}); }
+    void remove(const std::string& key, ObjectVersion version, TimePoint now, Duration held) { catalog_.follow({ { ChangeKind::Remove, version, key, {} } }, now, held); }
 
 private:
     static const Translation& translation()
--- a/libs/serving/tests/EngineCatalogTest.cpp
+++ b/libs/serving/tests/EngineCatalogTest.cpp
@@ -14,14 +14,12 @@
     const TimePoint start {};
     Node watcher;
     Node peer;
-    watcher.catalog_.put("a", "ready", at(10));
-    watcher.catalog_.put("b", "ready", at(11));
-    watcher.catalog_.listed({ "a", "b" }, at(11), start, grace);
+    watcher.list({ { "a", at(10), 5, "ready" }, { "b", at(11), 5, "ready" } }, at(11), start, grace);
     peer.ask(watcher, start);
     REQUIRE(peer.using_ == Names { "a", "b" });
 
-    watcher.catalog_.gone("a", at(20), start, grace);
-    watcher.catalog_.put("c", "ready", at(21));
+    watcher.remove("a", at(20), start, grace);
+    watcher.put("c", "ready", at(21));
     peer.ask(watcher, start + 100ms);
     CHECK(peer.using_ == Names { "a", "b", "c" });
     CHECK(peer.catalog_.version() == 21);
@@ -40,13 +38,12 @@
 {
     const TimePoint start {};
     Node watcher;
-    watcher.catalog_.put("a", "ready", at(10));
-    watcher.catalog_.listed({ "a" }, at(10), start, grace);
+    watcher.list({ { "a", at(10), 5, "ready" } }, at(10), start, grace);
     Node second;
     Node third;
     second.ask(watcher, start);
     third.ask(watcher, start);
-    watcher.catalog_.gone("a", at(20), start, grace);
+    watcher.remove("a", at(20), start, grace);
 
     second.ask(watcher, start + 50ms);
     third.ask(second, start + 100ms);
@@ -55,7 +52,7 @@
     CHECK(fourth.using_ == Names { "a" });
     Node fifth;
     fifth.ask(watcher, start + 150ms);
-    watcher.catalog_.put("a", "ready", at(30));
+    watcher.put("a", "ready", at(30));
     fifth.ask(watcher, start + 200ms);
 
     for (Node* node : { &watcher, &second, &third, &fourth, &fifth })
@@ -73,17 +70,13 @@
 {
     const TimePoint start {};
     Node peer;
-    peer.catalog_.put("a", "draining", at(20));
-    peer.catalog_.put("b", "ready", at(21));
-    peer.catalog_.listed({ "a", "b" }, at(21), start, {});
+    peer.list({ { "a", at(20), 8, "draining" }, { "b", at(21), 5, "ready" } }, at(21), start, {});
     Node node;
-    node.catalog_.put("a", "ready", at(10));
-    node.catalog_.listed({ "a" }, at(10), start, {});
+    node.list({ { "a", at(10), 5, "ready" } }, at(10), start, {});
     node.ask(peer, start);
     REQUIRE(node.using_ == Names { "b" });
 
-    node.catalog_.put("a", "ready", at(10));
-    node.catalog_.listed({ "a" }, at(15), start, {});
+    node.list({ { "a", at(10), 5, "ready" } }, at(15), start, {});
     CHECK(node.using_ == Names { "b" });
 }
 
@@ -91,14 +84,12 @@
 {
     const TimePoint start {};
     Node watcher;
-    watcher.catalog_.put("a", "ready", at(10));
-    watcher.catalog_.put("b", "ready", at(11));
-    watcher.catalog_.listed({ "a", "b" }, at(12), start, {});
+    watcher.list({ { "a", at(10), 5, "ready" }, { "b", at(11), 5, "ready" } }, at(11), start, {});
     Node peer;
     peer.ask(watcher, start);
 
-    watcher.catalog_.put("a", "draining", at(20));
-    watcher.catalog_.gone("b", at(21), start, {});
+    watcher.put("a", "draining", at(20));
+    watcher.remove("b", at(21), start, {});
     const EngineNews news = watcher.catalog_.newsSince(peer.catalog_.version(), start);
     CHECK_FALSE(news.isWhole_);
     CHECK(news.entries_.size() == 1);
@@ -107,7 +98,7 @@
     CHECK(peer.using_.empty());
 
     // Told again: it takes nothing back.
-    watcher.catalog_.put("b", "ready", at(30));
+    watcher.put("b", "ready", at(30));
     peer.ask(watcher, start);
     peer.catalog_.take(news, "watcher", start);
     CHECK(peer.using_ == Names { "b" });
@@ -118,11 +109,10 @@
 {
     const TimePoint start {};
     Node watcher;
-    watcher.catalog_.put("a", "ready", at(10));
-    watcher.catalog_.listed({ "a" }, at(10), start, {});
+    watcher.list({ { "a", at(10), 5, "ready" } }, at(10), start, {});
     Node peer;
     peer.ask(watcher, start);
-    watcher.catalog_.put("a", "\x01", at(20));
+    watcher.put("a", "\x01", at(20));
     CHECK(watcher.using_.empty());
     peer.ask(watcher, start);
     CHECK(peer.using_.empty());
@@ -134,16 +124,15 @@
 {
     const TimePoint start {};
     Node watcher;
-    watcher.catalog_.put("a", "ready", at(10));
-    watcher.catalog_.listed({ "a" }, at(10), start, {});
+    watcher.list({ { "a", at(10), 5, "ready" } }, at(10), start, {});
     Node slow;
     Node quick;
     slow.ask(watcher, start);
     quick.ask(watcher, start);
-    watcher.catalog_.put("b", "ready", at(20));
+    watcher.put("b", "ready", at(20));
     quick.ask(watcher, start);
     REQUIRE(quick.using_ == Names { "a", "b" });
-    watcher.catalog_.gone("b", at(21), start, {});
+    watcher.remove("b", at(21), start, {});
     slow.ask(watcher, start);
     quick.ask(slow, start);
     CHECK(quick.using_ == Names { "a" });
--- a/libs/serving/tests/EngineHistoryTest.cpp
+++ b/libs/serving/tests/EngineHistoryTest.cpp
@@ -10,11 +10,21 @@
 
 namespace {
 
+using State = std::map<std::string, ObjectEntry>;
+
+Names namesOf(const State& state)
+{
+    Names names;
+    for (const auto& [key, entry] : state) {
+        if (entry.value_ == "ready")
+            names.insert(key);
+    }
+    return names;
+}
+
 // The engines' part of the store, with its whole history.
 class Store {
 public:
-    using State = std::map<std::string, ObjectEntry>;
-
     void put(const std::string& key, const std::string& value)
     {
         ++version_;
@@ -34,6 +44,14 @@
 
     std::uint64_t version() const { return version_; }
     const State& stateAt(std::uint64_t version) const { return std::prev(states_.upper_bound(version))->second; }
+    // Engines that were ready at that version or at a later one.
+    Names readySince(std::uint64_t version) const
+    {
+        Names names;
+        for (auto place = std::prev(states_.upper_bound(version)); place != states_.end(); ++place)
+            names.merge(namesOf(place->second));
+        return names;
+    }
     const State& latest() const { return states_.rbegin()->second; }
     std::vector<ObjectEntry> list() const
     {
@@ -55,16 +73,6 @@
     std::vector<ObjectChange> changes_;
 };
 
-Names namesOf(const Store::State& state)
-{
-    Names names;
-    for (const auto& [key, entry] : state) {
-        if (entry.value_ == "ready")
-            names.insert(key);
-    }
-    return names;
-}
-
 // A host with one call of the store and one question to a peer under way at most; both answers may arrive late.
 struct Host {
     std::unique_ptr<Node> node_ = std::make_unique<Node>();
@@ -113,12 +121,12 @@
         }
     }
 
-    // A host that says it knows up to a version knows what the store held then.
+    // A host uses only engines that the store had at the host's version or later, and all that it had then and has still.
     bool holds() const
     {
         return std::all_of(hosts_.begin(), hosts_.end(), [this](const Host& host) {
             const EngineCatalog& catalog = host.node_->catalog_;
-            return !catalog.isKnown() || host.node_->using_ == namesOf(store_.stateAt(catalog.version()));
+            return !catalog.isKnown() || (usesNoneGone(*host.node_) && usesAllThatStayed(*host.node_));
         });
     }
 
@@ -126,6 +134,20 @@
     std::size_t pick(std::size_t size) { return std::uniform_int_distribution<std::size_t>(0, size - 1)(random_); }
     std::string anyKey() { return "e" + std::to_string(pick(5)); }
 
+    bool usesNoneGone(const Node& node) const
+    {
+        const Names there = store_.readySince(node.catalog_.version());
+        return std::includes(there.begin(), there.end(), node.using_.begin(), node.using_.end());
+    }
+
+    bool usesAllThatStayed(const Node& node) const
+    {
+        State stayed = store_.latest();
+        std::erase_if(stayed, [&](const auto& entry) { return entry.second.version_.value() > node.catalog_.version(); });
+        const Names names = namesOf(stayed);
+        return std::includes(node.using_.begin(), node.using_.end(), names.begin(), names.end());
+    }
+
     void callStore(Host& host)
     {
         if (host.isCalling())
@@ -144,7 +166,7 @@
         if (host.listing_)
             host.node_->list(*host.listing_, at(host.answeredAt_));
         else
-            host.node_->follow(*host.watching_);
+            host.node_->follow(*host.watching_, at(host.answeredAt_), {}, {});
         host.followedTo_ = host.answeredAt_;
         host.listing_.reset();
         host.watching_.reset();
@@ -181,7 +203,7 @@
     peer.ask(watcher, start);
     REQUIRE(peer.using_ == Names { "a", "b" });
 
-    watcher.follow({ { ChangeKind::Remove, at(20), "a", {} }, { ChangeKind::Put, at(21), "c", "ready" } });
+    watcher.follow({ { ChangeKind::Remove, at(20), "a", {} }, { ChangeKind::Put, at(21), "c", "ready" } }, at(21));
     Node restarted;
     restarted.ask(watcher, start);
     peer.ask(restarted, start);
@@ -197,7 +219,7 @@
     watcher.list({ { "a", at(10), 5, "ready" } }, at(10));
     Node other;
     other.list({ { "a", at(10), 5, "ready" } }, at(10));
-    other.follow({ { ChangeKind::Put, at(20), "b", "ready" } });
+    other.follow({ { ChangeKind::Put, at(20), "b", "ready" } }, at(20));
     Node peer;
     peer.ask(other, start);
     REQUIRE(peer.using_ == Names { "a", "b" });
@@ -227,20 +249,51 @@
     CHECK(peer.using_ == Names { "a", "c" });
 }
 
+// Guards against the same, where the host has learned of more by the time at which the answer to its question comes.
+TEST_CASE("an answer that is complete for an older version only is not taken up")
+{
+    const TimePoint start {};
+    Node asker;
+    asker.list({ { "a", at(10), 5, "ready" } }, at(10));
+    Node watcher;
+    watcher.list({ { "a", at(10), 5, "ready" } }, at(10));
+    watcher.list({ { "a", at(10), 5, "ready" }, { "c", at(30), 5, "ready" } }, at(30));
+    const EngineNews answer = watcher.catalog_.newsSince(asker.catalog_.version(), start);
+
+    asker.follow({ { ChangeKind::Put, at(20), "b", "ready" } }, at(20));
+    asker.catalog_.take(answer, "watcher", start);
+    CHECK(asker.catalog_.version() == 20);
+    asker.ask(watcher, start);
+    CHECK(asker.using_ == Names { "a", "c" });
+}
+
+// Guards against updates that carry every engine's entry to each peer that asks a host which has just started.
+TEST_CASE("a peer hears only the names of engines that it knows as they are")
+{
+    const TimePoint start {};
+    Node watcher;
+    watcher.list({ { "a", at(10), 5, "ready" }, { "b", at(11), 5, "ready" }, { "c", at(20), 5, "ready" } }, at(30));
+    const EngineNews update = watcher.catalog_.newsSince(11, start);
+    CHECK(update.isWhole_);
+    REQUIRE(update.entries_.size() == 1);
+    CHECK(update.entries_.front().key_ == "c");
+    CHECK(update.unchanged_ == std::vector<std::string> { "a", "b" });
+}
+
 // Guards against requests to an engine that has left, from a host whose list of the store was under way when a peer's update came.
 TEST_CASE("a list that is older than a peer's update brings no removed engine back")
 {
     const TimePoint start {};
     Node watcher;
     watcher.list({ { "a", at(10), 5, "ready" }, { "b", at(11), 5, "ready" } }, at(11));
-    watcher.follow({ { ChangeKind::Remove, at(20), "a", {} } });
+    watcher.follow({ { ChangeKind::Remove, at(20), "a", {} } }, at(20));
     Node node;
     node.ask(watcher, start);
     node.list({ { "a", at(10), 5, "ready" }, { "b", at(11), 5, "ready" } }, at(15));
     CHECK(node.using_ == Names { "b" });
 }
 
-// Guards against a host that says it knows the engines up to a version, and knows others than the store had at it.
+// Guards against a host that says it knows the engines up to a version, and uses one that had gone by then, or lacks one that stays.
 TEST_CASE("whatever way its updates come, a host knows what the store held at its version")
 {
     constexpr std::uint64_t seeds = 3000;
