Serving: an old answer of the store brings no removed engine back

A host that starts lists the store and hears from peers at the same time. A list that was long under way named an engine that a peer's update had removed meanwhile; the host took it in again, at a version at which no later update names its removal, and would send requests to it until it exited.

The other way round: a host whose list or held-open call is newer than a peer's update took that update's engines in again.

Change: an entry that isn't known, and not newer than what this host knows, is passed over when the answer is older; an update of a peer that is older than the store's last answer is passed over whole. The version of that answer also ends the guess with which a watcher decided whether it is behind: it isn't while its own last answer is newer than what the peer has.

--- a/libs/serving/src/EngineCatalog.cpp
+++ b/libs/serving/src/EngineCatalog.cpp
@@ -60,15 +60,24 @@
     miss(key, version, now + grace);
 }
 
-void EngineCatalog::follow(const std::vector<ObjectChange>& changes, TimePoint now, Duration grace)
+// An answer that is older than what this node knows by its peers may name an engine that is gone since.
+void EngineCatalog::putAnswered(const std::string& key, const std::string& value, ObjectVersion version, ObjectVersion answeredAt)
+{
+    const bool isGoneSince = !known_.contains(key) && version.value() <= newest_ && answeredAt.value() < newest_;
+    if (!isGoneSince)
+        put(key, value, version);
+}
+
+void EngineCatalog::follow(const std::vector<ObjectChange>& changes, ObjectVersion version, TimePoint now, Duration grace)
 {
     for (const ObjectChange& change : changes) {
         if (change.kind_ != ChangeKind::Remove)
-            put(change.key_, change.value_, change.version_);
+            putAnswered(change.key_, change.value_, change.version_, version);
         else
             gone(change.key_, change.version_, now, grace);
         knowsUpTo(change.version_.value());
     }
+    answeredUpTo_ = std::max(answeredUpTo_, version.value());
 }
 
 void EngineCatalog::list(const std::vector<ObjectEntry>& entries, ObjectVersion version, TimePoint now, Duration grace)
@@ -79,7 +88,7 @@
     for (const ObjectEntry& entry : entries) {
         keys.insert(entry.key_);
         newestEntry = std::max(newestEntry, entry.version_.value());
-        put(entry.key_, entry.value_, entry.version_);
+        putAnswered(entry.key_, entry.value_, entry.version_, version);
     }
     knowsUpTo(newestEntry);
     std::vector<std::string> missing;
@@ -91,6 +100,7 @@
     for (const std::string& key : missing)
         gone(key, version, now, grace);
     removals_.skip({ before, version.value() });
+    answeredUpTo_ = std::max(answeredUpTo_, version.value());
     isKnown_ = true;
 }
 
@@ -142,6 +152,13 @@
 
 void EngineCatalog::knowsUpTo(std::uint64_t version) { newest_ = std::max(newest_, version); }
 
+bool EngineCatalog::knowsAsMuch(std::uint64_t version)
+{
+    if (version <= answeredUpTo_)
+        knowsUpTo(version);
+    return version <= newest_;
+}
+
 EngineNews EngineCatalog::newsSince(std::uint64_t since, TimePoint now) const
 {
     EngineNews news;
@@ -179,7 +196,7 @@
 
 void EngineCatalog::take(const EngineNews& news, std::string_view peer, TimePoint now)
 {
-    if (news.version_ == 0 || news.version_ <= newest_)
+    if (news.version_ == 0 || knowsAsMuch(news.version_))
         return;
     const std::uint64_t before = newest_;
     // This node has moved on since it asked, and the answer isn't complete from here; it asks again.
--- a/libs/serving/src/EngineCatalog.h
+++ b/libs/serving/src/EngineCatalog.h
@@ -39,8 +39,8 @@
 
     // All entries, with values, as the store held them at `version`. An engine that isn't named is gone, and stays in use for `grace`.
     void list(const std::vector<ObjectEntry>& entries, ObjectVersion version, TimePoint now, Duration grace);
-    // All changes since an earlier list or call, in their order.
-    void follow(const std::vector<ObjectChange>& changes, TimePoint now, Duration grace);
+    // All changes up to `version` since an earlier list or call, in their order.
+    void follow(const std::vector<ObjectChange>& changes, ObjectVersion version, TimePoint now, Duration grace);
 
     // Lets go of missing engines whose time is over.
     void tick(TimePoint now);
@@ -49,8 +49,8 @@
 
     // Every change up to it is taken up; 0: none.
     std::uint64_t version() const { return newest_; }
-    // Nothing that this node doesn't know happened up to `version`.
-    void knowsUpTo(std::uint64_t version);
+    // A peer knows of changes up to `version`. True: so does this node, from now on it says so too.
+    bool knowsAsMuch(std::uint64_t version);
     bool isKnown() const { return isKnown_; }
     void forEach(const std::function<void(const EngineEntry&)>& visit) const;
     // For a peer that knows of changes up to `since`.
@@ -71,7 +71,10 @@
     };
 
     void put(const std::string& key, const std::string& value, ObjectVersion version);
+    // An entry out of an answer that shows the store at `answeredAt`.
+    void putAnswered(const std::string& key, const std::string& value, ObjectVersion version, ObjectVersion answeredAt);
     void gone(const std::string& key, ObjectVersion version, TimePoint now, Duration grace);
+    void knowsUpTo(std::uint64_t version);
     bool isOlder(const std::string& key, ObjectVersion version) const;
     void miss(const std::string& key, ObjectVersion version, TimePoint goneAt);
     void remove(const std::string& key, ObjectVersion version, std::string_view why);
@@ -84,7 +87,10 @@
     Removed removed_;
     std::map<std::string, Known> known_; // by the entry's key. Invariant: none is newer than newest_.
     RemovalHistory removals_; // for peers that heard of an engine and not of its end
-    std::uint64_t newest_ = 0;
+    std::uint64_t newest_ = 0; // of an engine's change
+    // Of the store, in its last answer: no engine changed since newest_ up to it, but for some that came and went. Most of its versions are of
+    // other objects, so peers don't hear of it.
+    std::uint64_t answeredUpTo_ = 0;
     bool isKnown_ = false;
 };
 
--- a/libs/serving/src/EngineFeed.cpp
+++ b/libs/serving/src/EngineFeed.cpp
@@ -24,7 +24,7 @@
     else if (!busy_ && now >= nextAt_ && !passive_)
         watch(now);
     catalog_.tick(now);
-    const bool isBehind = peerVersion_ > catalog_.version();
+    const bool isBehind = !catalog_.knowsAsMuch(peerVersion_);
     const Duration patience = passive_ ? Duration::zero() : times_.behindBound_;
     if (!isBehind || now - peerAheadSince_ < patience || now - askedAt_ < times_.askEvery_)
         return;
@@ -39,7 +39,7 @@
 
 void EngineFeed::peerHas(std::uint64_t version, TimePoint now)
 {
-    if (version <= std::max(catalog_.version(), peerVersion_))
+    if (catalog_.knowsAsMuch(version) || version <= peerVersion_)
         return;
     peerVersion_ = version;
     peerAheadSince_ = now;
@@ -117,9 +117,6 @@
     logAnswer("list", ObjectVersion(catalog_.version()), listedAt_, listing_.size(), 0);
     catalog_.list(listing_, listedAt_, now, graceAt(now));
     listing_.clear();
-    // A removal has no entry that could tell its version: what the peer had seen is in this list if the store was there by then.
-    if (listedAt_.value() >= peerVersion_)
-        catalog_.knowsUpTo(peerVersion_);
     busy_ = false;
     failures_ = 0;
     seen_ = listedAt_;
@@ -144,7 +141,7 @@
         const auto removed = static_cast<std::size_t>(std::count_if(answer.changes_.begin(), answer.changes_.end(), [](const ObjectChange& change) { return change.kind_ == ChangeKind::Remove; }));
         if (!answer.changes_.empty())
             logAnswer("watch", seen_, answer.version_, answer.changes_.size() - removed, removed);
-        catalog_.follow(answer.changes_, at, graceAt(at));
+        catalog_.follow(answer.changes_, answer.version_, at, graceAt(at));
         seen_ = answer.version_;
         nextAt_ = at + (answer.changes_.empty() ? Duration::zero() : times_.betweenChanges_);
         if (!passive_ && answer.changes_.empty())
--- a/libs/serving/tests/CatalogNode.h
+++ b/libs/serving/tests/CatalogNode.h
@@ -44,10 +44,10 @@
     void list(const std::vector<ObjectEntry>& entries, ObjectVersion version, TimePoint now = {}, Duration held = {}) { catalog_.list(entries, version, now, held); }
 
     // A held-open call of the store brought these.
-    void follow(const std::vector<ObjectChange>& changes, ObjectVersion, TimePoint now = {}, Duration held = {}) { catalog_.follow(changes, now, held); }
+    void follow(const std::vector<ObjectChange>& changes, ObjectVersion version, TimePoint now = {}, Duration held = {}) { catalog_.follow(changes, version, now, held); }
 
-    void put(const std::string& key, const std::string& value, ObjectVersion version) { catalog_.follow({ { ChangeKind::Put, version, key, value } }, {}, {}); }
-    void remove(const std::string& key, ObjectVersion version, TimePoint now, Duration held) { catalog_.follow({ { ChangeKind::Remove, version, key, {} } }, now, held); }
+    void put(const std::string& key, const std::string& value, ObjectVersion version) { catalog_.follow({ { ChangeKind::Put, version, key, value } }, version, {}, {}); }
+    void remove(const std::string& key, ObjectVersion version, TimePoint now, Duration held) { catalog_.follow({ { ChangeKind::Remove, version, key, {} } }, version, now, held); }
 
 private:
     static const Translation& translation()
