Serving: what changes between two pages of a list is left to the update that follows

A list of several pages counted as knowing all up to the newest entry of its last page, though removals between the pages weren't in it. A peer that asked in between counted as knowing of them too and kept the engines. Found by the explored model once its lists had pages.

Change: an entry newer than the first page waits for the next update, and the gap of a list reaches to its last page.

Tests: 'what changes between two pages of a list is left to the call that follows it' fails on the code before (the peer still uses the removed engine); the explored model's lists have pages of three entries and others change between them.

--- a/libs/serving/src/EngineCatalog.cpp
+++ b/libs/serving/src/EngineCatalog.cpp
@@ -80,12 +80,16 @@
     answeredUpTo_ = std::max(answeredUpTo_, version.value());
 }
 
-void EngineCatalog::list(const std::vector<ObjectEntry>& entries, ObjectVersion version, TimePoint now, Duration grace)
+void EngineCatalog::list(const std::vector<ObjectEntry>& entries, PageVersions versions, TimePoint now, Duration grace)
 {
+    const ObjectVersion version = versions.first_;
     const std::uint64_t before = newest_;
     std::uint64_t newestEntry = 0;
     std::set<std::string> keys;
     for (const ObjectEntry& entry : entries) {
+        // Changed between two pages. What else had changed by then isn't known, so it waits for the update that names all of it.
+        if (entry.version_ > version)
+            continue;
         keys.insert(entry.key_);
         newestEntry = std::max(newestEntry, entry.version_.value());
         putAnswered(entry.key_, entry.value_, entry.version_, version);
@@ -99,7 +103,7 @@
     // The list doesn't say when they went; peers that know less are told as of the list.
     for (const std::string& key : missing)
         gone(key, version, now, grace);
-    removals_.skip({ before, version.value() });
+    removals_.skip({ before, versions.last_.value() });
     answeredUpTo_ = std::max(answeredUpTo_, version.value());
     isKnown_ = true;
 }
--- a/libs/serving/src/EngineCatalog.h
+++ b/libs/serving/src/EngineCatalog.h
@@ -28,6 +28,12 @@
 
 namespace jj {
 
+// The store's versions when the first and the last page of a list were read.
+struct PageVersions {
+    ObjectVersion first_;
+    ObjectVersion last_;
+};
+
 class EngineCatalog {
 public:
     using Changed = std::function<void(const EngineEntry&)>;
@@ -37,8 +43,8 @@
 
     // ---- from the store
 
-    // All entries, with values, as the store held them at `version`. An engine that isn't named is gone, and stays in use for `grace`.
-    void list(const std::vector<ObjectEntry>& entries, ObjectVersion version, TimePoint now, Duration grace);
+    // All entries, with values. An engine that isn't named is gone, and stays in use for `grace`.
+    void list(const std::vector<ObjectEntry>& entries, PageVersions versions, TimePoint now, Duration grace);
     // All changes up to `version` since an earlier list or call, in their order.
     void follow(const std::vector<ObjectChange>& changes, ObjectVersion version, TimePoint now, Duration grace);
 
--- a/libs/serving/src/EngineFeed.cpp
+++ b/libs/serving/src/EngineFeed.cpp
@@ -104,6 +104,7 @@
         if (listedAt_.isNone())
             listedAt_ = answer.version_;
         listing_.insert(listing_.end(), answer.entries_.begin(), answer.entries_.end());
+        lastPageAt_ = answer.version_;
         if (!answer.next_.empty())
             return list(answer.next_, at);
         takeList(at);
@@ -115,7 +116,7 @@
 {
     grace_.answered(now);
     logAnswer("list", ObjectVersion(catalog_.version()), listedAt_, listing_.size(), 0);
-    catalog_.list(listing_, listedAt_, now, graceAt(now));
+    catalog_.list(listing_, { listedAt_, lastPageAt_ }, now, graceAt(now));
     listing_.clear();
     busy_ = false;
     failures_ = 0;
--- a/libs/serving/src/EngineFeed.h
+++ b/libs/serving/src/EngineFeed.h
@@ -53,7 +53,8 @@
     bool hasListed_ = false; // each node lists once at its start, see ConfigFollower.h
     std::vector<ObjectEntry> listing_; // pages of the list under way
     ObjectVersion seen_; // up to which changes are known; none: has to be listed
-    ObjectVersion listedAt_;
+    ObjectVersion listedAt_; // of the first page
+    ObjectVersion lastPageAt_;
     std::uint64_t turn_ = 0; // of the call under way; answers to earlier ones are dropped
     bool busy_ = false;
     std::uint32_t failures_ = 0;
--- a/libs/serving/tests/CatalogNode.h
+++ b/libs/serving/tests/CatalogNode.h
@@ -41,7 +41,7 @@
     void ask(const Node& peer, TimePoint now) { catalog_.take(peer.catalog_.newsSince(catalog_.version(), now), "peer", now); }
 
     // The store was listed at `version`.
-    void list(const std::vector<ObjectEntry>& entries, ObjectVersion version, TimePoint now = {}, Duration held = {}) { catalog_.list(entries, version, now, held); }
+    void list(const std::vector<ObjectEntry>& entries, ObjectVersion version, TimePoint now = {}, Duration held = {}) { catalog_.list(entries, { version, version }, now, held); }
 
     // A held-open call of the store brought these.
     void follow(const std::vector<ObjectChange>& changes, ObjectVersion version, TimePoint now = {}, Duration held = {}) { catalog_.follow(changes, version, now, held); }
--- a/libs/serving/tests/EngineHistoryTest.cpp
+++ b/libs/serving/tests/EngineHistoryTest.cpp
@@ -53,11 +53,13 @@
         return names;
     }
     const State& latest() const { return states_.rbegin()->second; }
-    std::vector<ObjectEntry> list() const
+    // The entries from that key on, as many as fit a page.
+    std::vector<ObjectEntry> page(const std::string& from) const
     {
+        constexpr std::size_t pageSize = 3;
         std::vector<ObjectEntry> entries;
-        for (const auto& [key, entry] : latest())
-            entries.push_back(entry);
+        for (auto place = latest().lower_bound(from); place != latest().end() && entries.size() < pageSize; ++place)
+            entries.push_back(place->second);
         return entries;
     }
     std::vector<ObjectChange> changesSince(std::uint64_t version) const
@@ -79,7 +81,8 @@
     std::uint64_t followedTo_ = 0; // 0: has to list
     std::optional<std::vector<ObjectEntry>> listing_;
     std::optional<std::vector<ObjectChange>> watching_;
-    std::uint64_t answeredAt_ = 0; // the store's version at that answer
+    std::uint64_t answeredAt_ = 0; // the store's version at that answer, or at a list's first page
+    std::uint64_t lastPageAt_ = 0;
     std::optional<EngineNews> update_;
 
     bool isCalling() const { return listing_ || watching_; }
@@ -153,18 +156,19 @@
         if (host.isCalling())
             return;
         host.answeredAt_ = store_.version();
+        host.lastPageAt_ = store_.version();
         if (host.followedTo_ == 0 || pick(4) == 0)
-            host.listing_ = store_.list();
+            host.listing_ = store_.page({});
         else
             host.watching_ = store_.changesSince(host.followedTo_);
     }
 
-    static void answerStore(Host& host)
+    void answerStore(Host& host)
     {
-        if (!host.isCalling())
+        if (!host.isCalling() || readsPage(host))
             return;
         if (host.listing_)
-            host.node_->list(*host.listing_, at(host.answeredAt_));
+            host.node_->catalog_.list(*host.listing_, { at(host.answeredAt_), at(host.lastPageAt_) }, {}, {});
         else
             host.node_->follow(*host.watching_, at(host.answeredAt_), {}, {});
         host.followedTo_ = host.answeredAt_;
@@ -172,6 +176,17 @@
         host.watching_.reset();
     }
 
+    // The pages of a list are read one after the other, and the store changes meanwhile. False: the list is complete.
+    bool readsPage(Host& host) const
+    {
+        if (!host.listing_ || host.listing_->empty())
+            return false;
+        host.lastPageAt_ = store_.version();
+        const std::vector<ObjectEntry> next = store_.page(host.listing_->back().key_ + "+");
+        host.listing_->insert(host.listing_->end(), next.begin(), next.end());
+        return !next.empty();
+    }
+
     void askPeer(Host& host)
     {
         const Host& peer = hosts_[pick(hosts_.size())];
@@ -293,6 +308,20 @@
     CHECK(node.using_ == Names { "b" });
 }
 
+// Guards against requests to an engine that has left, from a host that read a list of several pages while engines came and went.
+TEST_CASE("what changes between two pages of a list is left to the call that follows it")
+{
+    const TimePoint start {};
+    Node watcher;
+    watcher.catalog_.list({ { "a", at(10), 5, "ready" }, { "b", at(30), 5, "ready" } }, { at(20), at(30) }, start, {});
+    Node peer;
+    peer.ask(watcher, start);
+    watcher.follow({ { ChangeKind::Remove, at(25), "a", {} }, { ChangeKind::Put, at(30), "b", "ready" } }, at(30));
+    peer.ask(watcher, start);
+    CHECK(watcher.using_ == Names { "b" });
+    CHECK(peer.using_ == Names { "b" });
+}
+
 // Guards against a host that says it knows the engines up to a version, and uses one that had gone by then, or lacks one that stays.
 TEST_CASE("whatever way its updates come, a host knows what the store held at its version")
 {
