Serving: an engine that is held on to after an outage hides neither its successor's end nor what this host never knew

Just after an outage a host holds on to engines that the store doesn't name. Two cases let a peer keep an engine for good: the store named the removal of an engine that this host never knew, and nothing was noted of it; and a held engine stood for one that had registered again under the same id and gone, which a peer knew and this host didn't.

--- a/libs/serving/src/EngineCatalog.cpp
+++ b/libs/serving/src/EngineCatalog.cpp
@@ -55,7 +55,8 @@
     knowsUpTo(version.value());
     if (isOlder(key, version))
         return;
-    if (grace == Duration::zero())
+    // Nothing is held of what isn't known here, and peers that know it have to hear of its end.
+    if (grace == Duration::zero() || !known_.contains(key))
         return remove(key, version, "gone");
     miss(key, version, now + grace);
 }
@@ -223,6 +224,8 @@
     for (const MissingEngine& missing : news.missing_) {
         if (!isOlder(missing.key_, missing.version_))
             miss(missing.key_, missing.version_, now + missing.goneIn_);
+        else if (news.isWhole_)
+            remove(missing.key_, ObjectVersion(news.version_), "goneByPeer"); // it registered again and went, unseen by the peer
     }
     isKnown_ = true;
     log_.line("enginesByPeer").with("peer", peer).with("whole", news.isWhole_ ? "yes" : "no").with("before", before).with("version", newest_).with("changed", news.entries_.size()).with("removed", news.removed_.size()).with("missing", news.missing_.size());
--- a/libs/serving/tests/EngineHistoryTest.cpp
+++ b/libs/serving/tests/EngineHistoryTest.cpp
@@ -91,8 +91,10 @@
 // Some hosts and a store, driven by a seed: engines come, change and go, answers are late, hosts start again with nothing.
 class Explored {
 public:
-    explicit Explored(std::uint64_t seed)
+    // `hold`: how long engines that a host misses just after an outage stay in use.
+    Explored(std::uint64_t seed, Duration hold)
         : random_(seed)
+        , hold_(hold)
     {
     }
 
@@ -124,6 +126,13 @@
         }
     }
 
+    // Time passes until nothing is held any more.
+    void letGo()
+    {
+        for (Host& host : hosts_)
+            host.node_->catalog_.tick(TimePoint {} + hold_);
+    }
+
     // A host uses only engines that the store had at the host's version or later, and all that it had then and has still.
     bool holds() const
     {
@@ -168,9 +177,9 @@
         if (!host.isCalling() || readsPage(host))
             return;
         if (host.listing_)
-            host.node_->catalog_.list(*host.listing_, { at(host.answeredAt_), at(host.lastPageAt_) }, {}, {});
+            host.node_->catalog_.list(*host.listing_, { at(host.answeredAt_), at(host.lastPageAt_) }, {}, anyHold());
         else
-            host.node_->follow(*host.watching_, at(host.answeredAt_), {}, {});
+            host.node_->follow(*host.watching_, at(host.answeredAt_), {}, anyHold());
         host.followedTo_ = host.answeredAt_;
         host.listing_.reset();
         host.watching_.reset();
@@ -201,7 +210,10 @@
         host.update_.reset();
     }
 
+    Duration anyHold() { return pick(3) == 0 ? hold_ : Duration::zero(); }
+
     std::mt19937_64 random_;
+    Duration hold_;
     Store store_;
     std::vector<Host> hosts_ = std::vector<Host>(4);
 };
@@ -322,13 +334,46 @@
     CHECK(peer.using_ == Names { "b" });
 }
 
+// Guards against requests to an engine that has left, from a host that asked one which holds on to what it misses after an outage.
+TEST_CASE("a removal during a hold reaches a peer also when this host never knew the engine")
+{
+    const TimePoint start {};
+    Node watcher;
+    watcher.list({ { "a", at(10), 5, "ready" } }, at(10));
+    Node peer;
+    peer.ask(watcher, start);
+    peer.put("b", "ready", at(20));
+    watcher.remove("b", at(21), start, grace);
+    peer.ask(watcher, start);
+    CHECK(peer.using_ == Names { "a" });
+}
+
+// Guards against the same, where the engine registered again and went while this host held on to the one before.
+TEST_CASE("an engine that a host holds on to doesn't stand for its successor")
+{
+    const TimePoint start {};
+    Node watcher;
+    watcher.list({ { "a", at(10), 5, "ready" } }, at(10));
+    Node other;
+    other.ask(watcher, start);
+    other.put("a", "ready", at(30));
+    Node peer;
+    peer.ask(other, start);
+
+    watcher.remove("a", at(20), start, grace);
+    watcher.list({ { "b", at(40), 5, "ready" } }, at(40), start, grace);
+    peer.ask(watcher, start);
+    CHECK(peer.catalog_.version() == 40);
+    CHECK(peer.using_ == Names { "b" });
+}
+
 // Guards against a host that says it knows the engines up to a version, and uses one that had gone by then, or lacks one that stays.
 TEST_CASE("whatever way its updates come, a host knows what the store held at its version")
 {
     constexpr std::uint64_t seeds = 3000;
     constexpr int steps = 300;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        Explored explored(seed);
+        Explored explored(seed, {});
         for (int step = 0; step < steps; ++step) {
             explored.step();
             CAPTURE(seed);
@@ -337,3 +382,22 @@
         }
     }
 }
+
+// Guards against the same, where some hosts have just been cut off from the store and hold on to what they miss.
+TEST_CASE("whatever was held after an outage, a host uses none that had gone when the hold is over")
+{
+    constexpr std::uint64_t seeds = 3000;
+    constexpr int rounds = 10;
+    constexpr int stepsOfRound = 30;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Explored explored(seed, grace);
+        for (int round = 0; round < rounds; ++round) {
+            for (int step = 0; step < stepsOfRound; ++step)
+                explored.step();
+            explored.letGo();
+            CAPTURE(seed);
+            CAPTURE(round);
+            REQUIRE(explored.holds());
+        }
+    }
+}
