Serving: a watcher that is behind its peers asks for the changes since, not for all engines

A watcher pauses for half a second after an answer that brought something.

Change: it asks for the changes since its last answer, in a call that the store need not hold; only a call that failed leads to a list. A watcher whose own answer is as new as the peer's version asks nothing. EngineFeed takes the store and the clock as template parameters, so tests script the one and hold the other still.

--- a/libs/serving/src/EngineFeed.h
+++ b/libs/serving/src/EngineFeed.h
@@ -2,47 +2,227 @@
 //
 // A node that watches lists the entries once and then follows them by calls that the store holds open; a passive one asks the peer
 // that knows more (see ConfigFollower.h). Peers' versions guard the watchers too: one that is behind them for longer than a message
-// takes lists again, so a call that silently hears nothing costs no more than behindBound_.
+// takes asks again from where it is, so a call that silently hears nothing costs no more than behindBound_. It lists again only when
+// a call has failed: a list names no engine that came and went meanwhile (see RemovalHistory.h), and all the others once more.
+//
+//     EngineFeed<StoreLink, SystemClock> feed(clock, store, translation, log, times, grace, catalog, askPeer);
+//     feed.setPassive(false);
+//     feed.tick(clock.now());
+//
+// The store and the clock are template parameters: the platform's and the process's own in the daemon, a script and one that stands
+// still in tests.
 #pragma once
 
 #include "DecisionLog.h"
 #include "EngineCatalog.h"
 #include "FollowerTimes.h"
 #include "OutageGrace.h"
-#include "StoreLink.h"
+#include "objects/ObjectApi.h"
 #include "serving/Translation.h"
 
+#include <algorithm>
+#include <concepts>
 #include <functional>
 #include <string>
 #include <vector>
 
 namespace jj {
 
+// One try of a call, and since when the store has been in reach.
+template <class Store>
+concept EngineStore = requires(Store& store, const ObjectCall& call, std::function<void(const ObjectAnswer&)> done)
+{
+    store.once(call, done);
+    {
+        store.backSince()
+        } -> std::same_as<TimePoint>;
+};
+
+template <EngineStore Store, Clock RuntimeClock>
 class EngineFeed {
 public:
     using AskPeer = std::function<void()>;
 
     // `grace`: how long an engine stays in use that is missing after this node couldn't reach the store.
-    EngineFeed(StoreLink& store, const Translation& translation, DecisionLog& log, FollowerTimes times, Duration grace, EngineCatalog& catalog, AskPeer askPeer);
+    EngineFeed(const RuntimeClock& clock, Store& store, const Translation& translation, DecisionLog& log, FollowerTimes times, Duration grace, EngineCatalog& catalog, AskPeer askPeer)
+        : clock_(clock)
+        , store_(store)
+        , translation_(translation)
+        , log_(log)
+        , times_(times)
+        , grace_(grace)
+        , catalog_(catalog)
+        , askPeer_(std::move(askPeer))
+    {
+    }
 
     // Passive until told otherwise.
     void setPassive(bool passive) { passive_ = passive; }
-    void tick(TimePoint now);
-    void peerHas(std::uint64_t version, TimePoint now);
+
+    void tick(TimePoint now)
+    {
+        const bool isDue = !busy_ && now >= nextAt_;
+        const bool mustList = seen_.isNone() && (!passive_ || !hasListed_);
+        if (isDue && mustList)
+            list({}, now);
+        else if (isDue && !passive_)
+            watch(times_.heldOpen_, now);
+        catalog_.tick(now);
+        catchUp(now);
+    }
+
+    void peerHas(std::uint64_t version, TimePoint now)
+    {
+        if (catalog_.knowsAsMuch(version) || version <= peerVersion_)
+            return;
+        peerVersion_ = version;
+        peerAheadSince_ = now;
+        // While engines register there are new versions all the time; tick() asks again.
+        if (!passive_ || now - askedAt_ < times_.askEvery_)
+            return;
+        askedAt_ = now;
+        askPeer_();
+    }
+
     // The store answers, and its changes are followed.
     bool isFollowing() const { return !passive_ && !seen_.isNone() && failures_ == 0; }
 
 private:
-    void list(std::string after, TimePoint now);
-    void takeList(TimePoint now);
-    void watch(TimePoint now);
-    void listFailed(TimePoint now);
-    void watchFailed(std::error_code error, TimePoint now);
-    void again(TimePoint now);
-    void logAnswer(std::string_view call, ObjectVersion from, ObjectVersion upTo, std::size_t changed, std::size_t removed);
+    void catchUp(TimePoint now)
+    {
+        const bool isBehind = !catalog_.knowsAsMuch(peerVersion_);
+        const Duration patience = passive_ ? Duration::zero() : times_.behindBound_;
+        if (!isBehind || now - peerAheadSince_ < patience || now - askedAt_ < times_.askEvery_)
+            return;
+        askedAt_ = now;
+        if (passive_)
+            return askPeer_();
+        if (!catalog_.isKnown())
+            return;
+        log_.line("enginesBehind").with("known", catalog_.version()).with("peer", peerVersion_);
+        if (seen_.isNone())
+            return list({}, now);
+        // There is a change, so the store has no reason to hold this call.
+        watch(times_.behindBound_, now);
+    }
+
+    // What an answer of the store brought: with the peers' updates it shows by which way a change came, or didn't.
+    void logAnswer(std::string_view call, std::uint64_t from, ObjectVersion upTo, std::size_t changed, std::size_t removed)
+    {
+        log_.line("enginesByStore").with("call", call).with("from", from).with("version", upTo.value()).with("changed", changed).with("removed", removed);
+    }
+
+    // ---- failures
+
+    void again(TimePoint now)
+    {
+        busy_ = false;
+        nextAt_ = now + retryAfter(times_, failures_);
+        ++failures_;
+        seen_ = ObjectVersion::none();
+    }
+
+    void listFailed(TimePoint now)
+    {
+        grace_.lost(now);
+        again(now);
+    }
+
+    // A store that is well cuts held-open calls too, and forgets its history. Only silence to the end of the call's time tells that it
+    // was out of reach; a cut by an outage is followed by a list that fails.
+    void watchFailed(std::error_code error, TimePoint now)
+    {
+        if (now - calledAt_ >= heldOpen_)
+            grace_.lost(now);
+        again(now);
+        if (error == ObjectError::Expired)
+            nextAt_ = now;
+    }
+
+    // ---- list
+
+    void list(std::string after, TimePoint now)
+    {
+        busy_ = true;
+        hasListed_ = true;
+        calledAt_ = now;
+        if (after.empty()) {
+            listing_.clear();
+            listedAt_ = ObjectVersion::none();
+        }
+        store_.once(ObjectCall::list(translation_.keys_.engines_, true, std::move(after)), [this, turn = ++turn_](const ObjectAnswer& answer) {
+            if (turn == turn_)
+                takePage(answer, clock_.now());
+        });
+    }
+
+    void takePage(const ObjectAnswer& answer, TimePoint now)
+    {
+        if (!answer.ok())
+            return listFailed(now);
+        // The watch goes on from the first page.
+        if (listedAt_.isNone())
+            listedAt_ = answer.version_;
+        lastPageAt_ = answer.version_;
+        listing_.insert(listing_.end(), answer.entries_.begin(), answer.entries_.end());
+        if (!answer.next_.empty())
+            return list(answer.next_, now);
+        takeList(now);
+    }
+
+    // All pages at once: a peer that asked between two of them would count as knowing of removals that it was not told.
+    void takeList(TimePoint now)
+    {
+        grace_.answered(now);
+        logAnswer("list", catalog_.version(), listedAt_, listing_.size(), 0);
+        catalog_.list(listing_, { listedAt_, lastPageAt_ }, now, graceAt(now));
+        listing_.clear();
+        busy_ = false;
+        failures_ = 0;
+        seen_ = listedAt_;
+        nextAt_ = now;
+    }
+
+    // ---- watch
+
+    void watch(Duration heldOpen, TimePoint now)
+    {
+        busy_ = true;
+        calledAt_ = now;
+        heldOpen_ = heldOpen;
+        store_.once(ObjectCall::changes(translation_.keys_.engines_, seen_, heldOpen), [this, turn = ++turn_](const ObjectAnswer& answer) {
+            if (turn == turn_)
+                takeChanges(answer, clock_.now());
+        });
+    }
+
+    void takeChanges(const ObjectAnswer& answer, TimePoint now)
+    {
+        busy_ = false;
+        if (!answer.ok())
+            return watchFailed(answer.error_, now);
+        failures_ = 0;
+        grace_.answered(now);
+        const bool isQuiet = answer.changes_.empty();
+        if (!isQuiet)
+            logChanges(answer);
+        catalog_.follow(answer.changes_, answer.version_, now, graceAt(now));
+        seen_ = answer.version_;
+        nextAt_ = now + (isQuiet ? Duration::zero() : times_.betweenChanges_);
+        if (!passive_ && isQuiet)
+            watch(times_.heldOpen_, now);
+    }
+
+    void logChanges(const ObjectAnswer& answer)
+    {
+        const auto removed = static_cast<std::size_t>(std::count_if(answer.changes_.begin(), answer.changes_.end(), [](const ObjectChange& change) { return change.kind_ == ChangeKind::Remove; }));
+        logAnswer("watch", seen_.value(), answer.version_, answer.changes_.size() - removed, removed);
+    }
+
     Duration graceAt(TimePoint now) const { return grace_.left(store_.backSince(), now); }
 
-    StoreLink& store_;
+    const RuntimeClock& clock_;
+    Store& store_;
     const Translation& translation_;
     DecisionLog& log_;
     FollowerTimes times_;
@@ -59,6 +239,7 @@
     bool busy_ = false;
     std::uint32_t failures_ = 0;
     TimePoint calledAt_ {};
+    Duration heldOpen_ {}; // of the last watch
     TimePoint nextAt_ {};
     TimePoint askedAt_ {};
     std::uint64_t peerVersion_ = 0;
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -140,7 +140,7 @@
         fleet_->tell();
     };
     catalog_ = std::make_unique<EngineCatalog>(translation_, log_, settings_.regions_, changed, removed);
-    feed_ = std::make_unique<EngineFeed>(*store_, translation_, log_, FollowerTimes(), settings_.engineGrace_, *catalog_, [this] { askForNews(); });
+    feed_ = std::make_unique<EngineFeed<StoreLink, SystemClock>>(clock_, *store_, translation_, log_, FollowerTimes(), settings_.engineGrace_, *catalog_, [this] { askForNews(); });
 }
 
 std::optional<Failure> ServingNode::Parts::openFleet()
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -10,6 +10,7 @@
 #include "Relay.h"
 #include "RetirementDuty.h"
 #include "SlotQueue.h"
+#include "StoreLink.h"
 #include "ledger/FileDisk.h"
 #include "ledger/JobSpool.h"
 #include "serving/ServingNode.h"
@@ -63,6 +64,7 @@
     ServingSettings settings_;
     const Translation& translation_;
     Reload reload_;
+    SystemClock clock_;
     boost::asio::io_context io_ { 1 };
     DecisionLog log_;
     Metrics metrics_;
@@ -79,7 +81,7 @@
     std::unique_ptr<ConfigFollower> config_;
     std::unique_ptr<WatchChoice> watchChoice_;
     std::unique_ptr<EngineCatalog> catalog_;
-    std::unique_ptr<EngineFeed> feed_;
+    std::unique_ptr<EngineFeed<StoreLink, SystemClock>> feed_;
     std::unique_ptr<JobScheduler> scheduler_;
     std::unique_ptr<ItemRunner> runner_;
     std::unique_ptr<JobFront> jobs_;
--- /dev/null
+++ b/libs/serving/tests/EngineFeedTest.cpp
@@ -0,0 +1,127 @@
+// What a watcher asks the store for, and when.
+#include "EngineFeed.h"
+#include "CatalogNode.h"
+
+#include <doctest/doctest.h>
+
+using namespace jj;
+using namespace jj::testing;
+
+namespace {
+
+// Collects calls; a test answers them one by one.
+class ScriptedStore {
+public:
+    struct Call {
+        ObjectCall call_;
+        std::function<void(const ObjectAnswer&)> done_;
+    };
+
+    void once(const ObjectCall& call, std::function<void(const ObjectAnswer&)> done) { calls_.push_back({ call, std::move(done) }); }
+    TimePoint backSince() const { return {}; }
+
+    std::vector<Call> calls_;
+};
+
+ObjectAnswer listed(std::vector<ObjectEntry> entries, std::uint64_t version)
+{
+    ObjectAnswer answer;
+    answer.entries_ = std::move(entries);
+    answer.version_ = at(version);
+    return answer;
+}
+
+ObjectAnswer changed(std::vector<ObjectChange> changes, std::uint64_t version)
+{
+    ObjectAnswer answer;
+    answer.changes_ = std::move(changes);
+    answer.version_ = at(version);
+    return answer;
+}
+
+// A watcher that has listed one engine at version 10 and follows it.
+struct Watcher {
+    Watcher()
+    {
+        clock_.advance(10s);
+        feed_.setPassive(false);
+        feed_.tick(clock_.now());
+        answer(listed({ { "a", at(10), 5, "ready" } }, 10));
+        feed_.tick(clock_.now());
+    }
+
+    const ObjectCall& lastCall() const { return store_.calls_.back().call_; }
+    void answer(const ObjectAnswer& answer)
+    {
+        const auto done = store_.calls_.back().done_;
+        done(answer);
+    }
+    void pass(Duration time)
+    {
+        clock_.advance(time);
+        feed_.tick(clock_.now());
+    }
+
+    ManualClock clock_;
+    FollowerTimes times_;
+    ScriptedStore store_;
+    Translation translation_;
+    Node node_;
+    DecisionLog log_ { "node", 1000, ::open("/dev/null", O_WRONLY | O_CLOEXEC) };
+    EngineFeed<ScriptedStore, ManualClock> feed_ { clock_, store_, translation_, log_, times_, {}, node_.catalog_, [] {} };
+};
+
+} // namespace
+
+// Guards against a list that skips removals, and names every engine again, each time a watcher is a moment behind its peers.
+TEST_CASE("a watcher behind its peers asks for what has changed, in the pause between two calls")
+{
+    Watcher watcher;
+    watcher.answer(changed({ { ChangeKind::Put, at(20), "b", "ready" } }, 20));
+    watcher.feed_.peerHas(21, watcher.clock_.now());
+    const std::size_t before = watcher.store_.calls_.size();
+    watcher.pass(watcher.times_.behindBound_);
+    REQUIRE(watcher.store_.calls_.size() == before + 1);
+    CHECK(watcher.lastCall().verb_ == ObjectVerb::Changes);
+    watcher.answer(changed({ { ChangeKind::Remove, at(21), "a", {} } }, 21));
+    CHECK(watcher.node_.catalog_.version() == 21);
+    CHECK(watcher.node_.using_ == Names { "b" });
+}
+
+// Guards against a watcher that waits for a connection that has fallen silent.
+TEST_CASE("a watcher whose held-open call hears nothing asks again as soon as it is behind")
+{
+    Watcher watcher;
+    const auto silent = watcher.store_.calls_.back().done_;
+    watcher.pass(100ms);
+    watcher.feed_.peerHas(21, watcher.clock_.now());
+    watcher.pass(watcher.times_.behindBound_);
+    CHECK(watcher.lastCall().verb_ == ObjectVerb::Changes);
+    watcher.answer(changed({ { ChangeKind::Remove, at(21), "a", {} } }, 21));
+    CHECK(watcher.node_.using_.empty());
+    silent(changed({ { ChangeKind::Put, at(12), "a", "ready" } }, 12));
+    CHECK(watcher.node_.using_.empty());
+}
+
+// Guards against calls of the store for what a watcher knows already.
+TEST_CASE("a watcher isn't behind a peer whose version its own last answer has reached")
+{
+    Watcher watcher;
+    watcher.answer(changed({}, 30));
+    const std::size_t before = watcher.store_.calls_.size();
+    watcher.feed_.peerHas(25, watcher.clock_.now());
+    watcher.pass(watcher.times_.behindBound_);
+    CHECK(watcher.store_.calls_.size() == before);
+    CHECK(watcher.node_.catalog_.version() == 25);
+}
+
+// Guards against a watcher that goes on from a version whose history the store has forgotten.
+TEST_CASE("a watcher lists all engines again after a call has failed")
+{
+    Watcher watcher;
+    watcher.answer(ObjectAnswer::failed(ObjectError::Expired));
+    watcher.pass(1ms);
+    CHECK(watcher.lastCall().verb_ == ObjectVerb::List);
+    watcher.answer(listed({ { "b", at(40), 5, "ready" } }, 41));
+    CHECK(watcher.node_.using_ == Names { "b" });
+}
--- a/scripts/check-events.sh
+++ b/scripts/check-events.sh
@@ -9,7 +9,7 @@
 import sys
 
 folders = ["libs/serving/src", "libs/ledger/src"]
-sources = "\n".join(path.read_text() for folder in folders for path in sorted(pathlib.Path(folder).glob("*.cpp")))
+sources = "\n".join(path.read_text() for folder in folders for path in sorted(pathlib.Path(folder).glob("*.[ch]*")))
 rows = [line.split("|")[1] for line in pathlib.Path("docs/OPERATIONS.md").read_text().splitlines() if line.startswith("| `")]
 explained = {name for row in rows for name in re.findall(r"`(\w+)`", row)}
 written = set(re.findall(r'\bline\("(\w+)"', sources))
