Serving: updates, in place of news that nodes tell

Names of the field for what hosts send each other of configuration and engines: EngineUpdate, UpdateRequest, UpdateReply, Dissemination (was NewsSpread), publishReport (was tell).

--- a/libs/serving/src/Cells.h
+++ b/libs/serving/src/Cells.h
@@ -1,4 +1,4 @@
-// A large region is cut into cells: nodes and engines that belong together, so that exact news stays among few.
+// A large region is cut into cells: nodes and engines that belong together, so that exact reports stay among few.
 //
 // Failure met: what a node knows of the others' load has to be exact within milliseconds, or several nodes take the same slot. Reports that
 // come 100 ms late cost 16 of 100 questions their objective in bursts beyond the slots (0.896 in time to 0.735, the load of
--- a/libs/serving/src/ConfigFollower.h
+++ b/libs/serving/src/ConfigFollower.h
@@ -1,7 +1,7 @@
 // The configuration in force, as the store or a peer tells it.
 //
 // A node that watches reads it once and then follows it by calls that the store holds open. The others are passive: they hear from
-// peers which version there is, and ask the peer that told them. So the store's calls grow with the watchers, two a region, and not
+// peers which version there is, and ask a peer that has it. So the store's calls grow with the watchers, two a region, and not
 // with the nodes: 84 nodes that all watched made 130 calls a second while engines registered.
 #pragma once
 
@@ -20,12 +20,12 @@
 class ConfigFollower {
 public:
     using Applied = std::function<void(const std::shared_ptr<const RouteTable>&)>;
-    // Asks a peer for news; nothing happens when there is none.
+    // Asks a peer for an update; nothing happens when there is none.
     using AskPeer = std::function<void()>;
 
     ConfigFollower(StoreLink& store, const Translation& translation, DecisionLog& log, FollowerTimes times, Applied applied, AskPeer askPeer);
 
-    // Passive until told otherwise: the store isn't called.
+    // Passive at first: the store isn't called.
     void setPassive(bool passive) { passive_ = passive; }
     void tick(TimePoint now);
     // From the store or from a peer.
@@ -51,7 +51,7 @@
     std::string value_; // as the store holds it, for peers
     ObjectVersion seen_; // of the store, up to which changes are known; none: has to be read
     bool passive_ = true;
-    // Each node reads once at its start: it serves some 0.3 s sooner than by a peer's news, when all of them start together.
+    // Each node reads once at its start: it serves some 0.3 s sooner than by a peer's update, when all of them start together.
     bool hasRead_ = false;
     bool busy_ = false; // a call is under way
     std::uint32_t failures_ = 0;
--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -67,14 +67,14 @@
     if (fault == EngineFault::NotConnected)
         engineDown(engine);
     if (shun > Duration::zero())
-        fleet_->tell();
+        fleet_->publishReport();
 }
 
 void Context::engineDown(UpstreamId engine)
 {
     for (const Fingerprint mark : suspects_.engineDown(engine, now())) {
         log_.line("crashSuspected").with("engine", engine.value()).with("mark", mark.value());
-        fleet_->tellCrashMark(mark, CrashSuspects::blockTime);
+        fleet_->publishCrashMark(mark, CrashSuspects::blockTime);
     }
 }
 
--- a/libs/serving/src/NewsSpread.cpp
+++ b/libs/serving/src/Dissemination.cpp
@@ -1,16 +1,16 @@
 // One choice and one budget; ServingTurn.cpp asks and tells.
-#include "NewsSpread.h"
+#include "Dissemination.h"
 
 #include <algorithm>
 
 namespace jj {
 
-NodeId pickNewsSource(const std::vector<NewsPeer>& peers, std::uint64_t config, std::uint64_t engines, std::mt19937_64& random)
+NodeId pickUpdateSource(const std::vector<UpdatePeer>& peers, std::uint64_t config, std::uint64_t engines, std::mt19937_64& random)
 {
-    std::vector<const NewsPeer*> near;
-    std::vector<const NewsPeer*> far;
-    std::vector<const NewsPeer*> rest;
-    for (const NewsPeer& peer : peers) {
+    std::vector<const UpdatePeer*> near;
+    std::vector<const UpdatePeer*> far;
+    std::vector<const UpdatePeer*> rest;
+    for (const UpdatePeer& peer : peers) {
         const bool isAhead = peer.config_ > config || peer.engines_ > engines;
         (!isAhead ? rest : peer.isNear_ ? near
                                         : far)
@@ -21,13 +21,13 @@
     if (from.empty())
         return NodeId::none();
     std::uniform_int_distribution<std::size_t> any(0, from.size() - 1);
-    const NewsPeer* first = from[any(random)];
-    const NewsPeer* second = from[any(random)];
-    // The newer of two, so that news isn't asked for in many small steps.
+    const UpdatePeer* first = from[any(random)];
+    const UpdatePeer* second = from[any(random)];
+    // The newer of two, so that a node isn't brought up to date in many small steps.
     const bool isSecondNewer = second->config_ != first->config_ ? second->config_ > first->config_ : second->engines_ > first->engines_;
     return (isSecondNewer ? second : first)->node_;
 }
 
-void NewsBudget::spent(std::size_t bytes, TimePoint now) { busyUntil_ = std::max(busyUntil_, now) + fromSeconds(static_cast<double>(bytes) / bytesPerSecond); }
+void UpdateBudget::spent(std::size_t bytes, TimePoint now) { busyUntil_ = std::max(busyUntil_, now) + fromSeconds(static_cast<double>(bytes) / bytesPerSecond); }
 
 } // namespace jj
--- a/libs/serving/src/EngineCatalog.cpp
+++ b/libs/serving/src/EngineCatalog.cpp
@@ -1,4 +1,4 @@
-// What changes bring in, and what news between nodes carry out.
+// Changes from the store and from peers, and updates for peers.
 #include "EngineCatalog.h"
 
 #include <algorithm>
@@ -16,7 +16,7 @@
 
 // ---- from the store
 
-// An answer that was long under way may be older than what a peer has told since.
+// An answer that was long under way may be older than a peer's update.
 bool EngineCatalog::isOlder(const std::string& key, ObjectVersion version) const
 {
     const auto found = known_.find(key);
@@ -101,7 +101,7 @@
         if (!keys.contains(key))
             missing.push_back(key);
     }
-    // The list doesn't say when they went; peers that know less are told as of the list.
+    // The list doesn't say when they went, so they count as removed at its version.
     for (const std::string& key : missing)
         gone(key, version, now, grace);
     removals_.skip({ before, versions.last_.value() });
@@ -135,8 +135,7 @@
 
 void EngineCatalog::remove(const std::string& key, ObjectVersion version, std::string_view why)
 {
-    // Failure met: an engine came and left between two news that a node heard, so the node never knew it, and told nobody of the removal; a peer
-    // that knew the engine asked this node and used it until it exited. So a removal is passed on also of what was never here.
+    // Also of an engine that was never known here: a peer may know it.
     removals_.add(std::max(newest_, version.value()), key);
     const auto found = known_.find(key);
     if (found == known_.end())
@@ -164,28 +163,28 @@
     return version <= newest_;
 }
 
-EngineNews EngineCatalog::newsSince(std::uint64_t since, TimePoint now) const
+EngineUpdate EngineCatalog::updateSince(std::uint64_t since, TimePoint now) const
 {
-    EngineNews news;
+    EngineUpdate update;
     if (!isKnown_)
-        return news;
-    news.version_ = newest_;
-    news.isWhole_ = !removals_.covers(since);
-    news.gaps_ = removals_.gapsSince(since);
+        return update;
+    update.version_ = newest_;
+    update.isWhole_ = !removals_.covers(since);
+    update.gaps_ = removals_.gapsSince(since);
     for (const auto& [key, known] : known_) {
         if (known.version_.value() <= since)
-            news.unchanged_.push_back(key);
+            update.unchanged_.push_back(key);
         else
-            news.entries_.push_back({ key, known.version_, known.value_.size(), known.value_ });
-        if (known.isMissing() && (news.isWhole_ || known.missingVersion_.value() > since))
-            news.missing_.push_back({ key, known.missingVersion_, std::max(Duration::zero(), known.goneAt_ - now) });
+            update.entries_.push_back({ key, known.version_, known.value_.size(), known.value_ });
+        if (known.isMissing() && (update.isWhole_ || known.missingVersion_.value() > since))
+            update.missing_.push_back({ key, known.missingVersion_, std::max(Duration::zero(), known.goneAt_ - now) });
     }
-    if (news.isWhole_)
-        return news;
-    news.unchanged_.clear();
-    news.removed_ = removals_.keysSince(since);
-    std::erase_if(news.removed_, [this](const std::string& key) { return known_.contains(key); });
-    return news;
+    if (update.isWhole_)
+        return update;
+    update.unchanged_.clear();
+    update.removed_ = removals_.keysSince(since);
+    std::erase_if(update.removed_, [this](const std::string& key) { return known_.contains(key); });
+    return update;
 }
 
 void EngineCatalog::removeUnnamed(const std::set<std::string>& named, ObjectVersion upTo)
@@ -199,36 +198,36 @@
         remove(key, upTo, "goneByPeer");
 }
 
-void EngineCatalog::take(const EngineNews& news, std::string_view peer, TimePoint now)
+void EngineCatalog::take(const EngineUpdate& update, std::string_view peer, TimePoint now)
 {
-    if (news.version_ == 0 || knowsAsMuch(news.version_))
+    if (update.version_ == 0 || knowsAsMuch(update.version_))
         return;
     const std::uint64_t before = newest_;
     // This node has moved on since it asked, and the answer isn't complete from here; it asks again.
-    if (!news.isWhole_ && std::any_of(news.gaps_.begin(), news.gaps_.end(), [before](const VersionGap& gap) { return gap.contains(before); }))
+    if (!update.isWhole_ && std::any_of(update.gaps_.begin(), update.gaps_.end(), [before](const VersionGap& gap) { return gap.contains(before); }))
         return;
-    knowsUpTo(news.version_);
-    std::set<std::string> named(news.unchanged_.begin(), news.unchanged_.end());
-    for (const ObjectEntry& entry : news.entries_) {
+    knowsUpTo(update.version_);
+    std::set<std::string> named(update.unchanged_.begin(), update.unchanged_.end());
+    for (const ObjectEntry& entry : update.entries_) {
         named.insert(entry.key_);
         put(entry.key_, entry.value_, entry.version_);
     }
-    for (const std::string& key : news.removed_)
-        remove(key, ObjectVersion(news.version_), "goneByPeer");
-    if (news.isWhole_) {
-        removeUnnamed(named, ObjectVersion(news.version_));
-        removals_.skip({ before, news.version_ });
+    for (const std::string& key : update.removed_)
+        remove(key, ObjectVersion(update.version_), "goneByPeer");
+    if (update.isWhole_) {
+        removeUnnamed(named, ObjectVersion(update.version_));
+        removals_.skip({ before, update.version_ });
     }
-    for (const VersionGap& gap : news.gaps_)
+    for (const VersionGap& gap : update.gaps_)
         removals_.skip(gap);
-    for (const MissingEngine& missing : news.missing_) {
+    for (const MissingEngine& missing : update.missing_) {
         if (!isOlder(missing.key_, missing.version_))
             miss(missing.key_, missing.version_, now + missing.goneIn_);
-        else if (news.isWhole_)
-            remove(missing.key_, ObjectVersion(news.version_), "goneByPeer"); // it registered again and went, unseen by the peer
+        else if (update.isWhole_)
+            remove(missing.key_, ObjectVersion(update.version_), "goneByPeer"); // it registered again and went, unseen by the peer
     }
     isKnown_ = true;
-    log_.line("enginesByPeer").with("peer", peer).with("whole", news.isWhole_ ? "yes" : "no").with("before", before).with("version", newest_).with("changed", news.entries_.size()).with("removed", news.removed_.size()).with("missing", news.missing_.size());
+    log_.line("enginesByPeer").with("peer", peer).with("whole", update.isWhole_ ? "yes" : "no").with("before", before).with("version", newest_).with("changed", update.entries_.size()).with("removed", update.removed_.size()).with("missing", update.missing_.size());
 }
 
 } // namespace jj
--- a/libs/serving/src/EngineCatalog.h
+++ b/libs/serving/src/EngineCatalog.h
@@ -1,18 +1,12 @@
-// The engines that this node knows, and what it tells peers of them. No store, socket or clock: changes and times go in.
+// The engines that this node knows, and the updates that it sends to peers. No store, socket or clock: changes and times go in.
 //
 // Each change of an engine's entry has a version of the store, and so has each removal. A node that says "I know up to version V" has
 // taken up every change up to V; peers that are behind ask one such node and then count as knowing V themselves. So whatever is
-// known up to V has to be in that node's answer, or it never reaches the asker.
+// known up to V has to be in that node's answer, or it never reaches the asker. Where the node took over a state without the removals
+// that led to it, its answer names all engines; see RemovalHistory.h.
 //
-// A state that is taken over, from a list of the store or from a peer, comes without the removals that led to it; see RemovalHistory.h.
-//
-// Failure met: while the store is away the entries of engines lapse, and after its return a list may be nearly empty although all engines
-// live. It shows as a node that refuses everything right after an outage. The guard: what a node misses after it couldn't reach the
-// store stays in use until the engines have had the time to register again.
-//
-// Failure met: one node was cut off from the store, comes back, and keeps an engine that left for that time. Peers that asked it for
-// news counted as knowing of the removal, were not told of it, and sent requests to the engine until it exited. The guard: an engine
-// that is missing but still in use is told as such, with the time that is left, and each node lets go of it by itself.
+// Entries of living engines lapse while the store is away, and register again within seconds of its return. So what is missing just after
+// an outage stays in use for a while. Updates name such engines with the time that is left, and each node drops them by itself.
 #pragma once
 
 #include "DecisionLog.h"
@@ -60,9 +54,9 @@
     bool isKnown() const { return isKnown_; }
     void forEach(const std::function<void(const EngineEntry&)>& visit) const;
     // For a peer that knows of changes up to `since`.
-    EngineNews newsSince(std::uint64_t since, TimePoint now) const;
+    EngineUpdate updateSince(std::uint64_t since, TimePoint now) const;
     // `peer`: who sent it, for the log.
-    void take(const EngineNews& news, std::string_view peer, TimePoint now);
+    void take(const EngineUpdate& update, std::string_view peer, TimePoint now);
 
 private:
     struct Known {
--- a/libs/serving/src/EngineFeed.h
+++ b/libs/serving/src/EngineFeed.h
@@ -56,7 +56,7 @@
     {
     }
 
-    // Passive until told otherwise.
+    // Passive at first.
     void setPassive(bool passive) { passive_ = passive; }
 
     void tick(TimePoint now)
@@ -170,7 +170,7 @@
         takeList(now);
     }
 
-    // All pages at once: a peer that asked between two of them would count as knowing of removals that it was not told.
+    // All pages at once: a peer that asked between two of them would count as knowing of removals that its answer didn't name.
     void takeList(TimePoint now)
     {
         grace_.answered(now);
--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -257,7 +257,7 @@
     if (wasLive && !peer.isLive())
         handlers_.onGone_(member.node_);
     if (!wasLive && peer.isLive())
-        tell();
+        publishReport();
 }
 
 void Fleet::perform(const Rejoined& command)
@@ -272,7 +272,7 @@
         handlers_.onCrashMark_(command.fingerprint_, command.remaining_);
 }
 
-void Fleet::tellCrashMark(Fingerprint mark, Duration remaining)
+void Fleet::publishCrashMark(Fingerprint mark, Duration remaining)
 {
     core_->handle(QuarantineStarted { mark, remaining }, now_, SystemClock().wallNow());
 }
@@ -284,13 +284,13 @@
 
 // ---- reports
 
-void Fleet::tell()
+void Fleet::publishReport()
 {
     farDirty_ = true;
     regionDirty_ = true;
-    if (tellPending_)
+    if (reportPending_)
         return;
-    tellPending_ = true;
+    reportPending_ = true;
     boost::asio::post(io_, [this, alive = alive_] {
         if (*alive)
             sendPendingReport();
@@ -300,7 +300,7 @@
 // A report that comes too early goes with a later tick.
 void Fleet::sendPendingReport()
 {
-    if (!tellPending_ || SystemClock().now() < pace_.nextAt())
+    if (!reportPending_ || SystemClock().now() < pace_.nextAt())
         return;
     sendReport(Reach::Cell);
 }
@@ -314,7 +314,7 @@
     report.runsJobs_ = options_.runsJobs_;
     report.leaving_ = leaving_;
     const std::string bytes = encode(options_.key_, PeerDatagram(report));
-    tellPending_ = false;
+    reportPending_ = false;
     saidWatching_ = report.watching_;
     pace_.sent(SystemClock().now());
     const RegionId ownCell = cellOf(self_);
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -75,14 +75,14 @@
 
     void tick(TimePoint now, WallTime wall);
     // This node's report has changed; it goes out before the loop turns again, or at the region's pace if that is slower.
-    void tell();
+    void publishReport();
     void giveWay(NodeId holder, UpstreamId engine);
     using ReplyHandler = std::function<void(Result<PeerReply>)>;
     // Calls a peer; completes with Unreachable after `bound`.
     void ask(NodeId node, const PeerCall& call, Duration bound, ReplyHandler done);
 
     // Tells all nodes a mark of content that crashes engines.
-    void tellCrashMark(Fingerprint mark, Duration remaining);
+    void publishCrashMark(Fingerprint mark, Duration remaining);
 
     void beginLeaving();
     bool isLeaving() const { return leaving_; }
@@ -154,7 +154,7 @@
     std::uint32_t sequence_ = 0;
     std::uint64_t keeperTurn_ = 0; // so that jobs spread over the hosts
     ReportPace pace_;
-    bool tellPending_ = false; // a report is to be sent, as soon as the pace allows
+    bool reportPending_ = false; // a report is to be sent, as soon as the pace allows
     bool farDirty_ = false; // other regions have not heard the last change
     TimePoint reportedFarAt_ {};
     TimePoint reportedRegionAt_ {};
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -75,7 +75,7 @@
             continue;
         reported = current;
         context_.board_.setItemsWaiting(service, static_cast<std::uint16_t>(std::min<std::size_t>(items.inTime_, UINT16_MAX)), items.firstDue_);
-        context_.fleet_->tell();
+        context_.fleet_->publishReport();
     }
 }
 
@@ -98,7 +98,7 @@
     const EngineEntry* entry = context_.board_.find(run->engine_);
     const HeaderNames& names = context_.translation_.headers_;
     context_.board_.started(run->engine_, WorkClass::BatchItem);
-    context_.fleet_->tell();
+    context_.fleet_->publishReport();
     context_.metrics_.metrics_.add(context_.metrics_.itemRuns_);
     const ItemRun& item = run->item_;
     http::Request request { "POST", item.path_, { { "Host", item.host_ } }, item.body_ };
@@ -199,7 +199,7 @@
         run->call_->cancel();
     run->call_ = nullptr;
     context_.board_.ended(run->engine_, WorkClass::BatchItem);
-    context_.fleet_->tell();
+    context_.fleet_->publishReport();
     context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1);
     scheduler_.ended(run->item_.id_, end, context_.now());
 }
@@ -253,7 +253,7 @@
         run->call_->cancel();
     run->call_ = nullptr;
     context_.board_.ended(run->engine_, WorkClass::BatchItem);
-    context_.fleet_->tell();
+    context_.fleet_->publishReport();
     context_.log_.line("itemStopped").with("request", run->item_.item_).with("job", run->item_.job_);
 }
 
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -191,7 +191,7 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, NewsAsk& ask)
+void serialize(Archive& archive, UpdateRequest& ask)
 {
     archive(ask.configVersion_, ask.enginesVersion_);
 }
@@ -233,13 +233,13 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, EngineNews& news)
+void serialize(Archive& archive, EngineUpdate& update)
 {
-    archive(news.version_, news.isWhole_, news.entries_, news.unchanged_, news.removed_, news.missing_, news.gaps_);
+    archive(update.version_, update.isWhole_, update.entries_, update.unchanged_, update.removed_, update.missing_, update.gaps_);
 }
 
 template <class Archive>
-void serialize(Archive& archive, NewsReply& reply)
+void serialize(Archive& archive, UpdateReply& reply)
 {
     archive(reply.config_, reply.engines_, reply.isBusy_);
 }
@@ -314,7 +314,7 @@
 Result<PeerCall> decodeCall(const WireKey& key, std::string_view bytes) { return decodeAs<PeerCall>(key, callLabel, bytes); }
 Result<PeerReply> decodeReply(const WireKey& key, std::string_view bytes) { return decodeAs<PeerReply>(key, replyLabel, bytes); }
 
-std::size_t EngineNews::bytes() const
+std::size_t EngineUpdate::bytes() const
 {
     constexpr std::size_t frame = 40; // lengths, versions and keys
     std::size_t sum = (entries_.size() + unchanged_.size() + removed_.size() + missing_.size() + gaps_.size()) * frame;
--- a/libs/serving/src/PeerMessages.h
+++ b/libs/serving/src/PeerMessages.h
@@ -49,7 +49,7 @@
     ObjectCall call_;
 };
 // What has changed since the versions that the sender has.
-struct NewsAsk {
+struct UpdateRequest {
     std::uint64_t configVersion_ = 0;
     std::uint64_t enginesVersion_ = 0;
 };
@@ -76,7 +76,7 @@
 struct ForgetAsk {
     JobName job_;
 };
-using PeerCall = std::variant<StoreAsk, NewsAsk, AdoptAsk, ReadAsk, BodyAsk, EndAsk, KeepAsk, ForgetAsk>;
+using PeerCall = std::variant<StoreAsk, UpdateRequest, AdoptAsk, ReadAsk, BodyAsk, EndAsk, KeepAsk, ForgetAsk>;
 
 // An engine that the store doesn't name any more, and that the sender still uses; see EngineCatalog.h.
 struct MissingEngine {
@@ -84,7 +84,7 @@
     ObjectVersion version_; // of the removal
     Duration goneIn_ {}; // from when this was sent
 };
-struct EngineNews {
+struct EngineUpdate {
     std::uint64_t version_ = 0; // of the newest change in it; 0: the receiver knows no engines
     bool isWhole_ = false; // engines that neither entries_ nor unchanged_ names are gone
     std::vector<ObjectEntry> entries_; // with values, as the store holds them
@@ -96,10 +96,10 @@
     // About what it takes on the wire.
     std::size_t bytes() const;
 };
-struct NewsReply {
+struct UpdateReply {
     std::string config_; // as the store holds it; empty: none newer
-    EngineNews engines_;
-    bool isBusy_ = false; // nothing is told: the sender has too many askers, and another peer has the same
+    EngineUpdate engines_;
+    bool isBusy_ = false; // no update: the sender has too many askers, and another peer has the same
 };
 struct AdoptReply {
     bool taken_ = false;
@@ -107,7 +107,7 @@
 struct KeepReply {
     KeepOutcome outcome_ = KeepOutcome::Refused;
 };
-using PeerReply = std::variant<ObjectAnswer, NewsReply, AdoptReply, ReadAnswer, BodyAnswer, EndAnswer, KeepReply>;
+using PeerReply = std::variant<ObjectAnswer, UpdateReply, AdoptReply, ReadAnswer, BodyAnswer, EndAnswer, KeepReply>;
 
 enum class PeerError : int {
     Unauthentic = 1, // the code doesn't fit the bytes
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -242,7 +242,7 @@
     context_.board_.ended(engine_, WorkClass::Question);
     engine_ = UpstreamId::none();
     context_.queue_->slotEnded();
-    context_.fleet_->tell();
+    context_.fleet_->publishReport();
 }
 
 void RelayedRequest::end()
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -179,7 +179,7 @@
     }
     if (pick.kind_ == PickKind::Queues)
         context_.metrics_.metrics_.add(context_.metrics_.queued_);
-    context_.fleet_->tell();
+    context_.fleet_->publishReport();
 
     http::Request outgoing { request.method_, request.target_, {}, request.body_ };
     for (const http::Header& header : passedHeaders(request.headers_)) {
--- a/libs/serving/src/ReportPace.h
+++ b/libs/serving/src/ReportPace.h
@@ -1,7 +1,7 @@
 // How often a node tells its region what it runs.
 //
 // Each change is told at once while the region is small. Failure met: every node hears every other one's reports, so their number grows with
-// the square of the fleet; at 180 nodes of a region and 2,350 requests a second each would hear 4,700 a second, 5% of a core for news
+// the square of the fleet; at 180 nodes of a region and 2,350 requests a second each would hear 4,700 a second, 5% of a core for reports
 // alone. The guard: while more is heard than a node should spend on it, its own reports wait for each other and carry several changes. All
 // nodes hear about the same, so all slow down alike, and speed up again when it gets quiet.
 #pragma once
@@ -19,7 +19,7 @@
     double easyPart_ = 0.8;
     Duration judgedEvery_ = 200ms;
     Duration step_ = 5ms;
-    // Picks by older news than this collide about as often as picks by none.
+    // Picks by older reports than this collide about as often as picks by none.
     Duration longest_ = 250ms;
 };
 
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -130,17 +130,17 @@
     store_ = std::make_unique<StoreLink>(io_, link, translation_, log_, seed_);
     store_->setPeerRoute([this](const ObjectCall& call, Duration bound, StoreLink::Completion done) { return routeToPeer(call, bound, std::move(done)); });
     config_ = std::make_unique<ConfigFollower>(
-        *store_, translation_, log_, FollowerTimes(), [this](const auto& table) { onConfig(table); }, [this] { askForNews(); });
+        *store_, translation_, log_, FollowerTimes(), [this](const auto& table) { onConfig(table); }, [this] { requestUpdate(); });
     const auto changed = [this](const EngineEntry& entry) {
         board_.upsert(inCell(entry));
-        fleet_->tell();
+        fleet_->publishReport();
     };
     const auto removed = [this](const EngineEntry& entry) {
         board_.remove(entry.id_);
-        fleet_->tell();
+        fleet_->publishReport();
     };
     catalog_ = std::make_unique<EngineCatalog>(translation_, log_, settings_.regions_, changed, removed);
-    feed_ = std::make_unique<EngineFeed<StoreLink, SystemClock>>(clock_, *store_, translation_, log_, FollowerTimes(), settings_.engineGrace_, *catalog_, [this] { askForNews(); });
+    feed_ = std::make_unique<EngineFeed<StoreLink, SystemClock>>(clock_, *store_, translation_, log_, FollowerTimes(), settings_.engineGrace_, *catalog_, [this] { requestUpdate(); });
 }
 
 std::optional<Failure> ServingNode::Parts::openFleet()
@@ -201,7 +201,7 @@
     handlers.onCellsChanged_ = [this] {
         board_.moveTo(fleet_->cellOf(fleet_->self()));
         catalog_->forEach([this](const EngineEntry& entry) { board_.upsert(inCell(entry)); });
-        fleet_->tell();
+        fleet_->publishReport();
     };
     handlers.onCrashMark_ = [this](Fingerprint mark, Duration remaining) {
         log_.line("crashMarkLearned").with("mark", mark.value());
@@ -288,7 +288,7 @@
         if (error)
             line.with("error", error.message());
     };
-    outlets.changed_ = [this] { fleet_->tell(); };
+    outlets.changed_ = [this] { fleet_->publishReport(); };
     spool_ = std::make_unique<JobSpool<FileDisk>>(std::move(disk.value()), spool, std::move(outlets));
     spool_->load(context_.now());
 }
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -3,10 +3,10 @@
 
 #include "ConfigFollower.h"
 #include "Context.h"
+#include "Dissemination.h"
 #include "EngineFeed.h"
 #include "ItemRunner.h"
 #include "JobFront.h"
-#include "NewsSpread.h"
 #include "Relay.h"
 #include "RetirementDuty.h"
 #include "SlotQueue.h"
@@ -47,10 +47,10 @@
     void onCaller(std::shared_ptr<http::Exchange> exchange);
     void onPeerCall(PeerCall call, const std::function<void(PeerReply)>& reply);
     bool routeToPeer(const ObjectCall& call, Duration bound, StoreLink::Completion done);
-    void askForNews();
+    void requestUpdate();
     // As the board counts it: with its cell in place of its region.
     EngineEntry inCell(EngineEntry entry) const;
-    NodeId newsSource();
+    NodeId updateSource();
     void chooseWatching();
     void onConfig(const std::shared_ptr<const RouteTable>& table);
     void waitForSignal();
@@ -59,7 +59,7 @@
     void beginDrain();
     void continueDrain(TimePoint now);
     NodeId anyPeer(bool ownRegionFirst);
-    void tellNews(const NewsAsk& ask, const std::function<void(PeerReply)>& reply);
+    void answerUpdateRequest(const UpdateRequest& ask, const std::function<void(PeerReply)>& reply);
 
     ServingSettings settings_;
     const Translation& translation_;
@@ -100,9 +100,9 @@
     TimePoint scanAt_ {};
     TimePoint summarizedAt_ {};
     bool watching_ = false;
-    bool askingNews_ = false;
-    TimePoint newsAgainAt_ = neverTime;
-    NewsBudget newsBudget_;
+    bool updateRequested_ = false;
+    TimePoint updateAgainAt_ = neverTime;
+    UpdateBudget updateBudget_;
     bool freshScan_ = true; // the next scan must not be stale
     bool draining_ = false;
     bool listening_ = true;
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -17,7 +17,7 @@
     constexpr Duration summaryPeriod = 10s;
     // Every job node lists the jobs' heads so often, from stale data: an orphan whose owner is known to be dead is found at once.
     constexpr Duration scanPeriod = 4s;
-    constexpr Duration newsBound = 600ms;
+    constexpr Duration updateBound = 600ms;
     // A peer that has too many askers, or is gone: another one is asked after about so long.
     constexpr Duration busyRetry = 100ms;
     constexpr Duration notReadyRetry = 300ms;
@@ -46,8 +46,8 @@
     chooseWatching();
     config_->tick(now);
     feed_->tick(now);
-    if (now >= newsAgainAt_)
-        askForNews();
+    if (now >= updateAgainAt_)
+        requestUpdate();
     context_.suspects_.tick(now);
     scheduler_->setCautious(fleet_->mayBeReplaced());
     scheduler_->tick(now, wall);
@@ -116,7 +116,7 @@
         callers_->setLimits(limits);
     }
     if (fleet_)
-        fleet_->tell();
+        fleet_->publishReport();
 }
 
 // ---- callers
@@ -171,52 +171,52 @@
     return true;
 }
 
-NodeId ServingNode::Parts::newsSource()
+NodeId ServingNode::Parts::updateSource()
 {
-    std::vector<NewsPeer> known;
+    std::vector<UpdatePeer> known;
     for (const auto& [node, peer] : fleet_->peers()) {
         if (peer.isLive())
             known.push_back({ node, peer.region_ == fleet_->region(), peer.configVersion_, peer.enginesVersion_ });
     }
-    return pickNewsSource(known, config_->version(), catalog_->version(), random_);
+    return pickUpdateSource(known, config_->version(), catalog_->version(), random_);
 }
 
-void ServingNode::Parts::askForNews()
+void ServingNode::Parts::requestUpdate()
 {
-    const NodeId peer = newsSource();
-    if (peer.isNone() || askingNews_)
+    const NodeId peer = updateSource();
+    if (peer.isNone() || updateRequested_)
         return;
-    askingNews_ = true;
-    newsAgainAt_ = neverTime;
-    fleet_->ask(peer, NewsAsk { config_->version(), catalog_->version() }, newsBound, [this, peer](const Result<PeerReply>& reply) {
-        askingNews_ = false;
-        const auto* news = reply ? std::get_if<NewsReply>(&reply.value()) : nullptr;
-        if (!news || news->isBusy_) {
+    updateRequested_ = true;
+    updateAgainAt_ = neverTime;
+    fleet_->ask(peer, UpdateRequest { config_->version(), catalog_->version() }, updateBound, [this, peer](const Result<PeerReply>& reply) {
+        updateRequested_ = false;
+        const auto* update = reply ? std::get_if<UpdateReply>(&reply.value()) : nullptr;
+        if (!update || update->isBusy_) {
             // Not all at the same moment.
-            newsAgainAt_ = context_.now() + std::chrono::milliseconds(std::uniform_int_distribution<int>(busyRetry / 2ms, busyRetry * 3 / 2ms)(random_));
+            updateAgainAt_ = context_.now() + std::chrono::milliseconds(std::uniform_int_distribution<int>(busyRetry / 2ms, busyRetry * 3 / 2ms)(random_));
             return;
         }
-        if (!news->config_.empty())
-            config_->take(news->config_, "peer");
-        catalog_->take(news->engines_, fleet_->addressOf(peer), context_.now());
-        fleet_->tell();
+        if (!update->config_.empty())
+            config_->take(update->config_, "peer");
+        catalog_->take(update->engines_, fleet_->addressOf(peer), context_.now());
+        fleet_->publishReport();
     });
 }
 
-void ServingNode::Parts::tellNews(const NewsAsk& ask, const std::function<void(PeerReply)>& reply)
+void ServingNode::Parts::answerUpdateRequest(const UpdateRequest& ask, const std::function<void(PeerReply)>& reply)
 {
     const TimePoint now = context_.now();
-    if (!newsBudget_.mayTell(now)) {
-        NewsReply busy;
+    if (!updateBudget_.mayAnswer(now)) {
+        UpdateReply busy;
         busy.isBusy_ = true;
         return reply(busy);
     }
-    NewsReply news;
+    UpdateReply update;
     if (config_->version() > ask.configVersion_)
-        news.config_ = config_->value();
-    news.engines_ = catalog_->newsSince(ask.enginesVersion_, now);
-    newsBudget_.spent(news.config_.size() + news.engines_.bytes(), now);
-    reply(std::move(news));
+        update.config_ = config_->value();
+    update.engines_ = catalog_->updateSince(ask.enginesVersion_, now);
+    updateBudget_.spent(update.config_.size() + update.engines_.bytes(), now);
+    reply(std::move(update));
 }
 
 // Watchers follow the store; the others hear from them.
@@ -238,8 +238,8 @@
         store_->countForPeer();
         return store_->direct(ask->call_, [reply](ObjectAnswer answer) { reply(std::move(answer)); });
     }
-    if (const auto* ask = std::get_if<NewsAsk>(&call))
-        return tellNews(*ask, reply);
+    if (const auto* ask = std::get_if<UpdateRequest>(&call))
+        return answerUpdateRequest(*ask, reply);
     if (auto* ask = std::get_if<AdoptAsk>(&call)) {
         scheduler_->adopt(std::move(ask->job_), now, SystemClock().wallNow());
         runner_->pump(now);
--- a/libs/serving/src/SlotQueue.cpp
+++ b/libs/serving/src/SlotQueue.cpp
@@ -43,7 +43,7 @@
 void SlotQueue::publishWaiting(const std::string& service)
 {
     context_.board_.setWaiting(service, queue_.size(service), queue_.inTime(service, context_.now()));
-    context_.fleet_->tell();
+    context_.fleet_->publishReport();
 }
 
 // Time alone makes waiters late.
--- a/libs/serving/tests/CatalogNode.h
+++ b/libs/serving/tests/CatalogNode.h
@@ -38,7 +38,7 @@
     EngineCatalog catalog_ { translation(), log(), {}, [this](const EngineEntry& entry) { changed(entry); }, [this](const EngineEntry& entry) { using_.erase(entry.name_); } };
 
     // What a node does that hears of a newer version.
-    void ask(const Node& peer, TimePoint now) { catalog_.take(peer.catalog_.newsSince(catalog_.version(), now), "peer", now); }
+    void ask(const Node& peer, TimePoint now) { catalog_.take(peer.catalog_.updateSince(catalog_.version(), now), "peer", now); }
 
     // The store was listed at `version`.
     void list(const std::vector<ObjectEntry>& entries, ObjectVersion version, TimePoint now = {}, Duration held = {}) { catalog_.list(entries, { version, version }, now, held); }
--- a/libs/serving/tests/NewsSpreadTest.cpp
+++ b/libs/serving/tests/DisseminationTest.cpp
@@ -3,7 +3,7 @@
 // The load: 300 nodes with links of 30 Mbit/s, two watchers in each of two regions. A configuration of 40 KB changes; or all nodes were
 // killed at once and each needs the whole list of 3,000 engines, 0.9 MB. A report reaches everybody 50 ms after its sender's change. Who
 // gets no byte for 600 ms asks again.
-#include "NewsSpread.h"
+#include "Dissemination.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -33,7 +33,7 @@
         TimePoint knowsAt_ = neverTime;
         TimePoint linkFreeAt_ {};
         TimePoint asksAt_ {};
-        NewsBudget budget_;
+        UpdateBudget budget_;
     };
     std::mt19937_64 random(11);
     std::vector<Node> all(nodes);
@@ -42,7 +42,7 @@
     const Duration sendTime = fromSeconds(static_cast<double>(bytes) / linkBytesPerSecond);
     std::size_t known = watchers;
     for (TimePoint now = TimePoint() + reportDelay; now < TimePoint() + 60s; now += 10ms) {
-        std::vector<NewsPeer> heard;
+        std::vector<UpdatePeer> heard;
         for (std::size_t index = 0; index < nodes; ++index) {
             const bool isHeard = all[index].knowsAt_ != neverTime && now - all[index].knowsAt_ >= reportDelay;
             heard.push_back({ NodeId(index + 1), index < nodes / 2, isHeard ? 1U : 0U, 0 });
@@ -51,13 +51,13 @@
             Node& node = all[index];
             if (node.knowsAt_ != neverTime || now < node.asksAt_)
                 continue;
-            const std::size_t source = rule == Rule::AskTheNewest ? 0 : pickNewsSource(heard, 0, 0, random).value() - 1;
+            const std::size_t source = rule == Rule::AskTheNewest ? 0 : pickUpdateSource(heard, 0, 0, random).value() - 1;
             Node& from = all[source];
             if (from.knowsAt_ == neverTime || now < from.knowsAt_) {
                 node.asksAt_ = now + askEvery;
                 continue;
             }
-            if (rule == Rule::Spread && !from.budget_.mayTell(now)) {
+            if (rule == Rule::Spread && !from.budget_.mayAnswer(now)) {
                 node.asksAt_ = now + askElsewhere;
                 continue;
             }
@@ -95,13 +95,13 @@
 TEST_CASE("who is behind asks those that are ahead, near ones first, and anybody when none is")
 {
     std::mt19937_64 random(3);
-    const NewsPeer behind { NodeId(1), true, 1, 5 };
-    const NewsPeer far { NodeId(2), false, 2, 5 };
-    const NewsPeer near { NodeId(3), true, 1, 6 };
+    const UpdatePeer behind { NodeId(1), true, 1, 5 };
+    const UpdatePeer far { NodeId(2), false, 2, 5 };
+    const UpdatePeer near { NodeId(3), true, 1, 6 };
     for (int turn = 0; turn < 20; ++turn) {
-        CHECK(pickNewsSource({ behind, far, near }, 1, 5, random) == NodeId(3));
-        CHECK(pickNewsSource({ behind, far }, 1, 5, random) == NodeId(2));
-        CHECK(pickNewsSource({ behind }, 1, 5, random) == NodeId(1));
+        CHECK(pickUpdateSource({ behind, far, near }, 1, 5, random) == NodeId(3));
+        CHECK(pickUpdateSource({ behind, far }, 1, 5, random) == NodeId(2));
+        CHECK(pickUpdateSource({ behind }, 1, 5, random) == NodeId(1));
     }
-    CHECK(pickNewsSource({}, 1, 5, random).isNone());
+    CHECK(pickUpdateSource({}, 1, 5, random).isNone());
 }
--- a/libs/serving/tests/EngineCatalogTest.cpp
+++ b/libs/serving/tests/EngineCatalogTest.cpp
@@ -1,4 +1,4 @@
-// What nodes know of the engines when one of them was cut off from the store, or hears an old answer.
+// What nodes know of the engines when one of them was cut off from the store, or gets an old answer.
 #include "CatalogNode.h"
 
 #include <doctest/doctest.h>
@@ -6,9 +6,7 @@
 using namespace jj;
 using namespace jj::testing;
 
-// A watcher was cut off from the store for a moment. Just after its return an engine leaves without a word: its entry goes. The
-// watcher keeps the engine in use for a while, as it can't tell whether the entry lapsed. A peer asks it for news, counts as knowing
-// of the removal, and never hears of it again: its callers' requests go to the engine until that exits.
+// Guards against requests to an engine that has left, from a host that asked a watcher which holds on to it after an outage.
 TEST_CASE("a peer learns of a removal that the sender itself holds back after an outage")
 {
     const TimePoint start {};
@@ -32,8 +30,7 @@
     }
 }
 
-// The same, and the news comes to a third node by way of the second, to a fourth that knew nothing, and to one that heard of the engine
-// again meanwhile.
+// Guards against the same at hosts that hear of it by way of others, and against the loss of an engine that registers again.
 TEST_CASE("a held-back removal is passed on, and taken back when the engine registers again")
 {
     const TimePoint start {};
@@ -64,8 +61,7 @@
     CHECK(fifth.using_ == Names { "a" });
 }
 
-// A node asks the store for the list and its way there is slow. Meanwhile it hears from a peer that an engine drains. The list comes in and
-// still says "ready": the engine gets requests again, though it has said that it leaves.
+// Guards against requests to a draining engine, from a host whose list of the store is older than a peer's update.
 TEST_CASE("an old answer of the store takes nothing back")
 {
     const TimePoint start {};
@@ -80,7 +76,7 @@
     CHECK(node.using_ == Names { "b" });
 }
 
-TEST_CASE("news between nodes name what changed since, and removals")
+TEST_CASE("an update names what changed since, and removals")
 {
     const TimePoint start {};
     Node watcher;
@@ -90,21 +86,21 @@
 
     watcher.put("a", "draining", at(20));
     watcher.remove("b", at(21), start, {});
-    const EngineNews news = watcher.catalog_.newsSince(peer.catalog_.version(), start);
-    CHECK_FALSE(news.isWhole_);
-    CHECK(news.entries_.size() == 1);
-    CHECK(news.removed_ == std::vector<std::string> { "b" });
-    peer.catalog_.take(news, "watcher", start);
+    const EngineUpdate update = watcher.catalog_.updateSince(peer.catalog_.version(), start);
+    CHECK_FALSE(update.isWhole_);
+    CHECK(update.entries_.size() == 1);
+    CHECK(update.removed_ == std::vector<std::string> { "b" });
+    peer.catalog_.take(update, "watcher", start);
     CHECK(peer.using_.empty());
 
-    // Told again: it takes nothing back.
+    // Taken up twice: it takes nothing back.
     watcher.put("b", "ready", at(30));
     peer.ask(watcher, start);
-    peer.catalog_.take(news, "watcher", start);
+    peer.catalog_.take(update, "watcher", start);
     CHECK(peer.using_ == Names { "b" });
 }
 
-// An engine's entry is overwritten by bytes that can't be read. It names no engine to use, and peers have to hear that too.
+// Guards against requests to an engine whose entry was overwritten by bytes that can't be read.
 TEST_CASE("an entry that turns unreadable ends the engine at all nodes")
 {
     const TimePoint start {};
@@ -118,8 +114,7 @@
     CHECK(peer.using_.empty());
 }
 
-// Engines are replaced in quick succession. One comes and leaves between two news that a node hears, so that node never knew it. Another one, which
-// knew it, asks that node: it heard nothing of the removal and sent requests to the engine until it exited, 0.2 s longer than allowed.
+// Guards against requests to an engine that has left, from a host that asked one which never knew the engine.
 TEST_CASE("serving: a node passes on the removal of an engine that it never knew")
 {
     const TimePoint start {};
--- a/libs/serving/tests/EngineHistoryTest.cpp
+++ b/libs/serving/tests/EngineHistoryTest.cpp
@@ -83,7 +83,7 @@
     std::optional<std::vector<ObjectChange>> watching_;
     std::uint64_t answeredAt_ = 0; // the store's version at that answer, or at a list's first page
     std::uint64_t lastPageAt_ = 0;
-    std::optional<EngineNews> update_;
+    std::optional<EngineUpdate> update_;
 
     bool isCalling() const { return listing_ || watching_; }
 };
@@ -200,7 +200,7 @@
     {
         const Host& peer = hosts_[pick(hosts_.size())];
         if (&peer != &host && !host.update_)
-            host.update_ = peer.node_->catalog_.newsSince(host.node_->catalog_.version(), {});
+            host.update_ = peer.node_->catalog_.updateSince(host.node_->catalog_.version(), {});
     }
 
     static void answerPeer(Host& host)
@@ -285,7 +285,7 @@
     Node watcher;
     watcher.list({ { "a", at(10), 5, "ready" } }, at(10));
     watcher.list({ { "a", at(10), 5, "ready" }, { "c", at(30), 5, "ready" } }, at(30));
-    const EngineNews answer = watcher.catalog_.newsSince(asker.catalog_.version(), start);
+    const EngineUpdate answer = watcher.catalog_.updateSince(asker.catalog_.version(), start);
 
     asker.follow({ { ChangeKind::Put, at(20), "b", "ready" } }, at(20));
     asker.catalog_.take(answer, "watcher", start);
@@ -300,7 +300,7 @@
     const TimePoint start {};
     Node watcher;
     watcher.list({ { "a", at(10), 5, "ready" }, { "b", at(11), 5, "ready" }, { "c", at(20), 5, "ready" } }, at(30));
-    const EngineNews update = watcher.catalog_.newsSince(11, start);
+    const EngineUpdate update = watcher.catalog_.updateSince(11, start);
     CHECK(update.isWhole_);
     REQUIRE(update.entries_.size() == 1);
     CHECK(update.entries_.front().key_ == "c");
