Serving: one copy of when a node asks for what a peer has

ConfigFollower and EngineFeed each kept a peer's version, since when it is ahead, and when they last asked, by the same lines. No change of behaviour.

--- a/libs/serving/src/ConfigFollower.cpp
+++ b/libs/serving/src/ConfigFollower.cpp
@@ -10,6 +10,7 @@
     , times_(times)
     , applied_(std::move(applied))
     , askPeer_(std::move(askPeer))
+    , lag_(times)
 {
 }
 
@@ -20,25 +21,14 @@
         read();
     else if (!busy_ && now >= nextAt_ && !passive_)
         watch();
-    const bool isBehind = peerVersion_ > version();
-    const Duration patience = passive_ ? Duration::zero() : times_.behindBound_;
-    if (isBehind && now - peerAheadSince_ >= patience && now - askedAt_ >= times_.askEvery_) {
-        askedAt_ = now;
+    if (lag_.version() > version() && lag_.mustAskAgain(passive_, now))
         askPeer_();
-    }
 }
 
 void ConfigFollower::peerHas(std::uint64_t peerVersion, TimePoint now)
 {
-    if (peerVersion <= std::max(version(), peerVersion_))
-        return;
-    peerVersion_ = peerVersion;
-    peerAheadSince_ = now;
-    // While engines register there are new versions all the time; tick() asks again.
-    if (!passive_ || now - askedAt_ < times_.askEvery_)
-        return;
-    askedAt_ = now;
-    askPeer_();
+    if (peerVersion > version() && lag_.mustAsk(peerVersion, passive_, now))
+        askPeer_();
 }
 
 void ConfigFollower::again(TimePoint now)
--- a/libs/serving/src/ConfigFollower.h
+++ b/libs/serving/src/ConfigFollower.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "DecisionLog.h"
-#include "FollowerTimes.h"
+#include "PeerLag.h"
 #include "StoreLink.h"
 #include "serving/Translation.h"
 
@@ -56,9 +56,7 @@
     bool busy_ = false; // a call is under way
     std::uint32_t failures_ = 0;
     TimePoint nextAt_ {};
-    TimePoint askedAt_ {};
-    std::uint64_t peerVersion_ = 0;
-    TimePoint peerAheadSince_ {};
+    PeerLag lag_;
 };
 
 } // namespace jj
--- a/libs/serving/src/EngineFeed.h
+++ b/libs/serving/src/EngineFeed.h
@@ -17,6 +17,7 @@
 #include "EngineCatalog.h"
 #include "FollowerTimes.h"
 #include "OutageGrace.h"
+#include "PeerLag.h"
 #include "objects/ObjectApi.h"
 #include "serving/Translation.h"
 
@@ -51,6 +52,7 @@
         , log_(log)
         , times_(times)
         , grace_(grace)
+        , lag_(times)
         , catalog_(catalog)
         , askPeer_(std::move(askPeer))
     {
@@ -73,15 +75,8 @@
 
     void peerHas(std::uint64_t version, TimePoint now)
     {
-        if (catalog_.knowsAsMuch(version) || version <= peerVersion_)
-            return;
-        peerVersion_ = version;
-        peerAheadSince_ = now;
-        // While engines register there are new versions all the time; tick() asks again.
-        if (!passive_ || now - askedAt_ < times_.askEvery_)
-            return;
-        askedAt_ = now;
-        askPeer_();
+        if (!catalog_.knowsAsMuch(version) && lag_.mustAsk(version, passive_, now))
+            askPeer_();
     }
 
     // The store answers, and its changes are followed.
@@ -90,16 +85,13 @@
 private:
     void catchUp(TimePoint now)
     {
-        const bool isBehind = !catalog_.knowsAsMuch(peerVersion_);
-        const Duration patience = passive_ ? Duration::zero() : times_.behindBound_;
-        if (!isBehind || now - peerAheadSince_ < patience || now - askedAt_ < times_.askEvery_)
+        if (catalog_.knowsAsMuch(lag_.version()) || !lag_.mustAskAgain(passive_, now))
             return;
-        askedAt_ = now;
         if (passive_)
             return askPeer_();
         if (!catalog_.isKnown())
             return;
-        log_.line("enginesBehind").with("known", catalog_.version()).with("peer", peerVersion_);
+        log_.line("enginesBehind").with("known", catalog_.version()).with("peer", lag_.version());
         if (seen_.isNone())
             return list({}, now);
         // There is a change, so the store has no reason to hold this call.
@@ -227,6 +219,7 @@
     DecisionLog& log_;
     FollowerTimes times_;
     OutageGrace grace_;
+    PeerLag lag_;
     EngineCatalog& catalog_;
     AskPeer askPeer_;
     bool passive_ = true;
@@ -241,9 +234,6 @@
     TimePoint calledAt_ {};
     Duration heldOpen_ {}; // of the last watch
     TimePoint nextAt_ {};
-    TimePoint askedAt_ {};
-    std::uint64_t peerVersion_ = 0;
-    TimePoint peerAheadSince_ {};
 };
 
 } // namespace jj
