Serving: the catalogue of engines in shorter steps; an update that is passed over writes a line

list() and take() each did several jobs in one function. An answer that isn't complete from what this host knows by now was dropped without a word; the log says so, with the peer and both versions.

--- a/libs/serving/src/EngineCatalog.cpp
+++ b/libs/serving/src/EngineCatalog.cpp
@@ -83,30 +83,40 @@
 
 void EngineCatalog::list(const std::vector<ObjectEntry>& entries, PageVersions versions, TimePoint now, Duration grace)
 {
-    const ObjectVersion version = versions.first_;
     const std::uint64_t before = newest_;
-    std::uint64_t newestEntry = 0;
-    std::set<std::string> keys;
+    const std::set<std::string> listed = putListed(entries, versions.first_);
+    // The list doesn't say when the others went, so they count as removed at its version.
+    for (const std::string& key : keysWithout(listed))
+        gone(key, versions.first_, now, grace);
+    removals_.skip({ before, versions.last_.value() });
+    answeredUpTo_ = std::max(answeredUpTo_, versions.first_.value());
+    isKnown_ = true;
+}
+
+std::set<std::string> EngineCatalog::putListed(const std::vector<ObjectEntry>& entries, ObjectVersion version)
+{
+    std::set<std::string> listed;
+    std::uint64_t newest = 0;
     for (const ObjectEntry& entry : entries) {
         // Changed between two pages. What else had changed by then isn't known, so it waits for the update that names all of it.
         if (entry.version_ > version)
             continue;
-        keys.insert(entry.key_);
-        newestEntry = std::max(newestEntry, entry.version_.value());
+        listed.insert(entry.key_);
+        newest = std::max(newest, entry.version_.value());
         putAnswered(entry.key_, entry.value_, entry.version_, version);
     }
-    knowsUpTo(newestEntry);
-    std::vector<std::string> missing;
+    knowsUpTo(newest);
+    return listed;
+}
+
+std::vector<std::string> EngineCatalog::keysWithout(const std::set<std::string>& named) const
+{
+    std::vector<std::string> others;
     for (const auto& [key, known] : known_) {
-        if (!keys.contains(key))
-            missing.push_back(key);
+        if (!named.contains(key))
+            others.push_back(key);
     }
-    // The list doesn't say when they went, so they count as removed at its version.
-    for (const std::string& key : missing)
-        gone(key, version, now, grace);
-    removals_.skip({ before, versions.last_.value() });
-    answeredUpTo_ = std::max(answeredUpTo_, version.value());
-    isKnown_ = true;
+    return others;
 }
 
 void EngineCatalog::miss(const std::string& key, ObjectVersion version, TimePoint goneAt)
@@ -187,15 +197,10 @@
     return update;
 }
 
-void EngineCatalog::removeUnnamed(const std::set<std::string>& named, ObjectVersion upTo)
+// An update that isn't whole is complete from the version with which it was asked for. This node may know more by now.
+bool EngineCatalog::isCompleteFrom(std::uint64_t version, const EngineUpdate& update)
 {
-    std::vector<std::string> unnamed;
-    for (const auto& [key, known] : known_) {
-        if (!named.contains(key) && known.version_ <= upTo)
-            unnamed.push_back(key);
-    }
-    for (const std::string& key : unnamed)
-        remove(key, upTo, "goneByPeer");
+    return update.isWhole_ || std::none_of(update.gaps_.begin(), update.gaps_.end(), [version](const VersionGap& gap) { return gap.contains(version); });
 }
 
 void EngineCatalog::take(const EngineUpdate& update, std::string_view peer, TimePoint now)
@@ -203,31 +208,44 @@
     if (update.version_ == 0 || knowsAsMuch(update.version_))
         return;
     const std::uint64_t before = newest_;
-    // This node has moved on since it asked, and the answer isn't complete from here; it asks again.
-    if (!update.isWhole_ && std::any_of(update.gaps_.begin(), update.gaps_.end(), [before](const VersionGap& gap) { return gap.contains(before); }))
+    if (!isCompleteFrom(before, update)) {
+        log_.line("updateOutdated").with("peer", peer).with("known", before).with("version", update.version_);
         return;
+    }
     knowsUpTo(update.version_);
-    std::set<std::string> named(update.unchanged_.begin(), update.unchanged_.end());
-    for (const ObjectEntry& entry : update.entries_) {
-        named.insert(entry.key_);
+    for (const ObjectEntry& entry : update.entries_)
         put(entry.key_, entry.value_, entry.version_);
-    }
     for (const std::string& key : update.removed_)
         remove(key, ObjectVersion(update.version_), "goneByPeer");
     if (update.isWhole_) {
-        removeUnnamed(named, ObjectVersion(update.version_));
+        removeUnnamed(update);
         removals_.skip({ before, update.version_ });
     }
     for (const VersionGap& gap : update.gaps_)
         removals_.skip(gap);
+    takeMissing(update, now);
+    isKnown_ = true;
+    log_.line("enginesByPeer").with("peer", peer).with("whole", update.isWhole_ ? "yes" : "no").with("before", before).with("version", newest_).with("changed", update.entries_.size()).with("removed", update.removed_.size()).with("missing", update.missing_.size());
+}
+
+void EngineCatalog::removeUnnamed(const EngineUpdate& whole)
+{
+    std::set<std::string> named(whole.unchanged_.begin(), whole.unchanged_.end());
+    for (const ObjectEntry& entry : whole.entries_)
+        named.insert(entry.key_);
+    for (const std::string& key : keysWithout(named))
+        remove(key, ObjectVersion(whole.version_), "goneByPeer");
+}
+
+void EngineCatalog::takeMissing(const EngineUpdate& update, TimePoint now)
+{
     for (const MissingEngine& missing : update.missing_) {
-        if (!isOlder(missing.key_, missing.version_))
+        const bool isSuccessorKnown = isOlder(missing.key_, missing.version_);
+        if (!isSuccessorKnown)
             miss(missing.key_, missing.version_, now + missing.goneIn_);
         else if (update.isWhole_)
-            remove(missing.key_, ObjectVersion(update.version_), "goneByPeer"); // it registered again and went, unseen by the peer
+            remove(missing.key_, ObjectVersion(update.version_), "goneByPeer"); // the peer knows all engines, and not this one
     }
-    isKnown_ = true;
-    log_.line("enginesByPeer").with("peer", peer).with("whole", update.isWhole_ ? "yes" : "no").with("before", before).with("version", newest_).with("changed", update.entries_.size()).with("removed", update.removed_.size()).with("missing", update.missing_.size());
 }
 
 } // namespace jj
--- a/libs/serving/src/EngineCatalog.h
+++ b/libs/serving/src/EngineCatalog.h
@@ -42,7 +42,7 @@
     // All changes up to `version` since an earlier list or call, in their order.
     void follow(const std::vector<ObjectChange>& changes, ObjectVersion version, TimePoint now, Duration grace);
 
-    // Lets go of missing engines whose time is over.
+    // Removes the missing engines whose hold is over.
     void tick(TimePoint now);
 
     // ---- between nodes
@@ -78,7 +78,13 @@
     bool isOlder(const std::string& key, ObjectVersion version) const;
     void miss(const std::string& key, ObjectVersion version, TimePoint goneAt);
     void remove(const std::string& key, ObjectVersion version, std::string_view why);
-    void removeUnnamed(const std::set<std::string>& named, ObjectVersion upTo);
+    // The keys that count as there at `version`.
+    std::set<std::string> putListed(const std::vector<ObjectEntry>& entries, ObjectVersion version);
+    // Of known engines.
+    std::vector<std::string> keysWithout(const std::set<std::string>& named) const;
+    static bool isCompleteFrom(std::uint64_t version, const EngineUpdate& update);
+    void removeUnnamed(const EngineUpdate& whole);
+    void takeMissing(const EngineUpdate& update, TimePoint now);
 
     const Translation& translation_;
     DecisionLog& log_;
--- a/libs/serving/tests/EngineHistoryTest.cpp
+++ b/libs/serving/tests/EngineHistoryTest.cpp
@@ -1,7 +1,10 @@
 // What a node may claim to know after it took over a state without the history that led to it.
 #include "CatalogNode.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <map>
+#include <memory>
 #include <optional>
 #include <random>
 
@@ -43,7 +46,6 @@
     void skip() { ++version_; }
 
     std::uint64_t version() const { return version_; }
-    const State& stateAt(std::uint64_t version) const { return std::prev(states_.upper_bound(version))->second; }
     // Engines that were ready at that version or at a later one.
     Names readySince(std::uint64_t version) const
     {
@@ -127,7 +129,7 @@
     }
 
     // Time passes until nothing is held any more.
-    void letGo()
+    void endHolds()
     {
         for (Host& host : hosts_)
             host.node_->catalog_.tick(TimePoint {} + hold_);
@@ -394,7 +396,7 @@
         for (int round = 0; round < rounds; ++round) {
             for (int step = 0; step < stepsOfRound; ++step)
                 explored.step();
-            explored.letGo();
+            explored.endHolds();
             CAPTURE(seed);
             CAPTURE(round);
             REQUIRE(explored.holds());
