--- a/libs/serving/tests/EngineHistoryTest.cpp
+++ b/libs/serving/tests/EngineHistoryTest.cpp
@@ -46,14 +46,7 @@
     void skip() { ++version_; }
 
     std::uint64_t version() const { return version_; }
-    // Engines that were ready at that version or at a later one.
-    Names readySince(std::uint64_t version) const
-    {
-        Names names;
-        for (auto place = std::prev(states_.upper_bound(version)); place != states_.end(); ++place)
-            names.merge(namesOf(place->second));
-        return names;
-    }
+    const State& stateAt(std::uint64_t version) const { return std::prev(states_.upper_bound(version))->second; }
     const State& latest() const { return states_.rbegin()->second; }
     // The entries from that key on, as many as fit a page.
     std::vector<ObjectEntry> page(const std::string& from) const
@@ -135,7 +128,7 @@
             host.node_->catalog_.tick(TimePoint {} + hold_);
     }
 
-    // A host uses only engines that the store had at the host's version or later, and all that it had then and has still.
+    // A host uses only engines that the store had at the host's version, and all that it had then and has still.
     bool holds() const
     {
         return std::all_of(hosts_.begin(), hosts_.end(), [this](const Host& host) {
@@ -150,7 +143,7 @@
 
     bool usesNoneGone(const Node& node) const
     {
-        const Names there = store_.readySince(node.catalog_.version());
+        const Names there = namesOf(store_.stateAt(node.catalog_.version()));
         return std::includes(there.begin(), there.end(), node.using_.begin(), node.using_.end());
     }
 
