--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -26,13 +26,13 @@
             case ServingError::KeyUnreadable:
                 return "the key file can't be read or isn't 64 hex digits";
             case ServingError::PeersListenFailed:
-                return "the address for peers can't be listened on";
+                return "the address for peers ([node] peers) can't be listened on";
             case ServingError::CallersListenFailed:
-                return "the address for callers can't be listened on";
+                return "the address for callers ([node] callers) can't be listened on";
             case ServingError::ReadyListenFailed:
-                return "the address for readiness can't be listened on";
+                return "the address for readiness ([node] ready) can't be listened on";
             case ServingError::MetricsListenFailed:
-                return "the address for metrics can't be listened on";
+                return "the address for metrics ([node] metrics) can't be listened on";
             case ServingError::BadSeed:
                 return "a seed is no IP number";
             }
