--- a/libs/base/include/base/Id.h
+++ b/libs/base/include/base/Id.h
@@ -58,6 +58,8 @@
 using WorkspaceId = Id<struct WorkspaceTag>;
 using RegionId = Id<struct RegionTag, std::uint32_t>;
 using FailureDomainId = Id<struct FailureDomainTag, std::uint32_t>;
+// A group of hosts that report each change of their load to each other.
+using CellId = Id<struct CellTag, std::uint32_t>;
 // One request of a caller, or one run of a batch item; unique over the fleet (node, incarnation and counter are mixed in).
 using RequestId = Id<struct RequestTag>;
 using JobId = Id<struct JobTag>;
--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -9,7 +9,7 @@
 // Failure met: engines know no priorities and admit in order of arrival, so a question that reaches a full engine waits behind work
 // that nobody waits for, and nodes that count only their own work send to the same engine at the same moment. It shows as first events that
 // come hundreds of milliseconds late in a burst while other engines have free slots. The guard holds because the counts of all
-// nodes of a region are exact but for the last millisecond or two, ties are broken at random, and nothing of batch is ever sent to an
+// nodes of a cell are exact but for the last millisecond or two, engines of other cells are used for what is left over there, ties are broken at random, and nothing of batch is ever sent to an
 // engine without a free slot.
 //
 // Failure met: an engine resets each request and answers its health check. With nothing running it looks the emptiest, so it draws
@@ -46,6 +46,7 @@
     Endpoint at_;
     RegionId region_;
     FailureDomainId domain_;
+    CellId cell_; // whose nodes use it first; none: no cell's
     std::uint32_t slots_ = 1; // requests that it works on at once
     bool draining_ = false; // leaves: gets nothing new
 
@@ -101,22 +102,32 @@
     Duration sharedFault_ = 400ms;
     // An engine that nobody tried for so long after its time is tried with requests too that can't be sent again.
     Duration untriedFor_ = 3s;
-    // Extra time of a request to another region: a round trip and the connection.
+    // Extra time of a request to another cell of the region, and to another region: a round trip and the connection.
+    Duration otherCellCost_ = 5ms;
     Duration farCost_ = 30ms;
+    // A cell that wasn't heard for so long may have filled its engines.
+    Duration cellTimeout_ = 2s;
     // What a question's first event takes on an idle engine; the bound on the wait leaves room for it.
     Duration firstEvent_ = 40ms;
     // How long a question occupies a slot before any was measured.
     Duration assumedRun_ = 800ms;
 };
 
+// Where a host stands.
+struct HostPlace {
+    CellId cell_;
+    RegionId region_;
+    FailureDomainId domain_;
+};
+
 class CapacityBoard {
 public:
-    CapacityBoard(CapacitySettings settings, NodeId self, RegionId region, FailureDomainId domain, std::uint64_t seed);
+    CapacityBoard(CapacitySettings settings, NodeId self, HostPlace place, std::uint64_t seed);
 
     const CapacitySettings& settings() const { return settings_; }
 
-    // This node counts to another region from now on: engines there are near.
-    void moveTo(RegionId region) { region_ = region; }
+    // This node counts to another cell from now on; `others`: all further cells that have live nodes.
+    void setCells(CellId own, const std::vector<CellId>& others);
 
     // ---- what discovery says
     void upsert(const EngineEntry& entry);
@@ -139,9 +150,13 @@
     NodeUse ownUse(TimePoint now) const;
 
     // ---- what other nodes say
-    // `region`: of that node.
-    void heard(const NodeUse& use, RegionId region, TimePoint now);
+    // Of a node of this cell.
+    void heard(const NodeUse& use, TimePoint now);
     void forget(NodeId node);
+    // Of another cell, as it was at `at`; an older one than the last changes nothing.
+    void heardCell(const CellUse& use, TimePoint at);
+    // This cell for the others: this node and all that it hears.
+    CellUse ownCell(TimePoint now) const;
 
     // ---- what answers say
     // Says for how long the engine is left alone; zero when it isn't blamed.
@@ -162,20 +177,20 @@
     // `bound`: how long the question's first event may take. `tried`: engines that it was sent to before. `repeatable`: it may be sent
     // to another engine if one fails it.
     EnginePick pickQuestion(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now);
-    // How long a question would wait that lines up now, behind all that wait in this region and can be in time.
+    // How long a question would wait that lines up now, behind all that wait in this cell and can be in time.
     Duration queueWait(std::string_view service, TimePoint now) const;
     // Would a question that lines up now, and whose first event may take `bound`, be in time?
     bool isQueueInTime(std::string_view service, Duration bound, TimePoint now) const;
-    // Questions that wait at another node, and at all nodes of this region, this one included.
+    // Questions that wait at another node, and at all nodes of this cell, this one included.
     ServiceWaiting waitingAt(NodeId node, std::string_view service) const;
     std::uint32_t waiting(std::string_view service) const;
     std::uint32_t waitingInTime(std::string_view service) const;
     // `urgent`: due so soon that it may use the reserve, and a slot that questions wait for. `due`: of the item; items of other nodes
-    // that are due earlier go first.
+    // of the cell that are due earlier go first, and other cells' items at their own engines.
     EnginePick pickBatch(std::string_view service, bool urgent, TimePoint due, std::span<const UpstreamId> tried, TimePoint now);
     // Must an item that runs and is due then leave its slot to one that waits elsewhere?
     bool mustCedeItem(std::string_view service, TimePoint due, TimePoint now);
-    // The nodes that run batch items on the engine, the one with most first.
+    // The nodes of this cell that run batch items on the engine, the one with most first, and then the delegates of other cells that do.
     std::vector<NodeId> batchHolders(UpstreamId engine) const;
     // Slots in use by anybody, of those engines of the service that can be sent to.
     struct Usage {
@@ -191,7 +206,7 @@
     struct Engine {
         EngineEntry entry_;
         EngineUse own_;
-        // Invariant: the sum of the reports in reports_ for this engine.
+        // Invariant: the sum of the reports in reports_ and cells_ for this engine.
         std::uint32_t othersQuestions_ = 0;
         std::uint32_t othersBatch_ = 0;
         std::uint32_t othersFirm_ = 0;
@@ -205,7 +220,8 @@
         TimePoint fullUntil_ {};
         TimePoint lostAt_ {}; // a connection of this node
         TimePoint succeededAt_ {};
-        std::set<NodeId> accusers_; // other nodes that have it on trial
+        std::set<NodeId> accusers_; // other nodes of this cell that have it on trial
+        std::set<CellId> doubters_; // other cells of which several nodes do
 
         std::uint32_t questions() const { return own_.questions_ + othersQuestions_; }
         std::uint32_t batch() const { return own_.batchItems_ + othersBatch_; }
@@ -217,42 +233,68 @@
     };
     struct Report {
         NodeUse use_;
-        RegionId region_;
         TimePoint at_ {};
     };
+    struct CellReport {
+        CellUse use_;
+        TimePoint at_ {};
+    };
+    enum class Distance : std::uint8_t {
+        Near, // an engine of this cell
+        Region, // of another cell of the region
+        Far,
+    };
     struct Candidate {
         Engine* engine_ = nullptr;
-        bool far_ = false;
+        Distance distance_ = Distance::Near;
     };
 
     void dropSilent(TimePoint now);
-    void subtract(const NodeUse& use);
-    void add(const NodeUse& use);
+    void setOnTrial(Engine& engine, bool isOnTrial);
+    void subtract(const std::vector<EngineUse>& uses);
+    void add(const std::vector<EngineUse>& uses);
+    void dropCell(CellId cell);
+    Distance distanceOf(const Engine& engine) const;
+    Duration costOf(Distance distance) const;
+    // Its cell has nodes, and none was heard lately: how full it is isn't known.
+    bool isUnknown(const Engine& engine, TimePoint now) const;
+    // Questions wait there for the slots of their cell.
+    bool isWantedThere(const Engine& engine, ServiceId service) const;
     std::vector<Candidate> candidates(std::string_view service, bool repeatable, std::span<const UpstreamId> tried, TimePoint now);
     Duration engineWait(const Engine& engine, TimePoint now) const;
+    // Of engines with free slots the one with the lowest is preferred.
+    std::uint64_t freeRank(const Engine& engine, Distance distance, TimePoint now) const;
     // Slots that batch items may take now.
     std::uint32_t batchRoom(std::span<const Candidate> engines, std::uint32_t reserve, TimePoint now) const;
-    // Items that wait at other nodes and are due before `due`.
+    // What is left of them in each other cell when its own items have theirs.
+    std::map<CellId, std::uint32_t> surplus(std::span<const Candidate> engines, ServiceId service, std::uint32_t reserve, TimePoint now) const;
+    // Items that wait at other nodes of this cell and are due before `due`.
     std::uint32_t itemsDueBefore(std::string_view service, TimePoint due) const;
     bool isUsable(const Engine& engine, bool repeatable, TimePoint now) const;
     bool isDoubtful(const Engine& engine, TimePoint now) const;
     bool isTester(const Engine& engine) const;
     bool isSharedFault(const Engine& engine, TimePoint now) const;
     void addAccusations(const NodeUse& use, bool stands);
+    void addDoubts(const CellUse& use, bool stands);
 
     CapacitySettings settings_;
     NodeId self_;
-    RegionId region_;
-    FailureDomainId domain_;
+    HostPlace place_;
     std::mt19937_64 random_;
     std::unordered_map<UpstreamId, Engine> engines_;
+    // Invariant: the engines that are on trial, and those that this node has work on; ordered, so that all walks are alike.
+    std::set<UpstreamId> onTrial_;
+    std::set<UpstreamId> ownWork_;
     std::map<NodeId, Report> reports_;
+    std::map<CellId, CellReport> cells_; // other cells that were heard
+    std::set<CellId> peopled_; // other cells that have live nodes
+    TimePoint silentCheckedAt_ {};
     struct OwnItems {
         std::uint16_t count_ = 0;
         TimePoint firstDue_ {};
     };
 
-    // Sums over this node and its region.
+    // Sums over this node and its cell.
     ServiceWaiting allWaiting(std::string_view service) const;
 
     std::map<ServiceId, ServiceWaiting> ownWaiting_;
--- a/libs/capacity/include/capacity/NodeUse.h
+++ b/libs/capacity/include/capacity/NodeUse.h
@@ -1,4 +1,4 @@
-// What one node runs on each engine, as it tells the other nodes.
+// What one node runs on each engine, as it reports it to the nodes of its cell, and what a whole cell runs, as other cells hear it.
 #pragma once
 
 #include "base/Id.h"
@@ -52,4 +52,14 @@
     std::vector<ItemsWaiting> items_; // only services with such items
 };
 
+// All nodes of a cell together.
+struct CellUse {
+    CellId cell_;
+    NodeId delegate_; // that sums it up; passes on what is asked of the cell
+    std::vector<EngineUse> uses_; // only engines with work of the cell
+    std::vector<UpstreamId> shunned_; // engines that failed several of its nodes lately
+    std::vector<ServiceWaiting> waiting_;
+    std::vector<ItemsWaiting> items_;
+};
+
 } // namespace jj
--- a/libs/capacity/src/CapacityAnswers.cpp
+++ b/libs/capacity/src/CapacityAnswers.cpp
@@ -52,7 +52,7 @@
     constexpr double mostStrikes = 8;
     one.strikes_ = std::min(one.strikes_, mostStrikes);
     const Duration shun = std::min<Duration>(settings_.longestShun_, fromSeconds(toSeconds(settings_.firstShun_) * std::exp2(one.strikes_ - 1)));
-    one.isOnTrial_ = true;
+    setOnTrial(one, true);
     one.isProbed_ = false;
     one.shunnedUntil_ = now + shun;
     // While it is left alone it can't prove itself, so nothing fades.
@@ -69,7 +69,16 @@
     one.succeededAt_ = now;
     // A stream that began before the failure says nothing about requests that come after it.
     if (one.isOnTrial_ && now >= one.shunnedUntil_)
-        one.isOnTrial_ = false;
+        setOnTrial(one, false);
+}
+
+void CapacityBoard::setOnTrial(Engine& engine, bool isOnTrial)
+{
+    engine.isOnTrial_ = isOnTrial;
+    if (isOnTrial)
+        onTrial_.insert(engine.entry_.id_);
+    else
+        onTrial_.erase(engine.entry_.id_);
 }
 
 void CapacityBoard::probed(UpstreamId engine)
@@ -89,8 +98,9 @@
 std::vector<UpstreamId> CapacityBoard::dueForProbe(TimePoint now) const
 {
     std::vector<UpstreamId> due;
-    for (const auto& [id, engine] : engines_) {
-        if (engine.isOnTrial_ && !engine.isProbed_ && now >= engine.shunnedUntil_)
+    for (const UpstreamId id : onTrial_) {
+        const Engine& engine = engines_.at(id);
+        if (!engine.isProbed_ && now >= engine.shunnedUntil_)
             due.push_back(id);
     }
     return due;
--- a/libs/capacity/src/CapacityBoard.cpp
+++ b/libs/capacity/src/CapacityBoard.cpp
@@ -11,14 +11,15 @@
 
     // Part of a new measurement in the running mean of a question's time in its slot.
     constexpr double meanGain = 0.05;
+    // Well under CapacitySettings::reportTimeout_.
+    constexpr Duration silentCheckPeriod = 100ms;
 
 } // namespace
 
-CapacityBoard::CapacityBoard(CapacitySettings settings, NodeId self, RegionId region, FailureDomainId domain, std::uint64_t seed)
+CapacityBoard::CapacityBoard(CapacitySettings settings, NodeId self, HostPlace place, std::uint64_t seed)
     : settings_(settings)
     , self_(self)
-    , region_(region)
-    , domain_(domain)
+    , place_(place)
     , random_(seed)
     , meanRunSeconds_(toSeconds(settings.assumedRun_))
 {
@@ -34,21 +35,35 @@
     if (!isNew)
         return;
     // Others may have reported work on it before this node heard of it.
-    for (const auto& [node, report] : reports_) {
-        for (const EngineUse& use : report.use_.uses_) {
-            if (use.engine_ != entry.id_)
+    Engine& engine = place->second;
+    const auto addUse = [&engine](const std::vector<EngineUse>& uses) {
+        for (const EngineUse& use : uses) {
+            if (use.engine_ != engine.entry_.id_)
                 continue;
-            place->second.othersQuestions_ += use.questions_;
-            place->second.othersBatch_ += use.batchItems_;
-            place->second.othersFirm_ += use.firmItems_;
+            engine.othersQuestions_ += use.questions_;
+            engine.othersBatch_ += use.batchItems_;
+            engine.othersFirm_ += use.firmItems_;
         }
-        const auto& shunned = report.use_.shunned_;
-        if (std::find(shunned.begin(), shunned.end(), entry.id_) != shunned.end())
-            place->second.accusers_.insert(node);
+    };
+    const auto isIn = [&engine](const std::vector<UpstreamId>& shunned) { return std::find(shunned.begin(), shunned.end(), engine.entry_.id_) != shunned.end(); };
+    for (const auto& [node, report] : reports_) {
+        addUse(report.use_.uses_);
+        if (isIn(report.use_.shunned_))
+            engine.accusers_.insert(node);
+    }
+    for (const auto& [cell, report] : cells_) {
+        addUse(report.use_.uses_);
+        if (isIn(report.use_.shunned_))
+            engine.doubters_.insert(cell);
     }
 }
 
-void CapacityBoard::remove(UpstreamId engine) { engines_.erase(engine); }
+void CapacityBoard::remove(UpstreamId engine)
+{
+    engines_.erase(engine);
+    onTrial_.erase(engine);
+    ownWork_.erase(engine);
+}
 
 const EngineEntry* CapacityBoard::find(UpstreamId engine) const
 {
@@ -74,6 +89,7 @@
     if (found == engines_.end())
         return;
     ++(work == WorkClass::Question ? found->second.own_.questions_ : found->second.own_.batchItems_);
+    ownWork_.insert(engine);
 }
 
 void CapacityBoard::ended(UpstreamId engine, WorkClass work)
@@ -85,6 +101,8 @@
     // Work of an engine that left and came back in between was counted on the entry that is gone.
     if (count > 0)
         --count;
+    if (found->second.own_.questions_ + found->second.own_.batchItems_ == 0)
+        ownWork_.erase(engine);
 }
 
 void CapacityBoard::setFirm(UpstreamId engine, std::uint16_t items)
@@ -110,12 +128,9 @@
 NodeUse CapacityBoard::ownUse(TimePoint now) const
 {
     NodeUse use;
-    for (const auto& [id, engine] : engines_) {
-        if (engine.own_.questions_ > 0 || engine.own_.batchItems_ > 0)
-            use.uses_.push_back(engine.own_);
-        if (engine.isOnTrial_)
-            use.shunned_.push_back(id);
-    }
+    for (const UpstreamId id : ownWork_)
+        use.uses_.push_back(engines_.at(id).own_);
+    use.shunned_.assign(onTrial_.begin(), onTrial_.end());
     for (const auto& [service, waiting] : ownWaiting_) {
         if (waiting.count_ > 0)
             use.waiting_.push_back(waiting);
@@ -129,9 +144,9 @@
 
 // ---- other nodes
 
-void CapacityBoard::subtract(const NodeUse& use)
+void CapacityBoard::subtract(const std::vector<EngineUse>& uses)
 {
-    for (const EngineUse& one : use.uses_) {
+    for (const EngineUse& one : uses) {
         const auto found = engines_.find(one.engine_);
         if (found == engines_.end())
             continue;
@@ -139,12 +154,11 @@
         found->second.othersBatch_ -= std::min<std::uint32_t>(one.batchItems_, found->second.othersBatch_);
         found->second.othersFirm_ -= std::min<std::uint32_t>(one.firmItems_, found->second.othersFirm_);
     }
-    addAccusations(use, false);
 }
 
-void CapacityBoard::add(const NodeUse& use)
+void CapacityBoard::add(const std::vector<EngineUse>& uses)
 {
-    for (const EngineUse& one : use.uses_) {
+    for (const EngineUse& one : uses) {
         const auto found = engines_.find(one.engine_);
         if (found == engines_.end())
             continue;
@@ -152,7 +166,6 @@
         found->second.othersBatch_ += one.batchItems_;
         found->second.othersFirm_ += one.firmItems_;
     }
-    addAccusations(use, true);
 }
 
 void CapacityBoard::addAccusations(const NodeUse& use, bool stands)
@@ -168,17 +181,20 @@
     }
 }
 
-void CapacityBoard::heard(const NodeUse& use, RegionId region, TimePoint now)
+void CapacityBoard::heard(const NodeUse& use, TimePoint now)
 {
     Report& report = reports_[use.node_];
     const bool isKnown = !report.use_.node_.isNone();
     const bool isOld = isKnown && (use.incarnation_ < report.use_.incarnation_ || (use.incarnation_ == report.use_.incarnation_ && use.sequence_ <= report.use_.sequence_));
     if (isOld)
         return;
-    if (isKnown)
-        subtract(report.use_);
-    report = { use, region, now };
-    add(use);
+    if (isKnown) {
+        subtract(report.use_.uses_);
+        addAccusations(report.use_, false);
+    }
+    report = { use, now };
+    add(use.uses_);
+    addAccusations(use, true);
 }
 
 void CapacityBoard::forget(NodeId node)
@@ -186,20 +202,30 @@
     const auto found = reports_.find(node);
     if (found == reports_.end())
         return;
-    subtract(found->second.use_);
+    subtract(found->second.use_.uses_);
+    addAccusations(found->second.use_, false);
     reports_.erase(found);
 }
 
 void CapacityBoard::dropSilent(TimePoint now)
 {
-    for (auto place = reports_.begin(); place != reports_.end();) {
-        if (now - place->second.at_ <= settings_.reportTimeout_) {
-            ++place;
-            continue;
-        }
-        subtract(place->second.use_);
-        place = reports_.erase(place);
+    if (now - silentCheckedAt_ < silentCheckPeriod)
+        return;
+    silentCheckedAt_ = now;
+    std::vector<NodeId> silent;
+    for (const auto& [node, report] : reports_) {
+        if (now - report.at_ > settings_.reportTimeout_)
+            silent.push_back(node);
     }
+    for (const NodeId node : silent)
+        forget(node);
+    std::vector<CellId> silentCells;
+    for (const auto& [cell, report] : cells_) {
+        if (now - report.at_ > settings_.cellTimeout_)
+            silentCells.push_back(cell);
+    }
+    for (const CellId cell : silentCells)
+        dropCell(cell);
 }
 
 std::vector<NodeId> CapacityBoard::batchHolders(UpstreamId engine) const
@@ -216,6 +242,11 @@
     nodes.reserve(holders.size());
     for (const auto& [count, node] : holders)
         nodes.push_back(node);
+    for (const auto& [cell, report] : cells_) {
+        const auto& uses = report.use_.uses_;
+        if (std::any_of(uses.begin(), uses.end(), [engine](const EngineUse& use) { return use.engine_ == engine && use.batchItems_ > 0; }))
+            nodes.push_back(report.use_.delegate_);
+    }
     return nodes;
 }
 
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -37,7 +37,7 @@
 // Other nodes say that it fails, and this one has no fresh answer of it.
 bool CapacityBoard::isDoubtful(const Engine& engine, TimePoint now) const
 {
-    if (engine.accusers_.empty() || engine.isOnTrial_)
+    if ((engine.accusers_.empty() && engine.doubters_.empty()) || engine.isOnTrial_)
         return false;
     return engine.succeededAt_ == TimePoint() || now - engine.succeededAt_ > settings_.freshSuccess_;
 }
@@ -45,12 +45,12 @@
 std::vector<CapacityBoard::Candidate> CapacityBoard::candidates(std::string_view service, bool repeatable, std::span<const UpstreamId> tried, TimePoint now)
 {
     std::vector<Candidate> found;
-    std::vector<Candidate> doubtful;
+    std::vector<Candidate> doubtful; // others say that they fail, or nothing is known of them
     for (auto& [id, engine] : engines_) {
         if (engine.entry_.service_ != service || !isUsable(engine, repeatable, now) || std::find(tried.begin(), tried.end(), id) != tried.end())
             continue;
-        auto& list = isDoubtful(engine, now) ? doubtful : found;
-        list.push_back({ &engine, engine.entry_.region_ != region_ });
+        auto& list = isDoubtful(engine, now) || isUnknown(engine, now) ? doubtful : found;
+        list.push_back({ &engine, distanceOf(engine) });
     }
     // What others say counts only as long as something else is left.
     if (found.empty())
@@ -73,33 +73,37 @@
 EnginePick CapacityBoard::pickQuestion(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now)
 {
     dropSilent(now);
-    // In order of what the caller gets: a free slot near, one that batch gives up, a free slot far, a short wait.
+    // In order of what the caller gets: a free slot near, one that batch gives up near, the same in the region, far, a short wait.
     struct Best {
         const Engine* engine_ = nullptr;
         std::uint64_t rank_ = 0;
     };
+    const auto serviceId = idFromName<ServiceId>(service);
     Best best;
     EnginePick pick;
     Duration shortest = bound;
     for (const Candidate& candidate : candidates(service, repeatable, tried, now)) {
         const Engine& engine = *candidate.engine_;
-        const bool isFree = engine.total(now) < engine.entry_.slots_;
-        const bool displaces = !isFree && engine.fixed(now) < engine.entry_.slots_;
-        const Duration far = candidate.far_ ? settings_.farCost_ : Duration::zero();
-        const Duration wait = isFree || displaces ? far : far + engineWait(engine, now);
+        const bool isNear = candidate.distance_ == Distance::Near;
+        // What others wait for is theirs.
+        const bool isOthers = !isNear && isWantedThere(engine, serviceId);
+        const bool isFree = !isOthers && engine.total(now) < engine.entry_.slots_;
+        const bool displaces = !isOthers && !isFree && engine.fixed(now) < engine.entry_.slots_;
+        const Duration cost = costOf(candidate.distance_);
+        const Duration wait = isFree || displaces ? cost : cost + engineWait(engine, now);
         shortest = std::min(shortest, wait);
         if (wait + settings_.firstEvent_ > bound)
             continue;
         const PickKind kind = isFree ? PickKind::Free : displaces ? PickKind::Displaces
                                                                   : PickKind::Queues;
-        const std::uint64_t stage = (isFree ? 0 : displaces ? 1
-                                                            : 3)
-            + (candidate.far_ ? 2 : 0);
         constexpr std::uint64_t stageWeight = 1ULL << 32;
+        constexpr std::uint64_t queueStage = 6;
         constexpr std::uint64_t otherDomain = 1;
-        const std::uint64_t load = isFree ? engine.total(now) : displaces ? engine.fixed(now)
-                                                                          : static_cast<std::uint64_t>(wait / 1ms);
-        const std::uint64_t rank = stage * stageWeight + load * 2 + (engine.entry_.domain_ == domain_ ? 0 : otherDomain);
+        const auto distance = static_cast<std::uint64_t>(candidate.distance_);
+        const std::uint64_t stage = kind == PickKind::Queues ? queueStage + distance : 2 * distance + (displaces ? 1 : 0);
+        const std::uint64_t load = isFree ? freeRank(engine, candidate.distance_, now) : displaces ? engine.fixed(now)
+                                                                                                   : static_cast<std::uint64_t>(wait / 1ms);
+        const std::uint64_t rank = stage * stageWeight + load * 2 + (engine.entry_.domain_ == place_.domain_ ? 0 : otherDomain);
         if (best.engine_ && rank >= best.rank_)
             continue;
         best = { &engine, rank };
@@ -110,6 +114,20 @@
     return pick;
 }
 
+// Failure met: what is known of other cells is some hundred ms old, so all nodes that look for a slot there would choose the engine that was the
+// emptiest then. The guard: there engines count as alike that have much room, little, or one slot.
+std::uint64_t CapacityBoard::freeRank(const Engine& engine, Distance distance, TimePoint now) const
+{
+    const std::uint32_t total = engine.total(now);
+    if (distance == Distance::Near)
+        return total;
+    const std::uint32_t slots = engine.entry_.slots_;
+    const std::uint32_t free = slots - std::min(slots, total);
+    if (2 * free >= slots)
+        return 0;
+    return free > 1 ? 1 : 2;
+}
+
 // ---- the line
 
 ServiceWaiting CapacityBoard::waitingAt(NodeId node, std::string_view service) const
@@ -128,8 +146,6 @@
     const auto own = ownWaiting_.find(idFromName<ServiceId>(service));
     ServiceWaiting all = own == ownWaiting_.end() ? ServiceWaiting() : own->second;
     for (const auto& [node, report] : reports_) {
-        if (report.region_ != region_)
-            continue;
         const ServiceWaiting there = waitingAt(node, service);
         all.count_ += there.count_;
         all.inTime_ += there.inTime_;
@@ -151,9 +167,9 @@
             continue;
         const std::uint32_t turning = engine.entry_.slots_ - std::min(engine.entry_.slots_, engine.firm());
         all += turning;
-        near += engine.entry_.region_ == region_ ? turning : 0;
+        near += engine.entry_.cell_ == place_.cell_ ? turning : 0;
     }
-    // Slots of other regions go to those who wait there; their frees are heard too late here.
+    // Slots of other cells go to those who wait there; their frees are heard too late here.
     const std::uint32_t slots = near > 0 ? near : all;
     if (slots == 0)
         return neverWait;
@@ -169,6 +185,8 @@
 {
     std::uint32_t room = 0;
     for (const Candidate& candidate : engines) {
+        if (candidate.distance_ != Distance::Near)
+            continue;
         const std::uint32_t taken = candidate.engine_->total(now) + reserve;
         room += candidate.engine_->entry_.slots_ - std::min(candidate.engine_->entry_.slots_, taken);
     }
@@ -199,16 +217,20 @@
         return {};
     const std::uint32_t reserve = urgent ? 0 : settings_.batchReserve_;
     const std::vector<Candidate> engines = candidates(service, true, tried, now);
-    if (batchRoom(engines, reserve, now) <= itemsDueBefore(service, due - settings_.dueStep_))
-        return {};
+    const bool mayUseNear = batchRoom(engines, reserve, now) > itemsDueBefore(service, due - settings_.dueStep_);
+    const auto serviceId = idFromName<ServiceId>(service);
+    const std::map<CellId, std::uint32_t> rooms = surplus(engines, serviceId, reserve, now);
     std::optional<std::uint64_t> bestRank;
     EnginePick pick;
     for (const Candidate& candidate : engines) {
         const Engine& engine = *candidate.engine_;
         if (engine.total(now) + reserve >= engine.entry_.slots_)
             continue;
-        constexpr std::uint64_t farWeight = 1ULL << 32;
-        const std::uint64_t rank = (candidate.far_ ? farWeight : 0) + engine.total(now) * 2ULL + (engine.entry_.domain_ == domain_ ? 0 : 1);
+        const bool isNear = candidate.distance_ == Distance::Near;
+        if (isNear ? !mayUseNear : rooms.at(engine.entry_.cell_) == 0 || isWantedThere(engine, serviceId))
+            continue;
+        constexpr std::uint64_t distanceWeight = 1ULL << 32;
+        const std::uint64_t rank = static_cast<std::uint64_t>(candidate.distance_) * distanceWeight + freeRank(engine, candidate.distance_, now) * 2ULL + (engine.entry_.domain_ == place_.domain_ ? 0 : 1);
         if (bestRank && rank >= *bestRank)
             continue;
         bestRank = rank;
--- a/libs/capacity/tests/BurstTest.cpp
+++ b/libs/capacity/tests/BurstTest.cpp
@@ -49,12 +49,13 @@
         for (std::size_t entry = 0; entry < entries; ++entry) {
             CapacitySettings settings;
             settings.assumedRun_ = meanRun;
-            boards_.push_back(std::make_unique<CapacityBoard>(settings, NodeId(entry + 1), RegionId(1), FailureDomainId(1), seed + entry));
+            boards_.push_back(std::make_unique<CapacityBoard>(settings, NodeId(entry + 1), HostPlace { CellId(1), RegionId(1), FailureDomainId(1) }, seed + entry));
             for (std::size_t engine = 0; engine < engines; ++engine) {
                 EngineEntry one;
                 one.id_ = UpstreamId(engine + 1);
                 one.service_ = "s";
                 one.region_ = RegionId(1);
+                one.cell_ = CellId(1);
                 one.slots_ = slots;
                 boards_.back()->upsert(one);
             }
@@ -218,7 +219,7 @@
             reports_.pop_front();
             for (std::size_t entry = 0; entry < entries; ++entry) {
                 if (NodeId(entry + 1) != use.node_)
-                    boards_[entry]->heard(use, RegionId(1), now_);
+                    boards_[entry]->heard(use, now_);
             }
         }
     }
--- a/libs/capacity/tests/CapacityBoardTest.cpp
+++ b/libs/capacity/tests/CapacityBoardTest.cpp
@@ -12,6 +12,8 @@
 constexpr FailureDomainId domain { 1 };
 constexpr Duration bound = 300ms;
 
+CellId cellOf(RegionId region) { return CellId(region.value()); }
+
 EngineEntry engine(std::uint64_t id, RegionId region = near, std::uint32_t slots = 8)
 {
     EngineEntry entry;
@@ -19,6 +21,7 @@
     entry.name_ = "e" + std::to_string(id);
     entry.service_ = "s";
     entry.region_ = region;
+    entry.cell_ = cellOf(region);
     entry.domain_ = domain;
     entry.slots_ = slots;
     return entry;
@@ -26,7 +29,7 @@
 
 struct World {
     explicit World(std::size_t engines = 3, NodeId self = NodeId(1))
-        : board_({}, self, near, domain, 7)
+        : board_({}, self, { cellOf(near), near, domain }, 7)
     {
         for (std::uint64_t id = 1; id <= engines; ++id)
             board_.upsert(engine(id));
@@ -40,7 +43,7 @@
         use.sequence_ = ++sequence_;
         use.uses_ = std::move(uses);
         use.shunned_ = std::move(shunned);
-        board_.heard(use, near, now_);
+        board_.heard(use, now_);
     }
 
     EnginePick ask(bool repeatable = false) { return board_.pickQuestion("s", bound, repeatable, {}, now_); }
@@ -78,7 +81,7 @@
     old.incarnation_ = Incarnation(1);
     old.sequence_ = 1;
     old.uses_ = { use(1, 7) };
-    world.board_.heard(old, near, world.now_);
+    world.board_.heard(old, world.now_);
     CHECK(world.board_.useOf(UpstreamId(1)).questions_ == 2);
     world.board_.forget(NodeId(2));
     CHECK(world.board_.useOf(UpstreamId(1)).questions_ == 0);
--- a/libs/capacity/tests/ItemOrderTest.cpp
+++ b/libs/capacity/tests/ItemOrderTest.cpp
@@ -39,12 +39,13 @@
         , random_(seed)
     {
         for (std::size_t worker = 0; worker < workers; ++worker) {
-            boards_.push_back(std::make_unique<CapacityBoard>(CapacitySettings(), NodeId(worker + 1), RegionId(1), FailureDomainId(1), seed + worker));
+            boards_.push_back(std::make_unique<CapacityBoard>(CapacitySettings(), NodeId(worker + 1), HostPlace { CellId(1), RegionId(1), FailureDomainId(1) }, seed + worker));
             for (std::size_t engine = 0; engine < engines; ++engine) {
                 EngineEntry one;
                 one.id_ = UpstreamId(engine + 1);
                 one.service_ = "s";
                 one.region_ = RegionId(1);
+                one.cell_ = CellId(1);
                 one.slots_ = slots;
                 boards_.back()->upsert(one);
             }
@@ -214,7 +215,7 @@
         for (; !reports_.empty() && reports_.front().first <= now_; reports_.pop_front()) {
             for (std::size_t worker = 0; worker < workers; ++worker) {
                 if (NodeId(worker + 1) != reports_.front().second.node_)
-                    boards_[worker]->heard(reports_.front().second, RegionId(1), now_);
+                    boards_[worker]->heard(reports_.front().second, now_);
             }
         }
     }
@@ -252,11 +253,12 @@
 
 TEST_CASE("capacity: an item leaves as many free slots as more urgent ones wait elsewhere")
 {
-    CapacityBoard board({}, NodeId(1), RegionId(1), FailureDomainId(1), 1);
+    CapacityBoard board({}, NodeId(1), { CellId(1), RegionId(1), FailureDomainId(1) }, 1);
     EngineEntry engine;
     engine.id_ = UpstreamId(1);
     engine.service_ = "s";
     engine.region_ = RegionId(1);
+    engine.cell_ = CellId(1);
     engine.slots_ = 4;
     board.upsert(engine);
     const TimePoint now { 10s };
@@ -267,7 +269,7 @@
         use.sequence_ = sequence;
         use.uses_ = { { UpstreamId(1), questions, 0, 0 } };
         use.items_ = { { idFromName<ServiceId>("s"), count, 5s } };
-        board.heard(use, RegionId(1), now);
+        board.heard(use, now);
     };
     const TimePoint later = now + 9s;
     hear(2, 0, 1); // three slots beside the reserve
--- a/libs/capacity/tests/ReturnTest.cpp
+++ b/libs/capacity/tests/ReturnTest.cpp
@@ -43,13 +43,14 @@
     Callers(Policy policy, std::uint64_t seed)
         : policy_(policy)
         , random_(seed)
-        , board_(settings(), NodeId(1), region, FailureDomainId(1), seed)
+        , board_(settings(), NodeId(1), { CellId(1), region, FailureDomainId(1) }, seed)
     {
         for (std::size_t engine = 0; engine < engines; ++engine) {
             EngineEntry one;
             one.id_ = UpstreamId(engine + 1);
             one.service_ = "s";
             one.region_ = region;
+            one.cell_ = CellId(1);
             one.slots_ = slots;
             board_.upsert(one);
         }
--- a/libs/capacity/tests/WaitingQueueTest.cpp
+++ b/libs/capacity/tests/WaitingQueueTest.cpp
@@ -48,15 +48,17 @@
 
 CapacityBoard boardWith(std::uint32_t slotsHere, std::uint32_t slotsThere)
 {
-    CapacityBoard board({}, NodeId(1), here, FailureDomainId(1), 7);
+    CapacityBoard board({}, NodeId(1), { CellId(1), here, FailureDomainId(1) }, 7);
     EngineEntry engine;
     engine.service_ = "s";
     engine.id_ = UpstreamId(1);
     engine.region_ = here;
+    engine.cell_ = CellId(1);
     engine.slots_ = slotsHere;
     board.upsert(engine);
     engine.id_ = UpstreamId(2);
     engine.region_ = there;
+    engine.cell_ = CellId(2);
     engine.slots_ = slotsThere;
     board.upsert(engine);
     return board;
@@ -82,8 +84,11 @@
     const TimePoint now { 10s };
     CHECK(board.queueWait("s", now) == 100ms);
     board.setWaiting("s", 2, 2);
-    board.heard(waitersOf(2, 5, 5), here, now);
-    board.heard(waitersOf(3, 40, 40), there, now);
+    board.heard(waitersOf(2, 5, 5), now);
+    CellUse others;
+    others.cell_ = CellId(2);
+    others.waiting_ = { { idFromName<ServiceId>("s"), 40, 40 } };
+    board.heardCell(others, now);
     CHECK(board.waiting("s") == 7);
     CHECK(board.queueWait("s", now) == 800ms);
     CHECK(board.ownUse(now).waiting_ == std::vector<ServiceWaiting> { { idFromName<ServiceId>("s"), 2, 2 } });
@@ -99,7 +104,7 @@
     CapacityBoard board = boardWith(8, 8);
     const TimePoint now { 10s };
     CHECK(board.pickBatch("s", false, now + 10s, {}, now).isSome());
-    board.heard(waitersOf(2, 1, 1), here, now);
+    board.heard(waitersOf(2, 1, 1), now);
     CHECK_FALSE(board.pickBatch("s", false, now + 10s, {}, now).isSome());
     CHECK(board.pickBatch("s", true, now + 10s, {}, now).isSome());
 }
@@ -110,7 +115,7 @@
 {
     CapacityBoard board = boardWith(8, 80);
     const TimePoint now { 10s };
-    board.heard(waitersOf(2, 6, 0), here, now);
+    board.heard(waitersOf(2, 6, 0), now);
     CHECK(board.waiting("s") == 6);
     CHECK(board.waitingInTime("s") == 0);
     CHECK(board.queueWait("s", now) == 100ms);
--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -189,6 +189,8 @@
     std::function<std::optional<std::string>(std::string_view host, std::string_view path)> serviceOf_;
     // A job that isn't in the store may be on its way there from some host's disk, so nobody can say that there is no such job.
     std::function<bool()> mayBeKept_;
+    // Others may have replaced this node without its knowing.
+    std::function<bool()> mayBeReplaced_;
 };
 
 class JobScheduler {
@@ -209,8 +211,6 @@
     // Gives open jobs to whoever should own them, if that is another node: this one only took them in while it knew no better.
     void passOn(TimePoint now);
     bool hasLeft() const;
-    // Others may have replaced this node without its knowing, until told otherwise.
-    void setCautious(bool cautious) { cautious_ = cautious; }
     void suspectAll(TimePoint now);
 
     // ---- runs
@@ -317,7 +317,6 @@
     double meanEvents_ = 0; // of whole items; 0: none has ended yet
     // From an item's first run to its end, in lengths of an uninterrupted run: what giving way to questions makes of it.
     double meanStretch_ = 1;
-    bool cautious_ = false;
     bool leaving_ = false;
     bool scanning_ = false;
 };
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -89,9 +89,8 @@
         return;
     }
     // Once asked isn't enough: others may not have heard yet that this node is back, and take the job after the answer.
-    const bool mayBeReplaced = cautious_ || wasAway(now);
-    const bool isOldNews = mayBeReplaced && now - job->checkedAt_ > settings_.trustedFor_;
-    const bool mustAsk = job->isOpen() && !job->isComplete() && (job->suspect_ || isOldNews);
+    const bool isOutdated = now - job->checkedAt_ > settings_.trustedFor_ && (wasAway(now) || outlets_.mayBeReplaced_());
+    const bool mustAsk = job->isOpen() && !job->isComplete() && (job->suspect_ || isOutdated);
     // Somebody has seen more than is known here.
     const bool isBehind = after > job->listed_.size() && !job->isComplete();
     if (mustAsk || isBehind) {
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -72,6 +72,7 @@
         std::vector<ItemRun> runs_; // at engines
         std::map<RunId, std::uint32_t> sent_; // events of a run so far
         std::set<NodeId> deadTo_; // hosts that it believes dead
+        bool mayBeReplaced_ = false; // by what its fleet says
         std::vector<std::function<void()>> held_; // what came while it was paused
     };
 
@@ -135,6 +136,7 @@
         outlets.note_ = [this](const SchedulerEvent& event) { ++notes_[event.note_]; };
         outlets.serviceOf_ = [this](std::string_view, std::string_view) { return service_; };
         // Hosts tell each other within milliseconds whether they keep jobs.
+        outlets.mayBeReplaced_ = [this, place] { return hosts_[place]->mayBeReplaced_; };
         outlets.mayBeKept_ = [this] { return std::any_of(hosts_.begin(), hosts_.end(), [](const auto& each) { return !each->disk_.texts_->empty(); }); };
         host.scheduler_ = std::make_unique<JobScheduler>(scheduler_, std::move(outlets));
         host.acceptor_ = std::make_unique<Acceptor>(send);
--- a/libs/ledger/tests/ReplacedOwnerTest.cpp
+++ b/libs/ledger/tests/ReplacedOwnerTest.cpp
@@ -15,7 +15,7 @@
     world.advance(SchedulerSettings().newcomer_ + 1s);
     world.submit(0, "j", 2, 1);
     world.advance(60ms);
-    world.scheduler(1).setCautious(true);
+    world.host(1).mayBeReplaced_ = true;
     // Its own runs never end, so it learns nothing from its commits.
     const auto readAtOld = [&world] {
         world.host(1).runs_.clear();
--- a/libs/serving/src/Cells.cpp
+++ b/libs/serving/src/Cells.cpp
@@ -1,27 +1,166 @@
-// A power of two, and a hash of each name.
+// Counts by region and domain decide on the cut; hashes of names decide the rest.
 #include "Cells.h"
 
 #include "base/Hash.h"
 
+#include <algorithm>
+
 namespace jj {
 
-bool Cells::setNodes(std::size_t nodes)
+namespace {
+
+    constexpr std::uint64_t cellLabel = 0x63656c6c;
+    constexpr std::uint64_t delegateLabel = 0x64656c65;
+
+    std::uint64_t delegateRank(NodeId node) { return mixHash(delegateLabel, node.value()); }
+
+} // namespace
+
+std::size_t Cells::Region::largest() const
+{
+    std::size_t most = 0;
+    for (const auto& [domain, nodes] : domains_)
+        most = std::max(most, nodes);
+    return most;
+}
+
+std::size_t Cells::Region::smallest() const
+{
+    std::size_t least = nodes_;
+    for (const auto& [domain, nodes] : domains_)
+        least = std::min(least, nodes);
+    return least;
+}
+
+std::vector<FailureDomainId> Cells::Region::domainIds() const
+{
+    std::vector<FailureDomainId> ids;
+    for (const auto& [domain, nodes] : domains_)
+        ids.push_back(domain);
+    return ids;
+}
+
+Cells::Layout Cells::layout() const
+{
+    Layout layout { {}, cells() };
+    for (const auto& [id, region] : regions_)
+        layout.regions_[id] = { cuts_.at(id), region.domainIds() };
+    return layout;
+}
+
+bool Cells::isFit(const RegionCut& cut, const Region& region)
+{
+    const bool isWhole = !cut.byDomain_ && cut.parts_ == 1;
+    if (isWhole)
+        return region.nodes_ <= mostNodes;
+    const std::size_t largest = cut.byDomain_ ? region.largest() : region.nodes_;
+    const std::size_t smallest = cut.byDomain_ ? region.smallest() : region.nodes_;
+    return largest <= mostNodes * cut.parts_ && smallest >= fewestNodes * cut.parts_;
+}
+
+RegionCut Cells::chooseCut(const Region& region)
+{
+    if (region.nodes_ <= mostNodes)
+        return {};
+    RegionCut byDomain { true, 1 };
+    while (region.largest() > mostNodes * byDomain.parts_)
+        byDomain.parts_ *= 2;
+    if (region.smallest() >= fewestNodes * byDomain.parts_)
+        return byDomain;
+    RegionCut byHash { false, 1 };
+    while (region.nodes_ > mostNodes * byHash.parts_)
+        byHash.parts_ *= 2;
+    return byHash;
+}
+
+Cells::Change Cells::rebuild(const std::vector<CellMember>& members)
+{
+    const Layout layoutBefore = layout();
+    regions_.clear();
+    for (const CellMember& member : members) {
+        Region& region = regions_[member.region_];
+        ++region.domains_[member.domain_];
+        ++region.nodes_;
+    }
+    for (const auto& [id, region] : regions_) {
+        RegionCut& cut = cuts_[id];
+        if (!isFit(cut, region))
+            cut = chooseCut(region);
+    }
+    const auto before = std::exchange(cells_, {});
+    cellOfNode_.clear();
+    std::map<CellId, std::vector<NodeId>> candidates;
+    for (const CellMember& member : members) {
+        const CellId cell = cellOf(member.region_, member.domain_, member.node_.value());
+        cellOfNode_[member.node_] = cell;
+        if (!member.isLive_)
+            continue;
+        cells_[cell].nodes_.push_back(member.node_);
+        if (!member.leaves_)
+            candidates[cell].push_back(member.node_);
+    }
+    for (auto& [id, cell] : cells_)
+        std::sort(cell.nodes_.begin(), cell.nodes_.end());
+    chooseDelegates(candidates);
+    return { cells_ != before, layout() != layoutBefore };
+}
+
+void Cells::chooseDelegates(std::map<CellId, std::vector<NodeId>>& candidates)
+{
+    for (auto& [cell, nodes] : candidates) {
+        std::sort(nodes.begin(), nodes.end(), [](NodeId left, NodeId right) { return delegateRank(left) > delegateRank(right); });
+        nodes.resize(std::min(nodes.size(), delegatesOfCell));
+        cells_[cell].delegates_ = std::move(nodes);
+    }
+}
+
+CellId Cells::cellOf(RegionId region, FailureDomainId domain, std::uint64_t member) const
+{
+    const auto found = regions_.find(region);
+    if (found == regions_.end())
+        return CellId::none();
+    const auto cutOf = cuts_.find(region);
+    const RegionCut cut = cutOf == cuts_.end() ? RegionCut() : cutOf->second;
+    const std::uint64_t hash = mixHash(cellLabel, member);
+    std::uint64_t place = region.value();
+    if (cut.byDomain_) {
+        const auto& domains = found->second.domains_;
+        // An engine of a domain without nodes belongs to one of the others.
+        const bool hasNodes = domains.contains(domain);
+        const FailureDomainId home = hasNodes ? domain : std::next(domains.begin(), static_cast<std::ptrdiff_t>(hash % domains.size()))->first;
+        place = mixHash(place, home.value());
+    }
+    return CellId(static_cast<CellId::Value>(mixHash(place, (hash & (cut.parts_ - 1)) + 1)));
+}
+
+CellId Cells::cellOf(NodeId node) const
+{
+    const auto found = cellOfNode_.find(node);
+    return found == cellOfNode_.end() ? CellId::none() : found->second;
+}
+
+const std::vector<NodeId>& Cells::delegates(CellId cell) const
+{
+    static const std::vector<NodeId> nobody;
+    const auto found = cells_.find(cell);
+    return found == cells_.end() ? nobody : found->second.delegates_;
+}
+
+const std::vector<NodeId>& Cells::nodesOf(CellId cell) const
 {
-    const std::uint32_t before = count_;
-    while (nodes > mostNodes * count_)
-        count_ *= 2;
-    while (count_ > 1 && nodes < fewestNodes * count_)
-        count_ /= 2;
-    return count_ != before;
+    static const std::vector<NodeId> nobody;
+    const auto found = cells_.find(cell);
+    return found == cells_.end() ? nobody : found->second.nodes_;
 }
 
-RegionId Cells::cellOf(RegionId region, std::uint64_t member) const
+std::vector<CellId> Cells::cells() const
 {
-    if (count_ == 1)
-        return region;
-    constexpr std::uint64_t label = 0x63656c6c;
-    const std::uint64_t place = mixHash(label, member) & (count_ - 1);
-    return RegionId(static_cast<RegionId::Value>(mixHash(region.value(), place + 1)));
+    std::vector<CellId> ids;
+    for (const auto& [id, cell] : cells_) {
+        if (!cell.nodes_.empty())
+            ids.push_back(id);
+    }
+    return ids;
 }
 
 } // namespace jj
--- a/libs/serving/src/EngineCatalog.cpp
+++ b/libs/serving/src/EngineCatalog.cpp
@@ -128,16 +128,22 @@
     if (known.isMissing() && known.goneAt_ <= goneAt)
         return;
     known.goneAt_ = goneAt;
+    nextEnd_ = std::min(nextEnd_, goneAt);
     known.missingVersion_ = version;
     log_.line("engineMissing").with("engine", known.entry_.name_).with("at", toString(known.entry_.at_)).with("version", version.value());
 }
 
 void EngineCatalog::tick(TimePoint now)
 {
+    if (now < nextEnd_)
+        return;
+    nextEnd_ = neverTime;
     std::vector<std::string> over;
     for (const auto& [key, known] : known_) {
-        if (known.isMissing() && known.goneAt_ <= now)
+        if (known.goneAt_ <= now)
             over.push_back(key);
+        else
+            nextEnd_ = std::min(nextEnd_, known.goneAt_);
     }
     for (const std::string& key : over)
         remove(key, ObjectVersion(newest_), "missingAfterOutage");
--- a/libs/serving/src/EngineCatalog.h
+++ b/libs/serving/src/EngineCatalog.h
@@ -98,6 +98,8 @@
     // other objects, so peers don't hear of it.
     std::uint64_t answeredUpTo_ = 0;
     bool isKnown_ = false;
+    // No later than the first end of a hold; neverTime: nothing is held.
+    TimePoint nextEnd_ = neverTime;
 };
 
 } // namespace jj
--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -1,11 +1,10 @@
-// Sockets around the membership core, and the reports that nodes tell each other.
+// Sockets around the membership core and the exchange of reports.
 #include "Fleet.h"
 
 #include "http/Client.h"
 #include "http/Server.h"
 #include "wire/DatagramCodec.h"
 
-#include <algorithm>
 #include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
@@ -18,17 +17,6 @@
 
     // Membership's own periods are 60 ms and more.
     constexpr Duration membershipTick = 45ms;
-    // Everybody hears the whole report again, so that lost datagrams are made good.
-    constexpr Duration refreshPeriod = 500ms;
-    // Other regions only use what is left over here, and each byte to them is paid: this much for each node there, so that a fleet
-    // tells its other regions at the same rate whatever its size.
-    constexpr Duration farPeriodPerNode = 15ms;
-    constexpr Duration leastFarPeriod = 45ms;
-    // A node that isn't heard for two seconds counts as running nothing.
-    constexpr Duration longestRefresh = 900ms;
-    // Between reports to other cells of the region: at 180 nodes each hears 400 a second of them at most.
-    constexpr Duration regionPeriodPerNode = 2ms;
-    constexpr std::size_t datagramBytes = 2048;
     constexpr std::size_t callBytes = 16 * 1024 * 1024;
     constexpr std::string_view callPath = "/peer";
 
@@ -93,7 +81,7 @@
 
         Udp::socket socket_;
         std::function<void(std::string_view)> handler_;
-        std::array<char, datagramBytes> buffer_ {};
+        std::array<char, mostDatagramBytes> buffer_ {};
         Udp::endpoint from_;
     };
 
@@ -121,6 +109,7 @@
     , log_(log)
     , handlers_(std::move(handlers))
     , self_(nodeIdOf(options_.at_))
+    , peers_(options_.region_)
     , startedAt_(SystemClock().now())
     , now_(startedAt_)
 {
@@ -139,6 +128,7 @@
 Result<void> Fleet::open()
 {
     sockets_ = std::make_unique<Sockets>(io_, *this);
+    openExchange();
     if (!sockets_->membership_.open(options_.at_) || !sockets_->reports_.open(nextPort(options_.at_)))
         return BaseError::Closed;
     http::ServerSettings server;
@@ -175,44 +165,8 @@
         tickedAt_ = now;
         core_->tick(now, wall);
         runCommands();
-        countNodes();
     }
-    pace_.tick(now);
-    const bool isFarDue = farDirty_ && now - reportedFarAt_ >= farPeriod();
-    const bool isRegionDue = cells_.count() > 1 && regionDirty_ && now - reportedRegionAt_ >= regionPeriod();
-    if (isFarDue || now - reportedFarAt_ >= farRefresh())
-        sendReport(Reach::All);
-    else if (isRegionDue || now - reportedRegionAt_ >= refreshPeriod)
-        sendReport(Reach::Region);
-    else
-        sendPendingReport();
-}
-
-void Fleet::countNodes()
-{
-    const auto near = std::count_if(peers_.begin(), peers_.end(), [this](const auto& entry) { return entry.second.isLive() && entry.second.region_ == options_.region_; });
-    if (!cells_.setNodes(static_cast<std::size_t>(near) + 1))
-        return;
-    log_.line("cellsChanged").with("cells", cells_.count()).with("nodes", static_cast<std::uint64_t>(near) + 1);
-    handlers_.onCellsChanged_();
-}
-
-// Others rely on hearing of nodes that run jobs or follow the store; of the rest only loads.
-Duration Fleet::farRefresh() const
-{
-    const bool isReliedOn = options_.runsJobs_ || saidWatching_;
-    return isReliedOn ? refreshPeriod : std::clamp(farPeriod(), refreshPeriod, longestRefresh);
-}
-
-Duration Fleet::regionPeriod() const
-{
-    return std::min<Duration>(refreshPeriod, regionPeriodPerNode * static_cast<Duration::rep>(peers_.size()));
-}
-
-Duration Fleet::farPeriod() const
-{
-    const auto far = std::count_if(peers_.begin(), peers_.end(), [this](const auto& entry) { return entry.second.isLive() && entry.second.region_ != options_.region_; });
-    return std::max<Duration>(leastFarPeriod, farPeriodPerNode * far);
+    exchange_->tick(now);
 }
 
 void Fleet::onMembershipDatagram(std::string_view bytes)
@@ -245,18 +199,11 @@
 void Fleet::perform(const MemberChanged& command)
 {
     const MemberRumor& member = command.member_;
-    Peer& peer = peers_[member.node_];
-    const bool wasLive = !peer.node_.isNone() && peer.isLive();
-    peer.node_ = member.node_;
-    peer.at_ = member.endpoint_;
-    peer.region_ = member.region_;
-    peer.domain_ = member.domain_;
-    peer.state_ = member.state_;
-    peer.leaving_ = member.leaving_;
+    const PeerTable::Change change = peers_.apply(member, now_);
     log_.line("peerChanged").with("peer", member.endpoint_.toString()).with("state", nameOf(member.state_)).with("leaving", member.leaving_ ? "yes" : "no").with("incarnation", member.incarnation_.value());
-    if (wasLive && !peer.isLive())
+    if (change.hasGone_)
         handlers_.onGone_(member.node_);
-    if (!wasLive && peer.isLive())
+    if (change.hasCome_)
         publishReport();
 }
 
@@ -284,60 +231,51 @@
 
 // ---- reports
 
-void Fleet::publishReport()
+void Fleet::openExchange()
 {
-    farDirty_ = true;
-    regionDirty_ = true;
-    if (reportPending_)
-        return;
-    reportPending_ = true;
-    boost::asio::post(io_, [this, alive = alive_] {
-        if (*alive)
-            sendPendingReport();
-    });
+    ExchangeOutlets outlets;
+    outlets.ownReport_ = handlers_.ownReport_;
+    outlets.ownVersions_ = handlers_.ownVersions_;
+    outlets.ownCell_ = handlers_.ownCell_;
+    outlets.onReport_ = handlers_.onReport_;
+    outlets.onCell_ = handlers_.onCell_;
+    outlets.onCellsChanged_ = [this] {
+        log_.line("cellsChanged").with("cells", cells().cells().size()).with("nodes", mates().size());
+        handlers_.onCellsChanged_();
+    };
+    outlets.send_ = [this](std::span<const PeerAddress> receivers, const PeerDatagram& datagram) {
+        const std::string bytes = encode(options_.key_, datagram);
+        for (const PeerAddress& receiver : receivers)
+            sockets_->reports_.send(nextPort(receiver), bytes);
+    };
+    const ExchangeSelf self { self_, options_.region_, options_.domain_, options_.incarnation_, options_.runsJobs_ };
+    exchange_ = std::make_unique<ReportExchange>(self, peers_, std::move(outlets));
 }
 
-// A report that comes too early goes with a later tick.
-void Fleet::sendPendingReport()
+void Fleet::publishReport()
 {
-    if (!reportPending_ || SystemClock().now() < pace_.nextAt())
+    exchange_->publish();
+    if (reportPosted_)
         return;
-    sendReport(Reach::Cell);
+    reportPosted_ = true;
+    boost::asio::post(io_, [this, alive = alive_] {
+        if (!*alive)
+            return;
+        reportPosted_ = false;
+        exchange_->sendPending(SystemClock().now());
+    });
 }
 
-void Fleet::sendReport(Reach reach)
+void Fleet::giveWay(NodeId holder, UpstreamId engine)
 {
-    NodeReport report = handlers_.ownReport_();
-    report.use_.node_ = self_;
-    report.use_.incarnation_ = options_.incarnation_;
-    report.use_.sequence_ = ++sequence_;
-    report.runsJobs_ = options_.runsJobs_;
-    report.leaving_ = leaving_;
-    const std::string bytes = encode(options_.key_, PeerDatagram(report));
-    reportPending_ = false;
-    saidWatching_ = report.watching_;
-    pace_.sent(SystemClock().now());
-    const RegionId ownCell = cellOf(self_);
-    for (const auto& [node, peer] : peers_) {
-        const bool isReached = reach == Reach::All || (reach == Reach::Region && peer.region_ == options_.region_) || cells_.cellOf(peer.region_, node) == ownCell;
-        if (peer.isLive() && isReached)
-            sockets_->reports_.send(nextPort(peer.at_), bytes);
-    }
-    if (reach == Reach::Cell && cells_.count() > 1)
-        return;
-    regionDirty_ = false;
-    reportedRegionAt_ = now_;
-    if (reach != Reach::All)
-        return;
-    farDirty_ = false;
-    reportedFarAt_ = now_;
+    if (const Peer* peer = peers_.find(holder))
+        sockets_->reports_.send(nextPort(peer->at_), encode(options_.key_, GiveWay { self_, engine, false }));
 }
 
-void Fleet::giveWay(NodeId holder, UpstreamId engine)
+void Fleet::passOnGiveWay(const GiveWay& ask, NodeId holder)
 {
-    const auto found = peers_.find(holder);
-    if (found != peers_.end())
-        sockets_->reports_.send(nextPort(found->second.at_), encode(options_.key_, PeerDatagram(GiveWay { self_, engine })));
+    if (const Peer* peer = peers_.find(holder))
+        sockets_->reports_.send(nextPort(peer->at_), encode(options_.key_, GiveWay { ask.from_, ask.engine_, true }));
 }
 
 void Fleet::onReportDatagram(std::string_view bytes)
@@ -347,35 +285,24 @@
         return;
     if (const auto* ask = std::get_if<GiveWay>(&datagram.value()))
         return handlers_.onGiveWay_(*ask);
-    const auto& report = std::get<NodeReport>(datagram.value());
-    pace_.heard();
-    const auto found = peers_.find(report.use_.node_);
-    if (found != peers_.end()) {
-        Peer& peer = found->second;
-        peer.runsJobs_ = report.runsJobs_;
-        peer.leaving_ = peer.leaving_ || report.leaving_;
-        peer.heardAt_ = SystemClock().now();
-        peer.configVersion_ = report.configVersion_;
-        peer.enginesVersion_ = report.enginesVersion_;
-        peer.watching_ = report.watching_;
-        peer.keepsJobs_ = report.keepsJobs_;
-        peer.keptJobs_ = report.keptJobs_;
-    }
-    handlers_.onReport_(report);
+    const TimePoint now = SystemClock().now();
+    if (const auto* digest = std::get_if<CellDigest>(&datagram.value()))
+        return exchange_->received(*digest, now);
+    exchange_->received(std::get<NodeReport>(datagram.value()), now);
 }
 
 // ---- calls
 
 void Fleet::ask(NodeId node, const PeerCall& call, Duration bound, ReplyHandler done)
 {
-    const auto found = peers_.find(node);
-    if (found == peers_.end()) {
+    const Peer* peer = peers_.find(node);
+    if (!peer) {
         boost::asio::post(io_, [done = std::move(done)] { done(PeerError::Unreachable); });
         return;
     }
     http::CallOptions options;
     options.idle_ = bound;
-    const Endpoint to = endpointOf(found->second.at_);
+    const Endpoint to = endpointOf(peer->at_);
     http::Request request { "POST", std::string(callPath), {}, encode(options_.key_, call) };
     sockets_->client_.fetch(to, request, options, [this, alive = alive_, to, done = std::move(done)](const Result<http::Response>& response, RunState) {
         if (!*alive)
@@ -392,10 +319,9 @@
 
 void Fleet::beginLeaving()
 {
-    leaving_ = true;
     core_->handle(LeaveStarted {}, SystemClock().now(), SystemClock().wallNow());
     runCommands();
-    sendReport(Reach::All);
+    exchange_->beginLeaving(SystemClock().now());
 }
 
 void Fleet::finishLeaving()
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -1,21 +1,20 @@
 // The other nodes: who lives, what each runs at the engines, and calls between nodes.
 //
-// Membership (libs/membership) finds and buries nodes. On top of it every node tells its own region what it runs at once, when that
-// changes, and everybody now and then. All on the caller's thread.
+// Membership (libs/membership) finds and buries nodes; ReportExchange.h says who hears what each runs. This class puts sockets around
+// both. All on the caller's thread.
 #pragma once
 
-#include "Cells.h"
 #include "DecisionLog.h"
 #include "Keepers.h"
 #include "PeerMessages.h"
-#include "ReportPace.h"
+#include "PeerTable.h"
+#include "ReportExchange.h"
 #include "WatchChoice.h"
 #include "base/Result.h"
 #include "membership/MembershipCore.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -34,9 +33,12 @@
 };
 
 struct FleetHandlers {
-    // What goes out with each report of this node; node, incarnation and sequence are filled in here.
+    // As those of ReportExchange.h.
     std::function<NodeReport()> ownReport_;
-    std::function<void(const NodeReport&)> onReport_;
+    std::function<KnownVersions()> ownVersions_;
+    std::function<CellUse()> ownCell_;
+    std::function<void(const NodeReport&, bool isMate)> onReport_;
+    std::function<void(const CellSummary&, TimePoint at)> onCell_;
     std::function<void(const GiveWay&)> onGiveWay_;
     std::function<void(NodeId)> onGone_;
     // A mark of content that crashes engines, see CrashSuspects.h.
@@ -49,24 +51,6 @@
     std::function<void(PeerCall, std::function<void(PeerReply)>)> onCall_;
 };
 
-struct Peer {
-    NodeId node_;
-    PeerAddress at_;
-    RegionId region_;
-    FailureDomainId domain_;
-    MemberState state_ = MemberState::Alive;
-    bool leaving_ = false;
-    bool runsJobs_ = false;
-    TimePoint heardAt_ {}; // of its last own report
-    std::uint64_t configVersion_ = 0;
-    std::uint64_t enginesVersion_ = 0;
-    bool watching_ = false;
-    bool keepsJobs_ = false;
-    std::uint32_t keptJobs_ = 0;
-
-    bool isLive() const { return state_ == MemberState::Alive || state_ == MemberState::Suspect; }
-};
-
 class Fleet {
 public:
     // Errors: the address can't be listened on.
@@ -74,9 +58,12 @@
     ~Fleet();
 
     void tick(TimePoint now, WallTime wall);
-    // This node's report has changed; it goes out before the loop turns again, or at the region's pace if that is slower.
+    // This node's report has changed; it goes out before the loop turns again, or at the cell's pace if that is slower.
     void publishReport();
+    // Asks a node that runs a batch item on the engine, or a delegate of its cell, to stop it.
     void giveWay(NodeId holder, UpstreamId engine);
+    // The same for another node that asked this one, as the delegate of its cell.
+    void passOnGiveWay(const GiveWay& ask, NodeId holder);
     using ReplyHandler = std::function<void(Result<PeerReply>)>;
     // Calls a peer; completes with Unreachable after `bound`.
     void ask(NodeId node, const PeerCall& call, Duration bound, ReplyHandler done);
@@ -85,7 +72,7 @@
     void publishCrashMark(Fingerprint mark, Duration remaining);
 
     void beginLeaving();
-    bool isLeaving() const { return leaving_; }
+    bool isLeaving() const { return exchange_->isLeaving(); }
     // The last reports, before the process ends.
     void finishLeaving();
 
@@ -93,13 +80,14 @@
     RegionId region() const { return options_.region_; }
     // Of a node that isn't known: this one's.
     RegionId regionOf(NodeId node) const;
-    // What stands for the region where load is counted, see Cells.h.
-    RegionId cellOf(NodeId node) const { return cells_.cellOf(regionOf(node), node); }
-    RegionId cellOf(RegionId region, UpstreamId engine) const { return cells_.cellOf(region, engine); }
+    const Cells& cells() const { return exchange_->cells(); }
+    CellId ownCell() const { return exchange_->ownCell(); }
+    // Live nodes of this node's cell, this one included.
+    const std::vector<NodeId>& mates() const { return exchange_->mates(); }
     // A node that was never heard of counts as live until this node has been up for settleTime.
     bool isLive(NodeId node) const;
-    const std::map<NodeId, Peer>& peers() const { return peers_; }
-    std::vector<NodeId> livePeers() const;
+    const std::vector<Peer>& peers() const { return peers_.rows(); }
+    std::size_t livePeers() const { return peers_.liveNear() + peers_.liveFar(); }
     // For logs; empty when it isn't known.
     std::string addressOf(NodeId node) const;
     // Of the live nodes that run jobs and don't leave, in the region of `former` if there are any: who should own the job.
@@ -131,17 +119,7 @@
     void perform(const QuarantineLearned& command);
     void perform(const UpstreamMarkLearned&) { }
     void perform(const RegionReachChanged& command);
-    enum class Reach : std::uint8_t {
-        Cell,
-        Region,
-        All,
-    };
-    void sendReport(Reach reach);
-    void countNodes();
-    void sendPendingReport();
-    Duration farPeriod() const;
-    Duration farRefresh() const;
-    Duration regionPeriod() const;
+    void openExchange();
 
     boost::asio::io_context& io_;
     FleetOptions options_;
@@ -150,21 +128,13 @@
     NodeId self_;
     std::unique_ptr<Sockets> sockets_;
     std::unique_ptr<MembershipCore> core_;
-    std::map<NodeId, Peer> peers_;
-    std::uint32_t sequence_ = 0;
+    PeerTable peers_;
+    std::unique_ptr<ReportExchange> exchange_;
     std::uint64_t keeperTurn_ = 0; // so that jobs spread over the hosts
-    ReportPace pace_;
-    bool reportPending_ = false; // a report is to be sent, as soon as the pace allows
-    bool farDirty_ = false; // other regions have not heard the last change
-    TimePoint reportedFarAt_ {};
-    TimePoint reportedRegionAt_ {};
-    bool regionDirty_ = false; // other cells have not heard the last change
-    Cells cells_;
-    bool saidWatching_ = false;
+    bool reportPosted_ = false;
     TimePoint tickedAt_ {};
     TimePoint startedAt_ {};
     TimePoint now_ {};
-    bool leaving_ = false;
     // Lives as long as this object; what is posted looks at it first.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/libs/serving/src/FleetPeers.cpp
+++ b/libs/serving/src/FleetPeers.cpp
@@ -23,32 +23,22 @@
 {
     if (node == self_)
         return true;
-    const auto found = peers_.find(node);
-    if (found == peers_.end())
+    const Peer* peer = peers_.find(node);
+    if (!peer)
         return now_ - startedAt_ < settleTime;
-    return found->second.isLive() || now_ - found->second.heardAt_ < freshWord;
-}
-
-std::vector<NodeId> Fleet::livePeers() const
-{
-    std::vector<NodeId> live;
-    for (const auto& [node, peer] : peers_) {
-        if (peer.isLive())
-            live.push_back(node);
-    }
-    return live;
+    return peer->isLive() || now_ - peer->heardAt_ < freshWord;
 }
 
 std::string Fleet::addressOf(NodeId node) const
 {
-    const auto found = peers_.find(node);
-    return found == peers_.end() ? std::string() : found->second.at_.toString();
+    const Peer* peer = peers_.find(node);
+    return peer ? peer->at_.toString() : std::string();
 }
 
 RegionId Fleet::regionOf(NodeId node) const
 {
-    const auto found = peers_.find(node);
-    return found == peers_.end() ? options_.region_ : found->second.region_;
+    const Peer* peer = peers_.find(node);
+    return peer ? peer->region_ : options_.region_;
 }
 
 NodeId Fleet::preferredOwner(std::string_view job, NodeId former) const
@@ -64,11 +54,11 @@
         if (best[rank].second.isNone() || weight > best[rank].first)
             best[rank] = { weight, node };
     };
-    if (!leaving_)
+    if (!isLeaving())
         consider(self_, options_.region_, options_.runsJobs_);
-    for (const auto& [node, peer] : peers_) {
+    for (const Peer& peer : peers_.rows()) {
         if (peer.isLive() && !peer.leaving_)
-            consider(node, peer.region_, peer.runsJobs_);
+            consider(peer.node_, peer.region_, peer.runsJobs_);
     }
     for (const auto& [weight, node] : best) {
         if (!node.isNone())
@@ -80,10 +70,10 @@
 std::vector<WatchPeer> Fleet::watchPeers() const
 {
     std::vector<WatchPeer> found;
-    found.reserve(peers_.size());
-    for (const auto& [node, peer] : peers_) {
+    found.reserve(peers_.rows().size());
+    for (const Peer& peer : peers_.rows()) {
         const bool mayWatch = peer.isLive() && !peer.leaving_ && peer.region_ == options_.region_;
-        found.push_back({ node, mayWatch, peer.watching_ && now_ - peer.heardAt_ < freshWord });
+        found.push_back({ peer.node_, mayWatch, peer.watching_ && now_ - peer.heardAt_ < freshWord });
     }
     return found;
 }
@@ -91,24 +81,25 @@
 std::vector<NodeId> Fleet::keepersOf(const TolerableLosses& losses, const std::vector<NodeId>& without)
 {
     std::vector<KeeperCandidate> candidates;
-    for (const auto& [node, peer] : peers_) {
+    for (const Peer& peer : peers_.rows()) {
         const bool isHeard = now_ - peer.heardAt_ < freshWord;
-        const bool isOut = std::find(without.begin(), without.end(), node) != without.end();
+        const bool isOut = std::find(without.begin(), without.end(), peer.node_) != without.end();
         if (peer.isLive() && isHeard && !peer.leaving_ && peer.keepsJobs_ && !isOut)
-            candidates.push_back({ node, peer.domain_, peer.region_, peer.region_ == options_.region_ });
+            candidates.push_back({ peer.node_, peer.domain_, peer.region_, peer.region_ == options_.region_ });
     }
     return chooseKeepers(std::move(candidates), losses, mixHash(self_.value(), ++keeperTurn_));
 }
 
 bool Fleet::anyKeepsJobs() const
 {
-    return std::any_of(peers_.begin(), peers_.end(), [this](const auto& entry) { return entry.second.keptJobs_ > 0 && now_ - entry.second.heardAt_ < keptJobsRemembered; });
+    const auto& rows = peers_.rows();
+    return std::any_of(rows.begin(), rows.end(), [this](const Peer& peer) { return peer.keptJobs_ > 0 && now_ - peer.heardAt_ < keptJobsRemembered; });
 }
 
 bool Fleet::mayBeReplaced() const
 {
-    return std::any_of(peers_.begin(), peers_.end(), [this](const auto& entry) {
-        const Peer& peer = entry.second;
+    const auto& rows = peers_.rows();
+    return std::any_of(rows.begin(), rows.end(), [this](const Peer& peer) {
         return peer.runsJobs_ && peer.state_ != MemberState::Left && now_ - peer.heardAt_ > freshWord && now_ - peer.heardAt_ < 60s;
     });
 }
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -216,7 +216,7 @@
         context_.board_.setFirm(engine, count);
 }
 
-void ItemRunner::giveWay(UpstreamId engine, TimePoint now)
+bool ItemRunner::giveWay(UpstreamId engine, TimePoint now)
 {
     // Those that are late lose nothing by waiting; of the others the one that is due last has the most time to go on elsewhere.
     RunPtr chosen;
@@ -237,9 +237,10 @@
     }
     const bool mayStay = chosenUrgency == ItemUrgency::Urgent && urgent <= settings_.firmPerEngine_;
     if (!chosen || mayStay)
-        return;
+        return chosen != nullptr;
     context_.metrics_.metrics_.add(context_.metrics_.itemsGivenWay_);
     finish(chosen, RunEnd::GivenWay, "gaveWay");
+    return true;
 }
 
 void ItemRunner::stop(RunId id)
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -33,8 +33,8 @@
 
     // Starts what fits.
     void pump(TimePoint now);
-    // A question needs a slot of the engine.
-    void giveWay(UpstreamId engine, TimePoint now);
+    // A question needs a slot of the engine. False: this node runs no item there.
+    bool giveWay(UpstreamId engine, TimePoint now);
     // How many of the engine's slots its items keep against questions.
     void markFirm(TimePoint now);
     // The scheduler has no use for the run any more.
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -31,7 +31,6 @@
     };
 
     // Each kind of message has its own label under the code, so that one is never taken for another.
-    constexpr std::string_view datagramLabel = "serving datagram 3";
     constexpr std::string_view callLabel = "serving call 2";
     constexpr std::string_view replyLabel = "serving reply 3";
 
@@ -94,42 +93,6 @@
     archive(call.verb_, call.key_, call.value_, call.expected_, call.limit_, call.after_, call.withValues_, call.stale_, call.wait_);
 }
 
-template <class Archive>
-void serialize(Archive& archive, EngineUse& use)
-{
-    archive(use.engine_, use.questions_, use.batchItems_, use.firmItems_);
-}
-
-template <class Archive>
-void serialize(Archive& archive, ServiceWaiting& waiting)
-{
-    archive(waiting.service_, waiting.count_, waiting.inTime_);
-}
-
-template <class Archive>
-void serialize(Archive& archive, ItemsWaiting& waiting)
-{
-    archive(waiting.service_, waiting.count_, waiting.dueIn_);
-}
-
-template <class Archive>
-void serialize(Archive& archive, NodeUse& use)
-{
-    archive(use.node_, use.incarnation_, use.sequence_, use.uses_, use.shunned_, use.waiting_, use.items_);
-}
-
-template <class Archive>
-void serialize(Archive& archive, NodeReport& report)
-{
-    archive(report.use_, report.runsJobs_, report.leaving_, report.configVersion_, report.enginesVersion_, report.watching_, report.keepsJobs_, report.keptJobs_);
-}
-
-template <class Archive>
-void serialize(Archive& archive, GiveWay& ask)
-{
-    archive(ask.from_, ask.engine_);
-}
-
 template <class Archive>
 void serialize(Archive& archive, JobItem& item)
 {
@@ -306,11 +269,9 @@
 
 } // namespace
 
-std::string encode(const WireKey& key, const PeerDatagram& datagram) { return encodeAs(key, datagramLabel, datagram); }
 std::string encode(const WireKey& key, const PeerCall& call) { return encodeAs(key, callLabel, call); }
 std::string encode(const WireKey& key, const PeerReply& reply) { return encodeAs(key, replyLabel, reply); }
 
-Result<PeerDatagram> decodeDatagram(const WireKey& key, std::string_view bytes) { return decodeAs<PeerDatagram>(key, datagramLabel, bytes); }
 Result<PeerCall> decodeCall(const WireKey& key, std::string_view bytes) { return decodeAs<PeerCall>(key, callLabel, bytes); }
 Result<PeerReply> decodeReply(const WireKey& key, std::string_view bytes) { return decodeAs<PeerReply>(key, replyLabel, bytes); }
 
--- a/libs/serving/src/PeerMessages.h
+++ b/libs/serving/src/PeerMessages.h
@@ -1,4 +1,4 @@
-// What serving nodes say to each other. Datagrams tell loads and ask for slots; calls carry jobs, reads and calls of the store.
+// Calls between serving nodes: jobs, reads, updates, and calls of the store. Datagrams stand in ReportMessages.h.
 //
 // Coded with cereal and closed with a code of the fleet's key (wire/Key.h). Bytes that don't verify are never decoded, so a decoder
 // sees only what a peer encoded.
@@ -6,7 +6,6 @@
 
 #include "RemovalHistory.h"
 #include "base/Result.h"
-#include "capacity/NodeUse.h"
 #include "ledger/JobScheduler.h"
 #include "ledger/KeptJob.h"
 #include "objects/ObjectApi.h"
@@ -20,30 +19,6 @@
 
 namespace jj {
 
-// ---- datagrams
-
-// A node's own report; the latest replaces all earlier ones.
-struct NodeReport {
-    NodeUse use_;
-    bool runsJobs_ = false;
-    bool leaving_ = false;
-    std::uint64_t configVersion_ = 0; // that it applies; 0: none
-    std::uint64_t enginesVersion_ = 0; // of the last change of an engine's entry that it knows; 0: none
-    bool watching_ = false; // it follows the store itself, and the store answers it
-    bool keepsJobs_ = false; // it has a disk, and takes jobs onto it while the store is away
-    std::uint32_t keptJobs_ = 0; // on its disk now
-};
-
-// The sender sends a question to an engine whose slots are full, and the receiver has a batch item there.
-struct GiveWay {
-    NodeId from_;
-    UpstreamId engine_;
-};
-
-using PeerDatagram = std::variant<NodeReport, GiveWay>;
-
-// ---- calls
-
 // The store doesn't serve the sender; the receiver makes the call in its place.
 struct StoreAsk {
     ObjectCall call_;
@@ -116,10 +91,8 @@
 };
 std::error_code make_error_code(PeerError error);
 
-std::string encode(const WireKey& key, const PeerDatagram& datagram);
 std::string encode(const WireKey& key, const PeerCall& call);
 std::string encode(const WireKey& key, const PeerReply& reply);
-Result<PeerDatagram> decodeDatagram(const WireKey& key, std::string_view bytes);
 Result<PeerCall> decodeCall(const WireKey& key, std::string_view bytes);
 Result<PeerReply> decodeReply(const WireKey& key, std::string_view bytes);
 
--- /dev/null
+++ b/libs/serving/src/PeerTable.cpp
@@ -0,0 +1,41 @@
+// Rows stay for the life of the process: an address that is gone costs about a hundred bytes.
+#include "PeerTable.h"
+
+namespace jj {
+
+PeerTable::Change PeerTable::apply(const MemberRumor& member, TimePoint now)
+{
+    const auto [place, isNew] = places_.try_emplace(member.node_, rows_.size());
+    if (isNew)
+        rows_.emplace_back();
+    Peer& peer = rows_[place->second];
+    const bool wasLive = !isNew && peer.isLive();
+    if (wasLive)
+        --countOf(peer);
+    peer.node_ = member.node_;
+    peer.at_ = member.endpoint_;
+    peer.region_ = member.region_;
+    peer.domain_ = member.domain_;
+    peer.state_ = member.state_;
+    peer.leaving_ = member.leaving_;
+    if (peer.isLive())
+        ++countOf(peer);
+    if (wasLive && !peer.isLive())
+        peer.goneAt_ = now;
+    ++revision_;
+    return { !wasLive && peer.isLive(), wasLive && !peer.isLive() };
+}
+
+Peer* PeerTable::find(NodeId node)
+{
+    const auto found = places_.find(node);
+    return found == places_.end() ? nullptr : &rows_[found->second];
+}
+
+const Peer* PeerTable::find(NodeId node) const
+{
+    const auto found = places_.find(node);
+    return found == places_.end() ? nullptr : &rows_[found->second];
+}
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/ReportExchange.cpp
@@ -0,0 +1,260 @@
+// Periods decide; the tick compares times.
+#include "ReportExchange.h"
+
+#include <algorithm>
+
+namespace jj {
+
+namespace {
+
+    // The whole report goes out again, so that lost datagrams are made good.
+    constexpr Duration refreshPeriod = 500ms;
+    // Of a node that sums up: a report that is so fresh shows that its sender lives and can be heard.
+    constexpr Duration freshReport = 1200ms;
+    // Between two summaries of a cell, when something changes: small fleets tell each other sooner.
+    constexpr Duration summaryPeriodPerNode = 5ms;
+    constexpr Duration leastSummaryPeriod = 45ms;
+    constexpr Duration longestSummaryPeriod = 250ms;
+    // Without a change; well under the time for which a cell's summary counts.
+    constexpr Duration summaryRefresh = 500ms;
+    // A new version of the configuration or the engines is sent as soon as this.
+    constexpr Duration versionSpacing = 20ms;
+    // Nodes that are gone count for the cut into cells for so long: it shouldn't change while many restart.
+    constexpr Duration goneCounts = 60s;
+    // The cut follows nodes that are gone for good.
+    constexpr Duration cellsRefresh = 10s;
+
+} // namespace
+
+ReportExchange::ReportExchange(const ExchangeSelf& self, PeerTable& peers, ExchangeOutlets outlets)
+    : self_(self)
+    , peers_(peers)
+    , outlets_(std::move(outlets))
+{
+    cells_.rebuild({ { self_.node_, self_.region_, self_.domain_, true, false } });
+}
+
+// ---- own reports
+
+void ReportExchange::publish()
+{
+    pending_ = true;
+    isDirty_ = true;
+}
+
+// A report that comes too early goes with a later tick.
+void ReportExchange::sendPending(TimePoint now)
+{
+    if (pending_ && now >= pace_.nextAt())
+        sendReport(false, now);
+}
+
+void ReportExchange::sendReport(bool toAll, TimePoint now)
+{
+    NodeReport report = outlets_.ownReport_();
+    report.use_.node_ = self_.node_;
+    report.use_.incarnation_ = self_.incarnation_;
+    report.use_.sequence_ = ++sequence_;
+    report.runsJobs_ = self_.runsJobs_;
+    report.leaving_ = leaving_;
+    pending_ = false;
+    reportedAt_ = now;
+    pace_.sent(now);
+    // Who follows the store is known to everybody at once: others begin or stop to follow it by that.
+    const bool isWatchNew = report.watching_ != saidWatching_;
+    saidWatching_ = report.watching_;
+    if (!toAll && !isWatchNew)
+        return outlets_.send_(mateAddresses_, report);
+    std::vector<PeerAddress> all;
+    for (const Peer& peer : peers_.rows()) {
+        if (peer.isLive())
+            all.push_back(peer.at_);
+    }
+    outlets_.send_(all, report);
+}
+
+void ReportExchange::beginLeaving(TimePoint now)
+{
+    leaving_ = true;
+    sendReport(true, now);
+}
+
+void ReportExchange::received(const NodeReport& report, TimePoint now)
+{
+    pace_.heard();
+    isDirty_ = true;
+    if (Peer* peer = peers_.find(report.use_.node_)) {
+        peer->runsJobs_ = report.runsJobs_;
+        peer->leaving_ = peer->leaving_ || report.leaving_;
+        peer->heardAt_ = now;
+        peer->configVersion_ = report.configVersion_;
+        peer->enginesVersion_ = report.enginesVersion_;
+        peer->watching_ = report.watching_;
+        peer->keepsJobs_ = report.keepsJobs_;
+        peer->keptJobs_ = report.keptJobs_;
+    }
+    outlets_.onReport_(report, cells_.cellOf(report.use_.node_) == ownCell());
+}
+
+// ---- the periodic work
+
+void ReportExchange::tick(TimePoint now)
+{
+    refreshCells(now);
+    pace_.tick(now);
+    if (now - reportedAt_ >= refreshPeriod)
+        sendReport(false, now);
+    else
+        sendPending(now);
+    tickDelegate(now);
+}
+
+void ReportExchange::refreshCells(TimePoint now)
+{
+    if (seenRevision_ == peers_.revision() && now - cellsAt_ < cellsRefresh)
+        return;
+    seenRevision_ = peers_.revision();
+    cellsAt_ = now;
+    std::vector<CellMember> members { { self_.node_, self_.region_, self_.domain_, true, leaving_ } };
+    for (const Peer& peer : peers_.rows()) {
+        if (peer.isLive() || now - peer.goneAt_ < goneCounts)
+            members.push_back({ peer.node_, peer.region_, peer.domain_, peer.isLive(), peer.leaving_ });
+    }
+    const Cells::Change change = cells_.rebuild(members);
+    if (change.nodes_) {
+        std::vector<NodeId> others = mates();
+        std::erase(others, self_.node_);
+        mateAddresses_ = addressesOf(others);
+    }
+    if (!change.layout_)
+        return;
+    const std::vector<CellId> cells = cells_.cells();
+    std::erase_if(known_, [&cells](const auto& entry) { return std::find(cells.begin(), cells.end(), entry.first) == cells.end(); });
+    outlets_.onCellsChanged_();
+}
+
+std::vector<PeerAddress> ReportExchange::addressesOf(const std::vector<NodeId>& nodes) const
+{
+    std::vector<PeerAddress> addresses;
+    for (const NodeId node : nodes) {
+        if (const Peer* peer = peers_.find(node))
+            addresses.push_back(peer->at_);
+    }
+    return addresses;
+}
+
+// ---- delegates
+
+std::size_t ReportExchange::delegateRank() const
+{
+    const auto& delegates = cells_.delegates(ownCell());
+    return static_cast<std::size_t>(std::find(delegates.begin(), delegates.end(), self_.node_) - delegates.begin());
+}
+
+Duration ReportExchange::summaryPeriod(std::size_t rank) const
+{
+    const auto nodes = static_cast<Duration::rep>(peers_.liveNear() + peers_.liveFar());
+    const Duration period = std::clamp<Duration>(summaryPeriodPerNode * nodes, leastSummaryPeriod, longestSummaryPeriod);
+    return period * static_cast<Duration::rep>(rank + 1);
+}
+
+void ReportExchange::tickDelegate(TimePoint now)
+{
+    const std::size_t rank = delegateRank();
+    if (rank >= cells_.delegates(ownCell()).size())
+        return;
+    const KnownVersions versions = outlets_.ownVersions_();
+    const bool hasNewVersion = versions.config_ + versions.engines_ > sentVersions_ && now - summedUpAt_ >= versionSpacing;
+    const bool isDue = isDirty_ && now - summedUpAt_ >= summaryPeriod(rank);
+    if (hasNewVersion || isDue || now - summedUpAt_ >= summaryRefresh)
+        sendSummary(rank, now);
+    const bool hasNew = std::any_of(known_.begin(), known_.end(), [](const auto& entry) { return !entry.second.isPassedOn_; });
+    if (hasNew && now - passedOnAt_ >= summaryPeriod(rank))
+        passOn(now);
+}
+
+CellSummary ReportExchange::ownSummary(TimePoint now) const
+{
+    const NodeReport own = outlets_.ownReport_();
+    CellSummary summary;
+    summary.use_ = outlets_.ownCell_();
+    summary.use_.cell_ = ownCell();
+    summary.use_.delegate_ = self_.node_;
+    summary.configVersion_ = own.configVersion_;
+    summary.enginesVersion_ = own.enginesVersion_;
+    if (self_.runsJobs_ || own.watching_ || own.keptJobs_ > 0)
+        summary.nodes_.push_back({ self_.node_, self_.runsJobs_, own.watching_, own.keepsJobs_, own.keptJobs_ });
+    for (const NodeId node : mates()) {
+        const Peer* peer = peers_.find(node);
+        const bool isReliedOn = peer && (peer->runsJobs_ || peer->watching_ || peer->keptJobs_ > 0);
+        if (isReliedOn && now - peer->heardAt_ < freshReport)
+            summary.nodes_.push_back({ node, peer->runsJobs_, peer->watching_, peer->keepsJobs_, peer->keptJobs_ });
+    }
+    return summary;
+}
+
+void ReportExchange::sendSummary(std::size_t rank, TimePoint now)
+{
+    const CellSummary summary = ownSummary(now);
+    isDirty_ = false;
+    summedUpAt_ = now;
+    sentVersions_ = summary.configVersion_ + summary.enginesVersion_;
+    std::vector<NodeId> receivers;
+    for (const CellId cell : cells_.cells()) {
+        const auto& delegates = cells_.delegates(cell);
+        if (cell != ownCell() && !delegates.empty())
+            receivers.push_back(delegates[std::min(rank, delegates.size() - 1)]);
+    }
+    if (!receivers.empty())
+        outlets_.send_(addressesOf(receivers), CellDigest { { summary }, false });
+}
+
+void ReportExchange::passOn(TimePoint now)
+{
+    const KnownVersions versions = outlets_.ownVersions_();
+    std::vector<CellSummary> summaries;
+    for (auto& [cell, known] : known_) {
+        if (known.isPassedOn_)
+            continue;
+        known.isPassedOn_ = true;
+        CellSummary& summary = summaries.emplace_back(known.summary_);
+        summary.age_ = now - known.at_;
+        // Who is behind asks a node of its own cell, as soon as that knows as much: else all would ask one delegate far away.
+        summary.configVersion_ = std::min(summary.configVersion_, versions.config_);
+        summary.enginesVersion_ = std::min(summary.enginesVersion_, versions.engines_);
+    }
+    passedOnAt_ = now;
+    for (const CellDigest& digest : passedOn(summaries))
+        outlets_.send_(mateAddresses_, digest);
+}
+
+void ReportExchange::received(const CellDigest& digest, TimePoint now)
+{
+    pace_.heard();
+    for (const CellSummary& summary : digest.cells_) {
+        if (summary.use_.cell_ == ownCell())
+            continue;
+        const TimePoint at = now - std::clamp<Duration>(summary.age_, Duration::zero(), freshReport);
+        Known& known = known_[summary.use_.cell_];
+        if (known.at_ >= at)
+            continue;
+        known = { summary, at, digest.isPassedOn_ };
+        for (const CellNode& node : summary.nodes_) {
+            Peer* peer = peers_.find(node.node_);
+            if (!peer)
+                continue;
+            peer->heardAt_ = now;
+            peer->runsJobs_ = node.runsJobs_;
+            peer->watching_ = node.watching_;
+            peer->keepsJobs_ = node.keepsJobs_;
+            peer->keptJobs_ = node.keptJobs_;
+        }
+        if (Peer* delegate = peers_.find(summary.use_.delegate_)) {
+            delegate->configVersion_ = summary.configVersion_;
+            delegate->enginesVersion_ = summary.enginesVersion_;
+        }
+        outlets_.onCell_(summary, at);
+    }
+}
+
+} // namespace jj
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -83,7 +83,7 @@
     , incarnation_(static_cast<std::uint64_t>(SystemClock().wallNow().time_since_epoch().count()))
     , seed_(mixHash(hash64(settings.name_), incarnation_.value()))
     , random_(seed_)
-    , board_(CapacitySettings(), selfOf(settings), idFromName<RegionId>(settings.region_), idFromName<FailureDomainId>(settings.domain_), seed_)
+    , board_(CapacitySettings(), selfOf(settings), { CellId::none(), idFromName<RegionId>(settings.region_), idFromName<FailureDomainId>(settings.domain_) }, seed_)
     , engines_(io_, { .connectTime_ = 250ms, .pooledIdle_ = 12s, .pooledPerEndpoint_ = 32, .headerBytes_ = 32 * 1024, .bodyBytes_ = 16 * 1024 * 1024 })
     , context_ { io_, settings_, translation_, log_, counts_, board_, engines_ }
     , timer_(io_)
@@ -172,7 +172,7 @@
 
 EngineEntry ServingNode::Parts::inCell(EngineEntry entry) const
 {
-    entry.region_ = fleet_->cellOf(entry.region_, entry.id_);
+    entry.cell_ = fleet_->cells().cellOf(entry.region_, entry.domain_, entry.id_.value());
     return entry;
 }
 
@@ -190,16 +190,25 @@
         report.keptJobs_ = spool_ ? static_cast<std::uint32_t>(spool_->size()) : 0;
         return report;
     };
-    handlers.onReport_ = [this](const NodeReport& report) {
-        const TimePoint now = context_.now();
-        board_.heard(report.use_, fleet_->cellOf(report.use_.node_), now);
+    handlers.ownVersions_ = [this] { return KnownVersions { config_->version(), catalog_->version() }; };
+    handlers.ownCell_ = [this] { return board_.ownCell(context_.now()); };
+    handlers.onReport_ = [this](const NodeReport& report, bool isMate) {
+        if (isMate) {
+            board_.heard(report.use_, context_.now());
+            queue_->mayHaveRoom();
+        }
+        versionsHeard({ report.configVersion_, report.enginesVersion_ });
+    };
+    handlers.onCell_ = [this](const CellSummary& summary, TimePoint at) {
+        board_.heardCell(summary.use_, at);
         queue_->mayHaveRoom();
-        config_->peerHas(report.configVersion_, now);
-        feed_->peerHas(report.enginesVersion_, now);
+        versionsHeard({ summary.configVersion_, summary.enginesVersion_ });
     };
-    handlers.onGiveWay_ = [this](const GiveWay& ask) { runner_->giveWay(ask.engine_, context_.now()); };
+    handlers.onGiveWay_ = [this](const GiveWay& ask) { onGiveWay(ask); };
     handlers.onCellsChanged_ = [this] {
-        board_.moveTo(fleet_->cellOf(fleet_->self()));
+        std::vector<CellId> others = fleet_->cells().cells();
+        std::erase(others, fleet_->ownCell());
+        board_.setCells(fleet_->ownCell(), others);
         catalog_->forEach([this](const EngineEntry& entry) { board_.upsert(inCell(entry)); });
         fleet_->publishReport();
     };
@@ -240,6 +249,7 @@
         if (event.error_)
             line.with("error", event.error_.message());
     };
+    outlets.mayBeReplaced_ = [this] { return fleet_->mayBeReplaced(); };
     outlets.mayBeKept_ = [this] { return mayBeKept(); };
     outlets.serviceOf_ = [this](std::string_view host, std::string_view path) -> std::optional<std::string> {
         if (!context_.table_)
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -48,8 +48,11 @@
     void onPeerCall(PeerCall call, const std::function<void(PeerReply)>& reply);
     bool routeToPeer(const ObjectCall& call, Duration bound, StoreLink::Completion done);
     void requestUpdate();
-    // As the board counts it: with its cell in place of its region.
+    // As the board counts it: with its cell.
     EngineEntry inCell(EngineEntry entry) const;
+    // A peer has these.
+    void versionsHeard(KnownVersions versions);
+    void onGiveWay(const GiveWay& ask);
     NodeId updateSource();
     void chooseWatching();
     void onConfig(const std::shared_ptr<const RouteTable>& table);
@@ -100,6 +103,7 @@
     TimePoint scanAt_ {};
     TimePoint summarizedAt_ {};
     bool watching_ = false;
+    TimePoint watchChoiceAt_ {};
     bool updateRequested_ = false;
     TimePoint updateAgainAt_ = neverTime;
     UpdateBudget updateBudget_;
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -15,6 +15,8 @@
     // The last words to peers need a moment.
     constexpr Duration farewell = 100ms;
     constexpr Duration summaryPeriod = 10s;
+    // Who watches depends on what was heard within the last second.
+    constexpr Duration watchChoicePeriod = 100ms;
     // Every job node lists the jobs' heads so often, from stale data: an orphan whose owner is known to be dead is found at once.
     constexpr Duration scanPeriod = 4s;
     constexpr Duration updateBound = 600ms;
@@ -49,7 +51,6 @@
     if (now >= updateAgainAt_)
         requestUpdate();
     context_.suspects_.tick(now);
-    scheduler_->setCautious(fleet_->mayBeReplaced());
     scheduler_->tick(now, wall);
     jobs_->tick(now);
     if (spool_)
@@ -88,7 +89,7 @@
         return;
     summarizedAt_ = now;
     auto line = log_.line("summary");
-    line.with("requests", relay_->open()).with("items", runner_->running()).with("jobs", scheduler_->openJobs()).with("config", config_->version()).with("peers", fleet_->livePeers().size()).with("linesDroppedTotal", log_.dropped());
+    line.with("requests", relay_->open()).with("items", runner_->running()).with("jobs", scheduler_->openJobs()).with("config", config_->version()).with("peers", fleet_->livePeers()).with("linesDroppedTotal", log_.dropped());
     for (const auto& [call, count] : store_->callCounts())
         line.with(std::string("store ").append(call), count);
 }
@@ -146,9 +147,9 @@
 {
     std::vector<NodeId> near;
     std::vector<NodeId> far;
-    for (const auto& [node, peer] : fleet_->peers()) {
+    for (const Peer& peer : fleet_->peers()) {
         if (peer.isLive())
-            (peer.region_ == fleet_->region() ? near : far).push_back(node);
+            (peer.region_ == fleet_->region() ? near : far).push_back(peer.node_);
     }
     const std::vector<NodeId>& from = ownRegionFirst && !near.empty() ? near : far.empty() ? near
                                                                                            : far;
@@ -171,12 +172,31 @@
     return true;
 }
 
+void ServingNode::Parts::versionsHeard(KnownVersions versions)
+{
+    const TimePoint now = context_.now();
+    config_->peerHas(versions.config_, now);
+    feed_->peerHas(versions.engines_, now);
+}
+
+// Other cells know of this one only what its delegates say, so they ask those.
+void ServingNode::Parts::onGiveWay(const GiveWay& ask)
+{
+    if (runner_->giveWay(ask.engine_, context_.now()) || ask.isPassedOn_)
+        return;
+    for (const NodeId holder : board_.batchHolders(ask.engine_)) {
+        const auto& mates = fleet_->mates();
+        if (std::find(mates.begin(), mates.end(), holder) != mates.end())
+            return fleet_->passOnGiveWay(ask, holder);
+    }
+}
+
 NodeId ServingNode::Parts::updateSource()
 {
     std::vector<UpdatePeer> known;
-    for (const auto& [node, peer] : fleet_->peers()) {
+    for (const Peer& peer : fleet_->peers()) {
         if (peer.isLive())
-            known.push_back({ node, peer.region_ == fleet_->region(), peer.configVersion_, peer.enginesVersion_ });
+            known.push_back({ peer.node_, peer.region_ == fleet_->region(), peer.configVersion_, peer.enginesVersion_ });
     }
     return pickUpdateSource(known, config_->version(), catalog_->version(), random_);
 }
@@ -222,7 +242,11 @@
 // Watchers follow the store; the others hear from them.
 void ServingNode::Parts::chooseWatching()
 {
-    const bool mustWatch = watchChoice_->mustWatch(fleet_->watchPeers(), fleet_->isLeaving(), context_.now());
+    const TimePoint now = context_.now();
+    if (now < watchChoiceAt_)
+        return;
+    watchChoiceAt_ = now + watchChoicePeriod;
+    const bool mustWatch = watchChoice_->mustWatch(fleet_->watchPeers(), fleet_->isLeaving(), now);
     if (mustWatch == watching_)
         return;
     watching_ = mustWatch;
--- a/libs/serving/src/SlotQueue.cpp
+++ b/libs/serving/src/SlotQueue.cpp
@@ -106,14 +106,10 @@
 std::size_t SlotQueue::nodesAhead(const std::string& service, UpstreamId engine, bool isInTime) const
 {
     const std::uint64_t own = mixHash(engine.value(), context_.fleet_->self().value());
-    const RegionId ownCell = context_.fleet_->cellOf(context_.fleet_->self());
-    const auto& peers = context_.fleet_->peers();
-    return static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), [&](const auto& entry) {
-        const Peer& peer = entry.second;
-        if (!peer.isLive() || context_.fleet_->cellOf(peer.node_) != ownCell)
-            return false;
-        const ServiceWaiting waiting = context_.board_.waitingAt(peer.node_, service);
-        const bool isBefore = mixHash(engine.value(), peer.node_.value()) < own;
+    const std::vector<NodeId>& mates = context_.fleet_->mates();
+    return static_cast<std::size_t>(std::count_if(mates.begin(), mates.end(), [&](NodeId node) {
+        const ServiceWaiting waiting = context_.board_.waitingAt(node, service);
+        const bool isBefore = mixHash(engine.value(), node.value()) < own;
         return isInTime ? waiting.inTime_ > 0 && isBefore : waiting.inTime_ > 0 || (waiting.count_ > 0 && isBefore);
     }));
 }
--- a/libs/serving/tests/CellsTest.cpp
+++ b/libs/serving/tests/CellsTest.cpp
@@ -1,4 +1,4 @@
-// How a region that grows is cut into cells.
+// How a region that grows is cut into cells, and who speaks for each.
 #include "Cells.h"
 
 #include "base/Hash.h"
@@ -13,67 +13,141 @@
 namespace {
 
 const RegionId north { 7 };
+const RegionId south { 8 };
 
 NodeId node(std::uint64_t number) { return NodeId(mixHash(1, number)); }
-UpstreamId engine(std::uint64_t number) { return UpstreamId(mixHash(2, number)); }
+std::uint64_t engine(std::uint64_t number) { return mixHash(2, number); }
+FailureDomainId domain(std::uint64_t number) { return FailureDomainId(static_cast<std::uint32_t>(100 + number)); }
+
+// Nodes of a region, spread over its domains in turn.
+std::vector<CellMember> members(std::size_t count, std::uint64_t domains, RegionId region = north)
+{
+    std::vector<CellMember> all;
+    for (std::uint64_t number = 0; number < count; ++number)
+        all.push_back({ node(number + (region == south ? 5000 : 0)), region, domain(number % domains), true, false });
+    return all;
+}
+
+std::map<CellId, std::size_t> sizes(const Cells& cells, const std::vector<CellMember>& nodes)
+{
+    std::map<CellId, std::size_t> found;
+    for (const CellMember& one : nodes)
+        ++found[cells.cellOf(one.node_)];
+    return found;
+}
 
 } // namespace
 
-TEST_CASE("a region of today's size is one cell, which stands for the region")
+TEST_CASE("cells: a region of 42 nodes is one cell, with all of its engines")
 {
     Cells cells;
-    CHECK_FALSE(cells.setNodes(42));
-    CHECK(cells.cellOf(north, node(1)) == north);
-    CHECK(cells.cellOf(north, engine(1)) == north);
+    cells.rebuild(members(42, 3));
+    CHECK(cells.cells().size() == 1);
+    const CellId cell = cells.cellOf(node(1));
+    CHECK(cells.nodesOf(cell).size() == 42);
+    CHECK(cells.cellOf(north, domain(0), engine(1)) == cell);
+    CHECK(cells.cellOf(north, domain(9), engine(2)) == cell);
+    CHECK(cells.cellOf(south, domain(0), engine(1)).isNone());
 }
 
-// In two years: 180 nodes and 395 engines a region. A cell without enough engines for its nodes would send all of its work to others.
-TEST_CASE("a region of 180 nodes is cut into four cells, each with its part of the engines")
+TEST_CASE("cells: a large region is cut by its failure domains, and engines belong to the nodes beside them")
 {
+    const auto nodes = members(147, 3);
     Cells cells;
-    CHECK(cells.setNodes(180));
-    CHECK(cells.count() == 4);
-    std::map<RegionId, int> nodes;
-    std::map<RegionId, int> engines;
-    for (std::uint64_t number = 0; number < 180; ++number)
-        ++nodes[cells.cellOf(north, node(number))];
-    for (std::uint64_t number = 0; number < 395; ++number)
-        ++engines[cells.cellOf(north, engine(number))];
-    REQUIRE(nodes.size() == 4);
-    for (const auto& [cell, count] : nodes) {
-        CHECK(count > 25);
-        CHECK(count < 65);
-        CHECK(engines[cell] > 65);
-        CHECK(engines[cell] < 135);
+    cells.rebuild(nodes);
+    CHECK(cells.cells().size() == 3);
+    for (const CellMember& one : nodes)
+        CHECK(cells.cellOf(one.node_) == cells.cellOf(north, one.domain_, engine(one.node_.value())));
+}
+
+// A cell without enough engines for its nodes would send all of its work to others.
+TEST_CASE("cells: domains that are too large are cut in halves, each with its part of the engines")
+{
+    const auto nodes = members(300, 3);
+    Cells cells;
+    cells.rebuild(nodes);
+    const auto found = sizes(cells, nodes);
+    REQUIRE(found.size() == 6);
+    std::map<CellId, int> engines;
+    for (std::uint64_t number = 0; number < 600; ++number)
+        ++engines[cells.cellOf(north, domain(number % 3), engine(number))];
+    for (const auto& [cell, count] : found) {
+        CHECK(count > 30);
+        CHECK(count < 70);
+        CHECK(engines[cell] > 60);
+        CHECK(engines[cell] < 140);
     }
-    CHECK(cells.cellOf(RegionId(8), node(1)) != cells.cellOf(north, node(1)));
 }
 
-// Nodes count the others by what they have heard, and disagree while some come or go. A node that tells a part of those who listen to it
-// would leave the rest with old news for good.
-TEST_CASE("the cells of a finer cut are parts of those of a coarser one")
+TEST_CASE("cells: domains that are too small for a cell each are cut by a hash")
+{
+    const auto nodes = members(180, 30);
+    Cells cells;
+    cells.rebuild(nodes);
+    const auto found = sizes(cells, nodes);
+    REQUIRE(found.size() == 4);
+    CHECK(std::ranges::all_of(found, [](const auto& entry) { return entry.second > 25 && entry.second < 65; }));
+}
+
+// Nodes count the others by what they have heard, and disagree while some come or go. A node that reports to a part of those that count on its
+// reports would leave the rest with old ones for good.
+TEST_CASE("cells: the cells of a finer cut are parts of those of a coarser one")
 {
     Cells coarse;
     Cells fine;
-    coarse.setNodes(100);
-    fine.setNodes(200);
-    REQUIRE(coarse.count() == 2);
-    REQUIRE(fine.count() == 4);
-    std::map<RegionId, std::set<RegionId>> within;
-    for (std::uint64_t number = 0; number < 200; ++number)
-        within[fine.cellOf(north, node(number))].insert(coarse.cellOf(north, node(number)));
+    const auto few = members(100, 30);
+    const auto many = members(200, 30);
+    coarse.rebuild(few);
+    fine.rebuild(many);
+    REQUIRE(coarse.cells().size() == 2);
+    REQUIRE(fine.cells().size() == 4);
+    std::map<CellId, std::set<CellId>> within;
+    for (const CellMember& one : few)
+        within[fine.cellOf(one.node_)].insert(coarse.cellOf(one.node_));
     CHECK(std::ranges::all_of(within, [](const auto& entry) { return entry.second.size() == 1; }));
 }
 
-TEST_CASE("the number of cells doesn't follow single nodes that come and go")
+TEST_CASE("cells: the cut doesn't follow single nodes that come and go")
+{
+    Cells cells;
+    CHECK(cells.rebuild(members(60, 3)).layout_);
+    REQUIRE(cells.cells().size() == 3);
+    CHECK_FALSE(cells.rebuild(members(55, 3)).layout_);
+    CHECK(cells.rebuild(members(30, 3)).layout_);
+    CHECK(cells.cells().size() == 1);
+    CHECK_FALSE(cells.rebuild(members(50, 3)).layout_);
+}
+
+// A domain loses its power: nobody is left there, and its engines still belong to it.
+TEST_CASE("cells: nodes that are gone for a short while count for the cut, and speak for nobody")
+{
+    Cells cells;
+    auto nodes = members(147, 3);
+    cells.rebuild(nodes);
+    const CellId lost = cells.cellOf(north, domain(0), engine(1));
+    for (CellMember& one : nodes)
+        one.isLive_ = one.domain_ != domain(0);
+    const Cells::Change change = cells.rebuild(nodes);
+    CHECK(change.nodes_);
+    CHECK(cells.cells().size() == 2);
+    CHECK(cells.delegates(lost).empty());
+    CHECK(cells.cellOf(north, domain(0), engine(1)) == lost);
+}
+
+TEST_CASE("cells: two nodes speak for a cell, and one that leaves is replaced")
 {
     Cells cells;
-    cells.setNodes(113);
-    REQUIRE(cells.count() == 4);
-    CHECK_FALSE(cells.setNodes(100));
-    CHECK_FALSE(cells.setNodes(120));
-    CHECK(cells.setNodes(75));
-    CHECK(cells.count() == 2);
-    CHECK(cells.setNodes(10));
-    CHECK(cells.count() == 1);
+    auto nodes = members(42, 3);
+    cells.rebuild(nodes);
+    const CellId cell = cells.cellOf(node(0));
+    const auto before = cells.delegates(cell);
+    REQUIRE(before.size() == 2);
+    for (CellMember& one : nodes)
+        one.leaves_ = one.node_ == before.front();
+    CHECK(cells.rebuild(nodes).nodes_);
+    const auto after = cells.delegates(cell);
+    REQUIRE(after.size() == 2);
+    CHECK(after.front() == before.back());
+    CHECK(std::ranges::find(after, before.front()) == after.end());
+    CHECK(cells.nodesOf(cell).size() == 42);
 }
--- /dev/null
+++ b/libs/serving/tests/ReportExchangeTest.cpp
@@ -0,0 +1,183 @@
+// What hundreds of nodes hear of each other, and what it costs them.
+#include "ExchangeFleet.h"
+
+#include <doctest/doctest.h>
+#include <random>
+#include <set>
+
+using namespace jj;
+
+namespace {
+
+// Datagrams that a node receives a second, on the mean of all nodes.
+double heardPerSecond(std::size_t nodes, std::size_t domains)
+{
+    constexpr Duration measured = 2s;
+    FleetShape shape;
+    shape.nodes_ = nodes;
+    shape.domainsOfRegion_ = domains;
+    shape.changesPerSecond_ = 6;
+    ExchangeFleet fleet(shape, 3);
+    fleet.advance(1s);
+    std::uint64_t before = 0;
+    for (std::size_t place = 0; place < fleet.size(); ++place)
+        before += fleet.node(place).datagrams_;
+    fleet.advance(measured);
+    std::uint64_t after = 0;
+    for (std::size_t place = 0; place < fleet.size(); ++place)
+        after += fleet.node(place).datagrams_;
+    return static_cast<double>(after - before) / toSeconds(measured) / static_cast<double>(nodes);
+}
+
+// Every node counts on each engine what all nodes run there.
+void checkAllAgree(ExchangeFleet& fleet, std::size_t engines)
+{
+    for (std::size_t place = 0; place < engines; ++place) {
+        const UpstreamId engine = fleet.engine(place);
+        const std::uint32_t questions = fleet.questionsOn(engine);
+        for (std::size_t at = 0; at < fleet.size(); ++at) {
+            if (!fleet.node(at).isCut_)
+                CHECK(fleet.node(at).board_->useOf(engine).questions_ == questions);
+        }
+    }
+}
+
+} // namespace
+
+// 300 nodes in six domains, each of which changes six times a second: a report of each change to a cell of 50, and no node's report to the others.
+TEST_CASE("exchange: what a node hears grows with its cell and the number of cells, not with the fleet")
+{
+    const double of100 = heardPerSecond(100, 1);
+    const double of300 = heardPerSecond(300, 3);
+    MESSAGE("datagrams a second and node: ", of100, " of 100 nodes, ", of300, " of 300");
+    CHECK(of100 > 250);
+    CHECK(of300 < 1.15 * of100);
+}
+
+TEST_CASE("exchange: 300 nodes count alike what all of them run, a second after the last change")
+{
+    FleetShape shape;
+    shape.changesPerSecond_ = 4;
+    shape.loss_ = 0.05;
+    ExchangeFleet fleet(shape, 11);
+    fleet.advance(2s);
+    fleet.stopChanges();
+    fleet.advance(1500ms);
+    checkAllAgree(fleet, shape.engines_);
+}
+
+TEST_CASE("exchange: a new version is known to all of 300 nodes within a second, though one datagram in a hundred is lost")
+{
+    ExchangeFleet fleet(FleetShape {}, 5);
+    fleet.advance(1s);
+    fleet.node(17).versions_.config_ = 9;
+    fleet.node(17).exchange_->publish();
+    fleet.advance(1s);
+    std::size_t behind = 0;
+    for (std::size_t place = 0; place < fleet.size(); ++place)
+        behind += fleet.node(place).versions_.config_ < 9 ? 1 : 0;
+    CHECK(behind == 0);
+}
+
+// The delegate that sends most often is cut off, and for two seconds nobody knows: its cell would fall silent.
+TEST_CASE("exchange: a delegate that is cut off without anybody knowing leaves its cell to the other one")
+{
+    FleetShape shape;
+    shape.loss_ = 0;
+    ExchangeFleet fleet(shape, 7);
+    fleet.advance(2s);
+    const CellId cell = fleet.node(0).exchange_->ownCell();
+    const NodeId delegate = fleet.node(0).exchange_->cells().delegates(cell).front();
+    std::size_t changed = fleet.size();
+    for (std::size_t place = 0; place < fleet.size(); ++place) {
+        ExchangeFleet::Node& node = fleet.node(place);
+        if (node.self_.node_ == delegate)
+            node.isCut_ = true;
+        else if (changed == fleet.size() && node.exchange_->ownCell() == cell && node.exchange_->cells().delegates(cell).back() != node.self_.node_)
+            changed = place;
+    }
+    fleet.node(changed).board_->started(fleet.engine(1), WorkClass::Question);
+    fleet.node(changed).exchange_->publish();
+    fleet.advance(1500ms);
+    for (std::size_t place = 0; place < fleet.size(); ++place) {
+        if (!fleet.node(place).isCut_)
+            CHECK(fleet.node(place).board_->useOf(fleet.engine(1)).questions_ == 1);
+    }
+}
+
+// Two thirds of all nodes die at once and come back: what they ran is forgotten, and all agree again.
+TEST_CASE("exchange: after most nodes died and came back all agree again")
+{
+    FleetShape shape;
+    shape.changesPerSecond_ = 4;
+    ExchangeFleet fleet(shape, 13);
+    fleet.advance(1500ms);
+    for (std::size_t place = 0; place < fleet.size(); ++place) {
+        if (place % 3 != 0)
+            fleet.setLive(place, false);
+    }
+    fleet.advance(2s);
+    for (std::size_t place = 0; place < fleet.size(); ++place) {
+        if (place % 3 != 0)
+            fleet.setLive(place, true);
+    }
+    fleet.advance(1500ms);
+    fleet.stopChanges();
+    fleet.advance(2500ms);
+    checkAllAgree(fleet, shape.engines_);
+}
+
+TEST_CASE("exchange: nodes that run jobs are known in all cells, and one that fell silent isn't taken as heard")
+{
+    ExchangeFleet fleet(FleetShape {}, 17);
+    fleet.advance(1500ms);
+    const NodeId worker = fleet.node(0).self_.node_;
+    for (std::size_t place = 1; place < fleet.size(); ++place) {
+        const Peer* peer = fleet.node(place).peers_->find(worker);
+        CHECK(peer->runsJobs_);
+        CHECK(fleet.now() - peer->heardAt_ < 1200ms);
+    }
+    fleet.node(0).isCut_ = true;
+    fleet.advance(3s);
+    for (std::size_t place = 1; place < fleet.size(); ++place)
+        CHECK(fleet.now() - fleet.node(place).peers_->find(worker)->heardAt_ > 1200ms);
+}
+
+TEST_CASE("exchange: a digest that is cut short, or of another program, is refused")
+{
+    const WireKey key = WireKey::fromHex(std::string(64, '0')).value();
+    CellSummary cell;
+    cell.use_.cell_ = CellId(3);
+    cell.use_.uses_.resize(5);
+    cell.nodes_.resize(2);
+    const std::string bytes = encode(key, CellDigest { { cell }, false });
+    REQUIRE(decodeDatagram(key, bytes));
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        CHECK_FALSE(decodeDatagram(key, std::string_view(bytes).substr(0, size)));
+    std::mt19937_64 random(1);
+    for (int change = 0; change < 2000; ++change) {
+        std::string mutated = bytes;
+        mutated[random() % mutated.size()] ^= static_cast<char>(1 + random() % 255);
+        CHECK_FALSE(decodeDatagram(key, mutated));
+    }
+}
+
+TEST_CASE("exchange: what a delegate passes on fits frames, and nothing is left out")
+{
+    std::vector<CellSummary> cells;
+    for (std::uint32_t number = 0; number < 20; ++number) {
+        CellSummary cell;
+        cell.use_.cell_ = CellId(number);
+        cell.use_.uses_.resize(30);
+        cell.nodes_.resize(9);
+        cells.push_back(cell);
+    }
+    const WireKey key = WireKey::fromHex(std::string(64, '0')).value();
+    std::set<CellId> found;
+    for (const CellDigest& digest : passedOn(cells)) {
+        CHECK(encode(key, digest).size() <= frameBytes);
+        for (const CellSummary& cell : digest.cells_)
+            found.insert(cell.use_.cell_);
+    }
+    CHECK(found.size() == 20);
+}
--- a/libs/wire/src/Fields.h
+++ b/libs/wire/include/wire/Fields.h
@@ -1,12 +1,14 @@
-// Field wrappers for cereal's archives that hold texts, lists, flags and enums to their limits while reading and writing.
+// Field wrappers for cereal's archives that hold texts, lists, flags, times and enums to their limits while reading and writing.
 //
 // cereal's own readers of strings and vectors trust the length that was sent and allocate it; a mutated length of 2^60 would end
 // the process. These wrappers check first and throw Oversize or cereal::Exception, which Codec.cpp turns into typed errors.
 #pragma once
 
+#include "base/Time.h"
+
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/cereal.hpp>
-
 #include <cstddef>
 #include <cstdint>
 #include <exception>
@@ -33,6 +35,11 @@
     bool& value_;
 };
 
+// A time in whole milliseconds, within 24 days, so that no bytes make one that overflows.
+struct Milliseconds {
+    Duration& value_;
+};
+
 template <class Enum>
 struct EnumField {
     Enum& value_;
@@ -91,6 +98,14 @@
     field.value_ = byte == 1;
 }
 
+template <class Archive>
+void serialize(Archive& archive, Milliseconds& field)
+{
+    auto count = static_cast<std::int32_t>(std::clamp<Duration::rep>(field.value_ / 1ms, INT32_MIN, INT32_MAX));
+    archive(count);
+    field.value_ = std::chrono::milliseconds(count);
+}
+
 template <class Archive, class Enum>
 void serialize(Archive& archive, EnumField<Enum>& field)
 {
--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -1,12 +1,12 @@
 // The fields of each message, and the archives over plain memory.
 #include "wire/Codec.h"
 
-#include "Fields.h"
 #include "wire/Error.h"
+#include "wire/Fields.h"
+#include "wire/MemoryStreams.h"
 
 #include <istream>
 #include <ostream>
-#include <streambuf>
 #include <type_traits>
 #include <utility>
 
@@ -179,43 +179,6 @@
 
 namespace {
 
-    // Appends what is written to a string.
-    class StringSink : public std::streambuf {
-    public:
-        explicit StringSink(std::string& out)
-            : out_(out)
-        {
-        }
-
-    protected:
-        std::streamsize xsputn(const char* data, std::streamsize size) override
-        {
-            out_.append(data, static_cast<std::size_t>(size));
-            return size;
-        }
-
-        int_type overflow(int_type byte) override
-        {
-            out_.push_back(traits_type::to_char_type(byte));
-            return byte;
-        }
-
-    private:
-        std::string& out_;
-    };
-
-    // Reads from memory that outlives it.
-    class ViewSource : public std::streambuf {
-    public:
-        explicit ViewSource(std::string_view bytes)
-        {
-            char* begin = const_cast<char*>(bytes.data()); // a get area is never written to
-            setg(begin, begin, begin + bytes.size());
-        }
-
-        bool isEmpty() const { return gptr() == egptr(); }
-    };
-
     template <class Variant>
     Result<void> encodeVariant(const Variant& message, std::string& out)
     {
