Ledger: an end at a host that took the job over stops the owner before it too

Cause: two hosts held the job. The end was acknowledged by the new owner, whose own write told nobody; the old one looks at the heads each 4 s. Ruled out: the mark of an end past the owner: it is written when a node ends a job that it doesn't own. Change: an owner that took its job over leaves that mark as well, before it acknowledges. So the bound holds whatever the old owner heard. Test, which fails without it: an end at a host that took the job over stops the owner before it.

--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -308,6 +308,8 @@
             return;
         note(SchedulerNote::TakenOver, name, {}, answer.answer_.version_.value());
         loadOwned(name, head, answer.answer_.version_, at);
+        if (Job* job = owned(name))
+            job->isTakenOver_ = true;
     });
 }
 
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -72,6 +72,7 @@
     bool stateChanging_ = false; // an update of the head is under way
     std::vector<Ender> enders_; // callers who asked for the end and have no answer yet
     bool ending_ = false; // the update of the head that is under way is the end
+    bool isTakenOver_ = false; // from an owner that this node believed dead, and that may live
     std::map<std::string, JobTransfer::Progress> progress_; // brought by a transfer, until the items are loaded
 
     bool isOpen() const { return head_.state_ == JobState::Open; }
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -273,7 +273,9 @@
         job->byId_.clear();
         note(SchedulerNote::JobEnded, job->name_, {}, job->listed_.size());
         answerReaders(job, at, true);
-        answerEnders(job, { ReadOutcome::Found, outlets_.self_ });
+        if (!job->isTakenOver_)
+            return answerEnders(job, { ReadOutcome::Found, outlets_.self_ });
+        markEnd(job->name_, at + settings_.readBound_, [job](const EndAnswer& answer) { answerEnders(job, answer); });
     });
 }
 
@@ -297,7 +299,7 @@
         ender.done_({});
 }
 
-// Failure met: the owner can't be reached from here, reaches the engines, and goes on starting items of a job whose end was acknowledged until
+// Failure met: the owner can't be reached from here, or was believed dead and replaced; it lives, reaches the engines, and goes on starting items of a job whose end was acknowledged until
 // it looks at the heads again, which may take 4 s and a stale list. The guard: the end leaves a mark of a kind that owners watch, before
 // it is acknowledged. Such ends are few, so the watch costs a call each 15 s.
 void JobScheduler::markEnd(const JobName& name, TimePoint until, const EndDone& done)
--- a/libs/ledger/tests/EndTest.cpp
+++ b/libs/ledger/tests/EndTest.cpp
@@ -135,6 +135,30 @@
     CHECK(world.store_.core().objects().contains(endMarkKey("j")));
 }
 
+// Guards against an owner that was believed dead, lives, and goes on running items of a job whose end its successor has acknowledged.
+TEST_CASE("ledger: an end at a host that took the job over stops the owner before it")
+{
+    LedgerWorld world(21);
+    world.slots_ = 1;
+    world.pace_ = 400;
+    world.submit(0, "j", 20, 1);
+    world.advance(100ms);
+    REQUIRE_FALSE(world.host(1).runs_.empty());
+    world.believeDead(0, 1);
+    world.scheduler(0).scan(false, world.now());
+    world.advance(200ms);
+    REQUIRE(world.notes_[SchedulerNote::TakenOver] == 1);
+    std::optional<EndAnswer> ended;
+    world.scheduler(0).end("j", false, world.now(), [&ended](const EndAnswer& answer) { ended = answer; });
+    world.advance(200ms);
+    REQUIRE(ended);
+    CHECK(ended->outcome_ == ReadOutcome::Found);
+    REQUIRE(world.store_.core().objects().contains(endMarkKey("j")));
+    world.scheduler(1).endMarked("j", world.now());
+    world.advance(100ms);
+    CHECK(world.host(1).runs_.empty());
+}
+
 // The mark can't be written. "Ended" would promise that nothing starts any more, so the caller hears that nobody can tell and asks again.
 TEST_CASE("ledger: an end past the owner without its mark is not acknowledged")
 {
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -162,6 +162,9 @@
     }
 
     // Everybody else believes the host dead, or alive again.
+    // One host takes another one for dead, which goes on.
+    void believeDead(std::size_t believer, std::size_t host) { hosts_[believer]->deadTo_.insert(hosts_[host]->id_); }
+
     void bury(std::size_t place, bool dead = true)
     {
         for (auto& host : hosts_) {
