Ledger: results share a page for a fifth of the time that their job has left, two seconds at most

Change: the window follows the time until the job is due. Test: ten results, one a second, long before they are due, take at most four pages; it fails with the window of one second.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -36,9 +36,10 @@
 using RunId = Id<struct RunTag>;
 
 struct SchedulerSettings {
-    // Results that finish within it share a page, while the job has more to do and time to do it. A caller sees a result half of it later
-    // on average, and never the last one; with 300 ms a third of a fleet's store calls were pages.
-    Duration commitWindow_ = 1s;
+    // Results that finish within it share a page, while the job has more to do; it is this part of the time until the job is due, and
+    // commitWindow_ at most. A caller sees a result half of it later on average, and never the last one.
+    double commitPart_ = 0.2;
+    Duration commitWindow_ = 2s;
     // From so long before the job is due on, each result is listed at once.
     Duration dueMargin_ = 1s;
     // An item that fails is tried again after it, twice as long after each further failure, up to longestRetry_.
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -212,7 +212,8 @@
         return;
     const bool isLast = job->listed_.size() + job->pending_.size() >= job->head_.total_;
     const bool isLate = now + settings_.dueMargin_ >= job->due_;
-    if (isLast || isLate || now - job->pendingSince_ >= settings_.commitWindow_)
+    const Duration window = std::min<Duration>(settings_.commitWindow_, fromSeconds(toSeconds(job->due_ - now) * settings_.commitPart_));
+    if (isLast || isLate || now - job->pendingSince_ >= window)
         commit(job, now);
 }
 
--- a/libs/ledger/tests/CommitTest.cpp
+++ b/libs/ledger/tests/CommitTest.cpp
@@ -37,6 +37,19 @@
     world.checkResults("j");
 }
 
+// Guards against a write of the store for each second of a job that has much time left.
+TEST_CASE("ledger: results that are ready long before their job is due share pages over two seconds")
+{
+    LedgerWorld world(33, 2, SchedulerSettings());
+    world.pace_ = paceOf(1s);
+    world.slots_ = 1;
+    world.submit(0, "j", 10, 1);
+    world.advance(14s);
+    CHECK(world.notes_[SchedulerNote::JobDone] == 1);
+    CHECK(pagesOf(world, "j") <= 4);
+    world.checkResults("j");
+}
+
 // A result is ready just before its job is due. Held back to share a page it would come late, though it was there in time.
 TEST_CASE("ledger: a result that is ready just before its job is due is listed at once")
 {
