Ledger, serving: fewer calls of the store after all processes have started

Causes: a process that started asked the store for each second read of each job for ten seconds, as others might have claimed it; each host that went, also one that runs no jobs, made all workers list the heads from the store itself; results of a finished job were read until a page was missing; and at 0.9 s a node of 295 knows some 18 of its 49 neighbours, so it counted itself among the first two of its region. Change: when all know that a process lives (4 s) it writes itself into the heads of its jobs anew, so that claims sent before fail, and asks no more. Only hosts that run jobs are missed that way. A finished job's last result ends the reading. A node that still learns who the others are doesn't begin to watch, for 3 s at most. Tests: an owner that started again asks the store no more once it has written itself into the head anew; a claim that was on its way fails then.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -67,6 +67,9 @@
     // A node that started, was paused or was believed dead within it may have been replaced as the owner of a job that it is told of
     // now: detection and takeover take some three seconds.
     Duration newcomer_ = 10s;
+    // By then all nodes that can reach this process know that it has started. It writes itself into the heads of its jobs anew, and need not ask the
+    // store for them after that.
+    Duration knownAfter_ = 4s;
     // Wall clocks differ between hosts and jump; nothing is given up before this much extra.
     Duration clockSlack_ = 5s;
     // A finished job that nobody reads leaves memory after it, and is read from the store again when needed.
@@ -284,6 +287,10 @@
     void noticePause(TimePoint now);
     // It may have been replaced without knowing it.
     bool wasAway(TimePoint now) const;
+    bool wasPaused(TimePoint now) const;
+    bool isNewcomer(TimePoint now) const { return now - firstUse_ < settings_.newcomer_; }
+    bool mayHaveBeenReplaced(const Job& job, TimePoint now) const;
+    void confirmOwnership(const JobPtr& job, TimePoint now);
     void abandonOverdue(const JobPtr& job, TimePoint now);
     ItemUrgency urgencyOf(const Job& job, const Item& item, TimePoint now) const;
     void learnStretch(const Item& item, TimePoint now);
--- a/libs/ledger/include/ledger/Records.h
+++ b/libs/ledger/include/ledger/Records.h
@@ -49,6 +49,8 @@
     NodeId owner_;
     std::uint32_t total_ = 0;
     std::uint32_t itemPages_ = 0;
+    // Grows when an owner writes itself in anew; what others meant to write under an earlier version of the head is refused from then on.
+    std::uint32_t term_ = 0;
     WallTime acceptedAt_ {};
     Duration runTarget_ {}; // from acceptance until all results are due
     Duration abandonAfter_ {}; // from acceptance until an item may be given up
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -153,6 +153,9 @@
         }
         job->pages_ = page + 1;
         applyResults(job, std::move(results.value()));
+        // A job that isn't open lists nothing more, so its last result is the end.
+        if (!job->isOpen() && job->isComplete())
+            return loaded(job, at);
         loadResults(job, page + 1, at);
     });
 }
@@ -398,9 +401,40 @@
 
 // ---- periodic work
 
-bool JobScheduler::wasAway(TimePoint now) const
+bool JobScheduler::wasPaused(TimePoint now) const { return awayAt_ != TimePoint() && now - awayAt_ < settings_.newcomer_; }
+
+bool JobScheduler::wasAway(TimePoint now) const { return isNewcomer(now) || wasPaused(now); }
+
+bool JobScheduler::mayHaveBeenReplaced(const Job& job, TimePoint now) const
+{
+    return wasPaused(now) || (isNewcomer(now) && !job.isConfirmed_) || outlets_.mayBeReplaced_();
+}
+
+// Failure met: a process that starts owns jobs that others, who believe it dead, may be about to claim; so for ten seconds it asked the store
+// for each second read. After a start of everything that was a fifth of a day's calls. The guard: when all know that it lives, it writes itself into
+// the head anew. A claim that is still on its way was meant for an earlier version, and fails.
+void JobScheduler::confirmOwnership(const JobPtr& job, TimePoint now)
 {
-    return now - firstUse_ < settings_.newcomer_ || (awayAt_ != TimePoint() && now - awayAt_ < settings_.newcomer_);
+    const bool isDue = !job->isConfirmed_ && isNewcomer(now) && !wasPaused(now) && now - firstUse_ >= settings_.knownAfter_;
+    if (!isDue || !job->isOpen() || job->isComplete() || job->stateChanging_ || !job->enders_.empty() || now < job->commitAgainAt_)
+        return;
+    JobHead head = job->head_;
+    ++head.term_;
+    job->stateChanging_ = true;
+    store(ObjectCall::update(headKey(job->name_), encode(head), job->headVersion_), CallClass::Commit, now + settings_.itemsBound_, [this, job, head, now](const SettledAnswer& answer, TimePoint at) {
+        job->stateChanging_ = false;
+        if (owned(job->name_) != job.get())
+            return;
+        if (!answer.ok()) {
+            job->commitAgainAt_ = at + settings_.storeRetry_;
+            return refresh(job, at, [](bool, TimePoint) {});
+        }
+        job->head_ = head;
+        job->headVersion_ = answer.answer_.version_;
+        job->checkedAt_ = std::max(job->checkedAt_, now);
+        job->suspect_ = false;
+        job->isConfirmed_ = true;
+    });
 }
 
 // Whatever comes first after a pause may be a caller's read: it is met here as well as by the tick.
@@ -449,6 +483,7 @@
             if (owned(job->name_) != job.get())
                 continue;
         }
+        confirmOwnership(job, now);
         abandonOverdue(job, now);
         commitIfDue(job, now);
         completeIfDone(job, now);
--- a/libs/ledger/src/Records.cpp
+++ b/libs/ledger/src/Records.cpp
@@ -102,6 +102,7 @@
     object["owner"] = head.owner_.value();
     object["total"] = head.total_;
     object["pages"] = head.itemPages_;
+    object["term"] = head.term_;
     object["at"] = head.acceptedAt_.time_since_epoch().count();
     object["target"] = head.runTarget_ / 1ms;
     object["abandon"] = head.abandonAfter_ / 1ms;
@@ -139,6 +140,9 @@
         head.owner_ = NodeId(object.at("owner").to_number<std::uint64_t>());
         head.total_ = object.at("total").to_number<std::uint32_t>();
         head.itemPages_ = object.at("pages").to_number<std::uint32_t>();
+        // Heads of earlier versions of the program have none.
+        if (const json::value* term = object.if_contains("term"))
+            head.term_ = term->to_number<std::uint32_t>();
         head.acceptedAt_ = WallTime(std::chrono::milliseconds(object.at("at").to_number<std::int64_t>()));
         head.runTarget_ = std::chrono::milliseconds(object.at("target").to_number<std::int64_t>());
         head.abandonAfter_ = std::chrono::milliseconds(object.at("abandon").to_number<std::int64_t>());
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -72,6 +72,8 @@
     bool stateChanging_ = false; // an update of the head is under way
     std::vector<Ender> enders_; // callers who asked for the end and have no answer yet
     bool ending_ = false; // the update of the head that is under way is the end
+    // Invariant: no claim that another node sent before this process was known can succeed any more.
+    bool isConfirmed_ = false;
     bool isTakenOver_ = false; // from an owner that this node believed dead, and that may live
     std::map<std::string, JobTransfer::Progress> progress_; // brought by a transfer, until the items are loaded
 
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -89,7 +89,7 @@
         return;
     }
     // Once asked isn't enough: others may not have heard yet that this node is back, and take the job after the answer.
-    const bool isOutdated = now - job->checkedAt_ > settings_.trustedFor_ && (wasAway(now) || outlets_.mayBeReplaced_());
+    const bool isOutdated = now - job->checkedAt_ > settings_.trustedFor_ && mayHaveBeenReplaced(*job, now);
     const bool mustAsk = job->isOpen() && !job->isComplete() && (job->suspect_ || isOutdated);
     // Somebody has seen more than is known here.
     const bool isBehind = after > job->listed_.size() && !job->isComplete();
--- a/libs/ledger/tests/ReplacedOwnerTest.cpp
+++ b/libs/ledger/tests/ReplacedOwnerTest.cpp
@@ -45,3 +45,44 @@
     CHECK(world.stored("j").size() == 2);
     CHECK(comparedWithListed > 50);
 }
+
+// Guards against a store that is asked for each second read of every job for ten seconds, when all processes have started at once.
+TEST_CASE("ledger: an owner that started again asks the store no more once it has written itself into the head anew")
+{
+    LedgerWorld world(43, 2, SchedulerSettings());
+    world.pace_ = 5000;
+    world.submit(0, "j", 8, 1);
+    world.advance(100ms);
+    world.kill(1);
+    world.start(1);
+    world.scheduler(1).tick(world.now(), world.wall());
+    world.scheduler(1).scan(false, world.now());
+    const auto callsOf = [&world](Duration time) {
+        const std::uint64_t before = world.store_.core().counts().reads_;
+        for (const TimePoint end = world.now() + time; world.now() < end; world.advance(500ms))
+            CHECK(world.read(1, "j").outcome_ == ReadOutcome::Found);
+        return world.store_.core().counts().reads_ - before;
+    };
+    CHECK(callsOf(SchedulerSettings().knownAfter_) >= 4);
+    callsOf(500ms);
+    CHECK(callsOf(4s) == 0);
+}
+
+// Guards against a claim that was sent while its sender believed the owner dead, and arrives when the owner has stopped asking.
+TEST_CASE("ledger: a claim that was on its way fails once the owner has written itself into the head anew")
+{
+    LedgerWorld world(44, 2, SchedulerSettings());
+    world.pace_ = 5000;
+    world.submit(0, "j", 8, 1);
+    world.advance(100ms);
+    const ObjectEntry before = *world.store_.core().apply(ObjectCall::list(headKey("j"), true), world.now()).entries_.begin();
+    world.kill(1);
+    world.start(1);
+    world.scheduler(1).tick(world.now(), world.wall());
+    world.scheduler(1).scan(false, world.now());
+    world.advance(SchedulerSettings().knownAfter_ + 200ms);
+    JobHead claimed = decodeHead(before.value_).value();
+    claimed.owner_ = world.host(0).id_;
+    CHECK(world.store_.core().apply(ObjectCall::update(headKey("j"), encode(claimed), before.version_), world.now()).error_ == ObjectError::Conflict);
+    CHECK(world.read(1, "j").outcome_ == ReadOutcome::Found);
+}
--- a/libs/membership/include/membership/MembershipCore.h
+++ b/libs/membership/include/membership/MembershipCore.h
@@ -53,6 +53,8 @@
     const MemberRumor& self() const { return self_; }
     Incarnation incarnation() const { return self_.incarnation_; }
     bool isLeaving() const { return self_.leaving_; }
+    // It knows others, and still asks them for more.
+    bool isJoining() const { return wantsState_ && members_.liveCount() > 0; }
     // All others that this node knows, the gone ones for a while too.
     const Members& members() const { return members_; }
     // Live nodes that take new work, this one included unless it leaves: for Homes.
--- a/libs/serving/src/ConfigFollower.cpp
+++ b/libs/serving/src/ConfigFollower.cpp
@@ -25,13 +25,6 @@
         askPeer_();
 }
 
-void ConfigFollower::setPassive(bool passive)
-{
-    if (passive_ && !passive)
-        nextAt_ = std::max(nextAt_, SystemClock().now() + times_.beginAfter_);
-    passive_ = passive;
-}
-
 void ConfigFollower::peerHas(std::uint64_t peerVersion, TimePoint now)
 {
     if (peerVersion > version() && lag_.mustAsk(peerVersion, passive_, now))
--- a/libs/serving/src/ConfigFollower.h
+++ b/libs/serving/src/ConfigFollower.h
@@ -26,7 +26,7 @@
     ConfigFollower(StoreLink& store, const Translation& translation, DecisionLog& log, FollowerTimes times, Applied applied, AskPeer askPeer);
 
     // Passive at first: the store isn't called.
-    void setPassive(bool passive);
+    void setPassive(bool passive) { passive_ = passive; }
     void tick(TimePoint now);
     // From the store or from a peer.
     void take(std::string_view value, std::string_view source);
--- a/libs/serving/src/EngineFeed.h
+++ b/libs/serving/src/EngineFeed.h
@@ -59,13 +59,7 @@
     }
 
     // Passive at first.
-    void setPassive(bool passive)
-    {
-        if (passive_ && !passive)
-            nextAt_ = std::max(nextAt_, clock_.now() + times_.beginAfter_);
-        passive_ = passive;
-        hasWatched_ = false;
-    }
+    void setPassive(bool passive) { passive_ = passive; }
 
     void tick(TimePoint now)
     {
@@ -88,7 +82,7 @@
     }
 
     // The store answers, and its changes are followed.
-    bool isFollowing() const { return hasWatched_ && !passive_ && !seen_.isNone() && failures_ == 0; }
+    bool isFollowing() const { return !passive_ && !seen_.isNone() && failures_ == 0; }
 
 private:
     void catchUp(TimePoint now)
@@ -190,7 +184,6 @@
     void watch(Duration heldOpen, TimePoint now)
     {
         busy_ = true;
-        hasWatched_ = true;
         calledAt_ = now;
         heldOpen_ = heldOpen;
         store_.once(ObjectCall::changes(translation_.keys_.engines_, seen_, heldOpen), [this, turn = ++turn_](const ObjectAnswer& answer) {
@@ -235,7 +228,6 @@
     AskPeer askPeer_;
     bool passive_ = true;
     bool hasListed_ = false; // each node lists once at its start, see ConfigFollower.h
-    bool hasWatched_ = false; // since it isn't passive any more
     std::vector<ObjectEntry> listing_; // pages of the list under way
     ObjectVersion seen_; // up to which changes are known; none: has to be listed
     ObjectVersion listedAt_; // of the first page
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -87,6 +87,10 @@
     // A node that was never heard of counts as live until this node has been up for settleTime.
     bool isLive(NodeId node) const;
     const std::vector<Peer>& peers() const { return peers_.rows(); }
+    // Null: never heard of.
+    const Peer* peer(NodeId node) const { return peers_.find(node); }
+    // This process still learns who the others are.
+    bool isJoining() const { return core_->isJoining(); }
     std::size_t livePeers() const { return peers_.liveNear() + peers_.liveFar(); }
     // For logs; empty when it isn't known.
     std::string addressOf(NodeId node) const;
--- a/libs/serving/src/FollowerTimes.h
+++ b/libs/serving/src/FollowerTimes.h
@@ -21,8 +21,6 @@
     // Between two held-open calls that brought something: engines register one by one, and one call for each of them would be many.
     // Five hundred ms are a fifth of the shortest bound for a leaving engine.
     Duration betweenChanges_ = 500ms;
-    // A node that begins to watch makes its first call after it. While a fleet starts many begin, hear of a watcher and stop again.
-    Duration beginAfter_ = 250ms;
 };
 
 // Doubles from firstRetry_ to longestRetry_.
--- a/libs/serving/src/KindWatch.cpp
+++ b/libs/serving/src/KindWatch.cpp
@@ -9,8 +9,6 @@
     constexpr Duration retryPeriod = 1s;
     // What somebody else found and could not tell this node is found by then.
     constexpr Duration passivePeriod = 15s;
-    // A node that begins to watch may stop again at once, while a fleet starts.
-    constexpr Duration beginAfter = 250ms;
 
 } // namespace
 
@@ -19,7 +17,7 @@
     // What came while nobody watched here is read anew.
     if (passive_ && !passive) {
         seen_ = ObjectVersion::none();
-        nextAt_ = SystemClock().now() + beginAfter;
+        nextAt_ = SystemClock().now();
     }
     passive_ = passive;
 }
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -221,6 +221,10 @@
     };
     handlers.onGone_ = [this](NodeId node) {
         board_.forget(node);
+        // Others own no jobs.
+        const Peer* peer = fleet_->peer(node);
+        if (peer && !peer->runsJobs_)
+            return;
         scanAt_ = std::min(scanAt_, context_.now() + scanAfterLoss);
         freshScan_ = true;
     };
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -252,15 +252,16 @@
     if (now < watchChoiceAt_)
         return;
     watchChoiceAt_ = now + watchChoicePeriod;
-    const bool mustWatch = watchChoice_->mustWatch(fleet_->watchPeers(), fleet_->isLeaving(), now);
-    if (mustWatch == watching_)
+    const bool mustWatch = watchChoice_->mustWatch(fleet_->watchPeers(), fleet_->isLeaving(), feed_->isFollowing(), now);
+    const bool follows = mustWatch && (watching_ || watchChoice_->mayBegin(fleet_->isJoining(), now));
+    if (follows == watching_)
         return;
-    watching_ = mustWatch;
-    log_.line(mustWatch ? "watchBegan" : "watchLeft").with("config", config_->version()).with("engines", catalog_->version());
-    config_->setPassive(!mustWatch);
-    feed_->setPassive(!mustWatch);
+    watching_ = follows;
+    log_.line(follows ? "watchBegan" : "watchLeft").with("config", config_->version()).with("engines", catalog_->version());
+    config_->setPassive(!follows);
+    feed_->setPassive(!follows);
     for (const auto& kind : kinds_)
-        kind->setPassive(!mustWatch);
+        kind->setPassive(!follows);
 }
 
 // Failure met: each host that runs jobs followed these kinds by calls of its own, and each mark of an end answered the calls of all of them. It
--- a/libs/serving/src/WatchChoice.cpp
+++ b/libs/serving/src/WatchChoice.cpp
@@ -4,6 +4,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jj {
 
@@ -12,6 +13,9 @@
     constexpr std::size_t watchersOfRegion = 2;
     // Nodes hear of each other 50 to 800 ms after their start. Of 84 nodes that all began at once (the rule before) 27 begin with it.
     constexpr Duration startSpread = 600ms;
+    // A fleet of some dozen nodes that start at once knows itself by then; one of hundreds needs longer, and says so.
+    constexpr Duration meetTime = 900ms;
+    constexpr Duration longestJoin = 3s;
     // All 84 nodes of a fleet knew each other 0.8 s after their start.
     constexpr Duration settleTime = 1200ms;
 
@@ -31,6 +35,8 @@
 WatchChoice::WatchChoice(NodeId self, TimePoint start, std::uint64_t seed)
     : rank_(rankOf(self))
     , firstAt_(start + std::chrono::milliseconds(mixHash(seed, self.value()) % (startSpread / 1ms)))
+    , metAt_(start + meetTime)
+    , joinedAt_(start + longestJoin)
     , settledAt_(start + settleTime)
 {
 }
@@ -52,14 +58,16 @@
     return !hearsWatcher && now - heardAt_ >= wait;
 }
 
-bool WatchChoice::mustWatch(const std::vector<WatchPeer>& peers, bool isLeaving, TimePoint now)
+bool WatchChoice::mustWatch(const std::vector<WatchPeer>& peers, bool isLeaving, bool isFollowing, TimePoint now)
 {
     const std::size_t place = placeAmong(peers);
     const bool isElected = !isLeaving && place < watchersOfRegion && (watching_ || now >= settledAt_);
     const bool isMissedNow = isMissed(peers, place, now);
     const bool hearsHigher = std::any_of(peers.begin(), peers.end(), [this](const WatchPeer& peer) { return peer.isHeardWatching_ && rankOf(peer.node_) > rank_; });
-    const bool isNeeded = watching_ && !isLeaving ? !hearsHigher : isMissedNow;
-    watching_ = now >= firstAt_ && (isElected || isNeeded);
+    const bool isNeeded = isFollowing && !isLeaving ? !hearsHigher : isMissedNow;
+    const bool watched = std::exchange(watching_, now >= firstAt_ && (isElected || isNeeded));
+    if (watching_ && !watched)
+        beginsAt_ = peers.empty() ? now : std::max(now, metAt_);
     return watching_;
 }
 
