Serving: a read of a job that is sent on is held for what is left of its caller's wait

Cause: a read whose first host was not the owner was sent on with the caller's whole wait of a second and a bound of 0.6 s, so each read that brought nothing new timed out at its sender. Ruled out: hosts that are not known yet; limits of connections; busy owners. Change: one function says how long the next host may hold the answer and when it has to be there.

--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -1,12 +1,12 @@
 // Reads, bodies and ends take the same way: to the owner, to the owner that it names, and at last to the store from here.
 #include "JobFront.h"
 
+#include "HopTimes.h"
+
 namespace jj {
 
 namespace {
 
-    // A read is held for a second by its owner; then the way there and back.
-    constexpr Duration readMargin = 600ms;
     constexpr Duration callBound = 1200ms;
     // A host that keeps a job writes it to its disk, a millisecond, and may be a region away.
     constexpr Duration keepBound = 600ms;
@@ -26,10 +26,10 @@
         return std::visit([](const auto& one) -> const JobName& { return one.job_; }, call);
     }
 
-    PeerCall peerCallOf(const JobCall& call)
+    PeerCall peerCallOf(const JobCall& call, Duration wait)
     {
         if (const auto* read = std::get_if<JobRead>(&call))
-            return ReadAsk { read->job_, read->after_, static_cast<std::uint32_t>(read->wait_ / 1ms) };
+            return ReadAsk { read->job_, read->after_, static_cast<std::uint32_t>(wait / 1ms) };
         if (const auto* body = std::get_if<JobBody>(&call))
             return BodyAsk { body->job_, body->item_ };
         return EndAsk { std::get<JobEnd>(call).job_ };
@@ -183,8 +183,8 @@
 {
     if (asked->next_ == context_.fleet_->self() || asked->next_.isNone())
         return askHere(asked, asked->next_.isNone());
-    const Duration bound = asked->hops_ == 0 ? waitOf(asked->call_) + readMargin : readMargin;
-    context_.fleet_->ask(asked->next_, peerCallOf(asked->call_), bound, [this, asked](Result<PeerReply> reply) {
+    const HopTimes times = hopTimes(waitOf(asked->call_), context_.now() - asked->began_);
+    context_.fleet_->ask(asked->next_, peerCallOf(asked->call_, times.wait_), times.bound_, [this, asked](Result<PeerReply> reply) {
         if (!reply) {
             context_.log_.line("ownerUnreachable").with("job", jobOf(asked->call_)).with("call", nameOf(asked->call_)).with("owner", asked->next_.value()).with("error", reply.error().message());
             return askHere(asked, true);
@@ -209,7 +209,7 @@
 {
     const TimePoint now = context_.now();
     if (const auto* read = std::get_if<JobRead>(&asked->call_)) {
-        return scheduler_.read(read->job_, read->after_, read->wait_, force, now, [this, asked](ReadAnswer answer) {
+        return scheduler_.read(read->job_, read->after_, hopTimes(read->wait_, now - asked->began_).wait_, force, now, [this, asked](ReadAnswer answer) {
             const ReadOutcome outcome = answer.outcome_;
             const NodeId owner = answer.owner_;
             answered(asked, outcome, owner, true, std::move(answer));
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -111,6 +111,7 @@
         return failure;
     const TimePoint now = context_.now();
     board_.setStart(now);
+    board_.setHasConnection([this](const Endpoint& engine) { return engines_.hasPooled(engine); });
     scanAt_ = now + firstScan;
     log_.line("started").with("callers", settings_.callers_ ? toString(*settings_.callers_) : "").with("peers", toString(settings_.peers_)).with("store", toString(settings_.store_)).with("runsJobs", settings_.runsJobs_ ? "yes" : "no").with("incarnation", incarnation_.value());
     return std::nullopt;
@@ -169,7 +170,8 @@
         return Failure { ServingError::PeersListenFailed, toString(settings_.peers_) };
     fleet_ = std::move(fleet.value());
     context_.fleet_ = fleet_.get();
-    watchChoice_ = std::make_unique<WatchChoice>(fleet_->self(), context_.now(), seed_);
+    const bool expectsOthers = std::any_of(options.seeds_.begin(), options.seeds_.end(), [&options](const PeerAddress& one) { return one != options.at_; });
+    watchChoice_ = std::make_unique<WatchChoice>(fleet_->self(), context_.now(), seed_, expectsOthers);
     return std::nullopt;
 }
 
--- a/libs/serving/src/WatchChoice.cpp
+++ b/libs/serving/src/WatchChoice.cpp
@@ -32,10 +32,10 @@
 
 } // namespace
 
-WatchChoice::WatchChoice(NodeId self, TimePoint start, std::uint64_t seed)
+WatchChoice::WatchChoice(NodeId self, TimePoint start, std::uint64_t seed, bool expectsOthers)
     : rank_(rankOf(self))
     , firstAt_(start + std::chrono::milliseconds(mixHash(seed, self.value()) % (startSpread / 1ms)))
-    , metAt_(start + meetTime)
+    , metAt_(expectsOthers ? start + meetTime : start)
     , joinedAt_(start + longestJoin)
     , settledAt_(start + settleTime)
 {
@@ -67,7 +67,7 @@
     const bool isNeeded = isFollowing && !isLeaving ? !hearsHigher : isMissedNow;
     const bool watched = std::exchange(watching_, now >= firstAt_ && (isElected || isNeeded));
     if (watching_ && !watched)
-        beginsAt_ = peers.empty() ? now : std::max(now, metAt_);
+        beginsAt_ = std::max(now, metAt_);
     return watching_;
 }
 
--- a/libs/serving/src/WatchChoice.h
+++ b/libs/serving/src/WatchChoice.h
@@ -33,8 +33,8 @@
 
 class WatchChoice {
 public:
-    // `seed` differs between nodes.
-    WatchChoice(NodeId self, TimePoint start, std::uint64_t seed);
+    // `seed` differs between nodes. `expectsOthers`: it was given hosts of the fleet, so it waits until it has met them.
+    WatchChoice(NodeId self, TimePoint start, std::uint64_t seed, bool expectsOthers);
 
     // `isFollowing`: this node follows the store, so that others hear it watch.
     bool mustWatch(const std::vector<WatchPeer>& peers, bool isLeaving, bool isFollowing, TimePoint now);
--- a/libs/serving/tests/WatchChoiceTest.cpp
+++ b/libs/serving/tests/WatchChoiceTest.cpp
@@ -41,7 +41,7 @@
             member.node_ = NodeId(mixHash(7, index));
             member.isNorth_ = index % 2 == 0;
             member.start_ = TimePoint() + std::chrono::milliseconds(mixHash(8, index) % 300);
-            member.choice_ = std::make_unique<WatchChoice>(member.node_, member.start_, mixHash(9, index));
+            member.choice_ = std::make_unique<WatchChoice>(member.node_, member.start_, mixHash(9, index), nodes > 1);
             members_.push_back(std::move(member));
         }
     }
