Ledger: an item that can never be done is listed at once

Ruled out: a second run by the same owner; the log names two. Change: a page with an errored result is written at once. Test, which failed first: an item that can never be done is listed at once.

--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -210,10 +210,12 @@
     // Whoever may have been replaced looks at the head first: behind another owner's fence nothing of this one may be listed.
     if (job->pending_.empty() || job->isCommitting_ || !job->isOpen() || job->suspect_ || now < job->commitAgainAt_)
         return;
+    // Failure met: an item that engines refuse for good was not listed yet when its job changed hands, and each owner sent it anew.
+    const bool hasErrored = std::any_of(job->pending_.begin(), job->pending_.end(), [](const JobResult& result) { return result.state_ == ResultState::Errored; });
     const bool isLast = job->listed_.size() + job->pending_.size() >= job->head_.total_;
     const bool isLate = now + settings_.dueMargin_ >= job->due_;
     const Duration window = std::min<Duration>(settings_.commitWindow_, fromSeconds(toSeconds(job->due_ - now) * settings_.commitPart_));
-    if (isLast || isLate || now - job->pendingSince_ >= window)
+    if (isLast || isLate || hasErrored || now - job->pendingSince_ >= window)
         commit(job, now);
 }
 
--- a/libs/ledger/tests/CommitTest.cpp
+++ b/libs/ledger/tests/CommitTest.cpp
@@ -50,6 +50,21 @@
     world.checkResults("j");
 }
 
+// Guards against an item that engines refuse for good and that each new owner sends again: its end stands in the store before anything else.
+TEST_CASE("ledger: an item that can never be done is listed at once")
+{
+    LedgerWorld world(34, 2, SchedulerSettings());
+    world.pace_ = 5; // runs of 100 ms
+    world.slots_ = 1;
+    world.endOf_ = [](const ItemRun&) { return RunEnd::Impossible; };
+    world.submit(0, "j", 10, 1);
+    while (world.notes_[SchedulerNote::ItemErrored] == 0)
+        world.advance(LedgerWorld::step);
+    world.advance(4 * LedgerWorld::step);
+    REQUIRE(world.stored("j").size() == 1);
+    CHECK(world.stored("j").front().state_ == ResultState::Errored);
+}
+
 // A result is ready just before its job is due. Held back to share a page it would come late, though it was there in time.
 TEST_CASE("ledger: a result that is ready just before its job is due is listed at once")
 {
