Serving, jj: one host tells of the whole fleet, and who owns a job

Operators of hundreds of hosts asked each of them. Summaries between cells now name the hosts that apply an older configuration than their delegate or get no answer of the store; any host shows them at its metrics address (/fleet, /jobs/ID), and 'jj fleet' and 'jj owner' read that: one call, exit code 5 when something is to be looked at. Changes of members write 20 lines a second at most and counts for the rest: at a start of everything 295 hosts wrote a line for each other one.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -206,6 +206,15 @@
     JobScheduler(SchedulerSettings settings, SchedulerOutlets outlets);
     ~JobScheduler();
 
+    // ---- where a job stands, by its head in the store
+    struct Place {
+        ReadOutcome outcome_ = ReadOutcome::Unsure;
+        NodeId owner_;
+        JobState state_ = JobState::Open;
+        std::uint32_t total_ = 0;
+    };
+    void locate(const JobName& name, TimePoint now, std::function<void(const Place&)> done);
+
     // ---- ownership
     void adopt(JobTransfer job, TimePoint now, WallTime wall);
     // Reads all heads, now and each time it is called; takes over what has no live owner. Stale heads will do but for the first time.
--- a/libs/ledger/include/ledger/Records.h
+++ b/libs/ledger/include/ledger/Records.h
@@ -44,6 +44,8 @@
     Void, // never accepted: its items did not all arrive
 };
 
+std::string_view toString(JobState state);
+
 struct JobHead {
     std::string host_; // of the caller's request; with an item's path it selects the item's route
     NodeId owner_;
--- a/libs/ledger/src/Records.cpp
+++ b/libs/ledger/src/Records.cpp
@@ -95,6 +95,12 @@
 
 std::string_view jobOfHeadKey(std::string_view key) { return key.starts_with(headKind) ? key.substr(headKind.size()) : std::string_view(); }
 
+std::string_view toString(JobState state)
+{
+    static constexpr std::string_view names[] = { "open", "ended", "done", "void" };
+    return names[static_cast<std::size_t>(state)];
+}
+
 std::string encode(const JobHead& head)
 {
     json::object object;
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -51,6 +51,11 @@
     });
 }
 
+void JobScheduler::locate(const JobName& name, TimePoint now, std::function<void(const Place&)> done)
+{
+    lookUp(name, now, [done = std::move(done)](ReadOutcome outcome, const JobHead& head, ObjectVersion, TimePoint) { done({ outcome, head.owner_, head.state_, head.total_ }); });
+}
+
 // ---- results
 
 ReadAnswer JobScheduler::slice(const Job& job, std::uint32_t after) const { return sliceOf(job.listed_, job.head_.total_, after, settings_.answerBytes_); }
--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -17,6 +17,9 @@
 
     // Membership's own periods are 60 ms and more.
     constexpr Duration membershipTick = 45ms;
+    // Lines for single members a period; the rest is counted.
+    constexpr std::uint32_t mostChangeLines = 20;
+    constexpr Duration changeLinesPeriod = 1s;
     constexpr std::size_t callBytes = 16 * 1024 * 1024;
     constexpr std::string_view callPath = "/peer";
 
@@ -165,6 +168,7 @@
         tickedAt_ = now;
         core_->tick(now, wall);
         runCommands();
+        logManyChanges();
     }
     exchange_->tick(now);
 }
@@ -200,13 +204,38 @@
 {
     const MemberRumor& member = command.member_;
     const PeerTable::Change change = peers_.apply(member, now_);
-    log_.line("peerChanged").with("peer", member.endpoint_.toString()).with("state", nameOf(member.state_)).with("leaving", member.leaving_ ? "yes" : "no").with("incarnation", member.incarnation_.value());
+    logChange(member);
     if (change.hasGone_)
         handlers_.onGone_(member.node_);
     if (change.hasCome_)
         publishReport();
 }
 
+// Failure met: a fleet of 295 hosts that starts at once has each of them write a line for each other one, and lines of decisions are dropped.
+void Fleet::logChange(const MemberRumor& member)
+{
+    if (changes_++ < mostChangeLines) {
+        log_.line("peerChanged").with("peer", member.endpoint_.toString()).with("state", nameOf(member.state_)).with("leaving", member.leaving_ ? "yes" : "no").with("incarnation", member.incarnation_.value());
+        return;
+    }
+    ++unlogged_[static_cast<std::size_t>(member.state_)];
+}
+
+void Fleet::logManyChanges()
+{
+    if (now_ - changesSince_ < changeLinesPeriod)
+        return;
+    changesSince_ = now_;
+    if (changes_ > mostChangeLines) {
+        auto line = log_.line("peersChanged");
+        for (const MemberState state : { MemberState::Alive, MemberState::Suspect, MemberState::Dead, MemberState::Left })
+            line.with(nameOf(state), unlogged_[static_cast<std::size_t>(state)]);
+        line.with("peers", livePeers());
+    }
+    changes_ = 0;
+    unlogged_ = {};
+}
+
 void Fleet::perform(const Rejoined& command)
 {
     log_.line("rejoined").with("incarnation", command.incarnation_.value());
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -13,6 +13,7 @@
 #include "base/Result.h"
 #include "membership/MembershipCore.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
@@ -81,6 +82,7 @@
     // Of a node that isn't known: this one's.
     RegionId regionOf(NodeId node) const;
     const Cells& cells() const { return exchange_->cells(); }
+    std::vector<CellSummary> summaries(TimePoint now) const { return exchange_->summaries(now); }
     CellId ownCell() const { return exchange_->ownCell(); }
     // Live nodes of this node's cell, this one included.
     const std::vector<NodeId>& mates() const { return exchange_->mates(); }
@@ -94,6 +96,8 @@
     std::size_t livePeers() const { return peers_.liveNear() + peers_.liveFar(); }
     // For logs; empty when it isn't known.
     std::string addressOf(NodeId node) const;
+    // Of this node.
+    std::string address() const { return options_.at_.toString(); }
     // Of the live nodes that run jobs and don't leave, in the region of `former` if there are any: who should own the job.
     // Without such nodes any live node serves. None when this node is alone and leaves.
     NodeId preferredOwner(std::string_view job, NodeId former) const;
@@ -117,6 +121,8 @@
     void runCommands();
     void perform(const SendDatagram& command);
     void perform(const MemberChanged& command);
+    void logChange(const MemberRumor& member);
+    void logManyChanges();
     void perform(const Rejoined& command);
     void perform(const ConfigVersionLearned&) { }
     void perform(const LoadLearned&) { }
@@ -136,6 +142,10 @@
     std::unique_ptr<ReportExchange> exchange_;
     std::uint64_t keeperTurn_ = 0; // so that jobs spread over the hosts
     bool reportPosted_ = false;
+    // Changes of members since changesSince_: lines for the first ones, and counts by state of the rest.
+    TimePoint changesSince_ {};
+    std::uint32_t changes_ = 0;
+    std::array<std::uint32_t, 4> unlogged_ {};
     TimePoint tickedAt_ {};
     TimePoint startedAt_ {};
     TimePoint now_ {};
--- a/libs/serving/src/PeerTable.h
+++ b/libs/serving/src/PeerTable.h
@@ -29,6 +29,7 @@
     bool watching_ = false;
     bool keepsJobs_ = false;
     std::uint32_t keptJobs_ = 0;
+    bool lostStore_ = false;
 
     bool isLive() const { return state_ == MemberState::Alive || state_ == MemberState::Suspect; }
 };
--- a/libs/serving/src/ReportExchange.cpp
+++ b/libs/serving/src/ReportExchange.cpp
@@ -92,6 +92,7 @@
         peer->watching_ = report.watching_;
         peer->keepsJobs_ = report.keepsJobs_;
         peer->keptJobs_ = report.keptJobs_;
+        peer->lostStore_ = report.lostStore_;
     }
     outlets_.onReport_(report, cells_.cellOf(report.use_.node_) == ownCell());
 }
@@ -182,17 +183,31 @@
     summary.use_.delegate_ = self_.node_;
     summary.configVersion_ = own.configVersion_;
     summary.enginesVersion_ = own.enginesVersion_;
-    if (self_.runsJobs_ || own.watching_ || own.keptJobs_ > 0)
-        summary.nodes_.push_back({ self_.node_, self_.runsJobs_, own.watching_, own.keepsJobs_, own.keptJobs_ });
+    summary.liveNodes_ = static_cast<std::uint32_t>(mates().size());
+    if (self_.runsJobs_ || own.watching_ || own.keptJobs_ > 0 || own.lostStore_)
+        summary.nodes_.push_back({ self_.node_, self_.runsJobs_, own.watching_, own.keepsJobs_, own.keptJobs_, false, own.lostStore_ });
     for (const NodeId node : mates()) {
         const Peer* peer = peers_.find(node);
-        const bool isReliedOn = peer && (peer->runsJobs_ || peer->watching_ || peer->keptJobs_ > 0);
-        if (isReliedOn && now - peer->heardAt_ < freshReport)
-            summary.nodes_.push_back({ node, peer->runsJobs_, peer->watching_, peer->keepsJobs_, peer->keptJobs_ });
+        if (!peer || now - peer->heardAt_ >= freshReport)
+            continue;
+        const bool isBehind = peer->configVersion_ < own.configVersion_;
+        const bool isReliedOn = peer->runsJobs_ || peer->watching_ || peer->keptJobs_ > 0;
+        if (isReliedOn || isBehind || peer->lostStore_)
+            summary.nodes_.push_back({ node, peer->runsJobs_, peer->watching_, peer->keepsJobs_, peer->keptJobs_, isBehind, peer->lostStore_ });
     }
     return summary;
 }
 
+std::vector<CellSummary> ReportExchange::summaries(TimePoint now) const
+{
+    std::vector<CellSummary> all { ownSummary(now) };
+    for (const auto& [cell, known] : known_) {
+        all.push_back(known.summary_);
+        all.back().age_ = now - known.at_;
+    }
+    return all;
+}
+
 void ReportExchange::sendSummary(std::size_t rank, TimePoint now)
 {
     const CellSummary summary = ownSummary(now);
@@ -248,6 +263,7 @@
             peer->watching_ = node.watching_;
             peer->keepsJobs_ = node.keepsJobs_;
             peer->keptJobs_ = node.keptJobs_;
+            peer->lostStore_ = node.lostStore_;
         }
         if (Peer* delegate = peers_.find(summary.use_.delegate_)) {
             delegate->configVersion_ = summary.configVersion_;
--- a/libs/serving/src/ReportExchange.h
+++ b/libs/serving/src/ReportExchange.h
@@ -72,6 +72,8 @@
     // Live nodes of this node's cell, this one included.
     const std::vector<NodeId>& mates() const { return cells_.nodesOf(ownCell()); }
     bool isLeaving() const { return leaving_; }
+    // This node's cell, and the others as they were heard last, with the age of each.
+    std::vector<CellSummary> summaries(TimePoint now) const;
 
 private:
     struct Known {
--- a/libs/serving/src/ReportMessages.cpp
+++ b/libs/serving/src/ReportMessages.cpp
@@ -20,13 +20,13 @@
     constexpr std::size_t mostNodes = 64;
     constexpr std::size_t mostCells = 64;
     // Bytes on the wire, see the fields below.
-    constexpr std::size_t summaryBytes = 60;
+    constexpr std::size_t summaryBytes = 64;
     constexpr std::size_t useBytes = 14;
     constexpr std::size_t idBytes = 8;
     constexpr std::size_t serviceBytes = 18;
-    constexpr std::size_t nodeBytes = 15;
+    constexpr std::size_t nodeBytes = 17;
 
-    constexpr std::string_view datagramLabel = "serving datagram 4";
+    constexpr std::string_view datagramLabel = "serving datagram 5";
 
     template <class T>
     void cut(std::vector<T>& list, std::size_t most) { list.resize(std::min(list.size(), most)); }
@@ -92,7 +92,7 @@
 void serialize(Archive& archive, NodeReport& report)
 {
     archive(report.use_, Flag { report.runsJobs_ }, Flag { report.leaving_ }, report.configVersion_, report.enginesVersion_);
-    archive(Flag { report.watching_ }, Flag { report.keepsJobs_ }, report.keptJobs_);
+    archive(Flag { report.watching_ }, Flag { report.keepsJobs_ }, report.keptJobs_, Flag { report.lostStore_ });
 }
 
 template <class Archive>
@@ -111,13 +111,13 @@
 template <class Archive>
 void serialize(Archive& archive, CellNode& node)
 {
-    archive(node.node_, Flag { node.runsJobs_ }, Flag { node.watching_ }, Flag { node.keepsJobs_ }, node.keptJobs_);
+    archive(node.node_, Flag { node.runsJobs_ }, Flag { node.watching_ }, Flag { node.keepsJobs_ }, node.keptJobs_, Flag { node.isBehind_ }, Flag { node.lostStore_ });
 }
 
 template <class Archive>
 void serialize(Archive& archive, CellSummary& cell)
 {
-    archive(cell.use_, Milliseconds { cell.age_ }, cell.configVersion_, cell.enginesVersion_, list<mostNodes>(cell.nodes_));
+    archive(cell.use_, Milliseconds { cell.age_ }, cell.configVersion_, cell.enginesVersion_, cell.liveNodes_, list<mostNodes>(cell.nodes_));
 }
 
 template <class Archive>
--- a/libs/serving/src/ReportMessages.h
+++ b/libs/serving/src/ReportMessages.h
@@ -32,6 +32,7 @@
     bool watching_ = false; // it follows the store itself, and the store answers it
     bool keepsJobs_ = false; // it has a disk, and takes jobs onto it while the store is away
     std::uint32_t keptJobs_ = 0; // on its disk now
+    bool lostStore_ = false; // the store gives it no answer; peers may carry its calls
 };
 
 // The sender sends a question to an engine whose slots are full, and the receiver, or a node of its cell, has a batch item there.
@@ -41,13 +42,15 @@
     bool isPassedOn_ = false; // by the delegate of the cell that has the item
 };
 
-// A node that others rely on: it runs jobs, follows the store or keeps jobs on its disk.
+// A node that others rely on (it runs jobs, follows the store or keeps jobs on its disk), or that an operator looks for.
 struct CellNode {
     NodeId node_;
     bool runsJobs_ = false;
     bool watching_ = false;
     bool keepsJobs_ = false;
     std::uint32_t keptJobs_ = 0;
+    bool isBehind_ = false; // it applies an older configuration than the delegate
+    bool lostStore_ = false;
 };
 
 // A cell as one of its delegates sees it; the latest replaces all earlier ones of the cell.
@@ -56,6 +59,7 @@
     Duration age_ {}; // when it was sent
     std::uint64_t configVersion_ = 0; // of the delegate
     std::uint64_t enginesVersion_ = 0;
+    std::uint32_t liveNodes_ = 0;
     std::vector<CellNode> nodes_; // that the delegate has heard just now
 };
 
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -192,6 +192,7 @@
         report.enginesVersion_ = catalog_->version();
         report.watching_ = feed_->isFollowing() && !store_->isAway();
         report.keepsJobs_ = takesCopies();
+        report.lostStore_ = store_->isDirectLost();
         report.keptJobs_ = spool_ ? static_cast<std::uint32_t>(spool_->size()) : 0;
         return report;
     };
@@ -347,7 +348,7 @@
     if (settings_.metrics_) {
         http::ServerSettings server;
         server.listen_ = *settings_.metrics_;
-        auto opened = http::Server::create(io_, server, [this](const std::shared_ptr<http::Exchange>& exchange) { exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.prometheusText() }); });
+        auto opened = http::Server::create(io_, server, [this](const std::shared_ptr<http::Exchange>& exchange) { onOperator(exchange); });
         if (!opened)
             return Failure { ServingError::MetricsListenFailed, toString(*settings_.metrics_) };
         metricsServer_ = std::move(opened.value());
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -46,6 +46,8 @@
     void scanJobs(TimePoint now);
     void summarize(TimePoint now);
     void onCaller(std::shared_ptr<http::Exchange> exchange);
+    // A call at the metrics address: the metrics, the fleet as this node knows it, or who owns a job.
+    void onOperator(const std::shared_ptr<http::Exchange>& exchange);
     void onPeerCall(PeerCall call, const std::function<void(PeerReply)>& reply);
     bool routeToPeer(const ObjectCall& call, Duration bound, StoreLink::Completion done);
     void requestUpdate();
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -1,10 +1,14 @@
 // What a serving node does in each turn of its loop: periodic work, callers, peers, signals, and the drain.
+#include "FleetPage.h"
 #include "ServingParts.h"
 
 #include <algorithm>
+#include <boost/json.hpp>
 
 namespace jj {
 
+namespace json = boost::json;
+
 namespace {
 
     constexpr Duration tickPeriod = 20ms;
@@ -147,6 +151,31 @@
     relay_->handle(std::move(exchange), table, *route);
 }
 
+// ---- operators
+
+void ServingNode::Parts::onOperator(const std::shared_ptr<http::Exchange>& exchange)
+{
+    constexpr std::string_view jobsPath = "/jobs/";
+    const std::string_view path = exchange->request().path();
+    const http::Header isJson { "Content-Type", "application/json" };
+    if (path == "/fleet")
+        return exchange->respond({ 200, { isJson }, fleetPage(*fleet_, { config_->version(), catalog_->version() }, context_.now()) });
+    if (!path.starts_with(jobsPath))
+        return exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.prometheusText() });
+    const JobName job(path.substr(jobsPath.size()));
+    if (!isValidJobName(job))
+        return exchange->respond(refusal(translation_, 400, "job.BadName", "no job has such a name", RunState::NotRun, {}));
+    scheduler_->locate(job, context_.now(), [this, exchange, job, isJson](const JobScheduler::Place& place) {
+        if (place.outcome_ == ReadOutcome::Missing)
+            return exchange->respond(refusal(translation_, 404, "job.NotFound", "no such job", RunState::NotRun, {}));
+        if (place.outcome_ != ReadOutcome::Found)
+            return exchange->respond(refusal(translation_, 503, "job.Unsure", "the store can't be asked now", RunState::NotRun, notReadyRetry));
+        const std::string owner = place.owner_ == fleet_->self() ? fleet_->address() : fleet_->addressOf(place.owner_);
+        const json::object body { { "job", job }, { "owner", owner }, { "ownerLives", fleet_->isLive(place.owner_) }, { "state", toString(place.state_) }, { "items", place.total_ } };
+        exchange->respond({ 200, { isJson }, json::serialize(body) });
+    });
+}
+
 // ---- peers
 
 NodeId ServingNode::Parts::anyPeer(bool ownRegionFirst)
--- a/libs/serving/src/StoreLink.h
+++ b/libs/serving/src/StoreLink.h
@@ -62,6 +62,8 @@
     bool hasWork() const { return queue_.waiting() > 0; }
     // No way led to the store lately.
     bool isAway() const { return away_; }
+    // The last call of this node's own failed; peers may carry its calls.
+    bool isDirectLost() const { return directFails_; }
     // Since when it can be reached again; the start counts too.
     TimePoint backSince() const { return backSince_; }
     const StoreCounts& counts() const { return counts_; }
--- a/libs/serving/tests/ExchangeFleet.h
+++ b/libs/serving/tests/ExchangeFleet.h
@@ -2,10 +2,11 @@
 #pragma once
 
 #include "ReportExchange.h"
-#include "capacity/CapacityBoard.h"
-
 #include "base/Hash.h"
+#include "capacity/CapacityBoard.h"
 
+#include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <queue>
@@ -48,6 +49,14 @@
             introduce(*node);
     }
 
+    // A node heard of versions at a peer. Without a listener it has them from then on.
+    std::function<void(std::size_t place, KnownVersions)> onVersions_;
+    // Called for each node that isn't cut, each 20 ms.
+    std::function<void(std::size_t place)> onTick_;
+
+    // Runs what is given after `delay`.
+    void after(Duration delay, std::function<void()> work) { later_.emplace(now_ + delay, std::move(work)); }
+
     void advance(Duration time)
     {
         constexpr Duration step = 5ms;
@@ -55,16 +64,20 @@
         for (const TimePoint end = now_ + time; now_ < end;) {
             now_ += step;
             deliver();
+            runLater();
             for (std::size_t place = 0; place < nodes_.size(); ++place) {
                 Node& node = *nodes_[place];
                 if (node.isCut_)
                     continue;
                 change(node);
                 const bool isTick = (now_ - TimePoint() + step * static_cast<Duration::rep>(place)) % tickPeriod == Duration::zero();
-                if (isTick)
-                    node.exchange_->tick(now_);
-                else
+                if (!isTick) {
                     node.exchange_->sendPending(now_);
+                    continue;
+                }
+                node.exchange_->tick(now_);
+                if (onTick_)
+                    onTick_(place);
             }
         }
     }
@@ -83,7 +96,24 @@
         }
     }
 
+    // A new process at the address, which knows all others.
+    void restart(std::size_t place)
+    {
+        Node& node = *nodes_[place];
+        node.self_.incarnation_ = Incarnation(node.self_.incarnation_.value() + 1);
+        node.versions_ = {};
+        build(node, place);
+        for (const auto& other : nodes_) {
+            if (other.get() != &node && !other->isCut_)
+                node.peers_->apply(rumorOf(*other, MemberState::Alive), now_);
+        }
+        setLive(place, true);
+    }
+
     Node& node(std::size_t place) { return *nodes_[place]; }
+    const Node& node(std::size_t place) const { return *nodes_[place]; }
+    std::size_t placeOf(NodeId node) const { return places_.at(node); }
+    std::mt19937_64& random() { return random_; }
     std::size_t size() const { return nodes_.size(); }
     TimePoint now() const { return now_; }
     UpstreamId engine(std::size_t place) const { return UpstreamId(mixHash(99, place)); }
@@ -115,13 +145,18 @@
         node->at_ = { static_cast<std::uint32_t>(0x0a000000 + place), 7000 };
         node->self_ = { nodeIdOf(node->at_), RegionId(static_cast<std::uint32_t>(region)), FailureDomainId(static_cast<std::uint32_t>(region * 100 + domain)), Incarnation(1), place % 7 == 0 };
         places_[node->self_.node_] = place;
-        node->peers_ = std::make_unique<PeerTable>(node->self_.region_);
-        node->board_ = std::make_unique<CapacityBoard>(CapacitySettings(), node->self_.node_, HostPlace { CellId::none(), node->self_.region_, node->self_.domain_ }, place);
-        node->exchange_ = std::make_unique<ReportExchange>(node->self_, *node->peers_, outletsOf(*node));
+        build(*node, place);
         nodes_.push_back(std::move(node));
     }
 
-    ExchangeOutlets outletsOf(Node& node)
+    void build(Node& node, std::size_t place)
+    {
+        node.peers_ = std::make_unique<PeerTable>(node.self_.region_);
+        node.board_ = std::make_unique<CapacityBoard>(CapacitySettings(), node.self_.node_, HostPlace { CellId::none(), node.self_.region_, node.self_.domain_ }, place);
+        node.exchange_ = std::make_unique<ReportExchange>(node.self_, *node.peers_, outletsOf(node, place));
+    }
+
+    ExchangeOutlets outletsOf(Node& node, std::size_t place)
     {
         ExchangeOutlets outlets;
         outlets.ownReport_ = [this, &node] {
@@ -133,14 +168,14 @@
         };
         outlets.ownVersions_ = [&node] { return node.versions_; };
         outlets.ownCell_ = [this, &node] { return node.board_->ownCell(now_); };
-        outlets.onReport_ = [this, &node](const NodeReport& report, bool isMate) {
+        outlets.onReport_ = [this, &node, place](const NodeReport& report, bool isMate) {
             if (isMate)
                 node.board_->heard(report.use_, now_);
-            hear(node, { report.configVersion_, report.enginesVersion_ });
+            hear(place, { report.configVersion_, report.enginesVersion_ });
         };
-        outlets.onCell_ = [&node](const CellSummary& summary, TimePoint at) {
+        outlets.onCell_ = [this, &node, place](const CellSummary& summary, TimePoint at) {
             node.board_->heardCell(summary.use_, at);
-            hear(node, { summary.configVersion_, summary.enginesVersion_ });
+            hear(place, { summary.configVersion_, summary.enginesVersion_ });
         };
         outlets.onCellsChanged_ = [this, &node] { placeEngines(node); };
         outlets.send_ = [this, &node](std::span<const PeerAddress> receivers, const PeerDatagram& datagram) {
@@ -151,9 +186,11 @@
         return outlets;
     }
 
-    // The update itself is assumed: who hears of a version has it.
-    static void hear(Node& node, KnownVersions versions)
+    void hear(std::size_t place, KnownVersions versions)
     {
+        if (onVersions_)
+            return onVersions_(place, versions);
+        Node& node = *nodes_[place];
         node.versions_.config_ = std::max(node.versions_.config_, versions.config_);
         node.versions_.engines_ = std::max(node.versions_.engines_, versions.engines_);
     }
@@ -223,6 +260,15 @@
         }
     }
 
+    void runLater()
+    {
+        while (!later_.empty() && later_.begin()->first <= now_) {
+            const std::function<void()> work = std::move(later_.begin()->second);
+            later_.erase(later_.begin());
+            work();
+        }
+    }
+
     // Begins or ends a question at an engine of its own cell or another one.
     void change(Node& node)
     {
@@ -255,6 +301,7 @@
     std::vector<std::unique_ptr<Node>> nodes_;
     std::map<NodeId, std::size_t> places_;
     std::priority_queue<Flight> flights_;
+    std::multimap<TimePoint, std::function<void()>> later_;
 };
 
 } // namespace jj
--- a/tests/cli/jj_test.py
+++ b/tests/cli/jj_test.py
@@ -1,11 +1,13 @@
 """The command line as a process: what it prints, and the exit codes that scripts rely on. Nodes are not needed here: an engine
 stand-in answers questions as a node does, and the object API takes a configuration directly."""
 
+import http.server
 import json
 import pathlib
 import subprocess
 import sys
 import tempfile
+import threading
 import unittest
 
 TESTS = pathlib.Path(__file__).resolve().parents[1]
@@ -16,6 +18,27 @@
 DONE, FAILED, BAD_INPUT, UNREACHABLE, OUTCOME_UNKNOWN, FINDINGS = range(6)
 
 
+def serve_json(test, answers):
+    """A server that answers each path of `answers` with its object, and any other with 404."""
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        def do_GET(self):
+            found = answers.get(self.path)
+            body = json.dumps(found if found is not None else {"error": {"code": "none", "message": "none"}}).encode()
+            self.send_response(200 if found is not None else 404)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, *arguments):
+            pass
+
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    test.addCleanup(server.shutdown)
+    return f"127.0.0.1:{server.server_port}"
+
+
 class CommandLine(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -38,6 +61,25 @@
         self.jj("trace", "--id", "r9", str(first), expect=FINDINGS)
         self.jj("trace", str(first), expect=BAD_INPUT)
 
+    def test_fleet_and_owner_ask_one_host(self):
+        """An operator of hundreds of hosts asks one of them who is behind, who has lost the store, and who owns a job."""
+        host = {"host": "10.0.0.2:7000", "runsJobs": True, "watches": True, "keptJobs": 0, "behind": False, "lostStore": False}
+        cell = {"delegate": "10.0.0.2:7000", "nodes": 2, "config": 7, "engines": 40, "ageMs": 90, "hosts": [host]}
+        answers = {"/fleet": {"host": "10.0.0.1:7000", "config": 7, "engines": 40, "nodes": 2, "cells": [cell]}, "/jobs/j1": {"job": "j1", "owner": "10.0.0.2:7000", "ownerLives": True, "state": "open", "items": 3}}
+        address = serve_json(self, answers)
+        self.assertIn("hosts 2, configuration 7", self.jj("fleet", "--node", address).stdout)
+        self.assertIn("owner: 10.0.0.2:7000", self.jj("owner", "j1", "--node", address).stdout)
+        host.update(behind=True, lostStore=True)
+        found = self.jj("fleet", "--node", address, expect=FINDINGS).stdout
+        self.assertIn("10.0.0.2:7000 applies an older configuration", found)
+        self.assertIn("10.0.0.2:7000 has lost the store", found)
+        cell["ageMs"] = 9000
+        self.assertIn("is silent", self.jj("fleet", "--node", address, expect=FINDINGS).stdout)
+        answers["/fleet"] = {"nodes": 2}
+        self.jj("fleet", "--node", address, expect=FAILED)
+        self.jj("owner", "j9", "--node", address, expect=FAILED)
+        self.jj("fleet", expect=BAD_INPUT)
+
     def jj(self, *arguments, expect=DONE, typed=""):
         done = subprocess.run([str(bin_folder() / "jj"), *map(str, arguments)], input=typed, capture_output=True, text=True, timeout=60)
         self.assertEqual(done.returncode, expect, done.stdout + done.stderr)
--- a/tools/jj/Command.h
+++ b/tools/jj/Command.h
@@ -45,6 +45,8 @@
 void addTrace(CLI::App& app, Context& context);
 void addAudit(CLI::App& app, Context& context);
 void addLosses(CLI::App& app, Context& context);
+void addFleet(CLI::App& app, Context& context);
+void addOwner(CLI::App& app, Context& context);
 
 // ---- Output
 
--- a/tools/jj/main.cpp
+++ b/tools/jj/main.cpp
@@ -5,7 +5,7 @@
 {
     using namespace jj::cli;
     Context context;
-    CLI::App app("Asks, submits, configures and inspects a fleet of jjnode processes");
+    CLI::App app("Asks, submits, configures and inspects a fleet of jjnode or jjserve processes");
     app.footer(exitCodesHelp);
     app.add_flag("--json", context.json_, "print JSON");
     app.require_subcommand(1);
@@ -23,6 +23,8 @@
     addTrace(app, context);
     addAudit(app, context);
     addLosses(app, context);
+    addFleet(app, context);
+    addOwner(app, context);
     for (CLI::App* command : app.get_subcommands({}))
         command->footer(exitCodesHelp);
     try {
