--- a/libs/serving/tests/CatalogFleetTest.cpp
+++ b/libs/serving/tests/CatalogFleetTest.cpp
@@ -107,6 +107,7 @@
                 state.erase(one.change_.key_);
         }
         std::vector<ObjectEntry> entries;
+        entries.reserve(state.size());
         for (const auto& [key, entry] : state)
             entries.push_back(entry);
         host.node_.list(entries, ObjectVersion(version), fleet_.now());
