--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -24,7 +24,6 @@
 
 #include "base/Endpoint.h"
 #include "base/Time.h"
-#include "capacity/BatchAdmission.h"
 #include "capacity/NodeUse.h"
 
 #include <cstdint>
@@ -154,8 +153,8 @@
     void setFirm(UpstreamId engine, std::uint16_t items);
     // How many questions wait here for a slot of the service, and how many of them can still be in time.
     void setWaiting(std::string_view service, std::uint16_t count, std::uint16_t inTime);
-    // How many batch items wait here that can still be in time, when the first of them is due, and what an item takes of slots.
-    void setItemsWaiting(std::string_view service, std::uint16_t count, TimePoint firstDue, Duration slotTime);
+    // How many batch items wait here that can still be in time, and when the first of them is due.
+    void setItemsWaiting(std::string_view service, std::uint16_t count, TimePoint firstDue);
     // What this node tells the others; node, incarnation and sequence are the caller's to fill.
     NodeUse ownUse(TimePoint now) const;
 
@@ -209,8 +208,6 @@
         std::uint32_t batchItems_ = 0;
     };
     Usage usage(std::string_view service) const;
-    // Work of all hosts that are heard, for admitting jobs.
-    BatchLoad batchLoad(std::string_view service, TimePoint now) const;
     // Work on one engine, of all nodes.
     EngineUse useOf(UpstreamId engine) const;
 
@@ -307,7 +304,6 @@
     struct OwnItems {
         std::uint16_t count_ = 0;
         TimePoint firstDue_ {};
-        Duration slotTime_ {};
     };
 
     // Sums over this node and its cell.
--- a/libs/capacity/include/capacity/NodeUse.h
+++ b/libs/capacity/include/capacity/NodeUse.h
@@ -38,7 +38,6 @@
     ServiceId service_;
     std::uint16_t count_ = 0;
     Duration dueIn_ {}; // of the one that is due first, from when this was sent
-    Duration slotTime_ {}; // that an item takes of slots in all its runs, by those that ended lately; zero: not known
 
     friend bool operator==(const ItemsWaiting&, const ItemsWaiting&) = default;
 };
--- a/libs/capacity/src/CapacityBoard.cpp
+++ b/libs/capacity/src/CapacityBoard.cpp
@@ -118,9 +118,9 @@
     ownWaiting_[id] = { id, count, inTime };
 }
 
-void CapacityBoard::setItemsWaiting(std::string_view service, std::uint16_t count, TimePoint firstDue, Duration slotTime)
+void CapacityBoard::setItemsWaiting(std::string_view service, std::uint16_t count, TimePoint firstDue)
 {
-    ownItems_[idFromName<ServiceId>(service)] = { count, firstDue, slotTime };
+    ownItems_[idFromName<ServiceId>(service)] = { count, firstDue };
 }
 
 void CapacityBoard::measured(Duration run) { meanRunSeconds_ += meanGain * (toSeconds(run) - meanRunSeconds_); }
@@ -137,7 +137,7 @@
     }
     for (const auto& [service, items] : ownItems_) {
         if (items.count_ > 0)
-            use.items_.push_back({ service, items.count_, items.firstDue_ - now, items.slotTime_ });
+            use.items_.push_back({ service, items.count_, items.firstDue_ - now });
     }
     return use;
 }
--- a/libs/capacity/src/CapacityCells.cpp
+++ b/libs/capacity/src/CapacityCells.cpp
@@ -1,8 +1,6 @@
 // Other cells: what each runs as a whole, and what this one says of itself.
 #include "capacity/CapacityBoard.h"
 
-#include "base/Hash.h"
-
 #include <algorithm>
 
 namespace jj {
@@ -21,7 +19,7 @@
 
     ItemsWaiting sumOf(const ItemsWaiting& left, const ItemsWaiting& right)
     {
-        return { left.service_, bounded(left.count_ + right.count_), std::min(left.dueIn_, right.dueIn_), std::max(left.slotTime_, right.slotTime_) };
+        return { left.service_, bounded(left.count_ + right.count_), std::min(left.dueIn_, right.dueIn_) };
     }
 
     ServiceWaiting sumOf(const ServiceWaiting& left, const ServiceWaiting& right)
@@ -103,7 +101,7 @@
         for (const ServiceWaiting& one : use.waiting_)
             addTo(waiting, one.service_, one);
         for (const ItemsWaiting& one : use.items_)
-            addTo(items, one.service_, ItemsWaiting { one.service_, one.count_, one.dueIn_ - age, one.slotTime_ });
+            addTo(items, one.service_, ItemsWaiting { one.service_, one.count_, one.dueIn_ - age });
     };
     addNode(ownUse(now), {});
     for (const auto& [node, report] : reports_)
@@ -119,27 +117,6 @@
     return cell;
 }
 
-BatchLoad CapacityBoard::batchLoad(std::string_view service, TimePoint now) const
-{
-    const auto id = idFromName<ServiceId>(service);
-    const Usage used = usage(service);
-    BatchLoad load { used.slots_, used.questions_, used.batchItems_, 0, {} };
-    const auto addItems = [&load, id](const std::vector<ItemsWaiting>& items) {
-        for (const ItemsWaiting& one : items) {
-            if (one.service_ != id)
-                continue;
-            load.waiting_ += one.count_;
-            load.slotTime_ = std::max(load.slotTime_, one.slotTime_);
-        }
-    };
-    addItems(ownUse(now).items_);
-    for (const auto& [node, report] : reports_)
-        addItems(report.use_.items_);
-    for (const auto& [cell, report] : cells_)
-        addItems(report.use_.items_);
-    return load;
-}
-
 CapacityBoard::Distance CapacityBoard::distanceOf(const Engine& engine) const
 {
     if (engine.entry_.cell_ == place_.cell_)
--- a/libs/ledger/include/ledger/Acceptor.h
+++ b/libs/ledger/include/ledger/Acceptor.h
@@ -3,10 +3,6 @@
 //     Acceptor acceptor(store, options);
 //     acceptor.accept(std::move(submission), owner, now, wall, [](const Acceptance& acceptance) { ... });
 //
-// A job that is refused for want of room has its head created as refused. What an earlier attempt of the same job still has on its way to the
-// store, or on a disk without an acknowledgement, then finds that head and doesn't run, so "not run" stays true. An attempt that begins
-// later takes the head up again.
-//
 // Head and item pages are created at the same time, so that an acknowledgement costs one round trip to the store; the job counts as
 // accepted when all of them exist. A job that comes again meets its own objects and is acknowledged again.
 #pragma once
@@ -48,8 +44,6 @@
     std::vector<JobItem> items_;
 };
 
-struct SubmissionState;
-
 class Acceptor {
 public:
     using Done = std::function<void(const Acceptance&, TimePoint now)>;
@@ -59,16 +53,10 @@
     {
     }
 
-    // `bound`: how long the store may take; the outcome is known by then. `wall`: when the attempt began. `isAcknowledged`: its caller has been told that
-    // the job is accepted, so no refusal stands in its way.
-    void accept(JobSubmission submission, NodeId owner, Duration bound, TimePoint now, WallTime wall, Done done, bool isAcknowledged = false);
-
-    // Sees to it that no attempt that has begun runs the job. Outcomes: NotAccepted (refused for good), AlreadyAccepted, Unknown, Invalid.
-    void refuse(const JobSubmission& submission, NodeId owner, Duration bound, TimePoint now, WallTime wall, Done done);
+    // `bound`: how long the store may take; the outcome is told by then.
+    void accept(JobSubmission submission, NodeId owner, Duration bound, TimePoint now, WallTime wall, Done done);
 
 private:
-    void meetStanding(const std::shared_ptr<SubmissionState>& taking, const JobSubmission& submission, NodeId owner, WallTime wall);
-
     LedgerStore store_;
 };
 
--- a/libs/ledger/include/ledger/JobIntake.h
+++ b/libs/ledger/include/ledger/JobIntake.h
@@ -44,8 +44,6 @@
     std::function<NodeId(const JobName&)> ownerOf_;
     // The store has the job: to its owner.
     std::function<void(const JobName&, const Acceptance&)> accepted_;
-    // Some host may have jobs on its disk that the store doesn't know.
-    std::function<bool()> mayBeKept_;
 };
 
 class JobIntake {
@@ -56,9 +54,6 @@
 
     // `bound`: how long the store may take. Answers once.
     void submit(JobSubmission submission, Duration bound, TimePoint now, WallTime wall, Done done);
-    // There is no room for the job: sees to it that it doesn't run, and answers NotAccepted. While copies of it may be on disks it is taken in all the
-    // same, since nobody can say that it doesn't run.
-    void refuse(JobSubmission submission, Duration bound, TimePoint now, WallTime wall, Done done);
     void tick(TimePoint now);
 
 private:
--- a/libs/ledger/include/ledger/JobSpool.h
+++ b/libs/ledger/include/ledger/JobSpool.h
@@ -171,8 +171,7 @@
         held_.at(name).isTrying_ = true;
         ++trying_;
         const NodeId owner = outlets_.ownerOf_(name);
-        acceptor_.accept(
-            std::move(submission), owner, settings_.bound_, now, acceptedAt, [this, name](const Acceptance& acceptance, TimePoint at) { tried(name, acceptance, at); }, true);
+        acceptor_.accept(std::move(submission), owner, settings_.bound_, now, acceptedAt, [this, name](const Acceptance& acceptance, TimePoint at) { tried(name, acceptance, at); });
     }
 
     void tried(const JobName& name, const Acceptance& acceptance, TimePoint now)
--- a/libs/ledger/include/ledger/Records.h
+++ b/libs/ledger/include/ledger/Records.h
@@ -42,7 +42,6 @@
     Ended, // its caller ended it; nothing more has to be listed
     Done, // all results are listed
     Void, // never accepted: its items did not all arrive
-    Refused, // "not run" was said to a caller; only an attempt that began later may take it up
 };
 
 std::string_view toString(JobState state);
--- a/libs/ledger/src/JobIntake.cpp
+++ b/libs/ledger/src/JobIntake.cpp
@@ -54,24 +54,6 @@
     waiting_.push_back(taking);
 }
 
-void JobIntake::refuse(JobSubmission submission, Duration bound, TimePoint now, WallTime wall, Done done)
-{
-    if (outlets_.storeIsAway_() || outlets_.mayBeKept_())
-        return submit(std::move(submission), bound, now, wall, std::move(done));
-    const std::size_t items = submission.items_.size();
-    const NodeId owner = outlets_.ownerOf_(submission.job_);
-    acceptor_.refuse(submission, owner, bound, now, wall, [this, items, done = std::move(done)](const Acceptance& acceptance, TimePoint at) {
-        IntakeAnswer answer;
-        answer.outcome_ = acceptance.outcome_;
-        answer.failure_ = acceptance.failure_;
-        answer.items_ = items;
-        // A copy that was kept meanwhile may have been acknowledged.
-        if (answer.outcome_ == AcceptOutcome::NotAccepted && outlets_.mayBeKept_())
-            answer.outcome_ = AcceptOutcome::Unknown;
-        done(answer, at);
-    });
-}
-
 void JobIntake::tick(TimePoint now)
 {
     while (!waiting_.empty() && now - waiting_.front()->began_ >= settings_.keepAfter_) {
--- a/libs/ledger/src/Records.cpp
+++ b/libs/ledger/src/Records.cpp
@@ -97,7 +97,7 @@
 
 std::string_view toString(JobState state)
 {
-    static constexpr std::string_view names[] = { "open", "ended", "done", "void", "refused" };
+    static constexpr std::string_view names[] = { "open", "ended", "done", "void" };
     return names[static_cast<std::size_t>(state)];
 }
 
@@ -154,7 +154,7 @@
         head.abandonAfter_ = std::chrono::milliseconds(object.at("abandon").to_number<std::int64_t>());
         head.maxAttempts_ = object.at("attempts").to_number<std::uint32_t>();
         const int state = object.at("state").to_number<int>();
-        if (state < 0 || state > static_cast<int>(JobState::Refused))
+        if (state < 0 || state > static_cast<int>(JobState::Void))
             throw std::out_of_range("state");
         head.state_ = static_cast<JobState>(state);
         return head;
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -46,8 +46,7 @@
         if (!head)
             return then(ReadOutcome::Unsure, {}, ObjectVersion::none(), at);
         // One that never had all its items was never accepted.
-        const bool isAccepted = head.value().state_ != JobState::Void && head.value().state_ != JobState::Refused;
-        const ReadOutcome outcome = isAccepted ? ReadOutcome::Found : missing;
+        const ReadOutcome outcome = head.value().state_ == JobState::Void ? missing : ReadOutcome::Found;
         then(outcome, head.value(), answer.answer_.version_, at);
     });
 }
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -74,7 +74,7 @@
         if (reported == current)
             continue;
         reported = current;
-        context_.board_.setItemsWaiting(service, static_cast<std::uint16_t>(std::min<std::size_t>(items.inTime_, UINT16_MAX)), items.firstDue_, fromSeconds(slotSeconds_[service]));
+        context_.board_.setItemsWaiting(service, static_cast<std::uint16_t>(std::min<std::size_t>(items.inTime_, UINT16_MAX)), items.firstDue_);
         context_.fleet_->publishReport();
     }
 }
@@ -201,30 +201,9 @@
     context_.board_.ended(run->engine_, WorkClass::BatchItem);
     context_.fleet_->publishReport();
     context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1);
-    learnSlotTime(run, end);
     scheduler_.ended(run->item_.id_, end, context_.now());
 }
 
-// All runs of an item together, so that what is begun anew elsewhere counts too.
-void ItemRunner::learnSlotTime(const RunPtr& run, RunEnd end)
-{
-    // Items that others end or take over are not heard of again.
-    constexpr std::size_t mostItems = 4096;
-    if (spent_.size() >= mostItems)
-        spent_.clear();
-    Duration& spent = spent_[run->item_.item_];
-    spent += context_.now() - run->sentAt_;
-    const bool isOver = end == RunEnd::Completed || end == RunEnd::Failed || end == RunEnd::Impossible || end == RunEnd::RouteGone;
-    if (!isOver)
-        return;
-    if (end == RunEnd::Completed) {
-        const auto [place, isNew] = slotSeconds_.try_emplace(run->service_, toSeconds(spent));
-        if (!isNew)
-            place->second += meanGain * (toSeconds(spent) - place->second);
-    }
-    spent_.erase(run->item_.item_);
-}
-
 void ItemRunner::markFirm(TimePoint now)
 {
     std::map<UpstreamId, std::uint16_t> firm;
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -13,7 +13,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <unordered_map>
 
 namespace jj {
 
@@ -74,15 +73,12 @@
     void onError(const RunPtr& run, const http::CallFailure& failure);
     void finish(const RunPtr& run, RunEnd end, std::string_view why);
     bool isCurrent(const RunPtr& run) const;
-    void learnSlotTime(const RunPtr& run, RunEnd end);
 
     Context& context_;
     JobScheduler& scheduler_;
     ItemRunnerSettings settings_;
     std::map<RunId, RunPtr> runs_;
     std::map<std::string, ReportedItems> reported_;
-    std::unordered_map<std::string, Duration> spent_; // slot time of items that have run and not ended, by their ids
-    std::map<std::string, double> slotSeconds_; // of an item of the service, a running mean
     double meanRunSeconds_;
 };
 
--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -2,7 +2,6 @@
 #include "JobFront.h"
 
 #include "HopTimes.h"
-#include "base/Hash.h"
 
 namespace jj {
 
@@ -15,7 +14,6 @@
     constexpr int mostHandTries = 3;
     constexpr Duration retryAfter = 300ms;
     constexpr std::size_t mostOwners = 8192;
-    constexpr Duration observePeriod = 100ms;
 
     Duration waitOf(const JobCall& call)
     {
@@ -53,24 +51,13 @@
     NodeId next_; // to ask
 };
 
-JobFront::JobFront(Context& context, JobScheduler& scheduler, StoreLink& store, std::function<bool()> mayBeKept)
+JobFront::JobFront(Context& context, JobScheduler& scheduler, StoreLink& store)
     : context_(context)
     , scheduler_(scheduler)
     , intake_(IntakeSettings(), intakeOutlets(store))
-    , mayBeKept_(std::move(mayBeKept))
 {
 }
 
-void JobFront::tick(TimePoint now)
-{
-    intake_.tick(now);
-    if (now - observedAt_ < observePeriod)
-        return;
-    observedAt_ = now;
-    for (auto& [service, admission] : admissions_)
-        admission.observe(context_.board_.batchLoad(service, now), now);
-}
-
 IntakeOutlets JobFront::intakeOutlets(StoreLink& store)
 {
     IntakeOutlets outlets;
@@ -80,7 +67,6 @@
     outlets.keep_ = [this](NodeId host, KeptJob job, std::function<void(KeepOutcome, TimePoint)> done) { keepAt(host, std::move(job), std::move(done)); };
     outlets.forget_ = [this](NodeId host, const JobName& job) { forgetAt(host, job); };
     outlets.ownerOf_ = [this](const JobName& job) { return context_.fleet_->preferredOwner(job, context_.fleet_->self()); };
-    outlets.mayBeKept_ = [this] { return mayBeKept_(); };
     outlets.accepted_ = [this](const JobName& job, const Acceptance& acceptance) {
         remember(job, acceptance.head_.owner_);
         handToOwner(job, acceptance, 0);
@@ -103,41 +89,10 @@
     job.head_.runTarget_ = route.runTarget_;
     job.head_.abandonAfter_ = route.abandonAfter_;
     job.head_.maxAttempts_ = route.maxAttempts_;
-    if (const AdmissionAnswer room = judge(job, route.runTarget_); !room.fits_)
-        return refuse(exchange, std::move(job), room, began);
     const JobName name = job.job_;
     intake_.submit(std::move(job), context_.settings_.acceptBound_, began, SystemClock().wallNow(), [this, exchange, name, began](const IntakeAnswer& answer, TimePoint now) { respond(exchange, name, answer, began, now); });
 }
 
-AdmissionAnswer JobFront::judge(const JobSubmission& job, Duration runTarget)
-{
-    const auto table = context_.table_;
-    const Route* route = job.items_.empty() || !table ? nullptr : table->select(job.head_.host_, job.items_.front().path_);
-    if (!route || runTarget <= Duration::zero())
-        return {};
-    const std::string service = RouteTable::pickService(*route, hash64(job.items_.front().path_));
-    if (service.empty())
-        return {};
-    BatchAdmission& admission = admissions_[service];
-    const auto items = static_cast<std::uint32_t>(job.items_.size());
-    const AdmissionAnswer answer = admission.judge(items, runTarget);
-    if (answer.fits_)
-        admission.accepted(items, context_.now());
-    return answer;
-}
-
-void JobFront::refuse(const std::shared_ptr<http::Exchange>& exchange, JobSubmission job, const AdmissionAnswer& room, TimePoint began)
-{
-    const JobName name = job.job_;
-    intake_.refuse(std::move(job), context_.settings_.acceptBound_, began, SystemClock().wallNow(), [this, exchange, name, room, began](const IntakeAnswer& answer, TimePoint now) {
-        if (answer.outcome_ != AcceptOutcome::NotAccepted)
-            return respond(exchange, name, answer, began, now);
-        context_.log_.line("jobRefused").with("request", name).with("job", name).with("error", "no room until it is due").with("items", answer.items_).with("retryAfterMs", room.comeBackIn_).with("afterMs", now - began);
-        context_.metrics_.metrics_.add(context_.metrics_.refused_);
-        exchange->respond(refusal(context_.translation_, 503, "job.NoRoom", "the job can't be done until it is due; no item of it runs", RunState::NotRun, room.comeBackIn_));
-    });
-}
-
 void JobFront::keepAt(NodeId host, KeptJob job, std::function<void(KeepOutcome, TimePoint)> done)
 {
     const JobName name = job.submission_.job_;
--- a/libs/serving/src/JobFront.h
+++ b/libs/serving/src/JobFront.h
@@ -2,11 +2,9 @@
 #pragma once
 
 #include "Context.h"
-#include "capacity/BatchAdmission.h"
 #include "ledger/JobIntake.h"
 #include "ledger/JobScheduler.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -15,23 +13,19 @@
 
 class JobFront {
 public:
-    // `mayBeKept`: some host may have jobs on its disk that the store doesn't know.
-    JobFront(Context& context, JobScheduler& scheduler, StoreLink& store, std::function<bool()> mayBeKept);
+    JobFront(Context& context, JobScheduler& scheduler, StoreLink& store);
 
     void submit(const std::shared_ptr<http::Exchange>& exchange, const Route& route);
     void call(std::shared_ptr<http::Exchange> exchange, JobCall call);
     // The store has the job; its owner begins. A message that doesn't arrive costs time, not the job.
     void handToOwner(const JobName& job, const Acceptance& acceptance) { handToOwner(job, acceptance, 0); }
-    void tick(TimePoint now);
+    void tick(TimePoint now) { intake_.tick(now); }
 
 private:
     struct Asked;
     using AskedPtr = std::shared_ptr<Asked>;
 
     IntakeOutlets intakeOutlets(StoreLink& store);
-    // Whether there is room for the job until it is due. A service is observed from its first job on.
-    AdmissionAnswer judge(const JobSubmission& job, Duration runTarget);
-    void refuse(const std::shared_ptr<http::Exchange>& exchange, JobSubmission job, const AdmissionAnswer& room, TimePoint began);
     void keepAt(NodeId host, KeptJob job, std::function<void(KeepOutcome, TimePoint)> done);
     void forgetAt(NodeId host, const JobName& job);
     void respond(const std::shared_ptr<http::Exchange>& exchange, const JobName& job, const IntakeAnswer& answer, TimePoint began, TimePoint now);
@@ -46,9 +40,6 @@
     Context& context_;
     JobScheduler& scheduler_;
     JobIntake intake_;
-    std::function<bool()> mayBeKept_;
-    std::map<std::string, BatchAdmission> admissions_; // by service
-    TimePoint observedAt_ {};
     // Owners as last heard; a wrong one costs a hop.
     std::map<JobName, NodeId> owners_;
 };
--- a/libs/serving/src/ReportMessages.cpp
+++ b/libs/serving/src/ReportMessages.cpp
@@ -23,10 +23,10 @@
     constexpr std::size_t summaryBytes = 64;
     constexpr std::size_t useBytes = 14;
     constexpr std::size_t idBytes = 8;
-    constexpr std::size_t serviceBytes = 22;
+    constexpr std::size_t serviceBytes = 18;
     constexpr std::size_t nodeBytes = 17;
 
-    constexpr std::string_view datagramLabel = "serving datagram 6";
+    constexpr std::string_view datagramLabel = "serving datagram 5";
 
     template <class T>
     void cut(std::vector<T>& list, std::size_t most) { list.resize(std::min(list.size(), most)); }
@@ -78,7 +78,7 @@
 template <class Archive>
 void serialize(Archive& archive, ItemsWaiting& waiting)
 {
-    archive(waiting.service_, waiting.count_, Milliseconds { waiting.dueIn_ }, Milliseconds { waiting.slotTime_ });
+    archive(waiting.service_, waiting.count_, Milliseconds { waiting.dueIn_ });
 }
 
 template <class Archive>
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -105,7 +105,7 @@
     queue_ = std::make_unique<SlotQueue>(context_);
     context_.queue_ = queue_.get();
     relay_ = std::make_unique<Relay>(context_);
-    jobs_ = std::make_unique<JobFront>(context_, *scheduler_, *store_, [this] { return mayBeKept(); });
+    jobs_ = std::make_unique<JobFront>(context_, *scheduler_, *store_);
     buildSpool();
     if (auto failure = openServers())
         return failure;
