Serving: one process in eight reads a long first list of engines, the others take it from those

Cause: 300 processes read a list of 0.9 MB each at their start; half of them over the link between the regions, 132 MB on 150 Mbit/s, some 7 s, worked out; who gets no byte for its bound begins anew. Change: when the first page says that there are more, seven in eight leave the rest to their peers; who has it passes it on, at most as fast as its link answers (Dissemination). Who has heard nothing after 2.5 s, or watches, reads on. Lists of one page, up to some 500 engines, are read as before. Tests: a process leaves the rest of a long first list to its peers, and reads it when none of them brings it.

--- a/libs/serving/src/EngineFeed.h
+++ b/libs/serving/src/EngineFeed.h
@@ -44,14 +44,16 @@
 public:
     using AskPeer = std::function<void()>;
 
-    // `grace`: how long an engine stays in use that is missing after this node couldn't reach the store.
-    EngineFeed(const RuntimeClock& clock, Store& store, const Translation& translation, DecisionLog& log, FollowerTimes times, Duration grace, EngineCatalog& catalog, AskPeer askPeer)
+    // `grace`: how long an engine stays in use that is missing after this node couldn't reach the store. `readsLongLists`: whether it reads a first list of
+    // several pages itself.
+    EngineFeed(const RuntimeClock& clock, Store& store, const Translation& translation, DecisionLog& log, FollowerTimes times, Duration grace, bool readsLongLists, EngineCatalog& catalog, AskPeer askPeer)
         : clock_(clock)
         , store_(store)
         , translation_(translation)
         , log_(log)
         , times_(times)
         , grace_(grace)
+        , readsLongLists_(readsLongLists)
         , lag_(times)
         , catalog_(catalog)
         , askPeer_(std::move(askPeer))
@@ -59,14 +61,22 @@
     }
 
     // Passive at first.
-    void setPassive(bool passive) { passive_ = passive; }
+    void setPassive(bool passive)
+    {
+        passive_ = passive;
+        if (passive || !seen_.isNone())
+            return;
+        // Others wait for what this one reads.
+        readsLongLists_ = true;
+        nextAt_ = std::min(nextAt_, clock_.now());
+    }
 
     void tick(TimePoint now)
     {
         const bool isDue = !busy_ && now >= nextAt_;
-        // The first list may be some seconds old: what came since is told by peers, or by the watch that goes on from it.
+        // The first list may be some seconds old: what came since is brought by peers, or by the watch that goes on from it.
         const bool isFirst = !hasListed_;
-        const bool mustList = seen_.isNone() && (!passive_ || isFirst);
+        const bool mustList = seen_.isNone() && (!passive_ || (isFirst && !catalog_.isKnown()));
         if (isDue && mustList)
             list({}, isFirst, now);
         else if (isDue && !passive_)
@@ -161,9 +171,23 @@
             listedAt_ = answer.version_;
         lastPageAt_ = answer.version_;
         listing_.insert(listing_.end(), answer.entries_.begin(), answer.entries_.end());
-        if (!answer.next_.empty())
-            return list(answer.next_, stale, now);
-        takeList(now);
+        if (answer.next_.empty())
+            return takeList(now);
+        if (stale && !readsLongLists_)
+            return leaveToPeers(now);
+        list(answer.next_, stale, now);
+    }
+
+    // Failure met: after all were killed 300 processes read a list of 3,000 engines each, 0.9 MB, half of them over the link between the regions. It
+    // shows as a fleet that serves nobody for 8 to 30 s. The guard: one process in eight reads on, the others take it from those.
+    void leaveToPeers(TimePoint now)
+    {
+        log_.line("enginesLeftToPeers").with("listed", listing_.size());
+        listing_.clear();
+        busy_ = false;
+        hasListed_ = false;
+        readsLongLists_ = true;
+        nextAt_ = now + times_.leftToPeers_;
     }
 
     // All pages at once: a peer that asked between two of them would count as knowing of removals that its answer didn't name.
@@ -223,6 +247,7 @@
     DecisionLog& log_;
     FollowerTimes times_;
     OutageGrace grace_;
+    bool readsLongLists_; // or has waited for its peers
     PeerLag lag_;
     EngineCatalog& catalog_;
     AskPeer askPeer_;
--- a/libs/serving/src/FollowerTimes.h
+++ b/libs/serving/src/FollowerTimes.h
@@ -21,6 +21,8 @@
     // Between two held-open calls that brought something: engines register one by one, and one call for each of them would be many.
     // Five hundred ms are a fifth of the shortest bound for a leaving engine.
     Duration betweenChanges_ = 500ms;
+    // A process that leaves the rest of a long first list to its peers reads it after all when none of them has brought it by then.
+    Duration leftToPeers_ = 2500ms;
 };
 
 // Doubles from firstRetry_ to longestRetry_.
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -50,6 +50,13 @@
     constexpr std::size_t leastConnections = 64;
     constexpr std::string_view noKey = "0000000000000000000000000000000000000000000000000000000000000000";
 
+    // One process in eight, another one after each start.
+    bool readsLongLists(std::uint64_t seed)
+    {
+        constexpr std::uint64_t part = 8;
+        return seed % part == 0;
+    }
+
     NodeId selfOf(const ServingSettings& settings)
     {
         const auto at = PeerAddress::parse(toString(settings.peers_));
@@ -144,7 +151,7 @@
         fleet_->publishReport();
     };
     catalog_ = std::make_unique<EngineCatalog>(translation_, log_, settings_.regions_, changed, removed);
-    feed_ = std::make_unique<EngineFeed<StoreLink, SystemClock>>(clock_, *store_, translation_, log_, FollowerTimes(), settings_.engineGrace_, *catalog_, [this] { requestUpdate(); });
+    feed_ = std::make_unique<EngineFeed<StoreLink, SystemClock>>(clock_, *store_, translation_, log_, FollowerTimes(), settings_.engineGrace_, readsLongLists(seed_), *catalog_, [this] { requestUpdate(); });
 }
 
 std::optional<Failure> ServingNode::Parts::openFleet()
--- a/libs/serving/tests/EngineFeedTest.cpp
+++ b/libs/serving/tests/EngineFeedTest.cpp
@@ -68,7 +68,7 @@
     Translation translation_;
     Node node_;
     DecisionLog log_ { "node", 1000, ::open("/dev/null", O_WRONLY | O_CLOEXEC) };
-    EngineFeed<ScriptedStore, ManualClock> feed_ { clock_, store_, translation_, log_, times_, {}, node_.catalog_, [] {} };
+    EngineFeed<ScriptedStore, ManualClock> feed_ { clock_, store_, translation_, log_, times_, {}, true, node_.catalog_, [] {} };
 };
 
 } // namespace
@@ -99,6 +99,44 @@
     CHECK_FALSE(node.lastCall().stale_);
 }
 
+// Guards against a fleet whose link between regions is full of one list, read by each process that starts.
+TEST_CASE("a process leaves the rest of a long first list to its peers, and reads it when none of them brings it")
+{
+    ManualClock clock;
+    clock.advance(10s);
+    const FollowerTimes times;
+    ScriptedStore store;
+    const Translation translation;
+    Node node;
+    DecisionLog log { "node", 1000, ::open("/dev/null", O_WRONLY | O_CLOEXEC) };
+    EngineFeed<ScriptedStore, ManualClock> feed { clock, store, translation, log, times, {}, false, node.catalog_, [] {} };
+    feed.tick(clock.now());
+    ObjectAnswer page = listed({ { "a", at(10), 5, "ready" } }, 10);
+    page.next_ = "a";
+    store.calls_.back().done_(page);
+    CHECK(store.calls_.size() == 1);
+    SUBCASE("a peer brings it")
+    {
+        Node peer;
+        peer.list({ { "a", at(10), 5, "ready" }, { "b", at(9), 5, "ready" } }, at(10));
+        node.ask(peer, clock.now());
+        clock.advance(times.leftToPeers_);
+        feed.tick(clock.now());
+        CHECK(store.calls_.size() == 1);
+        CHECK(node.using_ == Names { "a", "b" });
+    }
+    SUBCASE("nobody brings it")
+    {
+        clock.advance(times.leftToPeers_);
+        feed.tick(clock.now());
+        REQUIRE(store.calls_.size() == 2);
+        store.calls_.back().done_(page);
+        REQUIRE(store.calls_.size() == 3);
+        store.calls_.back().done_(listed({ { "b", at(9), 5, "ready" } }, 10));
+        CHECK(node.using_ == Names { "a", "b" });
+    }
+}
+
 // Guards against a watcher that waits for a connection that has fallen silent.
 TEST_CASE("a watcher whose held-open call hears nothing asks again as soon as it is behind")
 {
