Workspaces: callers are identified by key, and jobs belong to their workspace

Cause: the code knew no workspaces. It passed the caller's key on to engines, ran requests with unknown or removed keys, and let any caller read any job.

- A request on a route that isn't public needs a known key; otherwise 401 at once, its body unread.
The key is checked again when a queued request is sent.
Engines get the workspace's name, never the key, whatever headers the caller or an item brought; trailers of a chunked body no longer become headers.
- A job's stored name contains a digest of its workspace, so another workspace's calls meet a job that doesn't exist.
Ruled out: passing the workspace with each call and comparing it with the head, which leaves resubmissions and spooled copies to be compared apart.
Jobs that were accepted under their id alone are still found.
- Messages between hosts have a new label, since job heads carry the workspace: old and new builds don't understand each other's calls during a rolling restart; jobs are found by the scan of the store, configurations in the store.

--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -178,9 +178,11 @@
     if (!parser_->is_header_done())
         return false;
 
+    // The headers are taken now, because the parser adds the trailers of a chunked body to them.
+    head_ = Request { std::string(parser_->get().method_string()), std::string(parser_->get().target()), copyHeaders(parser_->get()), {} };
     BodyPlan plan;
     if (shared_->planner_)
-        plan = shared_->planner_(Request { std::string(parser_->get().method_string()), std::string(parser_->get().target()), copyHeaders(parser_->get()), {} });
+        plan = shared_->planner_(head_);
     const std::uint64_t limit = plan.limitBytes_ > 0 ? plan.limitBytes_ : shared_->settings_.limits_.bodyBytes_;
     if (parser_->content_length().value_or(0) > limit) {
         fail(Error::BodyTooLarge);
@@ -232,9 +234,8 @@
     beginTurn(parser_->keep_alive());
     counted_ = true;
     ++shared_->exchanges_;
-    auto& message = parser_->get();
-    Request request { std::string(message.method_string()), std::string(message.target()), copyHeaders(message), std::move(message.body()) };
-    message.body().clear();
+    Request request = std::exchange(head_, {});
+    request.body_ = std::exchange(parser_->get().body(), {});
     shared_->handler_(std::make_shared<Exchange>(shared_from_this(), outbox_.turn_, std::move(request), streamed));
 }
 
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -129,6 +129,7 @@
     static constexpr std::size_t readBytes = 16 * 1024;
     std::array<char, readBytes> input_;
     std::optional<RequestParser> parser_;
+    Request head_; // of the request that is being read; its body is empty
     Phase phase_ = Phase::Head;
     bool reading_ = false;
     bool bodyDone_ = false;
--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -83,6 +83,7 @@
 struct ItemRun {
     RunId id_;
     JobName job_;
+    std::string workspace_; // of the job; empty: none
     std::string host_;
     std::string item_;
     std::string path_;
--- a/libs/ledger/include/ledger/Records.h
+++ b/libs/ledger/include/ledger/Records.h
@@ -48,6 +48,7 @@
 std::string_view toString(JobState state);
 
 struct JobHead {
+    std::string workspace_; // name of the workspace that submitted the job; empty: none
     std::string host_; // host name of the caller's request; together with an item's path it selects the item's route
     NodeId owner_;
     std::uint32_t total_ = 0;
--- a/libs/ledger/src/Records.cpp
+++ b/libs/ledger/src/Records.cpp
@@ -106,6 +106,8 @@
 {
     json::object object;
     object["host"] = head.host_;
+    if (!head.workspace_.empty())
+        object["workspace"] = head.workspace_;
     object["owner"] = head.owner_.value();
     object["total"] = head.total_;
     object["pages"] = head.itemPages_;
@@ -144,6 +146,9 @@
         const json::object& object = value.as_object();
         JobHead head;
         head.host_ = viewOf(object.at("host"));
+        // Heads written by earlier versions have no workspace.
+        if (const json::value* workspace = object.if_contains("workspace"))
+            head.workspace_ = viewOf(*workspace);
         head.owner_ = NodeId(object.at("owner").to_number<std::uint64_t>());
         head.total_ = object.at("total").to_number<std::uint32_t>();
         head.itemPages_ = object.at("pages").to_number<std::uint32_t>();
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -102,7 +102,7 @@
     if (item.firstRunAt_ == TimePoint())
         item.firstRunAt_ = now;
     runs_[item.run_] = { chosen->name_, itemIndex };
-    ItemRun run { item.run_, chosen->name_, chosen->head_.host_, item.item_.id_, item.item_.path_, item.item_.headers_, std::move(body.value()), std::nullopt, chosen->due_ };
+    ItemRun run { item.run_, chosen->name_, chosen->head_.workspace_, chosen->head_.host_, item.item_.id_, item.item_.path_, item.item_.headers_, std::move(body.value()), std::nullopt, chosen->due_ };
     if (item.events_ > 0)
         run.resumeAfter_ = item.lastEvent_;
     return run;
--- a/libs/routes/include/routes/RouteTable.h
+++ b/libs/routes/include/routes/RouteTable.h
@@ -9,9 +9,11 @@
 
 #include "base/Result.h"
 #include "base/Time.h"
+#include "workspaces/WorkspaceTable.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -52,6 +54,7 @@
     Duration maxEventGap_ = 0s; // the target for the time between two events of a stream; zero: no target
     std::uint32_t priority_ = 0; // 0 is the most urgent
     std::uint32_t maxAttempts_ = 1; // engines on which one request may run; a retry by the caller counts as a new request
+    bool isPublic_ = false; // callers need no key
     bool resumable_ = false; // another engine can continue a stream after the last event that was sent
     std::vector<RouteTarget> targets_; // never empty, weights not all zero
     Duration runTarget_ = 0s; // for jobs: from submission until all results are due
@@ -80,6 +83,7 @@
     std::vector<Route> routes_;
     std::vector<RoutedService> services_;
     CallerLimits limits_;
+    std::optional<std::vector<Workspace>> workspaces_; // none: callers need no keys on any route
 };
 
 class RouteTable {
@@ -98,15 +102,21 @@
     const Route* findRoute(std::string_view name) const;
     const RoutedService* service(std::string_view name) const;
 
+    const RouteConfig& config() const { return config_; }
+    // Returns null if the configuration has no workspaces.
+    const WorkspaceTable* workspaces() const { return workspaces_ ? &*workspaces_ : nullptr; }
+    bool requiresKey(const Route& route) const { return workspaces_ && !route.isPublic_; }
+
     // Picks one of the route's services by weight. `draw` is any number that varies between requests; the same number always gives the
     // same service.
     static const std::string& pickService(const Route& route, std::uint64_t draw);
 
 private:
-    explicit RouteTable(RouteConfig config);
+    RouteTable(RouteConfig config, std::optional<WorkspaceTable> workspaces);
     void buildIndex();
 
     RouteConfig config_;
+    std::optional<WorkspaceTable> workspaces_;
     // Invariant: for each host, the indexes of its routes in config_.routes_, longest prefix first.
     std::unordered_map<std::string, std::vector<std::size_t>> byHost_;
 };
--- a/libs/routes/src/RouteTable.cpp
+++ b/libs/routes/src/RouteTable.cpp
@@ -71,8 +71,9 @@
     return name;
 }
 
-RouteTable::RouteTable(RouteConfig config)
+RouteTable::RouteTable(RouteConfig config, std::optional<WorkspaceTable> workspaces)
     : config_(std::move(config))
+    , workspaces_(std::move(workspaces))
 {
     buildIndex();
 }
@@ -88,7 +89,11 @@
         if (auto checked = checkRoute(route, services); !checked)
             return checked.error();
     }
-    return RouteTable(std::move(config));
+    std::optional<WorkspaceTable> workspaces;
+    if (config.workspaces_) {
+        BOOST_OUTCOME_TRY(workspaces, WorkspaceTable::create(*config.workspaces_));
+    }
+    return RouteTable(std::move(config), std::move(workspaces));
 }
 
 void RouteTable::buildIndex()
--- a/libs/serving/include/serving/Translation.h
+++ b/libs/serving/include/serving/Translation.h
@@ -29,6 +29,8 @@
     std::string notExecuted_; // in an engine's response: the engine did not run the request
     std::string load_; // in an engine's response: counts of running requests, waiting requests and slots
     std::string retryAfter_; // seconds, possibly with a fraction
+    std::string credentials_; // holds the caller's key; never forwarded to engines
+    std::string workspace_; // tells an engine the workspace of the request
 };
 
 // A caller's request about an existing job: read a page of results, read the result of one item, or cancel the job. Every other
@@ -72,6 +74,8 @@
     std::function<std::string(bool completed)> formatRetirement_;
 
     // ---- callers
+    // Returns the fingerprint of the caller's key; none if the request has no key, several, or one in another form.
+    std::function<std::optional<KeyFingerprint>(const http::Request&)> parseKey_;
     std::function<std::optional<JobRequest>(const http::Request&)> parseJobRequest_;
     std::function<Checked<JobSubmission>(const http::Request&)> parseSubmission_;
     std::function<std::string(const ReadAnswer&)> formatResults_;
--- a/libs/serving/src/ConfigFollower.cpp
+++ b/libs/serving/src/ConfigFollower.cpp
@@ -1,6 +1,8 @@
 // Reads the configuration once; a watcher then long-polls for changes, and reads the configuration again after any failure.
 #include "ConfigFollower.h"
 
+#include "ConfigCodec.h"
+
 namespace jj {
 
 ConfigFollower::ConfigFollower(StoreLink& store, const Translation& translation, DecisionLog& log, FollowerTimes times, OnApplied onApplied, RequestFromPeer requestFromPeer)
@@ -58,7 +60,7 @@
         failures_ = 0;
         for (const ObjectEntry& entry : answer.entries_) {
             if (entry.key_ == translation_.keys_.config_)
-                applyUpdate(entry.value_, "store");
+                applyStored(entry.value_);
         }
         followedVersion_ = answer.version_;
         nextCallAt_ = at;
@@ -76,7 +78,7 @@
         failures_ = 0;
         for (const ObjectChange& change : answer.changes_) {
             if (change.kind_ == ChangeKind::Put && change.key_ == translation_.keys_.config_)
-                applyUpdate(change.value_, "store");
+                applyStored(change.value_);
         }
         followedVersion_ = answer.version_;
         nextCallAt_ = at;
@@ -85,9 +87,16 @@
     });
 }
 
-void ConfigFollower::applyUpdate(std::string_view value, std::string_view source)
+void ConfigFollower::applyStored(std::string_view value) { apply(translation_.parseConfig_(value), "store"); }
+
+void ConfigFollower::applyUpdate(std::string_view encodedConfig)
+{
+    auto config = decodeConfig(encodedConfig);
+    apply(config ? Checked<RouteConfig>(std::move(config.value())) : Checked<RouteConfig>(Failure { config.error(), {} }), "peer");
+}
+
+void ConfigFollower::apply(Checked<RouteConfig> config, std::string_view source)
 {
-    auto config = translation_.parseConfig_(value);
     if (!config) {
         log_.line("configUnreadable").with("source", source).with("error", config.error().message());
         return;
@@ -105,7 +114,7 @@
     }
     log_.line("configApplied").with("source", source).with("version", offered).with("before", version()).with("routes", table.value().routes().size());
     table_ = std::make_shared<const RouteTable>(std::move(table.value()));
-    value_ = value;
+    encoded_ = encode(table_->config());
     onApplied_(table_);
 }
 
--- a/libs/serving/src/ConfigFollower.h
+++ b/libs/serving/src/ConfigFollower.h
@@ -29,20 +29,23 @@
     // Sets whether the node is passive. A passive node calls the store only once, at its start. Nodes are passive initially.
     void setPassive(bool isPassive) { isPassive_ = isPassive; }
     void tick(TimePoint now);
-    // Applies a configuration received from the store or from a peer, unless it is unreadable, invalid or not newer.
-    void applyUpdate(std::string_view value, std::string_view source);
+    // Apply a configuration received from the store, or from a peer in the form of encoded(), unless it is unreadable, invalid or not newer.
+    void applyStored(std::string_view value);
+    void applyUpdate(std::string_view encodedConfig);
     // Records that a peer has this version. If it is newer, a passive node requests it at once. A watcher requests it only if the
     // store hasn't delivered it after FollowerTimes::maxLag_.
     void onPeerVersion(std::uint64_t version, TimePoint now);
 
     std::uint64_t version() const { return table_ ? table_->version() : 0; }
     const std::shared_ptr<const RouteTable>& table() const { return table_; }
-    const std::string& value() const { return value_; }
+    // Returns the configuration as it is sent to peers, which holds fingerprints instead of keys.
+    const std::string& encoded() const { return encoded_; }
 
 private:
     void read();
     void watch();
     void scheduleRetry(TimePoint now);
+    void apply(Checked<RouteConfig> config, std::string_view source);
 
     StoreLink& store_;
     const Translation& translation_;
@@ -51,7 +54,7 @@
     OnApplied onApplied_;
     RequestFromPeer requestFromPeer_;
     std::shared_ptr<const RouteTable> table_;
-    std::string value_; // the configuration as stored, to be sent to peers
+    std::string encoded_;
     ObjectVersion followedVersion_; // store version up to which changes have been applied; none: the configuration must be read again
     bool isPassive_ = true;
     // Each node reads the store once at its start. When all nodes start together, a node can serve about 0.3 s earlier than if it
--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -41,6 +41,7 @@
 ServingMetrics::ServingMetrics(Metrics& metrics)
     : metrics_(metrics)
     , answered_(metrics.counter("jj_requests_answered_total", "requests whose answer was passed on whole"))
+    , unauthorized_(metrics.counter("jj_requests_unauthorized_total", "requests refused for a missing, unknown or removed key"))
     , refused_(metrics.counter("jj_requests_refused_total", "requests refused, not run"))
     , failed_(metrics.counter("jj_requests_failed_total", "requests answered with a failure after they may have run"))
     , aborted_(metrics.counter("jj_requests_broken_total", "answers cut after they had begun"))
@@ -118,6 +119,11 @@
     return response;
 }
 
+http::Response unauthorizedResponse(const Translation& translation)
+{
+    return refusalResponse(translation, 401, "caller.Unknown", "the request has no key that the configuration knows; it has not run", RunState::NotRun, {});
+}
+
 http::Headers endToEndHeaders(const http::Headers& headers)
 {
     const std::string_view connection = headers.find("Connection");
@@ -129,4 +135,11 @@
     return passed;
 }
 
+bool isWithheldHeader(const HeaderNames& names, const RouteTable* table, std::string_view name)
+{
+    if (boost::beast::iequals(name, names.workspace_))
+        return true;
+    return table && table->workspaces() && boost::beast::iequals(name, names.credentials_);
+}
+
 } // namespace jj
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -24,6 +24,7 @@
 
     Metrics& metrics_;
     CounterHandle answered_; // requests whose complete answer was forwarded
+    CounterHandle unauthorized_; // requests without a key that the configuration has
     CounterHandle refused_; // requests refused without being run
     CounterHandle failed_; // requests that may have run and were answered with a failure
     CounterHandle aborted_; // answers aborted after they had started
@@ -67,7 +68,14 @@
 // Returns an error response that carries `code` and the run state. The retry header is omitted if `retryAfter` is zero.
 http::Response refusalResponse(const Translation& translation, int status, std::string_view code, std::string_view message, RunState run, Duration retryAfter);
 
+// Returns the response to a request without a valid key.
+http::Response unauthorizedResponse(const Translation& translation);
+
 // Returns the end-to-end headers, which a proxy forwards: all except the hop-by-hop ones.
 http::Headers endToEndHeaders(const http::Headers& headers);
 
+// Returns whether a header of a caller's request or of a batch item reaches no engine, however it is spelled: the workspace header, which
+// only the node sets, and the caller's key if the configuration has workspaces.
+bool isWithheldHeader(const HeaderNames& names, const RouteTable* table, std::string_view name);
+
 } // namespace jj
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -104,8 +104,12 @@
     context_.metrics_.metrics_.add(context_.metrics_.itemRuns_);
     const ItemRun& item = run->item_;
     http::Request request { "POST", item.path_, { { "Host", item.host_ } }, item.body_ };
-    for (const auto& [name, value] : item.headers_)
-        request.headers_.add(name, value);
+    for (const auto& [name, value] : item.headers_) {
+        if (!isWithheldHeader(names, context_.table_.get(), name))
+            request.headers_.add(name, value);
+    }
+    if (!item.workspace_.empty())
+        request.headers_.add(names.workspace_, item.workspace_);
     request.headers_.add(names.attemptId_, item.item_);
     request.headers_.add(names.expectInstance_, entry->name_);
     if (item.resumeAfter_)
--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -27,6 +27,11 @@
         return std::visit([](const auto& one) -> const JobName& { return one.job_; }, call);
     }
 
+    JobName& jobOf(JobRequest& call)
+    {
+        return std::visit([](auto& one) -> JobName& { return one.job_; }, call);
+    }
+
     PeerCall peerCallOf(const JobRequest& call, Duration wait)
     {
         if (const auto* read = std::get_if<JobReadRequest>(&call))
@@ -47,6 +52,7 @@
 struct JobFront::PendingCall {
     std::shared_ptr<http::Exchange> exchange_;
     JobRequest call_;
+    std::string id_; // of the job, as its caller knows it
     TimePoint startedAt_ {};
     int hops_ = 0;
     NodeId nextNode_; // node to query next
@@ -77,7 +83,7 @@
 
 // ---- job submissions
 
-void JobFront::submit(const std::shared_ptr<http::Exchange>& exchange, const Route& route)
+void JobFront::submit(const std::shared_ptr<http::Exchange>& exchange, const RouteTable& table, const Route& route, const Caller& caller)
 {
     const TimePoint startedAt = context_.now();
     auto submission = context_.translation_.parseSubmission_(exchange->request());
@@ -86,12 +92,14 @@
         return exchange->respond(refusalResponse(context_.translation_, 400, "job.Unreadable", submission.error().message(), RunState::NotRun, {}));
     }
     JobSubmission& job = submission.value();
+    const std::string id = std::exchange(job.job_, storedJobName(table, caller, job.job_));
+    job.head_.workspace_ = caller.workspace_;
     job.head_.host_ = hostName(exchange->request().headers_.find("Host"));
     job.head_.runTarget_ = route.runTarget_;
     job.head_.abandonAfter_ = route.abandonAfter_;
     job.head_.maxAttempts_ = route.maxAttempts_;
     const JobName name = job.job_;
-    intake_.submit(std::move(job), context_.settings_.acceptTimeout_, startedAt, SystemClock().wallNow(), [this, exchange, name, startedAt](const IntakeAnswer& answer, TimePoint now) { respond(exchange, name, answer, startedAt, now); });
+    intake_.submit(std::move(job), context_.settings_.acceptTimeout_, startedAt, SystemClock().wallNow(), [this, exchange, id, name, startedAt](const IntakeAnswer& answer, TimePoint now) { respond(exchange, id, name, answer, startedAt, now); });
 }
 
 void JobFront::spoolAt(NodeId host, SpooledJob job, std::function<void(SpoolOutcome, TimePoint)> done)
@@ -114,9 +122,9 @@
     });
 }
 
-void JobFront::respond(const std::shared_ptr<http::Exchange>& exchange, const JobName& job, const IntakeAnswer& answer, TimePoint startedAt, TimePoint now)
+void JobFront::respond(const std::shared_ptr<http::Exchange>& exchange, const std::string& id, const JobName& job, const IntakeAnswer& answer, TimePoint startedAt, TimePoint now)
 {
-    context_.log_.line("jobSubmitted").with("request", job).with("job", job).with("outcome", toString(answer.outcome_)).with("items", answer.items_).with("owner", answer.owner_.value()).with("afterMs", now - startedAt);
+    context_.log_.line("jobSubmitted").with("request", id).with("job", job).with("outcome", toString(answer.outcome_)).with("items", answer.items_).with("owner", answer.owner_.value()).with("afterMs", now - startedAt);
     switch (answer.outcome_) {
     case AcceptOutcome::Accepted:
     case AcceptOutcome::Spooled:
@@ -170,13 +178,21 @@
     owners_[job] = owner;
 }
 
-void JobFront::call(std::shared_ptr<http::Exchange> exchange, JobRequest call)
+void JobFront::call(std::shared_ptr<http::Exchange> exchange, const RouteTable& table, const Caller& caller, JobRequest call)
 {
     auto pending = std::make_shared<PendingCall>();
     pending->exchange_ = std::move(exchange);
-    pending->nextNode_ = ownerOf(jobOf(call));
     pending->call_ = std::move(call);
+    pending->id_ = jobOf(pending->call_);
+    jobOf(pending->call_) = storedJobName(table, caller, pending->id_);
+    start(pending);
+}
+
+void JobFront::start(const PendingCallPtr& pending)
+{
+    pending->nextNode_ = ownerOf(jobOf(pending->call_));
     pending->startedAt_ = context_.now();
+    pending->hops_ = 0;
     queryOwner(pending);
 }
 
@@ -236,6 +252,10 @@
     }
     if (outcome == ReadOutcome::Unavailable && !wasLocal && mayContinue)
         return answerLocally(pending, true);
+    if (outcome == ReadOutcome::Missing && mayBeStoredUnderId(jobOf(pending->call_), pending->id_)) {
+        jobOf(pending->call_) = pending->id_;
+        return start(pending);
+    }
     if (outcome == ReadOutcome::Found && !wasLocal)
         rememberOwner(jobOf(pending->call_), pending->nextNode_);
     respond(*pending, outcome, reply);
--- a/libs/serving/src/JobFront.h
+++ b/libs/serving/src/JobFront.h
@@ -1,6 +1,7 @@
 // Handles callers' requests about jobs. Any node accepts a request; the node that owns the job answers it.
 #pragma once
 
+#include "Caller.h"
 #include "Context.h"
 #include "ledger/JobIntake.h"
 #include "ledger/JobScheduler.h"
@@ -15,8 +16,8 @@
 public:
     JobFront(Context& context, JobScheduler& scheduler, StoreLink& store);
 
-    void submit(const std::shared_ptr<http::Exchange>& exchange, const Route& route);
-    void call(std::shared_ptr<http::Exchange> exchange, JobRequest call);
+    void submit(const std::shared_ptr<http::Exchange>& exchange, const RouteTable& table, const Route& route, const Caller& caller);
+    void call(std::shared_ptr<http::Exchange> exchange, const RouteTable& table, const Caller& caller, JobRequest call);
     // Sends a job that the store has accepted to its owner. A lost message only delays the job.
     void sendToOwner(const JobName& job, const Acceptance& acceptance) { sendToOwner(job, acceptance, 0); }
     void tick(TimePoint now) { intake_.tick(now); }
@@ -28,8 +29,9 @@
     IntakeOutlets intakeOutlets(StoreLink& store);
     void spoolAt(NodeId host, SpooledJob job, std::function<void(SpoolOutcome, TimePoint)> done);
     void removeSpooledCopy(NodeId host, const JobName& job);
-    void respond(const std::shared_ptr<http::Exchange>& exchange, const JobName& job, const IntakeAnswer& answer, TimePoint startedAt, TimePoint now);
+    void respond(const std::shared_ptr<http::Exchange>& exchange, const std::string& id, const JobName& job, const IntakeAnswer& answer, TimePoint startedAt, TimePoint now);
     void sendToOwner(const JobName& job, const Acceptance& acceptance, int tries);
+    void start(const PendingCallPtr& pending);
     void queryOwner(const PendingCallPtr& pending);
     // Answers from this node. `bypassOwner`: reads the store, whichever node owns the job.
     void answerLocally(const PendingCallPtr& pending, bool bypassOwner);
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -31,8 +31,8 @@
     };
 
     // The authentication code covers a label for the kind of message, so that a call is never accepted as a reply or the reverse.
-    constexpr std::string_view callLabel = "serving call 3";
-    constexpr std::string_view replyLabel = "serving reply 3";
+    constexpr std::string_view callLabel = "serving call 4";
+    constexpr std::string_view replyLabel = "serving reply 4";
 
 } // namespace
 
@@ -64,14 +64,14 @@
 template <class Archive>
 void save(Archive& archive, const JobHead& head)
 {
-    archive(head.host_, head.owner_, head.total_, head.itemPages_, head.term_, head.acceptedAt_.time_since_epoch(), head.runTarget_, head.abandonAfter_, head.maxAttempts_, head.state_);
+    archive(head.workspace_, head.host_, head.owner_, head.total_, head.itemPages_, head.term_, head.acceptedAt_.time_since_epoch(), head.runTarget_, head.abandonAfter_, head.maxAttempts_, head.state_);
 }
 
 template <class Archive>
 void load(Archive& archive, JobHead& head)
 {
     std::chrono::milliseconds at {};
-    archive(head.host_, head.owner_, head.total_, head.itemPages_, head.term_, at, head.runTarget_, head.abandonAfter_, head.maxAttempts_, head.state_);
+    archive(head.workspace_, head.host_, head.owner_, head.total_, head.itemPages_, head.term_, at, head.runTarget_, head.abandonAfter_, head.maxAttempts_, head.state_);
     head.acceptedAt_ = WallTime(at);
 }
 
--- a/libs/serving/src/PeerMessages.h
+++ b/libs/serving/src/PeerMessages.h
@@ -81,7 +81,7 @@
     std::size_t bytes() const;
 };
 struct UpdateReply {
-    std::string config_; // the configuration as in the store; empty if the sender has no newer one
+    std::string config_; // the configuration, encoded as ConfigCodec.h does; empty if the sender has no newer one
     EngineUpdate engines_;
     bool isBusy_ = false; // no update: the sender's budget for updates is used up; another peer can supply it
 };
--- a/libs/serving/src/Relay.cpp
+++ b/libs/serving/src/Relay.cpp
@@ -5,9 +5,9 @@
 
 namespace jj {
 
-void Relay::handle(std::shared_ptr<http::Exchange> exchange, std::shared_ptr<const RouteTable> table, const Route& route)
+void Relay::handle(std::shared_ptr<http::Exchange> exchange, std::shared_ptr<const RouteTable> table, const Route& route, Caller caller)
 {
-    std::make_shared<RelayedRequest>(context_, std::move(exchange), std::move(table), route, openCount_)->begin();
+    std::make_shared<RelayedRequest>(context_, std::move(exchange), std::move(table), route, std::move(caller), openCount_)->begin();
 }
 
 } // namespace jj
--- a/libs/serving/src/Relay.h
+++ b/libs/serving/src/Relay.h
@@ -5,6 +5,7 @@
 // disconnects.
 #pragma once
 
+#include "Caller.h"
 #include "Context.h"
 
 #include <memory>
@@ -18,7 +19,7 @@
     {
     }
 
-    void handle(std::shared_ptr<http::Exchange> exchange, std::shared_ptr<const RouteTable> table, const Route& route);
+    void handle(std::shared_ptr<http::Exchange> exchange, std::shared_ptr<const RouteTable> table, const Route& route, Caller caller);
     std::size_t openRequests() const { return *openCount_; }
 
 private:
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -4,6 +4,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
 #include <charconv>
 
 namespace jj {
@@ -26,6 +27,8 @@
     // Used if the caller does not state how long it waits.
     constexpr Duration defaultDeadline = 30s;
 
+    bool isSameName(std::string_view name, std::string_view other) { return boost::beast::iequals(name, other); }
+
     Duration deadlineOf(const http::Request& request, const HeaderNames& names)
     {
         const std::string_view text = request.headers_.find(names.timeLeft_);
@@ -42,6 +45,8 @@
 {
     DecisionLog::Line entry = context_.log_.line(event);
     entry.with("request", id_).with("route", route_.name_);
+    if (!caller_.workspace_.empty())
+        entry.with("workspace", caller_.workspace_);
     return entry;
 }
 
@@ -86,6 +91,8 @@
     if (phase_ == Phase::Ended)
         return;
     phase_ = Phase::Picking;
+    if (!isStillAllowed(*context_.table_, caller_))
+        return refuseRemovedKey();
     if (isContentBlocked())
         return refuseBlocked();
     const TimePoint now = context_.now();
@@ -118,6 +125,16 @@
     end();
 }
 
+void RelayedRequest::refuseRemovedKey()
+{
+    line("keyRemoved").with("key", caller_.key_->shortText()).with("config", context_.table_->version());
+    if (hasAnswerStarted_ || mayHaveRun())
+        return lost(http::Error::Cancelled);
+    exchange_->respond(unauthorizedResponse(context_.translation_));
+    context_.metrics_.metrics_.add(context_.metrics_.unauthorized_);
+    end();
+}
+
 // Returns the time at which a queued request is given up. Callers abandon a stream that sends nothing for seconds, so a late
 // request is refused well before that, with a retry delay. A request that resumes after a lost engine starts a new waiting time:
 // its caller already has the first part of the answer, which would be wasted if the request failed for lack of a slot.
@@ -189,12 +206,14 @@
 
     http::Request outgoing { request.method_, request.target_, {}, request.body_ };
     for (const http::Header& header : endToEndHeaders(request.headers_)) {
-        const bool isReplaced = header.name_ == names.timeLeft_ || header.name_ == names.expectInstance_ || (hasAnswerStarted_ && header.name_ == names.resumeAfter_);
-        if (!isReplaced)
+        const bool isReplaced = isSameName(header.name_, names.timeLeft_) || isSameName(header.name_, names.expectInstance_) || (hasAnswerStarted_ && isSameName(header.name_, names.resumeAfter_));
+        if (!isReplaced && !isWithheldHeader(names, table_.get(), header.name_))
             outgoing.headers_.add(header.name_, header.value_);
     }
     outgoing.headers_.add(names.timeLeft_, std::to_string(std::max<std::int64_t>(1, timeLeft() / 1ms)));
     outgoing.headers_.add(names.expectInstance_, entry->name_);
+    if (!caller_.workspace_.empty())
+        outgoing.headers_.add(names.workspace_, caller_.workspace_);
     if (hasAnswerStarted_ && lastEvent_)
         outgoing.headers_.add(names.resumeAfter_, std::to_string(*lastEvent_));
     static constexpr std::string_view kinds[] = { "none", "free", "displaces", "queues" };
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -1,6 +1,7 @@
 // One proxied request, from its arrival until its answer, refusal or failure.
 #pragma once
 
+#include "Caller.h"
 #include "Context.h"
 #include "EventScanner.h"
 #include "SlotQueue.h"
@@ -21,11 +22,12 @@
     // retried sooner would find the same engines full.
     static constexpr Duration minRetryAfter = 150ms;
 
-    RelayedRequest(Context& context, std::shared_ptr<http::Exchange> exchange, std::shared_ptr<const RouteTable> table, const Route& route, std::shared_ptr<std::size_t> open)
+    RelayedRequest(Context& context, std::shared_ptr<http::Exchange> exchange, std::shared_ptr<const RouteTable> table, const Route& route, Caller caller, std::shared_ptr<std::size_t> open)
         : context_(context)
         , exchange_(std::move(exchange))
         , table_(std::move(table))
         , route_(route)
+        , caller_(std::move(caller))
         , timer_(context.io_)
         , preemptionTimer_(context.io_)
         , openCount_(std::move(open))
@@ -51,6 +53,8 @@
 
     void dispatch();
     void refuseBlocked();
+    // Refuses a request whose key was removed while it waited.
+    void refuseRemovedKey();
     // Queues the request for a slot. Returns false if no slot is expected to become free in time.
     bool enqueue(Duration budget);
     void onQueueTimeout();
@@ -88,6 +92,7 @@
     std::shared_ptr<http::Exchange> exchange_;
     std::shared_ptr<const RouteTable> table_; // keeps route_ alive
     const Route& route_;
+    const Caller caller_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer preemptionTimer_; // until another node is asked to preempt a batch item
     std::size_t preemptionRequests_ = 0;
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -337,9 +337,7 @@
         server.listen_ = *settings_.callers_;
         server.limits_.headerBytes_ = 64 * 1024;
         server.limits_.connections_ = callerConnections();
-        const auto planner = [this](const http::Request&) {
-            return http::BodyPlan { false, context_.table_ ? context_.table_->limits().bodyBytes_ : CallerLimits().bodyBytes_ };
-        };
+        const auto planner = [this](const http::Request& request) { return planBody(request); };
         auto opened = http::Server::create(
             io_, server, [this](std::shared_ptr<http::Exchange> exchange) { onCallerRequest(std::move(exchange)); }, planner);
         if (!opened)
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -46,6 +46,8 @@
     void scanJobs(TimePoint now);
     void logSummary(TimePoint now);
     void onCallerRequest(std::shared_ptr<http::Exchange> exchange);
+    http::BodyPlan planBody(const http::Request& request);
+    void refuseUnknownCaller(http::Exchange& exchange, const Route& route, const std::optional<KeyFingerprint>& key);
     // Answers a request at the metrics address: the metrics, the fleet as this node knows it, or the owner of a job.
     void onOperatorRequest(const std::shared_ptr<http::Exchange>& exchange);
     void onPeerCall(PeerCall call, const std::function<void(PeerReply)>& reply);
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -140,16 +140,40 @@
     if (!table)
         return exchange->respond(refusalResponse(translation_, 503, "config.None", "this node knows no configuration yet", RunState::NotRun, notReadyRetry));
     const std::string_view host = request.headers_.find("Host");
-    if (auto call = translation_.parseJobRequest_(request); call && table->findBatchRoute(host))
-        return jobs_->call(std::move(exchange), std::move(*call));
-    const Route* route = table->select(host, request.target_);
+    auto jobCall = translation_.parseJobRequest_(request);
+    const Route* batchRoute = jobCall ? table->findBatchRoute(host) : nullptr;
+    const Route* route = batchRoute ? batchRoute : table->select(host, request.target_);
     if (!route) {
         log_.line("noRoute").with("request", request.headers_.find(translation_.headers_.attemptId_)).with("host", host).with("path", request.path()).with("config", table->version());
         return exchange->respond(refusalResponse(translation_, 404, "route.None", "no route carries this host and path", RunState::NotRun, {}));
     }
+    const auto key = translation_.parseKey_(request);
+    auto caller = identifyCaller(*table, *route, key);
+    if (!caller)
+        return refuseUnknownCaller(*exchange, *route, key);
+    if (batchRoute)
+        return jobs_->call(std::move(exchange), *table, *caller, std::move(*jobCall));
     if (route->kind_ == RouteKind::Batch)
-        return jobs_->submit(exchange, *route);
-    relay_->handle(std::move(exchange), table, *route);
+        return jobs_->submit(exchange, *table, *route, *caller);
+    relay_->handle(std::move(exchange), table, *route, std::move(*caller));
+}
+
+void ServingNode::Parts::refuseUnknownCaller(http::Exchange& exchange, const Route& route, const std::optional<KeyFingerprint>& key)
+{
+    log_.line("callerUnknown").with("request", exchange.request().headers_.find(translation_.headers_.attemptId_)).with("route", route.name_).with("key", key ? key->shortText() : "none").with("config", context_.table_->version());
+    servingMetrics_.metrics_.add(servingMetrics_.unauthorized_);
+    exchange.respond(unauthorizedResponse(translation_));
+}
+
+// The body of a request that is refused for its key is not read.
+http::BodyPlan ServingNode::Parts::planBody(const http::Request& request)
+{
+    const auto table = context_.table_;
+    if (!table)
+        return { false, CallerLimits().bodyBytes_ };
+    const Route* route = table->select(request.headers_.find("Host"), request.target_);
+    const bool isRefused = route && table->requiresKey(*route) && !identifyCaller(*table, *route, translation_.parseKey_(request));
+    return { isRefused, table->limits().bodyBytes_ };
 }
 
 // ---- operators
@@ -254,7 +278,7 @@
             return;
         }
         if (!update->config_.empty())
-            config_->applyUpdate(update->config_, "peer");
+            config_->applyUpdate(update->config_);
         catalog_->applyUpdate(update->engines_, fleet_->addressOf(peer), context_.now());
         fleet_->publishReport();
     });
@@ -270,7 +294,7 @@
     }
     UpdateReply update;
     if (config_->version() > request.configVersion_)
-        update.config_ = config_->value();
+        update.config_ = config_->encoded();
     update.engines_ = catalog_->updateSince(request.enginesVersion_, now);
     updateBudget_.recordSent(update.config_.size() + update.engines_.bytes(), now);
     reply(std::move(update));
