Quotas: accounts at three hosts a workspace, checked on a simulated fleet

A host admits at once while the workspace has credit, and reports its totals to the three accountants of the workspace (rendezvous hashing) in the next tick. Each accountant keeps a token bucket; below a reserve, which covers what the fleet admits until it has heard, it tells all hosts, and then they ask one accountant before they admit. Totals can come in any order and twice, so the accountants agree and any one can decide. What is unknown is decided for the safe side: an account of a new or paused process starts with half of what the bound allows beyond the quota; a host that reaches few others uses their share only. Credit of a request that no engine started is returned.

--- a/libs/serving/include/serving/ServingSettings.h
+++ b/libs/serving/include/serving/ServingSettings.h
@@ -3,6 +3,7 @@
 //     [node]      name, failure-domain, region, regions, callers, ready, peers, seeds, runs-jobs, metrics, key-file
 //     [platform]  store, reads-per-second, writes-per-second
 //     [bounds]    grace-ms, engine-grace-ms, accept-ms, lost-hosts, lost-domains, lost-regions
+//     [quotas]    window-s, over, slack
 //     [disk]      folder, size-mb
 //     [limits]    descriptors
 //     [log]       lines-per-second
@@ -13,6 +14,7 @@
 
 #include "base/Endpoint.h"
 #include "settings/Ini.h"
+#include "workspaces/QuotaSettings.h"
 
 #include <map>
 #include <optional>
@@ -45,6 +47,7 @@
     std::uint32_t tolerableHostLosses_ = 1;
     std::uint32_t tolerableDomainLosses_ = 0;
     std::uint32_t tolerableRegionLosses_ = 0;
+    QuotaBound quotaBound_; // on what a workspace runs over all hosts
     std::string diskFolder_; // empty: this node spools no jobs
     std::size_t diskBytes_ = 64U * 1024 * 1024; // size of the disk, of which a quarter is used
     std::size_t descriptors_ = 1024; // file descriptors that the process may open
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -4,6 +4,7 @@
 #include "CrashSuspects.h"
 #include "DecisionLog.h"
 #include "Fleet.h"
+#include "Quotas.h"
 #include "StoreLink.h"
 #include "capacity/CapacityBoard.h"
 #include "http/Client.h"
@@ -25,6 +26,7 @@
     Metrics& metrics_;
     CounterHandle answered_; // requests whose complete answer was forwarded
     CounterHandle unauthorized_; // requests without a key that the configuration has
+    CounterHandle overQuota_; // requests refused because their workspace was over its quota
     CounterHandle refused_; // requests refused without being run
     CounterHandle failed_; // requests that may have run and were answered with a failure
     CounterHandle aborted_; // answers aborted after they had started
@@ -51,6 +53,7 @@
     http::Client& engines_; // connections to engines
     Fleet* fleet_ = nullptr; // set before the event loop runs
     SlotQueue* queue_ = nullptr; // set before the event loop runs
+    Quotas* quotas_ = nullptr; // set before the event loop runs
     std::shared_ptr<const RouteTable> table_ {}; // null until the first configuration is applied
     CrashSuspects crashSuspects_ {};
 
--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -309,6 +309,21 @@
         sockets_->reports_.send(nextPort(peer->at_), encode(options_.key_, PreemptRequest { request.from_, request.engine_, true }));
 }
 
+void Fleet::send(NodeId node, const PeerDatagram& datagram)
+{
+    if (const Peer* peer = peers_.find(node))
+        sockets_->reports_.send(nextPort(peer->at_), encode(options_.key_, datagram));
+}
+
+void Fleet::sendToAll(const PeerDatagram& datagram)
+{
+    const std::string bytes = encode(options_.key_, datagram);
+    for (const Peer& peer : peers_.rows()) {
+        if (peer.isLive())
+            sockets_->reports_.send(nextPort(peer.at_), bytes);
+    }
+}
+
 void Fleet::onReportDatagram(std::string_view bytes)
 {
     const auto datagram = decodeDatagram(options_.key_, bytes);
@@ -319,7 +334,9 @@
     const TimePoint now = SystemClock().now();
     if (const auto* digest = std::get_if<CellDigest>(&datagram.value()))
         return exchange_->handle(*digest, now);
-    exchange_->handle(std::get<NodeReport>(datagram.value()), now);
+    if (const auto* report = std::get_if<NodeReport>(&datagram.value()))
+        return exchange_->handle(*report, now);
+    handlers_.onQuotaMessage_(datagram.value());
 }
 
 // ---- calls
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -41,6 +41,8 @@
     std::function<void(const NodeReport&, bool isSameCell)> onReport_;
     std::function<void(const CellSummary&, TimePoint at)> onCell_;
     std::function<void(const PreemptRequest&)> onPreemptRequest_;
+    // A message about quotas has arrived: QuotaReport, QuotaAsk, QuotaDecision or QuotaNotice.
+    std::function<void(const PeerDatagram&)> onQuotaMessage_;
     // The node was live and has been declared dead or has left.
     std::function<void(NodeId)> onNodeDown_;
     // Another node has published a mark of request content that crashes engines, see CrashSuspects.h.
@@ -66,6 +68,9 @@
     void requestPreemption(NodeId holder, UpstreamId engine);
     // Forwards a preemption request, which this node received as a delegate, to the node of its cell that runs the item.
     void forwardPreemptRequest(const PreemptRequest& request, NodeId holder);
+    // Send a datagram to a node, which may be unknown, or to all live nodes.
+    void send(NodeId node, const PeerDatagram& datagram);
+    void sendToAll(const PeerDatagram& datagram);
     using ReplyHandler = std::function<void(Result<PeerReply>)>;
     // Calls a peer. Completes with PeerError::Unreachable if the peer is unknown, refuses the connection, sends nothing for `timeout` or
     // replies with an HTTP error status, and with an error of decodeReply() if it can't decode the reply.
@@ -96,6 +101,8 @@
     const Peer* peer(NodeId node) const { return peers_.find(node); }
     // Returns whether this process is still fetching the list of members.
     bool isJoining() const { return core_->isJoining(); }
+    Incarnation incarnation() const { return options_.incarnation_; }
+    TimePoint startedAt() const { return startedAt_; }
     std::size_t livePeers() const { return peers_.liveInRegion() + peers_.liveElsewhere(); }
     // Returns the address of a node for logs and operators; empty for an unknown node.
     std::string addressOf(NodeId node) const;
--- a/libs/serving/src/PeerTable.cpp
+++ b/libs/serving/src/PeerTable.cpp
@@ -12,6 +12,9 @@
     const bool wasLive = !isNew && peer.isLive();
     if (wasLive)
         --liveCountFor(peer);
+    if (!wasLive || peer.incarnation_ != member.incarnation_)
+        peer.liveSince_ = now;
+    peer.incarnation_ = member.incarnation_;
     peer.node_ = member.node_;
     peer.at_ = member.endpoint_;
     peer.region_ = member.region_;
--- a/libs/serving/src/PeerTable.h
+++ b/libs/serving/src/PeerTable.h
@@ -22,6 +22,8 @@
     MemberState state_ = MemberState::Alive;
     bool leaving_ = false;
     bool runsJobs_ = false;
+    Incarnation incarnation_; // of its membership
+    TimePoint liveSince_ {}; // start of its last incarnation, as far as this node knows
     TimePoint downSince_ {}; // only valid while the node isn't live
     TimePoint lastSeenAt_ {}; // last time when its report arrived, or a summary of its cell that lists it
     std::uint64_t configVersion_ = 0;
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -251,6 +251,7 @@
 {
     releaseEngine();
     phase_ = Phase::Ended;
+    returnCredit();
     timer_.cancel();
     preemptionTimer_.cancel();
 }
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -73,7 +73,35 @@
         if (!error)
             self->onTimeout();
     });
-    dispatch();
+    admit();
+}
+
+void RelayedRequest::admit()
+{
+    if (caller_.workspace_.empty())
+        return dispatch();
+    context_.quotas_->admit(caller_.workspace_, [self = shared_from_this()](const QuotaGate::Answer& answer) { self->onAdmission(answer); });
+}
+
+void RelayedRequest::onAdmission(const QuotaGate::Answer& answer)
+{
+    usesQuota_ = answer.isAdmitted_;
+    if (phase_ == Phase::Ended)
+        return returnCredit();
+    if (answer.isAdmitted_)
+        return dispatch();
+    exchange_->respond(refusalResponse(context_.translation_, 429, "quota.Exceeded", "the workspace is over its quota; the request has not run", RunState::NotRun, answer.retryAfter_));
+    context_.metrics_.metrics_.add(context_.metrics_.overQuota_);
+    line("overQuota").with("status", 429).with("retryAfterMs", answer.retryAfter_).with("afterMs", context_.now() - arrivedAt_).with("config", context_.table_->version());
+    end();
+}
+
+// Returns the credit of a request that no engine has started.
+void RelayedRequest::returnCredit()
+{
+    if (usesQuota_ && !mayHaveRun())
+        context_.quotas_->returnCredit(caller_.workspace_);
+    usesQuota_ = false;
 }
 
 // Returns how long the first event may still take to meet the target latency. A request that is sent again after an engine was
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -44,6 +44,7 @@
 
 private:
     enum class Phase : std::uint8_t {
+        Admitting, // waiting for the decision about its workspace's quota
         Picking,
         Waiting, // queued for a slot
         Sent, // sent to an engine, no response head received yet
@@ -51,6 +52,9 @@
         Ended,
     };
 
+    void admit();
+    void onAdmission(const QuotaGate::Answer& answer);
+    void returnCredit();
     void dispatch();
     void refuseBlocked();
     // Refuses a request whose key was removed while it waited.
@@ -103,7 +107,8 @@
     std::string id_;
     bool wasRefusedBefore_ = false; // the caller was probably refused before and would give up after another refusal
 
-    Phase phase_ = Phase::Picking;
+    Phase phase_ = Phase::Admitting;
+    bool usesQuota_ = false; // admitted, and its credit is not returned
     std::vector<UpstreamId> tried_;
     std::size_t offers_ = 0; // number of engines that the request was sent to, including those that did not run it
     std::uint32_t runs_ = 0; // number of engines that may have started the request
--- a/libs/serving/src/ReportMessages.cpp
+++ b/libs/serving/src/ReportMessages.cpp
@@ -20,6 +20,7 @@
     constexpr std::size_t maxServices = 64;
     constexpr std::size_t maxNodes = 64;
     constexpr std::size_t maxCells = 64;
+    constexpr std::size_t maxQuotaEntries = 1000;
     // Upper bounds for the sizes on the wire, which follow from the fields serialized below. They serve to pack digests into frames.
     // serviceBytes covers both WaitingRequests and WaitingItems.
     constexpr std::size_t summaryBytes = 64;
@@ -43,6 +44,14 @@
 
     void truncateToLimits(NodeReport& report) { truncateToLimits(report.use_); }
     void truncateToLimits(PreemptRequest&) { }
+    void truncateToLimits(QuotaReport& report) { truncate(report.counts_, maxQuotaEntries); }
+    void truncateToLimits(QuotaAsk&) { }
+    void truncateToLimits(QuotaDecision&) { }
+    void truncateToLimits(QuotaNotice& notice)
+    {
+        truncate(notice.scarce_, maxQuotaEntries);
+        truncate(notice.ample_, maxQuotaEntries);
+    }
     void truncateToLimits(CellDigest& digest)
     {
         truncate(digest.cells_, maxCells);
@@ -128,6 +137,36 @@
     archive(list<maxCells>(digest.cells_), Flag { digest.isForwarded_ });
 }
 
+template <class Archive>
+void serialize(Archive& archive, QuotaCount& count)
+{
+    archive(count.workspace_, count.admitted_, count.latest_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, QuotaReport& report)
+{
+    archive(report.from_, report.incarnation_, report.sequence_, list<maxQuotaEntries>(report.counts_));
+}
+
+template <class Archive>
+void serialize(Archive& archive, QuotaAsk& ask)
+{
+    archive(ask.from_, ask.incarnation_, ask.number_, ask.workspace_, ask.admitted_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, QuotaDecision& decision)
+{
+    archive(decision.number_, decision.workspace_, Flag { decision.isAdmitted_ }, Milliseconds { decision.wait_ });
+}
+
+template <class Archive>
+void serialize(Archive& archive, QuotaNotice& notice)
+{
+    archive(list<maxQuotaEntries>(notice.scarce_), list<maxQuotaEntries>(notice.ample_));
+}
+
 // NOLINTEND(readability-identifier-naming)
 
 namespace {
@@ -156,6 +195,14 @@
             return read<PreemptRequest>(archive, source);
         case 2:
             return read<CellDigest>(archive, source);
+        case 3:
+            return read<QuotaReport>(archive, source);
+        case 4:
+            return read<QuotaAsk>(archive, source);
+        case 5:
+            return read<QuotaDecision>(archive, source);
+        case 6:
+            return read<QuotaNotice>(archive, source);
         default:
             return PeerError::Unreadable;
         }
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -110,6 +110,8 @@
     if (auto failure = openFleet())
         return failure;
     buildScheduler();
+    quotas_ = std::make_unique<Quotas>(*fleet_, settings_.quotaBound_);
+    context_.quotas_ = quotas_.get();
     queue_ = std::make_unique<SlotQueue>(context_);
     context_.queue_ = queue_.get();
     relay_ = std::make_unique<Relay>(context_);
@@ -219,6 +221,7 @@
         onVersionsReceived({ summary.configVersion_, summary.enginesVersion_ });
     };
     handlers.onPreemptRequest_ = [this](const PreemptRequest& request) { onPreemptionRequest(request); };
+    handlers.onQuotaMessage_ = [this](const PeerDatagram& message) { quotas_->handle(message); };
     handlers.onCellsChanged_ = [this] {
         std::vector<CellId> others = fleet_->cells().cells();
         std::erase(others, fleet_->ownCell());
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -8,6 +8,7 @@
 #include "ItemRunner.h"
 #include "JobFront.h"
 #include "KindWatch.h"
+#include "Quotas.h"
 #include "Relay.h"
 #include "RetirementDuty.h"
 #include "SlotQueue.h"
@@ -102,6 +103,7 @@
     std::unique_ptr<JobFront> jobs_;
     std::unique_ptr<JobSpool<FileDisk>> spool_; // null if this host has no usable disk
     std::unique_ptr<SlotQueue> queue_;
+    std::unique_ptr<Quotas> quotas_;
     std::unique_ptr<Relay> relay_;
     std::unique_ptr<RetirementDuty> retirement_;
     std::vector<std::unique_ptr<KindWatch>> kindWatches_; // kinds of objects that concern hosts that run jobs
--- a/libs/serving/src/ServingSettings.cpp
+++ b/libs/serving/src/ServingSettings.cpp
@@ -77,6 +77,16 @@
         reader.finish();
     }
 
+    void readQuotas(const IniText& text, ServingSettings& settings, Failures& failures)
+    {
+        SectionReader reader(text, "quotas", failures);
+        QuotaBound& bound = settings.quotaBound_;
+        bound.window_ = fromSeconds(reader.real("window-s", { 0.1, 3600 }, toSeconds(bound.window_)));
+        bound.over_ = reader.real("over", { 0, 10 }, bound.over_);
+        bound.slack_ = reader.real("slack", { 0, 1e6 }, bound.slack_);
+        reader.finish();
+    }
+
     void readDisk(const IniText& text, ServingSettings& settings, Failures& failures)
     {
         constexpr std::int64_t megabyte = 1024 * 1024;
@@ -98,7 +108,7 @@
 
     void refuseUnknownSections(const IniText& text, Failures& failures)
     {
-        static const std::set<std::string, std::less<>> known { "node", "platform", "bounds", "disk", "limits", "log" };
+        static const std::set<std::string, std::less<>> known { "node", "platform", "bounds", "quotas", "disk", "limits", "log" };
         for (const IniSection& section : text.sections()) {
             if (!known.contains(section.name_))
                 failures.push_back({ SettingsError::UnknownSection, "[" + section.name_ + "]" });
@@ -117,6 +127,7 @@
     readNode(text.value(), settings, failures);
     readPlatform(text.value(), settings, failures);
     readBounds(text.value(), settings, failures);
+    readQuotas(text.value(), settings, failures);
     readDisk(text.value(), settings, failures);
     readLimits(text.value(), settings, failures);
     refuseUnknownSections(text.value(), failures);
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -65,6 +65,7 @@
         spool_->tick(now, wall);
     if (!settings_.runsJobs_ && scheduler_->openJobs() > 0)
         scheduler_->handOverMisplaced(now);
+    quotas_->tick(now);
     queue_->tick(now);
     runner_->pump(now);
     if (retirement_)
@@ -118,6 +119,8 @@
 void ServingNode::Parts::onConfig(const std::shared_ptr<const RouteTable>& table)
 {
     context_.table_ = table;
+    if (quotas_)
+        quotas_->setTable(table);
     if (callers_) {
         http::ServerLimits limits;
         limits.headerBytes_ = std::max(table->limits().headerBytes_ * 2, limits.headerBytes_);
--- /dev/null
+++ b/libs/serving/tests/CallerTest.cpp
@@ -0,0 +1,170 @@
+// Identification of callers, the stored names of their jobs, and the configuration as nodes send it to each other.
+#include "Caller.h"
+#include "ConfigCodec.h"
+#include "Context.h"
+#include "ReportMessages.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace jj;
+
+namespace {
+
+Route routeOf(std::string name, bool isPublic)
+{
+    Route route;
+    route.name_ = std::move(name);
+    route.host_ = "shop.example";
+    route.pathPrefix_ = "/" + route.name_ + "/";
+    route.isPublic_ = isPublic;
+    route.targets_ = { { "s", 1 } };
+    return route;
+}
+
+Workspace workspaceOf(std::string name, std::string_view key, Quota quota = {})
+{
+    Workspace workspace;
+    workspace.name_ = std::move(name);
+    workspace.keys_ = { KeyFingerprint::of(key) };
+    workspace.quota_ = quota;
+    return workspace;
+}
+
+RouteConfig configOf(std::vector<Workspace> workspaces)
+{
+    RouteConfig config;
+    config.version_ = 9;
+    config.services_ = { { "s", "/health", 50 } };
+    config.routes_ = { routeOf("ask", false), routeOf("open", true) };
+    config.workspaces_ = std::move(workspaces);
+    return config;
+}
+
+RouteTable tableOf(std::vector<Workspace> workspaces) { return RouteTable::create(configOf(std::move(workspaces))).value(); }
+
+std::optional<Caller> identify(const RouteTable& table, std::string_view route, std::string_view key)
+{
+    return identifyCaller(table, *table.findRoute(route), key.empty() ? std::nullopt : std::optional(KeyFingerprint::of(key)));
+}
+
+} // namespace
+
+TEST_CASE("caller: a route that is not public requires a key of the configuration")
+{
+    const RouteTable table = tableOf({ workspaceOf("north", "n1"), workspaceOf("south", "s1") });
+    CHECK(identify(table, "ask", "n1")->workspace_ == "north");
+    CHECK(identify(table, "ask", "s1")->workspace_ == "south");
+    CHECK_FALSE(identify(table, "ask", "other"));
+    CHECK_FALSE(identify(table, "ask", ""));
+    CHECK(identify(table, "open", "")->workspace_.empty());
+    CHECK(identify(table, "open", "n1")->workspace_.empty());
+    CHECK_FALSE(identify(tableOf({}), "ask", "n1"));
+}
+
+TEST_CASE("caller: without workspaces no route requires a key")
+{
+    RouteConfig config = configOf({});
+    config.workspaces_ = std::nullopt;
+    const RouteTable table = RouteTable::create(std::move(config)).value();
+    CHECK(identify(table, "ask", "")->workspace_.empty());
+    CHECK(storedJobName(table, {}, "job-1") == "job-1");
+}
+
+// Guards against a queued request that is sent under a key which was removed meanwhile.
+TEST_CASE("caller: a key that was removed or moved to another workspace is no longer allowed")
+{
+    const RouteTable before = tableOf({ workspaceOf("north", "n1"), workspaceOf("south", "s1") });
+    const Caller caller = *identify(before, "ask", "n1");
+    CHECK(isStillAllowed(before, caller));
+    CHECK_FALSE(isStillAllowed(tableOf({ workspaceOf("north", "n2"), workspaceOf("south", "s1") }), caller));
+    CHECK_FALSE(isStillAllowed(tableOf({ workspaceOf("north", "n2"), workspaceOf("south", "n1") }), caller));
+    CHECK(isStillAllowed(tableOf({ workspaceOf("north", "s9") }), Caller {}));
+}
+
+// Guards against a caller that reads, resends or cancels a job of another workspace by its id.
+TEST_CASE("caller: workspaces have separate jobs, whatever ids their callers choose")
+{
+    const RouteTable table = tableOf({ workspaceOf("north", "n1"), workspaceOf("south", "s1") });
+    const JobName north = storedJobName(table, *identify(table, "ask", "n1"), "job-1");
+    const JobName south = storedJobName(table, *identify(table, "ask", "s1"), "job-1");
+    CHECK(north != south);
+    CHECK(isValidJobName(north));
+    CHECK(storedJobName(table, Caller {}, north) != north);
+    CHECK(storedJobName(table, *identify(table, "ask", "s1"), north) != north);
+    CHECK(mayBeStoredUnderId(north, "job-1"));
+    CHECK_FALSE(mayBeStoredUnderId(storedJobName(table, *identify(table, "ask", "s1"), north), north));
+    CHECK_FALSE(mayBeStoredUnderId("job-1", "job-1"));
+}
+
+// Guards against a workspace header or key that reaches an engine under another spelling.
+TEST_CASE("caller: the workspace header and the key are withheld from engines in any spelling")
+{
+    HeaderNames names;
+    names.workspace_ = "X-Workspace";
+    names.credentials_ = "Authorization";
+    const RouteTable table = tableOf({ workspaceOf("north", "n1") });
+    for (const char* name : { "X-Workspace", "x-workspace", "X-WORKSPACE", "Authorization", "authorization" })
+        CHECK(isWithheldHeader(names, &table, name));
+    CHECK_FALSE(isWithheldHeader(names, &table, "X-Own"));
+    CHECK(isWithheldHeader(names, nullptr, "x-workspace"));
+    CHECK_FALSE(isWithheldHeader(names, nullptr, "Authorization"));
+}
+
+TEST_CASE("configuration: nodes send each other fingerprints, quotas and routes unchanged, and no key")
+{
+    Workspace north = workspaceOf("north", "very-secret-key", { 98.5, 12 });
+    north.priority_ = 3;
+    const RouteConfig config = configOf({ north, workspaceOf("south", "s1") });
+    const std::string bytes = encode(config);
+    CHECK(bytes.find("very-secret-key") == std::string::npos);
+    const auto decoded = decodeConfig(bytes);
+    REQUIRE(decoded);
+    CHECK(encode(decoded.value()) == bytes);
+    const RouteTable table = RouteTable::create(decoded.value()).value();
+    CHECK(identify(table, "ask", "very-secret-key")->workspace_ == "north");
+    CHECK(table.workspaces()->rows()[0].priority_ == 3);
+    CHECK(table.workspaces()->rows()[0].quota_ == Quota { 98.5, 12 });
+    CHECK(table.routes()[1].isPublic_);
+}
+
+TEST_CASE("configuration: bytes that are cut short or changed end in an error or another configuration, never in a crash")
+{
+    const std::string bytes = encode(configOf({ workspaceOf("north", "n1", { 5, 5 }), workspaceOf("south", "s1") }));
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        CHECK_FALSE(decodeConfig(std::string_view(bytes).substr(0, size)));
+    std::mt19937_64 random(1);
+    for (int change = 0; change < 5000; ++change) {
+        std::string mutated = bytes;
+        mutated[random() % mutated.size()] ^= static_cast<char>(1 + random() % 255);
+        if (auto config = decodeConfig(mutated))
+            (void)RouteTable::create(std::move(config.value()));
+    }
+}
+
+TEST_CASE("quota messages: cut short or changed, they are rejected")
+{
+    const WireKey key = WireKey::fromHex(std::string(64, '0')).value();
+    const WorkspaceId workspace = idFromName<WorkspaceId>("north");
+    const PeerDatagram messages[] = {
+        QuotaReport { NodeId(1), Incarnation(2), 3, { { workspace, 40, 2 }, { workspace, -1, -1 } } },
+        QuotaAsk { NodeId(1), Incarnation(2), 7, workspace, 40 },
+        QuotaDecision { 7, workspace, false, 250ms },
+        QuotaNotice { { workspace }, {} },
+    };
+    std::mt19937_64 random(1);
+    for (const PeerDatagram& message : messages) {
+        const std::string bytes = encode(key, message);
+        const auto decoded = decodeDatagram(key, bytes);
+        REQUIRE(decoded);
+        CHECK(encode(key, decoded.value()) == bytes);
+        for (std::size_t size = 0; size < bytes.size(); ++size)
+            CHECK_FALSE(decodeDatagram(key, std::string_view(bytes).substr(0, size)));
+        for (int change = 0; change < 500; ++change) {
+            std::string mutated = bytes;
+            mutated[random() % mutated.size()] ^= static_cast<char>(1 + random() % 255);
+            CHECK_FALSE(decodeDatagram(key, mutated));
+        }
+    }
+}
