--- a/libs/workspaces/tests/QuotaFleet.cpp
+++ b/libs/workspaces/tests/QuotaFleet.cpp
@@ -50,51 +50,6 @@
     }
     for (std::size_t index = 0; index < shape.hosts_; ++index)
         restart(index);
-    if (shape.way_ == QuotaWay::DemandShare)
-        shareDemand();
-}
-
-// Every 250 ms each host knows what the others had reported 250 ms before.
-void QuotaFleet::shareDemand()
-{
-    schedule(250ms, [this] {
-        for (std::size_t row = 0; row < workspaces_.size(); ++row) {
-            double total = 0;
-            for (const auto& host : hosts_) {
-                host->buckets_.resize(workspaces_.size());
-                total += isReachable(*host) ? host->buckets_[row].demand_ * std::exp(-toSeconds(now_ - host->buckets_[row].demandAt_)) : 0;
-            }
-            for (const auto& host : hosts_) {
-                const LocalBucket& bucket = host->buckets_[row];
-                const double own = bucket.demand_ * std::exp(-toSeconds(now_ - bucket.demandAt_));
-                const double floor = 0.1 / static_cast<double>(hosts_.size());
-                const double share = total > 0 ? floor + 0.9 * own / total : 1 / static_cast<double>(hosts_.size());
-                schedule(250ms, [&host = *host, row, share] {
-                    if (row < host.buckets_.size())
-                        host.buckets_[row].share_ = share;
-                });
-            }
-        }
-        shareDemand();
-    });
-}
-
-bool QuotaFleet::admitLocally(std::size_t row, std::size_t index)
-{
-    Host& host = *hosts_[index];
-    host.buckets_.resize(workspaces_.size());
-    LocalBucket& bucket = host.buckets_[row];
-    const Quota& quota = workspaces_[row].workspace_.quota_;
-    const double share = shape_.way_ == QuotaWay::FixedShare || bucket.share_ == 0 ? 1 / static_cast<double>(hosts_.size()) : bucket.share_;
-    const double depth = std::max(1.0, share * quota.burst_);
-    bucket.tokens_ = bucket.refilledAt_ == TimePoint() ? depth : std::min(depth, bucket.tokens_ + share * quota.perSecond_ * toSeconds(now_ - bucket.refilledAt_));
-    bucket.refilledAt_ = now_;
-    bucket.demand_ = bucket.demand_ * std::exp(-toSeconds(now_ - bucket.demandAt_)) + 1;
-    bucket.demandAt_ = now_;
-    if (bucket.tokens_ < 1)
-        return false;
-    bucket.tokens_ -= 1;
-    return true;
 }
 
 // ---- workspaces
@@ -174,11 +129,8 @@
     const bool wasReachable = isReachable(host);
     host.isUp_ = true;
     host.incarnation_ = Incarnation(host.incarnation_.value() + 1);
-    host.buckets_.clear();
     host.accountant_ = std::make_unique<QuotaAccountant>(settings_);
     host.accountant_->setWorkspaces(tables_.empty() ? nullptr : tables_.back().get(), now_);
-    if (shape_.way_ == QuotaWay::AskAlways)
-        settings_.caution_ = 1h;
     host.gate_ = std::make_unique<QuotaGate>(settings_, host.node_, host.incarnation_, outletsOf(index), now_);
     markReachability(host, wasReachable);
     const Incarnation incarnation = host.incarnation_;
@@ -311,11 +263,6 @@
     Simulated& one = workspaces_[row];
     one.arrived_.push_back(now_);
     const WorkspaceId id = one.workspace_.id();
-    if (shape_.way_ == QuotaWay::FixedShare || shape_.way_ == QuotaWay::DemandShare) {
-        if (admitLocally(row, index) && !draw(returnedShare_))
-            one.ran_.push_back(now_);
-        return;
-    }
     host.gate_->admit(id, one.workspace_.quota_, now_, [this, row, index, id](const QuotaGate::Answer& answer, TimePoint at) {
         if (!answer.isAdmitted_)
             return;
--- a/libs/workspaces/tests/QuotaFleet.h
+++ b/libs/workspaces/tests/QuotaFleet.h
@@ -16,16 +16,7 @@
 
 namespace jj {
 
-// Ways to keep a quota over many hosts.
-enum class QuotaWay {
-    Accounts, // QuotaGate and QuotaAccountant
-    FixedShare, // each host has an equal share
-    DemandShare, // each host has a share in proportion to its part of the demand, as all hosts report it
-    AskAlways, // each request waits for an accountant's decision
-};
-
 struct QuotaFleetShape {
-    QuotaWay way_ = QuotaWay::Accounts;
     std::size_t hosts_ = 64;
     std::size_t regions_ = 2;
     double loss_ = 0.01;
@@ -86,14 +77,6 @@
 private:
     using Message = std::variant<QuotaReport, QuotaAsk, QuotaDecision, QuotaNotice>;
 
-    struct LocalBucket {
-        double tokens_ = 0;
-        TimePoint refilledAt_ {};
-        double demand_ = 0; // arrivals, decayed over a second
-        TimePoint demandAt_ {};
-        double share_ = 0;
-    };
-
     struct Host {
         NodeId node_;
         std::size_t region_ = 0;
@@ -105,13 +88,9 @@
         bool isCut_ = false;
         TimePoint reachableSince_ {};
         TimePoint unreachableSince_ {};
-        std::vector<LocalBucket> buckets_; // by workspace
         std::vector<std::function<void()>> heldBack_; // arrived while the host was frozen
     };
 
-    bool admitLocally(std::size_t workspace, std::size_t host);
-    void shareDemand();
-
     struct Simulated {
         Workspace workspace_;
         double arrivalsPerSecond_ = 0;
