--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -146,6 +146,17 @@
     CHECK(exchangeRaw(impatient.at(), "POST / HT", false).find("http.RequestTooSlow") != std::string::npos);
 }
 
+// Guards against a header that a caller smuggles behind its body, past the checks of the headers.
+TEST_CASE("trailers of a chunked body are not headers")
+{
+    Fixture fixture([](const std::shared_ptr<Exchange>& exchange) {
+        const bool hasTrailer = exchange->request().headers_.has("X-Late");
+        exchange->respond({ 200, { { "Connection", "close" } }, exchange->request().body_ + (hasTrailer ? " and trailer" : " alone") });
+    });
+    const std::string request = "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Late: 1\r\n\r\n";
+    CHECK(exchangeRaw(fixture.at(), request, false).find("body alone") != std::string::npos);
+}
+
 TEST_CASE("the handler learns that the client went away mid stream")
 {
     std::promise<void> gone;
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -123,7 +123,7 @@
     board_.setStart(now);
     board_.setHasConnection([this](const Endpoint& engine) { return engines_.hasPooled(engine); });
     nextScanAt_ = now + firstScanDelay;
-    log_.line("started").with("callers", settings_.callers_ ? toString(*settings_.callers_) : "").with("peers", toString(settings_.peers_)).with("store", toString(settings_.store_)).with("runsJobs", settings_.runsJobs_ ? "yes" : "no").with("incarnation", incarnation_.value());
+    log_.line("started").with("callers", settings_.callers_ ? toString(*settings_.callers_) : "").with("peers", toString(settings_.peers_)).with("store", toString(settings_.store_)).with("runsJobs", settings_.runsJobs_ ? "yes" : "no").with("incarnation", incarnation_.value()).with("peerKey", settings_.keyFile_.empty() ? "none: peers are not authenticated" : "file");
     return std::nullopt;
 }
 
--- a/libs/workspaces/tests/QuotaTest.cpp
+++ b/libs/workspaces/tests/QuotaTest.cpp
@@ -30,7 +30,7 @@
     fleet.setLoad(1);
 }
 
-void print(const char* name, const QuotaFleet::Report& report)
+void print(const std::string& name, const QuotaFleet::Report& report)
 {
     MESSAGE(name, ": arrived ", report.arrived_, ", owed ", report.owed_, ", ran ", report.ran_, "; refused of owed ", report.refusedShare_, ", worst workspace ", report.worstRefusedShare_, "; worst window ", report.worstWindow_, " of the bound (", report.worstWorkspace_, "); a host and second: ", report.datagramsPerHostSecond_, " datagrams, ", report.bytesPerHostSecond_, " bytes; asked ", report.totals_.asked_, ", unanswered ", report.totals_.unanswered_);
 }
--- a/scripts/check-platform-names.sh
+++ b/scripts/check-platform-names.sh
@@ -8,7 +8,7 @@
   'X-Jayjunction-' '/lots/' '"/items/' '"/objects/' 'staleOk' 'waitMs=' '"hasMore"' '"createdRev"' '"finalizers"' 'finishByS' '"retirements'
   '"servers/' 'config/main' '"pathPrefix"' '"targetLatencyMs"' '"gapAimMs"' '"runTargetMs"' '"maxWaitS"' '"maxConns"' '"healthPath"' '"coldLeftMs"'
   'kvCapacity' '"maxHeaderBytes"' '"maxBodyBytes"' '"headerTimeoutMs"' '"idleTimeoutMs"' 'nodeName' 'machineClass' 'internalPorts' 'inFaultBudget'
-  'faultTolerance' 'seedLagS' 'addrReuseS' 'stableMs' 'catchUpS' 'drainMs' 'graceS' 'configApplyMs' 'recoveryS' 'settleMs' 'non_idempotent'
+  'apiKeys' 'ratePerS' 'quotaWindowS' 'quotaSlack' 'faultTolerance' 'seedLagS' 'addrReuseS' 'stableMs' 'catchUpS' 'drainMs' 'graceS' 'configApplyMs' 'recoveryS' 'settleMs' 'non_idempotent'
 )
 found=0
 for name in "${NAMES[@]}"; do
