Quotas: trial: half of the allowance beyond the quota deepens a bucket

The bound allows more in a window than the quota itself, and a bucket of the burst alone refuses a short burst that fits the bound.

--- a/libs/workspaces/src/QuotaAccountant.cpp
+++ b/libs/workspaces/src/QuotaAccountant.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-    // Part of the bound's slack that deepens each bucket. Workspaces with a few requests a second would otherwise have less credit than the
-    // hosts that may admit for them at the same time.
-    constexpr double slackFraction = 0.25;
-    // Part of the allowance beyond the quota with which an account starts.
-    constexpr double startFraction = 0.5;
+    // Part of the allowance beyond the quota that deepens each bucket. The rest is for what hosts admit before they know that credit is
+    // scarce, and for accounts that start anew, also twice in one window.
+    constexpr double depthFraction = 0.5;
+    // Part of the allowance with which an account starts.
+    constexpr double startFraction = 0.4;
     // Credit is ample again above this many reserves, and above this part of the depth.
     constexpr double ampleReserves = 2;
     constexpr double ampleFraction = 0.25;
@@ -22,7 +22,7 @@
 
 double QuotaAccountant::depthOf(const Account& account) const
 {
-    return std::max(1.0, share_ * (account.quota_.burst_ + slackFraction * settings_.bound_.slack_));
+    return std::max(1.0, share_ * (account.quota_.burst_ + depthFraction * settings_.bound_.allowanceOf(account.quota_)));
 }
 
 QuotaAccountant::Account* QuotaAccountant::accountOf(WorkspaceId workspace, TimePoint now)
