Quotas: callers over their quota return one after the other

The accountant now keeps the time for each refused caller, at the pace at which credit comes; the entry tells no more than the caller accepts.

--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -184,11 +184,12 @@
 
 // ---- refusals, failures and completion
 
+Duration RelayedRequest::maxRetryDelay() const { return std::max<Duration>(timeLeft() / retryDivisor - retryMargin, 1ms); }
+
 void RelayedRequest::refuse(std::string_view reason, Duration wait)
 {
-    const Duration maxRetryDelay = std::max<Duration>(timeLeft() / retryDivisor - retryMargin, Duration::zero());
     const Duration rest = context_.queue_->refused(service_, wait, context_.now());
-    const Duration retry = std::clamp<Duration>(rest, std::min(minRetryAfter, maxRetryDelay), std::max(maxRetryDelay, Duration(1ms)));
+    const Duration retry = std::clamp<Duration>(rest, std::min(minRetryAfter, maxRetryDelay()), maxRetryDelay());
     exchange_->respond(refusalResponse(context_.translation_, 503, "overload.NoSlot", "no engine can take the request in time; it has not run", RunState::NotRun, retry));
     context_.metrics_.metrics_.add(context_.metrics_.refused_);
     line("refused").with("reason", reason).with("status", 503).with("retryAfterMs", retry).with("afterMs", context_.now() - arrivedAt_);
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -90,9 +90,10 @@
         return returnCredit();
     if (answer.isAdmitted_)
         return dispatch();
-    exchange_->respond(refusalResponse(context_.translation_, 429, "quota.Exceeded", "the workspace is over its quota; the request has not run", RunState::NotRun, answer.retryAfter_));
+    const Duration retry = std::min(answer.retryAfter_, maxRetryDelay());
+    exchange_->respond(refusalResponse(context_.translation_, 429, "quota.Exceeded", "the workspace is over its quota; the request has not run", RunState::NotRun, retry));
     context_.metrics_.metrics_.add(context_.metrics_.overQuota_);
-    line("overQuota").with("status", 429).with("retryAfterMs", answer.retryAfter_).with("afterMs", context_.now() - arrivedAt_).with("config", context_.table_->version());
+    line("overQuota").with("status", 429).with("retryAfterMs", retry).with("afterMs", context_.now() - arrivedAt_).with("config", context_.table_->version());
     end();
 }
 
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -85,6 +85,8 @@
     bool isStream() const { return route_.kind_ == RouteKind::Streaming; }
     bool mayHaveRun() const { return runs_ > 0; }
     Duration timeLeft() const { return deadline_ - context_.now(); }
+    // Returns the longest retry delay that the caller accepts.
+    Duration maxRetryDelay() const;
     // Returns a fingerprint that is the same for all of a caller's attempts at this request.
     Fingerprint contentFingerprint() const;
     bool isContentBlocked() const;
--- a/libs/workspaces/include/workspaces/QuotaAccountant.h
+++ b/libs/workspaces/include/workspaces/QuotaAccountant.h
@@ -61,7 +61,7 @@
         double tokens_ = 0; // negative: more was admitted than the quota allows
         TimePoint refilledAt_ {};
         double demand_ = 0; // requests per second, admitted or asked for
-        double refused_ = 0; // recent refusals, whose callers are likely to return
+        double returning_ = 0; // refused requests for which credit will have come when their callers return
         bool isScarce_ = false;
         bool isAnnounced_ = true; // the last change of isScarce_ is in a notice
         TimePoint announcedAt_ {};
--- a/libs/workspaces/src/QuotaAccountant.cpp
+++ b/libs/workspaces/src/QuotaAccountant.cpp
@@ -65,7 +65,7 @@
     account.refilledAt_ = now;
     account.tokens_ = std::min(depthOf(account), account.tokens_ + elapsed * share_ * account.quota_.perSecond_);
     account.demand_ *= std::exp(-elapsed / toSeconds(settings_.demandTime_));
-    account.refused_ *= std::exp(-elapsed);
+    account.returning_ = std::max(0.0, account.returning_ - elapsed * share_ * account.quota_.perSecond_);
 }
 
 void QuotaAccountant::charge(Account& account, double requests) const
@@ -133,8 +133,9 @@
             ++host->second.admitted_;
     } else {
         account->demand_ += 1 / toSeconds(settings_.demandTime_);
-        account->refused_ += 1;
-        const double missing = 1 - account->tokens_ + account->refused_ / 2;
+        // Callers return one after the other, at the pace at which credit comes.
+        const double missing = 1 - account->tokens_ + account->returning_;
+        account->returning_ += 1;
         decision.wait_ = std::max<Duration>(settings_.refusalTime_, fromSeconds(missing / std::max(share_ * account->quota_.perSecond_, 0.01)));
     }
     updateState(*account);
