Trial: engines that stream slowly are avoided, and resumable streams leave them

Tried: gaps between events against the typical one of the service; four times that makes an engine doubtful for all nodes of the cell for 2 s, and a resumable stream goes on elsewhere.

--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -9,6 +9,7 @@
 
 #include "Context.h"
 #include "EventScanner.h"
+#include "capacity/EventPace.h"
 #include "ledger/JobScheduler.h"
 
 #include <map>
@@ -55,6 +56,7 @@
         int status_ = 0;
         bool rejected_ = false;
         EventScanner scanner_;
+        EventPace pace_;
     };
     using RunPtr = std::shared_ptr<Run>;
 
