--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -24,9 +24,6 @@
 // nodes use it only when no other engine is left. When many engines lose connections of one node within a moment, the node's own network
 // is the likelier cause, and the failures aren't attributed to the engines.
 //
-// An engine may also turn slow while it answers everything. Streams show it: an engine whose events come several times as far apart as is
-// typical of the service is reported and avoided like a failing one for a while. After that requests find out whether it has recovered.
-//
 // Two nodes that pick in the same millisecond may both take the last slot of an engine; the second request then waits in the engine until
 // a slot is free.
 #pragma once
@@ -114,13 +111,6 @@
     // the failures are attributed to the node or the network.
     double sharedFaultFraction_ = 0.3;
     Duration sharedFaultWindow_ = 400ms;
-    // An engine is slow if the gap between its events is at least this many times the typical one. A full engine takes at most 1.5 times as
-    // long as an idle one.
-    double slowGapFactor_ = 4;
-    // For how long a slow engine is avoided after its last slow events.
-    Duration slowAvoidance_ = 2s;
-    // Number of gaps measured before the typical gap of a service is known.
-    std::uint32_t minMeasuredGaps_ = 40;
     // When an engine wasn't tested for this long after its backoff, requests that can't be repeated may test it too.
     Duration untestedTimeout_ = 3s;
     // Additional latency of a request to another cell of the region, and to another region: a round trip and the connection setup.
@@ -192,10 +182,6 @@
     Duration failed(UpstreamId engine, EngineFault fault, TimePoint now);
     // Records that a request of this node succeeded on the engine, or that its stream began.
     void succeeded(UpstreamId engine, TimePoint now);
-    // Records the gap between the last events of a stream of this node on the engine.
-    void recordEventGap(UpstreamId engine, Duration gap, TimePoint now);
-    // Returns whether streams of this node have found the engine slow.
-    bool isSlow(UpstreamId engine, TimePoint now) const;
     // Records that a probe found the engine alive, so that a request may test it.
     void recordProbeSuccess(UpstreamId engine);
     // Applies the load that the engine itself reported a moment ago. It is used where it is higher than the sum of the node reports,
@@ -256,7 +242,6 @@
         TimePoint fullUntil_ {};
         TimePoint lostAt_ {}; // when this node last lost a connection to it
         TimePoint succeededAt_ {};
-        TimePoint slowUntil_ {}; // slow according to streams of this node
         std::set<NodeId> nodesReportingFailure_; // other nodes of this cell that report it as failing
         std::set<CellId> cellsReportingFailure_; // other cells that report it as failing
 
@@ -316,8 +301,6 @@
     bool isUsable(const Engine& engine, bool repeatable, TimePoint now) const;
     // Returns whether others report the engine as failing while this node has neither a failure nor a recent success of its own on it.
     bool isDoubtful(const Engine& engine, TimePoint now) const;
-    // Returns whether so many engines of the service are slow for this node that the node itself is the likelier cause.
-    bool isSharedSlowness(std::string_view service, TimePoint now) const;
     // Returns whether this node is the one that tests the engine.
     bool isTestingNode(const Engine& engine) const;
     // Returns whether the loss of connections to the service's engines is attributed to this node or the network.
@@ -334,13 +317,6 @@
     // ordered, so that iteration is deterministic.
     std::set<UpstreamId> suspects_;
     std::set<UpstreamId> ownWork_;
-    std::set<UpstreamId> slow_; // engines found slow by this node; those whose slowUntil_ has passed no longer count
-    // The typical gap between two events, of each service.
-    struct TypicalGap {
-        double seconds_ = 0;
-        std::uint32_t measured_ = 0;
-    };
-    std::map<std::string, TypicalGap> typicalGaps_;
     std::map<NodeId, Report> reports_;
     std::map<CellId, CellReport> cells_; // the last reports of other cells
     std::set<CellId> cellsWithNodes_; // other cells that have live nodes
--- a/libs/capacity/src/CapacityAnswers.cpp
+++ b/libs/capacity/src/CapacityAnswers.cpp
@@ -11,10 +11,6 @@
     // An engine refuses a request as full when the counts of the node that sent it are behind. It needs one or two inference steps until
     // its queue is shorter.
     constexpr Duration fullBackoff = 30ms;
-    // Weight of a gap in the typical gap. A longer gap counts as at most maxGapFactor typical ones, so that a few slow engines hardly
-    // change it.
-    constexpr double gapGain = 0.02;
-    constexpr double maxGapFactor = 2;
 
 } // namespace
 
@@ -78,54 +74,6 @@
         setSuspect(one, false);
 }
 
-void CapacityBoard::recordEventGap(UpstreamId engine, Duration gap, TimePoint now)
-{
-    const auto found = engines_.find(engine);
-    if (found == engines_.end())
-        return;
-    Engine& one = found->second;
-    TypicalGap& typical = typicalGaps_[one.entry_.service_];
-    const double seconds = toSeconds(gap);
-    if (typical.measured_ == 0)
-        typical.seconds_ = seconds;
-    const bool isKnown = typical.measured_ >= settings_.minMeasuredGaps_;
-    const bool isSlow = isKnown && seconds >= settings_.slowGapFactor_ * typical.seconds_;
-    typical.seconds_ += gapGain * (std::min(seconds, maxGapFactor * typical.seconds_) - typical.seconds_);
-    typical.measured_ += isKnown ? 0 : 1;
-    if (!isSlow) {
-        one.slowUntil_ = {};
-        slow_.erase(engine);
-        return;
-    }
-    one.slowUntil_ = now + settings_.slowAvoidance_;
-    slow_.insert(engine);
-    if (!isSharedSlowness(one.entry_.service_, now))
-        return;
-    for (const UpstreamId id : slow_)
-        engines_.at(id).slowUntil_ = {};
-    slow_.clear();
-}
-
-bool CapacityBoard::isSlow(UpstreamId engine, TimePoint now) const
-{
-    const auto found = engines_.find(engine);
-    return found != engines_.end() && now < found->second.slowUntil_;
-}
-
-bool CapacityBoard::isSharedSlowness(std::string_view service, TimePoint now) const
-{
-    constexpr std::size_t maxUnrelated = 3;
-    std::size_t all = 0;
-    std::size_t slow = 0;
-    for (const auto& [id, one] : engines_) {
-        if (one.entry_.service_ != service)
-            continue;
-        ++all;
-        slow += now < one.slowUntil_ ? 1 : 0;
-    }
-    return slow > maxUnrelated && static_cast<double>(slow) > settings_.sharedFaultFraction_ * static_cast<double>(all);
-}
-
 void CapacityBoard::setSuspect(Engine& engine, bool isSuspect)
 {
     engine.isSuspect_ = isSuspect;
--- a/libs/capacity/src/CapacityBoard.cpp
+++ b/libs/capacity/src/CapacityBoard.cpp
@@ -62,7 +62,6 @@
 {
     engines_.erase(engine);
     suspects_.erase(engine);
-    slow_.erase(engine);
     ownWork_.erase(engine);
 }
 
@@ -132,10 +131,6 @@
     for (const UpstreamId id : ownWork_)
         use.uses_.push_back(engines_.at(id).own_);
     use.failingEngines_.assign(suspects_.begin(), suspects_.end());
-    for (const UpstreamId id : slow_) {
-        if (!suspects_.contains(id) && isSlow(id, now))
-            use.failingEngines_.push_back(id);
-    }
     for (const auto& [service, waiting] : ownWaiting_) {
         if (waiting.count_ > 0)
             use.waiting_.push_back(waiting);
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -46,11 +46,11 @@
 std::vector<CapacityBoard::Candidate> CapacityBoard::candidates(std::string_view service, bool repeatable, std::span<const UpstreamId> tried, TimePoint now)
 {
     std::vector<Candidate> found;
-    std::vector<Candidate> doubtful; // slow, or reported as failing by others, or their load is unknown
+    std::vector<Candidate> doubtful; // others report them as failing, or their load is unknown
     for (auto& [id, engine] : engines_) {
         if (engine.entry_.service_ != service || !isUsable(engine, repeatable, now) || std::find(tried.begin(), tried.end(), id) != tried.end())
             continue;
-        auto& list = isDoubtful(engine, now) || now < engine.slowUntil_ || isLoadUnknown(engine, now) ? doubtful : found;
+        auto& list = isDoubtful(engine, now) || isLoadUnknown(engine, now) ? doubtful : found;
         list.push_back({ &engine, distanceOf(engine) });
     }
     // A doubtful engine is used only when there is no other.
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -150,8 +150,6 @@
         }
         lastEvent = event.id_;
         scheduler_.event(run->item_.id_, *event.id_, event.data_);
-        if (const auto gap = run->pace_.record(context_.now()))
-            context_.board_.recordEventGap(run->engine_, *gap, context_.now());
     });
     if (isDiscontinuous)
         finish(run, RunResult::ResumeMismatch, "outOfStep");
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -9,7 +9,6 @@
 
 #include "Context.h"
 #include "EventScanner.h"
-#include "capacity/EventPace.h"
 #include "ledger/JobScheduler.h"
 
 #include <map>
@@ -56,7 +55,6 @@
         int status_ = 0;
         bool rejected_ = false;
         EventScanner scanner_;
-        EventPace pace_;
     };
     using RunPtr = std::shared_ptr<Run>;
 
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -45,21 +45,6 @@
         return;
     exchange_->write(pendingEvents_);
     pendingEvents_.clear();
-    leaveSlowEngine();
-}
-
-void RelayedRequest::leaveSlowEngine()
-{
-    const bool mayMove = route_.isRepeatable() && runs_ < route_.maxAttempts_ && scanner_.rest().empty() && context_.board_.isSlow(engine_, context_.now());
-    if (!mayMove)
-        return;
-    const EnginePick pick = context_.board_.pickOnline(service_, timeLeft(), true, tried_, context_.now());
-    if (pick.kind_ != PickKind::Free)
-        return;
-    line("leftSlowEngine").with("runs", runs_).with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1);
-    releaseEngine();
-    context_.metrics_.metrics_.add(context_.metrics_.resent_);
-    dispatch();
 }
 
 void RelayedRequest::onEvent(const StreamEvent& event)
@@ -82,8 +67,6 @@
     if (event.id_)
         lastEvent_ = event.id_;
     pendingEvents_.append(event.raw_);
-    if (const auto gap = pace_.record(context_.now()))
-        context_.board_.recordEventGap(engine_, *gap, context_.now());
 }
 
 void RelayedRequest::onEnd()
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -223,7 +223,6 @@
     rejected_ = false;
     body_.clear();
     scanner_.reset();
-    pace_.reset();
     context_.board_.started(engine_, WorkClass::OnlineRequest);
     if (pick.kind_ == PickKind::PreemptsBatch) {
         context_.metrics_.metrics_.add(context_.metrics_.preemptions_);
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -5,7 +5,6 @@
 #include "Context.h"
 #include "EventScanner.h"
 #include "SlotQueue.h"
-#include "capacity/EventPace.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -70,8 +69,6 @@
     void onError(const http::CallFailure& failure);
     void onEvent(const StreamEvent& event);
 
-    // Continues the stream on another engine if this one has turned slow and another one has a free slot.
-    void leaveSlowEngine();
     void onNotExecuted();
     void requestPreemption();
     void lost(std::error_code error);
@@ -127,7 +124,6 @@
     bool hasAnswerStarted_ = false; // the response head has been sent to the caller
     std::string body_; // of an answer that is not streamed
     EventScanner scanner_;
-    EventPace pace_;
     std::string pendingEvents_; // complete events that are not yet written to the caller
     std::optional<std::uint64_t> lastEvent_;
 };
