Quotas: hosts that were removed don't count as out of reach

Cause, read in the code: the share for a host that is cut off counted every host that was ever known and not seen to leave. After many replacements each host would have taken itself for cut off and refused most of what is within the quotas. Also two findings of the linter.

--- a/libs/serving/src/Quotas.cpp
+++ b/libs/serving/src/Quotas.cpp
@@ -11,6 +11,8 @@
     constexpr Duration dropPeriod = 1s;
     // Other hosts have noticed a new host, and have reported to it for as long as an account counts as young.
     constexpr Duration settleTime = 3s;
+    // A host that has been down for longer was removed, or its callers have found other hosts.
+    constexpr Duration downHostRetention = 60s;
 
     QuotaSettings settingsWith(const QuotaBound& bound)
     {
@@ -21,6 +23,30 @@
 
 } // namespace
 
+KnownHosts countHosts(const std::vector<Peer>& peers, RegionId ownRegion, TimePoint now)
+{
+    KnownHosts hosts { { 1, 1 }, {} };
+    for (const Peer& peer : peers) {
+        const bool isRemoved = peer.state_ == MemberState::Left || (!peer.isLive() && now - peer.downSince_ > downHostRetention);
+        if (isRemoved)
+            continue;
+        KnownHosts::Count& count = peer.region_ == ownRegion ? hosts.near_ : hosts.far_;
+        ++count.known_;
+        count.live_ += peer.isLive() ? 1 : 0;
+    }
+    return hosts;
+}
+
+double reachableShare(const KnownHosts& hosts, double isolatedBelow)
+{
+    const auto all = static_cast<double>(hosts.all());
+    const double reached = static_cast<double>(hosts.near_.live_ + hosts.far_.live_) / all;
+    if (reached < isolatedBelow)
+        return reached;
+    const bool isRegionLost = hosts.far_.known_ > 0 && hosts.far_.live_ == 0;
+    return isRegionLost ? static_cast<double>(hosts.near_.known_) / all : 1;
+}
+
 Quotas::Quotas(Fleet& fleet, const QuotaBound& bound)
     : fleet_(fleet)
     , settings_(settingsWith(bound))
@@ -33,7 +59,7 @@
 {
     QuotaOutlets outlets;
     outlets.accountantsOf_ = [this](WorkspaceId workspace) { return accountantsOf(workspace); };
-    outlets.hosts_ = [this] { return fleet_.peers().size() + 1; };
+    outlets.hosts_ = [this] { return hosts_.all(); };
     outlets.sendReport_ = [this](NodeId to, const QuotaReport& report) {
         if (to == fleet_.self())
             return accountant_.handle(report, SystemClock().now());
@@ -116,7 +142,8 @@
         if (peer.isLive() && !peer.leaving_)
             candidates_.push_back({ peer.node_, now - peer.liveSince_ >= settleTime });
     }
-    accountant_.setShare(reachableShare());
+    hosts_ = countHosts(fleet_.peers(), fleet_.region(), now);
+    accountant_.setShare(reachableShare(hosts_, settings_.isolatedBelow_));
     if (!isDropDue)
         return;
     accountant_.keepOnly([this](WorkspaceId workspace) {
@@ -125,27 +152,4 @@
     });
 }
 
-double Quotas::reachableShare() const
-{
-    struct Count {
-        std::size_t known_ = 0;
-        std::size_t live_ = 0;
-    };
-    Count near { 1, 1 };
-    Count far;
-    for (const Peer& peer : fleet_.peers()) {
-        if (peer.state_ == MemberState::Left)
-            continue;
-        Count& count = peer.region_ == fleet_.region() ? near : far;
-        ++count.known_;
-        count.live_ += peer.isLive() ? 1 : 0;
-    }
-    const bool isRegionLost = far.known_ > 0 && far.live_ == 0;
-    const double reachable = static_cast<double>(near.live_ + far.live_) / static_cast<double>(near.known_ + far.known_);
-    const double withoutRegion = static_cast<double>(near.known_) / static_cast<double>(near.known_ + far.known_);
-    if (reachable < settings_.isolatedBelow_)
-        return reachable;
-    return isRegionLost ? withoutRegion : 1;
-}
-
 } // namespace jj
--- a/libs/serving/src/Quotas.h
+++ b/libs/serving/src/Quotas.h
@@ -12,6 +12,23 @@
 
 namespace jj {
 
+// Hosts that this host knows in its own region, itself included, and in all others. A host that has been down for long counts as removed.
+struct KnownHosts {
+    struct Count {
+        std::size_t known_ = 0;
+        std::size_t live_ = 0;
+    };
+    Count near_;
+    Count far_;
+
+    std::size_t all() const { return near_.known_ + far_.known_; }
+};
+KnownHosts countHosts(const std::vector<Peer>& peers, RegionId ownRegion, TimePoint now);
+
+// Returns the share of the quotas that this host and those it reaches may use: the share of the hosts that it reaches, if these are less than
+// `isolatedBelow` or if it reaches no host of the other regions. Otherwise returns 1, since the hosts that it doesn't reach are down.
+double reachableShare(const KnownHosts& hosts, double isolatedBelow);
+
 class Quotas {
 public:
     // `fleet` must outlive this object.
@@ -31,9 +48,6 @@
     QuotaOutlets outlets();
     std::vector<NodeId> accountantsOf(WorkspaceId workspace) const;
     void refreshCandidates(TimePoint now);
-    // Returns the share of the fleet's hosts that this host can reach, if it may be cut off: a whole region, or nearly all hosts, are out of
-    // reach. 1 otherwise.
-    double reachableShare() const;
     const Quota* quotaOf(const std::string& workspace) const;
 
     Fleet& fleet_;
@@ -42,6 +56,7 @@
     QuotaAccountant accountant_;
     QuotaGate gate_;
     std::vector<AccountantCandidate> candidates_;
+    KnownHosts hosts_;
     TimePoint refreshedAt_ {};
 };
 
--- a/libs/workspaces/include/workspaces/QuotaAccountant.h
+++ b/libs/workspaces/include/workspaces/QuotaAccountant.h
@@ -12,7 +12,7 @@
 // Every accountant of a workspace receives the counts of all hosts, and totals can be received in any order and more than once. So the
 // buckets of two accountants agree within the delay of the reports, and hosts may ask either one.
 //
-// A new account, or one of a process that has just started or was paused, doesn't know what ran before. It starts with half of what the
+// A new account, or one of a process that has just started or was paused, doesn't know what ran before. It starts with a part of what the
 // bound allows beyond the quota, so that a restart of all hosts doesn't grant a burst twice.
 #pragma once
 
@@ -46,7 +46,6 @@
     // Forgets the accounts that other hosts keep now. Their counts would be outdated when this host becomes an accountant again.
     void keepOnly(const std::function<bool(WorkspaceId)>& isKept);
 
-    bool isScarce(WorkspaceId workspace) const;
     std::size_t accounts() const { return accounts_.size(); }
 
 private:
--- a/libs/workspaces/src/QuotaAccountant.cpp
+++ b/libs/workspaces/src/QuotaAccountant.cpp
@@ -168,10 +168,4 @@
     std::erase_if(accounts_, [&isKept](const auto& entry) { return !isKept(entry.first); });
 }
 
-bool QuotaAccountant::isScarce(WorkspaceId workspace) const
-{
-    const auto found = accounts_.find(workspace);
-    return found != accounts_.end() && found->second.isScarce_;
-}
-
 } // namespace jj
--- a/libs/workspaces/src/QuotaGate.cpp
+++ b/libs/workspaces/src/QuotaGate.cpp
@@ -171,6 +171,7 @@
     ranked.resize(chosen);
     std::stable_partition(ranked.begin(), ranked.end(), [](const auto& entry) { return entry.second.isSettled_; });
     std::vector<NodeId> nodes;
+    nodes.reserve(ranked.size());
     for (const auto& [rank, candidate] : ranked)
         nodes.push_back(candidate.node_);
     return nodes;
--- a/libs/workspaces/tests/WorkspaceTableTest.cpp
+++ b/libs/workspaces/tests/WorkspaceTableTest.cpp
@@ -3,13 +3,14 @@
 
 #include <doctest/doctest.h>
 
+#include <initializer_list>
 #include <limits>
 
 using namespace jj;
 
 namespace {
 
-Workspace workspaceOf(std::string name, std::vector<std::string_view> keys)
+Workspace workspaceOf(std::string name, std::initializer_list<std::string_view> keys)
 {
     Workspace workspace;
     workspace.name_ = std::move(name);
