--- a/libs/workspaces/include/workspaces/QuotaGate.h
+++ b/libs/workspaces/include/workspaces/QuotaGate.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -66,7 +67,6 @@
         std::int64_t latest_ = 0; // change of admitted_ from the report before to the last one
         TimePoint changedAt_ {};
         bool isDirty_ = false; // changed since the last report
-        bool isUnconfirmed_ = false; // reported once; repeated after repeatAfter_
         TimePoint scarceUntil_ {};
         TimePoint refusingUntil_ {};
         Duration refusalWait_ {}; // what the last refusal said
@@ -84,7 +84,7 @@
 
     void ask(std::uint32_t number, PendingAsk pending, TimePoint now);
     void decideAlone(const PendingAsk& pending, TimePoint now);
-    void count(Usage& usage, std::int64_t requests, TimePoint now);
+    void count(WorkspaceId workspace, std::int64_t requests, TimePoint now);
     void refuse(Duration wait, const Done& done, TimePoint now);
     void sendReports(TimePoint now);
 
@@ -94,6 +94,7 @@
     QuotaOutlets outlets_;
     // Entries are never removed, because the totals that accountants know would start again. Only workspaces of a configuration get one.
     std::unordered_map<WorkspaceId, Usage> usages_;
+    std::set<WorkspaceId> unreported_; // whose count must be reported, or repeated
     std::map<std::uint32_t, PendingAsk> pending_; // by number; the oldest first
     std::uint32_t nextNumber_ = 1;
     std::uint32_t sequence_ = 0;
--- a/libs/workspaces/src/QuotaGate.cpp
+++ b/libs/workspaces/src/QuotaGate.cpp
@@ -36,7 +36,7 @@
     if (now < usage.refusingUntil_)
         return refuse(usage.refusalWait_, done, now);
     if (now >= usage.scarceUntil_ && now >= cautiousUntil_) {
-        count(usage, 1, now);
+        count(workspace, 1, now);
         ++totals_.admitted_;
         return done({ true, {} }, now);
     }
@@ -64,13 +64,13 @@
         return;
     const PendingAsk pending = std::move(found->second);
     pending_.erase(found);
-    Usage& usage = usages_[decision.workspace_];
     if (!decision.isAdmitted_) {
+        Usage& usage = usages_[decision.workspace_];
         usage.refusingUntil_ = now + settings_.refusalTime_;
         usage.refusalWait_ = decision.wait_;
         return refuse(decision.wait_, pending.done_, now);
     }
-    count(usage, 1, now);
+    count(decision.workspace_, 1, now);
     ++totals_.admitted_;
     pending.done_({ true, {} }, now);
 }
@@ -98,7 +98,7 @@
     if (usage.ownTokens_ < 1)
         return refuse(settings_.refusalTime_ * 4, pending.done_, now);
     usage.ownTokens_ -= 1;
-    count(usage, 1, now);
+    count(pending.workspace_, 1, now);
     ++totals_.admitted_;
     pending.done_({ true, {} }, now);
 }
@@ -110,8 +110,10 @@
     done({ false, fromSeconds(toSeconds(wait) * spread) }, now);
 }
 
-void QuotaGate::count(Usage& usage, std::int64_t requests, TimePoint now)
+void QuotaGate::count(WorkspaceId workspace, std::int64_t requests, TimePoint now)
 {
+    unreported_.insert(workspace);
+    Usage& usage = usages_[workspace];
     usage.admitted_ += requests;
     usage.changedAt_ = now;
     usage.isDirty_ = true;
@@ -120,7 +122,7 @@
 void QuotaGate::returnCredit(WorkspaceId workspace, TimePoint now)
 {
     ++totals_.returned_;
-    count(usages_[workspace], -1, now);
+    count(workspace, -1, now);
 }
 
 void QuotaGate::tick(TimePoint now)
@@ -145,17 +147,18 @@
 void QuotaGate::sendReports(TimePoint now)
 {
     std::map<NodeId, std::vector<QuotaCount>> reports;
-    for (auto& [workspace, usage] : usages_) {
-        const bool isRepeated = usage.isUnconfirmed_ && now - usage.changedAt_ >= settings_.repeatAfter_;
+    std::erase_if(unreported_, [&](WorkspaceId workspace) {
+        Usage& usage = usages_.at(workspace);
+        const bool isRepeated = !usage.isDirty_ && now - usage.changedAt_ >= settings_.repeatAfter_;
         if (!usage.isDirty_ && !isRepeated)
-            continue;
+            return false;
         if (usage.isDirty_)
             usage.latest_ = usage.admitted_ - std::exchange(usage.reported_, usage.admitted_);
-        usage.isUnconfirmed_ = usage.isDirty_;
         usage.isDirty_ = false;
         for (const NodeId accountant : outlets_.accountantsOf_(workspace))
             reports[accountant].push_back({ workspace, usage.admitted_, usage.latest_ });
-    }
+        return isRepeated;
+    });
     for (auto& [accountant, counts] : reports)
         outlets_.sendReport_(accountant, { self_, incarnation_, ++sequence_, std::move(counts) });
 }
