--- a/libs/losses/include/losses/DayRecord.h
+++ b/libs/losses/include/losses/DayRecord.h
@@ -20,13 +20,15 @@
     CutOften, // an item that gave way or lost its engine so often that it was late
     Restarted, // an item that began anew with another process or owner
     Unfinished, // an item that was never done
+    OverQuota, // refused because its workspace was over its quota
 };
-constexpr std::size_t lossCauses = 11;
+constexpr std::size_t lossCauses = 12;
 std::string toString(LossCause cause);
 
 struct QuestionRecord {
     std::string id_;
     std::string route_;
+    std::string workspace_; // empty: none, or not logged
     std::int64_t arrivedMs_ = 0; // by the clock of its process, since 1970
     std::int64_t objectiveMs_ = 0; // until its first event
     std::int64_t runMs_ = 0; // that it held its slot; 0: it had none, or its end isn't known
--- a/libs/losses/include/losses/LogReader.h
+++ b/libs/losses/include/losses/LogReader.h
@@ -32,6 +32,7 @@
         std::string id_; // of the request or item
         std::string job_;
         std::string route_;
+        std::string workspace_;
         std::string engine_;
         std::string why_; // of an ended run
         std::string reason_; // of a refusal
--- a/libs/losses/include/losses/LossTable.h
+++ b/libs/losses/include/losses/LossTable.h
@@ -26,6 +26,7 @@
 
 struct LossTable {
     std::map<std::string, LossGroup> groups_; // questions by route, and all items as "items"
+    std::map<std::string, LossGroup> workspaces_; // questions by workspace, of those that were logged with one
     // By arrival, from the first one on, in steps of stepMs_; empty when that is zero.
     std::int64_t stepMs_ = 0;
     std::vector<LossGroup> moments_;
--- a/libs/losses/src/LogReader.cpp
+++ b/libs/losses/src/LogReader.cpp
@@ -32,7 +32,7 @@
 
 std::string toString(LossCause cause)
 {
-    static constexpr std::string_view names[lossCauses] = { "none", "noSlot", "lineGivenUp", "waitedInLine", "slowEngine", "answerLost", "processGone", "begunLate", "cutOften", "restarted", "unfinished" };
+    static constexpr std::string_view names[lossCauses] = { "none", "noSlot", "lineGivenUp", "waitedInLine", "slowEngine", "answerLost", "processGone", "begunLate", "cutOften", "restarted", "unfinished", "overQuota" };
     return std::string(names[static_cast<std::size_t>(cause)]);
 }
 
@@ -53,6 +53,7 @@
     entry.id_ = textOf(fields, "request");
     entry.job_ = textOf(fields, "job");
     entry.route_ = textOf(fields, "route");
+    entry.workspace_ = textOf(fields, "workspace");
     entry.engine_ = textOf(fields, "engine");
     entry.why_ = textOf(fields, "why");
     entry.reason_ = textOf(fields, "reason");
@@ -81,6 +82,12 @@
             sentMs = line->atMs_;
         if (line->event_ == "callerLeft")
             return; // nobody waits for it any more
+        if (line->event_ == "callerUnknown" || line->event_ == "keyRemoved")
+            return; // its caller may not ask
+        if (!line->workspace_.empty())
+            question.workspace_ = line->workspace_;
+        if (line->event_ == "overQuota")
+            question.cause_ = LossCause::OverQuota;
         if (line->event_ == "refused")
             question.cause_ = line->reason_ == "noSlotCame" ? LossCause::LineGivenUp : LossCause::NoSlot;
         if (line->event_ == "answerLost" || line->event_ == "timedOut" || line->event_ == "failed")
--- a/libs/losses/src/LossTable.cpp
+++ b/libs/losses/src/LossTable.cpp
@@ -42,6 +42,8 @@
     for (const QuestionRecord& question : day.questions_) {
         const bool isPossible = reference.questions_.contains(question.id_);
         count(table.groups_[question.route_], question.cause_, isPossible);
+        if (!question.workspace_.empty())
+            count(table.workspaces_[question.workspace_], question.cause_, isPossible);
         countMoment(question.arrivedMs_, question.cause_, isPossible);
     }
     for (const ItemRecord& item : day.items_) {
--- a/libs/losses/tests/LossesTest.cpp
+++ b/libs/losses/tests/LossesTest.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-QuestionRecord question(const std::string& id, std::int64_t arrivedMs, std::int64_t runMs) { return { id, "r", arrivedMs, 300, runMs, LossCause::None }; }
+QuestionRecord question(const std::string& id, std::int64_t arrivedMs, std::int64_t runMs) { return { id, "r", {}, arrivedMs, 300, runMs, LossCause::None }; }
 ItemRecord item(const std::string& id, std::int64_t arrivedMs, std::int64_t dueMs, std::int64_t workMs) { return { id, "j", arrivedMs, dueMs, workMs, 1, LossCause::None }; }
 
 } // namespace
@@ -56,18 +56,22 @@
     reader.add(R"({"ts":100,"host":"n","event":"refused","request":"no","route":"r","reason":"noSlotInTime"})");
     reader.add(R"({"ts":100,"host":"n","event":"sent","request":"gone","route":"r"})");
     reader.add(R"({"ts":100,"host":"n","event":"callerLeft","request":"left","route":"r"})");
+    reader.add(R"({"ts":100,"host":"n","event":"callerUnknown","request":"unknown","route":"r"})");
+    reader.add(R"({"ts":100,"host":"n","event":"overQuota","request":"over","route":"r","workspace":"w"})");
     reader.add("no line of a log");
     const DayRecord day = reader.finish();
     CHECK(day.badLines_ == 1);
-    CHECK(day.questions_.size() == 4);
+    CHECK(day.questions_.size() == 5);
     const LossTable table = tableOf(day, scheduleReference(day));
     const LossGroup& group = table.groups_.at("r");
-    CHECK(group.asked_ == 4);
+    CHECK(group.asked_ == 5);
     CHECK(group.inTime_ == 1);
-    CHECK(group.possible_ == 4);
+    CHECK(group.possible_ == 5);
     CHECK(group.causes_.at(LossCause::WaitedInLine).lost_ == 1);
     CHECK(group.causes_.at(LossCause::NoSlot).avoidable_ == 1);
     CHECK(group.causes_.at(LossCause::ProcessGone).lost_ == 1);
+    CHECK(group.causes_.at(LossCause::OverQuota).lost_ == 1);
+    CHECK(table.workspaces_.at("w").asked_ == 1);
 }
 
 TEST_CASE("losses: items are told by what made them late")
--- a/tools/jj/LossesCommand.cpp
+++ b/tools/jj/LossesCommand.cpp
@@ -18,6 +18,7 @@
 
     struct LossesOptions {
         std::int64_t stepMs_ = 0;
+        bool byWorkspace_ = false;
         std::vector<std::string> files_;
     };
 
@@ -44,21 +45,28 @@
             std::cout << "    " << std::left << std::setw(14) << toString(cause) << " lost " << row.lost_ << ", avoidable " << row.avoidable_ << '\n';
     }
 
-    void print(const Context& context, const LossTable& table, std::size_t badLines, bool withMoments)
+    void print(const Context& context, const LossTable& table, std::size_t badLines, const LossesOptions& options)
     {
         if (context.json_) {
             json::object groups;
             for (const auto& [name, group] : table.groups_)
                 groups[name] = jsonOf(group);
+            json::object workspaces;
+            for (const auto& [name, group] : table.workspaces_)
+                workspaces[name] = jsonOf(group);
             json::array moments;
             for (const LossGroup& moment : table.moments_)
                 moments.push_back(jsonOf(moment));
-            std::cout << json::object { { "groups", std::move(groups) }, { "stepMs", table.stepMs_ }, { "moments", std::move(moments) }, { "badLines", badLines } } << '\n';
+            std::cout << json::object { { "groups", std::move(groups) }, { "workspaces", std::move(workspaces) }, { "stepMs", table.stepMs_ }, { "moments", std::move(moments) }, { "badLines", badLines } } << '\n';
             return;
         }
         for (const auto& [name, group] : table.groups_)
             printGroup(name, group);
-        for (std::size_t moment = 0; withMoments && moment < table.moments_.size(); ++moment)
+        if (options.byWorkspace_) {
+            for (const auto& [name, group] : table.workspaces_)
+                printGroup("workspace " + name, group);
+        }
+        for (std::size_t moment = 0; options.stepMs_ > 0 && moment < table.moments_.size(); ++moment)
             printGroup("from " + std::to_string(static_cast<std::int64_t>(moment) * table.stepMs_) + " ms", table.moments_[moment]);
         if (badLines > 0)
             std::cout << "lines that are none of a log: " << badLines << '\n';
@@ -79,7 +87,7 @@
         if (day.questions_.empty() && day.items_.empty())
             return complain(context, "jj.NoLines", "these files name no question and no item");
         const LossTable table = tableOf(day, scheduleReference(day), options.stepMs_);
-        print(context, table, day.badLines_, options.stepMs_ > 0);
+        print(context, table, day.badLines_, options);
         context.exit_ = Exit::Done;
     }
 
@@ -90,6 +98,7 @@
     auto options = std::make_shared<LossesOptions>();
     CLI::App* command = app.add_subcommand("losses", "what wasn't answered in time, by cause, beside what a schedule that knows everything would do");
     command->add_option("--step", options->stepMs_, "also by moment of arrival, in steps of so many milliseconds")->check(CLI::Range(100, 3'600'000));
+    command->add_flag("--workspaces", options->byWorkspace_, "also by workspace");
     command->add_option("files", options->files_, "logs of all nodes: JSON lines, also with a collector's words in front")->required();
     command->callback([&context, options] { runLosses(context, *options); });
 }
