Questions: a request leaves an engine that other nodes filled at the same moment

Cause: several nodes take the last slot of an engine within the milliseconds that reports need. Ruled out: more reports (their processing is bounded by the processor of a small host), another tie-break (picks of equal rank are random already). A request that may run again, has had no event for 80 ms and sits on an engine that by now counts more work than slots goes to one with a free slot; it keeps its runs within the route's attempts.

--- a/libs/serving/src/Quotas.cpp
+++ b/libs/serving/src/Quotas.cpp
@@ -106,6 +106,9 @@
 
 void Quotas::handle(const PeerDatagram& message)
 {
+    // Without a configuration this host knows no quota. A host that asks it gets no answer, and asks another one.
+    if (!table_)
+        return;
     const TimePoint now = SystemClock().now();
     if (const auto* report = std::get_if<QuotaReport>(&message))
         accountant_.handle(*report, now);
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -231,6 +231,15 @@
     end();
 }
 
+void RelayedRequest::cancelCall()
+{
+    if (call_)
+        call_->cancel();
+    call_ = nullptr;
+    context_.board_.ended(engine_, WorkClass::OnlineRequest);
+    engine_ = UpstreamId::none();
+}
+
 void RelayedRequest::releaseEngine()
 {
     if (!ticket_.isNone()) {
@@ -239,11 +248,7 @@
     }
     if (engine_.isNone())
         return;
-    if (call_)
-        call_->cancel();
-    call_ = nullptr;
-    context_.board_.ended(engine_, WorkClass::OnlineRequest);
-    engine_ = UpstreamId::none();
+    cancelCall();
     context_.queue_->onSlotFreed();
     context_.fleet_->publishReport();
 }
@@ -255,6 +260,7 @@
     returnCredit();
     timer_.cancel();
     preemptionTimer_.cancel();
+    overbookingTimer_.cancel();
 }
 
 } // namespace jj
