--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -280,14 +280,12 @@
 // that were sent to a last slot met another one, and 290 of them were late while other engines had slots.
 void RelayedRequest::leaveOverbookedEngine()
 {
-    const EngineEntry* entry = context_.board_.find(engine_);
-    const EngineUse use = context_.board_.useOf(engine_);
-    const bool isOverbooked = entry && use.onlineRequests_ + use.batchItems_ > entry->slots_;
-    const EnginePick pick = isOverbooked ? context_.board_.pickOnline(service_, firstEventBudget(), true, tried_, context_.now()) : EnginePick {};
-    if (pick.kind_ != PickKind::Free) {
+    const EnginePick pick = context_.board_.pickInsteadOf(engine_, firstEventBudget(), tried_, context_.now());
+    if (!pick.isSome()) {
         overbookingTimer_.expires_after(overbookingCheckPeriod);
         return watchForOverbooking();
     }
+    const EngineUse use = context_.board_.useOf(engine_);
     line("leftOverbookedEngine").with("questions", use.onlineRequests_).with("batchItems", use.batchItems_).with("afterMs", context_.now() - sentAt_);
     context_.metrics_.metrics_.add(context_.metrics_.resent_);
     cancelCall();
