--- a/libs/workspaces/tests/QuotaTest.cpp
+++ b/libs/workspaces/tests/QuotaTest.cpp
@@ -18,6 +18,17 @@
     return shape;
 }
 
+// A fleet whose hosts have been up for a while, with workspaces that send less than their quotas.
+class UsualFleet : public QuotaFleet {
+public:
+    UsualFleet(std::size_t hosts, std::uint64_t seed)
+        : QuotaFleet(shapeOf(hosts), {}, seed)
+    {
+        advance(2s);
+        addWorkspaces(80, workPerSecond, headroom);
+    }
+};
+
 // Steps of traffic as callers send it through the day: 3.8 s of little, 2.8 s of much.
 void advanceInSteps(QuotaFleet& fleet, int steps)
 {
@@ -40,9 +51,7 @@
 TEST_CASE("quotas: traffic in steps within the quotas is admitted on 6, 64 and 360 hosts")
 {
     for (const std::size_t hosts : { 6, 64, 360 }) {
-        QuotaFleet fleet(shapeOf(hosts), {}, 3);
-        fleet.advance(2s);
-        fleet.addWorkspaces(80, workPerSecond, headroom);
+        UsualFleet fleet(hosts, 3);
         advanceInSteps(fleet, 3);
         const auto report = fleet.report();
         print("steps", report);
@@ -57,9 +66,7 @@
 TEST_CASE("quotas: one workspace at ten times its usual is held to its quota, and the others are not refused")
 {
     for (const std::size_t hot : { 0, 5, 79 }) {
-        QuotaFleet fleet(shapeOf(64), {}, 7 + hot);
-        fleet.advance(2s);
-        fleet.addWorkspaces(80, workPerSecond, headroom);
+        UsualFleet fleet(64, 7 + hot);
         fleet.advance(3s);
         fleet.setLoad(hot, 10);
         fleet.advance(8s);
@@ -76,9 +83,7 @@
 // Guards against an accountant that is flooded by the asks of a caller that doesn't wait.
 TEST_CASE("quotas: a flood of one workspace costs each host few messages")
 {
-    QuotaFleet fleet(shapeOf(64), {}, 5);
-    fleet.advance(2s);
-    fleet.addWorkspaces(80, workPerSecond, headroom);
+    UsualFleet fleet(64, 5);
     const std::size_t flood = fleet.addWorkspace(10, { 16, 16 });
     fleet.advance(2s);
     fleet.setLoad(flood, 300);
@@ -93,9 +98,7 @@
 TEST_CASE("quotas: single hosts killed and frozen while a workspace is over its quota")
 {
     for (const std::uint64_t seed : { 1, 2, 3 }) {
-        QuotaFleet fleet(shapeOf(64), {}, seed);
-        fleet.advance(2s);
-        fleet.addWorkspaces(80, workPerSecond, headroom);
+        UsualFleet fleet(64, seed);
         fleet.setLoad(0, 5);
         for (std::size_t round = 0; round < 8; ++round) {
             fleet.kill(round * 7);
@@ -117,9 +120,7 @@
 TEST_CASE("quotas: a restart of all hosts does not grant a burst twice")
 {
     for (const std::uint64_t seed : { 1, 2, 3 }) {
-        QuotaFleet fleet(shapeOf(64), {}, seed);
-        fleet.advance(2s);
-        fleet.addWorkspaces(80, workPerSecond, headroom);
+        UsualFleet fleet(64, seed);
         fleet.setLoad(2.5);
         fleet.advance(4s);
         for (int times = 0; times < 2; ++times) {
@@ -140,9 +141,7 @@
 TEST_CASE("quotas: a restart of all hosts in the middle of a step refuses little of what is within the quotas")
 {
     for (const std::uint64_t seed : { 1, 2, 3 }) {
-        QuotaFleet fleet(shapeOf(64), {}, seed);
-        fleet.advance(2s);
-        fleet.addWorkspaces(80, workPerSecond, headroom);
+        UsualFleet fleet(64, seed);
         advanceInSteps(fleet, 1);
         fleet.setLoad(1.84);
         fleet.advance(1s);
@@ -163,9 +162,7 @@
 
 TEST_CASE("quotas: hosts restarted in turn while traffic comes in steps")
 {
-    QuotaFleet fleet(shapeOf(64), {}, 11);
-    fleet.advance(2s);
-    fleet.addWorkspaces(80, workPerSecond, headroom);
+    UsualFleet fleet(64, 11);
     for (std::size_t host = 0; host < fleet.hosts(); ++host) {
         fleet.setLoad(host % 16 < 9 ? 0.38 : 1.84);
         fleet.kill(host);
@@ -183,9 +180,7 @@
 TEST_CASE("quotas: hosts that are cut off admit their share, and the bound holds")
 {
     for (const std::uint64_t seed : { 1, 2, 3 }) {
-        QuotaFleet fleet(shapeOf(64), {}, seed);
-        fleet.advance(2s);
-        fleet.addWorkspaces(80, workPerSecond, headroom);
+        UsualFleet fleet(64, seed);
         fleet.setLoad(0, 5);
         fleet.setLoad(10, 5);
         fleet.advance(3s);
@@ -222,9 +217,7 @@
 // Guards against credit that is lost with requests that no engine took.
 TEST_CASE("quotas: the credit of requests that did not run is returned")
 {
-    QuotaFleet fleet(shapeOf(64), {}, 17);
-    fleet.advance(2s);
-    fleet.addWorkspaces(80, workPerSecond, headroom);
+    UsualFleet fleet(64, 17);
     fleet.setLoad(2.4); // of which two thirds run: what runs is within the quotas
     fleet.setReturned(0.4);
     fleet.advance(10s);
