--- a/scripts/measure/workspaces.sh
+++ b/scripts/measure/workspaces.sh
@@ -3,4 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 build/bin/workspacebench "$@"
+build/bin/quotaexplore
 build/libs/workspaces/workspaces_test --test-case='quotas*' | sed -n 's/.*MESSAGE: /  /p'
