--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -41,7 +41,7 @@
     std::function<void(const NodeReport&, bool isSameCell)> onReport_;
     std::function<void(const CellSummary&, TimePoint at)> onCell_;
     std::function<void(const PreemptRequest&)> onPreemptRequest_;
-    // A message about quotas has arrived: QuotaReport, QuotaAsk, QuotaDecision or QuotaNotice.
+    // A message about quotas has arrived: QuotaReport, AdmissionRequest, AdmissionDecision or QuotaNotice.
     std::function<void(const PeerDatagram&)> onQuotaMessage_;
     // The node was live and has been declared dead or has left.
     std::function<void(NodeId)> onNodeDown_;
--- a/libs/serving/src/Quotas.cpp
+++ b/libs/serving/src/Quotas.cpp
@@ -65,11 +65,11 @@
             return accountant_.handle(report, SystemClock().now());
         fleet_.send(to, report);
     };
-    outlets.sendAsk_ = [this](NodeId to, const QuotaAsk& ask) {
+    outlets.sendRequest_ = [this](NodeId to, const AdmissionRequest& request) {
         if (to != fleet_.self())
-            return fleet_.send(to, ask);
+            return fleet_.send(to, request);
         const TimePoint now = SystemClock().now();
-        gate_.handle(accountant_.decide(ask, now), now);
+        gate_.handle(accountant_.decide(request, now), now);
     };
     return outlets;
 }
@@ -106,15 +106,15 @@
 
 void Quotas::handle(const PeerDatagram& message)
 {
-    // Without a configuration this host knows no quota. A host that asks it gets no answer, and asks another one.
+    // Without a configuration this host knows no quota. It doesn't answer, and the sender queries another host.
     if (!table_)
         return;
     const TimePoint now = SystemClock().now();
     if (const auto* report = std::get_if<QuotaReport>(&message))
         accountant_.handle(*report, now);
-    else if (const auto* ask = std::get_if<QuotaAsk>(&message))
-        fleet_.send(ask->from_, accountant_.decide(*ask, now));
-    else if (const auto* decision = std::get_if<QuotaDecision>(&message))
+    else if (const auto* request = std::get_if<AdmissionRequest>(&message))
+        fleet_.send(request->from_, accountant_.decide(*request, now));
+    else if (const auto* decision = std::get_if<AdmissionDecision>(&message))
         gate_.handle(*decision, now);
     else if (const auto* notice = std::get_if<QuotaNotice>(&message))
         gate_.handle(*notice, now);
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -276,8 +276,7 @@
     });
 }
 
-// Several nodes may take the last slot of an engine at the same moment. On a day with all engines nearly full, 1,750 of 8,600 requests
-// that were sent to a last slot met another one, and 290 of them were late while other engines had slots.
+// Several nodes may take the last slot of an engine at the same moment, because reports take some milliseconds.
 void RelayedRequest::leaveOverbookedEngine()
 {
     const EnginePick pick = context_.board_.pickInsteadOf(engine_, firstEventBudget(), tried_, context_.now());
--- a/libs/serving/src/ReportMessages.cpp
+++ b/libs/serving/src/ReportMessages.cpp
@@ -45,8 +45,8 @@
     void truncateToLimits(NodeReport& report) { truncateToLimits(report.use_); }
     void truncateToLimits(PreemptRequest&) { }
     void truncateToLimits(QuotaReport& report) { truncate(report.counts_, maxQuotaEntries); }
-    void truncateToLimits(QuotaAsk&) { }
-    void truncateToLimits(QuotaDecision&) { }
+    void truncateToLimits(AdmissionRequest&) { }
+    void truncateToLimits(AdmissionDecision&) { }
     void truncateToLimits(QuotaNotice& notice)
     {
         truncate(notice.scarce_, maxQuotaEntries);
@@ -150,13 +150,13 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, QuotaAsk& ask)
+void serialize(Archive& archive, AdmissionRequest& ask)
 {
     archive(ask.from_, ask.incarnation_, ask.number_, ask.workspace_, ask.admitted_);
 }
 
 template <class Archive>
-void serialize(Archive& archive, QuotaDecision& decision)
+void serialize(Archive& archive, AdmissionDecision& decision)
 {
     archive(decision.number_, decision.workspace_, Flag { decision.isAdmitted_ }, Milliseconds { decision.wait_ });
 }
@@ -198,9 +198,9 @@
         case 3:
             return read<QuotaReport>(archive, source);
         case 4:
-            return read<QuotaAsk>(archive, source);
+            return read<AdmissionRequest>(archive, source);
         case 5:
-            return read<QuotaDecision>(archive, source);
+            return read<AdmissionDecision>(archive, source);
         case 6:
             return read<QuotaNotice>(archive, source);
         default:
--- a/libs/serving/src/ReportMessages.h
+++ b/libs/serving/src/ReportMessages.h
@@ -73,7 +73,7 @@
     bool isForwarded_ = false; // forwarded by a delegate to its own cell
 };
 
-using PeerDatagram = std::variant<NodeReport, PreemptRequest, CellDigest, QuotaReport, QuotaAsk, QuotaDecision, QuotaNotice>;
+using PeerDatagram = std::variant<NodeReport, PreemptRequest, CellDigest, QuotaReport, AdmissionRequest, AdmissionDecision, QuotaNotice>;
 
 std::string encode(const WireKey& key, const PeerDatagram& datagram);
 // Returns PeerError::Unauthentic or PeerError::Unreadable if the bytes can't be accepted.
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -104,7 +104,7 @@
     line.with("requests", relay_->openRequests()).with("items", runner_->running()).with("jobs", scheduler_->openJobs()).with("config", config_->version()).with("peers", fleet_->livePeers()).with("linesDroppedTotal", log_.dropped());
     if (context_.table_ && context_.table_->workspaces()) {
         const QuotaGate::Totals& totals = quotas_->totals();
-        line.with("quotaAdmitted", totals.admitted_).with("quotaRefused", totals.refused_).with("quotaAsked", totals.asked_).with("quotaReturned", totals.returned_).with("quotaUnanswered", totals.unanswered_);
+        line.with("quotaAdmitted", totals.admitted_).with("quotaRefused", totals.refused_).with("quotaAsked", totals.requested_).with("quotaReturned", totals.returned_).with("quotaUnanswered", totals.unanswered_);
     }
     for (const auto& [call, count] : store_->callCounts())
         line.with(std::string("store ").append(call), count);
--- a/libs/serving/tests/CallerTest.cpp
+++ b/libs/serving/tests/CallerTest.cpp
@@ -149,8 +149,8 @@
     const WorkspaceId workspace = idFromName<WorkspaceId>("north");
     const PeerDatagram messages[] = {
         QuotaReport { NodeId(1), Incarnation(2), 3, { { workspace, 40, 2 }, { workspace, -1, -1 } } },
-        QuotaAsk { NodeId(1), Incarnation(2), 7, workspace, 40 },
-        QuotaDecision { 7, workspace, false, 250ms },
+        AdmissionRequest { NodeId(1), Incarnation(2), 7, workspace, 40 },
+        AdmissionDecision { 7, workspace, false, 250ms },
         QuotaNotice { { workspace }, {} },
     };
     std::mt19937_64 random(1);
--- a/libs/workspaces/include/workspaces/QuotaAccountant.h
+++ b/libs/workspaces/include/workspaces/QuotaAccountant.h
@@ -3,14 +3,14 @@
 //     QuotaAccountant accountant(settings);
 //     accountant.setWorkspaces(table, now);
 //     accountant.handle(report);                          // a host has admitted requests
-//     const QuotaDecision decision = accountant.decide(ask, now);
+//     const AdmissionDecision decision = accountant.decide(request, now);
 //     if (const auto notice = accountant.takeNotice(now)) ...   // for all hosts
 //
 // An account is a token bucket. Hosts admit requests on their own while the bucket has more than a reserve, and report them afterwards; below
-// the reserve they ask first. The reserve covers what all hosts together admit until they have received the notice.
+// the reserve they request a decision first. The reserve covers what all hosts together admit until they have received the notice.
 //
 // Every accountant of a workspace receives the counts of all hosts, and totals can be received in any order and more than once. So the
-// buckets of two accountants agree within the delay of the reports, and hosts may ask either one.
+// buckets of two accountants agree within the delay of the reports, and either one can decide.
 //
 // A new account, or one of a process that has just started or was paused, doesn't know what ran before. It starts with a part of what the
 // bound allows beyond the quota, so that a restart of all hosts doesn't grant a burst twice.
@@ -39,7 +39,7 @@
     void setShare(double share) { share_ = share; }
 
     void handle(const QuotaReport& report, TimePoint now);
-    QuotaDecision decide(const QuotaAsk& ask, TimePoint now);
+    AdmissionDecision decide(const AdmissionRequest& request, TimePoint now);
     // Returns the workspaces whose state has changed, or must be repeated; none if there are none.
     std::optional<QuotaNotice> takeNotice(TimePoint now);
 
@@ -59,7 +59,7 @@
         Quota quota_;
         double tokens_ = 0; // negative: more was admitted than the quota allows
         TimePoint refilledAt_ {};
-        double demand_ = 0; // requests per second, admitted or asked for
+        double demand_ = 0; // requests per second, admitted or refused
         double returning_ = 0; // refused requests for which credit will have come when their callers return
         bool isScarce_ = false;
         bool isAnnounced_ = true; // the last change of isScarce_ is in a notice
--- a/libs/workspaces/include/workspaces/QuotaGate.h
+++ b/libs/workspaces/include/workspaces/QuotaGate.h
@@ -24,10 +24,10 @@
 namespace jj {
 
 struct QuotaOutlets {
-    // Returns the accountants of a workspace, the one to ask first at the front. May include this host; empty if none is known.
+    // Returns the accountants of a workspace, the one to query first at the front. May include this host; empty if none is known.
     std::function<std::vector<NodeId>(WorkspaceId)> accountantsOf_;
     std::function<void(NodeId, const QuotaReport&)> sendReport_;
-    std::function<void(NodeId, const QuotaAsk&)> sendAsk_;
+    std::function<void(NodeId, const AdmissionRequest&)> sendRequest_;
     // Returns the number of hosts that may admit requests, including this one.
     std::function<std::size_t()> hosts_;
 };
@@ -42,18 +42,18 @@
 
     QuotaGate(QuotaSettings settings, NodeId self, Incarnation incarnation, QuotaOutlets outlets, TimePoint now);
 
-    // Calls `done` once, at the latest after all accountants have been asked in vain.
+    // Calls `done` once, at the latest after all accountants have been queried in vain.
     void admit(WorkspaceId workspace, const Quota& quota, TimePoint now, Done done);
     void returnCredit(WorkspaceId workspace, TimePoint now);
 
-    void handle(const QuotaDecision& decision, TimePoint now);
+    void handle(const AdmissionDecision& decision, TimePoint now);
     void handle(const QuotaNotice& notice, TimePoint now);
     void tick(TimePoint now);
 
     // Numbers for operators, since the start of the process.
     struct Totals {
         std::uint64_t admitted_ = 0;
-        std::uint64_t asked_ = 0; // of the admitted and refused ones, those that waited for an accountant
+        std::uint64_t requested_ = 0; // of the admitted and refused ones, those that waited for an accountant
         std::uint64_t refused_ = 0;
         std::uint64_t returned_ = 0;
         std::uint64_t unanswered_ = 0; // decided by this host alone, because no accountant answered
@@ -74,16 +74,16 @@
         TimePoint ownRefilledAt_ {};
     };
 
-    struct PendingAsk {
+    struct PendingRequest {
         WorkspaceId workspace_;
         Quota quota_;
-        std::size_t asked_ = 0; // number of accountants that were asked
+        std::size_t requested_ = 0; // number of accountants that were queried
         TimePoint sentAt_ {};
         Done done_;
     };
 
-    void ask(std::uint32_t number, PendingAsk pending, TimePoint now);
-    void decideAlone(const PendingAsk& pending, TimePoint now);
+    void requestDecision(std::uint32_t number, PendingRequest pending, TimePoint now);
+    void decideAlone(const PendingRequest& pending, TimePoint now);
     void count(WorkspaceId workspace, std::int64_t requests, TimePoint now);
     void refuse(Duration wait, const Done& done, TimePoint now);
     void sendReports(TimePoint now);
@@ -95,7 +95,7 @@
     // Entries are never removed, because the totals that accountants know would start again. Only workspaces of a configuration get one.
     std::unordered_map<WorkspaceId, Usage> usages_;
     std::set<WorkspaceId> unreported_; // whose count must be reported, or repeated
-    std::map<std::uint32_t, PendingAsk> pending_; // by number; the oldest first
+    std::map<std::uint32_t, PendingRequest> pending_; // by number; the oldest first
     std::uint32_t nextNumber_ = 1;
     std::uint32_t sequence_ = 0;
     TimePoint cautiousUntil_;
--- a/libs/workspaces/include/workspaces/QuotaMessages.h
+++ b/libs/workspaces/include/workspaces/QuotaMessages.h
@@ -25,8 +25,8 @@
     std::vector<QuotaCount> counts_;
 };
 
-// Asks an accountant whether one more request may run.
-struct QuotaAsk {
+// Requests an accountant's decision whether one more request may run.
+struct AdmissionRequest {
     NodeId from_;
     Incarnation incarnation_;
     std::uint32_t number_ = 0; // identifies the decision
@@ -34,8 +34,8 @@
     std::int64_t admitted_ = 0; // the host's total before this request
 };
 
-struct QuotaDecision {
-    std::uint32_t number_ = 0; // of the ask
+struct AdmissionDecision {
+    std::uint32_t number_ = 0; // of the AdmissionRequest
     WorkspaceId workspace_;
     bool isAdmitted_ = false;
     Duration wait_ {}; // if not admitted: until a request is likely to be
--- a/libs/workspaces/include/workspaces/QuotaSettings.h
+++ b/libs/workspaces/include/workspaces/QuotaSettings.h
@@ -18,23 +18,23 @@
 
 struct QuotaSettings {
     QuotaBound bound_;
-    // Hosts that keep the account of a workspace. The first one that answers decides; the others know its counts and can take over.
+    // Hosts that keep the account of a workspace. The first one that answers decides; the others have the same counts and can take over.
     std::size_t accountants_ = 3;
     // A host that reaches less than this share of the hosts it knows counts as cut off, and uses only that share of the quotas.
     double isolatedBelow_ = 0.25;
-    // Hosts ask before they admit once the credit lasts for less than this time at the present demand. It covers the way of the counts to
+    // Hosts request decisions once the credit lasts for less than this time at the present demand. It covers the way of the counts to
     // the accountant and of its notice back, between regions.
     Duration reserveTime_ = 150ms;
     // Mean age of the arrivals from which the demand is estimated.
     Duration demandTime_ = 400ms;
-    // Time that a host waits for a decision before it asks the next accountant; a round trip between regions and a busy process.
-    Duration askTimeout_ = 80ms;
+    // Time that a host waits for a decision before it queries the next accountant; a round trip between regions and a busy process.
+    Duration decisionTimeout_ = 80ms;
     // Hosts refuse locally for this time after a refusal, so that a flood costs each host few messages.
     Duration refusalTime_ = 50ms;
     // Notices of scarce workspaces are repeated, and expire at hosts that no longer receive them.
     Duration noticePeriod_ = 400ms;
     Duration noticeLifetime_ = 1500ms;
-    // A host that has just started, or was paused for longer than pauseThreshold_, asks before it admits, since it may have missed notices.
+    // A host that has just started, or was paused for longer than pauseThreshold_, requests decisions, since it may have missed notices.
     Duration caution_ = 1500ms;
     Duration pauseThreshold_ = 500ms;
     // A count is repeated after this time, to make up for a lost datagram.
--- a/libs/workspaces/src/QuotaAccountant.cpp
+++ b/libs/workspaces/src/QuotaAccountant.cpp
@@ -114,11 +114,11 @@
     }
 }
 
-QuotaDecision QuotaAccountant::decide(const QuotaAsk& ask, TimePoint now)
+AdmissionDecision QuotaAccountant::decide(const AdmissionRequest& request, TimePoint now)
 {
     detectPause(now);
-    QuotaDecision decision { ask.number_, ask.workspace_, true, {} };
-    Account* account = accountOf(ask.workspace_, now);
+    AdmissionDecision decision { request.number_, request.workspace_, true, {} };
+    Account* account = accountOf(request.workspace_, now);
     if (!account)
         return decision;
     refill(*account, now);
@@ -126,10 +126,10 @@
     if (decision.isAdmitted_) {
         charge(*account, 1);
         // The host's next report includes the admitted request.
-        const auto [host, isNew] = account->hosts_.try_emplace(ask.from_, HostCount { ask.incarnation_, 0, ask.admitted_ });
-        if (host->second.incarnation_ < ask.incarnation_)
-            host->second = { ask.incarnation_, 0, ask.admitted_ };
-        if (host->second.incarnation_ == ask.incarnation_)
+        const auto [host, isNew] = account->hosts_.try_emplace(request.from_, HostCount { request.incarnation_, 0, request.admitted_ });
+        if (host->second.incarnation_ < request.incarnation_)
+            host->second = { request.incarnation_, 0, request.admitted_ };
+        if (host->second.incarnation_ == request.incarnation_)
             ++host->second.admitted_;
     } else {
         account->demand_ += 1 / toSeconds(settings_.demandTime_);
--- a/libs/workspaces/src/QuotaGate.cpp
+++ b/libs/workspaces/src/QuotaGate.cpp
@@ -40,29 +40,29 @@
         ++totals_.admitted_;
         return done({ true, {} }, now);
     }
-    ++totals_.asked_;
-    ask(nextNumber_++, { workspace, quota, 0, now, std::move(done) }, now);
+    ++totals_.requested_;
+    requestDecision(nextNumber_++, { workspace, quota, 0, now, std::move(done) }, now);
 }
 
-void QuotaGate::ask(std::uint32_t number, PendingAsk pending, TimePoint now)
+void QuotaGate::requestDecision(std::uint32_t number, PendingRequest pending, TimePoint now)
 {
     const std::vector<NodeId> accountants = outlets_.accountantsOf_(pending.workspace_);
-    if (pending.asked_ >= accountants.size())
+    if (pending.requested_ >= accountants.size())
         return decideAlone(pending, now);
-    const NodeId accountant = accountants[pending.asked_++];
+    const NodeId accountant = accountants[pending.requested_++];
     pending.sentAt_ = now;
-    const QuotaAsk message { self_, incarnation_, number, pending.workspace_, usages_[pending.workspace_].admitted_ };
+    const AdmissionRequest message { self_, incarnation_, number, pending.workspace_, usages_[pending.workspace_].admitted_ };
     pending_[number] = std::move(pending);
     // The decision may arrive within this call, if this host is the accountant.
-    outlets_.sendAsk_(accountant, message);
+    outlets_.sendRequest_(accountant, message);
 }
 
-void QuotaGate::handle(const QuotaDecision& decision, TimePoint now)
+void QuotaGate::handle(const AdmissionDecision& decision, TimePoint now)
 {
     const auto found = pending_.find(decision.number_);
     if (found == pending_.end() || found->second.workspace_ != decision.workspace_)
         return;
-    const PendingAsk pending = std::move(found->second);
+    const PendingRequest pending = std::move(found->second);
     pending_.erase(found);
     if (!decision.isAdmitted_) {
         Usage& usage = usages_[decision.workspace_];
@@ -87,7 +87,7 @@
 }
 
 // The share of each host is equal, and a host saves up at most one request, so that idle hosts don't hold the credit of busy ones.
-void QuotaGate::decideAlone(const PendingAsk& pending, TimePoint now)
+void QuotaGate::decideAlone(const PendingRequest& pending, TimePoint now)
 {
     ++totals_.unanswered_;
     Usage& usage = usages_[pending.workspace_];
@@ -133,14 +133,14 @@
     sendReports(now);
     std::vector<std::uint32_t> late;
     for (const auto& [number, pending] : pending_) {
-        if (now - pending.sentAt_ >= settings_.askTimeout_)
+        if (now - pending.sentAt_ >= settings_.decisionTimeout_)
             late.push_back(number);
     }
     for (const std::uint32_t number : late) {
-        PendingAsk pending = std::move(pending_.at(number));
+        PendingRequest pending = std::move(pending_.at(number));
         pending_.erase(number);
-        // A new number: the late decision of the accountant that was asked before must not count twice.
-        ask(nextNumber_++, std::move(pending), now);
+        // A new number: the late decision of the accountant that was queried before must not count twice.
+        requestDecision(nextNumber_++, std::move(pending), now);
     }
 }
 
--- a/libs/workspaces/tests/QuotaFleet.cpp
+++ b/libs/workspaces/tests/QuotaFleet.cpp
@@ -15,8 +15,8 @@
     constexpr std::uint64_t entryBytes = 24;
 
     std::uint64_t entriesOf(const QuotaReport& report) { return report.counts_.size(); }
-    std::uint64_t entriesOf(const QuotaAsk&) { return 1; }
-    std::uint64_t entriesOf(const QuotaDecision&) { return 1; }
+    std::uint64_t entriesOf(const AdmissionRequest&) { return 1; }
+    std::uint64_t entriesOf(const AdmissionDecision&) { return 1; }
     std::uint64_t entriesOf(const QuotaNotice& notice) { return notice.scarce_.size() + notice.ample_.size(); }
 
     // Returns how many of the arrivals after `from` one bucket for the whole fleet would admit.
@@ -180,7 +180,7 @@
     outlets.accountantsOf_ = [this, index](WorkspaceId workspace) { return chooseAccountants(workspace, candidatesOf(index), settings_.accountants_); };
     outlets.hosts_ = [this] { return hosts_.size(); };
     outlets.sendReport_ = [this, index](NodeId to, const QuotaReport& report) { send(index, to, report); };
-    outlets.sendAsk_ = [this, index](NodeId to, const QuotaAsk& ask) { send(index, to, ask); };
+    outlets.sendRequest_ = [this, index](NodeId to, const AdmissionRequest& request) { send(index, to, request); };
     return outlets;
 }
 
@@ -231,9 +231,9 @@
         return host.heldBack_.push_back([this, index, message] { receive(index, message); });
     if (const auto* report = std::get_if<QuotaReport>(&message))
         host.accountant_->handle(*report, now_);
-    else if (const auto* ask = std::get_if<QuotaAsk>(&message))
-        send(index, ask->from_, host.accountant_->decide(*ask, now_));
-    else if (const auto* decision = std::get_if<QuotaDecision>(&message))
+    else if (const auto* request = std::get_if<AdmissionRequest>(&message))
+        send(index, request->from_, host.accountant_->decide(*request, now_));
+    else if (const auto* decision = std::get_if<AdmissionDecision>(&message))
         host.gate_->handle(*decision, now_);
     else
         host.gate_->handle(std::get<QuotaNotice>(message), now_);
@@ -336,7 +336,7 @@
         if (!host->gate_)
             continue;
         report.totals_.admitted_ += host->gate_->totals().admitted_;
-        report.totals_.asked_ += host->gate_->totals().asked_;
+        report.totals_.requested_ += host->gate_->totals().requested_;
         report.totals_.refused_ += host->gate_->totals().refused_;
         report.totals_.unanswered_ += host->gate_->totals().unanswered_;
     }
--- a/libs/workspaces/tests/QuotaFleet.h
+++ b/libs/workspaces/tests/QuotaFleet.h
@@ -75,7 +75,7 @@
     TimePoint now() const { return now_; }
 
 private:
-    using Message = std::variant<QuotaReport, QuotaAsk, QuotaDecision, QuotaNotice>;
+    using Message = std::variant<QuotaReport, AdmissionRequest, AdmissionDecision, QuotaNotice>;
 
     struct Host {
         NodeId node_;
--- a/libs/workspaces/tests/QuotaTest.cpp
+++ b/libs/workspaces/tests/QuotaTest.cpp
@@ -43,7 +43,7 @@
 
 void print(const std::string& name, const QuotaFleet::Report& report)
 {
-    MESSAGE(name, ": arrived ", report.arrived_, ", owed ", report.owed_, ", ran ", report.ran_, "; refused of owed ", report.refusedShare_, ", worst workspace ", report.worstRefusedShare_, "; worst window ", report.worstWindow_, " of the bound (", report.worstWorkspace_, "); a host and second: ", report.datagramsPerHostSecond_, " datagrams, ", report.bytesPerHostSecond_, " bytes; asked ", report.totals_.asked_, ", unanswered ", report.totals_.unanswered_);
+    MESSAGE(name, ": arrived ", report.arrived_, ", owed ", report.owed_, ", ran ", report.ran_, "; refused of owed ", report.refusedShare_, ", worst workspace ", report.worstRefusedShare_, "; worst window ", report.worstWindow_, " of the bound (", report.worstWorkspace_, "); a host and second: ", report.datagramsPerHostSecond_, " datagrams, ", report.bytesPerHostSecond_, " bytes; decisions requested ", report.totals_.requested_, ", unanswered ", report.totals_.unanswered_);
 }
 
 } // namespace
@@ -80,7 +80,7 @@
     }
 }
 
-// Guards against an accountant that is flooded by the asks of a caller that doesn't wait.
+// Guards against an accountant that is flooded with requests for decisions by a caller that doesn't wait.
 TEST_CASE("quotas: a flood of one workspace costs each host few messages")
 {
     UsualFleet fleet(64, 5);
--- a/tools/workspacebench/main.cpp
+++ b/tools/workspacebench/main.cpp
@@ -95,7 +95,7 @@
     QuotaOutlets outlets;
     outlets.accountantsOf_ = [&candidates](WorkspaceId workspace) { return chooseAccountants(workspace, candidates, 3); };
     outlets.sendReport_ = [](NodeId, const QuotaReport& report) { benchmark::DoNotOptimize(report.sequence_); };
-    outlets.sendAsk_ = [](NodeId, const QuotaAsk&) {};
+    outlets.sendRequest_ = [](NodeId, const AdmissionRequest&) {};
     outlets.hosts_ = [] { return std::size_t { 360 }; };
     TimePoint now { 100s };
     QuotaGate gate({}, NodeId(1), Incarnation(1), outlets, now);
