--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -25,7 +25,7 @@
 // is the likelier cause, and the failures aren't attributed to the engines.
 //
 // Two nodes that pick in the same millisecond may both take the last slot of an engine; the second request then waits in the engine until
-// a slot is free, or moves to another engine if it may (pickInsteadOf).
+// a slot is free.
 #pragma once
 
 #include "base/Endpoint.h"
@@ -196,9 +196,6 @@
     // Picks an engine for an online request. `bound`: how long the first event may take. `tried`: engines that the request was sent to
     // before. `repeatable`: the request may be sent to another engine if this one fails.
     EnginePick pickOnline(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now);
-    // Picks a free slot for an online request that waits at an engine which other nodes filled at the same moment. Returns None if the engine
-    // has no more work than slots, or if no other engine has a free slot. `tried` includes the engine.
-    EnginePick pickInsteadOf(UpstreamId engine, Duration bound, std::span<const UpstreamId> tried, TimePoint now);
     // Returns how long an online request that is queued now would wait, behind all queued requests of this cell that can still be in time.
     Duration queueWait(std::string_view service, TimePoint now) const;
     // Returns whether an online request that is queued now would be in time if its first event may take `bound`.
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -116,18 +116,6 @@
     return pick;
 }
 
-EnginePick CapacityBoard::pickInsteadOf(UpstreamId engine, Duration bound, std::span<const UpstreamId> tried, TimePoint now)
-{
-    const auto found = engines_.find(engine);
-    if (found == engines_.end())
-        return {};
-    const Engine& one = found->second;
-    if (one.onlineRequests() + one.batchItems() <= one.entry_.slots_)
-        return {};
-    const EnginePick pick = pickOnline(one.entry_.service_, bound, true, tried, now);
-    return pick.kind_ == PickKind::Free ? pick : EnginePick {};
-}
-
 // Reports of other cells are some hundred milliseconds old, so all nodes that look for a slot there would pick the engine that was least
 // loaded at that time. To spread their requests, engines of other cells are ranked in three classes only: at least half of the slots free,
 // fewer, or at most one. Engines of one class rank equal.
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -231,15 +231,6 @@
     end();
 }
 
-void RelayedRequest::cancelCall()
-{
-    if (call_)
-        call_->cancel();
-    call_ = nullptr;
-    context_.board_.ended(engine_, WorkClass::OnlineRequest);
-    engine_ = UpstreamId::none();
-}
-
 void RelayedRequest::releaseEngine()
 {
     if (!ticket_.isNone()) {
@@ -248,7 +239,11 @@
     }
     if (engine_.isNone())
         return;
-    cancelCall();
+    if (call_)
+        call_->cancel();
+    call_ = nullptr;
+    context_.board_.ended(engine_, WorkClass::OnlineRequest);
+    engine_ = UpstreamId::none();
     context_.queue_->onSlotFreed();
     context_.fleet_->publishReport();
 }
@@ -260,7 +255,6 @@
     returnCredit();
     timer_.cancel();
     preemptionTimer_.cancel();
-    overbookingTimer_.cancel();
 }
 
 } // namespace jj
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -21,9 +21,6 @@
     // a slot.
     constexpr Duration preemptionRetryDelay = 50ms;
     constexpr std::size_t maxPreemptionRequests = 4;
-    // The first event of a request that has a slot arrives within this time.
-    constexpr Duration firstEventPatience = 80ms;
-    constexpr Duration overbookingCheckPeriod = 30ms;
     // A request stays queued for up to this many times its target latency: a late answer is better for the caller than an even
     // later retry.
     constexpr int queueTargetMultiple = 4;
@@ -261,36 +258,6 @@
     handlers.onEnd_ = [self = shared_from_this()] { self->onEnd(); };
     handlers.onError_ = [self = shared_from_this()](const http::CallFailure& failure) { self->onError(failure); };
     call_ = context_.engines_.send(entry->at_, outgoing, options, std::move(handlers));
-    if (route_.isRepeatable() && runs_ < route_.maxAttempts_) {
-        overbookingTimer_.expires_after(firstEventPatience);
-        watchForOverbooking();
-    }
-}
-
-void RelayedRequest::watchForOverbooking()
-{
-    overbookingTimer_.async_wait([weak = weak_from_this(), offer = offers_](const boost::system::error_code& error) {
-        const auto self = weak.lock();
-        if (!error && self && self->phase_ == Phase::Sent && self->offers_ == offer)
-            self->leaveOverbookedEngine();
-    });
-}
-
-// Several nodes may take the last slot of an engine at the same moment, because reports take some milliseconds.
-void RelayedRequest::leaveOverbookedEngine()
-{
-    const EnginePick pick = context_.board_.pickInsteadOf(engine_, firstEventBudget(), tried_, context_.now());
-    if (!pick.isSome()) {
-        overbookingTimer_.expires_after(overbookingCheckPeriod);
-        return watchForOverbooking();
-    }
-    const EngineUse use = context_.board_.useOf(engine_);
-    line("leftOverbookedEngine").with("questions", use.onlineRequests_).with("batchItems", use.batchItems_).with("afterMs", context_.now() - sentAt_);
-    context_.metrics_.metrics_.add(context_.metrics_.resent_);
-    cancelCall();
-    send(pick);
-    // After the request has its new slot, so that no queued request of this node takes it.
-    context_.queue_->onSlotFreed();
 }
 
 // Asks a node that runs a batch item on the engine to preempt it. The datagram may be lost, or that node may already have
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -29,7 +29,6 @@
         , route_(route)
         , caller_(std::move(caller))
         , timer_(context.io_)
-        , overbookingTimer_(context.io_)
         , preemptionTimer_(context.io_)
         , openCount_(std::move(open))
         , arrivedAt_(context.now())
@@ -72,10 +71,6 @@
 
     void onNotExecuted();
     void requestPreemption();
-    // Checks from time to time whether the request waits at an engine that other nodes filled at the same moment. If so, and if another
-    // engine has a free slot, it is sent there instead.
-    void watchForOverbooking();
-    void leaveOverbookedEngine();
     void lost(std::error_code error);
     void forwardBufferedAnswer();
     void finishStream();
@@ -83,8 +78,6 @@
     void fail(int status, std::string_view code, std::string_view message, RunState run);
     void onTimeout();
     void onCallerDisconnected();
-    // Cancels the call to the engine, without offering its slot to queued requests.
-    void cancelCall();
     // Leaves the slot queue, or cancels the call to the engine and frees its slot.
     void releaseEngine();
     void end();
@@ -107,7 +100,6 @@
     const Route& route_;
     const Caller caller_;
     boost::asio::steady_timer timer_;
-    boost::asio::steady_timer overbookingTimer_;
     boost::asio::steady_timer preemptionTimer_; // until another node is asked to preempt a batch item
     std::size_t preemptionRequests_ = 0;
     std::shared_ptr<std::size_t> openCount_;
