Logs: writes that count as done by a read-back, and what an owner knew when it began

What operators couldn't tell: whether a write counts as done because the store said so or because its value was read back after a lost answer, and whether a job's owner loaded its results from the store or began without. Change: SettledAnswer::isReadBack_, logged as writeReadBack; a line jobLoaded with the number of results. No decision depends on either yet. Test: 'a success concluded from a read-back is marked as such'.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -159,6 +159,7 @@
 // Kinds of events that the scheduler reports for the log.
 enum class SchedulerNote : std::uint8_t {
     Adopted,
+    Loaded, // the count is the number of results known
     TakenOver,
     OwnershipLost, // the head names another owner
     Listed, // results were committed
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -9,7 +9,7 @@
 
 std::string_view toString(SchedulerNote note)
 {
-    static constexpr std::string_view names[] = { "jobAdopted", "jobTakenOver", "jobLost", "resultsListed", "pageConflict", "itemErrored", "itemRetried", "jobDone", "jobEnded", "jobVoid", "jobHandedOver", "jobRemoved", "jobStoreFailed" };
+    static constexpr std::string_view names[] = { "jobAdopted", "jobLoaded", "jobTakenOver", "jobLost", "resultsListed", "pageConflict", "itemErrored", "itemRetried", "jobDone", "jobEnded", "jobVoid", "jobHandedOver", "jobRemoved", "jobStoreFailed" };
     return names[static_cast<std::size_t>(note)];
 }
 
@@ -196,6 +196,7 @@
         item.failures_ = progress.failures_;
     }
     job->progress_.clear();
+    note(SchedulerNote::Loaded, job->name_, {}, job->listed_.size());
     completeIfDone(job, now);
     answerReaders(job, now, false);
 }
--- a/libs/objects/include/objects/CallQueue.h
+++ b/libs/objects/include/objects/CallQueue.h
@@ -36,6 +36,9 @@
 struct SettledAnswer {
     ObjectAnswer answer_; // Conflict after a lost answer also carries the value that stands
     TimePoint firstSentAt_ {}; // when the first try went out; neverTime when none did
+    // Success of a write that was concluded from reading back its value after a lost answer. Another writer of the same value may have
+    // written it.
+    bool isReadBack_ = false;
 
     bool ok() const { return answer_.ok(); }
     bool is(ObjectError error) const { return answer_.error_ == error; }
@@ -98,7 +101,7 @@
     using Queue = std::map<std::pair<CallClass, Place>, Call>;
 
     void release(Queue::iterator place, TimePoint now);
-    void finish(Queue::iterator place, ObjectAnswer answer, TimePoint now);
+    void finish(Queue::iterator place, ObjectAnswer answer, TimePoint now, bool isReadBack = false);
     void backOff(Call& call, Duration atLeast, TimePoint now);
     void answerLost(Call& call, TimePoint now);
     static bool mayHedge(const Call& call);
--- a/libs/objects/src/CallQueue.cpp
+++ b/libs/objects/src/CallQueue.cpp
@@ -164,7 +164,7 @@
         return finish(place, std::move(answer), now);
     if (!absent && call.call_.verb_ != ObjectVerb::Remove && answer.value_ == call.call_.value_) {
         answer.value_.clear();
-        return finish(place, std::move(answer), now);
+        return finish(place, std::move(answer), now, true);
     }
     const bool unchanged = call.call_.verb_ == ObjectVerb::Create ? absent : !absent && answer.version_ == call.call_.expected_;
     const bool unconditional = call.call_.verb_ == ObjectVerb::Put || (call.call_.verb_ == ObjectVerb::Remove && call.call_.expected_.isNone());
@@ -197,11 +197,11 @@
     call.notBefore_ = now + atLeast + fromSeconds(toSeconds(full) * jitter);
 }
 
-void CallQueue::finish(Queue::iterator place, ObjectAnswer answer, TimePoint now)
+void CallQueue::finish(Queue::iterator place, ObjectAnswer answer, TimePoint now, bool isReadBack)
 {
     const Call call = std::move(place->second);
     calls_.erase(place);
-    call.done_({ std::move(answer), call.firstSentAt_ }, now);
+    call.done_({ std::move(answer), call.firstSentAt_, isReadBack }, now);
 }
 
 } // namespace jj
--- a/libs/objects/tests/CallQueueTest.cpp
+++ b/libs/objects/tests/CallQueueTest.cpp
@@ -60,6 +60,25 @@
     CHECK(seen.answer_.value_ == "other");
 }
 
+// Guards against a caller that can't tell its own write from an equal one of another writer.
+TEST_CASE("a success concluded from a read-back is marked as such")
+{
+    for (const bool isAnswerLost : { false, true }) {
+        CAPTURE(isAnswerLost);
+        VirtualStore store(1);
+        if (isAnswerLost) {
+            store.core().apply(ObjectCall::put("k", "equal"), {});
+            store.loseNextAnswer();
+        }
+        Client client { store, CallQueue({}, 1) };
+        SettledAnswer seen;
+        client.queue_.send(ObjectCall::create("k", "equal"), CallClass::Commit, neverTime, [&](const SettledAnswer& answer, TimePoint) { seen = answer; });
+        run(store, client, 2s);
+        CHECK(seen.ok());
+        CHECK(seen.isReadBack_ == isAnswerLost);
+    }
+}
+
 TEST_CASE("a write that never went out ends as unavailable, one that may have as unknown")
 {
     VirtualStore store(1);
--- a/libs/serving/src/StoreLink.cpp
+++ b/libs/serving/src/StoreLink.cpp
@@ -41,10 +41,20 @@
 
 void StoreLink::send(ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done)
 {
-    queue_.send(std::move(call), callClass, until, std::move(done));
+    auto completion = call.isWrite() ? logReadBack(call, std::move(done)) : std::move(done);
+    queue_.send(std::move(call), callClass, until, std::move(completion));
     sendQueuedCalls(SystemClock().now());
 }
 
+SettledCompletion StoreLink::logReadBack(const ObjectCall& call, SettledCompletion done)
+{
+    return [this, verb = call.verb_, key = call.key_, done = std::move(done)](const SettledAnswer& answer, TimePoint now) {
+        if (answer.isReadBack_)
+            log_.line("writeReadBack").with("verb", verbName(verb)).with("key", key).with("version", answer.answer_.version_.value());
+        done(answer, now);
+    };
+}
+
 void StoreLink::tick(TimePoint now)
 {
     if (queue_.waiting() > 0)
--- a/libs/serving/src/StoreLink.h
+++ b/libs/serving/src/StoreLink.h
@@ -75,6 +75,8 @@
     void countPeerCall() { ++counts_.forPeers_; }
 
 private:
+    // Wraps the completion of a write, so that a success concluded from a read-back is logged.
+    SettledCompletion logReadBack(const ObjectCall& call, SettledCompletion done);
     void sendQueuedCalls(TimePoint now);
     void recordOutcome(bool answered, bool wasDirect, const ObjectCall& call, std::error_code error);
     bool shouldSendDirect(const ObjectCall& call, TimePoint now) const;
