--- /dev/null
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -0,0 +1,192 @@
+// Writes that count as done because their value was read back after a lost answer, although another host, or an earlier process, wrote
+// that value.
+#include "LedgerWorld.h"
+
+#include <utility>
+
+using namespace jj;
+
+namespace {
+
+constexpr std::uint32_t items = 5;
+
+// A world in which host 0 owns job "j" and has listed some of its results. Results are ready one after the other.
+struct PartlyListed {
+    LedgerWorld world_;
+
+    explicit PartlyListed(bool isSpooled)
+        : world_(51, 3, SchedulerSettings())
+    {
+        world_.slots_ = 1;
+        world_.stepsPerEvent_ = 50; // runs of a second
+        world_.store_.core().setOutage(isSpooled);
+        isSpooled ? world_.take(1, "j", items) : world_.submit(1, "j", items, 0);
+        world_.advance(400ms);
+        copies_ = spooledTexts();
+        world_.store_.core().setOutage(false);
+        while (world_.stored("j").empty())
+            world_.advance(100ms);
+        REQUIRE(world_.stored("j").size() < items);
+    }
+
+    std::vector<std::map<std::string, std::string>> spooledTexts()
+    {
+        std::vector<std::map<std::string, std::string>> texts;
+        for (std::size_t index = 0; index < 3; ++index)
+            texts.push_back(*world_.host(index).disk_.texts_);
+        return texts;
+    }
+
+    // Kills and restarts all hosts. The power loss brings the removed copies of spooled jobs back.
+    void losePower()
+    {
+        for (std::size_t index = 0; index < 3; ++index)
+            world_.kill(index);
+        for (std::size_t index = 0; index < 3; ++index) {
+            *world_.host(index).disk_.texts_ = copies_[index];
+            world_.start(index);
+        }
+    }
+
+    void expectListedResults(const std::vector<JobResult>& listed)
+    {
+        std::size_t compared = 0;
+        for (int reads = 0; reads < 20; ++reads) {
+            const ReadAnswer answer = world_.read(0, "j");
+            if (answer.outcome_ == ReadOutcome::Found) {
+                ++compared;
+                REQUIRE(answer.results_.size() >= listed.size());
+                CHECK(std::equal(listed.begin(), listed.end(), answer.results_.begin()));
+            }
+            world_.advance(50ms);
+        }
+        CHECK(compared > 0);
+    }
+
+    std::vector<std::map<std::string, std::string>> copies_; // of each host's disk, while the job was spooled
+};
+
+} // namespace
+
+// Guards against reads that miss results which have been read: the copy of a spooled job is uploaded again, and its owner takes the job
+// for a new one.
+TEST_CASE("ledger: a spooled copy that a power loss brings back doesn't hide the job's results")
+{
+    PartlyListed job(true);
+    const auto listed = job.world_.stored("j");
+    job.losePower();
+    job.world_.store_.faults().lostAfter_ = 1;
+    job.world_.advance(50ms);
+    job.world_.store_.faults().lostAfter_ = 0;
+    job.world_.advance(1200ms);
+    job.world_.scheduler(0).scan(false, job.world_.now());
+    job.expectListedResults(listed);
+}
+
+// Guards against reads that miss results which have been read: the owner has restarted and is notified again of a job that it had run.
+TEST_CASE("ledger: a repeated message of an acceptance doesn't hide the job's results")
+{
+    PartlyListed job(false);
+    LedgerWorld& world = job.world_;
+    const auto listed = world.stored("j");
+    world.kill(0);
+    world.start(0);
+    const ObjectEntry head = *world.store_.core().apply(ObjectCall::list(headKey("j"), true), world.now()).entries_.begin();
+    world.scheduler(0).adopt({ "j", decodeHead(head.value_).value(), head.version_, LedgerWorld::submission("j", items).items_, 0, true, {} }, world.now(), world.wall());
+    job.expectListedResults(listed);
+}
+
+namespace {
+
+// One scheduler over a store that answers at once. An equal value of another writer can be put in place of its next result page.
+class SingleOwner {
+public:
+    static constexpr NodeId self { 100 };
+    static constexpr NodeId other { 200 };
+
+    SingleOwner()
+        : scheduler_({}, outlets())
+    {
+        JobSubmission submission = LedgerWorld::submission("j", items);
+        JobHead head = submission.head_;
+        head.owner_ = self;
+        head.total_ = items;
+        head.itemPages_ = 1;
+        head.acceptedAt_ = LedgerWorld::wallStart;
+        store_.apply(ObjectCall::create(headKey("j"), encode(head)), now_);
+        store_.apply(ObjectCall::create(itemPageKey("j", 0), encode(submission.items_)), now_);
+        scheduler_.tick(now_, LedgerWorld::wallStart);
+    }
+
+    bool hasResultPage(std::uint32_t page) const { return store_.objects().contains(resultPageKey("j", page)); }
+
+    // Makes another host the owner without notifying this one.
+    void replaceOwner()
+    {
+        const ObjectEntry entry = store_.objects().at(headKey("j"));
+        JobHead head = decodeHead(entry.value_).value();
+        head.owner_ = other;
+        store_.apply(ObjectCall::update(entry.key_, encode(head), entry.version_), now_);
+    }
+
+    // An errored item is committed at once.
+    void rejectOneItem()
+    {
+        const auto run = scheduler_.startNext("s", now_);
+        REQUIRE(run);
+        scheduler_.ended(run->id_, RunResult::Unprocessable, now_);
+    }
+
+    TimePoint now_ { 1s };
+    MemoryStore store_ { MemoryStoreSettings { 0, 0, 1s, 100'000, 50 } };
+    bool isNextPageReadBack_ = false;
+    std::map<SchedulerNote, int> notes_;
+    JobScheduler scheduler_;
+
+private:
+    SchedulerOutlets outlets()
+    {
+        SchedulerOutlets outlets;
+        outlets.store_ = [this](const ObjectCall& call, CallClass, TimePoint, const SettledCompletion& done) {
+            SettledAnswer settled { store_.apply(call, now_), now_ };
+            if (call.verb_ == ObjectVerb::Create && call.key_.starts_with("job-results/"))
+                settled.isReadBack_ = std::exchange(isNextPageReadBack_, false);
+            done(settled, now_);
+        };
+        outlets.self_ = self;
+        outlets.isLive_ = [](NodeId) { return true; };
+        outlets.preferredOwner_ = [](std::string_view, NodeId) { return self; };
+        outlets.stop_ = [](RunId) {};
+        outlets.transfer_ = [](NodeId, const JobTransfer&) {};
+        outlets.note_ = [this](const SchedulerEvent& event) { ++notes_[event.note_]; };
+        outlets.serviceOf_ = [](std::string_view, std::string_view) { return std::string("s"); };
+        outlets.mayBeSpooled_ = [] { return false; };
+        outlets.mayBeReplaced_ = [] { return false; };
+        return outlets;
+    }
+};
+
+} // namespace
+
+// Guards against results of a former owner that the new owner doesn't know: it takes the former owner's fence for its own, which leaves the
+// next page to the former owner.
+TEST_CASE("ledger: an owner that finds another owner's fence reserves the page after it")
+{
+    SingleOwner owner;
+    owner.isNextPageReadBack_ = true;
+    owner.scheduler_.scan(false, owner.now_);
+    REQUIRE(owner.notes_[SchedulerNote::Loaded] == 1);
+    CHECK(owner.hasResultPage(0));
+    CHECK(owner.hasResultPage(1));
+}
+
+// Guards against a former owner that goes on because it takes the new owner's results, which equal its own, for its own commit.
+TEST_CASE("ledger: an owner that finds another owner's results in place of its own confirms its ownership")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.replaceOwner();
+    owner.isNextPageReadBack_ = true;
+    owner.rejectOneItem();
+    CHECK(owner.notes_[SchedulerNote::OwnershipLost] == 1);
+}
