Ledger: an owner that adopts a job that may not be new loads its results

What callers saw: a job's first four results had been read; after all processes had been killed a read from position 0 returned none. Cause: after a power loss the disk of a worker held the copy of a spooled job again that it had discarded. The copy was uploaded. Its create of the head was answered late, so a second try met the existing head, and the head's bytes, which nothing had changed since the acceptance, equalled those of the create. CallQueue takes equal bytes for the call's own effect; its contract asks for a writer's mark in the value, and the ledger's records have none. So the job counted as accepted just now, and its owner adopted it as a new job, for which no result page is read. Confirming its ownership doesn't help: the head names it. The same after a message of an acceptance that is sent again to an owner that has restarted meanwhile. Class of fault: an equal value taken for the own write, and 'accepted' taken for 'new'. A certain acceptance costs no further call.

--- a/libs/ledger/include/ledger/Acceptor.h
+++ b/libs/ledger/include/ledger/Acceptor.h
@@ -38,6 +38,9 @@
 struct Acceptance {
     AcceptOutcome outcome_ = AcceptOutcome::NotAccepted;
     Failure failure_; // set for Invalid only
+    // Accepted: whether this submission certainly created the head. Otherwise an earlier submission may have created the same one, and the
+    // job may have results.
+    bool isNew_ = false;
     // Set for Accepted: what the owner needs to start the job without reading the store.
     JobHead head_;
     ObjectVersion headVersion_;
--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -152,7 +152,9 @@
     ObjectVersion headVersion_;
     std::vector<JobItem> items_;
     std::uint32_t resultPages_ = 0; // number of result pages known to exist
-    bool isResent_ = false; // an earlier message with this transfer wasn't acknowledged
+    // The job may have results beyond these pages: an earlier message with this transfer may have been delivered, or the job may have been
+    // accepted earlier.
+    bool mayHaveResults_ = false;
     std::vector<Progress> progress_;
 };
 
--- a/libs/ledger/src/Acceptor.cpp
+++ b/libs/ledger/src/Acceptor.cpp
@@ -67,8 +67,10 @@
         ++attempt->pendingCreates_;
         attempt->store_(ObjectCall::create(std::move(key), std::move(value)), CallClass::Accept, attempt->until_, [attempt, isHead](const SettledAnswer& answer, TimePoint now) {
             const bool existed = answer.is(ObjectError::Conflict);
-            if (isHead && answer.ok())
+            if (isHead && answer.ok()) {
                 attempt->acceptance_.headVersion_ = answer.answer_.version_;
+                attempt->acceptance_.isNew_ = !answer.isReadBack_;
+            }
             attempt->headExisted_ = attempt->headExisted_ || (isHead && existed);
             attempt->headCreated_ = attempt->headCreated_ || (isHead && answer.ok());
             attempt->hasUnknownOutcome_ = attempt->hasUnknownOutcome_ || answer.is(ObjectError::OutcomeUnknown);
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -65,7 +65,7 @@
     // The message may have been delayed, and other nodes, which considered this node dead, may have given the job to another owner that has
     // listed results since. A reader sent to this node would then miss results that it has already read. A node that started or was
     // unavailable recently therefore queries the store first. A node that was available throughout can't have been replaced.
-    job->isOwnershipUncertain_ = wasRecentlyUnavailable(now) || transfer.isResent_;
+    job->isOwnershipUncertain_ = wasRecentlyUnavailable(now) || transfer.mayHaveResults_;
     for (JobTransfer::Progress& progress : transfer.progress_)
         job->progress_[progress.item_] = std::move(progress);
     for (JobItem& item : transfer.items_) {
@@ -80,8 +80,9 @@
         job->byId_.clear();
         return loadItems(job, 0, now);
     }
-    // A newly accepted job has no results yet, so there is nothing to read.
-    if (transfer.resultPages_ == 0 && job->progress_.empty())
+    // A newly accepted job has no results yet, so there is nothing to read. The head doesn't tell whether a job is new: its owner may have
+    // listed results and restarted.
+    if (transfer.resultPages_ == 0 && job->progress_.empty() && !transfer.mayHaveResults_)
         return finishLoading(job, now);
     loadResults(job, 0, now);
 }
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -210,7 +210,7 @@
             outcomes_[job].push_back(acceptance.outcome_);
             if (acceptance.outcome_ != AcceptOutcome::Accepted || loseTransfers_)
                 return;
-            JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, false, {} };
+            JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, !acceptance.isNew_, {} };
             at(owner, [this, owner, transfer] { scheduler(owner).adopt(transfer, now_, wall()); });
         });
     }
@@ -300,7 +300,7 @@
         const auto notifyOwner = [this](const JobName& job, const Acceptance& acceptance) {
             if (loseTransfers_)
                 return;
-            const JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, false, {} };
+            const JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, !acceptance.isNew_, {} };
             const std::size_t owner = indexOf(acceptance.head_.owner_);
             at(owner, [this, owner, transfer] { scheduler(owner).adopt(transfer, now_, wall()); });
         };
--- a/libs/objects/include/objects/CallQueue.h
+++ b/libs/objects/include/objects/CallQueue.h
@@ -6,7 +6,8 @@
 //
 // Failure met: a conditional write takes effect and its answer is lost. Sent again, it is refused by its own effect, and the writer
 // believes that somebody else won. The guard: after a lost answer the object is read back; if it holds exactly the bytes that this
-// call writes, the call has succeeded. So a value must differ between writers where that matters: values carry a writer's mark.
+// call writes, the call has succeeded. So a value must differ between writers where that matters: values carry a writer's mark, or the
+// caller checks SettledAnswer::isReadBack_.
 // A write that lands late is harmless, because the same conditional write is sent again, never a different one in its place.
 //
 // Failure met: an answer is lost, and its caller waits for the bound of a slow day, hundreds of times the usual answer. The guard: a
--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -148,7 +148,7 @@
 // A lost message only delays the job: its owner, or the node that should own it, finds the job when it scans the store.
 void JobFront::sendToOwner(const JobName& job, const Acceptance& acceptance, int tries)
 {
-    JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, tries > 0, {} };
+    JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, tries > 0 || !acceptance.isNew_, {} };
     const NodeId owner = acceptance.head_.owner_;
     if (owner == context_.fleet_->self())
         return scheduler_.adopt(std::move(transfer), context_.now(), SystemClock().wallNow());
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -116,7 +116,7 @@
 template <class Archive>
 void serialize(Archive& archive, JobTransfer& job)
 {
-    archive(job.job_, job.head_, job.headVersion_, job.items_, job.resultPages_, job.isResent_, job.progress_);
+    archive(job.job_, job.head_, job.headVersion_, job.items_, job.resultPages_, job.mayHaveResults_, job.progress_);
 }
 
 template <class Archive>
