Ledger: an owner whose fence was read back reserves the page after it

What callers would see: results that a former owner has listed are missing at the new one until that one commits. Cause: all fences are the same empty page. After a lost answer a new owner took the fence of a former owner, which is no obstacle to that former owner, for its own. Evidence: the test fails before: the page after the fence isn't reserved. Change: a fence that was read back is loaded like any page, and the next page is reserved.

--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -171,11 +171,12 @@
     store(ObjectCall::create(resultPageKey(job->name_, page), encode(std::vector<JobResult>())), CallClass::Commit, now + settings_.backgroundTimeout_, [this, job, page](const SettledAnswer& answer, TimePoint at) {
         if (findOwnedJob(job->name_) != job.get())
             return;
-        if (answer.ok()) {
+        if (answer.ok() && !answer.isReadBack_) {
             job->pages_ = page + 1;
             return finishLoading(job, at);
         }
-        if (answer.is(ObjectError::Conflict))
+        // All empty pages are equal. Another owner's fence doesn't stop that owner, so this one reserves the page after it.
+        if (answer.ok() || answer.is(ObjectError::Conflict))
             return loadResults(job, page, at);
         note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.answer_.error_);
         job->retryStoreAt_ = at + settings_.storeRetryDelay_;
