Ledger: results that were read back don't confirm the ownership

What callers would see: a former owner goes on answering reads for up to 0.9 s longer than it may. Cause: engines give equal results, so two owners may write equal result pages. After a lost answer the former owner took the new owner's page for its own commit, and a commit counts as a confirmation of ownership. Change: the results count as listed, as before, and the head is read, as after a conflict.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -303,6 +303,8 @@
     void commit(const JobPtr& job, TimePoint now);
     void finishCommit(const JobPtr& job, const SettledAnswer& answer, TimePoint now);
     void resolveConflict(const JobPtr& job, TimePoint now);
+    // Reads the head after a result page that another owner has written, or may have written.
+    void confirmBeforeCompletion(const JobPtr& job, TimePoint now);
     void setState(const JobPtr& job, JobState state, TimePoint now, std::function<void(bool, TimePoint)> then);
     void completeIfDone(const JobPtr& job, TimePoint now);
     void stopRuns(const JobPtr& job, bool keepText);
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -236,10 +236,13 @@
     job->isCommitting_ = false;
     if (answer.ok()) {
         ++job->pages_;
-        job->confirmedAt_ = std::max(job->confirmedAt_, job->commitSentAt_);
         applyResults(job, std::exchange(job->committing_, {}));
         note(SchedulerNote::Listed, job->name_, {}, job->listed_.size());
         answerReaders(job, now, false);
+        // Another owner may have written the same results.
+        if (answer.isReadBack_)
+            return confirmBeforeCompletion(job, now);
+        job->confirmedAt_ = std::max(job->confirmedAt_, job->commitSentAt_);
         return completeIfDone(job, now);
     }
     job->pending_.insert(job->pending_.begin(), std::make_move_iterator(job->committing_.begin()), std::make_move_iterator(job->committing_.end()));
@@ -268,11 +271,16 @@
         ++job->pages_;
         applyResults(job, std::move(results.value()));
         answerReaders(job, at, false);
-        job->isOwnershipUncertain_ = true;
-        refresh(job, at, [this, job](bool isOwner, TimePoint later) {
-            if (isOwner)
-                completeIfDone(job, later);
-        });
+        confirmBeforeCompletion(job, at);
+    });
+}
+
+void JobScheduler::confirmBeforeCompletion(const JobPtr& job, TimePoint now)
+{
+    job->isOwnershipUncertain_ = true;
+    refresh(job, now, [this, job](bool isOwner, TimePoint at) {
+        if (isOwner)
+            completeIfDone(job, at);
     });
 }
 
