Ledger: a confirmation of ownership that an earlier process wrote is written again

What callers would see: a claim that was sent before other nodes noticed the owner's restart succeeds after the owner has stopped querying the store, and reads at the owner miss what the new owner lists. Cause: the confirmation of an earlier process of the same node, with the same term, was taken for the own one after a lost answer. And after a conflict the owner kept its old term and wrote the very bytes that stood, which changes no version. Evidence: both cases of the test fail before (term 1 in place of 2). Change: a confirmation that was read back counts as a failed one, and reading the head takes over its term.

--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -341,6 +341,7 @@
             return then(false, at);
         }
         job->headVersion_ = std::max(job->headVersion_, version);
+        job->head_.term_ = head.term_;
         if (job->isOpen() && head.state_ != JobState::Open) {
             job->head_ = head;
             stopRuns(job, false);
@@ -430,7 +431,8 @@
         job->isUpdatingHead_ = false;
         if (findOwnedJob(job->name_) != job.get())
             return;
-        if (!answer.ok()) {
+        // An earlier process of this node may have written the same head before other nodes noticed the start of this one.
+        if (!answer.ok() || answer.isReadBack_) {
             job->retryStoreAt_ = at + settings_.storeRetryDelay_;
             return refresh(job, at, [](bool, TimePoint) {});
         }
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -2,8 +2,6 @@
 // that value.
 #include "LedgerWorld.h"
 
-#include <utility>
-
 using namespace jj;
 
 namespace {
@@ -98,7 +96,7 @@
 
 namespace {
 
-// One scheduler over a store that answers at once. An equal value of another writer can be put in place of its next result page.
+// One scheduler over a store that answers at once. Its next write of a kind of objects can be reported as read back.
 class SingleOwner {
 public:
     static constexpr NodeId self { 100 };
@@ -120,13 +118,21 @@
 
     bool hasResultPage(std::uint32_t page) const { return store_.objects().contains(resultPageKey("j", page)); }
 
-    // Makes another host the owner without notifying this one.
-    void replaceOwner()
+    JobHead storedHead() const { return decodeHead(store_.objects().at(headKey("j")).value_).value(); }
+
+    // Changes the head without notifying the scheduler.
+    void writeHead(const JobHead& head)
+    {
+        store_.apply(ObjectCall::update(headKey("j"), encode(head), store_.objects().at(headKey("j")).version_), now_);
+    }
+
+    void advance(Duration time)
     {
-        const ObjectEntry entry = store_.objects().at(headKey("j"));
-        JobHead head = decodeHead(entry.value_).value();
-        head.owner_ = other;
-        store_.apply(ObjectCall::update(entry.key_, encode(head), entry.version_), now_);
+        constexpr Duration tickInterval = 100ms;
+        for (const TimePoint end = now_ + time; now_ < end;) {
+            now_ += tickInterval;
+            scheduler_.tick(now_, LedgerWorld::wallStart);
+        }
     }
 
     // An errored item is committed at once.
@@ -139,7 +145,7 @@
 
     TimePoint now_ { 1s };
     MemoryStore store_ { MemoryStoreSettings { 0, 0, 1s, 100'000, 50 } };
-    bool isNextPageReadBack_ = false;
+    std::string readBackKind_; // prefix of the keys; empty: none
     std::map<SchedulerNote, int> notes_;
     JobScheduler scheduler_;
 
@@ -149,8 +155,10 @@
         SchedulerOutlets outlets;
         outlets.store_ = [this](const ObjectCall& call, CallClass, TimePoint, const SettledCompletion& done) {
             SettledAnswer settled { store_.apply(call, now_), now_ };
-            if (call.verb_ == ObjectVerb::Create && call.key_.starts_with("job-results/"))
-                settled.isReadBack_ = std::exchange(isNextPageReadBack_, false);
+            if (call.isWrite() && !readBackKind_.empty() && call.key_.starts_with(readBackKind_)) {
+                settled.isReadBack_ = true;
+                readBackKind_.clear();
+            }
             done(settled, now_);
         };
         outlets.self_ = self;
@@ -173,7 +181,7 @@
 TEST_CASE("ledger: an owner that finds another owner's fence reserves the page after it")
 {
     SingleOwner owner;
-    owner.isNextPageReadBack_ = true;
+    owner.readBackKind_ = "job-results/";
     owner.scheduler_.scan(false, owner.now_);
     REQUIRE(owner.notes_[SchedulerNote::Loaded] == 1);
     CHECK(owner.hasResultPage(0));
@@ -185,8 +193,25 @@
 {
     SingleOwner owner;
     owner.scheduler_.scan(false, owner.now_);
-    owner.replaceOwner();
-    owner.isNextPageReadBack_ = true;
+    JobHead head = owner.storedHead();
+    head.owner_ = SingleOwner::other;
+    owner.writeHead(head);
+    owner.readBackKind_ = "job-results/";
     owner.rejectOneItem();
     CHECK(owner.notes_[SchedulerNote::OwnershipLost] == 1);
 }
+
+// Guards against a claim that still succeeds after the owner has stopped querying the store: it expects the version that an earlier process
+// of the owner wrote.
+TEST_CASE("ledger: an owner that finds an earlier process's confirmation writes its own")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    JobHead head = owner.storedHead();
+    ++head.term_;
+    SUBCASE("with equal bytes, after a lost answer") { owner.readBackKind_ = "jobs/"; }
+    SUBCASE("as a conflict") { owner.writeHead(head); }
+    owner.advance(SchedulerSettings().announcedAfter_);
+    owner.advance(SchedulerSettings().storeRetryDelay_);
+    CHECK(owner.storedHead().term_ == 2);
+}
