Ledger: an owner whose job's head has changed meanwhile reads the result pages that it lacks

What callers would see: results that had been read are missing while another owner, which had the job for a time, has given it back and its message to this one is late or lost. Cause: confirming the ownership asked whose name the head bears, not whether anybody had written it in between. Evidence: the test fails before: a read returns none of the other owner's results. Change: if the head's version is newer than the one known, the owner first reads the pages after its last one; while a commit of its own is under way the read is answered from the store. One call more, only then.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -295,6 +295,7 @@
     void takeOver(const JobName& name, TimePoint now);
     void claim(const JobName& name, JobHead head, ObjectVersion version, TimePoint now);
     void refresh(const JobPtr& job, TimePoint now, std::function<void(bool isOwner, TimePoint)> then);
+    void loadMissedResults(const JobPtr& job, TimePoint askedAt, TimePoint now, std::function<void(bool isOwner, TimePoint)> then);
     void drop(const JobName& name);
 
     // Results
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -340,15 +340,42 @@
             drop(job->name_);
             return then(false, at);
         }
+        job->mayLackResults_ = job->mayLackResults_ || (job->isLoaded_ && version > job->headVersion_);
         job->headVersion_ = std::max(job->headVersion_, version);
         job->head_.term_ = head.term_;
         if (job->isOpen() && head.state_ != JobState::Open) {
             job->head_ = head;
             stopRuns(job, false);
         }
+        loadMissedResults(job, now, at, then);
+    });
+}
+
+// Reads the pages that another owner has added, if the head shows that there may have been one.
+void JobScheduler::loadMissedResults(const JobPtr& job, TimePoint askedAt, TimePoint now, std::function<void(bool, TimePoint)> then)
+{
+    if (!job->mayLackResults_ || job->isComplete()) {
         job->isOwnershipUncertain_ = false;
-        job->confirmedAt_ = std::max(job->confirmedAt_, now);
-        then(true, at);
+        job->confirmedAt_ = std::max(job->confirmedAt_, askedAt);
+        return then(true, now);
+    }
+    // The pending commit either conflicts with another owner's page or writes the next one, which must not be applied twice.
+    if (job->isCommitting_)
+        return then(false, now);
+    const std::uint32_t page = job->pages_;
+    store(ObjectCall::get(resultPageKey(job->name_, page)), CallClass::Read, now + settings_.readTimeout_, [this, job, page, askedAt, then = std::move(then)](const SettledAnswer& answer, TimePoint at) {
+        if (findOwnedJob(job->name_) != job.get() || job->isCommitting_ || job->pages_ != page)
+            return then(false, at);
+        if (answer.is(ObjectError::NotFound)) {
+            job->mayLackResults_ = false;
+            return loadMissedResults(job, askedAt, at, then);
+        }
+        auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
+        if (!results)
+            return then(false, at);
+        ++job->pages_;
+        applyResults(job, std::move(results.value()));
+        loadMissedResults(job, askedAt, at, then);
     });
 }
 
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -66,6 +66,7 @@
 
     std::vector<Reader> readers_;
     bool isOwnershipUncertain_ = false; // another node may own the job by now
+    bool mayLackResults_ = false; // the head has changed without this node's doing, so another owner may have listed results
     TimePoint nextConfirmationAt_ {};
     TimePoint confirmedAt_ {}; // when the latest query was sent that confirmed this node's ownership
     TimePoint lastUse_ {};
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -215,3 +215,24 @@
     owner.advance(SchedulerSettings().storeRetryDelay_);
     CHECK(owner.storedHead().term_ == 2);
 }
+
+// Guards against reads that miss the results of another owner which has given the job back: the head names this node again.
+TEST_CASE("ledger: an owner that was replaced for a time reads what the other owner has listed")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    const JobHead before = owner.storedHead();
+    JobHead head = before;
+    head.owner_ = SingleOwner::other;
+    owner.writeHead(head);
+    const std::vector<JobResult> listed { { "j-0", ResultState::Completed, "e1" } };
+    owner.store_.apply(ObjectCall::create(resultPageKey("j", 1), encode(std::vector<JobResult>())), owner.now_);
+    owner.store_.apply(ObjectCall::create(resultPageKey("j", 2), encode(listed)), owner.now_);
+    owner.writeHead(before);
+    owner.scheduler_.recheckOwnership(owner.now_);
+    std::optional<ReadAnswer> answer;
+    owner.scheduler_.read("j", 0, {}, false, owner.now_, [&answer](ReadAnswer read) { answer = std::move(read); });
+    REQUIRE(answer);
+    CHECK(answer->outcome_ == ReadOutcome::Found);
+    CHECK(answer->results_ == listed);
+}
