--- a/libs/ledger/include/ledger/JobSpool.h
+++ b/libs/ledger/include/ledger/JobSpool.h
@@ -202,7 +202,7 @@
     {
         bytes_ -= copies_.at(name).bytes_;
         copies_.erase(name);
-        // If a power loss brings the deleted copy back, its upload finds the job in the store and changes nothing.
+        // A power loss may bring the deleted copy back. Its upload then finds the job in the store, possibly with results.
         const auto removed = disk_.remove(name);
         outlets_.note_(note, name, removed ? error : removed.error());
         outlets_.sizeChanged_();
