Ledger: a cancellation that fails while the job is being loaded doesn't start a second load

What callers would see: results at two positions, and items that run and are listed twice. Cause: the time at which a failed write is tried again also started the loading again, whether it had failed or was still under way. Two loads then add the same pages to one list. Evidence: both cases of the test fail before (the owner's results aren't those in the store). Change: a load has a time of its own at which it starts again, set only when it has failed.

--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -123,7 +123,7 @@
         if (answer.is(ObjectError::NotFound) && at - job->loadStarted_ > settings_.itemsTimeout_)
             return makeVoid(job, at);
         note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
-        job->retryStoreAt_ = at + settings_.storeRetryDelay_; // tick() restarts the loading
+        job->reloadAt_ = at + settings_.storeRetryDelay_;
         job->items_.clear();
         job->byId_.clear();
     });
@@ -131,9 +131,11 @@
 
 void JobScheduler::makeVoid(const JobPtr& job, TimePoint now)
 {
-    setState(job, JobState::Void, now, [this, job](bool done, TimePoint) {
-        if (!done)
+    setState(job, JobState::Void, now, [this, job](bool done, TimePoint at) {
+        if (!done) {
+            job->reloadAt_ = at + settings_.storeRetryDelay_;
             return;
+        }
         note(SchedulerNote::JobVoid, job->name_);
         drop(job->name_);
     });
@@ -149,7 +151,7 @@
         auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
         if (!results) {
             note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
-            job->retryStoreAt_ = at + settings_.storeRetryDelay_;
+            job->reloadAt_ = at + settings_.storeRetryDelay_;
             return;
         }
         job->pages_ = page + 1;
@@ -179,7 +181,7 @@
         if (answer.ok() || answer.is(ObjectError::Conflict))
             return loadResults(job, page, at);
         note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.answer_.error_);
-        job->retryStoreAt_ = at + settings_.storeRetryDelay_;
+        job->reloadAt_ = at + settings_.storeRetryDelay_;
     });
 }
 
@@ -493,9 +495,10 @@
     for (const JobPtr& job : all) {
         if (findOwnedJob(job->name_) != job.get())
             continue;
-        const bool mustReload = !job->isLoaded_ && job->retryStoreAt_ != TimePoint() && now >= job->retryStoreAt_;
+        // Only a load that has failed: a second one beside it would add all results and items twice.
+        const bool mustReload = job->reloadAt_ != TimePoint() && now >= job->reloadAt_;
         if (mustReload) {
-            job->retryStoreAt_ = {};
+            job->reloadAt_ = {};
             job->listed_.clear();
             job->pages_ = 0;
             job->items_.empty() ? loadItems(job, 0, now) : loadResults(job, 0, now);
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -51,6 +51,7 @@
     TimePoint due_ {};
     bool isLoaded_ = false; // items and results are in memory
     TimePoint loadStarted_ {};
+    TimePoint reloadAt_ {}; // when a load that has failed is started again; none while a load is under way
     std::vector<Item> items_;
     std::unordered_map<std::string, std::size_t> byId_;
 
--- a/libs/ledger/tests/CancelTest.cpp
+++ b/libs/ledger/tests/CancelTest.cpp
@@ -202,3 +202,35 @@
     world.advance(3s);
     CHECK(world.starts_.size() == startedBefore);
 }
+
+// Guards against results at two positions, and items that run and are listed twice: a cancellation failed while the job was being loaded, and
+// the loading was started a second time beside the first one.
+TEST_CASE("ledger: a cancellation that fails while the job is being loaded doesn't load it twice")
+{
+    constexpr std::uint32_t items = 5;
+    LedgerWorld world(61, 1);
+    world.slots_ = 1;
+    world.submit(0, "j", items, 0);
+    while (world.stored("j").empty())
+        world.advance(100ms);
+    const auto listed = world.stored("j");
+    REQUIRE(listed.size() < items);
+    const ObjectEntry head = *world.store_.core().apply(ObjectCall::list(headKey("j"), true), world.now()).entries_.begin();
+    JobTransfer transfer { "j", decodeHead(head.value_).value(), head.version_, {}, 0, true, {} };
+    SUBCASE("its results") { transfer.items_ = LedgerWorld::submission("j", items).items_; }
+    SUBCASE("its items") { }
+    world.kill(0);
+    world.start(0);
+    world.host(0).isStoreUnreachable_ = true;
+    world.scheduler(0).adopt(transfer, world.now(), world.wall());
+    std::optional<CancelAnswer> cancelAnswer;
+    world.scheduler(0).end("j", false, world.now(), [&cancelAnswer](const CancelAnswer& answer) { cancelAnswer = answer; });
+    world.advance(SchedulerSettings().itemsTimeout_ + 3s);
+    REQUIRE(cancelAnswer);
+    REQUIRE(cancelAnswer->outcome_ == ReadOutcome::Unavailable);
+    world.host(0).isStoreUnreachable_ = false;
+    world.advance(5s);
+    CHECK(world.read(0, "j").results_ == world.stored("j"));
+    CHECK(world.stored("j").size() == items);
+    world.checkResults("j");
+}
