Ledger: a handover that was read back tells the new owner to load the results

What callers would see: results that had been read are missing at the new owner until it commits. Cause: a node that claims a job writes the very head that its owner writes when it hands the job over to that node. After a lost answer the owner took the claim for its own handover, at whatever time the claim was written. Its message then says how many result pages it knew, often none. If the new owner has listed results and restarted meanwhile, it begins without them, and confirming its ownership doesn't help: the head names it. Evidence: the test fails before (the message says that there are no further results).

--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -96,26 +96,35 @@
 
 namespace {
 
-// One scheduler over a store that answers at once. Its next write of a kind of objects can be reported as read back.
+// One scheduler over a store that answers at once. Its next write of a kind of objects can be reported as read back; its next read of a kind
+// can fail, or be held back.
 class SingleOwner {
 public:
     static constexpr NodeId self { 100 };
     static constexpr NodeId other { 200 };
 
-    SingleOwner()
+    // Only the first of the item pages is written.
+    explicit SingleOwner(std::uint32_t itemPages = 1)
         : scheduler_({}, outlets())
+        , itemPages_(itemPages)
     {
-        JobSubmission submission = LedgerWorld::submission("j", items);
-        JobHead head = submission.head_;
+        JobHead head = LedgerWorld::submission("j", items).head_;
         head.owner_ = self;
         head.total_ = items;
-        head.itemPages_ = 1;
+        head.itemPages_ = itemPages;
         head.acceptedAt_ = LedgerWorld::wallStart;
         store_.apply(ObjectCall::create(headKey("j"), encode(head)), now_);
-        store_.apply(ObjectCall::create(itemPageKey("j", 0), encode(submission.items_)), now_);
+        writeItemPage(0);
         scheduler_.tick(now_, LedgerWorld::wallStart);
     }
 
+    void writeItemPage(std::uint32_t page)
+    {
+        const std::vector<JobItem> all = LedgerWorld::submission("j", items).items_;
+        const auto pageStart = [&](std::uint32_t index) { return all.begin() + static_cast<std::ptrdiff_t>(all.size() * index / itemPages_); };
+        store_.apply(ObjectCall::create(itemPageKey("j", page), encode(std::vector<JobItem>(pageStart(page), pageStart(page + 1)))), now_);
+    }
+
     bool hasResultPage(std::uint32_t page) const { return store_.objects().contains(resultPageKey("j", page)); }
 
     JobHead storedHead() const { return decodeHead(store_.objects().at(headKey("j")).value_).value(); }
@@ -143,29 +152,74 @@
         scheduler_.ended(run->id_, RunResult::Unprocessable, now_);
     }
 
+    ReadAnswer read(bool force = false)
+    {
+        std::optional<ReadAnswer> answer;
+        scheduler_.read("j", 0, {}, force, now_, [&answer](ReadAnswer read) { answer = std::move(read); });
+        REQUIRE(answer);
+        return *answer;
+    }
+
+    // Gives the job to another owner, which lists results on the pages from `page` on and gives the job back.
+    void replaceForATime(std::uint32_t page, const std::vector<std::vector<JobResult>>& pages, JobState state)
+    {
+        JobHead head = storedHead();
+        head.owner_ = other;
+        writeHead(head);
+        for (const std::vector<JobResult>& results : pages)
+            store_.apply(ObjectCall::create(resultPageKey("j", page++), encode(results)), now_);
+        head.owner_ = self;
+        head.state_ = state;
+        writeHead(head);
+    }
+
     TimePoint now_ { 1s };
     MemoryStore store_ { MemoryStoreSettings { 0, 0, 1s, 100'000, 50 } };
-    std::string readBackKind_; // prefix of the keys; empty: none
+    // Prefixes of keys; empty: none.
+    std::string readBackKind_;
+    std::string failingKind_;
+    std::string heldKind_;
+    std::function<void()> heldAnswer_;
+    NodeId preferred_ = self;
+    std::vector<JobTransfer> transfers_;
     std::map<SchedulerNote, int> notes_;
     JobScheduler scheduler_;
 
 private:
+    std::uint32_t itemPages_;
+
     SchedulerOutlets outlets()
     {
         SchedulerOutlets outlets;
         outlets.store_ = [this](const ObjectCall& call, CallClass, TimePoint, const SettledCompletion& done) {
+            const auto isNext = [&call](std::string& kind, bool isWrite) {
+                const bool found = call.isWrite() == isWrite && !kind.empty() && call.key_.starts_with(kind);
+                if (found)
+                    kind.clear();
+                return found;
+            };
+            if (isNext(failingKind_, false))
+                return done({ ObjectAnswer::failed(ObjectError::Unavailable), now_ }, now_);
             SettledAnswer settled { store_.apply(call, now_), now_ };
-            if (call.isWrite() && !readBackKind_.empty() && call.key_.starts_with(readBackKind_)) {
+            if (isNext(readBackKind_, true)) {
+                const auto found = store_.objects().find(call.key_);
+                if (found != store_.objects().end() && found->second.value_ == call.value_) {
+                    settled.answer_ = {};
+                    settled.answer_.version_ = found->second.version_;
+                }
                 settled.isReadBack_ = true;
-                readBackKind_.clear();
+            }
+            if (isNext(heldKind_, false)) {
+                heldAnswer_ = [this, settled, done] { done(settled, now_); };
+                return;
             }
             done(settled, now_);
         };
         outlets.self_ = self;
         outlets.isLive_ = [](NodeId) { return true; };
-        outlets.preferredOwner_ = [](std::string_view, NodeId) { return self; };
+        outlets.preferredOwner_ = [this](std::string_view, NodeId) { return preferred_; };
         outlets.stop_ = [](RunId) {};
-        outlets.transfer_ = [](NodeId, const JobTransfer&) {};
+        outlets.transfer_ = [this](NodeId, const JobTransfer& transfer) { transfers_.push_back(transfer); };
         outlets.note_ = [this](const SchedulerEvent& event) { ++notes_[event.note_]; };
         outlets.serviceOf_ = [](std::string_view, std::string_view) { return std::string("s"); };
         outlets.mayBeSpooled_ = [] { return false; };
@@ -236,3 +290,16 @@
     CHECK(answer->outcome_ == ReadOutcome::Found);
     CHECK(answer->results_ == listed);
 }
+
+// Guards against a new owner that doesn't know its results: the head that hands the job over was read back, so the new owner may have had the
+// job for a while, listed results and restarted, and it takes the message for the first one.
+TEST_CASE("ledger: a handover that was read back tells the new owner to load the results")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.preferred_ = SingleOwner::other;
+    owner.readBackKind_ = "jobs/";
+    owner.scheduler_.handOverMisplaced(owner.now_);
+    REQUIRE(owner.transfers_.size() == 1);
+    CHECK(owner.transfers_.front().mayHaveResults_);
+}
