Ledger: a late message of an acceptance doesn't hide the results of a job that was owned before

What callers would see: reads at a former owner return none of a job's results, although it has listed some itself. Cause: the first message of an acceptance is taken for the first news of the job. A cut may hold its bytes back for seconds. Meanwhile the receiver finds the job in the store, lists results and hands the job over, or drops it. Then the message makes it the owner of a job without results, and as it was available throughout it doesn't confirm its ownership. The same for a message of a handover. Evidence: the test fails before: the read returns no result, and the head isn't read. Change: a node remembers for the retention which jobs it has ceased to own, loads the results of such a job when it adopts it, and confirms its ownership. A message about a job that the node hasn't owned costs no further call.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -339,6 +339,7 @@
     SchedulerSettings settings_;
     SchedulerOutlets outlets_;
     std::map<JobName, JobPtr> jobs_; // the jobs that this node believes it owns
+    std::unordered_map<JobName, TimePoint> droppedAt_; // when this node last ceased to own a job; a message that makes it the owner may be older
     std::unordered_map<RunId, Running> runs_;
     std::uint64_t nextRun_ = 1;
     std::map<JobName, TimePoint> pendingTakeovers_; // takeovers in progress, so that two scans don't start the same one twice
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -64,8 +64,10 @@
     job->lastUse_ = now;
     // The message may have been delayed, and other nodes, which considered this node dead, may have given the job to another owner that has
     // listed results since. A reader sent to this node would then miss results that it has already read. A node that started or was
-    // unavailable recently therefore queries the store first. A node that was available throughout can't have been replaced.
-    job->isOwnershipUncertain_ = wasRecentlyUnavailable(now) || transfer.mayHaveResults_;
+    // unavailable recently therefore queries the store first. A node that was available throughout can't have been replaced, but it may have
+    // found the job by itself before the message, and handed it over.
+    const bool mayHaveResults = transfer.mayHaveResults_ || droppedAt_.contains(transfer.job_);
+    job->isOwnershipUncertain_ = wasRecentlyUnavailable(now) || mayHaveResults;
     for (JobTransfer::Progress& progress : transfer.progress_)
         job->progress_[progress.item_] = std::move(progress);
     for (JobItem& item : transfer.items_) {
@@ -82,7 +84,7 @@
     }
     // A newly accepted job has no results yet, so there is nothing to read. The head doesn't tell whether a job is new: its owner may have
     // listed results and restarted.
-    if (transfer.resultPages_ == 0 && job->progress_.empty() && !transfer.mayHaveResults_)
+    if (transfer.resultPages_ == 0 && job->progress_.empty() && !mayHaveResults)
         return finishLoading(job, now);
     loadResults(job, 0, now);
 }
@@ -233,6 +235,7 @@
     const JobPtr job = found->second;
     stopRuns(job, false);
     jobs_.erase(found);
+    droppedAt_[name] = lastTick_;
     for (Job::Reader& reader : std::exchange(job->readers_, {}))
         reader.done_({});
     // Repeats the cancellations, which then reach the new owner or find the job's final state in the store.
@@ -490,6 +493,7 @@
     lastTick_ = now;
     if (startedAt_ == TimePoint())
         startedAt_ = now;
+    std::erase_if(droppedAt_, [&](const auto& entry) { return now - entry.second > settings_.retention_; });
     std::vector<JobPtr> all;
     for (const auto& [name, job] : jobs_)
         all.push_back(job);
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -303,3 +303,22 @@
     REQUIRE(owner.transfers_.size() == 1);
     CHECK(owner.transfers_.front().mayHaveResults_);
 }
+
+// Guards against reads that miss results: the message of an acceptance was held up by a cut and arrives after its receiver has found the job
+// by itself, listed results and handed the job over.
+TEST_CASE("ledger: a late message of an acceptance doesn't hide the results of a job that was handed over")
+{
+    SingleOwner owner;
+    const ObjectEntry head = owner.store_.objects().at(headKey("j"));
+    // A node that was available throughout doesn't confirm its ownership by itself.
+    owner.advance(SchedulerSettings().replacementWindow_ + 1s);
+    owner.scheduler_.scan(false, owner.now_);
+    owner.rejectOneItem();
+    owner.preferred_ = SingleOwner::other;
+    owner.scheduler_.handOverMisplaced(owner.now_);
+    REQUIRE(owner.transfers_.size() == 1);
+    owner.scheduler_.adopt({ "j", decodeHead(head.value_).value(), head.version_, LedgerWorld::submission("j", items).items_, 0, false, {} }, owner.now_, LedgerWorld::wallStart);
+    const ReadAnswer answer = owner.read();
+    CHECK((answer.outcome_ == ReadOutcome::OtherOwner || answer.results_.size() == 1));
+    CHECK(owner.notes_[SchedulerNote::OwnershipLost] == 1);
+}
