Ledger: an owner that meets another one's page reads the pages after it too

What callers would see: positions that had been read are missing until the owner has met the other writer's pages one by one, one a commit. Cause: after a conflict the owner read the page that its commit had met, and the pages after it only if the head had changed. While it read that page it answered reads from its own list. Evidence: both cases of the test fail before: while the page is being read a read returns none of two results, and afterwards one of two. Change: from the conflict on, reads are answered from the store, and the owner reads on until a page is missing. One call more a conflict.

--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -257,6 +257,9 @@
 void JobScheduler::resolveConflict(const JobPtr& job, TimePoint now)
 {
     note(SchedulerNote::PageConflict, job->name_, {}, job->pages_);
+    // The other writer may have written more pages, even if the head is unchanged. Until all are read, reads are answered from the store.
+    job->isOwnershipUncertain_ = true;
+    job->mayLackResults_ = true;
     job->isCommitting_ = true;
     store(ObjectCall::get(resultPageKey(job->name_, job->pages_)), CallClass::Commit, now + settings_.backgroundTimeout_, [this, job](const SettledAnswer& answer, TimePoint at) {
         if (findOwnedJob(job->name_) != job.get())
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -322,3 +322,25 @@
     CHECK((answer.outcome_ == ReadOutcome::OtherOwner || answer.results_.size() == 1));
     CHECK(owner.notes_[SchedulerNote::OwnershipLost] == 1);
 }
+
+namespace {
+
+const std::vector<std::vector<JobResult>> otherPages { { { "j-3", ResultState::Completed, "e1" } }, { { "j-4", ResultState::Completed, "e1" } } };
+const std::vector<JobResult> otherResults { otherPages[0][0], otherPages[1][0] };
+
+} // namespace
+
+// Guards against reads that miss results: another process has written several pages in this owner's name, and the owner has read only the one
+// that its commit met.
+TEST_CASE("ledger: an owner that meets another one's page reads the pages after it too")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    for (std::uint32_t page = 0; page < otherPages.size(); ++page)
+        owner.store_.apply(ObjectCall::create(resultPageKey("j", page + 1), encode(otherPages[page])), owner.now_);
+    SUBCASE("at once") { owner.heldKind_ = "job-results/"; }
+    SUBCASE("after reading the page") { }
+    owner.rejectOneItem();
+    REQUIRE(owner.notes_[SchedulerNote::PageConflict] == 1);
+    CHECK(owner.read().results_ == otherResults);
+}
