Ledger: an owner reads the result pages that it lacks of a cancelled job too

What callers would see: results of a cancelled job that had been read at another owner are missing at the present one. Cause: an owner that may lack pages confirms its ownership before it answers a read only while the job is open. If it learnt of the cancellation and of the other owner at once, and reading the pages failed, nothing made it try again. And a cancellation that was read back may be the one that another node has written, after an owner that this one doesn't know of. Evidence: both cases of the test fail before: a read returns none of the other owner's two results. Change: an owner that may lack pages reads them before it answers, whatever the job's state; so it does after a cancellation that was read back. Two calls more, only then and only if the job is read.

--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -96,7 +96,8 @@
     // One confirmation is not enough: other nodes may not have noticed yet that this node is back, and may take over the job after the
     // store's answer.
     const bool isOutdated = now - job->confirmedAt_ > settings_.confirmationLifetime_ && mayHaveBeenReplaced(*job, now);
-    const bool mustConfirm = job->isOpen() && !job->isComplete() && (job->isOwnershipUncertain_ || isOutdated);
+    const bool isUncertain = job->isOpen() && (job->isOwnershipUncertain_ || isOutdated);
+    const bool mustConfirm = !job->isComplete() && (isUncertain || job->mayLackResults_);
     // The caller has already seen more results than this node has in memory.
     const bool isBehind = after > job->listed_.size() && !job->isComplete();
     if (mustConfirm || isBehind) {
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -313,6 +313,8 @@
         if (answer.ok()) {
             job->head_ = head;
             job->headVersion_ = answer.answer_.version_;
+            // Another node may have written the same head, after an owner that this one doesn't know of.
+            job->mayLackResults_ = job->mayLackResults_ || (job->isLoaded_ && answer.isReadBack_);
             return then(true, at);
         }
         // Another node changed the head, or the store is unavailable. The head is read before the update is retried.
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -344,3 +344,23 @@
     REQUIRE(owner.notes_[SchedulerNote::PageConflict] == 1);
     CHECK(owner.read().results_ == otherResults);
 }
+
+// Guards against reads that miss results of another owner: the read of its pages failed, and the job has been cancelled, so that its owner no
+// longer confirms its ownership.
+TEST_CASE("ledger: an owner reads the pages that it lacks of a cancelled job too")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.replaceForATime(1, otherPages, JobState::Cancelled);
+    SUBCASE("after a failed read")
+    {
+        owner.failingKind_ = "job-results/";
+        owner.scheduler_.scan(false, owner.now_);
+    }
+    SUBCASE("after a cancellation that was read back")
+    {
+        owner.readBackKind_ = "jobs/";
+        owner.scheduler_.end("j", false, owner.now_, [](const CancelAnswer& answer) { CHECK(answer.outcome_ == ReadOutcome::Found); });
+    }
+    CHECK(owner.read().results_ == otherResults);
+}
