Ledger: an owner that couldn't read the head of a marked job reads it again

What callers would see: items of a job start after the acknowledgement of its cancellation, until the owner next lists the heads, 4 s later at most and from a list that may be stale. Cause: the owner removes the mark of a cancellation that bypassed it whether or not it could read the head. The mark counted as seen. Evidence: the test fails before (an item starts a second later). Change: after a failed read the owner counts as uncertain, so that it reads the head again every half second.

--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -328,7 +328,11 @@
     const auto clear = [this, name](bool, TimePoint at) { store(ObjectCall::remove(cancelMarkKey(name)), CallClass::Background, at + settings_.backgroundTimeout_, [](const SettledAnswer&, TimePoint) {}); };
     if (found == jobs_.end())
         return clear(true, now);
-    refresh(found->second, now, clear);
+    refresh(found->second, now, [job = found->second, clear](bool isOwner, TimePoint at) {
+        // The mark won't be found again, so tick() repeats what failed here.
+        job->isOwnershipUncertain_ = job->isOwnershipUncertain_ || !isOwner;
+        clear(isOwner, at);
+    });
 }
 
 // Cancels the job by updating its head, because the owner can't be reached. The update requires an unchanged version. The owner notices it
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -364,3 +364,18 @@
     }
     CHECK(owner.read().results_ == otherResults);
 }
+
+// Guards against items that start after the acknowledgement of their job's cancellation: the owner couldn't read the head when it found the
+// mark, and removed the mark.
+TEST_CASE("ledger: an owner that can't read the head of a marked job reads it again")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    JobHead head = owner.storedHead();
+    head.state_ = JobState::Cancelled;
+    owner.writeHead(head);
+    owner.failingKind_ = "jobs/";
+    owner.scheduler_.handleCancelMark("j", owner.now_);
+    owner.advance(SchedulerSettings().storeRetryDelay_ * 2);
+    CHECK(!owner.scheduler_.startNext("s", owner.now_));
+}
