Ledger: a job that couldn't be marked void is loaded with all its items

What callers would see: items of a job never run, although its owner has the job. Cause: a job some of whose items didn't arrive in 10 s is marked void. If that update failed, because the head had changed or the store was away, loading started again with the items that had been there, as if they were all. Change: the items are read again too.

--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -136,6 +136,8 @@
     setState(job, JobState::Void, now, [this, job](bool done, TimePoint at) {
         if (!done) {
             job->reloadAt_ = at + settings_.storeRetryDelay_;
+            job->items_.clear();
+            job->byId_.clear();
             return;
         }
         note(SchedulerNote::JobVoid, job->name_);
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -379,3 +379,23 @@
     owner.advance(SchedulerSettings().storeRetryDelay_ * 2);
     CHECK(!owner.scheduler_.startNext("s", owner.now_));
 }
+
+// Guards against items that never run: the head of a job that lacked items couldn't be marked void, the missing items have arrived since, and
+// only those that were there before are known.
+TEST_CASE("ledger: a job that couldn't be marked void is loaded with all its items")
+{
+    SingleOwner owner(2);
+    owner.scheduler_.scan(false, owner.now_);
+    // The head changes, as by the confirmation of an earlier process.
+    JobHead head = owner.storedHead();
+    ++head.term_;
+    owner.writeHead(head);
+    owner.advance(SchedulerSettings().itemsTimeout_ + SchedulerSettings().storeRetryDelay_);
+    owner.writeItemPage(1);
+    owner.advance(2s);
+    REQUIRE((owner.storedHead().state_ == JobState::Open));
+    std::set<std::string> started;
+    while (const auto run = owner.scheduler_.startNext("s", owner.now_))
+        started.insert(run->item_);
+    CHECK(started.size() == items);
+}
