Ledger: an owner that doesn't know the outcome of a commit for a second answers from the store

What callers would see: a position that was read through one node is missing at the owner, a second and more later. Cause: the store has listed the results, but its answer to the owner is late or lost. A node that can't reach the owner reads the store and returns them, while the owner answers from its memory, where they count as not listed. Evidence: the test fails before (no result in place of 1). If the store doesn't answer either, the owner answers from its memory, as before.

--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -110,6 +110,15 @@
         });
     }
     const bool hasMore = after < job->listed_.size();
+    // The store may have listed the results of a commit whose answer is late, and another node may have read them there.
+    const bool isCommitLate = job->isCommitting_ && now - job->commitSentAt_ > settings_.confirmationLifetime_;
+    if (isCommitLate && !hasMore && !job->isComplete()) {
+        return read(job->name_, after, wait, true, now, [this, job, after, done = std::move(done)](ReadAnswer answer) {
+            // Without the store, nobody else can read there either.
+            const bool isStillOwner = findOwnedJob(job->name_) == job.get();
+            done(answer.outcome_ == ReadOutcome::Unavailable && isStillOwner ? slice(*job, after) : std::move(answer));
+        });
+    }
     if (hasMore || job->isComplete() || !job->isOpen() || wait <= Duration::zero())
         return done(slice(*job, after));
     job->readers_.push_back({ after, until, std::move(done) });
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -97,7 +97,7 @@
 namespace {
 
 // One scheduler over a store that answers at once. Its next write of a kind of objects can be reported as read back; its next read of a kind
-// can fail, or be held back.
+// can fail; the answer of its next read or write can be held back.
 class SingleOwner {
 public:
     static constexpr NodeId self { 100 };
@@ -179,6 +179,7 @@
     std::string readBackKind_;
     std::string failingKind_;
     std::string heldKind_;
+    std::string heldWriteKind_;
     std::function<void()> heldAnswer_;
     NodeId preferred_ = self;
     std::vector<JobTransfer> transfers_;
@@ -209,7 +210,7 @@
                 }
                 settled.isReadBack_ = true;
             }
-            if (isNext(heldKind_, false)) {
+            if (isNext(heldKind_, false) || isNext(heldWriteKind_, true)) {
                 heldAnswer_ = [this, settled, done] { done(settled, now_); };
                 return;
             }
@@ -399,3 +400,19 @@
         started.insert(run->item_);
     CHECK(started.size() == items);
 }
+
+// Guards against reads that miss results: the store has listed them, their owner hasn't had its answer, and another node has read them from
+// the store.
+TEST_CASE("ledger: an owner that doesn't know the outcome of a commit for a second answers from the store")
+{
+    SingleOwner owner;
+    // A node that was available throughout doesn't confirm its ownership by itself.
+    owner.advance(SchedulerSettings().replacementWindow_ + 1s);
+    owner.scheduler_.scan(false, owner.now_);
+    owner.heldWriteKind_ = "job-results/";
+    owner.rejectOneItem();
+    REQUIRE(owner.heldAnswer_);
+    REQUIRE(owner.read(true).results_.size() == 1);
+    owner.advance(1s);
+    CHECK(owner.read().results_.size() == 1);
+}
