--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -64,8 +64,10 @@
     job->lastUse_ = now;
     // The message may have been delayed, and other nodes, which considered this node dead, may have given the job to another owner that has
     // listed results since. A reader sent to this node would then miss results that it has already read. A node that started or was
-    // unavailable recently therefore queries the store first. A node that was available throughout can't have been replaced.
-    job->isOwnershipUncertain_ = wasRecentlyUnavailable(now) || transfer.mayHaveResults_;
+    // unavailable recently therefore queries the store first. A node that was available throughout can't have been replaced, but it may have
+    // found the job by itself before the message, and handed it over.
+    const bool mayHaveResults = transfer.mayHaveResults_ || droppedAt_.contains(transfer.job_);
+    job->isOwnershipUncertain_ = wasRecentlyUnavailable(now) || mayHaveResults;
     for (JobTransfer::Progress& progress : transfer.progress_)
         job->progress_[progress.item_] = std::move(progress);
     for (JobItem& item : transfer.items_) {
@@ -82,7 +84,7 @@
     }
     // A newly accepted job has no results yet, so there is nothing to read. The head doesn't tell whether a job is new: its owner may have
     // listed results and restarted.
-    if (transfer.resultPages_ == 0 && job->progress_.empty() && !transfer.mayHaveResults_)
+    if (transfer.resultPages_ == 0 && job->progress_.empty() && !mayHaveResults)
         return finishLoading(job, now);
     loadResults(job, 0, now);
 }
@@ -123,7 +125,7 @@
         if (answer.is(ObjectError::NotFound) && at - job->loadStarted_ > settings_.itemsTimeout_)
             return makeVoid(job, at);
         note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
-        job->retryStoreAt_ = at + settings_.storeRetryDelay_; // tick() restarts the loading
+        job->reloadAt_ = at + settings_.storeRetryDelay_;
         job->items_.clear();
         job->byId_.clear();
     });
@@ -131,9 +133,13 @@
 
 void JobScheduler::makeVoid(const JobPtr& job, TimePoint now)
 {
-    setState(job, JobState::Void, now, [this, job](bool done, TimePoint) {
-        if (!done)
+    setState(job, JobState::Void, now, [this, job](bool done, TimePoint at) {
+        if (!done) {
+            job->reloadAt_ = at + settings_.storeRetryDelay_;
+            job->items_.clear();
+            job->byId_.clear();
             return;
+        }
         note(SchedulerNote::JobVoid, job->name_);
         drop(job->name_);
     });
@@ -149,7 +155,7 @@
         auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
         if (!results) {
             note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
-            job->retryStoreAt_ = at + settings_.storeRetryDelay_;
+            job->reloadAt_ = at + settings_.storeRetryDelay_;
             return;
         }
         job->pages_ = page + 1;
@@ -179,7 +185,7 @@
         if (answer.ok() || answer.is(ObjectError::Conflict))
             return loadResults(job, page, at);
         note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.answer_.error_);
-        job->retryStoreAt_ = at + settings_.storeRetryDelay_;
+        job->reloadAt_ = at + settings_.storeRetryDelay_;
     });
 }
 
@@ -231,6 +237,7 @@
     const JobPtr job = found->second;
     stopRuns(job, false);
     jobs_.erase(found);
+    droppedAt_[name] = lastTick_;
     for (Job::Reader& reader : std::exchange(job->readers_, {}))
         reader.done_({});
     // Repeats the cancellations, which then reach the new owner or find the job's final state in the store.
@@ -419,7 +426,8 @@
             return;
         if (!answer.ok())
             return refresh(job, at, [](bool, TimePoint) {});
-        JobTransfer transfer { job->name_, head, answer.answer_.version_, {}, job->pages_, false, {} };
+        // The new owner may have claimed the job itself, which writes the same head, or may have found it there a while ago.
+        JobTransfer transfer { job->name_, head, answer.answer_.version_, {}, job->pages_, answer.isReadBack_, {} };
         for (Item& item : job->items_) {
             if (item.events_ > 0 && item.state_ == ItemState::Waiting)
                 transfer.progress_.push_back({ item.item_.id_, item.text_, item.events_, item.lastEvent_, item.failures_ });
@@ -487,15 +495,17 @@
     lastTick_ = now;
     if (startedAt_ == TimePoint())
         startedAt_ = now;
+    std::erase_if(droppedAt_, [&](const auto& entry) { return now - entry.second > settings_.retention_; });
     std::vector<JobPtr> all;
     for (const auto& [name, job] : jobs_)
         all.push_back(job);
     for (const JobPtr& job : all) {
         if (findOwnedJob(job->name_) != job.get())
             continue;
-        const bool mustReload = !job->isLoaded_ && job->retryStoreAt_ != TimePoint() && now >= job->retryStoreAt_;
+        // Only a load that has failed: a second one beside it would add all results and items twice.
+        const bool mustReload = job->reloadAt_ != TimePoint() && now >= job->reloadAt_;
         if (mustReload) {
-            job->retryStoreAt_ = {};
+            job->reloadAt_ = {};
             job->listed_.clear();
             job->pages_ = 0;
             job->items_.empty() ? loadItems(job, 0, now) : loadResults(job, 0, now);
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -96,7 +96,8 @@
     // One confirmation is not enough: other nodes may not have noticed yet that this node is back, and may take over the job after the
     // store's answer.
     const bool isOutdated = now - job->confirmedAt_ > settings_.confirmationLifetime_ && mayHaveBeenReplaced(*job, now);
-    const bool mustConfirm = job->isOpen() && !job->isComplete() && (job->isOwnershipUncertain_ || isOutdated);
+    const bool isUncertain = job->isOpen() && (job->isOwnershipUncertain_ || isOutdated);
+    const bool mustConfirm = !job->isComplete() && (isUncertain || job->mayLackResults_);
     // The caller has already seen more results than this node has in memory.
     const bool isBehind = after > job->listed_.size() && !job->isComplete();
     if (mustConfirm || isBehind) {
@@ -109,6 +110,15 @@
         });
     }
     const bool hasMore = after < job->listed_.size();
+    // The store may have listed the results of a commit whose answer is late, and another node may have read them there.
+    const bool isCommitLate = job->isCommitting_ && now - job->commitSentAt_ > settings_.confirmationLifetime_;
+    if (isCommitLate && !hasMore && !job->isComplete()) {
+        return read(job->name_, after, wait, true, now, [this, job, after, done = std::move(done)](ReadAnswer answer) {
+            // Without the store, nobody else can read there either.
+            const bool isStillOwner = findOwnedJob(job->name_) == job.get();
+            done(answer.outcome_ == ReadOutcome::Unavailable && isStillOwner ? slice(*job, after) : std::move(answer));
+        });
+    }
     if (hasMore || job->isComplete() || !job->isOpen() || wait <= Duration::zero())
         return done(slice(*job, after));
     job->readers_.push_back({ after, until, std::move(done) });
@@ -327,7 +337,11 @@
     const auto clear = [this, name](bool, TimePoint at) { store(ObjectCall::remove(cancelMarkKey(name)), CallClass::Background, at + settings_.backgroundTimeout_, [](const SettledAnswer&, TimePoint) {}); };
     if (found == jobs_.end())
         return clear(true, now);
-    refresh(found->second, now, clear);
+    refresh(found->second, now, [job = found->second, clear](bool isOwner, TimePoint at) {
+        // The mark won't be found again, so tick() repeats what failed here.
+        job->isOwnershipUncertain_ = job->isOwnershipUncertain_ || !isOwner;
+        clear(isOwner, at);
+    });
 }
 
 // Cancels the job by updating its head, because the owner can't be reached. The update requires an unchanged version. The owner notices it
