Ledger: an answer of before a change of the head doesn't end the search for another owner's results

What callers would see: results that had been read at another owner are missing at the present one. Cause: the owner reads the page after its last one after each change of the head that it finds. The answer of a read that began before a second change, 'no such page', ended the search for the pages of that change as well. A change that was found while the job was being loaded was forgotten. Change: the changes of the head are counted, and an answer counts only if none came meanwhile. An owner that may lack results also asks by itself, so that it doesn't run items that another owner has listed.

--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -347,9 +347,12 @@
             drop(job->name_);
             return then(false, at);
         }
-        job->mayLackResults_ = job->mayLackResults_ || (job->isLoaded_ && version > job->headVersion_);
-        job->headVersion_ = std::max(job->headVersion_, version);
-        job->head_.term_ = head.term_;
+        if (version > job->headVersion_) {
+            job->headVersion_ = version;
+            job->head_.term_ = head.term_;
+            job->mayLackResults_ = true;
+            ++job->headChanges_;
+        }
         if (job->isOpen() && head.state_ != JobState::Open) {
             job->head_ = head;
             stopRuns(job, false);
@@ -361,6 +364,9 @@
 // Reads the pages that another owner has added, if the head shows that there may have been one.
 void JobScheduler::loadMissedResults(const JobPtr& job, TimePoint askedAt, TimePoint now, std::function<void(bool, TimePoint)> then)
 {
+    // The loading reads all pages.
+    if (!job->isLoaded_)
+        return then(false, now);
     if (!job->mayLackResults_ || job->isComplete()) {
         job->isOwnershipUncertain_ = false;
         job->confirmedAt_ = std::max(job->confirmedAt_, askedAt);
@@ -370,8 +376,9 @@
     if (job->isCommitting_)
         return then(false, now);
     const std::uint32_t page = job->pages_;
-    store(ObjectCall::get(resultPageKey(job->name_, page)), CallClass::Read, now + settings_.readTimeout_, [this, job, page, askedAt, then = std::move(then)](const SettledAnswer& answer, TimePoint at) {
-        if (findOwnedJob(job->name_) != job.get() || job->isCommitting_ || job->pages_ != page)
+    store(ObjectCall::get(resultPageKey(job->name_, page)), CallClass::Read, now + settings_.readTimeout_, [this, job, page, headChanges = job->headChanges_, askedAt, then = std::move(then)](const SettledAnswer& answer, TimePoint at) {
+        const bool isOutdated = findOwnedJob(job->name_) != job.get() || job->isCommitting_ || job->pages_ != page || job->headChanges_ != headChanges;
+        if (isOutdated)
             return then(false, at);
         if (answer.is(ObjectError::NotFound)) {
             job->mayLackResults_ = false;
@@ -520,7 +527,8 @@
             continue;
         }
         // If another node owns the job by now, it may have started the same items; the job is then dropped and its runs here stop.
-        const bool mustConfirm = job->isOpen() && job->isOwnershipUncertain_ && now >= job->nextConfirmationAt_;
+        const bool isUncertain = job->isOwnershipUncertain_ || (job->mayLackResults_ && !job->isComplete());
+        const bool mustConfirm = job->isOpen() && isUncertain && now >= job->nextConfirmationAt_;
         if (mustConfirm) {
             job->nextConfirmationAt_ = now + settings_.storeRetryDelay_;
             refresh(job, now, [](bool, TimePoint) {});
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -416,3 +416,85 @@
     owner.advance(1s);
     CHECK(owner.read().results_.size() == 1);
 }
+
+// Guards against reads that miss another owner's results: the owner has seen the newer head, but couldn't read the pages then.
+TEST_CASE("ledger: an owner that couldn't read another owner's pages doesn't answer from memory")
+{
+    SingleOwner owner;
+    // A node that was available throughout doesn't confirm its ownership by itself.
+    owner.advance(SchedulerSettings().replacementWindow_ + 1s);
+    owner.scheduler_.scan(false, owner.now_);
+    owner.replaceForATime(1, otherPages, JobState::Open);
+    SUBCASE("the store doesn't answer")
+    {
+        owner.failingKind_ = "job-results/";
+        owner.scheduler_.scan(false, owner.now_);
+    }
+    SUBCASE("a commit is pending")
+    {
+        owner.heldWriteKind_ = "job-results/";
+        owner.rejectOneItem();
+        owner.scheduler_.scan(false, owner.now_);
+    }
+    CHECK(owner.read().results_ == otherResults);
+}
+
+// Guards against reads that miss another owner's results: the owner rewrites the head to confirm its ownership while it lacks pages.
+TEST_CASE("ledger: an owner that lacks pages reads them although it has confirmed its ownership")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.advance(SchedulerSettings().announcedAfter_ - 500ms);
+    owner.replaceForATime(1, otherPages, JobState::Open);
+    owner.failingKind_ = "job-results/";
+    owner.scheduler_.scan(false, owner.now_);
+    owner.advance(2s);
+    REQUIRE(owner.storedHead().term_ == 1);
+    CHECK(owner.read().results_ == otherResults);
+}
+
+// Guards against reads that miss another owner's results: the answer to an earlier question ends the search for pages.
+TEST_CASE("ledger: an answer of before a change of the head doesn't end the search for another owner's results")
+{
+    SingleOwner owner;
+    owner.advance(SchedulerSettings().replacementWindow_ + 1s);
+    owner.scheduler_.scan(false, owner.now_);
+    owner.writeHead(owner.storedHead());
+    owner.heldKind_ = "job-results/";
+    owner.scheduler_.scan(false, owner.now_);
+    const auto earlierAnswer = owner.heldAnswer_;
+    REQUIRE(earlierAnswer);
+    owner.replaceForATime(1, otherPages, JobState::Open);
+    owner.heldKind_ = "job-results/";
+    owner.scheduler_.scan(false, owner.now_);
+    earlierAnswer();
+    CHECK(owner.read().results_ == otherResults);
+}
+
+// Guards against results at two positions: several reads find the newer head at the same time.
+TEST_CASE("ledger: several readers that find another owner's results list them once")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.replaceForATime(1, otherPages, JobState::Open);
+    owner.scheduler_.recheckOwnership(owner.now_);
+    std::vector<std::function<void()>> answers;
+    for (int readers = 0; readers < 3; ++readers) {
+        owner.heldKind_ = "job-results/";
+        owner.scheduler_.read("j", 0, {}, false, owner.now_, [](const ReadAnswer&) {});
+        answers.push_back(owner.heldAnswer_);
+    }
+    SUBCASE("at once") { }
+    SUBCASE("with a cancellation in between")
+    {
+        owner.scheduler_.end("j", false, owner.now_, [](const CancelAnswer&) {});
+    }
+    SUBCASE("with a finished item in between") { owner.rejectOneItem(); }
+    for (const auto& answer : answers)
+        answer();
+    owner.advance(2s);
+    const std::vector<JobResult> results = owner.read().results_;
+    REQUIRE(results.size() >= otherResults.size());
+    CHECK(std::equal(otherResults.begin(), otherResults.end(), results.begin()));
+    CHECK(results == owner.read(true).results_);
+}
