Jobs: a job that is accepted under an old stray marker stays marked as open

What callers would see: a job was acknowledged and is never run. Cause: an upload whose process died leaves its open marker. Another upload of the same job may come between the holder's look and the removal: it found the marker standing, took that for its own announcement, and changed nothing, so the removal went through. If the message to the holder was lost, or the holder changes, nobody finds the job. The class of the incident: what stands taken for 'my write', and an unchanged version for 'nothing has happened'. Evidence: the test fails before: no marker, and the job isn't run within 60 s. Change: a marker that stands is written anew at its version, so that a removal that was decided on before fails. One call more, only when a marker stands.

--- a/libs/jobs/include/jobs/Acceptor.h
+++ b/libs/jobs/include/jobs/Acceptor.h
@@ -41,7 +41,7 @@
     void findKnown(Upload& upload);
     void chunkWritten(UploadId id, const SettledAnswer& answer);
     void nameJob(Upload& upload);
-    void announce(Upload& upload);
+    void announce(Upload& upload, ObjectVersion standing);
     void createManifest(Upload& upload);
     void compareKnown(Upload& upload);
     void accept(Upload& upload, bool known);
--- a/libs/jobs/src/Acceptor.cpp
+++ b/libs/jobs/src/Acceptor.cpp
@@ -308,7 +308,7 @@
     manifest.acceptedAt_ = context_.wall_;
     manifest.mark_ = context_.mark();
     if (!header.key_.empty())
-        return announce(upload);
+        return announce(upload, ObjectVersion::none());
     const UploadRecord record { context_.wall_, manifest.job_, context_.mark() };
     context_.call(ObjectCall::update(uploadKey(upload.name_), record.encode(), upload.recordVersion_), CallClass::Accept, patience(), [this, id](const SettledAnswer& answer) {
         Upload* found = find(id);
@@ -316,24 +316,33 @@
             return;
         if (!answer.ok())
             return refuse(id, JobError::StoreUnavailable);
-        announce(*found);
+        announce(*found, ObjectVersion::none());
     });
 }
 
 // The open marker stands before the manifest, so that no accepted job can stay unseen by its partition's holder.
-void Acceptor::announce(Upload& upload)
+//
+// Failure met: the marker that stands is an old stray one, whose removal is on its way; the job is accepted, and no holder ever finds it.
+// The guard: a marker that stands is written anew, so that a removal decided on before fails (see JobRunner::forgetStrayMarker).
+void Acceptor::announce(Upload& upload, ObjectVersion standing)
 {
     const UploadId id = upload.header_.upload_;
+    if (context_.now_ >= upload.until_)
+        return refuse(id, JobError::StoreUnavailable);
     const JobId job = upload.manifest_.job_;
-    context_.call(ObjectCall::create(openKey(context_.partitionOf(job), job), std::to_string(context_.wall_.time_since_epoch().count())), CallClass::Accept, patience(),
-        [this, id](const SettledAnswer& answer) {
-            Upload* found = find(id);
-            if (!found)
-                return;
-            if (!answer.ok() && !answer.is(ObjectError::Conflict))
-                return refuse(id, JobError::StoreUnavailable);
-            createManifest(*found);
-        });
+    std::string key = openKey(context_.partitionOf(job), job);
+    std::string value = std::to_string(context_.wall_.time_since_epoch().count());
+    ObjectCall call = standing.isNone() ? ObjectCall::create(std::move(key), std::move(value)) : ObjectCall::update(std::move(key), std::move(value), standing);
+    context_.call(std::move(call), CallClass::Accept, patience(), [this, id](const SettledAnswer& answer) {
+        Upload* found = find(id);
+        if (!found)
+            return;
+        if (answer.ok())
+            return createManifest(*found);
+        if (answer.is(ObjectError::Conflict) || answer.is(ObjectError::NotFound))
+            return announce(*found, answer.answer_.version_);
+        refuse(id, JobError::StoreUnavailable);
+    });
 }
 
 void Acceptor::createManifest(Upload& upload)
--- a/libs/jobs/tests/AcceptTest.cpp
+++ b/libs/jobs/tests/AcceptTest.cpp
@@ -187,6 +187,34 @@
     CHECK(world.firstFinding() == "");
 }
 
+// Guards against an accepted job that no holder finds: the marker that its upload met was an old stray one, which is removed just then.
+TEST_CASE("a job that is accepted under an old stray marker stays marked as open")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.uploadBound_ = 10s;
+    options.settings_.orphanAge_ = 60s;
+    JobWorld world(options);
+    const std::string key = world.keyOwnedBy(0);
+    world.fate_ = [](std::uint32_t, const ObjectCall& call) { return call.verb_ == ObjectVerb::Create && call.key_.starts_with("jobs/m/") ? JobWorld::Fate::KilledBefore : JobWorld::Fate::Goes; };
+    world.upload(1, 1, JobWorld::lines(9), key);
+    REQUIRE(world.runUntil([&] { return !world.isAlive(1); }, 10s));
+    world.fate_ = nullptr;
+    world.start(1);
+    world.pauseBeforeCommand(0, [](const JobCommand& command) {
+        const auto* call = std::get_if<StoreCall>(&command);
+        return call && call->request_.verb_ == ObjectVerb::Remove && call->request_.key_.starts_with("jobs/open/");
+    });
+    REQUIRE(world.runUntil([&] { return world.isPaused(0); }, 90s));
+    world.cutMessages(true);
+    world.upload(1, 2, JobWorld::lines(9), key);
+    REQUIRE(world.runUntil([&] { return world.seen<Acknowledge>(2) != nullptr; }, 2s));
+    world.wake(0);
+    world.run(100ms);
+    CHECK(world.anyUnder("jobs/open/"));
+    REQUIRE(world.runUntil([&] { return world.isEnded(JobWorld::jobOf(key)); }, 60s));
+    CHECK(world.firstFinding() == "");
+}
+
 TEST_CASE("collection spares the chunks of an accepted job whose upload record was left behind")
 {
     // The host dies between the manifest and the removal of its upload record. A day later the collector meets the record; if it took the
