Jobs: a job whose old ledger is removed while it is claimed is claimed anew

What callers would see: a job that was accepted anew after its retention is never run while its partition's lease stands. Cause: the holder claims on the ledger of the earlier job, which the collector removes last. If that comes between the holder's read and its claim, the claim fails, the ledger can't be read, and the job stays in the phase of claiming. Evidence: the test fails before: the job isn't run within 60 s. Change: an absent ledger after a failed claim means that the next claim creates it.

--- a/libs/jobs/src/RunnerCommit.cpp
+++ b/libs/jobs/src/RunnerCommit.cpp
@@ -123,6 +123,12 @@
     if (!job || !job->updating_)
         return;
     job->updating_ = false;
+    // The ledger of an earlier job under this id, collected since this job read it: the next claim creates it.
+    if (answer.is(ObjectError::NotFound) && job->phase_ == JobPhase::Claiming) {
+        job->version_ = ObjectVersion::none();
+        job->phase_ = JobPhase::Known;
+        return;
+    }
     const Result<Ledger> ledger = answer.ok() ? Ledger::decode(answer.answer_.value_) : Result<Ledger>(JobError::BadRecord);
     if (!ledger)
         return;
--- a/libs/jobs/tests/AcceptTest.cpp
+++ b/libs/jobs/tests/AcceptTest.cpp
@@ -215,6 +215,30 @@
     CHECK(world.firstFinding() == "");
 }
 
+// Guards against an accepted job that is never run: the collector removes the old job's ledger while the holder claims the new one on it.
+TEST_CASE("a job whose old ledger is removed while it is claimed is claimed anew")
+{
+    JobWorld world(quickOptions());
+    world.upload(0, 1, JobWorld::lines(9), "k");
+    const JobId job = JobWorld::jobOf("k");
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    world.run(5s);
+    world.store().core().apply(ObjectCall::remove(manifestKey(partitionOf(job, 2), job)), world.now());
+    bool isRemoved = false;
+    world.fate_ = [&](std::uint32_t, const ObjectCall& call) {
+        if (!isRemoved && call.verb_ == ObjectVerb::Update && call.key_.starts_with("jobs/s/")) {
+            isRemoved = true;
+            world.store().core().apply(ObjectCall::remove(call.key_), world.now());
+        }
+        return JobWorld::Fate::Goes;
+    };
+    world.upload(1, 2, JobWorld::lines(9), "k");
+    REQUIRE(refused(world, 2) == nullptr);
+    REQUIRE(world.runUntil([&] { return isRemoved && world.isEnded(job); }, 60s));
+    CHECK(world.starts() == 18);
+    CHECK(world.readAll(0, job).size() == 9);
+}
+
 TEST_CASE("collection spares the chunks of an accepted job whose upload record was left behind")
 {
     // The host dies between the manifest and the removal of its upload record. A day later the collector meets the record; if it took the
