Jobs: an outcome is recorded though the older ones of its group are gone

What callers would see: a call that may not be repeated was answered, and when it is sent again its outcome is unknown. Cause: outcomes share objects in groups, and a group stays open until it is full. The next outcome of that group was an update of the object that had gone; its failure was taken for a success, and the outcome was dropped. Evidence: the test fails before: the resent call is refused as one whose outcome is unknown. Change: if the object is gone, the outcomes are written again and create it. Other failures stay as they were.

--- a/libs/jobs/src/IntentLog.cpp
+++ b/libs/jobs/src/IntentLog.cpp
@@ -233,6 +233,12 @@
         return;
     }
     group.version_ = answer.answer_.version_;
+    // Collected since, by the age of its earlier outcomes: the next flush creates it.
+    const bool isGone = (answer.is(ObjectError::Conflict) || answer.is(ObjectError::NotFound)) && group.version_.isNone();
+    if (isGone) {
+        group.fresh_.insert(group.fresh_.end(), keys.begin(), keys.end());
+        return;
+    }
     for (const std::string& key : keys) {
         --group.calls_;
         calls_.erase(key);
--- a/libs/jobs/tests/IntentTest.cpp
+++ b/libs/jobs/tests/IntentTest.cpp
@@ -76,6 +76,28 @@
     }
 }
 
+// Guards against a recorded outcome that is lost: the object that it shares with older ones was removed after their retention.
+TEST_CASE("an outcome is recorded though the older ones of its group are gone")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.callRetention_ = 60s;
+    options.settings_.collectEvery_ = 5s;
+    JobWorld world(options);
+    world.send(0, booking(1));
+    REQUIRE(comes<BeginCall>(world, 1));
+    finish(world, 0, 1);
+    world.run(1s);
+    REQUIRE(world.anyUnder("calls/o/"));
+    REQUIRE(world.runUntil([&] { return !world.anyUnder("calls/o/"); }, 120s));
+    world.send(0, booking(2, "deposit-8"));
+    REQUIRE(comes<BeginCall>(world, 2));
+    finish(world, 0, 2);
+    world.run(1s);
+    world.kill(0);
+    world.send(1, booking(3, "deposit-8"));
+    CHECK(comes<CallKnown>(world, 3));
+}
+
 TEST_CASE("while the store is out a call is refused as not run, at once")
 {
     // The member on the phone must hear at once that the booking was not made, and no booking may be made without its intent.
