Jobs: a late collector spares what a job that was accepted anew has written

What callers would see: results of a job that was accepted anew under its key are gone, and after its holder's death items that may not be repeated are sent a second time. Cause: the collector looks at manifest and ledger once, then removes results and intents by name without a condition. One that was paused or cut off from the store goes on up to a minute after another has removed the job; a job accepted anew has the same names. The class of the incident: 'this is the job that I have looked at' taken for 'nothing has happened since'. Evidence: both tests fail before: 0 of 9 results read, and the intents gone. Change: objects are removed at the version that was listed, and only if the manifest stood unchanged after the listing. One read more for each hundred objects.

--- a/libs/jobs/include/jobs/Collector.h
+++ b/libs/jobs/include/jobs/Collector.h
@@ -33,8 +33,13 @@
     };
     template <class Record>
     void sweep(Sweep& sweep);
-    // Removes all objects under a prefix; goes on only when none is left.
-    void removeAll(const std::string& prefix, Then then);
+    struct SeenObject {
+        std::string key_; // empty: none
+        ObjectVersion version_;
+    };
+    // Removes all objects under a prefix while the manifest, if there is one, stands as it was seen; goes on only when none is left.
+    void removeAll(const std::string& prefix, const SeenObject& manifest, Then then);
+    void removeListed(const std::vector<ObjectEntry>& entries, const Then& then);
     void remove(const std::string& key, ObjectVersion version, Then then);
     TimePoint patience() const { return context_.now_ + context_.settings_.collectEvery_; }
 
--- a/libs/jobs/src/Collector.cpp
+++ b/libs/jobs/src/Collector.cpp
@@ -70,10 +70,11 @@
             if (!ledger || !ledger.value().isEnded() || ledger.value().upload_ != upload)
                 return;
             const ObjectVersion ledgerVersion = ledgerAnswer.answer_.version_;
-            removeAll(resultPrefix(job), [=, this] {
-                removeAll(intentPrefix(job), [=, this] {
-                    removeAll(chunkPrefix(upload), [=, this] {
-                        remove(manifestKey(partition, job), version, [=, this] {
+            const SeenObject manifestSeen { manifestKey(partition, job), version };
+            removeAll(resultPrefix(job), manifestSeen, [=, this] {
+                removeAll(intentPrefix(job), manifestSeen, [=, this] {
+                    removeAll(chunkPrefix(upload), manifestSeen, [=, this] {
+                        remove(manifestSeen.key_, version, [=, this] {
                             remove(ledgerKey(partition, job), ledgerVersion, [=, this] { remove(expiry, ObjectVersion::none(), [] {}); });
                         });
                     });
@@ -110,23 +111,37 @@
 
 void Collector::removeOrphan(const std::string& record, const std::string& upload)
 {
-    removeAll(chunkPrefix(upload), [this, record] { remove(record, ObjectVersion::none(), [] {}); });
+    // An upload's name is never used again, so nothing else can come under it.
+    removeAll(chunkPrefix(upload), {}, [this, record] { remove(record, ObjectVersion::none(), [] {}); });
 }
 
-void Collector::removeAll(const std::string& prefix, Then then)
+// Failure met: a collector that was cut off or paused goes on, and removes what a job that was accepted anew under the id has written
+// since. The guard: what was listed is removed at its version, and only if the manifest stood unchanged after the listing.
+void Collector::removeAll(const std::string& prefix, const SeenObject& manifest, Then then)
 {
-    context_.call(ObjectCall::list(prefix, false, {}, pageSize), CallClass::Background, patience(), [this, prefix, then = std::move(then)](const SettledAnswer& answer) {
+    context_.call(ObjectCall::list(prefix, false, {}, pageSize), CallClass::Background, patience(), [this, prefix, manifest, then = std::move(then)](const SettledAnswer& answer) {
         if (!answer.ok())
             return;
         if (answer.answer_.entries_.empty())
             return then();
-        // The next page is asked for when the last removal of this one is done; a lost one is met again by a later round.
-        for (std::size_t i = 0; i + 1 < answer.answer_.entries_.size(); ++i)
-            remove(answer.answer_.entries_[i].key_, ObjectVersion::none(), [] {});
-        remove(answer.answer_.entries_.back().key_, ObjectVersion::none(), [this, prefix, then] { removeAll(prefix, then); });
+        const Then next = [this, prefix, manifest, then] { removeAll(prefix, manifest, then); };
+        if (manifest.key_.empty())
+            return removeListed(answer.answer_.entries_, next);
+        context_.call(ObjectCall::get(manifest.key_), CallClass::Background, patience(), [this, manifest, next, entries = answer.answer_.entries_](const SettledAnswer& standing) {
+            if (standing.ok() && standing.answer_.version_ == manifest.version_)
+                removeListed(entries, next);
+        });
     });
 }
 
+// Goes on when the last one is removed; a lost removal is met again by a later round.
+void Collector::removeListed(const std::vector<ObjectEntry>& entries, const Then& then)
+{
+    for (std::size_t i = 0; i + 1 < entries.size(); ++i)
+        remove(entries[i].key_, entries[i].version_, [] {});
+    remove(entries.back().key_, entries.back().version_, then);
+}
+
 void Collector::remove(const std::string& key, ObjectVersion version, Then then)
 {
     context_.call(ObjectCall::remove(key, version), CallClass::Background, patience(), [then = std::move(then)](const SettledAnswer& answer) {
--- a/libs/jobs/tests/AcceptTest.cpp
+++ b/libs/jobs/tests/AcceptTest.cpp
@@ -239,6 +239,67 @@
     CHECK(world.readAll(0, job).size() == 9);
 }
 
+// Guards against items that are sent a second time: a collector that was paused removes the intents of a job that was accepted anew
+// under the id of the one that it had met.
+TEST_CASE("a paused collector spares the intents of a job that was accepted anew")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.retention_ = 1h;
+    options.step_ = 100ms;
+    JobWorld world(options);
+    world.upload(0, 1, JobWorld::lines(9), "k", true, 24h);
+    REQUIRE(refused(world, 1) == nullptr);
+    const JobId job = JobWorld::jobOf("k");
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    world.pauseBeforeCommand(0, [](const JobCommand& command) {
+        const auto* call = std::get_if<StoreCall>(&command);
+        return call && call->request_.verb_ == ObjectVerb::Remove && call->request_.key_.starts_with("jobs/i/");
+    });
+    REQUIRE(world.runUntil([&] { return world.isPaused(0); }, 3 * 3600s));
+    REQUIRE(world.runUntil([&] { return !world.anyUnder("jobs/m/"); }, 300s));
+    REQUIRE_FALSE(world.anyUnder("jobs/i/"));
+    world.upload(1, 2, JobWorld::lines(9), "k", true, 24h);
+    REQUIRE(refused(world, 2) == nullptr);
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    REQUIRE(world.anyUnder("jobs/i/"));
+    world.wake(0);
+    world.run(1s);
+    for (std::uint32_t chunk = 0; chunk < 3; ++chunk)
+        CHECK(world.store().core().objects().contains(intentKey(job, chunk, 0)));
+}
+
+// Guards against results that are lost: a collector that was cut off from the store goes on and removes the results of a job that was
+// accepted anew under the id of the one that it had met.
+TEST_CASE("a collector that was cut off spares what a job that was accepted anew has written")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.retention_ = 1h;
+    options.step_ = 100ms;
+    JobWorld world(options);
+    world.upload(0, 1, JobWorld::lines(9), "k", true, 24h);
+    REQUIRE(refused(world, 1) == nullptr);
+    const JobId job = JobWorld::jobOf("k");
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    std::string listed;
+    SUBCASE("its intents") { listed = intentPrefix(job); }
+    SUBCASE("its results") { listed = resultPrefix(job); }
+    bool isCut = false;
+    world.fate_ = [&](std::uint32_t node, const ObjectCall& call) {
+        isCut = isCut || (node == 0 && call.verb_ == ObjectVerb::List && call.key_ == listed);
+        return node == 0 && isCut ? JobWorld::Fate::CallLost : JobWorld::Fate::Goes;
+    };
+    REQUIRE(world.runUntil([&] { return isCut; }, 3 * 3600s));
+    REQUIRE(world.runUntil([&] { return !world.anyUnder("jobs/m/"); }, 30s));
+    world.upload(1, 2, JobWorld::lines(9), "k", true, 24h);
+    REQUIRE(refused(world, 2) == nullptr);
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 20s));
+    world.fate_ = nullptr;
+    world.run(30s);
+    CHECK(world.readAll(1, job).size() == 9);
+    for (std::uint32_t chunk = 0; chunk < 3; ++chunk)
+        CHECK(world.store().core().objects().contains(intentKey(job, chunk, 0)));
+}
+
 TEST_CASE("collection spares the chunks of an accepted job whose upload record was left behind")
 {
     // The host dies between the manifest and the removal of its upload record. A day later the collector meets the record; if it took the
