Jobs: an upload record that lands late doesn't cost an accepted job its chunks

Cause: a try of the upload record's create that was given up may reach the store after a later try has been answered, the job was accepted and the record removed. CallQueue's contract said that a late write is harmless, which doesn't hold for a create whose object was removed meanwhile. The record names no job at that time, so the collector takes the chunks for those of an upload that was given up. Change: SettledAnswer::mayLandLate_ says whether a try of a write went without an answer. The acceptor then leaves the record, which by then names the job, to the collector. Otherwise it is removed as before.

--- a/libs/jobs/src/Acceptor.cpp
+++ b/libs/jobs/src/Acceptor.cpp
@@ -59,6 +59,7 @@
     bool mayWrite_ = false; // the upload record stands, and no known manifest was found
     bool recordAsked_ = false;
     ObjectVersion recordVersion_;
+    bool recordMayLandLate_ = false;
     std::optional<Manifest> known_; // the key's manifest stood before: nothing is written, the content is compared
     bool paused_ = false;
     bool ended_ = false;
@@ -145,6 +146,7 @@
         if (!answer.ok())
             return refuse(id, JobError::StoreUnavailable);
         found->recordVersion_ = answer.answer_.version_;
+        found->recordMayLandLate_ = answer.mayLandLate_;
         found->mayWrite_ = true;
         pump(*found);
     });
@@ -395,7 +397,10 @@
     const JobId job = upload.manifest_.job_;
     context_.emit(Acknowledge { upload.header_.upload_, job, upload.manifest_.items_, known });
     context_.emit(TellAccepted { context_.partitionOf(job), job });
-    if (!known)
+    // A record that lands late and names no job would let the collector remove the chunks: the one that names the job stays in its way, and
+    // the collector removes it.
+    const bool mustStay = upload.header_.key_.empty() && upload.recordMayLandLate_;
+    if (!known && !mustStay)
         context_.call(ObjectCall::remove(uploadKey(upload.name_)), CallClass::Background, context_.now_ + context_.settings_.uploadBound_, [](const SettledAnswer&) {});
     uploads_.erase(upload.header_.upload_);
 }
--- a/libs/jobs/tests/AcceptTest.cpp
+++ b/libs/jobs/tests/AcceptTest.cpp
@@ -320,6 +320,34 @@
     CHECK(world.firstFinding() == "");
 }
 
+// Guards against an accepted job whose items are gone: a try of its upload record that was given up reaches the store after the record
+// was removed, and a record that names no job is collected with its chunks.
+TEST_CASE("collection spares the chunks of an accepted job whose upload record lands late")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.uploadBound_ = 10s;
+    options.settings_.orphanAge_ = 60s;
+    options.settings_.collectEvery_ = 10s;
+    options.itemTime_ = 20s;
+    JobWorld world(options);
+    world.run(2s);
+    std::optional<ObjectCall> late;
+    world.fate_ = [&](std::uint32_t, const ObjectCall& call) {
+        if (late || call.verb_ != ObjectVerb::Create || !call.key_.starts_with("jobs/u/"))
+            return JobWorld::Fate::Goes;
+        late = call;
+        return JobWorld::Fate::CallLost;
+    };
+    world.upload(0, 1, JobWorld::lines(80), "");
+    REQUIRE(refused(world, 1) == nullptr);
+    world.run(1s);
+    REQUIRE(late);
+    world.store().core().apply(*late, world.now());
+    const JobId job = world.seen<Acknowledge>(1)->job_;
+    CHECK(world.runUntil([&] { return world.isEnded(job); }, 400s));
+    CHECK(world.readAll(1, job).size() == 80);
+}
+
 TEST_CASE("an upload faster than the store is paused, not buffered")
 {
     JobWorld world(quickOptions());
--- a/libs/objects/include/objects/CallQueue.h
+++ b/libs/objects/include/objects/CallQueue.h
@@ -8,7 +8,8 @@
 // believes that somebody else won. The guard: after a lost answer the object is read back; if it holds exactly the bytes that this
 // call writes, the call has succeeded. So a value must differ between writers where that matters: values carry a writer's mark, or the
 // caller checks SettledAnswer::isReadBack_.
-// A write that lands late is harmless, because the same conditional write is sent again, never a different one in its place.
+// A write that lands late is harmless, because the same conditional write is sent again, never a different one in its place; except a
+// create whose object was removed meanwhile (SettledAnswer::mayLandLate_).
 //
 // Failure met: an answer is lost, and its caller waits for the bound of a slow day, hundreds of times the usual answer. The guard: a
 // try that takes far longer than answers lately took is followed by another one of the same call, and the first answer settles it.
@@ -40,6 +41,9 @@
     // Success of a write that was concluded from reading back its value after a lost answer. Another writer of the same value may have
     // written it.
     bool isReadBack_ = false;
+    // A try of this write went without an answer and may still reach the store. A create may so make an object that was removed
+    // meanwhile anew.
+    bool mayLandLate_ = false;
 
     bool ok() const { return answer_.ok(); }
     bool is(ObjectError error) const { return answer_.error_ == error; }
--- a/libs/objects/src/CallQueue.cpp
+++ b/libs/objects/src/CallQueue.cpp
@@ -201,7 +201,7 @@
 {
     const Call call = std::move(place->second);
     calls_.erase(place);
-    call.done_({ std::move(answer), call.firstSentAt_, isReadBack }, now);
+    call.done_({ std::move(answer), call.firstSentAt_, isReadBack, call.answerLost_ }, now);
 }
 
 } // namespace jj
--- a/libs/objects/tests/CallQueueTest.cpp
+++ b/libs/objects/tests/CallQueueTest.cpp
@@ -79,6 +79,24 @@
     }
 }
 
+// Guards against a caller that removes an object which a try without an answer then creates again.
+TEST_CASE("a success of which a try may still reach the store is marked as such")
+{
+    for (const bool isCallLost : { false, true }) {
+        CAPTURE(isCallLost);
+        VirtualStore store(1);
+        if (isCallLost)
+            store.loseNextCall();
+        Client client { store, CallQueue({}, 1) };
+        SettledAnswer seen;
+        client.queue_.send(ObjectCall::create("k", "v"), CallClass::Commit, neverTime, [&](const SettledAnswer& answer, TimePoint) { seen = answer; });
+        run(store, client, 2s);
+        CHECK(seen.ok());
+        CHECK(seen.mayLandLate_ == isCallLost);
+        CHECK_FALSE(seen.isReadBack_);
+    }
+}
+
 TEST_CASE("a write that never went out ends as unavailable, one that may have as unknown")
 {
     VirtualStore store(1);
