Jobs: a cancel of a job accepted anew that nobody has claimed is acknowledged at once

What operators would see: a cancel that isn't acknowledged while the partition's lease stands. Cause: the ledger of an earlier job under the id was still there. Its epoch was kept, as it must be, and taken for the epoch of a holder of the new job; that holder is none, so nobody answers. Evidence: the test fails before: the message goes to no node, and the test's driver crashes on it. Change: a ledger without a holder means that nobody has claimed the job; the cancel's own write refuses any later claim.

--- a/libs/jobs/src/CancelDesk.cpp
+++ b/libs/jobs/src/CancelDesk.cpp
@@ -88,7 +88,8 @@
 void CancelDesk::wait(Cancel& cancel, const Ledger& ledger)
 {
     cancel.ledger_ = ledger;
-    const bool nobodyActs = ledger.epoch_ == Epoch(0) || ledger.stopped_ == ledger.epoch_;
+    // Without a holder the epoch is of an earlier job under this id: nobody has claimed this one, and no claim can succeed any more.
+    const bool nobodyActs = ledger.epoch_ == Epoch(0) || ledger.holder_.isNone() || ledger.stopped_ == ledger.epoch_;
     if (nobodyActs)
         return acknowledge(cancel.asked_.ask_);
     cancel.waits_ = true;
--- a/libs/jobs/tests/AcceptTest.cpp
+++ b/libs/jobs/tests/AcceptTest.cpp
@@ -348,6 +348,24 @@
     CHECK(world.readAll(1, job).size() == 80);
 }
 
+// Guards against a cancel that waits in vain: the ledger that it met is of an earlier job under the id, and no holder has the new one.
+TEST_CASE("a job accepted anew that nobody has claimed is cancelled at once")
+{
+    JobWorld world(quickOptions());
+    const std::string key = world.keyOwnedBy(0);
+    world.upload(0, 1, JobWorld::lines(9), key);
+    const JobId job = JobWorld::jobOf(key);
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    world.run(5s);
+    world.store().core().apply(ObjectCall::remove(manifestKey(partitionOf(job, 2), job)), world.now());
+    world.send(0, WindowChanged { 0 });
+    world.upload(1, 2, JobWorld::lines(9), key);
+    REQUIRE(refused(world, 2) == nullptr);
+    world.send(1, CancelAsked { AskId(1), "clerks", job });
+    CHECK(world.runUntil([&] { return world.seen<CancelAcknowledged>(1) != nullptr; }, 5s));
+    CHECK(world.starts() == 9);
+}
+
 TEST_CASE("an upload faster than the store is paused, not buffered")
 {
     JobWorld world(quickOptions());
