Jobs: a job accepted anew is kept for its own retention

What callers would see: results of a job that was accepted anew under its key are gone a minute after its end. Cause: if a collector stops between removing an old job's manifest and its expiry entry, and the job is accepted anew before the next round, the entry stays. It names the job, and the collector took that for the end of the new job's retention as soon as that had ended. Evidence: the test fails before: 0 of 9 results read within 300 s of the end, at a retention of an hour. Change: a job whose own retention isn't over stays, whatever entry names it.

--- a/libs/jobs/src/Collector.cpp
+++ b/libs/jobs/src/Collector.cpp
@@ -69,6 +69,9 @@
             // Accepted anew under its id: not this entry's job any more.
             if (!ledger || !ledger.value().isEnded() || ledger.value().upload_ != upload)
                 return;
+            // Accepted anew and ended since: the entry is of the earlier job. It stays until this job's time, which has an entry of its own.
+            if (context_.wall_ < ledger.value().endedAt_ + std::chrono::duration_cast<std::chrono::milliseconds>(context_.settings_.retention_))
+                return;
             const ObjectVersion ledgerVersion = ledgerAnswer.answer_.version_;
             const SeenObject manifestSeen { manifestKey(partition, job), version };
             removeAll(resultPrefix(job), manifestSeen, [=, this] {
--- a/libs/jobs/tests/AcceptTest.cpp
+++ b/libs/jobs/tests/AcceptTest.cpp
@@ -300,6 +300,31 @@
         CHECK(world.store().core().objects().contains(intentKey(job, chunk, 0)));
 }
 
+// Guards against results that go long before their retention is over: the entry of an earlier job under the id, which its collector has left
+// behind, is taken for the new job's.
+TEST_CASE("a job accepted anew is kept for its own retention")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.retention_ = 1h;
+    options.step_ = 100ms;
+    JobWorld world(options);
+    world.upload(0, 1, JobWorld::lines(9), "k", false, 24h);
+    REQUIRE(refused(world, 1) == nullptr);
+    const JobId job = JobWorld::jobOf("k");
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    world.fate_ = [](std::uint32_t, const ObjectCall& call) { return call.verb_ == ObjectVerb::Remove && call.key_.starts_with("jobs/s/") ? JobWorld::Fate::KilledBefore : JobWorld::Fate::Goes; };
+    REQUIRE(world.runUntil([&] { return !world.isAlive(0); }, 3 * 3600s));
+    world.fate_ = nullptr;
+    world.upload(1, 2, JobWorld::lines(9), "k", false, 24h);
+    REQUIRE(refused(world, 2) == nullptr);
+    REQUIRE(world.runUntil([&] { return world.starts() == 18 && world.isEnded(job); }, 60s));
+    world.run(300s);
+    CHECK(world.readAll(1, job).size() == 9);
+    world.run(3 * 3600s);
+    for (const char* prefix : { "jobs/m/", "jobs/s/", "jobs/r/", "jobs/x/" })
+        CHECK_MESSAGE(!world.anyUnder(prefix), prefix);
+}
+
 TEST_CASE("collection spares the chunks of an accepted job whose upload record was left behind")
 {
     // The host dies between the manifest and the removal of its upload record. A day later the collector meets the record; if it took the
