--- a/libs/jobs/src/Acceptor.cpp
+++ b/libs/jobs/src/Acceptor.cpp
@@ -59,6 +59,7 @@
     bool mayWrite_ = false; // the upload record stands, and no known manifest was found
     bool recordAsked_ = false;
     ObjectVersion recordVersion_;
+    bool recordMayLandLate_ = false;
     std::optional<Manifest> known_; // the key's manifest stood before: nothing is written, the content is compared
     bool paused_ = false;
     bool ended_ = false;
@@ -145,6 +146,7 @@
         if (!answer.ok())
             return refuse(id, JobError::StoreUnavailable);
         found->recordVersion_ = answer.answer_.version_;
+        found->recordMayLandLate_ = answer.mayLandLate_;
         found->mayWrite_ = true;
         pump(*found);
     });
@@ -308,7 +310,7 @@
     manifest.acceptedAt_ = context_.wall_;
     manifest.mark_ = context_.mark();
     if (!header.key_.empty())
-        return announce(upload);
+        return announce(upload, ObjectVersion::none());
     const UploadRecord record { context_.wall_, manifest.job_, context_.mark() };
     context_.call(ObjectCall::update(uploadKey(upload.name_), record.encode(), upload.recordVersion_), CallClass::Accept, patience(), [this, id](const SettledAnswer& answer) {
         Upload* found = find(id);
@@ -316,24 +318,33 @@
             return;
         if (!answer.ok())
             return refuse(id, JobError::StoreUnavailable);
-        announce(*found);
+        announce(*found, ObjectVersion::none());
     });
 }
 
 // The open marker stands before the manifest, so that no accepted job can stay unseen by its partition's holder.
-void Acceptor::announce(Upload& upload)
+//
+// Failure met: the marker that stands is an old stray one, whose removal is on its way; the job is accepted, and no holder ever finds it.
+// The guard: a marker that stands is written anew, so that a removal decided on before fails (see JobRunner::forgetStrayMarker).
+void Acceptor::announce(Upload& upload, ObjectVersion standing)
 {
     const UploadId id = upload.header_.upload_;
+    if (context_.now_ >= upload.until_)
+        return refuse(id, JobError::StoreUnavailable);
     const JobId job = upload.manifest_.job_;
-    context_.call(ObjectCall::create(openKey(context_.partitionOf(job), job), std::to_string(context_.wall_.time_since_epoch().count())), CallClass::Accept, patience(),
-        [this, id](const SettledAnswer& answer) {
-            Upload* found = find(id);
-            if (!found)
-                return;
-            if (!answer.ok() && !answer.is(ObjectError::Conflict))
-                return refuse(id, JobError::StoreUnavailable);
-            createManifest(*found);
-        });
+    std::string key = openKey(context_.partitionOf(job), job);
+    std::string value = std::to_string(context_.wall_.time_since_epoch().count());
+    ObjectCall call = standing.isNone() ? ObjectCall::create(std::move(key), std::move(value)) : ObjectCall::update(std::move(key), std::move(value), standing);
+    context_.call(std::move(call), CallClass::Accept, patience(), [this, id](const SettledAnswer& answer) {
+        Upload* found = find(id);
+        if (!found)
+            return;
+        if (answer.ok())
+            return createManifest(*found);
+        if (answer.is(ObjectError::Conflict) || answer.is(ObjectError::NotFound))
+            return announce(*found, answer.answer_.version_);
+        refuse(id, JobError::StoreUnavailable);
+    });
 }
 
 void Acceptor::createManifest(Upload& upload)
@@ -386,7 +397,10 @@
     const JobId job = upload.manifest_.job_;
     context_.emit(Acknowledge { upload.header_.upload_, job, upload.manifest_.items_, known });
     context_.emit(TellAccepted { context_.partitionOf(job), job });
-    if (!known)
+    // A record that lands late and names no job would let the collector remove the chunks: the one that names the job stays in its way, and
+    // the collector removes it.
+    const bool mustStay = upload.header_.key_.empty() && upload.recordMayLandLate_;
+    if (!known && !mustStay)
         context_.call(ObjectCall::remove(uploadKey(upload.name_)), CallClass::Background, context_.now_ + context_.settings_.uploadBound_, [](const SettledAnswer&) {});
     uploads_.erase(upload.header_.upload_);
 }
--- a/libs/jobs/tests/AcceptTest.cpp
+++ b/libs/jobs/tests/AcceptTest.cpp
@@ -187,6 +187,144 @@
     CHECK(world.firstFinding() == "");
 }
 
+// Guards against an accepted job that no holder finds: the marker that its upload met was an old stray one, which is removed just then.
+TEST_CASE("a job that is accepted under an old stray marker stays marked as open")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.uploadBound_ = 10s;
+    options.settings_.orphanAge_ = 60s;
+    JobWorld world(options);
+    const std::string key = world.keyOwnedBy(0);
+    world.fate_ = [](std::uint32_t, const ObjectCall& call) { return call.verb_ == ObjectVerb::Create && call.key_.starts_with("jobs/m/") ? JobWorld::Fate::KilledBefore : JobWorld::Fate::Goes; };
+    world.upload(1, 1, JobWorld::lines(9), key);
+    REQUIRE(world.runUntil([&] { return !world.isAlive(1); }, 10s));
+    world.fate_ = nullptr;
+    world.start(1);
+    world.pauseBeforeCommand(0, [](const JobCommand& command) {
+        const auto* call = std::get_if<StoreCall>(&command);
+        return call && call->request_.verb_ == ObjectVerb::Remove && call->request_.key_.starts_with("jobs/open/");
+    });
+    REQUIRE(world.runUntil([&] { return world.isPaused(0); }, 90s));
+    world.cutMessages(true);
+    world.upload(1, 2, JobWorld::lines(9), key);
+    REQUIRE(world.runUntil([&] { return world.seen<Acknowledge>(2) != nullptr; }, 2s));
+    world.wake(0);
+    world.run(100ms);
+    CHECK(world.anyUnder("jobs/open/"));
+    REQUIRE(world.runUntil([&] { return world.isEnded(JobWorld::jobOf(key)); }, 60s));
+    CHECK(world.firstFinding() == "");
+}
+
+// Guards against an accepted job that is never run: the collector removes the old job's ledger while the holder claims the new one on it.
+TEST_CASE("a job whose old ledger is removed while it is claimed is claimed anew")
+{
+    JobWorld world(quickOptions());
+    world.upload(0, 1, JobWorld::lines(9), "k");
+    const JobId job = JobWorld::jobOf("k");
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    world.run(5s);
+    world.store().core().apply(ObjectCall::remove(manifestKey(partitionOf(job, 2), job)), world.now());
+    bool isRemoved = false;
+    world.fate_ = [&](std::uint32_t, const ObjectCall& call) {
+        if (!isRemoved && call.verb_ == ObjectVerb::Update && call.key_.starts_with("jobs/s/")) {
+            isRemoved = true;
+            world.store().core().apply(ObjectCall::remove(call.key_), world.now());
+        }
+        return JobWorld::Fate::Goes;
+    };
+    world.upload(1, 2, JobWorld::lines(9), "k");
+    REQUIRE(refused(world, 2) == nullptr);
+    REQUIRE(world.runUntil([&] { return isRemoved && world.isEnded(job); }, 60s));
+    CHECK(world.starts() == 18);
+    CHECK(world.readAll(0, job).size() == 9);
+}
+
+// Guards against items that are sent a second time: a collector that was paused removes the intents of a job that was accepted anew
+// under the id of the one that it had met.
+TEST_CASE("a paused collector spares the intents of a job that was accepted anew")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.retention_ = 1h;
+    options.step_ = 100ms;
+    JobWorld world(options);
+    world.upload(0, 1, JobWorld::lines(9), "k", true, 24h);
+    REQUIRE(refused(world, 1) == nullptr);
+    const JobId job = JobWorld::jobOf("k");
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    world.pauseBeforeCommand(0, [](const JobCommand& command) {
+        const auto* call = std::get_if<StoreCall>(&command);
+        return call && call->request_.verb_ == ObjectVerb::Remove && call->request_.key_.starts_with("jobs/i/");
+    });
+    REQUIRE(world.runUntil([&] { return world.isPaused(0); }, 3 * 3600s));
+    REQUIRE(world.runUntil([&] { return !world.anyUnder("jobs/m/"); }, 300s));
+    REQUIRE_FALSE(world.anyUnder("jobs/i/"));
+    world.upload(1, 2, JobWorld::lines(9), "k", true, 24h);
+    REQUIRE(refused(world, 2) == nullptr);
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    REQUIRE(world.anyUnder("jobs/i/"));
+    world.wake(0);
+    world.run(1s);
+    for (std::uint32_t chunk = 0; chunk < 3; ++chunk)
+        CHECK(world.store().core().objects().contains(intentKey(job, chunk, 0)));
+}
+
+// Guards against results that are lost: a collector that was cut off from the store goes on and removes the results of a job that was
+// accepted anew under the id of the one that it had met.
+TEST_CASE("a collector that was cut off spares what a job that was accepted anew has written")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.retention_ = 1h;
+    options.step_ = 100ms;
+    JobWorld world(options);
+    world.upload(0, 1, JobWorld::lines(9), "k", true, 24h);
+    REQUIRE(refused(world, 1) == nullptr);
+    const JobId job = JobWorld::jobOf("k");
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    std::string listed;
+    SUBCASE("its intents") { listed = intentPrefix(job); }
+    SUBCASE("its results") { listed = resultPrefix(job); }
+    bool isCut = false;
+    world.fate_ = [&](std::uint32_t node, const ObjectCall& call) {
+        isCut = isCut || (node == 0 && call.verb_ == ObjectVerb::List && call.key_ == listed);
+        return node == 0 && isCut ? JobWorld::Fate::CallLost : JobWorld::Fate::Goes;
+    };
+    REQUIRE(world.runUntil([&] { return isCut; }, 3 * 3600s));
+    REQUIRE(world.runUntil([&] { return !world.anyUnder("jobs/m/"); }, 30s));
+    world.upload(1, 2, JobWorld::lines(9), "k", true, 24h);
+    REQUIRE(refused(world, 2) == nullptr);
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 20s));
+    world.fate_ = nullptr;
+    world.run(30s);
+    CHECK(world.readAll(1, job).size() == 9);
+    for (std::uint32_t chunk = 0; chunk < 3; ++chunk)
+        CHECK(world.store().core().objects().contains(intentKey(job, chunk, 0)));
+}
+
+// Guards against results that go long before their retention is over: the entry of an earlier job under the id, which its collector has left
+// behind, is taken for the new job's.
+TEST_CASE("a job accepted anew is kept for its own retention")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.retention_ = 1h;
+    options.step_ = 100ms;
+    JobWorld world(options);
+    world.upload(0, 1, JobWorld::lines(9), "k", false, 24h);
+    REQUIRE(refused(world, 1) == nullptr);
+    const JobId job = JobWorld::jobOf("k");
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    world.fate_ = [](std::uint32_t, const ObjectCall& call) { return call.verb_ == ObjectVerb::Remove && call.key_.starts_with("jobs/s/") ? JobWorld::Fate::KilledBefore : JobWorld::Fate::Goes; };
+    REQUIRE(world.runUntil([&] { return !world.isAlive(0); }, 3 * 3600s));
+    world.fate_ = nullptr;
+    world.upload(1, 2, JobWorld::lines(9), "k", false, 24h);
+    REQUIRE(refused(world, 2) == nullptr);
+    REQUIRE(world.runUntil([&] { return world.starts() == 18 && world.isEnded(job); }, 60s));
+    world.run(300s);
+    CHECK(world.readAll(1, job).size() == 9);
+    world.run(3 * 3600s);
+    for (const char* prefix : { "jobs/m/", "jobs/s/", "jobs/r/", "jobs/x/" })
+        CHECK_MESSAGE(!world.anyUnder(prefix), prefix);
+}
+
 TEST_CASE("collection spares the chunks of an accepted job whose upload record was left behind")
 {
     // The host dies between the manifest and the removal of its upload record. A day later the collector meets the record; if it took the
@@ -207,6 +345,52 @@
     CHECK(world.firstFinding() == "");
 }
 
+// Guards against an accepted job whose items are gone: a try of its upload record that was given up reaches the store after the record
+// was removed, and a record that names no job is collected with its chunks.
+TEST_CASE("collection spares the chunks of an accepted job whose upload record lands late")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.uploadBound_ = 10s;
+    options.settings_.orphanAge_ = 60s;
+    options.settings_.collectEvery_ = 10s;
+    options.itemTime_ = 20s;
+    JobWorld world(options);
+    world.run(2s);
+    std::optional<ObjectCall> late;
+    world.fate_ = [&](std::uint32_t, const ObjectCall& call) {
+        if (late || call.verb_ != ObjectVerb::Create || !call.key_.starts_with("jobs/u/"))
+            return JobWorld::Fate::Goes;
+        late = call;
+        return JobWorld::Fate::CallLost;
+    };
+    world.upload(0, 1, JobWorld::lines(80), "");
+    REQUIRE(refused(world, 1) == nullptr);
+    world.run(1s);
+    REQUIRE(late);
+    world.store().core().apply(*late, world.now());
+    const JobId job = world.seen<Acknowledge>(1)->job_;
+    CHECK(world.runUntil([&] { return world.isEnded(job); }, 400s));
+    CHECK(world.readAll(1, job).size() == 80);
+}
+
+// Guards against a cancel that waits in vain: the ledger that it met is of an earlier job under the id, and no holder has the new one.
+TEST_CASE("a job accepted anew that nobody has claimed is cancelled at once")
+{
+    JobWorld world(quickOptions());
+    const std::string key = world.keyOwnedBy(0);
+    world.upload(0, 1, JobWorld::lines(9), key);
+    const JobId job = JobWorld::jobOf(key);
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    world.run(5s);
+    world.store().core().apply(ObjectCall::remove(manifestKey(partitionOf(job, 2), job)), world.now());
+    world.send(0, WindowChanged { 0 });
+    world.upload(1, 2, JobWorld::lines(9), key);
+    REQUIRE(refused(world, 2) == nullptr);
+    world.send(1, CancelAsked { AskId(1), "clerks", job });
+    CHECK(world.runUntil([&] { return world.seen<CancelAcknowledged>(1) != nullptr; }, 5s));
+    CHECK(world.starts() == 9);
+}
+
 TEST_CASE("an upload faster than the store is paused, not buffered")
 {
     JobWorld world(quickOptions());
