Ledger: an owner returns results that another owner lists after the job was cancelled

What callers would see: a position of a cancelled job that was read at a former owner is missing at the present one, for good. Cause: a former owner's commit may take effect after the cancellation and after the present owner has read all pages. The owner of a cancelled job writes no page and reserves none, so it doesn't meet that commit. Evidence: the test fails before (no result in place of 1). Change: an owner of a cancelled job reads the store before it says that there is no result at a position. Reads of cancelled jobs are few.

--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -110,9 +110,11 @@
         });
     }
     const bool hasMore = after < job->listed_.size();
-    // The store may have listed the results of a commit whose answer is late, and another node may have read them there.
+    // The store may have listed the results of a commit whose answer is late, and another node may have read them there. After a cancellation
+    // a former owner's commit may still take effect, and this node writes no page that would conflict with it.
     const bool isCommitLate = job->isCommitting_ && now - job->commitSentAt_ > settings_.confirmationLifetime_;
-    if (isCommitLate && !hasMore && !job->isComplete()) {
+    const bool mayHaveMore = isCommitLate || !job->isOpen();
+    if (mayHaveMore && !hasMore && !job->isComplete()) {
         return read(job->name_, after, wait, true, now, [this, job, after, done = std::move(done)](ReadAnswer answer) {
             // Without the store, nobody else can read there either.
             const bool isStillOwner = findOwnedJob(job->name_) == job.get();
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -416,3 +416,15 @@
     owner.advance(1s);
     CHECK(owner.read().results_.size() == 1);
 }
+
+// Guards against reads that miss results: a former owner's commit was in flight when the job was cancelled, and the present owner, which
+// writes no further page, doesn't meet it.
+TEST_CASE("ledger: an owner returns results that another owner lists after the job was cancelled")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.scheduler_.end("j", false, owner.now_, [](const CancelAnswer& answer) { CHECK(answer.outcome_ == ReadOutcome::Found); });
+    REQUIRE(owner.read().outcome_ == ReadOutcome::Found);
+    owner.store_.apply(ObjectCall::create(resultPageKey("j", 1), encode(otherPages[0])), owner.now_);
+    CHECK(owner.read().results_ == otherPages[0]);
+}
