Ledger: an owner that has reserved a page reads the head again

What callers would see: a result that has been read at one node is missing at the job's owner, for as long as that owner lists nothing. Cause: a restarted owner loads its job; meanwhile another node claims the job, loads it and reserves a page. The former owner meets that page, goes on and reserves the next one. It then lists results after the new owner's fence, which that one notices only with its next commit. The test fails before (0 of 1 ownershipLost). Change: after its fence an owner reads the head before it lists results. One read more for each load of an open job, beside the load.

--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -173,7 +173,11 @@
             return;
         if (answer.ok() && !answer.isReadBack_) {
             job->pages_ = page + 1;
-            return finishLoading(job, at);
+            finishLoading(job, at);
+            // Another node may have claimed the job and reserved a page while this one was loading. It wouldn't notice results on later pages.
+            if (job->isOpen())
+                confirmBeforeCompletion(job, at);
+            return;
         }
         // All empty pages are equal. Another owner's fence doesn't stop that owner, so this one reserves the page after it.
         if (answer.ok() || answer.is(ObjectError::Conflict))
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -146,6 +146,7 @@
     TimePoint now_ { 1s };
     MemoryStore store_ { MemoryStoreSettings { 0, 0, 1s, 100'000, 50 } };
     std::string readBackKind_; // prefix of the keys; empty: none
+    std::function<void()> beforeCommit_; // runs once, before the next result page is written
     std::map<SchedulerNote, int> notes_;
     JobScheduler scheduler_;
 
@@ -154,6 +155,8 @@
     {
         SchedulerOutlets outlets;
         outlets.store_ = [this](const ObjectCall& call, CallClass, TimePoint, const SettledCompletion& done) {
+            if (beforeCommit_ && call.isWrite() && call.key_.starts_with("job-results/"))
+                std::exchange(beforeCommit_, {})();
             SettledAnswer settled { store_.apply(call, now_), now_ };
             if (call.isWrite() && !readBackKind_.empty() && call.key_.starts_with(readBackKind_)) {
                 settled.isReadBack_ = true;
@@ -236,3 +239,19 @@
     CHECK(answer->outcome_ == ReadOutcome::Found);
     CHECK(answer->results_ == listed);
 }
+
+// Guards against two owners that both list results: the job is claimed while its former owner loads it after a restart, and this one's page
+// comes after the new owner's fence.
+TEST_CASE("ledger: an owner that is replaced while it loads a job gives it up")
+{
+    SingleOwner owner;
+    owner.beforeCommit_ = [&owner] {
+        JobHead head = owner.storedHead();
+        head.owner_ = SingleOwner::other;
+        owner.writeHead(head);
+        owner.store_.apply(ObjectCall::create(resultPageKey("j", 0), encode(std::vector<JobResult>())), owner.now_);
+    };
+    owner.scheduler_.scan(false, owner.now_);
+    CHECK(owner.notes_[SchedulerNote::OwnershipLost] == 1);
+    CHECK_FALSE(owner.scheduler_.startNext("s", owner.now_));
+}
