Ledger: an owner that loads a cancelled job reserves the next page

What callers would see: results of a cancelled job that have been read are missing at its owner while the job is in its memory. Cause: a job was cancelled after a takeover and before the new owner had loaded it. For a job that isn't open no page was reserved, so the former owner's commit, which was under way, still succeeded, and the new owner didn't know of it. The test fails before (no page). Change: the next page is reserved unless all results are there. One write for each load of a cancelled job.

--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -145,7 +145,7 @@
         if (findOwnedJob(job->name_) != job.get())
             return;
         if (answer.is(ObjectError::NotFound))
-            return job->isOpen() && !job->isComplete() ? fence(job, at) : finishLoading(job, at);
+            return job->isComplete() ? finishLoading(job, at) : fence(job, at);
         auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
         if (!results) {
             note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -255,3 +255,18 @@
     CHECK(owner.notes_[SchedulerNote::OwnershipLost] == 1);
     CHECK_FALSE(owner.scheduler_.startNext("s", owner.now_));
 }
+
+// Guards against results of a former owner that are read and then missing at the new one: the job was cancelled before the new owner had
+// loaded it, and a page of the former owner is still under way.
+TEST_CASE("ledger: an owner that loads a cancelled job reserves the next page")
+{
+    SingleOwner owner;
+    JobHead head = owner.storedHead();
+    head.state_ = JobState::Cancelled;
+    owner.writeHead(head);
+    std::optional<ReadAnswer> answer;
+    owner.scheduler_.read("j", 0, {}, false, owner.now_, [&answer](ReadAnswer read) { answer = std::move(read); });
+    REQUIRE(answer);
+    CHECK(answer->outcome_ == ReadOutcome::Found);
+    CHECK(owner.hasResultPage(0));
+}
