Ledger: an owner that was suspended doesn't answer from memory while an old commit is pending

What callers would see: results that have been read are missing right after their owner's suspension. Cause: the commit had succeeded and its answer was still under way or lost. Other nodes, which got no answer from the owner, read from the store. After the suspension the head confirmed the owner, whose memory didn't have the results yet. Change: while the owner may have been replaced and a commit has been pending for longer than a confirmation is valid, reads are answered from the store. An owner that was available throughout still answers from memory during an outage.

--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -99,9 +99,12 @@
     const bool mustConfirm = job->isOpen() && !job->isComplete() && (job->isOwnershipUncertain_ || isOutdated);
     // The caller has already seen more results than this node has in memory.
     const bool isBehind = after > job->listed_.size() && !job->isComplete();
-    if (mustConfirm || isBehind) {
-        return refresh(job, now, [this, job, after, wait, isBehind, done = std::move(done)](bool isOwner, TimePoint at) {
-            if (!isOwner || isBehind) {
+    // Other nodes read from the store while this one was unavailable. They may have found results there whose commit is still pending here,
+    // because its answer is late or lost.
+    const bool mayBeListed = job->isCommitting_ && now - job->commitSentAt_ > settings_.confirmationLifetime_ && mayHaveBeenReplaced(*job, now);
+    if (mustConfirm || isBehind || mayBeListed) {
+        return refresh(job, now, [this, job, after, wait, isBypassed = isBehind || mayBeListed, done = std::move(done)](bool isOwner, TimePoint at) {
+            if (!isOwner || isBypassed) {
                 // The store holds everything that another owner has listed, and the head names the current owner.
                 return read(job->name_, after, wait, true, at, done);
             }
--- a/libs/ledger/tests/ReplacedOwnerTest.cpp
+++ b/libs/ledger/tests/ReplacedOwnerTest.cpp
@@ -87,3 +87,28 @@
     CHECK(world.store_.core().apply(ObjectCall::update(headKey("j"), encode(claimed), before.version_), world.now()).error_ == ObjectError::Conflict);
     CHECK(world.read(1, "j").outcome_ == ReadOutcome::Found);
 }
+
+// Guards against reads that miss results which have been read: the owner is suspended while the answer to a commit is lost, and meanwhile
+// other nodes read from the store.
+TEST_CASE("ledger: an owner that was suspended during a commit returns the results that others have read")
+{
+    LedgerWorld world(45, 2);
+    world.slots_ = 1;
+    world.stepsPerEvent_ = 10; // runs of 200 ms
+    world.submit(0, "j", 8, 1);
+    world.advance(100ms);
+    world.store_.faults().lostAfter_ = 1;
+    while (world.stored("j").empty())
+        world.advance(LedgerWorld::step);
+    world.pause(1);
+    world.store_.faults().lostAfter_ = 0;
+    world.advance(2s);
+    const auto listed = world.read(0, "j", 0, {}, true).results_;
+    REQUIRE_FALSE(listed.empty());
+    world.resume(1);
+    for (int reads = 0; reads < 20; ++reads) {
+        const ReadAnswer answer = world.read(1, "j");
+        if (answer.outcome_ == ReadOutcome::Found)
+            CHECK(answer.results_.size() >= listed.size());
+    }
+}
