Ledger: a leaving owner confirms its ownership before it lists its last results

What callers would see: a result that has been read is missing at the job's new owner. Cause: a commit of a leaving node met another owner's page. Reading the head failed or took a while, and the handover committed the pending results after that page without waiting for it. The check of commitIfDue() was missing there, and a leaving node didn't repeat a failed confirmation. The test fails before (page 2 exists). Change: the handover waits for the confirmation, which tick() repeats.

--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -412,8 +412,12 @@
     stopRuns(job, true);
     if (job->isCommitting_)
         return;
-    if (!job->pending_.empty())
-        return commit(job, now);
+    if (!job->pending_.empty()) {
+        // As in commitIfDue(): another owner doesn't notice results that are listed after its fence.
+        if (!job->isOwnershipUncertain_)
+            commit(job, now);
+        return;
+    }
     JobHead head = job->head_;
     head.owner_ = target;
     job->isUpdatingHead_ = true;
@@ -509,10 +513,6 @@
         writeCancellation(job, now);
         if (!job->isLoaded_)
             continue;
-        if (leaving_) {
-            handOver(job, now);
-            continue;
-        }
         // If another node owns the job by now, it may have started the same items; the job is then dropped and its runs here stop.
         const bool mustConfirm = job->isOpen() && job->isOwnershipUncertain_ && now >= job->nextConfirmationAt_;
         if (mustConfirm) {
@@ -521,6 +521,10 @@
             if (findOwnedJob(job->name_) != job.get())
                 continue;
         }
+        if (leaving_) {
+            handOver(job, now);
+            continue;
+        }
         confirmOwnership(job, now);
         abandonOverdue(job, now);
         commitIfDue(job, now);
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -146,6 +146,8 @@
     TimePoint now_ { 1s };
     MemoryStore store_ { MemoryStoreSettings { 0, 0, 1s, 100'000, 50 } };
     std::string readBackKind_; // prefix of the keys; empty: none
+    NodeId preferredOwner_ = self;
+    bool areHeadReadsLost_ = false;
     std::function<void()> beforeCommit_; // runs once, before the next result page is written
     std::map<SchedulerNote, int> notes_;
     JobScheduler scheduler_;
@@ -157,6 +159,8 @@
         outlets.store_ = [this](const ObjectCall& call, CallClass, TimePoint, const SettledCompletion& done) {
             if (beforeCommit_ && call.isWrite() && call.key_.starts_with("job-results/"))
                 std::exchange(beforeCommit_, {})();
+            if (areHeadReadsLost_ && !call.isWrite() && call.key_.starts_with("jobs/"))
+                return done({ ObjectAnswer::failed(ObjectError::Unavailable), now_ }, now_);
             SettledAnswer settled { store_.apply(call, now_), now_ };
             if (call.isWrite() && !readBackKind_.empty() && call.key_.starts_with(readBackKind_)) {
                 settled.isReadBack_ = true;
@@ -166,7 +170,7 @@
         };
         outlets.self_ = self;
         outlets.isLive_ = [](NodeId) { return true; };
-        outlets.preferredOwner_ = [](std::string_view, NodeId) { return self; };
+        outlets.preferredOwner_ = [this](std::string_view, NodeId) { return preferredOwner_; };
         outlets.stop_ = [](RunId) {};
         outlets.transfer_ = [](NodeId, const JobTransfer&) {};
         outlets.note_ = [this](const SchedulerEvent& event) { ++notes_[event.note_]; };
@@ -270,3 +274,27 @@
     CHECK(answer->outcome_ == ReadOutcome::Found);
     CHECK(owner.hasResultPage(0));
 }
+
+// Guards against results of a former owner that are read and then missing at the new one: a node that leaves lists its last results after
+// the new owner's fence.
+TEST_CASE("ledger: a leaving owner that finds another owner's fence confirms its ownership before it lists results")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.beforeCommit_ = [&owner] {
+        JobHead head = owner.storedHead();
+        head.owner_ = SingleOwner::other;
+        owner.writeHead(head);
+        owner.store_.apply(ObjectCall::create(resultPageKey("j", 1), encode(std::vector<JobResult>())), owner.now_);
+    };
+    owner.areHeadReadsLost_ = true;
+    owner.rejectOneItem();
+    owner.preferredOwner_ = SingleOwner::other;
+    owner.scheduler_.beginLeaving(owner.now_);
+    owner.advance(SchedulerSettings().storeRetryDelay_);
+    CHECK_FALSE(owner.hasResultPage(2));
+    owner.areHeadReadsLost_ = false;
+    owner.advance(SchedulerSettings().storeRetryDelay_);
+    CHECK(owner.notes_[SchedulerNote::OwnershipLost] == 1);
+    CHECK_FALSE(owner.hasResultPage(2));
+}
