Ledger: a job is loaded only once at a time

What callers would see: an answer in which results stand twice: 6 results of a job of 5 items. Cause: a cancellation that failed while the job was being loaded set the time of the next store operation, which tick() took for a loading that had failed. It started a second one; both added each result. The test fails before. Change: only a failed loading is marked for a restart.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -287,6 +287,7 @@
     void loadItems(const JobPtr& job, std::uint32_t page, TimePoint now);
     void loadResults(const JobPtr& job, std::uint32_t page, TimePoint now);
     void fence(const JobPtr& job, TimePoint now);
+    void reloadLater(const JobPtr& job, TimePoint now);
     void finishLoading(const JobPtr& job, TimePoint now);
     void makeVoid(const JobPtr& job, TimePoint now);
     void applyResults(const JobPtr& job, std::vector<JobResult> results);
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -123,7 +123,7 @@
         if (answer.is(ObjectError::NotFound) && at - job->loadStarted_ > settings_.itemsTimeout_)
             return makeVoid(job, at);
         note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
-        job->retryStoreAt_ = at + settings_.storeRetryDelay_; // tick() restarts the loading
+        reloadLater(job, at);
         job->items_.clear();
         job->byId_.clear();
     });
@@ -149,8 +149,7 @@
         auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
         if (!results) {
             note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
-            job->retryStoreAt_ = at + settings_.storeRetryDelay_;
-            return;
+            return reloadLater(job, at);
         }
         job->pages_ = page + 1;
         applyResults(job, std::move(results.value()));
@@ -183,10 +182,17 @@
         if (answer.ok() || answer.is(ObjectError::Conflict))
             return loadResults(job, page, at);
         note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.answer_.error_);
-        job->retryStoreAt_ = at + settings_.storeRetryDelay_;
+        reloadLater(job, at);
     });
 }
 
+// Makes tick() restart the loading.
+void JobScheduler::reloadLater(const JobPtr& job, TimePoint now)
+{
+    job->hasLoadFailed_ = true;
+    job->retryStoreAt_ = now + settings_.storeRetryDelay_;
+}
+
 void JobScheduler::finishLoading(const JobPtr& job, TimePoint now)
 {
     job->isLoaded_ = true;
@@ -501,9 +507,8 @@
     for (const JobPtr& job : all) {
         if (findOwnedJob(job->name_) != job.get())
             continue;
-        const bool mustReload = !job->isLoaded_ && job->retryStoreAt_ != TimePoint() && now >= job->retryStoreAt_;
-        if (mustReload) {
-            job->retryStoreAt_ = {};
+        if (job->hasLoadFailed_ && now >= job->retryStoreAt_) {
+            job->hasLoadFailed_ = false;
             job->listed_.clear();
             job->pages_ = 0;
             job->items_.empty() ? loadItems(job, 0, now) : loadResults(job, 0, now);
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -51,6 +51,8 @@
     TimePoint due_ {};
     bool isLoaded_ = false; // items and results are in memory
     TimePoint loadStarted_ {};
+    // The loading has ended without success. Invariant: a job is loaded at most once at a time, because two loads would add each result twice.
+    bool hasLoadFailed_ = false;
     std::vector<Item> items_;
     std::unordered_map<std::string, std::size_t> byId_;
 
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -298,3 +298,24 @@
     CHECK(owner.notes_[SchedulerNote::OwnershipLost] == 1);
     CHECK_FALSE(owner.hasResultPage(2));
 }
+
+// Guards against results that stand twice in an answer: the job's loading was started a second time while the first one was waiting for the
+// store, because a cancellation had failed meanwhile.
+TEST_CASE("ledger: a cancellation that fails while the job is loaded doesn't load it twice")
+{
+    PartlyListed job(false);
+    LedgerWorld& world = job.world_;
+    const auto listed = world.stored("j");
+    const ObjectEntry head = *world.store_.core().apply(ObjectCall::list(headKey("j"), true), world.now()).entries_.begin();
+    world.kill(0);
+    world.start(0);
+    world.store_.core().setOutage(true);
+    world.scheduler(0).adopt({ "j", decodeHead(head.value_).value(), head.version_, LedgerWorld::submission("j", items).items_, 0, true, {} }, world.now(), world.wall());
+    world.scheduler(0).end("j", false, world.now(), [](const CancelAnswer&) {});
+    world.advance(SchedulerSettings().itemsTimeout_ + 2s);
+    world.store_.core().setOutage(false);
+    world.advance(1s);
+    const ReadAnswer answer = world.read(0, "j");
+    REQUIRE(answer.outcome_ == ReadOutcome::Found);
+    CHECK(answer.results_ == listed);
+}
