Tests: a ledger world as harsh as the platform

Change: a power loss may undo removals from a disk, each by chance; call queues hedge as the daemon's do; messages of acceptances are late (the first one dies with its owner's process) and repeated, at random if a test asks for it; a host that is cut off knows it as the fleet view would, and is told when it is heard again; hosts leave and start again. Mended in the world: the answer to a spool request reached an intake whose process had ended (use after free, seen with AddressSanitizer); a job without an owner, as all hosts were leaving, had an index out of range and counted as owned by a live host.

--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -21,7 +21,9 @@
 
 // A disk that survives the end of the simulated process, and is empty after a disk loss.
 struct MemoryDisk {
-    std::shared_ptr<std::map<std::string, std::string>> texts_ = std::make_shared<std::map<std::string, std::string>>();
+    using Texts = std::map<std::string, std::string>;
+    std::shared_ptr<Texts> texts_ = std::make_shared<Texts>();
+    std::shared_ptr<Texts> removed_ = std::make_shared<Texts>(); // a removal isn't synced, so a power loss may undo it
 
     Result<std::vector<std::string>> names() const
     {
@@ -40,13 +42,24 @@
     Result<void> write(const std::string& name, std::string_view text) const
     {
         (*texts_)[name] = text;
+        removed_->erase(name);
         return success();
     }
     Result<void> remove(const std::string& name) const
     {
-        texts_->erase(name);
+        if (auto text = texts_->extract(name))
+            removed_->insert_or_assign(name, std::move(text.mapped()));
         return success();
     }
+    // Undoes each removal with a chance of one half. Written texts are synced and remain.
+    template <class Random>
+    void losePower(Random& random) const
+    {
+        for (auto& [name, text] : std::exchange(*removed_, {})) {
+            if (random() % 2 == 0)
+                texts_->try_emplace(name, text);
+        }
+    }
 };
 
 class LedgerWorld {
@@ -108,6 +121,7 @@
         Host& host = *hosts_[index];
         ++host.incarnation_;
         host.isAlive_ = true;
+        leaving_.erase(host.id_);
         host.runs_.clear();
         host.stepCounts_.clear();
         CallQueueSettings queue;
@@ -117,6 +131,7 @@
         queue.budget_.rampTime_ = 100ms;
         queue.longestBackoff_ = 200ms;
         queue.answerBound_ = 1s;
+        queue.hedges_ = hedges_;
         host.queue_ = std::make_unique<CallQueue>(queue, random_());
         LedgerStore send = [this, index, incarnation = host.incarnation_](ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) {
             Host& own = *hosts_[index];
@@ -126,7 +141,7 @@
         SchedulerOutlets outlets;
         outlets.store_ = send;
         outlets.self_ = host.id_;
-        outlets.isLive_ = [this, index](NodeId node) { return !hosts_[index]->consideredDead_.contains(node); };
+        outlets.isLive_ = [this, index](NodeId node) { return !node.isNone() && !hosts_[index]->consideredDead_.contains(node); };
         outlets.preferredOwner_ = [this, index](std::string_view, NodeId) { return preferredOwner(index); };
         outlets.stop_ = [this, index](RunId run) { std::erase_if(hosts_[index]->runs_, [run](const ItemRun& one) { return one.id_ == run; }); };
         outlets.transfer_ = [this](NodeId to, const JobTransfer& job) {
@@ -146,7 +161,11 @@
     }
 
     // Empties the host's disk.
-    void wipeDisk(std::size_t index) { hosts_[index]->disk_.texts_->clear(); }
+    void wipeDisk(std::size_t index)
+    {
+        hosts_[index]->disk_.texts_->clear();
+        hosts_[index]->disk_.removed_->clear();
+    }
 
     // Submits a job through the host's intake, which writes it to the store or spools it.
     void take(std::size_t index, const JobName& job, std::uint32_t items)
@@ -163,6 +182,20 @@
         ++host.incarnation_;
     }
 
+    // Ends the process as kill() does. Copies that the host had removed from its disk may come back.
+    void losePower(std::size_t index)
+    {
+        kill(index);
+        hosts_[index]->disk_.losePower(random_);
+    }
+
+    // Makes the host hand over its jobs. It leaves for good only when its process ends.
+    void leave(std::size_t index)
+    {
+        leaving_.insert(hosts_[index]->id_);
+        at(index, [this, index] { scheduler(index).beginLeaving(now_); });
+    }
+
     // Makes one host consider another one dead, although that one continues to run.
     void markDeadFor(std::size_t observer, std::size_t host) { hosts_[observer]->consideredDead_.insert(hosts_[host]->id_); }
 
@@ -179,6 +212,16 @@
         }
     }
 
+    // As markDead(), but the host knows as much about it as on the platform: while its peers don't hear it, its fleet view reports that it
+    // may be replaced, and it is told when they consider it alive again.
+    void cutOff(std::size_t index, bool isCutOff = true)
+    {
+        hosts_[index]->mayBeReplaced_ = isCutOff;
+        markDead(index, isCutOff);
+        if (!isCutOff)
+            at(index, [this, index] { scheduler(index).recheckOwnership(now_); });
+    }
+
     void pause(std::size_t index) { hosts_[index]->isPaused_ = true; }
     void resume(std::size_t index)
     {
@@ -208,10 +251,8 @@
         const NodeId ownerId = hosts_[owner]->id_;
         host.acceptor_->accept(submission(job, items), ownerId, 2s, now_, wall(), [this, job, owner](const Acceptance& acceptance, TimePoint) {
             outcomes_[job].push_back(acceptance.outcome_);
-            if (acceptance.outcome_ != AcceptOutcome::Accepted || loseTransfers_)
-                return;
-            JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, !acceptance.isNew_, {} };
-            at(owner, [this, owner, transfer] { scheduler(owner).adopt(transfer, now_, wall()); });
+            if (acceptance.outcome_ == AcceptOutcome::Accepted)
+                sendToOwner(owner, { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, !acceptance.isNew_, {} });
         });
     }
 
@@ -223,6 +264,7 @@
             now_ += step;
             store_.advanceTo(now_);
             expireSpoolRequests();
+            runAgenda();
             for (std::size_t index = 0; index < hosts_.size(); ++index) {
                 if (hosts_[index]->isAlive_ && !hosts_[index]->isPaused_)
                     runHost(index);
@@ -230,6 +272,33 @@
         }
     }
 
+    // Runs the action after the time, whatever happens to the hosts meanwhile.
+    void later(Duration time, std::function<void()> action) { agenda_.emplace(now_ + time, std::move(action)); }
+
+    // Runs the action on the host's current process. A paused host runs it when it resumes; a host without a process drops it.
+    void at(std::size_t index, std::function<void()> action)
+    {
+        Host& host = *hosts_[index];
+        if (!host.isAlive_)
+            return;
+        if (host.isPaused_)
+            host.heldMessages_.push_back(std::move(action));
+        else
+            action();
+    }
+
+    std::size_t indexOf(NodeId node) const { return static_cast<std::size_t>(node.value() - hosts_.front()->id_.value()); }
+
+    // Returns the first live host that this host doesn't consider dead and that isn't leaving.
+    NodeId preferredOwner(std::size_t index) const
+    {
+        for (const auto& host : hosts_) {
+            if (host->isAlive_ && !hosts_[index]->consideredDead_.contains(host->id_) && !leaving_.contains(host->id_))
+                return host->id_;
+        }
+        return NodeId::none();
+    }
+
     ReadAnswer read(std::size_t index, const JobName& job, std::uint32_t after = 0, Duration wait = {}, bool force = false)
     {
         std::optional<ReadAnswer> got;
@@ -286,6 +355,8 @@
     int stepsPerEvent_ = 4; // number of steps between two events of a run
     std::function<RunResult(const ItemRun&)> runOutcome_ = [](const ItemRun&) { return RunResult::Completed; };
     bool loseTransfers_ = false;
+    bool lateMessages_ = false; // messages of acceptances are late or repeated at times
+    std::uint32_t hedges_ = 2; // as the daemon's
     std::chrono::milliseconds wallShift_ {}; // offset of the wall clock of all hosts
 
 private:
@@ -298,11 +369,9 @@
         const auto isAway = [this, index] { return isStoreSilent(index); };
         const auto ownerOf = [this, index](const JobName&) { return preferredOwner(index); };
         const auto notifyOwner = [this](const JobName& job, const Acceptance& acceptance) {
-            if (loseTransfers_)
-                return;
-            const JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, !acceptance.isNew_, {} };
-            const std::size_t owner = indexOf(acceptance.head_.owner_);
-            at(owner, [this, owner, transfer] { scheduler(owner).adopt(transfer, now_, wall()); });
+            // There is none while all hosts are leaving.
+            if (!acceptance.head_.owner_.isNone())
+                sendToOwner(indexOf(acceptance.head_.owner_), { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, !acceptance.isNew_, {} });
         };
         SpoolOutlets spool { send, isAway, ownerOf, notifyOwner, [this](SpoolNote note, const JobName&, std::error_code) { ++spoolNotes_[note]; }, [] {} };
         host.spool_ = std::make_unique<JobSpool<MemoryDisk>>(host.disk_, SpoolSettings(), std::move(spool));
@@ -311,15 +380,18 @@
         intake.store_ = send;
         intake.isStoreUnavailable_ = isAway;
         intake.chooseReplicas_ = [this, index](const std::vector<NodeId>& unanswered) { return chooseReplicas(index, unanswered); };
-        intake.requestSpooling_ = [this](NodeId to, SpooledJob job, std::function<void(SpoolOutcome, TimePoint)> done) { storeCopy(to, std::move(job), std::move(done)); };
+        intake.requestSpooling_ = [this, index, incarnation = host.incarnation_](NodeId to, SpooledJob job, std::function<void(SpoolOutcome, TimePoint)> done) {
+            storeCopy(to, std::move(job), [this, index, incarnation, done = std::move(done)](SpoolOutcome outcome, TimePoint now) {
+                if (hosts_[index]->incarnation_ == incarnation)
+                    done(outcome, now);
+            });
+        };
         intake.discardCopy_ = [this](NodeId to, const JobName& job) { at(indexOf(to), [this, to, job] { hosts_[indexOf(to)]->spool_->discardCopy(job); }); };
         intake.ownerOf_ = ownerOf;
         intake.notifyOwner_ = notifyOwner;
         host.intake_ = std::make_unique<JobIntake>(IntakeSettings(), std::move(intake));
     }
 
-    std::size_t indexOf(NodeId node) const { return static_cast<std::size_t>(node.value() - hosts_.front()->id_.value()); }
-
     std::vector<NodeId> chooseReplicas(std::size_t index, const std::vector<NodeId>& unanswered)
     {
         std::vector<NodeId> found;
@@ -355,26 +427,35 @@
         }
     }
 
-    // Runs the action on the host's current process. A paused host runs it when it resumes; a host without a process drops it.
-    void at(std::size_t index, std::function<void()> action)
+    // Delivers the first message of an acceptance, possibly late, unless the owner's process ends before: its connection ends with it. If the
+    // messages are repeated, further ones follow, which reach whichever process then runs.
+    void sendToOwner(std::size_t owner, JobTransfer transfer)
     {
-        Host& host = *hosts_[index];
-        if (!host.isAlive_)
+        if (!loseTransfers_) {
+            const auto deliver = [this, owner, transfer, incarnation = hosts_[owner]->incarnation_] {
+                if (hosts_[owner]->incarnation_ == incarnation)
+                    at(owner, [this, owner, transfer] { scheduler(owner).adopt(transfer, now_, wall()); });
+            };
+            const bool isLate = lateMessages_ && random_() % 4 == 0;
+            isLate ? later(randomUpTo(1200ms), deliver) : deliver();
+        }
+        if (!lateMessages_ || random_() % 2 == 0)
             return;
-        if (host.isPaused_)
-            host.heldMessages_.push_back(std::move(action));
-        else
-            action();
+        transfer.mayHaveResults_ = true;
+        for (int tries = 0; tries < 2; ++tries) {
+            later(1200ms * (tries + 1) + randomUpTo(3s), [this, owner, transfer] { at(owner, [this, owner, transfer] { scheduler(owner).adopt(transfer, now_, wall()); }); });
+        }
     }
 
-    // Returns the first live host that this host doesn't consider dead and that isn't leaving.
-    NodeId preferredOwner(std::size_t index) const
+    Duration randomUpTo(std::chrono::milliseconds time) { return std::chrono::milliseconds(random_() % static_cast<std::uint64_t>(time.count())); }
+
+    void runAgenda()
     {
-        for (const auto& host : hosts_) {
-            if (host->isAlive_ && !hosts_[index]->consideredDead_.contains(host->id_) && !leaving_.contains(host->id_))
-                return host->id_;
+        while (!agenda_.empty() && agenda_.begin()->first <= now_) {
+            const std::function<void()> action = std::move(agenda_.begin()->second);
+            agenda_.erase(agenda_.begin());
+            action();
         }
-        return NodeId::none();
     }
 
     void runHost(std::size_t index)
@@ -436,6 +517,7 @@
 private:
     std::vector<std::unique_ptr<Host>> hosts_;
     std::deque<std::pair<TimePoint, std::function<void(SpoolOutcome, TimePoint)>>> spoolRequests_; // pending ones, ordered by timeout
+    std::multimap<TimePoint, std::function<void()>> agenda_;
     TimePoint now_ { 1s };
 };
 
