Tests: randomized schedules lose power, leave, repeat messages and compare with what was read a second ago

Added: whatever a read has returned more than a second before a later one was sent must be in that one's answer. It isn't applied in a third of the schedules after a host was cut off without knowing it, which the fleet view is meant to prevent; all former checks are applied there. What a test reads from the store of its own accord, while the owner might answer, needn't be known to the owner in time. Reads from positions other than 0 and long polls, on JobFront's way: presumed owner, named owner, store. All hosts killed or without power at once; items slow enough that jobs stay open over restarts, in up to 33 rounds; a slow store that makes calls hedge; spooled jobs; leaving hosts; late and repeated messages; first scans that are late.

--- a/libs/ledger/tests/ExploreTest.cpp
+++ b/libs/ledger/tests/ExploreTest.cpp
@@ -1,6 +1,7 @@
 // Runs 20,000 randomized schedules of the job scheduler (1,000 in a sanitized build), each from its own seed. Jobs are
 // submitted, read, cancelled and submitted again while hosts crash, pause or are considered dead, one of them repeatedly loses its disk,
-// transfers of jobs are lost, and the store loses answers, is slow or is unavailable. The guarantees to callers must hold in each schedule.
+// transfers of jobs are lost, repeated or late, and the store loses answers, is slow or is unavailable. Hosts leave, and all of them are
+// killed or lose power at once. The guarantees to callers must hold in each schedule.
 #include "LedgerWorld.h"
 
 #include <chrono>
@@ -16,10 +17,14 @@
 constexpr int schedules = 20'000;
 #endif
 constexpr std::size_t hosts = 3;
+constexpr Duration settled = 1s; // what has been read for so long is in every answer
+constexpr Duration callTimeout = 1200ms; // as JobFront's
+constexpr int maxHops = 3;
 
 // What a caller has seen of a job. Later reads must not contradict it.
 struct Seen {
     std::vector<JobResult> results_;
+    std::map<TimePoint, std::size_t> readAt_; // the number of results that had been read by then
     bool isAcknowledged_ = false;
     std::size_t submissions_ = 0;
     std::size_t refusals_ = 0; // number of submissions answered with NotAccepted; a submission whose node died gets no answer
@@ -34,14 +39,22 @@
     {
         world_.slots_ = 2 + pick(4);
         world_.stepsPerEvent_ = 1 + static_cast<int>(pick(6));
+        world_.lateMessages_ = pick(2) == 0;
+        knowsOfCuts_ = pick(3) > 0;
+        if (pick(2) == 0)
+            return;
+        // Jobs stay open with a part of their results over restarts.
+        world_.slots_ = 1 + pick(2);
+        world_.stepsPerEvent_ = 10 + static_cast<int>(pick(20));
+        rounds_ = 14 + static_cast<int>(pick(20));
     }
 
     void run()
     {
-        const std::size_t jobs = 1 + pick(2);
+        const std::size_t jobs = 1 + pick(3);
         for (std::size_t job = 0; job < jobs; ++job)
             submit("j" + std::to_string(job));
-        for (int rounds = 0; rounds < 14; ++rounds) {
+        for (int rounds = 0; rounds < rounds_; ++rounds) {
             injectFault();
             world_.advance(30ms + std::chrono::milliseconds(pick(300)));
             readJobs();
@@ -64,7 +77,7 @@
         if (!isUsable(through))
             return;
         ++seen_[job].submissions_;
-        const std::uint32_t items = 2 + static_cast<std::uint32_t>(job.back() - '0') * 3;
+        const std::uint32_t items = itemsOf(job);
         if (pick(2) == 0)
             world_.submit(through, job, items, pick(hosts));
         else
@@ -75,20 +88,17 @@
     {
         const std::size_t index = pick(hosts);
         LedgerWorld::Host& host = world_.host(index);
-        switch (pick(14)) {
+        switch (pick(20)) {
         case 0:
             if (host.isAlive_)
-                world_.kill(index);
+                pick(2) == 0 ? world_.kill(index) : world_.losePower(index);
             break;
         case 1:
             if (!host.isAlive_) {
-                host.isPaused_ = false;
                 // The two copies of a job tolerate the loss of one disk, so only one host ever loses its disk.
                 if (index == failingDiskHost_ && pick(2) == 0)
                     world_.wipeDisk(index);
-                world_.start(index);
-                world_.scheduler(index).tick(world_.now(), world_.wall());
-                world_.scheduler(index).scan(false, world_.now());
+                restart(index);
             }
             break;
         case 2:
@@ -100,10 +110,10 @@
                 world_.resume(index);
             break;
         case 4:
-            world_.markDead(index);
+            cutOff(index, true);
             break;
         case 5:
-            world_.markDead(index, false);
+            cutOff(index, false);
             break;
         case 6:
             world_.store_.loseNextAnswer();
@@ -133,9 +143,75 @@
             else
                 world_.loseTransfers_ = !world_.loseTransfers_;
             break;
+        case 14:
+            if (pick(2) == 0)
+                endAll();
+            break;
+        case 15:
+            if (isUsable(index) && pick(2) == 0)
+                world_.leave(index);
+            break;
+        case 16:
+            // Above the time after which calls are hedged.
+            world_.store_.faults().delay_ = pick(2) == 0 ? 2ms : std::chrono::milliseconds(20 + pick(150));
+            break;
+        case 17:
+            slowForAWhile();
+            break;
+        case 18:
+            if (world_.leaving_.contains(host.id_) && host.isAlive_)
+                world_.kill(index);
+            break;
+        case 19:
+            // The store is unavailable while a job comes in, so that it is spooled.
+            world_.store_.core().setOutage(true);
+            submit("j" + std::to_string(pick(seen_.size())));
+            world_.later(700ms, [this] { world_.store_.core().setOutage(false); });
+            break;
         }
     }
 
+    // In a part of the schedules hosts don't know that their peers don't hear them. Positions must agree even then.
+    void cutOff(std::size_t index, bool isCutOff)
+    {
+        hasUnnoticedCut_ = hasUnnoticedCut_ || !knowsOfCuts_;
+        knowsOfCuts_ ? world_.cutOff(index, isCutOff) : world_.markDead(index, isCutOff);
+    }
+
+    // The processes of all hosts end at the same moment, by a kill or a loss of power, and are back within a second.
+    void endAll()
+    {
+        const bool isPowerLost = pick(2) == 0;
+        for (std::size_t index = 0; index < hosts; ++index)
+            isPowerLost ? world_.losePower(index) : world_.kill(index);
+        if (pick(2) == 0)
+            slowForAWhile();
+        world_.advance(200ms + std::chrono::milliseconds(pick(800)));
+        for (std::size_t index = 0; index < hosts; ++index)
+            restart(index);
+    }
+
+    void restart(std::size_t index)
+    {
+        world_.host(index).isPaused_ = false;
+        world_.start(index);
+        world_.scheduler(index).tick(world_.now(), world_.wall());
+        // The first scan comes after the copies on the disk are uploaded, if the store is slow.
+        const bool isScanLate = pick(2) == 0;
+        world_.later(std::chrono::milliseconds(isScanLate ? pick(1200) : 0), [this, index] {
+            world_.at(index, [this, index] { world_.scheduler(index).scan(false, world_.now()); });
+        });
+    }
+
+    // Answers of the store come later than usual for some tenths of a second, so that calls are hedged and meet their own effect.
+    void slowForAWhile()
+    {
+        world_.store_.faults().delay_ = std::chrono::milliseconds(60 + pick(120));
+        world_.later(std::chrono::milliseconds(300 + pick(1000)), [this] { world_.store_.faults().delay_ = 2ms; });
+    }
+
+    static std::uint32_t itemsOf(const JobName& job) { return 2 + static_cast<std::uint32_t>(job.back() - '0') * 3; }
+
     bool isUsable(std::size_t index) { return world_.host(index).isAlive_ && !world_.host(index).isPaused_; }
 
     void end(const JobName& job, std::size_t index)
@@ -158,22 +234,115 @@
             if (!isUsable(index))
                 continue;
             const bool wasAcknowledged = seen.isAcknowledged_;
-            world_.scheduler(index).read(job, 0, {}, pick(3) == 0, world_.now(), [this, job = job, wasAcknowledged](const ReadAnswer& answer) { checkRead(job, answer, wasAcknowledged); });
+            // Reads at one host. Nodes read from the store only if the owner gives no answer, so what these find there needn't be known to the
+            // owner in time.
+            Call direct { job, 0, {}, index, world_.now(), wasAcknowledged, {} };
+            direct.isForced_ = pick(3) == 0;
+            world_.scheduler(index).read(job, 0, {}, direct.isForced_, world_.now(), [this, direct](const ReadAnswer& answer) { checkRead(direct, answer, direct.isForced_); });
+            const std::size_t entry = pick(hosts);
+            if (!isUsable(entry))
+                continue;
+            const auto after = static_cast<std::uint32_t>(pick(3) == 0 ? pick(seen.results_.size() + 1) : 0);
+            const bool isWaiting = pick(2) == 0;
+            auto call = std::make_shared<Call>(Call { job, after, std::chrono::milliseconds(isWaiting ? pick(600) : 0), entry, world_.now(), wasAcknowledged, {} });
+            const auto presumed = owners_.find({ entry, job });
+            const bool isKnown = presumed != owners_.end() && !world_.host(entry).consideredDead_.contains(presumed->second);
+            call->next_ = isKnown ? presumed->second : world_.preferredOwner(entry);
+            call->entryIncarnation_ = world_.host(entry).incarnation_;
+            queryOwner(call);
+        }
+    }
+
+    // A read of a caller. It takes JobFront's way: to the presumed owner, to the owner that this one names, and to the store.
+    struct Call {
+        JobName job_;
+        std::uint32_t after_ = 0;
+        Duration wait_ {};
+        std::size_t entry_ = 0; // the host that the caller asks
+        TimePoint askedAt_ {};
+        bool wasAcknowledged_ = false;
+        NodeId next_; // the host to ask next
+        std::uint64_t entryIncarnation_ = 0;
+        int hops_ = 0;
+        bool isForced_ = false;
+    };
+    using CallPtr = std::shared_ptr<Call>;
+
+    void queryOwner(const CallPtr& call)
+    {
+        const NodeId self = world_.host(call->entry_).id_;
+        if (call->next_ == self || call->next_.isNone())
+            return answerLocally(call, call->next_.isNone());
+        const auto isOpen = std::make_shared<bool>(true);
+        const std::size_t owner = world_.indexOf(call->next_);
+        world_.at(owner, [this, call, owner, isOpen] {
+            world_.scheduler(owner).read(call->job_, call->after_, call->wait_, false, world_.now(), [this, call, isOpen](const ReadAnswer& answer) {
+                if (std::exchange(*isOpen, false))
+                    atEntry(call, [this, call, answer] { onReply(call, answer, false); });
+            });
+        });
+        world_.later(callTimeout, [this, call, isOpen] {
+            if (std::exchange(*isOpen, false))
+                atEntry(call, [this, call] { answerLocally(call, true); });
+        });
+    }
+
+    void atEntry(const CallPtr& call, const std::function<void()>& action)
+    {
+        if (world_.host(call->entry_).incarnation_ == call->entryIncarnation_)
+            world_.at(call->entry_, action);
+    }
+
+    void answerLocally(const CallPtr& call, bool isForced)
+    {
+        call->isForced_ = isForced;
+        world_.scheduler(call->entry_).read(call->job_, call->after_, call->wait_, isForced, world_.now(), [this, call](const ReadAnswer& answer) { onReply(call, answer, true); });
+    }
+
+    void onReply(const CallPtr& call, const ReadAnswer& answer, bool wasLocal)
+    {
+        const bool mayContinue = ++call->hops_ < maxHops && world_.now() - call->askedAt_ < call->wait_ + callTimeout;
+        if (answer.outcome_ == ReadOutcome::OtherOwner && mayContinue) {
+            owners_[{ call->entry_, call->job_ }] = answer.owner_;
+            call->next_ = answer.owner_;
+            return answer.owner_ == world_.host(call->entry_).id_ && wasLocal ? answerLocally(call, true) : queryOwner(call);
         }
+        if (answer.outcome_ == ReadOutcome::Unavailable && !wasLocal && mayContinue)
+            return answerLocally(call, true);
+        if (answer.outcome_ == ReadOutcome::Found && !wasLocal)
+            owners_[{ call->entry_, call->job_ }] = call->next_;
+        checkRead(*call, answer);
     }
 
-    void checkRead(const JobName& job, const ReadAnswer& answer, bool wasAcknowledged)
+    void checkRead(const Call& call, const ReadAnswer& answer, bool bypassesOwner = false)
     {
         // A read never reports an acknowledged job as missing.
         if (answer.outcome_ == ReadOutcome::Missing)
-            CHECK_FALSE(wasAcknowledged);
+            CHECK_FALSE(call.wasAcknowledged_);
         if (answer.outcome_ != ReadOutcome::Found)
             return;
-        std::vector<JobResult>& known = seen_[job].results_;
-        const std::size_t common = std::min(known.size(), answer.results_.size());
-        CHECK(std::equal(known.begin(), known.begin() + static_cast<std::ptrdiff_t>(common), answer.results_.begin()));
-        if (answer.results_.size() > known.size())
-            known = answer.results_;
+        Seen& seen = seen_[call.job_];
+        std::vector<JobResult>& known = seen.results_;
+        REQUIRE(call.after_ <= known.size());
+        const std::size_t common = std::min(known.size() - call.after_, answer.results_.size());
+        const auto first = known.begin() + call.after_;
+        CHECK(std::equal(first, first + static_cast<std::ptrdiff_t>(common), answer.results_.begin()));
+        const std::size_t end = call.after_ + answer.results_.size();
+        const auto later = seen.readAt_.upper_bound(call.askedAt_ - settled);
+        const std::size_t settledCount = later == seen.readAt_.begin() ? 0 : std::prev(later)->second;
+        if (!hasUnnoticedCut_ && settledCount > call.after_) {
+            CAPTURE(call.job_);
+            CAPTURE(call.after_);
+            CAPTURE(call.entry_);
+            CAPTURE(call.isForced_);
+            CAPTURE(call.hops_);
+            CHECK(end >= settledCount);
+        }
+        if (end > known.size())
+            known.insert(known.end(), answer.results_.begin() + static_cast<std::ptrdiff_t>(known.size() - call.after_), answer.results_.end());
+        const std::size_t read = seen.readAt_.empty() ? 0 : seen.readAt_.rbegin()->second;
+        if (!bypassesOwner && end > read)
+            seen.readAt_[world_.now()] = end;
     }
 
     void removeFaults()
@@ -182,11 +351,13 @@
         world_.store_.faults() = VirtualStoreFaults();
         world_.loseTransfers_ = false;
         for (std::size_t index = 0; index < hosts; ++index) {
+            if (world_.leaving_.contains(world_.host(index).id_))
+                world_.kill(index);
             if (!world_.host(index).isAlive_)
                 world_.start(index);
             if (world_.host(index).isPaused_)
                 world_.resume(index);
-            world_.markDead(index, false);
+            cutOff(index, false);
         }
         world_.advance(100ms);
         for (std::size_t index = 0; index < hosts; ++index)
@@ -206,7 +377,7 @@
             REQUIRE(stored.size() >= seen.results_.size());
             CHECK(std::equal(seen.results_.begin(), seen.results_.end(), stored.begin()));
             if (seen.isAcknowledged_ && !seen.isCancelRequested_)
-                CHECK(stored.size() == 2 + static_cast<std::size_t>(job.back() - '0') * 3);
+                CHECK(stored.size() == itemsOf(job));
             // All submissions of this job were refused as "not run", so none of its items may have run.
             if (seen.submissions_ > 0 && seen.refusals_ == seen.submissions_) {
                 for (const std::string& item : world_.starts_)
@@ -218,6 +389,10 @@
     LedgerWorld world_;
     std::mt19937_64 random_;
     std::map<JobName, Seen> seen_;
+    std::map<std::pair<std::size_t, JobName>, NodeId> owners_; // as each host knows them from answers, perhaps outdated
+    int rounds_ = 14;
+    bool knowsOfCuts_ = true;
+    bool hasUnnoticedCut_ = false;
     const std::size_t failingDiskHost_ = pick(hosts);
 };
 
