--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -151,7 +151,7 @@
         if (findOwnedJob(job->name_) != job.get())
             return;
         if (answer.is(ObjectError::NotFound))
-            return job->isOpen() && !job->isComplete() ? fence(job, at) : finishLoading(job, at);
+            return job->isComplete() ? finishLoading(job, at) : fence(job, at);
         auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
         if (!results) {
             note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
@@ -179,7 +179,11 @@
             return;
         if (answer.ok() && !answer.isReadBack_) {
             job->pages_ = page + 1;
-            return finishLoading(job, at);
+            finishLoading(job, at);
+            // Another node may have claimed the job and reserved a page while this one was loading. It wouldn't notice results on later pages.
+            if (job->isOpen())
+                confirmBeforeCompletion(job, at);
+            return;
         }
         // All empty pages are equal. Another owner's fence doesn't stop that owner, so this one reserves the page after it.
         if (answer.ok() || answer.is(ObjectError::Conflict))
@@ -422,8 +426,12 @@
     stopRuns(job, true);
     if (job->isCommitting_)
         return;
-    if (!job->pending_.empty())
-        return commit(job, now);
+    if (!job->pending_.empty()) {
+        // As in commitIfDue(): another owner doesn't notice results that are listed after its fence.
+        if (!job->isOwnershipUncertain_)
+            commit(job, now);
+        return;
+    }
     JobHead head = job->head_;
     head.owner_ = target;
     job->isUpdatingHead_ = true;
@@ -522,10 +530,6 @@
         writeCancellation(job, now);
         if (!job->isLoaded_)
             continue;
-        if (leaving_) {
-            handOver(job, now);
-            continue;
-        }
         // If another node owns the job by now, it may have started the same items; the job is then dropped and its runs here stop.
         const bool isUncertain = job->isOwnershipUncertain_ || (job->mayLackResults_ && !job->isComplete());
         const bool mustConfirm = job->isOpen() && isUncertain && now >= job->nextConfirmationAt_;
@@ -535,6 +539,10 @@
             if (findOwnedJob(job->name_) != job.get())
                 continue;
         }
+        if (leaving_) {
+            handOver(job, now);
+            continue;
+        }
         confirmOwnership(job, now);
         abandonOverdue(job, now);
         commitIfDue(job, now);
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -183,6 +183,8 @@
     std::function<void()> heldAnswer_;
     NodeId preferred_ = self;
     std::vector<JobTransfer> transfers_;
+    bool areHeadReadsLost_ = false;
+    std::function<void()> beforeCommit_; // runs once, before the next result page is written
     std::map<SchedulerNote, int> notes_;
     JobScheduler scheduler_;
 
@@ -193,13 +195,16 @@
     {
         SchedulerOutlets outlets;
         outlets.store_ = [this](const ObjectCall& call, CallClass, TimePoint, const SettledCompletion& done) {
+            if (beforeCommit_ && call.isWrite() && call.key_.starts_with("job-results/"))
+                std::exchange(beforeCommit_, {})();
             const auto isNext = [&call](std::string& kind, bool isWrite) {
                 const bool found = call.isWrite() == isWrite && !kind.empty() && call.key_.starts_with(kind);
                 if (found)
                     kind.clear();
                 return found;
             };
-            if (isNext(failingKind_, false))
+            const bool isLost = areHeadReadsLost_ && !call.isWrite() && call.key_.starts_with("jobs/");
+            if (isLost || isNext(failingKind_, false))
                 return done({ ObjectAnswer::failed(ObjectError::Unavailable), now_ }, now_);
             SettledAnswer settled { store_.apply(call, now_), now_ };
             if (isNext(readBackKind_, true)) {
@@ -510,3 +515,79 @@
     owner.store_.apply(ObjectCall::create(resultPageKey("j", 1), encode(otherPages[0])), owner.now_);
     CHECK(owner.read().results_ == otherPages[0]);
 }
+
+// Guards against two owners that both list results: the job is claimed while its former owner loads it after a restart, and this one's page
+// comes after the new owner's fence.
+TEST_CASE("ledger: an owner that is replaced while it loads a job gives it up")
+{
+    SingleOwner owner;
+    owner.beforeCommit_ = [&owner] {
+        JobHead head = owner.storedHead();
+        head.owner_ = SingleOwner::other;
+        owner.writeHead(head);
+        owner.store_.apply(ObjectCall::create(resultPageKey("j", 0), encode(std::vector<JobResult>())), owner.now_);
+    };
+    owner.scheduler_.scan(false, owner.now_);
+    CHECK(owner.notes_[SchedulerNote::OwnershipLost] == 1);
+    CHECK_FALSE(owner.scheduler_.startNext("s", owner.now_));
+}
+
+// Guards against results of a former owner that are read and then missing at the new one: the job was cancelled before the new owner had
+// loaded it, and a page of the former owner is still under way.
+TEST_CASE("ledger: an owner that loads a cancelled job reserves the next page")
+{
+    SingleOwner owner;
+    JobHead head = owner.storedHead();
+    head.state_ = JobState::Cancelled;
+    owner.writeHead(head);
+    std::optional<ReadAnswer> answer;
+    owner.scheduler_.read("j", 0, {}, false, owner.now_, [&answer](ReadAnswer read) { answer = std::move(read); });
+    REQUIRE(answer);
+    CHECK(answer->outcome_ == ReadOutcome::Found);
+    CHECK(owner.hasResultPage(0));
+}
+
+// Guards against results of a former owner that are read and then missing at the new one: a node that leaves lists its last results after
+// the new owner's fence.
+TEST_CASE("ledger: a leaving owner that finds another owner's fence confirms its ownership before it lists results")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.beforeCommit_ = [&owner] {
+        JobHead head = owner.storedHead();
+        head.owner_ = SingleOwner::other;
+        owner.writeHead(head);
+        owner.store_.apply(ObjectCall::create(resultPageKey("j", 1), encode(std::vector<JobResult>())), owner.now_);
+    };
+    owner.areHeadReadsLost_ = true;
+    owner.rejectOneItem();
+    owner.preferred_ = SingleOwner::other;
+    owner.scheduler_.beginLeaving(owner.now_);
+    owner.advance(SchedulerSettings().storeRetryDelay_);
+    CHECK_FALSE(owner.hasResultPage(2));
+    owner.areHeadReadsLost_ = false;
+    owner.advance(SchedulerSettings().storeRetryDelay_);
+    CHECK(owner.notes_[SchedulerNote::OwnershipLost] == 1);
+    CHECK_FALSE(owner.hasResultPage(2));
+}
+
+// Guards against results that stand twice in an answer: the job's loading was started a second time while the first one was waiting for the
+// store, because a cancellation had failed meanwhile.
+TEST_CASE("ledger: a cancellation that fails while the job is loaded doesn't load it twice")
+{
+    PartlyListed job(false);
+    LedgerWorld& world = job.world_;
+    const auto listed = world.stored("j");
+    const ObjectEntry head = *world.store_.core().apply(ObjectCall::list(headKey("j"), true), world.now()).entries_.begin();
+    world.kill(0);
+    world.start(0);
+    world.store_.core().setOutage(true);
+    world.scheduler(0).adopt({ "j", decodeHead(head.value_).value(), head.version_, LedgerWorld::submission("j", items).items_, 0, true, {} }, world.now(), world.wall());
+    world.scheduler(0).end("j", false, world.now(), [](const CancelAnswer&) {});
+    world.advance(SchedulerSettings().itemsTimeout_ + 2s);
+    world.store_.core().setOutage(false);
+    world.advance(1s);
+    const ReadAnswer answer = world.read(0, "j");
+    REQUIRE(answer.outcome_ == ReadOutcome::Found);
+    CHECK(answer.results_ == listed);
+}
