Ledger: a node that has just started doesn't take a job for new before it has listed the heads

What callers would see: results that had been read are missing at the job's owner. Cause: the first message of an acceptance comes late, as when its sender was suspended. The owner had found the job by itself, listed results and restarted; its new process doesn't know of the job and took it for a new one. Change: until the first scan has ended, and while a scan reads the job's head, an adopted job's results are loaded. Three calls more for a job that is adopted within the first second or so. Test world: hosts list the heads when they start, as the daemon does.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -354,6 +354,7 @@
     double meanStretch_ = 1;
     bool leaving_ = false;
     bool scanning_ = false;
+    bool hasListedHeads_ = false; // a scan has ended since the start of the process
 };
 
 } // namespace jj
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -66,7 +66,9 @@
     // listed results since. A reader sent to this node would then miss results that it has already read. A node that started or was
     // unavailable recently therefore queries the store first. A node that was available throughout can't have been replaced, but it may have
     // found the job by itself before the message, and handed it over.
-    const bool mayHaveResults = transfer.mayHaveResults_ || droppedAt_.contains(transfer.job_);
+    // Until a new process has listed the heads, it doesn't know which jobs an earlier process of this node had.
+    const bool mayBeKnown = !hasListedHeads_ || pendingTakeovers_.contains(transfer.job_) || droppedAt_.contains(transfer.job_);
+    const bool mayHaveResults = transfer.mayHaveResults_ || mayBeKnown;
     job->isOwnershipUncertain_ = wasRecentlyUnavailable(now) || mayHaveResults;
     for (JobTransfer::Progress& progress : transfer.progress_)
         job->progress_[progress.item_] = std::move(progress);
@@ -275,6 +277,7 @@
                 handleListedHead(std::string(name), head.value(), entry.version_, at);
         }
         scanning_ = !answer.answer_.next_.empty();
+        hasListedHeads_ = hasListedHeads_ || !scanning_;
         if (scanning_)
             listHeads(answer.answer_.next_, stale, at);
     });
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -108,7 +108,10 @@
             hosts_.push_back(std::make_unique<Host>());
             hosts_.back()->id_ = NodeId(100 + index);
             start(index);
+            hosts_.back()->scheduler_->scan(false, now_);
         }
+        // The first scan ends before the tests begin.
+        advance(2 * step);
     }
 
     Host& host(std::size_t index) { return *hosts_[index]; }
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -591,3 +591,21 @@
     REQUIRE(answer.outcome_ == ReadOutcome::Found);
     CHECK(answer.results_ == listed);
 }
+
+// Guards against reads that miss results which have been read: the first message of an acceptance comes late, after its receiver has found the
+// job in the store, listed results and restarted.
+TEST_CASE("ledger: a late message of an acceptance doesn't hide the results of an earlier process")
+{
+    SingleOwner owner;
+    owner.store_.apply(ObjectCall::create(resultPageKey("j", 0), encode(otherPages[0])), owner.now_);
+    const ObjectEntry head = owner.store_.objects().at(headKey("j"));
+    const JobTransfer late { "j", decodeHead(head.value_).value(), head.version_, LedgerWorld::submission("j", items).items_, 0, false, {} };
+    SUBCASE("before the first scan") { }
+    SUBCASE("during the first scan")
+    {
+        owner.heldKind_ = "jobs/j";
+        owner.scheduler_.scan(false, owner.now_);
+    }
+    owner.scheduler_.adopt(late, owner.now_, LedgerWorld::wallStart);
+    CHECK(owner.read().results_ == otherPages[0]);
+}
