Ledger: a copy whose write failed isn't reported as refused

What callers would see: a job that was refused as 'not run' at every try runs after a power loss. Cause: a write that failed, as in the sync of its folder, may have left the whole copy on the disk. Evidence: the test fails before (Refused in place of Unknown). A spool that is full still refuses: it writes nothing.

--- a/libs/ledger/include/ledger/JobSpool.h
+++ b/libs/ledger/include/ledger/JobSpool.h
@@ -120,8 +120,11 @@
         }
         if (const auto written = disk_.write(name, text); !written) {
             outlets_.note_(SpoolNote::Refused, name, written.error());
-            // The disk may hold the complete text although the write failed. A later process would load it and upload the refused job.
-            return disk_.remove(name) ? SpoolOutcome::Refused : SpoolOutcome::Unknown;
+            // The disk may hold the complete text although the write failed, and a power loss may undo its removal. A later process would
+            // load it and upload the job.
+            if (const auto removed = disk_.remove(name); !removed)
+                outlets_.note_(SpoolNote::Unreadable, name, removed.error());
+            return SpoolOutcome::Unknown;
         }
         bytes_ += text.size();
         copies_[name] = { text.size(), now + settings_.firstUploadDelay_ + settings_.rankDelay_ * job.rank_, false };
--- a/libs/ledger/tests/SpoolTest.cpp
+++ b/libs/ledger/tests/SpoolTest.cpp
@@ -217,6 +217,22 @@
     CHECK(disk.texts_->size() == 1);
 }
 
+// Guards against a job that runs although it was refused: a power loss undoes the removal of its copy, whose write had failed.
+TEST_CASE("ledger: a job whose copy may come back after a failed write isn't refused")
+{
+    struct FailingSync : MemoryDisk {
+        Result<void> write(const std::string& name, std::string_view text) const
+        {
+            (*texts_)[name] = text;
+            return std::make_error_code(std::errc::io_error);
+        }
+    };
+    const auto ignore = [](SpoolNote, const JobName&, std::error_code) {};
+    SpoolOutlets outlets { [](const ObjectCall&, CallClass, TimePoint, const SettledCompletion&) {}, [] { return true; }, [](const JobName&) { return NodeId(1); }, [](const JobName&, const Acceptance&) {}, ignore, [] {} };
+    JobSpool<FailingSync> spool(FailingSync {}, SpoolSettings(), outlets);
+    CHECK(spool.storeCopy({ LedgerWorld::submission("j", items), 0 }, TimePoint(1s)) == SpoolOutcome::Unknown);
+}
+
 TEST_CASE("ledger: a spooled job survives encoding, and a damaged text doesn't decode")
 {
     SpooledJob job { LedgerWorld::submission("j", items), 1 };
