--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -65,8 +65,8 @@
     // The message may have been delayed, and other nodes, which considered this node dead, may have given the job to another owner that has
     // listed results since. A reader sent to this node would then miss results that it has already read. A node that started or was
     // unavailable recently therefore queries the store first. A node that was available throughout can't have been replaced, but it may have
-    // found the job by itself before the message, and handed it over.
-    // Until a new process has listed the heads, it doesn't know which jobs an earlier process of this node had.
+    // found the job by itself before the message, and handed it over. Until a new process has listed the heads, it doesn't know which jobs an
+    // earlier process of this node had.
     const bool mayBeKnown = !hasListedHeads_ || pendingTakeovers_.contains(transfer.job_) || droppedAt_.contains(transfer.job_);
     const bool mayHaveResults = transfer.mayHaveResults_ || mayBeKnown;
     job->isOwnershipUncertain_ = wasRecentlyUnavailable(now) || mayHaveResults;
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -100,9 +100,10 @@
     const bool mustConfirm = !job->isComplete() && (isUncertain || job->mayLackResults_);
     // The caller has already seen more results than this node has in memory.
     const bool isBehind = after > job->listed_.size() && !job->isComplete();
+    const bool isCommitLate = job->isCommitting_ && now - job->commitSentAt_ > settings_.confirmationLifetime_;
     // Other nodes read from the store while this one was unavailable. They may have found results there whose commit is still pending here,
     // because its answer is late or lost.
-    const bool mayBeListed = job->isCommitting_ && now - job->commitSentAt_ > settings_.confirmationLifetime_ && mayHaveBeenReplaced(*job, now);
+    const bool mayBeListed = isCommitLate && mayHaveBeenReplaced(*job, now);
     if (mustConfirm || isBehind || mayBeListed) {
         return refresh(job, now, [this, job, after, wait, isBypassed = isBehind || mayBeListed, done = std::move(done)](bool isOwner, TimePoint at) {
             if (!isOwner || isBypassed) {
@@ -115,11 +116,10 @@
     const bool hasMore = after < job->listed_.size();
     // The store may have listed the results of a commit whose answer is late, and another node may have read them there. After a cancellation
     // a former owner's commit may still take effect, and this node writes no page that would conflict with it.
-    const bool isCommitLate = job->isCommitting_ && now - job->commitSentAt_ > settings_.confirmationLifetime_;
     const bool mayHaveMore = isCommitLate || !job->isOpen();
     if (mayHaveMore && !hasMore && !job->isComplete()) {
         return read(job->name_, after, wait, true, now, [this, job, after, done = std::move(done)](ReadAnswer answer) {
-            // Without the store, nobody else can read there either.
+            // While the store is unavailable, other nodes can't read further results either.
             const bool isStillOwner = findOwnedJob(job->name_) == job.get();
             done(answer.outcome_ == ReadOutcome::Unavailable && isStillOwner ? slice(*job, after) : std::move(answer));
         });
--- a/libs/objects/include/objects/CallQueue.h
+++ b/libs/objects/include/objects/CallQueue.h
@@ -41,8 +41,8 @@
     // Success of a write that was concluded from reading back its value after a lost answer. Another writer of the same value may have
     // written it.
     bool isReadBack_ = false;
-    // A try of this write went without an answer and may still reach the store. A create may so make an object that was removed
-    // meanwhile anew.
+    // A try of this write went without an answer and may still reach the store. A create may then write an object again that was removed
+    // meanwhile.
     bool mayLandLate_ = false;
 
     bool ok() const { return answer_.ok(); }
