--- a/libs/jobs/tests/AcceptTest.cpp
+++ b/libs/jobs/tests/AcceptTest.cpp
@@ -345,7 +345,7 @@
     CHECK(world.firstFinding() == "");
 }
 
-// Guards against an accepted job whose items are gone: a try of its upload record that was given up reaches the store after the record
+// Guards against an accepted job whose items have been removed: a try of its upload record that was given up reaches the store after the record
 // was removed, and a record that names no job is collected with its chunks.
 TEST_CASE("collection spares the chunks of an accepted job whose upload record lands late")
 {
--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -295,7 +295,7 @@
     void takeOver(const JobName& name, TimePoint now);
     void claim(const JobName& name, JobHead head, ObjectVersion version, TimePoint now);
     void refresh(const JobPtr& job, TimePoint now, std::function<void(bool isOwner, TimePoint)> then);
-    void loadMissedResults(const JobPtr& job, TimePoint askedAt, TimePoint now, std::function<void(bool isOwner, TimePoint)> then);
+    void loadMissingResults(const JobPtr& job, TimePoint queriedAt, TimePoint now, std::function<void(bool isOwner, TimePoint)> then);
     void drop(const JobName& name);
 
     // Results
@@ -305,7 +305,7 @@
     void finishCommit(const JobPtr& job, const SettledAnswer& answer, TimePoint now);
     void resolveConflict(const JobPtr& job, TimePoint now);
     // Reads the head after a result page that another owner has written, or may have written.
-    void confirmBeforeCompletion(const JobPtr& job, TimePoint now);
+    void confirmThenComplete(const JobPtr& job, TimePoint now);
     void setState(const JobPtr& job, JobState state, TimePoint now, std::function<void(bool, TimePoint)> then);
     void completeIfDone(const JobPtr& job, TimePoint now);
     void stopRuns(const JobPtr& job, bool keepText);
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -184,7 +184,7 @@
             finishLoading(job, at);
             // Another node may have claimed the job and reserved a page while this one was loading. It wouldn't notice results on later pages.
             if (job->isOpen())
-                confirmBeforeCompletion(job, at);
+                confirmThenComplete(job, at);
             return;
         }
         // All empty pages are equal. Another owner's fence doesn't stop that owner, so this one reserves the page after it.
@@ -357,46 +357,46 @@
         if (version > job->headVersion_) {
             job->headVersion_ = version;
             job->head_.term_ = head.term_;
-            job->mayLackResults_ = true;
+            job->mayMissResults_ = true;
             ++job->headChanges_;
         }
         if (job->isOpen() && head.state_ != JobState::Open) {
             job->head_ = head;
             stopRuns(job, false);
         }
-        loadMissedResults(job, now, at, then);
+        loadMissingResults(job, now, at, then);
     });
 }
 
 // Reads the pages that another owner has added, if the head shows that there may have been one.
-void JobScheduler::loadMissedResults(const JobPtr& job, TimePoint askedAt, TimePoint now, std::function<void(bool, TimePoint)> then)
+void JobScheduler::loadMissingResults(const JobPtr& job, TimePoint queriedAt, TimePoint now, std::function<void(bool, TimePoint)> then)
 {
     // The loading reads all pages.
     if (!job->isLoaded_)
         return then(false, now);
-    if (!job->mayLackResults_ || job->isComplete()) {
+    if (!job->mayMissResults_ || job->isComplete()) {
         job->isOwnershipUncertain_ = false;
-        job->confirmedAt_ = std::max(job->confirmedAt_, askedAt);
+        job->confirmedAt_ = std::max(job->confirmedAt_, queriedAt);
         return then(true, now);
     }
     // The pending commit either conflicts with another owner's page or writes the next one, which must not be applied twice.
     if (job->isCommitting_)
         return then(false, now);
     const std::uint32_t page = job->pages_;
-    store(ObjectCall::get(resultPageKey(job->name_, page)), CallClass::Read, now + settings_.readTimeout_, [this, job, page, headChanges = job->headChanges_, askedAt, then = std::move(then)](const SettledAnswer& answer, TimePoint at) {
+    store(ObjectCall::get(resultPageKey(job->name_, page)), CallClass::Read, now + settings_.readTimeout_, [this, job, page, headChanges = job->headChanges_, queriedAt, then = std::move(then)](const SettledAnswer& answer, TimePoint at) {
         const bool isOutdated = findOwnedJob(job->name_) != job.get() || job->isCommitting_ || job->pages_ != page || job->headChanges_ != headChanges;
         if (isOutdated)
             return then(false, at);
         if (answer.is(ObjectError::NotFound)) {
-            job->mayLackResults_ = false;
-            return loadMissedResults(job, askedAt, at, then);
+            job->mayMissResults_ = false;
+            return loadMissingResults(job, queriedAt, at, then);
         }
         auto results = answer.ok() ? decodeResults(answer.answer_.value_) : Result<std::vector<JobResult>>(LedgerError::BadRecord);
         if (!results)
             return then(false, at);
         ++job->pages_;
         applyResults(job, std::move(results.value()));
-        loadMissedResults(job, askedAt, at, then);
+        loadMissingResults(job, queriedAt, at, then);
     });
 }
 
@@ -534,7 +534,7 @@
         if (!job->isLoaded_)
             continue;
         // If another node owns the job by now, it may have started the same items; the job is then dropped and its runs here stop.
-        const bool isUncertain = job->isOwnershipUncertain_ || (job->mayLackResults_ && !job->isComplete());
+        const bool isUncertain = job->isOwnershipUncertain_ || (job->mayMissResults_ && !job->isComplete());
         const bool mustConfirm = job->isOpen() && isUncertain && now >= job->nextConfirmationAt_;
         if (mustConfirm) {
             job->nextConfirmationAt_ = now + settings_.storeRetryDelay_;
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -67,7 +67,7 @@
 
     std::vector<Reader> readers_;
     bool isOwnershipUncertain_ = false; // another node may own the job by now
-    bool mayLackResults_ = false; // another owner may have listed results, because the head has changed or a page was met
+    bool mayMissResults_ = false; // another owner may have listed results, because the head has changed or a page was met
     std::uint32_t headChanges_ = 0; // number of changes of the head that were found in the store
     TimePoint nextConfirmationAt_ {};
     TimePoint confirmedAt_ {}; // when the latest query was sent that confirmed this node's ownership
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -97,7 +97,7 @@
     // store's answer.
     const bool isOutdated = now - job->confirmedAt_ > settings_.confirmationLifetime_ && mayHaveBeenReplaced(*job, now);
     const bool isUncertain = job->isOpen() && (job->isOwnershipUncertain_ || isOutdated);
-    const bool mustConfirm = !job->isComplete() && (isUncertain || job->mayLackResults_);
+    const bool mustConfirm = !job->isComplete() && (isUncertain || job->mayMissResults_);
     // The caller has already seen more results than this node has in memory.
     const bool isBehind = after > job->listed_.size() && !job->isComplete();
     const bool isCommitLate = job->isCommitting_ && now - job->commitSentAt_ > settings_.confirmationLifetime_;
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -241,7 +241,7 @@
         answerReaders(job, now, false);
         // Another owner may have written the same results.
         if (answer.isReadBack_)
-            return confirmBeforeCompletion(job, now);
+            return confirmThenComplete(job, now);
         job->confirmedAt_ = std::max(job->confirmedAt_, job->commitSentAt_);
         return completeIfDone(job, now);
     }
@@ -259,7 +259,7 @@
     note(SchedulerNote::PageConflict, job->name_, {}, job->pages_);
     // The other writer may have written more pages, even if the head is unchanged. Until all are read, reads are answered from the store.
     job->isOwnershipUncertain_ = true;
-    job->mayLackResults_ = true;
+    job->mayMissResults_ = true;
     job->isCommitting_ = true;
     store(ObjectCall::get(resultPageKey(job->name_, job->pages_)), CallClass::Commit, now + settings_.backgroundTimeout_, [this, job](const SettledAnswer& answer, TimePoint at) {
         if (findOwnedJob(job->name_) != job.get())
@@ -274,11 +274,11 @@
         ++job->pages_;
         applyResults(job, std::move(results.value()));
         answerReaders(job, at, false);
-        confirmBeforeCompletion(job, at);
+        confirmThenComplete(job, at);
     });
 }
 
-void JobScheduler::confirmBeforeCompletion(const JobPtr& job, TimePoint now)
+void JobScheduler::confirmThenComplete(const JobPtr& job, TimePoint now)
 {
     job->isOwnershipUncertain_ = true;
     refresh(job, now, [this, job](bool isOwner, TimePoint at) {
@@ -314,7 +314,7 @@
             job->head_ = head;
             job->headVersion_ = answer.answer_.version_;
             // Another node may have written the same head, after an owner that this one doesn't know of.
-            job->mayLackResults_ = job->mayLackResults_ || (job->isLoaded_ && answer.isReadBack_);
+            job->mayMissResults_ = job->mayMissResults_ || (job->isLoaded_ && answer.isReadBack_);
             return then(true, at);
         }
         // Another node changed the head, or the store is unavailable. The head is read before the update is retried.
--- a/libs/ledger/tests/ExploreTest.cpp
+++ b/libs/ledger/tests/ExploreTest.cpp
@@ -171,7 +171,7 @@
         }
     }
 
-    // In a part of the schedules hosts don't know that their peers don't hear them. Positions must agree even then.
+    // In a part of the schedules hosts don't know that their peers receive nothing from them. Positions must agree even then.
     void cutOff(std::size_t index, bool isCutOff)
     {
         hasUnnoticedCut_ = hasUnnoticedCut_ || !knowsOfCuts_;
@@ -258,10 +258,10 @@
         JobName job_;
         std::uint32_t after_ = 0;
         Duration wait_ {};
-        std::size_t entry_ = 0; // the host that the caller asks
+        std::size_t entry_ = 0; // the host that received the call
         TimePoint askedAt_ {};
         bool wasAcknowledged_ = false;
-        NodeId next_; // the host to ask next
+        NodeId next_; // the host to query next
         std::uint64_t entryIncarnation_ = 0;
         int hops_ = 0;
         bool isForced_ = false;
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -215,8 +215,8 @@
         }
     }
 
-    // As markDead(), but the host knows as much about it as on the platform: while its peers don't hear it, its fleet view reports that it
-    // may be replaced, and it is told when they consider it alive again.
+    // As markDead(), but the host knows as much about it as on the platform: while its peers receive nothing from it, its fleet view
+    // reports that it may be replaced, and it is notified when they consider it alive again.
     void cutOff(std::size_t index, bool isCutOff = true)
     {
         hosts_[index]->mayBeReplaced_ = isCutOff;
--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -109,7 +109,7 @@
         const auto* kept = reply ? std::get_if<SpoolReply>(&reply.value()) : nullptr;
         const SpoolOutcome outcome = kept ? kept->outcome_ : SpoolOutcome::Unknown;
         if (outcome != SpoolOutcome::Spooled)
-            context_.log_.line("copyMissing").with("job", name).with("host", host.value()).with("outcome", kept ? "refused" : "unknown");
+            context_.log_.line("copyMissing").with("job", name).with("host", host.value()).with("outcome", outcome == SpoolOutcome::Refused ? "refused" : "unknown");
         done(outcome, context_.now());
     });
 }
