--- a/libs/ledger/tests/MissingResultsTest.cpp
+++ b/libs/ledger/tests/MissingResultsTest.cpp
@@ -264,3 +264,43 @@
     owner.scheduler_.adopt(late, owner.now_, LedgerWorld::wallStart);
     CHECK(owner.read().results_ == otherPages[0]);
 }
+
+// Guards against reads that miss results which have been read: a message of an acceptance is repeated to a node whose scan couldn't read the
+// job's head.
+TEST_CASE("ledger: a repeated message of an acceptance makes its receiver load the results after its scan too")
+{
+    SingleOwner owner;
+    owner.store_.apply(ObjectCall::create(resultPageKey("j", 0), encode(otherPages[0])), owner.now_);
+    owner.failingKind_ = "jobs/j";
+    owner.scheduler_.scan(false, owner.now_);
+    REQUIRE(owner.scheduler_.loadedJobs() == 0);
+    const ObjectEntry head = owner.store_.objects().at(headKey("j"));
+    owner.scheduler_.adopt({ "j", decodeHead(head.value_).value(), head.version_, LedgerWorld::submission("j", items).items_, 0, true, {} }, owner.now_, LedgerWorld::wallStart);
+    CHECK(owner.read().results_ == otherPages[0]);
+}
+
+// Guards against reads that miss results: the owner was suspended, others have read from the store what its pending commit had listed, and it
+// answers with the results that it knows.
+TEST_CASE("ledger: an owner that was suspended returns what its pending commit has listed besides what it knows")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.rejectOneItem();
+    owner.heldWriteKind_ = "job-results/";
+    owner.rejectOneItem();
+    REQUIRE(owner.heldAnswer_);
+    owner.now_ += 2s;
+    CHECK(owner.read().results_.size() == 2);
+}
+
+// Guards against reads that miss results of another owner: the cancellation that was read back was written after that owner's results.
+TEST_CASE("ledger: an owner whose cancellation was read back returns other owners' results besides its own")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.rejectOneItem();
+    owner.replaceForATime(2, otherPages, JobState::Cancelled);
+    owner.readBackKind_ = "jobs/";
+    owner.scheduler_.end("j", false, owner.now_, [](const CancelAnswer& answer) { CHECK(answer.outcome_ == ReadOutcome::Found); });
+    CHECK(owner.read().results_.size() == 1 + otherResults.size());
+}
--- a/libs/ledger/tests/ReadBackTest.cpp
+++ b/libs/ledger/tests/ReadBackTest.cpp
@@ -207,3 +207,20 @@
     REQUIRE(answer.outcome_ == ReadOutcome::Found);
     CHECK(answer.results_ == listed);
 }
+
+// Guards against an owner that begins without a job's results, because an earlier submission's head was taken for this one's.
+TEST_CASE("ledger: an acceptance is new only if its head was not read back")
+{
+    for (const bool isReadBack : { false, true }) {
+        CAPTURE(isReadBack);
+        Acceptor acceptor([isReadBack](const ObjectCall& call, CallClass, TimePoint, const SettledCompletion& done) {
+            SettledAnswer answer;
+            answer.isReadBack_ = isReadBack && call.key_ == headKey("j");
+            done(answer, TimePoint(1s));
+        });
+        Acceptance seen;
+        acceptor.accept(LedgerWorld::submission("j", items), SingleOwner::self, 2s, TimePoint(1s), LedgerWorld::wallStart, [&seen](const Acceptance& acceptance, TimePoint) { seen = acceptance; });
+        CHECK((seen.outcome_ == AcceptOutcome::Accepted));
+        CHECK(seen.isNew_ == !isReadBack);
+    }
+}
