Ledger: a late message of an acceptance to a node whose scan couldn't read the job's head

What callers would see: reads that return nothing at positions that had been read. Cause: the first message of an acceptance can come seconds after the head was created (an item page's answer was late). If its receiver has meanwhile found the job, listed results and restarted, only its first scan tells it that the job isn't new. A scan whose read of the head failed left no trace, so adopt() began the job without its results. Evidence: "a late message of an acceptance doesn't hide the results of an earlier process", case "after a scan that couldn't read the head", fails before (no results read) and passes now. Ruled out: loading the results of each adopted job for ten seconds after a start, which costs two store calls a job when all restart. Change: such a job counts as one that an earlier process may have owned, as jobs do that this process has given up. The set of both is named for that.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -339,7 +339,9 @@
     SchedulerSettings settings_;
     SchedulerOutlets outlets_;
     std::map<JobName, JobPtr> jobs_; // the jobs that this node believes it owns
-    std::unordered_map<JobName, TimePoint> droppedAt_; // when this node last ceased to own a job; a message that makes it the owner may be older
+    // Jobs that this process has owned before, and jobs that an earlier process may have owned because their heads couldn't be read. A message
+    // that makes this node the owner of such a job may be older.
+    std::unordered_map<JobName, TimePoint> earlierJobs_;
     std::unordered_map<RunId, Running> runs_;
     std::uint64_t nextRun_ = 1;
     std::map<JobName, TimePoint> pendingTakeovers_; // takeovers in progress, so that two scans don't start the same one twice
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -100,7 +100,7 @@
     lastTick_ = now;
     if (startedAt_ == TimePoint())
         startedAt_ = now;
-    std::erase_if(droppedAt_, [&](const auto& entry) { return now - entry.second > settings_.retention_; });
+    std::erase_if(earlierJobs_, [&](const auto& entry) { return now - entry.second > settings_.retention_; });
     std::vector<JobPtr> all;
     for (const auto& [name, job] : jobs_)
         all.push_back(job);
--- a/libs/ledger/src/SchedulerLoading.cpp
+++ b/libs/ledger/src/SchedulerLoading.cpp
@@ -26,7 +26,7 @@
     // unavailable recently therefore queries the store first. A node that was available throughout can't have been replaced, but it may have
     // found the job by itself before the message, and handed it over. Until a new process has listed the heads, it doesn't know which jobs an
     // earlier process of this node had.
-    const bool mayBeKnown = !hasListedHeads_ || pendingTakeovers_.contains(transfer.job_) || droppedAt_.contains(transfer.job_);
+    const bool mayBeKnown = !hasListedHeads_ || pendingTakeovers_.contains(transfer.job_) || earlierJobs_.contains(transfer.job_);
     const bool mayHaveResults = transfer.mayHaveResults_ || mayBeKnown;
     job->isOwnershipUncertain_ = wasRecentlyUnavailable(now) || mayHaveResults;
     for (JobTransfer::Progress& progress : transfer.progress_)
@@ -202,7 +202,7 @@
     const JobPtr job = found->second;
     stopRuns(job, false);
     jobs_.erase(found);
-    droppedAt_[name] = lastTick_;
+    earlierJobs_[name] = lastTick_;
     for (Job::Reader& reader : std::exchange(job->readers_, {}))
         reader.done_({});
     // Repeats the cancellations, which then reach the new owner or find the job's final state in the store.
--- a/libs/ledger/src/SchedulerOwnership.cpp
+++ b/libs/ledger/src/SchedulerOwnership.cpp
@@ -62,6 +62,8 @@
         return;
     readHead(name, now, [this, name](ReadOutcome outcome, const JobHead& head, ObjectVersion version, TimePoint at) {
         pendingTakeovers_.erase(name);
+        if (outcome == ReadOutcome::Unavailable)
+            earlierJobs_[name] = at;
         if (outcome != ReadOutcome::Found || leaving_ || findOwnedJob(name))
             return;
         if (head.owner_ == outlets_.self_)
--- a/libs/ledger/tests/MissingResultsTest.cpp
+++ b/libs/ledger/tests/MissingResultsTest.cpp
@@ -304,3 +304,9 @@
     owner.scheduler_.end("j", false, owner.now_, [](const CancelAnswer& answer) { CHECK(answer.outcome_ == ReadOutcome::Found); });
     CHECK(owner.read().results_.size() == 1 + otherResults.size());
 }
+    SUBCASE("after a scan that couldn't read the head")
+    {
+        owner.failingKind_ = "jobs/j";
+        owner.scheduler_.scan(false, owner.now_);
+        REQUIRE(owner.scheduler_.loadedJobs() == 0);
+    }
