Ledger: an owner that can't learn the outcome of a commit doesn't answer from memory

What callers would see: a result that a read had returned is missing in the next one. Cause: while the outcome of a commit is unknown for a second, or after a cancellation, the owner answers reads from the store, but fell back to its memory if the store didn't answer that read. The read before may have returned more: through this node, or through another one. The reason given, that others can't read further results during an outage either, holds for later reads only. Evidence: "an owner that can't learn the outcome of a commit doesn't answer from memory" and "an owner of a cancelled job doesn't answer from memory while the store is unavailable" fail before (Found without results) and pass now. Change: such a read is answered as unavailable, so that the node that was asked reads the store itself, or says that it can't be sure. Only if a try of the commit went without an answer, which CallQueue now tells: a commit that the store has refused, or that wasn't sent yet, has no effect that a caller could have read. So an owner that was available throughout still answers during an outage that refuses calls, as the test of commits after an outage requires, and it no longer sends a read to the store first.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -201,6 +201,8 @@
     // Whether some host may hold a spooled job that isn't in the store yet. While this is true, a read of a job that isn't in the store is
     // answered with Unavailable instead of Missing.
     std::function<bool()> mayBeSpooled_;
+    // Whether a write of this object that this node has begun may have taken effect, although its outcome isn't known yet.
+    std::function<bool(std::string_view key)> isWriteInDoubt_;
     // Whether other nodes may have replaced this one without its noticing.
     std::function<bool()> mayBeReplaced_;
 };
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -114,16 +114,12 @@
         });
     }
     const bool hasMore = after < job->listed_.size();
-    // The store may have listed the results of a commit whose answer is late, and another node may have read them there. After a cancellation
-    // a former owner's commit may still take effect, and this node writes no page that would conflict with it.
-    const bool mayHaveMore = isCommitLate || !job->isOpen();
-    if (mayHaveMore && !hasMore && !job->isComplete()) {
-        return read(job->name_, after, wait, true, now, [this, job, after, done = std::move(done)](ReadAnswer answer) {
-            // While the store is unavailable, other nodes can't read further results either.
-            const bool isStillOwner = findOwnedJob(job->name_) == job.get();
-            done(answer.outcome_ == ReadOutcome::Unavailable && isStillOwner ? slice(*job, after) : std::move(answer));
-        });
-    }
+    // The store may have listed the results of a commit whose answer is late, and a caller may have read them there. After a cancellation
+    // a former owner's commit may still take effect, and this node writes no page that would conflict with it. While the store is unavailable,
+    // this node can't be sure, so it doesn't answer from memory either.
+    const bool mayHaveMore = (isCommitLate && outlets_.isWriteInDoubt_(resultPageKey(job->name_, job->pages_))) || !job->isOpen();
+    if (mayHaveMore && !hasMore && !job->isComplete())
+        return read(job->name_, after, wait, true, now, std::move(done));
     if (hasMore || job->isComplete() || !job->isOpen() || wait <= Duration::zero())
         return done(slice(*job, after));
     job->readers_.push_back({ after, until, std::move(done) });
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -113,6 +113,7 @@
         };
         outlets.note_ = [this](const SchedulerEvent& event) { ++notes_[event.note_]; };
         outlets.serviceOf_ = [this](std::string_view, std::string_view) { return service_; };
+        outlets.isWriteInDoubt_ = [this, index](std::string_view key) { return hosts_[index]->queue_->isWriteInDoubt(key); };
         outlets.mayBeReplaced_ = [this, index] { return hosts_[index]->mayBeReplaced_; };
         // In reality, hosts notify each other within milliseconds whether they have spooled jobs.
         outlets.mayBeSpooled_ = [this] { return std::any_of(hosts_.begin(), hosts_.end(), [](const auto& each) { return !each->disk_.texts_->empty(); }); };
--- a/libs/ledger/tests/MissingResultsTest.cpp
+++ b/libs/ledger/tests/MissingResultsTest.cpp
@@ -98,6 +98,36 @@
     CHECK(owner.read().results_.size() == 1);
 }
 
+// Guards against reads that miss results which have been read: the owner knows them from a read of the store only, and the store doesn't
+// answer the next read.
+TEST_CASE("ledger: an owner that can't learn the outcome of a commit doesn't answer from memory")
+{
+    SingleOwner owner;
+    owner.advance(SchedulerSettings().replacementWindow_ + 1s);
+    owner.scheduler_.scan(false, owner.now_);
+    owner.heldWriteKind_ = "job-results/";
+    owner.rejectOneItem();
+    owner.advance(1s);
+    REQUIRE(owner.read().results_.size() == 1);
+    owner.failingKind_ = "jobs/";
+    const ReadAnswer answer = owner.read();
+    CHECK((answer.outcome_ == ReadOutcome::Unavailable || answer.results_.size() == 1));
+}
+
+// Guards against reads that miss results which have been read: a former owner's commit has taken effect after the job was cancelled, and the
+// store doesn't answer the next read.
+TEST_CASE("ledger: an owner of a cancelled job doesn't answer from memory while the store is unavailable")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.scheduler_.end("j", false, owner.now_, [](const CancelAnswer& answer) { CHECK(answer.outcome_ == ReadOutcome::Found); });
+    owner.store_.apply(ObjectCall::create(resultPageKey("j", 1), encode(otherPages[0])), owner.now_);
+    REQUIRE(owner.read().results_ == otherPages[0]);
+    owner.failingKind_ = "jobs/";
+    const ReadAnswer answer = owner.read();
+    CHECK((answer.outcome_ == ReadOutcome::Unavailable || answer.results_ == otherPages[0]));
+}
+
 // Guards against reads that miss another owner's results: the owner has seen the newer head, but couldn't read the pages then.
 TEST_CASE("ledger: an owner that couldn't read another owner's pages doesn't answer from memory")
 {
--- a/libs/ledger/tests/SingleOwner.h
+++ b/libs/ledger/tests/SingleOwner.h
@@ -145,6 +145,7 @@
         outlets.note_ = [this](const SchedulerEvent& event) { ++notes_[event.note_]; };
         outlets.serviceOf_ = [](std::string_view, std::string_view) { return std::string("s"); };
         outlets.mayBeSpooled_ = [] { return false; };
+        outlets.isWriteInDoubt_ = [this](std::string_view) { return static_cast<bool>(heldAnswer_); };
         outlets.mayBeReplaced_ = [] { return false; };
         return outlets;
     }
--- a/libs/objects/include/objects/CallQueue.h
+++ b/libs/objects/include/objects/CallQueue.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <string_view>
 #include <vector>
 
 namespace jj {
@@ -75,6 +76,8 @@
     CallBudget& budget() { return budget_; }
     const CallBudget& budget() const { return budget_; }
     std::size_t waiting() const { return calls_.size(); }
+    // Returns whether a waiting write of this object may have taken effect: a try of it hasn't been answered.
+    bool isWriteInDoubt(std::string_view key) const;
     std::uint64_t sent() const { return sent_; }
 
 private:
--- a/libs/objects/src/CallQueue.cpp
+++ b/libs/objects/src/CallQueue.cpp
@@ -23,6 +23,14 @@
     entry.done_ = std::move(done);
 }
 
+bool CallQueue::isWriteInDoubt(std::string_view key) const
+{
+    return std::any_of(calls_.begin(), calls_.end(), [key](const auto& entry) {
+        const Call& call = entry.second;
+        return call.call_.isWrite() && call.call_.key_ == key && (call.answerLost_ || !call.inFlight_.isNone());
+    });
+}
+
 std::vector<OutgoingCall> CallQueue::take() { return std::exchange(outgoing_, {}); }
 
 void CallQueue::tick(TimePoint now)
--- a/libs/objects/tests/CallQueueTest.cpp
+++ b/libs/objects/tests/CallQueueTest.cpp
@@ -115,6 +115,43 @@
     CHECK(second.is(ObjectError::OutcomeUnknown));
 }
 
+// Guards against a read that misses the effect of a write: the writer takes a lost answer for a refusal.
+TEST_CASE("a waiting write is in doubt once a try of it has gone without an answer")
+{
+    VirtualStore store(1);
+    Client client { store, CallQueue({}, 1) };
+    SettledAnswer seen;
+    const auto send = [&] { client.queue_.send(ObjectCall::create("k", "mine"), CallClass::Commit, neverTime, [&](const SettledAnswer& answer, TimePoint) { seen = answer; }); };
+    SUBCASE("not before the first try")
+    {
+        send();
+        CHECK_FALSE(client.queue_.isWriteInDoubt("k"));
+    }
+    SUBCASE("not after a refusal")
+    {
+        store.core().setOutage(true);
+        send();
+        run(store, client, 1s);
+        CHECK(client.queue_.waiting() == 1);
+        CHECK_FALSE(client.queue_.isWriteInDoubt("k"));
+    }
+    SUBCASE("until a lost answer is read back")
+    {
+        store.loseNextAnswer();
+        send();
+        client.step(store.now());
+        CHECK(client.queue_.isWriteInDoubt("k"));
+        store.core().setOutage(true);
+        run(store, client, 1s);
+        CHECK(client.queue_.isWriteInDoubt("k"));
+        CHECK_FALSE(client.queue_.isWriteInDoubt("l"));
+        store.core().setOutage(false);
+        run(store, client, 5s);
+        CHECK(seen.ok());
+        CHECK_FALSE(client.queue_.isWriteInDoubt("k"));
+    }
+}
+
 TEST_CASE("load returns gradually after an outage")
 {
     // After a store outage the fleet's backlog hits the store in the first second, it refuses by rate and the backlog grows.
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -263,6 +263,7 @@
         if (event.error_)
             line.with("error", event.error_.message());
     };
+    outlets.isWriteInDoubt_ = [this](std::string_view key) { return store_->isWriteInDoubt(key); };
     outlets.mayBeReplaced_ = [this] { return fleet_->mayBeReplaced(); };
     outlets.mayBeSpooled_ = [this] { return mayHaveSpooledJobs(); };
     outlets.serviceOf_ = [this](std::string_view host, std::string_view path) -> std::optional<std::string> {
--- a/libs/serving/src/StoreLink.h
+++ b/libs/serving/src/StoreLink.h
@@ -64,6 +64,8 @@
 
     void tick(TimePoint now);
     bool hasQueuedCalls() const { return queue_.waiting() > 0; }
+    // See CallQueue.
+    bool isWriteInDoubt(std::string_view key) const { return queue_.isWriteInDoubt(key); }
     // Returns whether the last tries on all routes failed.
     bool isUnreachable() const { return isUnreachable_; }
     // Returns whether this node's last direct call failed. Peers may still carry its calls.
