Ledger: a read that waited for a result is answered as one that begins when its wait ends

What callers would see: a read that waits a second returns nothing at a position that another read has returned meanwhile. Cause: the checks of a read (ownership, the outcome of a commit) were made when it arrived. When its wait ended it was answered from memory, though the commit had become late or the ownership uncertain since. Evidence: "a reader whose wait ends after a commit has become late is answered from the store" fails before (0 results, 1 in the store) and passes now. Change: readers for whose position there is a result are answered from memory as before; the others go through the checks again when their wait ends, or the job is cancelled.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -323,7 +323,9 @@
     void updateMeanStretch(const Item& item, TimePoint now);
 
     // Reads
-    void answerReaders(const JobPtr& job, TimePoint now, bool all);
+    // Answers the readers for whose position there is a result.
+    void answerReaders(const JobPtr& job);
+    void answerExpiredReaders(const JobPtr& job, TimePoint now);
     ReadAnswer slice(const Job& job, std::uint32_t after) const;
     void readOwned(const JobPtr& job, std::uint32_t after, Duration wait, TimePoint now, ReadDone done);
     void readFromStore(const JobName& name, const JobHead& head, std::uint32_t after, TimePoint now, const ReadDone& done);
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -115,7 +115,10 @@
             job->pages_ = 0;
             job->items_.empty() ? loadItems(job, 0, now) : loadResults(job, 0, now);
         }
-        answerReaders(job, now, false);
+        answerReaders(job);
+        answerExpiredReaders(job, now);
+        if (findOwnedJob(job->name_) != job.get())
+            continue;
         answerTimedOutCancelRequests(job, now);
         writeCancellation(job, now);
         if (!job->isLoaded_)
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -3,6 +3,9 @@
 
 #include "ledger/JobScheduler.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace jj {
 
 enum class ItemState : std::uint8_t {
@@ -83,6 +86,16 @@
     bool isOpen() const { return head_.state_ == JobState::Open; }
     bool mayRun() const { return isLoaded_ && isOpen() && !isCancelling_ && cancelRequests_.empty(); }
     bool isComplete() const { return listed_.size() >= head_.total_; }
+
+    // Removes and returns the readers that meet the condition.
+    template <class Condition>
+    std::vector<Reader> takeReaders(Condition isReady)
+    {
+        const auto rest = std::stable_partition(readers_.begin(), readers_.end(), [&](const Reader& reader) { return !isReady(reader); });
+        std::vector<Reader> ready(std::make_move_iterator(rest), std::make_move_iterator(readers_.end()));
+        readers_.erase(rest, readers_.end());
+        return ready;
+    }
 };
 
 } // namespace jj
--- a/libs/ledger/src/SchedulerLoading.cpp
+++ b/libs/ledger/src/SchedulerLoading.cpp
@@ -171,7 +171,7 @@
     job->progress_.clear();
     note(SchedulerNote::Loaded, job->name_, {}, job->listed_.size());
     completeIfDone(job, now);
-    answerReaders(job, now, false);
+    answerReaders(job);
 }
 
 // Adds results that are in the store. This node's own results and runs of the same items are discarded.
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -125,20 +125,23 @@
     job->readers_.push_back({ after, until, std::move(done) });
 }
 
-void JobScheduler::answerReaders(const JobPtr& job, TimePoint now, bool all)
+void JobScheduler::answerReaders(const JobPtr& job)
 {
-    if (job->readers_.empty())
+    if (!job->isLoaded_)
         return;
-    std::vector<Job::Reader> ready;
-    std::erase_if(job->readers_, [&](Job::Reader& reader) {
-        const bool hasAnswer = job->isLoaded_ && (reader.after_ < job->listed_.size() || job->isComplete() || !job->isOpen());
-        if (!all && !hasAnswer && now < reader.until_)
-            return false;
-        ready.push_back(std::move(reader));
-        return true;
-    });
-    for (Job::Reader& reader : ready)
-        reader.done_(job->isLoaded_ ? slice(*job, reader.after_) : ReadAnswer {});
+    for (Job::Reader& reader : job->takeReaders([&](const Job::Reader& one) { return one.after_ < job->listed_.size() || job->isComplete(); }))
+        reader.done_(slice(*job, reader.after_));
+}
+
+// A reader that waited is answered as one that reads now, because a commit may have become late, or the ownership uncertain, meanwhile.
+void JobScheduler::answerExpiredReaders(const JobPtr& job, TimePoint now)
+{
+    for (Job::Reader& reader : job->takeReaders([&](const Job::Reader& one) { return now >= one.until_ || (job->isLoaded_ && !job->isOpen()); })) {
+        if (job->isLoaded_)
+            readOwned(job, reader.after_, Duration::zero(), now, std::move(reader.done_));
+        else
+            reader.done_({});
+    }
 }
 
 namespace {
@@ -290,7 +293,6 @@
         job->items_.clear();
         job->byId_.clear();
         note(SchedulerNote::JobCancelled, job->name_, {}, job->listed_.size());
-        answerReaders(job, at, true);
         if (!job->isTakenOver_)
             return answerCancelRequests(job, { ReadOutcome::Found, outlets_.self_ });
         writeCancelMark(job->name_, at + settings_.readTimeout_, [job](const CancelAnswer& answer) { answerCancelRequests(job, answer); });
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -238,7 +238,7 @@
         ++job->pages_;
         applyResults(job, std::exchange(job->committing_, {}));
         note(SchedulerNote::Listed, job->name_, {}, job->listed_.size());
-        answerReaders(job, now, false);
+        answerReaders(job);
         // Another owner may have written the same results.
         if (answer.isReadBack_)
             return confirmThenComplete(job, now);
@@ -273,7 +273,7 @@
         }
         ++job->pages_;
         applyResults(job, std::move(results.value()));
-        answerReaders(job, at, false);
+        answerReaders(job);
         confirmThenComplete(job, at);
     });
 }
--- a/libs/ledger/tests/MissingResultsTest.cpp
+++ b/libs/ledger/tests/MissingResultsTest.cpp
@@ -114,6 +114,23 @@
     CHECK((answer.outcome_ == ReadOutcome::Unavailable || answer.results_.size() == 1));
 }
 
+// Guards against reads that miss results which have been read: the read waits for a result while the outcome of a commit stays unknown.
+TEST_CASE("ledger: a reader whose wait ends after a commit has become late is answered from the store")
+{
+    SingleOwner owner;
+    owner.advance(SchedulerSettings().replacementWindow_ + 1s);
+    owner.scheduler_.scan(false, owner.now_);
+    owner.heldWriteKind_ = "job-results/";
+    owner.rejectOneItem();
+    owner.advance(500ms);
+    std::optional<ReadAnswer> answer;
+    owner.scheduler_.read("j", 0, 1s, false, owner.now_, [&answer](ReadAnswer read) { answer = std::move(read); });
+    REQUIRE_FALSE(answer);
+    owner.advance(1100ms);
+    REQUIRE(answer);
+    CHECK(answer->results_.size() == 1);
+}
+
 // Guards against reads that miss results which have been read: a former owner's commit has taken effect after the job was cancelled, and the
 // store doesn't answer the next read.
 TEST_CASE("ledger: an owner of a cancelled job doesn't answer from memory while the store is unavailable")
@@ -291,6 +308,12 @@
         owner.heldKind_ = "jobs/j";
         owner.scheduler_.scan(false, owner.now_);
     }
+    SUBCASE("after a scan that couldn't read the head")
+    {
+        owner.failingKind_ = "jobs/j";
+        owner.scheduler_.scan(false, owner.now_);
+        REQUIRE(owner.scheduler_.loadedJobs() == 0);
+    }
     owner.scheduler_.adopt(late, owner.now_, LedgerWorld::wallStart);
     CHECK(owner.read().results_ == otherPages[0]);
 }
@@ -334,9 +357,3 @@
     owner.scheduler_.end("j", false, owner.now_, [](const CancelAnswer& answer) { CHECK(answer.outcome_ == ReadOutcome::Found); });
     CHECK(owner.read().results_.size() == 1 + otherResults.size());
 }
-    SUBCASE("after a scan that couldn't read the head")
-    {
-        owner.failingKind_ = "jobs/j";
-        owner.scheduler_.scan(false, owner.now_);
-        REQUIRE(owner.scheduler_.loadedJobs() == 0);
-    }
