Ledger: the head of a job is read if its announcement may be old

What callers would see: reads of a finished job return nothing and its items run again; results of another owner are missing; items of a cancelled job start. Cause: the first message of an acceptance says that the job is new, however long after the acceptance it comes. An entry that was suspended sends it seconds later; by then the job may have been done, cancelled or taken over. Ruled out: a mark set by the sender alone, because the message may also be delayed on its way; loading every job, which costs two store calls for each acceptance. Change: a message that says nothing of results and comes more than 500 ms before or after its submission by the wall clock, is repeated, or may meet an earlier process, makes the owner read the head first. It then loads what the head says, or gives the job up. Readers that wait while a job is given up are answered from the store. A fresh message costs no further call. The scripted owner's wall clock advances.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -68,6 +68,8 @@
     // After its start, a pause, or being considered dead, a node may for this time have been replaced as the owner of a job that it now
     // receives. Detection and takeover take about three seconds.
     Duration replacementWindow_ = 10s;
+    // A message of an acceptance that comes later than this after the submission is late. A submission to a slow store takes up to 400 ms.
+    Duration longestAcceptance_ = 500ms;
     // After this time all nodes that can reach this process have noticed its start. The process then rewrites the heads of its jobs, and
     // no longer queries the store before reads.
     Duration announcedAfter_ = 4s;
@@ -286,6 +288,8 @@
 
     // Loading
     void loadOwned(const JobName& name, const JobHead& head, ObjectVersion version, TimePoint now);
+    void loadHead(const JobPtr& job, TimePoint now);
+    void loadContents(const JobPtr& job, TimePoint now);
     void loadItems(const JobPtr& job, std::uint32_t page, TimePoint now);
     void loadResults(const JobPtr& job, std::uint32_t page, TimePoint now);
     void fence(const JobPtr& job, TimePoint now);
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -113,7 +113,7 @@
             job->reloadAt_ = {};
             job->listed_.clear();
             job->pages_ = 0;
-            job->items_.empty() ? loadItems(job, 0, now) : loadResults(job, 0, now);
+            job->isHeadRead_ ? loadContents(job, now) : loadHead(job, now);
         }
         answerReaders(job);
         answerExpiredReaders(job, now);
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -53,6 +53,7 @@
     ObjectVersion headVersion_;
     TimePoint due_ {};
     bool isLoaded_ = false; // items and results are in memory
+    bool isHeadRead_ = true; // head_ is known to be the one in the store, or the job is new
     TimePoint loadStarted_ {};
     TimePoint reloadAt_ {}; // when a load that has failed is started again; none while a load is under way
     std::vector<Item> items_;
--- a/libs/ledger/src/SchedulerLoading.cpp
+++ b/libs/ledger/src/SchedulerLoading.cpp
@@ -27,8 +27,11 @@
     // found the job by itself before the message, and handed it over. Until a new process has listed the heads, it doesn't know which jobs an
     // earlier process of this node had.
     const bool mayBeKnown = !hasListedHeads_ || pendingTakeovers_.contains(transfer.job_) || earlierJobs_.contains(transfer.job_);
-    const bool mayHaveResults = transfer.mayHaveResults_ || mayBeKnown;
-    job->isOwnershipUncertain_ = wasRecentlyUnavailable(now) || mayHaveResults;
+    // A message that says nothing of results may come long after the job was accepted. By then another node may have owned or ended it.
+    const bool saysNothing = transfer.resultPages_ == 0 && transfer.progress_.empty();
+    const bool isLate = saysNothing && std::chrono::abs(wall - transfer.head_.acceptedAt_) > settings_.longestAcceptance_;
+    job->isHeadRead_ = !transfer.mayHaveResults_ && !mayBeKnown && !isLate;
+    job->isOwnershipUncertain_ = wasRecentlyUnavailable(now) || !job->isHeadRead_;
     for (JobTransfer::Progress& progress : transfer.progress_)
         job->progress_[progress.item_] = std::move(progress);
     for (JobItem& item : transfer.items_) {
@@ -38,16 +41,43 @@
     }
     jobs_[job->name_] = job;
     note(SchedulerNote::Adopted, job->name_, {}, job->head_.total_);
-    if (job->items_.size() != job->head_.total_) {
-        job->items_.clear();
-        job->byId_.clear();
-        return loadItems(job, 0, now);
-    }
+    if (!job->isHeadRead_)
+        return loadHead(job, now);
     // A newly accepted job has no results yet, so there is nothing to read. The head doesn't tell whether a job is new: its owner may have
     // listed results and restarted.
-    if (transfer.resultPages_ == 0 && job->progress_.empty() && !mayHaveResults)
+    if (saysNothing && job->items_.size() == job->head_.total_)
         return finishLoading(job, now);
-    loadResults(job, 0, now);
+    loadContents(job, now);
+}
+
+// Reads the head of a job that may have changed since the message that announced it was sent.
+void JobScheduler::loadHead(const JobPtr& job, TimePoint now)
+{
+    readHead(job->name_, now, [this, job](ReadOutcome outcome, const JobHead& head, ObjectVersion version, TimePoint at) {
+        if (findOwnedJob(job->name_) != job.get())
+            return;
+        if (outcome == ReadOutcome::Unavailable) {
+            job->reloadAt_ = at + settings_.storeRetryDelay_;
+            return;
+        }
+        if (outcome == ReadOutcome::Missing || head.owner_ != outlets_.self_) {
+            note(SchedulerNote::OwnershipLost, job->name_, {}, version.isNone() ? 0 : version.value());
+            return drop(job->name_);
+        }
+        job->isHeadRead_ = true;
+        job->head_ = head;
+        job->headVersion_ = version;
+        loadContents(job, at);
+    });
+}
+
+void JobScheduler::loadContents(const JobPtr& job, TimePoint now)
+{
+    if (job->items_.size() == job->head_.total_)
+        return loadResults(job, 0, now);
+    job->items_.clear();
+    job->byId_.clear();
+    loadItems(job, 0, now);
 }
 
 void JobScheduler::loadOwned(const JobName& name, const JobHead& head, ObjectVersion version, TimePoint now)
@@ -204,7 +234,7 @@
     jobs_.erase(found);
     earlierJobs_[name] = lastTick_;
     for (Job::Reader& reader : std::exchange(job->readers_, {}))
-        reader.done_({});
+        read(name, reader.after_, Duration::zero(), true, lastTick_, std::move(reader.done_));
     // Repeats the cancellations, which then reach the new owner or find the job's final state in the store.
     for (Job::CancelRequest& request : std::exchange(job->cancelRequests_, {}))
         end(name, false, request.requestedAt_, std::move(request.done_));
--- a/libs/ledger/tests/SingleOwner.h
+++ b/libs/ledger/tests/SingleOwner.h
@@ -56,10 +56,12 @@
         constexpr Duration tickInterval = 100ms;
         for (const TimePoint end = now_ + time; now_ < end;) {
             now_ += tickInterval;
-            scheduler_.tick(now_, LedgerWorld::wallStart);
+            scheduler_.tick(now_, wall());
         }
     }
 
+    WallTime wall() const { return LedgerWorld::wallStart + std::chrono::duration_cast<std::chrono::milliseconds>(now_ - start); }
+
     // An errored item is committed at once.
     void rejectOneItem()
     {
@@ -89,7 +91,8 @@
         writeHead(head);
     }
 
-    TimePoint now_ { 1s };
+    static constexpr TimePoint start { 1s };
+    TimePoint now_ = start;
     MemoryStore store_ { MemoryStoreSettings { 0, 0, 1s, 100'000, 50 } };
     // Prefixes of keys; empty: none.
     std::string readBackKind_;
