Ledger: an owner whose handover has no answer doesn't answer from memory

What callers would see: a result that was read at the next owner is missing at the former one, for as long as that one doesn't learn that its handover took effect. Cause: nothing marked the ownership as uncertain while the update that names the next owner was pending, nor after it had been given up as unknown with the store out of reach. The next owner finds the job by its scan and lists results meanwhile. Evidence: "an owner whose handover has no answer yet doesn't answer from memory" and "a leaving owner that is cut off from the store during a handover doesn't hide the next owner's results" fail before (4 checks) and pass now.

--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -77,6 +77,7 @@
     TimePoint confirmedAt_ {}; // when the latest query was sent that confirmed this node's ownership
     TimePoint lastUse_ {};
     bool isUpdatingHead_ = false; // an update of the head is pending
+    bool isHandingOver_ = false; // that update names the next owner, who may have found it already
     std::vector<CancelRequest> cancelRequests_; // callers that requested cancellation and haven't been answered
     bool isCancelling_ = false; // the pending update of the head cancels the job
     // Invariant: if true, no claim that another node sent before it noticed this process's start can succeed any more.
--- a/libs/ledger/src/SchedulerOwnership.cpp
+++ b/libs/ledger/src/SchedulerOwnership.cpp
@@ -194,12 +194,16 @@
     JobHead head = job->head_;
     head.owner_ = target;
     job->isUpdatingHead_ = true;
+    job->isHandingOver_ = true;
     store(ObjectCall::update(headKey(job->name_), encode(head), job->headVersion_), CallClass::Commit, now + settings_.itemsTimeout_, [this, job, head](const SettledAnswer& answer, TimePoint at) {
         job->isUpdatingHead_ = false;
+        job->isHandingOver_ = false;
         if (findOwnedJob(job->name_) != job.get())
             return;
-        if (!answer.ok())
+        if (!answer.ok()) {
+            job->isOwnershipUncertain_ = true;
             return refresh(job, at, [](bool, TimePoint) {});
+        }
         // The new owner may have claimed the job itself, which writes the same head, or may have found it there a while ago.
         JobTransfer transfer { job->name_, head, answer.answer_.version_, {}, job->pages_, answer.isReadBack_, {} };
         for (Item& item : job->items_) {
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -95,7 +95,7 @@
     }
     // One confirmation is not enough: other nodes may not have noticed yet that this node is back, and may take over the job after the
     // store's answer.
-    const bool isOutdated = now - job->confirmedAt_ > settings_.confirmationLifetime_ && mayHaveBeenReplaced(*job, now);
+    const bool isOutdated = now - job->confirmedAt_ > settings_.confirmationLifetime_ && (job->isHandingOver_ || mayHaveBeenReplaced(*job, now));
     const bool isUncertain = job->isOpen() && (job->isOwnershipUncertain_ || isOutdated);
     const bool mustConfirm = !job->isComplete() && (isUncertain || job->mayMissResults_);
     // The caller has already seen more results than this node has in memory.
@@ -105,7 +105,10 @@
     // because its answer is late or lost.
     const bool mayBeListed = isCommitLate && mayHaveBeenReplaced(*job, now);
     if (mustConfirm || isBehind || mayBeListed) {
-        return refresh(job, now, [this, job, after, wait, isBypassed = isBehind || mayBeListed, done = std::move(done)](bool isOwner, TimePoint at) {
+        return refresh(job, now, [this, job, after, wait, now, isBypassed = isBehind || mayBeListed, done = std::move(done)](bool isOwner, TimePoint at) {
+            // The store didn't answer, and the caller's node may reach it.
+            if (!isOwner && at - now >= settings_.readTimeout_)
+                return done({});
             if (!isOwner || isBypassed) {
                 // The store holds everything that another owner has listed, and the head names the current owner.
                 return read(job->name_, after, wait, true, at, done);
