Ledger: a handover by an owner that lacks pages makes the next owner load them

What callers would see: results of a former owner that were read are missing at the new owner until its first commit. Cause: an owner that has seen a changed head, but couldn't read the pages yet, handed the job over with the number of pages that it knew. If that was none, the next owner took the job for new. Evidence: "a handover by an owner that lacks pages tells the new owner to load the results" fails before in both cases and passes now. Ruled out: keeping the job until the pages are read, which a leaving node may not have time for. Change: the message says that there may be more results.

--- a/libs/ledger/src/SchedulerOwnership.cpp
+++ b/libs/ledger/src/SchedulerOwnership.cpp
@@ -204,8 +204,9 @@
             job->isOwnershipUncertain_ = true;
             return refresh(job, at, [](bool, TimePoint) {});
         }
-        // The new owner may have claimed the job itself, which writes the same head, or may have found it there a while ago.
-        JobTransfer transfer { job->name_, head, answer.answer_.version_, {}, job->pages_, answer.isReadBack_, {} };
+        // The new owner may have claimed the job itself, which writes the same head, or may have found it there a while ago. A former owner's
+        // pages may not have been read.
+        JobTransfer transfer { job->name_, head, answer.answer_.version_, {}, job->pages_, answer.isReadBack_ || job->mayMissResults_, {} };
         for (Item& item : job->items_) {
             if (item.events_ > 0 && item.state_ == ItemState::Waiting)
                 transfer.progress_.push_back({ item.item_.id_, item.text_, item.events_, item.lastEvent_, item.failures_ });
