Ledger: nothing of a job runs between its cancellation mark and the next read of its head

What callers would see: items of a cancelled job start seconds after the acknowledgement, at an owner that the store doesn't answer. Cause: an owner that finds the mark and can't read the head only became uncertain of its ownership, and such an owner goes on starting items. The mark itself says that the job was cancelled: it is written after the head. Evidence: "an owner that has heard of a cancellation's mark starts no items while it can't read the head" fails before (an item starts 4 s after the mark) and passes now. Change: the mark stops the job's runs, and none starts until the head has been read.

--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -80,13 +80,14 @@
     bool isHandingOver_ = false; // that update names the next owner, who may have found it already
     std::vector<CancelRequest> cancelRequests_; // callers that requested cancellation and haven't been answered
     bool isCancelling_ = false; // the pending update of the head cancels the job
+    bool isMarkedCancelled_ = false; // a cancellation mark was found, and the head hasn't been read since
     // Invariant: if true, no claim that another node sent before it noticed this process's start can succeed any more.
     bool isConfirmed_ = false;
     bool isTakenOver_ = false; // from an owner that this node considered dead, but that may still be alive
     std::map<std::string, JobTransfer::Progress> progress_; // from a transfer, until the items are loaded
 
     bool isOpen() const { return head_.state_ == JobState::Open; }
-    bool mayRun() const { return isLoaded_ && isOpen() && !isCancelling_ && cancelRequests_.empty(); }
+    bool mayRun() const { return isLoaded_ && isOpen() && !isCancelling_ && !isMarkedCancelled_ && cancelRequests_.empty(); }
     bool isComplete() const { return listed_.size() >= head_.total_; }
 
     // Removes and returns the readers that meet the condition.
--- a/libs/ledger/src/SchedulerOwnership.cpp
+++ b/libs/ledger/src/SchedulerOwnership.cpp
@@ -110,6 +110,7 @@
             drop(job->name_);
             return then(false, at);
         }
+        job->isMarkedCancelled_ = false;
         if (version > job->headVersion_) {
             job->headVersion_ = version;
             job->head_.term_ = head.term_;
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -343,6 +343,9 @@
     const auto clear = [this, name](bool, TimePoint at) { store(ObjectCall::remove(cancelMarkKey(name)), CallClass::Background, at + settings_.backgroundTimeout_, [](const SettledAnswer&, TimePoint) {}); };
     if (found == jobs_.end())
         return clear(true, now);
+    // The head was cancelled before the mark was written, so nothing of the job runs until the head has been read.
+    found->second->isMarkedCancelled_ = true;
+    stopRuns(found->second, true);
     refresh(found->second, now, [job = found->second, clear](bool isOwner, TimePoint at) {
         // The mark won't be found again, so tick() repeats what failed here.
         job->isOwnershipUncertain_ = job->isOwnershipUncertain_ || !isOwner;
