Ledger: a node that may be replaced confirms its ownership of a job that a message gives it

What callers would see: results read at the present owner are missing at the one that a message names, for 0.9 s. Cause: an owner that doesn't receive its peers confirms its reads after 0.9 s, counted from the beginning of the job. A message that gives it a job isn't a confirmation: another node may have claimed the job already. Evidence: "a node that may have been replaced queries the store before it answers for a job that a message gave it" fails before (0 of 5 results, 0.3 s after the claim) and passes now. Change: such a node counts its ownership of an adopted job as uncertain from the beginning.

--- a/libs/ledger/src/SchedulerLoading.cpp
+++ b/libs/ledger/src/SchedulerLoading.cpp
@@ -31,7 +31,7 @@
     const bool saysNothing = transfer.resultPages_ == 0 && transfer.progress_.empty();
     const bool isLate = saysNothing && std::chrono::abs(wall - transfer.head_.acceptedAt_) > settings_.longestAcceptance_;
     job->isHeadRead_ = !transfer.mayHaveResults_ && !mayBeKnown && !isLate;
-    job->isOwnershipUncertain_ = wasRecentlyUnavailable(now) || !job->isHeadRead_;
+    job->isOwnershipUncertain_ = wasRecentlyUnavailable(now) || outlets_.mayBeReplaced_() || !job->isHeadRead_;
     for (JobTransfer::Progress& progress : transfer.progress_)
         job->progress_[progress.item_] = std::move(progress);
     for (JobItem& item : transfer.items_) {
--- a/libs/ledger/tests/DelayedKnowledgeTest.cpp
+++ b/libs/ledger/tests/DelayedKnowledgeTest.cpp
@@ -169,3 +169,24 @@
     owner.advance(4s);
     CHECK_FALSE(owner.scheduler_.startNext("s", owner.now_));
 }
+
+// Guards against reads that miss results: a node that knows that it may be replaced takes a late message for a confirmation of its ownership.
+TEST_CASE("ledger: a node that may have been replaced queries the store before it answers for a job that a message gave it")
+{
+    LedgerWorld world(64, 2);
+    world.advance(SchedulerSettings().replacementWindow_ + 1s);
+    world.loseTransfers_ = true;
+    world.submit(0, "j", items, 1);
+    world.advance(20ms);
+    const ObjectEntry head = *world.store_.core().apply(ObjectCall::list(headKey("j"), true), world.now()).entries_.begin();
+    world.cutOff(1);
+    world.scheduler(0).scan(false, world.now());
+    // Less than the age at which a message counts as late.
+    world.advance(300ms);
+    REQUIRE(world.read(0, "j").results_.size() == items);
+    world.slots_ = 0;
+    world.scheduler(1).adopt({ "j", decodeHead(head.value_).value(), head.version_, LedgerWorld::submission("j", items).items_, 0, false, {} }, world.now(), world.wall());
+    world.advance(100ms);
+    const ReadAnswer answer = world.read(1, "j");
+    CHECK((answer.outcome_ != ReadOutcome::Found || answer.results_.size() == items));
+}
