Jobs: a key whose call was not run stays free, whatever intent lands late

What callers would see: a call that may not be repeated was answered as not run, and each resend of it within 48 hours is answered "outcome unknown". Cause: an intent that was taken back was removed. A try of its creation that had gone without an answer may reach the store after that, and then stands for a call that nobody runs. It may be the same node's, or that of a node which had met the intent that was removed. Evidence: two tests fail before, each at the first resend (no BeginCall within 5 s): "a call that was not run may be sent again though its intent lands late" and the same with another node's intent. Ruled out: removing only if the creation was answered at its first try (SettledAnswer::mayLandLate_): it doesn't hold for another node's late creation, as the second test shows. Change: taking back replaces the intent by a record without a node, which says that the key is free. The next call replaces that record, on its version. The record goes with the intents' retention. A refused creation now reads what stands once for all that wait for the call, and the call stays known meanwhile. Nodes of before answer "outcome unknown" when they meet such a record. Cost: a resend of a call that was not run takes a refused write and a read more; a call that is never sent again leaves an object for 48 hours. Tests: the check that no intent stands after a late refusal is now that the record under the key says it is free; the booking after it is checked as before.

--- a/libs/jobs/include/jobs/IntentLog.h
+++ b/libs/jobs/include/jobs/IntentLog.h
@@ -3,11 +3,13 @@
 // Failure met: a caller sends a booking, the node dies after passing it on, the caller sends it again to another host, and the
 // deposit is taken twice. The guard: the intent is an object named by the call's key and created if absent before the call is
 // begun; only its creator ever begins the call. Whoever finds the intent standing reads the outcome recorded for it, and where there
-// is none says OutcomeUnknown, never a second run.
+// is none says OutcomeUnknown, never a second run. A call that was not run leaves a record that says so, and whoever replaces that
+// record, on its version, begins the next call.
 //
 // Cost: one write for each call's intent, since a key must be unique over all nodes and only one object can be conditional on
 // itself. Outcomes aren't unique names, so they share writes: the intent names a group object of its node, and the outcomes that
-// come within outcomeFlush_ go into one write of each group. Reading costs two calls, for resends only.
+// come within outcomeFlush_ go into one write of each group. Reading costs two calls, for resends only; a resend of a call that was not
+// run costs a read and a write more.
 #pragma once
 
 #include "jobs/JobContext.h"
@@ -29,10 +31,11 @@
 private:
     enum class Phase : std::uint8_t {
         Creating, // the intent is on its way
+        Reading, // an earlier call's intent stands: what became of it?
         Abandoned, // the caller was refused while the intent was on its way; it must not stay
         Begun,
         Finished, // the outcome waits to be recorded
-        Removing, // never sent: the intent is being taken back
+        Freeing, // never sent: the key is being given back
     };
 
     struct Call {
@@ -53,12 +56,16 @@
         bool writing_ = false;
     };
 
-    void create(const std::string& key, Call& call);
-    void created(const std::string& key, const SettledAnswer& answer);
+    void write(const std::string& key, Call& call, ObjectVersion freed);
+    void written(const std::string& key, const SettledAnswer& answer);
     void join(const CallAsked& event, Call& call);
-    void takeBack(const std::string& key, Call& call);
-    void readIntent(const std::string& key, const CallAsked& asked);
-    void readOutcome(const std::string& key, const CallAsked& asked, const CallIntent& intent);
+    void free(const std::string& key, Call& call);
+    void readIntent(const std::string& key, Call& call);
+    void intentRead(const std::string& key, const SettledAnswer& answer);
+    void readOutcome(const std::string& key, const CallIntent& intent);
+    // The asks that wait for this call, which is forgotten.
+    std::vector<AskId> takeAsks(const std::string& key);
+    void refuseAll(const std::string& key, JobError error, RunState ran);
     void answer(AskId ask, const CallOutcome& outcome);
     void refuse(AskId ask, JobError error, RunState ran);
     std::uint64_t assignGroup();
--- a/libs/jobs/include/jobs/Records.h
+++ b/libs/jobs/include/jobs/Records.h
@@ -9,7 +9,7 @@
 //     jobs/i/JOB/N-G             intent for group G of chunk N of a job whose items may not be repeated
 //     jobs/u/UPLOAD              an upload whose manifest may not stand yet (UploadRecord), for the collector
 //     jobs/x/HOUR/JOB            an ended job to be removed at HOUR
-//     calls/i/KEY                CallIntent of an at-most-once call
+//     calls/i/KEY                CallIntent of an at-most-once call, or that the call was not run
 //     calls/o/NODE/INCARNATION-N recorded outcomes of such calls
 #pragma once
 
@@ -126,13 +126,14 @@
 };
 
 struct CallIntent {
-    NodeId node_;
+    NodeId node_; // none: no call holds the key
     Incarnation incarnation_;
     std::uint64_t group_ = 0; // names the object that will hold the outcome
     Fingerprint fingerprint_;
     WallTime at_ {};
     std::string mark_;
 
+    bool isFree() const { return node_.isNone(); }
     std::string encode() const;
     static Result<CallIntent> decode(std::string_view text);
 };
--- a/libs/jobs/src/IntentLog.cpp
+++ b/libs/jobs/src/IntentLog.cpp
@@ -27,8 +27,7 @@
         return refuse(event.ask_, JobError::StoreUnavailable, RunState::NotRun);
     Call& call = calls_[key];
     call.asked_ = event;
-    call.refuseAt_ = patience();
-    create(key, call);
+    write(key, call, ObjectVersion::none());
 }
 
 void IntentLog::join(const CallAsked& event, Call& call)
@@ -37,60 +36,63 @@
         return refuse(event.ask_, JobError::KeyReused, RunState::NotRun);
     switch (call.phase_) {
     case Phase::Creating:
+    case Phase::Reading:
     case Phase::Begun:
         call.joined_.push_back(event.ask_);
         return;
     case Phase::Finished:
         return answer(event.ask_, call.outcome_);
     case Phase::Abandoned:
-    case Phase::Removing:
-        // The intent's removal may land at any moment: a call begun now could lose its guard.
+    case Phase::Freeing:
+        // The key may be another node's at any moment.
         return refuse(event.ask_, JobError::StoreUnavailable, RunState::NotRun);
     }
 }
 
-void IntentLog::create(const std::string& key, Call& call)
+// `freed`: the version of the record that an earlier call left when it gave the key back.
+void IntentLog::write(const std::string& key, Call& call, ObjectVersion freed)
 {
+    call.phase_ = Phase::Creating;
+    call.refuseAt_ = patience();
     call.intent_ = { context_.node_, context_.incarnation_, assignGroup(), call.asked_.fingerprint_, context_.wall_, context_.mark() };
     ++groups_[call.intent_.group_].calls_;
-    context_.call(ObjectCall::create(key, call.intent_.encode()), CallClass::Commit, neverTime, [this, key](const SettledAnswer& answer) { created(key, answer); });
+    ObjectCall request = freed.isNone() ? ObjectCall::create(key, call.intent_.encode()) : ObjectCall::update(key, call.intent_.encode(), freed);
+    context_.call(std::move(request), CallClass::Commit, neverTime, [this, key](const SettledAnswer& answer) { written(key, answer); });
 }
 
-void IntentLog::created(const std::string& key, const SettledAnswer& answer)
+void IntentLog::written(const std::string& key, const SettledAnswer& answer)
 {
     Call& call = calls_.at(key);
     call.version_ = answer.answer_.version_;
     if (answer.ok()) {
         if (call.phase_ == Phase::Abandoned)
-            return takeBack(key, call);
+            return free(key, call);
         call.phase_ = Phase::Begun;
         keys_[call.asked_.ask_] = key;
         context_.emit(BeginCall { call.asked_.ask_ });
         return;
     }
     --groups_[call.intent_.group_].calls_;
-    const Call gone = std::move(call);
-    calls_.erase(key);
-    if (gone.phase_ == Phase::Abandoned)
-        return;
-    std::vector<AskId> asks = gone.joined_;
-    asks.push_back(gone.asked_.ask_);
-    for (const AskId ask : asks) {
-        CallAsked asked = gone.asked_;
-        asked.ask_ = ask;
-        if (answer.is(ObjectError::Conflict))
-            readIntent(key, asked);
-        else
-            refuse(ask, JobError::StoreUnavailable, RunState::NotRun);
-    }
+    if (call.phase_ == Phase::Abandoned)
+        calls_.erase(key);
+    else if (answer.is(ObjectError::Conflict) || answer.is(ObjectError::NotFound))
+        readIntent(key, call);
+    else
+        refuseAll(key, JobError::StoreUnavailable, RunState::NotRun);
 }
 
-// Nothing was sent under this intent, so the key may be used again once it is gone.
-void IntentLog::takeBack(const std::string& key, Call& call)
+// Nothing was sent under this intent, so the key may be used again.
+//
+// Failure met: a try of the intent's creation lands after the intent was removed, and the key stays closed as if its call had begun. The
+// guard: the intent is replaced, not removed, so that whatever creation lands late meets an object in its place.
+void IntentLog::free(const std::string& key, Call& call)
 {
-    call.phase_ = Phase::Removing;
+    call.phase_ = Phase::Freeing;
     --groups_[call.intent_.group_].calls_;
-    context_.call(ObjectCall::remove(key, call.version_), CallClass::Commit, neverTime, [this, key](const SettledAnswer&) { calls_.erase(key); });
+    CallIntent freed;
+    freed.at_ = context_.wall_;
+    freed.mark_ = context_.mark();
+    context_.call(ObjectCall::update(key, freed.encode(), call.version_), CallClass::Commit, neverTime, [this, key](const SettledAnswer&) { calls_.erase(key); });
 }
 
 void IntentLog::finished(const CallFinished& event)
@@ -105,7 +107,7 @@
     if (event.ran_ == RunState::NotRun) {
         for (const AskId ask : joined)
             refuse(ask, JobError::TooBusy, RunState::NotRun);
-        return takeBack(key, call);
+        return free(key, call);
     }
     const bool keepBody = event.body_.size() <= context_.settings_.maxOutcomeBytes_;
     call.phase_ = Phase::Finished;
@@ -135,30 +137,53 @@
     context_.emit(CallRefused { ask, error, ran, later ? std::max<Duration>(1s, context_.queue_.budget().comeBackAfter(context_.now_)) : Duration::zero() });
 }
 
-void IntentLog::readIntent(const std::string& key, const CallAsked& asked)
+std::vector<AskId> IntentLog::takeAsks(const std::string& key)
 {
-    context_.call(ObjectCall::get(key), CallClass::Commit, patience(), [this, key, asked](const SettledAnswer& answer) {
-        // Gone since: its creator took it back without sending. The caller may try again.
-        if (answer.is(ObjectError::NotFound))
-            return refuse(asked.ask_, JobError::TooBusy, RunState::NotRun);
-        const Result<CallIntent> intent = answer.ok() ? CallIntent::decode(answer.answer_.value_) : Result<CallIntent>(JobError::StoreUnavailable);
-        if (!intent)
-            return refuse(asked.ask_, JobError::EarlierCallBegan, RunState::OutcomeUnknown);
-        if (intent.value().fingerprint_ != asked.fingerprint_)
-            return refuse(asked.ask_, JobError::KeyReused, RunState::NotRun);
-        readOutcome(key, asked, intent.value());
-    });
+    Call& call = calls_.at(key);
+    std::vector<AskId> asks = std::move(call.joined_);
+    asks.push_back(call.asked_.ask_);
+    calls_.erase(key);
+    return asks;
+}
+
+void IntentLog::refuseAll(const std::string& key, JobError error, RunState ran)
+{
+    for (const AskId ask : takeAsks(key))
+        refuse(ask, error, ran);
+}
+
+void IntentLog::readIntent(const std::string& key, Call& call)
+{
+    call.phase_ = Phase::Reading;
+    context_.call(ObjectCall::get(key), CallClass::Commit, patience(), [this, key](const SettledAnswer& answer) { intentRead(key, answer); });
+}
+
+void IntentLog::intentRead(const std::string& key, const SettledAnswer& answer)
+{
+    // Collected since, by its age. The caller may try again.
+    if (answer.is(ObjectError::NotFound))
+        return refuseAll(key, JobError::TooBusy, RunState::NotRun);
+    const Result<CallIntent> intent = answer.ok() ? CallIntent::decode(answer.answer_.value_) : Result<CallIntent>(JobError::StoreUnavailable);
+    if (!intent)
+        return refuseAll(key, JobError::EarlierCallBegan, RunState::OutcomeUnknown);
+    Call& call = calls_.at(key);
+    if (intent.value().isFree())
+        return write(key, call, answer.answer_.version_);
+    if (intent.value().fingerprint_ != call.asked_.fingerprint_)
+        return refuseAll(key, JobError::KeyReused, RunState::NotRun);
+    readOutcome(key, intent.value());
 }
 
-void IntentLog::readOutcome(const std::string& key, const CallAsked& asked, const CallIntent& intent)
+void IntentLog::readOutcome(const std::string& key, const CallIntent& intent)
 {
     const std::string group = outcomeKey(intent.node_, intent.incarnation_, intent.group_);
-    context_.call(ObjectCall::get(group), CallClass::Commit, patience(), [this, asked, name = lastPart(key)](const SettledAnswer& answer) {
+    context_.call(ObjectCall::get(group), CallClass::Commit, patience(), [this, key](const SettledAnswer& answer) {
         const Result<OutcomeGroup> record = answer.ok() ? OutcomeGroup::decode(answer.answer_.value_) : Result<OutcomeGroup>(JobError::StoreUnavailable);
-        const auto found = record ? record.value().outcomes_.find(name) : std::map<std::string, CallOutcome>::const_iterator {};
+        const auto found = record ? record.value().outcomes_.find(lastPart(key)) : std::map<std::string, CallOutcome>::const_iterator {};
         if (!record || found == record.value().outcomes_.end())
-            return refuse(asked.ask_, JobError::EarlierCallBegan, RunState::OutcomeUnknown);
-        this->answer(asked.ask_, found->second);
+            return refuseAll(key, JobError::EarlierCallBegan, RunState::OutcomeUnknown);
+        for (const AskId ask : takeAsks(key))
+            this->answer(ask, found->second);
     });
 }
 
--- a/libs/jobs/tests/IntentTest.cpp
+++ b/libs/jobs/tests/IntentTest.cpp
@@ -17,6 +17,25 @@
     world.send(node, CallFinished { AskId(ask), ran, 201, "{\"booked\":true}" });
 }
 
+// The first try of an intent's creation is lost on its way; the caller may let it land later.
+void holdFirstIntent(JobWorld& world, std::optional<ObjectCall>& held)
+{
+    world.fate_ = [&held](std::uint32_t, const ObjectCall& call) {
+        if (held || call.verb_ != ObjectVerb::Create || !call.key_.starts_with("calls/i/"))
+            return JobWorld::Fate::Goes;
+        held = call;
+        return JobWorld::Fate::CallLost;
+    };
+}
+
+bool isKeyFree(JobWorld& world, const std::string& key = "deposit-7")
+{
+    const auto& objects = world.store().core().objects();
+    const auto found = objects.find(callKey("clerks", "bookings", key));
+    const Result<CallIntent> intent = found == objects.end() ? Result<CallIntent>(JobError::BadRecord) : CallIntent::decode(found->second.value_);
+    return intent && intent.value().isFree();
+}
+
 template <class Command>
 bool comes(JobWorld& world, std::uint64_t ask, Duration bound = 5s)
 {
@@ -121,7 +140,7 @@
 
 TEST_CASE("a call that was refused while its intent was on its way may be sent again")
 {
-    // The intent's answer comes after the caller was told that nothing ran. The intent must not stay, or the caller could never
+    // The intent's answer comes after the caller was told that nothing ran. The key must be free again, or the caller could never
     // make this booking; nor may the call begin.
     JobWorld world(quickOptions());
     world.run(2s);
@@ -131,12 +150,82 @@
     CHECK((world.seen<CallRefused>(1)->ran_ == RunState::NotRun));
     world.store().faults() = {};
     world.run(10s);
-    CHECK_FALSE(world.anyUnder("calls/i/"));
+    CHECK(isKeyFree(world));
     world.send(1, booking(2));
     REQUIRE(comes<BeginCall>(world, 2));
     CHECK(world.count<BeginCall>() == 1);
 }
 
+// Guards against a key that stays closed for the retention of intents: a try of the intent's creation lands after the intent was taken back.
+TEST_CASE("a call that was not run may be sent again though its intent lands late")
+{
+    JobWorld world(quickOptions());
+    world.run(2s);
+    std::optional<ObjectCall> late;
+    holdFirstIntent(world, late);
+    world.send(0, booking(1));
+    REQUIRE(comes<BeginCall>(world, 1));
+    finish(world, 0, 1, RunState::NotRun);
+    world.run(1s);
+    REQUIRE(late);
+    world.store().core().apply(*late, world.now());
+    for (const std::uint32_t node : { 1U, 0U }) {
+        world.send(node, booking(10 + node, "deposit-7", 6));
+        REQUIRE(comes<BeginCall>(world, 10 + node));
+        finish(world, node, 10 + node, RunState::NotRun);
+        world.run(1s);
+    }
+    world.send(1, booking(20));
+    REQUIRE(comes<BeginCall>(world, 20));
+    finish(world, 1, 20);
+    world.run(1s);
+    world.send(0, booking(21));
+    CHECK(comes<CallKnown>(world, 21));
+    CHECK(world.count<BeginCall>() == 4);
+}
+
+// Guards against the same where the late intent is of another node, which had met the one that was taken back.
+TEST_CASE("a call that was not run may be sent again though another node's intent lands late")
+{
+    JobWorld world(quickOptions());
+    world.run(2s);
+    std::optional<ObjectCall> late;
+    holdFirstIntent(world, late);
+    world.send(0, booking(1));
+    world.run(100ms);
+    REQUIRE(late);
+    world.send(1, booking(2));
+    REQUIRE(comes<BeginCall>(world, 2));
+    REQUIRE(comes<CallRefused>(world, 1));
+    finish(world, 1, 2, RunState::NotRun);
+    world.run(1s);
+    world.store().core().apply(*late, world.now());
+    world.send(0, booking(3));
+    REQUIRE(comes<BeginCall>(world, 3));
+    CHECK(world.count<BeginCall>() == 2);
+}
+
+// Guards against a call that begins twice: two hosts take a key that was freed, at once, and answers are lost.
+TEST_CASE("a key that was freed is taken by one of two hosts, whatever answers are lost")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        WorldOptions options = quickOptions(3);
+        options.seed_ = seed;
+        JobWorld world(options);
+        world.run(1s);
+        world.send(2, booking(1));
+        REQUIRE(comes<BeginCall>(world, 1));
+        finish(world, 2, 1, RunState::NotRun);
+        world.run(1s);
+        world.store().faults() = { 5ms, 200ms, 0.1, 0.3, 400ms };
+        for (std::uint32_t node = 0; node < 3; ++node)
+            world.send(node, booking(10 + node));
+        world.run(20s);
+        CHECK(world.count<BeginCall>() <= 2);
+        CHECK(world.count<BeginCall>() + world.count<CallRefused>() >= 4);
+    }
+}
+
 TEST_CASE("a call that was not run frees its key, one with another content is refused")
 {
     JobWorld world(quickOptions());
