Jobs: the marker of a job that was accepted anew isn't removed as an earlier job's

What callers would see: a job that was acknowledged and never runs, since no holder finds it. Cause: the end of a job removed the open marker whatever stood there. Jobs that are accepted one after the other under one id share its key. Two ways: a holder that was paused right before the removal wakes after the job's retention; and an upload without a key writes its marker while an ended job's manifest still stands, the holder finds that marker and removes it as the ended job's, the collector removes the old manifest, and the upload's own is accepted. A condition on the version alone doesn't hold for the second. Evidence: two tests fail before: "a paused holder spares the marker of a job that was accepted anew" (not ended 60 s after it was acknowledged) and "an upload that is accepted anew without a key is marked as open" (acknowledged as new, 9 of 18 starts after 60 s). Ruled out: a second write of the marker after the manifest, which leaves a gap where the host dies between the two; the upload's name in the marker (tried, passed the tests): an upload that writes over another's marker can hand it to the ended job's holder. Change: a holder reads the marker, then the manifest, and removes the marker as it was read if the manifest is still the ended job's. An upload without a key looks for a manifest before it writes a marker, as one with a key did; so sending a job again leaves no marker to remove. Settings must keep a job for more than twice the longest upload, as the defaults do. The end of a job drops the opening that it began with and not a later one (by reading).

--- a/libs/jobs/include/jobs/Acceptor.h
+++ b/libs/jobs/include/jobs/Acceptor.h
@@ -31,6 +31,7 @@
 
 private:
     struct Upload;
+    using Then = void (Acceptor::*)(Upload&);
 
     Upload* find(UploadId upload);
     void line(Upload& upload, std::string_view text);
@@ -38,9 +39,11 @@
     void closeChunk(Upload& upload);
     void pump(Upload& upload);
     void writeRecord(Upload& upload);
-    void findKnown(Upload& upload);
+    // Goes on with `otherwise` when no manifest of the job stands.
+    void findKnown(Upload& upload, JobId job, Then otherwise);
     void chunkWritten(UploadId id, const SettledAnswer& answer);
     void nameJob(Upload& upload);
+    void announceFirst(Upload& upload);
     void announce(Upload& upload, ObjectVersion standing);
     void createManifest(Upload& upload);
     void compareKnown(Upload& upload);
--- a/libs/jobs/include/jobs/JobRunner.h
+++ b/libs/jobs/include/jobs/JobRunner.h
@@ -69,6 +69,7 @@
     void manifestRead(JobRef job, const SettledAnswer& answer);
     void fetchLedger(JobRef job);
     void forgetStrayMarker(JobId job);
+    void removeMarker(JobRef job, const std::string& upload);
 
     // Claim and load.
     void supplyWork();
@@ -103,6 +104,7 @@
     void stop(JobId id, OpenJob& job);
     void end(JobId id, OpenJob& job);
     void drop(JobId id);
+    void drop(JobRef job);
 
     JobContext& context_;
     const PartitionLeases& leases_;
--- a/libs/jobs/src/Acceptor.cpp
+++ b/libs/jobs/src/Acceptor.cpp
@@ -105,22 +105,22 @@
     upload->until_ = context_.now_ + context_.settings_.uploadBound_;
     upload->manifest_.upload_ = upload->name_;
     Upload& entered = *(uploads_[event.upload_] = std::move(upload));
-    if (!event.key_.empty())
-        findKnown(entered);
+    if (event.key_.empty())
+        return;
+    entered.recordAsked_ = true;
+    findKnown(entered, jobIdOf(event.workspace_, event.service_, event.key_), &Acceptor::writeRecord);
 }
 
-// A resend of a whole job costs one read and no chunk writes.
-void Acceptor::findKnown(Upload& upload)
+// A resend of a whole job costs one read, and with a key no chunk writes.
+void Acceptor::findKnown(Upload& upload, JobId job, Then otherwise)
 {
     const UploadId id = upload.header_.upload_;
-    const JobId job = jobIdOf(upload.header_.workspace_, upload.header_.service_, upload.header_.key_);
-    upload.recordAsked_ = true;
-    context_.call(ObjectCall::get(manifestKey(context_.partitionOf(job), job)), CallClass::Accept, patience(), [this, id](const SettledAnswer& answer) {
+    context_.call(ObjectCall::get(manifestKey(context_.partitionOf(job), job)), CallClass::Accept, patience(), [this, id, otherwise](const SettledAnswer& answer) {
         Upload* found = find(id);
         if (!found)
             return;
         if (answer.is(ObjectError::NotFound))
-            return writeRecord(*found);
+            return (this->*otherwise)(*found);
         if (!answer.ok())
             return refuse(id, JobError::StoreUnavailable);
         Result<Manifest> manifest = Manifest::decode(answer.answer_.value_);
@@ -128,6 +128,7 @@
             return refuse(id, JobError::BadRecord);
         found->known_ = std::move(manifest.value());
         found->pending_.clear();
+        found->committing_ = false;
         pump(*found);
     });
 }
@@ -310,7 +311,7 @@
     manifest.acceptedAt_ = context_.wall_;
     manifest.mark_ = context_.mark();
     if (!header.key_.empty())
-        return announce(upload, ObjectVersion::none());
+        return announceFirst(upload);
     const UploadRecord record { context_.wall_, manifest.job_, context_.mark() };
     context_.call(ObjectCall::update(uploadKey(upload.name_), record.encode(), upload.recordVersion_), CallClass::Accept, patience(), [this, id](const SettledAnswer& answer) {
         Upload* found = find(id);
@@ -318,10 +319,12 @@
             return;
         if (!answer.ok())
             return refuse(id, JobError::StoreUnavailable);
-        announce(*found, ObjectVersion::none());
+        findKnown(*found, found->manifest_.job_, &Acceptor::announceFirst);
     });
 }
 
+void Acceptor::announceFirst(Upload& upload) { announce(upload, ObjectVersion::none()); }
+
 // The open marker stands before the manifest, so that no accepted job can stay unseen by its partition's holder.
 //
 // Failure met: the marker that stands is an old stray one, whose removal is on its way; the job is accepted, and no holder ever finds it.
--- a/libs/jobs/src/JobCore.cpp
+++ b/libs/jobs/src/JobCore.cpp
@@ -26,7 +26,9 @@
 
     bool fitTogether(const JobSettings& settings)
     {
-        const bool times = settings.leaseMargin_ > Duration::zero() && settings.renewEvery_ * 2 < settings.leaseTime_ - settings.leaseMargin_ && settings.uploadBound_ * 2 < settings.orphanAge_;
+        // A job is never removed while an upload goes on that found no manifest before it (see JobRunner::removeMarker).
+        const bool times = settings.leaseMargin_ > Duration::zero() && settings.renewEvery_ * 2 < settings.leaseTime_ - settings.leaseMargin_ && settings.uploadBound_ * 2 < settings.orphanAge_
+            && settings.uploadBound_ * 2 < settings.retention_;
         const bool sizes = settings.chunkBytes_ + recordSlack <= maxObjectBytes && settings.maxLineBytes_ < settings.chunkBytes_ && settings.maxResultBytes_ <= settings.maxLineBytes_;
         const bool counts = settings.partitions_ > 0 && settings.partitions_ <= mostPartitions && settings.chunkItems_ > 0 && settings.chunkWritesInFlight_ > 0 && settings.intentItems_ > 0
             && settings.outcomeGroup_ > 0 && settings.maxAttempts_ > 0 && settings.commitChunks_ > 0;
--- a/libs/jobs/src/JobRunner.cpp
+++ b/libs/jobs/src/JobRunner.cpp
@@ -345,4 +345,10 @@
 
 void JobRunner::drop(JobId id) { jobs_.erase(id); }
 
+void JobRunner::drop(JobRef job)
+{
+    if (find(job))
+        drop(job.id_);
+}
+
 } // namespace jj
--- a/libs/jobs/src/RunnerCommit.cpp
+++ b/libs/jobs/src/RunnerCommit.cpp
@@ -194,13 +194,33 @@
 {
     job.phase_ = JobPhase::Ending;
     job.chunks_.clear();
-    const PartitionId partition = job.partition_;
     const WallTime removeAt = job.ledger_.endedAt_ + std::chrono::duration_cast<std::chrono::milliseconds>(context_.settings_.retention_);
     const TimePoint until = context_.now_ + context_.settings_.leaseTime_;
-    context_.call(ObjectCall::create(expiryKey(removeAt, id), hexName(id.value())), CallClass::Background, until, [this, id, partition, until](const SettledAnswer& answer) {
+    const JobRef ref { id, job.serial_ };
+    context_.call(ObjectCall::create(expiryKey(removeAt, id), hexName(id.value())), CallClass::Background, until, [this, ref, upload = job.manifest_.upload_](const SettledAnswer& answer) {
         if (!answer.ok() && !answer.is(ObjectError::Conflict))
-            return drop(id);
-        context_.call(ObjectCall::remove(openKey(partition, id)), CallClass::Background, until, [this, id](const SettledAnswer&) { drop(id); });
+            return drop(ref);
+        removeMarker(ref, upload);
+    });
+}
+
+// Failure met: a holder that was paused goes on, and removes the marker of a job that was accepted anew under the id of the one that it
+// ended; no holder finds that job. The guard: the marker is removed as it stood when the ended job's manifest was still there afterwards.
+// Whoever writes a marker has found no manifest before (see Acceptor::findKnown), so what it writes comes later, and the removal fails.
+void JobRunner::removeMarker(JobRef ref, const std::string& upload)
+{
+    const PartitionId partition = context_.partitionOf(ref.id_);
+    const std::string key = openKey(partition, ref.id_);
+    const TimePoint until = context_.now_ + context_.settings_.leaseTime_;
+    context_.call(ObjectCall::get(key), CallClass::Background, until, [this, ref, upload, partition, key, until](const SettledAnswer& marker) {
+        if (!marker.ok())
+            return drop(ref);
+        context_.call(ObjectCall::get(manifestKey(partition, ref.id_)), CallClass::Background, until, [this, ref, upload, key, until, version = marker.answer_.version_](const SettledAnswer& answer) {
+            const Result<Manifest> manifest = answer.ok() ? Manifest::decode(answer.answer_.value_) : Result<Manifest>(JobError::NoSuchJob);
+            if (!manifest || manifest.value().upload_ != upload)
+                return drop(ref);
+            context_.call(ObjectCall::remove(key, version), CallClass::Background, until, [this, ref](const SettledAnswer&) { drop(ref); });
+        });
     });
 }
 
--- a/libs/jobs/tests/AcceptTest.cpp
+++ b/libs/jobs/tests/AcceptTest.cpp
@@ -13,6 +13,14 @@
     return world.seen<RefuseUpload>(upload);
 }
 
+bool isMarkerCall(const JobCommand& command, ObjectVerb verb)
+{
+    const auto* call = std::get_if<StoreCall>(&command);
+    return call && call->request_.verb_ == verb && call->request_.key_.starts_with("jobs/open/");
+}
+
+bool isMarkerRemoval(const JobCommand& command) { return isMarkerCall(command, ObjectVerb::Remove); }
+
 } // namespace
 
 TEST_CASE("the same key and content is the same job, other content a conflict")
@@ -200,10 +208,7 @@
     REQUIRE(world.runUntil([&] { return !world.isAlive(1); }, 10s));
     world.fate_ = nullptr;
     world.start(1);
-    world.pauseBeforeCommand(0, [](const JobCommand& command) {
-        const auto* call = std::get_if<StoreCall>(&command);
-        return call && call->request_.verb_ == ObjectVerb::Remove && call->request_.key_.starts_with("jobs/open/");
-    });
+    world.pauseBeforeCommand(0, isMarkerRemoval);
     REQUIRE(world.runUntil([&] { return world.isPaused(0); }, 90s));
     world.cutMessages(true);
     world.upload(1, 2, JobWorld::lines(9), key);
@@ -215,6 +220,69 @@
     CHECK(world.firstFinding() == "");
 }
 
+// Guards against an accepted job that no holder finds: a holder that was paused removes the marker of a job that was accepted anew under the
+// id of the one that it had ended.
+TEST_CASE("a paused holder spares the marker of a job that was accepted anew")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.retention_ = 1h;
+    options.step_ = 100ms;
+    JobWorld world(options);
+    const std::string key = world.keyOwnedBy(0);
+    const JobId job = JobWorld::jobOf(key);
+    SUBCASE("before it removes one") { world.pauseBeforeCommand(0, isMarkerRemoval); }
+    SUBCASE("before it reads one")
+    {
+        world.pauseBeforeCommand(0, [](const JobCommand& command) { return isMarkerCall(command, ObjectVerb::Get); });
+    }
+    world.upload(0, 1, JobWorld::lines(9), key, false, 24h);
+    REQUIRE(refused(world, 1) == nullptr);
+    REQUIRE(world.runUntil([&] { return world.isPaused(0); }, 60s));
+    REQUIRE(world.isEnded(job));
+    REQUIRE(world.runUntil([&] { return !world.anyUnder("jobs/m/") && !world.anyUnder("jobs/open/"); }, 3 * 3600s));
+    world.cutMessages(true);
+    world.upload(1, 2, JobWorld::lines(9), key, false, 24h);
+    REQUIRE(world.runUntil([&] { return world.seen<Acknowledge>(2) != nullptr; }, 2s));
+    world.kill(1);
+    world.wake(0);
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    CHECK(world.starts() >= 18);
+    CHECK(world.readAll(0, job).size() == 9);
+}
+
+// Guards against an accepted job that no holder finds: an upload without a key writes its marker while an ended job under its id is still
+// there, the holder removes that marker, the collector the old job, and the upload is accepted.
+TEST_CASE("an upload that is accepted anew without a key is marked as open")
+{
+    JobWorld world(quickOptions());
+    world.upload(0, 1, JobWorld::lines(9), "");
+    REQUIRE(refused(world, 1) == nullptr);
+    const JobId job = world.seen<Acknowledge>(1)->job_;
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    world.run(5s);
+    world.cutMessages(true);
+    const auto removeOld = [&] { world.store().core().apply(ObjectCall::remove(manifestKey(partitionOf(job, 2), job)), world.now()); };
+    bool isKnown = false;
+    SUBCASE("while it writes its manifest") { isKnown = true; }
+    SUBCASE("before it looks for one") { removeOld(); }
+    world.pauseBeforeCommand(1, [](const JobCommand& command) {
+        const auto* call = std::get_if<StoreCall>(&command);
+        return call && call->request_.verb_ == ObjectVerb::Create && call->request_.key_.starts_with("jobs/m/");
+    });
+    world.upload(1, 2, JobWorld::lines(9), "");
+    world.runUntil([&] { return world.isPaused(1) || world.seen<Acknowledge>(2); }, 2s);
+    if (world.isPaused(1)) {
+        world.run(8s);
+        removeOld();
+        world.wake(1);
+    }
+    REQUIRE(world.runUntil([&] { return world.seen<Acknowledge>(2) != nullptr; }, 5s));
+    CHECK(world.seen<Acknowledge>(2)->known_ == isKnown);
+    const std::uint64_t starts = world.seen<Acknowledge>(2)->known_ ? 9 : 18;
+    CHECK(world.runUntil([&] { return world.isEnded(job) && world.starts() == starts; }, 60s));
+    CHECK(world.runUntil([&] { return !world.anyUnder("jobs/open/"); }, 10s));
+}
+
 // Guards against an accepted job that is never run: the collector removes the old job's ledger while the holder claims the new one on it.
 TEST_CASE("a job whose old ledger is removed while it is claimed is claimed anew")
 {
