Jobs: an outcome is recorded though an old creation of its group lands late

What callers would see: a call that may not be repeated ran, and a resend is answered "outcome unknown" after its host died. Cause: when an outcome's group was refused because an object stands there, the outcomes counted as recorded ("it exists" taken for "it is mine"). An old creation of the group that lands after the group was collected is such an object. Evidence: the test of that name fails before: no CallKnown within 5 s. Change: a refused group is written again on what stands; its node is its only writer.

--- a/libs/jobs/src/IntentLog.cpp
+++ b/libs/jobs/src/IntentLog.cpp
@@ -258,9 +258,8 @@
         return;
     }
     group.version_ = answer.answer_.version_;
-    // Collected since, by the age of its earlier outcomes: the next flush creates it.
-    const bool isGone = (answer.is(ObjectError::Conflict) || answer.is(ObjectError::NotFound)) && group.version_.isNone();
-    if (isGone) {
+    // Collected since, by the age of its earlier outcomes, or an old creation of it landed after that: the next flush writes it, whatever stands.
+    if (answer.is(ObjectError::Conflict) || answer.is(ObjectError::NotFound)) {
         group.fresh_.insert(group.fresh_.end(), keys.begin(), keys.end());
         return;
     }
--- a/libs/jobs/tests/IntentTest.cpp
+++ b/libs/jobs/tests/IntentTest.cpp
@@ -117,6 +117,38 @@
     CHECK(comes<CallKnown>(world, 3));
 }
 
+// Guards against a recorded outcome that is lost: the object that it goes to was removed after its retention, and an old try of its creation
+// lands in its place.
+TEST_CASE("an outcome is recorded though an old creation of its group lands late")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.callRetention_ = 60s;
+    options.settings_.collectEvery_ = 5s;
+    JobWorld world(options);
+    world.run(2s);
+    std::optional<ObjectCall> late;
+    world.fate_ = [&late](std::uint32_t, const ObjectCall& call) {
+        if (late || call.verb_ != ObjectVerb::Create || !call.key_.starts_with("calls/o/"))
+            return JobWorld::Fate::Goes;
+        late = call;
+        return JobWorld::Fate::CallLost;
+    };
+    world.send(0, booking(1));
+    REQUIRE(comes<BeginCall>(world, 1));
+    finish(world, 0, 1);
+    REQUIRE(world.runUntil([&] { return world.anyUnder("calls/o/"); }, 10s));
+    REQUIRE(world.runUntil([&] { return !world.anyUnder("calls/o/"); }, 120s));
+    world.send(0, booking(2, "deposit-8"));
+    REQUIRE(comes<BeginCall>(world, 2));
+    REQUIRE(late);
+    REQUIRE(world.store().core().apply(*late, world.now()).ok());
+    finish(world, 0, 2);
+    world.run(2s);
+    world.kill(0);
+    world.send(1, booking(3, "deposit-8"));
+    CHECK(comes<CallKnown>(world, 3));
+}
+
 TEST_CASE("while the store is out a call is refused as not run, at once")
 {
     // The member on the phone must hear at once that the booking was not made, and no booking may be made without its intent.
