Jobs: a paused cancel spares the results of a job that was accepted anew

What callers would see: results that were read are gone, and the job never goes on. Cause: a cancel read the manifest, then the ledger. If the job was collected and accepted anew in between, the ledger names another upload than the manifest that was read; it was taken for an earlier job's and replaced. The condition on its version doesn't help, since that is the version that was just read. Evidence: the test of that name fails before: 8 results or more were read, 0 after the cancel. It takes a node that is paused within a cancel right when the job's retention ends. Change: the manifest is read after the ledger, also after each conflict. A ledger that isn't of that manifest is then older than it, and a change of it since makes the write fail. Cost: a read more for each conflict.

--- a/libs/jobs/include/jobs/CancelDesk.h
+++ b/libs/jobs/include/jobs/CancelDesk.h
@@ -38,7 +38,8 @@
 
     Cancel* find(AskId ask);
     void readLedger(Cancel& cancel);
-    void ledgerRead(AskId ask, const SettledAnswer& answer);
+    void readManifest(Cancel& cancel, const SettledAnswer& ledger);
+    void decide(Cancel& cancel, const SettledAnswer& ledger);
     void writeLedger(Cancel& cancel, Ledger ledger, ObjectVersion version);
     void wait(Cancel& cancel, const Ledger& ledger);
     void checkLease(Cancel& cancel);
--- a/libs/jobs/src/CancelDesk.cpp
+++ b/libs/jobs/src/CancelDesk.cpp
@@ -17,49 +17,59 @@
 
 void CancelDesk::ask(const CancelAsked& event)
 {
-    cancels_[event.ask_].asked_ = event;
-    const AskId ask = event.ask_;
-    context_.call(ObjectCall::get(manifestKey(context_.partitionOf(event.job_), event.job_)), CallClass::Accept, patience(), [this, ask](const SettledAnswer& answer) {
-        Cancel* cancel = find(ask);
-        if (!cancel)
+    Cancel& cancel = cancels_[event.ask_];
+    cancel.asked_ = event;
+    readLedger(cancel);
+}
+
+void CancelDesk::readLedger(Cancel& cancel)
+{
+    const AskId ask = cancel.asked_.ask_;
+    const JobId job = cancel.asked_.job_;
+    context_.call(ObjectCall::get(ledgerKey(context_.partitionOf(job), job)), CallClass::Accept, patience(), [this, ask](const SettledAnswer& answer) {
+        if (Cancel* found = find(ask))
+            readManifest(*found, answer);
+    });
+}
+
+// Failure met: a ledger that is read after the manifest is of a job that was accepted anew in between. It is taken for an earlier job's and
+// replaced, with the results that it names. The guard: the manifest is read after the ledger, so a ledger that isn't of this job is older.
+void CancelDesk::readManifest(Cancel& cancel, const SettledAnswer& ledger)
+{
+    const AskId ask = cancel.asked_.ask_;
+    const JobId job = cancel.asked_.job_;
+    context_.call(ObjectCall::get(manifestKey(context_.partitionOf(job), job)), CallClass::Accept, patience(), [this, ask, ledger](const SettledAnswer& answer) {
+        Cancel* found = find(ask);
+        if (!found)
             return;
         Result<Manifest> manifest = answer.ok() ? Manifest::decode(answer.answer_.value_) : Result<Manifest>(answer.is(ObjectError::NotFound) ? JobError::NoSuchJob : JobError::StoreUnavailable);
         if (!manifest)
             return refuse(ask, manifest.error());
-        if (manifest.value().workspace_ != cancel->asked_.workspace_)
+        if (manifest.value().workspace_ != found->asked_.workspace_)
             return refuse(ask, JobError::NoSuchJob);
-        cancel->manifest_ = std::move(manifest.value());
-        readLedger(*cancel);
+        found->manifest_ = std::move(manifest.value());
+        decide(*found, ledger);
     });
 }
 
-void CancelDesk::readLedger(Cancel& cancel)
+void CancelDesk::decide(Cancel& cancel, const SettledAnswer& answer)
 {
     const AskId ask = cancel.asked_.ask_;
-    const JobId job = cancel.asked_.job_;
-    context_.call(ObjectCall::get(ledgerKey(context_.partitionOf(job), job)), CallClass::Accept, patience(), [this, ask](const SettledAnswer& answer) { ledgerRead(ask, answer); });
-}
-
-void CancelDesk::ledgerRead(AskId ask, const SettledAnswer& answer)
-{
-    Cancel* cancel = find(ask);
-    if (!cancel)
-        return;
     if (answer.is(ObjectError::NotFound))
-        return writeLedger(*cancel, {}, ObjectVersion::none());
+        return writeLedger(cancel, {}, ObjectVersion::none());
     Result<Ledger> ledger = answer.ok() ? Ledger::decode(answer.answer_.value_) : Result<Ledger>(JobError::StoreUnavailable);
     if (!ledger)
         return refuse(ask, ledger.error());
-    if (!ledger.value().belongsTo(cancel->manifest_)) {
+    if (!ledger.value().belongsTo(cancel.manifest_)) {
         Ledger fresh;
         fresh.epoch_ = ledger.value().epoch_;
-        return writeLedger(*cancel, std::move(fresh), answer.answer_.version_);
+        return writeLedger(cancel, std::move(fresh), answer.answer_.version_);
     }
     if (ledger.value().state_ == JobState::Done)
         return refuse(ask, JobError::AlreadyDone);
     if (ledger.value().state_ == JobState::Cancelled)
-        return wait(*cancel, ledger.value());
-    writeLedger(*cancel, std::move(ledger.value()), answer.answer_.version_);
+        return wait(cancel, ledger.value());
+    writeLedger(cancel, std::move(ledger.value()), answer.answer_.version_);
 }
 
 // The same object as every commit and claim: cancel, completion and takeover have one order.
--- a/libs/jobs/tests/CancelTest.cpp
+++ b/libs/jobs/tests/CancelTest.cpp
@@ -184,3 +184,33 @@
     REQUIRE(world.runUntil([&] { return world.seen<AskRefused>(1) != nullptr; }, 5s));
     CHECK(world.seen<AskRefused>(1)->error_ == JobError::NoSuchJob);
 }
+
+// Guards against results that were read and are gone: a cancel that was paused between its reads of a job's two records takes the ledger of
+// a job that was accepted anew under the id for an older one, and replaces it.
+TEST_CASE("a paused cancel spares the results of a job that was accepted anew")
+{
+    WorldOptions options = quickOptions();
+    options.itemTime_ = 500ms;
+    JobWorld world(options);
+    const JobId job = accept(world, 0, 9);
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    world.run(5s);
+    std::uint32_t reads = 0;
+    world.pauseBeforeCommand(1, [&](const JobCommand& command) {
+        const auto* call = std::get_if<StoreCall>(&command);
+        return call && (call->request_.key_.starts_with("jobs/m/") || call->request_.key_.starts_with("jobs/s/")) && ++reads == 2;
+    });
+    cancel(world, 1, 1, job);
+    REQUIRE(world.runUntil([&] { return world.isPaused(1); }, 2s));
+    for (const std::string& key : { manifestKey(partitionOf(job, 2), job), ledgerKey(partitionOf(job, 2), job) })
+        REQUIRE(world.store().core().apply(ObjectCall::remove(key), world.now()).ok());
+    world.upload(0, 2, JobWorld::lines(40), world.keyOwnedBy(0));
+    REQUIRE(world.runUntil([&] { return world.ledger(job) && world.ledger(job)->done_ >= 8; }, 20s));
+    const std::vector<std::string> early = world.readAll(0, job);
+    REQUIRE(early.size() >= 8);
+    world.wake(1);
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    const std::vector<std::string> late = world.readAll(0, job);
+    REQUIRE(late.size() >= early.size());
+    CHECK(std::equal(early.begin(), early.end(), late.begin()));
+}
