Jobs: an ended job that is removed while it is read isn't shown as waiting

What callers would see: a job whose end was read is answered as waiting, or its results as an empty page with more to come. Cause: status and results read the manifest, then the ledger. If the collector removes both in between, the missing ledger was taken for that of a job that nobody has claimed. A ledger of a job accepted anew in between was taken for an older one likewise (by reading). Evidence: the test fails before, for the status and for the results. Change: the manifest is read after the ledger, so a ledger that is missing or another's is from before the job had results.

--- a/libs/jobs/include/jobs/ReadDesk.h
+++ b/libs/jobs/include/jobs/ReadDesk.h
@@ -28,6 +28,7 @@
     using Read = std::function<void(const Question&, const Ledger&)>;
 
     void read(Question question, Read then);
+    void readManifest(Question question, Ledger ledger, Read then);
     void status(const Question& question, const Ledger& ledger);
     void page(const Question& question, const Ledger& ledger);
     void part(const Question& question, const Ledger& ledger, std::uint32_t chunk);
--- a/libs/jobs/src/ReadDesk.cpp
+++ b/libs/jobs/src/ReadDesk.cpp
@@ -27,11 +27,24 @@
     read({ event.ask_, event.workspace_, event.job_, event.cursor_, {} }, [this](const Question& question, const Ledger& ledger) { page(question, ledger); });
 }
 
+// The manifest is read after the ledger, so a ledger that isn't of this job, or is missing, is from before it had results.
 void ReadDesk::read(Question question, Read then)
 {
-    const PartitionId partition = context_.partitionOf(question.job_);
-    const std::string key = manifestKey(partition, question.job_);
-    context_.call(ObjectCall::get(key), CallClass::Read, patience(), [this, partition, question = std::move(question), then = std::move(then)](const SettledAnswer& answer) mutable {
+    const std::string key = ledgerKey(context_.partitionOf(question.job_), question.job_);
+    context_.call(ObjectCall::get(key), CallClass::Read, patience(), [this, question = std::move(question), then = std::move(then)](const SettledAnswer& answer) mutable {
+        Result<Ledger> ledger = answer.ok() ? Ledger::decode(answer.answer_.value_) : Result<Ledger>(JobError::StoreUnavailable);
+        if (answer.is(ObjectError::NotFound))
+            ledger = Ledger {};
+        if (!ledger)
+            return refuse(question.ask_, ledger.error());
+        readManifest(std::move(question), std::move(ledger.value()), std::move(then));
+    });
+}
+
+void ReadDesk::readManifest(Question question, Ledger ledger, Read then)
+{
+    const std::string key = manifestKey(context_.partitionOf(question.job_), question.job_);
+    context_.call(ObjectCall::get(key), CallClass::Read, patience(), [this, question = std::move(question), ledger = std::move(ledger), then = std::move(then)](const SettledAnswer& answer) mutable {
         if (answer.is(ObjectError::NotFound))
             return refuse(question.ask_, JobError::NoSuchJob);
         Result<Manifest> manifest = answer.ok() ? Manifest::decode(answer.answer_.value_) : Result<Manifest>(JobError::StoreUnavailable);
@@ -40,15 +53,7 @@
         if (manifest.value().workspace_ != question.workspace_)
             return refuse(question.ask_, JobError::NoSuchJob);
         question.manifest_ = std::move(manifest.value());
-        const std::string ledgerName = ledgerKey(partition, question.job_);
-        context_.call(ObjectCall::get(ledgerName), CallClass::Read, patience(), [this, question = std::move(question), then = std::move(then)](const SettledAnswer& ledgerAnswer) {
-            if (ledgerAnswer.is(ObjectError::NotFound))
-                return then(question, {});
-            const Result<Ledger> ledger = ledgerAnswer.ok() ? Ledger::decode(ledgerAnswer.answer_.value_) : Result<Ledger>(JobError::StoreUnavailable);
-            if (!ledger)
-                return refuse(question.ask_, ledger.error());
-            then(question, ledger.value().belongsTo(question.manifest_) ? ledger.value() : Ledger {});
-        });
+        then(question, ledger.belongsTo(question.manifest_) ? ledger : Ledger {});
     });
 }
 
--- a/libs/jobs/tests/AcceptTest.cpp
+++ b/libs/jobs/tests/AcceptTest.cpp
@@ -459,6 +459,43 @@
     CHECK(world.starts() == 9);
 }
 
+// Guards against a job that is shown as waiting and without results after its end was read: it is removed between the two reads of an answer.
+TEST_CASE("an ended job that is removed while it is read is ended or unknown")
+{
+    JobWorld world(quickOptions());
+    const std::string key = world.keyOwnedBy(0);
+    const JobId job = JobWorld::jobOf(key);
+    world.upload(0, 1, JobWorld::lines(9), key);
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    world.run(5s);
+    std::uint32_t reads = 0;
+    world.fate_ = [&](std::uint32_t node, const ObjectCall& call) {
+        const bool isRead = node == 1 && (call.key_.starts_with("jobs/m/") || call.key_.starts_with("jobs/s/"));
+        if (isRead && ++reads == 2) {
+            for (const std::string& record : { manifestKey(partitionOf(job, 2), job), ledgerKey(partitionOf(job, 2), job) })
+                world.store().core().apply(ObjectCall::remove(record), world.now());
+        }
+        return JobWorld::Fate::Goes;
+    };
+    SUBCASE("its status")
+    {
+        world.send(1, StatusAsked { AskId(1), "clerks", job });
+        world.run(1s);
+        const StatusAnswered* status = world.seen<StatusAnswered>(1);
+        CHECK((!status || status->status_.state_ == JobState::Done));
+    }
+    SUBCASE("its results")
+    {
+        world.send(1, ResultsAsked { AskId(1), "clerks", job, 0 });
+        world.run(1s);
+        const ResultsPage* page = world.seen<ResultsPage>(1);
+        CHECK((!page || !page->lines_.empty()));
+    }
+    const AskRefused* refusal = world.seen<AskRefused>(1);
+    CHECK((!refusal || refusal->error_ == JobError::NoSuchJob));
+    CHECK(reads == 2);
+}
+
 TEST_CASE("an upload faster than the store is paused, not buffered")
 {
     JobWorld world(quickOptions());
