Job front: what it tells an owner about an accepted job, and what follows from an answer, are held by unit tests

What callers would see without these decisions: results that they have read are missing in the next read, or a job is answered as empty. Nothing is changed for callers by this commit. Cause of the gap: JobFront needs sockets (Fleet, http::Client), so that no unit test builds it. Change: AcceptanceSender sends accepted jobs to their owners and repeats messages without an answer; JobCallStep.h has the decision about an answer (ask the owner it names, read the store, respond) and the status of the response. JobFront uses both and behaves as before. Not covered: that JobFront's own few lines connect these units to the sockets, and the read of the store after an owner gave no reply at all.

--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -3,6 +3,7 @@
 #include "JobFront.h"
 
 #include "HopTimes.h"
+#include "JobCallStep.h"
 
 namespace jj {
 
@@ -12,7 +13,6 @@
     // Covers the disk write on the host that spools the job, about 1 ms, and a round trip to another region.
     constexpr Duration spoolTimeout = 600ms;
     constexpr int maxHops = 3;
-    constexpr int maxSendAttempts = 3;
     constexpr Duration retryAfter = 300ms;
     constexpr std::size_t maxKnownOwners = 8192;
 
@@ -61,10 +61,23 @@
 JobFront::JobFront(Context& context, JobScheduler& scheduler, StoreLink& store)
     : context_(context)
     , scheduler_(scheduler)
+    , acceptances_(acceptanceOutlets())
     , intake_(IntakeSettings(), intakeOutlets(store))
 {
 }
 
+AcceptanceOutlets JobFront::acceptanceOutlets()
+{
+    AcceptanceOutlets outlets;
+    outlets.self_ = context_.fleet_->self();
+    outlets.adopt_ = [this](JobTransfer job) { scheduler_.adopt(std::move(job), context_.now(), SystemClock().wallNow()); };
+    outlets.send_ = [this](NodeId owner, JobTransfer job, std::function<void(std::error_code)> done) {
+        context_.fleet_->request(owner, AdoptRequest { std::move(job) }, callTimeout, [done = std::move(done)](const Result<PeerReply>& reply) { done(reply ? std::error_code() : reply.error()); });
+    };
+    outlets.noteUnanswered_ = [this](const JobName& job, int tries, std::error_code error) { context_.log_.line("ownerUnreachable").with("job", job).with("tries", tries).with("error", error.message()); };
+    return outlets;
+}
+
 IntakeOutlets JobFront::intakeOutlets(StoreLink& store)
 {
     IntakeOutlets outlets;
@@ -76,7 +89,7 @@
     outlets.ownerOf_ = [this](const JobName& job) { return context_.fleet_->preferredOwner(job, context_.fleet_->self()); };
     outlets.notifyOwner_ = [this](const JobName& job, const Acceptance& acceptance) {
         rememberOwner(job, acceptance.head_.owner_);
-        sendToOwner(job, acceptance, 0);
+        sendToOwner(job, acceptance);
     };
     return outlets;
 }
@@ -145,22 +158,6 @@
     }
 }
 
-// A lost message only delays the job: its owner, or the node that should own it, finds the job when it scans the store.
-void JobFront::sendToOwner(const JobName& job, const Acceptance& acceptance, int tries)
-{
-    JobTransfer transfer { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, tries > 0 || !acceptance.isNew_, {} };
-    const NodeId owner = acceptance.head_.owner_;
-    if (owner == context_.fleet_->self())
-        return scheduler_.adopt(std::move(transfer), context_.now(), SystemClock().wallNow());
-    context_.fleet_->request(owner, AdoptRequest { std::move(transfer) }, callTimeout, [this, job, acceptance, tries](const Result<PeerReply>& reply) {
-        if (reply)
-            return;
-        context_.log_.line("ownerUnreachable").with("job", job).with("tries", tries + 1).with("error", reply.error().message());
-        if (tries + 1 < maxSendAttempts)
-            sendToOwner(job, acceptance, tries + 1);
-    });
-}
-
 // ---- calls about existing jobs
 
 NodeId JobFront::ownerOf(const JobName& job) const
@@ -245,32 +242,38 @@
 void JobFront::onReply(const PendingCallPtr& pending, ReadOutcome outcome, NodeId owner, bool wasLocal, const PeerReply& reply)
 {
     const bool mayContinue = ++pending->hops_ < maxHops && context_.now() - pending->startedAt_ < waitOf(pending->call_) + callTimeout;
-    if (outcome == ReadOutcome::OtherOwner && mayContinue) {
-        rememberOwner(jobOf(pending->call_), owner);
+    const JobName& job = jobOf(pending->call_);
+    switch (nextStep(outcome, owner, context_.fleet_->self(), { wasLocal, mayContinue, mayBeStoredUnderId(job, pending->id_) })) {
+    case JobCallStep::AskOwner:
+        rememberOwner(job, owner);
         pending->nextNode_ = owner;
-        return owner == context_.fleet_->self() && wasLocal ? answerLocally(pending, true) : queryOwner(pending);
-    }
-    if (outcome == ReadOutcome::Unavailable && !wasLocal && mayContinue)
+        return queryOwner(pending);
+    case JobCallStep::ReadStore:
+        if (outcome == ReadOutcome::OtherOwner)
+            rememberOwner(job, owner);
         return answerLocally(pending, true);
-    if (outcome == ReadOutcome::Missing && mayBeStoredUnderId(jobOf(pending->call_), pending->id_)) {
+    case JobCallStep::AskByCallersId:
         jobOf(pending->call_) = pending->id_;
         return start(pending);
+    case JobCallStep::Respond:
+        break;
     }
     if (outcome == ReadOutcome::Found && !wasLocal)
-        rememberOwner(jobOf(pending->call_), pending->nextNode_);
+        rememberOwner(job, pending->nextNode_);
     respond(*pending, outcome, reply);
 }
 
 void JobFront::respond(const PendingCall& pending, ReadOutcome outcome, const PeerReply& reply)
 {
     http::Exchange& exchange = *pending.exchange_;
-    const bool isUnsure = outcome == ReadOutcome::Unavailable || outcome == ReadOutcome::OtherOwner;
-    if (isUnsure || outcome == ReadOutcome::Missing)
+    const int status = statusOf(outcome);
+    const bool isUnsure = status == 503;
+    if (outcome != ReadOutcome::Found)
         context_.log_.line("jobCallFailed").with("job", jobOf(pending.call_)).with("call", nameOf(pending.call_)).with("outcome", isUnsure ? "unsure" : "missing").with("hops", pending.hops_).with("afterMs", context_.now() - pending.startedAt_);
     if (isUnsure)
-        return exchange.respond(refusalResponse(context_.translation_, 503, "job.Unsure", "neither the job's owner nor the store can be asked now", RunState::NotRun, retryAfter));
+        return exchange.respond(refusalResponse(context_.translation_, status, "job.Unsure", "neither the job's owner nor the store can be asked now", RunState::NotRun, retryAfter));
     if (outcome == ReadOutcome::Missing)
-        return exchange.respond(refusalResponse(context_.translation_, 404, "job.NotFound", "no such job or item", RunState::NotRun, {}));
+        return exchange.respond(refusalResponse(context_.translation_, status, "job.NotFound", "no such job or item", RunState::NotRun, {}));
     if (const auto* read = std::get_if<ReadAnswer>(&reply))
         return exchange.respond({ 200, { { "Content-Type", "application/json" } }, context_.translation_.formatResults_(*read) });
     if (const auto* body = std::get_if<BodyAnswer>(&reply))
--- a/libs/serving/src/JobFront.h
+++ b/libs/serving/src/JobFront.h
@@ -1,6 +1,7 @@
 // Handles callers' requests about jobs. Any node accepts a request; the node that owns the job answers it.
 #pragma once
 
+#include "AcceptanceSender.h"
 #include "Caller.h"
 #include "Context.h"
 #include "ledger/JobIntake.h"
@@ -18,19 +19,19 @@
 
     void submit(const std::shared_ptr<http::Exchange>& exchange, const RouteTable& table, const Route& route, const Caller& caller);
     void call(std::shared_ptr<http::Exchange> exchange, const RouteTable& table, const Caller& caller, JobRequest call);
-    // Sends a job that the store has accepted to its owner. A lost message only delays the job.
-    void sendToOwner(const JobName& job, const Acceptance& acceptance) { sendToOwner(job, acceptance, 0); }
+    // Sends a job that the store has accepted to its owner.
+    void sendToOwner(const JobName& job, const Acceptance& acceptance) { acceptances_.send(job, acceptance); }
     void tick(TimePoint now) { intake_.tick(now); }
 
 private:
     struct PendingCall;
     using PendingCallPtr = std::shared_ptr<PendingCall>;
 
+    AcceptanceOutlets acceptanceOutlets();
     IntakeOutlets intakeOutlets(StoreLink& store);
     void spoolAt(NodeId host, SpooledJob job, std::function<void(SpoolOutcome, TimePoint)> done);
     void removeSpooledCopy(NodeId host, const JobName& job);
     void respond(const std::shared_ptr<http::Exchange>& exchange, const std::string& id, const JobName& job, const IntakeAnswer& answer, TimePoint startedAt, TimePoint now);
-    void sendToOwner(const JobName& job, const Acceptance& acceptance, int tries);
     void start(const PendingCallPtr& pending);
     void queryOwner(const PendingCallPtr& pending);
     // Answers from this node. `bypassOwner`: reads the store, whichever node owns the job.
@@ -43,6 +44,7 @@
 
     Context& context_;
     JobScheduler& scheduler_;
+    AcceptanceSender acceptances_;
     JobIntake intake_;
     // Last known owner of each job. An outdated entry costs one extra hop.
     std::map<JobName, NodeId> owners_;
