Reports: a node's report that arrives after a later one is dropped

What callers would see: 404 for a job that is spooled on a host, from a node that got an older report of that host, from before the job, after the newer one. It lasts until the host's next report, half a second at most. Cause: ReportExchange took each report for the newest. Reports are datagrams, which may overtake each other or arrive twice; CapacityBoard checks their numbers, the table of peers didn't. A late report of a process that has ended also made its host count as seen just now. Evidence: "a report that arrives after a later one of its sender changes nothing" fails before (0 spooled jobs instead of 1, reported as seen, passed on) and passes now. Ruled out: reports of a host whose clock was set back before it was started again are not dropped, since a new incarnation in the membership begins anew ("the reports of a new incarnation count whatever its clock says", which passed before too). Change: the table of peers holds process and number of each node's latest report.

--- a/libs/serving/src/PeerTable.cpp
+++ b/libs/serving/src/PeerTable.cpp
@@ -14,6 +14,9 @@
         --liveCountFor(peer);
     if (!wasLive || peer.incarnation_ != member.incarnation_)
         peer.liveSince_ = now;
+    // The clock by which processes number themselves may have been set back.
+    if (peer.incarnation_ != member.incarnation_)
+        peer.reportSequence_ = 0;
     peer.incarnation_ = member.incarnation_;
     peer.node_ = member.node_;
     peer.at_ = member.endpoint_;
--- a/libs/serving/src/PeerTable.h
+++ b/libs/serving/src/PeerTable.h
@@ -25,6 +25,9 @@
     Incarnation incarnation_; // of its membership
     TimePoint liveSince_ {}; // start of its last incarnation, as far as this node knows
     TimePoint downSince_ {}; // only valid while the node isn't live
+    // Process and number of its latest report, under which earlier ones are dropped; 0: none since the start of its last incarnation.
+    Incarnation reportIncarnation_;
+    std::uint32_t reportSequence_ = 0;
     TimePoint lastSeenAt_ {}; // last time when its report arrived, or a summary of its cell that lists it
     std::uint64_t configVersion_ = 0;
     std::uint64_t enginesVersion_ = 0;
@@ -33,6 +36,11 @@
     std::uint32_t spooledJobs_ = 0;
     bool isStoreUnreachable_ = false;
 
+    // Returns whether a later report of this node has arrived.
+    bool hasLaterReport(Incarnation incarnation, std::uint32_t sequence) const
+    {
+        return reportSequence_ > 0 && (incarnation < reportIncarnation_ || (incarnation == reportIncarnation_ && sequence <= reportSequence_));
+    }
     bool isLive() const { return state_ == MemberState::Alive || state_ == MemberState::Suspect; }
 };
 
--- a/libs/serving/src/ReportExchange.cpp
+++ b/libs/serving/src/ReportExchange.cpp
@@ -84,8 +84,13 @@
 void ReportExchange::handle(const NodeReport& report, TimePoint now)
 {
     pace_.received();
+    Peer* peer = peers_.find(report.use_.node_);
+    if (peer && peer->hasLaterReport(report.use_.incarnation_, report.use_.sequence_))
+        return;
     isDirty_ = true;
-    if (Peer* peer = peers_.find(report.use_.node_)) {
+    if (peer) {
+        peer->reportIncarnation_ = report.use_.incarnation_;
+        peer->reportSequence_ = report.use_.sequence_;
         peer->runsJobs_ = report.runsJobs_;
         peer->leaving_ = peer->leaving_ || report.leaving_;
         peer->lastSeenAt_ = now;
