Reports: a host that has been started again doesn't stay "leaving" for a late report of its former process

What callers would see: during an outage of the store one node refuses jobs, since it takes a host that has been started again for a leaving one and finds too few hosts that could spool them; it also gives that host no jobs. It lasts until the membership next tells of the host. Cause: "leaving" from a report was never taken back by a later one. Membership and reports come over two sockets. A node that was paused while the host left and came back may read of the new incarnation first and then the last reports of the process that left. Evidence: "a host that has been started again doesn't count as leaving for a late report of its former process" fails before and passes now; "a host counts as leaving if either its report or membership says so" passes before and now. Ruled out: dropping late reports alone. In this order the late one is the first since the new incarnation, so it isn't dropped. Change: the latest report and the membership say whether a node leaves; a report of before doesn't. Remains: a node of another cell gets no further reports of that host, and keeps the late one until the membership tells of the host.

--- a/libs/serving/src/PeerTable.cpp
+++ b/libs/serving/src/PeerTable.cpp
@@ -23,6 +23,7 @@
     peer.region_ = member.region_;
     peer.domain_ = member.domain_;
     peer.state_ = member.state_;
+    peer.isMemberLeaving_ = member.leaving_;
     peer.leaving_ = member.leaving_;
     if (peer.isLive())
         ++liveCountFor(peer);
--- a/libs/serving/src/PeerTable.h
+++ b/libs/serving/src/PeerTable.h
@@ -20,7 +20,8 @@
     RegionId region_;
     FailureDomainId domain_;
     MemberState state_ = MemberState::Alive;
-    bool leaving_ = false;
+    bool leaving_ = false; // according to membership or its latest report
+    bool isMemberLeaving_ = false; // according to membership
     bool runsJobs_ = false;
     Incarnation incarnation_; // of its membership
     TimePoint liveSince_ {}; // start of its last incarnation, as far as this node knows
--- a/libs/serving/src/ReportExchange.cpp
+++ b/libs/serving/src/ReportExchange.cpp
@@ -92,7 +92,7 @@
         peer->reportIncarnation_ = report.use_.incarnation_;
         peer->reportSequence_ = report.use_.sequence_;
         peer->runsJobs_ = report.runsJobs_;
-        peer->leaving_ = peer->leaving_ || report.leaving_;
+        peer->leaving_ = peer->isMemberLeaving_ || report.leaving_;
         peer->lastSeenAt_ = now;
         peer->configVersion_ = report.configVersion_;
         peer->enginesVersion_ = report.enginesVersion_;
--- a/libs/serving/tests/LateReportTest.cpp
+++ b/libs/serving/tests/LateReportTest.cpp
@@ -84,3 +84,39 @@
     receiver.exchange_.handle(report, receiver.now_ + 1ms);
     CHECK(receiver.peer().spooledJobs_ == 2);
 }
+
+// Guards against a host that gets no jobs and spools none after a restart, because the receiver, which had been paused, read of the restart
+// before it read the last reports of the process that left.
+TEST_CASE("serving: a host that has been started again doesn't count as leaving for a late report of its former process")
+{
+    Receiver receiver;
+    receiver.learnPeer(Incarnation(10));
+    NodeReport leaving = receiver.report(Incarnation(10), 50);
+    leaving.leaving_ = true;
+    receiver.learnPeer(Incarnation(20));
+    receiver.exchange_.handle(leaving, receiver.now_);
+    receiver.exchange_.handle(receiver.report(Incarnation(20), 1), receiver.now_ + 1ms);
+    CHECK(!receiver.peer().leaving_);
+}
+
+// Guards against jobs that are handed to a host which is leaving.
+TEST_CASE("serving: a host counts as leaving if either its report or membership says so")
+{
+    Receiver receiver;
+    receiver.learnPeer(Incarnation(10));
+    NodeReport leaving = receiver.report(Incarnation(10), 1);
+    leaving.leaving_ = true;
+    receiver.exchange_.handle(leaving, receiver.now_);
+    CHECK(receiver.peer().leaving_);
+
+    MemberRumor rumor;
+    rumor.node_ = receiver.peerNode_;
+    rumor.endpoint_ = receiver.peerAt_;
+    rumor.region_ = RegionId(1);
+    rumor.domain_ = FailureDomainId(2);
+    rumor.incarnation_ = Incarnation(20);
+    rumor.leaving_ = true;
+    receiver.peers_.apply(rumor, receiver.now_);
+    receiver.exchange_.handle(receiver.report(Incarnation(20), 1), receiver.now_ + 1ms);
+    CHECK(receiver.peer().leaving_);
+}
