--- a/libs/serving/src/PeerTable.cpp
+++ b/libs/serving/src/PeerTable.cpp
@@ -14,12 +14,16 @@
         --liveCountFor(peer);
     if (!wasLive || peer.incarnation_ != member.incarnation_)
         peer.liveSince_ = now;
+    // The clock by which processes number themselves may have been set back.
+    if (peer.incarnation_ != member.incarnation_)
+        peer.reportSequence_ = 0;
     peer.incarnation_ = member.incarnation_;
     peer.node_ = member.node_;
     peer.at_ = member.endpoint_;
     peer.region_ = member.region_;
     peer.domain_ = member.domain_;
     peer.state_ = member.state_;
+    peer.isMemberLeaving_ = member.leaving_;
     peer.leaving_ = member.leaving_;
     if (peer.isLive())
         ++liveCountFor(peer);
