Ledger: the schedules' oracle reads on after an answer that holds a part of the results

Cause, traced: the owner's commit had no answer for more than a second. Another node had found its results in the store. A read from position 0 has results in the owner's memory, so it is answered from there; a read from position 2 goes to the store. An answer may hold a part of the results, but at least one if there is one, and callers continue at its end. So the answer was allowed, and the check that one answer holds everything was wrong. Ruled out: that the position had nothing: in both schedules the read from the end of the short answer returned the results. Change: if an answer has results but ends before what had been read a second earlier, the caller reads on at its end, and that answer is checked in the same way, with the time of the first call. An empty answer fails as before.

--- a/libs/ledger/tests/ExploreTest.cpp
+++ b/libs/ledger/tests/ExploreTest.cpp
@@ -330,7 +330,11 @@
         const std::size_t end = call.after_ + answer.results_.size();
         const auto later = seen.readAt_.upper_bound(call.askedAt_ - settled);
         const std::size_t settledCount = later == seen.readAt_.begin() ? 0 : std::prev(later)->second;
-        if (!hasUnnoticedCut_ && settledCount > call.after_) {
+        // An answer may hold only a part of the results, but at least one if there is one. The caller then reads on.
+        const bool isPartial = !hasUnnoticedCut_ && !answer.results_.empty() && end < settledCount;
+        if (isPartial)
+            readOn(call, static_cast<std::uint32_t>(end));
+        if (!hasUnnoticedCut_ && !isPartial && settledCount > call.after_) {
             CAPTURE(call.job_);
             CAPTURE(call.after_);
             CAPTURE(call.entry_);
@@ -345,6 +349,21 @@
             seen.readAt_[world_.now()] = end;
     }
 
+    // The answer has to hold what had been read a second before the first call.
+    void readOn(const Call& call, std::uint32_t after)
+    {
+        if (!isUsable(call.entry_))
+            return;
+        auto next = std::make_shared<Call>(call);
+        next->after_ = after;
+        next->wait_ = {};
+        next->hops_ = 0;
+        next->entryIncarnation_ = world_.host(call.entry_).incarnation_;
+        const auto presumed = owners_.find({ call.entry_, call.job_ });
+        next->next_ = presumed != owners_.end() ? presumed->second : world_.preferredOwner(call.entry_);
+        queryOwner(next);
+    }
+
     void removeFaults()
     {
         world_.store_.core().setOutage(false);
