Ledger: harsher randomized schedules, which notice an owner that doesn't read another one's pages

What callers would see: results that had been read are missing, because an owner that was replaced for a time has its job back and answers from memory. Cause: hosts other than the first were never given a job back, owners were rarely replaced long enough for others to list results, and the world was milder than the platform. Change, in tests only: an owner is paused, or cut off from its peers and perhaps from the store, until others have listed results and given the job back, mostly without a message; the choice of an owner begins at any host. An owner restarts while others take over its jobs. Engines of a host are busy, so that it lists nothing. The store refuses single calls, executes writes seconds late without an answer, or is lost to one host; answers are lost for some tenths of a second with an outage right after; power is lost while a spooled copy is uploaded. Reads wait up to 1 s. What a read from the store returned at one host has to be in later answers too.

--- a/libs/ledger/tests/ExploreTest.cpp
+++ b/libs/ledger/tests/ExploreTest.cpp
@@ -1,7 +1,8 @@
 // Runs 20,000 randomized schedules of the job scheduler (1,000 in a sanitized build), each from its own seed. Jobs are
 // submitted, read, cancelled and submitted again while hosts crash, pause or are considered dead, one of them repeatedly loses its disk,
-// transfers of jobs are lost, repeated or late, and the store loses answers, is slow or is unavailable. Hosts leave, and all of them are
-// killed or lose power at once. The guarantees to callers must hold in each schedule.
+// transfers of jobs are lost, repeated or late, and the store loses answers, refuses single calls, executes writes late, is slow or is
+// unavailable, to all hosts or to one. Owners are replaced for a time, hosts leave, and all of them are killed or lose power at once. The
+// guarantees to callers must hold in each schedule.
 #include "LedgerWorld.h"
 
 #include <chrono>
@@ -45,7 +46,7 @@
             return;
         // Jobs stay open with a part of their results over restarts.
         world_.slots_ = 1 + pick(2);
-        world_.stepsPerEvent_ = 10 + static_cast<int>(pick(20));
+        world_.stepsPerEvent_ = 10 + static_cast<int>(pick(pick(2) == 0 ? 20 : 35));
         rounds_ = 14 + static_cast<int>(pick(20));
     }
 
@@ -88,7 +89,7 @@
     {
         const std::size_t index = pick(hosts);
         LedgerWorld::Host& host = world_.host(index);
-        switch (pick(20)) {
+        switch (pick(27)) {
         case 0:
             if (host.isAlive_)
                 pick(2) == 0 ? world_.kill(index) : world_.losePower(index);
@@ -167,7 +168,131 @@
             world_.store_.core().setOutage(true);
             submit("j" + std::to_string(pick(seen_.size())));
             world_.later(700ms, [this] { world_.store_.core().setOutage(false); });
+            if (pick(3) == 0)
+                world_.later(700ms + std::chrono::milliseconds(pick(100)), [this, index] { losePowerForAWhile(index); });
+            break;
+        case 20:
+            world_.refusedCalls_ = pick(2) == 0 ? 0 : 0.3;
+            break;
+        case 21:
+            world_.lateWrites_ = pick(2) == 0 ? 0 : 0.3;
+            break;
+        case 22:
+            host.isStoreUnreachable_ = true;
+            world_.later(std::chrono::milliseconds(300 + pick(2500)), [&host] { host.isStoreUnreachable_ = false; });
+            break;
+        case 23:
+            loseAnswersThenStore();
+            break;
+        case 24:
+            replaceForATime(pickOwner());
+            break;
+        case 25:
+            restartWhileReplaced(pickOwner());
             break;
+        case 26:
+            keepEnginesBusy(index);
+            break;
+        }
+    }
+
+    // The effects of some tenths of a second are unknown to their senders, which then can't ask either.
+    void loseAnswersThenStore()
+    {
+        world_.store_.faults().lostAfter_ = 1;
+        world_.later(std::chrono::milliseconds(100 + pick(400)), [this] {
+            world_.store_.faults().lostAfter_ = 0;
+            world_.store_.core().setOutage(true);
+            world_.later(std::chrono::milliseconds(300 + pick(1200)), [this] { world_.store_.core().setOutage(false); });
+        });
+    }
+
+    // The owner of a job is paused, or cut off from its peers and perhaps from the store, until others have taken over its jobs, listed results
+    // and, mostly, given the jobs back, at times without a message that reaches it.
+    void replaceForATime(std::size_t index)
+    {
+        LedgerWorld::Host& host = world_.host(index);
+        if (!isUsable(index))
+            return;
+        if (pick(2) == 0)
+            world_.pause(index);
+        host.isStoreUnreachable_ = pick(2) == 0;
+        world_.cutOff(index, true);
+        scanAll();
+        continueFor(400 + pick(1200));
+        const bool areTransfersLost = std::exchange(world_.loseTransfers_, pick(3) > 0);
+        world_.cutOff(index, false);
+        if (pick(4) > 0)
+            giveBack(index);
+        world_.loseTransfers_ = areTransfersLost;
+        host.isStoreUnreachable_ = false;
+        if (host.isPaused_)
+            world_.resume(index);
+    }
+
+    // The owner of a job restarts while others still consider it dead and take over its jobs, so that two of them load a job at the same time.
+    void restartWhileReplaced(std::size_t index)
+    {
+        if (!isUsable(index))
+            return;
+        world_.kill(index);
+        world_.cutOff(index, true);
+        world_.advance(50ms + std::chrono::milliseconds(pick(300)));
+        slowForAWhile();
+        world_.store_.faults().delayJitter_ = std::chrono::milliseconds(1 + pick(200));
+        restart(index);
+        world_.later(std::chrono::milliseconds(pick(300)), [this] { scanAll(); });
+        for (std::size_t other = 0; other < hosts; ++other) {
+            if (other != index && pick(2) == 0)
+                keepEnginesBusy(other);
+        }
+        world_.later(std::chrono::milliseconds(300 + pick(1500)), [this, index] { world_.cutOff(index, false); });
+    }
+
+    // Online requests take all slots of the host, so that no item starts there and it lists nothing.
+    void keepEnginesBusy(std::size_t index)
+    {
+        LedgerWorld::Host& host = world_.host(index);
+        host.areEnginesBusy_ = true;
+        world_.later(std::chrono::milliseconds(500 + pick(2500)), [&host] { host.areEnginesBusy_ = false; });
+    }
+
+    void giveBack(std::size_t to)
+    {
+        world_.firstPreferred_ = to;
+        // A job with results that aren't listed yet isn't handed over.
+        for (int tries = 0; tries < 6; ++tries) {
+            for (std::size_t index = 0; index < hosts; ++index) {
+                if (index != to && isUsable(index))
+                    world_.scheduler(index).handOverMisplaced(world_.now());
+            }
+            world_.advance(50ms);
+        }
+        continueFor(pick(1000));
+    }
+
+    void continueFor(std::uint64_t milliseconds)
+    {
+        for (std::uint64_t passed = 0; passed < milliseconds; passed += 200) {
+            world_.advance(200ms);
+            readJobs();
+        }
+    }
+
+    // Returns the host that owns a job of the schedule.
+    std::size_t pickOwner()
+    {
+        const auto& objects = world_.store_.core().objects();
+        const auto found = objects.find(headKey("j" + std::to_string(pick(seen_.size()))));
+        const auto head = found == objects.end() ? Result<JobHead>(LedgerError::BadRecord) : decodeHead(found->second.value_);
+        return head && !head.value().owner_.isNone() ? world_.indexOf(head.value().owner_) : pick(hosts);
+    }
+
+    void scanAll()
+    {
+        for (std::size_t index = 0; index < hosts; ++index) {
+            if (isUsable(index))
+                world_.scheduler(index).scan(false, world_.now());
         }
     }
 
@@ -191,6 +316,21 @@
             restart(index);
     }
 
+    // Power is lost at this host or at all, and is back within a second.
+    void losePowerForAWhile(std::size_t only)
+    {
+        const bool isLostAtAll = pick(2) == 0;
+        for (std::size_t index = 0; index < hosts; ++index) {
+            if (!isLostAtAll && index != only)
+                continue;
+            world_.losePower(index);
+            world_.later(std::chrono::milliseconds(100 + pick(800)), [this, index] {
+                if (!world_.host(index).isAlive_)
+                    restart(index);
+            });
+        }
+    }
+
     void restart(std::size_t index)
     {
         world_.host(index).isPaused_ = false;
@@ -234,17 +374,16 @@
             if (!isUsable(index))
                 continue;
             const bool wasAcknowledged = seen.isAcknowledged_;
-            // Reads at one host. Nodes read from the store only if the owner gives no answer, so what these find there needn't be known to the
-            // owner in time.
+            // Reads at one host, in a part of the cases from the store, as a node does that gets no answer from the owner.
             Call direct { job, 0, {}, index, world_.now(), wasAcknowledged, {} };
             direct.isForced_ = pick(3) == 0;
-            world_.scheduler(index).read(job, 0, {}, direct.isForced_, world_.now(), [this, direct](const ReadAnswer& answer) { checkRead(direct, answer, direct.isForced_); });
+            world_.scheduler(index).read(job, 0, {}, direct.isForced_, world_.now(), [this, direct](const ReadAnswer& answer) { checkRead(direct, answer); });
             const std::size_t entry = pick(hosts);
             if (!isUsable(entry))
                 continue;
             const auto after = static_cast<std::uint32_t>(pick(3) == 0 ? pick(seen.results_.size() + 1) : 0);
             const bool isWaiting = pick(2) == 0;
-            auto call = std::make_shared<Call>(Call { job, after, std::chrono::milliseconds(isWaiting ? pick(600) : 0), entry, world_.now(), wasAcknowledged, {} });
+            auto call = std::make_shared<Call>(Call { job, after, std::chrono::milliseconds(isWaiting ? pick(1000) : 0), entry, world_.now(), wasAcknowledged, {} });
             const auto presumed = owners_.find({ entry, job });
             const bool isKnown = presumed != owners_.end() && !world_.host(entry).consideredDead_.contains(presumed->second);
             call->next_ = isKnown ? presumed->second : world_.preferredOwner(entry);
@@ -314,7 +453,7 @@
         checkRead(*call, answer);
     }
 
-    void checkRead(const Call& call, const ReadAnswer& answer, bool bypassesOwner = false)
+    void checkRead(const Call& call, const ReadAnswer& answer)
     {
         // A read never reports an acknowledged job as missing.
         if (answer.outcome_ == ReadOutcome::Missing)
@@ -345,7 +484,7 @@
         if (end > known.size())
             known.insert(known.end(), answer.results_.begin() + static_cast<std::ptrdiff_t>(known.size() - call.after_), answer.results_.end());
         const std::size_t read = seen.readAt_.empty() ? 0 : seen.readAt_.rbegin()->second;
-        if (!bypassesOwner && end > read)
+        if (end > read)
             seen.readAt_[world_.now()] = end;
     }
 
@@ -368,6 +507,8 @@
     {
         world_.store_.core().setOutage(false);
         world_.store_.faults() = VirtualStoreFaults();
+        world_.refusedCalls_ = 0;
+        world_.lateWrites_ = 0;
         world_.loseTransfers_ = false;
         for (std::size_t index = 0; index < hosts; ++index) {
             if (world_.leaving_.contains(world_.host(index).id_))
@@ -376,6 +517,8 @@
                 world_.start(index);
             if (world_.host(index).isPaused_)
                 world_.resume(index);
+            world_.host(index).isStoreUnreachable_ = false;
+            world_.host(index).areEnginesBusy_ = false;
             cutOff(index, false);
         }
         world_.advance(100ms);
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -44,6 +44,7 @@
         std::vector<ItemRun> runs_; // runs on the engines
         std::map<RunId, std::uint32_t> stepCounts_; // number of steps that each run has taken
         std::set<NodeId> consideredDead_; // hosts that this host considers dead
+        bool areEnginesBusy_ = false; // online requests take all of its slots, so that no item starts
         bool mayBeReplaced_ = false; // as reported by the host's fleet view
         std::vector<std::function<void()>> heldMessages_; // messages that arrived while the host was paused
     };
@@ -251,10 +252,11 @@
 
     std::size_t indexOf(NodeId node) const { return static_cast<std::size_t>(node.value() - hosts_.front()->id_.value()); }
 
-    // Returns the first live host that this host doesn't consider dead and that isn't leaving.
+    // Returns the first live host, counted from firstPreferred_, that this host doesn't consider dead and that isn't leaving.
     NodeId preferredOwner(std::size_t index) const
     {
-        for (const auto& host : hosts_) {
+        for (std::size_t rank = 0; rank < hosts_.size(); ++rank) {
+            const auto& host = hosts_[(firstPreferred_ + rank) % hosts_.size()];
             if (host->isAlive_ && !hosts_[index]->consideredDead_.contains(host->id_) && !leaving_.contains(host->id_))
                 return host->id_;
         }
@@ -316,7 +318,10 @@
     std::size_t slots_ = 4; // maximum number of concurrent runs per host
     int stepsPerEvent_ = 4; // number of steps between two events of a run
     std::function<RunResult(const ItemRun&)> runOutcome_ = [](const ItemRun&) { return RunResult::Completed; };
+    std::size_t firstPreferred_ = 0; // where the choice of an owner begins
     bool loseTransfers_ = false;
+    double refusedCalls_ = 0; // share of the store's calls that are refused while others succeed
+    double lateWrites_ = 0; // share of the writes that get no answer and take effect seconds later, if their condition still holds
     bool lateMessages_ = false; // messages of acceptances are late or repeated at times
     std::uint32_t hedges_ = 2; // as the daemon's
     std::chrono::milliseconds wallShift_ {}; // offset of the wall clock of all hosts
@@ -427,7 +432,7 @@
         host.scheduler_->tick(now_, wall());
         host.intake_->tick(now_);
         host.spool_->tick(now_, wall());
-        while (host.runs_.size() < slots_) {
+        while (!host.areEnginesBusy_ && host.runs_.size() < slots_) {
             auto run = host.scheduler_->startNext("s", now_);
             if (!run)
                 break;
@@ -462,17 +467,25 @@
         for (OutgoingCall& call : host.queue_->take()) {
             if (host.isStoreUnreachable_)
                 continue;
-            const CallId id = call.id_;
-            store_.call(std::move(call.call_), [this, index, id, incarnation = host.incarnation_](ObjectAnswer answer) {
+            const auto answered = [this, index, id = call.id_, incarnation = host.incarnation_](ObjectAnswer answer) {
                 at(index, [this, index, id, incarnation, answer = std::move(answer)]() mutable {
                     Host& own = *hosts_[index];
                     if (own.incarnation_ == incarnation)
                         own.queue_->answered(id, std::move(answer), now_);
                 });
-            });
+            };
+            if (isChosen(refusedCalls_))
+                later(step, [answered] { answered(ObjectAnswer::failed(ObjectError::Unavailable)); });
+            else if (call.call_.isWrite() && isChosen(lateWrites_))
+                later(500ms + randomUpTo(4s), [this, late = std::move(call.call_)] { store_.call(late, [](const ObjectAnswer&) {}); });
+            else
+                store_.call(std::move(call.call_), answered);
         }
     }
 
+    // Draws nothing if the share is 0, so that a world without these faults keeps its schedule.
+    bool isChosen(double share) { return share > 0 && std::uniform_real_distribution<>(0, 1)(random_) < share; }
+
 public:
     std::set<NodeId> leaving_;
 
