Ledger: a job whose missing items arrive while its owner marks it void is opened again

What callers would see: 202, or an acknowledgement of copies on disks that are then removed, and from then on 404. Cause: the mark is conditional on the head's version alone. A submission that writes the missing items finds the head open, is answered as already accepted and changes nothing in the head, so the mark still succeeds. Evidence: "a job whose missing items arrive while its owner marks it void isn't lost" fails before (head void, job missing) and passes now. Ruled out: a change of the head by each submission that meets an open head, a further write for each repeated submission. Change: after the mark the owner reads the missing page once more and opens the job if it is there. A submission has written its items before it reads the head, so either it finds the mark and opens the job itself, or the owner finds its items. Remains: an owner that ends between its mark and that read leaves the job void.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -294,7 +294,8 @@
     void loadResults(const JobPtr& job, std::uint32_t page, TimePoint now);
     void fence(const JobPtr& job, TimePoint now);
     void finishLoading(const JobPtr& job, TimePoint now);
-    void makeVoid(const JobPtr& job, TimePoint now);
+    void makeVoid(const JobPtr& job, std::uint32_t missingPage, TimePoint now);
+    void reopenIfComplete(const JobPtr& job, std::uint32_t missingPage, TimePoint now);
     void applyResults(const JobPtr& job, std::vector<JobResult> results);
     void handleListedHead(const JobName& name, const JobHead& head, ObjectVersion version, TimePoint now);
     void listHeads(std::string after, bool stale, TimePoint now);
--- a/libs/ledger/src/SchedulerLoading.cpp
+++ b/libs/ledger/src/SchedulerLoading.cpp
@@ -114,7 +114,7 @@
         }
         // Items are written together with the head or soon after it. Those of an abandoned submission never arrive.
         if (answer.is(ObjectError::NotFound) && at - job->loadStarted_ > settings_.itemsTimeout_)
-            return makeVoid(job, at);
+            return makeVoid(job, page, at);
         note(SchedulerNote::StoreFailed, job->name_, {}, page, answer.ok() ? make_error_code(LedgerError::BadRecord) : answer.answer_.error_);
         job->reloadAt_ = at + settings_.storeRetryDelay_;
         job->items_.clear();
@@ -122,9 +122,9 @@
     });
 }
 
-void JobScheduler::makeVoid(const JobPtr& job, TimePoint now)
+void JobScheduler::makeVoid(const JobPtr& job, std::uint32_t missingPage, TimePoint now)
 {
-    setState(job, JobState::Void, now, [this, job](bool done, TimePoint at) {
+    setState(job, JobState::Void, now, [this, job, missingPage](bool done, TimePoint at) {
         if (!done) {
             job->reloadAt_ = at + settings_.storeRetryDelay_;
             job->items_.clear();
@@ -132,7 +132,25 @@
             return;
         }
         note(SchedulerNote::JobVoid, job->name_);
-        drop(job->name_);
+        reopenIfComplete(job, missingPage, at);
+    });
+}
+
+// A submission that wrote the missing items before the job was marked void has found the head open, and has been acknowledged. One that
+// writes them afterwards finds the head void and reopens the job itself.
+void JobScheduler::reopenIfComplete(const JobPtr& job, std::uint32_t missingPage, TimePoint now)
+{
+    store(ObjectCall::get(itemPageKey(job->name_, missingPage)), CallClass::Commit, now + settings_.backgroundTimeout_, [this, job](const SettledAnswer& answer, TimePoint at) {
+        if (findOwnedJob(job->name_) != job.get())
+            return;
+        if (!answer.ok())
+            return drop(job->name_);
+        setState(job, JobState::Open, at, [this, job](bool done, TimePoint later) {
+            if (!done)
+                return drop(job->name_);
+            job->loadStarted_ = later;
+            loadContents(job, later);
+        });
     });
 }
 
