Tests: a part of the ledger's randomized schedules begins when its hosts have been available for long

What was missed: all schedules ran within ten seconds of the hosts' start, when owners confirm each read. Change: a quarter of the schedules begins eleven seconds later.

--- a/libs/ledger/tests/ExploreTest.cpp
+++ b/libs/ledger/tests/ExploreTest.cpp
@@ -52,6 +52,9 @@
 
     void run()
     {
+        // Owners that have been available for long answer reads from memory.
+        if (pick(4) == 0)
+            world_.advance(SchedulerSettings().replacementWindow_ + 1s);
         const std::size_t jobs = 1 + pick(3);
         for (std::size_t job = 0; job < jobs; ++job)
             submit("j" + std::to_string(job));
