--- a/libs/ledger/src/SchedulerLoading.cpp
+++ b/libs/ledger/src/SchedulerLoading.cpp
@@ -251,6 +251,7 @@
     stopRuns(job, false);
     jobs_.erase(found);
     earlierJobs_[name] = lastTick_;
+    // The store holds all that another owner has listed.
     for (Job::Reader& reader : std::exchange(job->readers_, {}))
         read(name, reader.after_, Duration::zero(), true, lastTick_, std::move(reader.done_));
     // Repeats the cancellations, which then reach the new owner or find the job's final state in the store.
