Tests (failing): a leaving owner that is cut off from the store, over two hosts

What a caller sees: as in the test before, over two hosts with call queues: the next owner has listed and returned more results, and the leaving one, which peers reach and the store doesn't answer, returns nothing there. After 10 s the update is given up as OutcomeUnknown; refresh() finds the store unavailable and leaves the ownership as certain, so the state lasts as long as the cut.

--- a/libs/ledger/tests/DelayedKnowledgeTest.cpp
+++ b/libs/ledger/tests/DelayedKnowledgeTest.cpp
@@ -31,3 +31,34 @@
     const ReadAnswer answer = owner.read();
     CHECK((answer.outcome_ != ReadOutcome::Found || answer.results_ == listed));
 }
+
+// Guards against reads that miss results: a leaving owner doesn't learn that its handover took effect, because it is cut off from the store.
+TEST_CASE("ledger: a leaving owner that is cut off from the store during a handover doesn't hide the next owner's results")
+{
+    LedgerWorld world(63, 2);
+    world.slots_ = 1;
+    world.stepsPerEvent_ = 50; // runs of a second
+    // A node that was available throughout doesn't confirm its ownership by itself.
+    world.advance(SchedulerSettings().replacementWindow_ + 1s);
+    world.submit(1, "j", items, 0);
+    world.advance(2s);
+    const std::size_t before = world.stored("j").size();
+    REQUIRE(before < items);
+    world.leave(0);
+    world.store_.faults().lostAfter_ = 1;
+    const auto owner = [&world] { return decodeHead(world.store_.core().objects().at(headKey("j")).value_).value().owner_; };
+    while (owner() != world.host(1).id_)
+        world.advance(LedgerWorld::step);
+    world.host(0).isStoreUnreachable_ = true;
+    world.store_.faults().lostAfter_ = 0;
+    world.advance(100ms);
+    world.scheduler(1).scan(false, world.now());
+    world.advance(3s);
+    SUBCASE("while the outcome is unknown") { }
+    SUBCASE("after the update was given up") { world.advance(SchedulerSettings().itemsTimeout_); }
+    const auto known = world.read(1, "j").results_;
+    REQUIRE(known.size() > before);
+    world.advance(1s);
+    const ReadAnswer answer = world.read(0, "j", static_cast<std::uint32_t>(before));
+    CHECK((answer.outcome_ != ReadOutcome::Found || !answer.results_.empty()));
+}
