Tests (failing): a late first message for a job that is done

What a caller sees: reads of a finished job return nothing, and all of its items run again, until a commit or a scan meets the store. Cause: a first message tells that the job is new (isNew_) however long after the creation it is sent. The receiver's new process remembers only jobs that its scan loads, claims, or can't read (earlierJobs_); the head of a done job leaves no trace. More than ten seconds after its start the process doesn't confirm its ownership either.

--- a/libs/ledger/tests/DelayedKnowledgeTest.cpp
+++ b/libs/ledger/tests/DelayedKnowledgeTest.cpp
@@ -62,3 +62,26 @@
     const ReadAnswer answer = world.read(0, "j", static_cast<std::uint32_t>(before));
     CHECK((answer.outcome_ != ReadOutcome::Found || !answer.results_.empty()));
 }
+
+// Guards against reads that miss results: an entry that was suspended sends its first message after the job's end and its owner's restart.
+TEST_CASE("ledger: a message of an entry that was suspended doesn't hide the results of a job that is done")
+{
+    LedgerWorld world(61, 2, SchedulerSettings());
+    world.advance(SchedulerSettings().replacementWindow_ + 1s);
+    world.submit(1, "j", items, 0);
+    world.advance(LedgerWorld::step);
+    world.pause(1);
+    world.advance(100ms);
+    world.scheduler(0).scan(false, world.now());
+    world.advance(3s);
+    REQUIRE(world.read(0, "j").results_.size() == items);
+    world.kill(0);
+    world.start(0);
+    world.scheduler(0).scan(false, world.now());
+    world.advance(SchedulerSettings().replacementWindow_ + 1s);
+    world.slots_ = 0;
+    world.resume(1);
+    REQUIRE(world.notes_[SchedulerNote::Adopted] == 1);
+    const ReadAnswer answer = world.read(0, "j");
+    CHECK((answer.outcome_ != ReadOutcome::Found || answer.results_.size() == items));
+}
