Tests (failing): a late first message for a job that another owner has

What a caller sees: results read at the present owner are missing at the one that the message names. No process has restarted. Cause: as in the test before; the head that names another live node leaves no trace in the replaced owner, which never knew the job.

--- a/libs/ledger/tests/DelayedKnowledgeTest.cpp
+++ b/libs/ledger/tests/DelayedKnowledgeTest.cpp
@@ -85,3 +85,33 @@
     const ReadAnswer answer = world.read(0, "j");
     CHECK((answer.outcome_ != ReadOutcome::Found || answer.results_.size() == items));
 }
+
+// Guards against reads that miss results: an entry that was suspended sends its first message to an owner that has been replaced meanwhile.
+TEST_CASE("ledger: a message of an entry that was suspended doesn't make a replaced owner take the job for new")
+{
+    LedgerWorld world(62, 3, SchedulerSettings());
+    world.slots_ = 1;
+    world.stepsPerEvent_ = 200; // runs of 4 s
+    world.advance(SchedulerSettings().replacementWindow_ + 1s);
+    world.submit(1, "j", items, 0);
+    world.advance(LedgerWorld::step);
+    world.pause(1);
+    world.pause(0);
+    world.markDead(0);
+    world.markDead(1);
+    world.advance(3s);
+    world.scheduler(2).scan(false, world.now());
+    world.advance(6s);
+    world.resume(0);
+    world.markDead(0, false);
+    world.markDead(1, false);
+    world.scheduler(0).scan(false, world.now());
+    world.advance(SchedulerSettings().replacementWindow_ + 1s);
+    REQUIRE(world.notes_[SchedulerNote::TakenOver] == 1);
+    const auto known = world.read(2, "j").results_;
+    REQUIRE_FALSE(known.empty());
+    world.resume(1);
+    world.advance(500ms);
+    const ReadAnswer answer = world.read(0, "j");
+    CHECK((answer.outcome_ != ReadOutcome::Found || answer.results_.size() >= known.size()));
+}
