Tests (failing): a late first message for a job that was cancelled

What a caller sees: items of a cancelled job reach engines after the acknowledgement. Cause: adopt() lets the items of a job of uncertain ownership run before the head has been read: mayRun() doesn't ask isOwnershipUncertain_, and the daemon starts items right after adopt(). Within ten seconds of a start the next tick's refresh() ends them; after that only a scan does. Evidence: fails on: startNext() returns an item of the cancelled job.

--- a/libs/ledger/tests/DelayedKnowledgeTest.cpp
+++ b/libs/ledger/tests/DelayedKnowledgeTest.cpp
@@ -115,3 +115,17 @@
     const ReadAnswer answer = world.read(0, "j");
     CHECK((answer.outcome_ != ReadOutcome::Found || answer.results_.size() >= known.size()));
 }
+
+// Guards against items that start after a cancellation was acknowledged: a late message reaches a process that began after the cancellation.
+TEST_CASE("ledger: a late message of an acceptance doesn't start items of a cancelled job")
+{
+    SingleOwner owner;
+    const ObjectEntry head = owner.store_.objects().at(headKey("j"));
+    JobHead cancelled = owner.storedHead();
+    cancelled.state_ = JobState::Cancelled;
+    owner.writeHead(cancelled);
+    owner.scheduler_.scan(false, owner.now_);
+    owner.advance(1s);
+    owner.scheduler_.adopt({ "j", decodeHead(head.value_).value(), head.version_, LedgerWorld::submission("j", items).items_, 0, false, {} }, owner.now_, LedgerWorld::wallStart);
+    CHECK_FALSE(owner.scheduler_.startNext("s", owner.now_));
+}
