Tests (failing): a handover by an owner that lacks pages

What a caller sees: results that another owner listed, and that were read, are missing at the new owner until its first commit. Cause: handOver() doesn't ask mayMissResults_. An owner that began with a new job (no pages) tells the next one pages 0, mayHaveResults_ false, though the head shows that another owner had the job; adopt() takes it for new and reads nothing.

--- a/libs/ledger/tests/DelayedKnowledgeTest.cpp
+++ b/libs/ledger/tests/DelayedKnowledgeTest.cpp
@@ -129,3 +129,28 @@
     owner.scheduler_.adopt({ "j", decodeHead(head.value_).value(), head.version_, LedgerWorld::submission("j", items).items_, 0, false, {} }, owner.now_, LedgerWorld::wallStart);
     CHECK_FALSE(owner.scheduler_.startNext("s", owner.now_));
 }
+
+// Guards against a new owner that misses results: the node that hands the job over has seen a changed head and not yet read the pages.
+TEST_CASE("ledger: a handover by an owner that lacks pages tells the new owner to load the results")
+{
+    SingleOwner owner;
+    // The owner learns of the job from a message, so that it has no page.
+    JobHead head = owner.storedHead();
+    head.owner_ = SingleOwner::other;
+    owner.writeHead(head);
+    owner.scheduler_.scan(false, owner.now_);
+    owner.advance(SchedulerSettings().replacementWindow_ + 1s);
+    head.owner_ = SingleOwner::self;
+    owner.writeHead(head);
+    const ObjectEntry stored = owner.store_.objects().at(headKey("j"));
+    owner.scheduler_.adopt({ "j", head, stored.version_, LedgerWorld::submission("j", items).items_, 0, false, {} }, owner.now_, LedgerWorld::wallStart);
+    owner.replaceForATime(0, { listed }, JobState::Open);
+    SUBCASE("its read of a page failed") { owner.failingKind_ = "job-results/"; }
+    SUBCASE("its read of a page is under way") { owner.heldKind_ = "job-results/"; }
+    owner.scheduler_.scan(false, owner.now_);
+    owner.preferred_ = SingleOwner::other;
+    owner.scheduler_.handOverMisplaced(owner.now_);
+    REQUIRE(owner.transfers_.size() == 1);
+    const JobTransfer& transfer = owner.transfers_.front();
+    CHECK((transfer.mayHaveResults_ || transfer.resultPages_ > 0));
+}
