Tests (failing): a cancellation's mark without an answer of the store

What a caller sees: items of a cancelled job start seconds after the acknowledgement, at an owner that the store doesn't answer. Cause: handleCancelMark() only makes the ownership uncertain when refresh() fails, and an uncertain owner goes on starting items. The mark itself says that the job was cancelled: it is written after the head, and a cancelled head isn't opened again.

--- a/libs/ledger/tests/DelayedKnowledgeTest.cpp
+++ b/libs/ledger/tests/DelayedKnowledgeTest.cpp
@@ -154,3 +154,17 @@
     const JobTransfer& transfer = owner.transfers_.front();
     CHECK((transfer.mayHaveResults_ || transfer.resultPages_ > 0));
 }
+
+// Guards against items that start after a cancellation was acknowledged: the owner has heard of the mark and can't reach the store.
+TEST_CASE("ledger: an owner that has heard of a cancellation's mark starts no items while it can't read the head")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    JobHead head = owner.storedHead();
+    head.state_ = JobState::Cancelled;
+    owner.writeHead(head);
+    owner.areHeadReadsLost_ = true;
+    owner.scheduler_.handleCancelMark("j", owner.now_);
+    owner.advance(4s);
+    CHECK_FALSE(owner.scheduler_.startNext("s", owner.now_));
+}
