Tests (failing): a job that is marked void while its items arrive

What a caller sees: 202, or an acknowledgement of copies on disks that are then removed; from then on 404, for good. Cause: makeVoid() is conditional on the head's version alone. A submission that writes the missing items finds the head open (checkExistingHead), answers AlreadyAccepted and changes nothing in the head, so the owner's update still succeeds. A spool then drops its copy. The owner doesn't ask mayBeSpooled_ either. Order: the owner reads the item page (missing); the submission creates it and reads the open head; the owner's update lands. Evidence: fails on (head void, read not Found).

--- a/libs/ledger/tests/DelayedKnowledgeTest.cpp
+++ b/libs/ledger/tests/DelayedKnowledgeTest.cpp
@@ -168,3 +168,26 @@
     owner.advance(4s);
     CHECK_FALSE(owner.scheduler_.startNext("s", owner.now_));
 }
+
+// Guards against the loss of an accepted job: its owner marks it void after another submission has completed and acknowledged it.
+TEST_CASE("ledger: a job whose missing items arrive while its owner marks it void isn't lost")
+{
+    SingleOwner owner(2);
+    owner.scheduler_.scan(false, owner.now_);
+    owner.advance(SchedulerSettings().itemsTimeout_ - SchedulerSettings().storeRetryDelay_ / 2);
+    REQUIRE((owner.storedHead().state_ == JobState::Open));
+    owner.heldKind_ = itemPageKey("j", 1);
+    for (int ticks = 0; ticks < 20 && !owner.heldAnswer_; ++ticks)
+        owner.advance(100ms);
+    REQUIRE(owner.heldAnswer_);
+    owner.writeItemPage(1);
+    Acceptor acceptor([&owner](const ObjectCall& call, CallClass, TimePoint, const SettledCompletion& done) { done({ owner.store_.apply(call, owner.now_), owner.now_ }, owner.now_); });
+    AcceptOutcome outcome = AcceptOutcome::Unknown;
+    acceptor.accept(LedgerWorld::submission("j", items), SingleOwner::self, 2s, owner.now_, LedgerWorld::wallStart, [&outcome](const Acceptance& acceptance, TimePoint) { outcome = acceptance.outcome_; });
+    REQUIRE((outcome == AcceptOutcome::AlreadyAccepted));
+    owner.now_ += 500ms;
+    std::exchange(owner.heldAnswer_, {})();
+    owner.advance(2s);
+    CHECK((owner.storedHead().state_ == JobState::Open));
+    CHECK((owner.read(true).outcome_ == ReadOutcome::Found));
+}
