Tests (failing): a message taken for a confirmation of the ownership

What a caller sees: results that were read at the present owner are missing at a node that has just got the acceptance's message. Cause: adopt() doesn't ask mayBeReplaced_, and finishLoading() sets confirmedAt_ to the start of the loading although a job that counts as new is begun without a question to the store. For 900 ms the node answers from memory. Neither a restart nor a suspension is needed: the others consider the receiver dead, which it knows, and the message is late.

--- a/libs/ledger/tests/DelayedKnowledgeTest.cpp
+++ b/libs/ledger/tests/DelayedKnowledgeTest.cpp
@@ -191,3 +191,24 @@
     CHECK((owner.storedHead().state_ == JobState::Open));
     CHECK((owner.read(true).outcome_ == ReadOutcome::Found));
 }
+
+// Guards against reads that miss results: a node that knows that it may be replaced takes a late message for a confirmation of its ownership.
+TEST_CASE("ledger: a node that may have been replaced queries the store before it answers for a job that a message gave it")
+{
+    LedgerWorld world(64, 2);
+    world.advance(SchedulerSettings().replacementWindow_ + 1s);
+    world.loseTransfers_ = true;
+    world.submit(0, "j", items, 1);
+    world.advance(20ms);
+    const ObjectEntry head = *world.store_.core().apply(ObjectCall::list(headKey("j"), true), world.now()).entries_.begin();
+    world.cutOff(1);
+    world.scheduler(0).scan(false, world.now());
+    world.advance(1s);
+    REQUIRE(world.read(0, "j").results_.size() == items);
+    world.slots_ = 0;
+    world.advance(1s);
+    world.scheduler(1).adopt({ "j", decodeHead(head.value_).value(), head.version_, LedgerWorld::submission("j", items).items_, 0, false, {} }, world.now(), world.wall());
+    world.advance(100ms);
+    const ReadAnswer answer = world.read(1, "j");
+    CHECK((answer.outcome_ != ReadOutcome::Found || answer.results_.size() == items));
+}
