--- a/tests/support/ports.py
+++ b/tests/support/ports.py
@@ -2,7 +2,7 @@
 
 A port that the system gave out and that was closed again may go to any other process before the program listens on it: to an outgoing
 connection, which goes soon, or to a listener of another test, which stays for that test's life. So these ports lie below the range that
-the system gives out, and each test process has a block of them to itself, held by a lock that ends with the process.
+the system gives out, and each test process has blocks of them to itself, held by locks that end with the process.
 """
 
 import fcntl
@@ -44,11 +44,11 @@
         raise RuntimeError("no block of ports is free")
 
     def take(self):
-        """A port that nothing listens on, for TCP and UDP."""
+        """A port that nothing listens on, for TCP and UDP; none if the block is used up."""
         for port in self._left:
             if is_free("127.0.0.1", port):
                 return port
-        raise RuntimeError("the block of ports is used up")
+        return None
 
 
 class HostBlock:
@@ -78,12 +78,13 @@
         return False
 
 
-_block = None
+_blocks = []
 
 
 def free_port():
-    """The next port of this process's block."""
-    global _block
-    if _block is None:
-        _block = PortBlock()
-    return _block.take()
+    """The next port of this process's blocks."""
+    port = _blocks[-1].take() if _blocks else None
+    while port is None:
+        _blocks.append(PortBlock())
+        port = _blocks[-1].take()
+    return port
