Observability: how an engine's answer ended is known above the HTTP client and logged

An answer without a length and without chunks ends with its connection, which a process that dies does too. The client reported both ends alike, so the log couldn't say whether a complete answer had been framed. onEnd now carries AnswerEnd; the lines answered and itemRunEnded name it, and answered counts the bytes that followed the last complete event. No decision changes.

--- a/libs/gateway/src/EngineStream.cpp
+++ b/libs/gateway/src/EngineStream.cpp
@@ -40,7 +40,7 @@
     http::CallHandlers handlers;
     handlers.onHead_ = [self = shared_from_this()](const http::ResponseHead& head) { self->onHead(head.status_); };
     handlers.onData_ = [self = shared_from_this()](std::string_view data) { self->onData(data); };
-    handlers.onEnd_ = [self = shared_from_this()] { self->onEnd(); };
+    handlers.onEnd_ = [self = shared_from_this()](http::AnswerEnd) { self->onEnd(); };
     handlers.onError_ = [self = shared_from_this()](const http::CallFailure& failure) {
         if (failure.run_ == RunState::NotRun)
             return self->fail(EngineFailure::Connect, false);
--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -16,6 +16,7 @@
 #include "http/Message.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -55,10 +56,18 @@
     RunState run_ = RunState::NotRun;
 };
 
+// What marked the end of an answer.
+enum class AnswerEnd : std::uint8_t {
+    Framed, // its length or its last chunk
+    ConnectionClosed, // it had neither: the other side closed the connection in order, which a process that ends early does too
+};
+
+std::string_view toString(AnswerEnd end);
+
 struct CallHandlers {
     std::function<void(const ResponseHead&)> onHead_;
     std::function<void(std::string_view)> onData_;
-    std::function<void()> onEnd_;
+    std::function<void(AnswerEnd)> onEnd_;
     std::function<void(const CallFailure&)> onError_;
 };
 
--- a/libs/http/src/BlockingClient.cpp
+++ b/libs/http/src/BlockingClient.cpp
@@ -58,7 +58,7 @@
             done = true;
         }
     };
-    handlers.onEnd_ = [&] { done = true; };
+    handlers.onEnd_ = [&](AnswerEnd) { done = true; };
     handlers.onError_ = [&](const CallFailure& failure) {
         error = failure.code_;
         done = true;
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -105,6 +105,8 @@
     return std::make_shared<Call>(std::move(state));
 }
 
+std::string_view toString(AnswerEnd end) { return end == AnswerEnd::Framed ? "framed" : "connectionClosed"; }
+
 std::shared_ptr<Call> Client::fetch(const Endpoint& endpoint, const Request& request, const CallOptions& options, WholeHandler handler)
 {
     auto collector = std::make_shared<Collector>();
@@ -119,7 +121,7 @@
         if (collector->response_.body_.size() <= collector->limit_)
             collector->response_.body_.append(data);
     };
-    handlers.onEnd_ = [collector] {
+    handlers.onEnd_ = [collector](AnswerEnd) {
         if (collector->response_.body_.size() > collector->limit_)
             collector->handler_(Error::BodyTooLarge, RunState::Ran);
         else
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -175,7 +175,7 @@
     parser_->put_eof(ended);
     if (ended || !parser_->is_done())
         return fail(Error::Truncated);
-    finish(false);
+    finish(false, AnswerEnd::ConnectionClosed);
 }
 
 void ClientConnection::process()
@@ -200,7 +200,7 @@
         if (!deliver())
             return;
         if (parser_->is_done())
-            return finish(parser_->keep_alive() && written_ && buffer_.size() == 0);
+            return finish(parser_->keep_alive() && written_ && buffer_.size() == 0, AnswerEnd::Framed);
         if (buffer_.size() == before)
             return; // a part of a chunk's head: the rest comes with the next read
     }
@@ -257,7 +257,7 @@
     return !call->cancelled_;
 }
 
-void ClientConnection::finish(bool reusable)
+void ClientConnection::finish(bool reusable, AnswerEnd end)
 {
     const std::shared_ptr<CallState> call = std::move(call_);
     call_ = nullptr;
@@ -266,7 +266,7 @@
         close();
     const CallHandlers handlers = std::move(call->handlers_);
     if (!call->cancelled_ && handlers.onEnd_)
-        handlers.onEnd_();
+        handlers.onEnd_(end);
 }
 
 bool ClientConnection::backToPool()
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -69,7 +69,7 @@
     bool deliver();
     bool isForeign() const;
     bool readOver();
-    void finish(bool reusable);
+    void finish(bool reusable, AnswerEnd end);
     bool backToPool();
     void leavePool();
     void fail(Error error);
--- a/libs/objectclient/src/ObjectClient.cpp
+++ b/libs/objectclient/src/ObjectClient.cpp
@@ -125,7 +125,7 @@
         }
         watch->partial_.erase(0, start);
     };
-    const auto onEnd = [watch, end] { end(watch->status_ == 410 ? ObjectError::Expired : ObjectError::Unavailable); };
+    const auto onEnd = [watch, end](http::AnswerEnd) { end(watch->status_ == 410 ? ObjectError::Expired : ObjectError::Unavailable); };
     watch->call_ = state_->client_.send(state_->settings_.store_, toWatchRequest(prefix, from), { state_->settings_.watchBound_, false },
         { [watch](const http::ResponseHead& head) { watch->status_ = head.status_; }, onData, onEnd, [end](const http::CallFailure&) { end(ObjectError::Unavailable); } });
     return id;
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -122,7 +122,7 @@
     http::CallHandlers handlers;
     handlers.onHead_ = [this, run](const http::ResponseHead& head) { onHead(run, head); };
     handlers.onData_ = [this, run](std::string_view data) { onData(run, data); };
-    handlers.onEnd_ = [this, run] { onEnd(run); };
+    handlers.onEnd_ = [this, run](http::AnswerEnd end) { onEnd(run, end); };
     handlers.onError_ = [this, run](const http::CallFailure& failure) { onError(run, failure); };
     run->call_ = context_.engines_.send(entry->at_, request, options, std::move(handlers));
 }
@@ -155,11 +155,12 @@
         finish(run, RunResult::ResumeMismatch, "outOfStep");
 }
 
-void ItemRunner::onEnd(const RunPtr& run)
+void ItemRunner::onEnd(const RunPtr& run, http::AnswerEnd end)
 {
     if (!isCurrent(run))
         return;
     run->call_ = nullptr;
+    run->end_ = end;
     if (run->rejected_) {
         if (run->status_ == statusMisdirected)
             context_.failed(run->engine_, EngineFault::NotConnected, {});
@@ -206,7 +207,7 @@
     run->call_ = nullptr;
     context_.board_.ended(run->engine_, WorkClass::BatchItem);
     context_.fleet_->publishReport();
-    context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1);
+    context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1).with("end", run->end_ ? toString(*run->end_) : "none");
     scheduler_.ended(run->item_.id_, end, context_.now());
 }
 
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -54,6 +54,7 @@
         std::shared_ptr<http::Call> call_;
         int status_ = 0;
         bool rejected_ = false;
+        std::optional<http::AnswerEnd> end_; // none until the answer has ended
         EventScanner scanner_;
     };
     using RunPtr = std::shared_ptr<Run>;
@@ -73,7 +74,7 @@
     void send(const RunPtr& run);
     void onHead(const RunPtr& run, const http::ResponseHead& head);
     void onData(const RunPtr& run, std::string_view data);
-    void onEnd(const RunPtr& run);
+    void onEnd(const RunPtr& run, http::AnswerEnd end);
     void onError(const RunPtr& run, const http::CallFailure& failure);
     void finish(const RunPtr& run, RunResult end, std::string_view why);
     bool isCurrent(const RunPtr& run) const;
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -69,7 +69,7 @@
     pendingEvents_.append(event.raw_);
 }
 
-void RelayedRequest::onEnd()
+void RelayedRequest::onEnd(http::AnswerEnd answerEnd)
 {
     if (phase_ != Phase::Reading)
         return;
@@ -86,7 +86,7 @@
     else
         context_.board_.succeeded(engine_, context_.now());
     if (isStream() && head_.status_ == statusOk)
-        return finishStream();
+        return finishStream(answerEnd);
     const bool mayRunAgain = head_.status_ >= firstServerError && route_.isRepeatable() && runs_ < route_.maxAttempts_ && timeLeft() > Duration::zero() && !hasAnswerStarted_;
     if (mayRunAgain) {
         line("runAgain").with("status", head_.status_).with("runs", runs_);
@@ -94,10 +94,10 @@
         context_.metrics_.metrics_.add(context_.metrics_.resent_);
         return dispatch();
     }
-    forwardBufferedAnswer();
+    forwardBufferedAnswer(answerEnd);
 }
 
-void RelayedRequest::forwardBufferedAnswer()
+void RelayedRequest::forwardBufferedAnswer(http::AnswerEnd answerEnd)
 {
     if (hasAnswerStarted_)
         return lost(http::Error::Truncated); // an error response instead of the rest of a stream
@@ -109,11 +109,11 @@
         context_.metrics_.metrics_.observe(context_.metrics_.firstEvent_, toMilliseconds(context_.now() - arrivedAt_));
     }
     context_.metrics_.metrics_.add(isSuccess ? context_.metrics_.answered_ : context_.metrics_.failed_);
-    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrivedAt_).with("runs", runs_);
+    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrivedAt_).with("runs", runs_).with("end", toString(answerEnd));
     end();
 }
 
-void RelayedRequest::finishStream()
+void RelayedRequest::finishStream(http::AnswerEnd answerEnd)
 {
     if (!hasAnswerStarted_) {
         exchange_->start(head_.status_, endToEndHeaders(head_.headers_));
@@ -124,7 +124,7 @@
     exchange_->end();
     context_.board_.recordRunTime(context_.now() - sentAt_);
     context_.metrics_.metrics_.add(context_.metrics_.answered_);
-    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrivedAt_).with("runs", runs_).with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1);
+    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrivedAt_).with("runs", runs_).with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("end", toString(answerEnd)).with("restBytes", scanner_.rest().size());
     end();
 }
 
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -255,7 +255,7 @@
     http::CallHandlers handlers;
     handlers.onHead_ = [self = shared_from_this()](const http::ResponseHead& head) { self->onHead(head); };
     handlers.onData_ = [self = shared_from_this()](std::string_view data) { self->onData(data); };
-    handlers.onEnd_ = [self = shared_from_this()] { self->onEnd(); };
+    handlers.onEnd_ = [self = shared_from_this()](http::AnswerEnd answerEnd) { self->onEnd(answerEnd); };
     handlers.onError_ = [self = shared_from_this()](const http::CallFailure& failure) { self->onError(failure); };
     call_ = context_.engines_.send(entry->at_, outgoing, options, std::move(handlers));
 }
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -65,15 +65,15 @@
     void send(const EnginePick& pick);
     void onHead(const http::ResponseHead& head);
     void onData(std::string_view data);
-    void onEnd();
+    void onEnd(http::AnswerEnd answerEnd);
     void onError(const http::CallFailure& failure);
     void onEvent(const StreamEvent& event);
 
     void onNotExecuted();
     void requestPreemption();
     void lost(std::error_code error);
-    void forwardBufferedAnswer();
-    void finishStream();
+    void forwardBufferedAnswer(http::AnswerEnd answerEnd);
+    void finishStream(http::AnswerEnd answerEnd);
     void refuse(std::string_view reason, Duration wait);
     void fail(int status, std::string_view code, std::string_view message, RunState run);
     void onTimeout();
--- a/tools/jjload/Load.cpp
+++ b/tools/jjload/Load.cpp
@@ -88,7 +88,7 @@
             http::CallHandlers handlers;
             handlers.onHead_ = [question](const http::ResponseHead& head) { question->status_ = head.status_; };
             handlers.onData_ = [question](std::string_view data) { onData(*question, data); };
-            handlers.onEnd_ = [this, question] { finish(*question, false); };
+            handlers.onEnd_ = [this, question](http::AnswerEnd) { finish(*question, false); };
             handlers.onError_ = [this, question](const http::CallFailure&) { finish(*question, true); };
             client_.send(options_.targets_[question->target_].endpoint_, request(number), { silenceBound, false }, std::move(handlers));
         }
