Serving: a stream that ends inside an event is broken off, not complete

Cause: an answer without a length and without chunks ends with its connection. RelayedRequest::finishStream forwarded the bytes after the last complete event and ended the caller's answer properly, whatever they held. ItemRunner treated the same bytes as an interruption: one decision stood at two places, and one of them was wrong. Class of fault: the end of a transport is taken for the end of a message.

Change: findStreamBreak() decides for callers' streams and for items: bytes of an incomplete event, or a stream without any event whose end isn't framed. A stream that was broken off goes on as after a reset: at another engine where the route allows it, else the caller's connection is closed without a proper end. The engine counts as failed, also for items, where it counted as successful. Whole comment and blank lines behind the last event are still forwarded.

--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -62,7 +62,7 @@
     ConnectionClosed, // it had neither: the other side closed the connection in order, which a process that ends early does too
 };
 
-std::string_view toString(AnswerEnd end);
+std::string_view nameOf(AnswerEnd end);
 
 struct CallHandlers {
     std::function<void(const ResponseHead&)> onHead_;
--- a/libs/http/include/http/Message.h
+++ b/libs/http/include/http/Message.h
@@ -59,6 +59,8 @@
     std::string body_;
 };
 
+inline constexpr int statusOk = 200;
+
 enum class Error : int {
     Malformed = 1, // what came isn't HTTP/1.1
     HeaderTooLarge, // over the header limit
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -105,7 +105,7 @@
     return std::make_shared<Call>(std::move(state));
 }
 
-std::string_view toString(AnswerEnd end) { return end == AnswerEnd::Framed ? "framed" : "connectionClosed"; }
+std::string_view nameOf(AnswerEnd end) { return end == AnswerEnd::Framed ? "framed" : "connectionClosed"; }
 
 std::shared_ptr<Call> Client::fetch(const Endpoint& endpoint, const Request& request, const CallOptions& options, WholeHandler handler)
 {
--- a/libs/serving/src/EventScanner.cpp
+++ b/libs/serving/src/EventScanner.cpp
@@ -51,6 +51,23 @@
 
 } // namespace
 
+bool EventScanner::isInsideEvent() const
+{
+    std::string_view rest = partial_;
+    while (!rest.empty()) {
+        const std::size_t end = rest.find('\n');
+        if (end == std::string_view::npos)
+            return true; // an unfinished line
+        std::string_view line = rest.substr(0, end);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (!line.empty() && !line.starts_with(':'))
+            return true;
+        rest.remove_prefix(end + 1);
+    }
+    return false;
+}
+
 void EventScanner::feed(std::string_view bytes, const std::function<void(const StreamEvent&)>& onEvent)
 {
     // Bytes are copied only if an event is split across calls, which is rare.
--- a/libs/serving/src/EventScanner.h
+++ b/libs/serving/src/EventScanner.h
@@ -24,6 +24,8 @@
     void feed(std::string_view bytes, const std::function<void(const StreamEvent&)>& onEvent);
     // Returns the bytes after the last complete event.
     const std::string& rest() const { return partial_; }
+    // Returns whether rest() holds a part of an event. Comment lines and blank lines alone belong to no event.
+    bool isInsideEvent() const;
     void reset() { partial_.clear(); }
 
 private:
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
     constexpr int statusImpossible = 422;
     constexpr int statusMisdirected = 421;
     constexpr int statusFailed = 500;
@@ -136,7 +135,7 @@
 
 void ItemRunner::onData(const RunPtr& run, std::string_view data)
 {
-    if (!isCurrent(run) || run->status_ != statusOk || run->rejected_)
+    if (!isCurrent(run) || run->status_ != http::statusOk || run->rejected_)
         return;
     bool isDiscontinuous = false;
     run->scanner_.feed(data, [&](const StreamEvent& event) {
@@ -155,12 +154,12 @@
         finish(run, RunResult::ResumeMismatch, "outOfStep");
 }
 
-void ItemRunner::onEnd(const RunPtr& run, http::AnswerEnd end)
+void ItemRunner::onEnd(const RunPtr& run, http::AnswerEnd answerEnd)
 {
     if (!isCurrent(run))
         return;
     run->call_ = nullptr;
-    run->end_ = end;
+    run->end_ = answerEnd;
     if (run->rejected_) {
         if (run->status_ == statusMisdirected)
             context_.failed(run->engine_, EngineFault::NotConnected, {});
@@ -168,15 +167,18 @@
             context_.board_.recordFullRefusal(run->engine_, context_.now());
         return finish(run, RunResult::Preempted, "notExecuted");
     }
+    const StreamBreak streamBreak = run->status_ == http::statusOk ? findStreamBreak(run->scanner_, answerEnd, run->item_.resumeAfter_.has_value()) : StreamBreak::None;
+    if (streamBreak != StreamBreak::None) {
+        context_.log_.line("streamBrokenOff").with("request", run->item_.item_).with("job", run->item_.job_).with("why", nameOf(streamBreak)).with("end", nameOf(answerEnd)).with("restBytes", run->scanner_.rest().size());
+        context_.failed(run->engine_, EngineFault::Lost, http::Error::Truncated);
+        return finish(run, RunResult::Interrupted, nameOf(streamBreak));
+    }
     // The item itself may be the cause of an error status, so the failure is not attributed to the engine.
     context_.board_.succeeded(run->engine_, context_.now());
     switch (run->status_) {
-    case statusOk: {
-        const bool isComplete = run->scanner_.rest().empty();
-        if (isComplete)
-            meanRunSeconds_ += smoothingFactor * (toSeconds(context_.now() - run->sentAt_) - meanRunSeconds_);
-        return finish(run, isComplete ? RunResult::Completed : RunResult::Interrupted, isComplete ? "completed" : "endedInsideEvent");
-    }
+    case http::statusOk:
+        meanRunSeconds_ += smoothingFactor * (toSeconds(context_.now() - run->sentAt_) - meanRunSeconds_);
+        return finish(run, RunResult::Completed, "completed");
     case statusImpossible:
         return finish(run, RunResult::Unprocessable, "impossible");
     case statusFailed:
@@ -207,7 +209,7 @@
     run->call_ = nullptr;
     context_.board_.ended(run->engine_, WorkClass::BatchItem);
     context_.fleet_->publishReport();
-    context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1).with("end", run->end_ ? toString(*run->end_) : "none");
+    context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1).with("end", run->end_ ? nameOf(*run->end_) : "none");
     scheduler_.ended(run->item_.id_, end, context_.now());
 }
 
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -9,6 +9,7 @@
 
 #include "Context.h"
 #include "EventScanner.h"
+#include "StreamEnd.h"
 #include "ledger/JobScheduler.h"
 
 #include <map>
@@ -74,7 +75,7 @@
     void send(const RunPtr& run);
     void onHead(const RunPtr& run, const http::ResponseHead& head);
     void onData(const RunPtr& run, std::string_view data);
-    void onEnd(const RunPtr& run, http::AnswerEnd end);
+    void onEnd(const RunPtr& run, http::AnswerEnd answerEnd);
     void onError(const RunPtr& run, const http::CallFailure& failure);
     void finish(const RunPtr& run, RunResult end, std::string_view why);
     bool isCurrent(const RunPtr& run) const;
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -12,7 +12,6 @@
     constexpr int retryDivisor = 3;
     constexpr Duration retryMargin = 20ms;
 
-    constexpr int statusOk = 200;
     constexpr int firstNonSuccess = 300;
     constexpr int firstServerError = 500;
     constexpr int statusMisdirected = 421;
@@ -35,8 +34,7 @@
 {
     if (phase_ != Phase::Reading)
         return;
-    const bool streams = isStream() && head_.status_ == statusOk && !rejected_;
-    if (!streams) {
+    if (!isReadingStream()) {
         body_.append(data);
         return;
     }
@@ -74,6 +72,11 @@
     if (phase_ != Phase::Reading)
         return;
     call_ = nullptr;
+    if (isReadingStream()) {
+        const StreamBreak streamBreak = findStreamBreak(scanner_, answerEnd, lastEvent_.has_value());
+        if (streamBreak != StreamBreak::None)
+            return onStreamBrokenOff(answerEnd, streamBreak);
+    }
     if (!rejected_)
         context_.crashSuspects_.recordAnswer(contentFingerprint(), context_.now());
     // A 4xx status other than 421 and 429 means that the request itself is at fault. That answer is forwarded to the caller even
@@ -85,7 +88,7 @@
         context_.failed(engine_, EngineFault::Failure, {});
     else
         context_.board_.succeeded(engine_, context_.now());
-    if (isStream() && head_.status_ == statusOk)
+    if (isReadingStream())
         return finishStream(answerEnd);
     const bool mayRunAgain = head_.status_ >= firstServerError && route_.isRepeatable() && runs_ < route_.maxAttempts_ && timeLeft() > Duration::zero() && !hasAnswerStarted_;
     if (mayRunAgain) {
@@ -109,10 +112,18 @@
         context_.metrics_.metrics_.observe(context_.metrics_.firstEvent_, toMilliseconds(context_.now() - arrivedAt_));
     }
     context_.metrics_.metrics_.add(isSuccess ? context_.metrics_.answered_ : context_.metrics_.failed_);
-    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrivedAt_).with("runs", runs_).with("end", toString(answerEnd));
+    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrivedAt_).with("runs", runs_).with("end", nameOf(answerEnd));
     end();
 }
 
+void RelayedRequest::onStreamBrokenOff(http::AnswerEnd answerEnd, StreamBreak streamBreak)
+{
+    line("streamBrokenOff").with("why", nameOf(streamBreak)).with("end", nameOf(answerEnd)).with("restBytes", scanner_.rest().size());
+    context_.crashSuspects_.lost(contentFingerprint(), engine_, context_.now());
+    context_.failed(engine_, EngineFault::Lost, http::Error::Truncated);
+    lost(http::Error::Truncated);
+}
+
 void RelayedRequest::finishStream(http::AnswerEnd answerEnd)
 {
     if (!hasAnswerStarted_) {
@@ -124,7 +135,7 @@
     exchange_->end();
     context_.board_.recordRunTime(context_.now() - sentAt_);
     context_.metrics_.metrics_.add(context_.metrics_.answered_);
-    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrivedAt_).with("runs", runs_).with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("end", toString(answerEnd)).with("restBytes", scanner_.rest().size());
+    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrivedAt_).with("runs", runs_).with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("end", nameOf(answerEnd)).with("restBytes", scanner_.rest().size());
     end();
 }
 
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -5,6 +5,7 @@
 #include "Context.h"
 #include "EventScanner.h"
 #include "SlotQueue.h"
+#include "StreamEnd.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -73,6 +74,8 @@
     void requestPreemption();
     void lost(std::error_code error);
     void forwardBufferedAnswer(http::AnswerEnd answerEnd);
+    // Handles a stream that the engine broke off although its answer ended in order.
+    void onStreamBrokenOff(http::AnswerEnd answerEnd, StreamBreak streamBreak);
     void finishStream(http::AnswerEnd answerEnd);
     void refuse(std::string_view reason, Duration wait);
     void fail(int status, std::string_view code, std::string_view message, RunState run);
@@ -82,6 +85,8 @@
     void releaseEngine();
     void end();
 
+    // Returns whether the answer being received is a stream of events.
+    bool isReadingStream() const { return isStream() && head_.status_ == http::statusOk && !rejected_; }
     bool isStream() const { return route_.kind_ == RouteKind::Streaming; }
     bool mayHaveRun() const { return runs_ > 0; }
     Duration timeLeft() const { return deadline_ - context_.now(); }
--- a/libs/serving/tests/EventScannerTest.cpp
+++ b/libs/serving/tests/EventScannerTest.cpp
@@ -41,6 +41,24 @@
     }
 }
 
+TEST_CASE("serving: the scanner is inside an event until the event's last line has ended")
+{
+    const auto isInsideAfter = [](std::string_view bytes) {
+        EventScanner scanner;
+        scanner.feed(bytes, [](const StreamEvent&) {});
+        return scanner.isInsideEvent();
+    };
+    const std::string event = "id: 1\r\ndata: one\r\n\r\n";
+    CHECK_FALSE(isInsideAfter(""));
+    CHECK_FALSE(isInsideAfter(event));
+    for (std::size_t cut = 1; cut < event.size(); ++cut)
+        CHECK(isInsideAfter(event.substr(0, cut)));
+    for (const char* tail : { "\n", "\r\n", ": comment\n", ": one\r\n: two\n" })
+        CHECK_FALSE(isInsideAfter(event + tail));
+    for (const char* tail : { "\r", ": comm", "data:", "data: two\n", ": comment\ndata: two\n" })
+        CHECK(isInsideAfter(event + tail));
+}
+
 // An engine fails in the middle of an event. Without the scanner, the caller would receive the first part of the event from this
 // engine, followed by the complete event from the engine that resumes the stream: bytes of two runs joined.
 TEST_CASE("serving: the scanner never yields the bytes of an incomplete event")
--- /dev/null
+++ b/libs/serving/tests/StreamEndTest.cpp
@@ -0,0 +1,41 @@
+// Tests the decision whether an answer's end is the end of its stream.
+#include "StreamEnd.h"
+
+#include <doctest/doctest.h>
+
+using namespace jj;
+
+namespace {
+
+EventScanner scannerAfter(std::string_view bytes)
+{
+    EventScanner scanner;
+    scanner.feed(bytes, [](const StreamEvent&) {});
+    return scanner;
+}
+
+} // namespace
+
+// Guards against a stream that ended inside an event and was taken for complete, however its end was framed.
+TEST_CASE("serving: a stream that ends inside an event is broken off")
+{
+    const EventScanner scanner = scannerAfter("id: 1\ndata: one\n\nid: 2\nda");
+    CHECK(findStreamBreak(scanner, http::AnswerEnd::ConnectionClosed, true) == StreamBreak::InsideEvent);
+    CHECK(findStreamBreak(scanner, http::AnswerEnd::Framed, true) == StreamBreak::InsideEvent);
+}
+
+TEST_CASE("serving: a stream that ends after an event is complete")
+{
+    const EventScanner scanner = scannerAfter("id: 1\ndata: one\n\n: end\n");
+    CHECK(findStreamBreak(scanner, http::AnswerEnd::ConnectionClosed, true) == StreamBreak::None);
+    CHECK(findStreamBreak(scanner, http::AnswerEnd::Framed, true) == StreamBreak::None);
+}
+
+// Guards against an engine that ended right after its head, and whose empty answer was taken for a complete stream.
+TEST_CASE("serving: a stream without events is complete only if its end is framed")
+{
+    const EventScanner scanner;
+    CHECK(findStreamBreak(scanner, http::AnswerEnd::ConnectionClosed, false) == StreamBreak::NoEvent);
+    CHECK(findStreamBreak(scanner, http::AnswerEnd::Framed, false) == StreamBreak::None);
+    CHECK(findStreamBreak(scanner, http::AnswerEnd::ConnectionClosed, true) == StreamBreak::None);
+}
