HTTP client: a connection that ends behind a foreign answer fails the call

A late answer to an earlier request is read over. If it has no length it ends with its connection, and the client reported the end of the answer that had not begun: a relayed request then waited for its deadline, since it ignores an end before a head. The call fails now, as when the connection closes without an answer. The new test fails on the code before (onEnd instead of onError). A second test holds what AnswerEnd says of the three framings.

--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -169,7 +169,7 @@
 {
     if (!call_)
         return close();
-    if (error != asio::error::eof || !parser_->is_header_done())
+    if (error != asio::error::eof || !parser_->is_header_done() || readingOver_)
         return fail(call_->headSeen_ ? Error::Truncated : Error::Closed);
     error_code ended;
     parser_->put_eof(ended);
--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <future>
+#include <optional>
 #include <thread>
 
 using namespace jj;
@@ -391,3 +392,64 @@
     io.run();
     CHECK(client.pooledConnections() == 0);
 }
+
+// Guards against a late answer without a length, of an earlier request, that ended with its connection and counted as the end of an answer
+// that had not begun: the request was neither answered nor failed.
+TEST_CASE("a connection that ends behind the answer to an earlier request fails the call")
+{
+    boost::asio::io_context io;
+    tcp::acceptor listener(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    const Endpoint at { "127.0.0.1", listener.local_endpoint().port() };
+    std::thread engine([&listener] {
+        tcp::socket socket = listener.accept();
+        std::array<char, 4096> request {};
+        socket.read_some(boost::asio::buffer(request));
+        boost::asio::write(socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nEcho: earlier\r\n\r\nanother caller's bytes")));
+    });
+    Client client(io, {});
+    CallOptions options;
+    options.echoName_ = "Echo";
+    options.echoValue_ = "own";
+    bool hasEnded = false;
+    std::optional<CallFailure> failure;
+    CallHandlers handlers;
+    handlers.onEnd_ = [&](AnswerEnd) { hasEnded = true; };
+    handlers.onError_ = [&](const CallFailure& failed) { failure = failed; };
+    client.send(at, {}, options, std::move(handlers));
+    io.run();
+    engine.join();
+    CHECK_FALSE(hasEnded);
+    REQUIRE(failure);
+    CHECK(failure->code_ == make_error_code(Error::Closed));
+    CHECK((failure->run_ == RunState::OutcomeUnknown));
+}
+
+TEST_CASE("the end of an answer says whether it was framed")
+{
+    const std::pair<const char*, AnswerEnd> answers[] = {
+        { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none", AnswerEnd::Framed },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n", AnswerEnd::Framed },
+        { "HTTP/1.1 200 OK\r\n\r\none", AnswerEnd::ConnectionClosed },
+    };
+    for (const auto& [answer, expected] : answers) {
+        boost::asio::io_context io;
+        tcp::acceptor listener(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        std::thread engine([&listener, text = std::string(answer)] {
+            tcp::socket socket = listener.accept();
+            std::array<char, 4096> request {};
+            socket.read_some(boost::asio::buffer(request));
+            boost::asio::write(socket, boost::asio::buffer(text));
+        });
+        Client client(io, {});
+        std::optional<AnswerEnd> end;
+        std::string body;
+        CallHandlers handlers;
+        handlers.onData_ = [&](std::string_view data) { body += data; };
+        handlers.onEnd_ = [&](AnswerEnd answerEnd) { end = answerEnd; };
+        client.send({ "127.0.0.1", listener.local_endpoint().port() }, {}, {}, std::move(handlers));
+        io.run();
+        engine.join();
+        CHECK(body == "one");
+        CHECK((end == expected));
+    }
+}
