HTTP server: an aborted answer to a client without chunks resets the connection

Found while looking for the same cause elsewhere. To a client of HTTP/1.0 an answer of unknown length ends with its connection. abort(), a reader over the write bound and the idle bound closed the connection in order, so an answer that was broken off looked complete. Such an answer now ends with a reset unless it was ended by its handler. The new test fails on the code before (end of file instead of an error). What remains: a process that is killed closes its connections in order, which no process can change.

--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -87,6 +87,7 @@
         bool started_ = false;
         bool ended_ = false;
         bool chunked_ = false;
+        bool endsWithConnection_ = false; // the answer has neither a length nor chunks
         bool closed_ = false;
         bool keepAlive_ = false;
         bool flushing_ = false; // a flush is posted or a write is under way; it looks at pending_ again when it ends
--- a/libs/http/src/ServerOutbox.cpp
+++ b/libs/http/src/ServerOutbox.cpp
@@ -29,6 +29,7 @@
     head.version(httpVersion);
     head.result(static_cast<unsigned>(status));
     addHeaders(head, headers);
+    outbox_.endsWithConnection_ = !wholeBody && !outbox_.chunked_;
     const bool noBody = status == 204 || status == 304;
     if (wholeBody)
         noBody ? void() : head.content_length(wholeBody->size());
@@ -234,8 +235,10 @@
     phase_ = Phase::Closed;
     std::function<void()> closed;
     std::function<void()> drained;
+    bool endsEarly = false;
     {
         const std::lock_guard lock(mutex_);
+        endsEarly = outbox_.started_ && outbox_.endsWithConnection_;
         outbox_.closed_ = true;
         outbox_.pending_.clear();
         closed = std::move(outbox_.onClosed_);
@@ -244,6 +247,9 @@
         outbox_.onDrained_ = nullptr;
     }
     error_code ignored;
+    // An orderly close would be the end of such an answer.
+    if (endsEarly)
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
     timer_.cancel();
     if (counted_) {
--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -453,3 +453,25 @@
         CHECK((end == expected));
     }
 }
+
+// Guards against an answer that was broken off and looked complete to a client of HTTP/1.0, for which the end of the connection is the
+// end of the answer.
+TEST_CASE("an aborted answer to a client without chunks resets the connection")
+{
+    for (const bool isAborted : { true, false }) {
+        Fixture fixture([&](const std::shared_ptr<Exchange>& exchange) {
+            exchange->start(200, {});
+            exchange->write("one");
+            exchange->whenDrained([exchange, isAborted] { isAborted ? exchange->abort() : exchange->end(); });
+        });
+        boost::asio::io_context io;
+        tcp::socket socket(io);
+        socket.connect({ boost::asio::ip::make_address(fixture.at().address_), fixture.at().port_ });
+        boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.0\r\n\r\n")));
+        std::string answer;
+        boost::system::error_code error;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+        CHECK((error == boost::asio::error::eof) == !isAborted);
+        CHECK((isAborted || answer.ends_with("one")));
+    }
+}
