Observability: the software version of engines is decoded and logged, and so is the stream that a caller resumes

No line could show that a stream went on at another version. The labels of peer messages changed with their form. No decision changes.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -29,6 +29,7 @@
 #pragma once
 
 #include "base/Endpoint.h"
+#include "base/SoftwareVersion.h"
 #include "base/Time.h"
 #include "capacity/EngineGroups.h"
 #include "capacity/NodeUse.h"
@@ -56,6 +57,7 @@
     RegionId region_;
     FailureDomainId domain_;
     CellId cell_; // the cell whose nodes have priority on it; none: it belongs to no cell
+    SoftwareVersion softwareVersion_;
     std::uint32_t slots_ = 1; // requests that it runs at once
     bool draining_ = false; // it is shutting down and gets no new requests
 
--- a/libs/serving/include/serving/Translation.h
+++ b/libs/serving/include/serving/Translation.h
@@ -25,6 +25,7 @@
     std::string attemptId_; // identifies a caller's attempt; engines echo it in their responses
     std::string timeLeft_; // milliseconds that the sender will still wait for the response
     std::string resumeAfter_; // id of the last event that the sender has received
+    std::string resumes_; // attempt id of the caller's attempt that brought the stream's first event
     std::string expectInstance_; // the only engine instance that may run the request
     std::string notExecuted_; // in an engine's response: the engine did not run the request
     std::string load_; // in an engine's response: counts of running requests, waiting requests and slots
--- a/libs/serving/src/EngineCatalog.cpp
+++ b/libs/serving/src/EngineCatalog.cpp
@@ -61,7 +61,7 @@
     if (!isNew && known.entry_ == engine)
         return;
     known.entry_ = engine;
-    changeLine("engineChanged").with("engine", engine.name_).with("service", engine.service_).with("at", toString(engine.at_)).with("draining", engine.draining_ ? "yes" : "no").with("slots", engine.slots_).with("version", version.value());
+    changeLine("engineChanged").with("engine", engine.name_).with("service", engine.service_).with("at", toString(engine.at_)).with("draining", engine.draining_ ? "yes" : "no").with("slots", engine.slots_).with("software", engine.softwareVersion_.name()).with("version", version.value());
     changed_(engine);
 }
 
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -33,8 +33,8 @@
     };
 
     // The authentication code covers a label for the kind of message, so that a call is never accepted as a reply or the reverse.
-    constexpr std::string_view callLabel = "serving call 5";
-    constexpr std::string_view replyLabel = "serving reply 5";
+    constexpr std::string_view callLabel = "serving call 6";
+    constexpr std::string_view replyLabel = "serving reply 6";
 
 } // namespace
 
@@ -234,6 +234,7 @@
     if (!isNamedByKey)
         saveShort(archive, engine.name_);
     saveShort(archive, engine.at_.address_);
+    saveShort(archive, engine.softwareVersion_.name());
     archive(record.version_, engine.id_, engine.at_.port_, engine.region_, engine.domain_, engine.slots_, engine.draining_);
 }
 
@@ -247,6 +248,7 @@
     archive(nameSize, isNamedByKey);
     engine.name_ = isNamedByKey ? record.key_.substr(record.key_.size() - std::min<std::size_t>(nameSize, record.key_.size())) : loadShort(archive);
     engine.at_.address_ = loadShort(archive);
+    engine.softwareVersion_ = SoftwareVersion(loadShort(archive));
     archive(record.version_, engine.id_, engine.at_.port_, engine.region_, engine.domain_, engine.slots_, engine.draining_);
 }
 
@@ -360,7 +362,7 @@
 
 std::size_t EngineUpdate::bytes() const
 {
-    constexpr std::size_t recordBytes = 70; // of an engine with a key of 18 characters and an IPv4 address
+    constexpr std::size_t recordBytes = 76; // of an engine with a key of 18 characters, an IPv4 address and a version of 4 characters
     constexpr std::size_t namedBytes = 40; // estimated size of a key with its length and version
     return entries_.size() * recordBytes + (unchanged_.size() + removed_.size() + missing_.size() + gaps_.size()) * namedBytes;
 }
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -60,7 +60,7 @@
         context_.board_.succeeded(engine_, context_.now());
         exchange_->start(head_.status_, endToEndHeaders(head_.headers_));
         context_.metrics_.metrics_.observe(context_.metrics_.firstEvent_, toMilliseconds(context_.now() - arrivedAt_));
-        line("firstEvent").with("afterMs", context_.now() - arrivedAt_).with("engineMs", context_.now() - sentAt_).with("objectiveMs", route_.targetLatency_);
+        line("firstEvent").with("software", softwareVersion_.name()).with("afterMs", context_.now() - arrivedAt_).with("engineMs", context_.now() - sentAt_).with("objectiveMs", route_.targetLatency_);
     }
     if (event.id_)
         lastEvent_ = event.id_;
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -62,6 +62,7 @@
         std::uint64_t event = 0;
         if (std::from_chars(resume.data(), resume.data() + resume.size(), event).ec == std::errc())
             lastEvent_ = event;
+        line("resumedByCaller").with("stream", request.headers_.find(context_.translation_.headers_.resumes_)).with("resumeAfter", resume);
     }
     exchange_->onClosed([weak = weak_from_this()] {
         if (const auto self = weak.lock())
@@ -214,6 +215,7 @@
     const HeaderNames& names = context_.translation_.headers_;
     const http::Request& request = exchange_->request();
     engine_ = pick.engine_;
+    softwareVersion_ = entry->softwareVersion_;
     tried_.push_back(engine_);
     ++offers_;
     ++runs_;
@@ -247,7 +249,7 @@
         outgoing.headers_.add(names.resumeAfter_, std::to_string(*lastEvent_));
     static constexpr std::string_view kinds[] = { "none", "free", "displaces", "queues" };
     const EngineUse use = context_.board_.useOf(engine_);
-    line("sent").with("engine", entry->name_).with("pick", kinds[static_cast<std::size_t>(pick.kind_)]).with("offer", offers_).with("questions", use.onlineRequests_).with("batchItems", use.batchItems_).with("sinceArrivalMs", sentAt_ - arrivedAt_).with("resumeAfter", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1);
+    line("sent").with("engine", entry->name_).with("software", softwareVersion_.name()).with("pick", kinds[static_cast<std::size_t>(pick.kind_)]).with("offer", offers_).with("questions", use.onlineRequests_).with("batchItems", use.batchItems_).with("sinceArrivalMs", sentAt_ - arrivedAt_).with("resumeAfter", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1);
     http::CallOptions options;
     options.idle_ = route_.isRepeatable() && isStream() ? std::min(resumableSilenceTimeout, timeLeft()) : timeLeft() + 1s;
     options.echoName_ = names.attemptId_;
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -121,6 +121,7 @@
     std::uint32_t runs_ = 0; // number of engines that may have started the request
     QueueTicket ticket_; // set in phase Waiting
     UpstreamId engine_; // engine that the request was sent to; none in phases Picking and Waiting
+    SoftwareVersion softwareVersion_; // of the engine that the request was last sent to
     TimePoint sentAt_ {};
     std::shared_ptr<http::Call> call_;
 
