Serving: an answer goes on only at an engine of the software version that began it

Cause: an engine's version was known to no decision; a resumed run was sent to any engine of its service. Class of fault: a property that must hold over several runs was kept by none of them.

Change: a request is bound to a version by the first event of its first run. A bound request is picked among the engines of this version alone, all of them instead of a sample, and waits in a queue of its own, so that it holds up nobody whom any engine can serve; it takes a free slot before requests that haven't begun. If no engine of the version serves, the caller sees a broken connection at once. An engine that has started again since it was picked is given up at its first event.

Ruled out: engines that check it (the platform says they don't).

Board tests: a pick for a version takes no engine of another, and finds one among 2,000.

--- a/libs/base/include/base/SoftwareVersion.h
+++ b/libs/base/include/base/SoftwareVersion.h
@@ -11,19 +11,22 @@
 
 namespace jj {
 
-// Hash of the version's name; none: no version is known.
+// Hash of the version's name; none stands for no version or for any, as its user says.
 using SoftwareVersionId = Id<struct SoftwareVersionTag>;
 
 class SoftwareVersion {
 public:
-    SoftwareVersion() = default;
+    // Engines that state no version count as engines of one version without a name.
+    SoftwareVersion()
+        : SoftwareVersion(std::string())
+    {
+    }
     explicit SoftwareVersion(std::string name)
         : name_(std::move(name))
         , id_(idFromName<SoftwareVersionId>(name_))
     {
     }
 
-    // As the engine states it; empty if it is unknown.
     const std::string& name() const { return name_; }
     SoftwareVersionId id() const { return id_; }
 
--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -200,8 +200,13 @@
 
     // ---- picks
     // Picks an engine for an online request. `bound`: how long the first event may take. `tried`: engines that the request was sent to
-    // before. `repeatable`: the request may be sent to another engine if this one fails.
-    EnginePick pickOnline(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now);
+    // before. `repeatable`: the request may be sent to another engine if this one fails. `version`: the only software version whose engines
+    // may be picked; none: any.
+    EnginePick pickOnline(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version = SoftwareVersionId::none());
+    // Returns whether an engine of the service with this software version is known and not draining.
+    bool hasVersion(std::string_view service, SoftwareVersionId version) const;
+    // Returns whether the engine is still known as the instance that it was when it was picked: another start has another id.
+    bool isCurrent(UpstreamId engine) const { return engines_.contains(engine); }
     // Returns how long an online request that is queued now would wait, behind all queued requests of this cell that can still be in time.
     Duration queueWait(std::string_view service, TimePoint now) const;
     // Returns whether an online request that is queued now would be in time if its first event may take `bound`.
@@ -214,7 +219,7 @@
     // Picks an engine for a batch item that is due at `due`. `urgent`: the item is due so soon that it may use the reserved slots, and
     // slots that online requests are queued for. Items of other nodes of the cell go first if they are due earlier, and items of another
     // cell go first on the engines of that cell.
-    EnginePick pickBatch(std::string_view service, bool urgent, TimePoint due, std::span<const UpstreamId> tried, TimePoint now);
+    EnginePick pickBatch(std::string_view service, bool urgent, TimePoint due, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version = SoftwareVersionId::none());
     // Returns whether a running item that is due at `due` must yield its slot to a more urgent item that waits at another node.
     bool mustYieldItem(std::string_view service, TimePoint due, TimePoint now);
     // Returns the other nodes of this cell that run batch items on the engine, the one with most items first, and then the delegates of
@@ -274,6 +279,7 @@
         bool repeatable_ = false;
         std::span<const UpstreamId> tried_;
         TimePoint now_ {};
+        SoftwareVersionId version_; // of the engines that are considered; none: all
     };
     // The loss of a connection to an engine.
     struct Loss {
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -47,12 +47,14 @@
 
 std::vector<CapacityBoard::Engine*> CapacityBoard::usableEngines(const PickScope& scope, EngineDistance distance, bool areDoubtful)
 {
-    const std::size_t limit = distance == EngineDistance::SameCell ? SIZE_MAX : maxSampledEngines;
-    std::vector<Engine*> engines = groups_.sample(scope.service_, distance, limit, random_);
+    // A sample could miss the few engines of one version.
+    const bool isSampled = scope.version_.isNone() && distance != EngineDistance::SameCell;
+    std::vector<Engine*> engines = groups_.sample(scope.service_, distance, isSampled ? maxSampledEngines : SIZE_MAX, random_);
     visitedEngines_ += engines.size();
     std::erase_if(engines, [&](const Engine* engine) {
         const bool isTried = std::find(scope.tried_.begin(), scope.tried_.end(), engine->entry_.id_) != scope.tried_.end();
-        if (isTried || !isUsable(*engine, scope.repeatable_, scope.now_))
+        const bool isOtherVersion = !scope.version_.isNone() && engine->entry_.softwareVersion_.id() != scope.version_;
+        if (isTried || isOtherVersion || !isUsable(*engine, scope.repeatable_, scope.now_))
             return true;
         return (isDoubtful(*engine, scope.now_) || isLoadUnknown(*engine, scope.now_)) != areDoubtful;
     });
@@ -87,7 +89,17 @@
     return fromSeconds(meanRunSeconds_ * waiting / turnoverSlots);
 }
 
-EnginePick CapacityBoard::pickOnline(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now)
+bool CapacityBoard::hasVersion(std::string_view service, SoftwareVersionId version) const
+{
+    const auto serviceId = idFromName<ServiceId>(service);
+    const auto isOfVersion = [version](const Engine* engine) { return !engine->entry_.draining_ && engine->entry_.softwareVersion_.id() == version; };
+    return std::any_of(engineDistances.begin(), engineDistances.end(), [&](EngineDistance distance) {
+        const std::vector<Engine*>& engines = groups_.all(serviceId, distance);
+        return std::any_of(engines.begin(), engines.end(), isOfVersion);
+    });
+}
+
+EnginePick CapacityBoard::pickOnline(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version)
 {
     expireReports(now);
     // Order of preference: a free slot in this cell, a slot in this cell after preempting a batch item, the same two in other cells of the
@@ -126,7 +138,7 @@
         best = { &engine, rank };
         pick = { kind, engine.entry_.id_, wait };
     };
-    visitByDistance({ serviceId, repeatable, tried, now }, [&](EngineDistance distance, std::span<Engine* const> engines) {
+    visitByDistance({ serviceId, repeatable, tried, now, version }, [&](EngineDistance distance, std::span<Engine* const> engines) {
         for (const Engine* engine : engines)
             consider(*engine, distance);
         const bool hasSlot = pick.kind_ == PickKind::Free || pick.kind_ == PickKind::PreemptsBatch;
@@ -265,7 +277,7 @@
 // without regard to others, items due in ten seconds ran at one worker while items due in two seconds waited at another, and a third of a
 // burst of jobs was late although there were enough slots for all. So a node leaves as many slots free as more urgent items wait at other
 // nodes.
-EnginePick CapacityBoard::pickBatch(std::string_view service, bool urgent, TimePoint due, std::span<const UpstreamId> tried, TimePoint now)
+EnginePick CapacityBoard::pickBatch(std::string_view service, bool urgent, TimePoint due, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version)
 {
     expireReports(now);
     // The next free slot goes to a queued online request.
@@ -274,7 +286,7 @@
     const auto serviceId = idFromName<ServiceId>(service);
     const std::uint32_t itemsAhead = itemsDueBefore(service, due - settings_.priorityDueMargin_);
     EnginePick pick;
-    visitByDistance({ serviceId, true, tried, now }, [&](EngineDistance distance, std::span<Engine* const> engines) {
+    visitByDistance({ serviceId, true, tried, now, version }, [&](EngineDistance distance, std::span<Engine* const> engines) {
         if (distance != EngineDistance::SameCell)
             pick = pickSpareForBatch(engines, serviceId, urgent, now);
         else if (freeBatchSlots(engines, urgent, now) > itemsAhead)
@@ -314,7 +326,7 @@
     if (ahead == 0)
         return false;
     std::uint32_t freeSlots = 0;
-    visitByDistance({ idFromName<ServiceId>(service), true, {}, now }, [&](EngineDistance distance, std::span<Engine* const> engines) {
+    visitByDistance({ idFromName<ServiceId>(service), true, {}, now, SoftwareVersionId::none() }, [&](EngineDistance distance, std::span<Engine* const> engines) {
         if (distance == EngineDistance::SameCell)
             freeSlots = freeBatchSlots(engines, false, now);
         return engines.empty();
--- a/libs/capacity/tests/CapacityBoardTest.cpp
+++ b/libs/capacity/tests/CapacityBoardTest.cpp
@@ -313,3 +313,46 @@
     fixture.board_.remove(UpstreamId(9));
     CHECK(fixture.pickOnlineEngine().engine_ == UpstreamId(8));
 }
+
+// Guards against a stream that goes on at an engine of another software version than the one that began it.
+TEST_CASE("capacity: a pick for one software version takes no engine of another one")
+{
+    BoardFixture fixture(0);
+    const auto add = [&fixture](std::uint64_t id, RegionId region, const char* version) {
+        EngineEntry entry = engine(id, region, 1);
+        entry.softwareVersion_ = SoftwareVersion(version);
+        fixture.board_.upsert(entry);
+    };
+    const SoftwareVersionId old = SoftwareVersion("v1").id();
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        add(id, near, "v2");
+    add(5, far, "v1");
+    const auto pickOld = [&] { return fixture.board_.pickOnline("s", bound, true, {}, fixture.now_, old); };
+    CHECK(pickOld().engine_ == UpstreamId(5));
+    CHECK(fixture.board_.pickBatch("s", false, fixture.now_ + 10s, {}, fixture.now_, SoftwareVersion("v3").id()).kind_ == PickKind::None);
+    CHECK(fixture.board_.hasVersion("s", old));
+    CHECK_FALSE(fixture.board_.hasVersion("other", old));
+    // Its only slot is taken. The free slots of the other version don't count.
+    for (int run = 0; run < 8; ++run)
+        fixture.board_.started(UpstreamId(5), WorkClass::OnlineRequest);
+    CHECK_FALSE(pickOld().isSome());
+    CHECK(fixture.pickOnlineEngine().kind_ == PickKind::Free);
+    EngineEntry draining = *fixture.board_.find(UpstreamId(5));
+    draining.draining_ = true;
+    fixture.board_.upsert(draining);
+    CHECK_FALSE(fixture.board_.hasVersion("s", old));
+}
+
+// Guards against a sample of the engines of other cells that misses the few of one software version.
+TEST_CASE("capacity: the only engine of a software version is found among many of another cell")
+{
+    BoardFixture fixture(0);
+    constexpr std::uint64_t count = 2000;
+    for (std::uint64_t id = 1; id <= count; ++id) {
+        EngineEntry entry = engine(id, far);
+        entry.softwareVersion_ = SoftwareVersion(id == count / 2 ? "v1" : "v2");
+        fixture.board_.upsert(entry);
+    }
+    for (int pick = 0; pick < 20; ++pick)
+        CHECK(fixture.board_.pickOnline("s", bound, true, {}, fixture.now_, SoftwareVersion("v1").id()).engine_ == UpstreamId(count / 2));
+}
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -32,6 +32,7 @@
     CounterHandle aborted_; // answers aborted after they had started
     CounterHandle disconnected_; // requests whose caller disconnected
     CounterHandle resent_; // requests sent to another engine
+    CounterHandle versionGone_; // streams that couldn't go on because no engine of their software version serves
     CounterHandle preemptions_; // online requests that took a batch item's slot
     CounterHandle queued_; // online requests that waited in an engine's queue
     CounterHandle itemRuns_;
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -55,6 +55,8 @@
         line("streamOutOfStep").with("expected", *lastEvent_ + 1).with("got", *event.id_);
         return lost(http::Error::Malformed);
     }
+    if (isFirstOfRun_ && !bindVersion())
+        return;
     if (!hasAnswerStarted_) {
         hasAnswerStarted_ = true;
         context_.board_.succeeded(engine_, context_.now());
@@ -67,6 +69,21 @@
     pendingEvents_.append(event.raw_);
 }
 
+// The engine may have started again, with another version, since it was picked. Returns false if the run was given up for that.
+bool RelayedRequest::bindVersion()
+{
+    isFirstOfRun_ = false;
+    const bool isSameStart = context_.board_.isCurrent(engine_);
+    if (isResumed() && !isSameStart) {
+        line("versionUncertain").with("software", softwareVersion_.name());
+        lost(http::Error::Cancelled);
+        return false;
+    }
+    if (isSameStart)
+        boundVersion_ = softwareVersion_.id();
+    return true;
+}
+
 void RelayedRequest::onEnd(http::AnswerEnd answerEnd)
 {
     if (phase_ != Phase::Reading)
@@ -174,7 +191,8 @@
 // Handles a lost or unusable answer to a request that the engine may have run: sends the request again if allowed, else fails it.
 void RelayedRequest::lost(std::error_code error)
 {
-    const bool mayResend = route_.isRepeatable() && runs_ < std::max(route_.maxAttempts_, 1U) && timeLeft() > Duration::zero() && (isStream() || !hasAnswerStarted_);
+    const bool isVersionUnknown = hasAnswerStarted_ && boundVersion_.isNone();
+    const bool mayResend = route_.isRepeatable() && !isVersionUnknown && runs_ < std::max(route_.maxAttempts_, 1U) && timeLeft() > Duration::zero() && (isStream() || !hasAnswerStarted_);
     line("answerLost").with("error", error.message()).with("runs", runs_).with("started", hasAnswerStarted_ ? "yes" : "no").with("goesOn", mayResend ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1);
     if (!pendingEvents_.empty()) {
         exchange_->write(pendingEvents_);
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -125,13 +125,15 @@
         return refuseRemovedKey();
     if (isContentBlocked())
         return refuseBlocked();
+    if (isResumed() && !context_.board_.hasVersion(service_, boundVersion_))
+        return onVersionGone();
     const TimePoint now = context_.now();
     const Duration budget = firstEventBudget();
-    EnginePick pick = offers_ < maxOffers ? context_.board_.pickOnline(service_, budget, route_.isRepeatable(), tried_, now) : EnginePick {};
-    // A free slot goes to the requests that are already queued. If the queue is too long for this request to be served in time,
+    EnginePick pick = offers_ < maxOffers ? context_.board_.pickOnline(service_, budget, route_.isRepeatable(), tried_, now, boundVersion_) : EnginePick {};
+    // A free slot goes to the requests that are already queued, unless this one resumes: its caller has a part of the answer. If the queue is too long for this request to be served in time,
     // it must not take that slot either, because a queued request is about to take it.
     const bool hasSlot = pick.kind_ == PickKind::Free || pick.kind_ == PickKind::PreemptsBatch;
-    if (hasSlot && context_.board_.waiting(service_) == 0)
+    if (hasSlot && (isResumed() || context_.board_.waiting(service_) == 0))
         return send(pick);
     if (offers_ < maxOffers && enqueue(budget))
         return;
@@ -155,6 +157,16 @@
     end();
 }
 
+// No engine of the version that began the stream serves, and none of another version may go on with it.
+void RelayedRequest::onVersionGone()
+{
+    line("versionGone").with("service", service_).with("software", softwareVersion_.name()).with("version", boundVersion_.value()).with("started", hasAnswerStarted_ ? "yes" : "no");
+    context_.metrics_.metrics_.add(context_.metrics_.versionGone_);
+    if (hasAnswerStarted_ || mayHaveRun())
+        return lost(http::Error::ConnectFailed);
+    refuse("versionGone", minRetryAfter);
+}
+
 void RelayedRequest::refuseRemovedKey()
 {
     line("keyRemoved").with("key", caller_.key_->shortText()).with("config", context_.table_->version());
@@ -184,6 +196,7 @@
     SlotQueue::QueuedRequest queued;
     queued.service_ = service_;
     queued.repeatable_ = route_.isRepeatable();
+    queued.version_ = boundVersion_;
     queued.tried_ = tried_;
     queued.inTimeUntil_ = now + budget - context_.board_.settings().firstEventTime_;
     queued.queueDeadline_ = queueDeadline();
@@ -225,6 +238,7 @@
     rejected_ = false;
     body_.clear();
     scanner_.reset();
+    isFirstOfRun_ = true;
     context_.board_.started(engine_, WorkClass::OnlineRequest);
     if (pick.kind_ == PickKind::PreemptsBatch) {
         context_.metrics_.metrics_.add(context_.metrics_.preemptions_);
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -58,6 +58,7 @@
     void returnCredit();
     void dispatch();
     void refuseBlocked();
+    void onVersionGone();
     // Refuses a request whose key was removed while it waited.
     void refuseRemovedKey();
     // Queues the request for a slot. Returns false if no slot is expected to become free in time.
@@ -69,6 +70,8 @@
     void onEnd(http::AnswerEnd answerEnd);
     void onError(const http::CallFailure& failure);
     void onEvent(const StreamEvent& event);
+    // Notes at a run's first event which software version the stream belongs to.
+    bool bindVersion();
 
     void onNotExecuted();
     void requestPreemption();
@@ -87,6 +90,8 @@
 
     // Returns whether the answer being received is a stream of events.
     bool isReadingStream() const { return isStream() && head_.status_ == http::statusOk && !rejected_; }
+    // Returns whether the request goes on with a stream of which events were sent to the caller before.
+    bool isResumed() const { return !boundVersion_.isNone(); }
     bool isStream() const { return route_.kind_ == RouteKind::Streaming; }
     bool mayHaveRun() const { return runs_ > 0; }
     Duration timeLeft() const { return deadline_ - context_.now(); }
@@ -122,11 +127,14 @@
     QueueTicket ticket_; // set in phase Waiting
     UpstreamId engine_; // engine that the request was sent to; none in phases Picking and Waiting
     SoftwareVersion softwareVersion_; // of the engine that the request was last sent to
+    // The software version that wrote the events which the caller has; none while it has none. Only engines of this version may go on.
+    SoftwareVersionId boundVersion_;
     TimePoint sentAt_ {};
     std::shared_ptr<http::Call> call_;
 
     http::ResponseHead head_; // of the answer being received
     bool rejected_ = false; // the answer states that the engine did not run the request
+    bool isFirstOfRun_ = true; // no event of this run has arrived
     bool hasAnswerStarted_ = false; // the response head has been sent to the caller
     std::string body_; // of an answer that is not streamed
     EventScanner scanner_;
--- a/libs/serving/src/SlotQueue.cpp
+++ b/libs/serving/src/SlotQueue.cpp
@@ -4,6 +4,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <set>
 
 namespace jj {
 
@@ -20,10 +21,15 @@
 {
 }
 
+std::string SlotQueue::queueName(const QueuedRequest& queued)
+{
+    return queued.version_.isNone() ? queued.service_ : queued.service_ + '\n' + std::to_string(queued.version_.value());
+}
+
 QueueTicket SlotQueue::enter(QueuedRequest queued)
 {
     const std::string service = queued.service_;
-    const QueueTicket ticket = queue_.enter(service, queued.inTimeUntil_, queued.queueDeadline_);
+    const QueueTicket ticket = queue_.enter(queueName(queued), queued.inTimeUntil_, queued.queueDeadline_);
     queuedRequests_[ticket] = std::move(queued);
     publishWaiting(service);
     return ticket;
@@ -42,15 +48,31 @@
 
 void SlotQueue::publishWaiting(const std::string& service)
 {
-    context_.board_.setWaiting(service, queue_.size(service), queue_.inTime(service, context_.now()));
+    countWaiting(service, context_.now());
     context_.fleet_->publishReport();
 }
 
 // Updates the counts of queued requests that can still be in time, which fall as time passes.
 void SlotQueue::refreshInTimeCounts(TimePoint now)
 {
-    for (const std::string& service : queue_.services())
-        context_.board_.setWaiting(service, queue_.size(service), queue_.inTime(service, now));
+    std::set<std::string> services;
+    for (const auto& [ticket, queued] : queuedRequests_)
+        services.insert(queued.service_);
+    for (const std::string& service : services)
+        countWaiting(service, now);
+}
+
+void SlotQueue::countWaiting(const std::string& service, TimePoint now)
+{
+    std::uint16_t count = 0;
+    std::uint16_t inTime = 0;
+    for (const auto& [ticket, queued] : queuedRequests_) {
+        if (queued.service_ != service)
+            continue;
+        ++count;
+        inTime = static_cast<std::uint16_t>(inTime + (queue_.isInTime(ticket, now) ? 1 : 0));
+    }
+    context_.board_.setWaiting(service, count, inTime);
 }
 
 void SlotQueue::tick(TimePoint now)
@@ -70,21 +92,22 @@
         return;
     pumping_ = true;
     const TimePoint now = context_.now();
-    for (const std::string& service : queue_.services()) {
-        while (serveOne(service, isOwnSlot, now)) { }
+    for (const std::string& name : queue_.services()) {
+        while (serveOne(name, isOwnSlot, now)) { }
     }
     pumping_ = false;
 }
 
-bool SlotQueue::serveOne(const std::string& service, bool isOwnSlot, TimePoint now)
+bool SlotQueue::serveOne(const std::string& name, bool isOwnSlot, TimePoint now)
 {
-    const auto ticket = queue_.first(service, now);
+    const auto ticket = queue_.first(name, now);
     if (!ticket)
         return false;
     QueuedRequest& queued = queuedRequests_.at(*ticket);
+    const std::string service = queued.service_;
     // Accepts any free slot, even if the request will be late. The bound only affects waiting in an engine's own queue, which is
     // not accepted here.
-    const EnginePick pick = context_.board_.pickOnline(service, queued.queueDeadline_ - now, queued.repeatable_, queued.tried_, now);
+    const EnginePick pick = context_.board_.pickOnline(service, queued.queueDeadline_ - now, queued.repeatable_, queued.tried_, now, queued.version_);
     if (pick.kind_ != PickKind::Free && pick.kind_ != PickKind::PreemptsBatch)
         return false;
     const bool isInTime = queue_.isInTime(*ticket, now);
--- a/libs/serving/src/SlotQueue.h
+++ b/libs/serving/src/SlotQueue.h
@@ -31,6 +31,7 @@
     struct QueuedRequest {
         std::string service_;
         bool repeatable_ = false;
+        SoftwareVersionId version_; // the only software version whose engines may be assigned; none: any
         std::vector<UpstreamId> tried_;
         TimePoint inTimeUntil_ {}; // latest time of a slot with which the first event is still in time
         TimePoint queueDeadline_ {};
@@ -58,11 +59,15 @@
     // Assigns free slots. `isOwnSlot`: this node freed the slot or its turn has come, so its requests don't wait for the turns of
     // other nodes, except a late request while another one can still be in time.
     void pump(bool isOwnSlot);
-    // Assigns a slot to the first queued request of the service. Returns false if there is no request or no slot.
-    bool serveOne(const std::string& service, bool isOwnSlot, TimePoint now);
+    // Requests that need one software version have a queue of their own, so that they don't hold up those that any engine can serve.
+    static std::string queueName(const QueuedRequest& queued);
+    // Assigns a slot to the first request of the queue. Returns false if there is no request or no slot.
+    bool serveOne(const std::string& name, bool isOwnSlot, TimePoint now);
     // Returns how many nodes have queued requests that take precedence over the first one of this node at the engine.
     std::size_t nodesAhead(const std::string& service, UpstreamId engine, bool isInTime) const;
     void refreshInTimeCounts(TimePoint now);
+    // Sets on the capacity board how many requests for the service are queued here.
+    void countWaiting(const std::string& service, TimePoint now);
     void schedulePump(Duration delay);
     void publishWaiting(const std::string& service);
 
--- a/libs/serving/tests/EngineUpdateTest.cpp
+++ b/libs/serving/tests/EngineUpdateTest.cpp
@@ -29,6 +29,7 @@
     record.engine_.at_ = { "10.128." + std::to_string(number % 250) + ".17", 8080 };
     record.engine_.region_ = RegionId(2);
     record.engine_.domain_ = FailureDomainId(5);
+    record.engine_.softwareVersion_ = SoftwareVersion(number % 2 == 0 ? "v1" : "v1.1");
     record.engine_.slots_ = 8;
     record.engine_.draining_ = number % 5 == 0;
     return record;
