Serving: a stream that its caller resumes goes on at the software version that began it

Cause: the host that takes the next attempt doesn't know which version began the stream, and the host that knows may be gone. It sent the request to any engine.

Change: the host that forwards a stream's first event records the stream's version in its own table and, unless the service has had one version for the lifetime of streams, at three hosts in different failure domains, chosen by hashing of the stream's id. A host that takes up a stream asks them; the first record decides. Without one, the stream goes on only if its service has had a single version, and at least one other host must have answered. Otherwise the request is refused at once as not run. When a service gets a second version, hosts send the records that they hold. libs/streams has the decisions without sockets; StreamVersions connects them to the fleet. An id counts with its workspace, so nobody learns of another workspace's streams. Resumes without a position, or with an over-long id, is a 400.

Ruled out: accountants of quotas as holders (chosen without regard to failure domains, so the loss of one domain could take all three); memory of the host that began the stream (fails when that host is killed, which is when callers resume); writing streams to the store.

--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -33,6 +33,8 @@
     CounterHandle disconnected_; // requests whose caller disconnected
     CounterHandle resent_; // requests sent to another engine
     CounterHandle versionGone_; // streams that couldn't go on because no engine of their software version serves
+    CounterHandle streamsResumed_; // streams that callers resumed and that were sent on
+    CounterHandle streamsUnknown_; // streams that callers resumed and whose software version couldn't be found
     CounterHandle preemptions_; // online requests that took a batch item's slot
     CounterHandle queued_; // online requests that waited in an engine's queue
     CounterHandle itemRuns_;
@@ -43,6 +45,7 @@
 };
 
 class SlotQueue;
+class StreamVersions;
 
 struct Context {
     boost::asio::io_context& io_;
@@ -55,6 +58,7 @@
     Fleet* fleet_ = nullptr; // set before the event loop runs
     SlotQueue* queue_ = nullptr; // set before the event loop runs
     Quotas* quotas_ = nullptr; // set before the event loop runs
+    StreamVersions* streams_ = nullptr; // set before the event loop runs
     std::shared_ptr<const RouteTable> table_ {}; // null until the first configuration is applied
     CrashSuspects crashSuspects_ {};
 
--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -359,7 +359,8 @@
         return exchange_->handle(*digest, now);
     if (const auto* report = std::get_if<NodeReport>(&datagram.value()))
         return exchange_->handle(*report, now);
-    handlers_.onQuotaMessage_(datagram.value());
+    const bool isAboutStreams = std::holds_alternative<StreamRecords>(datagram.value()) || std::holds_alternative<StreamQuery>(datagram.value()) || std::holds_alternative<StreamAnswer>(datagram.value());
+    isAboutStreams ? handlers_.onStreamMessage_(datagram.value()) : handlers_.onQuotaMessage_(datagram.value());
 }
 
 // ---- calls
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -45,6 +45,8 @@
     std::function<void(const PreemptRequest&)> onPreemptRequest_;
     // A message about quotas has arrived: QuotaReport, AdmissionRequest, AdmissionDecision or QuotaNotice.
     std::function<void(const PeerDatagram&)> onQuotaMessage_;
+    // A message about streams has arrived: StreamRecords, StreamQuery or StreamAnswer.
+    std::function<void(const PeerDatagram&)> onStreamMessage_;
     // The node was live and has been declared dead or has left.
     std::function<void(NodeId)> onNodeDown_;
     // Another node has published a mark of request content that crashes engines, see CrashSuspects.h.
@@ -88,6 +90,7 @@
 
     NodeId self() const { return self_; }
     RegionId region() const { return options_.region_; }
+    FailureDomainId domain() const { return options_.domain_; }
     UpdateDistance distanceTo(const Peer& peer) const { return updateDistance(options_.region_, options_.domain_, peer.region_, peer.domain_); }
     // Returns the region of a node; for an unknown node the region of this one.
     RegionId regionOf(NodeId node) const;
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -79,8 +79,12 @@
         lost(http::Error::Cancelled);
         return false;
     }
-    if (isSameStart)
-        boundVersion_ = softwareVersion_.id();
+    if (!isSameStart)
+        return true;
+    boundVersion_ = softwareVersion_.id();
+    // A record that arrives after the caller's next attempt is of no use, so it is sent before the event.
+    if (!hasAnswerStarted_ && route_.isRepeatable())
+        context_.streams_->record({ streamIdOf(caller_.workspace_, beganAs_), idFromName<ServiceId>(service_), boundVersion_ }, context_.now());
     return true;
 }
 
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -26,6 +26,7 @@
     constexpr int queueTargetMultiple = 4;
     // Used if the caller does not state how long it waits.
     constexpr Duration defaultDeadline = 30s;
+    constexpr std::size_t maxAttemptIdBytes = 256;
 
     bool isSameName(std::string_view name, std::string_view other) { return boost::beast::iequals(name, other); }
 
@@ -58,12 +59,8 @@
     deadline_ = arrivedAt_ + std::min(patience, route_.timeout_);
     wasRefusedBefore_ = context_.queue_->isProbableRetry(route_.name_, patience, arrivedAt_);
     service_ = RouteTable::pickService(route_, hash64(id_));
-    if (const std::string_view resume = request.headers_.find(context_.translation_.headers_.resumeAfter_); !resume.empty()) {
-        std::uint64_t event = 0;
-        if (std::from_chars(resume.data(), resume.data() + resume.size(), event).ec == std::errc())
-            lastEvent_ = event;
-        line("resumedByCaller").with("stream", request.headers_.find(context_.translation_.headers_.resumes_)).with("resumeAfter", resume);
-    }
+    if (isStream() && !readResume())
+        return;
     exchange_->onClosed([weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->onCallerDisconnected();
@@ -77,10 +74,64 @@
     admit();
 }
 
+bool RelayedRequest::readResume()
+{
+    const http::Headers& headers = exchange_->request().headers_;
+    const std::string_view position = headers.find(context_.translation_.headers_.resumeAfter_);
+    const std::string_view beganAs = headers.find(context_.translation_.headers_.resumes_);
+    beganAs_ = id_;
+    if (position.empty() && beganAs.empty())
+        return true;
+    std::uint64_t event = 0;
+    const auto [end, error] = std::from_chars(position.data(), position.data() + position.size(), event);
+    const bool isNumber = !position.empty() && error == std::errc() && end == position.data() + position.size();
+    if (!isNumber || beganAs.size() > maxAttemptIdBytes) {
+        refuseMalformedResume(isNumber ? "the attempt id is too long" : "no event id that is a number");
+        return false;
+    }
+    isResumedByCaller_ = true;
+    beganAs_ = beganAs;
+    lastEvent_ = event;
+    return true;
+}
+
+void RelayedRequest::refuseMalformedResume(std::string_view why)
+{
+    exchange_->respond(refusalResponse(context_.translation_, 400, "request.BadResume", std::string("the request resumes a stream, but has ").append(why).append("; it has not run"), RunState::NotRun, {}));
+    context_.metrics_.metrics_.add(context_.metrics_.failed_);
+    line("failed").with("status", 400).with("code", "request.BadResume").with("afterMs", context_.now() - arrivedAt_).with("runs", runs_);
+    end();
+}
+
+void RelayedRequest::resolveStream()
+{
+    if (!isResumedByCaller_ || phase_ == Phase::Ended)
+        return dispatch();
+    phase_ = Phase::Resolving;
+    line("resumedByCaller").with("stream", beganAs_).with("resumeAfter", *lastEvent_);
+    context_.streams_->resolve(streamIdOf(caller_.workspace_, beganAs_), idFromName<ServiceId>(service_), context_.now(), [self = shared_from_this()](const StreamResolution& resolution) { self->onResolved(resolution); });
+}
+
+void RelayedRequest::onResolved(const StreamResolution& resolution)
+{
+    if (phase_ != Phase::Resolving)
+        return;
+    // The stream began at a service that the route had or has among its targets.
+    const auto target = std::find_if(route_.targets_.begin(), route_.targets_.end(), [&](const RouteTarget& one) { return idFromName<ServiceId>(one.service_) == resolution.service_; });
+    const bool isFound = !resolution.version_.isNone() && target != route_.targets_.end();
+    line("streamResolved").with("stream", beganAs_).with("how", nameOf(resolution.kind_)).with("version", resolution.version_.value()).with("isTarget", target != route_.targets_.end() ? "yes" : "no").with("afterMs", context_.now() - arrivedAt_);
+    context_.metrics_.metrics_.add(isFound ? context_.metrics_.streamsResumed_ : context_.metrics_.streamsUnknown_);
+    if (!isFound)
+        return refuse("streamUnknown", minRetryAfter);
+    service_ = target->service_;
+    boundVersion_ = resolution.version_;
+    dispatch();
+}
+
 void RelayedRequest::admit()
 {
     if (caller_.workspace_.empty())
-        return dispatch();
+        return resolveStream();
     context_.quotas_->admit(caller_.workspace_, [self = shared_from_this()](const QuotaGate::Answer& answer) { self->onAdmission(answer); });
 }
 
@@ -90,7 +141,7 @@
     if (phase_ == Phase::Ended)
         return returnCredit();
     if (answer.isAdmitted_)
-        return dispatch();
+        return resolveStream();
     const Duration retry = std::min(answer.retryAfter_, maxRetryDelay());
     exchange_->respond(refusalResponse(context_.translation_, 429, "quota.Exceeded", "the workspace is over its quota; the request has not run", RunState::NotRun, retry));
     context_.metrics_.metrics_.add(context_.metrics_.overQuota_);
@@ -111,7 +162,7 @@
 Duration RelayedRequest::firstEventBudget() const
 {
     const Duration inTime = route_.targetLatency_ - (context_.now() - arrivedAt_);
-    if (hasAnswerStarted_ || mayHaveRun())
+    if (isResumed() || hasAnswerStarted_ || mayHaveRun())
         return std::max(inTime, timeLeft() / 2);
     return inTime;
 }
@@ -182,7 +233,7 @@
 // its caller already has the first part of the answer, which would be wasted if the request failed for lack of a slot.
 TimePoint RelayedRequest::queueDeadline() const
 {
-    const TimePoint from = hasAnswerStarted_ || mayHaveRun() ? context_.now() : arrivedAt_;
+    const TimePoint from = isResumed() || hasAnswerStarted_ || mayHaveRun() ? context_.now() : arrivedAt_;
     return std::min(from + route_.targetLatency_ * queueTargetMultiple, deadline_ - minRetryAfter);
 }
 
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -6,6 +6,7 @@
 #include "EventScanner.h"
 #include "SlotQueue.h"
 #include "StreamEnd.h"
+#include "StreamVersions.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -46,6 +47,7 @@
 private:
     enum class Phase : std::uint8_t {
         Admitting, // waiting for the decision about its workspace's quota
+        Resolving, // finding out which software version began the stream that its caller resumes
         Picking,
         Waiting, // queued for a slot
         Sent, // sent to an engine, no response head received yet
@@ -56,6 +58,12 @@
     void admit();
     void onAdmission(const QuotaGate::Answer& answer);
     void returnCredit();
+    // Reads which stream the caller resumes. Returns false if the request is malformed and has been refused.
+    bool readResume();
+    void refuseMalformedResume(std::string_view why);
+    // Finds the software version of the stream that the caller resumes, then sends the request.
+    void resolveStream();
+    void onResolved(const StreamResolution& resolution);
     void dispatch();
     void refuseBlocked();
     void onVersionGone();
@@ -129,6 +137,8 @@
     SoftwareVersion softwareVersion_; // of the engine that the request was last sent to
     // The software version that wrote the events which the caller has; none while it has none. Only engines of this version may go on.
     SoftwareVersionId boundVersion_;
+    bool isResumedByCaller_ = false; // the caller has events of an earlier attempt
+    std::string beganAs_; // attempt id that brought the stream's first event; empty: the caller names none
     TimePoint sentAt_ {};
     std::shared_ptr<http::Call> call_;
 
--- a/libs/serving/src/ReportMessages.cpp
+++ b/libs/serving/src/ReportMessages.cpp
@@ -21,6 +21,7 @@
     constexpr std::size_t maxNodes = 64;
     constexpr std::size_t maxCells = 64;
     constexpr std::size_t maxQuotaEntries = 1000;
+    constexpr std::size_t maxStreamRecords = 50;
     // Upper bounds for the sizes on the wire, which follow from the fields serialized below. They serve to pack digests into frames.
     // serviceBytes covers both WaitingRequests and WaitingItems.
     constexpr std::size_t summaryBytes = 64;
@@ -29,7 +30,7 @@
     constexpr std::size_t serviceBytes = 18;
     constexpr std::size_t nodeBytes = 17;
 
-    constexpr std::string_view datagramLabel = "serving datagram 5";
+    constexpr std::string_view datagramLabel = "serving datagram 6";
 
     template <class T>
     void truncate(std::vector<T>& list, std::size_t maxSize) { list.resize(std::min(list.size(), maxSize)); }
@@ -52,6 +53,9 @@
         truncate(notice.scarce_, maxQuotaEntries);
         truncate(notice.ample_, maxQuotaEntries);
     }
+    void truncateToLimits(StreamRecords& records) { truncate(records.records_, maxStreamRecords); }
+    void truncateToLimits(StreamQuery&) { }
+    void truncateToLimits(StreamAnswer&) { }
     void truncateToLimits(CellDigest& digest)
     {
         truncate(digest.cells_, maxCells);
@@ -167,6 +171,30 @@
     archive(list<maxQuotaEntries>(notice.scarce_), list<maxQuotaEntries>(notice.ample_));
 }
 
+template <class Archive>
+void serialize(Archive& archive, StreamRecord& record)
+{
+    archive(record.stream_, record.service_, record.version_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, StreamRecords& records)
+{
+    archive(list<maxStreamRecords>(records.records_));
+}
+
+template <class Archive>
+void serialize(Archive& archive, StreamQuery& query)
+{
+    archive(query.from_, query.number_, query.stream_, query.service_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, StreamAnswer& answer)
+{
+    archive(answer.from_, answer.number_, Flag { answer.isRecorded_ }, answer.record_, answer.soleVersion_, Flag { answer.hasSeveralVersions_ });
+}
+
 // NOLINTEND(readability-identifier-naming)
 
 namespace {
@@ -203,6 +231,12 @@
             return read<AdmissionDecision>(archive, source);
         case 6:
             return read<QuotaNotice>(archive, source);
+        case 7:
+            return read<StreamRecords>(archive, source);
+        case 8:
+            return read<StreamQuery>(archive, source);
+        case 9:
+            return read<StreamAnswer>(archive, source);
         default:
             return PeerError::Unreadable;
         }
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -104,6 +104,8 @@
     buildScheduler();
     quotas_ = std::make_unique<Quotas>(*fleet_, settings_.quotaBound_);
     context_.quotas_ = quotas_.get();
+    streams_ = std::make_unique<StreamVersions>(*fleet_);
+    context_.streams_ = streams_.get();
     queue_ = std::make_unique<SlotQueue>(context_);
     context_.queue_ = queue_.get();
     relay_ = std::make_unique<Relay>(context_);
@@ -139,10 +141,12 @@
         *store_, translation_, log_, FollowerTimes(), [this](const auto& table) { onConfig(table); }, [this] { requestUpdate(); });
     const auto changed = [this](const EngineEntry& entry) {
         board_.upsert(withCell(entry));
+        streams_->setEngine(entry, context_.now());
         fleet_->publishReport();
     };
     const auto removed = [this](const EngineEntry& entry) {
         board_.remove(entry.id_);
+        streams_->removeEngine(entry.id_, context_.now());
         fleet_->publishReport();
     };
     catalog_ = std::make_unique<EngineCatalog>(translation_, log_, settings_.regionOfDomain_, changed, removed);
@@ -215,6 +219,7 @@
     };
     handlers.onPreemptRequest_ = [this](const PreemptRequest& request) { onPreemptionRequest(request); };
     handlers.onQuotaMessage_ = [this](const PeerDatagram& message) { quotas_->handle(message); };
+    handlers.onStreamMessage_ = [this](const PeerDatagram& message) { streams_->handle(message, context_.now()); };
     handlers.onCellsChanged_ = [this] {
         std::vector<CellId> others = fleet_->cells().cells();
         std::erase(others, fleet_->ownCell());
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -13,6 +13,7 @@
 #include "RetirementDuty.h"
 #include "SlotQueue.h"
 #include "StoreLink.h"
+#include "StreamVersions.h"
 #include "ledger/FileDisk.h"
 #include "ledger/JobSpool.h"
 #include "serving/ServingNode.h"
@@ -107,6 +108,7 @@
     std::unique_ptr<JobSpool<FileDisk>> spool_; // null if this host has no usable disk
     std::unique_ptr<SlotQueue> queue_;
     std::unique_ptr<Quotas> quotas_;
+    std::unique_ptr<StreamVersions> streams_;
     std::unique_ptr<Relay> relay_;
     std::unique_ptr<RetirementDuty> retirement_;
     std::vector<std::unique_ptr<KindWatch>> kindWatches_; // kinds of objects that concern hosts that run jobs
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -66,6 +66,7 @@
     if (!settings_.runsJobs_ && scheduler_->openJobs() > 0)
         scheduler_->handOverMisplaced(now);
     quotas_->tick(now);
+    streams_->tick(now);
     queue_->tick(now);
     runner_->pump(now);
     if (retirement_)
--- /dev/null
+++ b/libs/serving/src/StreamVersions.cpp
@@ -0,0 +1,126 @@
+// Records are sent once, without acknowledgement: three hosts receive each.
+#include "StreamVersions.h"
+
+#include <algorithm>
+#include <map>
+
+namespace jj {
+
+namespace {
+
+    // How long after its last recorded attempt a stream can be resumed.
+    constexpr Duration streamLifetime = 60s;
+    // At most 2 MB.
+    constexpr std::size_t maxRecords = 20'000;
+    constexpr std::size_t replicas = 3;
+    constexpr std::size_t maxRecordsPerDatagram = 40;
+    constexpr Duration refreshPeriod = 100ms;
+    // A longer gap between two ticks means that the process was paused and may have missed changes of engines.
+    constexpr Duration pauseThreshold = 1s;
+
+} // namespace
+
+StreamVersions::StreamVersions(Fleet& fleet)
+    : fleet_(fleet)
+    , history_(streamLifetime)
+    , table_(streamLifetime, maxRecords)
+    , resolver_({}, outlets())
+{
+}
+
+ResolverOutlets StreamVersions::outlets()
+{
+    ResolverOutlets outlets;
+    outlets.self_ = fleet_.self();
+    outlets.replicasOf_ = [this](StreamId stream) { return replicasOf(stream); };
+    outlets.areThereOthers_ = [this] {
+        return std::any_of(fleet_.peers().begin(), fleet_.peers().end(), [](const Peer& peer) { return peer.state_ != MemberState::Left; });
+    };
+    outlets.ownAnswer_ = [this](const StreamQuery& query) { return answer(query, SystemClock().now()); };
+    outlets.send_ = [this](NodeId to, const StreamQuery& query) { fleet_.send(to, query); };
+    return outlets;
+}
+
+void StreamVersions::setEngine(const EngineEntry& engine, TimePoint now)
+{
+    const auto service = idFromName<ServiceId>(engine.service_);
+    if (history_.addEngine(engine.id_, service, engine.softwareVersion_.id(), now))
+        sendRecordsOf(service);
+}
+
+void StreamVersions::record(const StreamRecord& record, TimePoint now)
+{
+    table_.put(record, now);
+    if (history_.soleVersion(record.service_, now) == record.version_)
+        return;
+    for (const NodeId node : replicasOf(record.stream_)) {
+        if (node != fleet_.self())
+            fleet_.send(node, StreamRecords { { record } });
+    }
+}
+
+void StreamVersions::sendRecordsOf(ServiceId service)
+{
+    std::map<NodeId, std::vector<StreamRecord>> byNode;
+    table_.forEachOf(service, [&](const StreamRecord& record) {
+        for (const NodeId node : replicasOf(record.stream_))
+            byNode[node].push_back(record);
+    });
+    byNode.erase(fleet_.self());
+    for (const auto& [node, records] : byNode) {
+        for (std::size_t first = 0; first < records.size(); first += maxRecordsPerDatagram) {
+            const std::size_t end = std::min(records.size(), first + maxRecordsPerDatagram);
+            fleet_.send(node, StreamRecords { { records.begin() + static_cast<std::ptrdiff_t>(first), records.begin() + static_cast<std::ptrdiff_t>(end) } });
+        }
+    }
+}
+
+StreamAnswer StreamVersions::answer(const StreamQuery& query, TimePoint now) const
+{
+    StreamAnswer answer;
+    answer.from_ = fleet_.self();
+    answer.number_ = query.number_;
+    answer.record_.stream_ = query.stream_;
+    if (const StreamRecord* record = table_.find(query.stream_, now)) {
+        answer.isRecorded_ = true;
+        answer.record_ = *record;
+    }
+    answer.soleVersion_ = history_.soleVersion(query.service_, now);
+    answer.hasSeveralVersions_ = history_.hasSeveralVersions(query.service_, now);
+    return answer;
+}
+
+void StreamVersions::handle(const PeerDatagram& message, TimePoint now)
+{
+    if (const auto* records = std::get_if<StreamRecords>(&message)) {
+        for (const StreamRecord& record : records->records_)
+            table_.put(record, now);
+    } else if (const auto* query = std::get_if<StreamQuery>(&message)) {
+        fleet_.send(query->from_, answer(*query, now));
+    } else if (const auto* reply = std::get_if<StreamAnswer>(&message)) {
+        resolver_.handle(*reply);
+    }
+}
+
+void StreamVersions::tick(TimePoint now)
+{
+    if (tickedAt_ != TimePoint() && now - tickedAt_ > pauseThreshold)
+        history_.restart(now);
+    tickedAt_ = now;
+    resolver_.tick(now);
+    if (now - refreshedAt_ < refreshPeriod)
+        return;
+    refreshedAt_ = now;
+    table_.expire(now);
+    candidates_.clear();
+    if (!fleet_.isLeaving())
+        candidates_.push_back({ fleet_.self(), fleet_.domain() });
+    for (const Peer& peer : fleet_.peers()) {
+        if (peer.isLive() && !peer.leaving_)
+            candidates_.push_back({ peer.node_, peer.domain_ });
+    }
+}
+
+std::vector<NodeId> StreamVersions::replicasOf(StreamId stream) const { return chooseStreamReplicas(stream, candidates_, replicas); }
+
+} // namespace jj
--- a/libs/serving/tests/CallerTest.cpp
+++ b/libs/serving/tests/CallerTest.cpp
@@ -143,15 +143,19 @@
     }
 }
 
-TEST_CASE("quota messages: cut short or changed, they are rejected")
+TEST_CASE("messages about quotas and streams: cut short or changed, they are rejected")
 {
     const WireKey key = WireKey::fromHex(std::string(64, '0')).value();
     const WorkspaceId workspace = idFromName<WorkspaceId>("north");
+    const StreamRecord record { streamIdOf("north", "a1"), ServiceId(3), SoftwareVersion("v1").id() };
     const PeerDatagram messages[] = {
         QuotaReport { NodeId(1), Incarnation(2), 3, { { workspace, 40, 2 }, { workspace, -1, -1 } } },
         AdmissionRequest { NodeId(1), Incarnation(2), 7, workspace, 40 },
         AdmissionDecision { 7, workspace, false, 250ms },
         QuotaNotice { { workspace }, {} },
+        StreamRecords { { record, record } },
+        StreamQuery { NodeId(1), 7, record.stream_, record.service_ },
+        StreamAnswer { NodeId(1), 7, true, record, SoftwareVersion("v2").id(), true },
     };
     std::mt19937_64 random(1);
     for (const PeerDatagram& message : messages) {
