Ledger: an item's text is written by engines of one software version

Found with the same cause: items of jobs resume after their last event at any engine, so their texts could hold events of two versions.

Change: the scheduler keeps the version beside the text, also over a handover, and a run is started for the version of the engine that was picked. An item with text of another version is passed over while engines of that version serve, and gets slots of theirs; once none serves, it starts over with its text discarded, which the log says (itemRestarted). A run whose engine has started again since it was picked starts over.

The new test of the ledger covers the handover and the start over.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -18,6 +18,7 @@
 // before it answers a read of an open job, because its answer must include what another owner has listed.
 #pragma once
 
+#include "base/SoftwareVersion.h"
 #include "ledger/Acceptor.h"
 #include "ledger/Records.h"
 
@@ -27,6 +28,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -146,6 +148,7 @@
         std::string text_;
         std::uint32_t events_ = 0;
         std::uint64_t lastEvent_ = 0;
+        SoftwareVersionId version_; // of the engines that wrote the text
         std::uint32_t failures_ = 0;
     };
 
@@ -170,6 +173,7 @@
     PageConflict, // another owner had already written the result page
     ItemErrored,
     ItemRetried,
+    ItemRestarted, // its text was discarded, because no engine of the software version that wrote it serves
     JobDone,
     JobCancelled,
     JobVoid,
@@ -200,6 +204,8 @@
     // Returns the service that the item is currently routed to. Returns nullopt while no configuration is known, and an empty name if no
     // route matches the item.
     std::function<std::optional<std::string>(std::string_view host, std::string_view path)> serviceOf_;
+    // Whether an engine of the service with this software version takes new runs.
+    std::function<bool(std::string_view service, SoftwareVersionId version)> isVersionServing_;
     // Whether some host may hold a spooled job that isn't in the store yet. While this is true, a read of a job that isn't in the store is
     // answered with Unavailable instead of Missing.
     std::function<bool()> mayBeSpooled_;
@@ -243,14 +249,17 @@
     void recheckOwnership(TimePoint now);
 
     // ---- runs
-    // Returns the most urgent item that waits for the service and marks it as running; nullopt if none waits.
-    std::optional<ItemRun> startNext(std::string_view service, TimePoint now);
+    // Returns the most urgent item that waits for the service and that an engine of this software version may run, and marks it as running;
+    // nullopt if there is none. An item that has text of another version isn't returned while engines of that version serve, and starts
+    // over once there are none.
+    std::optional<ItemRun> startNext(std::string_view service, TimePoint now, SoftwareVersionId version = SoftwareVersion().id());
     // The items that wait for one service: their number, and the urgency of the item that startNext() would return.
     struct Waiting {
         ItemUrgency urgency_ = ItemUrgency::Late;
         std::size_t count_ = 0;
         std::size_t inTime_ = 0; // number of items that can still finish in time
         TimePoint firstDue_ = neverTime; // earliest due time of the items that can finish in time; neverTime if there are none
+        std::set<SoftwareVersionId> versions_; // that wrote the text of items which have some
     };
     std::map<std::string, Waiting> waiting(TimePoint now);
     void event(RunId run, std::uint64_t eventId, std::string_view data);
@@ -326,6 +335,7 @@
     void abandonOverdue(const JobPtr& job, TimePoint now);
     ItemUrgency urgencyOf(const Job& job, const Item& item, TimePoint now) const;
     void updateMeanStretch(const Item& item, TimePoint now);
+    bool mayRunAt(const Item& item, std::string_view service, SoftwareVersionId version) const;
 
     // Reads
     // Answers the readers for whose position there is a result.
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -21,6 +21,8 @@
     std::string text_; // data of the events received so far, separated by line feeds
     std::uint32_t events_ = 0;
     std::uint64_t lastEvent_ = 0; // valid if events_ > 0
+    SoftwareVersionId version_; // of the engines that wrote text_; valid if events_ > 0
+    SoftwareVersionId runVersion_; // of the engine that the run was started for; valid while Running
     std::uint32_t failures_ = 0; // number of runs that ended with an error of the engine itself
     std::uint32_t retries_ = 0; // number of failed runs since the last event was received
     TimePoint notBefore_ {};
--- a/libs/ledger/src/SchedulerLoading.cpp
+++ b/libs/ledger/src/SchedulerLoading.cpp
@@ -214,6 +214,7 @@
         item.text_ = std::move(progress.text_);
         item.events_ = progress.events_;
         item.lastEvent_ = progress.lastEvent_;
+        item.version_ = progress.version_;
         item.failures_ = progress.failures_;
     }
     job->progress_.clear();
--- a/libs/ledger/src/SchedulerOwnership.cpp
+++ b/libs/ledger/src/SchedulerOwnership.cpp
@@ -210,7 +210,7 @@
         JobTransfer transfer { job->name_, head, answer.answer_.version_, {}, job->pages_, answer.isReadBack_ || job->mayMissResults_, {} };
         for (Item& item : job->items_) {
             if (item.events_ > 0 && item.state_ == ItemState::Waiting)
-                transfer.progress_.push_back({ item.item_.id_, item.text_, item.events_, item.lastEvent_, item.failures_ });
+                transfer.progress_.push_back({ item.item_.id_, item.text_, item.events_, item.lastEvent_, item.version_, item.failures_ });
             transfer.items_.push_back(item.item_);
         }
         note(SchedulerNote::HandedOver, job->name_, {}, head.owner_.value());
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -52,6 +52,8 @@
             if (isFirst)
                 entry.urgency_ = urgency;
             ++entry.count_;
+            if (item.events_ > 0)
+                entry.versions_.insert(item.version_);
             if (!isInTime)
                 continue;
             ++entry.inTime_;
@@ -61,7 +63,13 @@
     return found;
 }
 
-std::optional<ItemRun> JobScheduler::startNext(std::string_view service, TimePoint now)
+// Engines of different software versions write texts that don't fit together.
+bool JobScheduler::mayRunAt(const Item& item, std::string_view service, SoftwareVersionId version) const
+{
+    return item.events_ == 0 || item.version_ == version || !outlets_.isVersionServing_(service, item.version_);
+}
+
+std::optional<ItemRun> JobScheduler::startNext(std::string_view service, TimePoint now, SoftwareVersionId version)
 {
     if (leaving_)
         return std::nullopt;
@@ -81,7 +89,7 @@
             if (!isBetter)
                 continue;
             const auto routedService = outlets_.serviceOf_(job->head_.host_, item.item_.path_);
-            if (!routedService || *routedService != service)
+            if (!routedService || *routedService != service || !mayRunAt(item, service, version))
                 continue;
             chosen = job;
             itemIndex = index;
@@ -97,7 +105,12 @@
         finishItem(chosen, itemIndex, ResultState::Errored, now);
         return std::nullopt;
     }
+    if (item.events_ > 0 && item.version_ != version) {
+        note(SchedulerNote::ItemRestarted, chosen->name_, item.item_.id_, item.events_);
+        item.discardProgress();
+    }
     item.state_ = ItemState::Running;
+    item.runVersion_ = version;
     item.run_ = RunId(nextRun_++);
     if (item.firstRunAt_ == TimePoint())
         item.firstRunAt_ = now;
@@ -118,6 +131,7 @@
         item.text_.push_back('\n');
     item.text_.append(data);
     item.lastEvent_ = eventId;
+    item.version_ = item.runVersion_;
     item.retries_ = 0;
     ++item.events_;
 }
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -114,6 +114,7 @@
         };
         outlets.note_ = [this](const SchedulerEvent& event) { ++notes_[event.note_]; };
         outlets.serviceOf_ = [this](std::string_view, std::string_view) { return service_; };
+        outlets.isVersionServing_ = [this](std::string_view, SoftwareVersionId version) { return versionsServing_.contains(version); };
         outlets.isWriteInDoubt_ = [this, index](std::string_view key) { return hosts_[index]->queue_->isWriteInDoubt(key); };
         outlets.mayBeReplaced_ = [this, index] { return hosts_[index]->mayBeReplaced_; };
         // In reality, hosts notify each other within milliseconds whether they have spooled jobs.
@@ -314,6 +315,7 @@
     std::map<SchedulerNote, int> notes_;
     std::map<SpoolNote, int> spoolNotes_;
     std::optional<std::string> service_ = "s";
+    std::set<SoftwareVersionId> versionsServing_ { SoftwareVersion().id() };
     std::vector<std::string> starts_; // the item of each run that was started, in order
     std::size_t slots_ = 4; // maximum number of concurrent runs per host
     int stepsPerEvent_ = 4; // number of steps between two events of a run
--- a/libs/ledger/tests/SchedulerTest.cpp
+++ b/libs/ledger/tests/SchedulerTest.cpp
@@ -111,6 +111,42 @@
     world.checkResults("j");
 }
 
+// Guards against an item whose text was written by engines of two software versions, also after a handover.
+TEST_CASE("ledger: an item goes on at the software version that began it, and starts over once no engine of it serves")
+{
+    const SoftwareVersionId v1 = SoftwareVersion("v1").id();
+    const SoftwareVersionId v2 = SoftwareVersion("v2").id();
+    LedgerWorld world(9);
+    world.slots_ = 0;
+    world.versionsServing_ = { v1, v2 };
+    world.submit(0, "j", 1, 1);
+    world.advance(60ms);
+    const auto first = world.scheduler(1).startNext("s", world.now(), v1);
+    REQUIRE(first);
+    world.scheduler(1).event(first->id_, 1, "one");
+    world.scheduler(1).ended(first->id_, RunResult::Preempted, world.now());
+    CHECK_FALSE(world.scheduler(1).startNext("s", world.now(), v2));
+    CHECK(world.scheduler(1).waiting(world.now()).at("s").versions_ == std::set<SoftwareVersionId> { v1 });
+    world.scheduler(1).beginLeaving(world.now());
+    world.advance(1s);
+    REQUIRE(world.scheduler(0).openJobs() == 1);
+    CHECK_FALSE(world.scheduler(0).startNext("s", world.now(), v2));
+    const auto second = world.scheduler(0).startNext("s", world.now(), v1);
+    REQUIRE(second);
+    CHECK(second->resumeAfter_ == 1);
+    world.scheduler(0).ended(second->id_, RunResult::Preempted, world.now());
+    world.versionsServing_ = { v2 };
+    const auto third = world.scheduler(0).startNext("s", world.now(), v2);
+    REQUIRE(third);
+    CHECK_FALSE(third->resumeAfter_);
+    CHECK(world.notes_[SchedulerNote::ItemRestarted] == 1);
+    world.scheduler(0).event(third->id_, 1, "new");
+    world.scheduler(0).ended(third->id_, RunResult::Completed, world.now());
+    world.advance(1s);
+    REQUIRE(world.stored("j").size() == 1);
+    CHECK(world.stored("j")[0].text_ == "new");
+}
+
 // When the owner dies, another node finds the job by listing the heads, takes it over, and lists further results after those of the dead
 // owner. The positions that readers have seen must not change.
 TEST_CASE("ledger: a dead owner's job is taken over and continues after its listed results")
--- a/libs/ledger/tests/SingleOwner.h
+++ b/libs/ledger/tests/SingleOwner.h
@@ -147,6 +147,7 @@
         outlets.transfer_ = [this](NodeId, const JobTransfer& transfer) { transfers_.push_back(transfer); };
         outlets.note_ = [this](const SchedulerEvent& event) { ++notes_[event.note_]; };
         outlets.serviceOf_ = [](std::string_view, std::string_view) { return std::string("s"); };
+        outlets.isVersionServing_ = [](std::string_view, SoftwareVersionId) { return true; };
         outlets.mayBeSpooled_ = [] { return false; };
         outlets.isWriteInDoubt_ = [this](std::string_view) { return static_cast<bool>(heldAnswer_); };
         outlets.mayBeReplaced_ = [] { return false; };
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -42,26 +42,39 @@
 bool ItemRunner::startOne(TimePoint now)
 {
     for (const auto& [service, waiting] : scheduler_.waiting(now)) {
-        EnginePick pick;
-        if (!service.empty())
-            pick = context_.board_.pickBatch(service, waiting.urgency_ == ItemUrgency::Urgent, waiting.firstDue_, {}, now);
-        if (!service.empty() && !pick.isSome())
-            continue;
-        auto item = scheduler_.startNext(service, now);
-        if (!item)
-            return true; // the scheduler finished the item without a run
-        auto run = std::make_shared<Run>();
-        run->item_ = std::move(*item);
-        run->service_ = service;
-        run->engine_ = pick.engine_;
-        run->sentAt_ = now;
-        runs_[run->item_.id_] = run;
-        send(run);
-        return true;
+        if (service.empty()) {
+            scheduler_.startNext(service, now); // finishes the item without a run
+            return true;
+        }
+        if (startOn(service, waiting, SoftwareVersionId::none(), now))
+            return true;
+        // The engine with most free slots fits no waiting item, or there is none.
+        for (const SoftwareVersionId version : waiting.versions_) {
+            if (startOn(service, waiting, version, now))
+                return true;
+        }
     }
     return false;
 }
 
+bool ItemRunner::startOn(const std::string& service, const JobScheduler::Waiting& waiting, SoftwareVersionId version, TimePoint now)
+{
+    const EnginePick pick = context_.board_.pickBatch(service, waiting.urgency_ == ItemUrgency::Urgent, waiting.firstDue_, {}, now, version);
+    if (!pick.isSome())
+        return false;
+    auto item = scheduler_.startNext(service, now, context_.board_.find(pick.engine_)->softwareVersion_.id());
+    if (!item)
+        return false;
+    auto run = std::make_shared<Run>();
+    run->item_ = std::move(*item);
+    run->service_ = service;
+    run->engine_ = pick.engine_;
+    run->sentAt_ = now;
+    runs_[run->item_.id_] = run;
+    send(run);
+    return true;
+}
+
 // Reports the items that wait on this node: nodes leave free slots to the items that are due first, whichever node those wait on.
 void ItemRunner::reportWaiting(TimePoint now)
 {
@@ -138,8 +151,14 @@
     if (!isCurrent(run) || run->status_ != http::statusOk || run->rejected_)
         return;
     bool isDiscontinuous = false;
+    bool isVersionUncertain = false;
     run->scanner_.feed(data, [&](const StreamEvent& event) {
-        if (isDiscontinuous || !event.id_)
+        if (isDiscontinuous || isVersionUncertain || !event.id_)
+            return;
+        // The engine may have started again, with another version, since it was picked.
+        isVersionUncertain = !run->hasEvents_ && !context_.board_.isCurrent(run->engine_);
+        run->hasEvents_ = true;
+        if (isVersionUncertain)
             return;
         std::optional<std::uint64_t>& lastEvent = run->item_.resumeAfter_;
         // The first event of a new run may have any id; the ids of all further events are consecutive.
@@ -150,8 +169,8 @@
         lastEvent = event.id_;
         scheduler_.event(run->item_.id_, *event.id_, event.data_);
     });
-    if (isDiscontinuous)
-        finish(run, RunResult::ResumeMismatch, "outOfStep");
+    if (isDiscontinuous || isVersionUncertain)
+        finish(run, RunResult::ResumeMismatch, isDiscontinuous ? "outOfStep" : "versionUncertain");
 }
 
 void ItemRunner::onEnd(const RunPtr& run, http::AnswerEnd answerEnd)
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -55,6 +55,7 @@
         std::shared_ptr<http::Call> call_;
         int status_ = 0;
         bool rejected_ = false;
+        bool hasEvents_ = false;
         std::optional<http::AnswerEnd> end_; // none until the answer has ended
         EventScanner scanner_;
     };
@@ -70,6 +71,8 @@
 
     // Starts the first item that has a free slot. Returns false if there is none.
     bool startOne(TimePoint now);
+    // Starts an item of the service on an engine of this software version; none: of any. Returns false if no slot or no item fits.
+    bool startOn(const std::string& service, const JobScheduler::Waiting& waiting, SoftwareVersionId version, TimePoint now);
     void reportWaiting(TimePoint now);
     void yieldOneItem(TimePoint now);
     void send(const RunPtr& run);
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -110,7 +110,7 @@
 template <class Archive>
 void serialize(Archive& archive, JobTransfer::Progress& progress)
 {
-    archive(progress.item_, progress.text_, progress.events_, progress.lastEvent_, progress.failures_);
+    archive(progress.item_, progress.text_, progress.events_, progress.lastEvent_, progress.version_, progress.failures_);
 }
 
 template <class Archive>
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -277,6 +277,7 @@
         const Route* route = context_.table_->select(host, path);
         return route ? RouteTable::pickService(*route, hash64(path)) : std::string();
     };
+    outlets.isVersionServing_ = [this](std::string_view service, SoftwareVersionId version) { return board_.hasVersion(service, version); };
     scheduler_ = std::make_unique<JobScheduler>(SchedulerSettings(), std::move(outlets));
     runner_ = std::make_unique<ItemRunner>(context_, *scheduler_, ItemRunnerSettings());
     if (!settings_.runsJobs_)
