--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
     constexpr int statusImpossible = 422;
     constexpr int statusMisdirected = 421;
     constexpr int statusFailed = 500;
@@ -43,26 +42,39 @@
 bool ItemRunner::startOne(TimePoint now)
 {
     for (const auto& [service, waiting] : scheduler_.waiting(now)) {
-        EnginePick pick;
-        if (!service.empty())
-            pick = context_.board_.pickBatch(service, waiting.urgency_ == ItemUrgency::Urgent, waiting.firstDue_, {}, now);
-        if (!service.empty() && !pick.isSome())
-            continue;
-        auto item = scheduler_.startNext(service, now);
-        if (!item)
-            return true; // the scheduler finished the item without a run
-        auto run = std::make_shared<Run>();
-        run->item_ = std::move(*item);
-        run->service_ = service;
-        run->engine_ = pick.engine_;
-        run->sentAt_ = now;
-        runs_[run->item_.id_] = run;
-        send(run);
-        return true;
+        if (service.empty()) {
+            scheduler_.startNext(service, now); // finishes the item without a run
+            return true;
+        }
+        if (startOn(service, waiting, SoftwareVersionId::none(), now))
+            return true;
+        // The engine with most free slots fits no waiting item, or there is none.
+        for (const SoftwareVersionId version : waiting.versions_) {
+            if (startOn(service, waiting, version, now))
+                return true;
+        }
     }
     return false;
 }
 
+bool ItemRunner::startOn(const std::string& service, const JobScheduler::Waiting& waiting, SoftwareVersionId version, TimePoint now)
+{
+    const EnginePick pick = context_.board_.pickBatch(service, waiting.urgency_ == ItemUrgency::Urgent, waiting.firstDue_, {}, now, version);
+    if (!pick.isSome())
+        return false;
+    auto item = scheduler_.startNext(service, now, context_.board_.find(pick.engine_)->softwareVersion_.id());
+    if (!item)
+        return false;
+    auto run = std::make_shared<Run>();
+    run->item_ = std::move(*item);
+    run->service_ = service;
+    run->engine_ = pick.engine_;
+    run->sentAt_ = now;
+    runs_[run->item_.id_] = run;
+    send(run);
+    return true;
+}
+
 // Reports the items that wait on this node: nodes leave free slots to the items that are due first, whichever node those wait on.
 void ItemRunner::reportWaiting(TimePoint now)
 {
@@ -114,7 +126,7 @@
     request.headers_.add(names.expectInstance_, entry->name_);
     if (item.resumeAfter_)
         request.headers_.add(names.resumeAfter_, std::to_string(*item.resumeAfter_));
-    context_.log_.line("itemSent").with("request", item.item_).with("job", item.job_).with("engine", entry->name_).with("resumeAfter", item.resumeAfter_ ? static_cast<std::int64_t>(*item.resumeAfter_) : -1).with("dueInMs", item.due_ - run->sentAt_);
+    context_.log_.line("itemSent").with("request", item.item_).with("job", item.job_).with("engine", entry->name_).with("software", entry->softwareVersion_.name()).with("resumeAfter", item.resumeAfter_ ? static_cast<std::int64_t>(*item.resumeAfter_) : -1).with("dueInMs", item.due_ - run->sentAt_);
     http::CallOptions options;
     options.idle_ = settings_.silenceTimeout_;
     options.echoName_ = names.attemptId_;
@@ -122,7 +134,7 @@
     http::CallHandlers handlers;
     handlers.onHead_ = [this, run](const http::ResponseHead& head) { onHead(run, head); };
     handlers.onData_ = [this, run](std::string_view data) { onData(run, data); };
-    handlers.onEnd_ = [this, run] { onEnd(run); };
+    handlers.onEnd_ = [this, run](http::AnswerEnd end) { onEnd(run, end); };
     handlers.onError_ = [this, run](const http::CallFailure& failure) { onError(run, failure); };
     run->call_ = context_.engines_.send(entry->at_, request, options, std::move(handlers));
 }
@@ -136,11 +148,17 @@
 
 void ItemRunner::onData(const RunPtr& run, std::string_view data)
 {
-    if (!isCurrent(run) || run->status_ != statusOk || run->rejected_)
+    if (!isCurrent(run) || run->status_ != http::statusOk || run->rejected_)
         return;
     bool isDiscontinuous = false;
+    bool isVersionUncertain = false;
     run->scanner_.feed(data, [&](const StreamEvent& event) {
-        if (isDiscontinuous || !event.id_)
+        if (isDiscontinuous || isVersionUncertain || !event.id_)
+            return;
+        // The engine may have started again, with another version, since it was picked.
+        isVersionUncertain = !run->hasEvents_ && !context_.board_.isCurrent(run->engine_);
+        run->hasEvents_ = true;
+        if (isVersionUncertain)
             return;
         std::optional<std::uint64_t>& lastEvent = run->item_.resumeAfter_;
         // The first event of a new run may have any id; the ids of all further events are consecutive.
@@ -151,15 +169,16 @@
         lastEvent = event.id_;
         scheduler_.event(run->item_.id_, *event.id_, event.data_);
     });
-    if (isDiscontinuous)
-        finish(run, RunResult::ResumeMismatch, "outOfStep");
+    if (isDiscontinuous || isVersionUncertain)
+        finish(run, RunResult::ResumeMismatch, isDiscontinuous ? "outOfStep" : "versionUncertain");
 }
 
-void ItemRunner::onEnd(const RunPtr& run)
+void ItemRunner::onEnd(const RunPtr& run, http::AnswerEnd answerEnd)
 {
     if (!isCurrent(run))
         return;
     run->call_ = nullptr;
+    run->end_ = answerEnd;
     if (run->rejected_) {
         if (run->status_ == statusMisdirected)
             context_.failed(run->engine_, EngineFault::NotConnected, {});
@@ -167,15 +186,18 @@
             context_.board_.recordFullRefusal(run->engine_, context_.now());
         return finish(run, RunResult::Preempted, "notExecuted");
     }
+    const StreamBreak streamBreak = run->status_ == http::statusOk ? findStreamBreak(run->scanner_, answerEnd, run->item_.resumeAfter_.has_value()) : StreamBreak::None;
+    if (streamBreak != StreamBreak::None) {
+        context_.log_.line("streamBrokenOff").with("request", run->item_.item_).with("job", run->item_.job_).with("why", nameOf(streamBreak)).with("end", nameOf(answerEnd)).with("restBytes", run->scanner_.rest().size());
+        context_.failed(run->engine_, EngineFault::Lost, http::Error::Truncated);
+        return finish(run, RunResult::Interrupted, nameOf(streamBreak));
+    }
     // The item itself may be the cause of an error status, so the failure is not attributed to the engine.
     context_.board_.succeeded(run->engine_, context_.now());
     switch (run->status_) {
-    case statusOk: {
-        const bool isComplete = run->scanner_.rest().empty();
-        if (isComplete)
-            meanRunSeconds_ += smoothingFactor * (toSeconds(context_.now() - run->sentAt_) - meanRunSeconds_);
-        return finish(run, isComplete ? RunResult::Completed : RunResult::Interrupted, isComplete ? "completed" : "endedInsideEvent");
-    }
+    case http::statusOk:
+        meanRunSeconds_ += smoothingFactor * (toSeconds(context_.now() - run->sentAt_) - meanRunSeconds_);
+        return finish(run, RunResult::Completed, "completed");
     case statusImpossible:
         return finish(run, RunResult::Unprocessable, "impossible");
     case statusFailed:
@@ -206,7 +228,7 @@
     run->call_ = nullptr;
     context_.board_.ended(run->engine_, WorkClass::BatchItem);
     context_.fleet_->publishReport();
-    context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1);
+    context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1).with("end", run->end_ ? nameOf(*run->end_) : "none");
     scheduler_.ended(run->item_.id_, end, context_.now());
 }
 
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -9,6 +9,7 @@
 
 #include "Context.h"
 #include "EventScanner.h"
+#include "StreamEnd.h"
 #include "ledger/JobScheduler.h"
 
 #include <map>
@@ -54,6 +55,8 @@
         std::shared_ptr<http::Call> call_;
         int status_ = 0;
         bool rejected_ = false;
+        bool hasEvents_ = false;
+        std::optional<http::AnswerEnd> end_; // none until the answer has ended
         EventScanner scanner_;
     };
     using RunPtr = std::shared_ptr<Run>;
@@ -68,12 +71,14 @@
 
     // Starts the first item that has a free slot. Returns false if there is none.
     bool startOne(TimePoint now);
+    // Starts an item of the service on an engine of this software version; none: of any. Returns false if no slot or no item fits.
+    bool startOn(const std::string& service, const JobScheduler::Waiting& waiting, SoftwareVersionId version, TimePoint now);
     void reportWaiting(TimePoint now);
     void yieldOneItem(TimePoint now);
     void send(const RunPtr& run);
     void onHead(const RunPtr& run, const http::ResponseHead& head);
     void onData(const RunPtr& run, std::string_view data);
-    void onEnd(const RunPtr& run);
+    void onEnd(const RunPtr& run, http::AnswerEnd answerEnd);
     void onError(const RunPtr& run, const http::CallFailure& failure);
     void finish(const RunPtr& run, RunResult end, std::string_view why);
     bool isCurrent(const RunPtr& run) const;
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -12,7 +12,6 @@
     constexpr int retryDivisor = 3;
     constexpr Duration retryMargin = 20ms;
 
-    constexpr int statusOk = 200;
     constexpr int firstNonSuccess = 300;
     constexpr int firstServerError = 500;
     constexpr int statusMisdirected = 421;
@@ -35,8 +34,7 @@
 {
     if (phase_ != Phase::Reading)
         return;
-    const bool streams = isStream() && head_.status_ == statusOk && !rejected_;
-    if (!streams) {
+    if (!isReadingStream()) {
         body_.append(data);
         return;
     }
@@ -57,23 +55,49 @@
         line("streamOutOfStep").with("expected", *lastEvent_ + 1).with("got", *event.id_);
         return lost(http::Error::Malformed);
     }
+    if (isFirstOfRun_ && !bindVersion())
+        return;
     if (!hasAnswerStarted_) {
         hasAnswerStarted_ = true;
         context_.board_.succeeded(engine_, context_.now());
         exchange_->start(head_.status_, endToEndHeaders(head_.headers_));
         context_.metrics_.metrics_.observe(context_.metrics_.firstEvent_, toMilliseconds(context_.now() - arrivedAt_));
-        line("firstEvent").with("afterMs", context_.now() - arrivedAt_).with("engineMs", context_.now() - sentAt_).with("objectiveMs", route_.targetLatency_);
+        line("firstEvent").with("software", softwareVersion_.name()).with("afterMs", context_.now() - arrivedAt_).with("engineMs", context_.now() - sentAt_).with("objectiveMs", route_.targetLatency_);
     }
     if (event.id_)
         lastEvent_ = event.id_;
     pendingEvents_.append(event.raw_);
 }
 
-void RelayedRequest::onEnd()
+// The engine may have started again, with another version, since it was picked. Returns false if the run was given up for that.
+bool RelayedRequest::bindVersion()
+{
+    isFirstOfRun_ = false;
+    const bool isSameStart = context_.board_.isCurrent(engine_);
+    if (isResumed() && !isSameStart) {
+        line("versionUncertain").with("software", softwareVersion_.name());
+        lost(http::Error::Cancelled);
+        return false;
+    }
+    if (!isSameStart)
+        return true;
+    boundVersion_ = softwareVersion_.id();
+    // A record that arrives after the caller's next attempt is of no use, so it is sent before the event.
+    if (!hasAnswerStarted_ && route_.isRepeatable())
+        context_.streams_->record({ streamIdOf(caller_.workspace_, beganAs_), idFromName<ServiceId>(service_), boundVersion_ }, context_.now());
+    return true;
+}
+
+void RelayedRequest::onEnd(http::AnswerEnd answerEnd)
 {
     if (phase_ != Phase::Reading)
         return;
     call_ = nullptr;
+    if (isReadingStream()) {
+        const StreamBreak streamBreak = findStreamBreak(scanner_, answerEnd, lastEvent_.has_value());
+        if (streamBreak != StreamBreak::None)
+            return onStreamBrokenOff(answerEnd, streamBreak);
+    }
     if (!rejected_)
         context_.crashSuspects_.recordAnswer(contentFingerprint(), context_.now());
     // A 4xx status other than 421 and 429 means that the request itself is at fault. That answer is forwarded to the caller even
@@ -85,8 +109,8 @@
         context_.failed(engine_, EngineFault::Failure, {});
     else
         context_.board_.succeeded(engine_, context_.now());
-    if (isStream() && head_.status_ == statusOk)
-        return finishStream();
+    if (isReadingStream())
+        return finishStream(answerEnd);
     const bool mayRunAgain = head_.status_ >= firstServerError && route_.isRepeatable() && runs_ < route_.maxAttempts_ && timeLeft() > Duration::zero() && !hasAnswerStarted_;
     if (mayRunAgain) {
         line("runAgain").with("status", head_.status_).with("runs", runs_);
@@ -94,10 +118,10 @@
         context_.metrics_.metrics_.add(context_.metrics_.resent_);
         return dispatch();
     }
-    forwardBufferedAnswer();
+    forwardBufferedAnswer(answerEnd);
 }
 
-void RelayedRequest::forwardBufferedAnswer()
+void RelayedRequest::forwardBufferedAnswer(http::AnswerEnd answerEnd)
 {
     if (hasAnswerStarted_)
         return lost(http::Error::Truncated); // an error response instead of the rest of a stream
@@ -109,11 +133,19 @@
         context_.metrics_.metrics_.observe(context_.metrics_.firstEvent_, toMilliseconds(context_.now() - arrivedAt_));
     }
     context_.metrics_.metrics_.add(isSuccess ? context_.metrics_.answered_ : context_.metrics_.failed_);
-    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrivedAt_).with("runs", runs_);
+    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrivedAt_).with("runs", runs_).with("end", nameOf(answerEnd));
     end();
 }
 
-void RelayedRequest::finishStream()
+void RelayedRequest::onStreamBrokenOff(http::AnswerEnd answerEnd, StreamBreak streamBreak)
+{
+    line("streamBrokenOff").with("why", nameOf(streamBreak)).with("end", nameOf(answerEnd)).with("restBytes", scanner_.rest().size());
+    context_.crashSuspects_.lost(contentFingerprint(), engine_, context_.now());
+    context_.failed(engine_, EngineFault::Lost, http::Error::Truncated);
+    lost(http::Error::Truncated);
+}
+
+void RelayedRequest::finishStream(http::AnswerEnd answerEnd)
 {
     if (!hasAnswerStarted_) {
         exchange_->start(head_.status_, endToEndHeaders(head_.headers_));
@@ -124,7 +156,7 @@
     exchange_->end();
     context_.board_.recordRunTime(context_.now() - sentAt_);
     context_.metrics_.metrics_.add(context_.metrics_.answered_);
-    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrivedAt_).with("runs", runs_).with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1);
+    line("answered").with("status", head_.status_).with("afterMs", context_.now() - arrivedAt_).with("runs", runs_).with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("end", nameOf(answerEnd)).with("restBytes", scanner_.rest().size());
     end();
 }
 
@@ -163,7 +195,8 @@
 // Handles a lost or unusable answer to a request that the engine may have run: sends the request again if allowed, else fails it.
 void RelayedRequest::lost(std::error_code error)
 {
-    const bool mayResend = route_.isRepeatable() && runs_ < std::max(route_.maxAttempts_, 1U) && timeLeft() > Duration::zero() && (isStream() || !hasAnswerStarted_);
+    const bool isVersionUnknown = hasAnswerStarted_ && boundVersion_.isNone();
+    const bool mayResend = route_.isRepeatable() && !isVersionUnknown && runs_ < std::max(route_.maxAttempts_, 1U) && timeLeft() > Duration::zero() && (isStream() || !hasAnswerStarted_);
     line("answerLost").with("error", error.message()).with("runs", runs_).with("started", hasAnswerStarted_ ? "yes" : "no").with("goesOn", mayResend ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1);
     if (!pendingEvents_.empty()) {
         exchange_->write(pendingEvents_);
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -5,6 +5,8 @@
 #include "Context.h"
 #include "EventScanner.h"
 #include "SlotQueue.h"
+#include "StreamEnd.h"
+#include "StreamVersions.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -45,6 +47,7 @@
 private:
     enum class Phase : std::uint8_t {
         Admitting, // waiting for the decision about its workspace's quota
+        Resolving, // finding out which software version began the stream that its caller resumes
         Picking,
         Waiting, // queued for a slot
         Sent, // sent to an engine, no response head received yet
@@ -55,8 +58,15 @@
     void admit();
     void onAdmission(const QuotaGate::Answer& answer);
     void returnCredit();
+    // Reads which stream the caller resumes. Returns false if the request is malformed and has been refused.
+    bool readResume();
+    void refuseMalformedResume(std::string_view why);
+    // Finds the software version of the stream that the caller resumes, then sends the request.
+    void resolveStream();
+    void onResolved(const StreamResolution& resolution);
     void dispatch();
     void refuseBlocked();
+    void onVersionGone();
     // Refuses a request whose key was removed while it waited.
     void refuseRemovedKey();
     // Queues the request for a slot. Returns false if no slot is expected to become free in time.
@@ -65,15 +75,19 @@
     void send(const EnginePick& pick);
     void onHead(const http::ResponseHead& head);
     void onData(std::string_view data);
-    void onEnd();
+    void onEnd(http::AnswerEnd answerEnd);
     void onError(const http::CallFailure& failure);
     void onEvent(const StreamEvent& event);
+    // Notes at a run's first event which software version the stream belongs to.
+    bool bindVersion();
 
     void onNotExecuted();
     void requestPreemption();
     void lost(std::error_code error);
-    void forwardBufferedAnswer();
-    void finishStream();
+    void forwardBufferedAnswer(http::AnswerEnd answerEnd);
+    // Handles a stream that the engine broke off although its answer ended in order.
+    void onStreamBrokenOff(http::AnswerEnd answerEnd, StreamBreak streamBreak);
+    void finishStream(http::AnswerEnd answerEnd);
     void refuse(std::string_view reason, Duration wait);
     void fail(int status, std::string_view code, std::string_view message, RunState run);
     void onTimeout();
@@ -82,6 +96,10 @@
     void releaseEngine();
     void end();
 
+    // Returns whether the answer being received is a stream of events.
+    bool isReadingStream() const { return isStream() && head_.status_ == http::statusOk && !rejected_; }
+    // Returns whether the request goes on with a stream of which events were sent to the caller before.
+    bool isResumed() const { return !boundVersion_.isNone(); }
     bool isStream() const { return route_.kind_ == RouteKind::Streaming; }
     bool mayHaveRun() const { return runs_ > 0; }
     Duration timeLeft() const { return deadline_ - context_.now(); }
@@ -116,11 +134,17 @@
     std::uint32_t runs_ = 0; // number of engines that may have started the request
     QueueTicket ticket_; // set in phase Waiting
     UpstreamId engine_; // engine that the request was sent to; none in phases Picking and Waiting
+    SoftwareVersion softwareVersion_; // of the engine that the request was last sent to
+    // The software version that wrote the events which the caller has; none while it has none. Only engines of this version may go on.
+    SoftwareVersionId boundVersion_;
+    bool isResumedByCaller_ = false; // the caller has events of an earlier attempt
+    std::string beganAs_; // attempt id that brought the stream's first event; empty: the caller names none
     TimePoint sentAt_ {};
     std::shared_ptr<http::Call> call_;
 
     http::ResponseHead head_; // of the answer being received
     bool rejected_ = false; // the answer states that the engine did not run the request
+    bool isFirstOfRun_ = true; // no event of this run has arrived
     bool hasAnswerStarted_ = false; // the response head has been sent to the caller
     std::string body_; // of an answer that is not streamed
     EventScanner scanner_;
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -104,6 +104,8 @@
     buildScheduler();
     quotas_ = std::make_unique<Quotas>(*fleet_, settings_.quotaBound_);
     context_.quotas_ = quotas_.get();
+    streams_ = std::make_unique<StreamVersions>(*fleet_);
+    context_.streams_ = streams_.get();
     queue_ = std::make_unique<SlotQueue>(context_);
     context_.queue_ = queue_.get();
     relay_ = std::make_unique<Relay>(context_);
@@ -139,10 +141,12 @@
         *store_, translation_, log_, FollowerTimes(), [this](const auto& table) { onConfig(table); }, [this] { requestUpdate(); });
     const auto changed = [this](const EngineEntry& entry) {
         board_.upsert(withCell(entry));
+        streams_->setEngine(entry, context_.now());
         fleet_->publishReport();
     };
     const auto removed = [this](const EngineEntry& entry) {
         board_.remove(entry.id_);
+        streams_->removeEngine(entry.id_, context_.now());
         fleet_->publishReport();
     };
     catalog_ = std::make_unique<EngineCatalog>(translation_, log_, settings_.regionOfDomain_, changed, removed);
@@ -215,6 +219,7 @@
     };
     handlers.onPreemptRequest_ = [this](const PreemptRequest& request) { onPreemptionRequest(request); };
     handlers.onQuotaMessage_ = [this](const PeerDatagram& message) { quotas_->handle(message); };
+    handlers.onStreamMessage_ = [this](const PeerDatagram& message) { streams_->handle(message, context_.now()); };
     handlers.onCellsChanged_ = [this] {
         std::vector<CellId> others = fleet_->cells().cells();
         std::erase(others, fleet_->ownCell());
@@ -272,6 +277,7 @@
         const Route* route = context_.table_->select(host, path);
         return route ? RouteTable::pickService(*route, hash64(path)) : std::string();
     };
+    outlets.isVersionServing_ = [this](std::string_view service, SoftwareVersionId version) { return board_.hasVersion(service, version); };
     scheduler_ = std::make_unique<JobScheduler>(SchedulerSettings(), std::move(outlets));
     runner_ = std::make_unique<ItemRunner>(context_, *scheduler_, ItemRunnerSettings());
     if (!settings_.runsJobs_)
