Streams: how long a service needs one version follows from how long its callers wait

A service counted as having one version only after 60 s, the fixed lifetime of records, and the hosts were younger. Their callers wait for 5 s at most.

Change: the time is the longest that a caller of the service has stated, and a margin for hosts that learn late of an engine's removal. Records are held for as long as any stream may last (300 s). A second try asks three more hosts, since membership may not have noticed yet that all of the first three are down.

--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -59,8 +59,11 @@
     deadline_ = arrivedAt_ + std::min(patience, route_.timeout_);
     wasRefusedBefore_ = context_.queue_->isProbableRetry(route_.name_, patience, arrivedAt_);
     service_ = RouteTable::pickService(route_, hash64(id_));
-    if (isStream() && !readResume())
-        return;
+    if (isStream()) {
+        context_.streams_->noteCallerDeadline(idFromName<ServiceId>(service_), patience);
+        if (!readResume())
+            return;
+    }
     exchange_->onClosed([weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->onCallerDisconnected();
--- a/libs/serving/src/StreamVersions.cpp
+++ b/libs/serving/src/StreamVersions.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-    // How long after its last recorded attempt a stream can be resumed.
-    constexpr Duration streamLifetime = 60s;
+    // A stream can be resumed for as long as its caller waits, counted from its last recorded attempt, and no longer than this.
+    constexpr Duration maxStreamLifetime = 300s;
+    // Other hosts learn within this time that an engine has left, unless they are cut off.
+    constexpr Duration engineRemovalMargin = 5s;
     // At most 2 MB.
     constexpr std::size_t maxRecords = 20'000;
     constexpr std::size_t replicas = 3;
@@ -22,8 +24,8 @@
 
 StreamVersions::StreamVersions(Fleet& fleet)
     : fleet_(fleet)
-    , history_(streamLifetime)
-    , table_(streamLifetime, maxRecords)
+    , history_(engineRemovalMargin, maxStreamLifetime)
+    , table_(maxStreamLifetime, maxRecords)
     , resolver_({}, outlets())
 {
 }
@@ -32,7 +34,7 @@
 {
     ResolverOutlets outlets;
     outlets.self_ = fleet_.self();
-    outlets.replicasOf_ = [this](StreamId stream) { return replicasOf(stream); };
+    outlets.replicasOf_ = [this](StreamId stream) { return chooseStreamReplicas(stream, candidates_, 2 * replicas); };
     outlets.areThereOthers_ = [this] {
         return std::any_of(fleet_.peers().begin(), fleet_.peers().end(), [](const Peer& peer) { return peer.state_ != MemberState::Left; });
     };
--- a/libs/serving/src/StreamVersions.h
+++ b/libs/serving/src/StreamVersions.h
@@ -24,6 +24,8 @@
     void setEngine(const EngineEntry& engine, TimePoint now);
     void removeEngine(UpstreamId engine, TimePoint now) { history_.removeEngine(engine, now); }
 
+    // Records how long the caller of a stream waits at most, as it states at its first attempt.
+    void noteCallerDeadline(ServiceId service, Duration deadline) { history_.noteCallerDeadline(service, deadline); }
     // Records a stream whose first event has arrived at this host, or renews its record.
     void record(const StreamRecord& record, TimePoint now);
     // Finds the version of a stream that a caller resumes. Calls `done` once, at once or within a fifth of a second.
--- a/libs/streams/include/streams/StreamResolver.h
+++ b/libs/streams/include/streams/StreamResolver.h
@@ -21,6 +21,8 @@
 namespace jj {
 
 struct ResolverSettings {
+    // Hosts that are asked at first. The others are asked with the second try, since membership may not have noticed yet that some are down.
+    std::size_t askedAtFirst_ = 3;
     // Another region answers within 30 ms.
     Duration retryAfter_ = std::chrono::milliseconds(60);
     // Then the request is refused. Its caller can still ask another host.
@@ -44,7 +46,7 @@
 
 struct ResolverOutlets {
     NodeId self_;
-    // Returns the hosts that hold the stream's record, this host possibly among them.
+    // Returns hosts that may hold the stream's record, the most probable first, and this host possibly among them.
     std::function<std::vector<NodeId>(StreamId)> replicasOf_;
     // Whether other hosts are known, live or not.
     std::function<bool()> areThereOthers_;
@@ -72,7 +74,8 @@
 private:
     struct Pending {
         StreamQuery query_;
-        std::vector<NodeId> unanswered_;
+        std::vector<NodeId> unanswered_; // of those that were asked at first
+        std::vector<NodeId> others_; // that are asked with the second try, and haven't answered
         bool isAnswered_ = false; // by another host
         SoftwareVersionId soleVersion_; // as this host or another one states it; none: none has stated it
         bool isSoleVersionRefuted_ = false; // a host knows of several versions, or of another one
@@ -81,7 +84,7 @@
         Done done_;
     };
 
-    void ask(std::uint32_t number);
+    void ask(std::uint32_t number, bool isFirstTry);
     static void noteSoleVersion(Pending& pending, const StreamAnswer& answer);
     StreamResolution withoutRecord(const Pending& pending) const;
     static StreamResolution fromRecord(const StreamRecord& record);
--- a/libs/streams/include/streams/VersionHistory.h
+++ b/libs/streams/include/streams/VersionHistory.h
@@ -1,7 +1,8 @@
 // Knows whether all streams of a service that callers can still resume must have begun at one software version.
 //
-// That is so if the service has had engines of this version alone for as long as a stream can be resumed. It lets a host resume a stream
-// that no record exists of, and saves the records of services that have one version.
+// That is so if the service has had engines of this version alone for as long as a stream can be resumed, which follows from how long
+// callers wait for an answer. It lets a host resume a stream that no record exists of, and saves the records of services that have one
+// version.
 #pragma once
 
 #include "base/Id.h"
@@ -15,22 +16,27 @@
 
 class VersionHistory {
 public:
-    // `lifetime`: how long after its last event a stream can be resumed.
-    explicit VersionHistory(Duration lifetime)
-        : lifetime_(lifetime)
+    // `margin`: how long after the removal of an engine other hosts may still begin streams there. `maxLifetime`: bound for the time that
+    // callers state.
+    VersionHistory(Duration margin, Duration maxLifetime)
+        : margin_(margin)
+        , maxLifetime_(maxLifetime)
     {
     }
 
+    // Records how long the caller of a stream waits at most, over all of its attempts.
+    void noteCallerDeadline(ServiceId service, Duration deadline);
+
     // Returns whether the service had one version before and has several now.
     bool addEngine(UpstreamId engine, ServiceId service, SoftwareVersionId version, TimePoint now);
     void removeEngine(UpstreamId engine, TimePoint now);
     // Forgets what was before `now`, because changes may have been missed.
     void restart(TimePoint now);
 
-    // Returns none if there were several versions in the last `lifetime`, if there was none, or if this host hasn't followed the engines
-    // for so long.
+    // Returns none if there were several versions for as long as a stream can be resumed, if there was none, or if this host hasn't followed
+    // the engines for so long.
     SoftwareVersionId soleVersion(ServiceId service, TimePoint now) const;
-    // Returns whether several versions served in the last `lifetime`. Unlike soleVersion(), this needs no long history.
+    // Returns whether several versions served for as long as a stream can be resumed. Unlike soleVersion(), this needs no long history.
     bool hasSeveralVersions(ServiceId service, TimePoint now) const;
 
 private:
@@ -42,17 +48,22 @@
         ServiceId service_;
         SoftwareVersionId version_;
     };
-    using Versions = std::map<SoftwareVersionId, Served>;
+    struct Service {
+        std::map<SoftwareVersionId, Served> versions_;
+        Duration longestDeadline_ {}; // that a caller has stated
+    };
 
-    // Returns the number of versions that served in the last `lifetime`.
-    std::size_t countRecent(const Versions& versions, TimePoint now) const;
-    bool isRecent(const Served& served, TimePoint now) const { return served.engines_ > 0 || now - served.lastServed_ < lifetime_; }
+    Duration lifetimeOf(const Service& service) const { return service.longestDeadline_ + margin_; }
+    bool isRecent(const Service& service, const Served& served, TimePoint now) const { return served.engines_ > 0 || now - served.lastServed_ < lifetimeOf(service); }
+    // Returns the number of versions that served for as long as a stream can be resumed.
+    std::size_t countRecent(const Service& service, TimePoint now) const;
 
-    Duration lifetime_;
+    Duration margin_;
+    Duration maxLifetime_;
     TimePoint followedSince_ = neverTime; // neverTime: no engine has been added yet
     std::unordered_map<UpstreamId, Engine> engines_;
     // Invariant: engines_ of a version is the number of engines in engines_ with this service and version.
-    std::map<ServiceId, Versions> services_;
+    std::map<ServiceId, Service> services_;
 };
 
 } // namespace jj
--- a/libs/streams/src/StreamResolver.cpp
+++ b/libs/streams/src/StreamResolver.cpp
@@ -24,22 +24,27 @@
     const StreamAnswer own = outlets_.ownAnswer_(query);
     if (own.isRecorded_)
         return done(fromRecord(own.record_));
-    Pending pending { query, outlets_.replicasOf_(stream), false, {}, false, now, now + settings_.timeout_, std::move(done) };
-    std::erase(pending.unanswered_, outlets_.self_);
+    std::vector<NodeId> hosts = outlets_.replicasOf_(stream);
+    std::erase(hosts, outlets_.self_);
+    const auto firstOther = hosts.begin() + static_cast<std::ptrdiff_t>(std::min(hosts.size(), settings_.askedAtFirst_));
+    Pending pending { query, { hosts.begin(), firstOther }, { firstOther, hosts.end() }, false, {}, false, now, now + settings_.timeout_, std::move(done) };
     noteSoleVersion(pending, own);
     if (pending.unanswered_.empty())
         return pending.done_(withoutRecord(pending));
     pending_.emplace(query.number_, std::move(pending));
-    ask(query.number_);
+    ask(query.number_, true);
 }
 
 // An answer may arrive within a call, and end the query.
-void StreamResolver::ask(std::uint32_t number)
+void StreamResolver::ask(std::uint32_t number, bool isFirstTry)
 {
-    const StreamQuery query = pending_.at(number).query_;
-    const std::vector<NodeId> replicas = pending_.at(number).unanswered_;
-    for (const NodeId replica : replicas)
-        outlets_.send_(replica, query);
+    const Pending& pending = pending_.at(number);
+    const StreamQuery query = pending.query_;
+    std::vector<NodeId> hosts = pending.unanswered_;
+    if (!isFirstTry)
+        hosts.insert(hosts.end(), pending.others_.begin(), pending.others_.end());
+    for (const NodeId host : hosts)
+        outlets_.send_(host, query);
 }
 
 void StreamResolver::noteSoleVersion(Pending& pending, const StreamAnswer& answer)
@@ -65,7 +70,7 @@
     if (found == pending_.end() || found->second.query_.stream_ != answer.record_.stream_)
         return;
     Pending& pending = found->second;
-    if (std::erase(pending.unanswered_, answer.from_) == 0)
+    if (std::erase(pending.unanswered_, answer.from_) + std::erase(pending.others_, answer.from_) == 0)
         return;
     pending.isAnswered_ = true;
     if (answer.isRecorded_)
@@ -88,7 +93,7 @@
         }
     }
     for (const std::uint32_t number : askedAgain)
-        ask(number);
+        ask(number, false);
     for (const std::uint32_t number : expired)
         finish(number, withoutRecord(pending_.at(number)));
 }
--- a/libs/streams/tests/StreamsTest.cpp
+++ b/libs/streams/tests/StreamsTest.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr Duration lifetime = 60s;
+constexpr Duration margin = 5s;
+constexpr Duration deadline = 55s;
 constexpr ServiceId service { 3 };
 const SoftwareVersionId v1 = SoftwareVersion("v1").id();
 const SoftwareVersionId v2 = SoftwareVersion("v2").id();
@@ -28,6 +30,8 @@
     {
         for (std::uint64_t number = 1; number <= domains * hostsPerDomain; ++number)
             hosts_.push_back(std::make_unique<Host>(*this, NodeId(number), FailureDomainId(static_cast<std::uint32_t>(number % domains))));
+        for (const auto& host : hosts_)
+            host->history_.noteCallerDeadline(service, deadline);
     }
 
     struct Host {
@@ -63,7 +67,7 @@
         FailureDomainId domain_;
         bool isDown_ = false;
         StreamTable table_ { lifetime, 1000 };
-        VersionHistory history_ { lifetime };
+        VersionHistory history_ { margin, 300s };
         StreamResolver resolver_;
     };
 
@@ -74,19 +78,21 @@
             if (!host->isDown_)
                 candidates.push_back({ host->node_, host->domain_ });
         }
-        return chooseStreamReplicas(stream, candidates, 3);
+        return chooseStreamReplicas(stream, candidates, 6);
     }
 
     void record(const StreamRecord& record)
     {
-        for (const NodeId node : replicasOf(record.stream_))
+        std::vector<NodeId> replicas = replicasOf(record.stream_);
+        replicas.resize(3);
+        for (const NodeId node : replicas)
             host(node).table_.put(record, now_);
     }
 
     void deliver(NodeId to, const StreamQuery& query, Host& from)
     {
         ++queries_;
-        if (host(to).isDown_ || from.isDown_ || queries_ <= lostQueries_)
+        if (host(to).isDown_ || from.isDown_ || silent_.contains(to) || queries_ <= lostQueries_)
             return;
         from.resolver_.handle(host(to).answer(query, now_));
     }
@@ -123,6 +129,7 @@
     TimePoint now_ = at(0s);
     std::size_t queries_ = 0;
     std::size_t lostQueries_ = 0; // the first ones
+    std::set<NodeId> silent_; // down without being noticed
 };
 
 } // namespace
@@ -189,7 +196,8 @@
 
 TEST_CASE("streams: a service has one version only after the lifetime of streams has passed")
 {
-    VersionHistory history(lifetime);
+    VersionHistory history(margin, 300s);
+    history.noteCallerDeadline(service, deadline);
     CHECK(history.soleVersion(service, at(0s)).isNone());
     CHECK_FALSE(history.addEngine(UpstreamId(1), service, v1, at(0s)));
     CHECK(history.soleVersion(service, at(59s)).isNone());
@@ -212,9 +220,47 @@
     CHECK(history.soleVersion(service, at(280s)).isNone());
 }
 
+// Guards against a version that counts as gone while a caller who waits longer than others may still resume its streams.
+TEST_CASE("streams: how long a service needs one version follows from how long its callers wait")
+{
+    VersionHistory history(margin, 300s);
+    history.addEngine(UpstreamId(1), service, v1, at(0s));
+    history.addEngine(UpstreamId(2), service, v2, at(0s));
+    history.removeEngine(UpstreamId(1), at(1s));
+    CHECK(history.soleVersion(service, at(100s)).isNone());
+    history.noteCallerDeadline(service, 10s);
+    CHECK(history.soleVersion(service, at(15s)).isNone());
+    CHECK(history.soleVersion(service, at(16s)) == v2);
+    history.noteCallerDeadline(service, 40s);
+    history.noteCallerDeadline(service, 10s);
+    CHECK(history.soleVersion(service, at(45s)).isNone());
+    CHECK(history.soleVersion(service, at(46s)) == v2);
+    history.noteCallerDeadline(service, 4000s);
+    CHECK(history.soleVersion(service, at(305s)).isNone());
+    CHECK(history.soleVersion(service, at(306s)) == v2);
+}
+
+// Guards against refusals while membership hasn't noticed yet that all hosts which hold a stream's record are down.
+TEST_CASE("streams: other hosts are asked when those that hold the record don't answer")
+{
+    StreamFleet fleet(3, 4);
+    for (const auto& host : fleet.hosts_)
+        host->history_.addEngine(UpstreamId(1), service, v1, at(-100s));
+    const std::vector<NodeId> replicas = fleet.replicasOf(StreamId(7));
+    NodeId asking;
+    for (const auto& host : fleet.hosts_) {
+        if (std::find(replicas.begin(), replicas.end(), host->node_) == replicas.end())
+            asking = host->node_;
+    }
+    for (std::size_t place = 0; place < 3; ++place)
+        fleet.silent_.insert(replicas[place]);
+    CHECK((fleet.resolveAt(asking, StreamId(7)).kind_ == ResolutionKind::SoleVersion));
+}
+
 TEST_CASE("streams: an engine that changes its service or version counts once")
 {
-    VersionHistory history(lifetime);
+    VersionHistory history(margin, 300s);
+    history.noteCallerDeadline(service, deadline);
     history.addEngine(UpstreamId(1), service, v1, at(0s));
     CHECK(history.addEngine(UpstreamId(1), service, v2, at(1s)));
     CHECK(history.hasSeveralVersions(service, at(2s)));
@@ -258,7 +304,7 @@
     StreamFleet fleet(3, 2);
     for (const auto& host : fleet.hosts_)
         host->history_.addEngine(UpstreamId(1), service, v1, at(-100s));
-    fleet.host(NodeId(1)).history_ = VersionHistory(lifetime);
+    fleet.host(NodeId(1)).history_ = VersionHistory(margin, 300s);
     fleet.host(NodeId(1)).history_.addEngine(UpstreamId(1), service, v1, fleet.now_);
     CHECK(fleet.resolveAt(NodeId(1), StreamId(7)).version_ == v1);
     for (const auto& host : fleet.hosts_)
