Streams: a stream without an attempt id has no record

The first of them that went on left a record of the empty id, which all others then found: in a service of two versions each would go on at the version of another stream. Such a stream now goes on only if its service has had one version. The new test fails on the code before (the table held the record).

--- a/libs/serving/src/StreamVersions.cpp
+++ b/libs/serving/src/StreamVersions.cpp
@@ -52,6 +52,8 @@
 
 void StreamVersions::record(const StreamRecord& record, TimePoint now)
 {
+    if (record.stream_.isNone())
+        return;
     table_.put(record, now);
     if (history_.soleVersion(record.service_, now) == record.version_)
         return;
--- a/libs/streams/include/streams/StreamTable.h
+++ b/libs/streams/include/streams/StreamTable.h
@@ -19,7 +19,7 @@
     {
     }
 
-    // Adds a record, or renews it. A record that contradicts the one that is held makes the stream's version unknown for good.
+    // Adds a record, or renews it; a record of no stream is ignored. A record that contradicts the one that is held makes the stream's version unknown for good.
     void put(const StreamRecord& record, TimePoint now);
     // Returns null if there is no record. The pointer is valid until the next call that changes the table.
     const StreamRecord* find(StreamId stream, TimePoint now) const;
--- a/libs/streams/src/StreamTable.cpp
+++ b/libs/streams/src/StreamTable.cpp
@@ -9,12 +9,14 @@
 
 StreamId streamIdOf(std::string_view workspace, std::string_view attempt)
 {
-    return idFromName<StreamId>(std::string(workspace).append("\n").append(attempt));
+    return attempt.empty() ? StreamId::none() : idFromName<StreamId>(std::string(workspace).append("\n").append(attempt));
 }
 
 void StreamTable::put(const StreamRecord& record, TimePoint now)
 {
     expire(now);
+    if (record.stream_.isNone())
+        return;
     const auto [position, isNew] = records_.try_emplace(record.stream_, Held { record, now });
     Held& held = position->second;
     const bool isContradicted = held.record_.service_ != record.service_ || held.record_.version_ != record.version_;
--- a/libs/streams/tests/StreamsTest.cpp
+++ b/libs/streams/tests/StreamsTest.cpp
@@ -138,7 +138,17 @@
 {
     CHECK(streamIdOf("north", "a1") == streamIdOf("north", "a1"));
     CHECK(streamIdOf("north", "a1") != streamIdOf("south", "a1"));
-    CHECK(streamIdOf("", "a1") != streamIdOf("a1", ""));
+    CHECK(streamIdOf("", "a1") != streamIdOf("a1", "a1"));
+}
+
+// Guards against a record that all streams without an attempt id share: each would go on at the version of another one.
+TEST_CASE("streams: a stream without an attempt id has no record")
+{
+    StreamTable table(lifetime, 3);
+    CHECK(streamIdOf("north", "").isNone());
+    table.put({ streamIdOf("north", ""), service, v1 }, at(0s));
+    CHECK(table.size() == 0);
+    CHECK(table.find(streamIdOf("north", ""), at(1s)) == nullptr);
 }
 
 TEST_CASE("streams: the replicas of a stream are in different failure domains, and don't move when others are lost")
