Serving: a stream that can't go on is refused with its own reason

A refusal because no host knows the stream's version, or no engine of it serves, told the caller that no engine could take the request in time, and counted as a refusal for lack of slots, from which the retry delays of other callers follow. It has codes of its own now (stream.VersionUnknown, stream.VersionGone), the least retry delay, and doesn't touch the prediction.

--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -125,7 +125,7 @@
     line("streamResolved").with("stream", beganAs_).with("how", nameOf(resolution.kind_)).with("version", resolution.version_.value()).with("isTarget", target != route_.targets_.end() ? "yes" : "no").with("afterMs", context_.now() - arrivedAt_);
     context_.metrics_.metrics_.add(isFound ? context_.metrics_.streamsResumed_ : context_.metrics_.streamsUnknown_);
     if (!isFound)
-        return refuse("streamUnknown", minRetryAfter);
+        return refuseResume("streamUnknown", "stream.VersionUnknown", "no host knows which software version began the stream; the request has not run");
     service_ = target->service_;
     boundVersion_ = resolution.version_;
     dispatch();
@@ -218,7 +218,17 @@
     context_.metrics_.metrics_.add(context_.metrics_.versionGone_);
     if (hasAnswerStarted_ || mayHaveRun())
         return lost(http::Error::ConnectFailed);
-    refuse("versionGone", minRetryAfter);
+    refuseResume("versionGone", "stream.VersionGone", "no engine of the software version that began the stream serves; the request has not run");
+}
+
+// Unlike refuse(), this doesn't count as a refusal for lack of slots, from which the retry delays of other callers follow.
+void RelayedRequest::refuseResume(std::string_view reason, std::string_view code, std::string_view message)
+{
+    const Duration retry = std::min(minRetryAfter, maxRetryDelay());
+    exchange_->respond(refusalResponse(context_.translation_, 503, code, message, RunState::NotRun, retry));
+    context_.metrics_.metrics_.add(context_.metrics_.refused_);
+    line("refused").with("reason", reason).with("status", 503).with("retryAfterMs", retry).with("afterMs", context_.now() - arrivedAt_);
+    end();
 }
 
 void RelayedRequest::refuseRemovedKey()
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -67,6 +67,7 @@
     void dispatch();
     void refuseBlocked();
     void onVersionGone();
+    void refuseResume(std::string_view reason, std::string_view code, std::string_view message);
     // Refuses a request whose key was removed while it waited.
     void refuseRemovedKey();
     // Queues the request for a slot. Returns false if no slot is expected to become free in time.
