--- a/libs/serving/tests/CallerTest.cpp
+++ b/libs/serving/tests/CallerTest.cpp
@@ -172,3 +172,12 @@
         }
     }
 }
+
+TEST_CASE("messages about streams: a record, a query and an answer are small")
+{
+    const WireKey key = WireKey::fromHex(std::string(64, '0')).value();
+    const StreamRecord record { streamIdOf("north", "a1"), ServiceId(3), SoftwareVersion("v1").id() };
+    CHECK(encode(key, StreamRecords { { record } }).size() <= 56);
+    CHECK(encode(key, StreamQuery { NodeId(1), 7, record.stream_, record.service_ }).size() <= 56);
+    CHECK(encode(key, StreamAnswer { NodeId(1), 7, true, record, record.version_, true }).size() <= 80);
+}
