Serving: queued requests that resume a stream get free slots first

The queues of one service were served in the order of their names, so requests bound to a software version came after all others of the service, although few engines can serve them.

--- a/libs/serving/src/SlotQueue.cpp
+++ b/libs/serving/src/SlotQueue.cpp
@@ -92,7 +92,10 @@
         return;
     pumping_ = true;
     const TimePoint now = context_.now();
-    for (const std::string& name : queue_.services()) {
+    std::vector<std::string> names = queue_.services();
+    // Requests that resume a stream go first: few engines can serve them, and their callers have a part of the answer.
+    std::stable_partition(names.begin(), names.end(), [&](const std::string& name) { return !queuedRequests_.at(*queue_.first(name, now)).version_.isNone(); });
+    for (const std::string& name : names) {
         while (serveOne(name, isOwnSlot, now)) { }
     }
     pumping_ = false;
