Serving: a stream that goes on after an event out of step begins with an empty scanner

Found by reading while looking for the same cause elsewhere. A run that is given up at one of its events, because the event is out of step or its engine has started again, is sent to another engine from within the scanner's callback. The scanner was reset for the new run and then kept the bytes of the old run that followed, so a fragment of the old run was joined with the first bytes of the new one. The new test fails on the code before (two events and a rest).

--- a/libs/serving/src/EventScanner.cpp
+++ b/libs/serving/src/EventScanner.cpp
@@ -78,8 +78,11 @@
         partial_.clear();
         bytes = joined;
     }
+    const std::uint64_t resets = resets_;
     for (std::size_t end = endOfEvent(bytes); end != std::string_view::npos; end = endOfEvent(bytes)) {
         onEvent(parse(bytes.substr(0, end)));
+        if (resets_ != resets)
+            return;
         bytes.remove_prefix(end);
     }
     partial_.assign(bytes);
--- a/libs/serving/src/EventScanner.h
+++ b/libs/serving/src/EventScanner.h
@@ -26,10 +26,16 @@
     const std::string& rest() const { return partial_; }
     // Returns whether rest() holds a part of an event. Comment lines and blank lines alone belong to no event.
     bool isInsideEvent() const;
-    void reset() { partial_.clear(); }
+    // Drops all bytes, also those of a feed() from whose callback it is called.
+    void reset()
+    {
+        partial_.clear();
+        ++resets_;
+    }
 
 private:
     std::string partial_;
+    std::uint64_t resets_ = 0;
 };
 
 } // namespace jj
--- a/libs/serving/tests/EventScannerTest.cpp
+++ b/libs/serving/tests/EventScannerTest.cpp
@@ -59,6 +59,19 @@
         CHECK(isInsideAfter(event + tail));
 }
 
+// Guards against bytes of a run that was given up at one of its events and that are taken for the beginning of the next run.
+TEST_CASE("serving: a scanner that its callback resets drops the rest of the bytes")
+{
+    EventScanner scanner;
+    int events = 0;
+    scanner.feed("id: 5\ndata: five\n\nid: 6\ndata: six\n\nid: 7\nda", [&](const StreamEvent&) {
+        ++events;
+        scanner.reset();
+    });
+    CHECK(events == 1);
+    CHECK(scanner.rest().empty());
+}
+
 // An engine fails in the middle of an event. Without the scanner, the caller would receive the first part of the event from this
 // engine, followed by the complete event from the engine that resumes the stream: bytes of two runs joined.
 TEST_CASE("serving: the scanner never yields the bytes of an incomplete event")
