Serving: a stream whose events have no ids may end with its connection

A fault of the mend of broken-off streams: whether a stream had events was told from the last event's id, so a whole stream without ids and without a length counted as one without events and was broken off. The end-to-end test has such a stream; it failed before (a closed connection instead of the answer).

--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -94,7 +94,7 @@
         return;
     call_ = nullptr;
     if (isReadingStream()) {
-        const StreamBreak streamBreak = findStreamBreak(scanner_, answerEnd, lastEvent_.has_value());
+        const StreamBreak streamBreak = findStreamBreak(scanner_, answerEnd, hasAnswerStarted_ || isResumedByCaller_);
         if (streamBreak != StreamBreak::None)
             return onStreamBrokenOff(answerEnd, streamBreak);
     }
