--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -48,7 +48,7 @@
         }
         if (startOn(service, waiting, SoftwareVersionId::none(), now))
             return true;
-        // The engine with most free slots fits no waiting item, or there is none.
+        // No waiting item may run at the engine that was picked, or none was picked.
         for (const SoftwareVersionId version : waiting.versions_) {
             if (startOn(service, waiting, version, now))
                 return true;
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -119,7 +119,7 @@
 {
     if (phase_ != Phase::Resolving)
         return;
-    // The stream began at a service that the route had or has among its targets.
+    // A stream goes on at the service where it began, as long as the route still leads there.
     const auto target = std::find_if(route_.targets_.begin(), route_.targets_.end(), [&](const RouteTarget& one) { return idFromName<ServiceId>(one.service_) == resolution.service_; });
     const bool isFound = !resolution.version_.isNone() && target != route_.targets_.end();
     line("streamResolved").with("stream", beganAs_).with("how", nameOf(resolution.kind_)).with("version", resolution.version_.value()).with("isTarget", target != route_.targets_.end() ? "yes" : "no").with("afterMs", context_.now() - arrivedAt_);
@@ -184,8 +184,8 @@
     const TimePoint now = context_.now();
     const Duration budget = firstEventBudget();
     EnginePick pick = offers_ < maxOffers ? context_.board_.pickOnline(service_, budget, route_.isRepeatable(), tried_, now, boundVersion_) : EnginePick {};
-    // A free slot goes to the requests that are already queued, unless this one resumes: its caller has a part of the answer. If the queue is too long for this request to be served in time,
-    // it must not take that slot either, because a queued request is about to take it.
+    // A free slot goes to the requests that are already queued, unless this one resumes: its caller has a part of the answer. If the queue is
+    // too long for this request to be served in time, it must not take that slot either, because a queued request is about to take it.
     const bool hasSlot = pick.kind_ == PickKind::Free || pick.kind_ == PickKind::PreemptsBatch;
     if (hasSlot && (isResumed() || context_.board_.waiting(service_) == 0))
         return send(pick);
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -67,6 +67,7 @@
     void dispatch();
     void refuseBlocked();
     void onVersionGone();
+    // Refuses a request that resumes a stream, as not run.
     void refuseResume(std::string_view reason, std::string_view code, std::string_view message);
     // Refuses a request whose key was removed while it waited.
     void refuseRemovedKey();
@@ -79,7 +80,7 @@
     void onEnd(http::AnswerEnd answerEnd);
     void onError(const http::CallFailure& failure);
     void onEvent(const StreamEvent& event);
-    // Notes at a run's first event which software version the stream belongs to.
+    // Binds the request, at the first event of a run, to the software version of its engine.
     bool bindVersion();
 
     void onNotExecuted();
