--- a/libs/streams/include/streams/StreamMessages.h
+++ b/libs/streams/include/streams/StreamMessages.h
@@ -14,7 +14,8 @@
 // A stream over all attempts of its caller, by a hash of its workspace and of the attempt that brought its first event.
 using StreamId = Id<struct StreamTag>;
 
-// None for an empty attempt id: such a stream has no record. The same attempt id in two workspaces names two streams, so no caller learns anything about the stream of another workspace.
+// Returns none for an empty attempt id: such a stream has no record. The same attempt id in two workspaces names two streams, so no caller
+// learns anything about the stream of another workspace.
 StreamId streamIdOf(std::string_view workspace, std::string_view attempt);
 
 struct StreamRecord {
