Serving: losses are logged with the parts of the prompt

When engines end one after the other, the logs couldn't tell whether the requests at them have a part in common. Nothing decides on it yet.

--- a/libs/base/include/base/Id.h
+++ b/libs/base/include/base/Id.h
@@ -65,7 +65,7 @@
 using JobId = Id<struct JobTag>;
 // Position of an item in its job, from 0.
 using ItemIndex = Id<struct ItemTag, std::uint32_t>;
-// Digest of a request's content, for quarantine of requests that crash upstreams.
+// Digest of a request's content, or the id of a part of its prompt: by these, requests that crash upstreams are recognised.
 using Fingerprint = Id<struct FingerprintTag>;
 // Digest of a prompt's first part, for affinity to engines' prefix caches.
 using PrefixId = Id<struct PrefixTag>;
--- a/libs/serving/include/serving/Translation.h
+++ b/libs/serving/include/serving/Translation.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace jj {
 
@@ -32,6 +33,7 @@
     std::string retryAfter_; // seconds, possibly with a fraction
     std::string credentials_; // holds the caller's key; never forwarded to engines
     std::string workspace_; // tells an engine the workspace of the request
+    std::string promptParts_; // lists the parts of the request's prompt
 };
 
 // A caller's request about an existing job: read a page of results, read the result of one item, or cancel the job. Every other
@@ -77,6 +79,9 @@
     // ---- callers
     // Returns the fingerprint of the caller's key; none if the request has no key, several, or one in another form.
     std::function<std::optional<KeyFingerprint>(const http::Request&)> parseKey_;
+    // Returns the parts of a prompt that other requests may have too, in the order of the prompt. `text` is the value of the header
+    // promptParts_. An unreadable list has no parts.
+    std::function<std::vector<Fingerprint>(std::string_view text)> parseSharedParts_;
     std::function<std::optional<JobRequest>(const http::Request&)> parseJobRequest_;
     std::function<Checked<JobSubmission>(const http::Request&)> parseSubmission_;
     std::function<std::string(const ReadAnswer&)> formatResults_;
--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -19,6 +19,17 @@
         return std::any_of(std::begin(names), std::end(names), [name](std::string_view one) { return boost::beast::iequals(name, one); });
     }
 
+    constexpr std::size_t maxLoggedPartsBytes = 256;
+
+    void appendIfNamed(std::string& values, std::string_view headerName, std::string_view value, std::string_view name)
+    {
+        if (!boost::beast::iequals(headerName, name))
+            return;
+        if (!values.empty())
+            values.push_back(',');
+        values.append(value);
+    }
+
     // Returns whether the Connection header lists `name` as another hop-by-hop header.
     bool isListed(std::string_view connection, std::string_view name)
     {
@@ -139,6 +150,24 @@
     return passed;
 }
 
+std::string joinedValues(const http::Headers& headers, std::string_view name)
+{
+    std::string values;
+    for (const http::Header& header : headers)
+        appendIfNamed(values, header.name_, header.value_, name);
+    return values;
+}
+
+std::string joinedValues(const ItemHeaders& headers, std::string_view name)
+{
+    std::string values;
+    for (const auto& [headerName, value] : headers)
+        appendIfNamed(values, headerName, value, name);
+    return values;
+}
+
+std::string_view partsForLog(std::string_view parts) { return parts.substr(0, maxLoggedPartsBytes); }
+
 bool isWithheldHeader(const HeaderNames& names, const RouteTable* table, std::string_view name)
 {
     if (boost::beast::iequals(name, names.workspace_))
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -9,6 +9,7 @@
 #include "capacity/CapacityBoard.h"
 #include "http/Client.h"
 #include "http/Server.h"
+#include "ledger/Records.h"
 #include "routes/RouteTable.h"
 #include "serving/ServingSettings.h"
 #include "serving/Translation.h"
@@ -16,6 +17,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace jj {
 
@@ -82,6 +85,13 @@
 // Returns the end-to-end headers, which a proxy forwards: all except the hop-by-hop ones.
 http::Headers endToEndHeaders(const http::Headers& headers);
 
+// Returns the value of all headers `name` as one list.
+std::string joinedValues(const http::Headers& headers, std::string_view name);
+std::string joinedValues(const ItemHeaders& headers, std::string_view name);
+
+// Returns the list of a prompt's parts as it came, cut to a length that fits into a log line.
+std::string_view partsForLog(std::string_view parts);
+
 // Returns whether a header of a caller's request or of a batch item reaches no engine, however it is spelled: the workspace header, which
 // only the node sets, and the caller's key if the configuration has workspaces.
 bool isWithheldHeader(const HeaderNames& names, const RouteTable* table, std::string_view name);
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -228,7 +228,7 @@
     run->call_ = nullptr;
     context_.board_.ended(run->engine_, WorkClass::BatchItem);
     context_.fleet_->publishReport();
-    context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1).with("end", run->end_ ? nameOf(*run->end_) : "none");
+    context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1).with("end", run->end_ ? nameOf(*run->end_) : "none").with("inRun", run->hasEvents_ ? "events" : "noEvent").with("parts", partsForLog(joinedValues(run->item_.headers_, context_.translation_.headers_.promptParts_)));
     scheduler_.ended(run->item_.id_, end, context_.now());
 }
 
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -197,7 +197,7 @@
 {
     const bool isVersionUnknown = hasAnswerStarted_ && boundVersion_.isNone();
     const bool mayResend = route_.isRepeatable() && !isVersionUnknown && runs_ < std::max(route_.maxAttempts_, 1U) && timeLeft() > Duration::zero() && (isStream() || !hasAnswerStarted_);
-    line("answerLost").with("error", error.message()).with("runs", runs_).with("started", hasAnswerStarted_ ? "yes" : "no").with("goesOn", mayResend ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1);
+    line("answerLost").with("error", error.message()).with("runs", runs_).with("started", hasAnswerStarted_ ? "yes" : "no").with("goesOn", mayResend ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("inRun", isFirstOfRun_ ? "noEvent" : "events").with("parts", partsForLog(joinedValues(exchange_->request().headers_, context_.translation_.headers_.promptParts_)));
     if (!pendingEvents_.empty()) {
         exchange_->write(pendingEvents_);
         pendingEvents_.clear();
