Serving: what requests that crash engines share is found and blocked

Cause: a request was recognised by host, path and body together. Requests that differ in all but one part of their prompts were all new, so no count ever reached three. Besides, each of them was sent to a second engine at once, before the hosts could compare, a count was a number that two hosts could set to the same value, and an engine was found down only when its backoff was over.

Change: libs/crashes keeps, for each part of a prompt but the last and for each content, the engine starts that crashed with it before they had answered such a request, and the last answer to one. Answers invalidate crashes; of the rest, the suspects that explain most are blocked, the narrowest first. Hosts send each other their evidence as sets, which merge in any order; they repeat it while there is something to know, and to hosts that start. A host that lost a request with a part that nobody has answered checks at once whether the engine is down, and waits 300 ms before it sends the request on. A blocked request is refused as not run, also when the verdict comes while it waits for a slot. Three trials at growing intervals find out whether a part is free again.

Ruled out: marks that arrive too late (no mark was ever there twice).

--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -1,6 +1,8 @@
 // Engine failure handling and HTTP helpers shared by the components of a serving node.
 #include "Context.h"
 
+#include "CrashWatch.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
@@ -62,6 +64,8 @@
     , versionGone_(metrics.counter("jj_streams_version_gone_total", "streams that couldn't go on because no engine of their software version serves"))
     , streamsResumed_(metrics.counter("jj_streams_resumed_total", "streams that callers resumed and whose software version was found"))
     , streamsUnknown_(metrics.counter("jj_streams_unknown_total", "streams that callers resumed and whose software version couldn't be found"))
+    , crashBlocked_(metrics.counter("jj_requests_crash_blocked_total", "requests refused because requests with the same content or part of a prompt crash engines"))
+    , itemsWithheld_(metrics.counter("jj_items_withheld_total", "runs of batch items put off because requests with the same content or part of a prompt crash engines"))
     , preemptions_(metrics.counter("jj_questions_displacing_total", "questions that took a batch item's slot"))
     , queued_(metrics.counter("jj_questions_queued_total", "questions that waited in an engine's queue"))
     , itemRuns_(metrics.counter("jj_item_runs_total", "runs of batch items"))
@@ -81,19 +85,11 @@
     const Duration backoff = board_.failed(engine, fault, now());
     log_.line("engineFailed").with("engine", entry->name_).with("fault", faults[static_cast<std::size_t>(fault)]).with("error", error ? error.message() : "").with("leftAloneMs", backoff);
     if (fault == EngineFault::NotConnected)
-        engineDown(engine);
+        crashes_->engineDown(engine);
     if (backoff > Duration::zero())
         fleet_->publishReport();
 }
 
-void Context::engineDown(UpstreamId engine)
-{
-    for (const Fingerprint mark : crashSuspects_.engineDown(engine, now())) {
-        log_.line("crashSuspected").with("engine", engine.value()).with("mark", mark.value());
-        fleet_->publishCrashMark(mark, CrashSuspects::blockDuration);
-    }
-}
-
 void Context::observe(UpstreamId engine, const http::Headers& headers)
 {
     const std::string_view text = headers.find(translation_.headers_.load_);
@@ -118,7 +114,7 @@
         if (!response)
             return failed(engine, EngineFault::NotConnected, response.error());
         board_.recordProbeSuccess(engine);
-        crashSuspects_.clearLosses(engine);
+        crashes_->engineAlive(engine);
         log_.line("engineProbed").with("engine", known->name_).with("status", response.value().status_);
     });
 }
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -1,7 +1,6 @@
 // State and helper functions shared by the components of a serving node. Everything here is used on a single thread.
 #pragma once
 
-#include "CrashSuspects.h"
 #include "DecisionLog.h"
 #include "Fleet.h"
 #include "Quotas.h"
@@ -38,6 +37,8 @@
     CounterHandle versionGone_; // streams that couldn't go on because no engine of their software version serves
     CounterHandle streamsResumed_; // streams that callers resumed and that were sent on
     CounterHandle streamsUnknown_; // streams that callers resumed and whose software version couldn't be found
+    CounterHandle crashBlocked_; // requests refused because of what they share with requests that crash engines
+    CounterHandle itemsWithheld_; // runs of items that were put off for the same reason
     CounterHandle preemptions_; // online requests that took a batch item's slot
     CounterHandle queued_; // online requests that waited in an engine's queue
     CounterHandle itemRuns_;
@@ -47,6 +48,7 @@
     DistributionHandle accept_; // ms from a job submission's arrival to its acknowledgement
 };
 
+class CrashWatch;
 class SlotQueue;
 class StreamVersions;
 
@@ -62,16 +64,14 @@
     SlotQueue* queue_ = nullptr; // set before the event loop runs
     Quotas* quotas_ = nullptr; // set before the event loop runs
     StreamVersions* streams_ = nullptr; // set before the event loop runs
+    CrashWatch* crashes_ = nullptr; // set before the event loop runs
     std::shared_ptr<const RouteTable> table_ {}; // null until the first configuration is applied
-    CrashSuspects crashSuspects_ {};
 
     TimePoint now() const { return SystemClock().now(); }
     // Checks over a new connection whether an engine in backoff is alive. Requests are sent to the engine again only if it is.
     void probe(UpstreamId engine);
     // Records a failure of the engine. Reports it to the other nodes if the engine enters backoff.
     void failed(UpstreamId engine, EngineFault fault, std::error_code error);
-    // Handles an engine that refuses connections: the requests that it ran when it went down may have crashed it.
-    void engineDown(UpstreamId engine);
     // Records the load that an engine states in the headers of its answer.
     void observe(UpstreamId engine, const http::Headers& headers);
 };
--- /dev/null
+++ b/libs/serving/src/CrashWatch.cpp
@@ -0,0 +1,241 @@
+// Logs each crash with its suspects, each verdict with the engines that speak for it, and each contradiction.
+#include "CrashWatch.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace jj {
+
+namespace {
+
+    constexpr Duration confirmationBound = 250ms;
+    constexpr Duration repeatPeriod = 1s;
+    // With two receivers a second from each host, a host that has just joined has the records within a few seconds.
+    constexpr std::size_t repeatReceivers = 2;
+    // Of all hosts, about as many send their records to a host that has just started.
+    constexpr std::size_t sendersToStarted = 8;
+    // Many hosts may contradict the same record.
+    constexpr Duration contradictionPeriod = 1s;
+    // Of more parts, the rest are ignored; sound prompts have a few.
+    constexpr std::size_t maxParts = 64;
+    constexpr int firstNonSuccess = 300;
+
+    Fingerprint contentOf(std::string_view host, std::string_view target, std::string_view body) { return Fingerprint(hash64(body, hash64(target, hash64(host)))); }
+
+    std::string joined(const std::vector<Fingerprint>& suspects)
+    {
+        constexpr std::size_t maxNames = 10;
+        std::string names;
+        for (std::size_t index = 0; index < std::min(suspects.size(), maxNames); ++index)
+            names.append(index > 0 ? "," : "").append(suspectName(suspects[index]));
+        return names;
+    }
+
+} // namespace
+
+std::string suspectName(Fingerprint suspect)
+{
+    std::array<char, 17> text {};
+    std::snprintf(text.data(), text.size(), "%llx", static_cast<unsigned long long>(suspect.value()));
+    return text.data();
+}
+
+CrashWatch::CrashWatch(Context& context, std::uint64_t seed)
+    : context_(context)
+    , random_(seed)
+{
+}
+
+RequestFingerprints CrashWatch::fingerprintsOf(const http::Request& request) const
+{
+    RequestFingerprints fingerprints;
+    fingerprints.parts_ = context_.translation_.parseSharedParts_(joinedValues(request.headers_, context_.translation_.headers_.promptParts_));
+    fingerprints.parts_.resize(std::min(fingerprints.parts_.size(), maxParts));
+    fingerprints.content_ = contentOf(request.headers_.find("Host"), request.target_, request.body_);
+    return fingerprints;
+}
+
+RequestFingerprints CrashWatch::fingerprintsOf(const ItemRun& item) const
+{
+    RequestFingerprints fingerprints;
+    fingerprints.parts_ = context_.translation_.parseSharedParts_(joinedValues(item.headers_, context_.translation_.headers_.promptParts_));
+    fingerprints.parts_.resize(std::min(fingerprints.parts_.size(), maxParts));
+    fingerprints.content_ = contentOf(item.host_, item.path_, item.body_);
+    return fingerprints;
+}
+
+// ---- runs
+
+void CrashWatch::recordLoss(const RequestFingerprints& request, UpstreamId engine, LossPoint point)
+{
+    suspects_.lost(request, engine, point, context_.now());
+    if (mustSettle(request, point))
+        confirmCrash(engine);
+}
+
+LossPoint CrashWatch::lossPoint(const std::optional<TimePoint>& firstEventAt) const
+{
+    return firstEventAt && context_.now() - *firstEventAt >= provenTime ? LossPoint::InAnswer : LossPoint::BeforeAnswer;
+}
+
+// An engine that refuses a prompt has not begun to write an answer to it, so a failure says nothing about its parts.
+void CrashWatch::recordAnswer(const RequestFingerprints& request, int status)
+{
+    RequestFingerprints answered = request;
+    if (status >= firstNonSuccess)
+        answered.parts_.clear();
+    publish(suspects_.recordAnswer(answered, context_.now()), NodeId::none());
+}
+
+bool CrashWatch::mustSettle(const RequestFingerprints& request, LossPoint point) const
+{
+    return point == LossPoint::BeforeAnswer && !suspects_.areAllPartsAnswered(request, context_.now());
+}
+
+// ---- engines
+
+void CrashWatch::confirmCrash(UpstreamId engine)
+{
+    const EngineEntry* entry = context_.board_.find(engine);
+    if (!entry || !confirming_.insert(engine).second)
+        return;
+    http::CallOptions options;
+    options.idle_ = confirmationBound;
+    options.fresh_ = true;
+    context_.engines_.fetch(entry->at_, { "GET", context_.translation_.engineHealthPath_, {}, {} }, options, [this, engine](const Result<http::Response>& response, RunState) {
+        confirming_.erase(engine);
+        const bool isDown = !response && (response.error() == http::Error::ConnectFailed || response.error() == http::Error::ConnectTimedOut);
+        if (isDown)
+            engineDown(engine);
+    });
+}
+
+void CrashWatch::engineDown(UpstreamId engine)
+{
+    const std::vector<Fingerprint> suspects = suspects_.engineCrashed(engine, context_.now());
+    if (suspects.empty())
+        return;
+    const EngineEntry* entry = context_.board_.find(engine);
+    context_.log_.line("crashSuspected").with("engine", entry ? entry->name_ : suspectName(Fingerprint(engine.value()))).with("suspects", joined(suspects)).with("count", suspects.size());
+    publish(suspects, NodeId::none());
+    logChanges();
+}
+
+// ---- decisions
+
+CrashWatch::Verdict CrashWatch::judge(const RequestFingerprints& request)
+{
+    const auto blocked = suspects_.findBlocked(request, context_.now());
+    if (!blocked || !isOwnTrialDue(*blocked))
+        return { blocked, false };
+    suspects_.recordTrial(*blocked, context_.now());
+    context_.log_.line("crashTrial").with("suspect", suspectName(*blocked)).with("trial", suspects_.trials(*blocked));
+    publish({ *blocked }, NodeId::none());
+    return { blocked, true };
+}
+
+// Hosts take turns in an order that hashing gives, without agreement: the first one that gets such a request sends it, and the others learn
+// so before their turns come.
+bool CrashWatch::isOwnTrialDue(Fingerprint suspect) const
+{
+    if (!suspects_.isTrialDue(suspect, 0, context_.now()))
+        return false;
+    const std::uint64_t round = mixHash(suspect.value(), suspects_.trials(suspect));
+    const std::uint64_t own = mixHash(round, context_.fleet_->self().value());
+    const auto& peers = context_.fleet_->peers();
+    const auto turn = std::count_if(peers.begin(), peers.end(), [&](const Peer& peer) { return peer.isLive() && mixHash(round, peer.node_.value()) < own; });
+    return suspects_.isTrialDue(suspect, static_cast<std::size_t>(turn), context_.now());
+}
+
+// ---- other hosts
+
+void CrashWatch::handle(const SuspectRecords& message)
+{
+    const TimePoint now = context_.now();
+    std::vector<Fingerprint> contradicted;
+    std::vector<Fingerprint> cleared;
+    for (const SuspectRecord& record : message.records_) {
+        const CrashSuspects::MergeResult result = suspects_.merge(record, now);
+        if (result.contradicts_ && contradictedAt_.try_emplace(record.suspect_, now).second)
+            contradicted.push_back(record.suspect_);
+        if (result.isCleared_ && message.isReply_)
+            cleared.push_back(record.suspect_);
+    }
+    publish(contradicted, message.from_, true);
+    publish(cleared, NodeId::none());
+    logChanges();
+}
+
+void CrashWatch::publish(const std::vector<Fingerprint>& suspects, NodeId to, bool isReply)
+{
+    std::vector<SuspectRecord> records;
+    for (const Fingerprint suspect : suspects) {
+        records.push_back(suspects_.recordOf(suspect, context_.now()));
+        if (records.size() == maxRecordsPerMessage)
+            send(std::exchange(records, {}), to, isReply);
+    }
+    if (!records.empty())
+        send(std::move(records), to, isReply);
+    logChanges();
+}
+
+void CrashWatch::send(std::vector<SuspectRecord> records, NodeId to, bool isReply)
+{
+    const SuspectRecords message { context_.fleet_->self(), isReply, std::move(records) };
+    if (to.isNone())
+        context_.fleet_->sendToAll(message);
+    else
+        context_.fleet_->send(to, message);
+}
+
+void CrashWatch::onNodeStarted(NodeId node)
+{
+    const std::size_t senders = std::max<std::size_t>(1, context_.fleet_->livePeers());
+    if (!suspects_.hasBlocked() || random_() % senders >= sendersToStarted)
+        return;
+    send(suspects_.recordsToRepeat(context_.now()), node, false);
+}
+
+void CrashWatch::tick(TimePoint now)
+{
+    suspects_.tick(now);
+    std::erase_if(contradictedAt_, [now](const auto& entry) { return now - entry.second >= contradictionPeriod; });
+    logChanges();
+    if (now - repeatedAt_ < repeatPeriod)
+        return;
+    repeatedAt_ = now;
+    repeatRecords();
+}
+
+void CrashWatch::repeatRecords()
+{
+    const std::vector<SuspectRecord> records = suspects_.recordsToRepeat(context_.now());
+    if (records.empty())
+        return;
+    std::vector<NodeId> live;
+    for (const Peer& peer : context_.fleet_->peers()) {
+        if (peer.isLive())
+            live.push_back(peer.node_);
+    }
+    std::vector<NodeId> receivers;
+    std::sample(live.begin(), live.end(), std::back_inserter(receivers), repeatReceivers, random_);
+    for (const NodeId receiver : receivers)
+        send(records, receiver, false);
+}
+
+void CrashWatch::logChanges()
+{
+    for (const VerdictChange& change : suspects_.takeChanges()) {
+        std::string engines;
+        for (const UpstreamId engine : change.engines_) {
+            const EngineEntry* entry = context_.board_.find(engine);
+            engines.append(engines.empty() ? "" : ",").append(entry ? entry->name_ : suspectName(Fingerprint(engine.value())));
+        }
+        context_.log_.line(change.isBlocked_ ? "suspectBlocked" : "suspectFreed").with("suspect", suspectName(change.suspect_)).with("kind", change.isContent_ ? "content" : "part").with("crashes", change.engines_.size()).with("engines", engines);
+    }
+}
+
+} // namespace jj
--- /dev/null
+++ b/libs/serving/src/CrashWatch.h
@@ -0,0 +1,82 @@
+// Connects the suspects (libs/crashes) to engines and to the fleet: which requests may have crashed an engine, and which are refused.
+//
+// The host that lost a request checks over a new connection whether the engine is down, and reports the suspects to all hosts at once.
+// Datagrams may be lost and hosts join later, so each host repeats what it knows to some others while there is something to know. A host
+// that knows an answer to a request with a suspect part contradicts.
+#pragma once
+
+#include "Context.h"
+#include "crashes/CrashSuspects.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jj {
+
+class CrashWatch {
+public:
+    // How long a request waits after its engine was lost before it is sent to another one, if one of its parts was never answered: by then
+    // the hosts have exchanged which engines crashed.
+    static constexpr Duration settlingTime = 300ms;
+    // An engine that is still writing an answer this long after its first event is not crashed by the request's parts.
+    static constexpr Duration provenTime = 500ms;
+
+    CrashWatch(Context& context, std::uint64_t seed);
+
+    RequestFingerprints fingerprintsOf(const http::Request& request) const;
+    RequestFingerprints fingerprintsOf(const ItemRun& item) const;
+
+    // ---- runs
+    // Records that the connection to the engine broke. `point`: how far the answer was.
+    void recordLoss(const RequestFingerprints& request, UpstreamId engine, LossPoint point);
+    // Returns how far the answer of a run was at its loss now. `firstEventAt`: of this run; none: it brought no event.
+    LossPoint lossPoint(const std::optional<TimePoint>& firstEventAt) const;
+    void recordBegun(const RequestFingerprints& request) { publish(suspects_.recordBegun(request, context_.now()), NodeId::none()); }
+    void recordAnswer(const RequestFingerprints& request, int status);
+    // Returns whether the request has to wait for settlingTime before it is sent to another engine.
+    bool mustSettle(const RequestFingerprints& request, LossPoint point) const;
+
+    // ---- engines
+    // The engine refuses connections: the requests that it ran may have crashed it.
+    void engineDown(UpstreamId engine);
+    void engineAlive(UpstreamId engine) { suspects_.engineAlive(engine); }
+
+    // ---- decisions
+    struct Verdict {
+        std::optional<Fingerprint> blocked_ {}; // none: the request may be sent
+        bool isTrial_ = false; // the request has a blocked suspect, but is to be sent to one engine nevertheless
+    };
+    Verdict judge(const RequestFingerprints& request);
+    Duration blockedFor(Fingerprint suspect) const { return suspects_.blockedFor(suspect, context_.now()); }
+
+    void handle(const SuspectRecords& message);
+    // Sends what is known to a host that has just started and knows nothing.
+    void onNodeStarted(NodeId node);
+    void tick(TimePoint now);
+
+private:
+    // Checks over a new connection whether the engine has crashed, rather than waiting until its backoff is over.
+    void confirmCrash(UpstreamId engine);
+    // Sends the records of the suspects to a host, or to all if `to` is none.
+    void publish(const std::vector<Fingerprint>& suspects, NodeId to, bool isReply = false);
+    void send(std::vector<SuspectRecord> records, NodeId to, bool isReply);
+    void repeatRecords();
+    bool isOwnTrialDue(Fingerprint suspect) const;
+    void logChanges();
+
+    Context& context_;
+    CrashSuspects suspects_;
+    std::mt19937_64 random_;
+    std::set<UpstreamId> confirming_; // engines that are being checked
+    std::map<Fingerprint, TimePoint> contradictedAt_; // suspects for which a contradiction was sent lately
+    TimePoint repeatedAt_ {};
+};
+
+// Returns the id of a suspect for logs: that of a part is the id that callers use.
+std::string suspectName(Fingerprint suspect);
+
+} // namespace jj
--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -221,6 +221,8 @@
         handlers_.onNodeDown_(member.node_);
     if (change.cameUp_)
         publishReport();
+    if (change.hasStarted_)
+        handlers_.onNodeStarted_(member.node_);
 }
 
 // Limits the log lines for membership changes. When a fleet of 295 hosts started at once, each host logged a line for every other one,
@@ -255,17 +257,6 @@
     handlers_.onRejoined_();
 }
 
-void Fleet::perform(const QuarantineLearned& command)
-{
-    if (handlers_.onCrashMark_)
-        handlers_.onCrashMark_(command.fingerprint_, command.remaining_);
-}
-
-void Fleet::publishCrashMark(Fingerprint mark, Duration remaining)
-{
-    core_->handle(QuarantineStarted { mark, remaining }, now_, SystemClock().wallNow());
-}
-
 void Fleet::perform(const RegionReachChanged& command)
 {
     log_.line(command.reachable_ ? "regionRegained" : "regionLost").with("region", command.region_.value());
@@ -359,6 +350,8 @@
         return exchange_->handle(*digest, now);
     if (const auto* report = std::get_if<NodeReport>(&datagram.value()))
         return exchange_->handle(*report, now);
+    if (const auto* records = std::get_if<SuspectRecords>(&datagram.value()))
+        return handlers_.onSuspectRecords_(*records);
     const bool isAboutStreams = std::holds_alternative<StreamRecords>(datagram.value()) || std::holds_alternative<StreamQuery>(datagram.value()) || std::holds_alternative<StreamAnswer>(datagram.value());
     isAboutStreams ? handlers_.onStreamMessage_(datagram.value()) : handlers_.onQuotaMessage_(datagram.value());
 }
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -49,8 +49,10 @@
     std::function<void(const PeerDatagram&)> onStreamMessage_;
     // The node was live and has been declared dead or has left.
     std::function<void(NodeId)> onNodeDown_;
-    // Another node has published a mark of request content that crashes engines, see CrashSuspects.h.
-    std::function<void(Fingerprint mark, Duration remaining)> onCrashMark_;
+    // The process on the node has started, or rejoined the fleet as a new incarnation.
+    std::function<void(NodeId)> onNodeStarted_;
+    // Records about what crashes engines have arrived.
+    std::function<void(const SuspectRecords&)> onSuspectRecords_;
     // The assignment of nodes and engines to cells has changed.
     std::function<void()> onCellsChanged_;
     // This node has rejoined the fleet as a new incarnation, for example after the others had declared it dead.
@@ -80,9 +82,6 @@
     // replies with an HTTP error status, and with an error of decodeReply() if it can't decode the reply.
     void request(NodeId node, const PeerCall& call, Duration timeout, ReplyHandler done);
 
-    // Distributes a mark of request content that crashes engines to all nodes.
-    void publishCrashMark(Fingerprint mark, Duration remaining);
-
     void beginLeaving();
     bool isLeaving() const { return exchange_->isLeaving(); }
     // Announces that this node has left the fleet, just before the process exits.
@@ -146,7 +145,7 @@
     void perform(const Rejoined& command);
     void perform(const ConfigVersionLearned&) { }
     void perform(const LoadLearned&) { }
-    void perform(const QuarantineLearned& command);
+    void perform(const QuarantineLearned&) { }
     void perform(const UpstreamMarkLearned&) { }
     void perform(const RegionReachChanged& command);
     void createExchange();
--- a/libs/serving/src/PeerTable.cpp
+++ b/libs/serving/src/PeerTable.cpp
@@ -14,8 +14,9 @@
         --liveCountFor(peer);
     if (!wasLive || peer.incarnation_ != member.incarnation_)
         peer.liveSince_ = now;
+    const bool isNewIncarnation = peer.incarnation_ != member.incarnation_;
     // The clock by which processes number themselves may have been set back.
-    if (peer.incarnation_ != member.incarnation_)
+    if (isNewIncarnation)
         peer.reportSequence_ = 0;
     peer.incarnation_ = member.incarnation_;
     peer.node_ = member.node_;
@@ -30,7 +31,7 @@
     if (wasLive && !peer.isLive())
         peer.downSince_ = now;
     ++revision_;
-    return { !wasLive && peer.isLive(), wasLive && !peer.isLive() };
+    return { !wasLive && peer.isLive(), wasLive && !peer.isLive(), isNewIncarnation && peer.isLive() };
 }
 
 Peer* PeerTable::find(NodeId node)
--- a/libs/serving/src/PeerTable.h
+++ b/libs/serving/src/PeerTable.h
@@ -56,6 +56,7 @@
     struct Change {
         bool cameUp_ = false; // the node is live now and wasn't before
         bool wentDown_ = false; // the node was live before and isn't now
+        bool hasStarted_ = false; // the node is live as another incarnation than before, or for the first time
     };
     Change apply(const MemberRumor& member, TimePoint now);
 
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -55,8 +55,12 @@
         line("streamOutOfStep").with("expected", *lastEvent_ + 1).with("got", *event.id_);
         return lost(http::Error::Malformed);
     }
-    if (isFirstOfRun_ && !bindVersion())
+    if (!runFirstEventAt_ && !bindVersion())
         return;
+    if (!isProven_ && context_.crashes_->lossPoint(runFirstEventAt_) == LossPoint::InAnswer) {
+        isProven_ = true;
+        context_.crashes_->recordBegun(fingerprints_);
+    }
     if (!hasAnswerStarted_) {
         hasAnswerStarted_ = true;
         context_.board_.succeeded(engine_, context_.now());
@@ -72,7 +76,7 @@
 // The engine may have started again, with another version, since it was picked. Returns false if the run was given up for that.
 bool RelayedRequest::bindVersion()
 {
-    isFirstOfRun_ = false;
+    runFirstEventAt_ = context_.now();
     const bool isSameStart = context_.board_.isCurrent(engine_);
     if (isResumed() && !isSameStart) {
         line("versionUncertain").with("software", softwareVersion_.name());
@@ -99,7 +103,7 @@
             return onStreamBrokenOff(answerEnd, streamBreak);
     }
     if (!rejected_)
-        context_.crashSuspects_.recordAnswer(contentFingerprint(), context_.now());
+        context_.crashes_->recordAnswer(fingerprints_, head_.status_);
     // A 4xx status other than 421 and 429 means that the request itself is at fault. That answer is forwarded to the caller even
     // if the engine did not execute the request.
     const bool isCallersFault = head_.status_ >= 400 && head_.status_ < firstServerError && head_.status_ != 429 && head_.status_ != statusMisdirected;
@@ -140,9 +144,7 @@
 void RelayedRequest::onStreamBrokenOff(http::AnswerEnd answerEnd, StreamBreak streamBreak)
 {
     line("streamBrokenOff").with("why", nameOf(streamBreak)).with("end", nameOf(answerEnd)).with("restBytes", scanner_.rest().size());
-    context_.crashSuspects_.lost(contentFingerprint(), engine_, context_.now());
-    context_.failed(engine_, EngineFault::Lost, http::Error::Truncated);
-    lost(http::Error::Truncated);
+    onEngineLost(http::Error::Truncated);
 }
 
 void RelayedRequest::finishStream(http::AnswerEnd answerEnd)
@@ -187,9 +189,16 @@
     // The response head stated that the request was not executed; only the rest of that answer was lost.
     if (rejected_)
         return onNotExecuted();
-    context_.crashSuspects_.lost(contentFingerprint(), engine_, context_.now());
-    context_.failed(engine_, EngineFault::Lost, failure.code_);
-    lost(failure.code_);
+    onEngineLost(failure.code_);
+}
+
+void RelayedRequest::onEngineLost(std::error_code error)
+{
+    const LossPoint point = context_.crashes_->lossPoint(runFirstEventAt_);
+    mustSettle_ = context_.crashes_->mustSettle(fingerprints_, point);
+    context_.crashes_->recordLoss(fingerprints_, engine_, point);
+    context_.failed(engine_, EngineFault::Lost, error);
+    lost(error);
 }
 
 // Handles a lost or unusable answer to a request that the engine may have run: sends the request again if allowed, else fails it.
@@ -197,7 +206,7 @@
 {
     const bool isVersionUnknown = hasAnswerStarted_ && boundVersion_.isNone();
     const bool mayResend = route_.isRepeatable() && !isVersionUnknown && runs_ < std::max(route_.maxAttempts_, 1U) && timeLeft() > Duration::zero() && (isStream() || !hasAnswerStarted_);
-    line("answerLost").with("error", error.message()).with("runs", runs_).with("started", hasAnswerStarted_ ? "yes" : "no").with("goesOn", mayResend ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("inRun", isFirstOfRun_ ? "noEvent" : "events").with("parts", partsForLog(joinedValues(exchange_->request().headers_, context_.translation_.headers_.promptParts_)));
+    line("answerLost").with("error", error.message()).with("runs", runs_).with("started", hasAnswerStarted_ ? "yes" : "no").with("goesOn", mayResend ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("inRun", runFirstEventAt_ ? "events" : "noEvent").with("parts", partsForLog(joinedValues(exchange_->request().headers_, context_.translation_.headers_.promptParts_)));
     if (!pendingEvents_.empty()) {
         exchange_->write(pendingEvents_);
         pendingEvents_.clear();
@@ -206,8 +215,13 @@
     const bool wasSent = phase_ != Phase::Picking;
     if (mayResend && wasSent) {
         context_.metrics_.metrics_.add(context_.metrics_.resent_);
-        return dispatch();
+        return mustSettle_ ? settle() : dispatch();
     }
+    giveUp();
+}
+
+void RelayedRequest::giveUp()
+{
     if (!hasAnswerStarted_)
         return fail(502, "engine.AnswerLost", "the engine's answer was lost; the request may have run", RunState::OutcomeUnknown);
     exchange_->abort();
@@ -215,6 +229,18 @@
     end();
 }
 
+void RelayedRequest::settle()
+{
+    phase_ = Phase::Settling;
+    mustSettle_ = false;
+    pauseTimer_.expires_after(CrashWatch::settlingTime);
+    pauseTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self && self->phase_ == Phase::Settling)
+            self->dispatch();
+    });
+}
+
 // ---- refusals, failures and completion
 
 Duration RelayedRequest::maxRetryDelay() const { return std::max<Duration>(timeLeft() / retryDivisor - retryMargin, 1ms); }
@@ -287,7 +313,7 @@
     phase_ = Phase::Ended;
     returnCredit();
     timer_.cancel();
-    preemptionTimer_.cancel();
+    pauseTimer_.cancel();
 }
 
 } // namespace jj
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -57,6 +57,7 @@
     id_ = request.headers_.find(context_.translation_.headers_.attemptId_);
     const Duration patience = deadlineOf(request, context_.translation_.headers_);
     deadline_ = arrivedAt_ + std::min(patience, route_.timeout_);
+    fingerprints_ = context_.crashes_->fingerprintsOf(request);
     wasRefusedBefore_ = context_.queue_->isProbableRetry(route_.name_, patience, arrivedAt_);
     service_ = RouteTable::pickService(route_, hash64(id_));
     if (isStream()) {
@@ -177,7 +178,7 @@
     phase_ = Phase::Picking;
     if (!isStillAllowed(*context_.table_, caller_))
         return refuseRemovedKey();
-    if (isContentBlocked())
+    if (isBlocked())
         return refuseBlocked();
     if (isResumed() && !context_.board_.hasVersion(service_, boundVersion_))
         return onVersionGone();
@@ -199,15 +200,28 @@
     refuse(usage.slots_ == 0 ? "noEngine" : "noSlotInTime", pick.wait_);
 }
 
-// Refuses a request whose content has crashed engines. If an engine may have started this attempt, it fails instead, because a
-// refusal states that the request did not run.
+bool RelayedRequest::isBlocked()
+{
+    if (isTrial_ && !mayHaveRun())
+        return false;
+    const CrashWatch::Verdict verdict = context_.crashes_->judge(fingerprints_);
+    blockedBy_ = verdict.blocked_;
+    isTrial_ = isTrial_ || verdict.isTrial_;
+    return verdict.blocked_ && !verdict.isTrial_;
+}
+
+// If an engine may have started this attempt, it fails instead, because a refusal states that the request did not run.
 void RelayedRequest::refuseBlocked()
 {
-    if (hasAnswerStarted_ || mayHaveRun())
-        return lost(http::Error::ConnectFailed);
-    exchange_->respond(refusalResponse(context_.translation_, 503, "request.CrashesEngines", "engines went down with this content; it has not run", RunState::NotRun, CrashSuspects::blockDuration));
+    if (hasAnswerStarted_ || mayHaveRun()) {
+        line("notSentAgain").with("suspect", suspectName(*blockedBy_)).with("runs", runs_).with("started", hasAnswerStarted_ ? "yes" : "no");
+        return giveUp();
+    }
+    const Duration retry = context_.crashes_->blockedFor(*blockedBy_);
+    exchange_->respond(refusalResponse(context_.translation_, 503, "request.CrashesEngines", "engines crashed with this content, or with a part of its prompt; it has not run", RunState::NotRun, retry));
     context_.metrics_.metrics_.add(context_.metrics_.refused_);
-    line("refused").with("reason", "crashesEngines").with("status", 503).with("afterMs", context_.now() - arrivedAt_);
+    context_.metrics_.metrics_.add(context_.metrics_.crashBlocked_);
+    line("refused").with("reason", "crashesEngines").with("suspect", suspectName(*blockedBy_)).with("status", 503).with("retryAfterMs", retry).with("afterMs", context_.now() - arrivedAt_);
     end();
 }
 
@@ -288,6 +302,9 @@
 
 void RelayedRequest::send(const EnginePick& pick)
 {
+    // The verdict may have come while the request waited for a slot.
+    if (isBlocked())
+        return refuseBlocked();
     const EngineEntry* entry = context_.board_.find(pick.engine_);
     const HeaderNames& names = context_.translation_.headers_;
     const http::Request& request = exchange_->request();
@@ -302,7 +319,8 @@
     rejected_ = false;
     body_.clear();
     scanner_.reset();
-    isFirstOfRun_ = true;
+    runFirstEventAt_.reset();
+    isProven_ = false;
     context_.board_.started(engine_, WorkClass::OnlineRequest);
     if (pick.kind_ == PickKind::PreemptsBatch) {
         context_.metrics_.metrics_.add(context_.metrics_.preemptions_);
@@ -351,20 +369,12 @@
         return;
     context_.fleet_->requestPreemption(holders[preemptionRequests_ % holders.size()], engine_);
     ++preemptionRequests_;
-    preemptionTimer_.expires_after(preemptionRetryDelay);
-    preemptionTimer_.async_wait([weak = weak_from_this(), offer = offers_](const boost::system::error_code& error) {
+    pauseTimer_.expires_after(preemptionRetryDelay);
+    pauseTimer_.async_wait([weak = weak_from_this(), offer = offers_](const boost::system::error_code& error) {
         const auto self = weak.lock();
         if (!error && self && self->phase_ == Phase::Sent && self->offers_ == offer)
             self->requestPreemption();
     });
 }
 
-Fingerprint RelayedRequest::contentFingerprint() const
-{
-    const http::Request& request = exchange_->request();
-    return CrashSuspects::fingerprintOf(request.headers_.find("Host"), request.target_, request.body_);
-}
-
-bool RelayedRequest::isContentBlocked() const { return !context_.crashSuspects_.hasNoMarks() && context_.crashSuspects_.isBlocked(contentFingerprint(), context_.now()); }
-
 } // namespace jj
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -3,6 +3,7 @@
 
 #include "Caller.h"
 #include "Context.h"
+#include "CrashWatch.h"
 #include "EventScanner.h"
 #include "SlotQueue.h"
 #include "StreamEnd.h"
@@ -31,7 +32,7 @@
         , route_(route)
         , caller_(std::move(caller))
         , timer_(context.io_)
-        , preemptionTimer_(context.io_)
+        , pauseTimer_(context.io_)
         , openCount_(std::move(open))
         , arrivedAt_(context.now())
     {
@@ -50,6 +51,7 @@
         Resolving, // finding out which software version began the stream that its caller resumes
         Picking,
         Waiting, // queued for a slot
+        Settling, // its engine was lost; waits until the hosts know which engines crashed
         Sent, // sent to an engine, no response head received yet
         Reading, // receiving the engine's answer
         Ended,
@@ -65,6 +67,8 @@
     void resolveStream();
     void onResolved(const StreamResolution& resolution);
     void dispatch();
+    // Returns whether requests like this one crash engines, so that it must not be sent. May make it a trial.
+    bool isBlocked();
     void refuseBlocked();
     void onVersionGone();
     // Refuses a request that resumes a stream, as not run.
@@ -85,7 +89,13 @@
 
     void onNotExecuted();
     void requestPreemption();
+    // Handles a connection to the engine that broke while the request may have run.
+    void onEngineLost(std::error_code error);
     void lost(std::error_code error);
+    // Ends a request that may have run and isn't sent again.
+    void giveUp();
+    // Waits before the request is sent to another engine.
+    void settle();
     void forwardBufferedAnswer(http::AnswerEnd answerEnd);
     // Handles a stream that the engine broke off although its answer ended in order.
     void onStreamBrokenOff(http::AnswerEnd answerEnd, StreamBreak streamBreak);
@@ -107,9 +117,6 @@
     Duration timeLeft() const { return deadline_ - context_.now(); }
     // Returns the longest retry delay that the caller accepts.
     Duration maxRetryDelay() const;
-    // Returns a fingerprint that is the same for all of a caller's attempts at this request.
-    Fingerprint contentFingerprint() const;
-    bool isContentBlocked() const;
     Duration firstEventBudget() const;
     TimePoint queueDeadline() const;
     DecisionLog::Line line(std::string_view event);
@@ -120,13 +127,17 @@
     const Route& route_;
     const Caller caller_;
     boost::asio::steady_timer timer_;
-    boost::asio::steady_timer preemptionTimer_; // until another node is asked to preempt a batch item
+    boost::asio::steady_timer pauseTimer_; // until another node is asked to preempt a batch item, or in phase Settling
     std::size_t preemptionRequests_ = 0;
     std::shared_ptr<std::size_t> openCount_;
     const TimePoint arrivedAt_;
     TimePoint deadline_ {};
     std::string service_;
     std::string id_;
+    RequestFingerprints fingerprints_; // what it may share with requests that crash engines
+    std::optional<Fingerprint> blockedBy_; // the suspect that blocks it
+    bool isTrial_ = false; // sent once although it is blocked
+    bool mustSettle_ = false; // its engine was lost, and a part of its prompt was never answered
     bool wasRefusedBefore_ = false; // the caller was probably refused before and would give up after another refusal
 
     Phase phase_ = Phase::Admitting;
@@ -146,7 +157,8 @@
 
     http::ResponseHead head_; // of the answer being received
     bool rejected_ = false; // the answer states that the engine did not run the request
-    bool isFirstOfRun_ = true; // no event of this run has arrived
+    std::optional<TimePoint> runFirstEventAt_; // time of this run's first event; none: no event of it has arrived
+    bool isProven_ = false; // the run has gone on for long enough that the request doesn't crash its engine
     bool hasAnswerStarted_ = false; // the response head has been sent to the caller
     std::string body_; // of an answer that is not streamed
     EventScanner scanner_;
--- a/libs/serving/src/ReportMessages.cpp
+++ b/libs/serving/src/ReportMessages.cpp
@@ -30,7 +30,7 @@
     constexpr std::size_t serviceBytes = 18;
     constexpr std::size_t nodeBytes = 17;
 
-    constexpr std::string_view datagramLabel = "serving datagram 6";
+    constexpr std::string_view datagramLabel = "serving datagram 7";
 
     template <class T>
     void truncate(std::vector<T>& list, std::size_t maxSize) { list.resize(std::min(list.size(), maxSize)); }
@@ -56,6 +56,12 @@
     void truncateToLimits(StreamRecords& records) { truncate(records.records_, maxStreamRecords); }
     void truncateToLimits(StreamQuery&) { }
     void truncateToLimits(StreamAnswer&) { }
+    void truncateToLimits(SuspectRecords& records)
+    {
+        truncate(records.records_, maxRecordsPerMessage);
+        for (SuspectRecord& record : records.records_)
+            truncate(record.crashes_, maxCrashesPerSuspect);
+    }
     void truncateToLimits(CellDigest& digest)
     {
         truncate(digest.cells_, maxCells);
@@ -195,6 +201,27 @@
     archive(answer.from_, answer.number_, Flag { answer.isRecorded_ }, answer.record_, answer.soleVersion_, Flag { answer.hasSeveralVersions_ });
 }
 
+template <class Archive>
+void serialize(Archive& archive, CrashObservation& crash)
+{
+    archive(crash.engine_, Milliseconds { crash.age_ });
+}
+
+template <class Archive>
+void serialize(Archive& archive, SuspectRecord& record)
+{
+    bool isAnswered = record.answeredAge_.has_value();
+    Duration answeredAge = record.answeredAge_.value_or(Duration::zero());
+    archive(record.suspect_, record.depth_, record.trials_, Milliseconds { record.idleAge_ }, Flag { isAnswered }, Milliseconds { answeredAge }, list<maxCrashesPerSuspect>(record.crashes_));
+    record.answeredAge_ = isAnswered ? std::optional(answeredAge) : std::nullopt;
+}
+
+template <class Archive>
+void serialize(Archive& archive, SuspectRecords& records)
+{
+    archive(records.from_, Flag { records.isReply_ }, list<maxRecordsPerMessage>(records.records_));
+}
+
 // NOLINTEND(readability-identifier-naming)
 
 namespace {
@@ -237,6 +264,8 @@
             return read<StreamQuery>(archive, source);
         case 9:
             return read<StreamAnswer>(archive, source);
+        case 10:
+            return read<SuspectRecords>(archive, source);
         default:
             return PeerError::Unreadable;
         }
--- a/libs/serving/src/ReportMessages.h
+++ b/libs/serving/src/ReportMessages.h
@@ -1,5 +1,5 @@
-// Datagrams between nodes: load reports of nodes, load summaries of cells, preemption requests, and messages about quotas and
-// streams.
+// Datagrams between nodes: load reports of nodes, load summaries of cells, preemption requests, and messages about quotas,
+// streams and what crashes engines.
 //
 // Messages are encoded with cereal's portable archive and end with an authentication code of the fleet's key (wire/Key.h). The lengths of
 // all lists are limited, so decoding allocates a bounded amount of memory whatever the bytes are.
@@ -7,6 +7,7 @@
 
 #include "base/Result.h"
 #include "capacity/NodeUse.h"
+#include "crashes/SuspectMessages.h"
 #include "streams/StreamMessages.h"
 #include "wire/Key.h"
 #include "workspaces/QuotaMessages.h"
@@ -75,7 +76,7 @@
     bool isForwarded_ = false; // forwarded by a delegate to its own cell
 };
 
-using PeerDatagram = std::variant<NodeReport, PreemptRequest, CellDigest, QuotaReport, AdmissionRequest, AdmissionDecision, QuotaNotice, StreamRecords, StreamQuery, StreamAnswer>;
+using PeerDatagram = std::variant<NodeReport, PreemptRequest, CellDigest, QuotaReport, AdmissionRequest, AdmissionDecision, QuotaNotice, StreamRecords, StreamQuery, StreamAnswer, SuspectRecords>;
 
 std::string encode(const WireKey& key, const PeerDatagram& datagram);
 // Returns PeerError::Unauthentic or PeerError::Unreadable if the bytes can't be accepted.
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -106,6 +106,8 @@
     context_.quotas_ = quotas_.get();
     streams_ = std::make_unique<StreamVersions>(*fleet_);
     context_.streams_ = streams_.get();
+    crashes_ = std::make_unique<CrashWatch>(context_, seed_);
+    context_.crashes_ = crashes_.get();
     queue_ = std::make_unique<SlotQueue>(context_);
     context_.queue_ = queue_.get();
     relay_ = std::make_unique<Relay>(context_);
@@ -227,9 +229,10 @@
         catalog_->forEach([this](const EngineEntry& entry) { board_.upsert(withCell(entry)); });
         fleet_->publishReport();
     };
-    handlers.onCrashMark_ = [this](Fingerprint mark, Duration remaining) {
-        log_.line("crashMarkLearned").with("mark", mark.value());
-        context_.crashSuspects_.addPeerMark(mark, remaining, context_.now());
+    handlers.onSuspectRecords_ = [this](const SuspectRecords& records) { crashes_->handle(records); };
+    handlers.onNodeStarted_ = [this](NodeId node) {
+        if (crashes_)
+            crashes_->onNodeStarted(node);
     };
     handlers.onNodeDown_ = [this](NodeId node) {
         board_.dropNodeReport(node);
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -3,6 +3,7 @@
 
 #include "ConfigFollower.h"
 #include "Context.h"
+#include "CrashWatch.h"
 #include "Dissemination.h"
 #include "EngineFeed.h"
 #include "ItemRunner.h"
@@ -109,6 +110,7 @@
     std::unique_ptr<SlotQueue> queue_;
     std::unique_ptr<Quotas> quotas_;
     std::unique_ptr<StreamVersions> streams_;
+    std::unique_ptr<CrashWatch> crashes_;
     std::unique_ptr<Relay> relay_;
     std::unique_ptr<RetirementDuty> retirement_;
     std::vector<std::unique_ptr<KindWatch>> kindWatches_; // kinds of objects that concern hosts that run jobs
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -58,7 +58,7 @@
     feed_->tick(now);
     if (now >= updateRetryAt_)
         requestUpdate();
-    context_.crashSuspects_.tick(now);
+    crashes_->tick(now);
     scheduler_->tick(now, wall);
     jobs_->tick(now);
     if (spool_)
--- a/libs/serving/tests/CallerTest.cpp
+++ b/libs/serving/tests/CallerTest.cpp
@@ -143,7 +143,7 @@
     }
 }
 
-TEST_CASE("messages about quotas and streams: cut short or changed, they are rejected")
+TEST_CASE("messages about quotas, streams and suspects: cut short or changed, they are rejected")
 {
     const WireKey key = WireKey::fromHex(std::string(64, '0')).value();
     const WorkspaceId workspace = idFromName<WorkspaceId>("north");
@@ -156,6 +156,7 @@
         StreamRecords { { record, record } },
         StreamQuery { NodeId(1), 7, record.stream_, record.service_ },
         StreamAnswer { NodeId(1), 7, true, record, SoftwareVersion("v2").id(), true },
+        SuspectRecords { NodeId(1), true, { { Fingerprint(7), 1, 2, 3s, 4s, { { UpstreamId(8), 5s }, { UpstreamId(9), 6s } } }, { Fingerprint(8), 255, 0, 0s, std::nullopt, {} } } },
     };
     std::mt19937_64 random(1);
     for (const PeerDatagram& message : messages) {
