--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -113,6 +113,7 @@
     Failed, // the engine reported an error of its own
     Unprocessable, // the engine reported that the item can never succeed
     RouteRemoved, // no configuration routes the item any more
+    Withheld, // not sent, because requests like the item crash engines; it waits, until it is abandoned if need be
 };
 
 enum class ReadOutcome : std::uint8_t {
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -161,6 +161,9 @@
         return finishItem(job, itemIndex, ResultState::Completed, now);
     case RunResult::Preempted:
         return;
+    case RunResult::Withheld:
+        item.notBefore_ = now + settings_.maxRetryDelay_;
+        return;
     case RunResult::Interrupted:
         return retryLater();
     case RunResult::ResumeMismatch:
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -70,11 +70,25 @@
     run->service_ = service;
     run->engine_ = pick.engine_;
     run->sentAt_ = now;
+    run->fingerprints_ = context_.crashes_->fingerprintsOf(run->item_);
+    if (withhold(*run, now))
+        return true;
     runs_[run->item_.id_] = run;
     send(run);
     return true;
 }
 
+bool ItemRunner::withhold(const Run& run, TimePoint now)
+{
+    const CrashWatch::Verdict verdict = context_.crashes_->judge(run.fingerprints_);
+    if (!verdict.blocked_ || verdict.isTrial_)
+        return false;
+    context_.log_.line("itemWithheld").with("request", run.item_.item_).with("job", run.item_.job_).with("suspect", suspectName(*verdict.blocked_));
+    context_.metrics_.metrics_.add(context_.metrics_.itemsWithheld_);
+    scheduler_.ended(run.item_.id_, RunResult::Withheld, now);
+    return true;
+}
+
 // Reports the items that wait on this node: nodes leave free slots to the items that are due first, whichever node those wait on.
 void ItemRunner::reportWaiting(TimePoint now)
 {
@@ -156,8 +170,8 @@
         if (isDiscontinuous || isVersionUncertain || !event.id_)
             return;
         // The engine may have started again, with another version, since it was picked.
-        isVersionUncertain = !run->hasEvents_ && !context_.board_.isCurrent(run->engine_);
-        run->hasEvents_ = true;
+        isVersionUncertain = !run->firstEventAt_ && !context_.board_.isCurrent(run->engine_);
+        onEvent(run);
         if (isVersionUncertain)
             return;
         std::optional<std::uint64_t>& lastEvent = run->item_.resumeAfter_;
@@ -173,6 +187,22 @@
         finish(run, RunResult::ResumeMismatch, isDiscontinuous ? "outOfStep" : "versionUncertain");
 }
 
+void ItemRunner::onEvent(const RunPtr& run)
+{
+    if (!run->firstEventAt_)
+        run->firstEventAt_ = context_.now();
+    if (run->isProven_ || context_.crashes_->lossPoint(run->firstEventAt_) != LossPoint::InAnswer)
+        return;
+    run->isProven_ = true;
+    context_.crashes_->recordBegun(run->fingerprints_);
+}
+
+void ItemRunner::onEngineLost(const RunPtr& run, std::error_code error)
+{
+    context_.crashes_->recordLoss(run->fingerprints_, run->engine_, context_.crashes_->lossPoint(run->firstEventAt_));
+    context_.failed(run->engine_, EngineFault::Lost, error);
+}
+
 void ItemRunner::onEnd(const RunPtr& run, http::AnswerEnd answerEnd)
 {
     if (!isCurrent(run))
@@ -189,9 +219,10 @@
     const StreamBreak streamBreak = run->status_ == http::statusOk ? findStreamBreak(run->scanner_, answerEnd, run->item_.resumeAfter_.has_value()) : StreamBreak::None;
     if (streamBreak != StreamBreak::None) {
         context_.log_.line("streamBrokenOff").with("request", run->item_.item_).with("job", run->item_.job_).with("why", nameOf(streamBreak)).with("end", nameOf(answerEnd)).with("restBytes", run->scanner_.rest().size());
-        context_.failed(run->engine_, EngineFault::Lost, http::Error::Truncated);
+        onEngineLost(run, http::Error::Truncated);
         return finish(run, RunResult::Interrupted, nameOf(streamBreak));
     }
+    context_.crashes_->recordAnswer(run->fingerprints_, run->status_);
     // The item itself may be the cause of an error status, so the failure is not attributed to the engine.
     context_.board_.succeeded(run->engine_, context_.now());
     switch (run->status_) {
@@ -216,7 +247,7 @@
         context_.failed(run->engine_, EngineFault::NotConnected, failure.code_);
         return finish(run, RunResult::Preempted, "notConnected");
     }
-    context_.failed(run->engine_, EngineFault::Lost, failure.code_);
+    onEngineLost(run, failure.code_);
     finish(run, RunResult::Interrupted, failure.code_.message());
 }
 
@@ -228,7 +259,7 @@
     run->call_ = nullptr;
     context_.board_.ended(run->engine_, WorkClass::BatchItem);
     context_.fleet_->publishReport();
-    context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1).with("end", run->end_ ? nameOf(*run->end_) : "none").with("inRun", run->hasEvents_ ? "events" : "noEvent").with("parts", partsForLog(joinedValues(run->item_.headers_, context_.translation_.headers_.promptParts_)));
+    context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1).with("end", run->end_ ? nameOf(*run->end_) : "none").with("inRun", run->firstEventAt_ ? "events" : "noEvent").with("parts", partsForLog(joinedValues(run->item_.headers_, context_.translation_.headers_.promptParts_)));
     scheduler_.ended(run->item_.id_, end, context_.now());
 }
 
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "Context.h"
+#include "CrashWatch.h"
 #include "EventScanner.h"
 #include "StreamEnd.h"
 #include "ledger/JobScheduler.h"
@@ -55,7 +56,9 @@
         std::shared_ptr<http::Call> call_;
         int status_ = 0;
         bool rejected_ = false;
-        bool hasEvents_ = false;
+        RequestFingerprints fingerprints_; // what the item may share with requests that crash engines
+        std::optional<TimePoint> firstEventAt_; // none: no event of this run has arrived
+        bool isProven_ = false; // the run has gone on for long enough that the item doesn't crash its engine
         std::optional<http::AnswerEnd> end_; // none until the answer has ended
         EventScanner scanner_;
     };
@@ -73,6 +76,10 @@
     bool startOne(TimePoint now);
     // Starts an item of the service on an engine of this software version; none: of any. Returns false if no slot or no item fits.
     bool startOn(const std::string& service, const JobScheduler::Waiting& waiting, SoftwareVersionId version, TimePoint now);
+    // Puts off an item with what requests that crash engines share. Returns false if the item may run.
+    bool withhold(const Run& run, TimePoint now);
+    void onEvent(const RunPtr& run);
+    void onEngineLost(const RunPtr& run, std::error_code error);
     void reportWaiting(TimePoint now);
     void yieldOneItem(TimePoint now);
     void send(const RunPtr& run);
