Serving: an overloaded host closes new connections unread while others are idle

When most new connections of a region go to one host, its requests were late or lost while the other hosts were idle.

Cause: a host took every connection, whatever its own load. It took one for each turn of its event loop, so that under load most waited in the kernel until their callers had given up, and those that it took then were stale.

Readiness stays: a host that is out hands the crowd to the next one.

--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -115,6 +115,12 @@
     // From now on, for open connections too. Not while several threads run the io_context.
     void setLimits(const ServerLimits& limits);
 
+    // `admits` is asked at each new connection, on the io_context. When it says no, the connection is closed unread, so that its client
+    // can go elsewhere at once.
+    void setAdmission(std::function<bool()> admits);
+    // Connections that were closed so, since the start.
+    std::uint64_t unadmittedConnections() const;
+
     // Takes no new connection; idle connections are closed, busy ones after the answer under way.
     void drain();
     std::size_t openConnections() const;
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -14,6 +14,7 @@
     using detail::ServerShared;
     using detail::tcp;
 
+    constexpr std::size_t maxAcceptedAtOnce = 64; // other work waits meanwhile
     constexpr auto acceptRetry = std::chrono::milliseconds(100); // when the process is out of descriptors
 
     void acceptNext(const std::shared_ptr<ServerShared>& shared);
@@ -33,6 +34,31 @@
             connection->begin();
     }
 
+    void takeConnection(const std::shared_ptr<ServerShared>& shared, tcp::socket socket)
+    {
+        if (shared->admits_ && !shared->admits_()) {
+            error_code ignored;
+            socket.close(ignored);
+            ++shared->unadmitted_;
+            return;
+        }
+        const auto executor = socket.get_executor();
+        boost::asio::post(executor, [shared, socket = std::move(socket)]() mutable { onAccepted(shared, std::move(socket)); });
+    }
+
+    // With one connection for each turn of a busy event loop, most would wait until their clients have given up.
+    void takeWaitingConnections(const std::shared_ptr<ServerShared>& shared)
+    {
+        error_code error;
+        for (std::size_t count = 0; count < maxAcceptedAtOnce; ++count) {
+            tcp::socket socket(boost::asio::make_strand(shared->io_));
+            shared->acceptor_.accept(socket, error);
+            if (error)
+                return;
+            takeConnection(shared, std::move(socket));
+        }
+    }
+
     void acceptNext(const std::shared_ptr<ServerShared>& shared)
     {
         shared->acceptor_.async_accept(boost::asio::make_strand(shared->io_), [shared](error_code error, tcp::socket socket) {
@@ -46,8 +72,8 @@
                 });
                 return;
             }
-            const auto executor = socket.get_executor();
-            boost::asio::post(executor, [shared, socket = std::move(socket)]() mutable { onAccepted(shared, std::move(socket)); });
+            takeConnection(shared, std::move(socket));
+            takeWaitingConnections(shared);
             acceptNext(shared);
         });
     }
@@ -66,6 +92,8 @@
             shared.acceptor_.bind(endpoint, error);
         if (!error)
             shared.acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+        if (!error)
+            shared.acceptor_.non_blocking(true, error);
         if (error)
             return false;
         shared.local_ = { shared.settings_.listen_.address_, shared.acceptor_.local_endpoint(error).port() };
@@ -118,6 +146,10 @@
 
 void Server::setLimits(const ServerLimits& limits) { shared_->settings_.limits_ = limits; }
 
+void Server::setAdmission(std::function<bool()> admits) { shared_->admits_ = std::move(admits); }
+
+std::uint64_t Server::unadmittedConnections() const { return shared_->unadmitted_; }
+
 void Server::drain()
 {
     shared_->draining_ = true;
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -41,6 +41,8 @@
     std::atomic<bool> draining_ = false;
     std::atomic<bool> stopped_ = false;
     std::atomic<std::size_t> exchanges_ = 0;
+    std::function<bool()> admits_; // empty: all connections are admitted
+    std::atomic<std::uint64_t> unadmitted_ = 0;
 
     mutable std::mutex mutex_; // guards connections_
     std::unordered_map<const void*, std::weak_ptr<ServerConnection>> connections_;
--- a/libs/http/tests/LimitsTest.cpp
+++ b/libs/http/tests/LimitsTest.cpp
@@ -2,6 +2,8 @@
 #include "http/BlockingClient.h"
 #include "http/Server.h"
 
+#include <array>
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -129,6 +131,39 @@
     CHECK(readToEnd(second).find("http.TooManyConnections") != std::string::npos);
 }
 
+// Guards against clients that wait for a crowded server although another one could serve them.
+TEST_CASE("connections that aren't admitted are closed unread, and open ones go on")
+{
+    std::atomic<bool> admits = true;
+    std::atomic<int> read = 0;
+    Running running(ServerLimits {}, [&read](const std::shared_ptr<Exchange>& exchange) {
+        ++read;
+        exchange->respond({ 200, {}, "here" });
+    });
+    running.server().setAdmission([&admits] { return admits.load(); });
+    boost::asio::io_context io;
+    tcp::socket open = running.connect(io);
+    boost::asio::write(open, boost::asio::buffer(plainGet));
+    std::array<char, 512> answer {};
+    REQUIRE(open.read_some(boost::asio::buffer(answer)) > 0);
+    admits = false;
+    for (int count = 0; count < 20; ++count) {
+        tcp::socket late = running.connect(io);
+        boost::system::error_code ignored;
+        boost::asio::write(late, boost::asio::buffer(plainGet), ignored);
+        CHECK(readToEnd(late).empty());
+    }
+    CHECK(read == 1);
+    CHECK(running.server().unadmittedConnections() == 20);
+    boost::asio::write(open, boost::asio::buffer(plainGet));
+    CHECK(open.read_some(boost::asio::buffer(answer)) > 0);
+    admits = true;
+    tcp::socket next = running.connect(io);
+    boost::asio::write(next, boost::asio::buffer(plainGet));
+    CHECK(next.read_some(boost::asio::buffer(answer)) > 0);
+    CHECK(read == 3);
+}
+
 TEST_CASE("an exchange that its handler drops is answered and not left hanging")
 {
     Running running({}, [](const std::shared_ptr<Exchange>&) {});
--- a/libs/serving/src/PeerTable.h
+++ b/libs/serving/src/PeerTable.h
@@ -36,6 +36,7 @@
     bool spoolsJobs_ = false;
     std::uint32_t spooledJobs_ = 0;
     bool isStoreUnreachable_ = false;
+    bool isOverloaded_ = false; // only known of the nodes of the own cell
 
     // Returns whether a later report of this node has arrived.
     bool hasLaterReport(Incarnation incarnation, std::uint32_t sequence) const
--- a/libs/serving/src/ReportExchange.cpp
+++ b/libs/serving/src/ReportExchange.cpp
@@ -100,6 +100,7 @@
         peer->spoolsJobs_ = report.spoolsJobs_;
         peer->spooledJobs_ = report.spooledJobs_;
         peer->isStoreUnreachable_ = report.isStoreUnreachable_;
+        peer->isOverloaded_ = report.isOverloaded_;
     }
     outlets_.onReport_(report, cells_.cellOf(report.use_.node_) == ownCell());
 }
--- a/libs/serving/src/ReportMessages.cpp
+++ b/libs/serving/src/ReportMessages.cpp
@@ -113,7 +113,7 @@
 void serialize(Archive& archive, NodeReport& report)
 {
     archive(report.use_, Flag { report.runsJobs_ }, Flag { report.leaving_ }, report.configVersion_, report.enginesVersion_);
-    archive(Flag { report.watching_ }, Flag { report.spoolsJobs_ }, report.spooledJobs_, Flag { report.isStoreUnreachable_ });
+    archive(Flag { report.watching_ }, Flag { report.spoolsJobs_ }, report.spooledJobs_, Flag { report.isStoreUnreachable_ }, Flag { report.isOverloaded_ });
 }
 
 template <class Archive>
--- a/libs/serving/src/ReportMessages.h
+++ b/libs/serving/src/ReportMessages.h
@@ -37,6 +37,7 @@
     bool spoolsJobs_ = false; // the node has a disk and spools jobs on it while the store is unavailable
     std::uint32_t spooledJobs_ = 0; // number of jobs that are spooled on its disk
     bool isStoreUnreachable_ = false; // the node can't reach the store itself; peers may relay its calls
+    bool isOverloaded_ = false; // the node has more work than its share of a processor allows
 };
 
 // Requests the preemption of a batch item: the sender sends an online request to an engine without free slots, where the receiver, or a
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -202,6 +202,7 @@
         report.watching_ = feed_->isFollowing() && !store_->isUnreachable();
         report.spoolsJobs_ = acceptsSpooledJobs();
         report.isStoreUnreachable_ = store_->isDirectFailing();
+        report.isOverloaded_ = loopLag_.isOverloaded();
         report.spooledJobs_ = spool_ ? static_cast<std::uint32_t>(spool_->size()) : 0;
         return report;
     };
@@ -349,6 +350,7 @@
         if (!opened)
             return Failure { ServingError::CallersListenFailed, toString(*settings_.callers_) };
         callers_ = std::move(opened.value());
+        callers_->setAdmission([this] { return admitsConnection(); });
     }
     if (settings_.ready_) {
         http::ServerSettings server;
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -9,6 +9,7 @@
 #include "ItemRunner.h"
 #include "JobFront.h"
 #include "KindWatch.h"
+#include "LoopLag.h"
 #include "Quotas.h"
 #include "Relay.h"
 #include "RetirementDuty.h"
@@ -44,6 +45,9 @@
     FleetHandlers fleetHandlers();
 
     void scheduleTick();
+    void recordLoopLag(TimePoint due);
+    // Returns whether a new connection of a caller is to be served here: always, unless this node is overloaded and most others aren't.
+    bool admitsConnection() const;
     void tick();
     void probeEngines(TimePoint now);
     void scanJobs(TimePoint now);
@@ -119,6 +123,7 @@
     std::unique_ptr<http::Server> ready_;
     std::unique_ptr<http::Server> metricsServer_;
     boost::asio::steady_timer timer_;
+    LoopLag loopLag_;
     boost::asio::signal_set signals_;
     std::set<UpstreamId> probing_;
     std::size_t nextPeerIndex_ = 0;
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -42,11 +42,33 @@
     timer_.async_wait([this](const boost::system::error_code& error) {
         if (error)
             return;
+        recordLoopLag(timer_.expiry());
         tick();
         scheduleTick();
     });
 }
 
+void ServingNode::Parts::recordLoopLag(TimePoint due)
+{
+    if (!loopLag_.recordWakeUp(due, context_.now()))
+        return;
+    log_.line(loopLag_.isOverloaded() ? "overloaded" : "overloadEnded").with("requests", relay_->openRequests()).with("connections", callers_ ? callers_->openConnections() : 0).with("unadmitted", callers_ ? callers_->unadmittedConnections() : 0);
+    fleet_->publishReport();
+}
+
+bool ServingNode::Parts::admitsConnection() const
+{
+    if (!loopLag_.isOverloaded())
+        return true;
+    const std::vector<NodeId>& nodes = fleet_->cellNodes();
+    const auto overloaded = std::count_if(nodes.begin(), nodes.end(), [this](NodeId node) {
+        const Peer* peer = fleet_->peer(node);
+        return node == fleet_->self() || !peer || peer->isOverloaded_;
+    });
+    constexpr std::size_t half = 2;
+    return half * static_cast<std::size_t>(overloaded) >= nodes.size();
+}
+
 void ServingNode::Parts::tick()
 {
     const TimePoint now = context_.now();
