Crashes: hosts no longer revive suspects that others have forgotten

A suspect that one host had forgotten came back by the repeated record of a host that forgot it moments later, as if a request with it had just come, and so on for ever: a part would have stayed blocked although nobody sent it. Found by reading; the new test fails on the code before (both hosts still hold both suspects after twice the lifetime).

A new suspect now takes over the age of the record, and records older than the lifetime are ignored. What is answered continually is queued again in the answer history each 30 s instead of each second: a host with 100 such parts would have held 60,000 elements of 24 bytes.

--- a/libs/crashes/src/AnswerHistory.cpp
+++ b/libs/crashes/src/AnswerHistory.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-    constexpr Duration requeuePeriod = 1s;
+    constexpr Duration requeuePeriod = 30s;
 
 } // namespace
 
--- a/libs/crashes/src/CrashSuspects.cpp
+++ b/libs/crashes/src/CrashSuspects.cpp
@@ -280,10 +280,13 @@
 
 CrashSuspects::MergeResult CrashSuspects::merge(const SuspectRecord& record, TimePoint now)
 {
-    // An answer matters only for a suspect with crashes.
-    if (record.crashes_.empty() && !suspects_.contains(record.suspect_))
+    const bool isNew = !suspects_.contains(record.suspect_);
+    // An answer matters only for a suspect with crashes. What this host has forgotten is not revived by a host that forgets it later.
+    if (isNew && (record.crashes_.empty() || record.idleAge_ > settings_.suspectLifetime_))
         return {};
     Suspect& suspect = findOrAdd(record.suspect_, record.depth_, now);
+    if (isNew)
+        suspect.activeAt_ = now - record.idleAge_;
     const bool wasSuspected = !countedEngines(suspect).empty();
     std::optional<TimePoint> answeredAt;
     if (record.answeredAge_)
--- a/libs/crashes/tests/CrashSuspectsTest.cpp
+++ b/libs/crashes/tests/CrashSuspectsTest.cpp
@@ -244,6 +244,29 @@
     CHECK(suspects.size() == 0);
 }
 
+// Guards against a blocked part that hosts keep alive by telling each other of it when no request with it comes any more.
+TEST_CASE("a suspect that one host has forgotten is not revived by another host")
+{
+    TimePoint now {};
+    CrashSuspects first;
+    CrashSuspects second;
+    for (std::uint64_t number = 1; number <= 3; ++number)
+        crash(first, number, { { shared, deadly } }, now);
+    const TimePoint lastRequestAt = now;
+    for (; now < lastRequestAt + 2 * CrashSettings().suspectLifetime_; now += 1s) {
+        // The hosts expire suspects at different moments.
+        now - lastRequestAt < CrashSettings().suspectLifetime_ + 5s ? second.tick(now) : first.tick(now);
+        for (const SuspectRecord& record : first.recordsToRepeat(now))
+            second.merge(record, now);
+        for (const SuspectRecord& record : second.recordsToRepeat(now))
+            first.merge(record, now);
+    }
+    first.tick(now);
+    second.tick(now);
+    CHECK(first.size() == 0);
+    CHECK(second.size() == 0);
+}
+
 // Guards against memory without bound, and against a caller with ever new parts that frees a blocked one.
 TEST_CASE("suspects and answers are bounded, and a blocked part stays among any number of new ones")
 {
