Serving: a trial is spent only when its request is sent

A trial of a blocked part was counted when the request was admitted, although it could still be refused for want of a slot; the next one comes minutes later. It is now announced at the moment of the send.

--- a/libs/serving/src/CrashWatch.cpp
+++ b/libs/serving/src/CrashWatch.cpp
@@ -129,12 +129,14 @@
 CrashWatch::Verdict CrashWatch::judge(const RequestFingerprints& request)
 {
     const auto blocked = suspects_.findBlocked(request, context_.now());
-    if (!blocked || !isOwnTrialDue(*blocked))
-        return { blocked, false };
-    suspects_.recordTrial(*blocked, context_.now());
-    context_.log_.line("crashTrial").with("suspect", suspectName(*blocked)).with("trial", suspects_.trials(*blocked));
-    publish({ *blocked }, NodeId::none());
-    return { blocked, true };
+    return { blocked, blocked && isOwnTrialDue(*blocked) };
+}
+
+void CrashWatch::beginTrial(Fingerprint suspect)
+{
+    suspects_.recordTrial(suspect, context_.now());
+    context_.log_.line("crashTrial").with("suspect", suspectName(suspect)).with("trial", suspects_.trials(suspect));
+    publish({ suspect }, NodeId::none());
 }
 
 // Hosts take turns in an order that hashing gives, without agreement: the first one that gets such a request sends it, and the others learn
--- a/libs/serving/src/CrashWatch.h
+++ b/libs/serving/src/CrashWatch.h
@@ -48,9 +48,11 @@
     // ---- decisions
     struct Verdict {
         std::optional<Fingerprint> blocked_ {}; // none: the request may be sent
-        bool isTrial_ = false; // the request has a blocked suspect, but is to be sent to one engine nevertheless
+        bool isTrialDue_ = false; // the request has a blocked suspect, but may be sent to one engine nevertheless
     };
     Verdict judge(const RequestFingerprints& request);
+    // Announces that this host sends a request with the blocked suspect.
+    void beginTrial(Fingerprint suspect);
     Duration blockedFor(Fingerprint suspect) const { return suspects_.blockedFor(suspect, context_.now()); }
 
     void handle(const SuspectRecords& message);
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -81,8 +81,12 @@
 bool ItemRunner::withhold(const Run& run, TimePoint now)
 {
     const CrashWatch::Verdict verdict = context_.crashes_->judge(run.fingerprints_);
-    if (!verdict.blocked_ || verdict.isTrial_)
+    if (!verdict.blocked_)
         return false;
+    if (verdict.isTrialDue_) {
+        context_.crashes_->beginTrial(*verdict.blocked_);
+        return false;
+    }
     context_.log_.line("itemWithheld").with("request", run.item_.item_).with("job", run.item_.job_).with("suspect", suspectName(*verdict.blocked_));
     context_.metrics_.metrics_.add(context_.metrics_.itemsWithheld_);
     scheduler_.ended(run.item_.id_, RunResult::Withheld, now);
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -202,12 +202,9 @@
 
 bool RelayedRequest::isBlocked()
 {
-    if (isTrial_ && !mayHaveRun())
-        return false;
     const CrashWatch::Verdict verdict = context_.crashes_->judge(fingerprints_);
     blockedBy_ = verdict.blocked_;
-    isTrial_ = isTrial_ || verdict.isTrial_;
-    return verdict.blocked_ && !verdict.isTrial_;
+    return verdict.blocked_ && !verdict.isTrialDue_;
 }
 
 // If an engine may have started this attempt, it fails instead, because a refusal states that the request did not run.
@@ -305,6 +302,8 @@
     // The verdict may have come while the request waited for a slot.
     if (isBlocked())
         return refuseBlocked();
+    if (blockedBy_)
+        context_.crashes_->beginTrial(*blockedBy_);
     const EngineEntry* entry = context_.board_.find(pick.engine_);
     const HeaderNames& names = context_.translation_.headers_;
     const http::Request& request = exchange_->request();
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -67,7 +67,7 @@
     void resolveStream();
     void onResolved(const StreamResolution& resolution);
     void dispatch();
-    // Returns whether requests like this one crash engines, so that it must not be sent. May make it a trial.
+    // Returns whether requests like this one crash engines, so that it must not be sent. If it isn't and blockedBy_ is set, it is a trial.
     bool isBlocked();
     void refuseBlocked();
     void onVersionGone();
@@ -136,7 +136,6 @@
     std::string id_;
     RequestFingerprints fingerprints_; // what it may share with requests that crash engines
     std::optional<Fingerprint> blockedBy_; // the suspect that blocks it
-    bool isTrial_ = false; // sent once although it is blocked
     bool mustSettle_ = false; // its engine was lost, and a part of its prompt was never answered
     bool wasRefusedBefore_ = false; // the caller was probably refused before and would give up after another refusal
 
--- a/libs/serving/tests/CallerTest.cpp
+++ b/libs/serving/tests/CallerTest.cpp
@@ -182,3 +182,16 @@
     CHECK(encode(key, StreamQuery { NodeId(1), 7, record.stream_, record.service_ }).size() <= 56);
     CHECK(encode(key, StreamAnswer { NodeId(1), 7, true, record, record.version_, true }).size() <= 80);
 }
+
+TEST_CASE("messages about suspects: one crash is small, and the largest message fits into a frame")
+{
+    const WireKey key = WireKey::fromHex(std::string(64, '0')).value();
+    const SuspectRecord small { Fingerprint(7), 1, 0, 0s, std::nullopt, { { UpstreamId(8), 5s } } };
+    MESSAGE("one record with one crash: " << encode(key, SuspectRecords { NodeId(1), false, { small } }).size() << " bytes");
+    CHECK(encode(key, SuspectRecords { NodeId(1), false, { small } }).size() <= 80);
+    SuspectRecord large = small;
+    large.crashes_.assign(maxCrashesPerSuspect, { UpstreamId(8), 5s });
+    const SuspectRecords message { NodeId(1), false, std::vector<SuspectRecord>(maxRecordsPerMessage, large) };
+    MESSAGE("the largest message: " << encode(key, message).size() << " bytes");
+    CHECK(encode(key, message).size() <= frameBytes);
+}
