--- a/libs/crashes/include/crashes/CrashSuspects.h
+++ b/libs/crashes/include/crashes/CrashSuspects.h
@@ -10,13 +10,13 @@
 // a request. The host counts for each suspect the engines that crashed with it, as a set of engine starts, so that it doesn't matter how
 // many hosts saw a crash and how often they report it.
 //
-// Against a suspect speaks an engine that crashed before it had answered a request with it. For a suspect speaks an answer: since a guilty
-// one crashes every engine, one answer, at any host, invalidates all crashes before it, and those of a while after it. The shared first
-// part of all sound prompts is therefore never guilty, although it is in all requests that crash engines.
+// An engine that crashed before it had answered a request is evidence against each suspect in the request. An answer is evidence for them:
+// since a guilty suspect crashes every engine, one answer, at any host, invalidates all crashes before it, and those of a while after it.
+// The first part that all sound prompts share is therefore never guilty, although it is in all requests that crash engines.
 //
-// A crash has one cause. If several suspects were at the crashed engines, those that explain most crashes are blocked, and the crashes that
-// they explain don't count against others. Of suspects that explain the same crashes, the narrowest one is blocked: the whole content
-// before a part, and a later part of a prompt before an earlier one, because other requests may still be sound.
+// A crash has one cause. If several suspects were at the crashed engines, the one that explains most crashes is blocked first, and the
+// crashes that it explains don't count against the others. Of suspects that explain the same crashes the narrowest one is blocked, the
+// whole content before a part and a later part of a prompt before an earlier one, because other requests with the wider one may be sound.
 //
 // A blocked suspect stays blocked while requests with it come. A few of them are let through at growing intervals: if an engine answers,
 // the suspect is free on all hosts at once.
@@ -39,12 +39,11 @@
 namespace jj {
 
 struct CrashSettings {
-    // With three crashes by coincidence a sound request is unlikely to be blamed: it would have to be new to all hosts, and be at three
-    // engines that crash.
+    // A sound part is unlikely to reach this by coincidence: it would have to be new to all hosts and be at three engines that crash.
     std::size_t crashesToBlock_ = 3;
     // The first part is shared by most requests of a kind; blocking it by mistake would refuse them all.
     std::size_t crashesToBlockFirstPart_ = 5;
-    // A crashed engine refuses connections at once. If it does only later than this after a loss, the cause may be another one.
+    // A crashed engine refuses connections at once. If it is found down later than this after a loss, the cause may be another one.
     Duration confirmationTime_ = 2s;
     // A suspect is forgotten this long after the last crash or request with it.
     Duration suspectLifetime_ = std::chrono::minutes(10);
@@ -79,7 +78,7 @@
     Fingerprint suspect_;
     bool isBlocked_ = false;
     bool isContent_ = false;
-    std::vector<UpstreamId> engines_; // that crashed with it and count
+    std::vector<UpstreamId> engines_; // whose crashes count against it
 };
 
 class CrashSuspects {
@@ -105,7 +104,7 @@
     std::optional<Fingerprint> findBlocked(const RequestFingerprints& request, TimePoint now);
     // Returns how long the suspect stays blocked if no further request with it comes.
     Duration blockedFor(Fingerprint suspect, TimePoint now) const;
-    // Returns whether a trial is due at the host that has its turn after `turn` others.
+    // Returns whether a trial is due at a host whose turn comes after those of `turn` other hosts.
     bool isTrialDue(Fingerprint suspect, std::size_t turn, TimePoint now) const;
     // Returns the number of trials so far; increased by recordTrial().
     std::uint8_t trials(Fingerprint suspect) const;
--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -115,10 +115,10 @@
     // From now on, for open connections too. Not while several threads run the io_context.
     void setLimits(const ServerLimits& limits);
 
-    // `admits` is asked at each new connection, on the io_context. When it says no, the connection is closed unread, so that its client
-    // can go elsewhere at once.
+    // `admits` is called for each new connection, on the io_context. If it returns false, the connection is closed unread, so that its
+    // client can try another server at once.
     void setAdmission(std::function<bool()> admits);
-    // Connections that were closed so, since the start.
+    // Number of connections that were not admitted since the start.
     std::uint64_t unadmittedConnections() const;
 
     // Takes no new connection; idle connections are closed, busy ones after the answer under way.
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -14,7 +14,7 @@
     using detail::ServerShared;
     using detail::tcp;
 
-    constexpr std::size_t maxAcceptedAtOnce = 64; // other work waits meanwhile
+    constexpr std::size_t maxAcceptedAtOnce = 64; // other work of the event loop waits meanwhile
     constexpr auto acceptRetry = std::chrono::milliseconds(100); // when the process is out of descriptors
 
     void acceptNext(const std::shared_ptr<ServerShared>& shared);
@@ -46,7 +46,7 @@
         boost::asio::post(executor, [shared, socket = std::move(socket)]() mutable { onAccepted(shared, std::move(socket)); });
     }
 
-    // With one connection for each turn of a busy event loop, most would wait until their clients have given up.
+    // If a busy event loop accepted one connection in each turn, most clients would give up before their turn.
     void takeWaitingConnections(const std::shared_ptr<ServerShared>& shared)
     {
         error_code error;
--- a/libs/serving/src/CrashWatch.cpp
+++ b/libs/serving/src/CrashWatch.cpp
@@ -19,7 +19,7 @@
     constexpr std::size_t sendersToStarted = 8;
     // Many hosts may contradict the same record.
     constexpr Duration contradictionPeriod = 1s;
-    // Of more parts, the rest are ignored; sound prompts have a few.
+    // Further parts of a prompt are ignored.
     constexpr std::size_t maxParts = 64;
     constexpr int firstNonSuccess = 300;
 
@@ -51,19 +51,18 @@
 
 RequestFingerprints CrashWatch::fingerprintsOf(const http::Request& request) const
 {
-    RequestFingerprints fingerprints;
-    fingerprints.parts_ = context_.translation_.parseSharedParts_(joinedValues(request.headers_, context_.translation_.headers_.promptParts_));
-    fingerprints.parts_.resize(std::min(fingerprints.parts_.size(), maxParts));
-    fingerprints.content_ = contentOf(request.headers_.find("Host"), request.target_, request.body_);
-    return fingerprints;
+    return fingerprintsOf(joinedValues(request.headers_, context_.translation_.headers_.promptParts_), contentOf(request.headers_.find("Host"), request.target_, request.body_));
 }
 
 RequestFingerprints CrashWatch::fingerprintsOf(const ItemRun& item) const
 {
-    RequestFingerprints fingerprints;
-    fingerprints.parts_ = context_.translation_.parseSharedParts_(joinedValues(item.headers_, context_.translation_.headers_.promptParts_));
+    return fingerprintsOf(joinedValues(item.headers_, context_.translation_.headers_.promptParts_), contentOf(item.host_, item.path_, item.body_));
+}
+
+RequestFingerprints CrashWatch::fingerprintsOf(std::string_view promptParts, Fingerprint content) const
+{
+    RequestFingerprints fingerprints { context_.translation_.parseSharedParts_(promptParts), content };
     fingerprints.parts_.resize(std::min(fingerprints.parts_.size(), maxParts));
-    fingerprints.content_ = contentOf(item.host_, item.path_, item.body_);
     return fingerprints;
 }
 
@@ -139,8 +138,8 @@
     publish({ suspect }, NodeId::none());
 }
 
-// Hosts take turns in an order that hashing gives, without agreement: the first one that gets such a request sends it, and the others learn
-// so before their turns come.
+// Hosts take turns in the order of a hash. The first one that receives such a request sends it and announces the trial before the turn of the
+// next host.
 bool CrashWatch::isOwnTrialDue(Fingerprint suspect) const
 {
     if (!suspects_.isTrialDue(suspect, 0, context_.now()))
--- a/libs/serving/src/CrashWatch.h
+++ b/libs/serving/src/CrashWatch.h
@@ -13,16 +13,17 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jj {
 
 class CrashWatch {
 public:
-    // How long a request waits after its engine was lost before it is sent to another one, if one of its parts was never answered: by then
-    // the hosts have exchanged which engines crashed.
+    // How long a request with a part that was never answered waits, after its engine was lost, before it is sent to another one. By then the
+    // hosts have exchanged which engines crashed.
     static constexpr Duration settlingTime = 300ms;
-    // An engine that is still writing an answer this long after its first event is not crashed by the request's parts.
+    // A part that crashes engines does so before this long after the first event.
     static constexpr Duration provenTime = 500ms;
 
     CrashWatch(Context& context, std::uint64_t seed);
@@ -61,6 +62,7 @@
     void tick(TimePoint now);
 
 private:
+    RequestFingerprints fingerprintsOf(std::string_view promptParts, Fingerprint content) const;
     // Checks over a new connection whether the engine has crashed, rather than waiting until its backoff is over.
     void confirmCrash(UpstreamId engine);
     // Sends the records of the suspects to a host, or to all if `to` is none.
--- a/libs/serving/src/LoopLag.h
+++ b/libs/serving/src/LoopLag.h
@@ -1,7 +1,7 @@
-// Tells from its late wake-ups that the event loop has more work than its share of a processor allows.
+// Detects by late wake-ups that the event loop has more work than its share of a processor allows.
 //
-// The time that work waits can't be read from the system: connections that nobody has accepted, and requests that nobody has read, wait in
-// the kernel. A periodic wake-up waits in the same loop. One that is late may follow a pause of the process; several in a row can't.
+// How long connections and requests wait in the kernel before the loop reads them can't be measured. A periodic wake-up waits for the same
+// loop. A single late one may follow a pause of the process; several in a row are due to the work of the loop.
 #pragma once
 
 #include "base/Time.h"
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -232,7 +232,7 @@
     };
     handlers.onSuspectRecords_ = [this](const SuspectRecords& records) { crashes_->handle(records); };
     handlers.onNodeStarted_ = [this](NodeId node) {
-        if (crashes_)
+        if (crashes_) // which is created after the fleet
             crashes_->onNodeStarted(node);
     };
     handlers.onNodeDown_ = [this](NodeId node) {
