Serving: a resumed run without events is the end of its stream only if another run agrees

What callers and clerks would get: a stream, or an item's text, that is cut and looks complete.

Cause: such an end was taken for the end of the stream if an earlier run had brought events, since a run that resumes after the last event brings none either. An engine that crashes before its first event, without a frame, closes in the same way.

Change: the end counts when a second run, which resumed after the same event, ended so too, or when it is framed. Ruled out: believing no such end, since a stream that was cut between its last event and its end would never complete.

A route that allows two runs has none left for the second opinion: its caller sees a broken stream and may resume it.

--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -10,6 +10,7 @@
     constexpr int statusImpossible = 422;
     constexpr int statusMisdirected = 421;
     constexpr int statusFailed = 500;
+    constexpr std::size_t maxEmptyRuns = 1000;
     // Weight of the latest run in the moving average of run times.
     constexpr double smoothingFactor = 0.1;
 
@@ -207,6 +208,21 @@
     context_.failed(run->engine_, EngineFault::Lost, error);
 }
 
+StreamBreak ItemRunner::findBreak(const Run& run, http::AnswerEnd answerEnd)
+{
+    const std::string key = run.item_.job_ + '\n' + run.item_.item_;
+    const auto known = emptyRuns_.find(key);
+    const bool isEndConfirmed = known != emptyRuns_.end() && run.item_.resumeAfter_ == known->second;
+    const StreamBreak streamBreak = findStreamBreak(run.scanner_, answerEnd, run.firstEventAt_.has_value(), isEndConfirmed);
+    if (emptyRuns_.size() >= maxEmptyRuns)
+        emptyRuns_.clear();
+    if (streamBreak == StreamBreak::None)
+        emptyRuns_.erase(key);
+    else if (streamBreak == StreamBreak::NoEvent && run.item_.resumeAfter_)
+        emptyRuns_[key] = *run.item_.resumeAfter_;
+    return streamBreak;
+}
+
 void ItemRunner::onEnd(const RunPtr& run, http::AnswerEnd answerEnd)
 {
     if (!isCurrent(run))
@@ -220,7 +236,7 @@
             context_.board_.recordFullRefusal(run->engine_, context_.now());
         return finish(run, RunResult::Preempted, "notExecuted");
     }
-    const StreamBreak streamBreak = run->status_ == http::statusOk ? findStreamBreak(run->scanner_, answerEnd, run->item_.resumeAfter_.has_value()) : StreamBreak::None;
+    const StreamBreak streamBreak = run->status_ == http::statusOk ? findBreak(*run, answerEnd) : StreamBreak::None;
     if (streamBreak != StreamBreak::None) {
         context_.log_.line("streamBrokenOff").with("request", run->item_.item_).with("job", run->item_.job_).with("why", nameOf(streamBreak)).with("end", nameOf(answerEnd)).with("restBytes", run->scanner_.rest().size());
         onEngineLost(run, http::Error::Truncated);
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace jj {
 
@@ -80,6 +81,8 @@
     bool withhold(const Run& run, TimePoint now);
     void onEvent(const RunPtr& run);
     void onEngineLost(const RunPtr& run, std::error_code error);
+    // Returns whether the end of the run's answer shows that the stream broke off.
+    StreamBreak findBreak(const Run& run, http::AnswerEnd answerEnd);
     void reportWaiting(TimePoint now);
     void yieldOneItem(TimePoint now);
     void send(const RunPtr& run);
@@ -94,6 +97,8 @@
     JobScheduler& scheduler_;
     ItemRunnerSettings settings_;
     std::map<RunId, RunPtr> runs_;
+    // The events after which runs of items resumed that ended without an event. Forgotten when the item has ended, or there are too many.
+    std::map<std::string, std::uint64_t> emptyRuns_;
     std::map<std::string, ReportedItems> lastReported_;
     double meanRunSeconds_;
 };
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -98,7 +98,10 @@
         return;
     call_ = nullptr;
     if (isReadingStream()) {
-        const StreamBreak streamBreak = findStreamBreak(scanner_, answerEnd, hasAnswerStarted_ || isResumedByCaller_);
+        const bool isEndConfirmed = lastEvent_ && emptyRunAfter_ == lastEvent_;
+        const StreamBreak streamBreak = findStreamBreak(scanner_, answerEnd, runFirstEventAt_.has_value(), isEndConfirmed);
+        if (streamBreak == StreamBreak::NoEvent)
+            emptyRunAfter_ = lastEvent_;
         if (streamBreak != StreamBreak::None)
             return onStreamBrokenOff(answerEnd, streamBreak);
     }
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -163,6 +163,7 @@
     EventScanner scanner_;
     std::string pendingEvents_; // complete events that are not yet written to the caller
     std::optional<std::uint64_t> lastEvent_;
+    std::optional<std::uint64_t> emptyRunAfter_; // the event after which a run resumed that ended without an event
 };
 
 } // namespace jj
--- a/libs/serving/src/StreamEnd.cpp
+++ b/libs/serving/src/StreamEnd.cpp
@@ -1,13 +1,13 @@
-// The decision depends on the bytes after the last complete event first, and on the framing only for a stream without events.
+// The decision depends on the bytes after the last complete event first, and on the framing only for a run without events.
 #include "StreamEnd.h"
 
 namespace jj {
 
-StreamBreak findStreamBreak(const EventScanner& scanner, http::AnswerEnd answerEnd, bool hasEvents)
+StreamBreak findStreamBreak(const EventScanner& scanner, http::AnswerEnd answerEnd, bool hasEvents, bool isEndConfirmed)
 {
     if (scanner.isInsideEvent())
         return StreamBreak::InsideEvent;
-    if (!hasEvents && answerEnd == http::AnswerEnd::ConnectionClosed)
+    if (!hasEvents && !isEndConfirmed && answerEnd == http::AnswerEnd::ConnectionClosed)
         return StreamBreak::NoEvent;
     return StreamBreak::None;
 }
--- a/libs/serving/src/StreamEnd.h
+++ b/libs/serving/src/StreamEnd.h
@@ -15,11 +15,12 @@
 enum class StreamBreak : std::uint8_t {
     None, // nothing contradicts that the stream is complete
     InsideEvent, // bytes of an incomplete event follow the last complete one
-    NoEvent, // the stream has no event, and its end isn't framed
+    NoEvent, // the run brought no event, and its end isn't framed
 };
 
-// `hasEvents`: this run or an earlier one of the same stream brought an event. A run that resumes after the last event has none of its own.
-StreamBreak findStreamBreak(const EventScanner& scanner, http::AnswerEnd answerEnd, bool hasEvents);
+// `hasEvents`: the run brought an event. `isEndConfirmed`: another run that resumed after the same event ended without an event too, as
+// runs do that resume after the last event of a stream.
+StreamBreak findStreamBreak(const EventScanner& scanner, http::AnswerEnd answerEnd, bool hasEvents, bool isEndConfirmed);
 
 std::string_view nameOf(StreamBreak streamBreak);
 
