--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -38,8 +38,8 @@
     {
         if (shared->admits_ && !shared->admits_()) {
             error_code ignored;
-            socket.close(ignored);
             ++shared->unadmitted_;
+            socket.close(ignored);
             return;
         }
         const auto executor = socket.get_executor();
