Serving: a lost answer is logged with its engine, the silence before it and the attempts allowed

From the lines of a request it couldn't be told whether its stream was given up for silence alone: `answerLost` had neither the engine, nor how long nothing had come from it, nor the attempts that the route allows, nor the configuration under which the request came. It has them now. No decision changes.

--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -25,6 +25,7 @@
     if (phase_ != Phase::Sent)
         return;
     phase_ = Phase::Reading;
+    heardAt_ = context_.now();
     head_ = head;
     context_.observe(engine_, head.headers_);
     rejected_ = head.headers_.has(context_.translation_.headers_.notExecuted_) || head.status_ == statusMisdirected;
@@ -34,6 +35,7 @@
 {
     if (phase_ != Phase::Reading)
         return;
+    heardAt_ = context_.now();
     if (!isReadingStream()) {
         body_.append(data);
         return;
@@ -209,7 +211,8 @@
 {
     const bool isVersionUnknown = hasAnswerStarted_ && boundVersion_.isNone();
     const bool mayResend = route_.isRepeatable() && !isVersionUnknown && runs_ < std::max(route_.maxAttempts_, 1U) && timeLeft() > Duration::zero() && (isStream() || !hasAnswerStarted_);
-    line("answerLost").with("error", error.message()).with("runs", runs_).with("started", hasAnswerStarted_ ? "yes" : "no").with("goesOn", mayResend ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("inRun", runFirstEventAt_ ? "events" : "noEvent").with("parts", partsForLog(joinedValues(exchange_->request().headers_, context_.translation_.headers_.promptParts_)));
+    const EngineEntry* entry = context_.board_.find(engine_);
+    line("answerLost").with("engine", entry ? entry->name_ : "").with("error", error.message()).with("silentMs", context_.now() - heardAt_).with("runs", runs_).with("attempts", route_.maxAttempts_).with("config", table_->version()).with("started", hasAnswerStarted_ ? "yes" : "no").with("goesOn", mayResend ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("inRun", runFirstEventAt_ ? "events" : "noEvent").with("parts", partsForLog(joinedValues(exchange_->request().headers_, context_.translation_.headers_.promptParts_)));
     if (!pendingEvents_.empty()) {
         exchange_->write(pendingEvents_);
         pendingEvents_.clear();
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -314,6 +314,7 @@
     ++runs_;
     phase_ = Phase::Sent;
     sentAt_ = context_.now();
+    heardAt_ = sentAt_;
     head_ = {};
     rejected_ = false;
     body_.clear();
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -152,6 +152,7 @@
     bool isResumedByCaller_ = false; // the caller has events of an earlier attempt
     std::string beganAs_; // attempt id that brought the stream's first event; empty: the caller names none
     TimePoint sentAt_ {};
+    TimePoint heardAt_ {}; // when the engine sent its last byte, or when the request was sent
     std::shared_ptr<http::Call> call_;
 
     http::ResponseHead head_; // of the answer being received
