Serving: items wait for silent engines while no other engine has room

Items of jobs whose engine sent nothing for 1.5 s were ended and run again, also when all other engines were full or silent; the engine counted as failed. Nothing was lost, but each such run was paid for twice, and engines that were sound were backed off from.

Cause: as with callers' streams, the time without a byte alone decided that the engine was lost.

Change: after 1.5 s the engine counts as silent. The item leaves it if an engine that isn't silent has a free slot for it, and otherwise waits, for 10 s at most. A run that is left counts as a loss, as before.

--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -11,6 +11,8 @@
     constexpr int statusMisdirected = 421;
     constexpr int statusFailed = 500;
     constexpr std::size_t maxEmptyRuns = 1000;
+    // Between two looks for other engines for items whose engine is silent.
+    constexpr Duration silenceCheckInterval = 100ms;
     // Weight of the latest run in the moving average of run times.
     constexpr double smoothingFactor = 0.1;
 
@@ -33,6 +35,7 @@
 void ItemRunner::pump(TimePoint now)
 {
     scheduler_.setRunTime(fromSeconds(meanRunSeconds_));
+    leaveSilentEngines(now);
     yieldOneItem(now);
     std::size_t starts = 0;
     while (starts < settings_.maxStartsPerPump_ && startOne(now))
@@ -71,6 +74,7 @@
     run->service_ = service;
     run->engine_ = pick.engine_;
     run->sentAt_ = now;
+    run->heardAt_ = now;
     run->fingerprints_ = context_.crashes_->fingerprintsOf(run->item_);
     if (withhold(*run, now))
         return true;
@@ -147,7 +151,7 @@
         request.headers_.add(names.resumeAfter_, std::to_string(*item.resumeAfter_));
     context_.log_.line("itemSent").with("request", item.item_).with("job", item.job_).with("engine", entry->name_).with("software", entry->softwareVersion_.name()).with("resumeAfter", item.resumeAfter_ ? static_cast<std::int64_t>(*item.resumeAfter_) : -1).with("dueInMs", item.due_ - run->sentAt_);
     http::CallOptions options;
-    options.idle_ = settings_.silenceTimeout_;
+    options.idle_ = settings_.silenceLimit_;
     options.echoName_ = names.attemptId_;
     options.echoValue_ = item.item_;
     http::CallHandlers handlers;
@@ -160,6 +164,7 @@
 
 void ItemRunner::onHead(const RunPtr& run, const http::ResponseHead& head)
 {
+    recordBytes(*run);
     run->status_ = head.status_;
     context_.observe(run->engine_, head.headers_);
     run->rejected_ = head.headers_.has(context_.translation_.headers_.notExecuted_) || head.status_ == statusMisdirected;
@@ -167,6 +172,7 @@
 
 void ItemRunner::onData(const RunPtr& run, std::string_view data)
 {
+    recordBytes(*run);
     if (!isCurrent(run) || run->status_ != http::statusOk || run->rejected_)
         return;
     bool isDiscontinuous = false;
@@ -192,6 +198,61 @@
         finish(run, RunResult::ResumeMismatch, isDiscontinuous ? "outOfStep" : "versionUncertain");
 }
 
+// ---- engines that fall silent
+
+void ItemRunner::recordBytes(Run& run)
+{
+    const Duration silence = context_.now() - run.heardAt_;
+    run.heardAt_ = context_.now();
+    if (!run.isSilent_)
+        return;
+    run.isSilent_ = false;
+    context_.engineGoesOn(run.engine_);
+    const EngineEntry* entry = context_.board_.find(run.engine_);
+    context_.log_.line("engineGoesOn").with("engine", entry ? entry->name_ : "").with("silentMs", silence).with("request", run.item_.item_).with("job", run.item_.job_);
+}
+
+void ItemRunner::leaveSilentEngines(TimePoint now)
+{
+    if (now < nextSilenceCheckAt_)
+        return;
+    nextSilenceCheckAt_ = now + silenceCheckInterval;
+    std::vector<RunPtr> silent;
+    for (const auto& [id, run] : runs_) {
+        if (now - run->heardAt_ >= settings_.silenceTimeout_)
+            silent.push_back(run);
+    }
+    for (const RunPtr& run : silent)
+        checkSilence(run, now);
+}
+
+void ItemRunner::checkSilence(const RunPtr& run, TimePoint now)
+{
+    context_.board_.recordSilence(run->engine_, now);
+    const bool isLeft = hasOtherEngine(*run, now);
+    if (!run->isSilent_) {
+        run->isSilent_ = true;
+        context_.fleet_->publishReport();
+        const EngineEntry* entry = context_.board_.find(run->engine_);
+        context_.log_.line("engineSilent").with("engine", entry ? entry->name_ : "").with("silentMs", now - run->heardAt_).with("request", run->item_.item_).with("job", run->item_.job_).with("leaves", isLeft ? "yes" : "no");
+    }
+    if (!isLeft)
+        return;
+    onEngineLost(run, http::Error::NoProgress);
+    finish(run, RunResult::Interrupted, "silent");
+}
+
+// Returns whether an engine that isn't silent has a free slot for the item.
+bool ItemRunner::hasOtherEngine(const Run& run, TimePoint now)
+{
+    const EngineEntry* entry = context_.board_.find(run.engine_);
+    const SoftwareVersionId version = entry && run.item_.resumeAfter_ ? entry->softwareVersion_.id() : SoftwareVersionId::none();
+    const bool isUrgent = scheduler_.urgencyOf(run.item_.id_, now) == ItemUrgency::Urgent;
+    const std::vector<UpstreamId> tried { run.engine_ };
+    const EnginePick pick = context_.board_.pickBatch(run.service_, isUrgent, run.item_.due_, tried, now, version);
+    return pick.isSome() && !context_.board_.isSilent(pick.engine_, now);
+}
+
 void ItemRunner::onEvent(const RunPtr& run)
 {
     if (!run->firstEventAt_)
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -21,8 +21,11 @@
 namespace jj {
 
 struct ItemRunnerSettings {
-    // A run is considered lost after this long without an event, several times the longest pause on a fully loaded engine.
+    // An engine counts as silent after this long without a byte, several times the longest pause on a fully loaded engine. The item leaves
+    // it if another engine has a free slot.
     Duration silenceTimeout_ = 1500ms;
+    // A run whose engine has been silent for this long is given up even if no other engine has a free slot.
+    Duration silenceLimit_ = 10s;
     // Assumed duration of a run until one has been measured: that of 219 events on a busy engine.
     Duration assumedRunTime_ = 5s;
     // Number of urgent items per engine that online requests can't preempt. Urgent items meet their deadline only if they run now.
@@ -54,6 +57,8 @@
         std::string service_;
         UpstreamId engine_;
         TimePoint sentAt_ {};
+        TimePoint heardAt_ {}; // when the engine sent its last byte; the time of the send while there is none
+        bool isSilent_ = false; // no byte has come for silenceTimeout_
         std::shared_ptr<http::Call> call_;
         int status_ = 0;
         bool rejected_ = false;
@@ -79,6 +84,12 @@
     bool startOn(const std::string& service, const JobScheduler::Waiting& waiting, SoftwareVersionId version, TimePoint now);
     // Puts off an item with what requests that crash engines share. Returns false if the item may run.
     bool withhold(const Run& run, TimePoint now);
+    // Moves items from silent engines to engines that have a free slot.
+    void leaveSilentEngines(TimePoint now);
+    void checkSilence(const RunPtr& run, TimePoint now);
+    bool hasOtherEngine(const Run& run, TimePoint now);
+    // Records that a byte came from the run's engine.
+    void recordBytes(Run& run);
     void onEvent(const RunPtr& run);
     void onEngineLost(const RunPtr& run, std::error_code error);
     // Returns whether the end of the run's answer shows that the stream broke off.
@@ -97,6 +108,7 @@
     JobScheduler& scheduler_;
     ItemRunnerSettings settings_;
     std::map<RunId, RunPtr> runs_;
+    TimePoint nextSilenceCheckAt_ {};
     // The events after which runs of items resumed that ended without an event. Forgotten when the item has ended, or there are too many.
     std::map<std::string, std::uint64_t> emptyRuns_;
     std::map<std::string, ReportedItems> lastReported_;
