Serving: a stream that waits for its silent engine no longer holds up the queue

What callers saw: while one stream whose engine had fallen silent waited, a new request to the same service wasn't sent, though an engine had free slots, until the silent engine went on. Items weren't started either: the next free slot is kept for queued requests.

Cause: a stream whose engine is silent queued for a slot elsewhere also if no engine could ever give it one: the service has one engine, the others had refused it, or none of its software version is left. It stood at the head of the queue of its service until its own deadline, entering it again whenever its place expired. Also if it waits for a good reason, it held up requests for engines that only it had tried.

Change: a stream queues only while an engine that it wasn't sent to works, neither failed nor silent, on its software version (CapacityBoard::hasOtherEngine), and leaves the queue once that no longer holds. Requests that were sent to engines before have a queue of their own, as those that need one version, and go first.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -196,6 +196,9 @@
     // Records that the engine goes on.
     void silenceEnded(UpstreamId engine) { silentUntil_.erase(engine); }
     bool isSilent(UpstreamId engine, TimePoint now) const;
+    // Returns whether a slot is worth waiting for: an engine that was not tried works, neither failed nor silent, on the given software
+    // version; none: on any.
+    bool hasOtherEngine(std::string_view service, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version) const;
     // Records that a probe found the engine alive, so that a request may test it.
     void recordProbeSuccess(UpstreamId engine);
     // Applies the load that the engine itself reported a moment ago. It is used where it is higher than the sum of the node reports,
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -101,6 +101,21 @@
     });
 }
 
+bool CapacityBoard::hasOtherEngine(std::string_view service, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version) const
+{
+    const auto serviceId = idFromName<ServiceId>(service);
+    const auto works = [&](const Engine* engine) {
+        const EngineEntry& entry = engine->entry_;
+        const bool isTried = std::find(tried.begin(), tried.end(), entry.id_) != tried.end();
+        const bool isOtherVersion = !version.isNone() && entry.softwareVersion_.id() != version;
+        return !isTried && !isOtherVersion && !entry.draining_ && !engine->isSuspect_ && !isSilent(entry.id_, now);
+    };
+    return std::any_of(engineDistances.begin(), engineDistances.end(), [&](EngineDistance distance) {
+        const std::vector<Engine*>& engines = groups_.all(serviceId, distance);
+        return std::any_of(engines.begin(), engines.end(), works);
+    });
+}
+
 EnginePick CapacityBoard::pickOnline(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version)
 {
     expireReports(now);
--- a/libs/capacity/tests/CapacityBoardTest.cpp
+++ b/libs/capacity/tests/CapacityBoardTest.cpp
@@ -267,6 +267,22 @@
     CHECK(fixture.board_.ownUse(fixture.now_).failingEngines_ == std::vector { UpstreamId(1) });
 }
 
+// Guards against a request that waits for a slot which no engine can give it, and holds up the others.
+TEST_CASE("capacity: a slot is worth waiting for only if another engine works")
+{
+    BoardFixture fixture(2);
+    const std::vector tried { UpstreamId(1) };
+    const auto hasOther = [&](SoftwareVersionId version) { return fixture.board_.hasOtherEngine("s", tried, fixture.now_, version); };
+    CHECK(hasOther(SoftwareVersionId::none()));
+    CHECK(!hasOther(SoftwareVersionId(12345)));
+    fixture.board_.recordSilence(UpstreamId(2), fixture.now_);
+    CHECK(!hasOther(SoftwareVersionId::none()));
+    fixture.board_.silenceEnded(UpstreamId(2));
+    CHECK(hasOther(SoftwareVersionId::none()));
+    fixture.board_.failed(UpstreamId(2), EngineFault::Lost, fixture.now_);
+    CHECK(!hasOther(SoftwareVersionId::none()));
+}
+
 // When the network between a node and its engines drops all open connections, the node's streams fail at the same moment although all
 // engines are healthy.
 TEST_CASE("capacity: simultaneous losses of connections to many engines aren't attributed to the engines")
--- a/libs/serving/src/RelaySilence.cpp
+++ b/libs/serving/src/RelaySilence.cpp
@@ -82,6 +82,9 @@
         if (startSecondRun(context_.board_.pickOnline(service_, budget, true, tried_, context_.now(), boundVersion_)))
             return;
     }
+    // A queued request that no engine can take would hold up the requests and items behind it.
+    if (!context_.board_.hasOtherEngine(service_, tried_, context_.now(), boundVersion_))
+        return leaveQueue();
     const bool shouldQueue = ticket_.isNone() && context_.now() < queueDeadline() && context_.board_.canQueueInTime(service_, budget, context_.now());
     if (!shouldQueue)
         return;
--- a/libs/serving/src/SlotQueue.cpp
+++ b/libs/serving/src/SlotQueue.cpp
@@ -23,7 +23,12 @@
 
 std::string SlotQueue::queueName(const QueuedRequest& queued)
 {
-    return queued.version_.isNone() ? queued.service_ : queued.service_ + '\n' + std::to_string(queued.version_.value());
+    std::string name = queued.service_;
+    if (!queued.version_.isNone())
+        name.append("\nversion ").append(std::to_string(queued.version_.value()));
+    for (const UpstreamId engine : queued.tried_)
+        name.append("\ntried ").append(std::to_string(engine.value()));
+    return name;
 }
 
 QueueTicket SlotQueue::enter(QueuedRequest queued)
@@ -93,8 +98,13 @@
     pumping_ = true;
     const TimePoint now = context_.now();
     std::vector<std::string> names = queue_.services();
-    // Requests that resume a stream go first: few engines can serve them, and their callers have a part of the answer.
-    std::stable_partition(names.begin(), names.end(), [&](const std::string& name) { return !queuedRequests_.at(*queue_.first(name, now)).version_.isNone(); });
+    // Requests that few engines can serve go first. They have waited for longer, and the callers of those that resume a stream have a part
+    // of the answer.
+    const auto isOfAll = [&](const std::string& name) {
+        const QueuedRequest& first = queuedRequests_.at(*queue_.first(name, now));
+        return first.version_.isNone() && first.tried_.empty();
+    };
+    std::stable_partition(names.begin(), names.end(), [&](const std::string& name) { return !isOfAll(name); });
     for (const std::string& name : names) {
         while (serveOne(name, isOwnSlot, now)) { }
     }
--- a/libs/serving/src/SlotQueue.h
+++ b/libs/serving/src/SlotQueue.h
@@ -59,7 +59,8 @@
     // Assigns free slots. `isOwnSlot`: this node freed the slot or its turn has come, so its requests don't wait for the turns of
     // other nodes, except a late request while another one can still be in time.
     void pump(bool isOwnSlot);
-    // Requests that need one software version have a queue of their own, so that they don't hold up those that any engine can serve.
+    // Requests that need one software version or were sent to engines before have a queue of their own, so that they don't hold up those
+    // that any engine can serve.
     static std::string queueName(const QueuedRequest& queued);
     // Assigns a slot to the first request of the queue. Returns false if there is no request or no slot.
     bool serveOne(const std::string& name, bool isOwnSlot, TimePoint now);
