Serving: after a silence, a request again waits out each further loss before it is sent on

What was seen: a request with parts of a prompt that were never answered, whose first engine had fallen silent and whose second one then broke its connection, was sent to a third engine 0.1 s after that loss rather than 0.3 s. By then the hosts don't know yet which engines crashed, so a prompt that crashes engines reaches one engine more.

Cause: the wait was counted from the silence of the first engine, not from the last loss.

Change: it is counted from the last silence or loss.

Evidence: scenario 'settling' of silent_engines_test.py failed before (1.62 s from the request to its first event) and holds now (1.82 s: 1.2 s of silence and twice 0.3 s).

--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -221,11 +221,17 @@
     onEngineLost(failure.code_);
 }
 
-void RelayedRequest::onEngineLost(std::error_code error)
+void RelayedRequest::noteLoss()
 {
     const LossPoint point = context_.crashes_->lossPoint(run_->firstEventAt_);
     mustSettle_ = context_.crashes_->mustSettle(fingerprints_, point);
+    lostAt_ = context_.now();
     context_.crashes_->recordLoss(fingerprints_, run_->engine_, point);
+}
+
+void RelayedRequest::onEngineLost(std::error_code error)
+{
+    noteLoss();
     context_.failed(run_->engine_, EngineFault::Lost, error);
     lost(error);
 }
--- a/libs/serving/src/RelaySilence.cpp
+++ b/libs/serving/src/RelaySilence.cpp
@@ -49,7 +49,7 @@
     context_.board_.recordSilence(run_->engine_, context_.now());
     if (!run_->isSilent_)
         noteSilence();
-    if (mayTryOtherEngine(silence))
+    if (mayTryOtherEngine())
         tryOtherEngine();
     // A second run has set the timer.
     if (phase_ == Phase::Running && !silentRun_)
@@ -59,18 +59,16 @@
 void RelayedRequest::noteSilence()
 {
     run_->isSilent_ = true;
-    const LossPoint point = context_.crashes_->lossPoint(run_->firstEventAt_);
-    mustSettle_ = context_.crashes_->mustSettle(fingerprints_, point);
-    context_.crashes_->recordLoss(fingerprints_, run_->engine_, point);
+    noteLoss();
     context_.fleet_->publishReport();
     context_.metrics_.metrics_.add(context_.metrics_.silences_);
     const EngineEntry* entry = context_.board_.find(run_->engine_);
     line("engineSilent").with("engine", entry ? entry->name_ : "").with("silentMs", context_.now() - run_->heardAt_).with("runs", runs_).with("attempts", route_.maxAttempts_).with("offers", offers_).with("started", hasAnswerStarted_ ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("config", table_->version());
 }
 
-bool RelayedRequest::mayTryOtherEngine(Duration silence)
+bool RelayedRequest::mayTryOtherEngine()
 {
-    const bool hasSettled = !mustSettle_ || silence >= silenceTimeout + CrashWatch::settlingTime;
+    const bool hasSettled = !mustSettle_ || context_.now() - lostAt_ >= CrashWatch::settlingTime;
     return hasSettled && offers_ < maxOffers && mayRunAgain() && isStillAllowed(*context_.table_, caller_) && !isBlocked();
 }
 
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -104,6 +104,8 @@
     void requestPreemption();
     // Handles a connection to the engine that broke while the request may have run.
     void onEngineLost(std::error_code error);
+    // Records that the run's engine may have crashed with the request.
+    void noteLoss();
     void lost(std::error_code error);
     // Ends a request that may have run and isn't sent again.
     void giveUp();
@@ -131,7 +133,7 @@
     void noteSilence();
     // Opens a second run beside the silent one if the request may run again and another engine has a free slot, or waits for a slot.
     void tryOtherEngine();
-    bool mayTryOtherEngine(Duration silence);
+    bool mayTryOtherEngine();
     bool startSecondRun(const EnginePick& pick);
     // Neither run has brought an event for as long as two of them may be open.
     void endOverlap();
@@ -178,6 +180,7 @@
     RequestFingerprints fingerprints_; // what it may share with requests that crash engines
     std::optional<Fingerprint> blockedBy_; // the suspect that blocks it
     bool mustSettle_ = false; // its engine was lost, and a part of its prompt was never answered
+    TimePoint lostAt_ {}; // when its last engine was lost or fell silent
     bool wasRefusedBefore_ = false; // the caller was probably refused before and would give up after another refusal
 
     Phase phase_ = Phase::Admitting;
