Serving: engines that are gone are left as fast as before when the next one fails too

What callers saw: if the engine of a stream was gone for good and the next one refused the request, the next event came 0.1 s later than it could; if the next one was gone as well, 0.2 s later, since its silence was counted from the end of the overlap and not from its last byte.

Change: after the end of one of two runs, the next look is due when the engine that is left has been silent for the usual time, which may be now.

Evidence: scenario 'gone-among-troubles' of silent_engines_test.py failed before.

--- a/libs/serving/src/RelaySilence.cpp
+++ b/libs/serving/src/RelaySilence.cpp
@@ -5,6 +5,8 @@
 // goes on alone. If the request may not run again, or no other engine has a free slot, it waits for its engine.
 #include "RelayedRequest.h"
 
+#include <algorithm>
+
 namespace jj {
 
 namespace {
@@ -39,13 +41,14 @@
     });
 }
 
+void RelayedRequest::checkSilenceWhenDue() { checkSilenceAfter(std::max<Duration>(run_->heardAt_ + silenceTimeout - context_.now(), Duration::zero())); }
+
 void RelayedRequest::checkSilence()
 {
     if (silentRun_)
         return endOverlap();
-    const Duration silence = context_.now() - run_->heardAt_;
-    if (silence < silenceTimeout)
-        return checkSilenceAfter(silenceTimeout - silence);
+    if (context_.now() - run_->heardAt_ < silenceTimeout)
+        return checkSilenceWhenDue();
     context_.board_.recordSilence(run_->engine_, context_.now());
     if (!run_->isSilent_)
         noteSilence();
@@ -120,7 +123,7 @@
     line("silentRunKept").with("runs", runs_);
     EngineRunPtr other = std::exchange(run_, std::exchange(silentRun_, nullptr));
     close(other);
-    checkSilenceAfter(silenceCheckInterval);
+    checkSilenceWhenDue();
 }
 
 void RelayedRequest::leaveSilentRun(bool isReplaced)
@@ -130,7 +133,7 @@
     if (isReplaced)
         context_.failed(silent->engine_, EngineFault::Lost, http::Error::NoProgress);
     close(silent);
-    checkSilenceAfter(silenceTimeout);
+    checkSilenceWhenDue();
 }
 
 void RelayedRequest::onSilentRunFailed(bool hasRun, std::error_code error)
@@ -145,7 +148,7 @@
         --runs_;
     }
     close(silent);
-    checkSilenceAfter(silenceTimeout);
+    checkSilenceWhenDue();
 }
 
 } // namespace jj
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -129,6 +129,8 @@
     // Records that a byte came from the run's engine.
     void recordBytes(EngineRun& run);
     void checkSilenceAfter(Duration delay);
+    // Checks once the engine of run_ has been silent for silenceTimeout, which may be now.
+    void checkSilenceWhenDue();
     void checkSilence();
     void noteSilence();
     // Opens a second run beside the silent one if the request may run again and another engine has a free slot, or waits for a slot.
