Serving: only as many items leave a silent engine as other engines have free slots

What was seen: two items ran on an engine that fell silent, and one slot was free elsewhere. Both items left; one of them then waited, although its engine went on meanwhile.

Cause: each item looked by itself, and saw the same free slot. In the look 0.1 s later the slot was free again, since an item is run again only after a delay.

Change: in one look each free slot counts for one item. An item that left runs again without a delay, so that it has taken its slot by the next look; only one that may have crashed its engine still waits.

--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -222,14 +222,24 @@
         if (now - run->heardAt_ >= settings_.silenceTimeout_)
             silent.push_back(run);
     }
-    for (const RunPtr& run : silent)
-        checkSilence(run, now);
+    // Each free slot counts for one item only.
+    std::vector<UpstreamId> promised;
+    for (const RunPtr& run : silent) {
+        const EnginePick pick = checkSilence(run, now);
+        if (!pick.isSome())
+            continue;
+        context_.board_.started(pick.engine_, WorkClass::BatchItem);
+        promised.push_back(pick.engine_);
+    }
+    for (const UpstreamId engine : promised)
+        context_.board_.ended(engine, WorkClass::BatchItem);
 }
 
-void ItemRunner::checkSilence(const RunPtr& run, TimePoint now)
+EnginePick ItemRunner::checkSilence(const RunPtr& run, TimePoint now)
 {
     context_.board_.recordSilence(run->engine_, now);
-    const bool isLeft = hasOtherEngine(*run, now);
+    const EnginePick pick = pickOtherEngine(*run, now);
+    const bool isLeft = pick.isSome();
     if (!run->isSilent_) {
         run->isSilent_ = true;
         context_.fleet_->publishReport();
@@ -237,20 +247,22 @@
         context_.log_.line("engineSilent").with("engine", entry ? entry->name_ : "").with("silentMs", now - run->heardAt_).with("request", run->item_.item_).with("job", run->item_.job_).with("leaves", isLeft ? "yes" : "no");
     }
     if (!isLeft)
-        return;
+        return pick;
+    const bool mustSettle = context_.crashes_->mustSettle(run->fingerprints_, context_.crashes_->lossPoint(run->firstEventAt_));
     onEngineLost(run, http::Error::NoProgress);
-    finish(run, RunResult::Interrupted, "silent");
+    // Without a delay, so that the item takes its slot before the next silent one is looked at.
+    finish(run, mustSettle ? RunResult::Interrupted : RunResult::Preempted, "silent");
+    return pick;
 }
 
-// Returns whether an engine that isn't silent has a free slot for the item.
-bool ItemRunner::hasOtherEngine(const Run& run, TimePoint now)
+EnginePick ItemRunner::pickOtherEngine(const Run& run, TimePoint now)
 {
     const EngineEntry* entry = context_.board_.find(run.engine_);
     const SoftwareVersionId version = entry && run.item_.resumeAfter_ ? entry->softwareVersion_.id() : SoftwareVersionId::none();
     const bool isUrgent = scheduler_.urgencyOf(run.item_.id_, now) == ItemUrgency::Urgent;
     const std::vector<UpstreamId> tried { run.engine_ };
     const EnginePick pick = context_.board_.pickBatch(run.service_, isUrgent, run.item_.due_, tried, now, version);
-    return pick.isSome() && !context_.board_.isSilent(pick.engine_, now);
+    return pick.isSome() && context_.board_.isSilent(pick.engine_, now) ? EnginePick {} : pick;
 }
 
 void ItemRunner::onEvent(const RunPtr& run)
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -86,8 +86,10 @@
     bool withhold(const Run& run, TimePoint now);
     // Moves items from silent engines to engines that have a free slot.
     void leaveSilentEngines(TimePoint now);
-    void checkSilence(const RunPtr& run, TimePoint now);
-    bool hasOtherEngine(const Run& run, TimePoint now);
+    // Ends the run if another engine can take the item. Returns that engine, or none.
+    EnginePick checkSilence(const RunPtr& run, TimePoint now);
+    // Returns an engine that isn't silent and has a free slot for the item, or none.
+    EnginePick pickOtherEngine(const Run& run, TimePoint now);
     // Records that a byte came from the run's engine.
     void recordBytes(Run& run);
     void onEvent(const RunPtr& run);
