Serving: a stream goes back to an engine that it left for silence alone, if no other one is left

What callers saw: 502 in place of a stream with attempts left, or the break of one, though its first engine was sound and free: both engines of a service fell silent, the stream left the first one after the overlap, and the second one then refused it, failed or broke its connection.

Cause: an engine that a request has been sent to isn't tried again, also if the request left it only because both runs were silent.

Change: when no other engine works that the request wasn't sent to, engines that it left while they were silent, and that no other run has outdone, may be picked again, within the attempts of the route.

--- a/libs/serving/src/RelaySilence.cpp
+++ b/libs/serving/src/RelaySilence.cpp
@@ -75,8 +75,17 @@
     return hasSettled && offers_ < maxOffers && mayRunAgain() && isStillAllowed(*context_.table_, caller_) && !isBlocked();
 }
 
+void RelayedRequest::allowLeftEngines()
+{
+    if (leftWhileSilent_.empty() || context_.board_.hasOtherEngine(service_, tried_, context_.now(), boundVersion_))
+        return;
+    std::erase_if(tried_, [this](UpstreamId engine) { return std::find(leftWhileSilent_.begin(), leftWhileSilent_.end(), engine) != leftWhileSilent_.end(); });
+    leftWhileSilent_.clear();
+}
+
 void RelayedRequest::tryOtherEngine()
 {
+    allowLeftEngines();
     const Duration budget = firstEventBudget();
     // As in dispatch(), a free slot goes to the requests that are already queued, unless this one resumes.
     if (isResumed() || context_.board_.waiting(service_) == 0) {
@@ -132,6 +141,8 @@
     line("silentRunLeft").with("silentMs", context_.now() - silent->heardAt_).with("runs", runs_).with("replaced", isReplaced ? "yes" : "no");
     if (isReplaced)
         context_.failed(silent->engine_, EngineFault::Lost, http::Error::NoProgress);
+    else
+        leftWhileSilent_.push_back(silent->engine_);
     close(silent);
     checkSilenceWhenDue();
 }
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -176,6 +176,7 @@
         return refuseBlocked();
     if (isResumed() && !context_.board_.hasVersion(service_, boundVersion_))
         return onVersionGone();
+    allowLeftEngines();
     const TimePoint now = context_.now();
     const Duration budget = firstEventBudget();
     EnginePick pick = offers_ < maxOffers ? context_.board_.pickOnline(service_, budget, route_.isRepeatable(), tried_, now, boundVersion_) : EnginePick {};
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -135,6 +135,8 @@
     void noteSilence();
     // Opens a second run beside the silent one if the request may run again and another engine has a free slot, or waits for a slot.
     void tryOtherEngine();
+    // Lets the request go back to engines that it left while they were silent, if no other one is left: they may be sound.
+    void allowLeftEngines();
     bool mayTryOtherEngine();
     bool startSecondRun(const EnginePick& pick);
     // Neither run has brought an event for as long as two of them may be open.
@@ -188,6 +190,7 @@
     Phase phase_ = Phase::Admitting;
     bool usesQuota_ = false; // admitted, and its credit is not returned
     std::vector<UpstreamId> tried_;
+    std::vector<UpstreamId> leftWhileSilent_; // those of tried_ that were silent when the request left them, and that no other run has outdone
     std::size_t offers_ = 0; // number of engines that the request was sent to, including those that did not run it
     std::uint32_t runs_ = 0; // number of engines that may have started the request
     QueueTicket ticket_; // set in phase Waiting, and while a request whose engine is silent waits for a slot elsewhere
