Serving: a whole answer of an engine that was silent is no loss of that engine

What was seen: an engine that was silent for 1.3 s and then answered 500 or 400 counted as lost, was backed off from for it, and its loss spoke against the parts of the request's prompt; the answer 400 was dropped, and the caller waited for the second engine to say the same.

Cause: the end of the silent run's answer was handled as the break of its connection if the answer was no stream.

Change: a failure counts as one failure and as an answer; an answer that isn't a failure is passed on if the caller has no event yet.

Evidence: scenario 'late-answers' of silent_engines_test.py failed before (the engine's fault was 'lost') and holds now.

--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -111,11 +111,13 @@
         if (streamBreak != StreamBreak::None)
             return onStreamBrokenOff(run, answerEnd, streamBreak);
     }
-    if (run == silentRun_ && !isReadingStream(*run))
-        return onSilentRunFailed(!run->rejected_, {});
-    if (run == silentRun_)
-        returnToSilentRun();
     const http::ResponseHead& head = *run->head_;
+    if (run == silentRun_) {
+        const bool mayAnswer = isReadingStream(*run) || (!hasAnswerStarted_ && !run->rejected_ && head.status_ < firstServerError);
+        if (!mayAnswer)
+            return onSilentRunAnswered(head.status_ >= firstServerError);
+        returnToSilentRun();
+    }
     if (!run->rejected_)
         context_.crashes_->recordAnswer(fingerprints_, head.status_);
     // A 4xx status other than 421 and 429 means that the request itself is at fault. That answer is forwarded to the caller even
--- a/libs/serving/src/RelaySilence.cpp
+++ b/libs/serving/src/RelaySilence.cpp
@@ -147,6 +147,19 @@
     checkSilenceWhenDue();
 }
 
+void RelayedRequest::onSilentRunAnswered(bool hasFailed)
+{
+    if (silentRun_->rejected_)
+        return onSilentRunFailed(false, {});
+    const int status = silentRun_->head_->status_;
+    line("silentRunAnswered").with("status", status).with("runs", runs_);
+    context_.crashes_->recordAnswer(fingerprints_, status);
+    if (hasFailed)
+        context_.failed(silentRun_->engine_, EngineFault::Failure, {});
+    close(silentRun_);
+    checkSilenceWhenDue();
+}
+
 void RelayedRequest::onSilentRunFailed(bool hasRun, std::error_code error)
 {
     EngineRunPtr silent = std::exchange(silentRun_, nullptr);
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -145,7 +145,9 @@
     void returnToSilentRun();
     // The second run goes on alone. `isReplaced`: it has brought an event.
     void leaveSilentRun(bool isReplaced);
-    // The answer of the silent run can't go on: its connection broke, or it is no stream.
+    // The silent run ended with a whole answer that its caller can't get: a refusal or a failure.
+    void onSilentRunAnswered(bool hasFailed);
+    // The answer of the silent run can't go on: its connection broke, or its engine did not run the request.
     void onSilentRunFailed(bool hasRun, std::error_code error);
 
     // Returns whether the run's answer is a stream of events.
