Serving: items of an engine that is gone aren't kept waiting behind all others

What was seen: with all slots taken and items waiting, the items of an engine that was gone for good weren't run again within 5 s, which before streams and items waited for silent engines took 2.5 s.

Cause: an item looked for a free slot only every 0.1 s, and each slot that became free in between went to a waiting item. So it stayed until its engine had been silent for 10 s.

Change: the look comes before waiting items are started, each time.

--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -11,8 +11,6 @@
     constexpr int statusMisdirected = 421;
     constexpr int statusFailed = 500;
     constexpr std::size_t maxEmptyRuns = 1000;
-    // Between two looks for other engines for items whose engine is silent.
-    constexpr Duration silenceCheckInterval = 100ms;
     // Weight of the latest run in the moving average of run times.
     constexpr double smoothingFactor = 0.1;
 
@@ -35,6 +33,7 @@
 void ItemRunner::pump(TimePoint now)
 {
     scheduler_.setRunTime(fromSeconds(meanRunSeconds_));
+    // Before waiting items are started: while all slots are taken, those would take each slot that becomes free.
     leaveSilentEngines(now);
     yieldOneItem(now);
     std::size_t starts = 0;
@@ -214,9 +213,6 @@
 
 void ItemRunner::leaveSilentEngines(TimePoint now)
 {
-    if (now < nextSilenceCheckAt_)
-        return;
-    nextSilenceCheckAt_ = now + silenceCheckInterval;
     std::vector<RunPtr> silent;
     for (const auto& [id, run] : runs_) {
         if (now - run->heardAt_ >= settings_.silenceTimeout_)
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -110,7 +110,6 @@
     JobScheduler& scheduler_;
     ItemRunnerSettings settings_;
     std::map<RunId, RunPtr> runs_;
-    TimePoint nextSilenceCheckAt_ {};
     // The events after which runs of items resumed that ended without an event. Forgotten when the item has ended, or there are too many.
     std::map<std::string, std::uint64_t> emptyRuns_;
     std::map<std::string, ReportedItems> lastReported_;
