Serving: time-outs are no evidence of a crash

Callers saw 503s for sound requests while engines were cut off from a host or stood still for a second: their prompts had a part in common that had not been answered yet, and the part was blocked as one that crashes engines.

Cause: a silence counts as a loss of the engine's run, and a loss speaks against the request's parts if the engine is found to be down within two seconds. The check after a loss took a connection that isn't made in time for an engine that is down, and so did the probe after a backoff, also when the health check got no answer. Neither tells a crash from an engine that goes on a moment later. Three engines that are cut off at once were enough for a verdict, which only an answer or a trial after 30 s takes back.

Change: only refused connections (and errors other than time-outs) speak for a crash. Backoffs and probes are as before. A crashed engine whose host drops connections instead of refusing them is no longer evidence.

--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -77,6 +77,8 @@
 {
 }
 
+bool isTimeout(std::error_code error) { return error == http::Error::ConnectTimedOut || error == http::Error::NoProgress; }
+
 void Context::failed(UpstreamId engine, EngineFault fault, std::error_code error)
 {
     const EngineEntry* entry = board_.find(engine);
@@ -85,7 +87,7 @@
     static constexpr std::string_view faults[] = { "notConnected", "lost", "failure" };
     const Duration backoff = board_.failed(engine, fault, now());
     log_.line("engineFailed").with("engine", entry->name_).with("fault", faults[static_cast<std::size_t>(fault)]).with("error", error ? error.message() : "").with("leftAloneMs", backoff);
-    if (fault == EngineFault::NotConnected)
+    if (fault == EngineFault::NotConnected && !isTimeout(error))
         crashes_->engineDown(engine);
     if (backoff > Duration::zero())
         fleet_->publishReport();
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -79,6 +79,9 @@
     void observe(UpstreamId engine, const http::Headers& headers);
 };
 
+// Returns whether an engine gave no sign in time. An engine that is cut off or stands still looks the same as one that is gone.
+bool isTimeout(std::error_code error);
+
 // Returns an error response that carries `code` and the run state. The retry header is omitted if `retryAfter` is zero.
 http::Response refusalResponse(const Translation& translation, int status, std::string_view code, std::string_view message, RunState run, Duration retryAfter);
 
--- a/libs/serving/src/CrashWatch.cpp
+++ b/libs/serving/src/CrashWatch.cpp
@@ -106,8 +106,7 @@
     options.fresh_ = true;
     context_.engines_.fetch(entry->at_, { "GET", context_.translation_.engineHealthPath_, {}, {} }, options, [this, engine](const Result<http::Response>& response, RunState) {
         confirming_.erase(engine);
-        const bool isDown = !response && (response.error() == http::Error::ConnectFailed || response.error() == http::Error::ConnectTimedOut);
-        if (isDown)
+        if (!response && response.error() == http::Error::ConnectFailed)
             engineDown(engine);
     });
 }
