Http: the idle time no longer ends an answer whose reader pauses

Callers that took no byte of an answer for the idle time of the configuration lost the rest of it, also when a new configuration had shortened that time while they were reading.

Cause: one limit, idle_, held for connections without a request and for readers that pause. An idle connection costs its client nothing; an answer that is cut can't be had again.

Change: ServerLimits::writeTime_, 60 s, which no configuration changes, bounds readers that take nothing. A stream's memory is bounded by the write queue as before, and a request by its deadline.

Test: 'a reader that pauses for longer than the idle time gets its whole answer' failed before (3,919,872 of 33,554,432 bytes) and passes.

--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -36,7 +36,8 @@
     std::size_t connections_ = 4096;
     std::size_t writeQueueBytes_ = 4 * 1024 * 1024; // a stream's reader further behind than this is cut off
     Duration requestTime_ = std::chrono::seconds(15); // from a request's first byte to the end of its header or whole body
-    Duration idle_ = std::chrono::seconds(60); // keep-alive without a request; a peer that takes or sends no byte
+    Duration idle_ = std::chrono::seconds(60); // keep-alive without a request; a client that sends no byte of a streamed body
+    Duration writeTime_ = std::chrono::seconds(60); // a client that takes no byte of its answer, which can't be had again
 };
 
 struct ServerSettings {
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -314,7 +314,7 @@
 void ServerConnection::armTimer()
 {
     const ServerLimits& limits = shared_->settings_.limits_;
-    const Duration shortest = std::min(limits.idle_, limits.requestTime_);
+    const Duration shortest = std::min({ limits.idle_, limits.requestTime_, limits.writeTime_ });
     timer_.expires_after(std::clamp<Duration>(shortest / 4, std::chrono::milliseconds(5), std::chrono::seconds(5)));
     timer_.async_wait([self = shared_from_this()](error_code error) {
         if (!error && self->phase_ != Phase::Closed && self->phase_ != Phase::Lingering)
@@ -327,7 +327,7 @@
     const ServerLimits& limits = shared_->settings_.limits_;
     const auto now = SteadyClock::now();
     const bool inMessage = phase_ == Phase::Body || (phase_ == Phase::Head && parser_);
-    if (!inFlight_.empty() && now - lastWrite_ > limits.idle_)
+    if (!inFlight_.empty() && now - lastWrite_ > limits.writeTime_)
         return close();
     if (inMessage && now - requestStart_ > limits.requestTime_)
         fail(Error::RequestTooSlow);
--- a/libs/http/tests/LimitsTest.cpp
+++ b/libs/http/tests/LimitsTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -36,6 +37,13 @@
 
     Server& server() { return *server_; }
 
+    void lowerIdleTime(Duration idle)
+    {
+        ServerLimits limits;
+        limits.idle_ = idle;
+        boost::asio::post(io_, [this, limits] { server_->setLimits(limits); });
+    }
+
     tcp::socket connect(boost::asio::io_context& io)
     {
         tcp::socket socket(io);
@@ -90,10 +98,10 @@
     CHECK(written < mostBlocks);
 }
 
-TEST_CASE("a reader that takes no byte for the idle bound is cut off")
+TEST_CASE("a reader that takes no byte for the write time is cut off")
 {
     ServerLimits limits;
-    limits.idle_ = 30ms;
+    limits.writeTime_ = 30ms;
     limits.writeQueueBytes_ = 256 * 1024 * 1024;
     std::promise<void> closed;
     Running running(limits, [&](const std::shared_ptr<Exchange>& exchange) {
@@ -117,6 +125,22 @@
     CHECK(readToEnd(socket).empty());
 }
 
+// Guards against answers that a shorter idle time of a new configuration ends while their reader pauses.
+TEST_CASE("a reader that pauses for longer than the idle time gets its whole answer")
+{
+    constexpr std::size_t size = 32 * 1024 * 1024; // far more than the kernel's buffers hold
+    ServerLimits limits;
+    limits.idle_ = 400ms;
+    Running running(limits, [](const std::shared_ptr<Exchange>& exchange) { exchange->respond({ 200, {}, std::string(size, 'x') }); });
+    boost::asio::io_context io;
+    tcp::socket socket = running.connect(io);
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")));
+    std::this_thread::sleep_for(50ms);
+    running.lowerIdleTime(30ms);
+    std::this_thread::sleep_for(250ms);
+    CHECK(readToEnd(socket).size() > size);
+}
+
 TEST_CASE("a connection over the limit of connections is refused by a typed error")
 {
     ServerLimits limits;
--- a/libs/routes/include/routes/RouteTable.h
+++ b/libs/routes/include/routes/RouteTable.h
@@ -75,7 +75,7 @@
     std::size_t headerBytes_ = 16 * 1024;
     std::size_t bodyBytes_ = 4 * 1024 * 1024;
     Duration headerTime_ = 3s;
-    Duration idle_ = 15s; // connections without a request, or whose peer sends or takes no byte, are closed after this time
+    Duration idle_ = 15s; // connections without a request are closed after this time
 };
 
 struct RouteConfig {
