Http: a drain answers the requests that have reached the host and wait to be read

Callers got a reset for requests that they had sent before a host began to drain, if a busy event loop had not read them yet.

Cause: the drain closed each connection without a request that it had read from, and the listening socket together with the connections that waited to be accepted. Closing with unread bytes resets the connection.

Change: a kept connection with unread bytes stays open for its request, which is answered with 'Connection: close'. Connections that wait are accepted before the listening socket is closed; those without bytes are closed at once, as idle ones are.

--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -122,7 +122,8 @@
     // Number of connections that were not admitted since the start.
     std::uint64_t unadmittedConnections() const;
 
-    // Takes no new connection; idle connections are closed, busy ones after the answer under way.
+    // Takes no new connection; idle connections are closed, busy ones after the answer under way. Requests that have reached this host
+    // and wait to be read are answered, as are those on connections that wait to be accepted.
     void drain();
     std::size_t openConnections() const;
     // Requests of which a byte was read and that have no complete answer yet.
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -62,8 +62,10 @@
     void acceptNext(const std::shared_ptr<ServerShared>& shared)
     {
         shared->acceptor_.async_accept(boost::asio::make_strand(shared->io_), [shared](error_code error, tcp::socket socket) {
-            if (shared->draining_ || shared->stopped_ || error == boost::asio::error::operation_aborted)
+            if (shared->stopped_ || error == boost::asio::error::operation_aborted)
                 return;
+            if (shared->draining_)
+                return error ? void() : takeConnection(shared, std::move(socket));
             if (error) {
                 shared->retry_.expires_after(acceptRetry);
                 shared->retry_.async_wait([shared](error_code late) {
@@ -155,6 +157,8 @@
     shared_->draining_ = true;
     boost::asio::post(shared_->io_, [shared = shared_] {
         error_code ignored;
+        // Closing the acceptor resets those that wait.
+        takeWaitingConnections(shared);
         shared->acceptor_.close(ignored);
         shared->retry_.cancel();
     });
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -78,6 +78,10 @@
 {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    if (shared_->draining_)
+        drain();
+    if (phase_ == Phase::Closed)
+        return;
     armTimer();
     readSome();
 }
@@ -90,10 +94,16 @@
 
 void ServerConnection::drain()
 {
-    if (phase_ == Phase::Head && !parser_)
+    if (phase_ == Phase::Head && !parser_ && !hasUnreadBytes())
         close();
 }
 
+bool ServerConnection::hasUnreadBytes() const
+{
+    error_code error;
+    return socket_.available(error) > 0 && !error;
+}
+
 void ServerConnection::drainSoon()
 {
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->drain(); });
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -106,6 +106,8 @@
     void writeSome();
     void finishTurn();
 
+    // Whether the kernel holds bytes that this process hasn't read yet.
+    bool hasUnreadBytes() const;
     void readSome();
     void onRead(error_code error, std::size_t bytes);
     void onReadEnd(error_code error);
--- a/libs/http/tests/LimitsTest.cpp
+++ b/libs/http/tests/LimitsTest.cpp
@@ -161,6 +161,34 @@
     CHECK(readToEnd(socket).empty());
 }
 
+// Guards against requests that are reset because a busy event loop sees the idle time before the bytes.
+TEST_CASE("a connection isn't idle while a request waits to be read")
+{
+    ServerLimits limits;
+    limits.idle_ = 40ms;
+    Stepped stepped(limits);
+    tcp::socket socket = stepped.connect();
+    stepped.run();
+    boost::asio::write(socket, boost::asio::buffer(plainGet));
+    std::this_thread::sleep_for(100ms);
+    stepped.run();
+    CHECK(readWhatCame(socket).find("answer") != std::string::npos);
+}
+
+// Guards against requests that are reset by a host that stops, although they had reached it.
+TEST_CASE("a request that waits to be read at the beginning of a drain is answered")
+{
+    Stepped stepped;
+    tcp::socket kept = stepped.connect();
+    stepped.run();
+    boost::asio::write(kept, boost::asio::buffer(plainGet));
+    stepped.server().drain();
+    stepped.run();
+    const std::string answer = readWhatCame(kept);
+    CHECK(answer.find("answer") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+}
+
 // Guards against hosts that end while a request is still on its way to them.
 TEST_CASE("a request whose body is under way counts as open")
 {
@@ -178,6 +206,21 @@
     CHECK(stepped.server().openExchanges() == 0);
 }
 
+// Guards against requests that are reset because a host that stops has not yet taken their connections.
+TEST_CASE("a connection that waits to be accepted at the beginning of a drain is served")
+{
+    Stepped stepped;
+    tcp::socket waiting = stepped.connect();
+    boost::asio::write(waiting, boost::asio::buffer(plainGet));
+    stepped.server().drain();
+    stepped.run();
+    CHECK(readWhatCame(waiting).find("answer") != std::string::npos);
+    tcp::socket late(waiting.get_executor());
+    boost::system::error_code error;
+    late.connect({ boost::asio::ip::make_address(stepped.server().local().address_), stepped.server().local().port_ }, error);
+    CHECK(error == boost::asio::error::connection_refused);
+}
+
 // Guards against answers that a shorter idle time of a new configuration ends while their reader pauses.
 TEST_CASE("a reader that pauses for longer than the idle time gets its whole answer")
 {
