Serving: the log line of a lost answer is complete before the next one begins

Operators found lines of JSON that ended in the middle and were followed by others: serve_test.py and crash_test.py failed with 'Expecting ',' delimiter'. A line is written in pieces and ended by its object's destructor, and the one of answerLost lived until the request had been sent again.

Change: it is written in a function of its own.

--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -236,17 +236,22 @@
     return route_.isRepeatable() && !isVersionUnknown && runs_ < std::max(route_.maxAttempts_, 1U) && timeLeft() > Duration::zero() && (isStream() || !hasAnswerStarted_);
 }
 
-// Handles a lost or unusable answer to a request that the engine may have run: sends the request again if allowed, else fails it.
-void RelayedRequest::lost(std::error_code error)
+void RelayedRequest::logLost(std::error_code error, bool goesOn)
 {
-    const bool wasSent = phase_ == Phase::Running;
-    const bool mayResend = wasSent && mayRunAgain();
     DecisionLog::Line entry = line("answerLost");
     if (run_) {
         const EngineEntry* engine = context_.board_.find(run_->engine_);
         entry.with("engine", engine ? engine->name_ : "").with("silentMs", context_.now() - run_->heardAt_).with("inRun", run_->firstEventAt_ ? "events" : "noEvent");
     }
-    entry.with("error", error.message()).with("runs", runs_).with("attempts", route_.maxAttempts_).with("config", table_->version()).with("started", hasAnswerStarted_ ? "yes" : "no").with("goesOn", silentRun_ || mayResend ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("parts", partsForLog(joinedValues(exchange_->request().headers_, context_.translation_.headers_.promptParts_)));
+    entry.with("error", error.message()).with("runs", runs_).with("attempts", route_.maxAttempts_).with("config", table_->version()).with("started", hasAnswerStarted_ ? "yes" : "no").with("goesOn", goesOn ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("parts", partsForLog(joinedValues(exchange_->request().headers_, context_.translation_.headers_.promptParts_)));
+}
+
+// Handles a lost or unusable answer to a request that the engine may have run: sends the request again if allowed, else fails it.
+void RelayedRequest::lost(std::error_code error)
+{
+    const bool wasSent = phase_ == Phase::Running;
+    const bool mayResend = wasSent && mayRunAgain();
+    logLost(error, silentRun_ || mayResend);
     if (!pendingEvents_.empty()) {
         exchange_->write(pendingEvents_);
         pendingEvents_.clear();
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -105,6 +105,8 @@
     // Handles a connection to the engine that broke while the request may have run.
     void onEngineLost(std::error_code error);
     void lost(std::error_code error);
+    // A line is written when its object ends, so this one must end before others begin.
+    void logLost(std::error_code error, bool goesOn);
     // Ends a request that may have run and isn't sent again.
     void giveUp();
     // Waits before the request is sent to another engine.
