Decisions: a silent attempt that could go on nowhere else isn't given up before its deadline

Callers of the other daemon whose call may not run twice were told that its outcome is unknown 5 s after it had been sent (no-progress-ms), though its back end was only slow and they had more time; a plain call never shows progress before its answer. Streams on engines that can't resume ended the same way.

Cause: a home gives up each attempt without a token for the silence bound, also when the request may not be sent again or nobody can continue its answer. Nothing is gained then: the answer is lost, and the slot is taken at the back end either way.

Change: such attempts are given up when silent at their deadline. All others go on elsewhere after the silence bound, as before.

Not changed: the connection's own bound on an engine's stream (RequestRuns.cpp, the same 5 s) still ends items on engines that may run once.

--- a/libs/decisions/src/HomeRole.cpp
+++ b/libs/decisions/src/HomeRole.cpp
@@ -338,6 +338,17 @@
     }
 }
 
+// What could go on nowhere else is waited for until its caller's time is up.
+bool HomeRole::isHung(const RequestSpec& spec, const Item& item, TimePoint now) const
+{
+    if (now - item.progressAt_ <= policyOf(item.upstream_).silenceBound_)
+        return false;
+    const UpstreamChanged* info = fleet_.upstream(item.upstream_);
+    const bool mayBeContinued = item.position_ == 0 || (info && info->resumes_);
+    const bool mayGoElsewhere = spec.idempotent_ && mayBeContinued;
+    return mayGoElsewhere || spec.deadline_ <= now || spec.deadline_ == neverTime;
+}
+
 void HomeRole::scanRequests(TimePoint now, Commands& out)
 {
     std::vector<RequestId> expired;
@@ -350,7 +361,7 @@
         const bool waits = !item.running_ || (specs[i].class_ == RequestClass::Online && !item.started());
         if (waits && isDue(specs[i], item.position_) && specs[i].deadline_ <= now)
             expired.push_back(specs[i].id_);
-        else if (item.running_ && now - item.progressAt_ > policyOf(item.upstream_).silenceBound_)
+        else if (item.running_ && isHung(specs[i], item, now))
             silent.push_back(specs[i].id_);
         else if (!item.urgent_ && mustRunNow(specs[i], item, now))
             urgent.push_back(specs[i].id_);
--- a/libs/decisions/src/HomeRole.h
+++ b/libs/decisions/src/HomeRole.h
@@ -88,6 +88,8 @@
     void setUrgent(RequestId request, bool urgent);
     // Whether an item must run now to be done by its deadline, at the slowest pace that tokens may come.
     bool mustRunNow(const RequestSpec& spec, const Item& item, TimePoint now) const;
+    // Whether a request that runs has had no token for so long that its attempt is given up.
+    bool isHung(const RequestSpec& spec, const Item& item, TimePoint now) const;
     void countWaiting(const RequestSpec& spec, EngineState& engine, int sign);
     void countRunning(RequestId request, EngineState& engine, int sign);
     void dispatch(RequestId request, EngineState& engine, TimePoint now, Commands& out);
--- a/libs/decisions/tests/FailureTest.cpp
+++ b/libs/decisions/tests/FailureTest.cpp
@@ -118,6 +118,46 @@
     CHECK(bench.all<CancelAttempt>().front().reason_ == CancelReason::Superseded);
 }
 
+// Guards against orders whose outcome is told as unknown although their back end was only slow: they may not be sent again.
+TEST_CASE("A slow call that may not run again is waited for until its deadline")
+{
+    for (const bool isAnswered : { true, false }) {
+        Bench bench(2, { .upstream_ = {}, .service_ = {}, .region_ = {}, .failureDomain_ = {}, .kind_ = UpstreamKind::Plain, .state_ = {}, .slots_ = {}, .kvTokens_ = {}, .resumes_ = false, .exportsKv_ = false });
+        RequestSpec order = bench.spec(1);
+        order.idempotent_ = false;
+        order.deadline_ = bench.now() + 20s;
+        bench.arrive(order);
+        bench.run(10s);
+        CHECK(bench.all<Refuse>().empty());
+        CHECK(bench.all<CancelAttempt>().empty());
+        if (isAnswered)
+            bench.finish(1);
+        else
+            bench.run(11s);
+        CHECK(bench.dispatches(1) == 1);
+        CHECK(bench.all<Answer>().size() == (isAnswered ? 1 : 0));
+        CHECK(bench.all<Refuse>().size() == (isAnswered ? 0 : 1));
+    }
+}
+
+// The same for the rest of an answer that no other engine can continue.
+TEST_CASE("A stream that can't be resumed is waited for until its deadline")
+{
+    Bench bench(2, { .upstream_ = {}, .service_ = {}, .region_ = {}, .failureDomain_ = {}, .kind_ = {}, .state_ = {}, .slots_ = {}, .kvTokens_ = {}, .resumes_ = false, .exportsKv_ = false });
+    RequestSpec question = bench.spec(1);
+    question.deadline_ = bench.now() + 20s;
+    bench.arrive(question);
+    bench.progress(1, 7);
+    bench.run(10s);
+    CHECK(bench.all<Refuse>().empty());
+    bench.progress(1, 8);
+    bench.run(4s);
+    CHECK(bench.all<Refuse>().empty());
+    bench.run(8s);
+    CHECK(bench.all<Refuse>().size() == 1);
+    CHECK(bench.dispatches(1) == 1);
+}
+
 // The first engine's answer comes after all, when the question has gone on to another. The member must not hear it twice.
 TEST_CASE("An answer to a superseded attempt is dropped")
 {
