Node: a stream that may run once isn't given up for silence before its deadline

Callers of the other daemon were told that the outcome of a request that may run once is unknown if its engine sent no byte for no-progress-ms.

Cause: besides the home, the connection to the engine has a bound of the same length for bytes, which ended the attempt.

Change: for requests that may not be repeated the connection's bound is the time that is left; their home gives them up at the deadline.

Test: 'node: a stream that may run once isn't given up for silence before its deadline' fails without the change (2 failed checks) and passes with it; node_test: 7 of 7, three runs.

--- a/libs/node/src/RequestRuns.cpp
+++ b/libs/node/src/RequestRuns.cpp
@@ -127,7 +127,10 @@
     EngineStreamRequest request;
     request.streamId_ = streamName(command.attempt_);
     request.body_ = engineBody(run->start_.body_, command.position_);
-    if (service)
+    // What may run once could go on nowhere else: its home ends it at its deadline.
+    if (!run->start_.repeatable_)
+        request.idle_ = std::chrono::milliseconds(run->start_.remainingMs_);
+    else if (service)
         request.idle_ = service->noProgressWithin_;
     const AttemptId attempt = command.attempt_;
     const UpstreamId upstream = command.upstream_;
--- a/libs/node/tests/RequestPlaneTest.cpp
+++ b/libs/node/tests/RequestPlaneTest.cpp
@@ -3,8 +3,10 @@
 
 #include "decisions/Decisions.h"
 #include "http/Client.h"
+#include "http/Server.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <doctest/doctest.h>
 #include <thread>
@@ -18,6 +20,8 @@
 constexpr UpstreamId engine { 1 };
 // Between hand-over and dispatch; longer than the shortest time in which an item may begin, 1 ms.
 constexpr Duration waitAtHome = 3ms;
+// Until an entry knows the load of a new engine.
+constexpr Duration waitForReport = 300ms;
 
 // Events and commands go round on the caller's thread, as they do on the node's decision actor.
 class SingleNode {
@@ -62,12 +66,78 @@
         settle();
     }
 
+    // Replaces the engine by one that sends nothing for `pause` and then its whole answer, while streams without a byte for `bound` count as hung.
+    void useSlowEngine(Duration pause, Duration bound)
+    {
+        engine_ = std::move(http::Server::create(io_, {}, [this, pause](const std::shared_ptr<http::Exchange>& exchange) {
+            answerLater(exchange, pause);
+        }).value());
+        UpstreamConfig upstream;
+        upstream.address_ = { engine_->local().address_, engine_->local().port_ };
+        ServiceConfig one;
+        one.name_ = "slow";
+        one.noProgressWithin_ = bound;
+        one.upstreams_ = { upstream };
+        FleetConfig config;
+        config.services_ = { one };
+        const auto view = std::make_shared<const FleetView>(ConfigVersion(2), config);
+        slowService_ = one.id();
+        board_.set(view);
+        for (Event event : view->eventsAfter(nullptr)) {
+            if (auto* changed = std::get_if<UpstreamChanged>(&event))
+                changed->region_ = region;
+            events_.push_back(std::move(event));
+        }
+        runFor(waitForReport);
+    }
+
+    // A question to the slow engine that may run once.
+    void ask(std::uint64_t id, Duration deadline)
+    {
+        EntryRequest request;
+        request.spec_.id_ = RequestId(id);
+        request.spec_.service_ = slowService_;
+        request.spec_.deadline_ = now() + deadline;
+        request.spec_.originRegion_ = region;
+        request.spec_.maxOutputTokens_ = 1;
+        request.spec_.idempotent_ = false;
+        request.body_ = "{\"model\":\"slow\"";
+        request.sink_.tokens_ = [](std::uint32_t, std::uint32_t, std::string_view) {};
+        request.sink_.end_ = [this] { ++answers_; };
+        request.sink_.refuse_ = [this](const Refuse& refuse) { refusals_.push_back(refuse); };
+        plane_.open(std::move(request));
+        settle();
+    }
+
+    void runFor(Duration time)
+    {
+        for (const TimePoint end = now() + time; now() < end;) {
+            io_.restart();
+            io_.run_for(10ms);
+            Commands out;
+            core_->tick(now(), out);
+            perform(out);
+            settle();
+        }
+    }
+
     static TimePoint now() { return SystemClock().now(); }
 
+    std::size_t answers_ = 0;
     std::vector<Refuse> refusals_;
     std::unique_ptr<Decisions> core_;
 
 private:
+    void answerLater(const std::shared_ptr<http::Exchange>& exchange, Duration pause)
+    {
+        const auto timer = std::make_shared<boost::asio::steady_timer>(io_, pause);
+        timer->async_wait([timer, exchange](const boost::system::error_code&) {
+            exchange->start(200, {});
+            exchange->write("data: {\"position\":0,\"choices\":[{\"delta\":{\"content\":\"word\"}}]}\n\ndata: [DONE]\n\n");
+            exchange->end();
+        });
+    }
+
     void settle()
     {
         while (!events_.empty()) {
@@ -96,6 +166,8 @@
     }
 
     boost::asio::io_context io_;
+    std::unique_ptr<http::Server> engine_;
+    ServiceId slowService_;
     http::Client client_;
     FleetViewBoard board_;
     std::deque<Event> events_;
@@ -117,3 +189,14 @@
     CHECK(node.core_->counts().homeRunning_ == 0);
     CHECK(node.core_->counts().entryRequests_ == 0);
 }
+
+// Guards against requests that may run once and whose outcome is told as unknown although their engine only paused.
+TEST_CASE("node: a stream that may run once isn't given up for silence before its deadline")
+{
+    SingleNode node;
+    node.useSlowEngine(400ms, 100ms);
+    node.ask(1, 5s);
+    node.runFor(800ms);
+    CHECK(node.refusals_.empty());
+    CHECK(node.answers_ == 1);
+}
