--- a/libs/http/tests/LimitsTest.cpp
+++ b/libs/http/tests/LimitsTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -36,6 +37,13 @@
 
     Server& server() { return *server_; }
 
+    void lowerIdleTime(Duration idle)
+    {
+        ServerLimits limits;
+        limits.idle_ = idle;
+        boost::asio::post(io_, [this, limits] { server_->setLimits(limits); });
+    }
+
     tcp::socket connect(boost::asio::io_context& io)
     {
         tcp::socket socket(io);
@@ -58,6 +66,42 @@
     return text;
 }
 
+// A server whose event loop runs only while the test lets it, so that the order of what it meets is certain.
+class Stepped {
+public:
+    explicit Stepped(const ServerLimits& limits = {})
+        : server_(std::move(Server::create(io_, { Endpoint {}, limits }, [](const std::shared_ptr<Exchange>& exchange) { exchange->respond({ 200, {}, "answer" }); }).value()))
+    {
+    }
+
+    Server& server() { return *server_; }
+    void run()
+    {
+        io_.restart();
+        io_.run_for(20ms);
+    }
+
+    tcp::socket connect()
+    {
+        tcp::socket socket(clients_);
+        socket.connect({ boost::asio::ip::make_address(server_->local().address_), server_->local().port_ });
+        return socket;
+    }
+
+private:
+    boost::asio::io_context io_;
+    boost::asio::io_context clients_;
+    std::unique_ptr<Server> server_;
+};
+
+std::string readWhatCame(tcp::socket& socket)
+{
+    std::array<char, 1024> text {};
+    boost::system::error_code error;
+    socket.non_blocking(true);
+    return { text.data(), socket.read_some(boost::asio::buffer(text), error) };
+}
+
 const std::string plainGet = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 
 } // namespace
@@ -90,10 +134,10 @@
     CHECK(written < mostBlocks);
 }
 
-TEST_CASE("a reader that takes no byte for the idle bound is cut off")
+TEST_CASE("a reader that takes no byte for the write time is cut off")
 {
     ServerLimits limits;
-    limits.idle_ = 30ms;
+    limits.writeTime_ = 30ms;
     limits.writeQueueBytes_ = 256 * 1024 * 1024;
     std::promise<void> closed;
     Running running(limits, [&](const std::shared_ptr<Exchange>& exchange) {
@@ -117,6 +161,82 @@
     CHECK(readToEnd(socket).empty());
 }
 
+// Guards against requests that are reset because a busy event loop sees the idle time before the bytes.
+TEST_CASE("a connection isn't idle while a request waits to be read")
+{
+    ServerLimits limits;
+    limits.idle_ = 40ms;
+    Stepped stepped(limits);
+    tcp::socket socket = stepped.connect();
+    stepped.run();
+    boost::asio::write(socket, boost::asio::buffer(plainGet));
+    std::this_thread::sleep_for(100ms);
+    stepped.run();
+    CHECK(readWhatCame(socket).find("answer") != std::string::npos);
+}
+
+// Guards against requests that are reset by a host that stops, although they had reached it.
+TEST_CASE("a request that waits to be read at the beginning of a drain is answered")
+{
+    Stepped stepped;
+    tcp::socket kept = stepped.connect();
+    stepped.run();
+    boost::asio::write(kept, boost::asio::buffer(plainGet));
+    stepped.server().drain();
+    stepped.run();
+    const std::string answer = readWhatCame(kept);
+    CHECK(answer.find("answer") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+}
+
+// Guards against hosts that end while a request is still on its way to them.
+TEST_CASE("a request whose body is under way counts as open")
+{
+    Stepped stepped;
+    tcp::socket socket = stepped.connect();
+    boost::asio::write(socket, boost::asio::buffer(std::string("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab")));
+    stepped.run();
+    CHECK(stepped.server().openExchanges() == 1);
+    stepped.server().drain();
+    stepped.run();
+    CHECK(stepped.server().openExchanges() == 1);
+    boost::asio::write(socket, boost::asio::buffer(std::string("cd")));
+    stepped.run();
+    CHECK(readWhatCame(socket).find("answer") != std::string::npos);
+    CHECK(stepped.server().openExchanges() == 0);
+}
+
+// Guards against requests that are reset because a host that stops has not yet taken their connections.
+TEST_CASE("a connection that waits to be accepted at the beginning of a drain is served")
+{
+    Stepped stepped;
+    tcp::socket waiting = stepped.connect();
+    boost::asio::write(waiting, boost::asio::buffer(plainGet));
+    stepped.server().drain();
+    stepped.run();
+    CHECK(readWhatCame(waiting).find("answer") != std::string::npos);
+    tcp::socket late(waiting.get_executor());
+    boost::system::error_code error;
+    late.connect({ boost::asio::ip::make_address(stepped.server().local().address_), stepped.server().local().port_ }, error);
+    CHECK(error == boost::asio::error::connection_refused);
+}
+
+// Guards against answers that a shorter idle time of a new configuration ends while their reader pauses.
+TEST_CASE("a reader that pauses for longer than the idle time gets its whole answer")
+{
+    constexpr std::size_t size = 32 * 1024 * 1024; // far more than the kernel's buffers hold
+    ServerLimits limits;
+    limits.idle_ = 400ms;
+    Running running(limits, [](const std::shared_ptr<Exchange>& exchange) { exchange->respond({ 200, {}, std::string(size, 'x') }); });
+    boost::asio::io_context io;
+    tcp::socket socket = running.connect(io);
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")));
+    std::this_thread::sleep_for(50ms);
+    running.lowerIdleTime(30ms);
+    std::this_thread::sleep_for(250ms);
+    CHECK(readToEnd(socket).size() > size);
+}
+
 TEST_CASE("a connection over the limit of connections is refused by a typed error")
 {
     ServerLimits limits;
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -107,6 +107,8 @@
     // Records that the run's engine may have crashed with the request.
     void noteLoss();
     void lost(std::error_code error);
+    // A line is written when its object ends, so this one must end before others begin.
+    void logLost(std::error_code error, bool goesOn);
     // Ends a request that may have run and isn't sent again.
     void giveUp();
     // Waits before the request is sent to another engine.
