Serving: accepted jobs are found after the batch route of their host is dropped

When a configuration dropped the only batch route of a host, reads of results, reads of item bodies and ends of its accepted jobs were answered 404 (route.None), though the jobs went on and their results were in the store. A caller takes 404 as "no such job".

Cause: calls about jobs were taken as such only if the host had a batch route in the newest configuration.

Change: a call about a job on a host without a route for it is answered from the job itself. Where the configuration has workspaces it then requires a key, as on any route that isn't public; the workspace of the key names the job, as before. A dropped route still takes no new job.

--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -32,6 +32,13 @@
     constexpr Duration duplicateWindow = 500ms;
     constexpr Duration notReadyRetry = 300ms;
 
+    // Accepted jobs outlast the batch routes of their host. Calls about them then require a key, as on any route that is not public.
+    const Route& droppedBatchRoute()
+    {
+        static const Route route;
+        return route;
+    }
+
 } // namespace
 
 // ---- periodic work
@@ -188,6 +195,8 @@
     auto jobCall = translation_.parseJobRequest_(request);
     const Route* batchRoute = jobCall ? table->findBatchRoute(host) : nullptr;
     const Route* route = batchRoute ? batchRoute : table->select(host, request.target_);
+    if (!route && jobCall)
+        route = batchRoute = &droppedBatchRoute();
     if (!route) {
         log_.line("noRoute").with("request", request.headers_.find(translation_.headers_.attemptId_)).with("host", host).with("path", request.path()).with("config", table->version());
         return exchange->respond(refusalResponse(translation_, 404, "route.None", "no route carries this host and path", RunState::NotRun, {}));
