Ledger: items wait for a route that is missing for a short time

Where three hosts run jobs and a configuration adds a route, items of jobs that were accepted on it right away were listed as errored without a run, though the route stayed. Nothing was wrong with engines, store or hosts.

Cause: the host that runs a job isn't always the one that accepted it. An item without a route was given up at once, by the host's own configuration, which may be older than the one with which the job was accepted.

Change: an item is given up when it has had no route for 5 s without a break; until then it waits. Items of a route that is dropped for good are listed as errored 5 s later than before.

The new unit test and the changed one fail with a grace of zero (a trial); the changed one now checks besides that nothing is given up before.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -48,6 +48,8 @@
     // Delay before an item is retried after a failed run. It doubles with each further failure, up to maxRetryDelay_.
     Duration initialRetryDelay_ = 100ms;
     Duration maxRetryDelay_ = 4s;
+    // Items that have had no route for this time are given up. A host may learn later than the one that accepted a job that its route exists.
+    Duration routeGrace_ = 5s;
     // Timeout of store calls that no caller waits for; long enough for them to survive an outage.
     Duration backgroundTimeout_ = std::chrono::minutes(10);
     // Timeout of a read that has to query the store.
@@ -336,6 +338,8 @@
     void abandonOverdue(const JobPtr& job, TimePoint now);
     ItemUrgency urgencyOf(const Job& job, const Item& item, TimePoint now) const;
     void updateMeanStretch(const Item& item, TimePoint now);
+    // Returns the service that the item is routed to; nullopt while it isn't known, and an empty name if the item has had no route for long.
+    std::optional<std::string> serviceOf(const Job& job, Item& item, TimePoint now) const;
     bool mayRunAt(const Item& item, std::string_view service, SoftwareVersionId version) const;
 
     // Reads
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -26,6 +26,7 @@
     std::uint32_t failures_ = 0; // number of runs that ended with an error of the engine itself
     std::uint32_t retries_ = 0; // number of failed runs since the last event was received
     TimePoint notBefore_ {};
+    std::optional<TimePoint> withoutRouteSince_; // none: it has a route, or no configuration is known
     TimePoint firstRunAt_ {}; // start of its first run on this node; none if it hasn't run
     RunId run_; // set while Running
 
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -31,6 +31,19 @@
     return urgencyOf(job, job.items_[found->second.item_], now);
 }
 
+std::optional<std::string> JobScheduler::serviceOf(const Job& job, Item& item, TimePoint now) const
+{
+    auto service = outlets_.serviceOf_(job.head_.host_, item.item_.path_);
+    const bool hasNoRoute = service && service->empty();
+    if (!hasNoRoute)
+        item.withoutRouteSince_.reset();
+    else if (!item.withoutRouteSince_)
+        item.withoutRouteSince_ = now;
+    if (hasNoRoute && now - *item.withoutRouteSince_ < settings_.routeGrace_)
+        return std::nullopt;
+    return service;
+}
+
 std::map<std::string, JobScheduler::Waiting> JobScheduler::waiting(TimePoint now)
 {
     std::map<std::string, Waiting> found;
@@ -39,10 +52,10 @@
     for (const auto& [name, job] : jobs_) {
         if (!job->mayRun())
             continue;
-        for (const Item& item : job->items_) {
+        for (Item& item : job->items_) {
             if (item.state_ != ItemState::Waiting || now < item.notBefore_)
                 continue;
-            const auto service = outlets_.serviceOf_(job->head_.host_, item.item_.path_);
+            const auto service = serviceOf(*job, item, now);
             if (!service)
                 continue;
             Waiting& entry = found[*service];
@@ -80,7 +93,7 @@
         if (!job->mayRun())
             continue;
         for (std::size_t index = 0; index < job->items_.size(); ++index) {
-            const Item& item = job->items_[index];
+            Item& item = job->items_[index];
             if (item.state_ != ItemState::Waiting || now < item.notBefore_)
                 continue;
             // Items that can finish in time are ordered by their due time.
@@ -88,7 +101,7 @@
             const bool isBetter = !chosen || (itemUrgency != chosenUrgency ? itemUrgency < chosenUrgency : job->due_ < chosen->due_);
             if (!isBetter)
                 continue;
-            const auto routedService = outlets_.serviceOf_(job->head_.host_, item.item_.path_);
+            const auto routedService = serviceOf(*job, item, now);
             if (!routedService || *routedService != service || !mayRunAt(item, service, version))
                 continue;
             chosen = job;
--- a/libs/ledger/tests/SchedulerTest.cpp
+++ b/libs/ledger/tests/SchedulerTest.cpp
@@ -346,6 +346,10 @@
     world.advance(500ms);
     CHECK(world.scheduler(1).waiting(world.now()).empty());
     world.service_ = "";
+    CHECK(world.scheduler(1).waiting(world.now()).empty());
+    world.advance(SchedulerSettings().routeGrace_);
+    CHECK(world.stored("j").empty());
+    CHECK(world.scheduler(1).waiting(world.now()).at("").count_ == 2);
     world.scheduler(1).startNext("", world.now());
     world.scheduler(1).startNext("", world.now());
     world.advance(1s);
@@ -353,6 +357,31 @@
     CHECK(world.stored("j")[0].state_ == ResultState::Errored);
 }
 
+// Guards against items that are given up by a host that learns of their route later than the host that accepted the job.
+TEST_CASE("ledger: items wait for a route that is missing for a short time")
+{
+    LedgerWorld world(20);
+    world.slots_ = 0;
+    world.service_ = "";
+    world.submit(0, "j", 2, 1);
+    world.advance(500ms);
+    for (int round = 0; round < 2; ++round) {
+        world.service_ = "";
+        world.scheduler(1).startNext("", world.now());
+        world.advance(SchedulerSettings().routeGrace_ - 100ms);
+        world.scheduler(1).startNext("", world.now());
+        world.advance(200ms);
+        CHECK(world.stored("j").empty());
+        world.service_ = "s";
+        CHECK(world.scheduler(1).waiting(world.now()).at("s").count_ == 2);
+    }
+    world.slots_ = 2;
+    world.advance(5s);
+    REQUIRE(world.stored("j").size() == 2);
+    CHECK(world.stored("j")[0].state_ == ResultState::Completed);
+    CHECK(world.stored("j")[1].state_ == ResultState::Completed);
+}
+
 // Guards against jumps of a host's wall clock by a few seconds in both directions. They made waiting items be listed as errored too early,
 // and results be removed while callers could still read them.
 TEST_CASE("ledger: jumps of the wall clock neither abandon items nor remove results early")
