HTTP: a draining server answers a pipelined request that it has read

A caller that pipelined a request behind a stream got no answer to it when the process was told to stop meanwhile: the stream came whole, and the connection closed.

Cause: a connection whose answer ended while the server drained was closed, also if the head of that answer, written before the drain, had kept the connection open and the next request had been read.

Change: such a connection is closed only if nothing of a next request has been read; the answer to that one says that the connection closes.

The new test of the server failed before: the connection closed without the second answer.

--- a/libs/http/src/ServerOutbox.cpp
+++ b/libs/http/src/ServerOutbox.cpp
@@ -220,7 +220,9 @@
         --shared_->exchanges_;
     }
     parser_.reset();
-    if (!keepAlive || shared_->draining_)
+    // What has been read of the next request is answered, because this answer didn't say that the connection closes.
+    const bool hasReadMore = buffer_.size() > 0;
+    if (!keepAlive || (shared_->draining_ && !hasReadMore))
         return linger();
     phase_ = Phase::Head;
     lastRead_ = std::chrono::steady_clock::now();
--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -268,6 +268,33 @@
     CHECK_FALSE(late.request(fixture.at(), {}));
 }
 
+// Guards against a request that a server has read behind another one and drops when that one ends while the server drains.
+TEST_CASE("a draining server answers a pipelined request that it has read")
+{
+    std::promise<std::shared_ptr<Exchange>> started;
+    Fixture fixture([&](const std::shared_ptr<Exchange>& exchange) {
+        if (exchange->request().path() == "/second")
+            return exchange->respond({ 200, {}, "second" });
+        exchange->start(200, {});
+        started.set_value(exchange);
+    });
+    boost::asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect({ boost::asio::ip::make_address(fixture.at().address_), fixture.at().port_ });
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET /first HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n")));
+    {
+        const auto exchange = started.get_future().get();
+        fixture.server_->drain();
+        exchange->end();
+    }
+    std::string got;
+    boost::system::error_code error;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(got), error);
+    CHECK(error == boost::asio::error::eof);
+    CHECK(got.ends_with("\r\n\r\nsecond"));
+    CHECK(got.find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("a body that is pulled while more of it arrives comes whole and in order")
 {
     // A clerk's batch was refused with "custom_id stands twice" though it held no doubles.
