--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -36,7 +36,8 @@
     std::size_t connections_ = 4096;
     std::size_t writeQueueBytes_ = 4 * 1024 * 1024; // a stream's reader further behind than this is cut off
     Duration requestTime_ = std::chrono::seconds(15); // from a request's first byte to the end of its header or whole body
-    Duration idle_ = std::chrono::seconds(60); // keep-alive without a request; a peer that takes or sends no byte
+    Duration idle_ = std::chrono::seconds(60); // keep-alive without a request; a client that sends no byte of a streamed body
+    Duration writeTime_ = std::chrono::seconds(60); // a client that takes no byte of its answer, which can't be had again
 };
 
 struct ServerSettings {
@@ -121,10 +122,11 @@
     // Number of connections that were not admitted since the start.
     std::uint64_t unadmittedConnections() const;
 
-    // Takes no new connection; idle connections are closed, busy ones after the answer under way.
+    // Takes no new connection; idle connections are closed, busy ones after the answer under way. Requests that have reached this host
+    // and wait to be read are answered, as are those on connections that wait to be accepted.
     void drain();
     std::size_t openConnections() const;
-    // Exchanges that have no complete answer yet.
+    // Requests of which a byte was read and that have no complete answer yet.
     std::size_t openExchanges() const;
 
 private:
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -78,6 +78,10 @@
 {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    if (shared_->draining_)
+        drain();
+    if (phase_ == Phase::Closed)
+        return;
     armTimer();
     readSome();
 }
@@ -90,10 +94,16 @@
 
 void ServerConnection::drain()
 {
-    if (phase_ == Phase::Head && !parser_)
+    if (phase_ == Phase::Head && !parser_ && !hasUnreadBytes())
         close();
 }
 
+bool ServerConnection::hasUnreadBytes() const
+{
+    error_code error;
+    return socket_.available(error) > 0 && !error;
+}
+
 void ServerConnection::drainSoon()
 {
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->drain(); });
@@ -169,6 +179,8 @@
         parser_->header_limit(static_cast<std::uint32_t>(shared_->settings_.limits_.headerBytes_));
         parser_->body_limit(boost::none);
         requestStart_ = SteadyClock::now();
+        counted_ = true;
+        ++shared_->exchanges_;
     }
     error_code error;
     if (!feed(*parser_, buffer_, error)) {
@@ -232,8 +244,6 @@
 void ServerConnection::handle(bool streamed)
 {
     beginTurn(parser_->keep_alive());
-    counted_ = true;
-    ++shared_->exchanges_;
     Request request = std::exchange(head_, {});
     request.body_ = std::exchange(parser_->get().body(), {});
     shared_->handler_(std::make_shared<Exchange>(shared_from_this(), outbox_.turn_, std::move(request), streamed));
@@ -314,7 +324,7 @@
 void ServerConnection::armTimer()
 {
     const ServerLimits& limits = shared_->settings_.limits_;
-    const Duration shortest = std::min(limits.idle_, limits.requestTime_);
+    const Duration shortest = std::min({ limits.idle_, limits.requestTime_, limits.writeTime_ });
     timer_.expires_after(std::clamp<Duration>(shortest / 4, std::chrono::milliseconds(5), std::chrono::seconds(5)));
     timer_.async_wait([self = shared_from_this()](error_code error) {
         if (!error && self->phase_ != Phase::Closed && self->phase_ != Phase::Lingering)
@@ -327,7 +337,7 @@
     const ServerLimits& limits = shared_->settings_.limits_;
     const auto now = SteadyClock::now();
     const bool inMessage = phase_ == Phase::Body || (phase_ == Phase::Head && parser_);
-    if (!inFlight_.empty() && now - lastWrite_ > limits.idle_)
+    if (!inFlight_.empty() && now - lastWrite_ > limits.writeTime_)
         return close();
     if (inMessage && now - requestStart_ > limits.requestTime_)
         fail(Error::RequestTooSlow);
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -106,6 +106,8 @@
     void writeSome();
     void finishTurn();
 
+    // Whether the kernel holds bytes that this process hasn't read yet.
+    bool hasUnreadBytes() const;
     void readSome();
     void onRead(error_code error, std::size_t bytes);
     void onReadEnd(error_code error);
@@ -137,7 +139,7 @@
     bool reading_ = false;
     bool bodyDone_ = false;
     bool bodyStreamed_ = false;
-    bool counted_ = false; // this turn stands in shared_->exchanges_
+    bool counted_ = false; // its request stands in shared_->exchanges_
     std::optional<Error> bodyError_; // met before the handler asked for the next piece
     std::function<void(BodyPiece)> bodyReader_;
     std::string inFlight_;
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -11,8 +11,6 @@
     constexpr int statusMisdirected = 421;
     constexpr int statusFailed = 500;
     constexpr std::size_t maxEmptyRuns = 1000;
-    // Between two looks for other engines for items whose engine is silent.
-    constexpr Duration silenceCheckInterval = 100ms;
     // Weight of the latest run in the moving average of run times.
     constexpr double smoothingFactor = 0.1;
 
@@ -35,6 +33,7 @@
 void ItemRunner::pump(TimePoint now)
 {
     scheduler_.setRunTime(fromSeconds(meanRunSeconds_));
+    // Before waiting items are started: while all slots are taken, those would take each slot that becomes free.
     leaveSilentEngines(now);
     yieldOneItem(now);
     std::size_t starts = 0;
@@ -214,22 +213,29 @@
 
 void ItemRunner::leaveSilentEngines(TimePoint now)
 {
-    if (now < nextSilenceCheckAt_)
-        return;
-    nextSilenceCheckAt_ = now + silenceCheckInterval;
     std::vector<RunPtr> silent;
     for (const auto& [id, run] : runs_) {
         if (now - run->heardAt_ >= settings_.silenceTimeout_)
             silent.push_back(run);
     }
-    for (const RunPtr& run : silent)
-        checkSilence(run, now);
+    // Each free slot counts for one item only.
+    std::vector<UpstreamId> promised;
+    for (const RunPtr& run : silent) {
+        const EnginePick pick = checkSilence(run, now);
+        if (!pick.isSome())
+            continue;
+        context_.board_.started(pick.engine_, WorkClass::BatchItem);
+        promised.push_back(pick.engine_);
+    }
+    for (const UpstreamId engine : promised)
+        context_.board_.ended(engine, WorkClass::BatchItem);
 }
 
-void ItemRunner::checkSilence(const RunPtr& run, TimePoint now)
+EnginePick ItemRunner::checkSilence(const RunPtr& run, TimePoint now)
 {
     context_.board_.recordSilence(run->engine_, now);
-    const bool isLeft = hasOtherEngine(*run, now);
+    const EnginePick pick = pickOtherEngine(*run, now);
+    const bool isLeft = pick.isSome();
     if (!run->isSilent_) {
         run->isSilent_ = true;
         context_.fleet_->publishReport();
@@ -237,20 +243,22 @@
         context_.log_.line("engineSilent").with("engine", entry ? entry->name_ : "").with("silentMs", now - run->heardAt_).with("request", run->item_.item_).with("job", run->item_.job_).with("leaves", isLeft ? "yes" : "no");
     }
     if (!isLeft)
-        return;
+        return pick;
+    const bool mustSettle = context_.crashes_->mustSettle(run->fingerprints_, context_.crashes_->lossPoint(run->firstEventAt_));
     onEngineLost(run, http::Error::NoProgress);
-    finish(run, RunResult::Interrupted, "silent");
+    // Without a delay, so that the item takes its slot before the next silent one is looked at.
+    finish(run, mustSettle ? RunResult::Interrupted : RunResult::Preempted, "silent");
+    return pick;
 }
 
-// Returns whether an engine that isn't silent has a free slot for the item.
-bool ItemRunner::hasOtherEngine(const Run& run, TimePoint now)
+EnginePick ItemRunner::pickOtherEngine(const Run& run, TimePoint now)
 {
     const EngineEntry* entry = context_.board_.find(run.engine_);
     const SoftwareVersionId version = entry && run.item_.resumeAfter_ ? entry->softwareVersion_.id() : SoftwareVersionId::none();
     const bool isUrgent = scheduler_.urgencyOf(run.item_.id_, now) == ItemUrgency::Urgent;
     const std::vector<UpstreamId> tried { run.engine_ };
     const EnginePick pick = context_.board_.pickBatch(run.service_, isUrgent, run.item_.due_, tried, now, version);
-    return pick.isSome() && !context_.board_.isSilent(pick.engine_, now);
+    return pick.isSome() && context_.board_.isSilent(pick.engine_, now) ? EnginePick {} : pick;
 }
 
 void ItemRunner::onEvent(const RunPtr& run)
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -111,11 +111,13 @@
         if (streamBreak != StreamBreak::None)
             return onStreamBrokenOff(run, answerEnd, streamBreak);
     }
-    if (run == silentRun_ && !isReadingStream(*run))
-        return onSilentRunFailed(!run->rejected_, {});
-    if (run == silentRun_)
-        returnToSilentRun();
     const http::ResponseHead& head = *run->head_;
+    if (run == silentRun_) {
+        const bool mayAnswer = isReadingStream(*run) || (!hasAnswerStarted_ && !run->rejected_ && head.status_ < firstServerError);
+        if (!mayAnswer)
+            return onSilentRunAnswered(head.status_ >= firstServerError);
+        returnToSilentRun();
+    }
     if (!run->rejected_)
         context_.crashes_->recordAnswer(fingerprints_, head.status_);
     // A 4xx status other than 421 and 429 means that the request itself is at fault. That answer is forwarded to the caller even
@@ -221,11 +223,17 @@
     onEngineLost(failure.code_);
 }
 
-void RelayedRequest::onEngineLost(std::error_code error)
+void RelayedRequest::noteLoss()
 {
     const LossPoint point = context_.crashes_->lossPoint(run_->firstEventAt_);
     mustSettle_ = context_.crashes_->mustSettle(fingerprints_, point);
+    lostAt_ = context_.now();
     context_.crashes_->recordLoss(fingerprints_, run_->engine_, point);
+}
+
+void RelayedRequest::onEngineLost(std::error_code error)
+{
+    noteLoss();
     context_.failed(run_->engine_, EngineFault::Lost, error);
     lost(error);
 }
@@ -236,17 +244,22 @@
     return route_.isRepeatable() && !isVersionUnknown && runs_ < std::max(route_.maxAttempts_, 1U) && timeLeft() > Duration::zero() && (isStream() || !hasAnswerStarted_);
 }
 
-// Handles a lost or unusable answer to a request that the engine may have run: sends the request again if allowed, else fails it.
-void RelayedRequest::lost(std::error_code error)
+void RelayedRequest::logLost(std::error_code error, bool goesOn)
 {
-    const bool wasSent = phase_ == Phase::Running;
-    const bool mayResend = wasSent && mayRunAgain();
     DecisionLog::Line entry = line("answerLost");
     if (run_) {
         const EngineEntry* engine = context_.board_.find(run_->engine_);
         entry.with("engine", engine ? engine->name_ : "").with("silentMs", context_.now() - run_->heardAt_).with("inRun", run_->firstEventAt_ ? "events" : "noEvent");
     }
-    entry.with("error", error.message()).with("runs", runs_).with("attempts", route_.maxAttempts_).with("config", table_->version()).with("started", hasAnswerStarted_ ? "yes" : "no").with("goesOn", silentRun_ || mayResend ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("parts", partsForLog(joinedValues(exchange_->request().headers_, context_.translation_.headers_.promptParts_)));
+    entry.with("error", error.message()).with("runs", runs_).with("attempts", route_.maxAttempts_).with("config", table_->version()).with("started", hasAnswerStarted_ ? "yes" : "no").with("goesOn", goesOn ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("parts", partsForLog(joinedValues(exchange_->request().headers_, context_.translation_.headers_.promptParts_)));
+}
+
+// Handles a lost or unusable answer to a request that the engine may have run: sends the request again if allowed, else fails it.
+void RelayedRequest::lost(std::error_code error)
+{
+    const bool wasSent = phase_ == Phase::Running;
+    const bool mayResend = wasSent && mayRunAgain();
+    logLost(error, silentRun_ || mayResend);
     if (!pendingEvents_.empty()) {
         exchange_->write(pendingEvents_);
         pendingEvents_.clear();
--- a/libs/serving/src/RelaySilence.cpp
+++ b/libs/serving/src/RelaySilence.cpp
@@ -5,6 +5,8 @@
 // goes on alone. If the request may not run again, or no other engine has a free slot, it waits for its engine.
 #include "RelayedRequest.h"
 
+#include <algorithm>
+
 namespace jj {
 
 namespace {
@@ -39,17 +41,18 @@
     });
 }
 
+void RelayedRequest::checkSilenceWhenDue() { checkSilenceAfter(std::max<Duration>(run_->heardAt_ + silenceTimeout - context_.now(), Duration::zero())); }
+
 void RelayedRequest::checkSilence()
 {
     if (silentRun_)
         return endOverlap();
-    const Duration silence = context_.now() - run_->heardAt_;
-    if (silence < silenceTimeout)
-        return checkSilenceAfter(silenceTimeout - silence);
+    if (context_.now() - run_->heardAt_ < silenceTimeout)
+        return checkSilenceWhenDue();
     context_.board_.recordSilence(run_->engine_, context_.now());
     if (!run_->isSilent_)
         noteSilence();
-    if (mayTryOtherEngine(silence))
+    if (mayTryOtherEngine())
         tryOtherEngine();
     // A second run has set the timer.
     if (phase_ == Phase::Running && !silentRun_)
@@ -59,29 +62,39 @@
 void RelayedRequest::noteSilence()
 {
     run_->isSilent_ = true;
-    const LossPoint point = context_.crashes_->lossPoint(run_->firstEventAt_);
-    mustSettle_ = context_.crashes_->mustSettle(fingerprints_, point);
-    context_.crashes_->recordLoss(fingerprints_, run_->engine_, point);
+    noteLoss();
     context_.fleet_->publishReport();
     context_.metrics_.metrics_.add(context_.metrics_.silences_);
     const EngineEntry* entry = context_.board_.find(run_->engine_);
     line("engineSilent").with("engine", entry ? entry->name_ : "").with("silentMs", context_.now() - run_->heardAt_).with("runs", runs_).with("attempts", route_.maxAttempts_).with("offers", offers_).with("started", hasAnswerStarted_ ? "yes" : "no").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("config", table_->version());
 }
 
-bool RelayedRequest::mayTryOtherEngine(Duration silence)
+bool RelayedRequest::mayTryOtherEngine()
 {
-    const bool hasSettled = !mustSettle_ || silence >= silenceTimeout + CrashWatch::settlingTime;
+    const bool hasSettled = !mustSettle_ || context_.now() - lostAt_ >= CrashWatch::settlingTime;
     return hasSettled && offers_ < maxOffers && mayRunAgain() && isStillAllowed(*context_.table_, caller_) && !isBlocked();
 }
 
+void RelayedRequest::allowLeftEngines()
+{
+    if (leftWhileSilent_.empty() || context_.board_.hasOtherEngine(service_, tried_, context_.now(), boundVersion_))
+        return;
+    std::erase_if(tried_, [this](UpstreamId engine) { return std::find(leftWhileSilent_.begin(), leftWhileSilent_.end(), engine) != leftWhileSilent_.end(); });
+    leftWhileSilent_.clear();
+}
+
 void RelayedRequest::tryOtherEngine()
 {
+    allowLeftEngines();
     const Duration budget = firstEventBudget();
     // As in dispatch(), a free slot goes to the requests that are already queued, unless this one resumes.
     if (isResumed() || context_.board_.waiting(service_) == 0) {
         if (startSecondRun(context_.board_.pickOnline(service_, budget, true, tried_, context_.now(), boundVersion_)))
             return;
     }
+    // A queued request that no engine can take would hold up the requests and items behind it.
+    if (!context_.board_.hasOtherEngine(service_, tried_, context_.now(), boundVersion_))
+        return leaveQueue();
     const bool shouldQueue = ticket_.isNone() && context_.now() < queueDeadline() && context_.board_.canQueueInTime(service_, budget, context_.now());
     if (!shouldQueue)
         return;
@@ -119,7 +132,7 @@
     line("silentRunKept").with("runs", runs_);
     EngineRunPtr other = std::exchange(run_, std::exchange(silentRun_, nullptr));
     close(other);
-    checkSilenceAfter(silenceCheckInterval);
+    checkSilenceWhenDue();
 }
 
 void RelayedRequest::leaveSilentRun(bool isReplaced)
@@ -128,8 +141,23 @@
     line("silentRunLeft").with("silentMs", context_.now() - silent->heardAt_).with("runs", runs_).with("replaced", isReplaced ? "yes" : "no");
     if (isReplaced)
         context_.failed(silent->engine_, EngineFault::Lost, http::Error::NoProgress);
+    else
+        leftWhileSilent_.push_back(silent->engine_);
     close(silent);
-    checkSilenceAfter(silenceTimeout);
+    checkSilenceWhenDue();
+}
+
+void RelayedRequest::onSilentRunAnswered(bool hasFailed)
+{
+    if (silentRun_->rejected_)
+        return onSilentRunFailed(false, {});
+    const int status = silentRun_->head_->status_;
+    line("silentRunAnswered").with("status", status).with("runs", runs_);
+    context_.crashes_->recordAnswer(fingerprints_, status);
+    if (hasFailed)
+        context_.failed(silentRun_->engine_, EngineFault::Failure, {});
+    close(silentRun_);
+    checkSilenceWhenDue();
 }
 
 void RelayedRequest::onSilentRunFailed(bool hasRun, std::error_code error)
@@ -144,7 +172,7 @@
         --runs_;
     }
     close(silent);
-    checkSilenceAfter(silenceTimeout);
+    checkSilenceWhenDue();
 }
 
 } // namespace jj
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -104,7 +104,11 @@
     void requestPreemption();
     // Handles a connection to the engine that broke while the request may have run.
     void onEngineLost(std::error_code error);
+    // Records that the run's engine may have crashed with the request.
+    void noteLoss();
     void lost(std::error_code error);
+    // A line is written when its object ends, so this one must end before others begin.
+    void logLost(std::error_code error, bool goesOn);
     // Ends a request that may have run and isn't sent again.
     void giveUp();
     // Waits before the request is sent to another engine.
@@ -127,11 +131,15 @@
     // Records that a byte came from the run's engine.
     void recordBytes(EngineRun& run);
     void checkSilenceAfter(Duration delay);
+    // Checks once the engine of run_ has been silent for silenceTimeout, which may be now.
+    void checkSilenceWhenDue();
     void checkSilence();
     void noteSilence();
     // Opens a second run beside the silent one if the request may run again and another engine has a free slot, or waits for a slot.
     void tryOtherEngine();
-    bool mayTryOtherEngine(Duration silence);
+    // Lets the request go back to engines that it left while they were silent, if no other one is left: they may be sound.
+    void allowLeftEngines();
+    bool mayTryOtherEngine();
     bool startSecondRun(const EnginePick& pick);
     // Neither run has brought an event for as long as two of them may be open.
     void endOverlap();
@@ -139,7 +147,9 @@
     void returnToSilentRun();
     // The second run goes on alone. `isReplaced`: it has brought an event.
     void leaveSilentRun(bool isReplaced);
-    // The answer of the silent run can't go on: its connection broke, or it is no stream.
+    // The silent run ended with a whole answer that its caller can't get: a refusal or a failure.
+    void onSilentRunAnswered(bool hasFailed);
+    // The answer of the silent run can't go on: its connection broke, or its engine did not run the request.
     void onSilentRunFailed(bool hasRun, std::error_code error);
 
     // Returns whether the run's answer is a stream of events.
@@ -178,11 +188,13 @@
     RequestFingerprints fingerprints_; // what it may share with requests that crash engines
     std::optional<Fingerprint> blockedBy_; // the suspect that blocks it
     bool mustSettle_ = false; // its engine was lost, and a part of its prompt was never answered
+    TimePoint lostAt_ {}; // when its last engine was lost or fell silent
     bool wasRefusedBefore_ = false; // the caller was probably refused before and would give up after another refusal
 
     Phase phase_ = Phase::Admitting;
     bool usesQuota_ = false; // admitted, and its credit is not returned
     std::vector<UpstreamId> tried_;
+    std::vector<UpstreamId> leftWhileSilent_; // those of tried_ that were silent when the request left them, and that no other run has outdone
     std::size_t offers_ = 0; // number of engines that the request was sent to, including those that did not run it
     std::uint32_t runs_ = 0; // number of engines that may have started the request
     QueueTicket ticket_; // set in phase Waiting, and while a request whose engine is silent waits for a slot elsewhere
