Serving: a stream keeps its second run if the silent one can't be certain of its version

A caller that resumed a stream got 502, though its second run was sound: the first engine fell silent, left the store and went on before the second run had brought an event.

Cause: the first event of the silent run ended the second run before it was checked whether that engine is still known as the same start, which an engine that has left the store isn't. With the second run gone, no attempt was left.

Change: the check comes first, and such a silent run is left. Besides, two runs are open for the whole 200 ms also if the timer of an earlier look was due when the second one began (by reading).

The scenario 'removed' of silent_engines_test.py failed before (502 after 1.34 s) and passes. A resumed stream without a second run still ends if its engine has left the store before its first event.

--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -50,6 +50,8 @@
 {
     if (!isOpen(run))
         return;
+    if (run == silentRun_ && !isCertainOfVersion(*run))
+        return leaveSilentRun(false);
     if (run == silentRun_)
         returnToSilentRun();
     // Event ids must be consecutive, otherwise the resumed stream would skip or repeat events.
@@ -81,9 +83,10 @@
 // The engine may have started again, with another version, since it was picked. Returns false if the run was given up for that.
 bool RelayedRequest::bindVersion()
 {
-    run_->firstEventAt_ = context_.now();
+    const bool isCertain = isCertainOfVersion(*run_);
     const bool isSameStart = context_.board_.isCurrent(run_->engine_);
-    if (isResumed() && !isSameStart) {
+    run_->firstEventAt_ = context_.now();
+    if (!isCertain) {
         line("versionUncertain").with("software", run_->softwareVersion_.name());
         lost(http::Error::Cancelled);
         return false;
--- a/libs/serving/src/RelaySilence.cpp
+++ b/libs/serving/src/RelaySilence.cpp
@@ -45,8 +45,10 @@
 
 void RelayedRequest::checkSilence()
 {
-    if (silentRun_)
-        return endOverlap();
+    if (silentRun_) {
+        const Duration left = run_->sentAt_ + maxOverlap - context_.now();
+        return left > Duration::zero() ? checkSilenceAfter(left) : endOverlap();
+    }
     if (context_.now() - run_->heardAt_ < silenceTimeout)
         return checkSilenceWhenDue();
     context_.board_.recordSilence(run_->engine_, context_.now());
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -158,6 +158,9 @@
     bool isOpen(const EngineRunPtr& run) const { return phase_ == Phase::Running && (run == run_ || run == silentRun_); }
     // Returns whether the request may be sent to one engine more after a run whose answer can't go on.
     bool mayRunAgain() const;
+    // Returns whether the run's next event may follow the events that the caller has: its engine is known not to have started again, with
+    // another version, since it was picked.
+    bool isCertainOfVersion(const EngineRun& run) const { return run.firstEventAt_ || !isResumed() || context_.board_.isCurrent(run.engine_); }
     // Returns whether the request may leave a silent engine.
     bool mayMove() const { return route_.isRepeatable() && isStream(); }
     // Returns whether the request goes on with a stream of which events were sent to the caller before.
