HTTP: a call can be ended after what its connection has received

A client that ends a call loses an answer that has arrived and that its loop hasn't read yet. cancelAfterReceived() cancels the pending read, reads without waiting what the socket holds, delivers it, and closes the connection unless the answer is whole.

Tests: a whole answer and a part of one that arrived before the end of the call are delivered; without one nothing follows; the connection of a whole answer serves the next call; a call that still connects is never sent. With cancel() in its place the first two fail by their definition: no callback follows that.

--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -28,6 +28,7 @@
 namespace jj::http {
 
 namespace detail {
+    class ClientConnection;
     struct ClientShared;
     struct CallState;
 }
@@ -78,8 +79,12 @@
 
     // Closes the connection of the call; no callback follows. Any thread; again is harmless.
     void cancel();
+    // As cancel(), but callbacks first deliver what the connection has received by now and this side hasn't read yet.
+    void cancelAfterReceived();
 
 private:
+    std::shared_ptr<detail::ClientConnection> connection() const;
+
     std::shared_ptr<detail::CallState> state_;
 };
 
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -63,13 +63,22 @@
 {
     if (state_->cancelled_.exchange(true))
         return;
-    std::shared_ptr<ClientConnection> connection;
-    {
-        const std::lock_guard lock(state_->mutex_);
-        connection = state_->connection_.lock();
-    }
-    if (connection)
-        connection->cancelSoon(state_);
+    if (const auto current = connection())
+        current->cancelSoon(state_);
+}
+
+void Call::cancelAfterReceived()
+{
+    if (state_->ending_.exchange(true))
+        return;
+    if (const auto current = connection())
+        current->cancelAfterReceivedSoon(state_);
+}
+
+std::shared_ptr<ClientConnection> Call::connection() const
+{
+    const std::lock_guard lock(state_->mutex_);
+    return state_->connection_.lock();
 }
 
 Client::Client(boost::asio::io_context& io, ClientSettings settings)
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <utility>
 
 namespace jj::http::detail {
 
@@ -59,16 +60,34 @@
 }
 
 void ClientConnection::cancelSoon(std::shared_ptr<CallState> call)
+{
+    asio::post(socket_.get_executor(), [self = shared_from_this(), call = std::move(call)] {
+        if (self->call_ == call)
+            self->dropCall();
+    });
+}
+
+void ClientConnection::cancelAfterReceivedSoon(std::shared_ptr<CallState> call)
 {
     asio::post(socket_.get_executor(), [self = shared_from_this(), call = std::move(call)] {
         if (self->call_ != call)
             return;
-        self->call_ = nullptr;
-        call->handlers_ = {}; // what they hold may hold the call
-        self->close();
+        if (!self->reading_ || !self->written_)
+            return self->dropCall();
+        self->endsAfterRead_ = true;
+        error_code ignored;
+        self->socket_.cancel(ignored);
     });
 }
 
+void ClientConnection::dropCall()
+{
+    const std::shared_ptr<CallState> call = std::move(call_);
+    call_ = nullptr;
+    call->handlers_ = {}; // what they hold may hold the call
+    close();
+}
+
 void ClientConnection::closeSoon()
 {
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -79,7 +98,7 @@
 
 void ClientConnection::start(std::shared_ptr<CallState> call)
 {
-    if (call->cancelled_) {
+    if (call->cancelled_ || call->ending_) {
         call->handlers_ = {};
         return connected_ && backToPool() ? void() : close();
     }
@@ -155,6 +174,10 @@
     reading_ = false;
     if (closed_)
         return;
+    if (std::exchange(endsAfterRead_, false) && call_) {
+        buffer_.commit(bytes);
+        return deliverReceived();
+    }
     if (error)
         return onReadEnd(error);
     buffer_.commit(bytes);
@@ -165,6 +188,21 @@
     readSome();
 }
 
+// Reads without waiting. The answer may end meanwhile, and the connection then serves other calls.
+void ClientConnection::deliverReceived()
+{
+    const std::shared_ptr<CallState> call = call_;
+    process();
+    error_code error;
+    socket_.non_blocking(true, error);
+    while (call_ == call && !error) {
+        buffer_.commit(socket_.read_some(buffer_.prepare(readBytes), error));
+        process();
+    }
+    if (call_ == call)
+        error == asio::error::eof ? onReadEnd(error) : dropCall();
+}
+
 void ClientConnection::onReadEnd(error_code error)
 {
     if (!call_)
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -44,6 +44,7 @@
     bool sent_ = false;
     bool headSeen_ = false;
     std::atomic<bool> cancelled_ = false;
+    std::atomic<bool> ending_ = false; // the call ends once what its connection has received is delivered
 
     std::mutex mutex_; // guards connection_
     std::weak_ptr<ClientConnection> connection_;
@@ -56,6 +57,7 @@
     // Any thread.
     void startSoon(std::shared_ptr<CallState> call);
     void cancelSoon(std::shared_ptr<CallState> call);
+    void cancelAfterReceivedSoon(std::shared_ptr<CallState> call);
     void closeSoon();
 
 private:
@@ -65,6 +67,8 @@
     void readSome();
     void onRead(error_code error, std::size_t bytes);
     void onReadEnd(error_code error);
+    void deliverReceived();
+    void dropCall();
     void process();
     bool deliver();
     bool isForeign() const;
@@ -90,6 +94,7 @@
     bool connecting_ = false;
     bool closed_ = false;
     bool reading_ = false;
+    bool endsAfterRead_ = false; // the pending read has been cancelled, in order to end the call
     bool written_ = false;
     bool readingOver_ = false; // the answer that is being read belongs to an earlier request
     Duration keepAlive_ = Duration::max(); // as the other side named it
