--- a/libs/serving/src/StreamVersions.cpp
+++ b/libs/serving/src/StreamVersions.cpp
@@ -34,7 +34,7 @@
 {
     ResolverOutlets outlets;
     outlets.self_ = fleet_.self();
-    outlets.replicasOf_ = [this](StreamId stream) { return chooseStreamReplicas(stream, candidates_, 2 * replicas); };
+    outlets.replicasOf_ = [this](StreamId stream) { return chooseReplicas(stream.value(), candidates_, 2 * replicas); };
     outlets.areThereOthers_ = [this] {
         return std::any_of(fleet_.peers().begin(), fleet_.peers().end(), [](const Peer& peer) { return peer.state_ != MemberState::Left; });
     };
@@ -125,6 +125,6 @@
     }
 }
 
-std::vector<NodeId> StreamVersions::replicasOf(StreamId stream) const { return chooseStreamReplicas(stream, candidates_, replicas); }
+std::vector<NodeId> StreamVersions::replicasOf(StreamId stream) const { return chooseReplicas(stream.value(), candidates_, replicas); }
 
 } // namespace jj
--- a/libs/serving/src/StreamVersions.h
+++ b/libs/serving/src/StreamVersions.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "Fleet.h"
-#include "streams/StreamReplicas.h"
+#include "membership/Replicas.h"
 #include "streams/StreamResolver.h"
 #include "streams/StreamTable.h"
 #include "streams/VersionHistory.h"
@@ -45,7 +45,7 @@
     VersionHistory history_;
     StreamTable table_;
     StreamResolver resolver_;
-    std::vector<StreamReplicaCandidate> candidates_; // live hosts that aren't leaving, this one included
+    std::vector<ReplicaCandidate> candidates_; // live hosts that aren't leaving, this one included
     TimePoint refreshedAt_ {};
     TimePoint tickedAt_ {};
 };
--- a/libs/streams/tests/StreamsTest.cpp
+++ b/libs/streams/tests/StreamsTest.cpp
@@ -1,6 +1,6 @@
 // Tests which software version a stream belongs to, over the hosts that hold its record.
 #include "base/Hash.h"
-#include "streams/StreamReplicas.h"
+#include "membership/Replicas.h"
 #include "streams/StreamResolver.h"
 #include "streams/StreamTable.h"
 #include "streams/VersionHistory.h"
@@ -73,12 +73,12 @@
 
     std::vector<NodeId> replicasOf(StreamId stream) const
     {
-        std::vector<StreamReplicaCandidate> candidates;
+        std::vector<ReplicaCandidate> candidates;
         for (const auto& host : hosts_) {
             if (!host->isDown_)
                 candidates.push_back({ host->node_, host->domain_ });
         }
-        return chooseStreamReplicas(stream, candidates, 6);
+        return chooseReplicas(stream.value(), candidates, 6);
     }
 
     void record(const StreamRecord& record)
@@ -153,25 +153,25 @@
 
 TEST_CASE("streams: the replicas of a stream are in different failure domains, and don't move when others are lost")
 {
-    std::vector<StreamReplicaCandidate> candidates;
+    std::vector<ReplicaCandidate> candidates;
     for (std::uint32_t number = 1; number <= 60; ++number)
         candidates.push_back({ NodeId(number), FailureDomainId(number % 5) });
     for (std::uint64_t stream = 0; stream < 200; ++stream) {
-        const auto chosen = chooseStreamReplicas(StreamId(stream), candidates, 3);
+        const auto chosen = chooseReplicas(stream, candidates, 3);
         std::set<std::uint64_t> domains;
         for (const NodeId node : chosen)
             domains.insert(node.value() % 5);
         CHECK(domains.size() == 3);
-        std::vector<StreamReplicaCandidate> left = candidates;
+        std::vector<ReplicaCandidate> left = candidates;
         std::erase_if(left, [&](const auto& one) { return one.domain_ == FailureDomainId(static_cast<std::uint32_t>(chosen[0].value() % 5)); });
-        const auto after = chooseStreamReplicas(StreamId(stream), left, 3);
+        const auto after = chooseReplicas(stream, left, 3);
         CHECK(after[0] == chosen[1]);
         CHECK(after[1] == chosen[2]);
     }
     // With fewer failure domains than replicas, several hosts of one are chosen.
     std::erase_if(candidates, [](const auto& one) { return one.domain_ != FailureDomainId(1); });
-    CHECK(chooseStreamReplicas(StreamId(1), candidates, 3).size() == 3);
-    CHECK(chooseStreamReplicas(StreamId(1), {}, 3).empty());
+    CHECK(chooseReplicas(1, candidates, 3).size() == 3);
+    CHECK(chooseReplicas(1, {}, 3).empty());
 }
 
 TEST_CASE("streams: records are bounded in number and age, and renewed")
