Ledger: failed runs of items are counted over all owners of their job

What callers saw: an item that fails at each run was sent again and again, past what its job allows.

Cause: the count of failures was kept by the job's owner alone. A handover carried it only for items with text, and an item that fails at each run has none; a takeover and a restart began at 0; an errored result that waited for the store was gone with its process.

Change: each failed run has an id, and records of failed runs merge as sets (FailureTable). The owner sends them to hosts in other failure domains before the item runs again, a handover carries them, and a host that loads a job asks for them. The reply brings what the receiver knows. An item that may not run again is listed as errored by whichever owner learns so.

Ruled out: a record in the store costs a call for each failure and can't be written while the store refuses; a plain count hides what two owners count beside each other.

The scheduler makes no additional store call. The count of failed runs is logged (itemFailed).

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -5,6 +5,7 @@
 //     while (auto run = scheduler.startNext(service, now)) ...    // the most urgent waiting item
 //     scheduler.event(run->id_, eventId, data);                   // an event of the run's stream
 //     scheduler.ended(run->id_, RunResult::Completed, now);
+//     scheduler.handleFailures(failures, now);                    // what another node knows of failed runs
 //     scheduler.read(job, after, wait, force, now, done);
 //     scheduler.tick(now, wall);
 //
@@ -20,6 +21,7 @@
 
 #include "base/SoftwareVersion.h"
 #include "ledger/Acceptor.h"
+#include "ledger/ItemFailures.h"
 #include "ledger/Records.h"
 
 #include <cstdint>
@@ -152,7 +154,6 @@
         std::uint32_t events_ = 0;
         std::uint64_t lastEvent_ = 0;
         SoftwareVersionId version_; // of the engines that wrote the text
-        std::uint32_t failures_ = 0;
     };
 
     JobName job_;
@@ -164,6 +165,7 @@
     // accepted earlier.
     bool mayHaveResults_ = false;
     std::vector<Progress> progress_;
+    std::vector<ItemFailures> failures_ {};
 };
 
 // Kinds of events that the scheduler reports for the log.
@@ -175,6 +177,7 @@
     Listed, // results were committed
     PageConflict, // another owner had already written the result page
     ItemErrored,
+    ItemFailed, // an engine answered with an error; the count is the number of failed runs known
     ItemRetried,
     ItemRestarted, // its text was discarded, because no engine of the software version that wrote it serves
     JobDone,
@@ -203,6 +206,8 @@
     std::function<NodeId(std::string_view job, NodeId former)> preferredOwner_;
     std::function<void(RunId)> stop_; // stops a run whose output is no longer needed; the scheduler ignores further events of it
     std::function<void(NodeId to, JobTransfer)> transfer_;
+    // Sends the records to the hosts that hold copies. What these hosts know of the job is then passed to handleFailures().
+    std::function<void(const JobFailures&)> shareFailures_;
     std::function<void(const SchedulerEvent&)> note_;
     // Returns the service that the item is currently routed to. Returns nullopt while no configuration is known, and an empty name if no
     // route matches the item.
@@ -271,6 +276,12 @@
     // Sets the duration of a complete, uninterrupted run, as recently measured.
     void setRunTime(Duration time) { runTime_ = time; }
 
+    // ---- failures of items, also of jobs that other nodes own
+    // Returns what this node knows of the failed runs of a job's items.
+    JobFailures failuresOf(const JobKey& job) const { return failures_.failuresOf(job); }
+    // Adds what another node knows, and gives up items that may not run again. Returns whether any of it was new.
+    bool handleFailures(const JobFailures& failures, TimePoint now);
+
     // ---- calls on behalf of callers. `force`: use the store whichever node owns the job.
     void read(const JobName& job, std::uint32_t after, Duration wait, bool force, TimePoint now, ReadDone done);
     void body(const JobName& job, const std::string& item, bool force, TimePoint now, BodyDone done);
@@ -329,6 +340,8 @@
     void completeIfDone(const JobPtr& job, TimePoint now);
     void stopRuns(const JobPtr& job, bool keepText);
     void detectPause(TimePoint now);
+    // Records the start of the process at the first call.
+    void noteStart(TimePoint now);
     // Whether this node may have been replaced without noticing, because it started or was unavailable recently.
     bool wasRecentlyUnavailable(TimePoint now) const;
     bool wasRecentlyPaused(TimePoint now) const;
@@ -338,6 +351,13 @@
     void abandonOverdue(const JobPtr& job, TimePoint now);
     ItemUrgency urgencyOf(const Job& job, const Item& item, TimePoint now) const;
     void updateMeanStretch(const Item& item, TimePoint now);
+    FailedRunId failedRunIdOf(RunId run) const;
+    // Records a run that an engine answered with an error, here and at the hosts that hold copies.
+    void recordFailure(const JobKey& job, const std::string& item, RunId run, bool isUnprocessable, TimePoint now);
+    bool mayRunAgain(const Job& job, const Item& item) const;
+    // Lists a waiting item as errored if it may not run again. Returns whether it does.
+    bool giveUpIfRejected(const JobPtr& job, std::size_t item, TimePoint now);
+    void giveUpRejected(const JobPtr& job, TimePoint now);
     // Returns the service that the item is routed to; nullopt while it isn't known, and an empty name if the item has had no route for long.
     std::optional<std::string> serviceOf(const Job& job, Item& item, TimePoint now) const;
     bool mayRunAt(const Item& item, std::string_view service, SoftwareVersionId version) const;
@@ -366,10 +386,12 @@
     // Jobs that this process has owned before, and jobs that an earlier process may have owned because their heads couldn't be read. A message
     // that makes this node the owner of such a job may be older.
     std::unordered_map<JobName, TimePoint> earlierJobs_;
+    FailureTable failures_ { FailureTableSettings() }; // of this node's jobs and of jobs that it holds copies for
     std::unordered_map<RunId, Running> runs_;
     std::uint64_t nextRun_ = 1;
     std::map<JobName, TimePoint> pendingTakeovers_; // takeovers in progress, so that two scans don't start the same one twice
     TimePoint startedAt_ {}; // start of the process
+    WallTime startedAtWall_ {};
     TimePoint lastUnavailableAt_ {}; // when this node last was found to have been paused or considered dead
     TimePoint lastTick_ {};
     WallTime wall_ {};
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -9,7 +9,7 @@
 
 std::string_view toString(SchedulerNote note)
 {
-    static constexpr std::string_view names[] = { "jobAdopted", "jobLoaded", "jobTakenOver", "jobLost", "resultsListed", "pageConflict", "itemErrored", "itemRetried", "itemRestarted", "jobDone", "jobEnded", "jobVoid", "jobHandedOver", "jobRemoved", "jobStoreFailed" };
+    static constexpr std::string_view names[] = { "jobAdopted", "jobLoaded", "jobTakenOver", "jobLost", "resultsListed", "pageConflict", "itemErrored", "itemFailed", "itemRetried", "itemRestarted", "jobDone", "jobEnded", "jobVoid", "jobHandedOver", "jobRemoved", "jobStoreFailed" };
     return names[static_cast<std::size_t>(note)];
 }
 
@@ -93,14 +93,22 @@
     recheckOwnership(now);
 }
 
+void JobScheduler::noteStart(TimePoint now)
+{
+    if (startedAt_ != TimePoint())
+        return;
+    startedAt_ = now;
+    startedAtWall_ = wall_;
+}
+
 void JobScheduler::tick(TimePoint now, WallTime wall)
 {
     wall_ = wall;
     detectPause(now);
     lastTick_ = now;
-    if (startedAt_ == TimePoint())
-        startedAt_ = now;
+    noteStart(now);
     std::erase_if(earlierJobs_, [&](const auto& entry) { return now - entry.second > settings_.retention_; });
+    failures_.expire(now);
     std::vector<JobPtr> all;
     for (const auto& [name, job] : jobs_)
         all.push_back(job);
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -23,7 +23,6 @@
     std::uint64_t lastEvent_ = 0; // valid if events_ > 0
     SoftwareVersionId version_; // of the engines that wrote text_; valid if events_ > 0
     SoftwareVersionId runVersion_; // of the engine that the run was started for; valid while Running
-    std::uint32_t failures_ = 0; // number of runs that ended with an error of the engine itself
     std::uint32_t retries_ = 0; // number of failed runs since the last event was received
     TimePoint notBefore_ {};
     std::optional<TimePoint> withoutRouteSince_; // none: it has a route, or no configuration is known
@@ -89,6 +88,7 @@
     bool isTakenOver_ = false; // from an owner that this node considered dead, but that may still be alive
     std::map<std::string, JobTransfer::Progress> progress_; // from a transfer, until the items are loaded
 
+    JobKey key() const { return { name_, head_.acceptedAt_ }; }
     bool isOpen() const { return head_.state_ == JobState::Open; }
     bool mayRun() const { return isLoaded_ && isOpen() && !isCancelling_ && !isMarkedCancelled_ && cancelRequests_.empty(); }
     bool isComplete() const { return listed_.size() >= head_.total_; }
--- a/libs/ledger/src/SchedulerLoading.cpp
+++ b/libs/ledger/src/SchedulerLoading.cpp
@@ -9,8 +9,7 @@
 {
     wall_ = wall;
     detectPause(now);
-    if (startedAt_ == TimePoint())
-        startedAt_ = now;
+    noteStart(now);
     if (const Job* known = findOwnedJob(transfer.job_); known && known->headVersion_ >= transfer.headVersion_)
         return;
     drop(transfer.job_);
@@ -40,6 +39,8 @@
         job->items_.back().item_ = std::move(item);
     }
     jobs_[job->name_] = job;
+    if (failures_.merge({ job->key(), std::move(transfer.failures_) }, now))
+        outlets_.shareFailures_(failures_.failuresOf(job->key()));
     note(SchedulerNote::Adopted, job->name_, {}, job->head_.total_);
     if (!job->isHeadRead_)
         return loadHead(job, now);
@@ -92,6 +93,7 @@
     job->loadStarted_ = now;
     job->lastUse_ = now;
     jobs_[name] = job;
+    outlets_.shareFailures_(failures_.failuresOf(job->key()));
     loadItems(job, 0, now);
 }
 
@@ -215,9 +217,9 @@
         item.events_ = progress.events_;
         item.lastEvent_ = progress.lastEvent_;
         item.version_ = progress.version_;
-        item.failures_ = progress.failures_;
     }
     job->progress_.clear();
+    giveUpRejected(job, now);
     note(SchedulerNote::Loaded, job->name_, {}, job->listed_.size());
     completeIfDone(job, now);
     answerReaders(job);
--- a/libs/ledger/src/SchedulerOwnership.cpp
+++ b/libs/ledger/src/SchedulerOwnership.cpp
@@ -207,10 +207,10 @@
         }
         // The new owner may have claimed the job itself, which writes the same head, or may have found it there a while ago. A former owner's
         // pages may not have been read.
-        JobTransfer transfer { job->name_, head, answer.answer_.version_, {}, job->pages_, answer.isReadBack_ || job->mayMissResults_, {} };
+        JobTransfer transfer { job->name_, head, answer.answer_.version_, {}, job->pages_, answer.isReadBack_ || job->mayMissResults_, {}, failures_.failuresOf(job->key()).items_ };
         for (Item& item : job->items_) {
             if (item.events_ > 0 && item.state_ == ItemState::Waiting)
-                transfer.progress_.push_back({ item.item_.id_, item.text_, item.events_, item.lastEvent_, item.version_, item.failures_ });
+                transfer.progress_.push_back({ item.item_.id_, item.text_, item.events_, item.lastEvent_, item.version_ });
             transfer.items_.push_back(item.item_);
         }
         note(SchedulerNote::HandedOver, job->name_, {}, head.owner_.value());
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -165,6 +165,12 @@
         ++item.retries_;
         note(SchedulerNote::ItemRetried, job->name_, item.item_.id_, item.retries_);
     };
+    const bool isRejected = end == RunResult::Failed || end == RunResult::Unprocessable;
+    if (isRejected)
+        recordFailure(job->key(), item.item_.id_, run, end == RunResult::Unprocessable, now);
+    // Records of other nodes may have arrived during the run.
+    if (end != RunResult::Completed && giveUpIfRejected(job, itemIndex, now))
+        return;
     switch (end) {
     case RunResult::Completed:
         // An answer without events is not a valid output of an item.
@@ -183,9 +189,6 @@
         item.discardProgress();
         return retryLater();
     case RunResult::Failed:
-        ++item.failures_;
-        if (item.failures_ >= std::max(1U, job->head_.maxAttempts_))
-            return finishItem(job, itemIndex, ResultState::Errored, now);
         return retryLater();
     case RunResult::Unprocessable:
     case RunResult::RouteRemoved:
@@ -225,7 +228,8 @@
         meanEvents_ = meanEvents_ > 0 ? meanEvents_ + meanGain * (item.events_ - meanEvents_) : item.events_;
     item.state_ = ItemState::Finished;
     if (state == ResultState::Errored) {
-        note(SchedulerNote::ItemErrored, job->name_, item.item_.id_, item.failures_);
+        const ItemFailures* failures = failures_.find(job->key(), item.item_.id_);
+        note(SchedulerNote::ItemErrored, job->name_, item.item_.id_, failures ? failures->runs_.size() : 0);
         item.text_.clear();
     }
     if (job->pending_.empty())
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -112,6 +112,7 @@
                     at(other, [this, other, job] { scheduler(other).adopt(job, now_, wall()); });
             }
         };
+        outlets.shareFailures_ = [this, index](const JobFailures& failures) { shareFailures(index, failures); };
         outlets.note_ = [this](const SchedulerEvent& event) { ++notes_[event.note_]; };
         outlets.serviceOf_ = [this](std::string_view, std::string_view) { return service_; };
         outlets.isVersionServing_ = [this](std::string_view, SoftwareVersionId version) { return versionsServing_.contains(version); };
@@ -323,6 +324,7 @@
     std::map<std::string, RunResult> rejectedItems_; // items that engines answer with an error, without an event
     std::map<std::string, std::uint32_t> rejections_; // number of these answers by item, whether or not the host has received them
     bool areResultPagesRefused_ = false; // the store refuses writes of result pages
+    bool areFailuresShared_ = true; // hosts receive the records of failed runs that others share
     std::size_t firstPreferred_ = 0; // where the choice of an owner begins
     bool loseTransfers_ = false;
     double refusedCalls_ = 0; // share of the store's calls that are refused while others succeed
@@ -390,6 +392,22 @@
         at(indexOf(to), [this, to, job = std::move(job), answer] { answer(hosts_[indexOf(to)]->spool_->storeCopy(job, now_), now_); });
     }
 
+    // Sends the records to all other hosts, and what these know back.
+    void shareFailures(std::size_t from, const JobFailures& failures)
+    {
+        for (std::size_t other = 0; other < hosts_.size(); ++other) {
+            if (other == from || !areFailuresShared_)
+                continue;
+            later(step, [this, from, other, failures, incarnation = hosts_[from]->incarnation_] {
+                at(other, [this, from, other, failures, incarnation] {
+                    scheduler(other).handleFailures(failures, now_);
+                    if (hosts_[from]->incarnation_ == incarnation)
+                        at(from, [this, from, known = scheduler(other).failuresOf(failures.job_)] { scheduler(from).handleFailures(known, now_); });
+                });
+            });
+        }
+    }
+
     void expireSpoolRequests()
     {
         while (!spoolRequests_.empty() && spoolRequests_.front().first <= now_) {
--- a/libs/ledger/tests/SingleOwner.h
+++ b/libs/ledger/tests/SingleOwner.h
@@ -102,6 +102,7 @@
     std::function<void()> heldAnswer_;
     NodeId preferred_ = self;
     std::vector<JobTransfer> transfers_;
+    std::vector<JobFailures> sharedFailures_;
     bool areHeadReadsLost_ = false;
     std::function<void()> beforeCommit_; // runs once, before the next result page is written
     std::map<SchedulerNote, int> notes_;
@@ -145,6 +146,7 @@
         outlets.preferredOwner_ = [this](std::string_view, NodeId) { return preferred_; };
         outlets.stop_ = [](RunId) {};
         outlets.transfer_ = [this](NodeId, const JobTransfer& transfer) { transfers_.push_back(transfer); };
+        outlets.shareFailures_ = [this](const JobFailures& failures) { sharedFailures_.push_back(failures); };
         outlets.note_ = [this](const SchedulerEvent& event) { ++notes_[event.note_]; };
         outlets.serviceOf_ = [](std::string_view, std::string_view) { return std::string("s"); };
         outlets.isVersionServing_ = [](std::string_view, SoftwareVersionId) { return true; };
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -33,8 +33,8 @@
     };
 
     // The authentication code covers a label for the kind of message, so that a call is never accepted as a reply or the reverse.
-    constexpr std::string_view callLabel = "serving call 6";
-    constexpr std::string_view replyLabel = "serving reply 6";
+    constexpr std::string_view callLabel = "serving call 7";
+    constexpr std::string_view replyLabel = "serving reply 7";
 
 } // namespace
 
@@ -110,13 +110,51 @@
 template <class Archive>
 void serialize(Archive& archive, JobTransfer::Progress& progress)
 {
-    archive(progress.item_, progress.text_, progress.events_, progress.lastEvent_, progress.version_, progress.failures_);
+    archive(progress.item_, progress.text_, progress.events_, progress.lastEvent_, progress.version_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ItemFailures& failures)
+{
+    archive(failures.item_, failures.runs_, failures.isUnprocessable_);
+}
+
+template <class Archive>
+void save(Archive& archive, const JobKey& job)
+{
+    archive(job.name_, job.acceptedAt_.time_since_epoch());
+}
+
+template <class Archive>
+void load(Archive& archive, JobKey& job)
+{
+    std::chrono::milliseconds at {};
+    archive(job.name_, at);
+    job.acceptedAt_ = WallTime(at);
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobFailures& failures)
+{
+    archive(failures.job_, failures.items_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ShareFailuresRequest& request)
+{
+    archive(request.failures_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ShareFailuresReply& reply)
+{
+    archive(reply.failures_);
 }
 
 template <class Archive>
 void serialize(Archive& archive, JobTransfer& job)
 {
-    archive(job.job_, job.head_, job.headVersion_, job.items_, job.resultPages_, job.mayHaveResults_, job.progress_);
+    archive(job.job_, job.head_, job.headVersion_, job.items_, job.resultPages_, job.mayHaveResults_, job.progress_, job.failures_);
 }
 
 template <class Archive>
--- a/libs/serving/src/PeerMessages.h
+++ b/libs/serving/src/PeerMessages.h
@@ -61,7 +61,11 @@
 struct ObjectNotice {
     std::string key_;
 };
-using PeerCall = std::variant<StoreRequest, UpdateRequest, AdoptRequest, ReadRequest, BodyRequest, CancelJobRequest, SpoolRequest, DropSpooledRequest, ObjectNotice>;
+// Asks the receiver to hold copies of records of failed items, and to reply with all that it knows of the job.
+struct ShareFailuresRequest {
+    JobFailures failures_;
+};
+using PeerCall = std::variant<StoreRequest, UpdateRequest, AdoptRequest, ReadRequest, BodyRequest, CancelJobRequest, SpoolRequest, DropSpooledRequest, ObjectNotice, ShareFailuresRequest>;
 
 // An engine whose entry the store no longer has, while the sender still uses the engine; see EngineCatalog.h.
 struct MissingEngine {
@@ -101,7 +105,10 @@
 struct SpoolReply {
     SpoolOutcome outcome_ = SpoolOutcome::Refused;
 };
-using PeerReply = std::variant<ObjectAnswer, UpdateReply, AdoptReply, ReadAnswer, BodyAnswer, CancelAnswer, SpoolReply>;
+struct ShareFailuresReply {
+    JobFailures failures_;
+};
+using PeerReply = std::variant<ObjectAnswer, UpdateReply, AdoptReply, ReadAnswer, BodyAnswer, CancelAnswer, SpoolReply, ShareFailuresReply>;
 
 enum class PeerError : int {
     Unauthentic = 1, // the authentication code is wrong
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -264,6 +264,7 @@
                 log_.line("transferLost").with("job", name).with("error", reply.error().message());
         });
     };
+    outlets.shareFailures_ = [this](const JobFailures& failures) { failures_->share(failures); };
     outlets.note_ = [this](const SchedulerEvent& event) {
         auto line = log_.line(toString(event.note_));
         line.with("job", event.job_).with("count", event.count_);
@@ -283,6 +284,7 @@
     };
     outlets.isVersionServing_ = [this](std::string_view service, SoftwareVersionId version) { return board_.hasVersion(service, version); };
     scheduler_ = std::make_unique<JobScheduler>(SchedulerSettings(), std::move(outlets));
+    failures_ = std::make_unique<FailureReplicas>(*fleet_, *scheduler_, log_);
     runner_ = std::make_unique<ItemRunner>(context_, *scheduler_, ItemRunnerSettings());
     if (!settings_.runsJobs_)
         return;
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -6,6 +6,7 @@
 #include "CrashWatch.h"
 #include "Dissemination.h"
 #include "EngineFeed.h"
+#include "FailureReplicas.h"
 #include "ItemRunner.h"
 #include "JobFront.h"
 #include "KindWatch.h"
@@ -108,6 +109,7 @@
     std::unique_ptr<EngineCatalog> catalog_;
     std::unique_ptr<EngineFeed<StoreLink, SystemClock>> feed_;
     std::unique_ptr<JobScheduler> scheduler_;
+    std::unique_ptr<FailureReplicas> failures_;
     std::unique_ptr<ItemRunner> runner_;
     std::unique_ptr<JobFront> jobs_;
     std::unique_ptr<JobSpool<FileDisk>> spool_; // null if this host has no usable disk
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -440,6 +440,8 @@
         handleObject(found->key_);
         return reply(AdoptReply { true });
     }
+    if (const auto* request = std::get_if<ShareFailuresRequest>(&call))
+        return reply(ShareFailuresReply { failures_->handle(request->failures_) });
     const auto& request = std::get<CancelJobRequest>(call);
     scheduler_->end(request.job_, false, now, [reply](CancelAnswer answer) { reply(answer); });
 }
