Ledger, serving: ends of runs that this side chooses lose no answer, and give nothing back at once

What callers saw: an item was sent three times within 0.2 s to one engine, each time 40 ms after the engine's 500.

Cause: a run that is ended here (ceded, given way, stopped by a handover) counts nothing and sets no delay. An engine's answer that crossed the end was lost, and the item started again in the same turn.

Change: a call that is ended delivers what has arrived, and an error counts also after the end of its run, once. Items yield only after an event, give way without one only if no other run can, and a handover waits up to 500 ms for first answers. Preempted items wait for 50 ms, without an event for 100 ms and twice as long each further time. Runs that the engine didn't start and runs that leave a silent engine are told apart (Released) and may start again at once.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -50,6 +50,11 @@
     // Delay before an item is retried after a failed run. It doubles with each further failure, up to maxRetryDelay_.
     Duration initialRetryDelay_ = 100ms;
     Duration maxRetryDelay_ = 4s;
+    // Delay before an item that was preempted after an event runs again: the node that needed its slot has taken it by then.
+    Duration preemptionDelay_ = 50ms;
+    // A handover waits this long for the first event or the end of runs that have just begun. An engine that rejects an item answers within
+    // this time, and an answer to a run that was stopped isn't counted.
+    Duration firstAnswerTimeout_ = 500ms;
     // Items that have had no route for this time are given up. A host may learn later than the one that accepted a job that its route exists.
     Duration routeGrace_ = 5s;
     // Timeout of store calls that no caller waits for; long enough for them to survive an outage.
@@ -99,6 +104,7 @@
     std::string body_; // decoded
     std::optional<std::uint64_t> resumeAfter_; // last event received in earlier runs; the run resumes after it
     TimePoint due_ {};
+    WallTime acceptedAt_ {}; // of the job
 };
 
 // Whether an item can finish before it is due, estimated from the duration of recent runs.
@@ -111,7 +117,8 @@
 
 enum class RunResult : std::uint8_t {
     Completed, // all events and the end of the answer were received
-    Preempted, // by an online request, or before the run started; resumes after the last event received
+    Preempted, // by an online request or another item; resumes after the last event received, but not at once
+    Released, // the engine didn't start the run, or is silent while another one has a free slot; may start again at once
     Interrupted, // the engine or the connection was lost; resumes after the last event received
     ResumeMismatch, // the run didn't resume after the requested event; starts over
     Failed, // the engine reported an error of its own
@@ -272,6 +279,8 @@
     std::map<std::string, Waiting> waiting(TimePoint now);
     void event(RunId run, std::uint64_t eventId, std::string_view data);
     void ended(RunId run, RunResult end, TimePoint now);
+    // Counts an answer that has arrived after ended() or SchedulerOutlets::stop_ of its run. `result`: Failed or Unprocessable.
+    void answeredLate(const ItemRun& run, RunResult result, TimePoint now);
     ItemUrgency urgencyOf(RunId run, TimePoint now) const;
     // Sets the duration of a complete, uninterrupted run, as recently measured.
     void setRunTime(Duration time) { runTime_ = time; }
@@ -358,6 +367,8 @@
     // Lists a waiting item as errored if it may not run again. Returns whether it does.
     bool giveUpIfRejected(const JobPtr& job, std::size_t item, TimePoint now);
     void giveUpRejected(const JobPtr& job, TimePoint now);
+    // Returns whether the job has runs that neither brought an event nor have lasted for firstAnswerTimeout_.
+    bool hasUnansweredRuns(const Job& job, TimePoint now) const;
     // Returns the service that the item is routed to; nullopt while it isn't known, and an empty name if the item has had no route for long.
     std::optional<std::string> serviceOf(const Job& job, Item& item, TimePoint now) const;
     bool mayRunAt(const Item& item, std::string_view service, SoftwareVersionId version) const;
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -140,10 +140,12 @@
             if (findOwnedJob(job->name_) != job.get())
                 continue;
         }
-        if (leaving_) {
+        if (leaving_ || job->isHandoverDue_)
             handOver(job, now);
+        if (leaving_)
+            continue;
+        if (findOwnedJob(job->name_) != job.get())
             continue;
-        }
         confirmOwnership(job, now);
         abandonOverdue(job, now);
         commitIfDue(job, now);
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -23,11 +23,13 @@
     std::uint64_t lastEvent_ = 0; // valid if events_ > 0
     SoftwareVersionId version_; // of the engines that wrote text_; valid if events_ > 0
     SoftwareVersionId runVersion_; // of the engine that the run was started for; valid while Running
-    std::uint32_t retries_ = 0; // number of failed runs since the last event was received
+    std::uint32_t retries_ = 0; // number of runs that failed or were preempted since the last event was received
     TimePoint notBefore_ {};
     std::optional<TimePoint> withoutRouteSince_; // none: it has a route, or no configuration is known
     TimePoint firstRunAt_ {}; // start of its first run on this node; none if it hasn't run
     RunId run_; // set while Running
+    TimePoint runStartedAt_ {}; // valid while Running
+    bool hasRunEvent_ = false; // an event of this run was received; valid while Running
 
     // Discards text and position together: a run that resumes after discarded text would leave a gap in the result.
     void discardProgress()
@@ -80,6 +82,7 @@
     TimePoint lastUse_ {};
     bool isUpdatingHead_ = false; // an update of the head is pending
     bool isHandingOver_ = false; // that update names the next owner, who may have found it already
+    bool isHandoverDue_ = false; // the job is handed over as soon as its runs allow it; no run starts
     std::vector<CancelRequest> cancelRequests_; // callers that requested cancellation and haven't been answered
     bool isCancelling_ = false; // the pending update of the head cancels the job
     bool isMarkedCancelled_ = false; // a cancellation mark was found, and the head hasn't been read since
@@ -90,7 +93,7 @@
 
     JobKey key() const { return { name_, head_.acceptedAt_ }; }
     bool isOpen() const { return head_.state_ == JobState::Open; }
-    bool mayRun() const { return isLoaded_ && isOpen() && !isCancelling_ && !isMarkedCancelled_ && cancelRequests_.empty(); }
+    bool mayRun() const { return isLoaded_ && isOpen() && !isHandoverDue_ && !isCancelling_ && !isMarkedCancelled_ && cancelRequests_.empty(); }
     bool isComplete() const { return listed_.size() >= head_.total_; }
 
     // Removes and returns the readers that meet the condition.
--- a/libs/ledger/src/SchedulerFailures.cpp
+++ b/libs/ledger/src/SchedulerFailures.cpp
@@ -22,6 +22,13 @@
     outlets_.shareFailures_({ job, { known } });
 }
 
+void JobScheduler::answeredLate(const ItemRun& run, RunResult result, TimePoint now)
+{
+    recordFailure({ run.job_, run.acceptedAt_ }, run.item_, run.id_, result == RunResult::Unprocessable, now);
+    if (const auto found = jobs_.find(run.job_); found != jobs_.end())
+        giveUpRejected(JobPtr(found->second), now);
+}
+
 bool JobScheduler::handleFailures(const JobFailures& failures, TimePoint now)
 {
     if (!failures_.merge(failures, now))
@@ -55,4 +62,11 @@
         giveUpIfRejected(job, itemIndex, now);
 }
 
+bool JobScheduler::hasUnansweredRuns(const Job& job, TimePoint now) const
+{
+    return std::any_of(job.items_.begin(), job.items_.end(), [&](const Item& item) {
+        return item.state_ == ItemState::Running && !item.hasRunEvent_ && now - item.runStartedAt_ < settings_.firstAnswerTimeout_;
+    });
+}
+
 } // namespace jj
--- a/libs/ledger/src/SchedulerOwnership.cpp
+++ b/libs/ledger/src/SchedulerOwnership.cpp
@@ -181,7 +181,8 @@
     if (!job->isOpen())
         return;
     const NodeId target = outlets_.preferredOwner_(job->name_, outlets_.self_);
-    if (target.isNone() || target == outlets_.self_ || !job->isLoaded_ || job->isUpdatingHead_)
+    job->isHandoverDue_ = !target.isNone() && target != outlets_.self_;
+    if (!job->isHandoverDue_ || !job->isLoaded_ || job->isUpdatingHead_ || hasUnansweredRuns(*job, now))
         return;
     stopRuns(job, true);
     if (job->isCommitting_)
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -125,10 +125,12 @@
     item.state_ = ItemState::Running;
     item.runVersion_ = version;
     item.run_ = RunId(nextRun_++);
+    item.runStartedAt_ = now;
+    item.hasRunEvent_ = false;
     if (item.firstRunAt_ == TimePoint())
         item.firstRunAt_ = now;
     runs_[item.run_] = { chosen->name_, itemIndex };
-    ItemRun run { item.run_, chosen->name_, chosen->head_.workspace_, chosen->head_.host_, item.item_.id_, item.item_.path_, item.item_.headers_, std::move(body.value()), std::nullopt, chosen->due_ };
+    ItemRun run { item.run_, chosen->name_, chosen->head_.workspace_, chosen->head_.host_, item.item_.id_, item.item_.path_, item.item_.headers_, std::move(body.value()), std::nullopt, chosen->due_, chosen->head_.acceptedAt_ };
     if (item.events_ > 0)
         run.resumeAfter_ = item.lastEvent_;
     return run;
@@ -146,6 +148,7 @@
     item.lastEvent_ = eventId;
     item.version_ = item.runVersion_;
     item.retries_ = 0;
+    item.hasRunEvent_ = true;
     ++item.events_;
 }
 
@@ -179,6 +182,12 @@
         updateMeanStretch(item, now);
         return finishItem(job, itemIndex, ResultState::Completed, now);
     case RunResult::Preempted:
+        // Without an event the run was for nothing, and its engine may just have rejected the item, unknown to this node.
+        if (!item.hasRunEvent_)
+            return retryLater();
+        item.notBefore_ = now + settings_.preemptionDelay_;
+        return;
+    case RunResult::Released:
         return;
     case RunResult::Withheld:
         item.notBefore_ = now + settings_.maxRetryDelay_;
--- a/libs/ledger/tests/FailureTest.cpp
+++ b/libs/ledger/tests/FailureTest.cpp
@@ -152,3 +152,73 @@
         CHECK(count < 9);
     }
 }
+
+// Guards against failures that only hosts know which can't be reached after a handover.
+TEST_CASE("ledger: a handover carries the failures of items that have no text")
+{
+    LedgerWorld world(76, 4);
+    world.areFailuresShared_ = false;
+    world.rejectedItems_["j-0"] = RunResult::Failed;
+    world.firstPreferred_ = 1;
+    world.submit(0, "j", 3, 1);
+    advanceUntilRejections(world, 2);
+    world.leave(1);
+    world.advance(20s);
+    CHECK(world.rejections_["j-0"] == maxAttempts);
+    checkErrored(world);
+}
+
+// Guards against an error that is lost because the host has ended the run before it reads the answer.
+TEST_CASE("ledger: an answer that arrives after its run has ended counts once")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.advance(1s);
+    std::string item;
+    for (std::uint32_t attempt = 1; attempt <= maxAttempts; ++attempt) {
+        const auto run = owner.scheduler_.startNext("s", owner.now_);
+        REQUIRE(run);
+        REQUIRE((item.empty() || run->item_ == item));
+        item = run->item_;
+        owner.scheduler_.ended(run->id_, RunResult::Preempted, owner.now_);
+        owner.scheduler_.answeredLate(*run, RunResult::Failed, owner.now_);
+        owner.scheduler_.answeredLate(*run, RunResult::Failed, owner.now_);
+        CHECK(owner.notes_[SchedulerNote::ItemFailed] == static_cast<int>(attempt));
+        // The other items are running meanwhile.
+        while (owner.scheduler_.startNext("s", owner.now_)) { }
+        owner.advance(5s);
+    }
+    CHECK(owner.notes_[SchedulerNote::ItemErrored] == 1);
+    REQUIRE(owner.sharedFailures_.size() == maxAttempts + 1); // the first one when the job was loaded
+    CHECK(owner.sharedFailures_.back().items_.front().runs_.size() == maxAttempts);
+}
+
+// Guards against an error that is lost because its job has been handed over when the answer arrives.
+TEST_CASE("ledger: an answer that arrives after its job has been handed over is shared")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.advance(1s);
+    const auto run = owner.scheduler_.startNext("s", owner.now_);
+    REQUIRE(run);
+    owner.preferred_ = SingleOwner::other;
+    owner.scheduler_.handOverMisplaced(owner.now_);
+    CHECK(owner.transfers_.empty()); // the engine may answer within a moment
+    owner.advance(1s);
+    REQUIRE(owner.transfers_.size() == 1);
+    owner.sharedFailures_.clear();
+    owner.scheduler_.answeredLate(*run, RunResult::Unprocessable, owner.now_);
+    REQUIRE(owner.sharedFailures_.size() == 1);
+    CHECK(owner.sharedFailures_.front().items_.front().isUnprocessable_);
+}
+
+// Guards against an item that is given up for failures of an earlier job of the same name.
+TEST_CASE("ledger: failures of another job of the same name don't count")
+{
+    SingleOwner owner;
+    const JobKey earlier { "j", LedgerWorld::wallStart - std::chrono::milliseconds(1) };
+    owner.scheduler_.handleFailures({ earlier, { { "j-0", { FailedRunId(1) }, true } } }, owner.now_);
+    owner.scheduler_.scan(false, owner.now_);
+    owner.advance(1s);
+    CHECK(owner.notes_[SchedulerNote::ItemErrored] == 0);
+}
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -2,6 +2,7 @@
 #include "ItemRunner.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 namespace jj {
 
@@ -121,7 +122,9 @@
 {
     RunPtr last;
     for (const auto& [id, run] : runs_) {
-        if (scheduler_.urgencyOf(id, now) == ItemUrgency::Relaxed && (!last || run->item_.due_ > last->item_.due_))
+        // Without an event the run would be for nothing, and its engine may be about to answer with an error.
+        const bool mayYield = run->firstEventAt_ && scheduler_.urgencyOf(id, now) == ItemUrgency::Relaxed;
+        if (mayYield && (!last || run->item_.due_ > last->item_.due_))
             last = run;
     }
     if (!last || !context_.board_.mustYieldItem(last->service_, last->item_.due_, now))
@@ -163,16 +166,20 @@
 
 void ItemRunner::onHead(const RunPtr& run, const http::ResponseHead& head)
 {
-    recordBytes(*run);
     run->status_ = head.status_;
-    context_.observe(run->engine_, head.headers_);
     run->rejected_ = head.headers_.has(context_.translation_.headers_.notExecuted_) || head.status_ == statusMisdirected;
+    if (!isCurrent(run))
+        return reportLateRejection(*run);
+    recordBytes(*run);
+    context_.observe(run->engine_, head.headers_);
 }
 
 void ItemRunner::onData(const RunPtr& run, std::string_view data)
 {
+    if (!isCurrent(run))
+        return;
     recordBytes(*run);
-    if (!isCurrent(run) || run->status_ != http::statusOk || run->rejected_)
+    if (run->status_ != http::statusOk || run->rejected_)
         return;
     bool isDiscontinuous = false;
     bool isVersionUncertain = false;
@@ -247,7 +254,7 @@
     const bool mustSettle = context_.crashes_->mustSettle(run->fingerprints_, context_.crashes_->lossPoint(run->firstEventAt_));
     onEngineLost(run, http::Error::NoProgress);
     // Without a delay, so that the item takes its slot before the next silent one is looked at.
-    finish(run, mustSettle ? RunResult::Interrupted : RunResult::Preempted, "silent");
+    finish(run, mustSettle ? RunResult::Interrupted : RunResult::Released, "silent");
     return pick;
 }
 
@@ -303,7 +310,7 @@
             context_.failed(run->engine_, EngineFault::NotConnected, {});
         else
             context_.board_.recordFullRefusal(run->engine_, context_.now());
-        return finish(run, RunResult::Preempted, "notExecuted");
+        return finish(run, RunResult::Released, "notExecuted");
     }
     const StreamBreak streamBreak = run->status_ == http::statusOk ? findBreak(*run, answerEnd) : StreamBreak::None;
     if (streamBreak != StreamBreak::None) {
@@ -334,7 +341,7 @@
     run->call_ = nullptr;
     if (failure.run_ == RunState::NotRun) {
         context_.failed(run->engine_, EngineFault::NotConnected, failure.code_);
-        return finish(run, RunResult::Preempted, "notConnected");
+        return finish(run, RunResult::Released, "notConnected");
     }
     onEngineLost(run, failure.code_);
     finish(run, RunResult::Interrupted, failure.code_.message());
@@ -343,13 +350,36 @@
 void ItemRunner::finish(const RunPtr& run, RunResult end, std::string_view why)
 {
     runs_.erase(run->item_.id_);
-    if (run->call_)
-        run->call_->cancel();
-    run->call_ = nullptr;
+    endCall(*run);
     context_.board_.ended(run->engine_, WorkClass::BatchItem);
     context_.fleet_->publishReport();
     context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1).with("end", run->end_ ? nameOf(*run->end_) : "none").with("inRun", run->firstEventAt_ ? "events" : "noEvent").with("parts", partsForLog(joinedValues(run->item_.headers_, context_.translation_.headers_.promptParts_)));
-    scheduler_.ended(run->item_.id_, end, context_.now());
+    scheduler_.ended(run->item_.id_, rejectionOf(*run).value_or(end), context_.now());
+}
+
+std::optional<RunResult> ItemRunner::rejectionOf(const Run& run)
+{
+    if (run.rejected_)
+        return std::nullopt;
+    if (run.status_ == statusImpossible)
+        return RunResult::Unprocessable;
+    return run.status_ == statusFailed ? std::optional(RunResult::Failed) : std::nullopt;
+}
+
+void ItemRunner::endCall(Run& run)
+{
+    if (run.call_)
+        run.status_ == 0 ? run.call_->cancelAfterReceived() : run.call_->cancel();
+    run.call_ = nullptr;
+}
+
+void ItemRunner::reportLateRejection(const Run& run)
+{
+    const auto rejection = rejectionOf(run);
+    if (!rejection)
+        return;
+    context_.log_.line("itemRejectedLate").with("request", run.item_.item_).with("job", run.item_.job_).with("status", run.status_).with("afterMs", context_.now() - run.sentAt_);
+    scheduler_.answeredLate(run.item_, *rejection, context_.now());
 }
 
 void ItemRunner::updateNonPreemptibleItems(TimePoint now)
@@ -367,21 +397,29 @@
 bool ItemRunner::preemptItem(UpstreamId engine, TimePoint now)
 {
     // Prefers items that are late, since they lose nothing by waiting. Of the others, the item that is due last has the most time
-    // to resume on another engine.
+    // to resume on another engine. A run that hasn't brought an event comes after these: its engine may be about to answer with an error.
     RunPtr chosen;
     ItemUrgency chosenUrgency = ItemUrgency::Urgent;
+    int chosenRank = 0;
     std::uint16_t urgent = 0;
-    const auto rank = [](ItemUrgency urgency) { return urgency >= ItemUrgency::Doubtful ? 2 : urgency == ItemUrgency::Relaxed ? 1
-                                                                                                                              : 0; };
+    const auto rankOf = [](const Run& run, ItemUrgency urgency) {
+        if (urgency == ItemUrgency::Urgent)
+            return 0;
+        if (!run.firstEventAt_)
+            return 1;
+        return urgency == ItemUrgency::Relaxed ? 2 : 3;
+    };
     for (const auto& [id, run] : runs_) {
         if (run->engine_ != engine)
             continue;
         const ItemUrgency urgency = scheduler_.urgencyOf(id, now);
         urgent += urgency == ItemUrgency::Urgent ? 1 : 0;
-        const bool isBetter = !chosen || rank(urgency) > rank(chosenUrgency) || (rank(urgency) == rank(chosenUrgency) && run->item_.due_ > chosen->item_.due_);
+        const int rank = rankOf(*run, urgency);
+        const bool isBetter = !chosen || rank > chosenRank || (rank == chosenRank && run->item_.due_ > chosen->item_.due_);
         if (!isBetter)
             continue;
         chosen = run;
+        chosenRank = rank;
         chosenUrgency = urgency;
     }
     const bool isNonPreemptible = chosenUrgency == ItemUrgency::Urgent && urgent <= settings_.nonPreemptiblePerEngine_;
@@ -399,12 +437,13 @@
         return;
     const RunPtr run = found->second;
     runs_.erase(found);
-    if (run->call_)
-        run->call_->cancel();
-    run->call_ = nullptr;
+    endCall(*run);
     context_.board_.ended(run->engine_, WorkClass::BatchItem);
     context_.fleet_->publishReport();
-    context_.log_.line("itemStopped").with("request", run->item_.item_).with("job", run->item_.job_);
+    context_.log_.line("itemStopped").with("request", run->item_.item_).with("job", run->item_.job_).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_);
+    // Not from within the scheduler's call.
+    if (rejectionOf(*run))
+        boost::asio::post(context_.io_, [this, run] { reportLateRejection(*run); });
 }
 
 } // namespace jj
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -47,7 +47,8 @@
     bool preemptItem(UpstreamId engine, TimePoint now);
     // Updates the number of non-preemptible items on each engine on the capacity board.
     void updateNonPreemptibleItems(TimePoint now);
-    // Cancels a run that the scheduler no longer needs, without reporting its end to the scheduler.
+    // Cancels a run that the scheduler no longer needs, without reporting its end to the scheduler. An error that its engine has answered
+    // is reported nevertheless.
     void stop(RunId run);
     std::size_t running() const { return runs_.size(); }
 
@@ -104,6 +105,11 @@
     void onEnd(const RunPtr& run, http::AnswerEnd answerEnd);
     void onError(const RunPtr& run, const http::CallFailure& failure);
     void finish(const RunPtr& run, RunResult end, std::string_view why);
+    // Ends the run's call. An error that the engine has answered, and that this node hasn't read yet, is reported to the scheduler.
+    static void endCall(Run& run);
+    // Returns the error that the engine has answered the item with, or nullopt.
+    static std::optional<RunResult> rejectionOf(const Run& run);
+    void reportLateRejection(const Run& run);
     bool isCurrent(const RunPtr& run) const;
 
     Context& context_;
