Capacity: idle engines with one slot take items that aren't urgent

What callers saw: where engines have one slot, jobs due in 3 s with items of 1.2 s were never sent, also when nothing else was asked.

Cause: items leave one slot of each engine free for online requests unless they are urgent. An item that has become late or doubtful isn't, and the only slot of an engine is then reserved for good.

Change: the reserve is at most all slots but one. An online request still preempts such an item. Engines with more slots keep their reserve.

The test failed before: no engine was picked.

--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -256,11 +256,13 @@
 {
     if (urgent)
         return 0;
+    // A reserve of all slots would keep items that aren't urgent from an idle engine for good.
+    const std::uint32_t reserve = std::min(settings_.batchReserve_, std::max(1U, engine.entry_.slots_) - 1);
     const Duration age = now - startedAt_;
     if (startedAt_ == TimePoint() || age >= settings_.batchRamp_)
-        return settings_.batchReserve_;
+        return reserve;
     const double rampRemaining = 1 - toSeconds(age) / toSeconds(settings_.batchRamp_);
-    return std::max(settings_.batchReserve_, static_cast<std::uint32_t>(std::ceil(rampRemaining * engine.entry_.slots_)));
+    return std::max(reserve, static_cast<std::uint32_t>(std::ceil(rampRemaining * engine.entry_.slots_)));
 }
 
 std::uint32_t CapacityBoard::freeBatchSlots(const Engine& engine, bool urgent, TimePoint now) const
--- a/libs/capacity/tests/CapacityBoardTest.cpp
+++ b/libs/capacity/tests/CapacityBoardTest.cpp
@@ -135,6 +135,20 @@
     CHECK_FALSE(fixture.pickBatchEngine(true).isSome());
 }
 
+// Guards against items that idle engines never run because their only slot is reserved for online requests.
+TEST_CASE("capacity: an idle engine with one slot takes a batch item that isn't urgent")
+{
+    BoardFixture fixture(0);
+    fixture.board_.upsert(engine(1, near, 1));
+    CHECK(fixture.pickBatchEngine().isSome());
+    fixture.receiveReport(2, { use(1, 1) });
+    CHECK_FALSE(fixture.pickBatchEngine().isSome());
+    CHECK_FALSE(fixture.pickBatchEngine(true).isSome());
+    // An online request still gets the slot at once.
+    fixture.receiveReport(2, { use(1, 0, 1) });
+    CHECK(fixture.pickOnlineEngine().kind_ == PickKind::PreemptsBatch);
+}
+
 // With many hosts and engines, picks that ignore open connections would set up a new connection for every second request.
 TEST_CASE("capacity: among engines with similar free capacity one with an open connection is preferred")
 {
