Ledger, capacity: what lets an item yield its slot keeps it from taking the slot back

Cause: the two decisions counted differently. Yielding looked at the free slots of the own cell only, starting also took spare slots of other cells without regard to the items ahead. And a slot that an urgent item may take went to the item that was due first, urgent or not.

Change: both count the own cell's free slots and the spare ones of other cells, and items ahead at other nodes keep as many. A slot for urgent items goes to an urgent item.

Tests: an item that yielded its slot in another cell took it again before; a slot for urgent items went to an item that could wait.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -329,6 +329,8 @@
     // Return the number of slots that batch items may take now on the engines.
     std::uint32_t freeBatchSlots(const Engine& engine, bool urgent, TimePoint now) const;
     std::uint32_t freeBatchSlots(std::span<Engine* const> engines, bool urgent, TimePoint now) const;
+    // The same for engines at this distance; of those of other cells only the slots that their own cells don't need.
+    std::uint32_t freeBatchSlots(std::span<Engine* const> engines, EngineDistance distance, ServiceId service, bool urgent, TimePoint now) const;
     // Returns the number of slots of the engine that batch items leave free.
     std::uint32_t batchReserveOf(const Engine& engine, bool urgent, TimePoint now) const;
     // Returns for each cell of the engines, which are of other cells, the number of batch slots that its own queued items don't need.
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -303,18 +303,28 @@
     if (!urgent && waiting(service) > 0)
         return {};
     const auto serviceId = idFromName<ServiceId>(service);
-    const std::uint32_t itemsAhead = itemsDueBefore(service, due - settings_.priorityDueMargin_);
+    std::uint32_t itemsAhead = itemsDueBefore(service, due - settings_.priorityDueMargin_);
     EnginePick pick;
     visitByDistance({ serviceId, true, tried, now, version }, [&](EngineDistance distance, std::span<Engine* const> engines) {
-        if (distance != EngineDistance::SameCell)
-            pick = pickSpareForBatch(engines, serviceId, urgent, now);
-        else if (freeBatchSlots(engines, urgent, now) > itemsAhead)
-            pick = pickForBatch(engines, urgent, now);
+        const std::uint32_t freeSlots = freeBatchSlots(engines, distance, serviceId, urgent, now);
+        if (freeSlots > itemsAhead)
+            pick = distance == EngineDistance::SameCell ? pickForBatch(engines, urgent, now) : pickSpareForBatch(engines, serviceId, urgent, now);
+        itemsAhead -= std::min(itemsAhead, freeSlots);
         return !pick.isSome();
     });
     return pick;
 }
 
+std::uint32_t CapacityBoard::freeBatchSlots(std::span<Engine* const> engines, EngineDistance distance, ServiceId service, bool urgent, TimePoint now) const
+{
+    if (distance == EngineDistance::SameCell)
+        return freeBatchSlots(engines, urgent, now);
+    std::uint32_t freeSlots = 0;
+    for (const auto& [cell, spare] : spareBatchSlots(engines, service, urgent, now))
+        freeSlots += spare;
+    return freeSlots;
+}
+
 EnginePick CapacityBoard::pickForBatch(std::span<Engine* const> engines, bool urgent, TimePoint now) const
 {
     const Engine* best = nullptr;
@@ -344,11 +354,12 @@
     const std::uint32_t ahead = itemsDueBefore(service, due - settings_.yieldDueMargin_);
     if (ahead == 0)
         return false;
+    // The same slots as in pickBatch(): the item that yields would otherwise be started again before the other ones.
+    const auto serviceId = idFromName<ServiceId>(service);
     std::uint32_t freeSlots = 0;
-    visitByDistance({ idFromName<ServiceId>(service), true, {}, now, SoftwareVersionId::none() }, [&](EngineDistance distance, std::span<Engine* const> engines) {
-        if (distance == EngineDistance::SameCell)
-            freeSlots = freeBatchSlots(engines, false, now);
-        return engines.empty();
+    visitByDistance({ serviceId, true, {}, now, SoftwareVersionId::none() }, [&](EngineDistance distance, std::span<Engine* const> engines) {
+        freeSlots += freeBatchSlots(engines, distance, serviceId, false, now);
+        return freeSlots < ahead;
     });
     return freeSlots < ahead;
 }
--- a/libs/capacity/tests/ItemOrderTest.cpp
+++ b/libs/capacity/tests/ItemOrderTest.cpp
@@ -284,3 +284,41 @@
     CHECK(board.mustYieldItem("s", later, now));
     CHECK_FALSE(board.mustYieldItem("s", now + 7s, now));
 }
+
+// Guards against an item that yields its slot in another cell to more urgent items and takes it again before they do.
+TEST_CASE("capacity: an item that yielded doesn't take a slot of another cell before more urgent items of its own cell")
+{
+    CapacityBoard board({}, NodeId(1), { CellId(1), RegionId(1), FailureDomainId(1) }, 1);
+    EngineEntry engine;
+    engine.id_ = UpstreamId(1);
+    engine.service_ = "s";
+    engine.region_ = RegionId(1);
+    engine.cell_ = CellId(1);
+    engine.slots_ = 4;
+    board.upsert(engine);
+    engine.id_ = UpstreamId(2);
+    engine.cell_ = CellId(2);
+    board.upsert(engine);
+    const TimePoint now { 10s };
+    const TimePoint later = now + 9s;
+    std::uint32_t sequence = 0;
+    // Three slots of each engine are for batch; `taken` of the other cell's are in use.
+    const auto receiveReport = [&](std::uint16_t itemsWaiting, std::uint16_t taken) {
+        NodeUse use;
+        use.node_ = NodeId(2);
+        use.incarnation_ = Incarnation(1);
+        use.sequence_ = ++sequence;
+        use.uses_ = { { UpstreamId(1), 4, 0, 0 }, { UpstreamId(2), taken, 0, 0 } };
+        use.items_ = { { idFromName<ServiceId>("s"), itemsWaiting, 5s } };
+        board.applyReport(use, now);
+    };
+    receiveReport(1, 1);
+    CHECK_FALSE(board.mustYieldItem("s", later, now));
+    CHECK(board.pickBatch("s", false, later, {}, now).isSome());
+    receiveReport(1, 3);
+    CHECK(board.mustYieldItem("s", later, now));
+    // The item has yielded its slot.
+    receiveReport(1, 2);
+    CHECK_FALSE(board.pickBatch("s", false, later, {}, now).isSome());
+    CHECK(board.pickBatch("s", false, now + 4s, {}, now).isSome());
+}
--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -266,14 +266,15 @@
     // ---- runs
     // Returns the most urgent item that waits for the service and that an engine of this software version may run, and marks it as running;
     // nullopt if there is none. An item that has text of another version isn't returned while engines of that version serve, and starts
-    // over once there are none.
-    std::optional<ItemRun> startNext(std::string_view service, TimePoint now, SoftwareVersionId version = SoftwareVersion().id());
-    // The items that wait for one service: their number, and the urgency of the item that startNext() would return.
+    // over once there are none. `onlyUrgent`: only urgent items, for a slot that only these may take.
+    std::optional<ItemRun> startNext(std::string_view service, TimePoint now, SoftwareVersionId version = SoftwareVersion().id(), bool onlyUrgent = false);
+    // The items that wait for one service: their number, and the urgency of the most urgent one.
     struct Waiting {
         ItemUrgency urgency_ = ItemUrgency::Late;
         std::size_t count_ = 0;
         std::size_t inTime_ = 0; // number of items that can still finish in time
         TimePoint firstDue_ = neverTime; // earliest due time of the items that can finish in time; neverTime if there are none
+        TimePoint firstUrgentDue_ = neverTime; // the same for those that are urgent
         std::set<SoftwareVersionId> versions_; // that wrote the text of items which have some
     };
     std::map<std::string, Waiting> waiting(TimePoint now);
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -71,6 +71,8 @@
                 continue;
             ++entry.inTime_;
             entry.firstDue_ = std::min(entry.firstDue_, job->due_);
+            if (urgency == ItemUrgency::Urgent)
+                entry.firstUrgentDue_ = std::min(entry.firstUrgentDue_, job->due_);
         }
     }
     return found;
@@ -82,7 +84,7 @@
     return item.events_ == 0 || item.version_ == version || !outlets_.isVersionServing_(service, item.version_);
 }
 
-std::optional<ItemRun> JobScheduler::startNext(std::string_view service, TimePoint now, SoftwareVersionId version)
+std::optional<ItemRun> JobScheduler::startNext(std::string_view service, TimePoint now, SoftwareVersionId version, bool onlyUrgent)
 {
     if (leaving_)
         return std::nullopt;
@@ -96,8 +98,11 @@
             Item& item = job->items_[index];
             if (item.state_ != ItemState::Waiting || now < item.notBefore_)
                 continue;
+            const ItemUrgency ownUrgency = urgencyOf(*job, item, now);
+            if (onlyUrgent && ownUrgency != ItemUrgency::Urgent)
+                continue;
             // Items that can finish in time are ordered by their due time.
-            const ItemUrgency itemUrgency = std::max(urgencyOf(*job, item, now), ItemUrgency::Urgent);
+            const ItemUrgency itemUrgency = std::max(ownUrgency, ItemUrgency::Urgent);
             const bool isBetter = !chosen || (itemUrgency != chosenUrgency ? itemUrgency < chosenUrgency : job->due_ < chosen->due_);
             if (!isBetter)
                 continue;
--- a/libs/ledger/tests/StretchTest.cpp
+++ b/libs/ledger/tests/StretchTest.cpp
@@ -68,3 +68,39 @@
     world.advance(200ms);
     CHECK(world.next() == "first-0");
 }
+
+// Guards against an item that takes a slot which only another, urgent item may have, and gives it back in the next turn.
+TEST_CASE("ledger: a slot for urgent items doesn't go to an item that is due earlier and can wait")
+{
+    LedgerWorld world(34, 1);
+    world.slots_ = 0;
+    world.scheduler(0).setRunTime(5s);
+    // Items have ten events.
+    world.submit(0, "first", 1, 0);
+    world.advance(500ms);
+    const auto first = world.scheduler(0).startNext("s", world.now());
+    REQUIRE(first);
+    for (std::uint64_t event = 1; event <= 10; ++event)
+        world.scheduler(0).event(first->id_, event, "e");
+    world.scheduler(0).ended(first->id_, RunResult::Completed, world.now());
+    world.submit(0, "a", 1, 0);
+    world.advance(2s);
+    world.submit(0, "b", 1, 0);
+    world.advance(9s);
+    // "a" has 7 s left and has nearly finished, "b" has 9 s left and hasn't started.
+    const auto run = world.scheduler(0).startNext("s", world.now());
+    REQUIRE(run);
+    REQUIRE(run->item_ == "a-0");
+    for (std::uint64_t event = 1; event <= 8; ++event)
+        world.scheduler(0).event(run->id_, event, "e");
+    world.scheduler(0).ended(run->id_, RunResult::Released, world.now());
+    world.scheduler(0).setRunTime(8s);
+    const auto waiting = world.scheduler(0).waiting(world.now()).at("s");
+    CHECK(waiting.urgency_ == ItemUrgency::Urgent);
+    CHECK(waiting.firstDue_ < waiting.firstUrgentDue_);
+    const auto urgent = world.scheduler(0).startNext("s", world.now(), SoftwareVersion().id(), true);
+    REQUIRE(urgent);
+    CHECK(urgent->item_ == "b-0");
+    CHECK_FALSE(world.scheduler(0).startNext("s", world.now(), SoftwareVersion().id(), true));
+    CHECK(world.scheduler(0).startNext("s", world.now())->item_ == "a-0");
+}
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -63,10 +63,17 @@
 
 bool ItemRunner::startOn(const std::string& service, const JobScheduler::Waiting& waiting, SoftwareVersionId version, TimePoint now)
 {
-    const EnginePick pick = context_.board_.pickBatch(service, waiting.urgency_ == ItemUrgency::Urgent, waiting.firstDue_, {}, now, version);
+    if (startOn(service, waiting.firstDue_, version, false, now))
+        return true;
+    return waiting.urgency_ == ItemUrgency::Urgent && startOn(service, waiting.firstUrgentDue_, version, true, now);
+}
+
+bool ItemRunner::startOn(const std::string& service, TimePoint due, SoftwareVersionId version, bool onlyUrgent, TimePoint now)
+{
+    const EnginePick pick = context_.board_.pickBatch(service, onlyUrgent, due, {}, now, version);
     if (!pick.isSome())
         return false;
-    auto item = scheduler_.startNext(service, now, context_.board_.find(pick.engine_)->softwareVersion_.id());
+    auto item = scheduler_.startNext(service, now, context_.board_.find(pick.engine_)->softwareVersion_.id(), onlyUrgent);
     if (!item)
         return false;
     auto run = std::make_shared<Run>();
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -81,8 +81,10 @@
 
     // Starts the first item that has a free slot. Returns false if there is none.
     bool startOne(TimePoint now);
-    // Starts an item of the service on an engine of this software version; none: of any. Returns false if no slot or no item fits.
+    // Start an item of the service on an engine of this software version; none: of any. Return false if no slot or no item fits.
     bool startOn(const std::string& service, const JobScheduler::Waiting& waiting, SoftwareVersionId version, TimePoint now);
+    // `onlyUrgent`: an urgent item, in a slot that only these may take.
+    bool startOn(const std::string& service, TimePoint due, SoftwareVersionId version, bool onlyUrgent, TimePoint now);
     // Puts off an item with what requests that crash engines share. Returns false if the item may run.
     bool withhold(const Run& run, TimePoint now);
     // Moves items from silent engines to engines that have a free slot.
