Decisions: a failure that crosses a yield counts

The failure was dropped: the item went back to the dead engine, a refused item ran again, and content that crashes engines could crash one more.

Cause: a home took failures only of streams that it still counted as running, though answers that cross a yield are taken. After a lost connection the engine is probed for up to a second, so the window isn't small.

Change: a failure of the latest attempt counts also after its yield, as an answer does.

Both tests failed before: no crash was shared; the refused item was dispatched twice and not refused.

--- a/libs/decisions/src/HomeRole.cpp
+++ b/libs/decisions/src/HomeRole.cpp
@@ -202,12 +202,17 @@
 {
     const RequestId request = event.attempt_.request_;
     Item* item = requests_.cell<Item>(request);
-    if (!item || !item->running_ || item->handOver_ != event.attempt_.handOver_ || item->attempt_ != event.attempt_.number_)
+    if (!item || item->attempt_ == 0 || item->handOver_ != event.attempt_.handOver_ || item->attempt_ != event.attempt_.number_)
         return;
     const UpstreamId upstream = item->upstream_;
-    item->position_ = std::max(item->position_, event.position_);
     EngineState& state = engine(upstream);
-    countRunning(request, state, -1);
+    // A stream that was told to yield has failed before: what its engine did counts, and the stream goes on elsewhere.
+    if (item->running_) {
+        item->position_ = std::max(item->position_, event.position_);
+        countRunning(request, state, -1);
+    } else {
+        countWaiting(*requests_.cell<RequestSpec>(request), state, -1);
+    }
     failedAttempt(request, event.class_, event.bytesSent_, now, out);
     pump(upstream, now, out);
 }
--- a/libs/decisions/tests/FailureTest.cpp
+++ b/libs/decisions/tests/FailureTest.cpp
@@ -236,6 +236,43 @@
     CHECK(bench.last<ShareFingerprint>().fingerprint_.crashes_ == 0);
 }
 
+// Guards against a crash that nobody counts because its stream was told to yield while the engine was being probed: the content would crash
+// one more engine, and the item would go back to the dead one.
+TEST_CASE("A crash that crosses a yield counts")
+{
+    Bench bench(1);
+    bench.arrive(1, RequestClass::Batch);
+    bench.progress(1, 2);
+    const AttemptId attempt = bench.dispatchOf(1).attempt_;
+    for (std::uint64_t id = 10; id <= 14; ++id)
+        bench.arrive(id);
+    REQUIRE(bench.last<CancelAttempt>().attempt_ == attempt);
+    bench.feed(AttemptFailed { attempt, FailureClass::Crashed, true, 2 });
+    const auto shared = bench.all<ShareFingerprint>();
+    REQUIRE(shared.size() == 1);
+    CHECK(shared.front().fingerprint_.fingerprint_ == Fingerprint(1001));
+    CHECK(shared.front().fingerprint_.crashes_ == 1);
+}
+
+// Guards against an item that its engine has refused for good and that runs again because the refusal crossed a yield.
+TEST_CASE("A refusal that crosses a yield ends the item")
+{
+    Bench bench(1);
+    bench.arrive(1, RequestClass::Batch);
+    const AttemptId attempt = bench.dispatchOf(1).attempt_;
+    for (std::uint64_t id = 10; id <= 14; ++id)
+        bench.arrive(id);
+    REQUIRE(bench.last<CancelAttempt>().attempt_ == attempt);
+    bench.feed(AttemptFailed { attempt, FailureClass::Rejected, true, 0 });
+    for (std::uint64_t id = 10; id <= 14; ++id)
+        bench.finish(id);
+    bench.run(1s);
+    CHECK(bench.dispatches(1) == 1);
+    REQUIRE(bench.all<Refuse>().size() == 1);
+    CHECK(bench.last<Refuse>().request_ == RequestId(1));
+    CHECK(bench.last<Refuse>().reason_ == RefusalReason::UpstreamError);
+}
+
 // The caller sends the crashing question to every host at once: another host's copy has crashed an engine while ours runs.
 TEST_CASE("A copy that runs here stops when a peer tells that its content crashed an engine")
 {
