Jobs, node: a long drain takes no item back that may run once, and starts none again that it took back

A node that leaves takes its items back after a quarter of the drain's time, as not run. If another item of the chunk had ended, the same node sent them again 0.1 s later.

Cause: the node's end of the run was told as the engine's ("not run"), also for items that an engine was working on; and a chunk that has begun is finished before its partition is handed over, so what was taken back started again here. The partition stayed as long.

Change: the core decides (AbandonAsked). Items that may run once go on, and their answers count until the process ends; after that the next holder lists them as unknown. Chunks of other jobs that aren't finished are dropped whole, so the next holder has them at once. Their finished items run again, as they did when the drain ended.

Evidence: both tests failed with the node's way in the core: two items ran twice (executedTwice), and the node that was to leave ran an item and wasn't drained.

--- a/libs/jobs/include/jobs/JobEvents.h
+++ b/libs/jobs/include/jobs/JobEvents.h
@@ -113,13 +113,16 @@
 // Finish what runs, start nothing, hand the partitions over.
 struct DrainAsked { };
 
+// The drain has lasted for long: items that still run and may run again are left to the next holder of their job.
+struct AbandonAsked { };
+
 struct StoreAnswered {
     CallId call_;
     ObjectAnswer answer_;
 };
 
 using JobEvent = std::variant<PartitionsAssigned, UploadBegun, UploadBytes, UploadEnded, UploadAborted, ItemFinished, WindowChanged,
-    CancelAsked, CancelTold, HolderStopped, JobHinted, StatusAsked, ResultsAsked, CallAsked, CallFinished, DrainAsked, StoreAnswered>;
+    CancelAsked, CancelTold, HolderStopped, JobHinted, StatusAsked, ResultsAsked, CallAsked, CallFinished, DrainAsked, AbandonAsked, StoreAnswered>;
 
 // ---- Commands
 
--- a/libs/jobs/include/jobs/JobRunner.h
+++ b/libs/jobs/include/jobs/JobRunner.h
@@ -27,6 +27,7 @@
     void lapsed(PartitionId partition);
     void lost(PartitionId partition);
     bool isIdle(PartitionId partition) const;
+    void abandonItems();
 
     void hinted(JobId job);
     void itemFinished(const ItemFinished& event);
--- a/libs/jobs/src/JobCore.cpp
+++ b/libs/jobs/src/JobCore.cpp
@@ -117,6 +117,7 @@
                    [&](const CallAsked& e) { parts.intents_.ask(e); },
                    [&](const CallFinished& e) { parts.intents_.finished(e); },
                    [&](const DrainAsked&) { parts.context_.draining_ = true; },
+                   [&](const AbandonAsked&) { parts.runner_.abandonItems(); },
                    [&](StoreAnswered& e) { parts.context_.queue_.answered(e.call_, std::move(e.answer_), now); },
                },
         event);
--- a/libs/jobs/src/RunnerItems.cpp
+++ b/libs/jobs/src/RunnerItems.cpp
@@ -178,6 +178,22 @@
         writeResults(id, index, chunk);
 }
 
+// Of a chunk that isn't finished all items run again, so it is dropped whole: a holder with a begun chunk would start its items anew and
+// keep the partition. Items that may run once go on, since nobody may send them again.
+void JobRunner::abandonItems()
+{
+    for (auto& [id, job] : jobs_) {
+        if (job.manifest_.atMostOnce_)
+            continue;
+        cancelRuns(job, false);
+        for (const auto& [index, chunk] : job.chunks_) {
+            if (chunk.state_ == ChunkState::Running)
+                job.nextChunk_ = std::min(job.nextChunk_, index);
+        }
+        std::erase_if(job.chunks_, [](const auto& entry) { return entry.second.state_ == ChunkState::Running; });
+    }
+}
+
 void JobRunner::cancelRuns(OpenJob& job, bool alsoAtMostOnce)
 {
     if (job.manifest_.atMostOnce_ && !alsoAtMostOnce)
--- a/libs/jobs/tests/FailureTest.cpp
+++ b/libs/jobs/tests/FailureTest.cpp
@@ -249,6 +249,44 @@
     }
 }
 
+// Guards against items that run a second time, though they may not, because a node that leaves took them back as not run.
+TEST_CASE("items that may run once are not taken back from their engine when a drain lasts for long")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.window_ = 2;
+    JobWorld world(options);
+    const JobId job = accept(world, 0, 4, true);
+    REQUIRE(world.runUntil([&] { return world.starts() >= 3; }, 20s));
+    world.send(0, DrainAsked {});
+    world.send(0, AbandonAsked {});
+    world.send(1, PartitionsAssigned { { PartitionId(0), PartitionId(1) }, {} });
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    for (std::uint32_t item = 0; item < 4; ++item)
+        CHECK(world.startsOf(job, item) == 1);
+    CHECK(world.ledger(job)->failed_ == 0);
+    CHECK(world.firstFinding() == "");
+}
+
+// Guards against items that a node that leaves takes from their engines and starts again at once, in place of the next holder.
+TEST_CASE("items that are taken back when a drain lasts for long go to the next holder")
+{
+    WorldOptions options = quickOptions();
+    options.settings_.window_ = 2;
+    options.itemTime_ = 1s;
+    JobWorld world(options);
+    const JobId job = accept(world, 0, 4);
+    REQUIRE(world.runUntil([&] { return world.starts() >= 3; }, 20s));
+    world.send(0, DrainAsked {});
+    world.send(0, AbandonAsked {});
+    const std::uint64_t before = world.starts();
+    world.send(1, PartitionsAssigned { { PartitionId(0), PartitionId(1) }, {} });
+    REQUIRE(world.runUntil([&] { return world.starts() > before; }, 3s));
+    CHECK(world.runningOn(0) == 0);
+    CHECK(world.core(0).isDrained());
+    REQUIRE(world.runUntil([&] { return world.isEnded(job); }, 60s));
+    CHECK(world.firstFinding() == "");
+}
+
 TEST_CASE("a killed holder's work resumes within lease time plus one second")
 {
     JobWorld world(quickOptions());
--- a/libs/node/src/JobHost.cpp
+++ b/libs/node/src/JobHost.cpp
@@ -155,16 +155,7 @@
 
 void JobHost::abandonItems()
 {
-    actor_.post([this](TimePoint now) {
-        const auto items = std::exchange(items_, {});
-        for (const auto& [run, request] : items) {
-            plane_.callerGone(request);
-            ItemFinished finished;
-            finished.run_ = run;
-            finished.outcome_ = RunOutcome::NotRun;
-            take(std::move(finished), now);
-        }
-    });
+    actor_.post([this](TimePoint now) { take(AbandonAsked {}, now); });
 }
 
 void JobHost::take(JobEvent event, TimePoint now)
--- a/libs/node/src/JobHost.h
+++ b/libs/node/src/JobHost.h
@@ -59,7 +59,7 @@
     void assign(std::vector<PartitionId> owned, std::vector<PartitionId> standby);
     void onNotice(NodeId from, const JobNotice& notice);
     void drain();
-    // Takes back the items that still run here, as not run: their job's next holder runs them again.
+    // Takes back the items that still run here and may run again: their job's next holder runs them.
     void abandonItems();
 
     JobCoreCounts counts() const;
