Node: an item whose engine was lost in the middle of its answer is not listed as refused

What callers saw (jjnode): an item whose answer had begun at an engine that can't continue answers, and that was lost, was listed as refused at once, though its job allows more attempts. An item that may run once was listed as refused, not as unknown.

Cause: "the engine refused the request" and "its answer can't be continued elsewhere" are one reason, and the jobs were told the first. The state of the run tells them apart.

--- a/libs/node/src/JobHost.cpp
+++ b/libs/node/src/JobHost.cpp
@@ -1,6 +1,7 @@
 // One turn: an event into the job core, then its commands.
 #include "JobHost.h"
 
+#include "Translate.h"
 #include "base/Hash.h"
 #include "gateway/ChatCall.h"
 
@@ -34,18 +35,6 @@
         return json::serialize(json::object { { "choices", json::array { std::move(choice) } }, { "usage", json::object { { "completion_tokens", tokens } } } });
     }
 
-    RunOutcome outcomeOf(const Refuse& refuse)
-    {
-        switch (refuse.reason_) {
-        case RefusalReason::UpstreamError:
-            return RunOutcome::Refused;
-        case RefusalReason::Quarantined:
-            return RunOutcome::Quarantined;
-        default:
-            return refuse.runState_ == RunState::NotRun ? RunOutcome::NotRun : RunOutcome::Failed;
-        }
-    }
-
     std::string errorBody(const Refuse& refuse)
     {
         return json::serialize(json::object { { "error", json::object { { "reason", static_cast<int>(refuse.reason_) }, { "run", toString(refuse.runState_) } } } });
--- a/libs/node/src/Translate.cpp
+++ b/libs/node/src/Translate.cpp
@@ -152,4 +152,15 @@
     return { row.status_, row.code_, row.message_, refuse.runState_, refuse.retryAfter_ };
 }
 
+RunOutcome outcomeOf(const Refuse& refuse)
+{
+    // An engine that was lost in the middle of an answer, which no other can continue, has not refused the request.
+    const bool isRefusedByUpstream = refuse.reason_ == RefusalReason::UpstreamError && refuse.runState_ == RunState::Ran;
+    if (isRefusedByUpstream)
+        return RunOutcome::Refused;
+    if (refuse.reason_ == RefusalReason::Quarantined)
+        return RunOutcome::Quarantined;
+    return refuse.runState_ == RunState::NotRun ? RunOutcome::NotRun : RunOutcome::Failed;
+}
+
 } // namespace jj
--- a/libs/node/src/Translate.h
+++ b/libs/node/src/Translate.h
@@ -4,6 +4,7 @@
 #include "decisions/Commands.h"
 #include "gateway/ChatAnswer.h"
 #include "gateway/EngineStream.h"
+#include "jobs/JobTypes.h"
 #include "wire/DatagramMessages.h"
 #include "wire/LinkMessages.h"
 
@@ -20,4 +21,7 @@
 // What the caller is told: a status, a typed code and whether the request ran.
 CallerRefusal refusalOf(const Refuse& refuse);
 
+// What the run of a batch item came to.
+RunOutcome outcomeOf(const Refuse& refuse);
+
 } // namespace jj
