Capacity, serving: the slot of a preempted item goes to no other item

What callers saw: nothing yet; found by reading. An item gives way to another node's request, whose report may come later than the next turn (reports are paced in large cells, and those of other cells are some hundred ms old). The item itself waits for 50 ms, but any other item of the node took the slot. The request then waits at its engine and asks for the next item.

Change: the slot counts as taken for items for 50 ms.

The test failed before: both an urgent item and another one were given the slot.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -113,6 +113,8 @@
     Duration successTrustTime_ = 1s;
     // An engine counts as silent for this long after the last report of its silence. A request that waits for it repeats the report.
     Duration silenceMemory_ = 500ms;
+    // In this time the request that an item was preempted for takes its slot, and this node receives the report of it.
+    Duration preemptionHold_ = 50ms;
     // When more than this fraction of a service's engines, and more than three, lose connections of this node within sharedFaultWindow_,
     // the failures are attributed to the node or the network.
     double sharedFaultFraction_ = 0.3;
@@ -206,6 +208,9 @@
     void applyEngineLoad(UpstreamId engine, std::uint32_t running, std::uint32_t waiting, TimePoint now);
     // Records that the engine refused a request as full although the counts showed a free slot. It gets no requests for a moment.
     void recordFullRefusal(UpstreamId engine, TimePoint now);
+    // Records that an item of this node gave way to another node's request, whose report may come later than the item's end. No item takes
+    // the slot for preemptionHold_.
+    void recordPreemption(UpstreamId engine, TimePoint now);
     // Returns the engines whose backoff is over and that must be probed before a request may test them.
     std::vector<UpstreamId> enginesDueForProbe(TimePoint now) const;
 
@@ -264,6 +269,8 @@
         bool hasPassedProbe_ = false; // a probe found it alive after its last failure
         TimePoint backoffUntil_ {};
         TimePoint fullUntil_ {};
+        std::uint32_t heldSlots_ = 0; // of preempted items, for the requests that they gave way to; valid until heldUntil_
+        TimePoint heldUntil_ {};
         TimePoint succeededAt_ {};
         std::set<NodeId> nodesReportingFailure_; // other nodes of this cell that report it as failing
         std::set<CellId> cellsReportingFailure_; // other cells that report it as failing
@@ -272,6 +279,7 @@
         std::uint32_t batchItems() const { return own_.batchItems_ + othersBatchItems_; }
         std::uint32_t nonPreemptibleItems() const { return own_.nonPreemptibleItems_ + othersNonPreemptibleItems_; }
         std::uint32_t unreportedRequests(TimePoint now) const { return now < unreportedUntil_ ? unreportedRequests_ : 0; }
+        std::uint32_t heldSlots(TimePoint now) const { return now < heldUntil_ ? heldSlots_ : 0; }
         std::uint32_t total(TimePoint now) const { return onlineRequests() + batchItems() + unreportedRequests(now); }
         // Work that an online request can't preempt.
         std::uint32_t nonPreemptibleLoad(TimePoint now) const { return onlineRequests() + nonPreemptibleItems() + unreportedRequests(now); }
--- a/libs/capacity/src/CapacityAnswers.cpp
+++ b/libs/capacity/src/CapacityAnswers.cpp
@@ -114,6 +114,16 @@
         found->second.fullUntil_ = now + fullBackoff;
 }
 
+void CapacityBoard::recordPreemption(UpstreamId engine, TimePoint now)
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    Engine& one = found->second;
+    one.heldSlots_ = one.heldSlots(now) + 1;
+    one.heldUntil_ = now + settings_.preemptionHold_;
+}
+
 std::vector<UpstreamId> CapacityBoard::enginesDueForProbe(TimePoint now) const
 {
     std::vector<UpstreamId> due;
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -267,7 +267,7 @@
 
 std::uint32_t CapacityBoard::freeBatchSlots(const Engine& engine, bool urgent, TimePoint now) const
 {
-    const std::uint32_t taken = engine.total(now) + batchReserveOf(engine, urgent, now);
+    const std::uint32_t taken = engine.total(now) + engine.heldSlots(now) + batchReserveOf(engine, urgent, now);
     return engine.entry_.slots_ - std::min(engine.entry_.slots_, taken);
 }
 
--- a/libs/capacity/tests/CapacityBoardTest.cpp
+++ b/libs/capacity/tests/CapacityBoardTest.cpp
@@ -149,6 +149,20 @@
     CHECK(fixture.pickOnlineEngine().kind_ == PickKind::PreemptsBatch);
 }
 
+// Guards against requests that wait at their engine because the slot that an item gave up for them was given to another item.
+TEST_CASE("capacity: the slot of a preempted item goes to no other item before the request takes it")
+{
+    BoardFixture fixture(0);
+    fixture.board_.upsert(engine(1, near, 1));
+    fixture.board_.started(UpstreamId(1), WorkClass::BatchItem);
+    fixture.board_.ended(UpstreamId(1), WorkClass::BatchItem);
+    fixture.board_.recordPreemption(UpstreamId(1), fixture.now_);
+    CHECK_FALSE(fixture.pickBatchEngine().isSome());
+    CHECK_FALSE(fixture.pickBatchEngine(true).isSome());
+    fixture.now_ += CapacitySettings().preemptionHold_;
+    CHECK(fixture.pickBatchEngine().isSome());
+}
+
 // With many hosts and engines, picks that ignore open connections would set up a new connection for every second request.
 TEST_CASE("capacity: among engines with similar free capacity one with an open connection is preferred")
 {
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -434,6 +434,7 @@
         return chosen != nullptr;
     context_.metrics_.metrics_.add(context_.metrics_.itemsPreempted_);
     finish(chosen, RunResult::Preempted, "gaveWay");
+    context_.board_.recordPreemption(engine, now);
     return true;
 }
 
