Ledger: that a job was taken over outlives the process and the owner that took it over

What callers saw: nothing yet; found by reading. A job's owner was considered dead and was alive, another host took the job over and was restarted, or handed it over; then the job was cancelled. The first owner got no mark and could start items of the cancelled job until its next scan, seconds after the acknowledgement.

Cause: only the process that claimed the job knew that it had been claimed.

Change: a handover carries it, and a job that is loaded from the store counts as taken over, since its head doesn't tell. The price is one store call for each cancellation of such a job.

The test failed before, in both cases: no mark in the store.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -173,6 +173,7 @@
     bool mayHaveResults_ = false;
     std::vector<Progress> progress_;
     std::vector<ItemFailures> failures_ {};
+    bool isTakenOver_ = false; // an owner that was considered dead may still run items of the job
 };
 
 // Kinds of events that the scheduler reports for the log.
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -88,7 +88,7 @@
     bool isMarkedCancelled_ = false; // a cancellation mark was found, and the head hasn't been read since
     // Invariant: if true, no claim that another node sent before it noticed this process's start can succeed any more.
     bool isConfirmed_ = false;
-    bool isTakenOver_ = false; // from an owner that this node considered dead, but that may still be alive
+    bool isTakenOver_ = false; // it may have been claimed from an owner that was considered dead, but may still be alive
     std::map<std::string, JobTransfer::Progress> progress_; // from a transfer, until the items are loaded
 
     JobKey key() const { return { name_, head_.acceptedAt_ }; }
--- a/libs/ledger/src/SchedulerLoading.cpp
+++ b/libs/ledger/src/SchedulerLoading.cpp
@@ -20,6 +20,7 @@
     job->due_ = dueAt(transfer.head_, now, wall);
     job->loadStarted_ = now;
     job->lastUse_ = now;
+    job->isTakenOver_ = transfer.isTakenOver_;
     // The message may have been delayed, and other nodes, which considered this node dead, may have given the job to another owner that has
     // listed results since. A reader sent to this node would then miss results that it has already read. A node that started or was
     // unavailable recently therefore queries the store first. A node that was available throughout can't have been replaced, but it may have
@@ -92,6 +93,8 @@
     job->due_ = dueAt(head, now, wall_);
     job->loadStarted_ = now;
     job->lastUse_ = now;
+    // The head doesn't tell whether this node, or an earlier process of it, has claimed the job from an owner that was considered dead.
+    job->isTakenOver_ = true;
     jobs_[name] = job;
     outlets_.shareFailures_(failures_.failuresOf(job->key()));
     loadItems(job, 0, now);
--- a/libs/ledger/src/SchedulerOwnership.cpp
+++ b/libs/ledger/src/SchedulerOwnership.cpp
@@ -84,8 +84,6 @@
             return;
         note(SchedulerNote::TakenOver, name, {}, answer.answer_.version_.value());
         loadOwned(name, head, answer.answer_.version_, at);
-        if (Job* job = findOwnedJob(name))
-            job->isTakenOver_ = true;
     });
 }
 
@@ -208,7 +206,7 @@
         }
         // The new owner may have claimed the job itself, which writes the same head, or may have found it there a while ago. A former owner's
         // pages may not have been read.
-        JobTransfer transfer { job->name_, head, answer.answer_.version_, {}, job->pages_, answer.isReadBack_ || job->mayMissResults_, {}, failures_.failuresOf(job->key()).items_ };
+        JobTransfer transfer { job->name_, head, answer.answer_.version_, {}, job->pages_, answer.isReadBack_ || job->mayMissResults_, {}, failures_.failuresOf(job->key()).items_, job->isTakenOver_ };
         for (Item& item : job->items_) {
             if (item.events_ > 0 && item.state_ == ItemState::Waiting)
                 transfer.progress_.push_back({ item.item_.id_, item.text_, item.events_, item.lastEvent_, item.version_ });
--- a/libs/ledger/tests/CancelTest.cpp
+++ b/libs/ledger/tests/CancelTest.cpp
@@ -160,6 +160,42 @@
     CHECK(world.host(1).runs_.empty());
 }
 
+// Guards against the same after the successor has been restarted, or has handed the job over: the new process or owner didn't know that the
+// job had been taken over.
+TEST_CASE("ledger: a cancellation stops the former owner also if its successor is replaced")
+{
+    for (const bool isHandedOver : { false, true }) {
+        LedgerWorld world(21, 3);
+        world.slots_ = 1;
+        world.stepsPerEvent_ = 400;
+        world.submit(0, "j", 20, 1);
+        world.advance(100ms);
+        REQUIRE_FALSE(world.host(1).runs_.empty());
+        world.markDeadFor(0, 1);
+        world.scheduler(0).scan(false, world.now());
+        world.advance(200ms);
+        REQUIRE(world.notes_[SchedulerNote::TakenOver] == 1);
+        std::size_t owner = 0;
+        if (isHandedOver) {
+            world.leaving_.insert(world.host(1).id_);
+            world.leave(0);
+            owner = 2;
+        } else {
+            world.kill(0);
+            world.start(0);
+            world.scheduler(0).scan(false, world.now());
+        }
+        world.advance(1s);
+        REQUIRE(world.scheduler(owner).openJobs() == 1);
+        std::optional<CancelAnswer> cancelAnswer;
+        world.scheduler(owner).end("j", false, world.now(), [&cancelAnswer](const CancelAnswer& answer) { cancelAnswer = answer; });
+        world.advance(200ms);
+        REQUIRE(cancelAnswer);
+        CHECK(cancelAnswer->outcome_ == ReadOutcome::Found);
+        CHECK(world.store_.core().objects().contains(cancelMarkKey("j")));
+    }
+}
+
 // Guards against acknowledging a cancellation whose mark can't be written: the owner may still start items, so the caller must get
 // Unavailable and repeat the call.
 TEST_CASE("ledger: a cancellation that bypasses the owner is not acknowledged without its mark")
--- a/libs/serving/src/PeerMessages.cpp
+++ b/libs/serving/src/PeerMessages.cpp
@@ -154,7 +154,7 @@
 template <class Archive>
 void serialize(Archive& archive, JobTransfer& job)
 {
-    archive(job.job_, job.head_, job.headVersion_, job.items_, job.resultPages_, job.mayHaveResults_, job.progress_, job.failures_);
+    archive(job.job_, job.head_, job.headVersion_, job.items_, job.resultPages_, job.mayHaveResults_, job.progress_, job.failures_, job.isTakenOver_);
 }
 
 template <class Archive>
