Ledger: an owner's cancellation is not acknowledged before its mark is in the store

What callers saw: nothing yet; found by a test of the mark that can't be written. The owner of a job that was taken over cancels it in the head, then writes the mark that stops the former owner. The acknowledgement didn't wait for the mark: the next turn found the job cancelled and answered. A repeated call was answered without a mark as well.

Cause: that the mark was still due was known only to the call that wrote it.

Change: the owner keeps it. Calls wait for the mark; if it can't be written they get Unavailable, and each further call writes it again.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -384,6 +384,7 @@
     void readFromStore(const JobName& name, const JobHead& head, std::uint32_t after, TimePoint now, const ReadDone& done);
     void readHead(const JobName& name, TimePoint now, std::function<void(ReadOutcome, const JobHead&, ObjectVersion, TimePoint)> then);
     void writeCancellation(const JobPtr& job, TimePoint now);
+    void writeOwnCancelMark(const JobPtr& job, TimePoint now);
     static void answerCancelRequests(const JobPtr& job, const CancelAnswer& answer);
     void answerTimedOutCancelRequests(const JobPtr& job, TimePoint now);
     void writeCancelMark(const JobName& name, TimePoint until, const CancelDone& done);
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -85,6 +85,8 @@
     bool isHandoverDue_ = false; // the job is handed over as soon as its runs allow it; no run starts
     std::vector<CancelRequest> cancelRequests_; // callers that requested cancellation and haven't been answered
     bool isCancelling_ = false; // the pending update of the head cancels the job
+    bool isCancelMarkDue_ = false; // the job is cancelled and was taken over, and its mark isn't known to be in the store
+    bool isWritingCancelMark_ = false;
     bool isMarkedCancelled_ = false; // a cancellation mark was found, and the head hasn't been read since
     // Invariant: if true, no claim that another node sent before it noticed this process's start can succeed any more.
     bool isConfirmed_ = false;
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -253,7 +253,7 @@
     if (found != jobs_.end() && !force) {
         const JobPtr job = found->second;
         // All results are in the store, so nothing of the job can run again, whatever its head says.
-        if (!job->isOpen() || job->isComplete())
+        if ((!job->isOpen() && !job->isCancelMarkDue_) || job->isComplete())
             return done({ ReadOutcome::Found, outlets_.self_ });
         // The runs stop before the acknowledgement, and none starts while the head is being updated, so no item starts after the
         // acknowledgement.
@@ -282,8 +282,10 @@
 // job is complete, or belongs to another node (drop() repeats the call), or the cancellation is written.
 void JobScheduler::writeCancellation(const JobPtr& job, TimePoint now)
 {
-    if (job->cancelRequests_.empty() || job->isUpdatingHead_)
+    if (job->cancelRequests_.empty() || job->isUpdatingHead_ || job->isWritingCancelMark_)
         return;
+    if (job->isCancelMarkDue_)
+        return writeOwnCancelMark(job, now);
     if (!job->isOpen() || job->isComplete())
         return answerCancelRequests(job, { ReadOutcome::Found, outlets_.self_ });
     job->isCancelling_ = true;
@@ -296,9 +298,21 @@
         job->items_.clear();
         job->byId_.clear();
         note(SchedulerNote::JobCancelled, job->name_, {}, job->listed_.size());
-        if (!job->isTakenOver_)
+        job->isCancelMarkDue_ = job->isTakenOver_;
+        if (!job->isCancelMarkDue_)
             return answerCancelRequests(job, { ReadOutcome::Found, outlets_.self_ });
-        writeCancelMark(job->name_, at + settings_.readTimeout_, [job](const CancelAnswer& answer) { answerCancelRequests(job, answer); });
+        writeOwnCancelMark(job, at);
+    });
+}
+
+// Until the mark is written, calls are answered with Unavailable, and each further call tries again.
+void JobScheduler::writeOwnCancelMark(const JobPtr& job, TimePoint now)
+{
+    job->isWritingCancelMark_ = true;
+    writeCancelMark(job->name_, now + settings_.readTimeout_, [job](const CancelAnswer& answer) {
+        job->isWritingCancelMark_ = false;
+        job->isCancelMarkDue_ = answer.outcome_ != ReadOutcome::Found;
+        answerCancelRequests(job, answer);
     });
 }
 
--- a/libs/ledger/tests/CancelTest.cpp
+++ b/libs/ledger/tests/CancelTest.cpp
@@ -217,6 +217,35 @@
     CHECK(cancelAnswer->outcome_ == ReadOutcome::Unavailable);
 }
 
+// Guards against acknowledging the repeated call without the mark that the first one couldn't write.
+TEST_CASE("ledger: a repeated cancellation after a takeover is not acknowledged without its mark either")
+{
+    LedgerWorld world(23);
+    world.stepsPerEvent_ = 400;
+    world.submit(0, "j", 20, 1);
+    world.advance(100ms);
+    world.markDeadFor(0, 1);
+    world.scheduler(0).scan(false, world.now());
+    world.advance(200ms);
+    REQUIRE(world.notes_[SchedulerNote::TakenOver] == 1);
+    std::vector<ReadOutcome> outcomes;
+    const auto cancel = [&] { world.scheduler(0).end("j", false, world.now(), [&outcomes](const CancelAnswer& answer) { outcomes.push_back(answer.outcome_); }); };
+    world.store_.faults().delay_ = 100ms;
+    cancel();
+    const auto storedState = [&world] { return decodeHead(world.store_.core().objects().find(headKey("j"))->second.value_).value().state_; };
+    while (storedState() == JobState::Open)
+        world.advance(LedgerWorld::step);
+    world.host(0).isStoreUnreachable_ = true; // the answer to the pending call arrives, but no further call reaches the store
+    world.advance(3s);
+    REQUIRE(outcomes.size() == 1);
+    REQUIRE(static_cast<int>(outcomes.front()) == static_cast<int>(ReadOutcome::Unavailable));
+    world.host(0).isStoreUnreachable_ = false;
+    cancel();
+    world.advance(3s);
+    CHECK(outcomes == std::vector { ReadOutcome::Unavailable, ReadOutcome::Found });
+    CHECK(world.store_.core().objects().contains(cancelMarkKey("j")));
+}
+
 // The node that takes the cancellation can't reach the owner and updates the head in the store. The owner is still running items, and stops
 // them at its next scan or its next update of the head.
 TEST_CASE("ledger: an owner stops a job that was cancelled bypassing it")
