--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -173,6 +173,7 @@
     bool mayHaveResults_ = false;
     std::vector<Progress> progress_;
     std::vector<ItemFailures> failures_ {};
+    bool isTakenOver_ = false; // an owner that was considered dead may still run items of the job
 };
 
 // Kinds of events that the scheduler reports for the log.
@@ -383,6 +384,7 @@
     void readFromStore(const JobName& name, const JobHead& head, std::uint32_t after, TimePoint now, const ReadDone& done);
     void readHead(const JobName& name, TimePoint now, std::function<void(ReadOutcome, const JobHead&, ObjectVersion, TimePoint)> then);
     void writeCancellation(const JobPtr& job, TimePoint now);
+    void writeOwnCancelMark(const JobPtr& job, TimePoint now);
     static void answerCancelRequests(const JobPtr& job, const CancelAnswer& answer);
     void answerTimedOutCancelRequests(const JobPtr& job, TimePoint now);
     void writeCancelMark(const JobName& name, TimePoint until, const CancelDone& done);
