HTTP: a call that is ended after what was received waits for an answer that is on its way

An engine answered an item with 422 just as the item gave way to a request. The answer crossed the end, nobody counted it, and the item ran once more. The connection is closed in one direction first, by which engines see the end as before, and read for 50 ms.

--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -38,6 +38,7 @@
     // An unused connection is closed after this, or sooner when the other side names a shorter time (Keep-Alive: timeout=).
     Duration pooledIdle_ = std::chrono::seconds(30);
     std::size_t pooledPerEndpoint_ = 64;
+    Duration cancelLinger_ = std::chrono::milliseconds(50); // of Call::cancelAfterReceived(): longer than a round trip
     std::size_t headerBytes_ = 16 * 1024;
     std::size_t bodyBytes_ = 16 * 1024 * 1024; // of a whole answer (fetch); streams have no limit
 };
@@ -79,7 +80,8 @@
 
     // Closes the connection of the call; no callback follows. Any thread; again is harmless.
     void cancel();
-    // As cancel(), but callbacks first deliver what the connection has received by now and this side hasn't read yet.
+    // As cancel(), but callbacks first deliver what the connection has received by now and this side hasn't read yet, and for a while
+    // (ClientSettings::cancelLinger_) what the other side had sent before it saw the end.
     void cancelAfterReceived();
 
 private:
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -183,7 +183,8 @@
     buffer_.commit(bytes);
     if (!call_)
         return close(); // bytes that nobody asked for: not a connection to trust with the next call
-    expectProgress(call_->options_.idle_);
+    if (!lingering_)
+        expectProgress(call_->options_.idle_);
     process();
     readSome();
 }
@@ -199,8 +200,23 @@
         buffer_.commit(socket_.read_some(buffer_.prepare(readBytes), error));
         process();
     }
-    if (call_ == call)
-        error == asio::error::eof ? onReadEnd(error) : dropCall();
+    if (call_ != call)
+        return;
+    if (error == asio::error::eof)
+        return onReadEnd(error);
+    error == asio::error::would_block ? linger() : dropCall();
+}
+
+// The other side sees the end by this direction's close. What it had sent before is still delivered.
+void ClientConnection::linger()
+{
+    error_code error;
+    socket_.shutdown(tcp::socket::shutdown_send, error);
+    if (error)
+        return dropCall();
+    lingering_ = true;
+    expectProgress(shared_->settings_.cancelLinger_);
+    readSome();
 }
 
 void ClientConnection::onReadEnd(error_code error)
@@ -300,7 +316,7 @@
     const std::shared_ptr<CallState> call = std::move(call_);
     call_ = nullptr;
     parser_.reset();
-    if (!reusable || !backToPool())
+    if (lingering_ || !reusable || !backToPool())
         close();
     const CallHandlers handlers = std::move(call->handlers_);
     if (!call->cancelled_ && handlers.onEnd_)
@@ -384,6 +400,8 @@
         return armTimer();
     if (connecting_)
         return fail(Error::ConnectTimedOut);
+    if (call_ && lingering_)
+        return dropCall();
     if (call_)
         return fail(Error::NoProgress);
     close();
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -68,6 +68,7 @@
     void onRead(error_code error, std::size_t bytes);
     void onReadEnd(error_code error);
     void deliverReceived();
+    void linger();
     void dropCall();
     void process();
     bool deliver();
@@ -95,6 +96,7 @@
     bool closed_ = false;
     bool reading_ = false;
     bool endsAfterRead_ = false; // the pending read has been cancelled, in order to end the call
+    bool lingering_ = false; // the call has ended, this direction is closed, and what was on its way is awaited
     bool written_ = false;
     bool readingOver_ = false; // the answer that is being read belongs to an earlier request
     Duration keepAlive_ = Duration::max(); // as the other side named it
--- a/libs/http/tests/CancelTest.cpp
+++ b/libs/http/tests/CancelTest.cpp
@@ -118,6 +118,35 @@
     CHECK(exchange.errors_ == 0);
 }
 
+// Guards against an answer that is lost because it crosses the end of its call on the way.
+TEST_CASE("http: a call that is cancelled after what was received delivers an answer that was on its way")
+{
+    ManualExchange exchange;
+    exchange.call_->cancelAfterReceived();
+    exchange.clientIo_.restart();
+    exchange.clientIo_.run_for(5ms);
+    exchange.answer(wholeAnswer);
+    exchange.turnClient();
+    CHECK(exchange.status_ == 500);
+    CHECK(exchange.ends_ == 1);
+    CHECK(exchange.errors_ == 0);
+    CHECK(exchange.isClosedByClient());
+    CHECK(exchange.client_.pooledConnections() == 0);
+}
+
+TEST_CASE("http: a call that is cancelled after what was received ignores what comes long after")
+{
+    ManualExchange exchange;
+    exchange.call_->cancelAfterReceived();
+    exchange.turnClient();
+    exchange.turnClient();
+    exchange.answer(wholeAnswer);
+    exchange.turnClient();
+    CHECK(exchange.status_ == 0);
+    CHECK(exchange.ends_ == 0);
+    CHECK(exchange.errors_ == 0);
+}
+
 TEST_CASE("http: a connection whose call ended with what was received serves the next call")
 {
     ManualExchange exchange;
