Serving: hosts that are leaving are asked for records of failed items

The owner of jobs stood still, one of the hosts that held copies had been restarted, and the other one was leaving when the next owner asked. It asked only hosts that stay, and counted anew.

--- a/libs/serving/src/FailureReplicas.cpp
+++ b/libs/serving/src/FailureReplicas.cpp
@@ -2,7 +2,8 @@
 #include "FailureReplicas.h"
 
 #include "base/Hash.h"
-#include "membership/Replicas.h"
+
+#include <algorithm>
 
 namespace jj {
 
@@ -14,6 +15,22 @@
 
 } // namespace
 
+std::vector<NodeId> chooseFailureReplicas(std::uint64_t job, const std::vector<FailureReplicaCandidate>& candidates)
+{
+    std::vector<ReplicaCandidate> live, staying;
+    for (const FailureReplicaCandidate& candidate : candidates) {
+        live.push_back(candidate.host_);
+        if (!candidate.isLeaving_)
+            staying.push_back(candidate.host_);
+    }
+    std::vector<NodeId> nodes = chooseReplicas(job, staying, replicas);
+    for (const NodeId node : chooseReplicas(job, live, replicas)) {
+        if (std::find(nodes.begin(), nodes.end(), node) == nodes.end())
+            nodes.push_back(node);
+    }
+    return nodes;
+}
+
 void FailureReplicas::share(const JobFailures& failures)
 {
     for (const NodeId node : replicasOf(failures.job_.name_))
@@ -40,12 +57,12 @@
 
 std::vector<NodeId> FailureReplicas::replicasOf(const JobName& job) const
 {
-    std::vector<ReplicaCandidate> candidates { { fleet_.self(), fleet_.domain() } };
+    std::vector<FailureReplicaCandidate> candidates { { { fleet_.self(), fleet_.domain() } } };
     for (const Peer& peer : fleet_.peers()) {
-        if (peer.isLive() && !peer.leaving_)
-            candidates.push_back({ peer.node_, peer.domain_ });
+        if (peer.isLive())
+            candidates.push_back({ { peer.node_, peer.domain_ }, peer.leaving_ });
     }
-    std::vector<NodeId> nodes = chooseReplicas(hash64(job), candidates, replicas);
+    std::vector<NodeId> nodes = chooseFailureReplicas(hash64(job), candidates);
     std::erase(nodes, fleet_.self());
     return nodes;
 }
--- a/libs/serving/src/FailureReplicas.h
+++ b/libs/serving/src/FailureReplicas.h
@@ -7,11 +7,21 @@
 #include "DecisionLog.h"
 #include "Fleet.h"
 #include "ledger/JobScheduler.h"
+#include "membership/Replicas.h"
 
 #include <vector>
 
 namespace jj {
 
+struct FailureReplicaCandidate {
+    ReplicaCandidate host_;
+    bool isLeaving_ = false;
+};
+
+// Returns the hosts that records of the job, which `job` is a hash of, are sent to: those that are to hold copies, and hosts that are leaving
+// and held copies before. These may be the only ones that know the records, and reply with them.
+std::vector<NodeId> chooseFailureReplicas(std::uint64_t job, const std::vector<FailureReplicaCandidate>& candidates);
+
 class FailureReplicas {
 public:
     // All of these must outlive this object.
