Capacity: a node tests an engine that the testing node leaves untested

Cause: of the nodes that report an engine as failing only the one with the lowest id tests it. If that node has neither requests nor items, nobody does, and the engine stays out of use at all nodes that had seen it fail.

Change: an engine that has stayed untested for untestedTimeout_ after its backoff may be tested by any node that has no other usable engine. Beside a usable engine nothing changes, and predicted queue waits leave out such engines.

--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -33,16 +33,20 @@
         return false;
     if (!engine.isSuspect_)
         return true;
-    const bool mayTest = repeatable || now >= engine.backoffUntil_ + settings_.untestedTimeout_;
+    const bool isOverdue = now >= engine.backoffUntil_ + settings_.untestedTimeout_;
     const bool isIdleHere = engine.own_.onlineRequests_ + engine.own_.batchItems_ == 0;
-    return engine.hasPassedProbe_ && now >= engine.backoffUntil_ && isIdleHere && mayTest && isTestingNode(engine);
+    // The testing node may have nothing to test the engine with.
+    const bool mayTest = isOverdue || (repeatable && isTestingNode(engine));
+    return engine.hasPassedProbe_ && now >= engine.backoffUntil_ && isIdleHere && mayTest;
 }
 
 bool CapacityBoard::isDoubtful(const Engine& engine, TimePoint now) const
 {
     if (isSilent(engine.entry_.id_, now))
         return true;
-    if ((engine.nodesReportingFailure_.empty() && engine.cellsReportingFailure_.empty()) || engine.isSuspect_)
+    if (engine.isSuspect_)
+        return !isTestingNode(engine);
+    if (engine.nodesReportingFailure_.empty() && engine.cellsReportingFailure_.empty())
         return false;
     return engine.succeededAt_ == TimePoint() || now - engine.succeededAt_ > settings_.successTrustTime_;
 }
@@ -224,7 +228,8 @@
     visitedEngines_ += visited;
     std::uint32_t slots = 0;
     for (const Engine* engine : all.first(visited)) {
-        if (isUsable(*engine, false, now))
+        const bool isLeftToOthers = engine->isSuspect_ && !isTestingNode(*engine);
+        if (isUsable(*engine, false, now) && !isLeftToOthers)
             slots += engine->entry_.slots_ - std::min(engine->entry_.slots_, engine->nonPreemptibleItems());
     }
     return static_cast<double>(slots) * static_cast<double>(all.size()) / static_cast<double>(visited);
--- a/libs/capacity/tests/CapacityBoardTest.cpp
+++ b/libs/capacity/tests/CapacityBoardTest.cpp
@@ -238,6 +238,29 @@
     CHECK(second.pickOnlineEngine(true).engine_ == UpstreamId(1));
 }
 
+// Guards against engines that no node uses again after a fault, because the node that should test them has no requests.
+TEST_CASE("capacity: an engine that the testing node leaves untested is tested by others once no other engine is usable")
+{
+    BoardFixture second(2, NodeId(5));
+    second.board_.failed(UpstreamId(1), EngineFault::Lost, second.now_);
+    second.board_.recordProbeSuccess(UpstreamId(1));
+    const auto advance = [&second](Duration by) {
+        second.now_ += by;
+        second.receiveReport(3, { use(2, 7) }, { UpstreamId(1) });
+    };
+    advance(4s);
+    CHECK(second.pickOnlineEngine(true).engine_ == UpstreamId(2));
+    CHECK_FALSE(second.pickBatchEngine().isSome());
+    second.board_.remove(UpstreamId(2));
+    CHECK(second.pickBatchEngine().engine_ == UpstreamId(1));
+    CHECK(second.pickOnlineEngine(true).engine_ == UpstreamId(1));
+    // A node that has just seen the engine fail waits for the testing node.
+    second.board_.failed(UpstreamId(1), EngineFault::Lost, second.now_);
+    second.board_.recordProbeSuccess(UpstreamId(1));
+    advance(2s);
+    CHECK_FALSE(second.pickBatchEngine().isSome());
+}
+
 TEST_CASE("capacity: an engine that others report as failing is used when no other is left, or after a recent success at this node")
 {
     BoardFixture fixture(2);
