Ledger: a transfer brings its failures also to an owner that has found the job already

What callers saw: an item that had failed twice was sent three times more after a handover whose new owner had found the job in the store before the message of the former owner, and couldn't reach the hosts with copies of its failures.

Cause: adopt() returned before it merged the records of a message whose head it already had.

Change: the records are merged first, and items that may not run again are given up.

The test failed before: no item was listed as errored.

--- a/libs/ledger/src/SchedulerLoading.cpp
+++ b/libs/ledger/src/SchedulerLoading.cpp
@@ -10,8 +10,12 @@
     wall_ = wall;
     detectPause(now);
     noteStart(now);
+    const JobKey key { transfer.job_, transfer.head_.acceptedAt_ };
+    if (failures_.merge({ key, std::move(transfer.failures_) }, now))
+        outlets_.shareFailures_(failures_.failuresOf(key));
+    // This node has found the job in the store before the message.
     if (const Job* known = findOwnedJob(transfer.job_); known && known->headVersion_ >= transfer.headVersion_)
-        return;
+        return giveUpRejected(JobPtr(jobs_.at(transfer.job_)), now);
     drop(transfer.job_);
     auto job = std::make_shared<Job>();
     job->name_ = transfer.job_;
@@ -39,8 +43,6 @@
         job->items_.back().item_ = std::move(item);
     }
     jobs_[job->name_] = job;
-    if (failures_.merge({ job->key(), std::move(transfer.failures_) }, now))
-        outlets_.shareFailures_(failures_.failuresOf(job->key()));
     note(SchedulerNote::Adopted, job->name_, {}, job->head_.total_);
     if (!job->isHeadRead_)
         return loadHead(job, now);
--- a/libs/ledger/tests/FailureTest.cpp
+++ b/libs/ledger/tests/FailureTest.cpp
@@ -222,3 +222,15 @@
     owner.advance(1s);
     CHECK(owner.notes_[SchedulerNote::ItemErrored] == 0);
 }
+
+// Guards against failures that are lost because the new owner has found the job in the store before the message of the former one.
+TEST_CASE("ledger: a transfer brings its failures to an owner that has loaded the job already")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.advance(1s);
+    const auto& head = owner.store_.objects().at(headKey("j"));
+    JobTransfer transfer { "j", owner.storedHead(), head.version_, {}, 0, true, {}, { { "j-0", { FailedRunId(1), FailedRunId(2), FailedRunId(3) }, false } } };
+    owner.scheduler_.adopt(transfer, owner.now_, owner.wall());
+    CHECK(owner.notes_[SchedulerNote::ItemErrored] == 1);
+}
