Ledger: an owner that gives up items as it loads a job confirms its ownership first

What callers saw: an owner that loads a job while another one claims it listed an errored result after the other one's fence. That one answers reads without it until its next commit meets the page, so a result that was read is missing in later reads.

Cause: after its fence an owner reads the head before it lists anything, but the items that it gives up at the end of the loading were committed in between. Before, the loading never had a result to commit.

Change: the ownership counts as uncertain from the fence on until the head has been read.

The test failed before: the result was on the page after the fence of an owner that the head no longer named.

--- a/libs/ledger/src/SchedulerLoading.cpp
+++ b/libs/ledger/src/SchedulerLoading.cpp
@@ -192,8 +192,10 @@
             return;
         if (answer.ok() && !answer.isReadBack_) {
             job->pages_ = page + 1;
+            // Another node may have claimed the job and reserved a page while this one was loading. It wouldn't notice results on later pages,
+            // such as those of items that are given up now.
+            job->isOwnershipUncertain_ = job->isOpen();
             finishLoading(job, at);
-            // Another node may have claimed the job and reserved a page while this one was loading. It wouldn't notice results on later pages.
             if (job->isOpen())
                 confirmThenComplete(job, at);
             return;
--- a/libs/ledger/tests/FailureTest.cpp
+++ b/libs/ledger/tests/FailureTest.cpp
@@ -234,3 +234,21 @@
     owner.scheduler_.adopt(transfer, owner.now_, owner.wall());
     CHECK(owner.notes_[SchedulerNote::ItemErrored] == 1);
 }
+
+// Guards against an errored result that is listed after the fence of another owner, which doesn't notice it.
+TEST_CASE("ledger: an owner that gives up an item as it loads the job confirms its ownership before it lists the result")
+{
+    SingleOwner owner;
+    owner.scheduler_.handleFailures({ { "j", LedgerWorld::wallStart }, { { "j-0", { FailedRunId(1) }, true } } }, owner.now_);
+    owner.beforeCommit_ = [&owner] {
+        // Another owner claims the job and reserves page 0.
+        JobHead head = owner.storedHead();
+        head.owner_ = SingleOwner::other;
+        owner.writeHead(head);
+        owner.store_.apply(ObjectCall::create(resultPageKey("j", 0), encode(std::vector<JobResult>())), owner.now_);
+    };
+    owner.scheduler_.scan(false, owner.now_);
+    CHECK(owner.notes_[SchedulerNote::OwnershipLost] == 1);
+    CHECK(owner.hasResultPage(1)); // the fence
+    CHECK_FALSE(owner.hasResultPage(2));
+}
