Ledger: an item whose failures were reported during a run that was stopped isn't started again

What callers saw: one more run than maxAttempts, or a run after a 422, for each run that was stopped by a cancellation or a handover that the store then didn't take.

Cause: records of other hosts give up items that wait. For one that runs this is done when its run ends, but not when it is stopped.

Change: an item that may not run again is listed as errored instead of being started.

The test failed before: the item was started again.

--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -118,8 +118,9 @@
         return std::nullopt;
     Item& item = chosen->items_[itemIndex];
     auto body = fromBase64(item.item_.body_);
-    if (service.empty() || !body) {
-        // No configuration routes the item any more, or its body isn't valid base64.
+    if (service.empty() || !body || !mayRunAgain(*chosen, item)) {
+        // No configuration routes the item any more, its body isn't valid base64, or other nodes have reported its failures during a run that
+        // was then stopped.
         finishItem(chosen, itemIndex, ResultState::Errored, now);
         return std::nullopt;
     }
--- a/libs/ledger/tests/FailureTest.cpp
+++ b/libs/ledger/tests/FailureTest.cpp
@@ -252,3 +252,28 @@
     CHECK(owner.hasResultPage(1)); // the fence
     CHECK_FALSE(owner.hasResultPage(2));
 }
+
+// Guards against a further run of an item whose last failure another host reported during a run that was then stopped.
+TEST_CASE("ledger: an item that may not run again isn't started after a run that was stopped")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.advance(1s);
+    const auto run = owner.scheduler_.startNext("s", owner.now_);
+    REQUIRE(run);
+    owner.scheduler_.handleFailures({ { "j", LedgerWorld::wallStart }, { { run->item_, { FailedRunId(1) }, true } } }, owner.now_);
+    // A cancellation stops the run, but the store doesn't take it.
+    owner.heldWriteKind_ = "jobs/";
+    JobHead head = owner.storedHead();
+    ++head.term_;
+    owner.writeHead(head);
+    std::optional<CancelAnswer> answer;
+    owner.scheduler_.end("j", false, owner.now_, [&answer](CancelAnswer cancelled) { answer = cancelled; });
+    owner.heldAnswer_();
+    owner.heldAnswer_ = {};
+    REQUIRE(answer);
+    REQUIRE(answer->outcome_ == ReadOutcome::Unavailable);
+    owner.advance(1s);
+    while (const auto next = owner.scheduler_.startNext("s", owner.now_))
+        CHECK(next->item_ != run->item_);
+}
