Ledger: half of the randomized schedules have items that fail at each run

Two items of each job, one answered with 500 and one with 422. Besides what is checked of all schedules, an item is errored if engines have rejected it as often as its job allows, and only then.

Over maxAttempts were items of jobs whose hosts were all down at some moment, or that two owners ran beside each other.

--- a/libs/ledger/tests/ExploreTest.cpp
+++ b/libs/ledger/tests/ExploreTest.cpp
@@ -42,6 +42,8 @@
         world_.stepsPerEvent_ = 1 + static_cast<int>(pick(6));
         world_.lateMessages_ = pick(2) == 0;
         knowsOfCuts_ = pick(3) > 0;
+        if (seed % 2 == 0)
+            rejectItems();
         if (pick(2) == 0)
             return;
         // Jobs stay open with a part of their results over restarts.
@@ -74,6 +76,15 @@
 private:
     std::uint64_t pick(std::uint64_t below) { return random_() % below; }
 
+    // Two items of each job fail at each run.
+    void rejectItems()
+    {
+        for (const char* job : { "j0", "j1", "j2" }) {
+            world_.rejectedItems_[std::string(job) + "-0"] = RunResult::Failed;
+            world_.rejectedItems_[std::string(job) + "-1"] = RunResult::Unprocessable;
+        }
+    }
+
     void submit(const JobName& job)
     {
         seen_.try_emplace(job);
@@ -543,6 +554,8 @@
             CHECK(std::equal(seen.results_.begin(), seen.results_.end(), stored.begin()));
             if (seen.isAcknowledged_ && !seen.isCancelRequested_)
                 CHECK(stored.size() == itemsOf(job));
+            for (const JobResult& result : stored)
+                checkState(result);
             // All submissions of this job were refused as "not run", so none of its items may have run.
             if (seen.submissions_ > 0 && seen.refusals_ == seen.submissions_) {
                 for (const std::string& item : world_.starts_)
@@ -551,6 +564,17 @@
         }
     }
 
+    // An item is errored if engines have rejected it as often as its job allows, and only then.
+    void checkState(const JobResult& result)
+    {
+        CAPTURE(result.item_);
+        const auto rejected = world_.rejectedItems_.find(result.item_);
+        const bool isRejected = rejected != world_.rejectedItems_.end();
+        REQUIRE(isRejected == (result.state_ == ResultState::Errored));
+        if (isRejected)
+            CHECK(world_.rejections_[result.item_] >= (rejected->second == RunResult::Failed ? LedgerWorld::submission("", 0).head_.maxAttempts_ : 1U));
+    }
+
     LedgerWorld world_;
     std::mt19937_64 random_;
     std::map<JobName, Seen> seen_;
