--- a/libs/ledger/tests/FailureTest.cpp
+++ b/libs/ledger/tests/FailureTest.cpp
@@ -222,3 +222,58 @@
     owner.advance(1s);
     CHECK(owner.notes_[SchedulerNote::ItemErrored] == 0);
 }
+
+// Guards against failures that are lost because the new owner has found the job in the store before the message of the former one.
+TEST_CASE("ledger: a transfer brings its failures to an owner that has loaded the job already")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.advance(1s);
+    const auto& head = owner.store_.objects().at(headKey("j"));
+    JobTransfer transfer { "j", owner.storedHead(), head.version_, {}, 0, true, {}, { { "j-0", { FailedRunId(1), FailedRunId(2), FailedRunId(3) }, false } } };
+    owner.scheduler_.adopt(transfer, owner.now_, owner.wall());
+    CHECK(owner.notes_[SchedulerNote::ItemErrored] == 1);
+}
+
+// Guards against an errored result that is listed after the fence of another owner, which doesn't notice it.
+TEST_CASE("ledger: an owner that gives up an item as it loads the job confirms its ownership before it lists the result")
+{
+    SingleOwner owner;
+    owner.scheduler_.handleFailures({ { "j", LedgerWorld::wallStart }, { { "j-0", { FailedRunId(1) }, true } } }, owner.now_);
+    owner.beforeCommit_ = [&owner] {
+        // Another owner claims the job and reserves page 0.
+        JobHead head = owner.storedHead();
+        head.owner_ = SingleOwner::other;
+        owner.writeHead(head);
+        owner.store_.apply(ObjectCall::create(resultPageKey("j", 0), encode(std::vector<JobResult>())), owner.now_);
+    };
+    owner.scheduler_.scan(false, owner.now_);
+    CHECK(owner.notes_[SchedulerNote::OwnershipLost] == 1);
+    CHECK(owner.hasResultPage(1)); // the fence
+    CHECK_FALSE(owner.hasResultPage(2));
+}
+
+// Guards against a further run of an item whose last failure another host reported during a run that was then stopped.
+TEST_CASE("ledger: an item that may not run again isn't started after a run that was stopped")
+{
+    SingleOwner owner;
+    owner.scheduler_.scan(false, owner.now_);
+    owner.advance(1s);
+    const auto run = owner.scheduler_.startNext("s", owner.now_);
+    REQUIRE(run);
+    owner.scheduler_.handleFailures({ { "j", LedgerWorld::wallStart }, { { run->item_, { FailedRunId(1) }, true } } }, owner.now_);
+    // A cancellation stops the run, but the store doesn't take it.
+    owner.heldWriteKind_ = "jobs/";
+    JobHead head = owner.storedHead();
+    ++head.term_;
+    owner.writeHead(head);
+    std::optional<CancelAnswer> answer;
+    owner.scheduler_.end("j", false, owner.now_, [&answer](CancelAnswer cancelled) { answer = cancelled; });
+    owner.heldAnswer_();
+    owner.heldAnswer_ = {};
+    REQUIRE(answer);
+    REQUIRE(answer->outcome_ == ReadOutcome::Unavailable);
+    owner.advance(1s);
+    while (const auto next = owner.scheduler_.startNext("s", owner.now_))
+        CHECK(next->item_ != run->item_);
+}
