Ledger: a record of failed runs is answered with what is known of its items

Each record was answered with all that is known of its job, so that the answers for a job of many failing items grew with the square of their number. A question without items is still answered with the whole job. Found by the review; the new test asks for one of two items.

--- a/libs/ledger/include/ledger/ItemFailures.h
+++ b/libs/ledger/include/ledger/ItemFailures.h
@@ -68,6 +68,8 @@
     // Returns null if no failure of the item is known. The pointer is valid until the next call that changes the table.
     const ItemFailures* find(const JobKey& job, const std::string& item) const;
     JobFailures failuresOf(const JobKey& job) const;
+    // Returns what is known of the items in `failures`, or of all items of the job if there are none in it.
+    JobFailures answerTo(const JobFailures& failures) const;
     void expire(TimePoint now);
     std::size_t size() const { return jobs_.size(); }
 
--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -290,6 +290,8 @@
     // ---- failures of items, also of jobs that other nodes own
     // Returns what this node knows of the failed runs of a job's items.
     JobFailures failuresOf(const JobKey& job) const { return failures_.failuresOf(job); }
+    // Returns what this node knows of the items in `failures`, or of all items of the job if there are none in it.
+    JobFailures answerTo(const JobFailures& failures) const { return failures_.answerTo(failures); }
     // Adds what another node knows, and gives up items that may not run again. Returns whether any of it was new.
     bool handleFailures(const JobFailures& failures, TimePoint now);
 
--- a/libs/ledger/src/ItemFailures.cpp
+++ b/libs/ledger/src/ItemFailures.cpp
@@ -68,6 +68,18 @@
     return failures;
 }
 
+JobFailures FailureTable::answerTo(const JobFailures& failures) const
+{
+    if (failures.items_.empty())
+        return failuresOf(failures.job_);
+    JobFailures answer { failures.job_, {} };
+    for (const ItemFailures& item : failures.items_) {
+        if (const ItemFailures* known = find(failures.job_, item.item_))
+            answer.items_.push_back(*known);
+    }
+    return answer;
+}
+
 void FailureTable::expire(TimePoint now)
 {
     while (!changes_.empty() && now - changes_.front().at_ > settings_.lifetime_)
--- a/libs/ledger/tests/ItemFailuresTest.cpp
+++ b/libs/ledger/tests/ItemFailuresTest.cpp
@@ -74,3 +74,15 @@
     CHECK_FALSE(table.merge({ job, {} }, TimePoint(1s)));
     CHECK(table.size() == 0);
 }
+
+// Guards against answers that grow with the square of the number of items that fail.
+TEST_CASE("ledger: a record is answered with what is known of its items, and a question with all of the job")
+{
+    FailureTable table { {} };
+    table.add(job, failuresOf({ FailedRunId(1) }), TimePoint(1s));
+    table.add(job, { "j-1", { FailedRunId(2) }, false }, TimePoint(1s));
+    const JobFailures answer = table.answerTo({ job, { failuresOf({ FailedRunId(3) }) } });
+    REQUIRE(answer.items_.size() == 1);
+    CHECK(answer.items_.front().item_ == "j-0");
+    CHECK(table.answerTo({ job, {} }).items_.size() == 2);
+}
--- a/libs/membership/include/membership/Replicas.h
+++ b/libs/membership/include/membership/Replicas.h
@@ -14,8 +14,8 @@
     FailureDomainId domain_;
 };
 
-// Returns up to `count` hosts for the record, which `record` is a hash of, in as many failure domains as possible. The loss of a host or a failure domain doesn't change which hosts
-// are chosen in the other failure domains.
+// Returns up to `count` hosts for the record that `record` is a hash of, in as many failure domains as possible. The loss of a host or a
+// failure domain doesn't change which hosts are chosen in the other failure domains.
 std::vector<NodeId> chooseReplicas(std::uint64_t record, const std::vector<ReplicaCandidate>& candidates, std::size_t count);
 
 } // namespace jj
--- a/libs/serving/src/FailureReplicas.cpp
+++ b/libs/serving/src/FailureReplicas.cpp
@@ -40,7 +40,7 @@
 JobFailures FailureReplicas::handle(const JobFailures& failures)
 {
     scheduler_.handleFailures(failures, SystemClock().now());
-    return scheduler_.failuresOf(failures.job_);
+    return scheduler_.answerTo(failures);
 }
 
 void FailureReplicas::handleReply(NodeId from, const JobKey& job, const Result<PeerReply>& reply)
--- a/libs/serving/src/FailureReplicas.h
+++ b/libs/serving/src/FailureReplicas.h
@@ -34,7 +34,7 @@
 
     // Sends the records to the hosts that hold copies, and adds what these know to the scheduler's records.
     void share(const JobFailures& failures);
-    // Adds the records of another host. Returns all that this host knows of the job.
+    // Adds the records of another host. Returns what this host knows of their items, or of the whole job if there are no records.
     JobFailures handle(const JobFailures& failures);
 
 private:
