Ledger: no item starts after a pause before the ownership is confirmed

Cause: the scheduler noticed a pause of its process at its next tick or read.

Change: starts of runs notice the pause themselves.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -261,7 +261,8 @@
     // accepted them.
     void handOverMisplaced(TimePoint now);
     bool hasLeft() const;
-    // Makes this node confirm the ownership of all open jobs in the store, because it was paused or considered dead.
+    // Makes this node confirm the ownership of all open jobs in the store, because it was paused or considered dead. Until the store has
+    // answered, for at most readTimeout_, no runs of these jobs start: another owner may run the same items.
     void recheckOwnership(TimePoint now);
 
     // ---- runs
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -80,11 +80,13 @@
         job->headVersion_ = answer.answer_.version_;
         job->confirmedAt_ = std::max(job->confirmedAt_, now);
         job->isOwnershipUncertain_ = false;
+        job->runsHeldUntil_ = {};
         job->isConfirmed_ = true;
     });
 }
 
-// Detects that the process was paused. Reads call this as well as the tick, because the first event after a pause may be a caller's read.
+// Detects that the process was paused. Reads and starts of runs call this as well as the tick, because the first event after a pause may be
+// a caller's read or the end of a run.
 void JobScheduler::detectPause(TimePoint now)
 {
     if (lastTick_ == TimePoint() || now - lastTick_ <= settings_.pauseThreshold_)
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -75,6 +75,7 @@
 
     std::vector<Reader> readers_;
     bool isOwnershipUncertain_ = false; // another node may own the job by now
+    TimePoint runsHeldUntil_ {}; // no run starts before this time, unless the store confirms the ownership earlier
     bool mayMissResults_ = false; // another owner may have listed results, because the head has changed or a page was met
     std::uint32_t headChanges_ = 0; // number of changes of the head that were found in the store
     TimePoint nextConfirmationAt_ {};
@@ -95,7 +96,7 @@
 
     JobKey key() const { return { name_, head_.acceptedAt_ }; }
     bool isOpen() const { return head_.state_ == JobState::Open; }
-    bool mayRun() const { return isLoaded_ && isOpen() && !isHandoverDue_ && !isCancelling_ && !isMarkedCancelled_ && cancelRequests_.empty(); }
+    bool mayRun(TimePoint now) const { return isLoaded_ && isOpen() && now >= runsHeldUntil_ && !isHandoverDue_ && !isCancelling_ && !isMarkedCancelled_ && cancelRequests_.empty(); }
     bool isComplete() const { return listed_.size() >= head_.total_; }
 
     // Removes and returns the readers that meet the condition.
--- a/libs/ledger/src/SchedulerOwnership.cpp
+++ b/libs/ledger/src/SchedulerOwnership.cpp
@@ -90,8 +90,10 @@
 void JobScheduler::recheckOwnership(TimePoint now)
 {
     lastUnavailableAt_ = now;
-    for (auto& [name, job] : jobs_)
+    for (auto& [name, job] : jobs_) {
         job->isOwnershipUncertain_ = job->isOpen();
+        job->runsHeldUntil_ = now + settings_.readTimeout_;
+    }
 }
 
 // Reads the head from the store to confirm that this node still owns the job. `isOwner` is true if it does and thus has all listed results
@@ -131,6 +133,7 @@
         return then(false, now);
     if (!job->mayMissResults_ || job->isComplete()) {
         job->isOwnershipUncertain_ = false;
+        job->runsHeldUntil_ = {};
         job->confirmedAt_ = std::max(job->confirmedAt_, queriedAt);
         return then(true, now);
     }
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -47,10 +47,11 @@
 std::map<std::string, JobScheduler::Waiting> JobScheduler::waiting(TimePoint now)
 {
     std::map<std::string, Waiting> found;
+    detectPause(now);
     if (leaving_)
         return found;
     for (const auto& [name, job] : jobs_) {
-        if (!job->mayRun())
+        if (!job->mayRun(now))
             continue;
         for (Item& item : job->items_) {
             if (item.state_ != ItemState::Waiting || now < item.notBefore_)
@@ -86,13 +87,14 @@
 
 std::optional<ItemRun> JobScheduler::startNext(std::string_view service, TimePoint now, SoftwareVersionId version, bool onlyUrgent)
 {
+    detectPause(now);
     if (leaving_)
         return std::nullopt;
     JobPtr chosen;
     std::size_t itemIndex = 0;
     ItemUrgency chosenUrgency = ItemUrgency::Late;
     for (const auto& [name, job] : jobs_) {
-        if (!job->mayRun())
+        if (!job->mayRun(now))
             continue;
         for (std::size_t index = 0; index < job->items_.size(); ++index) {
             Item& item = job->items_[index];
--- a/libs/ledger/tests/ReplacedOwnerTest.cpp
+++ b/libs/ledger/tests/ReplacedOwnerTest.cpp
@@ -1,5 +1,5 @@
 // Reads from an owner that was replaced without noticing.
-#include "LedgerWorld.h"
+#include "SingleOwner.h"
 
 using namespace jj;
 
@@ -112,3 +112,44 @@
             CHECK(answer.results_.size() >= listed.size());
     }
 }
+
+// Guards against an item that runs at two hosts: its owner wakes from a pause by the end of a run, before its first tick, and starts the
+// next item of a job that another host has taken over.
+TEST_CASE("ledger: an owner that wakes from a pause starts no item of a job that was taken over")
+{
+    SingleOwner owner;
+    owner.load();
+    const auto run = owner.scheduler_.startNext("s", owner.now_);
+    REQUIRE(run);
+    owner.writeOwner(SingleOwner::other);
+    owner.now_ += SchedulerSettings().pauseThreshold_ + 1s;
+    owner.scheduler_.ended(run->id_, RunResult::Interrupted, owner.now_);
+    CHECK(owner.scheduler_.waiting(owner.now_).empty());
+    CHECK_FALSE(owner.scheduler_.startNext("s", owner.now_));
+    owner.advance(200ms);
+    CHECK(owner.notes_[SchedulerNote::OwnershipLost] == 1);
+    CHECK_FALSE(owner.scheduler_.startNext("s", owner.now_));
+}
+
+// Guards against items that wait for good after a pause, or for longer than the store needs to confirm the ownership.
+TEST_CASE("ledger: an owner that wakes from a pause goes on once the store has confirmed its ownership")
+{
+    SingleOwner owner;
+    owner.load();
+    owner.now_ += SchedulerSettings().pauseThreshold_ + 1s;
+    CHECK_FALSE(owner.scheduler_.startNext("s", owner.now_));
+    owner.advance(100ms);
+    CHECK(owner.scheduler_.startNext("s", owner.now_));
+}
+
+// Guards against items that wait for as long as the store is away: nobody can take over the jobs meanwhile.
+TEST_CASE("ledger: an owner that wakes from a pause goes on while the store is away")
+{
+    SingleOwner owner;
+    owner.load();
+    owner.areHeadReadsLost_ = true;
+    owner.now_ += SchedulerSettings().pauseThreshold_ + 1s;
+    CHECK_FALSE(owner.scheduler_.startNext("s", owner.now_));
+    owner.advance(SchedulerSettings().readTimeout_);
+    CHECK(owner.scheduler_.startNext("s", owner.now_));
+}
