Interfaces of bounded bytes, fair shares and engine speeds

A byte budget for all connections of a process, claims of waiting requests, usage of workspaces and its messages, fields of the load reports. Nothing uses them yet, but for the encoding of reports: the datagram label is 8.

--- a/libs/capacity/include/capacity/NodeUse.h
+++ b/libs/capacity/include/capacity/NodeUse.h
@@ -2,6 +2,7 @@
 // reports it to other cells.
 #pragma once
 
+#include "base/Claim.h"
 #include "base/Id.h"
 #include "base/Time.h"
 
@@ -27,11 +28,23 @@
     friend bool operator==(const EngineUse&, const EngineUse&) = default;
 };
 
+// Queued online requests of one rank whose workspaces use less than their share, or not.
+struct WaitingClass {
+    Rank rank_ = 0;
+    bool isBelowShare_ = false;
+    std::uint16_t count_ = 0;
+    std::uint16_t inTime_ = 0;
+    float firstUsage_ = 0; // the lowest Claim::usage_ among those that can still meet their target latency, or among all if there are none
+
+    friend bool operator==(const WaitingClass&, const WaitingClass&) = default;
+};
+
 // The online requests for a service that are queued at a node until a slot is free.
 struct WaitingRequests {
     ServiceId service_;
     std::uint16_t count_ = 0;
     std::uint16_t inTime_ = 0; // those that can still meet their target latency; included in count_
+    std::vector<WaitingClass> classes_ {}; // all of count_ by class; empty while all claims are equal
 
     friend bool operator==(const WaitingRequests&, const WaitingRequests&) = default;
 };
@@ -45,6 +58,14 @@
     friend bool operator==(const WaitingItems&, const WaitingItems&) = default;
 };
 
+// How much slower than usual an engine is, as the code of EngineSpeeds.
+struct EngineSpeedReport {
+    UpstreamId engine_;
+    std::uint8_t code_ = 0;
+
+    friend bool operator==(const EngineSpeedReport&, const EngineSpeedReport&) = default;
+};
+
 // The report of one node to the other nodes of its cell.
 struct NodeUse {
     NodeId node_;
@@ -54,6 +75,7 @@
     std::vector<UpstreamId> failingEngines_; // engines that failed for the node and have not succeeded since
     std::vector<WaitingRequests> waiting_; // only services with queued requests
     std::vector<WaitingItems> items_; // only services with queued items
+    std::vector<EngineSpeedReport> speeds_ {}; // only engines that differ from the others, with evidence of the last second
 };
 
 // The report of a cell to other cells: the sum of the reports of its nodes.
--- a/libs/http/include/http/Message.h
+++ b/libs/http/include/http/Message.h
@@ -74,6 +74,14 @@
     Cancelled, // given up by this side
     ListenFailed, // the address can't be listened on
     TooManyConnections, // over the connection limit
+    ChunkLineTooLong, // the size line of a chunk, with its extensions, is over its limit
+    TrailerTooLarge, // the trailers of a chunked body are over their limit
+    TooManyInterimAnswers, // more 1xx answers than a sound server sends
+    AnswerTooLarge, // a whole answer is over its limit
+    EventTooLarge, // an event of a stream is over its limit
+    NoBufferSpace, // the process holds too many bytes for slow peers
+    ReaderStalled, // the reader took no byte while others needed the space
+    BadBudget, // a byte budget whose shares don't fit its limit
 };
 
 std::error_code make_error_code(Error error);
--- a/libs/http/src/Message.cpp
+++ b/libs/http/src/Message.cpp
@@ -39,6 +39,22 @@
                 return "address cannot be listened on";
             case Error::TooManyConnections:
                 return "too many connections";
+            case Error::ChunkLineTooLong:
+                return "size line of a chunk is over its limit";
+            case Error::TrailerTooLarge:
+                return "trailers are over their limit";
+            case Error::TooManyInterimAnswers:
+                return "too many interim answers";
+            case Error::AnswerTooLarge:
+                return "answer is over its limit";
+            case Error::EventTooLarge:
+                return "event is over its limit";
+            case Error::NoBufferSpace:
+                return "too many bytes are held for slow peers";
+            case Error::ReaderStalled:
+                return "reader took no byte while others needed the space";
+            case Error::BadBudget:
+                return "byte budget doesn't fit its shares";
             }
             return "unknown http error";
         }
--- a/libs/serving/src/ReportMessages.cpp
+++ b/libs/serving/src/ReportMessages.cpp
@@ -22,25 +22,38 @@
     constexpr std::size_t maxCells = 64;
     constexpr std::size_t maxQuotaEntries = 1000;
     constexpr std::size_t maxStreamRecords = 50;
+    constexpr std::size_t maxWaitingClasses = 8;
+    constexpr std::size_t maxSpeeds = 64;
+    constexpr std::size_t maxShareEntries = 64;
+    constexpr std::size_t maxRanks = 16;
     // Upper bounds for the sizes on the wire, which follow from the fields serialized below. They serve to pack digests into frames.
     // serviceBytes covers both WaitingRequests and WaitingItems.
     constexpr std::size_t summaryBytes = 64;
     constexpr std::size_t useBytes = 14;
     constexpr std::size_t idBytes = 8;
-    constexpr std::size_t serviceBytes = 18;
+    constexpr std::size_t serviceBytes = 22;
+    constexpr std::size_t waitingClassBytes = 10;
     constexpr std::size_t nodeBytes = 17;
 
-    constexpr std::string_view datagramLabel = "serving datagram 7";
+    constexpr std::string_view datagramLabel = "serving datagram 8";
 
     template <class T>
     void truncate(std::vector<T>& list, std::size_t maxSize) { list.resize(std::min(list.size(), maxSize)); }
 
+    void truncateToLimits(std::vector<WaitingRequests>& waiting)
+    {
+        truncate(waiting, maxServices);
+        for (WaitingRequests& one : waiting)
+            truncate(one.classes_, maxWaitingClasses);
+    }
+
     void truncateToLimits(NodeUse& use)
     {
         truncate(use.uses_, maxUses);
         truncate(use.failingEngines_, maxBackedOff);
-        truncate(use.waiting_, maxServices);
+        truncateToLimits(use.waiting_);
         truncate(use.items_, maxServices);
+        truncate(use.speeds_, maxSpeeds);
     }
 
     void truncateToLimits(NodeReport& report) { truncateToLimits(report.use_); }
@@ -68,15 +81,28 @@
         for (CellSummary& cell : digest.cells_) {
             truncate(cell.use_.uses_, maxUses);
             truncate(cell.use_.failingEngines_, maxBackedOff);
-            truncate(cell.use_.waiting_, maxServices);
+            truncateToLimits(cell.use_.waiting_);
             truncate(cell.use_.items_, maxServices);
             truncate(cell.nodes_, maxNodes);
         }
     }
+    void truncateToLimits(ShareReport& report)
+    {
+        truncate(report.workspaces_, maxShareEntries);
+        truncate(report.ranks_, maxRanks);
+    }
+    void truncateToLimits(CellShares& sum)
+    {
+        truncate(sum.workspaces_, maxShareEntries);
+        truncate(sum.ranks_, maxRanks);
+    }
 
     std::size_t bytesOf(const CellSummary& cell)
     {
-        return summaryBytes + cell.use_.uses_.size() * useBytes + cell.use_.failingEngines_.size() * idBytes + (cell.use_.waiting_.size() + cell.use_.items_.size()) * serviceBytes + cell.nodes_.size() * nodeBytes;
+        std::size_t classes = 0;
+        for (const WaitingRequests& waiting : cell.use_.waiting_)
+            classes += waiting.classes_.size();
+        return summaryBytes + classes * waitingClassBytes + cell.use_.uses_.size() * useBytes + cell.use_.failingEngines_.size() * idBytes + (cell.use_.waiting_.size() + cell.use_.items_.size()) * serviceBytes + cell.nodes_.size() * nodeBytes;
     }
 
 } // namespace
@@ -90,10 +116,22 @@
     archive(use.engine_, use.onlineRequests_, use.batchItems_, use.nonPreemptibleItems_);
 }
 
+template <class Archive>
+void serialize(Archive& archive, WaitingClass& waiting)
+{
+    archive(waiting.rank_, Flag { waiting.isBelowShare_ }, waiting.count_, waiting.inTime_, waiting.firstUsage_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, EngineSpeedReport& speed)
+{
+    archive(speed.engine_, speed.code_);
+}
+
 template <class Archive>
 void serialize(Archive& archive, WaitingRequests& waiting)
 {
-    archive(waiting.service_, waiting.count_, waiting.inTime_);
+    archive(waiting.service_, waiting.count_, waiting.inTime_, list<maxWaitingClasses>(waiting.classes_));
 }
 
 template <class Archive>
@@ -106,7 +144,7 @@
 void serialize(Archive& archive, NodeUse& use)
 {
     archive(use.node_, use.incarnation_, use.sequence_);
-    archive(list<maxUses>(use.uses_), list<maxBackedOff>(use.failingEngines_), list<maxServices>(use.waiting_), list<maxServices>(use.items_));
+    archive(list<maxUses>(use.uses_), list<maxBackedOff>(use.failingEngines_), list<maxServices>(use.waiting_), list<maxServices>(use.items_), list<maxSpeeds>(use.speeds_));
 }
 
 template <class Archive>
@@ -222,6 +260,30 @@
     archive(records.from_, Flag { records.isReply_ }, list<maxRecordsPerMessage>(records.records_));
 }
 
+template <class Archive>
+void serialize(Archive& archive, WorkspaceUsage& usage)
+{
+    archive(usage.workspace_, usage.slots_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, RankUsage& usage)
+{
+    archive(usage.rank_, usage.slots_);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ShareReport& report)
+{
+    archive(report.node_, report.incarnation_, report.sequence_, list<maxShareEntries>(report.workspaces_), list<maxRanks>(report.ranks_));
+}
+
+template <class Archive>
+void serialize(Archive& archive, CellShares& sum)
+{
+    archive(sum.cell_, sum.incarnation_, sum.sequence_, Flag { sum.isForwarded_ }, list<maxShareEntries>(sum.workspaces_), list<maxRanks>(sum.ranks_));
+}
+
 // NOLINTEND(readability-identifier-naming)
 
 namespace {
@@ -266,6 +328,10 @@
             return read<StreamAnswer>(archive, source);
         case 10:
             return read<SuspectRecords>(archive, source);
+        case 11:
+            return read<ShareReport>(archive, source);
+        case 12:
+            return read<CellShares>(archive, source);
         default:
             return PeerError::Unreadable;
         }
--- a/libs/serving/src/ReportMessages.h
+++ b/libs/serving/src/ReportMessages.h
@@ -1,5 +1,5 @@
 // Datagrams between nodes: load reports of nodes, load summaries of cells, preemption requests, and messages about quotas,
-// streams and what crashes engines.
+// streams, what crashes engines and the slot time of workspaces.
 //
 // Messages are encoded with cereal's portable archive and end with an authentication code of the fleet's key (wire/Key.h). The lengths of
 // all lists are limited, so decoding allocates a bounded amount of memory whatever the bytes are.
@@ -8,6 +8,7 @@
 #include "base/Result.h"
 #include "capacity/NodeUse.h"
 #include "crashes/SuspectMessages.h"
+#include "shares/ShareMessages.h"
 #include "streams/StreamMessages.h"
 #include "wire/Key.h"
 #include "workspaces/QuotaMessages.h"
@@ -77,7 +78,7 @@
     bool isForwarded_ = false; // forwarded by a delegate to its own cell
 };
 
-using PeerDatagram = std::variant<NodeReport, PreemptRequest, CellDigest, QuotaReport, AdmissionRequest, AdmissionDecision, QuotaNotice, StreamRecords, StreamQuery, StreamAnswer, SuspectRecords>;
+using PeerDatagram = std::variant<NodeReport, PreemptRequest, CellDigest, QuotaReport, AdmissionRequest, AdmissionDecision, QuotaNotice, StreamRecords, StreamQuery, StreamAnswer, SuspectRecords, ShareReport, CellShares>;
 
 std::string encode(const WireKey& key, const PeerDatagram& datagram);
 // Returns PeerError::Unauthentic or PeerError::Unreadable if the bytes can't be accepted.
--- /dev/null
+++ b/libs/shares/tests/FairSharesTest.cpp
@@ -0,0 +1,156 @@
+// Claims from what workspaces have used, at one node and from messages.
+#include "shares/FairShares.h"
+
+#include <doctest/doctest.h>
+
+using namespace jj;
+
+namespace {
+
+constexpr WorkspaceId small { 1 };
+constexpr WorkspaceId large { 2 };
+constexpr TimePoint start { 10s };
+
+FairShares sharesOf(std::uint64_t node)
+{
+    FairShares shares = FairShares::create({}, NodeId(node), Incarnation(1)).value();
+    shares.setWorkspaces({ { small, 1 }, { large, 1 } });
+    return shares;
+}
+
+void useSlots(FairShares& shares, WorkspaceId workspace, int slots, TimePoint now)
+{
+    for (int count = 0; count < slots; ++count)
+        shares.started(workspace, 0, now);
+}
+
+} // namespace
+
+TEST_CASE("shares: without workspaces and ranks all claims are equal")
+{
+    FairShares shares = FairShares::create({}, NodeId(1), Incarnation(1)).value();
+    useSlots(shares, large, 5, start);
+    CHECK(shares.claim(large, 3, start + 1s) == shares.claim(small, 0, start + 1s));
+    CHECK_FALSE(shares.isBelowShare(small, start + 1s));
+}
+
+TEST_CASE("shares: the workspace that has used less goes first")
+{
+    FairShares shares = sharesOf(1);
+    useSlots(shares, large, 4, start);
+    useSlots(shares, small, 1, start);
+    CHECK(shares.claim(small, 0, start + 1s) < shares.claim(large, 0, start + 1s));
+    CHECK(shares.isBelowShare(small, start + 1s));
+    CHECK_FALSE(shares.isBelowShare(large, start + 1s));
+}
+
+TEST_CASE("shares: usage counts relative to the weight")
+{
+    FairShares shares = FairShares::create({}, NodeId(1), Incarnation(1)).value();
+    shares.setWorkspaces({ { small, 1 }, { large, 8 } });
+    useSlots(shares, large, 4, start);
+    useSlots(shares, small, 1, start);
+    CHECK(shares.claim(large, 0, start + 1s) < shares.claim(small, 0, start + 1s));
+}
+
+// Guards against a workspace that is served late after its requests have all ended, because its usage is never forgotten.
+TEST_CASE("shares: usage is forgotten with its half-life")
+{
+    FairShares shares = sharesOf(1);
+    useSlots(shares, large, 1, start);
+    shares.ended(large, 0, start + 4s);
+    const float atEnd = shares.claim(large, 0, start + 4s).usage_;
+    CHECK(atEnd == doctest::Approx(0.75));
+    CHECK(shares.claim(large, 0, start + 6s).usage_ == doctest::Approx(atEnd / 2));
+}
+
+// Guards against unfairness between hosts that get different numbers of connections.
+TEST_CASE("shares: a node knows from the sum of its cell what other nodes have used")
+{
+    FairShares first = sharesOf(1);
+    FairShares second = sharesOf(2);
+    useSlots(second, large, 8, start);
+    useSlots(first, small, 1, start);
+    const TimePoint later = start + 2s;
+    first.recordCompetition(later);
+    second.recordCompetition(later);
+    REQUIRE(first.nextReport(later));
+    const auto report = second.nextReport(later);
+    REQUIRE(report);
+    first.applyReport(*report, later);
+    const auto sum = first.nextSum(CellId(1), later);
+    REQUIRE(sum);
+    first.applySum(*sum, later);
+    second.applySum(*sum, later);
+    CHECK(first.claim(large, 0, later).usage_ == doctest::Approx(4));
+    CHECK(second.claim(small, 0, later).usage_ == doctest::Approx(0.5));
+    // Its own part isn't counted twice.
+    CHECK(first.claim(small, 0, later).usage_ == doctest::Approx(0.5));
+    CHECK(second.claim(large, 0, later).usage_ == doctest::Approx(4));
+}
+
+TEST_CASE("shares: nothing is sent while no request waits")
+{
+    FairShares shares = sharesOf(1);
+    useSlots(shares, large, 3, start);
+    CHECK_FALSE(shares.nextReport(start + 1s));
+    shares.recordCompetition(start + 1s);
+    CHECK(shares.nextReport(start + 1s));
+    CHECK_FALSE(shares.nextReport(start + 1s + 100ms));
+    CHECK_FALSE(shares.nextReport(start + 10s));
+}
+
+// Guards against usage that outlives the node that reported it.
+TEST_CASE("shares: sums and reports expire")
+{
+    FairShares shares = sharesOf(1);
+    shares.recordCompetition(start);
+    shares.applySum({ CellId(1), Incarnation(9), 1, false, { { large, 6 } }, {} }, start);
+    CHECK(shares.claim(large, 0, start).usage_ == doctest::Approx(6));
+    shares.recordCompetition(start + 3s);
+    shares.nextReport(start + 3s);
+    CHECK(shares.claim(large, 0, start + 3s).usage_ == doctest::Approx(0));
+}
+
+TEST_CASE("shares: an older sum doesn't replace a newer one")
+{
+    FairShares shares = sharesOf(1);
+    shares.applySum({ CellId(1), Incarnation(9), 5, false, { { large, 6 } }, {} }, start);
+    shares.applySum({ CellId(1), Incarnation(9), 4, false, { { large, 1 } }, {} }, start);
+    shares.applySum({ CellId(1), Incarnation(8), 9, false, { { large, 2 } }, {} }, start);
+    CHECK(shares.claim(large, 0, start).usage_ == doctest::Approx(6));
+}
+
+TEST_CASE("shares: the rank goes before usage, where ranks differ")
+{
+    FairShares shares = sharesOf(1);
+    useSlots(shares, large, 4, start);
+    shares.started(small, 3, start);
+    shares.started(small, 3, start);
+    const TimePoint later = start + 2s;
+    CHECK(shares.claim(small, 3, later) < shares.claim(large, 0, later));
+    shares.setRanksDiffer(true);
+    CHECK(shares.claim(large, 0, later) < shares.claim(small, 3, later));
+}
+
+// Guards against lower ranks that get nothing while the most urgent one takes all slots.
+TEST_CASE("shares: the lower ranks together get a tenth of the slot time")
+{
+    FairShares shares = sharesOf(1);
+    shares.setRanksDiffer(true);
+    for (int count = 0; count < 20; ++count)
+        shares.started(large, 0, start);
+    const TimePoint later = start + 2s;
+    CHECK(shares.claim(small, 3, later).rank_ == 0);
+    shares.started(small, 3, later);
+    shares.started(small, 3, later);
+    shares.started(small, 3, later);
+    CHECK(shares.claim(small, 3, later + 10s).rank_ == 3);
+}
+
+TEST_CASE("shares: settings without a half-life are refused")
+{
+    FairShareSettings settings;
+    settings.halfLife_ = 0s;
+    CHECK(FairShares::create(settings, NodeId(1), Incarnation(1)).error() == ShareError::BadSettings);
+}
