Http: a byte budget, pauses of reading, and limits for each element of an answer

Cause: an engine that sent a chunk extension without end made a host grow by 1,003 MB in 9 s; a caller that read 2 MB/s of a stream of 12 MB was cut off at 4 MB; bodies under way were held three times.

Change: calls can stop reading from the other side; chunk size lines, trailers and interim answers have limits, also after a 1xx answer, which had none. With a budget, writers see when a connection's queue is full; when the budget is exhausted, readers that have taken no byte for a second are cut off, the longest first, and bodies that don't fit are refused. A body is held once. Without a budget nothing changes.

--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -39,7 +39,10 @@
     Duration pooledIdle_ = std::chrono::seconds(30);
     std::size_t pooledPerEndpoint_ = 64;
     Duration cancelLinger_ = std::chrono::milliseconds(50); // of Call::cancelAfterReceived(): longer than a round trip
-    std::size_t headerBytes_ = 16 * 1024;
+    std::size_t headerBytes_ = 16 * 1024; // of the status line and headers together
+    std::size_t chunkLineBytes_ = 4 * 1024; // of a chunk's size line, with its extensions
+    std::size_t trailerBytes_ = 16 * 1024;
+    std::uint32_t interimAnswers_ = 8; // 1xx answers before the final one
     std::size_t bodyBytes_ = 16 * 1024 * 1024; // of a whole answer (fetch); streams have no limit
 };
 
@@ -50,6 +53,8 @@
     // connection, such as a second answer that came late: it is read over, and the one after it is waited for.
     std::string echoName_ {};
     std::string echoValue_ {};
+    // Sent in place of Request::body_, without a copy. Released once it has been written.
+    std::shared_ptr<const std::string> sharedBody_ {};
 };
 
 // run_ is NotRun only when no byte of the request was handed to the socket; Ran when the answer's head was there.
@@ -83,6 +88,10 @@
     // As cancel(), but callbacks first deliver what the connection has received by now and this side hasn't read yet, and for a while
     // (ClientSettings::cancelLinger_) what the other side had sent before it saw the end.
     void cancelAfterReceived();
+    // Stops reading from the other side until resumeReading(), after what has been read is delivered. CallOptions::idle_ doesn't run
+    // meanwhile, and the end of the connection isn't noticed. Any thread; again is harmless.
+    void pauseReading();
+    void resumeReading();
 
 private:
     std::shared_ptr<detail::ClientConnection> connection() const;
--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -12,6 +12,7 @@
 #include "base/Endpoint.h"
 #include "base/Result.h"
 #include "base/Time.h"
+#include "http/ByteBudget.h"
 #include "http/Message.h"
 
 #include <cstddef>
@@ -34,7 +35,11 @@
     std::size_t headerBytes_ = 16 * 1024; // request line and headers together
     std::size_t bodyBytes_ = 1024 * 1024; // unless the body planner says otherwise
     std::size_t connections_ = 4096;
-    std::size_t writeQueueBytes_ = 4 * 1024 * 1024; // a stream's reader further behind than this is cut off
+    std::size_t chunkLineBytes_ = 4 * 1024; // of a chunk's size line, with its extensions
+    std::size_t trailerBytes_ = 16 * 1024;
+    std::size_t writeQueueBytes_ = 4 * 1024 * 1024; // without a byte budget, a stream's reader further behind than this is cut off
+    // When the byte budget is exhausted, readers that have taken no byte for this long are cut off, those first that wait for longest.
+    Duration stallTime_ = std::chrono::seconds(1);
     Duration requestTime_ = std::chrono::seconds(15); // from a request's first byte to the end of its header or whole body
     Duration idle_ = std::chrono::seconds(60); // keep-alive without a request; a client that sends no byte of a streamed body
     Duration writeTime_ = std::chrono::seconds(60); // a client that takes no byte of its answer, which can't be had again
@@ -43,6 +48,9 @@
 struct ServerSettings {
     Endpoint listen_;
     ServerLimits limits_;
+    std::shared_ptr<ByteBudget> budget_ {}; // of all connections of the process; null: each connection has the limits above
+    // Formats the answer to a request that the server refuses without calling the handler because the budget is exhausted; none: errorResponse().
+    std::function<Response(Error)> formatRefusal_ {};
 };
 
 // How the body of one request is read; chosen when its header is there.
@@ -61,7 +69,7 @@
 // One request and its answer. All calls are safe from any thread; calls after the end or after the client left do nothing.
 class Exchange {
 public:
-    Exchange(std::shared_ptr<detail::ServerConnection> connection, std::uint64_t turn, Request request, bool bodyIsStreamed);
+    Exchange(std::shared_ptr<detail::ServerConnection> connection, std::uint64_t turn, Request request, bool bodyIsStreamed, ByteHold bodyHold);
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
     // An exchange that is dropped without an answer is answered 500, so that no client waits for ever.
@@ -83,6 +91,12 @@
     std::size_t queuedBytes() const;
     // Calls back once, when the queue is (nearly) empty, or when the client is gone.
     void whenDrained(std::function<void()> callback);
+    // Returns whether the writer should stop until the reader has taken more: the queue has reached this connection's share of the budget.
+    bool isQueueFull() const;
+    // Calls back once, when the queue has fallen below half of that, or when the client is gone. May be called at once.
+    void whenWritable(std::function<void()> callback);
+    // Returns whether the client was cut off because it took no byte while the budget was exhausted.
+    bool wasCutOff() const;
 
     // Calls back once, when the client goes away or is cut off before the answer ended. May be called at once.
     void onClosed(std::function<void()> callback);
@@ -95,6 +109,7 @@
     std::uint64_t turn_; // which request of the connection this is; calls of an earlier one are ignored
     Request request_;
     bool bodyIsStreamed_;
+    ByteHold bodyHold_; // of request_.body_
 };
 
 class Server {
@@ -128,6 +143,10 @@
     std::size_t openConnections() const;
     // Requests of which a byte was read and that have no complete answer yet.
     std::size_t openExchanges() const;
+    // Number of clients that were cut off since the start because they took no byte while the byte budget was exhausted.
+    std::uint64_t readersCutOff() const;
+    // Number of requests that were refused since the start because their body didn't fit into the byte budget.
+    std::uint64_t uploadsRefused() const;
 
 private:
     explicit Server(std::shared_ptr<detail::ServerShared> shared);
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -13,7 +13,7 @@
     using detail::ClientConnection;
     using detail::ClientShared;
 
-    std::string requestText(const Endpoint& endpoint, const Request& request)
+    std::string requestHead(const Endpoint& endpoint, const Request& request, std::size_t bodyBytes)
     {
         boost::beast::http::request<boost::beast::http::empty_body> head;
         head.version(11);
@@ -25,9 +25,9 @@
             if (!detail::isHopHeader(header.name_))
                 head.insert(detail::lineSafe(header.name_), detail::lineSafe(header.value_));
         }
-        if (!request.body_.empty() || request.method_ == "POST" || request.method_ == "PUT")
-            head.content_length(request.body_.size());
-        return detail::headText(head) + request.body_;
+        if (bodyBytes > 0 || request.method_ == "POST" || request.method_ == "PUT")
+            head.content_length(bodyBytes);
+        return detail::headText(head);
     }
 
     std::shared_ptr<ClientConnection> pick(const std::shared_ptr<ClientShared>& shared, const Endpoint& endpoint, bool fresh)
@@ -75,6 +75,16 @@
         current->cancelAfterReceivedSoon(state_);
 }
 
+void Call::pauseReading() { state_->isPaused_ = true; }
+
+void Call::resumeReading()
+{
+    if (!state_->isPaused_.exchange(false))
+        return;
+    if (const auto current = connection())
+        current->resumeSoon(state_);
+}
+
 std::shared_ptr<ClientConnection> Call::connection() const
 {
     const std::lock_guard lock(state_->mutex_);
@@ -105,8 +115,10 @@
     auto state = std::make_shared<CallState>();
     state->handlers_ = std::move(handlers);
     state->options_ = options;
+    state->options_.sharedBody_ = nullptr;
     state->endpoint_ = endpoint;
-    state->outbound_ = requestText(endpoint, request);
+    state->outboundBody_ = options.sharedBody_ ? options.sharedBody_ : std::make_shared<const std::string>(request.body_);
+    state->outboundHead_ = requestHead(endpoint, request, state->outboundBody_->size());
     state->isHead_ = request.method_ == "HEAD";
     const auto connection = pick(shared_, endpoint, options.fresh_);
     state->connection_ = connection;
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -2,6 +2,7 @@
 #include "ClientConnection.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
@@ -80,6 +81,16 @@
     });
 }
 
+void ClientConnection::resumeSoon(std::shared_ptr<CallState> call)
+{
+    asio::post(socket_.get_executor(), [self = shared_from_this(), call = std::move(call)] {
+        if (self->call_ != call)
+            return;
+        self->expectProgress(call->options_.idle_);
+        self->readSome();
+    });
+}
+
 void ClientConnection::dropCall()
 {
     const std::shared_ptr<CallState> call = std::move(call_);
@@ -112,10 +123,9 @@
         return other->startSoon(std::move(call));
     }
     call_ = std::move(call);
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(shared_->settings_.headerBytes_));
-    parser_->body_limit(boost::none);
+    beginParsing();
     parser_->skip(call_->isHead_);
+    interimAnswers_ = 0;
     written_ = false;
     readingOver_ = false;
     if (connected_)
@@ -124,6 +134,15 @@
         connect();
 }
 
+void ClientConnection::beginParsing()
+{
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(shared_->settings_.headerBytes_));
+    parser_->body_limit(boost::none);
+    checkChunkLine_ = chunkLineCheck(shared_->settings_.chunkLineBytes_);
+    parser_->on_chunk_header(checkChunkLine_);
+}
+
 void ClientConnection::connect()
 {
     error_code error;
@@ -149,7 +168,9 @@
 {
     expectProgress(call_->options_.idle_);
     call_->sent_ = true;
-    asio::async_write(socket_, asio::buffer(call_->outbound_), [self = shared_from_this(), call = call_](error_code error, std::size_t bytes) {
+    const std::array<asio::const_buffer, 2> outbound { asio::buffer(call_->outboundHead_), asio::buffer(*call_->outboundBody_) };
+    asio::async_write(socket_, outbound, [self = shared_from_this(), call = call_](error_code error, std::size_t bytes) {
+        call->outboundBody_ = nullptr;
         if (self->closed_ || self->call_ != call)
             return;
         if (error) {
@@ -163,7 +184,7 @@
 
 void ClientConnection::readSome()
 {
-    if (reading_ || closed_)
+    if (reading_ || closed_ || isPaused())
         return;
     reading_ = true;
     socket_.async_read_some(buffer_.prepare(readBytes), [self = shared_from_this()](error_code error, std::size_t bytes) { self->onRead(error, bytes); });
@@ -238,12 +259,15 @@
         error_code error;
         const std::size_t before = buffer_.size();
         if (!feed(*parser_, buffer_, error))
-            return fail(error == beast::http::error::header_limit ? Error::HeaderTooLarge : Error::Malformed);
+            return fail(parseError(error));
         if (!parser_->is_header_done())
             return;
+        if (const auto tooLong = checkIncomplete(*parser_, buffer_, shared_->settings_.chunkLineBytes_, shared_->settings_.trailerBytes_))
+            return fail(*tooLong);
         if (parser_->get().result_int() < firstFinalStatus) {
-            parser_.emplace();
-            parser_->body_limit(boost::none);
+            if (++interimAnswers_ > shared_->settings_.interimAnswers_)
+                return fail(Error::TooManyInterimAnswers);
+            beginParsing();
             continue;
         }
         if (isForeign()) {
@@ -283,9 +307,7 @@
         return true;
     readingOver_ = false;
     const bool mayFollow = parser_->keep_alive();
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(shared_->settings_.headerBytes_));
-    parser_->body_limit(boost::none);
+    beginParsing();
     if (!mayFollow)
         fail(Error::Closed);
     return mayFollow;
@@ -402,6 +424,8 @@
         return fail(Error::ConnectTimedOut);
     if (call_ && lingering_)
         return dropCall();
+    if (isPaused())
+        return expectProgress(call_->options_.idle_);
     if (call_)
         return fail(Error::NoProgress);
     close();
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -38,13 +38,15 @@
     CallHandlers handlers_;
     CallOptions options_;
     Endpoint endpoint_;
-    std::string outbound_; // the whole request as text
+    std::string outboundHead_; // the request line and headers as text
+    std::shared_ptr<const std::string> outboundBody_; // null once it has been written
     bool isHead_ = false;
     // Invariants: sent_ is set before the first byte is handed to the socket; headSeen_ implies sent_.
     bool sent_ = false;
     bool headSeen_ = false;
     std::atomic<bool> cancelled_ = false;
     std::atomic<bool> ending_ = false; // the call ends once what its connection has received is delivered
+    std::atomic<bool> isPaused_ = false; // nothing is read from the other side
 
     std::mutex mutex_; // guards connection_
     std::weak_ptr<ClientConnection> connection_;
@@ -58,12 +60,15 @@
     void startSoon(std::shared_ptr<CallState> call);
     void cancelSoon(std::shared_ptr<CallState> call);
     void cancelAfterReceivedSoon(std::shared_ptr<CallState> call);
+    void resumeSoon(std::shared_ptr<CallState> call);
     void closeSoon();
 
 private:
     void start(std::shared_ptr<CallState> call);
     void connect();
     void send();
+    void beginParsing();
+    bool isPaused() const { return call_ && call_->isPaused_; }
     void readSome();
     void onRead(error_code error, std::size_t bytes);
     void onReadEnd(error_code error);
@@ -90,6 +95,8 @@
     asio::steady_timer timer_;
     beast::flat_buffer buffer_;
     std::optional<ResponseParser> parser_;
+    ChunkLineCheck checkChunkLine_; // called by the parser
+    std::uint32_t interimAnswers_ = 0; // of the call
     std::shared_ptr<CallState> call_;
     bool connected_ = false;
     bool connecting_ = false;
--- a/libs/http/src/Codec.h
+++ b/libs/http/src/Codec.h
@@ -3,6 +3,7 @@
 
 #include "http/Message.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -11,6 +12,9 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/optional/optional.hpp>
+#include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -57,6 +61,47 @@
 using RequestParser = beast::http::request_parser<AppendBody>;
 using ResponseParser = beast::http::response_parser<AppendBody>;
 
+// Called by the parser with each chunk's size and extensions.
+using ChunkLineCheck = std::function<void(std::uint64_t, beast::string_view, error_code&)>;
+
+inline ChunkLineCheck chunkLineCheck(std::size_t limit)
+{
+    return [limit](std::uint64_t, beast::string_view extensions, error_code& error) {
+        if (extensions.size() > limit)
+            error = beast::http::error::bad_chunk_extension;
+    };
+}
+
+// What remains in the buffer after feed() is the incomplete size line of a chunk, or the last chunk with incomplete trailers. Returns an
+// error if it is over its limit: the other side may send such a line without end.
+template <class Parser>
+std::optional<Error> checkIncomplete(const Parser& parser, const beast::flat_buffer& buffer, std::size_t chunkLineLimit, std::size_t trailerLimit)
+{
+    if (!parser.chunked() || parser.is_done())
+        return std::nullopt;
+    constexpr std::string_view lineEnd = "\r\n";
+    std::string_view rest(static_cast<const char*>(buffer.data().data()), buffer.size());
+    if (rest.starts_with(lineEnd))
+        rest.remove_prefix(lineEnd.size()); // ends the data of the chunk before
+    const std::size_t sizeLine = std::min(rest.find(lineEnd), rest.size());
+    if (sizeLine > chunkLineLimit)
+        return Error::ChunkLineTooLong;
+    if (rest.size() - sizeLine > trailerLimit)
+        return Error::TrailerTooLarge;
+    return std::nullopt;
+}
+
+inline Error parseError(error_code error)
+{
+    if (error == beast::http::error::header_limit || error == beast::http::error::buffer_overflow)
+        return Error::HeaderTooLarge;
+    if (error == beast::http::error::body_limit)
+        return Error::BodyTooLarge;
+    if (error == beast::http::error::bad_chunk_extension)
+        return Error::ChunkLineTooLong;
+    return Error::Malformed;
+}
+
 // Parses as much as can be; false when the message is bad. Consumes what was parsed.
 template <class Parser>
 bool feed(Parser& parser, beast::flat_buffer& buffer, error_code& error)
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -173,11 +173,16 @@
 
 std::size_t Server::openExchanges() const { return shared_->exchanges_; }
 
-Exchange::Exchange(std::shared_ptr<ServerConnection> connection, std::uint64_t turn, Request request, bool bodyIsStreamed)
+std::uint64_t Server::readersCutOff() const { return shared_->readersCutOff_; }
+
+std::uint64_t Server::uploadsRefused() const { return shared_->uploadsRefused_; }
+
+Exchange::Exchange(std::shared_ptr<ServerConnection> connection, std::uint64_t turn, Request request, bool bodyIsStreamed, ByteHold bodyHold)
     : connection_(std::move(connection))
     , turn_(turn)
     , request_(std::move(request))
     , bodyIsStreamed_(bodyIsStreamed)
+    , bodyHold_(std::move(bodyHold))
 {
 }
 
@@ -189,6 +194,9 @@
 void Exchange::abort() { connection_->abort(turn_); }
 std::size_t Exchange::queuedBytes() const { return connection_->queuedBytes(turn_); }
 void Exchange::whenDrained(std::function<void()> callback) { connection_->whenDrained(turn_, std::move(callback)); }
+bool Exchange::isQueueFull() const { return connection_->isQueueFull(turn_); }
+void Exchange::whenWritable(std::function<void()> callback) { connection_->whenWritable(turn_, std::move(callback)); }
+bool Exchange::wasCutOff() const { return connection_->wasCutOff(); }
 void Exchange::onClosed(std::function<void()> callback) { connection_->onClosed(turn_, std::move(callback)); }
 void Exchange::readBody(std::function<void(BodyPiece)> callback) { connection_->readBody(turn_, std::move(callback)); }
 
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -23,6 +23,7 @@
         case Error::RequestTooSlow:
             return 408;
         case Error::TooManyConnections:
+        case Error::NoBufferSpace:
             return 503;
         default:
             return 400;
@@ -42,20 +43,17 @@
             return "http.TooManyConnections";
         case Error::Truncated:
             return "http.Truncated";
+        case Error::ChunkLineTooLong:
+            return "http.ChunkLineTooLong";
+        case Error::TrailerTooLarge:
+            return "http.TrailerTooLarge";
+        case Error::NoBufferSpace:
+            return "host.NoBufferSpace";
         default:
             return "http.Malformed";
         }
     }
 
-    Error fromBeast(error_code error)
-    {
-        if (error == beast::http::error::header_limit || error == beast::http::error::buffer_overflow)
-            return Error::HeaderTooLarge;
-        if (error == beast::http::error::body_limit)
-            return Error::BodyTooLarge;
-        return Error::Malformed;
-    }
-
 } // namespace
 
 ServerConnection::ServerConnection(std::shared_ptr<ServerShared> shared, tcp::socket socket)
@@ -66,6 +64,8 @@
     , lastRead_(requestStart_)
     , lastWrite_(requestStart_)
 {
+    if (shared_->settings_.budget_)
+        outbox_.hold_ = shared_->settings_.budget_->hold(ByteUse::Answers);
 }
 
 ServerConnection::~ServerConnection()
@@ -178,13 +178,15 @@
         parser_.emplace();
         parser_->header_limit(static_cast<std::uint32_t>(shared_->settings_.limits_.headerBytes_));
         parser_->body_limit(boost::none);
+        checkChunkLine_ = chunkLineCheck(shared_->settings_.limits_.chunkLineBytes_);
+        parser_->on_chunk_header(checkChunkLine_);
         requestStart_ = SteadyClock::now();
         counted_ = true;
         ++shared_->exchanges_;
     }
     error_code error;
     if (!feed(*parser_, buffer_, error)) {
-        fail(fromBeast(error));
+        fail(parseError(error));
         return false;
     }
     if (!parser_->is_header_done())
@@ -203,6 +205,12 @@
     parser_->body_limit(limit);
     bodyDone_ = parser_->is_done();
     bodyStreamed_ = plan.streamed_;
+    const bool fits = bodyStreamed_ || !shared_->settings_.budget_ || shared_->settings_.budget_->hasRoom(ByteUse::Uploads, parser_->content_length().value_or(0));
+    if (!fits) {
+        ++shared_->uploadsRefused_;
+        fail(Error::NoBufferSpace);
+        return false;
+    }
     if (!bodyDone_ && beast::iequals(parser_->get()[beast::http::field::expect], "100-continue")) {
         const std::lock_guard lock(mutex_);
         outbox_.pending_.append("HTTP/1.1 100 Continue\r\n\r\n");
@@ -220,9 +228,16 @@
 {
     error_code error;
     if (!feed(*parser_, buffer_, error)) {
-        fail(fromBeast(error));
+        fail(parseError(error));
+        return false;
+    }
+    const ServerLimits& limits = shared_->settings_.limits_;
+    if (const auto tooLong = checkIncomplete(*parser_, buffer_, limits.chunkLineBytes_, limits.trailerBytes_)) {
+        fail(*tooLong);
         return false;
     }
+    if (!countBody())
+        return false;
     bodyDone_ = parser_->is_done();
     if (!bodyDone_)
         return false;
@@ -230,6 +245,25 @@
     return phase_ == Phase::Head;
 }
 
+bool ServerConnection::countBody()
+{
+    const std::shared_ptr<ByteBudget>& budget = shared_->settings_.budget_;
+    if (!budget)
+        return true;
+    const std::size_t bytes = parser_->get().body().size();
+    if (!budget->hasRoom(ByteUse::Uploads, bytes - std::min(bytes, bodyHold_.bytes()))) {
+        parser_->get().body().clear();
+        bodyHold_ = {};
+        ++shared_->uploadsRefused_;
+        fail(Error::NoBufferSpace);
+        return false;
+    }
+    if (bodyHold_.bytes() == 0)
+        bodyHold_ = budget->hold(ByteUse::Uploads);
+    bodyHold_.resize(bytes);
+    return true;
+}
+
 void ServerConnection::beginTurn(bool keepAlive)
 {
     phase_ = Phase::Handling;
@@ -246,7 +280,7 @@
     beginTurn(parser_->keep_alive());
     Request request = std::exchange(head_, {});
     request.body_ = std::exchange(parser_->get().body(), {});
-    shared_->handler_(std::make_shared<Exchange>(shared_from_this(), outbox_.turn_, std::move(request), streamed));
+    shared_->handler_(std::make_shared<Exchange>(shared_from_this(), outbox_.turn_, std::move(request), streamed, std::exchange(bodyHold_, {})));
 }
 
 void ServerConnection::readBody(std::uint64_t turn, std::function<void(BodyPiece)> callback)
@@ -269,7 +303,10 @@
         return deliverPiece({ *bodyError_, {}, false });
     error_code error;
     if (!bodyDone_ && !feed(*parser_, buffer_, error))
-        return failBody(fromBeast(error));
+        return failBody(parseError(error));
+    const ServerLimits& limits = shared_->settings_.limits_;
+    if (const auto tooLong = checkIncomplete(*parser_, buffer_, limits.chunkLineBytes_, limits.trailerBytes_))
+        return failBody(*tooLong);
     const bool wasDone = bodyDone_;
     bodyDone_ = parser_->is_done();
     std::string data = std::move(parser_->get().body());
@@ -302,7 +339,8 @@
     beginTurn(false);
     bodyStreamed_ = false;
     const std::error_code code = error;
-    respond(outbox_.turn_, errorResponse(statusOf(error), codeOf(error), code.message(), RunState::NotRun));
+    const bool hasFormat = error == Error::NoBufferSpace && shared_->settings_.formatRefusal_;
+    respond(outbox_.turn_, hasFormat ? shared_->settings_.formatRefusal_(error) : errorResponse(statusOf(error), codeOf(error), code.message(), RunState::NotRun));
 }
 
 // Closing at once with unread input would reset the connection, and the client might lose the answer that it is about to read.
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -43,11 +43,17 @@
     std::atomic<std::size_t> exchanges_ = 0;
     std::function<bool()> admits_; // empty: all connections are admitted
     std::atomic<std::uint64_t> unadmitted_ = 0;
+    std::atomic<std::uint64_t> readersCutOff_ = 0;
+    std::atomic<std::uint64_t> uploadsRefused_ = 0;
+    std::atomic<bool> isRelieving_ = false; // stalled readers are about to be cut off
 
     mutable std::mutex mutex_; // guards connections_
     std::unordered_map<const void*, std::weak_ptr<ServerConnection>> connections_;
 };
 
+// Cuts off stalled readers until the byte budget has room. Only what holds no lock may call it.
+void relieveBudget(ServerShared& shared);
+
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
     ServerConnection(std::shared_ptr<ServerShared> shared, tcp::socket socket);
@@ -71,6 +77,14 @@
     void dropped(std::uint64_t turn);
     std::size_t queuedBytes(std::uint64_t turn) const;
     void whenDrained(std::uint64_t turn, std::function<void()> callback);
+    bool isQueueFull(std::uint64_t turn) const;
+    void whenWritable(std::uint64_t turn, std::function<void()> callback);
+    bool wasCutOff() const { return isCutOff_; }
+    // Returns since when the client has taken no byte although some are queued; nullopt if nothing is queued.
+    std::optional<std::chrono::steady_clock::time_point> stalledSince() const;
+    std::size_t heldBytes() const;
+    // Closes the connection of a stalled reader. Any thread.
+    void cutOffSoon();
     void onClosed(std::uint64_t turn, std::function<void()> callback);
     void readBody(std::uint64_t turn, std::function<void(BodyPiece)> callback);
 
@@ -95,12 +109,22 @@
         bool flushing_ = false; // a flush is posted or a write is under way; it looks at pending_ again when it ends
         std::string pending_;
         std::size_t writing_ = 0; // bytes handed to the socket and not yet taken
+        std::size_t inFlight_ = 0; // size of the buffer that holds them
+        std::chrono::steady_clock::time_point progressAt_ {}; // when the socket last took bytes, or the queue was last empty
+        ByteHold hold_; // of pending_ and the buffer that is being written
         std::function<void()> onClosed_;
         std::function<void()> onDrained_;
+        std::function<void()> onWritable_;
     };
 
     bool isCurrent(std::uint64_t turn) const { return turn == outbox_.turn_ && !outbox_.closed_ && !outbox_.ended_; }
     void startLocked(int status, const Headers& headers, const std::string* wholeBody);
+    std::size_t queuedLocked() const { return outbox_.pending_.size() + outbox_.writing_; }
+    std::size_t fullBytes() const;
+    // Accounts for the bytes that the outbox holds.
+    void countLocked();
+    // Returns the callback that is due because the queue is short again, or null.
+    std::function<void()> takeWritableLocked();
     void flushLocked();
     void flush();
     void writeSome();
@@ -117,6 +141,8 @@
     void beginTurn(bool keepAlive);
     void handle(bool streamed);
     void pumpBody();
+    // Accounts for the body that has been read. Returns false if it doesn't fit, and the request has been refused.
+    bool countBody();
     void failBody(Error error);
     void deliverPiece(BodyPiece piece);
     void fail(Error error);
@@ -134,6 +160,9 @@
     static constexpr std::size_t readBytes = 16 * 1024;
     std::array<char, readBytes> input_;
     std::optional<RequestParser> parser_;
+    ChunkLineCheck checkChunkLine_; // called by the parser
+    ByteHold bodyHold_; // of the body that is being read
+    std::atomic<bool> isCutOff_ = false;
     Request head_; // of the request that is being read; its body is empty
     Phase phase_ = Phase::Head;
     bool reading_ = false;
--- a/libs/http/src/ServerOutbox.cpp
+++ b/libs/http/src/ServerOutbox.cpp
@@ -1,9 +1,12 @@
 // The write side of a connection: answers are queued under a mutex by any thread and written out on the strand.
 #include "ServerConnection.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <charconv>
+#include <utility>
+#include <vector>
 
 namespace jj::http::detail {
 
@@ -53,6 +56,7 @@
     if (!isCurrent(turn) || outbox_.started_)
         return;
     startLocked(response.status_, response.headers_, &response.body_);
+    countLocked();
     outbox_.ended_ = true;
     flushLocked();
 }
@@ -63,6 +67,7 @@
     if (!isCurrent(turn) || outbox_.started_)
         return;
     startLocked(status, headers, nullptr);
+    countLocked();
     flushLocked();
 }
 
@@ -71,8 +76,9 @@
     const std::lock_guard lock(mutex_);
     if (!isCurrent(turn) || !outbox_.started_ || data.empty())
         return;
-    // A reader that doesn't keep up would let the queue grow without bound; it is cut off and sees a truncated answer.
-    if (outbox_.pending_.size() + outbox_.writing_ > shared_->settings_.limits_.writeQueueBytes_) {
+    // A reader that doesn't keep up would let the queue grow without bound; it is cut off and sees a truncated answer. With a budget, writers
+    // stop at isQueueFull().
+    if (!shared_->settings_.budget_ && queuedLocked() > shared_->settings_.limits_.writeQueueBytes_) {
         asio::post(socket_.get_executor(), [self = shared_from_this()] { self->close(); });
         return;
     }
@@ -80,6 +86,7 @@
         appendChunk(outbox_.pending_, data);
     else
         outbox_.pending_.append(data);
+    countLocked();
     flushLocked();
 }
 
@@ -119,7 +126,92 @@
 std::size_t ServerConnection::queuedBytes(std::uint64_t turn) const
 {
     const std::lock_guard lock(mutex_);
-    return turn == outbox_.turn_ ? outbox_.pending_.size() + outbox_.writing_ : 0;
+    return turn == outbox_.turn_ ? queuedLocked() : 0;
+}
+
+std::size_t ServerConnection::fullBytes() const
+{
+    const std::shared_ptr<ByteBudget>& budget = shared_->settings_.budget_;
+    return budget ? budget->share() : shared_->settings_.limits_.writeQueueBytes_ / 2;
+}
+
+bool ServerConnection::isQueueFull(std::uint64_t turn) const
+{
+    const std::lock_guard lock(mutex_);
+    return isCurrent(turn) && queuedLocked() >= fullBytes();
+}
+
+void ServerConnection::whenWritable(std::uint64_t turn, std::function<void()> callback)
+{
+    const std::lock_guard lock(mutex_);
+    if (isCurrent(turn) && queuedLocked() >= fullBytes() / 2)
+        outbox_.onWritable_ = std::move(callback);
+    else
+        asio::post(socket_.get_executor(), std::move(callback));
+}
+
+std::function<void()> ServerConnection::takeWritableLocked()
+{
+    if (!outbox_.onWritable_ || queuedLocked() >= fullBytes() / 2)
+        return nullptr;
+    return std::exchange(outbox_.onWritable_, nullptr);
+}
+
+void ServerConnection::countLocked()
+{
+    const std::shared_ptr<ByteBudget>& budget = shared_->settings_.budget_;
+    if (!budget)
+        return;
+    outbox_.hold_.resize(outbox_.pending_.size() + outbox_.inFlight_);
+    if (budget->hasRoom(ByteUse::Answers, 0) || shared_->isRelieving_.exchange(true))
+        return;
+    asio::post(socket_.get_executor(), [shared = shared_] { relieveBudget(*shared); });
+}
+
+std::optional<std::chrono::steady_clock::time_point> ServerConnection::stalledSince() const
+{
+    const std::lock_guard lock(mutex_);
+    if (outbox_.closed_ || queuedLocked() == 0)
+        return std::nullopt;
+    return outbox_.progressAt_;
+}
+
+std::size_t ServerConnection::heldBytes() const
+{
+    const std::lock_guard lock(mutex_);
+    return outbox_.hold_.bytes();
+}
+
+void ServerConnection::cutOffSoon()
+{
+    isCutOff_ = true;
+    closeSoon();
+}
+
+void relieveBudget(ServerShared& shared)
+{
+    shared.isRelieving_ = false;
+    const auto latest = std::chrono::steady_clock::now() - shared.settings_.limits_.stallTime_;
+    std::vector<std::pair<std::chrono::steady_clock::time_point, std::shared_ptr<ServerConnection>>> stalled;
+    {
+        const std::lock_guard lock(shared.mutex_);
+        for (const auto& [key, weak] : shared.connections_) {
+            auto connection = weak.lock();
+            const auto since = connection ? connection->stalledSince() : std::nullopt;
+            if (since && *since <= latest)
+                stalled.emplace_back(*since, std::move(connection));
+        }
+    }
+    std::sort(stalled.begin(), stalled.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::size_t freed = 0;
+    for (const auto& [since, connection] : stalled) {
+        const std::size_t held = shared.settings_.budget_->held(ByteUse::Answers) + shared.settings_.budget_->held(ByteUse::Uploads);
+        if (held <= freed || held - freed < shared.settings_.budget_->limit())
+            return;
+        freed += connection->heldBytes();
+        ++shared.readersCutOff_;
+        connection->cutOffSoon();
+    }
 }
 
 void ServerConnection::whenDrained(std::uint64_t turn, std::function<void()> callback)
@@ -147,16 +239,19 @@
     if (outbox_.flushing_ || outbox_.closed_)
         return;
     outbox_.flushing_ = true;
+    outbox_.progressAt_ = std::chrono::steady_clock::now();
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->flush(); });
 }
 
 void ServerConnection::flush()
 {
     std::function<void()> drained;
+    std::function<void()> writable;
     bool ended = false;
     {
         const std::lock_guard lock(mutex_);
         outbox_.writing_ = 0;
+        outbox_.inFlight_ = 0;
         if (outbox_.closed_)
             return;
         if (outbox_.pending_.empty()) {
@@ -168,8 +263,13 @@
             inFlight_.swap(outbox_.pending_);
             outbox_.pending_.clear();
             outbox_.writing_ = inFlight_.size();
+            outbox_.inFlight_ = inFlight_.size();
         }
+        countLocked();
+        writable = takeWritableLocked();
     }
+    if (writable)
+        writable();
     if (!inFlight_.empty()) {
         inFlightOffset_ = 0;
         lastWrite_ = std::chrono::steady_clock::now();
@@ -191,6 +291,15 @@
             return self->close();
         self->lastWrite_ = std::chrono::steady_clock::now();
         self->inFlightOffset_ += bytes;
+        std::function<void()> writable;
+        {
+            const std::lock_guard lock(self->mutex_);
+            self->outbox_.progressAt_ = self->lastWrite_;
+            self->outbox_.writing_ -= bytes;
+            writable = self->takeWritableLocked();
+        }
+        if (writable)
+            writable();
         if (self->inFlightOffset_ < self->inFlight_.size())
             return self->writeSome();
         self->inFlight_.clear();
@@ -237,6 +346,7 @@
     phase_ = Phase::Closed;
     std::function<void()> closed;
     std::function<void()> drained;
+    std::function<void()> writable;
     bool endsEarly = false;
     {
         const std::lock_guard lock(mutex_);
@@ -245,9 +355,13 @@
         outbox_.pending_.clear();
         closed = std::move(outbox_.onClosed_);
         drained = std::move(outbox_.onDrained_);
+        writable = std::move(outbox_.onWritable_);
         outbox_.onClosed_ = nullptr;
         outbox_.onDrained_ = nullptr;
+        outbox_.onWritable_ = nullptr;
+        outbox_.hold_.resize(0);
     }
+    bodyHold_ = {};
     error_code ignored;
     // An orderly close would be the end of such an answer.
     if (endsEarly)
@@ -264,6 +378,8 @@
         closed();
     if (drained)
         drained();
+    if (writable)
+        writable();
 }
 
 } // namespace jj::http::detail
