Serving: bytes held for slow callers and engines are bounded for the whole host

The engine of a stream isn't read while its caller's queue is full, for at most 2 s at a time. Events, whole answers and texts of items have limits; an engine that exceeds one is backed off from, which counts neither as a network fault nor as a crash. A caller that still reads is served past its deadline. Settings: [limits] memory-mb, buffers-percent. Load headers that can't be read are counted.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -84,6 +84,7 @@
     NotConnected, // the connection was refused or timed out
     Lost, // the connection was closed, or no data arrived on it, after a request was sent
     Failure, // the engine answered with an error; the request itself may be the cause
+    BadAnswer, // an element of its answer exceeded its limit
 };
 
 struct CapacitySettings {
--- a/libs/capacity/src/CapacityAnswers.cpp
+++ b/libs/capacity/src/CapacityAnswers.cpp
@@ -48,7 +48,7 @@
     if (one.isSuspect_ && now < one.backoffUntil_)
         return one.backoffUntil_ - now;
     // In the order of EngineFault. An error answer counts half, because the request itself may be its cause.
-    constexpr double weights[] = { 1, 1, 0.5 };
+    constexpr double weights[] = { 1, 1, 0.5, 1 };
     const Duration since = std::max<Duration>(now - one.failureScoreAt_, Duration::zero());
     const double decayFactor = std::exp2(-toSeconds(since) / toSeconds(settings_.failureHalfLife_));
     one.failureScore_ = one.failureScore_ * decayFactor + weights[static_cast<std::size_t>(fault)];
--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace boost::asio {
 class io_context;
@@ -95,6 +96,8 @@
     bool isQueueFull() const;
     // Calls back once, when the queue has fallen below half of that, or when the client is gone. May be called at once.
     void whenWritable(std::function<void()> callback);
+    // Returns for how long the client has taken no byte of the queue; nullopt if nothing is queued.
+    std::optional<Duration> stalledFor() const;
     // Returns whether the client was cut off because it took no byte while the budget was exhausted.
     bool wasCutOff() const;
 
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -196,6 +196,11 @@
 void Exchange::whenDrained(std::function<void()> callback) { connection_->whenDrained(turn_, std::move(callback)); }
 bool Exchange::isQueueFull() const { return connection_->isQueueFull(turn_); }
 void Exchange::whenWritable(std::function<void()> callback) { connection_->whenWritable(turn_, std::move(callback)); }
+std::optional<Duration> Exchange::stalledFor() const
+{
+    const auto since = connection_->stalledSince();
+    return since ? std::optional<Duration>(std::chrono::steady_clock::now() - *since) : std::nullopt;
+}
 bool Exchange::wasCutOff() const { return connection_->wasCutOff(); }
 void Exchange::onClosed(std::function<void()> callback) { connection_->onClosed(turn_, std::move(callback)); }
 void Exchange::readBody(std::function<void(BodyPiece)> callback) { connection_->readBody(turn_, std::move(callback)); }
--- a/libs/serving/include/serving/ServingSettings.h
+++ b/libs/serving/include/serving/ServingSettings.h
@@ -5,7 +5,7 @@
 //     [bounds]    grace-ms, engine-grace-ms, accept-ms, lost-hosts, lost-domains, lost-regions
 //     [quotas]    window-s, over, slack
 //     [disk]      folder, size-mb
-//     [limits]    descriptors
+//     [limits]    descriptors, memory-mb, buffers-percent
 //     [log]       lines-per-second
 //
 // `seeds` lists hosts of the fleet, at least one of which should be alive. Ports in it are ignored, since all nodes use the same
@@ -51,7 +51,12 @@
     std::string diskFolder_; // empty: this node spools no jobs
     std::size_t diskBytes_ = 64U * 1024 * 1024; // size of the disk, of which a quarter is used
     std::size_t descriptors_ = 1024; // file descriptors that the process may open
+    std::size_t memoryBytes_ = 0; // memory of the host; 0: unknown
+    std::uint32_t buffersPercent_ = 20; // of the memory, for bytes that are held for slow peers
     std::uint32_t logLinesPerSecond_ = 400;
+
+    // Returns the limit of the bytes that the process holds for slow peers.
+    std::size_t bufferBytes() const;
 };
 
 Audited<ServingSettings> parseServingSettings(std::string_view ini);
--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -71,7 +71,15 @@
     , queued_(metrics.counter("jj_questions_queued_total", "questions that waited in an engine's queue"))
     , itemRuns_(metrics.counter("jj_item_runs_total", "runs of batch items"))
     , itemsPreempted_(metrics.counter("jj_items_given_way_total", "batch items stopped for a question"))
+    , answersOverLimit_(metrics.counter("jj_engine_answers_over_limit_total", "answers of engines of which an element exceeded its limit"))
+    , enginesPaused_(metrics.counter("jj_engines_paused_total", "times that an engine wasn't read because its caller's queue was full"))
+    , loadHeadersIgnored_(metrics.counter("jj_load_headers_ignored_total", "load headers of engines that couldn't be read"))
     , jobsSpooled_(metrics.counter("jj_jobs_kept_total", "jobs acknowledged on disks while the store gave no answer"))
+    , bytesForReaders_(metrics.gauge("jj_buffered_bytes", "bytes held for slow peers", { { "use", "answers" } }))
+    , bytesOfUploads_(metrics.gauge("jj_buffered_bytes", "bytes held for slow peers", { { "use", "uploads" } }))
+    , bytesLimit_(metrics.gauge("jj_buffered_bytes_limit", "limit of the bytes held for slow peers"))
+    , readersCutOff_(metrics.gauge("jj_readers_cut_off", "callers cut off since the start because they took no byte while the byte budget was exhausted"))
+    , uploadsRefused_(metrics.gauge("jj_uploads_refused", "requests refused since the start because their body didn't fit into the byte budget"))
     , firstEvent_(metrics.distribution("jj_first_event_ms", "from a request's arrival to its answer's first bytes"))
     , accept_(metrics.distribution("jj_job_accept_ms", "from a submission's arrival to its acknowledgement"))
 {
@@ -79,12 +87,18 @@
 
 bool isTimeout(std::error_code error) { return error == http::Error::ConnectTimedOut || error == http::Error::NoProgress; }
 
+bool isOverLimit(std::error_code error)
+{
+    static const std::array<http::Error, 6> limits { http::Error::HeaderTooLarge, http::Error::ChunkLineTooLong, http::Error::TrailerTooLarge, http::Error::TooManyInterimAnswers, http::Error::AnswerTooLarge, http::Error::EventTooLarge };
+    return std::any_of(limits.begin(), limits.end(), [error](http::Error limit) { return error == limit; });
+}
+
 void Context::failed(UpstreamId engine, EngineFault fault, std::error_code error)
 {
     const EngineEntry* entry = board_.find(engine);
     if (!entry)
         return;
-    static constexpr std::string_view faults[] = { "notConnected", "lost", "failure" };
+    static constexpr std::string_view faults[] = { "notConnected", "lost", "failure", "badAnswer" };
     const Duration backoff = board_.failed(engine, fault, now());
     log_.line("engineFailed").with("engine", entry->name_).with("fault", faults[static_cast<std::size_t>(fault)]).with("error", error ? error.message() : "").with("leftAloneMs", backoff);
     if (fault == EngineFault::NotConnected && !isTimeout(error))
@@ -93,6 +107,12 @@
         fleet_->publishReport();
 }
 
+void Context::recordOverLimit(UpstreamId engine, std::error_code error)
+{
+    metrics_.metrics_.add(metrics_.answersOverLimit_);
+    failed(engine, EngineFault::BadAnswer, error);
+}
+
 void Context::engineGoesOn(UpstreamId engine)
 {
     crashes_->engineAlive(engine);
@@ -105,8 +125,10 @@
     const std::string_view text = headers.find(translation_.headers_.load_);
     if (text.empty())
         return;
-    if (const auto load = translation_.parseLoad_(text))
-        board_.applyEngineLoad(engine, load->running_, load->waiting_, now());
+    const auto load = translation_.parseLoad_(text);
+    if (!load)
+        return metrics_.metrics_.add(metrics_.loadHeadersIgnored_);
+    board_.applyEngineLoad(engine, load->running_, load->waiting_, now());
 }
 
 void Context::probe(UpstreamId engine)
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include "DecisionLog.h"
+#include "EventScanner.h"
 #include "Fleet.h"
 #include "Quotas.h"
 #include "StoreLink.h"
 #include "capacity/CapacityBoard.h"
+#include "http/ByteBudget.h"
 #include "http/Client.h"
 #include "http/Server.h"
 #include "ledger/Records.h"
@@ -14,6 +16,7 @@
 #include "serving/Translation.h"
 #include "telemetry/Metrics.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
@@ -44,7 +47,15 @@
     CounterHandle queued_; // online requests that waited in an engine's queue
     CounterHandle itemRuns_;
     CounterHandle itemsPreempted_;
+    CounterHandle answersOverLimit_; // answers of engines of which an element exceeded its limit
+    CounterHandle enginesPaused_; // times that an engine wasn't read because its caller's queue was full
+    CounterHandle loadHeadersIgnored_; // load headers that can't be read
     CounterHandle jobsSpooled_; // jobs acknowledged once spooled on disks, before the store accepted them
+    GaugeHandle bytesForReaders_; // held for callers and engines whose answers are under way
+    GaugeHandle bytesOfUploads_; // of request bodies
+    GaugeHandle bytesLimit_;
+    GaugeHandle readersCutOff_; // callers that took no byte while the byte budget was exhausted, since the start
+    GaugeHandle uploadsRefused_; // requests whose body didn't fit into the byte budget, since the start
     DistributionHandle firstEvent_; // ms from a request's arrival to the first bytes of its answer
     DistributionHandle accept_; // ms from a job submission's arrival to its acknowledgement
 };
@@ -54,6 +65,9 @@
 class StreamVersions;
 
 struct Context {
+    static constexpr std::size_t maxAnswerBytes = 16U * 1024 * 1024;
+    static constexpr std::size_t minElementsInBudget = 4;
+
     boost::asio::io_context& io_;
     const ServingSettings& settings_;
     const Translation& translation_;
@@ -61,6 +75,7 @@
     ServingMetrics& metrics_;
     CapacityBoard& board_;
     http::Client& engines_; // connections to engines
+    std::shared_ptr<http::ByteBudget> budget_ {}; // of the bytes that are held for callers and engines
     Fleet* fleet_ = nullptr; // set before the event loop runs
     SlotQueue* queue_ = nullptr; // set before the event loop runs
     Quotas* quotas_ = nullptr; // set before the event loop runs
@@ -77,11 +92,19 @@
     void engineGoesOn(UpstreamId engine);
     // Records the load that an engine states in the headers of its answer.
     void observe(UpstreamId engine, const http::Headers& headers);
+    // Records an answer of which an element exceeded its limit.
+    void recordOverLimit(UpstreamId engine, std::error_code error);
+    // Maximum sizes of an event and of a whole answer, in bytes. Several of them fit into the budget.
+    std::size_t eventLimit() const { return std::min(EventScanner::maxEventBytes, budget_->limit() / minElementsInBudget); }
+    std::size_t answerLimit() const { return std::min(maxAnswerBytes, budget_->limit() / minElementsInBudget); }
 };
 
 // Returns whether an engine gave no sign in time. An engine that is cut off or stands still looks the same as one that is gone.
 bool isTimeout(std::error_code error);
 
+// Returns whether an element of an engine's answer exceeded its limit. This is no evidence that the request crashes engines.
+bool isOverLimit(std::error_code error);
+
 // Returns an error response that carries `code` and the run state. The retry header is omitted if `retryAfter` is zero.
 http::Response refusalResponse(const Translation& translation, int status, std::string_view code, std::string_view message, RunState run, Duration retryAfter);
 
--- a/libs/serving/src/EngineRun.h
+++ b/libs/serving/src/EngineRun.h
@@ -5,15 +5,23 @@
 #include "base/Id.h"
 #include "base/SoftwareVersion.h"
 #include "base/Time.h"
+#include "http/ByteBudget.h"
 #include "http/Client.h"
 
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace jj {
 
 struct EngineRun {
+    EngineRun(std::size_t eventLimit, http::ByteHold hold)
+        : scanner_(eventLimit)
+        , hold_(std::move(hold))
+    {
+    }
+
     UpstreamId engine_;
     SoftwareVersion softwareVersion_;
     TimePoint sentAt_ {};
@@ -25,7 +33,11 @@
     std::optional<TimePoint> firstEventAt_; // none: no event of this run has arrived
     bool isProven_ = false; // the run has gone on for long enough that the request doesn't crash its engine
     std::string body_; // of an answer that is not a stream
+    bool isPaused_ = false; // its engine isn't read, because the caller's queue is full
     EventScanner scanner_;
+    http::ByteHold hold_; // of body_ and of the event that is being scanned
+
+    std::size_t heldBytes() const { return body_.size() + scanner_.rest().size(); }
 };
 
 using EngineRunPtr = std::shared_ptr<EngineRun>;
--- a/libs/serving/src/EventScanner.cpp
+++ b/libs/serving/src/EventScanner.cpp
@@ -70,6 +70,8 @@
 
 void EventScanner::feed(std::string_view bytes, const std::function<void(const StreamEvent&)>& onEvent)
 {
+    if (isOverLimit_)
+        return;
     // Bytes are copied only if an event is split across calls, which is rare.
     std::string joined;
     if (!partial_.empty()) {
@@ -85,7 +87,11 @@
             return;
         bytes.remove_prefix(end);
     }
-    partial_.assign(bytes);
+    isOverLimit_ = bytes.size() > eventLimit_;
+    if (isOverLimit_)
+        partial_ = {};
+    else
+        partial_.assign(bytes);
 }
 
 } // namespace jj
--- a/libs/serving/src/EventScanner.h
+++ b/libs/serving/src/EventScanner.h
@@ -4,6 +4,7 @@
 // followed by the first event of the engine that resumes the stream. The scanner therefore yields only complete events.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -20,10 +21,22 @@
 
 class EventScanner {
 public:
-    // Calls back for each event that is now complete. The views in the event are valid during the call only.
+    // An engine may send an event without end, so the scanner gives up on longer ones.
+    static constexpr std::size_t maxEventBytes = 1024U * 1024;
+
+    // `eventLimit`: maximum size of an event, in bytes.
+    explicit EventScanner(std::size_t eventLimit = maxEventBytes)
+        : eventLimit_(eventLimit)
+    {
+    }
+
+    // Calls back for each event that is now complete. The views in the event are valid during the call only. Does nothing once an event
+    // has exceeded the limit.
     void feed(std::string_view bytes, const std::function<void(const StreamEvent&)>& onEvent);
     // Returns the bytes after the last complete event.
     const std::string& rest() const { return partial_; }
+    // Returns whether an event has exceeded the limit. Its bytes are dropped.
+    bool isOverLimit() const { return isOverLimit_; }
     // Returns whether rest() holds a part of an event. Comment lines and blank lines alone belong to no event.
     bool isInsideEvent() const;
     // Drops all bytes, also those of a feed() from whose callback it is called.
@@ -34,8 +47,10 @@
     }
 
 private:
-    std::string partial_;
+    std::size_t eventLimit_;
+    std::string partial_; // at most eventLimit_ bytes
     std::uint64_t resets_ = 0;
+    bool isOverLimit_ = false;
 };
 
 } // namespace jj
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -82,6 +82,7 @@
     run->engine_ = pick.engine_;
     run->sentAt_ = now;
     run->heardAt_ = now;
+    run->scanner_ = EventScanner(context_.eventLimit());
     run->fingerprints_ = context_.crashes_->fingerprintsOf(run->item_);
     if (withhold(*run, now))
         return true;
@@ -205,8 +206,14 @@
             return;
         }
         lastEvent = event.id_;
+        run->textBytes_ += event.data_.size();
         scheduler_.event(run->item_.id_, *event.id_, event.data_);
     });
+    if (run->scanner_.isOverLimit() || run->textBytes_ > settings_.maxTextBytes_) {
+        context_.log_.line("answerOverLimit").with("request", run->item_.item_).with("job", run->item_.job_).with("textBytes", run->textBytes_);
+        context_.recordOverLimit(run->engine_, run->scanner_.isOverLimit() ? http::Error::EventTooLarge : http::Error::AnswerTooLarge);
+        return finish(run, RunResult::Failed, "overLimit");
+    }
     if (isDiscontinuous || isVersionUncertain)
         finish(run, RunResult::ResumeMismatch, isDiscontinuous ? "outOfStep" : "versionUncertain");
 }
@@ -287,6 +294,8 @@
 
 void ItemRunner::onEngineLost(const RunPtr& run, std::error_code error)
 {
+    if (isOverLimit(error))
+        return context_.recordOverLimit(run->engine_, error);
     context_.crashes_->recordLoss(run->fingerprints_, run->engine_, context_.crashes_->lossPoint(run->firstEventAt_));
     context_.failed(run->engine_, EngineFault::Lost, error);
 }
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -34,6 +34,8 @@
     // Maximum number of runs started by one call of pump(), so that nodes that see the same free slots at the same time don't all
     // take them.
     std::size_t maxStartsPerPump_ = 4;
+    // Text that one run may add to its item: a result has to fit into one answer to its reader.
+    std::size_t maxTextBytes_ = 900U * 1024;
 };
 
 class ItemRunner {
@@ -68,6 +70,7 @@
         bool isProven_ = false; // the run has gone on for long enough that the item doesn't crash its engine
         std::optional<http::AnswerEnd> end_; // none until the answer has ended
         EventScanner scanner_;
+        std::size_t textBytes_ = 0; // of the events of this run
     };
     using RunPtr = std::shared_ptr<Run>;
 
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -12,6 +12,14 @@
     constexpr int retryDivisor = 3;
     constexpr Duration retryMargin = 20ms;
 
+    // Engines cut off an answer that isn't read for some seconds.
+    constexpr Duration maxReadPause = 2s;
+    constexpr std::size_t readPieceBytes = 16U * 1024;
+    // A caller that has taken no byte for this long doesn't read.
+    constexpr Duration maxReaderStall = 1s;
+    // Between two looks whether a caller that is past its deadline still reads.
+    constexpr Duration lateReaderInterval = 500ms;
+
     constexpr int firstNonSuccess = 300;
     constexpr int firstServerError = 500;
     constexpr int statusMisdirected = 421;
@@ -35,15 +43,94 @@
     if (!isOpen(run))
         return;
     recordBytes(*run);
-    if (!isReadingStream(*run)) {
+    if (isReadingStream(*run))
+        run->scanner_.feed(data, [&](const StreamEvent& event) { onEvent(run, event); });
+    else
         run->body_.append(data);
+    run->hold_.resize(run->heldBytes());
+    if (!isOpen(run))
         return;
+    if (!pendingEvents_.empty()) {
+        exchange_->write(pendingEvents_);
+        pendingEvents_.clear();
     }
-    run->scanner_.feed(data, [&](const StreamEvent& event) { onEvent(run, event); });
-    if (phase_ != Phase::Running || pendingEvents_.empty())
+    if (const std::error_code error = findOverLimit(*run))
+        return onOverLimit(run, error);
+    pauseIfQueueFull(run);
+}
+
+std::error_code RelayedRequest::findOverLimit(EngineRun& run) const
+{
+    // When the budget is exhausted, runs that hold more than an equal part of it end first.
+    const bool isExhausted = !context_.budget_->hasRoom(http::ByteUse::Answers, 0) && run.heldBytes() > context_.budget_->share();
+    if (run.scanner_.isOverLimit() || (isExhausted && !run.scanner_.rest().empty()))
+        return http::Error::EventTooLarge;
+    if (run.body_.size() > context_.answerLimit() || (isExhausted && !run.body_.empty()))
+        return http::Error::AnswerTooLarge;
+    return {};
+}
+
+void RelayedRequest::onOverLimit(const EngineRunPtr& run, std::error_code error)
+{
+    const EngineEntry* engine = context_.board_.find(run->engine_);
+    line("answerOverLimit").with("engine", engine ? engine->name_ : "").with("error", error.message()).with("runs", runs_);
+    context_.recordOverLimit(run->engine_, error);
+    if (run != silentRun_)
+        return lost(error);
+    close(silentRun_);
+    checkSilenceWhenDue();
+}
+
+// ---- callers that read slowly
+
+void RelayedRequest::pauseIfQueueFull(const EngineRunPtr& run)
+{
+    if (!run->call_ || run->isPaused_ || !exchange_->isQueueFull())
         return;
-    exchange_->write(pendingEvents_);
-    pendingEvents_.clear();
+    run->isPaused_ = true;
+    run->call_->pauseReading();
+    context_.metrics_.metrics_.add(context_.metrics_.enginesPaused_);
+    exchange_->whenWritable([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->resumeReading();
+    });
+    readTimer_.expires_after(maxReadPause);
+    readTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code& timerError) {
+        const auto self = weak.lock();
+        if (!timerError && self)
+            self->readAfterPause();
+    });
+}
+
+void RelayedRequest::readAfterPause()
+{
+    if (!run_ || !run_->isPaused_)
+        return;
+    if (context_.budget_->hasRoom(http::ByteUse::Answers, readPieceBytes))
+        return resumeReading();
+    readTimer_.expires_after(maxReadPause);
+    readTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->readAfterPause();
+    });
+}
+
+void RelayedRequest::resumeReading()
+{
+    if (phase_ != Phase::Running || !run_->isPaused_)
+        return;
+    run_->isPaused_ = false;
+    run_->heardAt_ = context_.now(); // the pause wasn't the engine's
+    readTimer_.cancel();
+    if (run_->call_)
+        run_->call_->resumeReading();
+}
+
+bool RelayedRequest::isReaderMoving() const
+{
+    const auto stalled = exchange_->stalledFor();
+    return stalled && *stalled < maxReaderStall;
 }
 
 void RelayedRequest::onEvent(const EngineRunPtr& run, const StreamEvent& event)
@@ -236,6 +323,8 @@
 
 void RelayedRequest::onEngineLost(std::error_code error)
 {
+    if (isOverLimit(error))
+        return onOverLimit(run_, error);
     noteLoss();
     context_.failed(run_->engine_, EngineFault::Lost, error);
     lost(error);
@@ -324,6 +413,15 @@
 {
     if (phase_ == Phase::Ended)
         return;
+    // What is left of the answer has waited for this caller, not for the engine.
+    if (hasAnswerStarted_ && phase_ == Phase::Running && isReaderMoving()) {
+        timer_.expires_after(lateReaderInterval);
+        timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+            if (!error)
+                self->onTimeout();
+        });
+        return;
+    }
     line("timedOut").with("runs", runs_).with("started", hasAnswerStarted_ ? "yes" : "no");
     const bool ran = mayHaveRun();
     if (phase_ == Phase::Running && run_->isSilent_)
@@ -343,7 +441,7 @@
 {
     if (phase_ == Phase::Ended)
         return;
-    line("callerLeft").with("afterMs", context_.now() - arrivedAt_).with("started", hasAnswerStarted_ ? "yes" : "no").with("runs", runs_);
+    line("callerLeft").with("why", exchange_->wasCutOff() ? "readerStalled" : "closed").with("afterMs", context_.now() - arrivedAt_).with("started", hasAnswerStarted_ ? "yes" : "no").with("runs", runs_);
     context_.metrics_.metrics_.add(context_.metrics_.disconnected_);
     releaseEngine();
     end();
@@ -385,6 +483,7 @@
     timer_.cancel();
     pauseTimer_.cancel();
     silenceTimer_.cancel();
+    readTimer_.cancel();
 }
 
 } // namespace jj
--- a/libs/serving/src/RelaySilence.cpp
+++ b/libs/serving/src/RelaySilence.cpp
@@ -49,6 +49,8 @@
         const Duration left = run_->sentAt_ + maxOverlap - context_.now();
         return left > Duration::zero() ? checkSilenceAfter(left) : endOverlap();
     }
+    if (run_->isPaused_)
+        return checkSilenceAfter(silenceTimeout);
     if (context_.now() - run_->heardAt_ < silenceTimeout)
         return checkSilenceWhenDue();
     context_.board_.recordSilence(run_->engine_, context_.now());
@@ -166,7 +168,9 @@
 {
     EngineRunPtr silent = std::exchange(silentRun_, nullptr);
     line("silentRunLost").with("error", error ? error.message() : "").with("status", silent->head_ ? silent->head_->status_ : 0).with("runs", runs_);
-    if (hasRun) {
+    if (hasRun && isOverLimit(error)) {
+        context_.recordOverLimit(silent->engine_, error);
+    } else if (hasRun) {
         context_.crashes_->recordLoss(fingerprints_, silent->engine_, context_.crashes_->lossPoint(silent->firstEventAt_));
         context_.failed(silent->engine_, EngineFault::Lost, error);
     } else {
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -306,7 +306,7 @@
     if (blockedBy_)
         context_.crashes_->beginTrial(*blockedBy_);
     const EngineEntry* entry = context_.board_.find(pick.engine_);
-    const EngineRunPtr run = std::make_shared<EngineRun>();
+    const EngineRunPtr run = std::make_shared<EngineRun>(context_.eventLimit(), context_.budget_->hold(http::ByteUse::Answers));
     run->engine_ = pick.engine_;
     run->softwareVersion_ = entry->softwareVersion_;
     run->sentAt_ = context_.now();
@@ -334,6 +334,7 @@
     options.idle_ = timeLeft() + 1s;
     options.echoName_ = context_.translation_.headers_.attemptId_;
     options.echoValue_ = id_;
+    options.sharedBody_ = std::shared_ptr<const std::string>(exchange_, &exchange_->request().body_);
     http::CallHandlers handlers;
     handlers.onHead_ = [self = shared_from_this(), run](const http::ResponseHead& head) { self->onHead(run, head); };
     handlers.onData_ = [self = shared_from_this(), run](std::string_view data) { self->onData(run, data); };
@@ -347,7 +348,7 @@
 {
     const HeaderNames& names = context_.translation_.headers_;
     const http::Request& request = exchange_->request();
-    http::Request outgoing { request.method_, request.target_, {}, request.body_ };
+    http::Request outgoing { request.method_, request.target_, {}, {} };
     for (const http::Header& header : endToEndHeaders(request.headers_)) {
         const bool isReplaced = isSameName(header.name_, names.timeLeft_) || isSameName(header.name_, names.expectInstance_) || (hasAnswerStarted_ && isSameName(header.name_, names.resumeAfter_));
         if (!isReplaced && !isWithheldHeader(names, table_.get(), header.name_))
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -43,6 +43,7 @@
         , timer_(context.io_)
         , pauseTimer_(context.io_)
         , silenceTimer_(context.io_)
+        , readTimer_(context.io_)
         , openCount_(std::move(open))
         , arrivedAt_(context.now())
     {
@@ -137,6 +138,19 @@
     void noteSilence();
     // Opens a second run beside the silent one if the request may run again and another engine has a free slot, or waits for a slot.
     void tryOtherEngine();
+    // ---- callers that read slowly
+    // Stops reading from the engine if the caller's queue is full.
+    void pauseIfQueueFull(const EngineRunPtr& run);
+    void resumeReading();
+    // Reads one piece more, because engines cut off an answer that isn't read for some seconds.
+    void readAfterPause();
+    // Returns whether the caller still takes bytes that are ready.
+    bool isReaderMoving() const;
+    // Ends a run of whose answer an element exceeded its limit.
+    void onOverLimit(const EngineRunPtr& run, std::error_code error);
+    // Returns the element of the run's answer that has exceeded its limit; no error if there is none.
+    std::error_code findOverLimit(EngineRun& run) const;
+
     // Lets the request go back to engines that it left while they were silent, if no other one is left: they may be sound.
     void allowLeftEngines();
     bool mayTryOtherEngine();
@@ -182,6 +196,7 @@
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer pauseTimer_; // until another node is asked to preempt a batch item, or in phase Settling
     boost::asio::steady_timer silenceTimer_; // until the next checkSilence()
+    boost::asio::steady_timer readTimer_; // until the next readAfterPause()
     std::size_t preemptionRequests_ = 0;
     std::shared_ptr<std::size_t> openCount_;
     const TimePoint arrivedAt_;
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -48,6 +48,8 @@
     // Descriptors reserved for engines, peers, the store and files; the rest are for caller connections.
     constexpr std::size_t reservedDescriptors = 700;
     constexpr std::size_t minCallerConnections = 64;
+    // Most bodies reach their engine within this time, which frees their bytes.
+    constexpr Duration noSpaceRetry = 300ms;
     constexpr std::string_view zeroKey = "0000000000000000000000000000000000000000000000000000000000000000";
 
     NodeId ownNodeId(const ServingSettings& settings)
@@ -56,6 +58,13 @@
         return at ? nodeIdOf(at.value()) : NodeId::none();
     }
 
+    std::shared_ptr<http::ByteBudget> makeBudget(std::size_t bytes)
+    {
+        http::ByteBudgetSettings settings;
+        settings.limitBytes_ = bytes;
+        return http::ByteBudget::create(settings).value(); // the limit is never below the shares, see ServingSettings::bufferBytes()
+    }
+
     std::string readWord(const std::string& path)
     {
         std::ifstream file(path);
@@ -85,7 +94,8 @@
     , random_(seed_)
     , board_(CapacitySettings(), ownNodeId(settings), { CellId::none(), idFromName<RegionId>(settings.region_), idFromName<FailureDomainId>(settings.domain_) }, seed_)
     , engines_(io_, { .connectTime_ = 250ms, .pooledIdle_ = 12s, .pooledPerEndpoint_ = 32, .headerBytes_ = 32 * 1024, .bodyBytes_ = 16 * 1024 * 1024 })
-    , context_ { io_, settings_, translation_, log_, servingMetrics_, board_, engines_ }
+    , budget_(makeBudget(settings.bufferBytes()))
+    , context_ { io_, settings_, translation_, log_, servingMetrics_, board_, engines_, budget_ }
     , timer_(io_)
     , signals_(io_, SIGTERM, SIGINT, SIGHUP)
 {
@@ -346,6 +356,10 @@
         server.listen_ = *settings_.callers_;
         server.limits_.headerBytes_ = 64 * 1024;
         server.limits_.connections_ = callerConnections();
+        server.budget_ = budget_;
+        server.formatRefusal_ = [this](http::Error) {
+            return refusalResponse(translation_, 503, "host.NoBufferSpace", "the host holds too many bytes for slow peers; the request has not run", RunState::NotRun, noSpaceRetry);
+        };
         const auto planner = [this](const http::Request& request) { return planBody(request); };
         auto opened = http::Server::create(
             io_, server, [this](std::shared_ptr<http::Exchange> exchange) { onCallerRequest(std::move(exchange)); }, planner);
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -54,6 +54,8 @@
     void scanJobs(TimePoint now);
     void logPeriodic(TimePoint now);
     void logSummary();
+    // Sets the gauges of the state that changes with each byte.
+    void updateGauges();
     // Logs the bytes exchanged with other nodes since the start, by kind of message and distance.
     void logTraffic();
     void onCallerRequest(std::shared_ptr<http::Exchange> exchange);
@@ -101,6 +103,7 @@
     WireKey key_;
     CapacityBoard board_;
     http::Client engines_;
+    std::shared_ptr<http::ByteBudget> budget_;
     Context context_;
     std::unique_ptr<StoreLink> store_;
     std::unique_ptr<Fleet> fleet_;
--- a/libs/serving/src/ServingSettings.cpp
+++ b/libs/serving/src/ServingSettings.cpp
@@ -3,12 +3,18 @@
 
 #include "settings/SettingsError.h"
 
+#include <algorithm>
 #include <set>
 
 namespace jj {
 
 namespace {
 
+    constexpr std::int64_t megabyte = 1024 * 1024;
+    constexpr std::size_t defaultBufferBytes = 64 * megabyte;
+    // A host too small for this couldn't buffer an ordinary request body.
+    constexpr std::size_t minBufferBytes = 4 * megabyte;
+
     std::optional<Endpoint> readEndpoint(SectionReader& reader, std::string_view key, bool mayBeAbsent)
     {
         const std::string text = reader.text(key, mayBeAbsent ? std::optional<std::string>("") : std::nullopt);
@@ -89,7 +95,6 @@
 
     void readDisk(const IniText& text, ServingSettings& settings, Failures& failures)
     {
-        constexpr std::int64_t megabyte = 1024 * 1024;
         SectionReader reader(text, "disk", failures);
         settings.diskFolder_ = reader.text("folder", "");
         settings.diskBytes_ = static_cast<std::size_t>(megabyte * reader.integer("size-mb", { 0, 1'000'000'000 }, static_cast<std::int64_t>(settings.diskBytes_) / megabyte));
@@ -100,6 +105,8 @@
     {
         SectionReader limits(text, "limits", failures);
         settings.descriptors_ = static_cast<std::size_t>(limits.integer("descriptors", { 64, 10'000'000 }, static_cast<std::int64_t>(settings.descriptors_)));
+        settings.memoryBytes_ = static_cast<std::size_t>(megabyte * limits.integer("memory-mb", { 0, 1'000'000'000 }, 0));
+        settings.buffersPercent_ = static_cast<std::uint32_t>(limits.integer("buffers-percent", { 5, 50 }, settings.buffersPercent_));
         limits.finish();
         SectionReader log(text, "log", failures);
         settings.logLinesPerSecond_ = static_cast<std::uint32_t>(log.integer("lines-per-second", { 1, 1'000'000 }, settings.logLinesPerSecond_));
@@ -117,6 +124,14 @@
 
 } // namespace
 
+std::size_t ServingSettings::bufferBytes() const
+{
+    if (memoryBytes_ == 0)
+        return defaultBufferBytes;
+    constexpr std::size_t hundredPercent = 100;
+    return std::max(minBufferBytes, memoryBytes_ / hundredPercent * buffersPercent_);
+}
+
 Audited<ServingSettings> parseServingSettings(std::string_view ini)
 {
     const Checked<IniText> text = IniText::parse(ini);
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -124,6 +124,17 @@
     std::erase_if(probing_, [&](UpstreamId engine) { return std::find(due.begin(), due.end(), engine) == due.end(); });
 }
 
+void ServingNode::Parts::updateGauges()
+{
+    metrics_.set(servingMetrics_.bytesForReaders_, static_cast<double>(budget_->held(http::ByteUse::Answers)));
+    metrics_.set(servingMetrics_.bytesOfUploads_, static_cast<double>(budget_->held(http::ByteUse::Uploads)));
+    metrics_.set(servingMetrics_.bytesLimit_, static_cast<double>(budget_->limit()));
+    if (!callers_)
+        return;
+    metrics_.set(servingMetrics_.readersCutOff_, static_cast<double>(callers_->readersCutOff()));
+    metrics_.set(servingMetrics_.uploadsRefused_, static_cast<double>(callers_->uploadsRefused()));
+}
+
 // Logs the node's load, its store calls by kind and its traffic every summaryPeriod.
 void ServingNode::Parts::logPeriodic(TimePoint now)
 {
@@ -142,6 +153,9 @@
         const QuotaGate::Totals& totals = quotas_->totals();
         line.with("quotaAdmitted", totals.admitted_).with("quotaRefused", totals.refused_).with("quotaAsked", totals.requested_).with("quotaReturned", totals.returned_).with("quotaUnanswered", totals.unanswered_);
     }
+    line.with("bytesForReaders", budget_->held(http::ByteUse::Answers)).with("bytesOfUploads", budget_->held(http::ByteUse::Uploads)).with("bytesLimit", budget_->limit());
+    if (callers_)
+        line.with("readersCutOff", callers_->readersCutOff()).with("uploadsRefused", callers_->uploadsRefused());
     for (const auto& [call, count] : store_->callCounts())
         line.with(std::string("store ").append(call), count);
 }
@@ -239,8 +253,10 @@
     const http::Header isJson { "Content-Type", "application/json" };
     if (path == "/fleet")
         return exchange->respond({ 200, { isJson }, fleetPage(*fleet_, { config_->version(), catalog_->version() }, context_.now()) });
-    if (!path.starts_with(jobsPath))
+    if (!path.starts_with(jobsPath)) {
+        updateGauges();
         return exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.prometheusText() });
+    }
     const JobName job(path.substr(jobsPath.size()));
     if (!isValidJobName(job))
         return exchange->respond(refusalResponse(translation_, 400, "job.BadName", "no job has such a name", RunState::NotRun, {}));
