--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -32,6 +32,7 @@
 #include "base/SoftwareVersion.h"
 #include "base/Time.h"
 #include "capacity/EngineGroups.h"
+#include "capacity/EngineSpeeds.h"
 #include "capacity/NodeUse.h"
 
 #include <cstdint>
@@ -172,7 +173,8 @@
     // Sets how many of this node's batch items on the engine can't be preempted.
     void setNonPreemptibleItems(UpstreamId engine, std::uint16_t items);
     // Sets how many online requests for the service are queued at this node, and how many of them can still meet their target latency.
-    void setWaiting(std::string_view service, std::uint16_t count, std::uint16_t inTime);
+    // `classes`: the same by class; empty while all claims are equal.
+    void setWaiting(std::string_view service, std::uint16_t count, std::uint16_t inTime, std::vector<WaitingClass> classes = {});
     // Sets how many batch items of the service are queued at this node and can still be done in time, and when the first of them is due.
     void setItemsWaiting(std::string_view service, std::uint16_t count, TimePoint firstDue);
     // Returns the report of this node for the others, without node, incarnation and sequence, which the caller sets.
@@ -207,6 +209,11 @@
     // Applies the load that the engine itself reported a moment ago. It is used where it is higher than the sum of the node reports,
     // because nodes whose reports don't arrive, or haven't arrived yet after a restart, use slots too.
     void applyEngineLoad(UpstreamId engine, std::uint32_t running, std::uint32_t waiting, TimePoint now);
+    // Records the time that the engine needed from one event of a stream to the next.
+    void recordEventGap(UpstreamId engine, Duration gap, TimePoint now);
+    // Records that work takes `percent` of the usual time according to the engine itself.
+    void recordStatedSlowdown(UpstreamId engine, std::uint32_t percent, TimePoint now);
+    const EngineSpeeds& speeds() const { return speeds_; }
     // Records that the engine refused a request as full although the counts showed a free slot. It gets no requests for a moment.
     void recordFullRefusal(UpstreamId engine, TimePoint now);
     // Records that an item of this node gave way to another node's request, whose report may come later than the item's end. No item takes
@@ -226,6 +233,8 @@
     bool isCurrent(UpstreamId engine) const { return engines_.contains(engine); }
     // Returns how long an online request that is queued now would wait, behind all queued requests of this cell that can still be in time.
     Duration queueWait(std::string_view service, TimePoint now) const;
+    // The same for a request of this rank, whose workspace uses less than its share or not: only the requests that go before it count.
+    Duration queueWait(std::string_view service, Rank rank, bool isBelowShare, TimePoint now) const;
     // Returns whether an online request that is queued now would be in time if its first event may take `bound`.
     bool canQueueInTime(std::string_view service, Duration bound, TimePoint now) const;
     // Returns the online requests for the service that are queued at another node of this cell.
@@ -233,6 +242,10 @@
     // Return the number of online requests for the service that are queued at all nodes of this cell, including this one.
     std::uint32_t waiting(std::string_view service) const;
     std::uint32_t waitingInTime(std::string_view service) const;
+    // Returns whether an online request is queued at some node of this cell.
+    bool isAnyWaiting() const;
+    // Returns the mean time that an online request occupies its slot.
+    Duration meanRun() const { return fromSeconds(meanRunSeconds_); }
     // Picks an engine for a batch item that is due at `due`. `urgent`: the item is due so soon that it may use the reserved slots, and
     // slots that online requests are queued for. Items of other nodes of the cell go first if they are due earlier, and items of another
     // cell go first on the engines of that cell.
@@ -333,7 +346,12 @@
     double turnoverSlots(ServiceId service, EngineDistance distance, TimePoint now) const;
     // Predicts how long an online request would wait in the engine's own queue.
     Duration predictEngineWait(const Engine& engine, TimePoint now) const;
-    // Ranks engines with free slots; the lowest rank is preferred.
+    // Returns how the engine's expected time compares with the others', in bands; 0: as usual. Engines of one band rank alike, so that nodes
+    // don't all pick the fastest one.
+    int speedBand(const Engine& engine, TimePoint now) const;
+    // Combines the band with the rank of the engine among those of its band; the lowest rank is preferred.
+    static std::uint64_t rankInBand(int band, std::uint64_t rank);
+    // Ranks engines with free slots and of one band; the lowest rank is preferred.
     std::uint64_t freeRank(const Engine& engine, EngineDistance distance, TimePoint now) const;
     // Return the number of slots that batch items may take now on the engines.
     std::uint32_t freeBatchSlots(const Engine& engine, bool urgent, TimePoint now) const;
@@ -364,6 +382,7 @@
     void updateCellFailureReports(const CellUse& use, bool isReported);
 
     CapacitySettings settings_;
+    EngineSpeeds speeds_;
     NodeId self_;
     HostLocation location_;
     std::mt19937_64 random_;
@@ -388,6 +407,10 @@
 
     // Returns the online requests for the service that are queued at all nodes of this cell, including this one.
     WaitingRequests allWaiting(std::string_view service) const;
+    // Returns the number of queued requests that can still be in time and go before one of this class.
+    std::uint32_t waitingBefore(std::string_view service, Rank rank, bool isBelowShare) const;
+    // Returns how long it takes until so many slots have become free.
+    Duration waitForSlots(std::string_view service, std::uint32_t count, TimePoint now) const;
 
     std::map<UpstreamId, TimePoint> silentUntil_; // engines that this node found silent; entries in the past have no effect
     std::map<ServiceId, WaitingRequests> ownWaiting_;
--- a/libs/capacity/include/capacity/WaitingQueue.h
+++ b/libs/capacity/include/capacity/WaitingQueue.h
@@ -10,28 +10,57 @@
 // engine.
 //
 // Requests that can still meet their target latency go first, oldest first, and those that are already late go after them. So when a wait
-// was predicted too short, only that one request is late, and not each request behind it too.
+// was predicted too short, only that one request is late, and not each request behind it too. Where claims differ, the rank goes before
+// that, and the usage before the age.
 #pragma once
 
+#include "base/Claim.h"
 #include "base/Id.h"
 #include "base/Time.h"
 
+#include <compare>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace jj {
 
 using QueueTicket = Id<struct QueueTicketTag>;
 
+// On whose behalf a request waits.
+struct Claimant {
+    WorkspaceId workspace_ {};
+    Rank rank_ = 0;
+};
+
+// The order of waiting requests, at one node and between nodes; the lower one goes first.
+struct WaitingOrder {
+    Rank rank_ = 0;
+    bool isLate_ = false; // it can't meet its target latency any more
+    float usage_ = 0;
+
+    friend auto operator<=>(const WaitingOrder&, const WaitingOrder&) = default;
+};
+
 class WaitingQueue {
 public:
+    // Returns the present claim of a request.
+    using ClaimSource = std::function<Claim(const Claimant&)>;
+
+    // `claimOf`: none: all claims are equal.
+    explicit WaitingQueue(ClaimSource claimOf = {})
+        : claimOf_(std::move(claimOf))
+    {
+    }
+
     // Adds a request. `inTimeUntil`: the latest time to send it so that its first event meets the target latency. `keepUntil`: the time
     // after which the request is expired, because waiting longer would be of no use.
-    QueueTicket enter(std::string_view service, TimePoint inTimeUntil, TimePoint keepUntil);
+    QueueTicket enter(std::string_view service, TimePoint inTimeUntil, TimePoint keepUntil, Claimant claimant = {});
     void leave(QueueTicket ticket);
     // Returns the request that gets the next free slot of the service; none when the queue has no request for it.
     std::optional<QueueTicket> first(std::string_view service, TimePoint now) const;
@@ -42,6 +71,8 @@
     // Returns the number of requests for the service that can still meet their target latency.
     std::uint16_t inTime(std::string_view service, TimePoint now) const;
     bool isInTime(QueueTicket ticket, TimePoint now) const;
+    // Returns the place of the request in the order of waiting requests; the ticket must be in the queue.
+    WaitingOrder orderOf(QueueTicket ticket, TimePoint now) const;
     bool empty() const { return queuedRequests_.empty(); }
 
 private:
@@ -49,8 +80,13 @@
         std::string service_;
         TimePoint inTimeUntil_ {};
         TimePoint keepUntil_ {};
+        Claimant claimant_;
     };
 
+    WaitingOrder orderOf(const QueuedRequest& request, TimePoint now) const;
+
+    ClaimSource claimOf_;
+
     std::map<QueueTicket, QueuedRequest> queuedRequests_; // tickets increase, so the oldest comes first
     std::uint64_t nextTicket_ = 1;
 };
--- a/libs/capacity/src/CapacityAnswers.cpp
+++ b/libs/capacity/src/CapacityAnswers.cpp
@@ -135,6 +135,19 @@
     return due;
 }
 
+void CapacityBoard::recordEventGap(UpstreamId engine, Duration gap, TimePoint now)
+{
+    const auto found = engines_.find(engine);
+    if (found != engines_.end())
+        speeds_.recordEventGap(engine, found->second.groupPlace_.service_, found->second.total(now), gap, now);
+}
+
+void CapacityBoard::recordStatedSlowdown(UpstreamId engine, std::uint32_t percent, TimePoint now)
+{
+    if (engines_.contains(engine))
+        speeds_.recordStatedSlowdown(engine, percent, now);
+}
+
 void CapacityBoard::applyEngineLoad(UpstreamId engine, std::uint32_t running, std::uint32_t waiting, TimePoint now)
 {
     const auto found = engines_.find(engine);
--- a/libs/capacity/src/CapacityBoard.cpp
+++ b/libs/capacity/src/CapacityBoard.cpp
@@ -18,6 +18,7 @@
 
 CapacityBoard::CapacityBoard(CapacitySettings settings, NodeId self, HostLocation place, std::uint64_t seed)
     : settings_(settings)
+    , speeds_(EngineSpeeds::create({}).value()) // the defaults are valid
     , self_(self)
     , location_(place)
     , random_(seed)
@@ -70,6 +71,7 @@
     engines_.erase(found);
     suspects_.erase(engine);
     silentUntil_.erase(engine);
+    speeds_.remove(engine);
     reportedFailing_.erase(engine);
     ownWork_.erase(engine);
 }
@@ -121,10 +123,10 @@
         found->second.own_.nonPreemptibleItems_ = items;
 }
 
-void CapacityBoard::setWaiting(std::string_view service, std::uint16_t count, std::uint16_t inTime)
+void CapacityBoard::setWaiting(std::string_view service, std::uint16_t count, std::uint16_t inTime, std::vector<WaitingClass> classes)
 {
     const auto id = idFromName<ServiceId>(service);
-    ownWaiting_[id] = { id, count, inTime };
+    ownWaiting_[id] = { id, count, inTime, std::move(classes) };
 }
 
 void CapacityBoard::setItemsWaiting(std::string_view service, std::uint16_t count, TimePoint firstDue)
@@ -150,6 +152,7 @@
     for (const UpstreamId id : ownWork_)
         use.uses_.push_back(engines_.at(id).own_);
     use.failingEngines_ = failingEngines(now);
+    use.speeds_ = speeds_.ownReport(now);
     for (const auto& [service, waiting] : ownWaiting_) {
         if (waiting.count_ > 0)
             use.waiting_.push_back(waiting);
@@ -219,6 +222,9 @@
     report = { use, now };
     add(use.uses_);
     updateNodeFailureReports(use, true);
+    std::vector<EngineSpeedReport> speeds = use.speeds_;
+    std::erase_if(speeds, [this](const EngineSpeedReport& one) { return !engines_.contains(one.engine_); });
+    speeds_.apply(use.node_, speeds, now);
 }
 
 void CapacityBoard::dropNodeReport(NodeId node)
--- a/libs/capacity/src/CapacityCells.cpp
+++ b/libs/capacity/src/CapacityCells.cpp
@@ -103,7 +103,7 @@
         for (const EngineUse& one : use.uses_)
             addTo(uses, one.engine_, one);
         for (const WaitingRequests& one : use.waiting_)
-            addTo(waiting, one.service_, one);
+            addTo(waiting, one.service_, WaitingRequests { one.service_, one.count_, one.inTime_ });
         for (const WaitingItems& one : use.items_)
             addTo(items, one.service_, WaitingItems { one.service_, one.count_, one.dueIn_ - age });
     };
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -151,8 +151,8 @@
         constexpr std::uint64_t otherDomain = 1;
         const auto distance = static_cast<std::uint64_t>(engineDistance);
         const std::uint64_t stage = kind == PickKind::Queues ? queueStage + distance : 2 * distance + (preemptsBatch ? 1 : 0);
-        const std::uint64_t load = isFree ? freeRank(engine, engineDistance, now) : preemptsBatch ? engine.nonPreemptibleLoad(now)
-                                                                                                  : static_cast<std::uint64_t>(wait / 1ms);
+        const std::uint64_t load = isFree ? rankInBand(speedBand(engine, now), freeRank(engine, engineDistance, now)) : preemptsBatch ? rankInBand(speedBand(engine, now), engine.nonPreemptibleLoad(now))
+                                                                                                                                      : static_cast<std::uint64_t>(wait / 1ms);
         const std::uint64_t rank = stage * stageWeight + load * 2 + (engine.entry_.domain_ == location_.domain_ ? 0 : otherDomain);
         if (best.engine_ && rank >= best.rank_)
             return;
@@ -190,6 +190,20 @@
     return free > 1 ? 1 : 2;
 }
 
+int CapacityBoard::speedBand(const Engine& engine, TimePoint now) const
+{
+    // Two bands lie a factor of 1.4 apart: less is hardly felt by callers, and estimates are not exact.
+    constexpr double bandsPerDouble = 2;
+    return speeds_.mayDiffer() ? static_cast<int>(std::lround(speeds_.difference(engine.entry_.id_, now) * bandsPerDouble)) : 0;
+}
+
+std::uint64_t CapacityBoard::rankInBand(int band, std::uint64_t rank)
+{
+    constexpr int usualBand = 8; // the number of bands below the usual one, so that no rank is negative
+    constexpr std::uint64_t bandWeight = 1ULL << 24; // more than any rank within a band
+    return static_cast<std::uint64_t>(usualBand + band) * bandWeight + rank;
+}
+
 // ---- queued requests
 
 WaitingRequests CapacityBoard::waitingAt(NodeId node, std::string_view service) const
@@ -235,8 +249,44 @@
     return static_cast<double>(slots) * static_cast<double>(all.size()) / static_cast<double>(visited);
 }
 
+bool CapacityBoard::isAnyWaiting() const
+{
+    const auto isWaiting = [](const WaitingRequests& one) { return one.count_ > 0; };
+    if (std::any_of(ownWaiting_.begin(), ownWaiting_.end(), [&](const auto& entry) { return isWaiting(entry.second); }))
+        return true;
+    return std::any_of(reports_.begin(), reports_.end(), [&](const auto& entry) {
+        const auto& waiting = entry.second.use_.waiting_;
+        return std::any_of(waiting.begin(), waiting.end(), isWaiting);
+    });
+}
+
+std::uint32_t CapacityBoard::waitingBefore(std::string_view service, Rank rank, bool isBelowShare) const
+{
+    const auto id = idFromName<ServiceId>(service);
+    const auto countOf = [&](const WaitingRequests& waiting) {
+        std::uint32_t count = waiting.classes_.empty() ? waiting.inTime_ : 0U;
+        for (const WaitingClass& one : waiting.classes_) {
+            const bool isBefore = one.rank_ < rank || (one.rank_ == rank && (one.isBelowShare_ || !isBelowShare));
+            count += isBefore ? one.inTime_ : 0U;
+        }
+        return count;
+    };
+    const auto own = ownWaiting_.find(id);
+    std::uint32_t count = own == ownWaiting_.end() ? 0 : countOf(own->second);
+    for (const auto& [node, report] : reports_)
+        count += countOf(waitingAt(node, service));
+    return count;
+}
+
+Duration CapacityBoard::queueWait(std::string_view service, TimePoint now) const { return waitForSlots(service, waitingInTime(service) + 1, now); }
+
+Duration CapacityBoard::queueWait(std::string_view service, Rank rank, bool isBelowShare, TimePoint now) const
+{
+    return waitForSlots(service, waitingBefore(service, rank, isBelowShare) + 1, now);
+}
+
 // With n slots that online requests can use, a slot becomes free after 1/n of the mean run time. Non-preemptible items keep theirs.
-Duration CapacityBoard::queueWait(std::string_view service, TimePoint now) const
+Duration CapacityBoard::waitForSlots(std::string_view service, std::uint32_t count, TimePoint now) const
 {
     const auto id = idFromName<ServiceId>(service);
     double slots = turnoverSlots(id, EngineDistance::SameCell, now);
@@ -246,7 +296,7 @@
         slots = turnoverSlots(id, EngineDistance::SameRegion, now) + turnoverSlots(id, EngineDistance::OtherRegion, now);
     if (slots == 0)
         return noEngineWait;
-    return fromSeconds(meanRunSeconds_ * (waitingInTime(service) + 1) / slots);
+    return fromSeconds(meanRunSeconds_ * count / slots);
 }
 
 bool CapacityBoard::canQueueInTime(std::string_view service, Duration bound, TimePoint now) const
@@ -337,7 +387,9 @@
     for (const Engine* engine : engines) {
         if (freeBatchSlots(*engine, urgent, now) == 0)
             continue;
-        const std::uint64_t rank = freeRank(*engine, distanceOf(*engine), now) * 2 + (engine->entry_.domain_ == location_.domain_ ? 0 : 1);
+        // Items that can wait leave the fast engines to online requests and to urgent items, but avoid engines that are far slower.
+        const int band = urgent ? speedBand(*engine, now) : std::max(0, speedBand(*engine, now) - 1);
+        const std::uint64_t rank = rankInBand(band, freeRank(*engine, distanceOf(*engine), now)) * 2 + (engine->entry_.domain_ == location_.domain_ ? 0 : 1);
         if (best && rank >= bestRank)
             continue;
         best = engine;
--- a/libs/capacity/src/WaitingQueue.cpp
+++ b/libs/capacity/src/WaitingQueue.cpp
@@ -6,27 +6,37 @@
 
 namespace jj {
 
-QueueTicket WaitingQueue::enter(std::string_view service, TimePoint inTimeUntil, TimePoint keepUntil)
+QueueTicket WaitingQueue::enter(std::string_view service, TimePoint inTimeUntil, TimePoint keepUntil, Claimant claimant)
 {
     const QueueTicket ticket(nextTicket_++);
-    queuedRequests_[ticket] = { std::string(service), inTimeUntil, keepUntil };
+    queuedRequests_[ticket] = { std::string(service), inTimeUntil, keepUntil, claimant };
     return ticket;
 }
 
 void WaitingQueue::leave(QueueTicket ticket) { queuedRequests_.erase(ticket); }
 
+WaitingOrder WaitingQueue::orderOf(const QueuedRequest& request, TimePoint now) const
+{
+    const Claim claim = claimOf_ ? claimOf_(request.claimant_) : Claim {};
+    return { claim.rank_, now > request.inTimeUntil_, claim.usage_ };
+}
+
+WaitingOrder WaitingQueue::orderOf(QueueTicket ticket, TimePoint now) const { return orderOf(queuedRequests_.at(ticket), now); }
+
 std::optional<QueueTicket> WaitingQueue::first(std::string_view service, TimePoint now) const
 {
-    std::optional<QueueTicket> late;
+    std::optional<QueueTicket> first;
+    WaitingOrder firstOrder;
     for (const auto& [ticket, request] : queuedRequests_) {
         if (request.service_ != service)
             continue;
-        if (now <= request.inTimeUntil_)
-            return ticket;
-        if (!late)
-            late = ticket;
+        const WaitingOrder order = orderOf(request, now);
+        if (first && order >= firstOrder)
+            continue;
+        first = ticket;
+        firstOrder = order;
     }
-    return late;
+    return first;
 }
 
 std::vector<QueueTicket> WaitingQueue::expired(TimePoint now) const
--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -229,6 +229,8 @@
     std::function<bool(std::string_view key)> isWriteInDoubt_;
     // Whether other nodes may have replaced this one without its noticing.
     std::function<bool()> mayBeReplaced_;
+    // Returns the slot time that the items of a workspace have used recently, relative to its weight; empty: all workspaces count alike.
+    std::function<double(const std::string& workspace)> usageOf_ {};
 };
 
 class JobScheduler {
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -93,9 +93,12 @@
     JobPtr chosen;
     std::size_t itemIndex = 0;
     ItemUrgency chosenUrgency = ItemUrgency::Late;
+    bool isChosenUrgent = false;
+    double chosenUsage = 0;
     for (const auto& [name, job] : jobs_) {
         if (!job->mayRun(now))
             continue;
+        const double usage = outlets_.usageOf_ ? outlets_.usageOf_(job->head_.workspace_) : 0;
         for (std::size_t index = 0; index < job->items_.size(); ++index) {
             Item& item = job->items_[index];
             if (item.state_ != ItemState::Waiting || now < item.notBefore_)
@@ -103,9 +106,13 @@
             const ItemUrgency ownUrgency = urgencyOf(*job, item, now);
             if (onlyUrgent && ownUrgency != ItemUrgency::Urgent)
                 continue;
-            // Items that can finish in time are ordered by their due time.
+            // Items that can finish in time are ordered by their due time. Of those that are in time only if they run now, there may be more
+            // than slots; then the workspace goes first that has used least.
             const ItemUrgency itemUrgency = std::max(ownUrgency, ItemUrgency::Urgent);
-            const bool isBetter = !chosen || (itemUrgency != chosenUrgency ? itemUrgency < chosenUrgency : job->due_ < chosen->due_);
+            const bool isUrgent = ownUrgency == ItemUrgency::Urgent;
+            const bool isByUsage = isUrgent && isChosenUrgent && usage != chosenUsage;
+            const bool goesBefore = chosen && (isByUsage ? usage < chosenUsage : job->due_ < chosen->due_);
+            const bool isBetter = !chosen || (itemUrgency != chosenUrgency ? itemUrgency < chosenUrgency : goesBefore);
             if (!isBetter)
                 continue;
             const auto routedService = serviceOf(*job, item, now);
@@ -114,6 +121,8 @@
             chosen = job;
             itemIndex = index;
             chosenUrgency = itemUrgency;
+            isChosenUrgent = isUrgent;
+            chosenUsage = usage;
         }
     }
     if (!chosen)
--- a/libs/serving/include/serving/Translation.h
+++ b/libs/serving/include/serving/Translation.h
@@ -63,6 +63,7 @@
 struct EngineLoad {
     std::uint32_t running_ = 0;
     std::uint32_t waiting_ = 0;
+    std::optional<std::uint32_t> slowdownPercent_ {}; // how long work takes now; 100: as usual
 };
 
 struct Translation {
--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -129,6 +129,16 @@
     if (!load)
         return metrics_.metrics_.add(metrics_.loadHeadersIgnored_);
     board_.applyEngineLoad(engine, load->running_, load->waiting_, now());
+    if (load->slowdownPercent_)
+        board_.recordStatedSlowdown(engine, *load->slowdownPercent_, now());
+}
+
+void Context::recordEvents(UpstreamId engine, EventClock& clock, std::size_t events)
+{
+    if (events == 0)
+        return;
+    if (const auto gap = clock.record(events, now()))
+        board_.recordEventGap(engine, *gap, now());
 }
 
 void Context::probe(UpstreamId engine)
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -61,6 +61,7 @@
 };
 
 class CrashWatch;
+class Shares;
 class SlotQueue;
 class StreamVersions;
 
@@ -79,6 +80,7 @@
     Fleet* fleet_ = nullptr; // set before the event loop runs
     SlotQueue* queue_ = nullptr; // set before the event loop runs
     Quotas* quotas_ = nullptr; // set before the event loop runs
+    Shares* shares_ = nullptr; // set before the event loop runs
     StreamVersions* streams_ = nullptr; // set before the event loop runs
     CrashWatch* crashes_ = nullptr; // set before the event loop runs
     std::shared_ptr<const RouteTable> table_ {}; // null until the first configuration is applied
@@ -92,6 +94,8 @@
     void engineGoesOn(UpstreamId engine);
     // Records the load that an engine states in the headers of its answer.
     void observe(UpstreamId engine, const http::Headers& headers);
+    // Records events that have arrived together, which show how fast the engine works.
+    void recordEvents(UpstreamId engine, EventClock& clock, std::size_t events);
     // Records an answer of which an element exceeded its limit.
     void recordOverLimit(UpstreamId engine, std::error_code error);
     // Maximum sizes of an event and of a whole answer, in bytes. Several of them fit into the budget.
--- a/libs/serving/src/EngineRun.h
+++ b/libs/serving/src/EngineRun.h
@@ -35,6 +35,7 @@
     std::string body_; // of an answer that is not a stream
     bool isPaused_ = false; // its engine isn't read, because the caller's queue is full
     EventScanner scanner_;
+    EventClock eventClock_;
     http::ByteHold hold_; // of body_ and of the event that is being scanned
 
     std::size_t heldBytes() const { return body_.size() + scanner_.rest().size(); }
--- a/libs/serving/src/EventScanner.cpp
+++ b/libs/serving/src/EventScanner.cpp
@@ -68,10 +68,10 @@
     return false;
 }
 
-void EventScanner::feed(std::string_view bytes, const std::function<void(const StreamEvent&)>& onEvent)
+std::size_t EventScanner::feed(std::string_view bytes, const std::function<void(const StreamEvent&)>& onEvent)
 {
     if (isOverLimit_)
-        return;
+        return 0;
     // Bytes are copied only if an event is split across calls, which is rare.
     std::string joined;
     if (!partial_.empty()) {
@@ -81,10 +81,12 @@
         bytes = joined;
     }
     const std::uint64_t resets = resets_;
+    std::size_t events = 0;
     for (std::size_t end = endOfEvent(bytes); end != std::string_view::npos; end = endOfEvent(bytes)) {
+        ++events;
         onEvent(parse(bytes.substr(0, end)));
         if (resets_ != resets)
-            return;
+            return events;
         bytes.remove_prefix(end);
     }
     isOverLimit_ = bytes.size() > eventLimit_;
@@ -92,6 +94,7 @@
         partial_ = {};
     else
         partial_.assign(bytes);
+    return events;
 }
 
 } // namespace jj
--- a/libs/serving/src/EventScanner.h
+++ b/libs/serving/src/EventScanner.h
@@ -4,12 +4,15 @@
 // followed by the first event of the engine that resumes the stream. The scanner therefore yields only complete events.
 #pragma once
 
+#include "base/Time.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace jj {
 
@@ -19,6 +22,24 @@
     std::string_view data_; // of the last data field; several fields are not joined
 };
 
+// Measures the time between the events of one run.
+class EventClock {
+public:
+    // Records that events have arrived together. Returns the mean time that each of them took, or nullopt for the first ones.
+    std::optional<Duration> record(std::size_t events, TimePoint now)
+    {
+        const TimePoint before = std::exchange(lastAt_, now);
+        if (before == TimePoint() || events == 0)
+            return std::nullopt;
+        return (now - before) / static_cast<std::int64_t>(events);
+    }
+    // Forgets the last event, because this side paused the run.
+    void restart() { lastAt_ = {}; }
+
+private:
+    TimePoint lastAt_ {};
+};
+
 class EventScanner {
 public:
     // An engine may send an event without end, so the scanner gives up on longer ones.
@@ -31,8 +52,8 @@
     }
 
     // Calls back for each event that is now complete. The views in the event are valid during the call only. Does nothing once an event
-    // has exceeded the limit.
-    void feed(std::string_view bytes, const std::function<void(const StreamEvent&)>& onEvent);
+    // has exceeded the limit. Returns the number of events.
+    std::size_t feed(std::string_view bytes, const std::function<void(const StreamEvent&)>& onEvent);
     // Returns the bytes after the last complete event.
     const std::string& rest() const { return partial_; }
     // Returns whether an event has exceeded the limit. Its bytes are dropped.
--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -352,6 +352,8 @@
         return exchange_->handle(*report, now);
     if (const auto* records = std::get_if<SuspectRecords>(&datagram.value()))
         return handlers_.onSuspectRecords_(*records);
+    if (std::holds_alternative<ShareReport>(datagram.value()) || std::holds_alternative<ShareSum>(datagram.value()))
+        return handlers_.onShareMessage_(datagram.value());
     const bool isAboutStreams = std::holds_alternative<StreamRecords>(datagram.value()) || std::holds_alternative<StreamQuery>(datagram.value()) || std::holds_alternative<StreamAnswer>(datagram.value());
     isAboutStreams ? handlers_.onStreamMessage_(datagram.value()) : handlers_.onQuotaMessage_(datagram.value());
 }
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -47,6 +47,8 @@
     std::function<void(const PeerDatagram&)> onQuotaMessage_;
     // A message about streams has arrived: StreamRecords, StreamQuery or StreamAnswer.
     std::function<void(const PeerDatagram&)> onStreamMessage_;
+    // A message about the slot time of workspaces has arrived: ShareReport or ShareSum.
+    std::function<void(const PeerDatagram&)> onShareMessage_;
     // The node was live and has been declared dead or has left.
     std::function<void(NodeId)> onNodeDown_;
     // The process on the node has started, or rejoined the fleet as a new incarnation.
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -1,6 +1,8 @@
 // Runs are looked up by id. Events of a run that is no longer current are ignored.
 #include "ItemRunner.h"
 
+#include "Shares.h"
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
@@ -145,6 +147,7 @@
     const EngineEntry* entry = context_.board_.find(run->engine_);
     const HeaderNames& names = context_.translation_.headers_;
     context_.board_.started(run->engine_, WorkClass::BatchItem);
+    context_.shares_->itemStarted(run->item_.workspace_, run->sentAt_);
     context_.fleet_->publishReport();
     context_.metrics_.metrics_.add(context_.metrics_.itemRuns_);
     const ItemRun& item = run->item_;
@@ -191,7 +194,7 @@
         return;
     bool isDiscontinuous = false;
     bool isVersionUncertain = false;
-    run->scanner_.feed(data, [&](const StreamEvent& event) {
+    const std::size_t events = run->scanner_.feed(data, [&](const StreamEvent& event) {
         if (isDiscontinuous || isVersionUncertain || !event.id_)
             return;
         // The engine may have started again, with another version, since it was picked.
@@ -209,6 +212,7 @@
         run->textBytes_ += event.data_.size();
         scheduler_.event(run->item_.id_, *event.id_, event.data_);
     });
+    context_.recordEvents(run->engine_, run->eventClock_, events);
     if (run->scanner_.isOverLimit() || run->textBytes_ > settings_.maxTextBytes_) {
         context_.log_.line("answerOverLimit").with("request", run->item_.item_).with("job", run->item_.job_).with("textBytes", run->textBytes_);
         context_.recordOverLimit(run->engine_, run->scanner_.isOverLimit() ? http::Error::EventTooLarge : http::Error::AnswerTooLarge);
@@ -368,6 +372,7 @@
     runs_.erase(run->item_.id_);
     endCall(*run);
     context_.board_.ended(run->engine_, WorkClass::BatchItem);
+    context_.shares_->itemEnded(run->item_.workspace_, context_.now());
     context_.fleet_->publishReport();
     context_.log_.line("itemRunEnded").with("request", run->item_.item_).with("job", run->item_.job_).with("why", why).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_).with("lastEvent", run->item_.resumeAfter_ ? static_cast<std::int64_t>(*run->item_.resumeAfter_) : -1).with("end", run->end_ ? nameOf(*run->end_) : "none").with("inRun", run->firstEventAt_ ? "events" : "noEvent").with("parts", partsForLog(joinedValues(run->item_.headers_, context_.translation_.headers_.promptParts_)));
     scheduler_.ended(run->item_.id_, rejectionOf(*run).value_or(end), context_.now());
@@ -413,10 +418,11 @@
 bool ItemRunner::preemptItem(UpstreamId engine, TimePoint now)
 {
     // Prefers items that are late, since they lose nothing by waiting. Of the others, the item that is due last has the most time
-    // to resume on another engine. A run that hasn't brought an event comes after these: its engine may be about to answer with an error.
+    // to resume on another engine; where workspaces share slots, one of the workspace that has used most goes first. A run that hasn't brought an event comes after these: its engine may be about to answer with an error.
     RunPtr chosen;
     ItemUrgency chosenUrgency = ItemUrgency::Urgent;
     int chosenRank = 0;
+    double chosenUsage = 0;
     std::uint16_t urgent = 0;
     const auto rankOf = [](const Run& run, ItemUrgency urgency) {
         if (urgency == ItemUrgency::Urgent)
@@ -431,11 +437,14 @@
         const ItemUrgency urgency = scheduler_.urgencyOf(id, now);
         urgent += urgency == ItemUrgency::Urgent ? 1 : 0;
         const int rank = rankOf(*run, urgency);
-        const bool isBetter = !chosen || rank > chosenRank || (rank == chosenRank && run->item_.due_ > chosen->item_.due_);
+        const double usage = context_.shares_->itemUsage(run->item_.workspace_, now);
+        const bool isBetterOfRank = chosen && (usage != chosenUsage ? usage > chosenUsage : run->item_.due_ > chosen->item_.due_);
+        const bool isBetter = !chosen || rank > chosenRank || (rank == chosenRank && isBetterOfRank);
         if (!isBetter)
             continue;
         chosen = run;
         chosenRank = rank;
+        chosenUsage = usage;
         chosenUrgency = urgency;
     }
     const bool isNonPreemptible = chosenUrgency == ItemUrgency::Urgent && urgent <= settings_.nonPreemptiblePerEngine_;
@@ -456,6 +465,7 @@
     runs_.erase(found);
     endCall(*run);
     context_.board_.ended(run->engine_, WorkClass::BatchItem);
+    context_.shares_->itemEnded(run->item_.workspace_, context_.now());
     context_.fleet_->publishReport();
     context_.log_.line("itemStopped").with("request", run->item_.item_).with("job", run->item_.job_).with("status", run->status_).with("afterMs", context_.now() - run->sentAt_);
     // Not from within the scheduler's call.
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -70,6 +70,7 @@
         bool isProven_ = false; // the run has gone on for long enough that the item doesn't crash its engine
         std::optional<http::AnswerEnd> end_; // none until the answer has ended
         EventScanner scanner_;
+        EventClock eventClock_;
         std::size_t textBytes_ = 0; // of the events of this run
     };
     using RunPtr = std::shared_ptr<Run>;
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -1,6 +1,8 @@
 // RelayedRequest: the engine's answer, errors and timeouts, and the answer to the caller.
 #include "RelayedRequest.h"
 
+#include "Shares.h"
+
 #include <algorithm>
 
 namespace jj {
@@ -44,7 +46,7 @@
         return;
     recordBytes(*run);
     if (isReadingStream(*run))
-        run->scanner_.feed(data, [&](const StreamEvent& event) { onEvent(run, event); });
+        context_.recordEvents(run->engine_, run->eventClock_, run->scanner_.feed(data, [&](const StreamEvent& event) { onEvent(run, event); }));
     else
         run->body_.append(data);
     run->hold_.resize(run->heldBytes());
@@ -122,6 +124,7 @@
         return;
     run_->isPaused_ = false;
     run_->heardAt_ = context_.now(); // the pause wasn't the engine's
+    run_->eventClock_.restart();
     readTimer_.cancel();
     if (run_->call_)
         run_->call_->resumeReading();
@@ -471,6 +474,7 @@
         closed->call_->cancel();
     closed->call_ = nullptr;
     context_.board_.ended(closed->engine_, WorkClass::OnlineRequest);
+    context_.shares_->ended(claimant_, context_.now());
     context_.queue_->onSlotFreed();
     context_.fleet_->publishReport();
 }
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -1,6 +1,7 @@
 // RelayedRequest: from a request's arrival until it is sent to an engine, including engine selection and queueing.
 #include "RelayedRequest.h"
 
+#include "Shares.h"
 #include "base/Hash.h"
 
 #include <algorithm>
@@ -54,6 +55,7 @@
     fingerprints_ = context_.crashes_->fingerprintsOf(request);
     wasRefusedBefore_ = context_.queue_->isProbableRetry(route_.name_, patience, arrivedAt_);
     service_ = RouteTable::pickService(route_, hash64(id_));
+    claimant_ = context_.shares_->claimantOf(route_, caller_.workspace_);
     if (isStream()) {
         context_.streams_->noteCallerDeadline(idFromName<ServiceId>(service_), patience);
         if (!readResume())
@@ -187,7 +189,7 @@
         return send(pick);
     if (offers_ < maxOffers && enqueue(budget))
         return;
-    pick.wait_ = std::max(pick.wait_, context_.board_.queueWait(service_, now));
+    pick.wait_ = std::max(pick.wait_, queueWait());
     const CapacityBoard::Usage usage = context_.board_.usage(service_);
     line("noEngine").with("service", service_).with("offers", offers_).with("runs", runs_).with("slots", usage.slots_).with("questions", usage.onlineRequests_).with("batchItems", usage.batchItems_).with("waitMs", pick.wait_);
     if (hasAnswerStarted_ || mayHaveRun())
@@ -256,10 +258,19 @@
     return std::min(from + route_.targetLatency_ * queueTargetMultiple, deadline_ - minRetryAfter);
 }
 
+Duration RelayedRequest::queueWait() const
+{
+    const TimePoint now = context_.now();
+    if (!context_.shares_->isActive())
+        return context_.board_.queueWait(service_, now);
+    const Rank rank = context_.shares_->claim(claimant_, now).rank_;
+    return context_.board_.queueWait(service_, rank, context_.shares_->isBelowShare(claimant_, now), now);
+}
+
 bool RelayedRequest::enqueue(Duration budget)
 {
     const TimePoint now = context_.now();
-    const bool shouldQueue = wasRefusedBefore_ || context_.board_.canQueueInTime(service_, budget, now);
+    const bool shouldQueue = wasRefusedBefore_ || queueWait() <= budget - context_.board_.settings().firstEventTime_;
     if (!shouldQueue || now >= queueDeadline())
         return false;
     phase_ = Phase::Waiting;
@@ -273,7 +284,7 @@
         self->onQueueTimeout();
     };
     ticket_ = context_.queue_->enter(std::move(queued));
-    line("linedUp").with("waiting", context_.board_.waiting(service_)).with("waitMs", context_.board_.queueWait(service_, now));
+    line("linedUp").with("waiting", context_.board_.waiting(service_)).with("waitMs", queueWait());
     context_.queue_->onCapacityChanged();
     return true;
 }
@@ -285,6 +296,7 @@
     queued.repeatable_ = route_.isRepeatable();
     queued.version_ = boundVersion_;
     queued.tried_ = tried_;
+    queued.claimant_ = claimant_;
     queued.inTimeUntil_ = context_.now() + budget - context_.board_.settings().firstEventTime_;
     queued.queueDeadline_ = queueDeadline();
     return queued;
@@ -295,7 +307,7 @@
     phase_ = Phase::Picking;
     if (hasAnswerStarted_ || mayHaveRun())
         return lost(http::Error::ConnectFailed);
-    refuse("noSlotCame", context_.board_.queueWait(service_, context_.now()));
+    refuse("noSlotCame", queueWait());
 }
 
 void RelayedRequest::send(const EnginePick& pick)
@@ -318,6 +330,7 @@
     ++runs_;
     phase_ = Phase::Running;
     context_.board_.started(pick.engine_, WorkClass::OnlineRequest);
+    context_.shares_->started(claimant_, context_.now());
     if (pick.kind_ == PickKind::PreemptsBatch) {
         context_.metrics_.metrics_.add(context_.metrics_.preemptions_);
         preemptionRequests_ = 0;
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -85,6 +85,8 @@
     void refuseResume(std::string_view reason, std::string_view code, std::string_view message);
     // Refuses a request whose key was removed while it waited.
     void refuseRemovedKey();
+    // Returns how long the request would wait in the queue.
+    Duration queueWait() const;
     // Queues the request for a slot. Returns false if no slot is expected to become free in time.
     bool enqueue(Duration budget);
     void onQueueTimeout();
@@ -197,6 +199,7 @@
     boost::asio::steady_timer pauseTimer_; // until another node is asked to preempt a batch item, or in phase Settling
     boost::asio::steady_timer silenceTimer_; // until the next checkSilence()
     boost::asio::steady_timer readTimer_; // until the next readAfterPause()
+    Claimant claimant_;
     std::size_t preemptionRequests_ = 0;
     std::shared_ptr<std::size_t> openCount_;
     const TimePoint arrivedAt_;
--- a/libs/serving/src/ReportMessages.cpp
+++ b/libs/serving/src/ReportMessages.cpp
@@ -91,7 +91,7 @@
         truncate(report.workspaces_, maxShareEntries);
         truncate(report.ranks_, maxRanks);
     }
-    void truncateToLimits(CellShares& sum)
+    void truncateToLimits(ShareSum& sum)
     {
         truncate(sum.workspaces_, maxShareEntries);
         truncate(sum.ranks_, maxRanks);
@@ -279,9 +279,9 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, CellShares& sum)
+void serialize(Archive& archive, ShareSum& sum)
 {
-    archive(sum.cell_, sum.incarnation_, sum.sequence_, Flag { sum.isForwarded_ }, list<maxShareEntries>(sum.workspaces_), list<maxRanks>(sum.ranks_));
+    archive(sum.cell_, Flag { sum.isOfFleet_ }, sum.incarnation_, sum.sequence_, list<maxShareEntries>(sum.workspaces_), list<maxRanks>(sum.ranks_));
 }
 
 // NOLINTEND(readability-identifier-naming)
@@ -331,7 +331,7 @@
         case 11:
             return read<ShareReport>(archive, source);
         case 12:
-            return read<CellShares>(archive, source);
+            return read<ShareSum>(archive, source);
         default:
             return PeerError::Unreadable;
         }
--- a/libs/serving/src/ReportMessages.h
+++ b/libs/serving/src/ReportMessages.h
@@ -78,7 +78,7 @@
     bool isForwarded_ = false; // forwarded by a delegate to its own cell
 };
 
-using PeerDatagram = std::variant<NodeReport, PreemptRequest, CellDigest, QuotaReport, AdmissionRequest, AdmissionDecision, QuotaNotice, StreamRecords, StreamQuery, StreamAnswer, SuspectRecords, ShareReport, CellShares>;
+using PeerDatagram = std::variant<NodeReport, PreemptRequest, CellDigest, QuotaReport, AdmissionRequest, AdmissionDecision, QuotaNotice, StreamRecords, StreamQuery, StreamAnswer, SuspectRecords, ShareReport, ShareSum>;
 
 std::string encode(const WireKey& key, const PeerDatagram& datagram);
 // Returns PeerError::Unauthentic or PeerError::Unreadable if the bytes can't be accepted.
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -114,6 +114,8 @@
     buildScheduler();
     quotas_ = std::make_unique<Quotas>(*fleet_, settings_.quotaBound_);
     context_.quotas_ = quotas_.get();
+    shares_ = std::make_unique<Shares>(*fleet_, board_);
+    context_.shares_ = shares_.get();
     streams_ = std::make_unique<StreamVersions>(*fleet_);
     context_.streams_ = streams_.get();
     crashes_ = std::make_unique<CrashWatch>(context_, seed_);
@@ -233,6 +235,10 @@
     handlers.onPreemptRequest_ = [this](const PreemptRequest& request) { onPreemptionRequest(request); };
     handlers.onQuotaMessage_ = [this](const PeerDatagram& message) { quotas_->handle(message); };
     handlers.onStreamMessage_ = [this](const PeerDatagram& message) { streams_->handle(message, context_.now()); };
+    handlers.onShareMessage_ = [this](const PeerDatagram& message) {
+        if (shares_) // which is created after the fleet
+            shares_->handle(message, context_.now());
+    };
     handlers.onCellsChanged_ = [this] {
         std::vector<CellId> others = fleet_->cells().cells();
         std::erase(others, fleet_->ownCell());
@@ -247,6 +253,7 @@
     };
     handlers.onNodeDown_ = [this](NodeId node) {
         board_.dropNodeReport(node);
+        shares_->forget(node);
         // A node that runs no jobs owns none, so its loss requires no scan.
         const Peer* peer = fleet_->peer(node);
         if (peer && !peer->runsJobs_)
@@ -284,6 +291,7 @@
             line.with("error", event.error_.message());
     };
     outlets.isWriteInDoubt_ = [this](std::string_view key) { return store_->isWriteInDoubt(key); };
+    outlets.usageOf_ = [this](const std::string& workspace) { return shares_->itemUsage(workspace, context_.now()); };
     outlets.mayBeReplaced_ = [this] { return fleet_->mayBeReplaced(); };
     outlets.mayBeSpooled_ = [this] { return mayHaveSpooledJobs(); };
     outlets.serviceOf_ = [this](std::string_view host, std::string_view path) -> std::optional<std::string> {
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -14,6 +14,7 @@
 #include "Quotas.h"
 #include "Relay.h"
 #include "RetirementDuty.h"
+#include "Shares.h"
 #include "SlotQueue.h"
 #include "StoreLink.h"
 #include "StreamVersions.h"
@@ -118,6 +119,7 @@
     std::unique_ptr<JobSpool<FileDisk>> spool_; // null if this host has no usable disk
     std::unique_ptr<SlotQueue> queue_;
     std::unique_ptr<Quotas> quotas_;
+    std::unique_ptr<Shares> shares_;
     std::unique_ptr<StreamVersions> streams_;
     std::unique_ptr<CrashWatch> crashes_;
     std::unique_ptr<Relay> relay_;
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -96,6 +96,7 @@
         scheduler_->handOverMisplaced(now);
     quotas_->tick(now);
     streams_->tick(now);
+    shares_->tick(now);
     queue_->tick(now);
     runner_->pump(now);
     if (retirement_)
@@ -184,6 +185,8 @@
     context_.table_ = table;
     if (quotas_)
         quotas_->setTable(table);
+    if (shares_)
+        shares_->setTable(table);
     if (callers_) {
         http::ServerLimits limits;
         limits.headerBytes_ = std::max(table->limits().headerBytes_ * 2, limits.headerBytes_);
--- a/libs/serving/src/SlotQueue.cpp
+++ b/libs/serving/src/SlotQueue.cpp
@@ -1,6 +1,7 @@
 // Goes over all services with queued requests whenever a slot may have become free.
 #include "SlotQueue.h"
 
+#include "Shares.h"
 #include "base/Hash.h"
 
 #include <algorithm>
@@ -13,10 +14,27 @@
     // A report takes 1 to 2 ms within a region, so by its turn the next node has received the report that the slot is taken.
     constexpr Duration turnInterval = 3ms;
 
+    // Returns the place of the node's first request in the order of waiting requests; nullopt if none waits.
+    std::optional<WaitingOrder> firstOrderOf(const WaitingRequests& waiting)
+    {
+        if (waiting.count_ == 0)
+            return std::nullopt;
+        if (waiting.classes_.empty())
+            return WaitingOrder { 0, waiting.inTime_ == 0, 0 };
+        std::optional<WaitingOrder> first;
+        for (const WaitingClass& one : waiting.classes_) {
+            const WaitingOrder order { one.rank_, one.inTime_ == 0, one.firstUsage_ };
+            if (!first || order < *first)
+                first = order;
+        }
+        return first;
+    }
+
 } // namespace
 
 SlotQueue::SlotQueue(Context& context)
     : context_(context)
+    , queue_([this](const Claimant& claimant) { return context_.shares_->claim(claimant, context_.now()); })
     , timer_(context.io_)
 {
 }
@@ -34,7 +52,7 @@
 QueueTicket SlotQueue::enter(QueuedRequest queued)
 {
     const std::string service = queued.service_;
-    const QueueTicket ticket = queue_.enter(queueName(queued), queued.inTimeUntil_, queued.queueDeadline_);
+    const QueueTicket ticket = queue_.enter(queueName(queued), queued.inTimeUntil_, queued.queueDeadline_, queued.claimant_);
     queuedRequests_[ticket] = std::move(queued);
     publishWaiting(service);
     return ticket;
@@ -77,7 +95,33 @@
         ++count;
         inTime = static_cast<std::uint16_t>(inTime + (queue_.isInTime(ticket, now) ? 1 : 0));
     }
-    context_.board_.setWaiting(service, count, inTime);
+    context_.board_.setWaiting(service, count, inTime, classesOf(service, now));
+}
+
+std::vector<WaitingClass> SlotQueue::classesOf(const std::string& service, TimePoint now) const
+{
+    if (!context_.shares_->isActive())
+        return {};
+    std::map<std::pair<Rank, bool>, WaitingClass> classes;
+    for (const auto& [ticket, queued] : queuedRequests_) {
+        if (queued.service_ != service)
+            continue;
+        const WaitingOrder order = queue_.orderOf(ticket, now);
+        const bool isBelowShare = context_.shares_->isBelowShare(queued.claimant_, now);
+        const auto [found, isNew] = classes.try_emplace({ order.rank_, !isBelowShare }, WaitingClass { order.rank_, isBelowShare, 0, 0, order.usage_ });
+        WaitingClass& one = found->second;
+        // The first request in time replaces late ones.
+        const bool isFirstInTime = !order.isLate_ && one.inTime_ == 0;
+        const bool isComparable = order.isLate_ == (one.inTime_ == 0);
+        if (isFirstInTime || (isComparable && order.usage_ < one.firstUsage_))
+            one.firstUsage_ = order.usage_;
+        ++one.count_;
+        one.inTime_ = static_cast<std::uint16_t>(one.inTime_ + (order.isLate_ ? 0 : 1));
+    }
+    std::vector<WaitingClass> result;
+    for (const auto& [key, one] : classes)
+        result.push_back(one);
+    return result;
 }
 
 void SlotQueue::tick(TimePoint now)
@@ -123,11 +167,12 @@
     const EnginePick pick = context_.board_.pickOnline(service, queued.queueDeadline_ - now, queued.repeatable_, queued.tried_, now, queued.version_);
     if (pick.kind_ != PickKind::Free && pick.kind_ != PickKind::PreemptsBatch)
         return false;
-    const bool isInTime = queue_.isInTime(*ticket, now);
+    const WaitingOrder order = queue_.orderOf(*ticket, now);
     // A late request must not take its own node's freed slot while a request that can still be in time waits on another node: in
     // a burst, each late answer would make another one late. It takes its turn after the requests that can be in time.
-    const bool goesFirst = isOwnSlot && (isInTime || context_.board_.waitingInTime(service) == 0);
-    const std::size_t ahead = goesFirst ? 0 : nodesAhead(service, pick.engine_, isInTime);
+    const bool mayGoFirst = !order.isLate_ || context_.board_.waitingInTime(service) == 0;
+    const bool goesFirst = isOwnSlot && mayGoFirst && !isOutranked(service, queued.claimant_, order);
+    const std::size_t ahead = goesFirst ? 0 : nodesAhead(service, pick.engine_, order);
     if (ahead > 0 && !timerArmed_) {
         schedulePump(turnInterval * ahead);
         return false;
@@ -140,17 +185,30 @@
     return true;
 }
 
-std::size_t SlotQueue::nodesAhead(const std::string& service, UpstreamId engine, bool isInTime) const
+std::size_t SlotQueue::nodesAhead(const std::string& service, UpstreamId engine, const WaitingOrder& own) const
 {
-    const std::uint64_t own = mixHash(engine.value(), context_.fleet_->self().value());
+    const std::uint64_t ownPlace = mixHash(engine.value(), context_.fleet_->self().value());
     const std::vector<NodeId>& cellNodes = context_.fleet_->cellNodes();
     return static_cast<std::size_t>(std::count_if(cellNodes.begin(), cellNodes.end(), [&](NodeId node) {
-        const WaitingRequests waiting = context_.board_.waitingAt(node, service);
-        const bool isBefore = mixHash(engine.value(), node.value()) < own;
-        return isInTime ? waiting.inTime_ > 0 && isBefore : waiting.inTime_ > 0 || (waiting.count_ > 0 && isBefore);
+        const auto other = firstOrderOf(context_.board_.waitingAt(node, service));
+        return other && (*other < own || (*other == own && mixHash(engine.value(), node.value()) < ownPlace));
     }));
 }
 
+bool SlotQueue::isOutranked(const std::string& service, const Claimant& claimant, const WaitingOrder& own) const
+{
+    if (!context_.shares_->isActive())
+        return false;
+    const float margin = context_.shares_->usageOfOneRun(claimant);
+    const std::vector<NodeId>& cellNodes = context_.fleet_->cellNodes();
+    return std::any_of(cellNodes.begin(), cellNodes.end(), [&](NodeId node) {
+        const auto other = firstOrderOf(context_.board_.waitingAt(node, service));
+        if (!other || other->isLate_)
+            return false;
+        return other->rank_ < own.rank_ || (other->rank_ == own.rank_ && other->usage_ + margin < own.usage_);
+    });
+}
+
 // Tries again when it is this node's turn. A slot that is still free then was not taken by any node with precedence.
 void SlotQueue::schedulePump(Duration delay)
 {
--- a/libs/serving/src/SlotQueue.h
+++ b/libs/serving/src/SlotQueue.h
@@ -3,9 +3,9 @@
 // A slot becomes free in one of three ways:
 // - A stream of this node ends. A queued request of this node takes the slot before other nodes receive a report that it is free,
 //   so no other node sends a request there.
-// - A peer reports a free slot. The nodes with queued requests try to take it one after the other, a few milliseconds apart, in
-//   an order that all of them compute alike for each engine. By its turn, a later node has received the report that the slot is
-//   taken.
+// - A peer reports a free slot. The nodes with queued requests try to take it one after the other, a few milliseconds apart: the one
+//   whose first request goes before those of the others by the order of waiting requests, and among equals in an order that all of
+//   them compute alike for each engine. By its turn, a later node has received the report that the slot is taken.
 // - An engine is added. This is handled like a report of a free slot.
 //
 // Requests wait here rather than in the engines' own queues because waiting times there can't be predicted well: runs tend to end
@@ -33,6 +33,7 @@
         bool repeatable_ = false;
         SoftwareVersionId version_; // the only software version whose engines may be assigned; none: any
         std::vector<UpstreamId> tried_;
+        Claimant claimant_;
         TimePoint inTimeUntil_ {}; // latest time of a slot with which the first event is still in time
         TimePoint queueDeadline_ {};
         std::function<void(const EnginePick&)> onSlot_; // called with the assigned slot, after the request has left the queue
@@ -65,7 +66,10 @@
     // Assigns a slot to the first request of the queue. Returns false if there is no request or no slot.
     bool serveOne(const std::string& name, bool isOwnSlot, TimePoint now);
     // Returns how many nodes have queued requests that take precedence over the first one of this node at the engine.
-    std::size_t nodesAhead(const std::string& service, UpstreamId engine, bool isInTime) const;
+    std::size_t nodesAhead(const std::string& service, UpstreamId engine, const WaitingOrder& own) const;
+    // Returns whether a request of another node goes so clearly before this one that it gets a slot which this node has freed.
+    bool isOutranked(const std::string& service, const Claimant& claimant, const WaitingOrder& own) const;
+    std::vector<WaitingClass> classesOf(const std::string& service, TimePoint now) const;
     void refreshInTimeCounts(TimePoint now);
     // Sets on the capacity board how many requests for the service are queued here.
     void countWaiting(const std::string& service, TimePoint now);
--- a/libs/shares/include/shares/FairShares.h
+++ b/libs/shares/include/shares/FairShares.h
@@ -10,7 +10,8 @@
 // The claim of a waiting request is its rank and the slot time that its workspace has used recently over all nodes, divided by its weight. The
 // request with the lowest claim goes first, so a workspace that uses less than its share overtakes those that use more, until all use equal
 // shares or have no request waiting. Usage is an exponentially weighted mean of the slots in use: it counts slot time, not requests, and a
-// refused request changes nothing.
+// refused request changes nothing. A request that starts adds the slot time that a run is expected to take at once, as in start-time fair
+// queueing: the mean follows so slowly that a workspace would otherwise get all slots that become free within a moment.
 //
 // Only what has been used is exchanged, and only while requests compete. A node that hears of no other uses its own part alone.
 #pragma once
@@ -67,6 +68,9 @@
     void setRanksDiffer(bool differ) { ranksDiffer_ = differ; }
     bool isActive() const { return !weights_.empty() || ranksDiffer_; }
 
+    // Sets how long a request is expected to occupy its slot.
+    void setExpectedRun(Duration run) { expectedRun_ = run; }
+
     // ---- usage of this node
     void started(WorkspaceId workspace, Rank rank, TimePoint now);
     void ended(WorkspaceId workspace, Rank rank, TimePoint now);
@@ -75,6 +79,8 @@
 
     // ---- decisions
     Claim claim(WorkspaceId workspace, Rank rank, TimePoint now) const;
+    // Returns by how much one more request raises the usage of a workspace's claims. Smaller differences of claims mean nothing.
+    float usageOfOneRun(WorkspaceId workspace) const;
     // Returns whether the workspace uses less than its share of all slots in use.
     bool isBelowShare(WorkspaceId workspace, TimePoint now) const;
     // Returns the active workspaces, those that use most first, at most `most`.
@@ -83,11 +89,15 @@
     // ---- messages
     // Returns the next report of this node; nullopt while there is nothing to send.
     std::optional<ShareReport> nextReport(TimePoint now);
-    // As a delegate: applies the report of a node of this cell, and returns the next sum of the cell.
+    // As a delegate: applies the report of a node of this cell, and returns the next sums; nullopt while there is nothing to send.
     void applyReport(const ShareReport& report, TimePoint now);
-    std::optional<CellShares> nextSum(CellId cell, TimePoint now);
-    // Applies the sum of a cell, this node's own one included.
-    void applySum(const CellShares& sum, TimePoint now);
+    struct Sums {
+        ShareSum ofCell_; // for the delegates of other cells
+        ShareSum ofFleet_; // for the nodes of this cell
+    };
+    std::optional<Sums> nextSums(CellId cell, TimePoint now);
+    // Applies a sum of this cell's delegate, or, as a delegate, the sum of another cell.
+    void applySum(const ShareSum& sum, TimePoint now);
     void forget(NodeId node) { reports_.erase(node); }
 
 private:
@@ -97,16 +107,18 @@
         std::uint32_t running_ = 0;
         TimePoint at_ {};
     };
-    struct Sums {
+    struct SlotsInUse {
         std::unordered_map<WorkspaceId, double> workspaces_;
         std::map<Rank, double> ranks_;
+
+        void add(const std::vector<WorkspaceUsage>& workspaces, const std::vector<RankUsage>& ranks);
     };
     struct ReceivedReport {
         ShareReport report_;
         TimePoint at_ {};
     };
     struct ReceivedSum {
-        CellShares sum_;
+        ShareSum sum_;
         TimePoint at_ {};
     };
 
@@ -118,16 +130,21 @@
     }
 
     double meanSlots(const Usage& usage, TimePoint now) const;
+    // Returns the mean and what the running requests add to it.
+    double chargedSlots(const Usage& usage, TimePoint now) const;
     void change(Usage& usage, int slots, TimePoint now);
     bool isCompeting(TimePoint now) const { return competedAt_ != TimePoint() && now - competedAt_ < settings_.competitionMemory_; }
     double weightOf(WorkspaceId workspace) const;
+    // Returns the slots for each unit of weight that all active workspaces together use.
+    double meanLevel(TimePoint now) const;
     // Returns the usage over all nodes.
     double slotsOf(WorkspaceId workspace, TimePoint now) const;
     double slotsOfRank(Rank rank, TimePoint now) const;
     bool areLowerRanksStarved(Rank rank, TimePoint now) const;
     std::vector<WorkspaceUsage> ownWorkspaces(TimePoint now) const;
     std::vector<RankUsage> ownRanks(TimePoint now) const;
-    void rebuildSums(TimePoint now);
+    void rebuildSums();
+    ShareSum sumOf(CellId cell, bool isOfFleet, const SlotsInUse& slots);
     void expire(TimePoint now);
     std::vector<WorkspaceUsage> largest(std::vector<WorkspaceUsage> usages) const;
 
@@ -139,16 +156,20 @@
     std::map<WorkspaceId, Usage> ownWorkspaces_;
     std::map<Rank, Usage> ownRanks_;
     // This node's part of the last sum that it has received of its cell, so that the part isn't counted twice.
-    Sums ownInSums_;
+    SlotsInUse ownInSums_;
     std::map<NodeId, ReceivedReport> reports_; // of the nodes of this cell, at a delegate
+    // At a delegate, those of its own cell and of others; at other nodes, the last one of the fleet.
     std::map<CellId, ReceivedSum> cellSums_;
-    Sums sums_; // of cellSums_
+    SlotsInUse sums_; // of cellSums_
     TimePoint competedAt_ {};
     TimePoint reportedAt_ {};
     TimePoint summedAt_ {};
     std::uint32_t sequence_ = 0;
     std::uint32_t sumSequence_ = 0;
-    Sums lastReported_;
+    SlotsInUse lastReported_; // this node's part of its last report, or, at a delegate, of its last sum
+    Duration expectedRun_ = 800ms;
+    mutable double level_ = 0; // the last result of meanLevel(), as of levelAt_
+    mutable TimePoint levelAt_ {};
 };
 
 } // namespace jj
--- a/libs/shares/include/shares/ShareMessages.h
+++ b/libs/shares/include/shares/ShareMessages.h
@@ -30,12 +30,13 @@
     std::vector<RankUsage> ranks_;
 };
 
-// The sum of the reports of a cell's nodes, and of the delegate's own usage. A sum replaces all earlier ones of the cell.
-struct CellShares {
-    CellId cell_;
+// A sum that a delegate has computed: of its cell, for the delegates of other cells, or of all cells, for the nodes of its own. A sum
+// replaces all earlier ones of the same kind from the cell.
+struct ShareSum {
+    CellId cell_; // of the delegate
+    bool isOfFleet_ = false; // of all cells that the delegate has heard of
     Incarnation incarnation_; // of the delegate
     std::uint32_t sequence_ = 0;
-    bool isForwarded_ = false; // by a delegate to the nodes of its own cell
     std::vector<WorkspaceUsage> workspaces_;
     std::vector<RankUsage> ranks_;
 };
--- a/libs/shares/src/FairShares.cpp
+++ b/libs/shares/src/FairShares.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 #include <set>
 #include <string>
 
@@ -60,6 +61,17 @@
     return usage.running_ + (usage.slots_ - usage.running_) * rest;
 }
 
+double FairShares::chargedSlots(const Usage& usage, TimePoint now) const
+{
+    const double ofOneRun = std::numbers::ln2 * toSeconds(expectedRun_) / toSeconds(settings_.halfLife_);
+    return meanSlots(usage, now) + usage.running_ * ofOneRun;
+}
+
+float FairShares::usageOfOneRun(WorkspaceId workspace) const
+{
+    return static_cast<float>(std::numbers::ln2 * toSeconds(expectedRun_) / toSeconds(settings_.halfLife_) / weightOf(workspace));
+}
+
 void FairShares::change(Usage& usage, int slots, TimePoint now)
 {
     usage.slots_ = meanSlots(usage, now);
@@ -98,7 +110,7 @@
         return found == values.end() ? 0.0 : found->second;
     };
     const auto own = ownWorkspaces_.find(workspace);
-    const double ownSlots = own == ownWorkspaces_.end() ? 0 : meanSlots(own->second, now);
+    const double ownSlots = own == ownWorkspaces_.end() ? 0 : chargedSlots(own->second, now);
     return std::max(ownSlots, valueOf(sums_.workspaces_) + ownSlots - valueOf(ownInSums_.workspaces_));
 }
 
@@ -109,7 +121,7 @@
         return found == values.end() ? 0.0 : found->second;
     };
     const auto own = ownRanks_.find(rank);
-    const double ownSlots = own == ownRanks_.end() ? 0 : meanSlots(own->second, now);
+    const double ownSlots = own == ownRanks_.end() ? 0 : chargedSlots(own->second, now);
     return std::max(ownSlots, valueOf(sums_.ranks_) + ownSlots - valueOf(ownInSums_.ranks_));
 }
 
@@ -141,20 +153,28 @@
     return claim;
 }
 
-bool FairShares::isBelowShare(WorkspaceId workspace, TimePoint now) const
+// All active workspaces are visited, so the result is kept for a moment. It changes with the usage, whose half-life is far longer.
+double FairShares::meanLevel(TimePoint now) const
 {
-    if (weights_.empty() || workspace.isNone())
-        return false;
-    double slots = slotsOf(workspace, now);
-    double weight = weightOf(workspace);
-    const double own = slots / weight;
+    constexpr Duration lifetime = 20ms;
+    if (levelAt_ != TimePoint() && now - levelAt_ < lifetime)
+        return level_;
+    double slots = 0;
+    double weight = 0;
     for (const WorkspaceShare& one : activeShares(SIZE_MAX, now)) {
-        if (one.workspace_ == workspace)
-            continue;
         slots += one.slots_;
         weight += weightOf(one.workspace_);
     }
-    return own < slots / weight;
+    level_ = weight > 0 ? slots / weight : 0;
+    levelAt_ = now;
+    return level_;
+}
+
+bool FairShares::isBelowShare(WorkspaceId workspace, TimePoint now) const
+{
+    if (weights_.empty() || workspace.isNone())
+        return false;
+    return slotsOf(workspace, now) / weightOf(workspace) < meanLevel(now);
 }
 
 std::vector<WorkspaceShare> FairShares::activeShares(std::size_t most, TimePoint now) const
@@ -195,7 +215,7 @@
 {
     std::vector<WorkspaceUsage> usages;
     for (const auto& [workspace, usage] : ownWorkspaces_) {
-        const auto slots = static_cast<float>(meanSlots(usage, now));
+        const auto slots = static_cast<float>(chargedSlots(usage, now));
         if (slots >= settings_.minReportedSlots_)
             usages.push_back({ workspace, slots });
     }
@@ -206,7 +226,7 @@
 {
     std::vector<RankUsage> usages;
     for (const auto& [rank, usage] : ownRanks_)
-        usages.push_back({ rank, static_cast<float>(meanSlots(usage, now)) });
+        usages.push_back({ rank, static_cast<float>(chargedSlots(usage, now)) });
     return usages;
 }
 
@@ -215,7 +235,7 @@
     std::erase_if(ownWorkspaces_, [&](const auto& entry) { return entry.second.running_ == 0 && meanSlots(entry.second, now) < settings_.minReportedSlots_ / 2; });
     std::erase_if(reports_, [&](const auto& entry) { return now - entry.second.at_ > settings_.reportTimeout_; });
     if (std::erase_if(cellSums_, [&](const auto& entry) { return now - entry.second.at_ > settings_.reportTimeout_; }) > 0)
-        rebuildSums(now);
+        rebuildSums();
 }
 
 std::optional<ShareReport> FairShares::nextReport(TimePoint now)
@@ -228,10 +248,7 @@
     reportedAt_ = now;
     ShareReport report { self_, incarnation_, ++sequence_, ownWorkspaces(now), ownRanks(now) };
     lastReported_ = {};
-    for (const WorkspaceUsage& one : report.workspaces_)
-        lastReported_.workspaces_[one.workspace_] = one.slots_;
-    for (const RankUsage& one : report.ranks_)
-        lastReported_.ranks_[one.rank_] = one.slots_;
+    lastReported_.add(report.workspaces_, report.ranks_);
     return report;
 }
 
@@ -245,7 +262,18 @@
     competedAt_ = now;
 }
 
-std::optional<CellShares> FairShares::nextSum(CellId cell, TimePoint now)
+ShareSum FairShares::sumOf(CellId cell, bool isOfFleet, const SlotsInUse& slots)
+{
+    ShareSum sum { cell, isOfFleet, incarnation_, ++sumSequence_, {}, {} };
+    for (const auto& [workspace, used] : slots.workspaces_)
+        sum.workspaces_.push_back({ workspace, static_cast<float>(used) });
+    sum.workspaces_ = largest(std::move(sum.workspaces_));
+    for (const auto& [rank, used] : slots.ranks_)
+        sum.ranks_.push_back({ rank, static_cast<float>(used) });
+    return sum;
+}
+
+std::optional<FairShares::Sums> FairShares::nextSums(CellId cell, TimePoint now)
 {
     if (now - summedAt_ < settings_.reportInterval_)
         return std::nullopt;
@@ -253,50 +281,50 @@
     if (!isActive() || !isCompeting(now))
         return std::nullopt;
     summedAt_ = now;
-    std::map<WorkspaceId, float> workspaces;
-    std::map<Rank, float> ranks;
-    const auto add = [&](const std::vector<WorkspaceUsage>& ofWorkspaces, const std::vector<RankUsage>& ofRanks) {
-        for (const WorkspaceUsage& one : ofWorkspaces)
-            workspaces[one.workspace_] += one.slots_;
-        for (const RankUsage& one : ofRanks)
-            ranks[one.rank_] += one.slots_;
-    };
-    add(ownWorkspaces(now), ownRanks(now));
+    lastReported_ = {};
+    lastReported_.add(ownWorkspaces(now), ownRanks(now));
+    SlotsInUse slots = lastReported_;
     for (const auto& [node, received] : reports_) {
         if (node != self_)
-            add(received.report_.workspaces_, received.report_.ranks_);
+            slots.add(received.report_.workspaces_, received.report_.ranks_);
     }
-    CellShares sum { cell, incarnation_, ++sumSequence_, false, {}, {} };
-    for (const auto& [workspace, slots] : workspaces)
-        sum.workspaces_.push_back({ workspace, slots });
-    sum.workspaces_ = largest(std::move(sum.workspaces_));
-    for (const auto& [rank, slots] : ranks)
-        sum.ranks_.push_back({ rank, slots });
-    return sum;
+    Sums sums { sumOf(cell, false, slots), {} };
+    for (const auto& [other, received] : cellSums_) {
+        if (other != cell)
+            slots.add(received.sum_.workspaces_, received.sum_.ranks_);
+    }
+    sums.ofFleet_ = sumOf(cell, true, slots);
+    return sums;
 }
 
-void FairShares::applySum(const CellShares& sum, TimePoint now)
+void FairShares::applySum(const ShareSum& sum, TimePoint now)
 {
+    if (sum.isOfFleet_)
+        std::erase_if(cellSums_, [&](const auto& entry) { return entry.first != sum.cell_; });
     const auto [found, isFirst] = cellSums_.try_emplace(sum.cell_);
     ReceivedSum& known = found->second;
     if (!isFirst && !isNewer(sum.incarnation_, sum.sequence_, known.sum_.incarnation_, known.sum_.sequence_))
         return;
     known = { sum, now };
     ownInSums_ = lastReported_;
-    rebuildSums(now);
+    rebuildSums();
 }
 
-void FairShares::rebuildSums(TimePoint /*now*/)
+void FairShares::SlotsInUse::add(const std::vector<WorkspaceUsage>& workspaces, const std::vector<RankUsage>& ranks)
+{
+    for (const WorkspaceUsage& one : workspaces)
+        workspaces_[one.workspace_] += one.slots_;
+    for (const RankUsage& one : ranks)
+        ranks_[one.rank_] += one.slots_;
+}
+
+void FairShares::rebuildSums()
 {
     sums_ = {};
     if (cellSums_.empty())
         ownInSums_ = {};
-    for (const auto& [cell, received] : cellSums_) {
-        for (const WorkspaceUsage& one : received.sum_.workspaces_)
-            sums_.workspaces_[one.workspace_] += one.slots_;
-        for (const RankUsage& one : received.sum_.ranks_)
-            sums_.ranks_[one.rank_] += one.slots_;
-    }
+    for (const auto& [cell, received] : cellSums_)
+        sums_.add(received.sum_.workspaces_, received.sum_.ranks_);
 }
 
 } // namespace jj
--- a/libs/shares/tests/FairSharesTest.cpp
+++ b/libs/shares/tests/FairSharesTest.cpp
@@ -11,9 +11,11 @@
 constexpr WorkspaceId large { 2 };
 constexpr TimePoint start { 10s };
 
-FairShares sharesOf(std::uint64_t node)
+// Without an expected run, claims are the mean alone.
+FairShares sharesOf(std::uint64_t node, Duration expectedRun = Duration::zero())
 {
     FairShares shares = FairShares::create({}, NodeId(node), Incarnation(1)).value();
+    shares.setExpectedRun(expectedRun);
     shares.setWorkspaces({ { small, 1 }, { large, 1 } });
     return shares;
 }
@@ -53,6 +55,15 @@
     CHECK(shares.claim(large, 0, start + 1s) < shares.claim(small, 0, start + 1s));
 }
 
+// Guards against a workspace that gets all slots that become free within a moment, because its mean follows slowly.
+TEST_CASE("shares: a request that starts counts at once")
+{
+    FairShares shares = sharesOf(1, 1s);
+    shares.started(large, 0, start);
+    CHECK(shares.claim(large, 0, start).usage_ == doctest::Approx(shares.usageOfOneRun(large)));
+    CHECK(shares.claim(small, 0, start) < shares.claim(large, 0, start));
+}
+
 // Guards against a workspace that is served late after its requests have all ended, because its usage is never forgotten.
 TEST_CASE("shares: usage is forgotten with its half-life")
 {
@@ -78,10 +89,10 @@
     const auto report = second.nextReport(later);
     REQUIRE(report);
     first.applyReport(*report, later);
-    const auto sum = first.nextSum(CellId(1), later);
-    REQUIRE(sum);
-    first.applySum(*sum, later);
-    second.applySum(*sum, later);
+    const auto sums = first.nextSums(CellId(1), later);
+    REQUIRE(sums);
+    first.applySum(sums->ofCell_, later);
+    second.applySum(sums->ofFleet_, later);
     CHECK(first.claim(large, 0, later).usage_ == doctest::Approx(4));
     CHECK(second.claim(small, 0, later).usage_ == doctest::Approx(0.5));
     // Its own part isn't counted twice.
@@ -89,6 +100,20 @@
     CHECK(second.claim(large, 0, later).usage_ == doctest::Approx(4));
 }
 
+TEST_CASE("shares: a delegate passes on what other cells have used")
+{
+    FairShares delegate = sharesOf(1);
+    FairShares node = sharesOf(2);
+    delegate.recordCompetition(start);
+    delegate.applySum({ CellId(2), false, Incarnation(7), 1, { { large, 6 } }, {} }, start);
+    const auto sums = delegate.nextSums(CellId(1), start);
+    REQUIRE(sums);
+    CHECK(sums->ofCell_.workspaces_.empty());
+    node.applySum(sums->ofFleet_, start);
+    CHECK(node.claim(large, 0, start).usage_ == doctest::Approx(6));
+    CHECK(delegate.claim(large, 0, start).usage_ == doctest::Approx(6));
+}
+
 TEST_CASE("shares: nothing is sent while no request waits")
 {
     FairShares shares = sharesOf(1);
@@ -105,7 +130,7 @@
 {
     FairShares shares = sharesOf(1);
     shares.recordCompetition(start);
-    shares.applySum({ CellId(1), Incarnation(9), 1, false, { { large, 6 } }, {} }, start);
+    shares.applySum({ CellId(1), true, Incarnation(9), 1, { { large, 6 } }, {} }, start);
     CHECK(shares.claim(large, 0, start).usage_ == doctest::Approx(6));
     shares.recordCompetition(start + 3s);
     shares.nextReport(start + 3s);
@@ -115,9 +140,9 @@
 TEST_CASE("shares: an older sum doesn't replace a newer one")
 {
     FairShares shares = sharesOf(1);
-    shares.applySum({ CellId(1), Incarnation(9), 5, false, { { large, 6 } }, {} }, start);
-    shares.applySum({ CellId(1), Incarnation(9), 4, false, { { large, 1 } }, {} }, start);
-    shares.applySum({ CellId(1), Incarnation(8), 9, false, { { large, 2 } }, {} }, start);
+    shares.applySum({ CellId(1), true, Incarnation(9), 5, { { large, 6 } }, {} }, start);
+    shares.applySum({ CellId(1), true, Incarnation(9), 4, { { large, 1 } }, {} }, start);
+    shares.applySum({ CellId(1), true, Incarnation(8), 9, { { large, 2 } }, {} }, start);
     CHECK(shares.claim(large, 0, start).usage_ == doctest::Approx(6));
 }
 
