Crashes: a blocked content is tried after five seconds

Cause: the item was at three engines that were released within three seconds, so its content was blocked as one that crashes engines, and the first trial came after 30 s.

Change: the first trial of a whole content comes after 5 s; those of parts of prompts, which many requests share, as before. A content that does crash engines ends as many engines within a minute as before (three and one trial).

Test: fails before (the trial is due after 30 s only).

--- a/libs/crashes/include/crashes/CrashSuspects.h
+++ b/libs/crashes/include/crashes/CrashSuspects.h
@@ -53,6 +53,9 @@
     Duration contentAnswerLifetime_ = std::chrono::minutes(1);
     // Times from the blocking of a suspect to the trials. After the last one it stays blocked while requests with it come.
     std::array<Duration, 3> trialDelays_ { 30s, std::chrono::minutes(5), std::chrono::minutes(50) };
+    // The same for a whole content. An item that was by coincidence at engines which ended for other reasons can then still be done before it
+    // is due, and no request with another content is at risk.
+    std::array<Duration, 3> contentTrialDelays_ { 5s, std::chrono::minutes(5), std::chrono::minutes(50) };
     // When a trial is due, hosts get the opportunity one after the other, for this long each.
     Duration trialTurn_ = 2s;
     // A record is repeated for this long after the last crash; that of a blocked suspect as long as it is blocked.
--- a/libs/crashes/src/CrashSuspects.cpp
+++ b/libs/crashes/src/CrashSuspects.cpp
@@ -123,9 +123,12 @@
 bool CrashSuspects::isTrialDue(Fingerprint suspect, std::size_t turn, TimePoint now) const
 {
     const auto found = suspects_.find(suspect);
-    if (found == suspects_.end() || !blocked_.contains(suspect) || found->second.trials_ >= settings_.trialDelays_.size())
+    if (found == suspects_.end() || !blocked_.contains(suspect))
+        return false;
+    const auto& delays = found->second.depth_ == contentDepth ? settings_.contentTrialDelays_ : settings_.trialDelays_;
+    if (found->second.trials_ >= delays.size())
         return false;
-    const Duration delay = settings_.trialDelays_[found->second.trials_] + settings_.trialTurn_ * turn;
+    const Duration delay = delays[found->second.trials_] + settings_.trialTurn_ * turn;
     return now - found->second.blockedAt_ >= delay;
 }
 
--- a/libs/crashes/tests/CrashSuspectsTest.cpp
+++ b/libs/crashes/tests/CrashSuspectsTest.cpp
@@ -329,3 +329,28 @@
     CHECK_FALSE(freed.front().isBlocked_);
     CHECK(suspects.takeChanges().empty());
 }
+
+// Guards against an item that isn't done before its job is due: it was at three engines that were released one after the other.
+TEST_CASE("a blocked content is tried after seconds, a blocked part after half a minute")
+{
+    const TimePoint now {};
+    const RequestFingerprints item = request({ shared });
+    CrashSuspects suspects;
+    suspects.recordAnswer(request({ shared }), now);
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        suspects.lost(item, engine(number), LossPoint::BeforeAnswer, now);
+        suspects.engineCrashed(engine(number), now + 1ms);
+        crash(suspects, 10 + number, { { deadly } }, now + 2ms);
+        crash(suspects, 20 + number, { { deadly } }, now + 2ms);
+    }
+    REQUIRE(suspects.findBlocked(item, now + 1s) == item.content_);
+    REQUIRE(isBlocked(suspects, { deadly }, now + 1s));
+    CHECK_FALSE(suspects.isTrialDue(item.content_, 0, now + 4s));
+    CHECK(suspects.isTrialDue(item.content_, 0, now + 6s));
+    CHECK_FALSE(suspects.isTrialDue(item.content_, 1, now + 6s));
+    CHECK_FALSE(suspects.isTrialDue(deadly, 0, now + 6s));
+    CHECK(suspects.isTrialDue(deadly, 0, now + 31s));
+    // Trials of a content that does crash engines come at long intervals all the same.
+    suspects.recordTrial(item.content_, now + 6s);
+    CHECK_FALSE(suspects.isTrialDue(item.content_, 0, now + 60s));
+}
