Http: endless whole answers are cut off, pauses aren't counted as silence, and stalled readers are found later too

A whole answer over its limit was read for ever. A pause that ended just when the idle timer was due counted as silence. Chunks that arrived together with the head could count as trailers. A HEAD after an interim answer waited for a body. A peer that sent without end held the thread in deliverReceived(). Bodies of calls that ended early stayed in memory.

The budget was looked at only when an answer grew, so that readers that stalled after all engines had been paused were never cut off; the look is now repeated. A reader was taken as stalled although it took bytes of the kernel's queue. Requests without a body were refused by an exhausted budget. Buffers kept the capacity of large messages, and pipelined bytes weren't bounded to one piece.

--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -111,7 +111,8 @@
 
     std::shared_ptr<Call> send(const Endpoint& endpoint, const Request& request, const CallOptions& options, CallHandlers handlers);
 
-    // Collects the whole answer. The handler gets an error for what failed below HTTP, and any status as a response.
+    // Collects the whole answer. The handler gets an error for what failed below HTTP, and any status as a response. An answer over
+    // ClientSettings::bodyBytes_ ends the call with AnswerTooLarge and closes its connection.
     std::shared_ptr<Call> fetch(const Endpoint& endpoint, const Request& request, const CallOptions& options, WholeHandler handler);
 
     // A GET on a fresh connection: tells a dead peer from a connection that something in between has lost track of.
@@ -124,6 +125,8 @@
     bool hasPooled(const Endpoint& endpoint) const;
 
 private:
+    std::shared_ptr<Call> sendLimited(const Endpoint& endpoint, const Request& request, const CallOptions& options, CallHandlers handlers, std::size_t bodyLimit);
+
     std::shared_ptr<detail::ClientShared> shared_;
 };
 
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -47,9 +47,7 @@
     // Collects a whole answer.
     struct Collector {
         Response response_;
-        std::size_t limit_ = 0;
         Client::WholeHandler handler_;
-        std::weak_ptr<Call> call_;
     };
 
 } // namespace
@@ -75,11 +73,12 @@
         current->cancelAfterReceivedSoon(state_);
 }
 
-void Call::pauseReading() { state_->isPaused_ = true; }
+void Call::pauseReading() { state_->pacing_ = detail::Pacing::Paused; }
 
 void Call::resumeReading()
 {
-    if (!state_->isPaused_.exchange(false))
+    auto expected = detail::Pacing::Paused;
+    if (!state_->pacing_.compare_exchange_strong(expected, detail::Pacing::Resuming))
         return;
     if (const auto current = connection())
         current->resumeSoon(state_);
@@ -111,8 +110,14 @@
 }
 
 std::shared_ptr<Call> Client::send(const Endpoint& endpoint, const Request& request, const CallOptions& options, CallHandlers handlers)
+{
+    return sendLimited(endpoint, request, options, std::move(handlers), 0);
+}
+
+std::shared_ptr<Call> Client::sendLimited(const Endpoint& endpoint, const Request& request, const CallOptions& options, CallHandlers handlers, std::size_t bodyLimit)
 {
     auto state = std::make_shared<CallState>();
+    state->bodyLimit_ = bodyLimit;
     state->handlers_ = std::move(handlers);
     state->options_ = options;
     state->options_.sharedBody_ = nullptr;
@@ -131,25 +136,16 @@
 std::shared_ptr<Call> Client::fetch(const Endpoint& endpoint, const Request& request, const CallOptions& options, WholeHandler handler)
 {
     auto collector = std::make_shared<Collector>();
-    collector->limit_ = shared_->settings_.bodyBytes_;
     collector->handler_ = std::move(handler);
     CallHandlers handlers;
     handlers.onHead_ = [collector](const ResponseHead& head) {
         collector->response_.status_ = head.status_;
         collector->response_.headers_ = head.headers_;
     };
-    handlers.onData_ = [collector](std::string_view data) {
-        if (collector->response_.body_.size() <= collector->limit_)
-            collector->response_.body_.append(data);
-    };
-    handlers.onEnd_ = [collector](AnswerEnd) {
-        if (collector->response_.body_.size() > collector->limit_)
-            collector->handler_(Error::BodyTooLarge, RunState::Ran);
-        else
-            collector->handler_(std::move(collector->response_), RunState::Ran);
-    };
+    handlers.onData_ = [collector](std::string_view data) { collector->response_.body_.append(data); };
+    handlers.onEnd_ = [collector](AnswerEnd) { collector->handler_(std::move(collector->response_), RunState::Ran); };
     handlers.onError_ = [collector](const CallFailure& failure) { collector->handler_(failure.code_, failure.run_); };
-    return send(endpoint, request, options, std::move(handlers));
+    return sendLimited(endpoint, request, options, std::move(handlers), shared_->settings_.bodyBytes_);
 }
 
 void Client::probe(const Endpoint& endpoint, std::string target, Duration bound, std::function<void(bool alive)> handler)
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -73,8 +73,10 @@
     asio::post(socket_.get_executor(), [self = shared_from_this(), call = std::move(call)] {
         if (self->call_ != call)
             return;
-        if (!self->reading_ || !self->written_)
+        if (!self->written_)
             return self->dropCall();
+        if (!self->reading_)
+            return self->deliverReceived(); // reading is paused
         self->endsAfterRead_ = true;
         error_code ignored;
         self->socket_.cancel(ignored);
@@ -86,16 +88,26 @@
     asio::post(socket_.get_executor(), [self = shared_from_this(), call = std::move(call)] {
         if (self->call_ != call)
             return;
-        self->expectProgress(call->options_.idle_);
+        self->noteResumed();
+        if (!self->lingering_)
+            self->expectProgress(call->options_.idle_);
         self->readSome();
     });
 }
 
+// A pause that has begun again meanwhile goes on.
+void ClientConnection::noteResumed()
+{
+    Pacing expected = Pacing::Resuming;
+    call_->pacing_.compare_exchange_strong(expected, Pacing::Reading);
+}
+
 void ClientConnection::dropCall()
 {
     const std::shared_ptr<CallState> call = std::move(call_);
     call_ = nullptr;
     call->handlers_ = {}; // what they hold may hold the call
+    call->outboundBody_ = nullptr;
     close();
 }
 
@@ -123,8 +135,8 @@
         return other->startSoon(std::move(call));
     }
     call_ = std::move(call);
+    noteResumed();
     beginParsing();
-    parser_->skip(call_->isHead_);
     interimAnswers_ = 0;
     written_ = false;
     readingOver_ = false;
@@ -139,6 +151,7 @@
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(shared_->settings_.headerBytes_));
     parser_->body_limit(boost::none);
+    parser_->skip(call_->isHead_);
     checkChunkLine_ = chunkLineCheck(shared_->settings_.chunkLineBytes_);
     parser_->on_chunk_header(checkChunkLine_);
 }
@@ -168,9 +181,9 @@
 {
     expectProgress(call_->options_.idle_);
     call_->sent_ = true;
-    const std::array<asio::const_buffer, 2> outbound { asio::buffer(call_->outboundHead_), asio::buffer(*call_->outboundBody_) };
-    asio::async_write(socket_, outbound, [self = shared_from_this(), call = call_](error_code error, std::size_t bytes) {
-        call->outboundBody_ = nullptr;
+    auto body = std::exchange(call_->outboundBody_, nullptr); // lives as long as the write
+    const std::array<asio::const_buffer, 2> outbound { asio::buffer(call_->outboundHead_), asio::buffer(*body) };
+    asio::async_write(socket_, outbound, [self = shared_from_this(), call = call_, body = std::move(body)](error_code error, std::size_t bytes) {
         if (self->closed_ || self->call_ != call)
             return;
         if (error) {
@@ -210,22 +223,28 @@
     readSome();
 }
 
-// Reads without waiting. The answer may end meanwhile, and the connection then serves other calls.
+// Reads without waiting. The answer may end meanwhile, and the connection then serves other calls. Reads no more than had arrived at the
+// beginning: a peer that sends faster than this side reads would hold the thread for ever.
 void ClientConnection::deliverReceived()
 {
     const std::shared_ptr<CallState> call = call_;
     process();
     error_code error;
+    std::size_t arrived = socket_.available(error);
     socket_.non_blocking(true, error);
     while (call_ == call && !error) {
-        buffer_.commit(socket_.read_some(buffer_.prepare(readBytes), error));
+        const std::size_t bytes = socket_.read_some(buffer_.prepare(readBytes), error);
+        buffer_.commit(bytes);
         process();
+        if (bytes >= arrived)
+            break;
+        arrived -= bytes;
     }
     if (call_ != call)
         return;
     if (error == asio::error::eof)
         return onReadEnd(error);
-    error == asio::error::would_block ? linger() : dropCall();
+    !error || error == asio::error::would_block ? linger() : dropCall();
 }
 
 // The other side sees the end by this direction's close. What it had sent before is still delivered.
@@ -258,11 +277,14 @@
     while (call_ && buffer_.size() > 0) {
         error_code error;
         const std::size_t before = buffer_.size();
+        const bool hadHead = parser_->is_header_done();
         if (!feed(*parser_, buffer_, error))
             return fail(parseError(error));
         if (!parser_->is_header_done())
             return;
-        if (const auto tooLong = checkIncomplete(*parser_, buffer_, shared_->settings_.chunkLineBytes_, shared_->settings_.trailerBytes_))
+        // feed() stops after the head, so what remains then is not an incomplete element but whole chunks.
+        const auto tooLong = hadHead ? checkIncomplete(*parser_, buffer_, shared_->settings_.chunkLineBytes_, shared_->settings_.trailerBytes_) : std::nullopt;
+        if (tooLong)
             return fail(*tooLong);
         if (parser_->get().result_int() < firstFinalStatus) {
             if (++interimAnswers_ > shared_->settings_.interimAnswers_)
@@ -313,7 +335,7 @@
     return mayFollow;
 }
 
-// Hands on what was parsed; false when a callback cancelled the call.
+// Hands on what was parsed; false when a callback cancelled the call, or when it has failed.
 bool ClientConnection::deliver()
 {
     const std::shared_ptr<CallState> call = call_;
@@ -327,6 +349,11 @@
     if (!message.body().empty() && !call->cancelled_) {
         const std::string data = std::move(message.body());
         message.body().clear();
+        call->bodyBytes_ += data.size();
+        if (call->bodyLimit_ > 0 && call->bodyBytes_ > call->bodyLimit_) {
+            fail(Error::AnswerTooLarge);
+            return false;
+        }
         if (call->handlers_.onData_)
             call->handlers_.onData_(data);
     }
@@ -379,6 +406,7 @@
     close();
     if (!call)
         return;
+    call->outboundBody_ = nullptr;
     const CallHandlers handlers = std::move(call->handlers_);
     if (!call->cancelled_ && handlers.onError_)
         handlers.onError_({ error, runOf(*call) });
@@ -424,7 +452,8 @@
         return fail(Error::ConnectTimedOut);
     if (call_ && lingering_)
         return dropCall();
-    if (isPaused())
+    // While it resumes too: a timer that is due just then would count the pause as silence of the other side.
+    if (call_ && call_->pacing_ != Pacing::Reading)
         return expectProgress(call_->options_.idle_);
     if (call_)
         return fail(Error::NoProgress);
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -34,6 +34,12 @@
     std::unordered_map<Endpoint, std::vector<std::shared_ptr<ClientConnection>>> pool_;
 };
 
+enum class Pacing : std::uint8_t {
+    Reading,
+    Paused, // nothing is read from the other side
+    Resuming, // the pause has ended, but the connection hasn't noticed yet
+};
+
 struct CallState {
     CallHandlers handlers_;
     CallOptions options_;
@@ -46,7 +52,9 @@
     bool headSeen_ = false;
     std::atomic<bool> cancelled_ = false;
     std::atomic<bool> ending_ = false; // the call ends once what its connection has received is delivered
-    std::atomic<bool> isPaused_ = false; // nothing is read from the other side
+    std::atomic<Pacing> pacing_ = Pacing::Reading;
+    std::size_t bodyLimit_ = 0; // of the whole answer; 0: none
+    std::size_t bodyBytes_ = 0; // received so far
 
     std::mutex mutex_; // guards connection_
     std::weak_ptr<ClientConnection> connection_;
@@ -68,7 +76,8 @@
     void connect();
     void send();
     void beginParsing();
-    bool isPaused() const { return call_ && call_->isPaused_; }
+    bool isPaused() const { return call_ && call_->pacing_ == Pacing::Paused; }
+    void noteResumed();
     void readSome();
     void onRead(error_code error, std::size_t bytes);
     void onReadEnd(error_code error);
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-    constexpr std::size_t maxBufferedBytes = 64 * 1024; // beyond the header limit; a pipelining or uploading client waits after it
     constexpr auto lingerTime = std::chrono::seconds(2);
 
     using SteadyClock = std::chrono::steady_clock;
@@ -114,10 +113,19 @@
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->close(); });
 }
 
+// A pipelining or uploading client waits beyond it. What isn't parsed isn't counted by the byte budget, so it is kept small.
+std::size_t ServerConnection::bufferLimit() const
+{
+    const ServerLimits& limits = shared_->settings_.limits_;
+    if (phase_ == Phase::Handling && (!bodyStreamed_ || bodyDone_))
+        return readBytes;
+    const std::size_t largestElement = std::max(limits.headerBytes_, limits.chunkLineBytes_ + limits.trailerBytes_);
+    return largestElement + readBytes;
+}
+
 void ServerConnection::readSome()
 {
-    const std::size_t limit = shared_->settings_.limits_.headerBytes_ + maxBufferedBytes;
-    if (reading_ || phase_ == Phase::Closed || buffer_.size() >= limit)
+    if (reading_ || phase_ == Phase::Closed || buffer_.size() >= bufferLimit())
         return;
     reading_ = true;
     socket_.async_read_some(asio::buffer(input_), [self = shared_from_this()](error_code error, std::size_t bytes) { self->onRead(error, bytes); });
@@ -205,10 +213,9 @@
     parser_->body_limit(limit);
     bodyDone_ = parser_->is_done();
     bodyStreamed_ = plan.streamed_;
-    const bool fits = bodyStreamed_ || !shared_->settings_.budget_ || shared_->settings_.budget_->hasRoom(ByteUse::Uploads, parser_->content_length().value_or(0));
-    if (!fits) {
-        ++shared_->uploadsRefused_;
-        fail(Error::NoBufferSpace);
+    // A request without a body needs no room.
+    if (!bodyDone_ && !bodyStreamed_ && !fitsBudget(parser_->content_length().value_or(0))) {
+        refuseUpload(parser_->content_length().value_or(0));
         return false;
     }
     if (!bodyDone_ && beast::iequals(parser_->get()[beast::http::field::expect], "100-continue")) {
@@ -245,17 +252,34 @@
     return phase_ == Phase::Head;
 }
 
+bool ServerConnection::fitsBudget(std::size_t bytes) const
+{
+    const std::shared_ptr<ByteBudget>& budget = shared_->settings_.budget_;
+    return !budget || budget->hasRoom(ByteUse::Uploads, bytes);
+}
+
+// Stalled readers give way to later uploads.
+void ServerConnection::refuseUpload(std::size_t bytes)
+{
+    const ByteBudget& budget = *shared_->settings_.budget_;
+    ++shared_->uploadsRefused_;
+    if (budget.held(ByteUse::Uploads) + bytes <= budget.limit() / 2) {
+        shared_->wantedBytes_ = bytes;
+        relieveBudgetSoon(shared_);
+    }
+    fail(Error::NoBufferSpace);
+}
+
 bool ServerConnection::countBody()
 {
     const std::shared_ptr<ByteBudget>& budget = shared_->settings_.budget_;
     if (!budget)
         return true;
     const std::size_t bytes = parser_->get().body().size();
-    if (!budget->hasRoom(ByteUse::Uploads, bytes - std::min(bytes, bodyHold_.bytes()))) {
-        parser_->get().body().clear();
+    if (!fitsBudget(bytes - std::min(bytes, bodyHold_.bytes()))) {
+        std::string().swap(parser_->get().body());
         bodyHold_ = {};
-        ++shared_->uploadsRefused_;
-        fail(Error::NoBufferSpace);
+        refuseUpload(bytes);
         return false;
     }
     if (bodyHold_.bytes() == 0)
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -6,6 +6,7 @@
 #include "Codec.h"
 #include "http/Server.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -28,6 +29,7 @@
         , settings_(std::move(settings))
         , handler_(std::move(handler))
         , planner_(std::move(planner))
+        , relief_(io)
     {
     }
 
@@ -45,14 +47,28 @@
     std::atomic<std::uint64_t> unadmitted_ = 0;
     std::atomic<std::uint64_t> readersCutOff_ = 0;
     std::atomic<std::uint64_t> uploadsRefused_ = 0;
-    std::atomic<bool> isRelieving_ = false; // stalled readers are about to be cut off
+    std::atomic<bool> isRelieving_ = false; // the budget is exhausted, and stalled readers are looked for
+    std::atomic<std::size_t> wantedBytes_ = 0; // of the largest upload that was refused since the last look
+    asio::steady_timer relief_; // used by whoever has set isRelieving_
 
     mutable std::mutex mutex_; // guards connections_
     std::unordered_map<const void*, std::weak_ptr<ServerConnection>> connections_;
 };
 
-// Cuts off stalled readers until the byte budget has room. Only what holds no lock may call it.
-void relieveBudget(ServerShared& shared);
+// With less room, paused engines stay paused: one piece of an engine's answer. Smaller budgets exist in tests alone.
+inline std::size_t spareBytes(const ByteBudget& budget) { return std::min<std::size_t>(std::size_t { 16 } * 1024, budget.limit() / 8); }
+
+// Clears `text`. A large capacity is freed, because it isn't counted by the byte budget.
+inline void clearBuffer(std::string& text)
+{
+    constexpr std::size_t keptBytes = std::size_t { 16 } * 1024;
+    text.clear();
+    if (text.capacity() > keptBytes)
+        std::string().swap(text);
+}
+
+// Looks for stalled readers to cut off, now and again until the byte budget has room. Any thread, also under a lock.
+void relieveBudgetSoon(const std::shared_ptr<ServerShared>& shared);
 
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
@@ -83,8 +99,8 @@
     // Returns since when the client has taken no byte although some are queued; nullopt if nothing is queued.
     std::optional<std::chrono::steady_clock::time_point> stalledSince() const;
     std::size_t heldBytes() const;
-    // Closes the connection of a stalled reader. Any thread.
-    void cutOffSoon();
+    // Closes the connection if its reader has taken no byte for ServerLimits::stallTime_. Any thread.
+    void cutOffIfStalledSoon();
     void onClosed(std::uint64_t turn, std::function<void()> callback);
     void readBody(std::uint64_t turn, std::function<void(BodyPiece)> callback);
 
@@ -123,15 +139,22 @@
     std::size_t fullBytes() const;
     // Accounts for the bytes that the outbox holds.
     void countLocked();
+    void cutOffIfStalled();
+    // Returns the bytes that the kernel has taken and the reader hasn't.
+    std::size_t kernelQueueBytes();
     // Returns the callback that is due because the queue is short again, or null.
     std::function<void()> takeWritableLocked();
     void flushLocked();
     void flush();
     void writeSome();
     void finishTurn();
+    // Frees what the buffers keep after large messages. The capacity isn't counted, and idle connections may be many.
+    void shrinkBuffers();
 
     // Whether the kernel holds bytes that this process hasn't read yet.
     bool hasUnreadBytes() const;
+    // Returns how much may be read before the handler or the parser takes it.
+    std::size_t bufferLimit() const;
     void readSome();
     void onRead(error_code error, std::size_t bytes);
     void onReadEnd(error_code error);
@@ -143,6 +166,8 @@
     void pumpBody();
     // Accounts for the body that has been read. Returns false if it doesn't fit, and the request has been refused.
     bool countBody();
+    bool fitsBudget(std::size_t bytes) const;
+    void refuseUpload(std::size_t bytes);
     void failBody(Error error);
     void deliverPiece(BodyPiece piece);
     void fail(Error error);
@@ -173,6 +198,7 @@
     std::function<void(BodyPiece)> bodyReader_;
     std::string inFlight_;
     std::size_t inFlightOffset_ = 0;
+    std::size_t kernelQueue_ = 0; // kernelQueueBytes() when the pending write began, or at the last progress seen since
     std::chrono::steady_clock::time_point requestStart_;
     std::chrono::steady_clock::time_point lastRead_;
     std::chrono::steady_clock::time_point lastWrite_;
--- a/libs/http/src/ServerOutbox.cpp
+++ b/libs/http/src/ServerOutbox.cpp
@@ -97,6 +97,7 @@
         return;
     if (outbox_.chunked_)
         outbox_.pending_.append("0\r\n\r\n");
+    countLocked();
     outbox_.ended_ = true;
     flushLocked();
 }
@@ -163,55 +164,8 @@
     if (!budget)
         return;
     outbox_.hold_.resize(outbox_.pending_.size() + outbox_.inFlight_);
-    if (budget->hasRoom(ByteUse::Answers, 0) || shared_->isRelieving_.exchange(true))
-        return;
-    asio::post(socket_.get_executor(), [shared = shared_] { relieveBudget(*shared); });
-}
-
-std::optional<std::chrono::steady_clock::time_point> ServerConnection::stalledSince() const
-{
-    const std::lock_guard lock(mutex_);
-    if (outbox_.closed_ || queuedLocked() == 0)
-        return std::nullopt;
-    return outbox_.progressAt_;
-}
-
-std::size_t ServerConnection::heldBytes() const
-{
-    const std::lock_guard lock(mutex_);
-    return outbox_.hold_.bytes();
-}
-
-void ServerConnection::cutOffSoon()
-{
-    isCutOff_ = true;
-    closeSoon();
-}
-
-void relieveBudget(ServerShared& shared)
-{
-    shared.isRelieving_ = false;
-    const auto latest = std::chrono::steady_clock::now() - shared.settings_.limits_.stallTime_;
-    std::vector<std::pair<std::chrono::steady_clock::time_point, std::shared_ptr<ServerConnection>>> stalled;
-    {
-        const std::lock_guard lock(shared.mutex_);
-        for (const auto& [key, weak] : shared.connections_) {
-            auto connection = weak.lock();
-            const auto since = connection ? connection->stalledSince() : std::nullopt;
-            if (since && *since <= latest)
-                stalled.emplace_back(*since, std::move(connection));
-        }
-    }
-    std::sort(stalled.begin(), stalled.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-    std::size_t freed = 0;
-    for (const auto& [since, connection] : stalled) {
-        const std::size_t held = shared.settings_.budget_->held(ByteUse::Answers) + shared.settings_.budget_->held(ByteUse::Uploads);
-        if (held <= freed || held - freed < shared.settings_.budget_->limit())
-            return;
-        freed += connection->heldBytes();
-        ++shared.readersCutOff_;
-        connection->cutOffSoon();
-    }
+    if (!budget->hasRoom(ByteUse::Answers, spareBytes(*budget)))
+        relieveBudgetSoon(shared_);
 }
 
 void ServerConnection::whenDrained(std::uint64_t turn, std::function<void()> callback)
@@ -261,7 +215,7 @@
             ended = outbox_.ended_;
         } else {
             inFlight_.swap(outbox_.pending_);
-            outbox_.pending_.clear();
+            clearBuffer(outbox_.pending_);
             outbox_.writing_ = inFlight_.size();
             outbox_.inFlight_ = inFlight_.size();
         }
@@ -283,10 +237,13 @@
 
 void ServerConnection::writeSome()
 {
+    kernelQueue_ = shared_->settings_.budget_ ? kernelQueueBytes() : 0;
     const auto rest = asio::buffer(inFlight_.data() + inFlightOffset_, inFlight_.size() - inFlightOffset_);
     socket_.async_write_some(rest, [self = shared_from_this()](error_code error, std::size_t bytes) {
-        if (self->phase_ == Phase::Closed)
+        if (self->phase_ == Phase::Closed) {
+            clearBuffer(self->inFlight_);
             return;
+        }
         if (error)
             return self->close();
         self->lastWrite_ = std::chrono::steady_clock::now();
@@ -302,7 +259,7 @@
             writable();
         if (self->inFlightOffset_ < self->inFlight_.size())
             return self->writeSome();
-        self->inFlight_.clear();
+        clearBuffer(self->inFlight_);
         self->flush();
     });
 }
@@ -329,6 +286,8 @@
         --shared_->exchanges_;
     }
     parser_.reset();
+    bodyHold_ = {};
+    shrinkBuffers();
     // What has been read of the next request is answered, because this answer didn't say that the connection closes.
     const bool hasReadMore = buffer_.size() > 0;
     if (!keepAlive || (shared_->draining_ && !hasReadMore))
@@ -352,7 +311,7 @@
         const std::lock_guard lock(mutex_);
         endsEarly = outbox_.started_ && outbox_.endsWithConnection_;
         outbox_.closed_ = true;
-        outbox_.pending_.clear();
+        clearBuffer(outbox_.pending_);
         closed = std::move(outbox_.onClosed_);
         drained = std::move(outbox_.onDrained_);
         writable = std::move(outbox_.onWritable_);
