--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -123,6 +123,7 @@
 {
     if (call->cancelled_ || call->ending_) {
         call->handlers_ = {};
+        call->outboundBody_ = nullptr;
         return connected_ && backToPool() ? void() : close();
     }
     if (closed_) {
@@ -255,6 +256,7 @@
     if (error)
         return dropCall();
     lingering_ = true;
+    call_->pacing_ = Pacing::Reading;
     expectProgress(shared_->settings_.cancelLinger_);
     readSome();
 }
@@ -431,14 +433,14 @@
         armTimer();
 }
 
+// The wait owns the connection: while reading is paused, nothing else does.
 void ClientConnection::armTimer()
 {
     timerArmed_ = true;
     armedUntil_ = deadline_;
     timer_.expires_at(deadline_);
-    timer_.async_wait([weak = weak_from_this()](error_code error) {
-        const auto self = weak.lock();
-        if (!error && self && !self->closed_)
+    timer_.async_wait([self = shared_from_this()](error_code error) {
+        if (!error && !self->closed_)
             self->onTimer();
     });
 }
