Http: a refused upload keeps asking for room until stalled readers have given way

A reader whose last progress was seen only when the upload had been refused wasn't cut off later, because the next look no longer knew of the upload. The size wanted is now kept for the stall time. Test queues are filled in step with the server's event loop, as a loaded machine filled them too far.

--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -263,10 +263,8 @@
 {
     const ByteBudget& budget = *shared_->settings_.budget_;
     ++shared_->uploadsRefused_;
-    if (budget.held(ByteUse::Uploads) + bytes <= budget.limit() / 2) {
-        shared_->wantedBytes_ = bytes;
-        relieveBudgetSoon(shared_);
-    }
+    if (budget.held(ByteUse::Uploads) + bytes <= budget.limit() / 2)
+        relieveBudgetFor(shared_, bytes);
     fail(Error::NoBufferSpace);
 }
 
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -48,10 +48,11 @@
     std::atomic<std::uint64_t> readersCutOff_ = 0;
     std::atomic<std::uint64_t> uploadsRefused_ = 0;
     std::atomic<bool> isRelieving_ = false; // the budget is exhausted, and stalled readers are looked for
-    std::atomic<std::size_t> wantedBytes_ = 0; // of the largest upload that was refused since the last look
     asio::steady_timer relief_; // used by whoever has set isRelieving_
 
-    mutable std::mutex mutex_; // guards connections_
+    mutable std::mutex mutex_; // guards the members below
+    std::size_t wantedBytes_ = 0; // of the upload that was refused last
+    std::chrono::steady_clock::time_point wantedUntil_ {};
     std::unordered_map<const void*, std::weak_ptr<ServerConnection>> connections_;
 };
 
@@ -67,8 +68,10 @@
         std::string().swap(text);
 }
 
-// Looks for stalled readers to cut off, now and again until the byte budget has room. Any thread, also under a lock.
+// Looks for stalled readers to cut off, now and again until the byte budget has room. Any thread, also under a connection's lock.
 void relieveBudgetSoon(const std::shared_ptr<ServerShared>& shared);
+// The same, until there is room for an upload of so many bytes or the stall time is over.
+void relieveBudgetFor(const std::shared_ptr<ServerShared>& shared, std::size_t uploadBytes);
 
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
--- a/libs/http/src/ServerRelief.cpp
+++ b/libs/http/src/ServerRelief.cpp
@@ -23,6 +23,12 @@
         return needed - std::min(needed, budget.limit());
     }
 
+    std::size_t wantedBytes(const ServerShared& shared)
+    {
+        const std::lock_guard lock(shared.mutex_);
+        return SteadyClock::now() < shared.wantedUntil_ ? shared.wantedBytes_ : 0;
+    }
+
     struct Stalled {
         SteadyClock::time_point since_;
         std::shared_ptr<ServerConnection> connection_;
@@ -55,10 +61,10 @@
     void relieveBudget(const std::shared_ptr<ServerShared>& shared)
     {
         const ByteBudget& budget = *shared->settings_.budget_;
-        std::size_t missing = missingBytes(budget, shared->wantedBytes_.exchange(0));
+        std::size_t missing = missingBytes(budget, wantedBytes(*shared));
         if (shared->stopped_ || missing == 0) {
             shared->isRelieving_ = false;
-            if (!shared->stopped_ && missingBytes(budget, 0) > 0)
+            if (!shared->stopped_ && missingBytes(budget, wantedBytes(*shared)) > 0)
                 relieveBudgetSoon(shared); // filled up meanwhile, when the flag was still set
             return;
         }
@@ -80,6 +86,17 @@
         asio::post(shared->io_, [shared] { relieveBudget(shared); });
 }
 
+void relieveBudgetFor(const std::shared_ptr<ServerShared>& shared, std::size_t uploadBytes)
+{
+    {
+        const std::lock_guard lock(shared->mutex_);
+        shared->wantedBytes_ = uploadBytes;
+        // A reader whose last progress is seen only now is stalled one stall time later.
+        shared->wantedUntil_ = SteadyClock::now() + shared->settings_.limits_.stallTime_ + 3 * reliefPeriod;
+    }
+    relieveBudgetSoon(shared);
+}
+
 std::optional<SteadyClock::time_point> ServerConnection::stalledSince() const
 {
     const std::lock_guard lock(mutex_);
--- a/libs/http/tests/ByteBudgetServerTest.cpp
+++ b/libs/http/tests/ByteBudgetServerTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <future>
 #include <malloc.h>
 #include <mutex>
 
@@ -93,6 +94,14 @@
     std::size_t uploads() const { return budget_->held(ByteUse::Uploads); }
     bool isEmpty() const { return answers() == 0 && uploads() == 0; }
 
+    // Waits until the event loop has done what it has to do now.
+    void waitForTurn()
+    {
+        std::promise<void> done;
+        boost::asio::post(io_, [&done] { done.set_value(); });
+        done.get_future().wait();
+    }
+
     std::shared_ptr<Exchange> stream(std::size_t index) { return streams_.wait(index); }
 
     std::shared_ptr<ByteBudget> budget_;
@@ -138,19 +147,24 @@
     return taken;
 }
 
-// Writes until the kernel takes no more and `bytes` are queued.
-void fillQueue(Exchange& exchange, std::size_t bytes)
+// Writes until the kernel takes no more and `bytes` are queued, by one piece more at most.
+void fillQueue(Budgeted& budgeted, Exchange& exchange, std::size_t bytes)
 {
     const std::string piece(pieceBytes, 'q');
-    const bool isFilled = comesTrue([&] {
-        for (int count = 0; count < 8 && exchange.queuedBytes() < bytes; ++count)
-            exchange.write(piece);
+    const auto until = std::chrono::steady_clock::now() + testTime;
+    int unchanged = 0; // turns of the server's event loop
+    std::size_t before = 0;
+    while (unchanged < 10 && std::chrono::steady_clock::now() < until) {
         if (exchange.queuedBytes() < bytes)
-            return false;
-        std::this_thread::sleep_for(5ms); // the kernel may still take some
-        return exchange.queuedBytes() >= bytes;
-    });
-    REQUIRE(isFilled);
+            exchange.write(piece);
+        budgeted.waitForTurn();
+        const std::size_t queued = exchange.queuedBytes();
+        unchanged = queued >= bytes && queued == before ? unchanged + 1 : 0;
+        before = queued;
+        if (unchanged > 0)
+            std::this_thread::sleep_for(2ms);
+    }
+    REQUIRE(unchanged == 10);
 }
 
 std::string uploadOf(std::size_t bytes) { return "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n"; }
@@ -209,9 +223,9 @@
     std::atomic<bool> stop = false;
     std::thread reader([&] { readSlowly(moving, 8 * kib, 4ms, stop); });
 
-    fillQueue(*firstStream, 160 * kib);
+    fillQueue(budgeted, *firstStream, 160 * kib);
     std::this_thread::sleep_for(50ms);
-    fillQueue(*secondStream, 160 * kib);
+    fillQueue(budgeted, *secondStream, 160 * kib);
     std::this_thread::sleep_for(300ms);
     CHECK(budgeted.server().readersCutOff() == 0); // the budget has room
     std::atomic<bool> isClosed = false;
@@ -241,7 +255,7 @@
     Budgeted budgeted({}, 512 * kib, 400ms);
     tcp::socket socket = budgeted.connect(plainGet, 16 * kib);
     const auto stream = budgeted.stream(0);
-    fillQueue(*stream, 510 * kib);
+    fillQueue(budgeted, *stream, 510 * kib);
     CHECK_FALSE(stream->wasCutOff());
     CHECK(comesTrue([&] { return stream->wasCutOff(); }, 3s));
     CHECK(budgeted.server().readersCutOff() == 1);
@@ -255,7 +269,7 @@
     tcp::socket socket = budgeted.connect(plainGet, 16 * kib);
     const auto stream = budgeted.stream(0);
     std::atomic<bool> stop = false;
-    fillQueue(*stream, 510 * kib);
+    fillQueue(budgeted, *stream, 510 * kib);
     std::thread reader([&] { readSlowly(socket, 4 * kib, 40ms, stop); });
     std::this_thread::sleep_for(2s);
     CHECK(budgeted.answers() > 490 * kib);
@@ -347,7 +361,7 @@
     tcp::socket stalled = budgeted.connect(plainGet, 16 * kib);
     const auto stream = streams.wait(0);
     streams.clear();
-    fillQueue(*stream, 400 * kib);
+    fillQueue(budgeted, *stream, 400 * kib);
     std::this_thread::sleep_for(300ms);
     CHECK_FALSE(stream->wasCutOff());
     const std::string upload = "POST /upload HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 153600\r\n\r\n" + std::string(150 * kib, 'u');
--- a/libs/http/tests/RequestLimitsTest.cpp
+++ b/libs/http/tests/RequestLimitsTest.cpp
@@ -55,7 +55,9 @@
     explicit Running(bool isStreamed)
     {
         const auto planner = [isStreamed](const Request&) { return BodyPlan { isStreamed, 0 }; };
-        server_ = std::move(Server::create(io_, {}, [this](const std::shared_ptr<Exchange>& exchange) { handle(exchange); }, planner).value());
+        server_ = std::move(Server::create(
+            io_, {}, [this](const std::shared_ptr<Exchange>& exchange) { handle(exchange); }, planner)
+                                .value());
         thread_ = std::thread([this] { io_.run(); });
     }
     ~Running()
