Http: a connection whose reading is paused stays alive

While an engine wasn't read, nothing held its connection: it was destroyed with the pending call, whose handlers were never called. The stream stopped for good and held its slot until its deadline.

--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -184,8 +184,10 @@
 
 void ClientConnection::readSome()
 {
-    if (reading_ || closed_ || isPaused())
+    if (reading_ || closed_)
         return;
+    if (isPaused())
+        return armTimer(); // nothing else holds the connection while it isn't read
     reading_ = true;
     socket_.async_read_some(buffer_.prepare(readBytes), [self = shared_from_this()](error_code error, std::size_t bytes) { self->onRead(error, bytes); });
 }
@@ -408,7 +410,7 @@
     timerArmed_ = true;
     armedUntil_ = deadline_;
     timer_.expires_at(deadline_);
-    timer_.async_wait([weak = weak_from_this()](error_code error) {
+    timer_.async_wait([weak = weak_from_this(), paused = isPaused() ? shared_from_this() : nullptr](error_code error) {
         const auto self = weak.lock();
         if (!error && self && !self->closed_)
             self->onTimer();
