Serving: silent runs aren't paused, and long events in small pieces are searched once

A silent run was paused when the caller's queue was full, but only the current run is ever read again. The scanner copied and searched the whole event for each piece, which took a time that grows with the square of the event's length.

--- a/libs/serving/src/EventScanner.cpp
+++ b/libs/serving/src/EventScanner.cpp
@@ -1,6 +1,7 @@
 // Parses fields line by line as the HTML standard defines them. Lines end in LF or CRLF.
 #include "EventScanner.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace jj {
@@ -39,11 +40,13 @@
         return event;
     }
 
-    // Returns the end of the first event, or npos if no event is complete.
-    std::size_t endOfEvent(std::string_view bytes)
+    // Returns the end of the first event, or npos if no event is complete. None ends within the first `searched` bytes.
+    std::size_t endOfEvent(std::string_view bytes, std::size_t searched)
     {
-        const std::size_t plain = bytes.find("\n\n");
-        const std::size_t withReturn = bytes.find("\n\r\n");
+        constexpr std::size_t overlap = std::string_view("\n\r\n").size() - 1;
+        const std::size_t from = searched - std::min(searched, overlap);
+        const std::size_t plain = bytes.find("\n\n", from);
+        const std::size_t withReturn = bytes.find("\n\r\n", from);
         if (plain == std::string_view::npos && withReturn == std::string_view::npos)
             return std::string_view::npos;
         return plain < withReturn ? plain + 2 : withReturn + 3;
@@ -72,7 +75,9 @@
 {
     if (isOverLimit_)
         return 0;
-    // Bytes are copied only if an event is split across calls, which is rare.
+    // Bytes are copied only if an event is split across calls, which is rare. What was searched before isn't searched or copied again:
+    // a long event in pieces of a few bytes would take a time that grows with the square of its length.
+    std::size_t searched = partial_.size();
     std::string joined;
     if (!partial_.empty()) {
         joined = std::move(partial_);
@@ -82,7 +87,8 @@
     }
     const std::uint64_t resets = resets_;
     std::size_t events = 0;
-    for (std::size_t end = endOfEvent(bytes); end != std::string_view::npos; end = endOfEvent(bytes)) {
+    for (std::size_t end = endOfEvent(bytes, searched); end != std::string_view::npos; end = endOfEvent(bytes, searched)) {
+        searched = 0;
         ++events;
         onEvent(parse(bytes.substr(0, end)));
         if (resets_ != resets)
@@ -92,6 +98,8 @@
     isOverLimit_ = bytes.size() > eventLimit_;
     if (isOverLimit_)
         partial_ = {};
+    else if (events == 0 && !joined.empty())
+        partial_ = std::move(joined);
     else
         partial_.assign(bytes);
     return events;
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -87,7 +87,8 @@
 
 void RelayedRequest::pauseIfQueueFull(const EngineRunPtr& run)
 {
-    if (!run->call_ || run->isPaused_ || !exchange_->isQueueFull())
+    // A silent run adds to the queue only once the request has returned to it. Paused before, it would never be read again: only run_ is.
+    if (run != run_ || !run->call_ || run->isPaused_ || !exchange_->isQueueFull())
         return;
     run->isPaused_ = true;
     run->call_->pauseReading();
@@ -120,7 +121,7 @@
 
 void RelayedRequest::resumeReading()
 {
-    if (phase_ != Phase::Running || !run_->isPaused_)
+    if (!run_ || !run_->isPaused_)
         return;
     run_->isPaused_ = false;
     run_->heardAt_ = context_.now(); // the pause wasn't the engine's
