Serving: texts of items over all runs, and no blame for a want of space

The limit of an item's text held for each run, so that an item that was resumed could exceed it; the text of earlier runs now counts, and an item over the limit begins anew. An answer that ended because the budget was exhausted was held against its engine, although stalled callers had filled the budget. Bytes of events that items scan count too.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -105,6 +105,7 @@
     std::optional<std::uint64_t> resumeAfter_; // last event received in earlier runs; the run resumes after it
     TimePoint due_ {};
     WallTime acceptedAt_ {}; // of the job
+    std::size_t textBytes_ = 0; // of the events received in earlier runs
 };
 
 // Whether an item can finish before it is due, estimated from the duration of recent runs.
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -150,6 +150,7 @@
     ItemRun run { item.run_, chosen->name_, chosen->head_.workspace_, chosen->head_.host_, item.item_.id_, item.item_.path_, item.item_.headers_, std::move(body.value()), std::nullopt, chosen->due_, chosen->head_.acceptedAt_ };
     if (item.events_ > 0)
         run.resumeAfter_ = item.lastEvent_;
+    run.textBytes_ = item.text_.size();
     return run;
 }
 
@@ -215,6 +216,9 @@
         item.discardProgress();
         return retryLater();
     case RunResult::Failed:
+        // Resumed, the item would exceed the limit of its text at once.
+        if (item.text_.size() > settings_.maxAnswerBytes_)
+            item.discardProgress();
         return retryLater();
     case RunResult::Unprocessable:
     case RunResult::RouteRemoved:
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -85,6 +85,7 @@
     run->sentAt_ = now;
     run->heardAt_ = now;
     run->scanner_ = EventScanner(context_.eventLimit());
+    run->hold_ = context_.budget_->hold(http::ByteUse::Answers);
     run->fingerprints_ = context_.crashes_->fingerprintsOf(run->item_);
     if (withhold(*run, now))
         return true;
@@ -213,9 +214,13 @@
         scheduler_.event(run->item_.id_, *event.id_, event.data_);
     });
     context_.recordEvents(run->engine_, run->eventClock_, events);
-    if (run->scanner_.isOverLimit() || run->textBytes_ > settings_.maxTextBytes_) {
-        context_.log_.line("answerOverLimit").with("request", run->item_.item_).with("job", run->item_.job_).with("textBytes", run->textBytes_);
-        context_.recordOverLimit(run->engine_, run->scanner_.isOverLimit() ? http::Error::EventTooLarge : http::Error::AnswerTooLarge);
+    run->hold_.resize(run->scanner_.rest().size());
+    const bool isTextTooLong = run->item_.textBytes_ + run->textBytes_ > settings_.maxTextBytes_;
+    if (run->scanner_.isOverLimit() || isTextTooLong) {
+        const std::error_code error = run->scanner_.isOverLimit() ? http::Error::EventTooLarge : http::Error::AnswerTooLarge;
+        const EngineEntry* engine = context_.board_.find(run->engine_);
+        context_.log_.line("answerOverLimit").with("engine", engine ? engine->name_ : "").with("error", error.message()).with("request", run->item_.item_).with("job", run->item_.job_).with("textBytes", run->item_.textBytes_ + run->textBytes_);
+        context_.recordOverLimit(run->engine_, error);
         return finish(run, RunResult::Failed, "overLimit");
     }
     if (isDiscontinuous || isVersionUncertain)
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -34,7 +34,7 @@
     // Maximum number of runs started by one call of pump(), so that nodes that see the same free slots at the same time don't all
     // take them.
     std::size_t maxStartsPerPump_ = 4;
-    // Text that one run may add to its item: a result has to fit into one answer to its reader.
+    // Text of an item over all its runs: a result has to fit into one answer to its reader.
     std::size_t maxTextBytes_ = 900U * 1024;
 };
 
@@ -72,6 +72,7 @@
         EventScanner scanner_;
         EventClock eventClock_;
         std::size_t textBytes_ = 0; // of the events of this run
+        http::ByteHold hold_; // of the event that is being scanned
     };
     using RunPtr = std::shared_ptr<Run>;
 
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -63,12 +63,13 @@
 
 std::error_code RelayedRequest::findOverLimit(EngineRun& run) const
 {
-    // When the budget is exhausted, runs that hold more than an equal part of it end first.
-    const bool isExhausted = !context_.budget_->hasRoom(http::ByteUse::Answers, 0) && run.heldBytes() > context_.budget_->share();
-    if (run.scanner_.isOverLimit() || (isExhausted && !run.scanner_.rest().empty()))
+    if (run.scanner_.isOverLimit())
         return http::Error::EventTooLarge;
-    if (run.body_.size() > context_.answerLimit() || (isExhausted && !run.body_.empty()))
+    if (run.body_.size() > context_.answerLimit())
         return http::Error::AnswerTooLarge;
+    // When the budget is exhausted, runs that hold more than an equal part of it end first.
+    if (!context_.budget_->hasRoom(http::ByteUse::Answers, 0) && run.heldBytes() > context_.budget_->share())
+        return http::Error::NoBufferSpace;
     return {};
 }
 
@@ -76,7 +77,9 @@
 {
     const EngineEntry* engine = context_.board_.find(run->engine_);
     line("answerOverLimit").with("engine", engine ? engine->name_ : "").with("error", error.message()).with("runs", runs_);
-    context_.recordOverLimit(run->engine_, error);
+    // Which answers end for want of space depends on the other ones too, so it says nothing about the engine.
+    if (isOverLimit(error))
+        context_.recordOverLimit(run->engine_, error);
     if (run != silentRun_)
         return lost(error);
     close(silentRun_);
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -148,7 +148,7 @@
     void readAfterPause();
     // Returns whether the caller still takes bytes that are ready.
     bool isReaderMoving() const;
-    // Ends a run of whose answer an element exceeded its limit.
+    // Ends a run of whose answer an element exceeded its limit, or for which there is no space.
     void onOverLimit(const EngineRunPtr& run, std::error_code error);
     // Returns the element of the run's answer that has exceeded its limit; no error if there is none.
     std::error_code findOverLimit(EngineRun& run) const;
