--- a/libs/serving/src/ReportMessages.cpp
+++ b/libs/serving/src/ReportMessages.cpp
@@ -281,7 +281,7 @@
 template <class Archive>
 void serialize(Archive& archive, ShareSum& sum)
 {
-    archive(sum.cell_, Flag { sum.isOfFleet_ }, sum.incarnation_, sum.sequence_, list<maxShareEntries>(sum.workspaces_), list<maxRanks>(sum.ranks_));
+    archive(sum.cell_, Flag { sum.isOfFleet_ }, sum.incarnation_, sum.sequence_, list<maxShareEntries>(sum.workspaces_), list<maxRanks>(sum.ranks_), sum.delegate_);
 }
 
 // NOLINTEND(readability-identifier-naming)
--- a/libs/serving/src/Shares.cpp
+++ b/libs/serving/src/Shares.cpp
@@ -125,10 +125,9 @@
     const auto sums = shares_.nextSums(own, now);
     if (!sums)
         return;
-    shares_.applySum(sums->ofCell_, now);
     for (const NodeId node : fleet_.cellNodes()) {
         if (node != fleet_.self())
-            fleet_.send(node, sums->ofFleet_);
+            fleet_.send(node, shares_.sumFor(node));
     }
     for (const CellId cell : fleet_.cells().cells()) {
         const std::vector<NodeId>& delegates = fleet_.cells().delegates(cell);
--- a/libs/shares/include/shares/FairShares.h
+++ b/libs/shares/include/shares/FairShares.h
@@ -43,6 +43,8 @@
     double lowerRanksFraction_ = 0.1; // of the slot time, which the lower ranks together get at least while they want it
     std::size_t maxReported_ = 32; // workspaces in one message
     float minReportedSlots_ = 0.02F; // smaller usage isn't reported; its claim is close to zero anyway
+    // Of the reports of a node, and of the sums to each node. Larger messages are sent less often.
+    std::size_t bytesPerSecond_ = 450;
 };
 
 struct WorkspaceWeight {
@@ -54,7 +56,7 @@
 struct WorkspaceShare {
     WorkspaceId workspace_;
     double slots_ = 0; // used recently, over all nodes
-    double share_ = 0; // the slots that it may use while all active workspaces want more
+    double share_ = 0; // the slots that it may use, after those that use far less than their shares
 };
 
 class FairShares {
@@ -81,7 +83,7 @@
     Claim claim(WorkspaceId workspace, Rank rank, TimePoint now) const;
     // Returns by how much one more request raises the usage of a workspace's claims. Smaller differences of claims mean nothing.
     float usageOfOneRun(WorkspaceId workspace) const;
-    // Returns whether the workspace uses less than its share of all slots in use.
+    // Returns whether the workspace uses less than its max-min share of all slots in use.
     bool isBelowShare(WorkspaceId workspace, TimePoint now) const;
     // Returns the active workspaces, those that use most first, at most `most`.
     std::vector<WorkspaceShare> activeShares(std::size_t most, TimePoint now) const;
@@ -93,9 +95,11 @@
     void applyReport(const ShareReport& report, TimePoint now);
     struct Sums {
         ShareSum ofCell_; // for the delegates of other cells
-        ShareSum ofFleet_; // for the nodes of this cell
     };
     std::optional<Sums> nextSums(CellId cell, TimePoint now);
+    // Returns what all nodes except `node` use, as of the last nextSums(), to be sent to this node of the cell. Its own part is left out
+    // because it can't know which of its reports the sum would contain.
+    ShareSum sumFor(NodeId node) const;
     // Applies a sum of this cell's delegate, or, as a delegate, the sum of another cell.
     void applySum(const ShareSum& sum, TimePoint now);
     void forget(NodeId node) { reports_.erase(node); }
@@ -112,6 +116,7 @@
         std::map<Rank, double> ranks_;
 
         void add(const std::vector<WorkspaceUsage>& workspaces, const std::vector<RankUsage>& ranks);
+        void remove(const ShareReport& report);
     };
     struct ReceivedReport {
         ShareReport report_;
@@ -126,6 +131,7 @@
         : settings_(settings)
         , self_(self)
         , incarnation_(incarnation)
+        , ownLowerFraction_(settings.lowerRanksFraction_ * lowerRanksMargin)
     {
     }
 
@@ -135,16 +141,22 @@
     void change(Usage& usage, int slots, TimePoint now);
     bool isCompeting(TimePoint now) const { return competedAt_ != TimePoint() && now - competedAt_ < settings_.competitionMemory_; }
     double weightOf(WorkspaceId workspace) const;
-    // Returns the slots for each unit of weight that all active workspaces together use.
-    double meanLevel(TimePoint now) const;
+    // Returns the max-min share of a workspace of weight 1.
+    double shareLevel(TimePoint now) const;
     // Returns the usage over all nodes.
     double slotsOf(WorkspaceId workspace, TimePoint now) const;
-    double slotsOfRank(Rank rank, TimePoint now) const;
+    // Returns the usage of a rank and all lower ones, over all nodes and at this one.
+    double slotsFrom(Rank rank, TimePoint now) const;
+    double ownSlotsFrom(Rank rank, TimePoint now) const;
+    std::optional<Rank> mostUrgentRank(TimePoint now) const;
+    std::vector<WorkspaceShare> activeUsage(TimePoint now) const;
     bool areLowerRanksStarved(Rank rank, TimePoint now) const;
     std::vector<WorkspaceUsage> ownWorkspaces(TimePoint now) const;
     std::vector<RankUsage> ownRanks(TimePoint now) const;
-    void rebuildSums();
-    ShareSum sumOf(CellId cell, bool isOfFleet, const SlotsInUse& slots);
+    void rebuildOthers(TimePoint now);
+    void adaptLowerFraction(TimePoint now);
+    Duration pauseAfter(std::size_t bytes) const;
+    ShareSum sumOf(CellId cell, bool isOfFleet, const SlotsInUse& slots) const;
     void expire(TimePoint now);
     std::vector<WorkspaceUsage> largest(std::vector<WorkspaceUsage> usages) const;
 
@@ -155,20 +167,23 @@
     bool ranksDiffer_ = false;
     std::map<WorkspaceId, Usage> ownWorkspaces_;
     std::map<Rank, Usage> ownRanks_;
-    // This node's part of the last sum that it has received of its cell, so that the part isn't counted twice.
-    SlotsInUse ownInSums_;
-    std::map<NodeId, ReceivedReport> reports_; // of the nodes of this cell, at a delegate
-    // At a delegate, those of its own cell and of others; at other nodes, the last one of the fleet.
-    std::map<CellId, ReceivedSum> cellSums_;
-    SlotsInUse sums_; // of cellSums_
+    std::map<NodeId, ReceivedReport> reports_; // of the other nodes of this cell, at a delegate
+    std::map<CellId, std::optional<ReceivedSum>> cellSums_; // of other cells, at a delegate
+    std::optional<ReceivedSum> fleetSum_; // the last one of the delegate of this cell
+    std::optional<CellId> ownCell_; // set while this node acts as a delegate
+    SlotsInUse others_; // usage of all other nodes
+    SlotsInUse fleetSlots_; // usage of all nodes, at a delegate, as of the last sums
     TimePoint competedAt_ {};
-    TimePoint reportedAt_ {};
+    TimePoint reportAt_ {}; // the earliest time of the next report
+    TimePoint sumAt_ {}; // the earliest time of the next sums
     TimePoint summedAt_ {};
     std::uint32_t sequence_ = 0;
     std::uint32_t sumSequence_ = 0;
-    SlotsInUse lastReported_; // this node's part of its last report, or, at a delegate, of its last sum
+    // The hosts aim at more than lowerRanksFraction_, because the mean of a controlled value is below the value at which the control begins.
+    static constexpr double lowerRanksMargin = 1.15;
+    double ownLowerFraction_ = 0; // of this node's slot time that lower ranks get while they are starved
     Duration expectedRun_ = 800ms;
-    mutable double level_ = 0; // the last result of meanLevel(), as of levelAt_
+    mutable double level_ = 0; // the last result of shareLevel(), as of levelAt_
     mutable TimePoint levelAt_ {};
 };
 
--- a/libs/shares/include/shares/ShareMessages.h
+++ b/libs/shares/include/shares/ShareMessages.h
@@ -30,15 +30,16 @@
     std::vector<RankUsage> ranks_;
 };
 
-// A sum that a delegate has computed: of its cell, for the delegates of other cells, or of all cells, for the nodes of its own. A sum
-// replaces all earlier ones of the same kind from the cell.
+// A sum that a delegate has computed: of its cell, for the delegates of other cells, or of all nodes except the receiver, for
+// the nodes of its own. A sum replaces all earlier ones of the same kind from the cell.
 struct ShareSum {
     CellId cell_; // of the delegate
     bool isOfFleet_ = false; // of all cells that the delegate has heard of
-    Incarnation incarnation_; // of the delegate
+    Incarnation incarnation_; // of the node that computed the sum
     std::uint32_t sequence_ = 0;
     std::vector<WorkspaceUsage> workspaces_;
     std::vector<RankUsage> ranks_;
+    NodeId delegate_ {}; // the node that computed the sum
 };
 
 } // namespace jj
--- a/libs/shares/src/FairShares.cpp
+++ b/libs/shares/src/FairShares.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <cmath>
 #include <numbers>
-#include <set>
 #include <string>
 
 namespace jj {
@@ -17,11 +16,24 @@
         std::string message(int /*value*/) const override { return "a time of the settings isn't positive, or a fraction isn't between 0 and 1"; }
     };
 
+    // Below it a quotient of usage and weight is meaningless.
+    constexpr double minWeight = 1e-6;
+
     bool isNewer(Incarnation incarnation, std::uint32_t sequence, Incarnation knownIncarnation, std::uint32_t knownSequence)
     {
         return incarnation > knownIncarnation || (incarnation == knownIncarnation && sequence > knownSequence);
     }
 
+    // Headers, authentication code and fixed fields, which ReportMessages encodes in about this many bytes.
+    constexpr std::size_t messageBytes = 80;
+
+    // Estimates what a message takes on the wire.
+    template <class Message>
+    std::size_t bytesOf(const Message& message)
+    {
+        return messageBytes + message.workspaces_.size() * (sizeof(WorkspaceId) + sizeof(float)) + message.ranks_.size() * (sizeof(Rank) + sizeof(float));
+    }
+
 } // namespace
 
 std::error_code make_error_code(ShareError error)
@@ -34,7 +46,7 @@
 {
     const bool areTimesValid = settings.halfLife_ > Duration::zero() && settings.reportInterval_ > Duration::zero() && settings.reportTimeout_ > Duration::zero();
     const bool isFractionValid = settings.lowerRanksFraction_ >= 0 && settings.lowerRanksFraction_ < 1;
-    if (!areTimesValid || !isFractionValid || settings.maxReported_ == 0)
+    if (!areTimesValid || !isFractionValid || settings.maxReported_ == 0 || settings.bytesPerSecond_ == 0)
         return ShareError::BadSettings;
     return FairShares(settings, self, incarnation);
 }
@@ -43,7 +55,8 @@
 {
     weights_.clear();
     for (const WorkspaceWeight& one : weights)
-        weights_[one.workspace_] = one.weight_;
+        weights_[one.workspace_] = std::max(one.weight_, minWeight);
+    levelAt_ = {};
 }
 
 double FairShares::weightOf(WorkspaceId workspace) const
@@ -82,10 +95,9 @@
         --usage.running_;
 }
 
+// Runs count before shares are in force too: otherwise their ends would be taken for ends of runs that started later.
 void FairShares::started(WorkspaceId workspace, Rank rank, TimePoint now)
 {
-    if (!isActive())
-        return;
     if (!workspace.isNone())
         change(ownWorkspaces_[workspace], 1, now);
     change(ownRanks_[rank], 1, now);
@@ -96,6 +108,9 @@
     const auto found = ownWorkspaces_.find(workspace);
     if (found != ownWorkspaces_.end())
         change(found->second, -1, now);
+    // While shares aren't in force, nothing else removes the entry.
+    if (found != ownWorkspaces_.end() && found->second.running_ == 0 && !isActive())
+        ownWorkspaces_.erase(found);
     const auto ranked = ownRanks_.find(rank);
     if (ranked != ownRanks_.end())
         change(ranked->second, -1, now);
@@ -105,41 +120,64 @@
 
 double FairShares::slotsOf(WorkspaceId workspace, TimePoint now) const
 {
-    const auto valueOf = [workspace](const std::unordered_map<WorkspaceId, double>& values) {
-        const auto found = values.find(workspace);
-        return found == values.end() ? 0.0 : found->second;
-    };
     const auto own = ownWorkspaces_.find(workspace);
-    const double ownSlots = own == ownWorkspaces_.end() ? 0 : chargedSlots(own->second, now);
-    return std::max(ownSlots, valueOf(sums_.workspaces_) + ownSlots - valueOf(ownInSums_.workspaces_));
+    const auto others = others_.workspaces_.find(workspace);
+    return (own == ownWorkspaces_.end() ? 0 : chargedSlots(own->second, now)) + (others == others_.workspaces_.end() ? 0 : others->second);
 }
 
-double FairShares::slotsOfRank(Rank rank, TimePoint now) const
+double FairShares::ownSlotsFrom(Rank rank, TimePoint now) const
 {
-    const auto valueOf = [rank](const std::map<Rank, double>& values) {
-        const auto found = values.find(rank);
-        return found == values.end() ? 0.0 : found->second;
-    };
-    const auto own = ownRanks_.find(rank);
-    const double ownSlots = own == ownRanks_.end() ? 0 : chargedSlots(own->second, now);
-    return std::max(ownSlots, valueOf(sums_.ranks_) + ownSlots - valueOf(ownInSums_.ranks_));
+    double slots = 0;
+    for (auto own = ownRanks_.lower_bound(rank); own != ownRanks_.end(); ++own)
+        slots += chargedSlots(own->second, now);
+    return slots;
 }
 
-bool FairShares::areLowerRanksStarved(Rank rank, TimePoint now) const
+double FairShares::slotsFrom(Rank rank, TimePoint now) const
 {
-    std::map<Rank, double> ranks = sums_.ranks_;
-    for (const auto& [own, usage] : ownRanks_)
-        ranks.try_emplace(own, 0);
-    double all = 0;
-    double lower = 0;
-    for (const auto& [one, slots] : ranks) {
-        const double used = slotsOfRank(one, now);
-        all += used;
-        lower += one >= rank ? used : 0;
+    double slots = ownSlotsFrom(rank, now);
+    for (auto others = others_.ranks_.lower_bound(rank); others != others_.ranks_.end(); ++others)
+        slots += others->second;
+    return slots;
+}
+
+std::optional<Rank> FairShares::mostUrgentRank(TimePoint now) const
+{
+    std::optional<Rank> first;
+    for (const auto& [rank, slots] : others_.ranks_) {
+        if (slots >= settings_.minReportedSlots_ && (!first || rank < *first))
+            first = rank;
+    }
+    for (const auto& [rank, usage] : ownRanks_) {
+        if (chargedSlots(usage, now) >= settings_.minReportedSlots_ && (!first || rank < *first))
+            first = rank;
     }
-    return all > 0 && lower < settings_.lowerRanksFraction_ * all;
+    return first;
+}
+
+// All hosts see a lack of slot time of the lower ranks at the same time, and correct it before they hear of each other's corrections. So
+// each gives them only a part of its own slots. The part grows while all together have too little, as when few hosts have such requests.
+bool FairShares::areLowerRanksStarved(Rank rank, TimePoint now) const
+{
+    const auto first = mostUrgentRank(now);
+    if (!first || rank <= *first)
+        return false;
+    const auto lower = static_cast<Rank>(*first + 1);
+    const double wanted = settings_.lowerRanksFraction_ * lowerRanksMargin;
+    return slotsFrom(lower, now) < wanted * slotsFrom(0, now) && ownSlotsFrom(lower, now) < ownLowerFraction_ * std::max(1.0, ownSlotsFrom(0, now));
+}
+
+void FairShares::adaptLowerFraction(TimePoint now)
+{
+    const double least = settings_.lowerRanksFraction_ * lowerRanksMargin;
+    const auto first = ranksDiffer_ ? mostUrgentRank(now) : std::nullopt;
+    const bool isLacking = first && slotsFrom(static_cast<Rank>(*first + 1), now) < settings_.lowerRanksFraction_ * slotsFrom(0, now);
+    constexpr double step = 1.25;
+    ownLowerFraction_ = std::clamp(isLacking ? ownLowerFraction_ * step : ownLowerFraction_ / step, least, std::max(least, 1.0));
 }
 
+// A request of a starved lower rank goes before all of the most urgent one: with the same rank alone it would lose to any workspace that
+// has used less. Among such requests the rank and then the usage still decide.
 Claim FairShares::claim(WorkspaceId workspace, Rank rank, TimePoint now) const
 {
     if (!isActive())
@@ -149,23 +187,35 @@
         claim.usage_ = static_cast<float>(slotsOf(workspace, now) / weightOf(workspace));
     if (!ranksDiffer_ || rank == 0)
         return claim;
-    claim.rank_ = areLowerRanksStarved(rank, now) ? 0 : rank;
+    if (areLowerRanksStarved(rank, now))
+        return { 0, static_cast<float>(rank) - 256 + claim.usage_ / (1 + claim.usage_) };
+    claim.rank_ = rank;
     return claim;
 }
 
-// All active workspaces are visited, so the result is kept for a moment. It changes with the usage, whose half-life is far longer.
-double FairShares::meanLevel(TimePoint now) const
+// Workspaces that use far less than the mean don't want their shares, or don't get them. In both cases the rest is what the others may use,
+// so they are left out of the mean. All active workspaces are visited, so the result is kept for a moment. It changes with the usage,
+// whose half-life is far longer.
+double FairShares::shareLevel(TimePoint now) const
 {
     constexpr Duration lifetime = 20ms;
+    constexpr double farLess = 0.5;
     if (levelAt_ != TimePoint() && now - levelAt_ < lifetime)
         return level_;
-    double slots = 0;
-    double weight = 0;
-    for (const WorkspaceShare& one : activeShares(SIZE_MAX, now)) {
-        slots += one.slots_;
-        weight += weightOf(one.workspace_);
+    std::vector<WorkspaceShare> active = activeUsage(now);
+    double level = 0;
+    for (std::size_t before = active.size() + 1; active.size() < before;) {
+        before = active.size();
+        double slots = 0;
+        double weight = 0;
+        for (const WorkspaceShare& one : active) {
+            slots += one.slots_;
+            weight += weightOf(one.workspace_);
+        }
+        level = weight > 0 ? slots / weight : 0;
+        std::erase_if(active, [&](const WorkspaceShare& one) { return one.slots_ / weightOf(one.workspace_) < farLess * level; });
     }
-    level_ = weight > 0 ? slots / weight : 0;
+    level_ = level;
     levelAt_ = now;
     return level_;
 }
@@ -174,29 +224,32 @@
 {
     if (weights_.empty() || workspace.isNone())
         return false;
-    return slotsOf(workspace, now) / weightOf(workspace) < meanLevel(now);
+    return slotsOf(workspace, now) / weightOf(workspace) < shareLevel(now);
 }
 
-std::vector<WorkspaceShare> FairShares::activeShares(std::size_t most, TimePoint now) const
+std::vector<WorkspaceShare> FairShares::activeUsage(TimePoint now) const
 {
-    std::set<WorkspaceId> known;
-    for (const auto& [workspace, usage] : ownWorkspaces_)
-        known.insert(workspace);
-    for (const auto& [workspace, slots] : sums_.workspaces_)
-        known.insert(workspace);
     std::vector<WorkspaceShare> shares;
-    double allSlots = 0;
-    double allWeights = 0;
-    for (const WorkspaceId workspace : known) {
+    const auto add = [&](WorkspaceId workspace) {
         const double slots = slotsOf(workspace, now);
-        if (slots < settings_.minReportedSlots_)
-            continue;
-        shares.push_back({ workspace, slots, 0 });
-        allSlots += slots;
-        allWeights += weightOf(workspace);
+        if (slots >= settings_.minReportedSlots_)
+            shares.push_back({ workspace, slots, 0 });
+    };
+    for (const auto& [workspace, usage] : ownWorkspaces_)
+        add(workspace);
+    for (const auto& [workspace, slots] : others_.workspaces_) {
+        if (!ownWorkspaces_.contains(workspace))
+            add(workspace);
     }
+    return shares;
+}
+
+std::vector<WorkspaceShare> FairShares::activeShares(std::size_t most, TimePoint now) const
+{
+    std::vector<WorkspaceShare> shares = activeUsage(now);
+    const double level = shareLevel(now);
     for (WorkspaceShare& one : shares)
-        one.share_ = allSlots * weightOf(one.workspace_) / allWeights;
+        one.share_ = level * weightOf(one.workspace_);
     std::sort(shares.begin(), shares.end(), [](const WorkspaceShare& a, const WorkspaceShare& b) { return a.slots_ > b.slots_; });
     shares.resize(std::min(shares.size(), most));
     return shares;
@@ -232,28 +285,42 @@
 
 void FairShares::expire(TimePoint now)
 {
+    const auto isOld = [&](const auto& received) { return now - received.at_ > settings_.reportTimeout_; };
     std::erase_if(ownWorkspaces_, [&](const auto& entry) { return entry.second.running_ == 0 && meanSlots(entry.second, now) < settings_.minReportedSlots_ / 2; });
-    std::erase_if(reports_, [&](const auto& entry) { return now - entry.second.at_ > settings_.reportTimeout_; });
-    if (std::erase_if(cellSums_, [&](const auto& entry) { return now - entry.second.at_ > settings_.reportTimeout_; }) > 0)
-        rebuildSums();
+    std::erase_if(reports_, [&](const auto& entry) { return isOld(entry.second); });
+    std::erase_if(cellSums_, [&](const auto& entry) { return isOld(*entry.second); });
+    if (fleetSum_ && isOld(*fleetSum_))
+        fleetSum_.reset();
+    const bool wasDelegate = ownCell_.has_value();
+    if (wasDelegate && now - summedAt_ > settings_.reportTimeout_)
+        ownCell_.reset();
+    if (!fleetSum_ && !ownCell_)
+        others_ = {};
+    else if (wasDelegate && !ownCell_)
+        rebuildOthers(now);
+}
+
+Duration FairShares::pauseAfter(std::size_t bytes) const
+{
+    return std::max(settings_.reportInterval_, fromSeconds(static_cast<double>(bytes) / static_cast<double>(settings_.bytesPerSecond_)));
 }
 
 std::optional<ShareReport> FairShares::nextReport(TimePoint now)
 {
-    if (now - reportedAt_ < settings_.reportInterval_)
+    if (now < reportAt_)
         return std::nullopt;
     expire(now);
     if (!isActive() || !isCompeting(now))
         return std::nullopt;
-    reportedAt_ = now;
     ShareReport report { self_, incarnation_, ++sequence_, ownWorkspaces(now), ownRanks(now) };
-    lastReported_ = {};
-    lastReported_.add(report.workspaces_, report.ranks_);
+    reportAt_ = now + pauseAfter(bytesOf(report));
     return report;
 }
 
 void FairShares::applyReport(const ShareReport& report, TimePoint now)
 {
+    if (report.node_ == self_)
+        return;
     const auto [found, isFirst] = reports_.try_emplace(report.node_);
     ReceivedReport& known = found->second;
     if (!isFirst && !isNewer(report.incarnation_, report.sequence_, known.report_.incarnation_, known.report_.sequence_))
@@ -262,11 +329,13 @@
     competedAt_ = now;
 }
 
-ShareSum FairShares::sumOf(CellId cell, bool isOfFleet, const SlotsInUse& slots)
+ShareSum FairShares::sumOf(CellId cell, bool isOfFleet, const SlotsInUse& slots) const
 {
-    ShareSum sum { cell, isOfFleet, incarnation_, ++sumSequence_, {}, {} };
-    for (const auto& [workspace, used] : slots.workspaces_)
-        sum.workspaces_.push_back({ workspace, static_cast<float>(used) });
+    ShareSum sum { cell, isOfFleet, incarnation_, sumSequence_, {}, {}, self_ };
+    for (const auto& [workspace, used] : slots.workspaces_) {
+        if (used >= settings_.minReportedSlots_)
+            sum.workspaces_.push_back({ workspace, static_cast<float>(used) });
+    }
     sum.workspaces_ = largest(std::move(sum.workspaces_));
     for (const auto& [rank, used] : slots.ranks_)
         sum.ranks_.push_back({ rank, static_cast<float>(used) });
@@ -275,56 +344,88 @@
 
 std::optional<FairShares::Sums> FairShares::nextSums(CellId cell, TimePoint now)
 {
-    if (now - summedAt_ < settings_.reportInterval_)
+    if (now < sumAt_)
         return std::nullopt;
     expire(now);
     if (!isActive() || !isCompeting(now))
         return std::nullopt;
     summedAt_ = now;
-    lastReported_ = {};
-    lastReported_.add(ownWorkspaces(now), ownRanks(now));
-    SlotsInUse slots = lastReported_;
-    for (const auto& [node, received] : reports_) {
-        if (node != self_)
-            slots.add(received.report_.workspaces_, received.report_.ranks_);
-    }
-    Sums sums { sumOf(cell, false, slots), {} };
+    ownCell_ = cell;
+    rebuildOthers(now);
+    SlotsInUse slots;
+    slots.add(ownWorkspaces(now), ownRanks(now));
+    for (const auto& [node, received] : reports_)
+        slots.add(received.report_.workspaces_, received.report_.ranks_);
+    ++sumSequence_;
+    Sums sums { sumOf(cell, false, slots) };
     for (const auto& [other, received] : cellSums_) {
         if (other != cell)
-            slots.add(received.sum_.workspaces_, received.sum_.ranks_);
+            slots.add(received->sum_.workspaces_, received->sum_.ranks_);
     }
-    sums.ofFleet_ = sumOf(cell, true, slots);
+    fleetSlots_ = std::move(slots);
+    sumAt_ = now + pauseAfter(bytesOf(sumOf(cell, true, fleetSlots_)));
     return sums;
 }
 
+ShareSum FairShares::sumFor(NodeId node) const
+{
+    SlotsInUse slots = fleetSlots_;
+    const auto found = reports_.find(node);
+    if (found != reports_.end())
+        slots.remove(found->second.report_);
+    return sumOf(ownCell_.value_or(CellId()), true, slots);
+}
+
 void FairShares::applySum(const ShareSum& sum, TimePoint now)
 {
-    if (sum.isOfFleet_)
-        std::erase_if(cellSums_, [&](const auto& entry) { return entry.first != sum.cell_; });
-    const auto [found, isFirst] = cellSums_.try_emplace(sum.cell_);
-    ReceivedSum& known = found->second;
-    if (!isFirst && !isNewer(sum.incarnation_, sum.sequence_, known.sum_.incarnation_, known.sum_.sequence_))
+    if (sum.delegate_ == self_ || (!sum.isOfFleet_ && sum.cell_ == ownCell_))
+        return;
+    std::optional<ReceivedSum>& known = sum.isOfFleet_ ? fleetSum_ : cellSums_[sum.cell_];
+    // Sequence numbers of two delegates can't be compared. Each replaces the other's sum.
+    const bool isOfSame = known && known->sum_.delegate_ == sum.delegate_;
+    if (isOfSame && !isNewer(sum.incarnation_, sum.sequence_, known->sum_.incarnation_, known->sum_.sequence_))
         return;
-    known = { sum, now };
-    ownInSums_ = lastReported_;
-    rebuildSums();
+    known = ReceivedSum { sum, now };
+    rebuildOthers(now);
 }
 
 void FairShares::SlotsInUse::add(const std::vector<WorkspaceUsage>& workspaces, const std::vector<RankUsage>& ranks)
 {
-    for (const WorkspaceUsage& one : workspaces)
-        workspaces_[one.workspace_] += one.slots_;
-    for (const RankUsage& one : ranks)
-        ranks_[one.rank_] += one.slots_;
+    const auto isValid = [](float slots) { return std::isfinite(slots) && slots > 0; };
+    for (const WorkspaceUsage& one : workspaces) {
+        if (isValid(one.slots_))
+            workspaces_[one.workspace_] += one.slots_;
+    }
+    for (const RankUsage& one : ranks) {
+        if (isValid(one.slots_))
+            ranks_[one.rank_] += one.slots_;
+    }
+}
+
+void FairShares::SlotsInUse::remove(const ShareReport& report)
+{
+    for (const WorkspaceUsage& one : report.workspaces_)
+        workspaces_[one.workspace_] -= one.slots_;
+    for (const RankUsage& one : report.ranks_)
+        ranks_[one.rank_] = std::max(0.0, ranks_[one.rank_] - one.slots_);
 }
 
-void FairShares::rebuildSums()
+// A delegate adds up what it has received itself: the sum of another delegate of its cell has the same nodes' reports in it.
+void FairShares::rebuildOthers(TimePoint now)
 {
-    sums_ = {};
-    if (cellSums_.empty())
-        ownInSums_ = {};
-    for (const auto& [cell, received] : cellSums_)
-        sums_.add(received.sum_.workspaces_, received.sum_.ranks_);
+    others_ = {};
+    levelAt_ = {};
+    if (ownCell_) {
+        for (const auto& [node, received] : reports_)
+            others_.add(received.report_.workspaces_, received.report_.ranks_);
+        for (const auto& [cell, received] : cellSums_) {
+            if (cell != *ownCell_)
+                others_.add(received->sum_.workspaces_, received->sum_.ranks_);
+        }
+    } else if (fleetSum_) {
+        others_.add(fleetSum_->sum_.workspaces_, fleetSum_->sum_.ranks_);
+    }
+    adaptLowerFraction(now);
 }
 
 } // namespace jj
--- a/libs/shares/tests/FairSharesTest.cpp
+++ b/libs/shares/tests/FairSharesTest.cpp
@@ -91,8 +91,7 @@
     first.applyReport(*report, later);
     const auto sums = first.nextSums(CellId(1), later);
     REQUIRE(sums);
-    first.applySum(sums->ofCell_, later);
-    second.applySum(sums->ofFleet_, later);
+    second.applySum(first.sumFor(NodeId(2)), later);
     CHECK(first.claim(large, 0, later).usage_ == doctest::Approx(4));
     CHECK(second.claim(small, 0, later).usage_ == doctest::Approx(0.5));
     // Its own part isn't counted twice.
@@ -109,7 +108,7 @@
     const auto sums = delegate.nextSums(CellId(1), start);
     REQUIRE(sums);
     CHECK(sums->ofCell_.workspaces_.empty());
-    node.applySum(sums->ofFleet_, start);
+    node.applySum(delegate.sumFor(NodeId(2)), start);
     CHECK(node.claim(large, 0, start).usage_ == doctest::Approx(6));
     CHECK(delegate.claim(large, 0, start).usage_ == doctest::Approx(6));
 }
