Capacity: speeds of engines are learned beside their load, without noise and echoes

The median was kept by the number of running requests alone. Fast engines that are kept full and slow ones that stay idle were each compared with their like, and the difference was forgotten. Nodes repeated each other's reports, kept a momentary slowdown for 30 s, dropped what others reported at their own first event, and lost the stated figure at the next event. Single late events changed the order of picks. A wrong figure that arrived less often than every 300 ms was never ignored.

The time between events is now split into a part for the number of running requests and a factor of the engine. A step counts as far as the one before it confirms it. Reports carry the lasting and the momentary part, from fresh evidence of the sender only, and say when an engine is usual again. Picks look up only engines that may differ. Items that can wait leave fast engines free.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -351,6 +351,7 @@
     int speedBand(const Engine& engine, TimePoint now) const;
     // Combines the band with the rank of the engine among those of its band; the lowest rank is preferred.
     static std::uint64_t rankInBand(int band, std::uint64_t rank);
+    static int bandForPatientItems(int band);
     // Ranks engines with free slots and of one band; the lowest rank is preferred.
     std::uint64_t freeRank(const Engine& engine, EngineDistance distance, TimePoint now) const;
     // Return the number of slots that batch items may take now on the engines.
--- a/libs/capacity/include/capacity/NodeUse.h
+++ b/libs/capacity/include/capacity/NodeUse.h
@@ -58,10 +58,12 @@
     friend bool operator==(const WaitingItems&, const WaitingItems&) = default;
 };
 
-// How much slower than usual an engine is, as the code of EngineSpeeds.
+// How much slower than usual an engine is, as codes of EngineSpeeds: its lasting part, and what is beyond it at the moment. A receiver
+// that knows nothing else forgets the second one soon.
 struct EngineSpeedReport {
     UpstreamId engine_;
-    std::uint8_t code_ = 0;
+    std::uint8_t lasting_ = 0;
+    std::uint8_t momentary_ = 0;
 
     friend bool operator==(const EngineSpeedReport&, const EngineSpeedReport&) = default;
 };
@@ -75,7 +77,7 @@
     std::vector<UpstreamId> failingEngines_; // engines that failed for the node and have not succeeded since
     std::vector<WaitingRequests> waiting_; // only services with queued requests
     std::vector<WaitingItems> items_; // only services with queued items
-    std::vector<EngineSpeedReport> speeds_ {}; // only engines that differ from the others, with evidence of the last second
+    std::vector<EngineSpeedReport> speeds_ {}; // only engines that differ or did until a moment ago, with evidence of the last moments
 };
 
 // The report of a cell to other cells: the sum of the reports of its nodes.
--- a/libs/capacity/src/CapacityBoard.cpp
+++ b/libs/capacity/src/CapacityBoard.cpp
@@ -36,6 +36,7 @@
     groups_.insert(place->second, idFromName<ServiceId>(entry.service_), distanceOf(place->second));
     if (!isNew)
         return;
+    speeds_.insert(entry.id_, idFromName<ServiceId>(entry.service_));
     // Other nodes may have reported work on the engine before discovery reported it to this node.
     Engine& engine = place->second;
     const auto addUse = [&engine](const std::vector<EngineUse>& uses) {
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -15,6 +15,8 @@
     // Engines at each distance that are looked at when this cell has no free slot. One free engine in a hundred is missed by one such pick
     // in thirteen, and the next pick looks at others.
     constexpr std::size_t maxSampledEngines = 256;
+    // The number of speed bands below the usual one, so that no rank is negative: up to sixteen times faster or slower.
+    constexpr int usualBand = 8;
 
 } // namespace
 
@@ -194,12 +196,13 @@
 {
     // Two bands lie a factor of 1.4 apart: less is hardly felt by callers, and estimates are not exact.
     constexpr double bandsPerDouble = 2;
-    return speeds_.mayDiffer() ? static_cast<int>(std::lround(speeds_.difference(engine.entry_.id_, now) * bandsPerDouble)) : 0;
+    if (!speeds_.mayDiffer())
+        return 0;
+    return std::clamp(static_cast<int>(std::lround(speeds_.difference(engine.entry_.id_, now) * bandsPerDouble)), -usualBand, usualBand);
 }
 
 std::uint64_t CapacityBoard::rankInBand(int band, std::uint64_t rank)
 {
-    constexpr int usualBand = 8; // the number of bands below the usual one, so that no rank is negative
     constexpr std::uint64_t bandWeight = 1ULL << 24; // more than any rank within a band
     return static_cast<std::uint64_t>(usualBand + band) * bandWeight + rank;
 }
@@ -380,6 +383,13 @@
     return freeSlots;
 }
 
+// Items that can wait leave the fast engines to online requests and to urgent items, but avoid engines that are far slower.
+int CapacityBoard::bandForPatientItems(int band)
+{
+    constexpr int littleSlower = 1;
+    return band < 0 || band > littleSlower ? std::abs(band) : 0;
+}
+
 EnginePick CapacityBoard::pickForBatch(std::span<Engine* const> engines, bool urgent, TimePoint now) const
 {
     const Engine* best = nullptr;
@@ -387,8 +397,7 @@
     for (const Engine* engine : engines) {
         if (freeBatchSlots(*engine, urgent, now) == 0)
             continue;
-        // Items that can wait leave the fast engines to online requests and to urgent items, but avoid engines that are far slower.
-        const int band = urgent ? speedBand(*engine, now) : std::max(0, speedBand(*engine, now) - 1);
+        const int band = urgent ? speedBand(*engine, now) : bandForPatientItems(speedBand(*engine, now));
         const std::uint64_t rank = rankInBand(band, freeRank(*engine, distanceOf(*engine), now)) * 2 + (engine->entry_.domain_ == location_.domain_ ? 0 : 1);
         if (best && rank >= bestRank)
             continue;
--- a/libs/capacity/src/EngineSpeeds.cpp
+++ b/libs/capacity/src/EngineSpeeds.cpp
@@ -16,13 +16,90 @@
 
     // Single events may be early, because several arrive together, or very late, because the network stalls.
     constexpr double maxDifference = 4;
-    // The median follows by this fraction with each event: slowly enough that a few slow engines don't move it.
-    constexpr double medianStep = 0.01;
+    // A momentary slowdown is no evidence of a lasting one: four times slower for a third of the time moves the lasting part by little.
+    constexpr double maxLastingStep = 0.5;
+    // Steps by which the usual time follows an event, as a power of two; more for the first events.
+    constexpr double usualStep = 0.015;
+    // Events at a number of running requests before engines are compared there.
+    constexpr std::uint32_t minBucketEvents = 4;
+    constexpr double noiseGain = 0.02;
+    // Differences smaller than this many mean deviations of single steps are noise.
+    constexpr double noiseFactor = 4;
+    // The lasting part is a mean over about this many steps at most.
+    constexpr double lastingSteps = 50;
+    // An event that arrives sooner than this part of the time between events belongs to the same step of the engine.
+    constexpr double minStepPart = 0.2;
+    // An engine whose last event isn't older than this is busy.
+    constexpr Duration busyGap = 1s;
+    // After so long without an event, the next ones count for more again.
+    constexpr Duration longIdle = 5s;
+    // An engine is reported as usual again for this long after an event; an older event may be from before it turned slow.
+    constexpr Duration usualReportLifetime = 100ms;
     // A code of a report is this plus the power of two in steps of a sixteenth.
     constexpr double codeOfUsual = 128;
     constexpr double codeSteps = 16;
 
-    double decayed(double value, Duration age, Duration halfLife) { return value * std::exp2(-std::max(0.0, toSeconds(age)) / toSeconds(halfLife)); }
+    // Returns the weight of evidence of this time; 0 if there is none.
+    double weightOf(TimePoint at, TimePoint now, Duration halfLife)
+    {
+        return at == TimePoint() ? 0 : std::exp2(-std::max(0.0, toSeconds(now - at)) / toSeconds(halfLife));
+    }
+
+    // Returns the value without the part that may be noise.
+    double significant(double value, double minimum) { return std::abs(value) < minimum ? 0 : value; }
+
+    // The mean of what several sources say of an engine at this moment. The newest one counts most: an event that came 60 ms before a load
+    // header may be from before the engine turned slow.
+    class MomentaryMean {
+    public:
+        explicit MomentaryMean(TimePoint now)
+            : now_(now)
+        {
+        }
+
+        // `halfLife`: in which the value itself loses its weight.
+        void add(double value, TimePoint at, Duration halfLife)
+        {
+            if (at == TimePoint())
+                return;
+            const double decayed = value * weightOf(at, now_, halfLife);
+            const double ratio = count_ == 0 ? 1 : std::exp2(std::clamp(toSeconds(at - newest_) / toSeconds(freshness), -maxExponent, maxExponent));
+            sum_ = (sum_ + ratio * decayed) / (ratio > 1 ? ratio : 1);
+            weight_ = (weight_ + ratio) / (ratio > 1 ? ratio : 1);
+            newest_ = std::max(newest_, at);
+            ++count_;
+        }
+
+        double value() const { return count_ == 0 ? 0 : sum_ / weight_; }
+
+    private:
+        static constexpr Duration freshness = 50ms; // a source that is older by so much counts half
+        static constexpr double maxExponent = 50;
+
+        TimePoint now_;
+        TimePoint newest_ {};
+        double sum_ = 0;
+        double weight_ = 0;
+        int count_ = 0;
+    };
+
+    // Returns how much of a step is more than noise: what the step before shows too, and what is beyond the delay by a new prompt.
+    double confirmedStep(double step, double before)
+    {
+        constexpr double promptDelay = 1; // a factor of two
+        if (step < 0)
+            return std::clamp(before, step, 0.0);
+        return std::clamp(before, std::max(0.0, step - promptDelay), step);
+    }
+
+    double median(std::vector<double>& values)
+    {
+        if (values.empty())
+            return 0;
+        const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+        std::nth_element(values.begin(), middle, values.end());
+        return *middle;
+    }
 
     std::uint8_t encode(double value) { return static_cast<std::uint8_t>(std::clamp(std::round(codeOfUsual + codeSteps * value), 0.0, 255.0)); }
 
@@ -45,42 +122,79 @@
     return EngineSpeeds(settings);
 }
 
-// The median is tracked by steps: each time above it raises it, each time below it lowers it.
-double EngineSpeeds::compare(ServiceId service, std::uint32_t running, Duration gap)
+// A number of running requests that wasn't seen before starts with this event, as if the engine's factor were known exactly.
+double& EngineSpeeds::usualTime(Service& service, std::size_t bucket, double seconds, double own)
 {
-    const std::size_t bucket = std::min<std::size_t>(running, Medians::buckets - 1);
-    double& median = medians_[service].seconds_[bucket];
-    const double seconds = toSeconds(gap);
-    if (median <= 0)
-        median = seconds;
-    const double difference = std::clamp(std::log2(seconds / median), -maxDifference, maxDifference);
-    median *= difference > 0 ? 1 + medianStep : 1 - medianStep;
-    return difference;
+    if (service.events_[bucket] == 0)
+        service.usual_[bucket] = seconds - own;
+    return service.usual_[bucket];
 }
 
 void EngineSpeeds::recordEventGap(UpstreamId engine, ServiceId service, std::uint32_t running, Duration gap, TimePoint now)
 {
     if (gap <= Duration::zero())
         return;
-    const double difference = compare(service, running, gap);
     Engine& one = engines_[engine];
-    one.lasting_ = decayed(one.lasting_, now - one.lastingAt_, settings_.lastingHalfLife_);
-    one.momentary_ = decayed(one.momentary_, now - one.momentaryAt_, settings_.momentaryHalfLife_);
-    checkStated(one, difference - one.lasting_, now);
-    const double momentary = isStatedValid(one, now) ? decayed(one.stated_, now - one.statedAt_, settings_.statedHalfLife_) : 0;
+    one.service_ = service;
+    const bool isFirst = one.eventAt_ == TimePoint();
+    const double weight = isFirst ? 1 : std::min(1.0, toSeconds(now - one.eventAt_) / toSeconds(gap));
+    if (weight < minStepPart)
+        return;
+    Service& all = services_[service];
+    one.measuredAt_ = now - gap / 2;
+    learn(one, all, std::min<std::size_t>(running, Service::buckets - 1), std::log2(toSeconds(gap)), weight, now);
+    updateMedian(all, service, now);
+    checkStated(one, now);
+    noteDifference(engine, one, now);
+}
+
+void EngineSpeeds::learn(Engine& engine, Service& service, std::size_t bucket, double seconds, double weight, TimePoint now)
+{
+    engine.lasting_ = lastingOf(engine, now);
+    engine.momentary_ *= weightOf(engine.eventAt_, now, settings_.momentaryHalfLife_);
+    if (engine.eventAt_ != TimePoint() && now - engine.eventAt_ > longIdle)
+        engine.events_ = std::min(engine.events_, settings_.minEvents_);
+    engine.eventAt_ = now;
+    const double predicted = engine.lasting_ + engine.momentary_;
+    double& usual = usualTime(service, bucket, seconds, predicted);
+    const double observed = std::clamp(seconds - usual, -maxDifference, maxDifference);
+    const double residual = observed - predicted;
+    const double step = weight * std::max(usualStep, 1.0 / (service.events_[bucket] + 1) / 2);
+    usual += std::clamp(residual, -step, step);
+    if (service.events_[bucket]++ < minBucketEvents)
+        return;
+    service.noise_ += noiseGain * weight * (std::min(std::abs(residual), 1.0) - service.noise_);
     // The first events count for more, so that the lasting part is known soon.
-    const double gain = std::max(settings_.lastingGain_, 1.0 / (one.events_ + 1));
-    one.lasting_ += gain * (difference - momentary - one.lasting_);
-    one.momentary_ += settings_.momentaryGain_ * (difference - one.lasting_ - one.momentary_);
-    one.lastingAt_ = now;
-    one.momentaryAt_ = now;
-    one.seenAt_ = now;
-    ++one.events_;
-    const bool isSlow = valueOf(one, now) >= settings_.minDifference_;
-    if (!isSlow)
-        one.slowSince_ = {};
-    else if (one.slowSince_ == TimePoint())
-        one.slowSince_ = now;
+    const bool isKnown = engine.events_ >= settings_.minEvents_;
+    const double gain = weight * std::max(settings_.lastingGain_, 1.0 / (engine.events_ + 1));
+    const double beyond = observed - engine.lasting_;
+    engine.lasting_ += gain * (isKnown ? std::clamp(beyond, -maxLastingStep, maxLastingStep) : beyond);
+    const double confirmed = confirmedStep(beyond, engine.lastStep_);
+    engine.lastStep_ = beyond;
+    if (isKnown)
+        engine.momentary_ += weight * settings_.momentaryGain_ * (confirmed - engine.momentary_);
+    ++engine.events_;
+}
+
+// All engines count the same, however many events they bring. What isn't known of an engine is taken from other nodes, and is usual
+// otherwise: a node that only sees fast engines would take them for usual, and then agree with no other node.
+void EngineSpeeds::updateMedian(Service& service, ServiceId id, TimePoint now)
+{
+    if (service.medianAt_ != TimePoint() && now - service.medianAt_ < settings_.medianPeriod_)
+        return;
+    service.medianAt_ = now;
+    std::vector<double> lasting;
+    std::vector<double> momentary;
+    for (const auto& [engine, one] : engines_) {
+        if (one.service_ != id)
+            continue;
+        const bool isKnown = one.events_ >= settings_.minEvents_;
+        lasting.push_back(isKnown ? lastingOf(one, now) : service.median_ + one.heardLasting_ * weightOf(one.heardAt_, now, settings_.lastingHalfLife_));
+        const bool isRecent = isKnown && now - one.eventAt_ < settings_.momentaryHalfLife_;
+        momentary.push_back(isRecent ? one.momentary_ : one.heardMomentary_ * weightOf(one.heardAt_, now, settings_.momentaryHalfLife_));
+    }
+    service.median_ = median(lasting);
+    service.momentaryMedian_ = median(momentary);
 }
 
 void EngineSpeeds::recordStatedSlowdown(UpstreamId engine, std::uint32_t percent, TimePoint now)
@@ -91,14 +205,17 @@
     Engine& one = engines_[engine];
     one.stated_ = std::clamp(std::log2(percent / usualPercent), -maxDifference, maxDifference);
     one.statedAt_ = now;
-    one.seenAt_ = now;
+    noteDifference(engine, one, now);
 }
 
-void EngineSpeeds::checkStated(Engine& engine, double observed, TimePoint now) const
+// A figure that is too old to be compared with events neither confirms nor ends a contradiction.
+void EngineSpeeds::checkStated(Engine& engine, TimePoint now) const
 {
     constexpr double contradiction = 1; // a factor of two
     const bool isFresh = engine.statedAt_ != TimePoint() && now - engine.statedAt_ < settings_.statedHalfLife_;
-    if (!isFresh || std::abs(observed - engine.stated_) < contradiction) {
+    if (!isFresh || engine.events_ < settings_.minEvents_)
+        return;
+    if (std::abs(engine.momentary_ - engine.stated_) < contradiction) {
         engine.contradictedSince_ = {};
         return;
     }
@@ -113,29 +230,43 @@
     return engine.statedAt_ != TimePoint() && now >= engine.distrustedUntil_ && now - engine.statedAt_ < 4 * settings_.statedHalfLife_;
 }
 
-double EngineSpeeds::valueOf(const Engine& engine, TimePoint now) const
+// Between the events of a busy engine nothing is lost, so that a lasting difference is learned in full.
+double EngineSpeeds::lastingOf(const Engine& engine, TimePoint now) const
+{
+    return engine.lasting_ * weightOf(engine.eventAt_ + busyGap, now, settings_.lastingHalfLife_);
+}
+
+EngineSpeeds::Value EngineSpeeds::valueOf(const Engine& engine, bool withHeard, TimePoint now) const
 {
     const bool isKnown = engine.events_ >= settings_.minEvents_;
-    const double lasting = isKnown ? decayed(engine.lasting_, now - engine.lastingAt_, settings_.lastingHalfLife_) : 0;
-    const double seen = isKnown ? decayed(engine.momentary_, now - engine.momentaryAt_, settings_.momentaryHalfLife_) : 0;
-    const bool isStatedNewer = isStatedValid(engine, now) && engine.statedAt_ >= engine.momentaryAt_;
-    const double momentary = isStatedNewer ? decayed(engine.stated_, now - engine.statedAt_, settings_.statedHalfLife_) : seen;
-    const double own = lasting + momentary;
-    if (engine.heardAt_ == TimePoint() || engine.heardAt_ < engine.seenAt_)
-        return own;
-    // What others report is newer. The older it is, the more counts what this node has learned itself.
-    const double weight = std::exp2(-toSeconds(now - engine.heardAt_) / toSeconds(settings_.momentaryHalfLife_));
-    const double rest = isKnown ? lasting : decayed(engine.heard_, now - engine.heardAt_, settings_.lastingHalfLife_);
-    return weight * engine.heard_ + (1 - weight) * rest;
+    const Service* service = isKnown ? &services_.at(engine.service_) : nullptr;
+    const double noise = isKnown ? noiseFactor * service->noise_ : 0;
+    Value value;
+    if (isKnown) {
+        const double error = noise / std::sqrt(std::min(lastingSteps, static_cast<double>(engine.events_)));
+        value.lasting_ = significant(lastingOf(engine, now) - service->median_, std::max(settings_.minLasting_, error));
+    } else if (withHeard)
+        value.lasting_ = significant(engine.heardLasting_ * weightOf(engine.heardAt_, now, settings_.lastingHalfLife_), settings_.minLasting_);
+    MomentaryMean momentary { now };
+    if (isKnown)
+        momentary.add(significant(engine.momentary_ - service->momentaryMedian_, std::max(settings_.minMomentary_, noise)), engine.measuredAt_, settings_.momentaryHalfLife_);
+    if (isStatedValid(engine, now))
+        momentary.add(engine.stated_, engine.statedAt_, settings_.statedHalfLife_);
+    if (withHeard)
+        momentary.add(engine.heardMomentary_, engine.heardAt_, settings_.momentaryHalfLife_);
+    value.momentary_ = significant(momentary.value(), settings_.minMomentary_);
+    return value;
+}
+
+void EngineSpeeds::noteDifference(UpstreamId id, const Engine& engine, TimePoint now)
+{
+    if (valueOf(engine, true, now).sum() != 0)
+        differing_.insert(id);
 }
 
 double EngineSpeeds::difference(UpstreamId engine, TimePoint now) const
 {
-    const auto found = engines_.find(engine);
-    if (found == engines_.end())
-        return 0;
-    const double value = valueOf(found->second, now);
-    return std::abs(value) < settings_.minDifference_ ? 0 : value;
+    return differing_.contains(engine) ? valueOf(engines_.at(engine), true, now).sum() : 0;
 }
 
 double EngineSpeeds::slowdown(UpstreamId engine, TimePoint now) const { return std::exp2(difference(engine, now)); }
@@ -145,34 +276,57 @@
     for (const EngineSpeedReport& one : report) {
         Engine& engine = engines_[one.engine_];
         // Several nodes see the engine at the same moment; their reports are averaged.
-        const bool isRecent = engine.heardAt_ != TimePoint() && now - engine.heardAt_ < settings_.momentaryHalfLife_;
-        engine.heard_ = isRecent ? (engine.heard_ + decode(one.code_)) / 2 : decode(one.code_);
+        const double share = engine.heardAt_ != TimePoint() && now - engine.heardAt_ < settings_.momentaryHalfLife_ ? 0.5 : 1;
+        engine.heardLasting_ += share * (decode(one.lasting_) - engine.heardLasting_);
+        engine.heardMomentary_ += share * (decode(one.momentary_) - engine.heardMomentary_);
         engine.heardAt_ = now;
+        noteDifference(one.engine_, engine, now);
     }
 }
 
+void EngineSpeeds::remove(UpstreamId engine)
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    const ServiceId service = found->second.service_;
+    differing_.erase(engine);
+    engines_.erase(found);
+    if (std::none_of(engines_.begin(), engines_.end(), [service](const auto& entry) { return entry.second.service_ == service; }))
+        services_.erase(service);
+}
+
 std::vector<EngineSpeedReport> EngineSpeeds::ownReport(TimePoint now) const
 {
     std::vector<EngineSpeedReport> report;
-    for (const auto& [id, engine] : engines_) {
-        const bool isRecent = engine.seenAt_ != TimePoint() && now - engine.seenAt_ < settings_.reportLifetime_;
-        if (!isRecent)
+    for (const UpstreamId id : differing_) {
+        const Engine& engine = engines_.at(id);
+        const TimePoint seenAt = std::max(engine.eventAt_, engine.statedAt_);
+        if (seenAt == TimePoint() || now - seenAt >= settings_.reportLifetime_)
             continue;
-        const double value = valueOf(engine, now);
-        if (std::abs(value) >= settings_.minDifference_)
-            report.push_back({ id, encode(value) });
+        const Value value = valueOf(engine, false, seenAt);
+        // Other nodes hear that it works as usual again, and needn't try it.
+        const bool isUsualAgain = engine.events_ >= settings_.minEvents_ && now - engine.eventAt_ < usualReportLifetime && std::abs(engine.lastStep_) < settings_.minMomentary_;
+        if (value.sum() != 0 || isUsualAgain)
+            report.push_back({ id, encode(value.lasting_), encode(value.momentary_) });
     }
     std::sort(report.begin(), report.end(), [](const EngineSpeedReport& a, const EngineSpeedReport& b) { return a.engine_ < b.engine_; });
     return report;
 }
 
-std::vector<EngineSpeeds::SlowEngine> EngineSpeeds::slowEngines(TimePoint now) const
+std::vector<EngineSpeeds::SlowEngine> EngineSpeeds::slowEngines(TimePoint now)
 {
     std::vector<SlowEngine> slow;
-    for (const auto& [id, engine] : engines_) {
-        const double value = valueOf(engine, now);
-        if (value >= settings_.minDifference_)
-            slow.push_back({ id, std::exp2(value), isStatedValid(engine, now) && engine.stated_ >= settings_.minDifference_, engine.slowSince_ });
+    for (auto it = differing_.begin(); it != differing_.end();) {
+        Engine& engine = engines_.at(*it);
+        const double value = valueOf(engine, true, now).sum();
+        if (value <= 0)
+            engine.slowSince_ = {};
+        else if (engine.slowSince_ == TimePoint())
+            engine.slowSince_ = now;
+        if (value > 0)
+            slow.push_back({ *it, std::exp2(value), isStatedValid(engine, now) && engine.stated_ >= settings_.minMomentary_, engine.slowSince_ });
+        it = value == 0 ? differing_.erase(it) : std::next(it);
     }
     std::sort(slow.begin(), slow.end(), [](const SlowEngine& a, const SlowEngine& b) { return a.slowdown_ > b.slowdown_; });
     return slow;
--- a/libs/serving/src/ReportMessages.cpp
+++ b/libs/serving/src/ReportMessages.cpp
@@ -125,7 +125,7 @@
 template <class Archive>
 void serialize(Archive& archive, EngineSpeedReport& speed)
 {
-    archive(speed.engine_, speed.code_);
+    archive(speed.engine_, speed.lasting_, speed.momentary_);
 }
 
 template <class Archive>
