Serving: slow engines are logged and counted, and stalls of the process are no evidence of slow engines

A process that was stopped for more than 150 ms read the events of all its engines late, and reported them as slow; these events no longer count.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -213,6 +213,8 @@
     void recordEventGap(UpstreamId engine, Duration gap, TimePoint now);
     // Records that work takes `percent` of the usual time according to the engine itself.
     void recordStatedSlowdown(UpstreamId engine, std::uint32_t percent, TimePoint now);
+    // Returns the slow engines, slowest first. To be called every second or so.
+    std::vector<EngineSpeeds::SlowEngine> slowEngines(TimePoint now) { return speeds_.slowEngines(now); }
     const EngineSpeeds& speeds() const { return speeds_; }
     // Records that the engine refused a request as full although the counts showed a free slot. It gets no requests for a moment.
     void recordFullRefusal(UpstreamId engine, TimePoint now);
--- a/libs/capacity/src/EngineSpeeds.cpp
+++ b/libs/capacity/src/EngineSpeeds.cpp
@@ -310,7 +310,12 @@
         if (value.sum() != 0 || isUsualAgain)
             report.push_back({ id, encode(value.lasting_), encode(value.momentary_) });
     }
-    std::sort(report.begin(), report.end(), [](const EngineSpeedReport& a, const EngineSpeedReport& b) { return a.engine_ < b.engine_; });
+    // A message holds a limited number, so the largest differences come first.
+    std::sort(report.begin(), report.end(), [](const EngineSpeedReport& a, const EngineSpeedReport& b) {
+        const double sizeOfA = std::abs(decode(a.lasting_) + decode(a.momentary_));
+        const double sizeOfB = std::abs(decode(b.lasting_) + decode(b.momentary_));
+        return sizeOfA != sizeOfB ? sizeOfA > sizeOfB : a.engine_ < b.engine_;
+    });
     return report;
 }
 
--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -12,6 +12,11 @@
 
 namespace {
 
+    // Between two ticks of the loop, which are 20 ms apart. A process that was stopped for longer reads late what engines sent in time; on
+    // hosts with a tenth of a core, gaps of some 90 ms are usual.
+    constexpr Duration maxLoopGap = 150ms;
+    // Events that came while the process was stopped are read within this time after the first tick.
+    constexpr Duration stallMemory = 20ms;
     // A live engine answers within 1 ms, or within about 30 ms from another region.
     constexpr Duration probeBound = 250ms;
 
@@ -78,6 +83,7 @@
     , bytesForReaders_(metrics.gauge("jj_buffered_bytes", "bytes held for slow peers", { { "use", "answers" } }))
     , bytesOfUploads_(metrics.gauge("jj_buffered_bytes", "bytes held for slow peers", { { "use", "uploads" } }))
     , bytesLimit_(metrics.gauge("jj_buffered_bytes_limit", "limit of the bytes held for slow peers"))
+    , enginesSlow_(metrics.gauge("jj_engines_slow", "engines whose events take longer than the median of their service"))
     , readersCutOff_(metrics.gauge("jj_readers_cut_off", "callers cut off since the start because they took no byte while the byte budget was exhausted"))
     , uploadsRefused_(metrics.gauge("jj_uploads_refused", "requests refused since the start because their body didn't fit into the byte budget"))
     , firstEvent_(metrics.distribution("jj_first_event_ms", "from a request's arrival to its answer's first bytes"))
@@ -133,10 +139,21 @@
         board_.recordStatedSlowdown(engine, *load->slowdownPercent_, now());
 }
 
+void Context::recordTick()
+{
+    if (tickAt_ != TimePoint() && now() - tickAt_ > maxLoopGap)
+        stalledAt_ = now();
+    tickAt_ = now();
+}
+
 void Context::recordEvents(UpstreamId engine, EventClock& clock, std::size_t events)
 {
     if (events == 0)
         return;
+    const auto isWithin = [this](TimePoint at, Duration age) { return at != TimePoint() && now() - at < age; };
+    const bool isAfterStall = (tickAt_ != TimePoint() && !isWithin(tickAt_, maxLoopGap)) || isWithin(stalledAt_, stallMemory);
+    if (isAfterStall)
+        clock.restart();
     if (const auto gap = clock.record(events, now()))
         board_.recordEventGap(engine, *gap, now());
 }
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -54,6 +54,7 @@
     GaugeHandle bytesForReaders_; // held for callers and engines whose answers are under way
     GaugeHandle bytesOfUploads_; // of request bodies
     GaugeHandle bytesLimit_;
+    GaugeHandle enginesSlow_; // slower than the median of their service
     GaugeHandle readersCutOff_; // callers that took no byte while the byte budget was exhausted, since the start
     GaugeHandle uploadsRefused_; // requests whose body didn't fit into the byte budget, since the start
     DistributionHandle firstEvent_; // ms from a request's arrival to the first bytes of its answer
@@ -84,6 +85,8 @@
     StreamVersions* streams_ = nullptr; // set before the event loop runs
     CrashWatch* crashes_ = nullptr; // set before the event loop runs
     std::shared_ptr<const RouteTable> table_ {}; // null until the first configuration is applied
+    TimePoint tickAt_ {}; // when the loop last ran its periodic work
+    TimePoint stalledAt_ {}; // the first such time after a stop of the process; none: there was none
 
     TimePoint now() const { return SystemClock().now(); }
     // Checks over a new connection whether an engine in backoff is alive. Requests are sent to the engine again only if it is.
@@ -94,8 +97,11 @@
     void engineGoesOn(UpstreamId engine);
     // Records the load that an engine states in the headers of its answer.
     void observe(UpstreamId engine, const http::Headers& headers);
-    // Records events that have arrived together, which show how fast the engine works.
+    // Records events that have arrived together, which show how fast the engine works. Events that are read after this process was stopped
+    // for a moment show nothing.
     void recordEvents(UpstreamId engine, EventClock& clock, std::size_t events);
+    // Records that the loop runs.
+    void recordTick();
     // Records an answer of which an element exceeded its limit.
     void recordOverLimit(UpstreamId engine, std::error_code error);
     // Maximum sizes of an event and of a whole answer, in bytes. Several of them fit into the budget.
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -16,6 +16,7 @@
 #include "RetirementDuty.h"
 #include "Shares.h"
 #include "SlotQueue.h"
+#include "SlowEngineLog.h"
 #include "StoreLink.h"
 #include "StreamVersions.h"
 #include "ledger/FileDisk.h"
@@ -53,6 +54,7 @@
     void tick();
     void probeEngines(TimePoint now);
     void scanJobs(TimePoint now);
+    void updateSlowEngines(TimePoint now);
     void logPeriodic(TimePoint now);
     void logSummary();
     // Sets the gauges of the state that changes with each byte.
@@ -136,6 +138,9 @@
     std::size_t nextPeerIndex_ = 0;
     TimePoint nextScanAt_ {};
     TimePoint lastSummaryAt_ {};
+    TimePoint slowEnginesAt_ {};
+    std::size_t slowEngines_ = 0;
+    SlowEngineLog slowEngineLog_ { log_ };
     bool watching_ = false;
     TimePoint nextWatchChoiceAt_ {};
     bool updateRequested_ = false;
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -19,6 +19,7 @@
     // Time to send the last datagrams to peers before the process exits.
     constexpr Duration finalSendTime = 100ms;
     constexpr Duration summaryPeriod = 10s;
+    constexpr Duration slowEnginesPeriod = 1s;
     // The watchers are chosen from the reports of the last second, so the choice is repeated more often than that.
     constexpr Duration watchChoicePeriod = 100ms;
     // Every node that runs jobs lists the job heads at this interval, from possibly stale data. The loss of a node triggers an
@@ -57,6 +58,7 @@
 
 void ServingNode::Parts::recordLoopLag(TimePoint due)
 {
+    context_.recordTick();
     if (!loopLag_.recordWakeUp(due, context_.now()))
         return;
     log_.line(loopLag_.isOverloaded() ? "overloaded" : "overloadEnded").with("requests", relay_->openRequests()).with("connections", callers_ ? callers_->openConnections() : 0).with("unadmitted", callers_ ? callers_->unadmittedConnections() : 0);
@@ -110,6 +112,7 @@
     scanJobs(now);
     if (draining_)
         continueDrain(now);
+    updateSlowEngines(now);
     logPeriodic(now);
     log_.flushIfDue(now);
 }
@@ -136,6 +139,17 @@
     metrics_.set(servingMetrics_.uploadsRefused_, static_cast<double>(callers_->uploadsRefused()));
 }
 
+void ServingNode::Parts::updateSlowEngines(TimePoint now)
+{
+    if (now - slowEnginesAt_ < slowEnginesPeriod)
+        return;
+    slowEnginesAt_ = now;
+    const std::vector<EngineSpeeds::SlowEngine> slow = board_.slowEngines(now);
+    slowEngines_ = slow.size();
+    metrics_.set(servingMetrics_.enginesSlow_, static_cast<double>(slowEngines_));
+    slowEngineLog_.update(slow, board_, now);
+}
+
 // Logs the node's load, its store calls by kind and its traffic every summaryPeriod.
 void ServingNode::Parts::logPeriodic(TimePoint now)
 {
@@ -149,7 +163,7 @@
 void ServingNode::Parts::logSummary()
 {
     auto line = log_.line("summary");
-    line.with("requests", relay_->openRequests()).with("items", runner_->running()).with("jobs", scheduler_->openJobs()).with("config", config_->version()).with("peers", fleet_->livePeers()).with("linesDroppedTotal", log_.dropped());
+    line.with("requests", relay_->openRequests()).with("items", runner_->running()).with("jobs", scheduler_->openJobs()).with("config", config_->version()).with("peers", fleet_->livePeers()).with("slowEngines", slowEngines_).with("linesDroppedTotal", log_.dropped());
     if (context_.table_ && context_.table_->workspaces()) {
         const QuotaGate::Totals& totals = quotas_->totals();
         line.with("quotaAdmitted", totals.admitted_).with("quotaRefused", totals.refused_).with("quotaAsked", totals.requested_).with("quotaReturned", totals.returned_).with("quotaUnanswered", totals.unanswered_);
