--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -213,6 +213,8 @@
     void recordEventGap(UpstreamId engine, Duration gap, TimePoint now);
     // Records that work takes `percent` of the usual time according to the engine itself.
     void recordStatedSlowdown(UpstreamId engine, std::uint32_t percent, TimePoint now);
+    // Returns the slow engines, slowest first. To be called every second or so.
+    std::vector<EngineSpeeds::SlowEngine> slowEngines(TimePoint now) { return speeds_.slowEngines(now); }
     const EngineSpeeds& speeds() const { return speeds_; }
     // Records that the engine refused a request as full although the counts showed a free slot. It gets no requests for a moment.
     void recordFullRefusal(UpstreamId engine, TimePoint now);
@@ -351,6 +353,7 @@
     int speedBand(const Engine& engine, TimePoint now) const;
     // Combines the band with the rank of the engine among those of its band; the lowest rank is preferred.
     static std::uint64_t rankInBand(int band, std::uint64_t rank);
+    static int bandForPatientItems(int band);
     // Ranks engines with free slots and of one band; the lowest rank is preferred.
     std::uint64_t freeRank(const Engine& engine, EngineDistance distance, TimePoint now) const;
     // Return the number of slots that batch items may take now on the engines.
