--- a/libs/http/tests/PauseTest.cpp
+++ b/libs/http/tests/PauseTest.cpp
@@ -132,10 +132,10 @@
     reader.runUntil([&] { return !reader.body_.empty(); });
     reader.call_->pauseReading();
     std::this_thread::sleep_for(250ms);
-    // The timer's handler is ready before that of the end.
-    reader.io_.poll_one();
+    reader.io_.poll();
     std::this_thread::sleep_for(250ms);
-    boost::asio::steady_timer due(reader.io_, std::chrono::steady_clock::now() - 1s);
+    // Both timers are due, that of the connection first; it waits for its strand while the other one ends the pause.
+    boost::asio::steady_timer due(reader.io_, std::chrono::steady_clock::now());
     due.async_wait([&](boost::system::error_code) { reader.call_->resumeReading(); });
     reader.runFor(100ms);
     CHECK_FALSE(reader.hasEnded_);
