Http: the byte budget counts capacities, and waiting connections hold no read buffers

Memory that isn't counted was three times the budget: read buffers of both sides and the unused half of strings that had grown.

--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -198,8 +198,12 @@
 
 void ClientConnection::readSome()
 {
-    if (reading_ || closed_ || isPaused())
+    if (reading_ || closed_)
         return;
+    if (isPaused()) {
+        buffer_.shrink_to_fit(); // isn't counted by the byte budget
+        return;
+    }
     reading_ = true;
     socket_.async_read_some(buffer_.prepare(readBytes), [self = shared_from_this()](error_code error, std::size_t bytes) { self->onRead(error, bytes); });
 }
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -128,17 +128,29 @@
     if (reading_ || phase_ == Phase::Closed || buffer_.size() >= bufferLimit())
         return;
     reading_ = true;
-    socket_.async_read_some(asio::buffer(input_), [self = shared_from_this()](error_code error, std::size_t bytes) { self->onRead(error, bytes); });
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) { self->onReadable(error); });
 }
 
-void ServerConnection::onRead(error_code error, std::size_t bytes)
+// Reads to the stack: a buffer of each connection that waits would exceed what the byte budget counts.
+void ServerConnection::onReadable(error_code error)
 {
-    reading_ = false;
     if (phase_ == Phase::Closed)
         return;
+    std::array<char, readBytes> input; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by the read
+    if (!error)
+        socket_.non_blocking(true, error);
+    const std::size_t bytes = error ? 0 : socket_.read_some(asio::buffer(input), error);
+    reading_ = false;
+    if (error == asio::error::would_block)
+        return readSome();
+    onRead(error, { input.data(), bytes });
+}
+
+void ServerConnection::onRead(error_code error, std::string_view data)
+{
     if (error)
         return onReadEnd(error);
-    buffer_.commit(asio::buffer_copy(buffer_.prepare(bytes), asio::buffer(input_, bytes)));
+    buffer_.commit(asio::buffer_copy(buffer_.prepare(data.size()), asio::buffer(data)));
     lastRead_ = SteadyClock::now();
     process();
     readSome();
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -67,6 +67,14 @@
         std::string().swap(text);
 }
 
+// Frees capacity that `text` doesn't use, if it is large enough to matter.
+inline void trimBuffer(std::string& text)
+{
+    constexpr std::size_t keptSlack = std::size_t { 4 } * 1024;
+    if (text.capacity() - text.size() > keptSlack)
+        text.shrink_to_fit();
+}
+
 // Looks for stalled readers to cut off, now and again until the byte budget has room. Any thread, also under a lock.
 void relieveBudgetSoon(const std::shared_ptr<ServerShared>& shared);
 
@@ -156,7 +164,8 @@
     // Returns how much may be read before the handler or the parser takes it.
     std::size_t bufferLimit() const;
     void readSome();
-    void onRead(error_code error, std::size_t bytes);
+    void onReadable(error_code error);
+    void onRead(error_code error, std::string_view data);
     void onReadEnd(error_code error);
     void process();
     bool processHead();
@@ -183,7 +192,6 @@
     // Where the socket reads to. Not buffer_ itself: the handler may pull body out of that while a read is under way, which moves
     // its start, and the bytes that then arrive would be lost and older ones be seen twice.
     static constexpr std::size_t readBytes = 16 * 1024;
-    std::array<char, readBytes> input_;
     std::optional<RequestParser> parser_;
     ChunkLineCheck checkChunkLine_; // called by the parser
     ByteHold bodyHold_; // of the body that is being read
--- a/libs/http/src/ServerOutbox.cpp
+++ b/libs/http/src/ServerOutbox.cpp
@@ -145,10 +145,11 @@
 void ServerConnection::whenWritable(std::uint64_t turn, std::function<void()> callback)
 {
     const std::lock_guard lock(mutex_);
-    if (isCurrent(turn) && queuedLocked() >= fullBytes() / 2)
-        outbox_.onWritable_ = std::move(callback);
-    else
-        asio::post(socket_.get_executor(), std::move(callback));
+    if (!isCurrent(turn) || queuedLocked() < fullBytes() / 2)
+        return asio::post(socket_.get_executor(), std::move(callback));
+    outbox_.onWritable_ = std::move(callback);
+    trimBuffer(outbox_.pending_); // nothing is added before the reader has taken some
+    countLocked();
 }
 
 std::function<void()> ServerConnection::takeWritableLocked()
@@ -163,7 +164,8 @@
     const std::shared_ptr<ByteBudget>& budget = shared_->settings_.budget_;
     if (!budget)
         return;
-    outbox_.hold_.resize(outbox_.pending_.size() + outbox_.inFlight_);
+    // Capacities, because strings that grow have up to twice the memory of their bytes.
+    outbox_.hold_.resize((outbox_.pending_.empty() ? 0 : outbox_.pending_.capacity()) + outbox_.inFlight_);
     if (!budget->hasRoom(ByteUse::Answers, spareBytes(*budget)))
         relieveBudgetSoon(shared_);
 }
@@ -216,8 +218,9 @@
         } else {
             inFlight_.swap(outbox_.pending_);
             clearBuffer(outbox_.pending_);
+            trimBuffer(inFlight_);
             outbox_.writing_ = inFlight_.size();
-            outbox_.inFlight_ = inFlight_.size();
+            outbox_.inFlight_ = inFlight_.capacity();
         }
         countLocked();
         writable = takeWritableLocked();
