--- a/libs/serving/src/EngineRun.h
+++ b/libs/serving/src/EngineRun.h
@@ -38,7 +38,8 @@
     EventClock eventClock_;
     http::ByteHold hold_; // of body_ and of the event that is being scanned
 
-    std::size_t heldBytes() const { return body_.size() + scanner_.rest().size(); }
+    // Capacities, because strings that grow have up to twice the memory of their bytes.
+    std::size_t heldBytes() const { return (body_.empty() ? 0 : body_.capacity()) + (scanner_.rest().empty() ? 0 : scanner_.rest().capacity()); }
 };
 
 using EngineRunPtr = std::shared_ptr<EngineRun>;
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -214,7 +214,7 @@
         scheduler_.event(run->item_.id_, *event.id_, event.data_);
     });
     context_.recordEvents(run->engine_, run->eventClock_, events);
-    run->hold_.resize(run->scanner_.rest().size());
+    run->hold_.resize(run->scanner_.rest().empty() ? 0 : run->scanner_.rest().capacity());
     const bool isTextTooLong = run->item_.textBytes_ + run->textBytes_ > settings_.maxTextBytes_;
     if (run->scanner_.isOverLimit() || isTextTooLong) {
         const std::error_code error = run->scanner_.isOverLimit() ? http::Error::EventTooLarge : http::Error::AnswerTooLarge;
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -52,10 +52,8 @@
     run->hold_.resize(run->heldBytes());
     if (!isOpen(run))
         return;
-    if (!pendingEvents_.empty()) {
-        exchange_->write(pendingEvents_);
-        pendingEvents_.clear();
-    }
+    if (!pendingEvents_.empty())
+        exchange_->write(std::exchange(pendingEvents_, {})); // a kept capacity wouldn't be counted by the byte budget
     if (const std::error_code error = findOverLimit(*run))
         return onOverLimit(run, error);
     pauseIfQueueFull(run);
@@ -127,6 +125,7 @@
     if (!run_ || !run_->isPaused_)
         return;
     run_->isPaused_ = false;
+    run_->hold_.resize(run_->heldBytes() + readPieceBytes); // counted before it is read: many streams may go on at once
     run_->heardAt_ = context_.now(); // the pause wasn't the engine's
     run_->eventClock_.restart();
     readTimer_.cancel();
@@ -359,10 +358,8 @@
     const bool wasSent = phase_ == Phase::Running;
     const bool mayResend = wasSent && mayRunAgain();
     logLost(error, silentRun_ || mayResend);
-    if (!pendingEvents_.empty()) {
-        exchange_->write(pendingEvents_);
-        pendingEvents_.clear();
-    }
+    if (!pendingEvents_.empty())
+        exchange_->write(std::exchange(pendingEvents_, {})); // a kept capacity wouldn't be counted by the byte budget
     if (silentRun_)
         return returnToSilentRun();
     releaseEngine();
--- a/libs/serving/tests/EventScannerTest.cpp
+++ b/libs/serving/tests/EventScannerTest.cpp
@@ -1,6 +1,7 @@
 // Tests that the scanner yields only complete events, however their bytes are split.
 #include "EventScanner.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <vector>
 
@@ -41,6 +42,47 @@
     }
 }
 
+// Guards against an engine that sends an event without end, whose bytes were held without bound.
+TEST_CASE("serving: the scanner gives up on an event over its limit")
+{
+    constexpr std::size_t limit = 100;
+    const std::string start = "id: 1\ndata: one\n\nid: 2\ndata: ";
+    const std::size_t eventStart = start.find("id: 2");
+    for (std::size_t piece = 1; piece <= limit; ++piece) {
+        EventScanner scanner(limit);
+        const std::string stream = start + std::string(2 * limit, 'x');
+        std::size_t events = 0;
+        std::size_t longest = 0;
+        for (std::size_t at = 0; at < stream.size() && !scanner.isOverLimit(); at += piece) {
+            events += scanner.feed(std::string_view(stream).substr(at, piece), [](const StreamEvent&) {});
+            longest = std::max(longest, scanner.rest().size());
+        }
+        CHECK(events == 1);
+        CHECK(scanner.isOverLimit());
+        CHECK(longest <= limit);
+        CHECK(longest + piece > limit);
+        CHECK(scanner.rest().empty());
+        CHECK(scanner.feed("\n\nid: 3\ndata: three\n\n", [](const StreamEvent&) {}) == 0);
+    }
+    EventScanner scanner(limit);
+    const std::string exact = "id: 2\ndata: " + std::string(limit - (start.size() - eventStart), 'x');
+    CHECK(exact.size() == limit);
+    scanner.feed(exact, [](const StreamEvent&) {});
+    CHECK_FALSE(scanner.isOverLimit());
+    CHECK(scanner.feed("\n\n", [](const StreamEvent&) {}) == 1);
+}
+
+// Guards against events that are found again, or missed, where their end is split between pieces: only new bytes are searched.
+TEST_CASE("serving: the scanner finds the end of a long event in small pieces")
+{
+    const std::string text(300'000, 'x');
+    for (const char* end : { "\n\n", "\r\n\r\n" }) {
+        const ScanResult result = scan("id: 7\ndata: " + text + end + "id: 8\ndata: y" + end, 1);
+        CHECK(result.ids_ == std::vector<std::uint64_t> { 7, 8 });
+        CHECK(result.data_.size() == text.size() + 3);
+    }
+}
+
 TEST_CASE("serving: the scanner is inside an event until the event's last line has ended")
 {
     const auto isInsideAfter = [](std::string_view bytes) {
