--- a/tools/sharefleet/main.cpp
+++ b/tools/sharefleet/main.cpp
@@ -56,10 +56,10 @@
     std::fflush(stdout);
 }
 
-// Of Jain's index. In a second a workspace of ten slots runs about twelve requests, so the worst workspace varies even with the optimum.
+// Of Jain's index. In two seconds a workspace of ten slots runs about 25 requests, so the worst workspace varies even with the optimum.
 constexpr double fairBound = 0.95;
-constexpr Duration step = 1s;
-constexpr Duration limit = 10s;
+constexpr Duration step = 2s;
+constexpr Duration limit = 12s;
 
 void printTime(const char* pattern, const Way& way, Duration time)
 {
