--- a/libs/base/include/base/Claim.h
+++ b/libs/base/include/base/Claim.h
@@ -14,7 +14,8 @@
     Rank rank_ = 0;
     float usage_ = 0; // slot time that the workspace has used recently, relative to its weight
 
-    friend auto operator<=>(const Claim&, const Claim&) = default;
+    // clang-tidy 14 takes the zero inside the generated comparison for a null pointer.
+    friend auto operator<=>(const Claim&, const Claim&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace jj
