--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -239,6 +239,8 @@
     bool canQueueInTime(std::string_view service, Duration bound, TimePoint now) const;
     // Returns the online requests for the service that are queued at another node of this cell.
     WaitingRequests waitingAt(NodeId node, std::string_view service) const;
+    // Returns those that are queued at this node, as they are reported.
+    WaitingRequests ownWaiting(std::string_view service) const;
     // Return the number of online requests for the service that are queued at all nodes of this cell, including this one.
     std::uint32_t waiting(std::string_view service) const;
     std::uint32_t waitingInTime(std::string_view service) const;
@@ -405,7 +407,9 @@
         TimePoint firstDue_ {};
     };
 
-    // Returns the online requests for the service that are queued at all nodes of this cell, including this one.
+    // Returns the queued online requests for the service in the report; null if there are none.
+    static const WaitingRequests* waitingIn(const NodeUse& use, ServiceId service);
+    // Returns the online requests for the service that are queued at all nodes of this cell, including this one, without their classes.
     WaitingRequests allWaiting(std::string_view service) const;
     // Returns the number of queued requests that can still be in time and go before one of this class.
     std::uint32_t waitingBefore(std::string_view service, Rank rank, bool isBelowShare) const;
--- a/libs/capacity/include/capacity/WaitingQueue.h
+++ b/libs/capacity/include/capacity/WaitingQueue.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -36,6 +37,8 @@
 struct Claimant {
     WorkspaceId workspace_ {};
     Rank rank_ = 0;
+
+    friend auto operator<=>(const Claimant&, const Claimant&) = default;
 };
 
 // The order of waiting requests, at one node and between nodes; the lower one goes first.
@@ -73,6 +76,8 @@
     bool isInTime(QueueTicket ticket, TimePoint now) const;
     // Returns the place of the request in the order of waiting requests; the ticket must be in the queue.
     WaitingOrder orderOf(QueueTicket ticket, TimePoint now) const;
+    // The same with a claim of the request's claimant that is known already.
+    WaitingOrder orderOf(QueueTicket ticket, const Claim& claim, TimePoint now) const;
     bool empty() const { return queuedRequests_.empty(); }
 
 private:
@@ -83,11 +88,12 @@
         Claimant claimant_;
     };
 
-    WaitingOrder orderOf(const QueuedRequest& request, TimePoint now) const;
+    Claim claimOf(const QueuedRequest& request) const { return claimOf_ ? claimOf_(request.claimant_) : Claim {}; }
 
     ClaimSource claimOf_;
-
-    std::map<QueueTicket, QueuedRequest> queuedRequests_; // tickets increase, so the oldest comes first
+    std::map<QueueTicket, QueuedRequest> queuedRequests_;
+    // Invariant: the tickets of queuedRequests_ by service, without empty sets. Tickets increase, so the oldest comes first.
+    std::map<std::string, std::set<QueueTicket>, std::less<>> tickets_;
     std::uint64_t nextTicket_ = 1;
 };
 
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -212,19 +212,37 @@
     const auto found = reports_.find(node);
     if (found == reports_.end())
         return { id };
-    const auto& waiting = found->second.use_.waiting_;
-    const auto it = std::find_if(waiting.begin(), waiting.end(), [id](const WaitingRequests& one) { return one.service_ == id; });
-    return it == waiting.end() ? WaitingRequests { id } : *it;
+    const WaitingRequests* waiting = waitingIn(found->second.use_, id);
+    return waiting ? *waiting : WaitingRequests { id };
+}
+
+WaitingRequests CapacityBoard::ownWaiting(std::string_view service) const
+{
+    const auto id = idFromName<ServiceId>(service);
+    const auto own = ownWaiting_.find(id);
+    return own == ownWaiting_.end() ? WaitingRequests { id } : own->second;
+}
+
+const WaitingRequests* CapacityBoard::waitingIn(const NodeUse& use, ServiceId service)
+{
+    const auto found = std::find_if(use.waiting_.begin(), use.waiting_.end(), [service](const WaitingRequests& one) { return one.service_ == service; });
+    return found == use.waiting_.end() ? nullptr : &*found;
 }
 
 WaitingRequests CapacityBoard::allWaiting(std::string_view service) const
 {
-    const auto own = ownWaiting_.find(idFromName<ServiceId>(service));
-    WaitingRequests all = own == ownWaiting_.end() ? WaitingRequests() : own->second;
+    const auto id = idFromName<ServiceId>(service);
+    const auto own = ownWaiting_.find(id);
+    WaitingRequests all { id };
+    const auto count = [&all](const WaitingRequests& one) {
+        all.count_ += one.count_;
+        all.inTime_ += one.inTime_;
+    };
+    if (own != ownWaiting_.end())
+        count(own->second);
     for (const auto& [node, report] : reports_) {
-        const WaitingRequests there = waitingAt(node, service);
-        all.count_ += there.count_;
-        all.inTime_ += there.inTime_;
+        if (const WaitingRequests* there = waitingIn(report.use_, id))
+            count(*there);
     }
     return all;
 }
@@ -273,8 +291,10 @@
     };
     const auto own = ownWaiting_.find(id);
     std::uint32_t count = own == ownWaiting_.end() ? 0 : countOf(own->second);
-    for (const auto& [node, report] : reports_)
-        count += countOf(waitingAt(node, service));
+    for (const auto& [node, report] : reports_) {
+        const WaitingRequests* there = waitingIn(report.use_, id);
+        count += there ? countOf(*there) : 0;
+    }
     return count;
 }
 
