Ledger: the usage of a workspace is looked up only for urgent items, with a test of the order

Cause: startNext() asked for the usage of each job's workspace also where no item was urgent, and nothing tested the order.

Change: the usage is looked up with the first urgent item of a job.

Result: of urgent items the workspace that has used least goes first; others go by due time, also beside urgent ones.

--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -98,7 +98,7 @@
     for (const auto& [name, job] : jobs_) {
         if (!job->mayRun(now))
             continue;
-        const double usage = outlets_.usageOf_ ? outlets_.usageOf_(job->head_.workspace_) : 0;
+        std::optional<double> usage; // of the job's workspace, once an urgent item asks for it
         for (std::size_t index = 0; index < job->items_.size(); ++index) {
             Item& item = job->items_[index];
             if (item.state_ != ItemState::Waiting || now < item.notBefore_)
@@ -110,8 +110,10 @@
             // than slots; then the workspace goes first that has used least.
             const ItemUrgency itemUrgency = std::max(ownUrgency, ItemUrgency::Urgent);
             const bool isUrgent = ownUrgency == ItemUrgency::Urgent;
-            const bool isByUsage = isUrgent && isChosenUrgent && usage != chosenUsage;
-            const bool goesBefore = chosen && (isByUsage ? usage < chosenUsage : job->due_ < chosen->due_);
+            if (isUrgent && !usage)
+                usage = outlets_.usageOf_ ? outlets_.usageOf_(job->head_.workspace_) : 0;
+            const bool isByUsage = isUrgent && isChosenUrgent && *usage != chosenUsage;
+            const bool goesBefore = chosen && (isByUsage ? *usage < chosenUsage : job->due_ < chosen->due_);
             const bool isBetter = !chosen || (itemUrgency != chosenUrgency ? itemUrgency < chosenUrgency : goesBefore);
             if (!isBetter)
                 continue;
@@ -122,7 +124,7 @@
             itemIndex = index;
             chosenUrgency = itemUrgency;
             isChosenUrgent = isUrgent;
-            chosenUsage = usage;
+            chosenUsage = usage.value_or(0);
         }
     }
     if (!chosen)
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -117,6 +117,7 @@
         outlets.serviceOf_ = [this](std::string_view, std::string_view) { return service_; };
         outlets.isVersionServing_ = [this](std::string_view, SoftwareVersionId version) { return versionsServing_.contains(version); };
         outlets.isWriteInDoubt_ = [this, index](std::string_view key) { return hosts_[index]->queue_->isWriteInDoubt(key); };
+        outlets.usageOf_ = [this](const std::string& workspace) { return usages_[workspace]; };
         outlets.mayBeReplaced_ = [this, index] { return hosts_[index]->mayBeReplaced_; };
         // In reality, hosts notify each other within milliseconds whether they have spooled jobs.
         outlets.mayBeSpooled_ = [this] { return std::any_of(hosts_.begin(), hosts_.end(), [](const auto& each) { return !each->disk_.texts_->empty(); }); };
@@ -214,7 +215,9 @@
     {
         Host& host = *hosts_[index];
         const NodeId ownerId = hosts_[owner]->id_;
-        host.acceptor_->accept(submission(job, items), ownerId, 2s, now_, wall(), [this, job, owner](const Acceptance& acceptance, TimePoint) {
+        JobSubmission submitted = submission(job, items);
+        submitted.head_.workspace_ = workspaces_[job];
+        host.acceptor_->accept(submitted, ownerId, 2s, now_, wall(), [this, job, owner](const Acceptance& acceptance, TimePoint) {
             outcomes_[job].push_back(acceptance.outcome_);
             if (acceptance.outcome_ == AcceptOutcome::Accepted)
                 sendToOwner(owner, { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, !acceptance.isNew_, {} });
@@ -318,6 +321,8 @@
     std::optional<std::string> service_ = "s";
     std::set<SoftwareVersionId> versionsServing_ { SoftwareVersion().id() };
     std::vector<std::string> starts_; // the item of each run that was started, in order
+    std::map<JobName, std::string> workspaces_; // of jobs that have one
+    std::map<std::string, double> usages_; // of workspaces
     std::size_t slots_ = 4; // maximum number of concurrent runs per host
     int stepsPerEvent_ = 4; // number of steps between two events of a run
     std::function<RunResult(const ItemRun&)> runOutcome_ = [](const ItemRun&) { return RunResult::Completed; };
--- a/libs/ledger/tests/StretchTest.cpp
+++ b/libs/ledger/tests/StretchTest.cpp
@@ -104,3 +104,39 @@
     CHECK_FALSE(world.scheduler(0).startNext("s", world.now(), SoftwareVersion().id(), true));
     CHECK(world.scheduler(0).startNext("s", world.now())->item_ == "a-0");
 }
+
+// Guards against a workspace whose items take all slots that become free because its job is due a little earlier, while the items of another
+// one are late; and against usage that reorders items which can wait, which would make them urgent needlessly.
+TEST_CASE("ledger: of items that must run now those of the workspace that has used least go first, of others those that are due first")
+{
+    LedgerWorld world(35, 1);
+    world.slots_ = 0;
+    world.workspaces_ = { { "a", "much" }, { "b", "little" }, { "c", "much" } };
+    world.usages_ = { { "much", 7.5 }, { "little", 0.5 } };
+    world.scheduler(0).setRunTime(12s);
+    world.submit(0, "a", 1, 0);
+    world.advance(500ms);
+    world.submit(0, "b", 1, 0);
+    world.advance(500ms);
+    const auto next = [&world] {
+        const auto run = world.scheduler(0).startNext("s", world.now());
+        REQUIRE(run);
+        world.scheduler(0).ended(run->id_, RunResult::Released, world.now());
+        return run->item_;
+    };
+    REQUIRE(world.scheduler(0).waiting(world.now()).at("s").urgency_ == ItemUrgency::Relaxed);
+    CHECK(next() == "a-0");
+    world.advance(4s);
+    REQUIRE(world.scheduler(0).waiting(world.now()).at("s").urgency_ == ItemUrgency::Urgent);
+    CHECK(next() == "b-0");
+    world.usages_["little"] = 7.5;
+    CHECK(next() == "a-0");
+    // An item that can wait goes by its due time also beside urgent ones.
+    world.submit(0, "c", 1, 0);
+    world.advance(200ms);
+    world.usages_ = { { "much", 0 }, { "little", 9 } };
+    CHECK(next() == "a-0");
+    CHECK(world.scheduler(0).startNext("s", world.now(), SoftwareVersion().id(), true)->item_ == "a-0");
+    CHECK(world.scheduler(0).startNext("s", world.now(), SoftwareVersion().id(), true)->item_ == "b-0");
+    CHECK_FALSE(world.scheduler(0).startNext("s", world.now(), SoftwareVersion().id(), true));
+}
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -418,7 +418,8 @@
 bool ItemRunner::preemptItem(UpstreamId engine, TimePoint now)
 {
     // Prefers items that are late, since they lose nothing by waiting. Of the others, the item that is due last has the most time
-    // to resume on another engine; where workspaces share slots, one of the workspace that has used most goes first. A run that hasn't brought an event comes after these: its engine may be about to answer with an error.
+    // to resume on another engine; where workspaces share slots, one of the workspace that has used most goes first. A run that hasn't
+    // brought an event comes after these: its engine may be about to answer with an error.
     RunPtr chosen;
     ItemUrgency chosenUrgency = ItemUrgency::Urgent;
     int chosenRank = 0;
