Serving: hosts agree on who takes a slot, an outranked host takes one that is left, and competition is logged

Cause: a host compared its present usage with what others had reported. Usage decays between reports, so two hosts with requests of one workspace could each find themselves first. A host that freed a slot and was outranked left it unused for as long as the other host could not use it. Requests of public routes had no usage and went before those of all workspaces.

Change: hosts compare reported figures; after its turn a host takes the slot whoever outranks it; requests without a workspace share like one workspace. Shares messages and classes of waiting requests are tested for round trips, truncation and changed bytes.

--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -51,6 +51,10 @@
     CounterHandle enginesPaused_; // times that an engine wasn't read because its caller's queue was full
     CounterHandle loadHeadersIgnored_; // load headers that can't be read
     CounterHandle jobsSpooled_; // jobs acknowledged once spooled on disks, before the store accepted them
+    CounterHandle requestsQueued_; // online requests that waited for a slot
+    GaugeHandle requestsWaiting_; // that wait for a slot now
+    GaugeHandle workspacesCompeting_; // that have used slots recently, over all nodes
+    GaugeHandle lowestShareRatio_; // the lowest use, relative to its share, of a workspace whose requests wait here
     GaugeHandle bytesForReaders_; // held for callers and engines whose answers are under way
     GaugeHandle bytesOfUploads_; // of request bodies
     GaugeHandle bytesLimit_;
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -400,7 +400,8 @@
     const Duration retry = std::clamp<Duration>(rest, std::min(minRetryAfter, maxRetryDelay()), maxRetryDelay());
     exchange_->respond(refusalResponse(context_.translation_, 503, "overload.NoSlot", "no engine can take the request in time; it has not run", RunState::NotRun, retry));
     context_.metrics_.metrics_.add(context_.metrics_.refused_);
-    line("refused").with("reason", reason).with("status", 503).with("retryAfterMs", retry).with("afterMs", context_.now() - arrivedAt_);
+    context_.shares_->refused(claimant_);
+    line("refused").with("reason", reason).with("rank", claimant_.rank_).with("status", 503).with("retryAfterMs", retry).with("afterMs", context_.now() - arrivedAt_);
     end();
 }
 
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -284,7 +284,8 @@
         self->onQueueTimeout();
     };
     ticket_ = context_.queue_->enter(std::move(queued));
-    line("linedUp").with("waiting", context_.board_.waiting(service_)).with("waitMs", queueWait());
+    context_.metrics_.metrics_.add(context_.metrics_.requestsQueued_);
+    line("linedUp").with("rank", claimant_.rank_).with("waiting", context_.board_.waiting(service_)).with("waitMs", queueWait());
     context_.queue_->onCapacityChanged();
     return true;
 }
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -55,6 +55,8 @@
     void scanJobs(TimePoint now);
     void logPeriodic(TimePoint now);
     void logSummary();
+    // Logs the workspaces that use most, if requests have competed for slots since the last call.
+    void logCompetitors(TimePoint now);
     // Sets the gauges of the state that changes with each byte.
     void updateGauges();
     // Logs the bytes exchanged with other nodes since the start, by kind of message and distance.
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -130,6 +130,13 @@
     metrics_.set(servingMetrics_.bytesForReaders_, static_cast<double>(budget_->held(http::ByteUse::Answers)));
     metrics_.set(servingMetrics_.bytesOfUploads_, static_cast<double>(budget_->held(http::ByteUse::Uploads)));
     metrics_.set(servingMetrics_.bytesLimit_, static_cast<double>(budget_->limit()));
+    const std::map<WorkspaceId, std::size_t> waiting = queue_->waitingByWorkspace();
+    std::size_t allWaiting = 0;
+    for (const auto& [workspace, count] : waiting)
+        allWaiting += count;
+    metrics_.set(servingMetrics_.requestsWaiting_, static_cast<double>(allWaiting));
+    metrics_.set(servingMetrics_.workspacesCompeting_, static_cast<double>(shares_->competing(context_.now())));
+    metrics_.set(servingMetrics_.lowestShareRatio_, shares_->lowestRatio(waiting, context_.now()));
     if (!callers_)
         return;
     metrics_.set(servingMetrics_.readersCutOff_, static_cast<double>(callers_->readersCutOff()));
@@ -143,6 +150,7 @@
         return;
     lastSummaryAt_ = now;
     logSummary();
+    logCompetitors(now);
     logTraffic();
 }
 
@@ -161,6 +169,13 @@
         line.with(std::string("store ").append(call), count);
 }
 
+void ServingNode::Parts::logCompetitors(TimePoint now)
+{
+    constexpr std::size_t maxLogged = 20;
+    for (const Shares::Competitor& one : shares_->takeCompetitors(maxLogged, queue_->waitingByWorkspace(), now))
+        log_.line("competing").with("workspace", one.name_).with("slots", one.slots_).with("share", one.share_).with("waiting", one.waiting_).with("refused", one.refused_);
+}
+
 void ServingNode::Parts::logTraffic()
 {
     auto line = log_.line("traffic");
--- a/libs/serving/src/Shares.cpp
+++ b/libs/serving/src/Shares.cpp
@@ -2,11 +2,15 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace jj {
 
 namespace {
 
+    // On whose behalf the requests of public routes wait: with usage of their own, they would go before those of all workspaces.
+    const WorkspaceId publicClaimant = idFromName<WorkspaceId>("public\n"); // no name of a workspace has a line break
+
     Rank rankOf(std::uint32_t priority) { return static_cast<Rank>(std::min<std::uint32_t>(priority, UINT8_MAX)); }
 
     // A workspace without a quota weighs as much as the others do on the mean.
@@ -23,6 +27,7 @@
         weights.reserve(workspaces.size());
         for (const Workspace& one : workspaces)
             weights.push_back({ one.id(), one.quota_.isUnlimited() ? mean : one.quota_.perSecond_ });
+        weights.push_back({ publicClaimant, mean });
         return weights;
     }
 
@@ -59,7 +64,8 @@
 void Shares::setTable(const std::shared_ptr<const RouteTable>& table)
 {
     table_ = table;
-    const bool areThereSeveral = table->workspaces() && table->workspaces()->rows().size() > 1;
+    const bool isAnyPublic = std::any_of(table->routes().begin(), table->routes().end(), [](const Route& route) { return route.isPublic_; });
+    const bool areThereSeveral = table->workspaces() && table->workspaces()->rows().size() + (isAnyPublic ? 1U : 0U) > 1;
     const std::vector<WorkspaceWeight> weights = areThereSeveral ? weightsOf(table->workspaces()->rows()) : std::vector<WorkspaceWeight>();
     shares_.setWorkspaces(weights);
     items_.setWorkspaces(weights);
@@ -68,7 +74,7 @@
 
 Claimant Shares::claimantOf(const Route& route, const std::string& workspace) const
 {
-    Claimant claimant { WorkspaceId::none(), rankOf(route.priority_) };
+    Claimant claimant { publicClaimant, rankOf(route.priority_) };
     if (workspace.empty())
         return claimant;
     claimant.workspace_ = idFromName<WorkspaceId>(workspace);
@@ -97,17 +103,52 @@
 
 std::string Shares::nameOf(WorkspaceId workspace) const
 {
+    if (workspace == publicClaimant)
+        return "public";
     const Workspace* known = table_ && table_->workspaces() ? table_->workspaces()->find(workspace) : nullptr;
     return known ? known->name_ : std::string();
 }
 
+void Shares::refused(const Claimant& claimant)
+{
+    if (isActive())
+        ++refused_[claimant.workspace_];
+}
+
+std::vector<Shares::Competitor> Shares::takeCompetitors(std::size_t most, const std::map<WorkspaceId, std::size_t>& waiting, TimePoint now)
+{
+    const auto countIn = [](const std::map<WorkspaceId, std::size_t>& counts, WorkspaceId workspace) {
+        const auto found = counts.find(workspace);
+        return found == counts.end() ? 0 : found->second;
+    };
+    std::vector<Competitor> competitors;
+    if (std::exchange(hasCompeted_, false)) {
+        for (const WorkspaceShare& one : shares_.activeShares(most, now))
+            competitors.push_back({ nameOf(one.workspace_), one.slots_, one.share_, countIn(waiting, one.workspace_), countIn(refused_, one.workspace_) });
+    }
+    refused_.clear();
+    return competitors;
+}
+
+double Shares::lowestRatio(const std::map<WorkspaceId, std::size_t>& waiting, TimePoint now) const
+{
+    double lowest = 1;
+    for (const WorkspaceShare& one : shares_.activeShares(SIZE_MAX, now)) {
+        if (waiting.contains(one.workspace_) && one.share_ > 0)
+            lowest = std::min(lowest, one.slots_ / one.share_);
+    }
+    return lowest;
+}
+
 void Shares::tick(TimePoint now)
 {
     if (!shares_.isActive())
         return;
     shares_.setExpectedRun(board_.meanRun());
-    if (board_.isAnyWaiting())
+    if (board_.isAnyWaiting()) {
         shares_.recordCompetition(now);
+        hasCompeted_ = true;
+    }
     const std::vector<NodeId>& delegates = fleet_.cells().delegates(fleet_.ownCell());
     const bool isDelegate = delegates.empty() || delegates.front() == fleet_.self();
     isDelegate ? sendSums(now) : sendReport(now);
--- a/libs/serving/src/Shares.h
+++ b/libs/serving/src/Shares.h
@@ -10,8 +10,11 @@
 #include "routes/RouteTable.h"
 #include "shares/FairShares.h"
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace jj {
 
@@ -28,7 +31,7 @@
 
     // Returns whether claims may differ, so that the order of waiting requests isn't that of their arrival alone.
     bool isActive() const { return shares_.isActive(); }
-    // Returns on whose behalf a request on the route waits. `workspace`: empty if it has none.
+    // Returns on whose behalf a request on the route waits. `workspace`: empty if it has none; all such requests share like one workspace.
     Claimant claimantOf(const Route& route, const std::string& workspace) const;
     Claim claim(const Claimant& claimant, TimePoint now) const { return shares_.claim(claimant.workspace_, claimant.rank_, now); }
     bool isBelowShare(const Claimant& claimant, TimePoint now) const { return shares_.isBelowShare(claimant.workspace_, now); }
@@ -39,11 +42,25 @@
     void itemStarted(const std::string& workspace, TimePoint now);
     void itemEnded(const std::string& workspace, TimePoint now);
     double itemUsage(const std::string& workspace, TimePoint now) const;
-    // Returns the workspaces that use most, and the name of a workspace.
-    std::vector<WorkspaceShare> activeShares(std::size_t most, TimePoint now) const { return shares_.activeShares(most, now); }
-    std::string nameOf(WorkspaceId workspace) const;
+    void refused(const Claimant& claimant);
+
+    // ---- for operators
+    // What a workspace has used, and what became of its requests at this node.
+    struct Competitor {
+        std::string name_; // "public": requests without a workspace
+        double slots_ = 0; // used recently, over all nodes
+        double share_ = 0; // the slots that it may use while all want more
+        std::size_t waiting_ = 0; // at this node
+        std::size_t refused_ = 0; // at this node, since the last call of takeCompetitors()
+    };
+    // Returns the workspaces that use most, at most `most`, if requests have competed for slots since the last call; otherwise none.
+    std::vector<Competitor> takeCompetitors(std::size_t most, const std::map<WorkspaceId, std::size_t>& waiting, TimePoint now);
+    // Returns how many workspaces have used slots recently, and the lowest use of one of the `waiting` relative to its share; 1 if there is none.
+    std::size_t competing(TimePoint now) const { return shares_.activeShares(SIZE_MAX, now).size(); }
+    double lowestRatio(const std::map<WorkspaceId, std::size_t>& waiting, TimePoint now) const;
 
 private:
+    std::string nameOf(WorkspaceId workspace) const;
     void sendReport(TimePoint now);
     void sendSums(TimePoint now);
 
@@ -52,6 +69,8 @@
     FairShares shares_;
     FairShares items_;
     std::shared_ptr<const RouteTable> table_; // null until the first configuration is applied
+    bool hasCompeted_ = false; // since the last call of takeCompetitors()
+    std::map<WorkspaceId, std::size_t> refused_; // the same
 };
 
 } // namespace jj
--- a/libs/serving/src/SlotQueue.cpp
+++ b/libs/serving/src/SlotQueue.cpp
@@ -2,7 +2,7 @@
 #include "SlotQueue.h"
 
 #include "Shares.h"
-#include "base/Hash.h"
+#include "capacity/SlotTurns.h"
 
 #include <algorithm>
 #include <set>
@@ -14,21 +14,8 @@
     // A report takes 1 to 2 ms within a region, so by its turn the next node has received the report that the slot is taken.
     constexpr Duration turnInterval = 3ms;
 
-    // Returns the place of the node's first request in the order of waiting requests; nullopt if none waits.
-    std::optional<WaitingOrder> firstOrderOf(const WaitingRequests& waiting)
-    {
-        if (waiting.count_ == 0)
-            return std::nullopt;
-        if (waiting.classes_.empty())
-            return WaitingOrder { 0, waiting.inTime_ == 0, 0 };
-        std::optional<WaitingOrder> first;
-        for (const WaitingClass& one : waiting.classes_) {
-            const WaitingOrder order { one.rank_, one.inTime_ == 0, one.firstUsage_ };
-            if (!first || order < *first)
-                first = order;
-        }
-        return first;
-    }
+    // Begins each condition in the name of a queue.
+    constexpr char conditionMark = '\n';
 
 } // namespace
 
@@ -43,9 +30,9 @@
 {
     std::string name = queued.service_;
     if (!queued.version_.isNone())
-        name.append("\nversion ").append(std::to_string(queued.version_.value()));
+        name.append(1, conditionMark).append("version ").append(std::to_string(queued.version_.value()));
     for (const UpstreamId engine : queued.tried_)
-        name.append("\ntried ").append(std::to_string(engine.value()));
+        name.append(1, conditionMark).append("tried ").append(std::to_string(engine.value()));
     return name;
 }
 
@@ -102,12 +89,20 @@
 {
     if (!context_.shares_->isActive())
         return {};
+    struct Standing {
+        Claim claim_;
+        bool isBelowShare_ = false;
+    };
+    std::map<Claimant, Standing> standings; // a claim costs more than its look-up
     std::map<std::pair<Rank, bool>, WaitingClass> classes;
     for (const auto& [ticket, queued] : queuedRequests_) {
         if (queued.service_ != service)
             continue;
-        const WaitingOrder order = queue_.orderOf(ticket, now);
-        const bool isBelowShare = context_.shares_->isBelowShare(queued.claimant_, now);
+        const auto [standing, isFirstOfClaimant] = standings.try_emplace(queued.claimant_);
+        if (isFirstOfClaimant)
+            standing->second = { context_.shares_->claim(queued.claimant_, now), context_.shares_->isBelowShare(queued.claimant_, now) };
+        const WaitingOrder order = queue_.orderOf(ticket, standing->second.claim_, now);
+        const bool isBelowShare = standing->second.isBelowShare_;
         const auto [found, isNew] = classes.try_emplace({ order.rank_, !isBelowShare }, WaitingClass { order.rank_, isBelowShare, 0, 0, order.usage_ });
         WaitingClass& one = found->second;
         // The first request in time replaces late ones.
@@ -132,10 +127,18 @@
         onExpired();
     }
     refreshInTimeCounts(now);
-    pump(false);
+    pump(SlotCause::Report);
+}
+
+std::map<WorkspaceId, std::size_t> SlotQueue::waitingByWorkspace() const
+{
+    std::map<WorkspaceId, std::size_t> counts;
+    for (const auto& [ticket, queued] : queuedRequests_)
+        ++counts[queued.claimant_.workspace_];
+    return counts;
 }
 
-void SlotQueue::pump(bool isOwnSlot)
+void SlotQueue::pump(SlotCause cause)
 {
     if (pumping_ || queue_.empty())
         return;
@@ -144,18 +147,15 @@
     std::vector<std::string> names = queue_.services();
     // Requests that few engines can serve go first. They have waited for longer, and the callers of those that resume a stream have a part
     // of the answer.
-    const auto isOfAll = [&](const std::string& name) {
-        const QueuedRequest& first = queuedRequests_.at(*queue_.first(name, now));
-        return first.version_.isNone() && first.tried_.empty();
-    };
+    const auto isOfAll = [](const std::string& name) { return name.find(conditionMark) == std::string::npos; };
     std::stable_partition(names.begin(), names.end(), [&](const std::string& name) { return !isOfAll(name); });
     for (const std::string& name : names) {
-        while (serveOne(name, isOwnSlot, now)) { }
+        while (serveOne(name, cause, now)) { }
     }
     pumping_ = false;
 }
 
-bool SlotQueue::serveOne(const std::string& name, bool isOwnSlot, TimePoint now)
+bool SlotQueue::serveOne(const std::string& name, SlotCause cause, TimePoint now)
 {
     const auto ticket = queue_.first(name, now);
     if (!ticket)
@@ -171,8 +171,8 @@
     // A late request must not take its own node's freed slot while a request that can still be in time waits on another node: in
     // a burst, each late answer would make another one late. It takes its turn after the requests that can be in time.
     const bool mayGoFirst = !order.isLate_ || context_.board_.waitingInTime(service) == 0;
-    const bool goesFirst = isOwnSlot && mayGoFirst && !isOutranked(service, queued.claimant_, order);
-    const std::size_t ahead = goesFirst ? 0 : nodesAhead(service, pick.engine_, order);
+    const bool isTaken = cause == SlotCause::Turn || (cause == SlotCause::OwnRun && !isOutranked(service, queued.claimant_, order));
+    const std::size_t ahead = isTaken && mayGoFirst ? 0 : nodesAhead(service, pick.engine_, reportedOrder(service, order));
     if (ahead > 0 && !timerArmed_) {
         schedulePump(turnInterval * ahead);
         return false;
@@ -185,14 +185,21 @@
     return true;
 }
 
+// Nodes agree on who goes first only if they compare the same figures. Between two reports the usage of a workspace decays, so each of two
+// nodes with requests of one workspace would find its own figure the lower one, and both would take the slot.
+WaitingOrder SlotQueue::reportedOrder(const std::string& service, const WaitingOrder& own) const
+{
+    if (!context_.shares_->isActive())
+        return own;
+    const auto reported = firstOrderOf(context_.board_.ownWaiting(service));
+    return reported && reported->rank_ == own.rank_ && reported->isLate_ == own.isLate_ ? *reported : own;
+}
+
 std::size_t SlotQueue::nodesAhead(const std::string& service, UpstreamId engine, const WaitingOrder& own) const
 {
-    const std::uint64_t ownPlace = mixHash(engine.value(), context_.fleet_->self().value());
+    const NodeId self = context_.fleet_->self();
     const std::vector<NodeId>& cellNodes = context_.fleet_->cellNodes();
-    return static_cast<std::size_t>(std::count_if(cellNodes.begin(), cellNodes.end(), [&](NodeId node) {
-        const auto other = firstOrderOf(context_.board_.waitingAt(node, service));
-        return other && (*other < own || (*other == own && mixHash(engine.value(), node.value()) < ownPlace));
-    }));
+    return static_cast<std::size_t>(std::count_if(cellNodes.begin(), cellNodes.end(), [&](NodeId node) { return takesBefore(context_.board_.waitingAt(node, service), node, own, self, engine); }));
 }
 
 bool SlotQueue::isOutranked(const std::string& service, const Claimant& claimant, const WaitingOrder& own) const
@@ -217,7 +224,7 @@
     timer_.async_wait([this](const boost::system::error_code& error) {
         timerArmed_ = false;
         if (!error)
-            pump(true);
+            pump(SlotCause::Turn);
     });
 }
 
--- a/libs/serving/src/SlotQueue.h
+++ b/libs/serving/src/SlotQueue.h
@@ -45,11 +45,13 @@
     QueueTicket enter(QueuedRequest queued);
     void leave(QueueTicket ticket);
     // Assigns the slot of a stream of this node that has ended.
-    void onSlotFreed() { pump(true); }
+    void onSlotFreed() { pump(SlotCause::OwnRun); }
     // Checks for free slots after reports or engines have changed.
-    void onCapacityChanged() { pump(false); }
+    void onCapacityChanged() { pump(SlotCause::Report); }
     void tick(TimePoint now);
     bool empty() const { return queue_.empty(); }
+    // Returns the number of queued requests of each workspace.
+    std::map<WorkspaceId, std::size_t> waitingByWorkspace() const;
 
     // Records a refused online request and returns the delay after which its caller should retry, at least `wait`.
     Duration refused(const std::string& service, Duration wait, TimePoint now);
@@ -57,18 +59,27 @@
     bool isProbableRetry(const std::string& route, Duration timeLeft, TimePoint now) { return patience_.isProbableRetry(route, timeLeft, now); }
 
 private:
-    // Assigns free slots. `isOwnSlot`: this node freed the slot or its turn has come, so its requests don't wait for the turns of
-    // other nodes, except a late request while another one can still be in time.
-    void pump(bool isOwnSlot);
+    // How this node knows of a free slot.
+    enum class SlotCause : std::uint8_t {
+        Report, // by a report; each node with queued requests waits for its turn
+        OwnRun, // its own stream has ended
+        Turn, // its turn has come: the nodes that go before it have left the slot
+    };
+
+    // Assigns free slots. After OwnRun and Turn this node's requests don't wait for the turns of other nodes, except a late request while
+    // another one can still be in time, and after OwnRun a request that another node's clearly goes before.
+    void pump(SlotCause cause);
     // Requests that need one software version or were sent to engines before have a queue of their own, so that they don't hold up those
     // that any engine can serve.
     static std::string queueName(const QueuedRequest& queued);
     // Assigns a slot to the first request of the queue. Returns false if there is no request or no slot.
-    bool serveOne(const std::string& name, bool isOwnSlot, TimePoint now);
+    bool serveOne(const std::string& name, SlotCause cause, TimePoint now);
     // Returns how many nodes have queued requests that take precedence over the first one of this node at the engine.
     std::size_t nodesAhead(const std::string& service, UpstreamId engine, const WaitingOrder& own) const;
     // Returns whether a request of another node goes so clearly before this one that it gets a slot which this node has freed.
     bool isOutranked(const std::string& service, const Claimant& claimant, const WaitingOrder& own) const;
+    // Returns the order of a request by what this node has reported.
+    WaitingOrder reportedOrder(const std::string& service, const WaitingOrder& own) const;
     std::vector<WaitingClass> classesOf(const std::string& service, TimePoint now) const;
     void refreshInTimeCounts(TimePoint now);
     // Sets on the capacity board how many requests for the service are queued here.
--- a/libs/serving/tests/CallerTest.cpp
+++ b/libs/serving/tests/CallerTest.cpp
@@ -143,7 +143,29 @@
     }
 }
 
-TEST_CASE("messages about quotas, streams and suspects: cut short or changed, they are rejected")
+namespace {
+
+NodeReport reportOfWaiting(std::vector<WaitingClass> classes)
+{
+    NodeReport report;
+    report.use_.node_ = NodeId(1);
+    report.use_.waiting_ = { { ServiceId(3), 7, 2, std::move(classes) } };
+    return report;
+}
+
+template <class Message>
+Message sentAndReceived(const Message& message)
+{
+    const WireKey key = WireKey::fromHex(std::string(64, '0')).value();
+    const auto decoded = decodeDatagram(key, encode(key, message));
+    REQUIRE(decoded);
+    REQUIRE(std::holds_alternative<Message>(decoded.value()));
+    return std::get<Message>(decoded.value());
+}
+
+} // namespace
+
+TEST_CASE("messages about quotas, streams, suspects and shares: cut short or changed, they are rejected")
 {
     const WireKey key = WireKey::fromHex(std::string(64, '0')).value();
     const WorkspaceId workspace = idFromName<WorkspaceId>("north");
@@ -157,6 +179,9 @@
         StreamQuery { NodeId(1), 7, record.stream_, record.service_ },
         StreamAnswer { NodeId(1), 7, true, record, SoftwareVersion("v2").id(), true },
         SuspectRecords { NodeId(1), true, { { Fingerprint(7), 1, 2, 3s, 4s, { { UpstreamId(8), 5s }, { UpstreamId(9), 6s } } }, { Fingerprint(8), 255, 0, 0s, std::nullopt, {} } } },
+        ShareReport { NodeId(1), Incarnation(2), 3, { { workspace, 4.25F }, { WorkspaceId(9), 0.02F } }, { { 0, 3 }, { 255, 1.5F } } },
+        ShareSum { CellId(4), true, Incarnation(2), 3, { { workspace, 4.25F } }, { { 3, 7 } } },
+        reportOfWaiting({ { 0, true, 3, 2, 0.5F }, { 255, false, 4, 0, 1e6F } }),
     };
     std::mt19937_64 random(1);
     for (const PeerDatagram& message : messages) {
@@ -195,3 +220,41 @@
     MESSAGE("the largest message: " << encode(key, message).size() << " bytes");
     CHECK(encode(key, message).size() <= frameBytes);
 }
+
+// Guards against fields that are swapped or left out on the way: encoding twice wouldn't show them.
+TEST_CASE("messages about shares: what a node reads is what the other one wrote")
+{
+    const ShareReport report = sentAndReceived(ShareReport { NodeId(1), Incarnation(2), 3, { { WorkspaceId(9), 4.25F }, { WorkspaceId(8), 0.5F } }, { { 7, 1.5F } } });
+    CHECK((report.node_ == NodeId(1) && report.incarnation_ == Incarnation(2) && report.sequence_ == 3));
+    REQUIRE((report.workspaces_.size() == 2 && report.ranks_.size() == 1));
+    CHECK((report.workspaces_[0].workspace_ == WorkspaceId(9) && report.workspaces_[0].slots_ == 4.25F && report.workspaces_[1].slots_ == 0.5F));
+    CHECK((report.ranks_[0].rank_ == 7 && report.ranks_[0].slots_ == 1.5F));
+    const ShareSum sum = sentAndReceived(ShareSum { CellId(4), true, Incarnation(2), 3, { { WorkspaceId(9), 4.25F } }, { { 7, 1.5F } } });
+    CHECK((sum.cell_ == CellId(4) && sum.isOfFleet_ && sum.incarnation_ == Incarnation(2) && sum.sequence_ == 3));
+    CHECK((sum.workspaces_.size() == 1 && sum.workspaces_[0].slots_ == 4.25F && sum.ranks_.size() == 1 && sum.ranks_[0].rank_ == 7));
+    CHECK_FALSE(sentAndReceived(ShareSum { CellId(4), false, Incarnation(2), 3, {}, {} }).isOfFleet_);
+    const NodeReport waiting = reportOfWaiting({ { 0, true, 3, 2, 0.5F }, { 255, false, 4, 0, 1e6F } });
+    CHECK(sentAndReceived(waiting).use_.waiting_ == waiting.use_.waiting_);
+}
+
+// Guards against a datagram that its receiver refuses because a list is too long: a host with many workspaces would not be heard at all.
+TEST_CASE("messages about shares: lists that are too long are cut to their first entries")
+{
+    ShareReport report { NodeId(1), Incarnation(2), 3, {}, {} };
+    ShareSum sum { CellId(4), true, Incarnation(2), 3, {}, {} };
+    std::vector<WaitingClass> classes;
+    for (std::uint8_t number = 0; number < 200; ++number) {
+        report.workspaces_.push_back({ WorkspaceId(number + 1U), 200.0F - number });
+        report.ranks_.push_back({ number, 1 });
+        classes.push_back({ number, true, 1, 1, 0 });
+    }
+    sum.workspaces_ = report.workspaces_;
+    sum.ranks_ = report.ranks_;
+    const ShareReport readReport = sentAndReceived(report);
+    CHECK((readReport.workspaces_.size() == 64 && readReport.workspaces_.front().slots_ == 200 && readReport.ranks_.size() == 16 && readReport.ranks_.back().rank_ == 15));
+    const ShareSum readSum = sentAndReceived(sum);
+    CHECK((readSum.workspaces_.size() == 64 && readSum.ranks_.size() == 16));
+    const NodeReport readWaiting = sentAndReceived(reportOfWaiting(classes));
+    REQUIRE(readWaiting.use_.waiting_.size() == 1);
+    CHECK((readWaiting.use_.waiting_[0].classes_.size() == 8 && readWaiting.use_.waiting_[0].classes_.back().rank_ == 7 && readWaiting.use_.waiting_[0].count_ == 7));
+}
