Losses: waits for slots and refusals by workspace and rank

Cause: the table showed losses by workspace, but neither waits of requests that were in time nor ranks.

Result: a test of waits in several parts, refusals at once and after a wait, requests without a workspace and refusals over a quota.

--- a/libs/losses/include/losses/DayRecord.h
+++ b/libs/losses/include/losses/DayRecord.h
@@ -29,6 +29,8 @@
     std::string id_;
     std::string route_;
     std::string workspace_; // empty: none, or not logged
+    std::int64_t rank_ = -1; // its priority; -1: not logged, since it neither waited for a slot nor was refused one
+    std::int64_t waitedMs_ = -1; // from when it waited for a slot until it was sent or refused; -1: it didn't wait, or its end isn't known
     std::int64_t arrivedMs_ = 0; // by the clock of its process, since 1970
     std::int64_t objectiveMs_ = 0; // until its first event
     std::int64_t runMs_ = 0; // that it held its slot; 0: it had none, or its end isn't known
--- a/libs/losses/include/losses/LogReader.h
+++ b/libs/losses/include/losses/LogReader.h
@@ -43,6 +43,7 @@
         std::int64_t dueInMs_ = 0;
         std::int64_t items_ = 0;
         std::int64_t slots_ = 0;
+        std::int64_t rank_ = -1;
     };
 
     static void recordQuestion(const std::vector<const Entry*>& lines, std::int64_t objectiveMs, DayRecord& day);
--- a/libs/losses/src/LogReader.cpp
+++ b/libs/losses/src/LogReader.cpp
@@ -64,6 +64,7 @@
     entry.dueInMs_ = numberOf(fields, "dueInMs");
     entry.items_ = numberOf(fields, "items");
     entry.slots_ = numberOf(fields, "slots");
+    entry.rank_ = fields.contains("rank") ? numberOf(fields, "rank") : -1;
     entries_.push_back(std::move(entry));
 }
 
@@ -75,11 +76,19 @@
     question.arrivedMs_ = lines.front()->atMs_;
     question.objectiveMs_ = objectiveMs;
     std::int64_t sentMs = 0;
+    std::int64_t linedUpMs = -1;
     bool isAnswered = false;
     question.cause_ = LossCause::ProcessGone;
     for (const Entry* line : lines) {
         if (line->event_ == "sent")
             sentMs = line->atMs_;
+        question.rank_ = std::max(question.rank_, line->rank_);
+        if (line->event_ == "linedUp")
+            linedUpMs = line->atMs_;
+        if ((line->event_ == "sent" || line->event_ == "refused") && linedUpMs >= 0) {
+            question.waitedMs_ = std::max<std::int64_t>(question.waitedMs_, 0) + line->atMs_ - linedUpMs;
+            linedUpMs = -1;
+        }
         if (line->event_ == "callerLeft")
             return; // nobody waits for it any more
         if (line->event_ == "callerUnknown" || line->event_ == "keyRemoved")
--- a/libs/losses/src/LossTable.cpp
+++ b/libs/losses/src/LossTable.cpp
@@ -20,6 +20,20 @@
         row.avoidable_ += isPossible ? 1 : 0;
     }
 
+    void countWait(LossTable& table, const QuestionRecord& question)
+    {
+        const bool isRefused = question.cause_ == LossCause::NoSlot || question.cause_ == LossCause::LineGivenUp;
+        if (question.rank_ < 0 || (question.waitedMs_ < 0 && !isRefused))
+            return;
+        WaitGroup& group = table.waits_[{ question.workspace_, question.rank_ }];
+        group.refused_ += isRefused ? 1 : 0;
+        if (question.waitedMs_ < 0)
+            return;
+        ++group.waited_;
+        group.waitMs_ += question.waitedMs_;
+        group.longestMs_ = std::max(group.longestMs_, question.waitedMs_);
+    }
+
 } // namespace
 
 LossTable tableOf(const DayRecord& day, const ReferenceResult& reference, std::int64_t stepMs)
@@ -44,6 +58,7 @@
         count(table.groups_[question.route_], question.cause_, isPossible);
         if (!question.workspace_.empty())
             count(table.workspaces_[question.workspace_], question.cause_, isPossible);
+        countWait(table, question);
         countMoment(question.arrivedMs_, question.cause_, isPossible);
     }
     for (const ItemRecord& item : day.items_) {
--- a/libs/losses/tests/LossesTest.cpp
+++ b/libs/losses/tests/LossesTest.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-QuestionRecord question(const std::string& id, std::int64_t arrivedMs, std::int64_t runMs) { return { id, "r", {}, arrivedMs, 300, runMs, LossCause::None }; }
+QuestionRecord question(const std::string& id, std::int64_t arrivedMs, std::int64_t runMs) { return { id, "r", {}, -1, -1, arrivedMs, 300, runMs, LossCause::None }; }
 ItemRecord item(const std::string& id, std::int64_t arrivedMs, std::int64_t dueMs, std::int64_t workMs) { return { id, "j", arrivedMs, dueMs, workMs, 1, LossCause::None }; }
 
 } // namespace
@@ -74,6 +74,32 @@
     CHECK(table.workspaces_.at("w").asked_ == 1);
 }
 
+// Guards against waits that count for another workspace or rank, and against refusals over a quota that count as refusals of a slot.
+TEST_CASE("losses: waits for slots and refusals are summed by workspace and rank")
+{
+    LogReader reader;
+    reader.add(R"({"ts":1,"event":"firstEvent","request":"at once","route":"r","workspace":"w","afterMs":1,"engineMs":1,"objectiveMs":300})");
+    reader.add(R"({"ts":100,"event":"linedUp","request":"short","route":"r","workspace":"w","rank":0})");
+    reader.add(R"({"ts":150,"event":"sent","request":"short","route":"r","workspace":"w"})");
+    reader.add(R"({"ts":100,"event":"linedUp","request":"twice","route":"r","workspace":"w","rank":0})");
+    reader.add(R"({"ts":200,"event":"sent","request":"twice","route":"r","workspace":"w"})");
+    reader.add(R"({"ts":300,"event":"linedUp","request":"twice","route":"r","workspace":"w","rank":0})");
+    reader.add(R"({"ts":350,"event":"sent","request":"twice","route":"r","workspace":"w"})");
+    reader.add(R"({"ts":100,"event":"linedUp","request":"given up","route":"r","workspace":"w","rank":3})");
+    reader.add(R"({"ts":900,"event":"refused","request":"given up","route":"r","workspace":"w","rank":3,"reason":"noSlotCame"})");
+    reader.add(R"({"ts":100,"event":"refused","request":"no","route":"r","workspace":"v","rank":3,"reason":"noSlotInTime"})");
+    reader.add(R"({"ts":100,"event":"refused","request":"public","route":"r","rank":0,"reason":"noSlotInTime"})");
+    reader.add(R"({"ts":100,"event":"overQuota","request":"over","route":"r","workspace":"w"})");
+    const LossTable table = tableOf(reader.finish(), {});
+    REQUIRE(table.waits_.size() == 4);
+    const WaitGroup& first = table.waits_.at({ "w", 0 });
+    CHECK((first.waited_ == 2 && first.waitMs_ == 200 && first.longestMs_ == 150 && first.refused_ == 0));
+    const WaitGroup& second = table.waits_.at({ "w", 3 });
+    CHECK((second.waited_ == 1 && second.waitMs_ == 800 && second.longestMs_ == 800 && second.refused_ == 1));
+    CHECK((table.waits_.at({ "v", 3 }).waited_ == 0 && table.waits_.at({ "v", 3 }).refused_ == 1));
+    CHECK(table.waits_.at({ "", 0 }).refused_ == 1);
+}
+
 TEST_CASE("losses: items are told by what made them late")
 {
     LogReader reader;
--- a/tools/jj/LossesCommand.cpp
+++ b/tools/jj/LossesCommand.cpp
@@ -45,6 +45,23 @@
             std::cout << "    " << std::left << std::setw(14) << toString(cause) << " lost " << row.lost_ << ", avoidable " << row.avoidable_ << '\n';
     }
 
+    std::int64_t meanWait(const WaitGroup& group) { return group.waited_ > 0 ? group.waitMs_ / static_cast<std::int64_t>(group.waited_) : 0; }
+
+    json::array jsonOfWaits(const LossTable& table)
+    {
+        json::array waits;
+        for (const auto& [key, group] : table.waits_)
+            waits.push_back(json::object { { "workspace", key.first }, { "rank", key.second }, { "waited", group.waited_ }, { "waitMs", group.waitMs_ }, { "longestMs", group.longestMs_ }, { "refused", group.refused_ } });
+        return waits;
+    }
+
+    void printWaits(const LossTable& table)
+    {
+        for (const auto& [key, group] : table.waits_)
+            std::cout << "workspace " << (key.first.empty() ? "(none)" : key.first) << ", rank " << key.second << ": waited " << group.waited_ << ", mean " << meanWait(group) << " ms, longest " << group.longestMs_ << " ms; refused "
+                      << group.refused_ << '\n';
+    }
+
     void print(const Context& context, const LossTable& table, std::size_t badLines, const LossesOptions& options)
     {
         if (context.json_) {
@@ -57,7 +74,7 @@
             json::array moments;
             for (const LossGroup& moment : table.moments_)
                 moments.push_back(jsonOf(moment));
-            std::cout << json::object { { "groups", std::move(groups) }, { "workspaces", std::move(workspaces) }, { "stepMs", table.stepMs_ }, { "moments", std::move(moments) }, { "badLines", badLines } } << '\n';
+            std::cout << json::object { { "groups", std::move(groups) }, { "workspaces", std::move(workspaces) }, { "waits", jsonOfWaits(table) }, { "stepMs", table.stepMs_ }, { "moments", std::move(moments) }, { "badLines", badLines } } << '\n';
             return;
         }
         for (const auto& [name, group] : table.groups_)
@@ -65,6 +82,7 @@
         if (options.byWorkspace_) {
             for (const auto& [name, group] : table.workspaces_)
                 printGroup("workspace " + name, group);
+            printWaits(table);
         }
         for (std::size_t moment = 0; options.stepMs_ > 0 && moment < table.moments_.size(); ++moment)
             printGroup("from " + std::to_string(static_cast<std::int64_t>(moment) * table.stepMs_) + " ms", table.moments_[moment]);
@@ -98,7 +116,7 @@
     auto options = std::make_shared<LossesOptions>();
     CLI::App* command = app.add_subcommand("losses", "what wasn't answered in time, by cause, beside what a schedule that knows everything would do");
     command->add_option("--step", options->stepMs_, "also by moment of arrival, in steps of so many milliseconds")->check(CLI::Range(100, 3'600'000));
-    command->add_flag("--workspaces", options->byWorkspace_, "also by workspace");
+    command->add_flag("--workspaces", options->byWorkspace_, "also by workspace, with waits for slots and refusals by workspace and rank");
     command->add_option("files", options->files_, "logs of all nodes: JSON lines, also with a collector's words in front")->required();
     command->callback([&context, options] { runLosses(context, *options); });
 }
