--- a/libs/capacity/include/capacity/WaitingQueue.h
+++ b/libs/capacity/include/capacity/WaitingQueue.h
@@ -38,7 +38,7 @@
     WorkspaceId workspace_ {};
     Rank rank_ = 0;
 
-    friend auto operator<=>(const Claimant&, const Claimant&) = default;
+    friend auto operator<=>(const Claimant&, const Claimant&) = default; // NOLINT(modernize-use-nullptr): a false report for defaulted comparisons
 };
 
 // The order of waiting requests, at one node and between nodes; the lower one goes first.
@@ -47,7 +47,7 @@
     bool isLate_ = false; // it can't meet its target latency any more
     float usage_ = 0;
 
-    friend auto operator<=>(const WaitingOrder&, const WaitingOrder&) = default;
+    friend auto operator<=>(const WaitingOrder&, const WaitingOrder&) = default; // NOLINT(modernize-use-nullptr): a false report for defaulted comparisons
 };
 
 class WaitingQueue {
--- a/libs/serving/src/SlotQueue.cpp
+++ b/libs/serving/src/SlotQueue.cpp
@@ -114,6 +114,7 @@
         one.inTime_ = static_cast<std::uint16_t>(one.inTime_ + (order.isLate_ ? 0 : 1));
     }
     std::vector<WaitingClass> result;
+    result.reserve(classes.size());
     for (const auto& [key, one] : classes)
         result.push_back(one);
     return result;
