Capacity: an engine seen only while it was slow for a moment is tried again soon

The first events of an engine set its lasting part. If they came in a slow second, no request was sent to it for about a minute; the end-to-end test found such an engine. The lasting part now loses weight within four times the time for which the engine was seen.

--- a/libs/capacity/include/capacity/EngineSpeeds.h
+++ b/libs/capacity/include/capacity/EngineSpeeds.h
@@ -22,6 +22,7 @@
 #include "base/Time.h"
 #include "capacity/NodeUse.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <map>
@@ -42,7 +43,7 @@
 struct EngineSpeedSettings {
     double lastingGain_ = 0.02; // weight of one step in the lasting part
     double momentaryGain_ = 0.5; // weight of one step in the momentary part
-    Duration lastingHalfLife_ = 30s; // of the lasting part without new evidence
+    Duration lastingHalfLife_ = 30s; // of the lasting part without new evidence; four times the time for which it was seen if that is shorter
     Duration momentaryHalfLife_ = 500ms; // of the momentary part without new evidence
     Duration statedHalfLife_ = 300ms; // of what an engine states, which changes many times a second
     std::uint32_t minEvents_ = 8; // before an engine is compared
@@ -102,6 +103,7 @@
     struct Engine {
         ServiceId service_; // none: only the engine's load is known
         double lasting_ = 0; // as of eventAt_
+        Duration seenFor_ {}; // time with events; not much more than lastingHalfLife_
         double momentary_ = 0; // beyond the lasting part, as of eventAt_
         double lastStep_ = 0; // the last step beyond the lasting part
         TimePoint eventAt_ {}; // the last step that was seen
@@ -114,6 +116,7 @@
         double heardLasting_ = 0; // what other nodes report, as of heardAt_
         double heardMomentary_ = 0;
         TimePoint heardAt_ {};
+        Duration heardFor_ {}; // like seenFor_
         TimePoint slowSince_ {}; // none: it isn't slow
     };
     struct Service {
@@ -144,6 +147,10 @@
     void updateMedian(Service& service, ServiceId id, TimePoint now);
     bool isStatedValid(const Engine& engine, TimePoint now) const;
     void checkStated(Engine& engine, TimePoint now) const;
+    // Returns the half-life of a lasting part that was seen for this time: an engine that was only seen while it was slow for a moment is
+    // tried again soon.
+    Duration lastingHalfLife(Duration seenFor) const { return std::clamp<Duration>(4 * seenFor, settings_.momentaryHalfLife_, settings_.lastingHalfLife_); }
+    double heardLastingOf(const Engine& engine, TimePoint now) const;
     double lastingOf(const Engine& engine, TimePoint now) const;
     Value valueOf(const Engine& engine, bool withHeard, TimePoint now) const;
     // Adds the engine to those that may differ if it does.
--- a/libs/capacity/src/EngineSpeeds.cpp
+++ b/libs/capacity/src/EngineSpeeds.cpp
@@ -45,6 +45,13 @@
         return at == TimePoint() ? 0 : std::exp2(-std::max(0.0, toSeconds(now - at)) / toSeconds(halfLife));
     }
 
+    // Adds the time since the last evidence, if the engine was busy meanwhile.
+    Duration longer(Duration seenFor, TimePoint last, TimePoint now, Duration limit)
+    {
+        const bool isBusy = last != TimePoint() && now - last <= busyGap;
+        return isBusy && seenFor < limit ? seenFor + (now - last) : seenFor;
+    }
+
     // Returns the value without the part that may be noise.
     double significant(double value, double minimum) { return std::abs(value) < minimum ? 0 : value; }
 
@@ -154,6 +161,7 @@
     engine.momentary_ *= weightOf(engine.eventAt_, now, settings_.momentaryHalfLife_);
     if (engine.eventAt_ != TimePoint() && now - engine.eventAt_ > longIdle)
         engine.events_ = std::min(engine.events_, settings_.minEvents_);
+    engine.seenFor_ = longer(engine.seenFor_, engine.eventAt_, now, settings_.lastingHalfLife_);
     engine.eventAt_ = now;
     const double predicted = engine.lasting_ + engine.momentary_;
     double& usual = usualTime(service, bucket, seconds, predicted);
@@ -189,7 +197,7 @@
         if (one.service_ != id)
             continue;
         const bool isKnown = one.events_ >= settings_.minEvents_;
-        lasting.push_back(isKnown ? lastingOf(one, now) : service.median_ + one.heardLasting_ * weightOf(one.heardAt_, now, settings_.lastingHalfLife_));
+        lasting.push_back(isKnown ? lastingOf(one, now) : service.median_ + heardLastingOf(one, now));
         const bool isRecent = isKnown && now - one.eventAt_ < settings_.momentaryHalfLife_;
         momentary.push_back(isRecent ? one.momentary_ : one.heardMomentary_ * weightOf(one.heardAt_, now, settings_.momentaryHalfLife_));
     }
@@ -233,7 +241,12 @@
 // Between the events of a busy engine nothing is lost, so that a lasting difference is learned in full.
 double EngineSpeeds::lastingOf(const Engine& engine, TimePoint now) const
 {
-    return engine.lasting_ * weightOf(engine.eventAt_ + busyGap, now, settings_.lastingHalfLife_);
+    return engine.lasting_ * weightOf(engine.eventAt_ + busyGap, now, lastingHalfLife(engine.seenFor_));
+}
+
+double EngineSpeeds::heardLastingOf(const Engine& engine, TimePoint now) const
+{
+    return engine.heardLasting_ * weightOf(engine.heardAt_, now, lastingHalfLife(engine.heardFor_));
 }
 
 EngineSpeeds::Value EngineSpeeds::valueOf(const Engine& engine, bool withHeard, TimePoint now) const
@@ -246,7 +259,7 @@
         const double error = noise / std::sqrt(std::min(lastingSteps, static_cast<double>(engine.events_)));
         value.lasting_ = significant(lastingOf(engine, now) - service->median_, std::max(settings_.minLasting_, error));
     } else if (withHeard)
-        value.lasting_ = significant(engine.heardLasting_ * weightOf(engine.heardAt_, now, settings_.lastingHalfLife_), settings_.minLasting_);
+        value.lasting_ = significant(heardLastingOf(engine, now), settings_.minLasting_);
     MomentaryMean momentary { now };
     if (isKnown)
         momentary.add(significant(engine.momentary_ - service->momentaryMedian_, std::max(settings_.minMomentary_, noise)), engine.measuredAt_, settings_.momentaryHalfLife_);
@@ -279,6 +292,7 @@
         const double share = engine.heardAt_ != TimePoint() && now - engine.heardAt_ < settings_.momentaryHalfLife_ ? 0.5 : 1;
         engine.heardLasting_ += share * (decode(one.lasting_) - engine.heardLasting_);
         engine.heardMomentary_ += share * (decode(one.momentary_) - engine.heardMomentary_);
+        engine.heardFor_ = longer(engine.heardFor_, engine.heardAt_, now, settings_.lastingHalfLife_);
         engine.heardAt_ = now;
         noteDifference(one.engine_, engine, now);
     }
