--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -132,6 +132,9 @@
         std::uint64_t rank_ = 0;
     };
     const auto serviceId = idFromName<ServiceId>(service);
+    // While requests wait, every slot is used. Nodes that all preferred the same freed slots would collide at them.
+    const bool isSpeedUsed = speeds_.mayDiffer() && waiting(service) == 0;
+    const auto bandOf = [&](const Engine& engine) { return isSpeedUsed ? speedBand(engine, now) : 0; };
     Best best;
     EnginePick pick;
     Duration shortest = bound;
@@ -153,8 +156,8 @@
         constexpr std::uint64_t otherDomain = 1;
         const auto distance = static_cast<std::uint64_t>(engineDistance);
         const std::uint64_t stage = kind == PickKind::Queues ? queueStage + distance : 2 * distance + (preemptsBatch ? 1 : 0);
-        const std::uint64_t load = isFree ? rankInBand(speedBand(engine, now), freeRank(engine, engineDistance, now)) : preemptsBatch ? rankInBand(speedBand(engine, now), engine.nonPreemptibleLoad(now))
-                                                                                                                                      : static_cast<std::uint64_t>(wait / 1ms);
+        const std::uint64_t load = isFree ? rankInBand(bandOf(engine), freeRank(engine, engineDistance, now)) : preemptsBatch ? rankInBand(bandOf(engine), engine.nonPreemptibleLoad(now))
+                                                                                                                              : static_cast<std::uint64_t>(wait / 1ms);
         const std::uint64_t rank = stage * stageWeight + load * 2 + (engine.entry_.domain_ == location_.domain_ ? 0 : otherDomain);
         if (best.engine_ && rank >= best.rank_)
             return;
