--- a/libs/http/tests/AnswerMutationTest.cpp
+++ b/libs/http/tests/AnswerMutationTest.cpp
@@ -16,7 +16,7 @@
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=\"b c\"\r\ndata:\r\n3\r\n x\n\r\n0\r\nX-Trailer: t\r\n\r\n",
     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: l\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nlast\r\n0\r\n\r\n",
     "HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nbusy",
-    "HTTP/1.0 200 OK\r\nX-Jayjunction-Server-Load: 1 2 3 4\r\n\r\nuntil the end",
+    "HTTP/1.0 200 OK\r\nX-Server-Load: 1 2 3 4\r\n\r\nuntil the end",
     "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
 };
 
