Http: queues grow by an eighth, so that the byte budget counts little that holds nothing

Two queues of 160 KB counted as up to 512 KB, the whole budget of the test. A host would so cut off readers with a third of its budget unused.

Ruled out: the relief of the budget itself, which cut off the right reader.

Change: a queue above 16 KB grows by an eighth.

--- a/libs/http/src/ServerOutbox.cpp
+++ b/libs/http/src/ServerOutbox.cpp
@@ -14,10 +14,32 @@
 
     constexpr unsigned httpVersion = 11;
 
+    // Grows by an eighth instead of doubling: the byte budget counts capacities, and would be exhausted by memory that holds nothing.
+    void reserveFor(std::string& text, std::size_t bytes)
+    {
+        constexpr std::size_t smallBytes = 16 * 1024; // doubling wastes little below it
+        constexpr std::size_t growthDivisor = 8;
+        const std::size_t needed = text.size() + bytes;
+        if (needed <= text.capacity() || needed <= smallBytes)
+            return;
+        std::string larger; // std::string::reserve() at least doubles
+        larger.reserve(needed + needed / growthDivisor);
+        larger.append(text);
+        text.swap(larger);
+    }
+
+    void appendPlain(std::string& out, std::string_view data)
+    {
+        reserveFor(out, data.size());
+        out.append(data);
+    }
+
     void appendChunk(std::string& out, std::string_view data)
     {
         std::array<char, 16> size {};
         const auto [end, error] = std::to_chars(size.data(), size.data() + size.size(), data.size(), 16);
+        constexpr std::size_t lineEnds = 4;
+        reserveFor(out, static_cast<std::size_t>(end - size.data()) + data.size() + lineEnds);
         out.append(size.data(), end);
         out.append("\r\n");
         out.append(data);
@@ -85,7 +107,7 @@
     if (outbox_.chunked_)
         appendChunk(outbox_.pending_, data);
     else
-        outbox_.pending_.append(data);
+        appendPlain(outbox_.pending_, data);
     countLocked();
     flushLocked();
 }
