Speeds: the cost of a pick is checked without sanitizers only

The bounds in microseconds say what a pick and an event may cost on a host. Under the address sanitizer a pick took 3,162 us, 674 without speeds, beside builds on all cores; without a sanitizer 72 us. The test still runs there, for its reads and writes.

--- a/libs/capacity/tests/SpeedPickTest.cpp
+++ b/libs/capacity/tests/SpeedPickTest.cpp
@@ -221,6 +221,8 @@
         boards.seeing_.recordEventGap(UpstreamId(event++ % engines + 1), 20ms, now);
     });
     MESSAGE("a pick among 800 engines: " << plain << " us without speeds, " << seeing << " us where all differ; an event: " << perEvent << " us");
+#ifndef JJ_SANITIZED // instrumentation makes a pick ten to forty times as long
     CHECK(seeing < 450);
     CHECK(perEvent < 50);
+#endif
 }
