Shares: a workspace is below its share only if it uses clearly less

Their failed requests were refused at once with a predicted wait of 370 to 470 ms (log lines refused, noSlotInTime).

Cause: a workspace that uses nearly all slots sets the level of the shares itself. Whenever it used a little less than a moment ago it counted as below its share, and its waiting requests, some fifty, then counted as going before those of the small ones.

Ruled out: the half-life of usage (2 s and 4 s), the anticipation of changes, and the speeds of engines, each switched off: still red.

Change: below its share is who uses less than three quarters of it.

--- a/libs/shares/include/shares/FairShares.h
+++ b/libs/shares/include/shares/FairShares.h
@@ -47,6 +47,9 @@
     // The hosts see the same sums, and give slots to the same workspaces until the next ones. So a change of this node's usage is taken as a
     // sample of the changes elsewhere: those are expected to be larger by the ratio of the slots, but at most by this factor.
     double maxAnticipation_ = 64;
+    // Of its share that a workspace uses at most if it counts as below it. A workspace that alone uses nearly all slots sets the level of the
+    // shares itself, and its usage changes by a tenth from one moment to the next.
+    double belowShareFraction_ = 0.75;
     // Of the reports of a node, and of the sums to each node. Larger messages are sent less often.
     std::size_t bytesPerSecond_ = 450;
 };
@@ -87,7 +90,7 @@
     Claim claim(WorkspaceId workspace, Rank rank, TimePoint now) const;
     // Returns by how much one more request raises the usage of a workspace's claims. Smaller differences of claims mean nothing.
     float usageOfOneRun(WorkspaceId workspace) const;
-    // Returns whether the workspace uses less than its max-min share of all slots in use.
+    // Returns whether the workspace uses clearly less than its max-min share of all slots in use.
     bool isBelowShare(WorkspaceId workspace, TimePoint now) const;
     // Returns the active workspaces, those that use most first, at most `most`.
     std::vector<WorkspaceShare> activeShares(std::size_t most, TimePoint now) const;
--- a/libs/shares/src/FairShares.cpp
+++ b/libs/shares/src/FairShares.cpp
@@ -237,7 +237,7 @@
 {
     if (weights_.empty() || workspace.isNone())
         return false;
-    return slotsOf(workspace, now) / weightOf(workspace) < shareLevel(now);
+    return slotsOf(workspace, now) / weightOf(workspace) < settings_.belowShareFraction_ * shareLevel(now);
 }
 
 std::vector<WorkspaceShare> FairShares::activeUsage(TimePoint now) const
--- a/libs/shares/tests/FairSharesTest.cpp
+++ b/libs/shares/tests/FairSharesTest.cpp
@@ -272,3 +272,21 @@
     CHECK(shares.claim(large, 0, start).usage_ == 0);
     CHECK(shares.claim(small, 0, start).usage_ == 0);
 }
+
+// Guards against small workspaces that are refused: the workspace that uses nearly all slots counts as below its share whenever it uses a
+// little less than a moment ago, and its waiting requests then go before theirs.
+TEST_CASE("shares: a workspace that uses nearly all slots is never below its share")
+{
+    FairShares shares = sharesOf(1);
+    useSlots(shares, large, 20, start);
+    useSlots(shares, small, 1, start);
+    TimePoint now = start + 10s;
+    for (int step = 0; step < 200; ++step) {
+        now += 7ms;
+        step % 2 == 0 ? shares.ended(large, 0, now) : shares.started(large, 0, now);
+        CHECK_FALSE(shares.isBelowShare(large, now));
+        now += 7ms;
+        CHECK_FALSE(shares.isBelowShare(large, now));
+        CHECK(shares.isBelowShare(small, now));
+    }
+}
