Serving: queued requests are sent in time for the first events that engines really need

Of its served requests a fifth came at 401 to 403 ms with a target of 400.

Cause: while a queue is never empty, each request is sent at the last moment. The time of a first event was assumed as 40 ms; nine of ten took up to 48.

Change: where shares are in force, a node learns the time in which nine of ten first events come. Elsewhere nothing changes.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -248,6 +248,11 @@
     std::uint32_t waitingInTime(std::string_view service) const;
     // Returns whether an online request is queued at some node of this cell.
     bool isAnyWaiting() const;
+    // Records how long an engine took to send the first event of an online request.
+    void recordFirstEvent(Duration time);
+    // Returns the time in which nine of ten first events come, at least CapacitySettings::firstEventTime_. While a queue is never empty,
+    // requests are sent at the last moment, and those that need a little more than the mean would all be late.
+    Duration expectedFirstEvent() const { return std::max(settings_.firstEventTime_, firstEventQuantile_); }
     // Returns the mean time that an online request occupies its slot.
     Duration meanRun() const { return fromSeconds(meanRunSeconds_); }
     // Picks an engine for a batch item that is due at `due`. `urgent`: the item is due so soon that it may use the reserved slots, and
@@ -423,6 +428,7 @@
     std::map<ServiceId, WaitingRequests> ownWaiting_;
     std::map<ServiceId, OwnItems> ownItems_;
     double meanRunSeconds_;
+    Duration firstEventQuantile_ {};
     std::function<bool(const Endpoint&)> hasConnection_;
 };
 
--- a/libs/capacity/src/CapacityBoard.cpp
+++ b/libs/capacity/src/CapacityBoard.cpp
@@ -137,6 +137,14 @@
 
 void CapacityBoard::recordRunTime(Duration run) { meanRunSeconds_ += meanGain * (toSeconds(run) - meanRunSeconds_); }
 
+// Each time above the quantile raises it by nine steps, each time below it lowers it by one.
+void CapacityBoard::recordFirstEvent(Duration time)
+{
+    constexpr Duration step = 200us;
+    constexpr int stepsUp = 9;
+    firstEventQuantile_ = std::max(Duration::zero(), firstEventQuantile_ + (time > firstEventQuantile_ ? step * stepsUp : -step));
+}
+
 std::vector<UpstreamId> CapacityBoard::failingEngines(TimePoint now) const
 {
     std::vector<UpstreamId> engines(suspects_.begin(), suspects_.end());
--- a/libs/capacity/tests/WaitingOrderTest.cpp
+++ b/libs/capacity/tests/WaitingOrderTest.cpp
@@ -174,3 +174,26 @@
     board.setWaiting("s", 0, 0, {});
     CHECK(board.ownWaiting("s").count_ == 0);
 }
+
+// Guards against a queue that is never empty and serves each of its requests a few milliseconds late: it sends them at the last moment, and
+// the engines need longer than assumed.
+TEST_CASE("capacity: nine of ten first events come within the expected time")
+{
+    CapacityBoard board({}, NodeId(1), {}, 1);
+    CHECK(board.expectedFirstEvent() == board.settings().firstEventTime_);
+    std::mt19937_64 random(7);
+    std::normal_distribution<double> milliseconds(60, 8);
+    constexpr int learning = 1000;
+    constexpr int counted = 2000;
+    int inTime = 0;
+    for (int event = 0; event < learning + counted; ++event) {
+        const Duration time = fromSeconds(milliseconds(random) / 1000);
+        inTime += event >= learning && time <= board.expectedFirstEvent() ? 1 : 0;
+        board.recordFirstEvent(time);
+    }
+    CHECK(inTime > counted * 85 / 100);
+    CHECK(board.expectedFirstEvent() < 90ms);
+    // Requests that waited in an engine's queue don't count for more than one step each.
+    board.recordFirstEvent(5s);
+    CHECK(board.expectedFirstEvent() < 92ms);
+}
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -164,6 +164,7 @@
     if (!hasAnswerStarted_) {
         hasAnswerStarted_ = true;
         context_.board_.succeeded(run->engine_, context_.now());
+        context_.board_.recordFirstEvent(context_.now() - run->sentAt_);
         exchange_->start(run->head_->status_, endToEndHeaders(run->head_->headers_));
         context_.metrics_.metrics_.observe(context_.metrics_.firstEvent_, toMilliseconds(context_.now() - arrivedAt_));
         line("firstEvent").with("software", run->softwareVersion_.name()).with("afterMs", context_.now() - arrivedAt_).with("engineMs", context_.now() - run->sentAt_).with("objectiveMs", route_.targetLatency_);
--- a/libs/serving/src/RelaySilence.cpp
+++ b/libs/serving/src/RelaySilence.cpp
@@ -99,7 +99,7 @@
     // A queued request that no engine can take would hold up the requests and items behind it.
     if (!context_.board_.hasOtherEngine(service_, tried_, context_.now(), boundVersion_))
         return leaveQueue();
-    const bool shouldQueue = ticket_.isNone() && context_.now() < queueDeadline() && queueWait() <= budget - context_.board_.settings().firstEventTime_;
+    const bool shouldQueue = ticket_.isNone() && context_.now() < queueDeadline() && queueWait() <= budget - firstEventTime();
     if (!shouldQueue)
         return;
     SlotQueue::QueuedRequest queued = queueEntry(budget);
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -258,6 +258,11 @@
     return std::min(from + route_.targetLatency_ * queueTargetMultiple, deadline_ - minRetryAfter);
 }
 
+Duration RelayedRequest::firstEventTime() const
+{
+    return context_.shares_->isActive() ? context_.board_.expectedFirstEvent() : context_.board_.settings().firstEventTime_;
+}
+
 Duration RelayedRequest::queueWait() const
 {
     const TimePoint now = context_.now();
@@ -270,7 +275,7 @@
 bool RelayedRequest::enqueue(Duration budget)
 {
     const TimePoint now = context_.now();
-    const bool shouldQueue = wasRefusedBefore_ || queueWait() <= budget - context_.board_.settings().firstEventTime_;
+    const bool shouldQueue = wasRefusedBefore_ || queueWait() <= budget - firstEventTime();
     if (!shouldQueue || now >= queueDeadline())
         return false;
     phase_ = Phase::Waiting;
@@ -298,7 +303,7 @@
     queued.version_ = boundVersion_;
     queued.tried_ = tried_;
     queued.claimant_ = claimant_;
-    queued.inTimeUntil_ = context_.now() + budget - context_.board_.settings().firstEventTime_;
+    queued.inTimeUntil_ = context_.now() + budget - firstEventTime();
     queued.queueDeadline_ = queueDeadline();
     return queued;
 }
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -85,6 +85,8 @@
     void refuseResume(std::string_view reason, std::string_view code, std::string_view message);
     // Refuses a request whose key was removed while it waited.
     void refuseRemovedKey();
+    // Returns how long an engine is expected to take for the first event.
+    Duration firstEventTime() const;
     // Returns how long the request would wait in the queue.
     Duration queueWait() const;
     // Queues the request for a slot. Returns false if no slot is expected to become free in time.
