--- a/libs/capacity/include/capacity/EngineSpeeds.h
+++ b/libs/capacity/include/capacity/EngineSpeeds.h
@@ -2,7 +2,7 @@
 //
 //     EngineSpeeds speeds = EngineSpeeds::create({}).value();
 //     speeds.recordEventGap(engine, service, running, gap, now);     // a stream of this node brought an event
-//     speeds.recordStatedSlowdown(engine, 250, now);                 // the engine says that work takes 2.5 times as long as usual
+//     speeds.recordStatedSlowdown(engine, 250, now);                 // the engine states 2.5 times the usual time
 //     speeds.apply(node, report, now);                               // from another node
 //     if (speeds.slowdown(engine, now) > 2) ...
 //
@@ -88,7 +88,7 @@
     struct SlowEngine {
         UpstreamId engine_;
         double slowdown_ = 1;
-        bool isStated_ = false; // the engine says so itself
+        bool isStated_ = false; // the engine states it in its load header
         TimePoint since_ {};
     };
     // Returns the slow engines, slowest first, and forgets which engines differed until now.
--- a/libs/capacity/src/EngineSpeeds.cpp
+++ b/libs/capacity/src/EngineSpeeds.cpp
@@ -319,7 +319,7 @@
         if (seenAt == TimePoint() || now - seenAt >= settings_.reportLifetime_)
             continue;
         const Value value = valueOf(engine, false, seenAt);
-        // Other nodes hear that it works as usual again, and needn't try it.
+        // The report that it works as usual again spares other nodes the test.
         const bool isUsualAgain = engine.events_ >= settings_.minEvents_ && now - engine.eventAt_ < usualReportLifetime && std::abs(engine.lastStep_) < settings_.minMomentary_;
         if (value.sum() != 0 || isUsualAgain)
             report.push_back({ id, encode(value.lasting_), encode(value.momentary_) });
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -75,7 +75,7 @@
 {
     const EngineEntry* engine = context_.board_.find(run->engine_);
     line("answerOverLimit").with("engine", engine ? engine->name_ : "").with("error", error.message()).with("runs", runs_);
-    // Which answers end for want of space depends on the other ones too, so it says nothing about the engine.
+    // Which answers end for want of space depends on the other ones too, so it is no evidence about the engine.
     if (isOverLimit(error))
         context_.recordOverLimit(run->engine_, error);
     if (run != silentRun_)
@@ -98,10 +98,15 @@
         if (const auto self = weak.lock())
             self->resumeReading();
     });
+    scheduleRead();
+}
+
+void RelayedRequest::scheduleRead()
+{
     readTimer_.expires_after(maxReadPause);
-    readTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code& timerError) {
+    readTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
         const auto self = weak.lock();
-        if (!timerError && self)
+        if (!error && self)
             self->readAfterPause();
     });
 }
@@ -112,12 +117,7 @@
         return;
     if (context_.budget_->hasRoom(http::ByteUse::Answers, readPieceBytes))
         return resumeReading();
-    readTimer_.expires_after(maxReadPause);
-    readTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
-        const auto self = weak.lock();
-        if (!error && self)
-            self->readAfterPause();
-    });
+    scheduleRead();
 }
 
 void RelayedRequest::resumeReading()
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -146,6 +146,8 @@
     // Stops reading from the engine if the caller's queue is full.
     void pauseIfQueueFull(const EngineRunPtr& run);
     void resumeReading();
+    // Calls readAfterPause() when the engine hasn't been read for as long as it may be.
+    void scheduleRead();
     // Reads one piece more, because engines cut off an answer that isn't read for some seconds.
     void readAfterPause();
     // Returns whether the caller still takes bytes that are ready.
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -31,6 +31,8 @@
 namespace jj {
 
 struct ServingNode::Parts {
+    static constexpr Duration notReadyRetry = 300ms; // for callers of a node that can't answer yet
+
     Parts(const ServingSettings& settings, const Translation& translation, Reload reload);
 
     std::optional<Failure> build();
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -1,14 +1,10 @@
-// The running node: periodic work, requests of callers, operators and peers, signals, and the drain.
-#include "FleetPage.h"
+// The running node: periodic work, requests of callers and peers, signals, and the drain. What operators see is in ServingOperator.cpp.
 #include "ServingParts.h"
 
 #include <algorithm>
-#include <boost/json.hpp>
 
 namespace jj {
 
-namespace json = boost::json;
-
 namespace {
 
     constexpr Duration tickPeriod = 20ms;
@@ -18,8 +14,6 @@
     constexpr Duration graceMargin = 400ms;
     // Time to send the last datagrams to peers before the process exits.
     constexpr Duration finalSendTime = 100ms;
-    constexpr Duration summaryPeriod = 10s;
-    constexpr Duration slowEnginesPeriod = 1s;
     // The watchers are chosen from the reports of the last second, so the choice is repeated more often than that.
     constexpr Duration watchChoicePeriod = 100ms;
     // Every node that runs jobs lists the job heads at this interval, from possibly stale data. The loss of a node triggers an
@@ -31,7 +25,6 @@
     constexpr int maxNotifyAttempts = 3;
     // An object found again within this time is a duplicate from the other watcher of the region.
     constexpr Duration duplicateWindow = 500ms;
-    constexpr Duration notReadyRetry = 300ms;
 
     // Accepted jobs outlast the batch routes of their host. Calls about them then require a key, as on any route that is not public.
     const Route& droppedBatchRoute()
@@ -128,77 +121,6 @@
     std::erase_if(probing_, [&](UpstreamId engine) { return std::find(due.begin(), due.end(), engine) == due.end(); });
 }
 
-void ServingNode::Parts::updateGauges()
-{
-    metrics_.set(servingMetrics_.bytesForReaders_, static_cast<double>(budget_->held(http::ByteUse::Answers)));
-    metrics_.set(servingMetrics_.bytesOfUploads_, static_cast<double>(budget_->held(http::ByteUse::Uploads)));
-    metrics_.set(servingMetrics_.bytesLimit_, static_cast<double>(budget_->limit()));
-    const std::map<WorkspaceId, std::size_t> waiting = queue_->waitingByWorkspace();
-    std::size_t allWaiting = 0;
-    for (const auto& [workspace, count] : waiting)
-        allWaiting += count;
-    metrics_.set(servingMetrics_.requestsWaiting_, static_cast<double>(allWaiting));
-    metrics_.set(servingMetrics_.workspacesCompeting_, static_cast<double>(shares_->competing(context_.now())));
-    metrics_.set(servingMetrics_.lowestShareRatio_, shares_->lowestRatio(waiting, context_.now()));
-    if (!callers_)
-        return;
-    metrics_.set(servingMetrics_.readersCutOff_, static_cast<double>(callers_->readersCutOff()));
-    metrics_.set(servingMetrics_.uploadsRefused_, static_cast<double>(callers_->uploadsRefused()));
-}
-
-void ServingNode::Parts::updateSlowEngines(TimePoint now)
-{
-    if (now - slowEnginesAt_ < slowEnginesPeriod)
-        return;
-    slowEnginesAt_ = now;
-    const std::vector<EngineSpeeds::SlowEngine> slow = board_.slowEngines(now);
-    slowEngines_ = slow.size();
-    metrics_.set(servingMetrics_.enginesSlow_, static_cast<double>(slowEngines_));
-    slowEngineLog_.update(slow, board_, now);
-}
-
-// Logs the node's load, its store calls by kind and its traffic every summaryPeriod.
-void ServingNode::Parts::logPeriodic(TimePoint now)
-{
-    if (now - lastSummaryAt_ < summaryPeriod)
-        return;
-    lastSummaryAt_ = now;
-    logSummary();
-    logCompetitors(now);
-    logTraffic();
-}
-
-void ServingNode::Parts::logSummary()
-{
-    auto line = log_.line("summary");
-    line.with("requests", relay_->openRequests()).with("items", runner_->running()).with("jobs", scheduler_->openJobs()).with("config", config_->version()).with("peers", fleet_->livePeers()).with("slowEngines", slowEngines_).with("linesDroppedTotal", log_.dropped());
-    if (context_.table_ && context_.table_->workspaces()) {
-        const QuotaGate::Totals& totals = quotas_->totals();
-        line.with("quotaAdmitted", totals.admitted_).with("quotaRefused", totals.refused_).with("quotaAsked", totals.requested_).with("quotaReturned", totals.returned_).with("quotaUnanswered", totals.unanswered_);
-    }
-    line.with("bytesForReaders", budget_->held(http::ByteUse::Answers)).with("bytesOfUploads", budget_->held(http::ByteUse::Uploads)).with("bytesLimit", budget_->limit());
-    if (callers_)
-        line.with("readersCutOff", callers_->readersCutOff()).with("uploadsRefused", callers_->uploadsRefused());
-    for (const auto& [call, count] : store_->callCounts())
-        line.with(std::string("store ").append(call), count);
-}
-
-void ServingNode::Parts::logCompetitors(TimePoint now)
-{
-    constexpr std::size_t maxLogged = 20;
-    for (const Shares::Competitor& one : shares_->takeCompetitors(maxLogged, queue_->waitingByWorkspace(), now))
-        log_.line("competing").with("workspace", one.name_).with("slots", one.slots_).with("share", one.share_).with("waiting", one.waiting_).with("refused", one.refused_);
-}
-
-void ServingNode::Parts::logTraffic()
-{
-    auto line = log_.line("traffic");
-    for (std::size_t kind = 0; kind < TrafficCounts::kinds; ++kind) {
-        for (std::size_t distance = 0; distance < TrafficCounts::distances; ++distance)
-            line.with(std::string(TrafficCounts::kindNames[kind]).append(TrafficCounts::distanceNames[distance]), fleet_->traffic().bytes(kind, distance));
-    }
-}
-
 void ServingNode::Parts::scanJobs(TimePoint now)
 {
     const bool mayOwn = settings_.runsJobs_ || scheduler_->loadedJobs() > 0;
@@ -276,33 +198,6 @@
     return { isRefused, table->limits().bodyBytes_ };
 }
 
-// ---- operators
-
-void ServingNode::Parts::onOperatorRequest(const std::shared_ptr<http::Exchange>& exchange)
-{
-    constexpr std::string_view jobsPath = "/jobs/";
-    const std::string_view path = exchange->request().path();
-    const http::Header isJson { "Content-Type", "application/json" };
-    if (path == "/fleet")
-        return exchange->respond({ 200, { isJson }, fleetPage(*fleet_, { config_->version(), catalog_->version() }, context_.now()) });
-    if (!path.starts_with(jobsPath)) {
-        updateGauges();
-        return exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.prometheusText() });
-    }
-    const JobName job(path.substr(jobsPath.size()));
-    if (!isValidJobName(job))
-        return exchange->respond(refusalResponse(translation_, 400, "job.BadName", "no job has such a name", RunState::NotRun, {}));
-    scheduler_->locate(job, context_.now(), [this, exchange, job, isJson](const JobScheduler::JobLocation& place) {
-        if (place.outcome_ == ReadOutcome::Missing)
-            return exchange->respond(refusalResponse(translation_, 404, "job.NotFound", "no such job", RunState::NotRun, {}));
-        if (place.outcome_ != ReadOutcome::Found)
-            return exchange->respond(refusalResponse(translation_, 503, "job.Unsure", "the store can't be asked now", RunState::NotRun, notReadyRetry));
-        const std::string owner = place.owner_ == fleet_->self() ? fleet_->address() : fleet_->addressOf(place.owner_);
-        const json::object body { { "job", job }, { "owner", owner }, { "ownerLives", fleet_->isLive(place.owner_) }, { "state", toString(place.state_) }, { "items", place.total_ } };
-        exchange->respond({ 200, { isJson }, json::serialize(body) });
-    });
-}
-
 // ---- peers
 
 NodeId ServingNode::Parts::nextPeer(bool ownRegionFirst)
--- a/libs/serving/src/Shares.h
+++ b/libs/serving/src/Shares.h
@@ -1,7 +1,7 @@
 // Connects the fair shares of this node (libs/shares) to the configuration, the capacity board and the fleet.
 //
 // While online requests wait somewhere in the cell, each node reports what its requests use to the first delegate of the cell. The delegate
-// sends the sum of all cells that it has heard of to the nodes of its cell, and the sum of its own cell to the delegates of the others.
+// sends the sum of all cells whose sums it has received to the nodes of its cell, and the sum of its own cell to the delegates of the others.
 #pragma once
 
 #include "Fleet.h"
--- a/libs/serving/tests/CallerTest.cpp
+++ b/libs/serving/tests/CallerTest.cpp
@@ -237,7 +237,7 @@
     CHECK(sentAndReceived(waiting).use_.waiting_ == waiting.use_.waiting_);
 }
 
-// Guards against a datagram that its receiver refuses because a list is too long: a host with many workspaces would not be heard at all.
+// Guards against a datagram that its receiver refuses because a list is too long: no report of a host with many workspaces would be accepted.
 TEST_CASE("messages about shares: lists that are too long are cut to their first entries")
 {
     ShareReport report { NodeId(1), Incarnation(2), 3, {}, {} };
--- a/libs/shares/include/shares/ShareMessages.h
+++ b/libs/shares/include/shares/ShareMessages.h
@@ -34,7 +34,7 @@
 // the nodes of its own. A sum replaces all earlier ones of the same kind from the cell.
 struct ShareSum {
     CellId cell_; // of the delegate
-    bool isOfFleet_ = false; // of all cells that the delegate has heard of
+    bool isOfFleet_ = false; // of all cells whose sums the delegate has received
     Incarnation incarnation_; // of the node that computed the sum
     std::uint32_t sequence_ = 0;
     std::vector<WorkspaceUsage> workspaces_;
--- a/libs/shares/src/FairShares.cpp
+++ b/libs/shares/src/FairShares.cpp
@@ -167,7 +167,7 @@
     return first;
 }
 
-// All hosts see a lack of slot time of the lower ranks at the same time, and correct it before they hear of each other's corrections. So
+// All hosts see a lack of slot time of the lower ranks at the same time, and correct it before reports of each other's corrections arrive. So
 // each gives them only a part of its own slots. The part grows while all together have too little, as when few hosts have such requests.
 bool FairShares::areLowerRanksStarved(Rank rank, TimePoint now) const
 {
--- a/libs/shares/tests/ShareFleet.h
+++ b/libs/shares/tests/ShareFleet.h
@@ -24,7 +24,7 @@
     Fifo, // arrival at each host, hash order between hosts
     Exchanged, // the claims of FairShares; its settings tell decayed slot time from slots in use
     Local, // start-time fair queueing at each host without messages, hash order between hosts
-    Optimum, // one FairShares for all hosts, which is told everything at once
+    Optimum, // one FairShares for all hosts, which receives everything without delay
 };
 
 struct ShareFleetShape {
