--- a/libs/capacity/include/capacity/EngineSpeeds.h
+++ b/libs/capacity/include/capacity/EngineSpeeds.h
@@ -56,6 +56,8 @@
     // Older evidence isn't reported: it would contradict what other nodes have seen since. Two steps of an engine that is four times slower.
     Duration reportLifetime_ = 200ms;
     Duration medianPeriod_ = 500ms; // between two computations of the medians
+    // Shorter times between events count as this long: they differ by the jitter of event loops and connections, and no caller notices.
+    Duration shortestGap_ = 5ms;
 };
 
 class EngineSpeeds {
--- a/libs/capacity/src/EngineSpeeds.cpp
+++ b/libs/capacity/src/EngineSpeeds.cpp
@@ -141,6 +141,7 @@
 {
     if (gap <= Duration::zero())
         return;
+    gap = std::max(gap, settings_.shortestGap_);
     Engine& one = engines_[engine];
     one.service_ = service;
     const bool isFirst = one.eventAt_ == TimePoint();
--- a/libs/capacity/tests/EngineSpeedsTest.cpp
+++ b/libs/capacity/tests/EngineSpeedsTest.cpp
@@ -260,3 +260,17 @@
     CHECK_FALSE(slow[0].isStated_);
     CHECK(slow[0].since_ == foundAt);
 }
+
+// Guards against engines that are avoided because of the jitter of event loops and connections.
+TEST_CASE("engine speeds: differences of single milliseconds count as none")
+{
+    EngineSpeeds speeds = EngineSpeeds::create({}).value();
+    TimePoint now { 10s };
+    for (int round = 0; round < 500; ++round) {
+        now += 4ms;
+        for (std::uint64_t engine = 1; engine <= engines; ++engine)
+            speeds.recordEventGap(UpstreamId(engine), service, 4, engine <= engines / 2 ? Duration(500us) : Duration(2ms), now);
+    }
+    for (std::uint64_t engine = 1; engine <= engines; ++engine)
+        CHECK(speeds.slowdown(UpstreamId(engine), now) == 1);
+}
