Speeds: a request tests a slow engine that nothing is known of any longer

The engine had been slow in four of the first five seconds; the lasting part fades with a half-life of up to 30 s, and the other engines had free slots all the time. Ruled out: the stated figure, which is ignored 1.2 s after its last header. Change: an idle engine that counts as slow without evidence for a quarter of the time for which it was seen (1 to 10 s) ranks as usual until one request runs there. Both new tests fail without the rule.

--- a/libs/capacity/include/capacity/EngineSpeeds.h
+++ b/libs/capacity/include/capacity/EngineSpeeds.h
@@ -55,6 +55,9 @@
     Duration distrustTime_ = 10s;
     // Older evidence isn't reported: it would contradict what other nodes have seen since. Two steps of an engine that is four times slower.
     Duration reportLifetime_ = 200ms;
+    // Limits of the time without evidence after which a request tests a slow engine.
+    Duration minTrialInterval_ = 1s;
+    Duration maxTrialInterval_ = 10s;
     Duration medianPeriod_ = 500ms; // between two computations of the medians
     // Shorter times between events count as this long: they differ by the jitter of event loops and connections, and no caller notices.
     Duration shortestGap_ = 5ms;
@@ -83,6 +86,9 @@
     double slowdown(UpstreamId engine, TimePoint now) const;
     // The same as a power of two, and 0 for differences that may be noise.
     double difference(UpstreamId engine, TimePoint now) const;
+    // Returns whether an engine that counts as slow has brought no evidence of it for so long that a request should test it. The time is a
+    // quarter of the time for which the engine was seen, because a difference that was seen for longer is likelier to last.
+    bool isTrialDue(UpstreamId engine, TimePoint now) const;
     // Returns whether some engine may differ; picks look up nothing otherwise.
     bool mayDiffer() const { return !differing_.empty(); }
 
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -201,6 +201,9 @@
     constexpr double bandsPerDouble = 2;
     if (!speeds_.mayDiffer())
         return 0;
+    // One request at a time tests an engine that was slow, as with a half-open circuit breaker.
+    if (engine.total(now) == 0 && speeds_.isTrialDue(engine.entry_.id_, now))
+        return 0;
     return std::clamp(static_cast<int>(std::lround(speeds_.difference(engine.entry_.id_, now) * bandsPerDouble)), -usualBand, usualBand);
 }
 
--- a/libs/capacity/src/EngineSpeeds.cpp
+++ b/libs/capacity/src/EngineSpeeds.cpp
@@ -285,6 +285,18 @@
 
 double EngineSpeeds::slowdown(UpstreamId engine, TimePoint now) const { return std::exp2(difference(engine, now)); }
 
+bool EngineSpeeds::isTrialDue(UpstreamId engine, TimePoint now) const
+{
+    if (difference(engine, now) <= 0)
+        return false;
+    const Engine& one = engines_.at(engine);
+    // An engine that states that it is usual is no evidence that it is slow.
+    const TimePoint statedAt = one.stated_ >= settings_.minMomentary_ ? one.statedAt_ : TimePoint();
+    const TimePoint seenAt = std::max({ one.eventAt_, statedAt, one.heardAt_ });
+    const Duration interval = std::clamp<Duration>(std::max(one.seenFor_, one.heardFor_) / 4, settings_.minTrialInterval_, settings_.maxTrialInterval_);
+    return now - seenAt >= interval;
+}
+
 void EngineSpeeds::apply(NodeId /*node*/, std::span<const EngineSpeedReport> report, TimePoint now)
 {
     for (const EngineSpeedReport& one : report) {
--- a/libs/capacity/tests/EngineSpeedsTest.cpp
+++ b/libs/capacity/tests/EngineSpeedsTest.cpp
@@ -142,6 +142,28 @@
     CHECK(watcher.slowdown(1) == 1);
 }
 
+// Guards against an engine that is given up because it was slow in most of the seconds in which it was seen.
+TEST_CASE("engine speeds: an engine without evidence is due for a trial after a quarter of the time for which it was seen")
+{
+    Watcher watcher;
+    watcher.watch(4s, firstIsSlow);
+    watcher.watch(500ms, usual, 1);
+    CHECK(watcher.slowdown(1) > 2);
+    CHECK_FALSE(watcher.speeds_.isTrialDue(UpstreamId(1), watcher.now_));
+    watcher.watch(1s, usual, 1);
+    CHECK(watcher.slowdown(1) > 2);
+    CHECK(watcher.speeds_.isTrialDue(UpstreamId(1), watcher.now_));
+    CHECK_FALSE(watcher.speeds_.isTrialDue(UpstreamId(2), watcher.now_));
+    // The engine's own statement that it is slow is evidence, and so is another node's report.
+    watcher.speeds_.recordStatedSlowdown(UpstreamId(1), 400, watcher.now_);
+    CHECK_FALSE(watcher.speeds_.isTrialDue(UpstreamId(1), watcher.now_));
+    watcher.watch(1500ms, usual, 1);
+    CHECK(watcher.speeds_.isTrialDue(UpstreamId(1), watcher.now_));
+    const EngineSpeedReport report[] = { { UpstreamId(1), 160, 128 } };
+    watcher.speeds_.apply(NodeId(2), report, watcher.now_);
+    CHECK_FALSE(watcher.speeds_.isTrialDue(UpstreamId(1), watcher.now_));
+}
+
 TEST_CASE("engine speeds: engines that all turn slow together count as usual")
 {
     Watcher watcher;
--- a/libs/capacity/tests/SpeedPickTest.cpp
+++ b/libs/capacity/tests/SpeedPickTest.cpp
@@ -191,6 +191,31 @@
     }
 }
 
+// Guards against a slow engine that gets no request as long as others have room, and against several requests that test it.
+TEST_CASE("speeds: one request tests a slow engine without recent evidence, although others have free slots")
+{
+    CapacityBoard board({}, NodeId(1), { CellId(1), RegionId(1), FailureDomainId(0) }, 1);
+    for (std::size_t engine = 0; engine < 4; ++engine)
+        board.upsert(entryOf(engine));
+    const auto slow = UpstreamId(1);
+    TimePoint now { 10s };
+    const auto playEvents = [&](Duration length, std::size_t first) {
+        for (const TimePoint end = now + length; now < end;) {
+            now += 80ms;
+            for (std::size_t engine = first; engine < 4; ++engine)
+                board.recordEventGap(UpstreamId(engine + 1), engine == 0 ? 80ms : 20ms, now);
+        }
+    };
+    playEvents(4s, 0);
+    for (std::size_t engine = 1; engine < 4; ++engine)
+        board.started(UpstreamId(engine + 1), WorkClass::OnlineRequest);
+    CHECK(board.pickOnline("s", 1s, false, {}, now).engine_ != slow);
+    playEvents(1500ms, 1);
+    CHECK(board.pickOnline("s", 1s, false, {}, now).engine_ == slow);
+    board.started(slow, WorkClass::OnlineRequest);
+    CHECK(board.pickOnline("s", 1s, false, {}, now).engine_ != slow);
+}
+
 // A fleet of 300 hosts has 800 engines. The control work of a host may take 1.4% of a core; 16 picks a second (4,700 requests by 300 hosts)
 // may therefore take 14 ms of each second, 900 us each. Half of that is left to all other work.
 TEST_CASE("speeds: a pick among 800 engines that all differ, and an event, stay cheap")
