Http: a client connection that waits for bytes holds no buffer

Each connection to an engine that waited for bytes had 16 KB prepared for the read, a thousand of them 16 MB, and the byte budget doesn't count them. Ruled out: thresholds of the allocator (mallopt) had no clear effect. Change: the client waits for readiness and reads to the stack, as the server does; a paused connection leaves bytes in the kernel. Tests that state the default follow it.

--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -13,6 +13,7 @@
 namespace {
 
     constexpr std::size_t readBytes = 16 * 1024;
+    constexpr std::size_t keptBytes = 2 * 1024; // of an empty buffer; most events are smaller
     constexpr int firstFinalStatus = 200;
 
     using SteadyClock = std::chrono::steady_clock;
@@ -200,26 +201,39 @@
 {
     if (reading_ || closed_)
         return;
-    if (isPaused()) {
-        buffer_.shrink_to_fit(); // isn't counted by the byte budget
+    // The buffer isn't counted by the byte budget.
+    if (isPaused() || (buffer_.size() == 0 && buffer_.capacity() > keptBytes))
+        buffer_.shrink_to_fit();
+    if (isPaused())
         return;
-    }
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(readBytes), [self = shared_from_this()](error_code error, std::size_t bytes) { self->onRead(error, bytes); });
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) { self->onReadable(error); });
 }
 
-void ClientConnection::onRead(error_code error, std::size_t bytes)
+// Reads to the stack, as the server does: a thousand answers under way would otherwise hold a buffer each while they wait.
+void ClientConnection::onReadable(error_code error)
 {
     reading_ = false;
     if (closed_)
         return;
-    if (std::exchange(endsAfterRead_, false) && call_) {
-        buffer_.commit(bytes);
+    if (std::exchange(endsAfterRead_, false) && call_)
         return deliverReceived();
-    }
+    if (isPaused())
+        return readSome();
+    std::array<char, readBytes> input; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by the read
+    if (!error)
+        socket_.non_blocking(true, error);
+    const std::size_t bytes = error ? 0 : socket_.read_some(asio::buffer(input), error);
+    if (error == asio::error::would_block)
+        return readSome();
+    onRead(error, { input.data(), bytes });
+}
+
+void ClientConnection::onRead(error_code error, std::string_view data)
+{
     if (error)
         return onReadEnd(error);
-    buffer_.commit(bytes);
+    buffer_.commit(asio::buffer_copy(buffer_.prepare(data.size()), asio::buffer(data)));
     if (!call_)
         return close(); // bytes that nobody asked for: not a connection to trust with the next call
     if (!lingering_)
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -79,7 +79,8 @@
     bool isPaused() const { return call_ && call_->pacing_ == Pacing::Paused; }
     void noteResumed();
     void readSome();
-    void onRead(error_code error, std::size_t bytes);
+    void onReadable(error_code error);
+    void onRead(error_code error, std::string_view data);
     void onReadEnd(error_code error);
     void deliverReceived();
     void linger();
--- a/libs/serving/include/serving/ServingSettings.h
+++ b/libs/serving/include/serving/ServingSettings.h
@@ -52,7 +52,7 @@
     std::size_t diskBytes_ = 64U * 1024 * 1024; // size of the disk, of which a quarter is used
     std::size_t descriptors_ = 1024; // file descriptors that the process may open
     std::size_t memoryBytes_ = 0; // memory of the host; 0: unknown
-    std::uint32_t buffersPercent_ = 15; // of the memory, for bytes that are held for slow peers
+    std::uint32_t buffersPercent_ = 12; // of the memory, for bytes that are held for slow peers
     std::uint32_t logLinesPerSecond_ = 400;
 
     // Returns the limit of the bytes that the process holds for slow peers.
--- a/libs/serving/tests/ServingSettingsTest.cpp
+++ b/libs/serving/tests/ServingSettingsTest.cpp
@@ -30,7 +30,7 @@
 {
     CHECK(bufferBytes("") == 64 * megabyte);
     CHECK(bufferBytes("buffers-percent = 50") == 64 * megabyte);
-    CHECK(bufferBytes("memory-mb = 160") / 1000 == 160 * megabyte * 15 / 100 / 1000);
+    CHECK(bufferBytes("memory-mb = 160") / 1000 == 160 * megabyte * 12 / 100 / 1000);
     CHECK(bufferBytes("memory-mb = 200\nbuffers-percent = 50") == 100 * megabyte);
     // Smaller budgets couldn't hold an ordinary request body.
     CHECK(bufferBytes("memory-mb = 1\nbuffers-percent = 5") == 4 * megabyte);
