Speeds: a slow engine that would miss a route's target between events is picked after other slots

Cause: the target maxEventGap_ was judged after the answer only. Change: CapacityBoard::pickOnline takes the route's target. An engine of the own cell that is slow and expected to miss it ranks after the other slots of the cell and the free ones of the region, and before other regions, queues and refusals. Without a target, or where no engine differs, the order is unchanged. The test fails without the rule.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -227,8 +227,9 @@
     // ---- picks
     // Picks an engine for an online request. `bound`: how long the first event may take. `tried`: engines that the request was sent to
     // before. `repeatable`: the request may be sent to another engine if this one fails. `version`: the only software version whose engines
-    // may be picked; none: any.
-    EnginePick pickOnline(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version = SoftwareVersionId::none());
+    // may be picked; none: any. `maxEventGap`: the target for the time between two events; zero: none. An engine that is slow and expected to
+    // miss it is picked only after all other free slots of the cell and of the region.
+    EnginePick pickOnline(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version = SoftwareVersionId::none(), Duration maxEventGap = Duration::zero());
     // Returns whether an engine of the service with this software version is known and not draining.
     bool hasVersion(std::string_view service, SoftwareVersionId version) const;
     // Returns whether the engine is still known as the instance that it was when it was picked: another start has another id.
@@ -358,6 +359,8 @@
     // Returns how the engine's expected time compares with the others', in bands; 0: as usual. Engines of one band rank alike, so that nodes
     // don't all pick the fastest one.
     int speedBand(const Engine& engine, TimePoint now) const;
+    // Returns whether the engine is slow and expected to exceed this time between two events with one more request. Zero: never.
+    bool exceedsEventGap(const Engine& engine, Duration maxEventGap, TimePoint now) const;
     // Combines the band with the rank of the engine among those of its band; the lowest rank is preferred.
     static std::uint64_t rankInBand(int band, std::uint64_t rank);
     static int bandForPatientItems(int band);
--- a/libs/capacity/include/capacity/EngineSpeeds.h
+++ b/libs/capacity/include/capacity/EngineSpeeds.h
@@ -86,6 +86,8 @@
     double slowdown(UpstreamId engine, TimePoint now) const;
     // The same as a power of two, and 0 for differences that may be noise.
     double difference(UpstreamId engine, TimePoint now) const;
+    // Returns the expected time between events while the engine runs this many requests. Zero: unknown.
+    Duration expectedGap(UpstreamId engine, std::uint32_t running, TimePoint now) const;
     // Returns whether an engine that counts as slow has brought no evidence of it for so long that a request should test it. The time is a
     // quarter of the time for which the engine was seen, because a difference that was seen for longer is likelier to last.
     bool isTrialDue(UpstreamId engine, TimePoint now) const;
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -122,7 +122,7 @@
     });
 }
 
-EnginePick CapacityBoard::pickOnline(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version)
+EnginePick CapacityBoard::pickOnline(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version, Duration maxEventGap)
 {
     expireReports(now);
     // Order of preference: a free slot in this cell, a slot in this cell after preempting a batch item, the same two in other cells of the
@@ -130,6 +130,7 @@
     struct Best {
         const Engine* engine_ = nullptr;
         std::uint64_t rank_ = 0;
+        bool exceedsGap_ = false;
     };
     const auto serviceId = idFromName<ServiceId>(service);
     // While requests wait, every slot is used. Nodes that all preferred the same freed slots would collide at them.
@@ -154,21 +155,23 @@
         constexpr std::uint64_t stageWeight = 1ULL << 32;
         constexpr std::uint64_t queueStage = 6;
         constexpr std::uint64_t otherDomain = 1;
+        constexpr std::uint64_t exceededGapStages = 3; // after the region's free slots; other regions cost more than a late event
         const auto distance = static_cast<std::uint64_t>(engineDistance);
-        const std::uint64_t stage = kind == PickKind::Queues ? queueStage + distance : 2 * distance + (preemptsBatch ? 1 : 0);
+        const bool exceedsGap = isSpeedUsed && isSameCell && kind != PickKind::Queues && exceedsEventGap(engine, maxEventGap, now);
+        const std::uint64_t stage = kind == PickKind::Queues ? queueStage + distance : 2 * distance + (preemptsBatch ? 1 : 0) + (exceedsGap ? exceededGapStages : 0);
         const std::uint64_t load = isFree ? rankInBand(bandOf(engine), freeRank(engine, engineDistance, now)) : preemptsBatch ? rankInBand(bandOf(engine), engine.nonPreemptibleLoad(now))
                                                                                                                               : static_cast<std::uint64_t>(wait / 1ms);
         const std::uint64_t rank = stage * stageWeight + load * 2 + (engine.entry_.domain_ == location_.domain_ ? 0 : otherDomain);
         if (best.engine_ && rank >= best.rank_)
             return;
-        best = { &engine, rank };
+        best = { &engine, rank, exceedsGap };
         pick = { kind, engine.entry_.id_, wait };
     };
     visitByDistance({ serviceId, repeatable, tried, now, version }, [&](EngineDistance distance, std::span<Engine* const> engines) {
         for (const Engine* engine : engines)
             consider(*engine, distance);
         const bool hasSlot = pick.kind_ == PickKind::Free || pick.kind_ == PickKind::PreemptsBatch;
-        return !hasSlot; // a slot that is farther away ranks lower
+        return !hasSlot || best.exceedsGap_; // a slot that is farther away ranks lower
     });
     if (!pick.isSome())
         pick.wait_ = shortest;
@@ -207,6 +210,11 @@
     return std::clamp(static_cast<int>(std::lround(speeds_.difference(engine.entry_.id_, now) * bandsPerDouble)), -usualBand, usualBand);
 }
 
+bool CapacityBoard::exceedsEventGap(const Engine& engine, Duration maxEventGap, TimePoint now) const
+{
+    return maxEventGap > Duration::zero() && speedBand(engine, now) > 0 && speeds_.expectedGap(engine.entry_.id_, engine.total(now) + 1, now) > maxEventGap;
+}
+
 std::uint64_t CapacityBoard::rankInBand(int band, std::uint64_t rank)
 {
     constexpr std::uint64_t bandWeight = 1ULL << 24; // more than any rank within a band
--- a/libs/capacity/src/EngineSpeeds.cpp
+++ b/libs/capacity/src/EngineSpeeds.cpp
@@ -285,6 +285,22 @@
 
 double EngineSpeeds::slowdown(UpstreamId engine, TimePoint now) const { return std::exp2(difference(engine, now)); }
 
+Duration EngineSpeeds::expectedGap(UpstreamId engine, std::uint32_t running, TimePoint now) const
+{
+    const auto found = engines_.find(engine);
+    const auto service = found == engines_.end() ? services_.end() : services_.find(found->second.service_);
+    if (service == services_.end())
+        return Duration::zero();
+    // With more requests the time is longer, so the next smaller number that was seen is a lower bound.
+    const Service& all = service->second;
+    std::size_t bucket = std::min<std::size_t>(running, Service::buckets - 1);
+    while (bucket > 0 && all.events_[bucket] < minBucketEvents)
+        --bucket;
+    if (all.events_[bucket] < minBucketEvents)
+        return Duration::zero();
+    return fromSeconds(std::exp2(all.usual_[bucket] + all.median_ + all.momentaryMedian_ + difference(engine, now)));
+}
+
 bool EngineSpeeds::isTrialDue(UpstreamId engine, TimePoint now) const
 {
     if (difference(engine, now) <= 0)
--- a/libs/capacity/tests/SpeedPickTest.cpp
+++ b/libs/capacity/tests/SpeedPickTest.cpp
@@ -191,6 +191,46 @@
     }
 }
 
+// Guards against streams whose events are all late at a slow engine while a sound engine would preempt an item or is in another cell.
+TEST_CASE("speeds: a slow engine whose events would be late is picked after the other slots of the cell and the region")
+{
+    CapacityBoard board({}, NodeId(1), { CellId(1), RegionId(1), FailureDomainId(0) }, 1);
+    for (std::size_t engine = 0; engine < 3; ++engine) {
+        EngineEntry entry = entryOf(engine);
+        entry.slots_ = 1;
+        board.upsert(entry);
+    }
+    const auto slow = UpstreamId(1);
+    TimePoint now { 10s };
+    for (int step = 0; step < 100; ++step) {
+        now += 80ms;
+        for (std::size_t engine = 0; engine < 3; ++engine)
+            board.recordEventGap(UpstreamId(engine + 1), engine == 0 ? 80ms : 20ms, now);
+    }
+    const auto pickWith = [&](Duration maxEventGap) { return board.pickOnline("s", 1s, true, {}, now, SoftwareVersionId::none(), maxEventGap); };
+    board.started(UpstreamId(2), WorkClass::OnlineRequest);
+    board.started(UpstreamId(3), WorkClass::BatchItem);
+    CHECK(pickWith(Duration::zero()).engine_ == slow);
+    CHECK(pickWith(100ms).engine_ == slow);
+    CHECK(pickWith(50ms).engine_ == UpstreamId(3));
+    CHECK(pickWith(50ms).kind_ == PickKind::PreemptsBatch);
+    // Without any other slot it is still used.
+    board.ended(UpstreamId(3), WorkClass::BatchItem);
+    board.started(UpstreamId(3), WorkClass::OnlineRequest);
+    CHECK(pickWith(50ms).engine_ == slow);
+    // In another cell of the region; a slot in another region isn't better.
+    EngineEntry other = entryOf(3);
+    other.cell_ = CellId(2);
+    other.region_ = RegionId(2);
+    board.upsert(other);
+    CHECK(pickWith(50ms).engine_ == slow);
+    other.id_ = UpstreamId(5);
+    other.region_ = RegionId(1);
+    board.upsert(other);
+    CHECK(pickWith(50ms).engine_ == UpstreamId(5));
+    CHECK(pickWith(Duration::zero()).engine_ == slow);
+}
+
 // Guards against a slow engine that gets no request as long as others have room, and against several requests that test it.
 TEST_CASE("speeds: one request tests a slow engine without recent evidence, although others have free slots")
 {
--- a/libs/serving/src/RelaySilence.cpp
+++ b/libs/serving/src/RelaySilence.cpp
@@ -93,7 +93,7 @@
     const Duration budget = firstEventBudget();
     // As in dispatch(), a free slot goes to the requests that are already queued, unless this one resumes.
     if (isResumed() || context_.board_.waiting(service_) == 0) {
-        if (startSecondRun(context_.board_.pickOnline(service_, budget, true, tried_, context_.now(), boundVersion_)))
+        if (startSecondRun(context_.board_.pickOnline(service_, budget, true, tried_, context_.now(), boundVersion_, route_.maxEventGap_)))
             return;
     }
     // A queued request that no engine can take would hold up the requests and items behind it.
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -181,7 +181,7 @@
     allowLeftEngines();
     const TimePoint now = context_.now();
     const Duration budget = firstEventBudget();
-    EnginePick pick = offers_ < maxOffers ? context_.board_.pickOnline(service_, budget, route_.isRepeatable(), tried_, now, boundVersion_) : EnginePick {};
+    EnginePick pick = offers_ < maxOffers ? context_.board_.pickOnline(service_, budget, route_.isRepeatable(), tried_, now, boundVersion_, route_.maxEventGap_) : EnginePick {};
     // A free slot goes to the requests that are already queued, unless this one resumes: its caller has a part of the answer. If the queue is
     // too long for this request to be served in time, it must not take that slot either, because a queued request is about to take it.
     const bool hasSlot = pick.kind_ == PickKind::Free || pick.kind_ == PickKind::PreemptsBatch;
