Shares: claims follow a host's own usage, and the sums correct them

All hosts see the same sums, 1 to 2 s old, and gave slots to the same workspaces until the next ones; the estimate of the other hosts' changes only damped it. Change: a claim is the usage of this host, scaled to the fleet, times the square of the workspace's deviation from its share, times a slow correction that takes out what remains. The margin between hosts grows with the scale. The bytes are the same.

--- a/libs/shares/include/shares/FairShares.h
+++ b/libs/shares/include/shares/FairShares.h
@@ -10,7 +10,8 @@
 // The claim of a waiting request is its rank and the slot time that its workspace has used recently over all nodes, divided by its weight. The
 // request with the lowest claim goes first, so a workspace that uses less than its share overtakes those that use more, until all use equal
 // shares or have no request waiting. Usage is an exponentially weighted mean of the slots in use: it counts slot time, not requests, and a
-// refused request changes nothing. A request that starts adds the slot time that a run is expected to take at once, as in start-time fair
+// refused request changes nothing. Each node follows its own usage, and what it hears of the others' corrects it slowly, so that the nodes
+// don't all serve the same workspace between two messages. A request that starts adds the slot time that a run is expected to take at once, as in start-time fair
 // queueing: the mean follows so slowly that a workspace would otherwise get all slots that become free within a moment.
 //
 // Only what has been used is exchanged, and only while requests compete. A node that hears of no other uses its own part alone.
@@ -44,9 +45,14 @@
     double lowerRanksFraction_ = 0.1; // of the slot time, which the lower ranks together get at least while they want it
     std::size_t maxReported_ = 32; // workspaces in one message
     float minReportedSlots_ = 0.02F; // smaller usage isn't reported; its claim is close to zero anyway
-    // The hosts see the same sums, and give slots to the same workspaces until the next ones. So a change of this node's usage is taken as a
-    // sample of the changes elsewhere: those are expected to be larger by the ratio of the slots, but at most by this factor.
-    double maxAnticipation_ = 64;
+    // Whether claims follow the usage of this node, which it knows at any moment, and the sums only correct them. Claims that follow the sums
+    // make all hosts give slots to the same workspaces until the next ones.
+    bool isOwnUsageLeading_ = true;
+    double maxFleetRatio_ = 400; // of all slots in use to those of this node; it may use almost none
+    // With each sum, the claims of a workspace are multiplied by the ratio of its usage to its share to this power, up to this factor. It
+    // removes the difference that remains where a workspace has callers at few hosts only.
+    double correctionGain_ = 0.2;
+    double maxCorrection_ = 4;
     // Of its share that a workspace uses at most if it counts as below it. A workspace that alone uses nearly all slots sets the level of the
     // shares itself, and its usage changes by a tenth from one moment to the next.
     double belowShareFraction_ = 0.75;
@@ -88,6 +94,8 @@
 
     // ---- decisions
     Claim claim(WorkspaceId workspace, Rank rank, TimePoint now) const;
+    // Returns the slots that a workspace has used recently, over all nodes.
+    double slotsOf(WorkspaceId workspace, TimePoint now) const;
     // Returns by how much one more request raises the usage of a workspace's claims. Smaller differences of claims mean nothing.
     float usageOfOneRun(WorkspaceId workspace) const;
     // Returns whether the workspace uses clearly less than its max-min share of all slots in use.
@@ -143,6 +151,8 @@
     }
 
     double meanSlots(const Usage& usage, TimePoint now) const;
+    // Returns what a run that has just begun adds to the usage.
+    double chargeOfOneRun() const;
     // Returns the mean and what the running requests add to it.
     double chargedSlots(const Usage& usage, TimePoint now) const;
     void change(Usage& usage, int slots, TimePoint now);
@@ -150,10 +160,11 @@
     double weightOf(WorkspaceId workspace) const;
     // Returns the max-min share of a workspace of weight 1.
     double shareLevel(TimePoint now) const;
-    // Returns the usage over all nodes.
-    double slotsOf(WorkspaceId workspace, TimePoint now) const;
-    // Returns the usage over all nodes with the changes that are expected since the last sum.
-    double anticipatedSlots(WorkspaceId workspace, TimePoint now) const;
+    // Returns the usage that claims follow: this node's, scaled to all nodes and corrected by what the sums say.
+    double claimedSlots(WorkspaceId workspace, TimePoint now) const;
+    // Returns the usage over all nodes relative to the share of the workspace.
+    double deviation(WorkspaceId workspace, TimePoint now) const;
+    void updateCorrections(TimePoint now);
     // Returns the usage of a rank and all lower ones, over all nodes and at this one.
     double slotsFrom(Rank rank, TimePoint now) const;
     double ownSlotsFrom(Rank rank, TimePoint now) const;
@@ -181,8 +192,9 @@
     std::optional<ReceivedSum> fleetSum_; // the last one of the delegate of this cell
     std::optional<CellId> ownCell_; // set while this node acts as a delegate
     SlotsInUse others_; // usage of all other nodes
-    std::unordered_map<WorkspaceId, double> ownAtSums_; // usage of this node when others_ was computed
-    double expectedChange_ = 0; // of the other hosts' usage, relative to the change of this node's
+    double fleetRatio_ = 1; // of all slots in use to those of this node, as of others_
+    std::unordered_map<WorkspaceId, double> corrections_; // of claims; of the workspaces in others_ only
+    TimePoint correctedAt_ {};
     SlotsInUse fleetSlots_; // usage of all nodes, at a delegate, as of the last sums
     TimePoint competedAt_ {};
     TimePoint reportAt_ {}; // the earliest time of the next report
--- a/libs/shares/src/FairShares.cpp
+++ b/libs/shares/src/FairShares.cpp
@@ -74,15 +74,17 @@
     return usage.running_ + (usage.slots_ - usage.running_) * rest;
 }
 
+double FairShares::chargeOfOneRun() const { return std::numbers::ln2 * toSeconds(expectedRun_) / toSeconds(settings_.halfLife_); }
+
 double FairShares::chargedSlots(const Usage& usage, TimePoint now) const
 {
-    const double ofOneRun = std::numbers::ln2 * toSeconds(expectedRun_) / toSeconds(settings_.halfLife_);
-    return meanSlots(usage, now) + usage.running_ * ofOneRun;
+    return meanSlots(usage, now) + usage.running_ * chargeOfOneRun();
 }
 
 float FairShares::usageOfOneRun(WorkspaceId workspace) const
 {
-    return static_cast<float>(std::numbers::ln2 * toSeconds(expectedRun_) / toSeconds(settings_.halfLife_) / weightOf(workspace));
+    const double scale = settings_.isOwnUsageLeading_ && !others_.workspaces_.empty() ? fleetRatio_ : 1;
+    return static_cast<float>(scale * chargeOfOneRun() / weightOf(workspace));
 }
 
 void FairShares::change(Usage& usage, int slots, TimePoint now)
@@ -125,16 +127,42 @@
     return (own == ownWorkspaces_.end() ? 0 : chargedSlots(own->second, now)) + (others == others_.workspaces_.end() ? 0 : others->second);
 }
 
-double FairShares::anticipatedSlots(WorkspaceId workspace, TimePoint now) const
+double FairShares::deviation(WorkspaceId workspace, TimePoint now) const
 {
-    const double known = slotsOf(workspace, now);
-    if (others_.workspaces_.empty())
-        return known;
-    const auto own = ownWorkspaces_.find(workspace);
-    const double ownNow = own == ownWorkspaces_.end() ? 0 : chargedSlots(own->second, now);
-    const auto before = ownAtSums_.find(workspace);
-    const double change = ownNow - (before == ownAtSums_.end() ? 0 : before->second);
-    return std::max(ownNow, known + expectedChange_ * change);
+    constexpr double most = 100;
+    const double share = shareLevel(now) * weightOf(workspace);
+    return share > 0 ? std::clamp(slotsOf(workspace, now) / share, 1 / most, most) : 1;
+}
+
+// The square of the deviation makes up for connections that are spread unevenly. A higher power makes the hosts act on each sum together, and
+// overshoot.
+double FairShares::claimedSlots(WorkspaceId workspace, TimePoint now) const
+{
+    if (!settings_.isOwnUsageLeading_ || others_.workspaces_.empty())
+        return slotsOf(workspace, now);
+    const auto found = ownWorkspaces_.find(workspace);
+    const double own = found == ownWorkspaces_.end() ? 0 : chargedSlots(found->second, now);
+    // Half a run, so that workspaces which this node hasn't served yet are ordered by the sums.
+    const double prior = chargeOfOneRun() / 2;
+    const auto correction = corrections_.find(workspace);
+    const double ratio = deviation(workspace, now);
+    return std::max(own, (own + prior) * fleetRatio_ * ratio * ratio * (correction == corrections_.end() ? 1 : correction->second));
+}
+
+// A larger step would correct the same deviation several times before the usage, a mean over seconds, shows the effect.
+void FairShares::updateCorrections(TimePoint now)
+{
+    constexpr double mostPerStep = 2;
+    if (correctedAt_ != TimePoint() && now - correctedAt_ < settings_.reportInterval_)
+        return;
+    correctedAt_ = now;
+    std::unordered_map<WorkspaceId, double> corrections;
+    for (const auto& [workspace, slots] : others_.workspaces_) {
+        const auto before = corrections_.find(workspace);
+        const double step = std::pow(std::clamp(deviation(workspace, now), 1 / mostPerStep, mostPerStep), settings_.correctionGain_);
+        corrections[workspace] = std::clamp((before == corrections_.end() ? 1 : before->second) * step, 1 / settings_.maxCorrection_, settings_.maxCorrection_);
+    }
+    corrections_ = std::move(corrections);
 }
 
 double FairShares::ownSlotsFrom(Rank rank, TimePoint now) const
@@ -196,7 +224,7 @@
         return {};
     Claim claim;
     if (!weights_.empty() && !workspace.isNone())
-        claim.usage_ = static_cast<float>(anticipatedSlots(workspace, now) / weightOf(workspace));
+        claim.usage_ = static_cast<float>(claimedSlots(workspace, now) / weightOf(workspace));
     if (!ranksDiffer_ || rank == 0)
         return claim;
     if (areLowerRanksStarved(rank, now))
@@ -427,9 +455,6 @@
 void FairShares::rebuildOthers(TimePoint now)
 {
     others_ = {};
-    ownAtSums_.clear();
-    for (const auto& [workspace, usage] : ownWorkspaces_)
-        ownAtSums_[workspace] = chargedSlots(usage, now);
     levelAt_ = {};
     if (ownCell_) {
         for (const auto& [node, received] : reports_)
@@ -441,9 +466,9 @@
     } else if (fleetSum_) {
         others_.add(fleetSum_->sum_.workspaces_, fleetSum_->sum_.ranks_);
     }
-    // The change at this host is a small sample of that at all hosts, so only half of what it suggests is expected.
     const double own = ownSlotsFrom(0, now);
-    expectedChange_ = own > 0 ? std::min(settings_.maxAnticipation_, (slotsFrom(0, now) - own) / own / 2) : 0;
+    fleetRatio_ = own > 0 ? std::clamp(slotsFrom(0, now) / own, 1.0, settings_.maxFleetRatio_) : 1;
+    updateCorrections(now);
     adaptLowerFraction(now);
 }
 
--- a/tools/sharefleet/main.cpp
+++ b/tools/sharefleet/main.cpp
@@ -21,18 +21,18 @@
 
 std::vector<Way> allWays()
 {
-    // Decayed slot time alone, without an estimate of what other hosts have changed since the last sum.
+    // Claims that follow the sums.
     FairShareSettings plain;
     plain.halfLife_ = 2s;
-    plain.maxAnticipation_ = 0;
+    plain.isOwnUsageLeading_ = false;
     // Without a half-life and without a charge, usage is the number of slots that are occupied now.
     FairShareSettings now;
     now.halfLife_ = 1ms;
-    now.maxAnticipation_ = 0;
+    now.isOwnUsageLeading_ = false;
     return {
         { "today", ShareWay::Fifo },
         { "A plain", ShareWay::Exchanged, plain },
-        { "A kept", ShareWay::Exchanged },
+        { "kept", ShareWay::Exchanged },
         { "B now", ShareWay::Exchanged, now, false },
         { "C local", ShareWay::Local },
         { "optimum", ShareWay::Optimum },
