Http: the end of a pause doesn't extend the time for connecting

Cause: resumeReading() while the connection was being opened replaced the deadline of connectTime_ by that of idle_, and began a read on a socket without a connection. A peer that accepts nothing held the call for idle_ (10 s in the test) instead of connectTime_ (200 ms). Change: a pause that ends while connecting is only noted; send() begins to read. Result: the new test fails without the change and passes with it. No present caller pauses a call before its first byte.

--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -90,6 +90,8 @@
         if (self->call_ != call)
             return;
         self->noteResumed();
+        if (self->connecting_)
+            return; // the time for connecting goes on, and send() begins to read
         if (!self->lingering_)
             self->expectProgress(call->options_.idle_);
         self->readSome();
--- a/libs/http/tests/PauseCloseTest.cpp
+++ b/libs/http/tests/PauseCloseTest.cpp
@@ -181,3 +181,40 @@
     CHECK(connection.end_.has_value());
     CHECK_FALSE(connection.error_);
 }
+
+// Guards against a connection attempt without a bound because a pause ended meanwhile.
+TEST_CASE("pause: its end while the connection is being opened doesn't extend the time for that")
+{
+    boost::asio::io_context serverIo;
+    tcp::acceptor acceptor(serverIo);
+    acceptor.open(tcp::v4());
+    acceptor.bind({ boost::asio::ip::make_address("127.0.0.1"), 0 });
+    acceptor.listen(0);
+    // The queue of the listener is full: further connections are neither accepted nor refused.
+    std::vector<tcp::socket> filling;
+    for (int count = 0; count < 4; ++count) {
+        filling.emplace_back(serverIo);
+        filling.back().async_connect(acceptor.local_endpoint(), [](boost::system::error_code) {});
+    }
+    serverIo.run_for(50ms);
+    boost::asio::io_context io;
+    ClientSettings settings;
+    settings.connectTime_ = 200ms;
+    Client client(io, settings);
+    CallOptions options;
+    options.idle_ = 10s;
+    std::error_code error;
+    CallHandlers handlers;
+    handlers.onError_ = [&error](const CallFailure& failure) { error = failure.code_; };
+    const auto call = client.send({ "127.0.0.1", acceptor.local_endpoint().port() }, {}, options, std::move(handlers));
+    io.run_for(50ms);
+    SUBCASE("no pause") { }
+    SUBCASE("a pause")
+    {
+        call->pauseReading();
+        call->resumeReading();
+    }
+    io.restart();
+    io.run_for(1s);
+    CHECK(error == Error::ConnectTimedOut);
+}
