Speeds: an engine that would miss the target between events keeps its place before other regions

Cause: three stages were added to such an engine, so that two kinds of slots shared a stage and the speed band decided between them. With its slot held by an item it ranked with the free slots of other regions and lost to them. Free, it ranked with the items of other cells of the region, one of which was preempted. An engine of another cell that misses the target as well had no stages added and went first. Change: slow engines of the cell, then those of other cells of the region, have stages of their own after the region's free slots. They come before items of other cells and before other regions, which are no longer visited.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -228,7 +228,7 @@
     // Picks an engine for an online request. `bound`: how long the first event may take. `tried`: engines that the request was sent to
     // before. `repeatable`: the request may be sent to another engine if this one fails. `version`: the only software version whose engines
     // may be picked; none: any. `maxEventGap`: the target for the time between two events; zero: none. An engine that is slow and expected to
-    // miss it is picked only after all other free slots of the cell and of the region.
+    // miss it is picked only after the other slots of the cell and the free ones of the region that meet it.
     EnginePick pickOnline(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version = SoftwareVersionId::none(), Duration maxEventGap = Duration::zero());
     // Returns whether an engine of the service with this software version is known and not draining.
     bool hasVersion(std::string_view service, SoftwareVersionId version) const;
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -153,12 +153,15 @@
         const PickKind kind = isFree ? PickKind::Free : preemptsBatch ? PickKind::PreemptsBatch
                                                                       : PickKind::Queues;
         constexpr std::uint64_t stageWeight = 1ULL << 32;
-        constexpr std::uint64_t queueStage = 6;
+        constexpr std::uint64_t queueStage = 9;
         constexpr std::uint64_t otherDomain = 1;
-        constexpr std::uint64_t exceededGapStages = 3; // after the region's free slots; other regions cost more than a late event
+        // Slow engines come after the region's free slots. A slot of another region, or of an item in another cell, costs more than a late event.
+        constexpr std::uint64_t regionFreeStage = 2;
+        constexpr std::uint64_t exceededGapStages = regionFreeStage + 1;
         const auto distance = static_cast<std::uint64_t>(engineDistance);
-        const bool exceedsGap = isSpeedUsed && isSameCell && kind != PickKind::Queues && exceedsEventGap(engine, maxEventGap, now);
-        const std::uint64_t stage = kind == PickKind::Queues ? queueStage + distance : 2 * distance + (preemptsBatch ? 1 : 0) + (exceedsGap ? exceededGapStages : 0);
+        const bool exceedsGap = isSpeedUsed && engineDistance != EngineDistance::OtherRegion && kind != PickKind::Queues && exceedsEventGap(engine, maxEventGap, now);
+        const std::uint64_t slotStage = 2 * distance + (preemptsBatch ? 1 : 0);
+        const std::uint64_t stage = kind == PickKind::Queues ? queueStage + distance : slotStage + (exceedsGap || slotStage > regionFreeStage ? exceededGapStages : 0);
         const std::uint64_t load = isFree ? rankInBand(bandOf(engine), freeRank(engine, engineDistance, now)) : preemptsBatch ? rankInBand(bandOf(engine), engine.nonPreemptibleLoad(now))
                                                                                                                               : static_cast<std::uint64_t>(wait / 1ms);
         const std::uint64_t rank = stage * stageWeight + load * 2 + (engine.entry_.domain_ == location_.domain_ ? 0 : otherDomain);
@@ -171,7 +174,8 @@
         for (const Engine* engine : engines)
             consider(*engine, distance);
         const bool hasSlot = pick.kind_ == PickKind::Free || pick.kind_ == PickKind::PreemptsBatch;
-        return !hasSlot || best.exceedsGap_; // a slot that is farther away ranks lower
+        const bool mayRegionBeBetter = best.exceedsGap_ && distance == EngineDistance::SameCell;
+        return !hasSlot || mayRegionBeBetter; // any other slot that is farther away ranks lower
     });
     if (!pick.isSome())
         pick.wait_ = shortest;
