Speeds: a stated figure that is ignored doesn't delay the trial

Cause: a load header that says slow counted as evidence for isTrialDue() also while events had contradicted it. It comes with responses of the health path too, so an idle engine with a wrong figure got no trial as long as the figure was ignored, 10 s after the last event. Change: the figure counts as evidence only while it isn't ignored. Result: the new test fails without the change and passes with it.

--- a/libs/capacity/src/EngineSpeeds.cpp
+++ b/libs/capacity/src/EngineSpeeds.cpp
@@ -306,9 +306,9 @@
     if (difference(engine, now) <= 0)
         return false;
     const Engine& one = engines_.at(engine);
-    // An engine that states that it is usual is no evidence that it is slow.
-    const TimePoint statedAt = one.stated_ >= settings_.minMomentary_ ? one.statedAt_ : TimePoint();
-    const TimePoint seenAt = std::max({ one.eventAt_, statedAt, one.heardAt_ });
+    // Neither a figure that is ignored nor one that says that the engine works as usual is evidence that it is slow.
+    const bool isStatedSlow = one.stated_ >= settings_.minMomentary_ && now >= one.distrustedUntil_;
+    const TimePoint seenAt = std::max({ one.eventAt_, isStatedSlow ? one.statedAt_ : TimePoint(), one.heardAt_ });
     const Duration interval = std::clamp<Duration>(std::max(one.seenFor_, one.heardFor_) / 4, settings_.minTrialInterval_, settings_.maxTrialInterval_);
     return now - seenAt >= interval;
 }
--- a/libs/capacity/tests/EngineSpeedsTest.cpp
+++ b/libs/capacity/tests/EngineSpeedsTest.cpp
@@ -164,6 +164,24 @@
     CHECK_FALSE(watcher.speeds_.isTrialDue(UpstreamId(1), watcher.now_));
 }
 
+// Guards against an engine that isn't tested because of a figure that events have contradicted.
+TEST_CASE("engine speeds: a stated figure that is ignored doesn't delay the trial")
+{
+    Watcher watcher;
+    const auto state = [&watcher](Duration length, auto factorOf, std::uint64_t silentEngine) {
+        for (Duration passed {}; passed < length; passed += 100ms) {
+            watcher.speeds_.recordStatedSlowdown(UpstreamId(1), 1600, watcher.now_);
+            watcher.watch(100ms, factorOf, silentEngine);
+        }
+    };
+    state(4s, firstIsSlow, 0);
+    watcher.watch(100ms, usual, 1);
+    REQUIRE(watcher.slowdown(1) < 6); // the figure is ignored, and the events count
+    state(2s, usual, 1);
+    CHECK(watcher.slowdown(1) > 2);
+    CHECK(watcher.speeds_.isTrialDue(UpstreamId(1), watcher.now_));
+}
+
 TEST_CASE("engine speeds: engines that all turn slow together count as usual")
 {
     Watcher watcher;
