Speeds: a report that an engine works as usual doesn't delay the trial

Cause: any report of another node counted as evidence for isTrialDue(). A node that has seen the engine slow itself doesn't take over the lasting part of reports, so it avoided the engine, untested, for as long as another node reported that it works as usual, and for one interval after. Change: a report counts as evidence only if it says that the engine is slow. Result: the new test fails without the change and passes with it.

--- a/libs/capacity/src/EngineSpeeds.cpp
+++ b/libs/capacity/src/EngineSpeeds.cpp
@@ -308,7 +308,8 @@
     const Engine& one = engines_.at(engine);
     // Neither a figure that is ignored nor one that says that the engine works as usual is evidence that it is slow.
     const bool isStatedSlow = one.stated_ >= settings_.minMomentary_ && now >= one.distrustedUntil_;
-    const TimePoint seenAt = std::max({ one.eventAt_, isStatedSlow ? one.statedAt_ : TimePoint(), one.heardAt_ });
+    const bool isHeardSlow = one.heardLasting_ + one.heardMomentary_ >= settings_.minLasting_;
+    const TimePoint seenAt = std::max({ one.eventAt_, isStatedSlow ? one.statedAt_ : TimePoint(), isHeardSlow ? one.heardAt_ : TimePoint() });
     const Duration interval = std::clamp<Duration>(std::max(one.seenFor_, one.heardFor_) / 4, settings_.minTrialInterval_, settings_.maxTrialInterval_);
     return now - seenAt >= interval;
 }
--- a/libs/capacity/tests/EngineSpeedsTest.cpp
+++ b/libs/capacity/tests/EngineSpeedsTest.cpp
@@ -182,6 +182,20 @@
     CHECK(watcher.speeds_.isTrialDue(UpstreamId(1), watcher.now_));
 }
 
+// Guards against an engine that one node avoids for as long as others report that it works as usual.
+TEST_CASE("engine speeds: a report that an engine works as usual doesn't delay the trial")
+{
+    Watcher watcher;
+    watcher.watch(4s, firstIsSlow);
+    const EngineSpeedReport report[] = { { UpstreamId(1), 128, 128 } };
+    for (int round = 0; round < 15; ++round) {
+        watcher.watch(100ms, usual, 1);
+        watcher.speeds_.apply(NodeId(2), report, watcher.now_);
+    }
+    CHECK(watcher.slowdown(1) > 2);
+    CHECK(watcher.speeds_.isTrialDue(UpstreamId(1), watcher.now_));
+}
+
 TEST_CASE("engine speeds: engines that all turn slow together count as usual")
 {
     Watcher watcher;
