Speeds: about one node of a cell tests a slow engine at a time

Cause: a trial is due at all nodes at about the same time, and each of them sent its next request to the engine until a report of another one's request arrived. That takes up to 250 ms in large cells. Change: in each 250 ms the trial falls to one node of the cell on average, by hash. A node without others tests as before.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -359,6 +359,8 @@
     // Returns how the engine's expected time compares with the others', in bands; 0: as usual. Engines of one band rank alike, so that nodes
     // don't all pick the fastest one.
     int speedBand(const Engine& engine, TimePoint now) const;
+    // Returns whether this node may test a slow engine now.
+    bool isTrialTurn(const Engine& engine, TimePoint now) const;
     // Returns whether the engine is slow and expected to exceed this time between two events with one more request. Zero: never.
     bool exceedsEventGap(const Engine& engine, Duration maxEventGap, TimePoint now) const;
     // Combines the band with the rank of the engine among those of its band; the lowest rank is preferred.
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -209,11 +209,21 @@
     if (!speeds_.mayDiffer())
         return 0;
     // One request at a time tests an engine that was slow, as with a half-open circuit breaker.
-    if (engine.total(now) == 0 && speeds_.isTrialDue(engine.entry_.id_, now))
+    if (engine.total(now) == 0 && speeds_.isTrialDue(engine.entry_.id_, now) && isTrialTurn(engine, now))
         return 0;
     return std::clamp(static_cast<int>(std::lround(speeds_.difference(engine.entry_.id_, now) * bandsPerDouble)), -usualBand, usualBand);
 }
 
+// A trial is due at all nodes at about the same time, and the report that one has begun may take as long as a turn. So one node of the cell
+// tests the engine in each turn, on average.
+bool CapacityBoard::isTrialTurn(const Engine& engine, TimePoint now) const
+{
+    constexpr Duration turn = 250ms; // the longest interval between two reports of a node
+    const auto count = static_cast<std::uint64_t>(now.time_since_epoch() / turn);
+    const std::uint64_t nodes = reports_.size() + 1;
+    return mixHash(mixHash(engine.entry_.id_.value(), self_.value()), count) % nodes == 0;
+}
+
 bool CapacityBoard::exceedsEventGap(const Engine& engine, Duration maxEventGap, TimePoint now) const
 {
     return maxEventGap > Duration::zero() && speedBand(engine, now) > 0 && speeds_.expectedGap(engine.entry_.id_, engine.total(now) + 1, now) > maxEventGap;
--- a/libs/capacity/tests/SpeedPickTest.cpp
+++ b/libs/capacity/tests/SpeedPickTest.cpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <doctest/doctest.h>
+#include <memory>
 #include <string>
 
 using namespace jj;
@@ -256,6 +257,53 @@
     CHECK(board.pickOnline("s", 1s, false, {}, now).engine_ != slow);
 }
 
+// Guards against all nodes of a cell that test a slow engine at once, before any of them can know of the others' requests.
+TEST_CASE("speeds: a slow engine is tested by about one node of its cell at a time")
+{
+    constexpr std::uint32_t nodes = 20;
+    constexpr int turns = 40;
+    const auto slow = UpstreamId(1);
+    TimePoint now { 10s };
+    std::vector<std::unique_ptr<CapacityBoard>> boards;
+    for (std::uint32_t node = 1; node <= nodes; ++node) {
+        boards.push_back(std::make_unique<CapacityBoard>(CapacitySettings {}, NodeId(node), HostLocation { CellId(1), RegionId(1), FailureDomainId(0) }, node));
+        for (std::size_t engine = 0; engine < 4; ++engine)
+            boards.back()->upsert(entryOf(engine));
+    }
+    for (const TimePoint end = now + 4s; now < end; now += 80ms) {
+        for (const auto& board : boards) {
+            for (std::size_t engine = 0; engine < 4; ++engine)
+                board->recordEventGap(UpstreamId(engine + 1), engine == 0 ? 80ms : 20ms, now);
+        }
+    }
+    now += 1500ms;
+    int tests = 0;
+    int mostAtOnce = 0;
+    for (int turn = 0; turn < turns; ++turn, now += 250ms) {
+        // Each node runs a request on one of the other engines. No node has learned of another one's test.
+        NodeUse use;
+        use.incarnation_ = Incarnation(1);
+        use.sequence_ = static_cast<std::uint32_t>(turn + 1);
+        int atOnce = 0;
+        for (std::uint32_t node = 1; node <= nodes; ++node) {
+            CapacityBoard& board = *boards[node - 1];
+            for (std::uint32_t other = 1; other <= nodes; ++other) {
+                use.node_ = NodeId(other);
+                use.uses_ = { { UpstreamId(2 + other % 3), 1, 0, 0 } };
+                if (other != node)
+                    board.applyReport(use, now);
+            }
+            atOnce += board.pickOnline("s", 1s, false, {}, now).engine_ == slow ? 1 : 0;
+        }
+        tests += atOnce;
+        mostAtOnce = std::max(mostAtOnce, atOnce);
+    }
+    MESSAGE("a slow engine without evidence: " << tests << " tests in " << turns << " turns, at most " << mostAtOnce << " at once");
+    CHECK(tests >= turns / 2);
+    CHECK(tests <= turns * 2);
+    CHECK(mostAtOnce <= 6);
+}
+
 // A fleet of 300 hosts has 800 engines. The control work of a host may take 1.4% of a core; 16 picks a second (4,700 requests by 300 hosts)
 // may therefore take 14 ms of each second, 900 us each. Half of that is left to all other work.
 TEST_CASE("speeds: a pick among 800 engines that all differ, and an event, stay cheap")
