Http: a client connection sets the non-blocking mode once

Cause: each read of the client set the mode again, one ioctl for each piece of an answer. Change: the mode is set before the first read of a connection.

--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -223,7 +223,7 @@
     if (isPaused())
         return readSome();
     std::array<char, readBytes> input; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by the read
-    if (!error)
+    if (!error && !socket_.non_blocking())
         socket_.non_blocking(true, error);
     const std::size_t bytes = error ? 0 : socket_.read_some(asio::buffer(input), error);
     if (error == asio::error::would_block)
