--- a/libs/capacity/src/EngineSpeeds.cpp
+++ b/libs/capacity/src/EngineSpeeds.cpp
@@ -306,7 +306,7 @@
     if (difference(engine, now) <= 0)
         return false;
     const Engine& one = engines_.at(engine);
-    // Neither a figure that is ignored nor one that says that the engine works as usual is evidence that it is slow.
+    // Neither a figure that is ignored nor one that states that the engine works as usual is evidence that it is slow.
     const bool isStatedSlow = one.stated_ >= settings_.minMomentary_ && now >= one.distrustedUntil_;
     const bool isHeardSlow = one.heardLasting_ + one.heardMomentary_ >= settings_.minLasting_;
     const TimePoint seenAt = std::max({ one.eventAt_, isStatedSlow ? one.statedAt_ : TimePoint(), isHeardSlow ? one.heardAt_ : TimePoint() });
--- a/libs/http/include/http/ByteBudget.h
+++ b/libs/http/include/http/ByteBudget.h
@@ -5,7 +5,7 @@
 //     hold.resize(queue.size());                                // whenever the queue grows or shrinks
 //     if (hold.bytes() >= budget->share()) ...                  // the connection counts as full
 //
-// The budget only counts: connections stop reading from the other side, refuse requests or are closed according to what it says. Without
+// The budget only counts: connections stop reading from the other side, refuse requests or are closed according to its counts. Without
 // it, each connection had a limit of its own, and a thousand of them together exceeded the memory of a small host.
 #pragma once
 
--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -94,7 +94,7 @@
     void whenDrained(std::function<void()> callback);
     // Returns whether the writer should stop until the reader has taken more: the queue has reached this connection's share of the budget.
     bool isQueueFull() const;
-    // Calls back once, when the queue has fallen below half of that, or when the client is gone. May be called at once. A later callback
+    // Calls back once, when the queue has fallen below half of that, or when the client has disconnected. May be called at once. A later callback
     // replaces one that hasn't been called yet.
     void whenWritable(std::function<void()> callback);
     // Returns for how long the client has taken no byte of the queue; nullopt if nothing is queued.
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -98,7 +98,7 @@
     for (const auto& [name, job] : jobs_) {
         if (!job->mayRun(now))
             continue;
-        std::optional<double> usage; // of the job's workspace, once an urgent item asks for it
+        std::optional<double> usage; // of the job's workspace, once an urgent item needs it
         for (std::size_t index = 0; index < job->items_.size(); ++index) {
             Item& item = job->items_[index];
             if (item.state_ != ItemState::Waiting || now < item.notBefore_)
