Http: the byte budget bounds what stalled streams hold

A heap profile at the peak shows two causes:

- A connection kept both of its emptied buffers up to 16 KB.
The budget counts no empty buffer, so 16 MB of them were uncounted.
Kept now: 2 KB.
- The counted bytes reached 40 MB with a limit of 20.
A stream whose queue was below its share read on although the budget had no room, and held an event in its queue and up to 16 KB of the next one in the scanner.
Now a stream goes on only once its reader has taken everything while the budget is exhausted, and answers are read by 4 KB meanwhile.

Ruled out: thresholds of the allocator (mallopt, 32 to 128 KB: 58 to 65 MB). Returning free pages (malloc_trim) in addition saved 1 to 3 MB and isn't kept.

Each of the three new tests fails without its change.

--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -13,6 +13,7 @@
 #include "base/Endpoint.h"
 #include "base/Result.h"
 #include "base/Time.h"
+#include "http/ByteBudget.h"
 #include "http/Message.h"
 
 #include <cstddef>
@@ -44,6 +45,7 @@
     std::size_t trailerBytes_ = 16 * 1024;
     std::uint32_t interimAnswers_ = 8; // 1xx answers before the final one
     std::size_t bodyBytes_ = 16 * 1024 * 1024; // of a whole answer (fetch); streams have no limit
+    std::shared_ptr<const ByteBudget> budget_ {}; // while it is exhausted, answers are read in small pieces; null: never
 };
 
 struct CallOptions {
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -13,6 +13,8 @@
 namespace {
 
     constexpr std::size_t readBytes = 16 * 1024;
+    // While the byte budget is exhausted: the part of an event that comes with the one before it waits until its stream goes on.
+    constexpr std::size_t smallReadBytes = 4 * 1024;
     constexpr std::size_t keptBytes = 2 * 1024; // of an empty buffer; most events are smaller
     constexpr int firstFinalStatus = 200;
 
@@ -225,7 +227,9 @@
     std::array<char, readBytes> input; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by the read
     if (!error && !socket_.non_blocking())
         socket_.non_blocking(true, error);
-    const std::size_t bytes = error ? 0 : socket_.read_some(asio::buffer(input), error);
+    const auto& budget = shared_->settings_.budget_;
+    const bool isExhausted = budget && !budget->hasRoom(ByteUse::Answers, readBytes);
+    const std::size_t bytes = error ? 0 : socket_.read_some(asio::buffer(input.data(), isExhausted ? smallReadBytes : readBytes), error);
     if (error == asio::error::would_block)
         return readSome();
     onRead(error, { input.data(), bytes });
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -62,7 +62,7 @@
 // Clears `text`. A large capacity is freed, because it isn't counted by the byte budget.
 inline void clearBuffer(std::string& text)
 {
-    constexpr std::size_t keptBytes = std::size_t { 16 } * 1024;
+    constexpr std::size_t keptBytes = std::size_t { 2 } * 1024;
     text.clear();
     if (text.capacity() > keptBytes)
         std::string().swap(text);
@@ -148,6 +148,8 @@
     void startLocked(int status, const Headers& headers, const std::string* wholeBody);
     std::size_t queuedLocked() const { return outbox_.pending_.size() + outbox_.writing_; }
     std::size_t fullBytes() const;
+    bool isBudgetExhausted() const;
+    bool isWritableLocked() const;
     // Accounts for the bytes that the outbox holds.
     void countLocked();
     void cutOffIfStalled();
--- a/libs/http/src/ServerOutbox.cpp
+++ b/libs/http/src/ServerOutbox.cpp
@@ -161,13 +161,23 @@
 bool ServerConnection::isQueueFull(std::uint64_t turn) const
 {
     const std::lock_guard lock(mutex_);
-    return isCurrent(turn) && queuedLocked() >= fullBytes();
+    return isCurrent(turn) && (queuedLocked() >= fullBytes() || (queuedLocked() > 0 && isBudgetExhausted()));
 }
 
+bool ServerConnection::isBudgetExhausted() const
+{
+    const std::shared_ptr<ByteBudget>& budget = shared_->settings_.budget_;
+    return budget && !budget->hasRoom(ByteUse::Answers, spareBytes(*budget));
+}
+
+// While the budget is exhausted, a reader gets more only once it has taken everything. Otherwise a thousand stalled readers with a share
+// of one event each would hold an event, and the next one in part, beyond the budget.
+bool ServerConnection::isWritableLocked() const { return queuedLocked() == 0 || (queuedLocked() < fullBytes() / 2 && !isBudgetExhausted()); }
+
 void ServerConnection::whenWritable(std::uint64_t turn, std::function<void()> callback)
 {
     const std::lock_guard lock(mutex_);
-    if (!isCurrent(turn) || queuedLocked() < fullBytes() / 2)
+    if (!isCurrent(turn) || isWritableLocked())
         return asio::post(socket_.get_executor(), std::move(callback));
     outbox_.onWritable_ = std::move(callback);
     trimBuffer(outbox_.pending_); // nothing is added before the reader has taken some
@@ -176,7 +186,7 @@
 
 std::function<void()> ServerConnection::takeWritableLocked()
 {
-    if (!outbox_.onWritable_ || queuedLocked() >= fullBytes() / 2)
+    if (!outbox_.onWritable_ || !isWritableLocked())
         return nullptr;
     return std::exchange(outbox_.onWritable_, nullptr);
 }
@@ -188,7 +198,7 @@
         return;
     // Capacities, because strings that grow have up to twice the memory of their bytes.
     outbox_.hold_.resize((outbox_.pending_.empty() ? 0 : outbox_.pending_.capacity()) + outbox_.inFlight_);
-    if (!budget->hasRoom(ByteUse::Answers, spareBytes(*budget)))
+    if (isBudgetExhausted())
         relieveBudgetSoon(shared_);
 }
 
--- a/libs/http/tests/ByteBudgetServerTest.cpp
+++ b/libs/http/tests/ByteBudgetServerTest.cpp
@@ -399,6 +399,67 @@
     CHECK(allocated() < before + connections * 64 * kib);
 }
 
+// Guards against streams that keep the two buffers of their last events, which the budget doesn't count.
+TEST_CASE("byte budget: streams whose reader has taken everything keep no large buffers")
+{
+    constexpr int connections = 32;
+    const auto allocated = [] {
+        const auto info = ::mallinfo2();
+        return info.uordblks + info.hblkhd;
+    };
+    Budgeted budgeted({}, 64 * kib * kib);
+    std::vector<tcp::socket> sockets;
+    std::vector<std::shared_ptr<Exchange>> streams;
+    std::string answer(15 * kib, 0);
+    const auto writeAll = [&](std::size_t bytes) {
+        for (int count = 0; count < connections; ++count) {
+            streams[static_cast<std::size_t>(count)]->write(std::string(bytes, 'e'));
+            boost::asio::read(sockets[static_cast<std::size_t>(count)], boost::asio::buffer(answer, bytes));
+        }
+        CHECK(comesTrue([&] { return budgeted.isEmpty(); }));
+    };
+    for (int count = 0; count < connections; ++count) {
+        sockets.push_back(budgeted.connect(plainGet));
+        streams.push_back(budgeted.stream(static_cast<std::size_t>(count)));
+    }
+    writeAll(100);
+    const std::size_t before = allocated();
+    for (int round = 0; round < 3; ++round)
+        writeAll(15 * kib);
+    CHECK(allocated() < before + connections * 8 * kib);
+    for (const auto& stream : streams)
+        stream->abort();
+}
+
+// Guards against a thousand stalled readers that each hold an event, and a part of the next one, beyond the budget.
+TEST_CASE("byte budget: while it is exhausted, a reader gets more only once it has taken everything")
+{
+    Budgeted budgeted({}, 512 * kib, 20s);
+    tcp::socket socket = budgeted.connect(plainGet, 16 * kib);
+    const auto stream = budgeted.stream(0);
+    fillQueue(budgeted, *stream, 1);
+    REQUIRE(stream->queuedBytes() > 0);
+    CHECK_FALSE(stream->isQueueFull());
+    std::atomic<int> calls = 0;
+    stream->whenWritable([&] { ++calls; });
+    CHECK(comesTrue([&] { return calls == 1; }));
+
+    ByteHold other = budgeted.budget_->hold(ByteUse::Answers);
+    other.resize(512 * kib);
+    CHECK(stream->isQueueFull());
+    stream->whenWritable([&] { ++calls; });
+    std::this_thread::sleep_for(50ms);
+    CHECK(calls == 1);
+    std::atomic<bool> stop = false;
+    std::thread reader([&] { readSlowly(socket, 64 * kib, 1ms, stop); });
+    CHECK(comesTrue([&] { return calls == 2; }));
+    CHECK(stream->queuedBytes() == 0);
+    CHECK_FALSE(stream->isQueueFull());
+    stream->abort();
+    stop = true;
+    reader.join();
+}
+
 // Guards against clients that fill a host by what they send ahead while their request is handled.
 TEST_CASE("what a client sends ahead of its answer is read by one piece only")
 {
--- a/libs/http/tests/PauseTest.cpp
+++ b/libs/http/tests/PauseTest.cpp
@@ -3,9 +3,11 @@
 
 #include "http/Server.h"
 
+#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
+#include <utility>
 
 using namespace jj;
 using namespace jj::http;
@@ -29,8 +31,9 @@
 
 // A call, its event loop and what has come of it so far.
 struct Reader {
-    explicit Reader(Duration idle, std::function<void(Reader&)> onData = {})
-        : onData_(std::move(onData))
+    explicit Reader(Duration idle, std::function<void(Reader&)> onData = {}, ClientSettings settings = {})
+        : client_(io_, std::move(settings))
+        , onData_(std::move(onData))
     {
         options_.idle_ = idle;
     }
@@ -74,7 +77,7 @@
 
     boost::asio::io_context io_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_ = boost::asio::make_work_guard(io_);
-    Client client_ { io_, {} };
+    Client client_;
     CallOptions options_;
     std::function<void(Reader&)> onData_;
     std::shared_ptr<Call> call_;
@@ -109,6 +112,30 @@
     CHECK((reader.body_ == body));
 }
 
+// Guards against many streams that each hold a large part of an event which their pause keeps from its end.
+TEST_CASE("pause: while the byte budget is exhausted, answers are read in small pieces")
+{
+    constexpr std::size_t kib = 1024;
+    constexpr std::size_t smallPiece = 4 * kib;
+    const auto budget = ByteBudget::create({ 512 * kib, 16 * kib, 128 * kib }).value();
+    ByteHold other = budget->hold(ByteUse::Uploads);
+    const ScriptedEngine engine([] { return Script { answerOf(patternOf(longBytes)) }; });
+    for (const bool isExhausted : { false, true }) {
+        other.resize(isExhausted ? 512 * kib : 0);
+        std::size_t largest = 0;
+        std::size_t before = 0;
+        Reader reader(
+            1s, [&](Reader& self) {
+                largest = std::max(largest, self.body_.size() - std::exchange(before, self.body_.size()));
+            },
+            { .budget_ = budget });
+        reader.send(engine.at());
+        reader.runToEnd();
+        CHECK((reader.body_ == patternOf(longBytes)));
+        CHECK((largest <= smallPiece) == isExhausted);
+    }
+}
+
 TEST_CASE("pause: an engine that is silent after the pause is given up after the idle time")
 {
     const ScriptedEngine engine(Script { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", {}, 0, std::chrono::seconds(5) });
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -93,8 +93,8 @@
     , seed_(mixHash(hash64(settings.name_), incarnation_.value()))
     , random_(seed_)
     , board_(CapacitySettings(), ownNodeId(settings), { CellId::none(), idFromName<RegionId>(settings.region_), idFromName<FailureDomainId>(settings.domain_) }, seed_)
-    , engines_(io_, { .connectTime_ = 250ms, .pooledIdle_ = 12s, .pooledPerEndpoint_ = 32, .headerBytes_ = 32 * 1024, .bodyBytes_ = 16 * 1024 * 1024 })
     , budget_(makeBudget(settings.bufferBytes()))
+    , engines_(io_, { .connectTime_ = 250ms, .pooledIdle_ = 12s, .pooledPerEndpoint_ = 32, .headerBytes_ = 32 * 1024, .bodyBytes_ = 16 * 1024 * 1024, .budget_ = budget_ })
     , context_ { io_, settings_, translation_, log_, servingMetrics_, board_, engines_, budget_ }
     , timer_(io_)
     , signals_(io_, SIGTERM, SIGINT, SIGHUP)
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -109,8 +109,8 @@
     std::mt19937_64 random_;
     WireKey key_;
     CapacityBoard board_;
-    http::Client engines_;
     std::shared_ptr<http::ByteBudget> budget_;
+    http::Client engines_;
     Context context_;
     std::unique_ptr<StoreLink> store_;
     std::unique_ptr<Fleet> fleet_;
