Speeds: an engine of unknown speed is tested while others are fast

All engines had become faster; those that served requests since then looked fast, and were preferred as long as they had room. Engines that were registered again had no evidence, counted as usual and got no request, so that they stayed unknown.

While some engine of the service is fast, an idle engine without evidence of the last minute, own or heard, now ranks first for one request, by the same turns as trials of slow engines. Where no engine is fast nothing changes.

The new test of picks fails without it.

--- a/libs/capacity/include/capacity/EngineSpeeds.h
+++ b/libs/capacity/include/capacity/EngineSpeeds.h
@@ -14,7 +14,7 @@
 // The lasting part of the factor follows many events, and single ones only by a bounded step. The momentary part follows the last events.
 // A new prompt delays one step of all streams of an engine, so the events of one step count as one, and a step counts no more than the one
 // before it. What the engine states and what other nodes report adds to the momentary part. All of it loses weight with age, so that
-// single requests test an engine that was slow. Values are relative to the median of the service's engines: engines that all turn slow
+// single requests test an engine that was slow. An engine that nothing is known of may be as fast as the fastest one, and is tested too. Values are relative to the median of the service's engines: engines that all turn slow
 // together count as usual.
 #pragma once
 
@@ -58,6 +58,7 @@
     // Limits of the time without evidence after which a request tests a slow engine.
     Duration minTrialInterval_ = 1s;
     Duration maxTrialInterval_ = 10s;
+    Duration evidenceLifetime_ = 60s; // an engine without newer evidence counts as unobserved; two half-lives of the lasting part
     Duration medianPeriod_ = 500ms; // between two computations of the medians
     // Shorter times between events count as this long: they differ by the jitter of event loops and connections, and no caller notices.
     Duration shortestGap_ = 5ms;
@@ -91,6 +92,10 @@
     // Returns whether an engine that counts as slow has brought no evidence of it for so long that a request should test it. The time is a
     // quarter of the time for which the engine was seen, because a difference that was seen for longer is likelier to last.
     bool isTrialDue(UpstreamId engine, TimePoint now) const;
+    // Returns whether this node has no evidence of the engine, neither its own nor another node's, or only an old one.
+    bool isUnobserved(UpstreamId engine, TimePoint now) const;
+    // Returns whether an engine of the service was fast within the last second.
+    bool hasFast(ServiceId service, TimePoint now) const;
     // Returns whether some engine may differ; picks look up nothing otherwise.
     bool mayDiffer() const { return !differing_.empty(); }
 
@@ -137,6 +142,7 @@
         double median_ = 0; // of the lasting parts of the engines
         double momentaryMedian_ = 0;
         TimePoint medianAt_ {};
+        TimePoint fastAt_ {}; // when an engine was last seen to be fast; none: never
 
         static constexpr double initialNoise = 0.2;
     };
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -208,10 +208,15 @@
     constexpr double bandsPerDouble = 2;
     if (!speeds_.mayDiffer())
         return 0;
+    const UpstreamId id = engine.entry_.id_;
+    const bool mayTest = engine.total(now) == 0 && isTrialTurn(engine, now);
     // One request at a time tests an engine that was slow, as with a half-open circuit breaker.
-    if (engine.total(now) == 0 && speeds_.isTrialDue(engine.entry_.id_, now) && isTrialTurn(engine, now))
+    if (mayTest && speeds_.isTrialDue(id, now))
         return 0;
-    return std::clamp(static_cast<int>(std::lround(speeds_.difference(engine.entry_.id_, now) * bandsPerDouble)), -usualBand, usualBand);
+    // While fast engines have room the others get no requests, so that an engine of unknown speed would never be compared with them.
+    if (mayTest && speeds_.hasFast(engine.groupPlace_.service_, now) && speeds_.isUnobserved(id, now))
+        return -usualBand;
+    return std::clamp(static_cast<int>(std::lround(speeds_.difference(id, now) * bandsPerDouble)), -usualBand, usualBand);
 }
 
 // A trial is due at all nodes at about the same time, and the report that one has begun may take as long as a turn. So one node of the cell
--- a/libs/capacity/src/EngineSpeeds.cpp
+++ b/libs/capacity/src/EngineSpeeds.cpp
@@ -274,8 +274,27 @@
 
 void EngineSpeeds::noteDifference(UpstreamId id, const Engine& engine, TimePoint now)
 {
-    if (valueOf(engine, true, now).sum() != 0)
+    const double value = valueOf(engine, true, now).sum();
+    if (value != 0)
         differing_.insert(id);
+    if (value < 0 && !engine.service_.isNone())
+        services_[engine.service_].fastAt_ = now;
+}
+
+bool EngineSpeeds::isUnobserved(UpstreamId engine, TimePoint now) const
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end())
+        return true;
+    const Engine& one = found->second;
+    const TimePoint seenAt = std::max({ one.events_ < settings_.minEvents_ ? TimePoint() : one.eventAt_, one.statedAt_, one.heardAt_ });
+    return seenAt == TimePoint() || now - seenAt >= settings_.evidenceLifetime_;
+}
+
+bool EngineSpeeds::hasFast(ServiceId service, TimePoint now) const
+{
+    const auto found = services_.find(service);
+    return found != services_.end() && found->second.fastAt_ != TimePoint() && now - found->second.fastAt_ < busyGap;
 }
 
 double EngineSpeeds::difference(UpstreamId engine, TimePoint now) const
--- a/libs/capacity/tests/EngineSpeedsTest.cpp
+++ b/libs/capacity/tests/EngineSpeedsTest.cpp
@@ -2,6 +2,8 @@
 #include "capacity/EngineSpeeds.h"
 
 #include <doctest/doctest.h>
+#include <functional>
+#include <vector>
 
 using namespace jj;
 
@@ -165,6 +167,28 @@
 }
 
 // Guards against an engine that isn't tested because of a figure that events have contradicted.
+TEST_CASE("engine speeds: an engine counts as observed for a minute after evidence of any kind")
+{
+    const auto engine = UpstreamId(1);
+    const auto stated = [&](EngineSpeeds& speeds, TimePoint now) { speeds.recordStatedSlowdown(engine, 100, now); };
+    const auto heard = [&](EngineSpeeds& speeds, TimePoint now) { speeds.apply(NodeId(2), std::vector<EngineSpeedReport> { { engine, 128, 128 } }, now); };
+    const auto seen = [&](EngineSpeeds& speeds, TimePoint now) {
+        for (int event = 0; event < 20; ++event)
+            speeds.recordEventGap(engine, service, 1, usualGap, now - (20 - event) * usualGap);
+    };
+    const std::function<void(EngineSpeeds&, TimePoint)> ways[] = { stated, heard, seen };
+    for (const auto& observe : ways) {
+        EngineSpeeds speeds = EngineSpeeds::create({}).value();
+        const TimePoint now { 10s };
+        CHECK(speeds.isUnobserved(engine, now));
+        speeds.insert(engine, service);
+        CHECK(speeds.isUnobserved(engine, now));
+        observe(speeds, now);
+        CHECK_FALSE(speeds.isUnobserved(engine, now + 59s));
+        CHECK(speeds.isUnobserved(engine, now + 61s));
+    }
+}
+
 TEST_CASE("engine speeds: a stated figure that is ignored doesn't delay the trial")
 {
     Watcher watcher;
--- a/libs/capacity/tests/SpeedPickTest.cpp
+++ b/libs/capacity/tests/SpeedPickTest.cpp
@@ -257,6 +257,37 @@
     CHECK(board.pickOnline("s", 1s, false, {}, now).engine_ != slow);
 }
 
+// Guards against engines that get no request because nothing is known of them: while the ones known to be fast have room, the others are
+// never observed. Engines of a software version that was registered anew got none.
+TEST_CASE("speeds: one request observes an engine of unknown speed, although fast engines have free slots")
+{
+    CapacityBoard board({}, NodeId(1), { CellId(1), RegionId(1), FailureDomainId(0) }, 1);
+    for (std::size_t engine = 0; engine < 4; ++engine)
+        board.upsert(entryOf(engine));
+    TimePoint now { 10s };
+    const auto playEvents = [&](Duration length, std::size_t engines) {
+        for (const TimePoint end = now + length; now < end;) {
+            now += 80ms;
+            for (std::size_t engine = 0; engine < engines; ++engine)
+                board.recordEventGap(UpstreamId(engine + 1), engine < 2 ? 20ms : 80ms, now);
+        }
+    };
+    playEvents(4s, 4);
+    CHECK(board.pickOnline("s", 1s, false, {}, now).engine_.value() <= 2);
+    board.upsert(entryOf(4));
+    const auto unknown = UpstreamId(5);
+    CHECK(board.pickOnline("s", 1s, false, {}, now).engine_ == unknown);
+    board.started(unknown, WorkClass::OnlineRequest);
+    CHECK(board.pickOnline("s", 1s, false, {}, now).engine_ != unknown);
+    board.ended(unknown, WorkClass::OnlineRequest);
+    for (int event = 0; event < 20; ++event) {
+        now += 80ms;
+        board.recordEventGap(unknown, 80ms, now);
+    }
+    playEvents(80ms, 2);
+    CHECK(board.pickOnline("s", 1s, false, {}, now).engine_.value() <= 2);
+}
+
 // Guards against all nodes of a cell that test a slow engine at once, before any of them can know of the others' requests.
 TEST_CASE("speeds: a slow engine is tested by about one node of its cell at a time")
 {
