--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -92,10 +92,11 @@
     std::size_t queuedBytes() const;
     // Calls back once, when the queue is (nearly) empty, or when the client is gone.
     void whenDrained(std::function<void()> callback);
-    // Returns whether the writer should stop until the reader has taken more: the queue has reached this connection's share of the budget.
+    // Returns whether the writer should stop until the reader has taken more: the queue has reached this connection's share of the budget,
+    // or the budget is exhausted and the queue isn't empty.
     bool isQueueFull() const;
-    // Calls back once, when the queue has fallen below half of that, or when the client has disconnected. May be called at once. A later callback
-    // replaces one that hasn't been called yet.
+    // Calls back once, when the queue has fallen below half of that share (to zero while the budget is exhausted), or when the client has
+    // disconnected. May be called at once. A later callback replaces one that hasn't been called yet.
     void whenWritable(std::function<void()> callback);
     // Returns for how long the client has taken no byte of the queue; nullopt if nothing is queued.
     std::optional<Duration> stalledFor() const;
