--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -13,7 +13,7 @@
 namespace {
 
     constexpr std::size_t readBytes = 16 * 1024;
-    // While the byte budget is exhausted: the part of an event that comes with the one before it waits until its stream goes on.
+    // At a time while the byte budget is exhausted: what comes of the next event with the end of one is held until the stream goes on.
     constexpr std::size_t smallReadBytes = 4 * 1024;
     constexpr std::size_t keptBytes = 2 * 1024; // of an empty buffer; most events are smaller
     constexpr int firstFinalStatus = 200;
