--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -4,6 +4,7 @@
 #include "ClientConnection.h"
 
 #include <boost/asio/post.hpp>
+#include <utility>
 
 namespace jj::http {
 
@@ -91,7 +92,7 @@
 }
 
 Client::Client(boost::asio::io_context& io, ClientSettings settings)
-    : shared_(std::make_shared<ClientShared>(io, settings))
+    : shared_(std::make_shared<ClientShared>(io, std::move(settings)))
 {
 }
 
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 
 namespace jj::http::detail {
 
@@ -22,7 +23,7 @@
 struct ClientShared {
     ClientShared(asio::io_context& io, ClientSettings settings)
         : io_(io)
-        , settings_(settings)
+        , settings_(std::move(settings))
     {
     }
 
