--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -277,6 +277,10 @@
     EngineUse useOf(UpstreamId engine) const;
 
 private:
+    // Engines at each distance that are looked at when this cell has no free slot. One free engine in a hundred is missed by one such pick
+    // in thirteen, and the next pick looks at others.
+    static constexpr std::size_t maxSampledEngines = 256;
+
     struct Engine {
         EngineEntry entry_;
         EngineGroupPlace groupPlace_;
