--- a/libs/jobs/tests/AuditTest.cpp
+++ b/libs/jobs/tests/AuditTest.cpp
@@ -129,7 +129,7 @@
     CHECK(executionsFrom("[]").error() == JobError::BadRecord);
 }
 
-TEST_CASE("the checker counts executions of at-most-once keys against what callers were told")
+TEST_CASE("the checker counts executions of at-most-once keys against what callers received")
 {
     AuditInput input;
     input.events_ = { CallEnded { "a", RunState::Ran }, KeyExecuted { "a", 1 }, CallEnded { "b", RunState::NotRun }, CallEnded { "c", RunState::OutcomeUnknown }, KeyExecuted { "c", 1 } };
--- a/libs/jobs/tests/CancelTest.cpp
+++ b/libs/jobs/tests/CancelTest.cpp
@@ -119,7 +119,7 @@
 
 TEST_CASE("cancel and completion have one order")
 {
-    // The operator is told that the job was cancelled, and the clerk that it is done. Both writes were on their way at once.
+    // The operator learns that the job was cancelled, and the clerk that it is done. Both writes were on their way at once.
     // Cause: two objects, one for each.
     for (std::uint32_t ms = 0; ms < 700; ms += 20) {
         JobWorld world(quickOptions());
--- a/libs/jobs/tests/IntentTest.cpp
+++ b/libs/jobs/tests/IntentTest.cpp
@@ -172,7 +172,7 @@
 
 TEST_CASE("a call that was refused while its intent was on its way may be sent again")
 {
-    // The intent's answer comes after the caller was told that nothing ran. The key must be free again, or the caller could never
+    // The intent's answer comes after the caller received that nothing ran. The key must be free again, or the caller could never
     // make this booking; nor may the call begin.
     JobWorld world(quickOptions());
     world.run(2s);
--- a/libs/jobs/tests/JobWorld.cpp
+++ b/libs/jobs/tests/JobWorld.cpp
@@ -327,4 +327,10 @@
     return finished ? auditFinished(input) : audit(input);
 }
 
+const RefuseUpload* refused(JobWorld& world, std::uint64_t upload)
+{
+    world.runUntil([&] { return world.seen<RefuseUpload>(upload) || world.seen<Acknowledge>(upload); }, 30s);
+    return world.seen<RefuseUpload>(upload);
+}
+
 } // namespace jj
--- a/libs/jobs/tests/JobWorld.h
+++ b/libs/jobs/tests/JobWorld.h
@@ -156,4 +156,7 @@
 JobSettings quickSettings();
 WorldOptions quickOptions(std::uint32_t nodes = 2);
 
+// Runs until the upload has been answered, and returns its refusal; null: it was accepted.
+const RefuseUpload* refused(JobWorld& world, std::uint64_t upload);
+
 } // namespace jj
