Usual terms in comments, names and test names; neutral names of generated sites

"told" and "teller" stood for reports, requests and distinctions in 59 places; each now has the usual word (reported, asked, distinguished, learns, receives), and the one that asked for a cancel is the requester.

All targets build; 896 tests are listed before and after.

--- a/libs/base/include/base/Error.h
+++ b/libs/base/include/base/Error.h
@@ -8,7 +8,7 @@
 
 namespace jj {
 
-// Whether a request took effect upstream, as told to its caller.
+// Whether a request took effect upstream, as reported to its caller.
 enum class RunState : std::uint8_t {
     NotRun, // no byte of the request can have reached an upstream
     Ran, // the upstream answered
--- a/libs/base/include/base/Time.h
+++ b/libs/base/include/base/Time.h
@@ -1,6 +1,6 @@
 // Time as the whole project sees it.
 //
-// Decision code never asks the system for the time: it is told a TimePoint with each event and tick. A TimePoint counts
+// Decision code never asks the system for the time: it receives a TimePoint with each event and tick. A TimePoint counts
 // nanoseconds of the runtime's monotonic clock of one process and means nothing in another process. What has to mean the same
 // on all hosts (deadlines kept in the object API, lease expiry shown to operators) is a WallTime.
 //
@@ -42,7 +42,7 @@
         } -> std::same_as<WallTime>;
 };
 
-// A clock that stands still until told to advance.
+// A clock that stands still until it is advanced.
 class ManualClock {
 public:
     TimePoint now() const { return now_; }
--- a/libs/base/tests/BaseTest.cpp
+++ b/libs/base/tests/BaseTest.cpp
@@ -23,7 +23,7 @@
     CHECK(mixHash(1, 2) != mixHash(2, 1));
 }
 
-TEST_CASE("a manual clock moves only when told")
+TEST_CASE("a manual clock moves only when it is advanced")
 {
     ManualClock clock;
     const TimePoint start = clock.now();
--- a/libs/decisions/src/EntryRole.cpp
+++ b/libs/decisions/src/EntryRole.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    // What a caller is told when nothing better is known.
+    // What a caller receives when nothing better is known.
     constexpr Duration standardRetryAfter = std::chrono::seconds(1);
     constexpr Duration firstBackoff = std::chrono::milliseconds(20);
     // How long an upstream that failed a request of ours is left out, unless its home says that it is well.
--- a/libs/decisions/src/FairQueue.h
+++ b/libs/decisions/src/FairQueue.h
@@ -22,7 +22,7 @@
 public:
     struct Entry {
         RequestId request_;
-        // Changes each time the request is queued, so that an entry of an earlier stay is told apart.
+        // Changes each time the request is queued, so that an entry of an earlier stay is distinguished.
         std::uint64_t ticket_ = 0;
         std::uint32_t cost_ = 1;
     };
--- a/libs/decisions/src/HomeRole.cpp
+++ b/libs/decisions/src/HomeRole.cpp
@@ -184,7 +184,7 @@
     if (spec.class_ == RequestClass::Online)
         state.stay_ += stayWeight * (toSeconds(now - item->dispatchedAt_) - state.stay_);
     clearSuspect(request, state, now, out);
-    // A stream that was told to yield with its last token on the way has its whole answer: resumed behind its end, no engine would
+    // A stream that was asked to yield with its last token on the way has its whole answer: resumed behind its end, no engine would
     // take it, and its job would never be done.
     if (item->running_)
         countRunning(request, state, -1);
@@ -206,7 +206,7 @@
         return;
     const UpstreamId upstream = item->upstream_;
     EngineState& state = engine(upstream);
-    // A stream that was told to yield has failed before: what its engine did counts, and the stream goes on elsewhere.
+    // A stream that was asked to yield has failed before: what its engine did counts, and the stream goes on elsewhere.
     if (item->running_) {
         item->position_ = std::max(item->position_, event.position_);
         countRunning(request, state, -1);
--- a/libs/decisions/src/HomeRole.h
+++ b/libs/decisions/src/HomeRole.h
@@ -118,7 +118,7 @@
         std::uint32_t engines_ = 1;
     };
     boost::unordered_flat_map<ServiceId, ServiceHeat, std::hash<ServiceId>> heats_;
-    // Jobs without slack, as the newest hand-over of each told.
+    // Jobs without slack, as stated by the newest hand-over of each.
     boost::unordered_flat_map<JobId, TimePoint, std::hash<JobId>> urgentJobs_;
     std::size_t running_ = 0;
     std::uint64_t yields_ = 0;
--- a/libs/decisions/tests/FailureTest.cpp
+++ b/libs/decisions/tests/FailureTest.cpp
@@ -23,7 +23,7 @@
 }
 
 // An order was on its way to the back end when the connection broke. Sent again it might be billed twice, so its outcome is
-// told as unknown; an order that never left may go elsewhere.
+// reported as unknown; an order that never left may go elsewhere.
 TEST_CASE("A non-idempotent request is retried only when no byte of it was sent")
 {
     Bench bench(3, { .upstream_ = {}, .service_ = {}, .region_ = {}, .failureDomain_ = {}, .kind_ = UpstreamKind::Plain, .state_ = {}, .slots_ = {}, .kvTokens_ = {}, .resumes_ = false, .exportsKv_ = false });
@@ -118,7 +118,7 @@
     CHECK(bench.all<CancelAttempt>().front().reason_ == CancelReason::Superseded);
 }
 
-// Guards against orders whose outcome is told as unknown although their back end was only slow: they may not be sent again.
+// Guards against orders whose outcome is reported as unknown although their back end was only slow: they may not be sent again.
 TEST_CASE("A slow call that may not run again is waited for until its deadline")
 {
     for (const bool isAnswered : { true, false }) {
@@ -236,7 +236,7 @@
     CHECK(bench.last<ShareFingerprint>().fingerprint_.crashes_ == 0);
 }
 
-// Guards against a crash that nobody counts because its stream was told to yield while the engine was being probed: the content would crash
+// Guards against a crash that nobody counts because its stream was asked to yield while the engine was being probed: the content would crash
 // one more engine, and the item would go back to the dead one.
 TEST_CASE("A crash that crosses a yield counts")
 {
--- a/libs/decisions/tests/HomeTest.cpp
+++ b/libs/decisions/tests/HomeTest.cpp
@@ -48,7 +48,7 @@
     CHECK(bench.dispatchOf(1).position_ == 10);
 }
 
-// A stream is told to yield while its last token is on the way. Queued again it would be resumed behind its end, refused by every
+// A stream is asked to yield while its last token is on the way. Queued again it would be resumed behind its end, refused by every
 // engine, and its job would wait for it past the deadline.
 TEST_CASE("A stream that ends as it yields counts as answered")
 {
@@ -100,7 +100,7 @@
     CHECK(bench.dispatches(5) == 0);
 }
 
-// The engine is full for seconds to come. A question that can't be answered in time is told so at once, with the time to come
+// The engine is full for seconds to come. A question that can't be answered in time is refused at once, with the time to come
 // back, while its caller can still do something else.
 TEST_CASE("A request whose predicted wait passes its deadline is refused at once with the time to come back")
 {
--- a/libs/decisions/tests/RegionTest.cpp
+++ b/libs/decisions/tests/RegionTest.cpp
@@ -72,7 +72,7 @@
     CHECK(site.crossed() == 4);
 }
 
-// The regions lose each other for an hour. Each goes on with its own engines; what would have crossed is told so at once.
+// The regions lose each other for an hour. Each goes on with its own engines; what would have crossed is refused at once.
 TEST_CASE("With the link lost nothing is sent across and the own region is served")
 {
     TwoRegions site;
--- a/libs/follower/include/follower/FollowerCore.h
+++ b/libs/follower/include/follower/FollowerCore.h
@@ -177,7 +177,7 @@
     TimePoint watchHeard_ {};
     TimePoint watchAgain_ {};
 
-    // The peer that told of the highest version and has its value; none: no such peer.
+    // The peer that reported the highest version and has its value; none: no such peer.
     NodeId source_;
     FetchId fetching_; // none: no fetch under way
     std::uint64_t fetches_ = 0;
--- a/libs/follower/src/FollowerCore.cpp
+++ b/libs/follower/src/FollowerCore.cpp
@@ -177,7 +177,7 @@
 
 void FollowerCore::fetchSoon(Duration delay) { nextFetch_ = now_ + delay; }
 
-// The peer that told of the version first; otherwise store and peers in turn, so that an outage of the store or silent peers
+// The peer that reported the version first; otherwise store and peers in turn, so that an outage of the store or silent peers
 // alone don't keep a node back.
 void FollowerCore::fetch()
 {
--- a/libs/gateway/src/EngineStream.cpp
+++ b/libs/gateway/src/EngineStream.cpp
@@ -1,4 +1,4 @@
-// Server-sent events of engines. A lost connection is told apart from a dead engine by one probe on a fresh connection.
+// Server-sent events of engines. A lost connection is distinguished from a dead engine by one probe on a fresh connection.
 #include "gateway/EngineStream.h"
 
 #include "http/Client.h"
--- a/libs/gateway/tests/EngineStreamTest.cpp
+++ b/libs/gateway/tests/EngineStreamTest.cpp
@@ -94,7 +94,7 @@
     CHECK(stream.use_count() == 1); // neither its connection nor its handlers hold it any more
 }
 
-TEST_CASE("an engine that refuses or errs is told apart by its status")
+TEST_CASE("an engine that refuses or errs is distinguished by its status")
 {
     const std::pair<int, EngineFailure> cases[] = { { 429, EngineFailure::Overloaded }, { 503, EngineFailure::Overloaded }, { 422, EngineFailure::Rejected }, { 500, EngineFailure::ServerError } };
     for (const auto& [status, failure] : cases) {
--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -7,7 +7,7 @@
 //
 // Callbacks run on the connection's strand of the io_context. Exactly one of onEnd and onError ends a call that isn't cancelled;
 // none begins after cancel() was called on that strand. The client never sends a request twice by itself: whether to try again is
-// for callers, who are told whether any byte can have reached the other side.
+// for callers, who learn whether any byte can have reached the other side.
 #pragma once
 
 #include "base/Endpoint.h"
--- a/libs/jobs/include/jobs/Audit.h
+++ b/libs/jobs/include/jobs/Audit.h
@@ -33,7 +33,7 @@
     WallTime at_ {};
 };
 
-// What the caller of an at-most-once call was told last.
+// What the caller of an at-most-once call received last.
 struct CallEnded {
     std::string key_; // as the upstream saw it
     RunState ran_ = RunState::Ran;
--- a/libs/jobs/include/jobs/JobEvents.h
+++ b/libs/jobs/include/jobs/JobEvents.h
@@ -1,6 +1,6 @@
 // All that goes into and comes out of the job core.
 //
-// Events are facts told to the core; commands are what its embedder has to do. Neither holds pointers or handles, so that both can
+// Events are facts that the core receives; commands are what its embedder has to do. Neither holds pointers or handles, so that both can
 // be recorded and replayed.
 #pragma once
 
--- a/libs/jobs/include/jobs/JobRunner.h
+++ b/libs/jobs/include/jobs/JobRunner.h
@@ -18,7 +18,7 @@
 
 class JobRunner {
 public:
-    // Told when a cancelled job has stopped here: the job, the epoch it ran under, and who asked.
+    // Called when a cancelled job has stopped here: the job, the epoch it ran under, and who asked.
     using OnStopped = std::function<void(JobId, Epoch, NodeId)>;
 
     JobRunner(JobContext& context, const PartitionLeases& leases, OnStopped onStopped);
--- a/libs/jobs/include/jobs/OpenJob.h
+++ b/libs/jobs/include/jobs/OpenJob.h
@@ -80,7 +80,7 @@
     TimePoint writtenSince_ {};
     bool updating_ = false; // a ledger write or read is on its way
     TimePoint checkedAt_ {}; // the ledger was last known to be ours
-    std::set<NodeId> tellers_; // nodes that wait to hear that a cancelled job stopped
+    std::set<NodeId> requesters_; // nodes that wait to hear that a cancelled job stopped
 };
 
 } // namespace jj
--- a/libs/jobs/include/jobs/PartitionLeases.h
+++ b/libs/jobs/include/jobs/PartitionLeases.h
@@ -14,7 +14,7 @@
 
 namespace jj {
 
-// Told by the leases; the runner of jobs meets it.
+// Reported by the leases; the runner of jobs meets it.
 struct LeaseListener {
     std::function<void(PartitionId, Epoch)> acquired_;
     std::function<void(PartitionId)> lapsed_; // the node may not act; nobody is known to have taken over
--- a/libs/jobs/src/Audit.cpp
+++ b/libs/jobs/src/Audit.cpp
@@ -180,14 +180,14 @@
         void auditKeys()
         {
             std::map<std::string, std::uint32_t> executions;
-            std::map<std::string, RunState> told;
+            std::map<std::string, RunState> reported;
             for (const AuditEvent& event : input_.events_) {
                 if (const auto* executed = std::get_if<KeyExecuted>(&event))
                     executions[executed->key_] += executed->count_;
                 if (const auto* ended = std::get_if<CallEnded>(&event))
-                    told[ended->key_] = ended->ran_;
+                    reported[ended->key_] = ended->ran_;
             }
-            for (const auto& [key, ran] : told) {
+            for (const auto& [key, ran] : reported) {
                 const std::uint32_t count = executions[key];
                 if (ran == RunState::NotRun && count > 0)
                     find(FindingKind::NotRunButExecuted, JobId::none(), key);
--- a/libs/jobs/src/JobCore.cpp
+++ b/libs/jobs/src/JobCore.cpp
@@ -41,7 +41,7 @@
     explicit Parts(const JobCoreOptions& options)
         : context_(options.settings_, options.node_, options.incarnation_, options.seed_)
         , leases_(context_, { [this](PartitionId partition, Epoch epoch) { runner_.acquired(partition, epoch); }, [this](PartitionId partition) { runner_.lapsed(partition); }, [this](PartitionId partition) { runner_.lost(partition); }, [this](PartitionId partition) { return runner_.isIdle(partition); } })
-        , runner_(context_, leases_, [this](JobId job, Epoch epoch, NodeId teller) { stopped(job, epoch, teller); })
+        , runner_(context_, leases_, [this](JobId job, Epoch epoch, NodeId requester) { stopped(job, epoch, requester); })
         , acceptor_(context_)
         , cancels_(context_, [this](JobId job) { runner_.cancelTold(job, context_.node_); })
         , reads_(context_)
@@ -50,12 +50,12 @@
     {
     }
 
-    void stopped(JobId job, Epoch epoch, NodeId teller)
+    void stopped(JobId job, Epoch epoch, NodeId requester)
     {
-        if (teller == context_.node_)
+        if (requester == context_.node_)
             cancels_.holderStopped(job, epoch);
         else
-            context_.emit(TellStopped { teller, job, epoch });
+            context_.emit(TellStopped { requester, job, epoch });
     }
 
     void setTime(TimePoint now, WallTime wall)
--- a/libs/jobs/src/JobRunner.cpp
+++ b/libs/jobs/src/JobRunner.cpp
@@ -299,7 +299,7 @@
         const bool current = found->phase_ == JobPhase::Claiming;
         found->claimed_ = epoch;
         found->phase_ = current ? JobPhase::Running : found->phase_;
-        if (!found->tellers_.empty())
+        if (!found->requesters_.empty())
             readLedger(id, *found);
     });
 }
--- a/libs/jobs/src/RunnerCommit.cpp
+++ b/libs/jobs/src/RunnerCommit.cpp
@@ -85,7 +85,7 @@
     adopt(job, ledger, version);
     if (ledger.isEnded())
         end(id, job);
-    else if (!job.tellers_.empty())
+    else if (!job.requesters_.empty())
         readLedger(id, job);
 }
 
@@ -152,7 +152,7 @@
         job->phase_ = JobPhase::Known;
     }
     adopt(*job, ledger.value(), answer.answer_.version_);
-    job->tellers_.clear();
+    job->requesters_.clear();
 }
 
 void JobRunner::cancelTold(JobId id, NodeId from)
@@ -166,7 +166,7 @@
         return onStopped_(id, held == held_.end() ? Epoch::none() : held->second.epoch_, from);
     }
     // From here on no item starts (see startItems); the ledger then says whether the job is cancelled indeed.
-    job->tellers_.insert(from);
+    job->requesters_.insert(from);
     if (!job->updating_)
         readLedger(id, *job);
 }
@@ -176,9 +176,9 @@
     cancelRuns(job, true);
     job.chunks_.clear();
     const Epoch epoch = job.claimed_;
-    for (const NodeId teller : job.tellers_)
-        onStopped_(id, epoch, teller);
-    job.tellers_.clear();
+    for (const NodeId requester : job.requesters_)
+        onStopped_(id, epoch, requester);
+    job.requesters_.clear();
     // For a node that can't be reached by message: the ledger says so too.
     if (!epoch.isNone() && job.ledger_.epoch_ == epoch && job.ledger_.stopped_ != epoch) {
         Ledger ledger = job.ledger_;
--- a/libs/jobs/src/RunnerItems.cpp
+++ b/libs/jobs/src/RunnerItems.cpp
@@ -15,7 +15,7 @@
 {
     std::vector<std::pair<WallTime, JobId>> order;
     for (const auto& [id, job] : jobs_) {
-        if (mayAct(job) && job.tellers_.empty())
+        if (mayAct(job) && job.requesters_.empty())
             order.emplace_back(job.manifest_.deadline_, id);
     }
     std::sort(order.begin(), order.end());
--- a/libs/losses/tests/LossesTest.cpp
+++ b/libs/losses/tests/LossesTest.cpp
@@ -42,7 +42,7 @@
     CHECK(tableOf({}, {}).groups_.empty());
 }
 
-TEST_CASE("losses: questions are told by what became of them")
+TEST_CASE("losses: questions are classified by what became of them")
 {
     LogReader reader;
     reader.add(R"({"ts":0,"host":"n","event":"engineChanged","engine":"e","draining":"no","slots":4})");
@@ -100,7 +100,7 @@
     CHECK(table.waits_.at({ "", 0 }).refused_ == 1);
 }
 
-TEST_CASE("losses: items are told by what made them late")
+TEST_CASE("losses: items are classified by what made them late")
 {
     LogReader reader;
     reader.add(R"({"ts":0,"host":"n","event":"jobSubmitted","request":"j","job":"j","items":3,"afterMs":0})");
--- a/libs/membership/tests/MembershipTest.cpp
+++ b/libs/membership/tests/MembershipTest.cpp
@@ -81,7 +81,7 @@
 
 // Story: a host loses power. Callers that reach another entry node must not wait for its engines for long.
 // Nobody says goodbye; probes stop being answered, datagrams are lost on top.
-// Guards against datagrams that are full of the same rumors for minutes after a fleet has started: each of n hosts has news of n members.
+// Guards against datagrams that are full of the same rumors for minutes after a fleet has started: each of n hosts has updates of n members.
 TEST_CASE("soon after 200 hosts have started at once they send as little as long after")
 {
     DatagramFleet fleet(200, 2, 5, {}, 3);
--- a/libs/node/src/CallersPlain.cpp
+++ b/libs/node/src/CallersPlain.cpp
@@ -1,5 +1,5 @@
 // Plain services by path. A call that may not be repeated has a durable intent before its first byte is sent (D6): whoever sends it
-// again, to whichever node, gets the recorded outcome or is told that it is unknown, and it never runs twice.
+// again, to whichever node, gets the recorded outcome or learns that it is unknown, and it never runs twice.
 #include "CallersServer.h"
 
 #include "Translate.h"
@@ -93,7 +93,7 @@
     const std::string content = call.method_ + ' ' + path + '\n' + call.body_;
     asked.fingerprint_ = Fingerprint(hash64(content) >> 1);
     if (asked.key_.empty()) {
-        // Without a key each call is one of its own: a resend can't be told from a second booking.
+        // Without a key each call is one of its own: a resend can't be distinguished from a second booking.
         asked.key_ = "request-" + idText(parts_.nextRequest_().value());
     }
     parts_.jobs_.ask(asked, [this, exchange, name = service.name_, path](const JobCommand& answer) {
--- a/libs/node/src/FleetHost.cpp
+++ b/libs/node/src/FleetHost.cpp
@@ -82,7 +82,7 @@
         return;
     published_ = now;
     publishStatus();
-    // A node without news would otherwise keep its last events to itself, and lose them when it is killed.
+    // A node without updates would otherwise keep its last events to itself, and lose them when it is killed.
     if (events_)
         events_->flushIfDue(SystemClock().wallNow());
 }
--- a/libs/node/src/RequestRuns.cpp
+++ b/libs/node/src/RequestRuns.cpp
@@ -109,7 +109,7 @@
 // acknowledged since the lease ran out, and then the item starts. The holder's validity travels with the item as time left, and the
 // home begins nothing after it, whether or not it hears of the holder again.
 //
-// The home's decisions hear of it as a failed attempt, since they count the item as running. Told as the caller's cancel it got lost
+// The home's decisions hear of it as a failed attempt, since they count the item as running. Reported as the caller's cancel it got lost
 // where entry and home are one node: the slot stayed taken until the silence bound, then the engine's circuit opened, and a job of
 // 1,000 items stood still for 5 s of every 6.
 bool RequestPlane::refuseLateStart(const Run& run, const Dispatch& command)
--- a/libs/node/src/Runtime.h
+++ b/libs/node/src/Runtime.h
@@ -1,6 +1,6 @@
 // The CAF side of a node behind a header without CAF: actors that own one core each, and their clock.
 //
-// A CoreActor runs turns one after another, never two at once, so whatever it owns needs no lock. A turn is told the time of the
+// A CoreActor runs turns one after another, never two at once, so whatever it owns needs no lock. A turn receives the time of the
 // actor system's clock, which tests pause and advance.
 //
 //     Runtime runtime(threads);
--- a/libs/node/src/Translate.h
+++ b/libs/node/src/Translate.h
@@ -18,7 +18,7 @@
 
 FailureClass failureOf(EngineFailure failure);
 
-// What the caller is told: a status, a typed code and whether the request ran.
+// What the caller receives: a status, a typed code and whether the request ran.
 CallerRefusal refusalOf(const Refuse& refuse);
 
 // What the run of a batch item came to.
--- a/libs/node/tests/PeerLinksTest.cpp
+++ b/libs/node/tests/PeerLinksTest.cpp
@@ -130,7 +130,7 @@
 }
 
 // A host with another key joins by mistake or ill will. It may not get a request, and the sender learns that none was sent, so that
-// its caller is told notRun and not outcomeUnknown.
+// its caller receives notRun and not outcomeUnknown.
 TEST_CASE("a peer with another key gets no request and the sender knows that nothing was sent")
 {
     Node entry('a');
--- a/libs/node/tests/RequestPlaneTest.cpp
+++ b/libs/node/tests/RequestPlaneTest.cpp
@@ -190,7 +190,7 @@
     CHECK(node.core_->counts().entryRequests_ == 0);
 }
 
-// Guards against requests that may run once and whose outcome is told as unknown although their engine only paused.
+// Guards against requests that may run once and whose outcome is reported as unknown although their engine only paused.
 TEST_CASE("node: a stream that may run once isn't given up for silence before its deadline")
 {
     SingleNode node;
--- a/libs/node/tests/TranslateTest.cpp
+++ b/libs/node/tests/TranslateTest.cpp
@@ -1,4 +1,4 @@
-// What the jobs are told of a run that ended without an answer.
+// What the jobs learn of a run that ended without an answer.
 #include "Translate.h"
 
 #include <doctest/doctest.h>
--- a/libs/objectclient/tests/ObjectClientTest.cpp
+++ b/libs/objectclient/tests/ObjectClientTest.cpp
@@ -1,4 +1,4 @@
-// The client against a server of the http library that answers as told: each status becomes its typed error, and silence the truth
+// The client against a server of the http library that answers as scripted: each status becomes its typed error, and silence the truth
 // about the call.
 #include "objectclient/ObjectClient.h"
 #include "http/Server.h"
--- a/libs/orders/include/orders/OrderTypes.h
+++ b/libs/orders/include/orders/OrderTypes.h
@@ -1,4 +1,4 @@
-// What orders are about, what the core is told, and what it tells its host program.
+// What orders are about, what the core receives, and what it reports to its host program.
 #pragma once
 
 #include "base/Id.h"
--- a/libs/replay/include/replay/Generator.h
+++ b/libs/replay/include/replay/Generator.h
@@ -6,11 +6,11 @@
 namespace jj {
 
 enum class SiteProfile : std::uint8_t {
-    Umthunzi, // 8 nodes, 18 engines, short questions, letters to write
-    Bodegas, // 6 nodes, 9 engines, shelf queries with longer prompts, counts
-    Letter, // 4 nodes, 9 engines at the load of each of 790: 4.2 questions and 1.8 items a second
+    ShortPrompts, // 8 nodes, 18 engines, short questions, letters to write
+    LongPrompts, // 6 nodes, 9 engines, shelf queries with longer prompts, counts
+    PeakLoad, // 4 nodes, 9 engines at the load of each of 790: 4.2 questions and 1.8 items a second
 };
-BOOST_DESCRIBE_ENUM(SiteProfile, Umthunzi, Bodegas, Letter)
+BOOST_DESCRIBE_ENUM(SiteProfile, ShortPrompts, LongPrompts, PeakLoad)
 
 enum class Scenario : std::uint8_t {
     Quiet, // a fifth of the online load, no burst
@@ -24,7 +24,7 @@
 BOOST_DESCRIBE_ENUM(Scenario, Quiet, Steady, Burst, BurstLoss, Poison, Stale, LinkLoss)
 
 struct GeneratorOptions {
-    SiteProfile profile_ = SiteProfile::Umthunzi;
+    SiteProfile profile_ = SiteProfile::ShortPrompts;
     Scenario scenario_ = Scenario::Burst;
     std::uint64_t seed_ = 1;
     Duration length_ = 60s;
--- a/libs/replay/src/Generator.cpp
+++ b/libs/replay/src/Generator.cpp
@@ -26,11 +26,11 @@
     Shape shapeOf(SiteProfile profile)
     {
         switch (profile) {
-        case SiteProfile::Umthunzi:
+        case SiteProfile::ShortPrompts:
             return { 2.0, 40, 224, 130, 80, 3s, 160, 260, 200, 0.8 };
-        case SiteProfile::Bodegas:
+        case SiteProfile::LongPrompts:
             return { 1.8, 30, 160, 340, 60, 3s, 192, 420, 150, 0.2 };
-        case SiteProfile::Letter:
+        case SiteProfile::PeakLoad:
             return { 4.2, 200, 224, 150, 100, 2s, 160, 260, 200, 0.5 };
         }
         return {};
@@ -48,13 +48,13 @@
             std::uint32_t firstEngines_;
             std::uint32_t secondEngines_;
         };
-        const Sizes sizes = profile == SiteProfile::Umthunzi ? Sizes { "umthunzi", 6, 2, 12, 6 }
-            : profile == SiteProfile::Bodegas                ? Sizes { "bodegas", 4, 2, 6, 3 }
-                                                             : Sizes { "letter", 3, 1, 6, 3 };
+        const Sizes sizes = profile == SiteProfile::ShortPrompts ? Sizes { "short-prompts", 6, 2, 12, 6 }
+            : profile == SiteProfile::LongPrompts                ? Sizes { "long-prompts", 4, 2, 6, 3 }
+                                                                 : Sizes { "peak-load", 3, 1, 6, 3 };
         Site site;
         site.name_ = sizes.name_;
-        site.domainDelay_ = profile == SiteProfile::Bodegas ? 1ms : 500us;
-        site.clientDelay_ = profile == SiteProfile::Bodegas ? 1ms : 3ms;
+        site.domainDelay_ = profile == SiteProfile::LongPrompts ? 1ms : 500us;
+        site.clientDelay_ = profile == SiteProfile::LongPrompts ? 1ms : 3ms;
         // The first region has two failure domains, the second one.
         const auto domainOf = [](std::uint32_t index, bool first) { return FailureDomainId(first ? 1 + index % 2 : 3); };
         for (std::uint32_t i = 0; i < sizes.firstNodes_ + sizes.secondNodes_; ++i) {
--- a/libs/replay/tests/ReplayTest.cpp
+++ b/libs/replay/tests/ReplayTest.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-Measures runOf(Scenario scenario, SiteProfile profile = SiteProfile::Bodegas, Duration length = 20s)
+Measures runOf(Scenario scenario, SiteProfile profile = SiteProfile::LongPrompts, Duration length = 20s)
 {
     return replay(generateTrace({ .profile_ = profile, .scenario_ = scenario, .seed_ = 3, .length_ = length }), {});
 }
@@ -49,7 +49,7 @@
 TEST_CASE("The same trace and seed give the same measures")
 {
     const auto figures = [] {
-        auto all = figuresOf(runOf(Scenario::Burst, SiteProfile::Bodegas, 8s));
+        auto all = figuresOf(runOf(Scenario::Burst, SiteProfile::LongPrompts, 8s));
         all.erase("decision_us"); // CPU time
         return all;
     };
@@ -82,7 +82,7 @@
 // are the only ones without an answer.
 TEST_CASE("A lost node costs the answers of its own callers only")
 {
-    Trace trace = generateTrace({ .profile_ = SiteProfile::Bodegas, .scenario_ = Scenario::Steady, .seed_ = 4, .length_ = 15s });
+    Trace trace = generateTrace({ .profile_ = SiteProfile::LongPrompts, .scenario_ = Scenario::Steady, .seed_ = 4, .length_ = 15s });
     trace.faults_.push_back({ 5s, FaultKind::NodeLost, 1 });
     const Measures measures = replay(trace, {});
     CHECK(measures.doubled_ == 0);
@@ -106,7 +106,7 @@
 
 TEST_CASE("A page shows a plot for each time line")
 {
-    const Measures measures = runOf(Scenario::Quiet, SiteProfile::Bodegas, 3s);
+    const Measures measures = runOf(Scenario::Quiet, SiteProfile::LongPrompts, 3s);
     const std::string page = pageOf("a < b", "text", plotsOf(measures));
     CHECK(page.find("a &lt; b") != std::string::npos);
     CHECK(page.find("<svg") != std::string::npos);
--- a/libs/serving/tests/AcceptanceSenderTest.cpp
+++ b/libs/serving/tests/AcceptanceSenderTest.cpp
@@ -1,4 +1,4 @@
-// Tests what the owner of an accepted job is told about it.
+// Tests what the owner of an accepted job learns about it.
 #include "AcceptanceSender.h"
 
 #include <doctest/doctest.h>
--- a/libs/settings/tests/SettingsTest.cpp
+++ b/libs/settings/tests/SettingsTest.cpp
@@ -66,7 +66,7 @@
     CHECK(again.value().regionOf("kzn-coast")->name_ == "kzn");
 }
 
-TEST_CASE("calls that may not be repeated are told apart by method and path")
+TEST_CASE("calls that may not be repeated are distinguished by method and path")
 {
     const auto config = configurationFromAnswers(answers);
     REQUIRE(config);
--- a/samples/embed/main.cpp
+++ b/samples/embed/main.cpp
@@ -1,6 +1,6 @@
 // Uses jayjunction's libraries without the daemon: two job cores over one object store, in virtual time.
 //
-// A JobCore decides and does nothing: it is told events and a time, and hands out commands. The program around it obeys them. Here
+// A JobCore decides and does nothing: it receives events and a time, and hands out commands. The program around it obeys them. Here
 // the store is the one kept in memory and the upstream is a line of code; in a real program they are the platform's object API and
 // your own calls. The story: the first node takes a booking and a job of three items, then dies; the second has to keep the
 // promises. The program says what happens and exits 0 when they held.
@@ -20,7 +20,7 @@
 constexpr Duration step = 20ms;
 constexpr std::uint32_t partitions = 1; // one lease covers all jobs
 
-// What the hosts share: store, time, and what callers were told and what ran.
+// What the hosts share: store, time, and what callers received and what ran.
 struct World {
     VirtualStore store_ = VirtualStore(1);
     ManualClock clock_;
@@ -118,7 +118,7 @@
     std::string name_;
     World& world_;
     std::unique_ptr<JobCore> core_;
-    std::vector<ItemFinished> finished_; // told at the next tick, as from a real upstream
+    std::vector<ItemFinished> finished_; // reported at the next tick, as from a real upstream
 };
 
 template <class Command>
--- a/scripts/check-platform-names.sh
+++ b/scripts/check-platform-names.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-# Headers, paths, fields and words that no other protocol of ours uses. Common words (name, state, id) can't be told apart and are left out.
+# Headers, paths, fields and words that no other protocol of ours uses. Common words (name, state, id) can't be distinguished and are left out.
 readonly NAMES=(
   'X-Jayjunction-' '/lots/' '"/items/' '"/objects/' 'staleOk' 'waitMs=' '"hasMore"' '"createdRev"' '"finalizers"' 'finishByS' '"retirements'
   '"servers/' 'config/main' '"pathPrefix"' '"targetLatencyMs"' '"gapAimMs"' '"runTargetMs"' '"maxWaitS"' '"maxConns"' '"healthPath"' '"coldLeftMs"'
--- a/scripts/measure/membership_processes.py
+++ b/scripts/measure/membership_processes.py
@@ -29,7 +29,7 @@
 def main():
     count = int(sys.argv[1]) if len(sys.argv) > 1 else 64
     kills = int(sys.argv[2]) if len(sys.argv) > 2 else 5
-    # Usage is that of the second half, so that the start's news has made its rounds.
+    # Usage is that of the second half, so that the updates of the start have spread.
     seconds = 2 * (SETTLE_S + kills * BETWEEN_KILLS_S)
     ports = free_ports(count)
     killed = {}
--- a/tests/cli/jj_test.py
+++ b/tests/cli/jj_test.py
@@ -178,7 +178,7 @@
         self.assertEqual(sum(entry["ph"] in "be" for entry in json.loads(trace.read_text())["traceEvents"]), 2)
         self.jj("timeline", first, "--kind", "nonsense", expect=BAD_INPUT)
 
-    # An operator asks after a bad night whether a promise was broken. A booking ran twice although its caller was told that it had
+    # An operator asks after a bad night whether a promise was broken. A booking ran twice although its caller received that it had
     # not run, and a job that was acknowledged stands nowhere: the audit has to say so.
     def test_audit_finds_a_lost_job_and_a_booking_that_ran_twice(self):
         store, service = self.start("jj-fake-objects"), self.start("jj-fake-service")
--- a/tests/e2e/load.py
+++ b/tests/e2e/load.py
@@ -1,6 +1,6 @@
 """Mixed load for failure runs: questions, one job and at-most-once calls; each caller records what it was promised.
 
-The records are what `jj audit --records` reads. A caller believes only what it was told: an answer cut off in the middle is no
+The records are what `jj audit --records` reads. A caller believes only what it received: an answer cut off in the middle is no
 answer, a connection that broke leaves an at-most-once call's outcome unknown.
 """
 
@@ -42,7 +42,7 @@
 
 
 class Caller(threading.Thread):
-    """A caller that goes on until it is told to stop, on a node of its seeded choice each time."""
+    """A caller that goes on until it is asked to stop, on a node of its seeded choice each time."""
 
     def __init__(self, fleet, records, seed):
         super().__init__(daemon=True)
--- a/tests/fleet/fleet_test.py
+++ b/tests/fleet/fleet_test.py
@@ -17,7 +17,7 @@
 
 class FleetTest(unittest.TestCase):
     def test_rolling_drain_under_load_fails_no_request(self):
-        # A rolling restart at noon: members ask on the phone and a batch runs while each node in turn is told to drain.
+        # A rolling restart at noon: members ask on the phone and a batch runs while each node in turn is asked to drain.
         # A question that was cut off, or refused though two other nodes serve, would be a member who hears nothing.
         # The balancer follows /readyz; a node that leaves finishes what it took and hands its batch items back.
         with Fleet(ANSWERS, nodes=3) as fleet:
--- a/tests/path/path_test.py
+++ b/tests/path/path_test.py
@@ -190,7 +190,7 @@
     def test_an_idle_connection_is_closed(self):
         self.assertEqual(raw_exchange(self.nodes[0].callers, b""), b"")
 
-    # An operator ends a node while a member listens. The answer arrives whole, the balancer is told at once, the exit is clean.
+    # An operator ends a node while a member listens. The answer arrives whole, the balancer is notified at once, the exit is clean.
     def test_a_drain_cuts_off_no_answer(self):
         for node in reversed(self.nodes):
             connection, response = self.open_stream(node, "a story of some length", 600)
--- a/tools/jj/AuditCommand.cpp
+++ b/tools/jj/AuditCommand.cpp
@@ -23,7 +23,7 @@
     constexpr const char* recordsHelp = R"(Records of callers are JSON lines, each one of
   {"job": ID, "items": N}              a job that was acknowledged
   {"cancelled": ID, "at": MS}          a cancel that was acknowledged
-  {"key": KEY, "run": "ran" | "notRun" | "outcomeUnknown"}   what the caller of KEY was told last
+  {"key": KEY, "run": "ran" | "notRun" | "outcomeUnknown"}   what the caller of KEY received last
   {"result": ID, "line": TEXT}         a result line as it was read)";
 
     struct AuditOptions {
--- a/tools/jjpolicy/main.cpp
+++ b/tools/jjpolicy/main.cpp
@@ -17,7 +17,7 @@
     unsigned threads_ = 4;
     int seconds_ = 30;
     double scale_ = 1;
-    std::vector<std::string> profiles_ { "Umthunzi", "Bodegas" };
+    std::vector<std::string> profiles_ { "ShortPrompts", "LongPrompts" };
     std::vector<std::string> scenarios_ { "Burst" };
     std::string json_;
     std::string page_;
--- a/tools/jjreplay/main.cpp
+++ b/tools/jjreplay/main.cpp
@@ -24,7 +24,7 @@
     std::string json_;
     std::string page_;
     std::string write_;
-    std::string profile_ = "Umthunzi";
+    std::string profile_ = "ShortPrompts";
     std::string scenario_ = "Burst";
     std::uint64_t seed_ = 1;
     int seconds_ = 60;
@@ -39,7 +39,7 @@
     app.add_option("--json", arguments.json_, "write the report here");
     app.add_option("--page", arguments.page_, "write the HTML page of plots here");
     app.add_option("--write-trace", arguments.write_, "write the trace here and stop");
-    app.add_option("--profile", arguments.profile_, "generated site: Umthunzi, Bodegas, Letter");
+    app.add_option("--profile", arguments.profile_, "generated site: ShortPrompts, LongPrompts, PeakLoad");
     app.add_option("--scenario", arguments.scenario_, "generated load: Quiet, Steady, Burst, BurstLoss, Poison, Stale, LinkLoss");
     app.add_option("--seed", arguments.seed_);
     app.add_option("--seconds", arguments.seconds_, "length of a generated trace")->check(CLI::Range(1, 36000));
--- a/tools/membershipbench/main.cpp
+++ b/tools/membershipbench/main.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr Duration settleLimit = 60s;
-// News of the common start has made its rounds by then.
+// Updates of the common start have spread by then.
 constexpr Duration costWarmup = 60s;
 // IPv4 and UDP headers.
 constexpr std::uint64_t headerBytes = 28;
