--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -113,13 +113,16 @@
         headers = {"Host": HOST, "X-Jayjunction-Attempt-Id": name, "X-Jayjunction-Deadline-Ms": "5000", "X-Jayjunction-Model": "m", "X-Jayjunction-Token-Counts": "350,32"}
         return await node.fetch("POST", f"/{path}/{name}", headers, b"Is shelter 12 free on Saturday?")
 
-    def lost(self, ids, results, seconds=5):
-        """The items that aren't listed, unless an engine had one of them in the last seconds, which the rule excuses."""
+    def lost(self, ids, results):
+        """The items that aren't listed, unless the rule excuses that: an engine had one of them in the last 5 s, or an item of any job ended in the
+        last 3 s, or the engines are half full."""
         missing = sorted(set(ids) - {result["id"] for result in results})
-        since = time.monotonic() - seconds
-        had = [item for engine in self.engines for item, moment in engine.had.items() if item in missing and moment > since]
-        self.record(f"not listed: {len(missing)}, first {missing[:5]}; of these an engine had one in the last {seconds} s: {'yes' if had else 'no'}; requests that engines run: {self.running()}")
-        return [] if had else missing
+        ages = {attempt: time.monotonic() - moment for engine in self.engines for attempt, moment in engine.had.items() if not attempt.startswith("ask")}
+        had = any(ages[item] < 5 for item in missing if item in ages)
+        ended = any(age < 3 for age in ages.values())
+        is_full = self.running() * 2 >= sum(engine.slots for engine in self.engines)
+        self.record(f"not listed: {len(missing)}, first {missing[:5]}; an engine had one in the last 5 s: {had}; an item of any job ended in the last 3 s: {ended}; requests that engines run: {self.running()}")
+        return [] if had or ended or is_full else missing
 
     def running(self):
         return sum(engine.running for engine in self.engines)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -216,8 +216,8 @@
 
 def main(folder, case):
     """Runs `case(record, fleet)`, which returns whether the rule held, and exits with 0 if so, 1 if it was broken, 2 if it couldn't run."""
-    record = Record(folder)
-    fleet, status = None, 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the processes are ended
+    record, fleet, status = Record(folder), None, 2
     try:
         if not (ROOT / "target" / "platform" / "jjserve").exists():
             raise CannotRun("the build of the deploy file is missing")
