--- a/review/2/case.py
+++ b/review/2/case.py
@@ -37,7 +37,9 @@
     wrong = [r["id"] for r in results if r["id"] in sound and (r["state"] != "completed" or r["text"] != text_of(r["id"]))]
     record(f"{time.monotonic() - day.accepted:.1f} s after the 202: of the {len(sound)} items that no engine spoilt {sum(r['id'] in sound for r in results)} are listed; wrong: {wrong}")
     day.record_log(day.workers, ["jobStoreFailed"], most=3)
-    return not day.lost(sound, results) and not wrong
+    if wrong:
+        raise fleets.CannotRun("listed results are wrong, which is another rule")
+    return not day.lost(ids, results, trouble.victim)
 
 
 fleets.main(HERE, case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -48,7 +48,9 @@
     wrong = [r["id"] for r in results if r["state"] != "completed" or r["text"] != text_of(r["id"])]
     record(f"listed results that are wrong: {wrong}")
     day.record_log(day.workers, ["jobStoreFailed"], most=3)
-    return not day.lost(ids, results) and not wrong
+    if wrong:
+        raise fleets.CannotRun("listed results are wrong, which is another rule")
+    return not day.lost(ids, results)
 
 
 fleets.main(HERE, case)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -37,7 +37,9 @@
             missing = [number for number, line in enumerate(lines_of(result["id"]), 1) if line not in have]
             record(f"item {result['id']} is completed with {len(have)} of {len(lines_of(result['id']))} events; missing: {missing}")
     record(f"{time.monotonic() - day.accepted:.1f} s after the 202: {len(results)} of {len(ids)} items are listed; completed with another text than the item's: {wrong}")
-    return not wrong and not day.lost(ids, results)
+    if len(results) != len(ids):
+        raise fleets.CannotRun("not all items are listed, which is another rule")
+    return not wrong
 
 
 fleets.main(HERE, case)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -45,7 +45,7 @@
     async def start_engines(self, first, count, trouble=None):
         started = []
         for n in range(first, first + count):
-            engine = Engine(f"i-{n:08x}", lines_of, trouble=trouble)
+            engine = Engine(f"i-{n:08x}", lines_of, self.record, trouble=trouble)
             engine.server = await http11.serve(self.fleet.host(100 + n), self.fleet.base + 3, engine.handle)
             self.store.put("servers", engine.name, engine.entry("bookhelp", f"{self.fleet.host(100 + n)}:{self.fleet.base + 3}"))
             started.append(engine)
@@ -64,6 +64,8 @@
             if not await fleets.wait_until(node.is_ready, 15):
                 raise fleets.CannotRun("a node never became ready")
         await asyncio.sleep(4)  # batch work uses all of its slots some seconds after a start
+        if not all(node.is_running() for node in self.entries + self.workers):
+            raise fleets.CannotRun("a process ended before the case began")
 
     def start_node(self, node):
         node.start(f"{self.fleet.host(1)}:{self.fleet.base}", [f"{self.fleet.host(n)}:{self.fleet.base + 2}" for n in (11, 12)])
@@ -87,7 +89,9 @@
         """Total and results of a job; total is None if no entry tells."""
         total, results = None, []
         for step in range(40):
-            answer = await self.entries[step % len(self.entries)].fetch("GET", f"/lots/{job}?after={len(results)}", {"Host": HOST})
+            node = self.entries[step % len(self.entries)]
+            answer = await node.fetch("GET", f"/lots/{job}?after={len(results)}", {"Host": HOST})
+            self.record(f"read of {job} after {len(results)} at {node.name}: {answer.status}, {len(answer.body)} bytes")
             if answer.status != 200:
                 await asyncio.sleep(0.1)
                 continue
@@ -111,18 +115,21 @@
     async def ask(self, node, path, name):
         """A question; path "avail" may run once, "rules" may be resumed."""
         headers = {"Host": HOST, "X-Jayjunction-Attempt-Id": name, "X-Jayjunction-Deadline-Ms": "5000", "X-Jayjunction-Model": "m", "X-Jayjunction-Token-Counts": "350,32"}
-        return await node.fetch("POST", f"/{path}/{name}", headers, b"Is shelter 12 free on Saturday?")
+        answer = await node.fetch("POST", f"/{path}/{name}", headers, b"Is shelter 12 free on Saturday?")
+        self.record(f"question {name} to {node.name}: {answer.status}, {'complete' if answer.whole else 'cut'}, {len(answer.body)} bytes")
+        return answer
 
-    def lost(self, ids, results):
-        """The items that aren't listed, unless the rule excuses that: an engine had one of them in the last 5 s, or an item of any job ended in the
-        last 3 s, or the engines are half full."""
+    def lost(self, ids, results, spoilt=None):
+        """The items that aren't listed, unless the rule excuses that: an engine had an unlisted item of the job in the last 5 s, or an item of any
+        job ended in the last 3 s, or the engines are half full. `spoilt`: an item that isn't judged, but excuses the others."""
         missing = sorted(set(ids) - {result["id"] for result in results})
-        ages = {attempt: time.monotonic() - moment for engine in self.engines for attempt, moment in engine.had.items() if not attempt.startswith("ask")}
-        had = any(ages[item] < 5 for item in missing if item in ages)
-        ended = any(age < 3 for age in ages.values())
+        now = time.monotonic()
+        ages = [(attempt, now - moment) for engine in self.engines for attempt, moment in engine.had.items() if not attempt.startswith("ask")]
+        had = any(engine.has[item] > 0 for engine in self.engines for item in missing) or any(age < 5 for attempt, age in ages if attempt in missing)
+        ended = any(age < 3 for _, age in ages)
         is_full = self.running() * 2 >= sum(engine.slots for engine in self.engines)
         self.record(f"not listed: {len(missing)}, first {missing[:5]}; an engine had one in the last 5 s: {had}; an item of any job ended in the last 3 s: {ended}; requests that engines run: {self.running()}")
-        return [] if had or ended or is_full else missing
+        return [] if had or ended or is_full else [one for one in missing if one != spoilt]
 
     def running(self):
         return sum(engine.running for engine in self.engines)
--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -1,6 +1,7 @@
 """A model engine: answers with a stream of events at a pace, in slots, and resumes at Last-Event-Id."""
 
 import asyncio
+import collections
 import json
 import time
 
@@ -16,10 +17,11 @@
     "close" or "keep" for the connection.
     """
 
-    def __init__(self, name, lines, slots=8, queue=24, trouble=None):
-        self.name, self.lines, self.slots, self.queue, self.trouble = name, lines, slots, queue, trouble
+    def __init__(self, name, lines, record, slots=8, queue=24, trouble=None):
+        self.name, self.lines, self.record, self.slots, self.queue, self.trouble = name, lines, record, slots, queue, trouble
         self.running, self.waiting = 0, 0
         self.runs = []  # attempt id of each request that it began to run
+        self.has = collections.Counter()  # requests that run or wait here, by attempt id
         self.had = {}  # when it last had a request, by its attempt id
         self.free = asyncio.Condition()
 
@@ -42,7 +44,26 @@
             return await connection.answer(503, b"", {**echo, "X-Jayjunction-Not-Executed": "1"})
         return await self.run(connection, request, attempt, echo)
 
+    def take(self, attempt):
+        self.has[attempt] += 1
+
+    def leave(self, attempt, how):
+        self.has[attempt] -= 1
+        self.had[attempt] = time.monotonic()
+        self.record(f"{self.name} had {attempt}: {how}")
+
     async def run(self, connection, request, attempt, echo):
+        self.take(attempt)
+        how = "cut"
+        try:
+            if await self.run_taken(connection, request, attempt, echo):
+                how = f"answered whole after event {request.header('Last-Event-Id', '0')}"
+                return True
+            return False
+        finally:
+            self.leave(attempt, how)
+
+    async def run_taken(self, connection, request, attempt, echo):
         async with self.free:
             self.waiting += 1
             await self.free.wait_for(lambda: self.running < self.slots)
@@ -62,7 +83,6 @@
             await connection.send(b"0\r\n\r\n")
             return True
         finally:
-            self.had[attempt] = time.monotonic()
             async with self.free:
                 self.running -= 1
                 self.free.notify_all()
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -100,6 +100,9 @@
 BOUNDS = {"seedLagS": 3, "addrReuseS": 2, "stableMs": 4000, "ackMs": 5000, "catchUpS": 4.7, "drainMs": 2500, "graceS": 8, "lossSlackMs": 200, "configApplyMs": 2500, "downgradeSlackMs": 250, "maxStretchMs": 6000, "recoveryS": 12, "passMs": 250, "againS": 0, "finishS": 18, "statusS": 120, "cancelMs": 3000, "settleMs": 1000, "quotaOver": 0.1}
 
 
+USED_HOSTS = [1, 11, 12, 21, 22, 99, *range(100, 116)]  # of the store, the nodes, another writer's engine and the engines
+
+
 def is_free(host, port):
     try:
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
@@ -123,7 +126,7 @@
             self.net = f"127.{random.randint(30, 220)}.{random.randint(1, 250)}"
             # Front, ready, control, and the ports between nodes; one set on all machines of a day.
             self.base = random.randrange(20000, 30000, 20)
-            if all(is_free(self.host(n), self.base + p) for n in range(1, 40, 6) for p in range(10)):
+            if all(is_free(self.host(n), self.base + p) for n in USED_HOSTS for p in range(10)):
                 return
         raise RuntimeError("no free addresses")
 
@@ -217,7 +220,8 @@
 def main(folder, case):
     """Runs `case(record, fleet)`, which returns whether the rule held, and exits with 0 if so, 1 if it was broken, 2 if it couldn't run."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the processes are ended
-    record, fleet, status = Record(folder), None, 2
+    fleet, status = None, 2
+    record = Record(folder)
     try:
         if not (ROOT / "target" / "platform" / "jjserve").exists():
             raise CannotRun("the build of the deploy file is missing")
@@ -236,5 +240,5 @@
                     if node.log.exists():
                         shutil.copy(node.log, os.environ["KEEP_LOGS"])
             fleet.stop()
-    print(pathlib.Path(folder, "record.txt").read_text()[-1500:])
+    print(pathlib.Path(folder, "record.txt").read_text()[-1500:], flush=True)
     sys.exit(status)
--- a/review/common/spoilt.py
+++ b/review/common/spoilt.py
@@ -42,6 +42,13 @@
             return None
         self.victim = attempt
         self.record(f"{engine.name} spoils its answer to item {attempt}")
+        engine.take(attempt)
+        try:
+            return await self.answer(engine, connection, attempt)
+        finally:
+            engine.leave(attempt, "spoilt")
+
+    async def answer(self, engine, connection, attempt):
         await connection.send(http11.head_of(200, {"X-Jayjunction-Attempt-Id": attempt, "X-Jayjunction-Response-Seal": f"seal.{engine.name}.{attempt}", "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}))
         for number, line in enumerate(lines_of(attempt), 1):
             await asyncio.sleep(EVENT_PACE_S)
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -81,6 +81,8 @@
 
     async def handle(self, connection, request):
         async def answer(status, body):
+            if request.method != "GET":
+                self.record(f"store: {request.method} {request.path}, {len(request.body)} bytes: {status}")
             await connection.answer(status, json.dumps(body).encode(), {"Content-Type": "application/json"})
 
         if self.busy:
