Serving: lines that end an overlap of two runs name both engines

The lines silentRunKept, silentRunLeft, silentRunLost and silentRunAnswered named no engine, so whether a second engine had begun a stream that its first engine went on with could be told only by joining them with the sent lines of the request. They now have the silent engine and its silence, the engine of the second run, how long ago that was sent, and whether its answer had begun.

--- a/libs/serving/src/RelaySilence.cpp
+++ b/libs/serving/src/RelaySilence.cpp
@@ -131,9 +131,21 @@
     goesOn ? returnToSilentRun() : leaveSilentRun(false);
 }
 
+// Names both engines, and how long ago the second run was sent.
+DecisionLog::Line RelayedRequest::overlapLine(std::string_view event, const EngineRun& silent, const EngineRun& second)
+{
+    const auto nameOf = [this](const EngineRun& run) {
+        const EngineEntry* entry = context_.board_.find(run.engine_);
+        return entry ? std::string_view(entry->name_) : std::string_view();
+    };
+    DecisionLog::Line entry = line(event);
+    entry.with("runs", runs_).with("engine", nameOf(silent)).with("silentMs", context_.now() - silent.heardAt_).with("second", nameOf(second)).with("secondMs", context_.now() - second.sentAt_).with("secondHead", second.head_ ? "yes" : "no");
+    return entry;
+}
+
 void RelayedRequest::returnToSilentRun()
 {
-    line("silentRunKept").with("runs", runs_);
+    overlapLine("silentRunKept", *silentRun_, *run_);
     EngineRunPtr other = std::exchange(run_, std::exchange(silentRun_, nullptr));
     close(other);
     checkSilenceWhenDue();
@@ -142,7 +154,7 @@
 void RelayedRequest::leaveSilentRun(bool isReplaced)
 {
     EngineRunPtr silent = std::exchange(silentRun_, nullptr);
-    line("silentRunLeft").with("silentMs", context_.now() - silent->heardAt_).with("runs", runs_).with("replaced", isReplaced ? "yes" : "no");
+    overlapLine("silentRunLeft", *silent, *run_).with("replaced", isReplaced ? "yes" : "no");
     if (isReplaced)
         context_.failed(silent->engine_, EngineFault::Lost, http::Error::NoProgress);
     else
@@ -156,7 +168,7 @@
     if (silentRun_->rejected_)
         return onSilentRunFailed(false, {});
     const int status = silentRun_->head_->status_;
-    line("silentRunAnswered").with("status", status).with("runs", runs_);
+    overlapLine("silentRunAnswered", *silentRun_, *run_).with("status", status);
     context_.crashes_->recordAnswer(fingerprints_, status);
     if (hasFailed)
         context_.failed(silentRun_->engine_, EngineFault::Failure, {});
@@ -167,7 +179,7 @@
 void RelayedRequest::onSilentRunFailed(bool hasRun, std::error_code error)
 {
     EngineRunPtr silent = std::exchange(silentRun_, nullptr);
-    line("silentRunLost").with("error", error ? error.message() : "").with("status", silent->head_ ? silent->head_->status_ : 0).with("runs", runs_);
+    overlapLine("silentRunLost", *silent, *run_).with("error", error ? error.message() : "").with("status", silent->head_ ? silent->head_->status_ : 0);
     if (hasRun && isOverLimit(error)) {
         context_.recordOverLimit(silent->engine_, error);
     } else if (hasRun) {
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -140,6 +140,8 @@
     void checkSilenceWhenDue();
     void checkSilence();
     void noteSilence();
+    // Begins a line about the end of the time in which two runs are open.
+    DecisionLog::Line overlapLine(std::string_view event, const EngineRun& silent, const EngineRun& second);
     // Opens a second run beside the silent one if the request may run again and another engine has a free slot, or waits for a slot.
     void tryOtherEngine();
     // ---- callers that read slowly
