Serving: a silent run ends once a second engine may have begun the stream

What callers saw: a stream that may be resumed was worked on by two engines. Its engine was silent for 1.2 s, a second one began the stream, the first one brought the next event and went on to the end.

Cause: the host kept whichever run brought the next event. The bound of 200 ms limited how long both connections were open, not for how long the first engine worked on after the second one had begun. Class: two owners of one piece of work, of which the later one is chosen by speed although the earlier one has to end.

The silent run now ends when the second one answers, breaks, or 200 ms after it was sent. What the silent engine sends meanwhile is kept, and used only if the second engine hasn't run the request or the silent one has ended its answer. A request that is not written yet is cancelled instead (Call::wasSent). If the second run fails, the stream may return to its first engine by a new run: maxAttempts bounds engines, and that engine is no further one.

Ruled out: an abortive close of the silent run, since a request that its engine hasn't read stays readable after a reset (tried on loopback). Ending the silent run before the second one is sent: a refusal of the second engine would then cost the first its slot.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -204,6 +204,7 @@
     // Returns whether a slot is worth waiting for: an engine that was not tried works, neither failed nor silent, on the given software
     // version; none: on any.
     bool hasOtherEngine(std::string_view service, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version) const;
+    std::vector<UpstreamId> enginesOf(std::string_view service) const;
     // Records that a probe found the engine alive, so that a request may test it.
     void recordProbeSuccess(UpstreamId engine);
     // Applies the load that the engine itself reported a moment ago. It is used where it is higher than the sum of the node reports,
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -117,6 +117,16 @@
     });
 }
 
+std::vector<UpstreamId> CapacityBoard::enginesOf(std::string_view service) const
+{
+    std::vector<UpstreamId> found;
+    for (const EngineDistance distance : engineDistances) {
+        for (const Engine* engine : groups_.all(idFromName<ServiceId>(service), distance))
+            found.push_back(engine->entry_.id_);
+    }
+    return found;
+}
+
 EnginePick CapacityBoard::pickOnline(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version, Duration maxEventGap)
 {
     expireReports(now);
--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -94,6 +94,8 @@
     // meanwhile, and the end of the connection isn't noticed. Any thread; again is harmless.
     void pauseReading();
     void resumeReading();
+    // Returns whether any byte of the request may have been handed to the socket. After cancel() on a call of which this is false, none is.
+    bool wasSent() const;
 
 private:
     std::shared_ptr<detail::ClientConnection> connection() const;
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -85,6 +85,8 @@
         current->resumeSoon(state_);
 }
 
+bool Call::wasSent() const { return state_->sent_; }
+
 std::shared_ptr<ClientConnection> Call::connection() const
 {
     const std::lock_guard lock(state_->mutex_);
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -185,6 +185,8 @@
 
 void ClientConnection::send()
 {
+    if (call_->cancelled_)
+        return dropCall();
     expectProgress(call_->options_.idle_);
     call_->sent_ = true;
     auto body = std::exchange(call_->outboundBody_, nullptr); // lives as long as the write
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -49,7 +49,7 @@
     std::shared_ptr<const std::string> outboundBody_; // null once it has been written
     bool isHead_ = false;
     // Invariants: sent_ is set before the first byte is handed to the socket; headSeen_ implies sent_.
-    bool sent_ = false;
+    std::atomic<bool> sent_ = false;
     bool headSeen_ = false;
     std::atomic<bool> cancelled_ = false;
     std::atomic<bool> ending_ = false; // the call ends once what its connection has received is delivered
--- a/libs/http/tests/CancelTest.cpp
+++ b/libs/http/tests/CancelTest.cpp
@@ -81,6 +81,29 @@
 
 } // namespace
 
+// Guards against a request that is written although its call was cancelled before.
+TEST_CASE("http: a call cancelled before it was sent sends nothing")
+{
+    boost::asio::io_context io;
+    tcp::acceptor acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    Client client(io, {});
+    const Endpoint endpoint { "127.0.0.1", acceptor.local_endpoint().port() };
+    const auto cancelled = client.send(endpoint, { "POST", "/cancelled", {}, "body" }, {}, {});
+    CHECK(!cancelled->wasSent());
+    cancelled->cancel();
+    const auto sent = client.send(endpoint, { "POST", "/sent", {}, "body" }, {}, {});
+    constexpr Duration turn = 50ms;
+    io.run_for(turn);
+    CHECK(!cancelled->wasSent());
+    CHECK(sent->wasSent());
+    tcp::socket server(io);
+    acceptor.accept(server);
+    boost::asio::streambuf request;
+    boost::asio::read_until(server, request, "body");
+    const std::string text(boost::asio::buffers_begin(request.data()), boost::asio::buffers_end(request.data()));
+    CHECK(text.starts_with("POST /sent"));
+}
+
 // Guards against an answer that is lost because the call is ended after it has arrived and before it is read.
 TEST_CASE("http: a call that is cancelled after what was received delivers a whole answer")
 {
--- a/libs/serving/src/EngineRun.h
+++ b/libs/serving/src/EngineRun.h
@@ -33,13 +33,18 @@
     std::optional<TimePoint> firstEventAt_; // none: no event of this run has arrived
     bool isProven_ = false; // the run has gone on for long enough that the request doesn't crash its engine
     std::string body_; // of an answer that is not a stream
+    std::string deferred_; // bytes of the answer that came while another run might have begun, not yet handled
     bool isPaused_ = false; // its engine isn't read, because the caller's queue is full
     EventScanner scanner_;
     EventClock eventClock_;
-    http::ByteHold hold_; // of body_ and of the event that is being scanned
+    http::ByteHold hold_; // of body_, deferred_ and the event that is being scanned
 
     // Capacities, because strings that grow have up to twice the memory of their bytes.
-    std::size_t heldBytes() const { return (body_.empty() ? 0 : body_.capacity()) + (scanner_.rest().empty() ? 0 : scanner_.rest().capacity()); }
+    std::size_t heldBytes() const
+    {
+        const auto held = [](const std::string& bytes) { return bytes.empty() ? 0 : bytes.capacity(); };
+        return held(body_) + held(deferred_) + held(scanner_.rest());
+    }
 };
 
 using EngineRunPtr = std::shared_ptr<EngineRun>;
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -38,6 +38,8 @@
     run->head_ = head;
     context_.observe(run->engine_, head.headers_);
     run->rejected_ = head.headers_.has(context_.translation_.headers_.notExecuted_) || head.status_ == statusMisdirected;
+    if (run == run_ && silentRun_ && !run->rejected_)
+        leaveSilentRun();
 }
 
 void RelayedRequest::onData(const EngineRunPtr& run, std::string_view data)
@@ -45,6 +47,18 @@
     if (!isOpen(run))
         return;
     recordBytes(*run);
+    if (run != silentRun_ || returnBeforeSend())
+        return handleData(run, data);
+    run->deferred_.append(data);
+    run->hold_.resize(run->heldBytes());
+    if (const std::error_code error = findOverLimit(*run))
+        onOverLimit(run, error);
+}
+
+void RelayedRequest::handleData(const EngineRunPtr& run, std::string_view data)
+{
+    if (!isOpen(run))
+        return;
     if (isReadingStream(*run))
         context_.recordEvents(run->engine_, run->eventClock_, run->scanner_.feed(data, [&](const StreamEvent& event) { onEvent(run, event); }));
     else
@@ -63,7 +77,7 @@
 {
     if (run.scanner_.isOverLimit())
         return http::Error::EventTooLarge;
-    if (run.body_.size() > context_.answerLimit())
+    if (std::max(run.body_.size(), run.deferred_.size()) > context_.answerLimit())
         return http::Error::AnswerTooLarge;
     // When the budget is exhausted, runs that hold more than an equal part of it end first.
     if (!context_.budget_->hasRoom(http::ByteUse::Answers, 0) && run.heldBytes() > context_.budget_->share())
@@ -143,10 +157,6 @@
 {
     if (!isOpen(run))
         return;
-    if (run == silentRun_ && !isCertainOfVersion(*run))
-        return leaveSilentRun(false);
-    if (run == silentRun_)
-        returnToSilentRun();
     // Event ids must be consecutive, otherwise the resumed stream would skip or repeat events.
     const bool isDiscontinuous = hasAnswerStarted_ && lastEvent_ && event.id_ && *event.id_ != *lastEvent_ + 1;
     if (isDiscontinuous) {
@@ -155,8 +165,7 @@
     }
     if (!run->firstEventAt_ && !bindVersion())
         return;
-    if (silentRun_)
-        leaveSilentRun(true);
+    recordReplaced();
     if (!run->isProven_ && context_.crashes_->lossPoint(run->firstEventAt_) == LossPoint::InAnswer) {
         run->isProven_ = true;
         context_.crashes_->recordBegun(fingerprints_);
@@ -201,8 +210,7 @@
     run->call_ = nullptr;
     recordBytes(*run);
     if (isReadingStream(*run)) {
-        const bool isEndConfirmed = lastEvent_ && emptyRunAfter_ == lastEvent_;
-        const StreamBreak streamBreak = findStreamBreak(run->scanner_, answerEnd, run->firstEventAt_.has_value(), isEndConfirmed);
+        const StreamBreak streamBreak = findBreak(*run, answerEnd);
         if (streamBreak == StreamBreak::NoEvent)
             emptyRunAfter_ = lastEvent_;
         if (streamBreak != StreamBreak::None)
@@ -213,7 +221,12 @@
         const bool mayAnswer = isReadingStream(*run) || (!hasAnswerStarted_ && !run->rejected_ && head.status_ < firstServerError);
         if (!mayAnswer)
             return onSilentRunAnswered(head.status_ >= firstServerError);
+        if (!isCertainOfVersion(*run))
+            return leaveSilentRun();
+        // Its engine no longer works on the request, so that the second run may end instead.
         returnToSilentRun();
+        if (!isOpen(run))
+            return;
     }
     if (!run->rejected_)
         context_.crashes_->recordAnswer(fingerprints_, head.status_);
@@ -240,6 +253,14 @@
     forwardBufferedAnswer(answerEnd);
 }
 
+StreamBreak RelayedRequest::findBreak(const EngineRun& run, http::AnswerEnd answerEnd) const
+{
+    EventScanner scanner = run.scanner_;
+    const bool hasEvents = scanner.feed(run.deferred_, [](const StreamEvent&) {}) > 0 || run.firstEventAt_;
+    const bool isEndConfirmed = lastEvent_ && emptyRunAfter_ == lastEvent_;
+    return findStreamBreak(scanner, answerEnd, hasEvents, isEndConfirmed);
+}
+
 void RelayedRequest::forwardBufferedAnswer(http::AnswerEnd answerEnd)
 {
     if (hasAnswerStarted_)
@@ -266,8 +287,6 @@
 
 void RelayedRequest::finishStream(http::AnswerEnd answerEnd)
 {
-    if (silentRun_)
-        leaveSilentRun(true);
     if (!hasAnswerStarted_) {
         exchange_->start(run_->head_->status_, endToEndHeaders(run_->head_->headers_));
         hasAnswerStarted_ = true;
@@ -338,9 +357,14 @@
 }
 
 bool RelayedRequest::mayRunAgain() const
+{
+    return mayRepeat() && (hasAttemptLeft() || !leftWhileSilent_.empty());
+}
+
+bool RelayedRequest::mayRepeat() const
 {
     const bool isVersionUnknown = hasAnswerStarted_ && boundVersion_.isNone();
-    return route_.isRepeatable() && !isVersionUnknown && runs_ < std::max(route_.maxAttempts_, 1U) && timeLeft() > Duration::zero() && (isStream() || !hasAnswerStarted_);
+    return route_.isRepeatable() && !isVersionUnknown && timeLeft() > Duration::zero() && (isStream() || !hasAnswerStarted_);
 }
 
 void RelayedRequest::logLost(std::error_code error, bool goesOn)
@@ -357,12 +381,12 @@
 void RelayedRequest::lost(std::error_code error)
 {
     const bool wasSent = phase_ == Phase::Running;
+    if (silentRun_)
+        leaveSilentRun();
     const bool mayResend = wasSent && mayRunAgain();
-    logLost(error, silentRun_ || mayResend);
+    logLost(error, mayResend);
     if (!pendingEvents_.empty())
         exchange_->write(std::exchange(pendingEvents_, {})); // a kept capacity wouldn't be counted by the byte budget
-    if (silentRun_)
-        return returnToSilentRun();
     releaseEngine();
     if (mayResend) {
         context_.metrics_.metrics_.add(context_.metrics_.resent_);
--- a/libs/serving/src/RelaySilence.cpp
+++ b/libs/serving/src/RelaySilence.cpp
@@ -1,8 +1,10 @@
 // RelayedRequest: what happens when the engine of a stream that may be resumed sends nothing for a while.
 //
-// A sound engine may pause for longer than silenceTimeout, and only an engine that is gone never goes on. The two look the same, so the
-// silent run stays open until another run has proven better: a second run is opened beside it, and whichever brings the next event first
-// goes on alone. If the request may not run again, or no other engine has a free slot, it waits for its engine.
+// A sound engine may pause for longer than silenceTimeout, and only an engine that is gone never goes on. The two look the same, so a second
+// run is opened at another engine. Two engines must not work on the request, so the silent run ends as soon as the second one has begun or
+// may have begun, whatever the silent engine sends; until then its bytes are kept. It goes on only if the second run was refused as not
+// executed, or never reached its engine. If the second run fails, the request may return to its first engine as a new run. If the request
+// may not run again, or no other engine has a free slot, it waits for its engine.
 #include "RelayedRequest.h"
 
 #include <algorithm>
@@ -76,13 +78,16 @@
 bool RelayedRequest::mayTryOtherEngine()
 {
     const bool hasSettled = !mustSettle_ || context_.now() - lostAt_ >= CrashWatch::settlingTime;
-    return hasSettled && offers_ < maxOffers && mayRunAgain() && isStillAllowed(*context_.table_, caller_) && !isBlocked();
+    return hasSettled && offers_ < maxOffers && hasAttemptLeft() && mayRepeat() && isStillAllowed(*context_.table_, caller_) && !isBlocked();
 }
 
 void RelayedRequest::allowLeftEngines()
 {
-    if (leftWhileSilent_.empty() || context_.board_.hasOtherEngine(service_, tried_, context_.now(), boundVersion_))
+    const bool mustReturn = !hasAttemptLeft();
+    if (leftWhileSilent_.empty() || (!mustReturn && context_.board_.hasOtherEngine(service_, tried_, context_.now(), boundVersion_)))
         return;
+    if (mustReturn)
+        tried_ = context_.board_.enginesOf(service_);
     std::erase_if(tried_, [this](UpstreamId engine) { return std::find(leftWhileSilent_.begin(), leftWhileSilent_.end(), engine) != leftWhileSilent_.end(); });
     leftWhileSilent_.clear();
 }
@@ -127,8 +132,8 @@
 
 void RelayedRequest::endOverlap()
 {
-    const bool goesOn = silentRun_->heardAt_ > run_->sentAt_;
-    goesOn ? returnToSilentRun() : leaveSilentRun(false);
+    const bool isConnecting = run_->call_ && !run_->call_->wasSent();
+    isConnecting ? checkSilenceAfter(silenceCheckInterval) : leaveSilentRun();
 }
 
 // Names both engines, and how long ago the second run was sent.
@@ -148,21 +153,42 @@
     overlapLine("silentRunKept", *silentRun_, *run_);
     EngineRunPtr other = std::exchange(run_, std::exchange(silentRun_, nullptr));
     close(other);
-    checkSilenceWhenDue();
+    const EngineRunPtr kept = run_;
+    if (const std::string deferred = std::exchange(kept->deferred_, {}); !deferred.empty())
+        handleData(kept, deferred);
+    if (isOpen(kept))
+        checkSilenceWhenDue();
+}
+
+bool RelayedRequest::returnBeforeSend()
+{
+    const bool wasSent = !run_->call_ || run_->call_->wasSent();
+    if (wasSent || !isCertainOfVersion(*silentRun_))
+        return false;
+    --runs_;
+    returnToSilentRun();
+    return true;
 }
 
-void RelayedRequest::leaveSilentRun(bool isReplaced)
+void RelayedRequest::leaveSilentRun()
 {
     EngineRunPtr silent = std::exchange(silentRun_, nullptr);
-    overlapLine("silentRunLeft", *silent, *run_).with("replaced", isReplaced ? "yes" : "no");
-    if (isReplaced)
-        context_.failed(silent->engine_, EngineFault::Lost, http::Error::NoProgress);
-    else
-        leftWhileSilent_.push_back(silent->engine_);
+    overlapLine("silentRunLeft", *silent, *run_);
+    leftWhileSilent_.push_back(silent->engine_);
+    silentUntilLeft_ = silent->isSilent_ && run_->head_ ? silent->engine_ : UpstreamId::none();
     close(silent);
     checkSilenceWhenDue();
 }
 
+void RelayedRequest::recordReplaced()
+{
+    const UpstreamId engine = std::exchange(silentUntilLeft_, UpstreamId::none());
+    if (engine.isNone())
+        return;
+    std::erase(leftWhileSilent_, engine);
+    context_.failed(engine, EngineFault::Lost, http::Error::NoProgress);
+}
+
 void RelayedRequest::onSilentRunAnswered(bool hasFailed)
 {
     if (silentRun_->rejected_)
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -331,6 +331,7 @@
     run->heardAt_ = run->sentAt_;
     run_ = run;
     softwareVersion_ = entry->softwareVersion_;
+    silentUntilLeft_ = UpstreamId::none();
     tried_.push_back(pick.engine_);
     ++offers_;
     ++runs_;
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -28,7 +28,7 @@
     static constexpr Duration minRetryAfter = 150ms;
     // An engine counts as silent after this long without a byte: several times the longest step of a fully loaded engine.
     static constexpr Duration silenceTimeout = 1200ms;
-    // How long two runs of a stream may be open. An engine on which nothing waits sends its first event within a fraction of this.
+    // How long the silent run may stay open once the second one was sent. An engine on which nothing waits answers within a fraction of this.
     static constexpr Duration maxOverlap = 200ms;
     // Maximum number of engines that a request is sent to. Each one that rejects it or can't be connected to costs a round trip,
     // and after four of them the load counts behind the choice are evidently wrong.
@@ -99,6 +99,8 @@
     http::Request outgoingRequest(const EngineEntry& engine) const;
     void onHead(const EngineRunPtr& run, const http::ResponseHead& head);
     void onData(const EngineRunPtr& run, std::string_view data);
+    // Handles bytes of the run that the request goes on with.
+    void handleData(const EngineRunPtr& run, std::string_view data);
     void onEnd(const EngineRunPtr& run, http::AnswerEnd answerEnd);
     void onError(const EngineRunPtr& run, const http::CallFailure& failure);
     void onEvent(const EngineRunPtr& run, const StreamEvent& event);
@@ -159,16 +161,21 @@
     // Returns the element of the run's answer that has exceeded its limit; no error if there is none.
     std::error_code findOverLimit(EngineRun& run) const;
 
-    // Lets the request go back to engines that it left while they were silent, if no other one is left: they may be sound.
+    // Lets the request go back to engines that it left while they were silent, if no other one or no attempt is left: they may be sound, and
+    // another run there is no attempt at a further engine.
     void allowLeftEngines();
     bool mayTryOtherEngine();
     bool startSecondRun(const EnginePick& pick);
-    // Neither run has brought an event for as long as two of them may be open.
+    // The second run hasn't answered for as long as two of them may be open.
     void endOverlap();
-    // The silent engine goes on, or the second run failed: the second one ends.
+    // The second run has not begun and never will: the silent one goes on alone.
     void returnToSilentRun();
-    // The second run goes on alone. `isReplaced`: it has brought an event.
-    void leaveSilentRun(bool isReplaced);
+    // The second run has begun, or may have: it goes on alone.
+    void leaveSilentRun();
+    // Returns to the silent run if the second one was not sent yet. Returns false if it was.
+    bool returnBeforeSend();
+    // Records that the run has done better than a silent one that ended for it.
+    void recordReplaced();
     // The silent run ended with a whole answer that its caller can't get: a refusal or a failure.
     void onSilentRunAnswered(bool hasFailed);
     // The answer of the silent run can't go on: its connection broke, or its engine did not run the request.
@@ -178,8 +185,13 @@
     bool isReadingStream(const EngineRun& run) const { return isStream() && run.head_ && run.head_->status_ == http::statusOk && !run.rejected_; }
     // Returns whether the run's answer is still awaited.
     bool isOpen(const EngineRunPtr& run) const { return phase_ == Phase::Running && (run == run_ || run == silentRun_); }
-    // Returns whether the request may be sent to one engine more after a run whose answer can't go on.
+    // Returns whether the request may be sent once more after a run whose answer can't go on.
     bool mayRunAgain() const;
+    bool hasAttemptLeft() const { return runs_ < std::max(route_.maxAttempts_, 1U); }
+    // Returns whether anything but the number of attempts forbids another run.
+    bool mayRepeat() const;
+    // Returns whether the run's stream, as far as it has come, is incomplete at this end of the answer.
+    StreamBreak findBreak(const EngineRun& run, http::AnswerEnd answerEnd) const;
     // Returns whether the run's next event may follow the events that the caller has: its engine is known not to have started again, with
     // another version, since it was picked.
     bool isCertainOfVersion(const EngineRun& run) const { return run.firstEventAt_ || !isResumed() || context_.board_.isCurrent(run.engine_); }
@@ -221,7 +233,8 @@
     Phase phase_ = Phase::Admitting;
     bool usesQuota_ = false; // admitted, and its credit is not returned
     std::vector<UpstreamId> tried_;
-    std::vector<UpstreamId> leftWhileSilent_; // those of tried_ that were silent when the request left them, and that no other run has outdone
+    std::vector<UpstreamId> leftWhileSilent_; // those of tried_ that the request left after a silence, and that no other run has replaced
+    UpstreamId silentUntilLeft_; // the last one of leftWhileSilent_ if it was still silent when run_ answered; none: it wasn't
     std::size_t offers_ = 0; // number of engines that the request was sent to, including those that did not run it
     std::uint32_t runs_ = 0; // number of engines that may have started the request
     QueueTicket ticket_; // set in phase Waiting, and while a request whose engine is silent waits for a slot elsewhere
