Serving: an item under which engines crashed is tried again until its time is over

What callers saw: five engines crashed while they ran the same item; afterwards all was calm and engines were idle, but the item wasn't placed again. With a part of its prompt that nobody had answered, four of five items of the job weren't.

Cause: items were judged as requests that crash engines, by their content and parts. Once blocked, an item was tried after 5 s (a part: 30 s), 5 and 50 minutes, and each time that it was withheld renewed the verdict. One crash during the first trial, for whatever reason, left it waiting for longer than its job lasts. Class: a verdict from coincidence whose retrial grows beyond the life of what is judged.

An item with a blocked part is tried 5 s after the last crash or trial, then every 10 s.

--- a/libs/crashes/include/crashes/CrashSuspects.h
+++ b/libs/crashes/include/crashes/CrashSuspects.h
@@ -53,9 +53,11 @@
     Duration contentAnswerLifetime_ = std::chrono::minutes(1);
     // Times from the blocking of a suspect to the trials. After the last one it stays blocked while requests with it come.
     std::array<Duration, 3> trialDelays_ { 30s, std::chrono::minutes(5), std::chrono::minutes(50) };
-    // The same for a whole content. An item that was by coincidence at engines which ended for other reasons can then still be done before it
-    // is due, and no request with another content is at risk.
+    // The same for a whole content. No request with another content is at risk.
     std::array<Duration, 3> contentTrialDelays_ { 5s, std::chrono::minutes(5), std::chrono::minutes(50) };
+    // The same for items of jobs, counted from the last crash or trial; the last one repeats. An item crashes no engine by itself and is owed to
+    // its caller, so the delays stay short against the time until it is due.
+    std::array<Duration, 2> itemTrialDelays_ { 5s, 10s };
     // When a trial is due, hosts get the opportunity one after the other, for this long each.
     Duration trialTurn_ = 2s;
     // A record is repeated for this long after the last crash; that of a blocked suspect as long as it is blocked.
@@ -112,6 +114,9 @@
     // Returns the number of trials so far; increased by recordTrial().
     std::uint8_t trials(Fingerprint suspect) const;
     void recordTrial(Fingerprint suspect, TimePoint now);
+    // Returns whether this host may run an item of a job although it has the blocked suspect.
+    bool isItemTrialDue(Fingerprint suspect, TimePoint now) const;
+    void recordItemTrial(Fingerprint suspect, TimePoint now);
     bool hasBlocked() const { return !blocked_.empty(); }
     std::size_t size() const { return suspects_.size(); }
 
@@ -144,6 +149,8 @@
         std::optional<TimePoint> answeredAt_ {}; // last answer that is known, of any host
         TimePoint activeAt_ {}; // last crash, or request that was refused, at any host
         TimePoint blockedAt_ {}; // only valid for suspects in blocked_
+        std::size_t itemTrials_ = 0; // of this host, since the suspect was blocked
+        TimePoint itemTriedAt_ {};
     };
     struct Loss {
         RequestFingerprints request_;
--- a/libs/crashes/src/CrashSuspects.cpp
+++ b/libs/crashes/src/CrashSuspects.cpp
@@ -147,6 +147,26 @@
     found->second.activeAt_ = now;
 }
 
+bool CrashSuspects::isItemTrialDue(Fingerprint suspect, TimePoint now) const
+{
+    const auto found = suspects_.find(suspect);
+    if (found == suspects_.end() || !blocked_.contains(suspect))
+        return false;
+    const Suspect& blocked = found->second;
+    const TimePoint crashedAt = blocked.crashes_.empty() ? TimePoint() : blocked.crashes_.back().at_;
+    const auto& delays = settings_.itemTrialDelays_;
+    return now - std::max({ blocked.blockedAt_, blocked.itemTriedAt_, crashedAt }) >= delays[std::min(blocked.itemTrials_, delays.size() - 1)];
+}
+
+void CrashSuspects::recordItemTrial(Fingerprint suspect, TimePoint now)
+{
+    const auto found = suspects_.find(suspect);
+    if (found == suspects_.end())
+        return;
+    ++found->second.itemTrials_;
+    found->second.itemTriedAt_ = now;
+}
+
 // ---- verdicts
 
 std::vector<UpstreamId> CrashSuspects::countedEngines(const Suspect& suspect) const
@@ -197,6 +217,7 @@
             continue;
         Suspect& suspect = suspects_.at(one);
         suspect.blockedAt_ = now;
+        suspect.itemTrials_ = 0;
         changes_.push_back({ one, true, suspect.depth_ == contentDepth, countedEngines(suspect) });
     }
     for (const Fingerprint one : blocked_) {
--- a/libs/crashes/tests/CrashSuspectsTest.cpp
+++ b/libs/crashes/tests/CrashSuspectsTest.cpp
@@ -354,3 +354,29 @@
     suspects.recordTrial(item.content_, now + 6s);
     CHECK_FALSE(suspects.isTrialDue(item.content_, 0, now + 60s));
 }
+
+// Guards against an item that is never placed again because engines crashed while they ran it.
+TEST_CASE("items with a blocked part are tried every few seconds, without end")
+{
+    TimePoint now {};
+    CrashSuspects suspects;
+    for (std::uint64_t number = 1; number <= 3; ++number)
+        crash(suspects, number, { { shared, deadly } }, now);
+    const CrashSettings settings;
+    const TimePoint blockedAt = now;
+    TimePoint triedAt = now;
+    int trials = 0;
+    for (; now < blockedAt + 10min; now += 100ms) {
+        REQUIRE(isBlocked(suspects, { shared, deadly }, now));
+        CHECK(now - triedAt <= settings.itemTrialDelays_.back() + 100ms);
+        if (!suspects.isItemTrialDue(deadly, now))
+            continue;
+        suspects.recordItemTrial(deadly, now);
+        triedAt = now;
+        ++trials;
+        crash(suspects, static_cast<std::uint64_t>(100 + trials), { { shared, deadly } }, now);
+    }
+    CHECK(trials >= 59);
+    suspects.recordAnswer(request({ shared, deadly }), now);
+    CHECK_FALSE(isBlocked(suspects, { shared, deadly }, now));
+}
--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -50,6 +50,8 @@
     // Delay before an item is retried after a failed run. It doubles with each further failure, up to maxRetryDelay_.
     Duration initialRetryDelay_ = 100ms;
     Duration maxRetryDelay_ = 4s;
+    // Delay before an item that was withheld may be tried.
+    Duration withheldDelay_ = 2s;
     // Delay before an item that was preempted after an event runs again: the node that needed its slot has taken it by then.
     Duration preemptionDelay_ = 50ms;
     // A handover waits this long for the first event or the end of runs that have just begun. An engine that rejects an item answers within
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -210,7 +210,7 @@
     case RunResult::Released:
         return;
     case RunResult::Withheld:
-        item.notBefore_ = now + settings_.maxRetryDelay_;
+        item.notBefore_ = now + settings_.withheldDelay_;
         return;
     case RunResult::Interrupted:
         return retryLater();
--- a/libs/serving/src/CrashWatch.cpp
+++ b/libs/serving/src/CrashWatch.cpp
@@ -56,7 +56,7 @@
 
 RequestFingerprints CrashWatch::fingerprintsOf(const ItemRun& item) const
 {
-    return fingerprintsOf(joinedValues(item.headers_, context_.translation_.headers_.promptParts_), contentOf(item.host_, item.path_, item.body_));
+    return fingerprintsOf(joinedValues(item.headers_, context_.translation_.headers_.promptParts_), Fingerprint::none());
 }
 
 RequestFingerprints CrashWatch::fingerprintsOf(std::string_view promptParts, Fingerprint content) const
@@ -137,6 +137,18 @@
     publish({ suspect }, NodeId::none());
 }
 
+CrashWatch::Verdict CrashWatch::judgeItem(const RequestFingerprints& item)
+{
+    const auto blocked = suspects_.findBlocked(item, context_.now());
+    return { blocked, blocked && suspects_.isItemTrialDue(*blocked, context_.now()) };
+}
+
+void CrashWatch::beginItemTrial(Fingerprint suspect)
+{
+    suspects_.recordItemTrial(suspect, context_.now());
+    context_.log_.line("itemTrial").with("suspect", suspectName(suspect));
+}
+
 // Hosts take turns in the order of a hash. The first one that receives such a request sends it and announces the trial before the turn of the
 // next host.
 bool CrashWatch::isOwnTrialDue(Fingerprint suspect) const
--- a/libs/serving/src/CrashWatch.h
+++ b/libs/serving/src/CrashWatch.h
@@ -29,6 +29,7 @@
     CrashWatch(Context& context, std::uint64_t seed);
 
     RequestFingerprints fingerprintsOf(const http::Request& request) const;
+    // An item of a job crashes no engine by itself, so that only the parts that it shares with requests are suspected, not its content.
     RequestFingerprints fingerprintsOf(const ItemRun& item) const;
 
     // ---- runs
@@ -52,8 +53,10 @@
         bool isTrialDue_ = false; // the request has a blocked suspect, but may be sent to one engine nevertheless
     };
     Verdict judge(const RequestFingerprints& request);
+    Verdict judgeItem(const RequestFingerprints& item);
     // Announces that this host sends a request with the blocked suspect.
     void beginTrial(Fingerprint suspect);
+    void beginItemTrial(Fingerprint suspect);
     Duration blockedFor(Fingerprint suspect) const { return suspects_.blockedFor(suspect, context_.now()); }
 
     void handle(const SuspectRecords& message);
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -96,11 +96,11 @@
 
 bool ItemRunner::withhold(const Run& run, TimePoint now)
 {
-    const CrashWatch::Verdict verdict = context_.crashes_->judge(run.fingerprints_);
+    const CrashWatch::Verdict verdict = context_.crashes_->judgeItem(run.fingerprints_);
     if (!verdict.blocked_)
         return false;
     if (verdict.isTrialDue_) {
-        context_.crashes_->beginTrial(*verdict.blocked_);
+        context_.crashes_->beginItemTrial(*verdict.blocked_);
         return false;
     }
     context_.log_.line("itemWithheld").with("request", run.item_.item_).with("job", run.item_.job_).with("suspect", suspectName(*verdict.blocked_));
