Serving: a host that has just started waits as long as its routes' callers may before it knows a sole version

What callers saw: streams that had begun at the old version, while all hosts were killed and the engines of the old version left, were taken up with 200 and joined from two versions.

Cause: without a record, a stream goes on if its service has had one version for as long as a stream can be resumed. That time followed from what callers had stated since the start of the process. After all hosts have been killed, the first callers may wait for far less than those whose streams broke off. Class: a bound learnt from what has been met so far is used as if it held for all.

The time limits of the service's routes count as well now.

Callers that wait for longer than their route's limit and than any caller that a host has met since its start are not covered.

--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -134,6 +134,7 @@
 void ServingNode::Parts::onConfig(const std::shared_ptr<const RouteTable>& table)
 {
     context_.table_ = table;
+    streams_->setTable(*table);
     if (quotas_)
         quotas_->setTable(table);
     if (shares_)
--- a/libs/serving/src/StreamVersions.cpp
+++ b/libs/serving/src/StreamVersions.cpp
@@ -50,6 +50,16 @@
         sendRecordsOf(service);
 }
 
+void StreamVersions::setTable(const RouteTable& table)
+{
+    for (const Route& route : table.routes()) {
+        if (route.kind_ != RouteKind::Streaming)
+            continue;
+        for (const RouteTarget& target : route.targets_)
+            history_.noteCallerDeadline(idFromName<ServiceId>(target.service_), route.timeout_);
+    }
+}
+
 void StreamVersions::record(const StreamRecord& record, TimePoint now)
 {
     if (record.stream_.isNone())
--- a/libs/serving/src/StreamVersions.h
+++ b/libs/serving/src/StreamVersions.h
@@ -7,6 +7,7 @@
 
 #include "Fleet.h"
 #include "membership/Replicas.h"
+#include "routes/RouteTable.h"
 #include "streams/StreamResolver.h"
 #include "streams/StreamTable.h"
 #include "streams/VersionHistory.h"
@@ -24,6 +25,8 @@
     void setEngine(const EngineEntry& engine, TimePoint now);
     void removeEngine(UpstreamId engine, TimePoint now) { history_.removeEngine(engine, now); }
 
+    // Records for how long the routes' callers may be kept waiting: a host that has just started hasn't met those that wait longest.
+    void setTable(const RouteTable& table);
     // Records how long the caller of a stream waits at most, as it states at its first attempt.
     void noteCallerDeadline(ServiceId service, Duration deadline) { history_.noteCallerDeadline(service, deadline); }
     // Records a stream whose first event has arrived at this host, or renews its record.
