Serving: no item of an accepted job ends a process

What callers saw: a job of ten items, one of them with a header of more than 65,533 bytes, was answered 202. Its worker ended as soon as it sent the item, and again after each start, and with it the sound items of this and of other jobs.

Cause: the HTTP library throws on names and values that it can't hold, nothing caught it, and nothing checked the headers inside a job. Class: input is passed to a library that refuses it by an exception, at a place where it is already accepted.

- A job is refused before it is stored, with item and field: 431 if the header of an item is over the configuration's limit, 400 if an id, path or header has no form that a request may have (ids with line ends made engines seem silent, as no answer had the id).
- The client turns what it can't encode into an error of that call, not run and not its engine's fault.

--- a/libs/http/include/http/Message.h
+++ b/libs/http/include/http/Message.h
@@ -82,6 +82,7 @@
     NoBufferSpace, // the process holds too many bytes for slow peers
     ReaderStalled, // the reader took no byte while others needed the space
     BadBudget, // a byte budget whose shares don't fit its limit
+    Unencodable, // a request's method, target or header has no valid form, or is too long for one
 };
 
 std::error_code make_error_code(Error error);
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -3,7 +3,9 @@
 
 #include "ClientConnection.h"
 
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <exception>
 #include <utility>
 
 namespace jj::http {
@@ -14,7 +16,7 @@
     using detail::ClientConnection;
     using detail::ClientShared;
 
-    std::string requestHead(const Endpoint& endpoint, const Request& request, std::size_t bodyBytes)
+    std::string composeHead(const Endpoint& endpoint, const Request& request, std::size_t bodyBytes)
     {
         boost::beast::http::request<boost::beast::http::empty_body> head;
         head.version(11);
@@ -31,6 +33,16 @@
         return detail::headText(head);
     }
 
+    // Beast throws on names and values that it can't hold.
+    Result<std::string> requestHead(const Endpoint& endpoint, const Request& request, std::size_t bodyBytes)
+    {
+        try {
+            return composeHead(endpoint, request, bodyBytes);
+        } catch (const std::exception&) {
+            return Error::Unencodable;
+        }
+    }
+
     std::shared_ptr<ClientConnection> pick(const std::shared_ptr<ClientShared>& shared, const Endpoint& endpoint, bool fresh)
     {
         if (!fresh) {
@@ -126,7 +138,16 @@
     state->options_.sharedBody_ = nullptr;
     state->endpoint_ = endpoint;
     state->outboundBody_ = options.sharedBody_ ? options.sharedBody_ : std::make_shared<const std::string>(request.body_);
-    state->outboundHead_ = requestHead(endpoint, request, state->outboundBody_->size());
+    Result<std::string> head = requestHead(endpoint, request, state->outboundBody_->size());
+    if (!head) {
+        boost::asio::post(shared_->io_, [state, error = head.error()] {
+            if (!state->cancelled_ && !state->ending_)
+                state->handlers_.onError_({ error, RunState::NotRun });
+            state->handlers_ = {};
+        });
+        return std::make_shared<Call>(std::move(state));
+    }
+    state->outboundHead_ = std::move(head.value());
     state->isHead_ = request.method_ == "HEAD";
     const auto connection = pick(shared_, endpoint, options.fresh_);
     state->connection_ = connection;
--- a/libs/http/src/Message.cpp
+++ b/libs/http/src/Message.cpp
@@ -55,6 +55,8 @@
                 return "reader took no byte while others needed the space";
             case Error::BadBudget:
                 return "byte budget doesn't fit its shares";
+            case Error::Unencodable:
+                return "request can't be encoded";
             }
             return "unknown http error";
         }
--- a/libs/http/tests/CancelTest.cpp
+++ b/libs/http/tests/CancelTest.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -81,6 +82,23 @@
 
 } // namespace
 
+// Guards against a process that ends because of one header that is too long.
+TEST_CASE("http: a request that can't be encoded fails by itself, as not run")
+{
+    boost::asio::io_context io;
+    Client client(io, {});
+    constexpr std::size_t overLimit = 65'534;
+    std::optional<CallFailure> failure;
+    CallHandlers handlers;
+    handlers.onError_ = [&](const CallFailure& one) { failure = one; };
+    client.send({ "127.0.0.1", 1 }, { "POST", "/item", { { "X-Long", std::string(overLimit, 'v') } }, {} }, {}, std::move(handlers));
+    CHECK(!failure);
+    io.run();
+    REQUIRE(failure);
+    CHECK(failure->code_ == make_error_code(http::Error::Unencodable));
+    CHECK((failure->run_ == RunState::NotRun));
+}
+
 // Guards against a request that is written although its call was cancelled before.
 TEST_CASE("http: a call cancelled before it was sent sends nothing")
 {
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -50,6 +50,7 @@
     CounterHandle answersOverLimit_; // answers of engines of which an element exceeded its limit
     CounterHandle enginesPaused_; // times that an engine wasn't read because its caller's queue was full
     CounterHandle loadHeadersIgnored_; // load headers that can't be read
+    CounterHandle handlersFailed_; // handlers of the loop that an exception left
     CounterHandle jobsSpooled_; // jobs acknowledged once spooled on disks, before the store accepted them
     CounterHandle requestsQueued_; // online requests that waited for a slot
     GaugeHandle requestsWaiting_; // that wait for a slot now
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -364,6 +364,9 @@
     if (!isCurrent(run))
         return;
     run->call_ = nullptr;
+    // Its engine isn't at fault, and another one would get no other request.
+    if (failure.code_ == http::Error::Unencodable)
+        return finish(run, RunResult::Withheld, failure.code_.message());
     if (failure.run_ == RunState::NotRun) {
         context_.failed(run->engine_, EngineFault::NotConnected, failure.code_);
         return finish(run, RunResult::Released, "notConnected");
--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -3,6 +3,7 @@
 #include "JobFront.h"
 
 #include "HopTimes.h"
+#include "ItemChecks.h"
 #include "JobCallStep.h"
 
 namespace jj {
@@ -105,6 +106,10 @@
         return exchange->respond(refusalResponse(context_.translation_, 400, "job.Unreadable", submission.error().message(), RunState::NotRun, {}));
     }
     JobSubmission& job = submission.value();
+    if (const auto fault = findItemFault(job, table.limits().headerBytes_)) {
+        context_.log_.line("jobRefused").with("request", job.job_).with("error", fault->message_);
+        return exchange->respond(refusalResponse(context_.translation_, fault->status_, fault->code_, fault->message_ + "; the job has not run", RunState::NotRun, {}));
+    }
     const std::string id = std::exchange(job.job_, storedJobName(table, caller, job.job_));
     job.head_.workspace_ = caller.workspace_;
     job.head_.host_ = hostName(exchange->request().headers_.find("Host"));
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -322,6 +322,8 @@
         return;
     run->call_ = nullptr;
     const bool hasRun = failure.run_ != RunState::NotRun && !run->rejected_;
+    if (failure.code_ == http::Error::Unencodable)
+        return onUnencodable(failure.code_);
     if (run == silentRun_)
         return onSilentRunFailed(hasRun, failure.code_);
     if (failure.run_ == RunState::NotRun) {
@@ -339,6 +341,17 @@
     onEngineLost(failure.code_);
 }
 
+// No engine is at fault, and each would get the same request.
+void RelayedRequest::onUnencodable(std::error_code error)
+{
+    line("notConnected").with("error", error.message()).with("offer", offers_);
+    --runs_;
+    releaseEngine();
+    if (hasAnswerStarted_ || mayHaveRun())
+        return giveUp();
+    fail(431, "request.Unencodable", "the request can't be encoded for an engine; it has not run", RunState::NotRun);
+}
+
 void RelayedRequest::noteLoss()
 {
     const LossPoint point = context_.crashes_->lossPoint(run_->firstEventAt_);
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -108,6 +108,7 @@
     bool bindVersion();
 
     void onNotExecuted();
+    void onUnencodable(std::error_code error);
     void requestPreemption();
     // Handles a connection to the engine that broke while the request may have run.
     void onEngineLost(std::error_code error);
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -414,7 +414,15 @@
 {
     parts_->waitForSignal();
     parts_->scheduleTick();
-    parts_->io_.run();
+    while (!parts_->io_.stopped()) {
+        // One handler that fails must not end the others.
+        try {
+            parts_->io_.run();
+        } catch (const std::exception& exception) {
+            parts_->log_.line("handlerFailed").with("error", exception.what());
+            parts_->servingMetrics_.metrics_.add(parts_->servingMetrics_.handlersFailed_);
+        }
+    }
     parts_->log_.flush();
 }
 
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -44,8 +44,9 @@
         if (error)
             return;
         recordLoopLag(timer_.expiry());
+        // Ticks go on after one that fails.
+        const std::shared_ptr<void> schedule(nullptr, [this](void*) { scheduleTick(); });
         tick();
-        scheduleTick();
     });
 }
 
