Platform: an entry that can't be read spoils no other entry of a list or a watch

What callers saw: one entry of another writer among the engines' entries, a text cut inside a character or 40 levels deep, hid all engines from all hosts. After a release nothing ran, and accepted jobs weren't listed.

Cause: the whole answer of the store was parsed as one JSON text. Class: one part that can't be read spoils the whole.

Entries without a readable key are counted and logged (storeEntriesUnreadable).

--- a/libs/objects/include/objects/ObjectApi.h
+++ b/libs/objects/include/objects/ObjectApi.h
@@ -96,6 +96,7 @@
     std::vector<ObjectEntry> entries_; // List, by key
     std::string next_; // List: pass as `after` to go on; empty at the end
     std::vector<ObjectChange> changes_; // Changes, in order; version_ is where to go on from
+    std::uint32_t unreadable_ = 0; // List and Changes: number of entries that are left out because not even their key can be read
     Duration retryAfter_ {}; // RateLimited and Unavailable: zero when the store named no time
 
     bool ok() const { return !error_; }
--- a/libs/serving/src/StoreLink.cpp
+++ b/libs/serving/src/StoreLink.cpp
@@ -108,6 +108,8 @@
             client_.dropPooled(settings_.store_);
         ObjectAnswer answer = translation_.parseStoreAnswer_(call, response, run);
         recordOutcome(!isRouteError(answer.error_), true, call, response ? answer.error_ : response.error());
+        if (answer.unreadable_ > 0)
+            log_.line("storeEntriesUnreadable").with("verb", verbName(call.verb_)).with("key", call.key_).with("count", answer.unreadable_).with("version", answer.version_.value());
         done(std::move(answer));
     });
 }
