Ledger: pages of results fit into a value of the store, and a page that is refused for good is split

What callers saw: results that ended during an outage of 4.5 s were never listed, 76 to 84 of 200, while engines were idle. With one text that the store can't hold, no item of its job was listed.

Cause: all finished results went on one page, whatever its size, and a page refused with 413 or 400 was sent again as it was, twice a second. Class: a write that is refused for good is treated as an outage.

A page holds what fits into the store's limit of a value (setting value-bytes, in bytes; the platform's valueBytes), measured as the store counts it; the rest follows at once. A page that is refused nevertheless is halved, down to the one result that the store can't hold, which is listed as errored and logged (itemTextRefused). After that pages grow again.

Three new unit tests: results of 2 MB, a text over the limit by itself, and a store that refuses one text; the code before has no page limit and no such note, so they don't compile there.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -45,6 +45,7 @@
     // left until the job is due, at most commitWindow_. On average it delays a result by half its length; it never delays the last result.
     double commitFraction_ = 0.2;
     Duration commitWindow_ = 2s;
+    std::size_t maxValueBytes_ = maxObjectBytes; // of a value in the store
     // Within this time before the job is due, each result is committed at once.
     Duration dueMargin_ = 1s;
     // Delay before an item is retried after a failed run. It doubles with each further failure, up to maxRetryDelay_.
@@ -188,6 +189,7 @@
     Listed, // results were committed
     PageConflict, // another owner had already written the result page
     ItemErrored,
+    TextRefused, // the store can't hold the text of a completed item; the count is its size in bytes
     ItemFailed, // an engine answered with an error; the count is the number of failed runs known
     ItemRetried,
     ItemRestarted, // its text was discarded, because no engine of the software version that wrote it serves
@@ -352,6 +354,8 @@
     void commitIfDue(const JobPtr& job, TimePoint now);
     void commit(const JobPtr& job, TimePoint now);
     void finishCommit(const JobPtr& job, const SettledAnswer& answer, TimePoint now);
+    // Lists the item as errored, without its text.
+    void dropText(const Job& job, JobResult& result);
     void resolveConflict(const JobPtr& job, TimePoint now);
     // Reads the head after a result page that another owner has written, or may have written.
     void confirmThenComplete(const JobPtr& job, TimePoint now);
--- a/libs/ledger/include/ledger/Records.h
+++ b/libs/ledger/include/ledger/Records.h
@@ -98,6 +98,9 @@
 std::string encode(const JobHead& head);
 std::string encode(const std::vector<JobItem>& page);
 std::string encode(const std::vector<JobResult>& page);
+// Returns how many of the results, from the first on, fit into one value of the store of at most `valueBytes` bytes. The store counts a value as
+// JSON, in which the record is a text of its own.
+std::size_t countFitting(const std::vector<JobResult>& results, std::size_t valueBytes);
 
 // Error: BadRecord.
 Result<JobHead> decodeHead(std::string_view text);
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -9,7 +9,7 @@
 
 std::string_view toString(SchedulerNote note)
 {
-    static constexpr std::string_view names[] = { "jobAdopted", "jobLoaded", "jobTakenOver", "jobLost", "resultsListed", "pageConflict", "itemErrored", "itemFailed", "itemRetried", "itemRestarted", "jobDone", "jobEnded", "jobVoid", "jobHandedOver", "jobRemoved", "jobStoreFailed" };
+    static constexpr std::string_view names[] = { "jobAdopted", "jobLoaded", "jobTakenOver", "jobLost", "resultsListed", "pageConflict", "itemErrored", "itemTextRefused", "itemFailed", "itemRetried", "itemRestarted", "jobDone", "jobEnded", "jobVoid", "jobHandedOver", "jobRemoved", "jobStoreFailed" };
     return names[static_cast<std::size_t>(note)];
 }
 
--- a/libs/ledger/src/Records.cpp
+++ b/libs/ledger/src/Records.cpp
@@ -140,6 +140,21 @@
     return json::serialize(results);
 }
 
+std::size_t countFitting(const std::vector<JobResult>& results, std::size_t valueBytes)
+{
+    constexpr std::size_t storeFieldsBytes = 1024; // the object's own fields
+    std::size_t bytes = storeFieldsBytes;
+    std::size_t count = 0;
+    for (const JobResult& result : results) {
+        const std::string record = encode(std::vector { result });
+        bytes += json::serialize(json::string(toJson(record))).size();
+        if (bytes > valueBytes)
+            break;
+        ++count;
+    }
+    return count;
+}
+
 Result<JobHead> decodeHead(std::string_view text)
 {
     return parseRecord(text, [](const json::value& value) {
--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -70,6 +70,7 @@
     TimePoint pendingSince_ {};
     std::vector<JobResult> committing_; // results in the pending create of page pages_
     bool isCommitting_ = false;
+    std::size_t maxResultsPerPage_ = SIZE_MAX; // fewer after the store has refused a page for good
     TimePoint commitSentAt_ {};
     TimePoint retryStoreAt_ {};
 
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -288,9 +288,16 @@
 
 void JobScheduler::commit(const JobPtr& job, TimePoint now)
 {
+    std::size_t count = std::min(countFitting(job->pending_, settings_.maxValueBytes_), job->maxResultsPerPage_);
+    if (count == 0) {
+        dropText(*job, job->pending_.front());
+        count = 1;
+    }
     job->isCommitting_ = true;
     job->commitSentAt_ = now;
-    job->committing_ = std::exchange(job->pending_, {});
+    const auto rest = job->pending_.begin() + static_cast<std::ptrdiff_t>(count);
+    job->committing_.assign(std::make_move_iterator(job->pending_.begin()), std::make_move_iterator(rest));
+    job->pending_.erase(job->pending_.begin(), rest);
     store(ObjectCall::create(resultPageKey(job->name_, job->pages_), encode(job->committing_)), CallClass::Commit, now + settings_.backgroundTimeout_, [this, job](const SettledAnswer& answer, TimePoint at) {
         if (findOwnedJob(job->name_) == job.get())
             finishCommit(job, answer, at);
@@ -305,20 +312,42 @@
         applyResults(job, std::exchange(job->committing_, {}));
         note(SchedulerNote::Listed, job->name_, {}, job->listed_.size());
         answerReaders(job);
+        // A job has far fewer results than this.
+        constexpr std::size_t unlimitedFrom = 1U << 20;
+        job->maxResultsPerPage_ = job->maxResultsPerPage_ < unlimitedFrom ? job->maxResultsPerPage_ * 2 : SIZE_MAX;
         // Another owner may have written the same results.
         if (answer.isReadBack_)
             return confirmThenComplete(job, now);
         job->confirmedAt_ = std::max(job->confirmedAt_, job->commitSentAt_);
+        commitIfDue(job, now); // what didn't fit on the page
         return completeIfDone(job, now);
     }
+    // The same page would be refused again, so the next one is another.
+    const bool isRefusedForGood = answer.is(ObjectError::TooLarge) || answer.is(ObjectError::BadCall);
+    const bool isSplit = isRefusedForGood && job->committing_.size() > 1;
+    const bool isDropped = isRefusedForGood && !isSplit && !job->committing_.front().text_.empty();
+    if (isSplit)
+        job->maxResultsPerPage_ = job->committing_.size() / 2;
+    else if (isDropped)
+        dropText(*job, job->committing_.front());
     job->pending_.insert(job->pending_.begin(), std::make_move_iterator(job->committing_.begin()), std::make_move_iterator(job->committing_.end()));
     job->committing_.clear();
     if (answer.is(ObjectError::Conflict))
         return resolveConflict(job, now);
     note(SchedulerNote::StoreFailed, job->name_, {}, job->pages_, answer.answer_.error_);
+    if (isSplit || isDropped)
+        return commit(job, now);
     job->retryStoreAt_ = now + settings_.storeRetryDelay_;
 }
 
+// The store can't hold the item's text, which no other attempt would change.
+void JobScheduler::dropText(const Job& job, JobResult& result)
+{
+    note(SchedulerNote::TextRefused, job.name_, result.item_, result.text_.size());
+    result.state_ = ResultState::Errored;
+    result.text_.clear();
+}
+
 // Another owner has written this page. Its results remain; this node reads them and continues after them if it still owns the job.
 void JobScheduler::resolveConflict(const JobPtr& job, TimePoint now)
 {
--- a/libs/ledger/tests/CommitTest.cpp
+++ b/libs/ledger/tests/CommitTest.cpp
@@ -2,7 +2,9 @@
 //
 // The first test's load: ten items of 5 s each, four at a time, which is what engines with 8 slots complete between bursts of online
 // requests. All jobs are due 18 s after their submission. The store's write rate is shared by the whole fleet.
-#include "LedgerWorld.h"
+#include "SingleOwner.h"
+
+#include <algorithm>
 
 using namespace jj;
 
@@ -20,8 +22,62 @@
     return pages;
 }
 
+// Completes all items at the same moment, with texts of these sizes.
+void completeItems(SingleOwner& owner, const std::vector<std::string>& texts)
+{
+    std::vector<RunId> runs;
+    for (const std::string& text : texts) {
+        const auto run = owner.scheduler_.startNext("s", owner.now_);
+        REQUIRE(run);
+        owner.scheduler_.event(run->id_, 1, text);
+        runs.push_back(run->id_);
+    }
+    for (const RunId run : runs)
+        owner.scheduler_.ended(run, RunResult::Completed, owner.now_);
+    owner.advance(3s);
+}
+
 } // namespace
 
+// Guards against results of an outage that are on one page over the store's limit, which is refused and sent again without end.
+TEST_CASE("ledger: results that don't fit into one value of the store are listed on several pages")
+{
+    SingleOwner owner;
+    owner.load();
+    completeItems(owner, std::vector<std::string>(SingleOwner::items, std::string(400'000, 'x')));
+    CHECK(owner.notes_[SchedulerNote::JobDone] == 1);
+    CHECK(owner.notes_[SchedulerNote::StoreFailed] == 0);
+    CHECK(owner.hasResultPage(2));
+}
+
+// Guards against one text that no page can hold, which keeps all other items of its job from being listed.
+TEST_CASE("ledger: a text that the store can't hold is listed as errored, and the others as completed")
+{
+    SingleOwner owner;
+    owner.load();
+    std::vector<std::string> texts(SingleOwner::items, "text");
+    texts[2] = std::string(700'000, '"'); // escaped twice, it has four times as many bytes
+    completeItems(owner, texts);
+    const std::vector<JobResult> results = owner.read().results_;
+    REQUIRE(results.size() == SingleOwner::items);
+    CHECK(std::count_if(results.begin(), results.end(), [](const JobResult& result) { return result.state_ == ResultState::Completed && result.text_ == "text"; }) == SingleOwner::items - 1);
+    CHECK(owner.notes_[SchedulerNote::TextRefused] == 1);
+}
+
+// Guards against a page that the store refuses for good and that is sent again as it is.
+TEST_CASE("ledger: a page that the store refuses is split until the text that it can't hold is alone")
+{
+    SingleOwner owner;
+    owner.load();
+    owner.refusedText_ = "odd";
+    completeItems(owner, { "text", "text", "text", "odd", "text" });
+    const std::vector<JobResult> results = owner.read().results_;
+    REQUIRE(results.size() == SingleOwner::items);
+    CHECK(std::count_if(results.begin(), results.end(), [](const JobResult& result) { return result.state_ == ResultState::Completed; }) == SingleOwner::items - 1);
+    CHECK(owner.notes_[SchedulerNote::TextRefused] == 1);
+    CHECK(owner.notes_[SchedulerNote::StoreFailed] <= 4);
+}
+
 TEST_CASE("ledger: results that finish within a second share a page, and the last one is committed at once")
 {
     LedgerWorld world(31, 2, SchedulerSettings());
--- a/libs/ledger/tests/SingleOwner.h
+++ b/libs/ledger/tests/SingleOwner.h
@@ -114,6 +114,7 @@
     std::string failingKind_;
     std::string heldKind_;
     std::string heldWriteKind_;
+    std::string refusedText_; // writes whose value has it are refused for good
     std::function<void()> heldAnswer_;
     NodeId preferred_ = self;
     std::vector<JobTransfer> transfers_;
@@ -141,6 +142,8 @@
             const bool isLost = areHeadReadsLost_ && !call.isWrite() && call.key_.starts_with("jobs/");
             if (isLost || isNext(failingKind_, false))
                 return done({ ObjectAnswer::failed(ObjectError::Unavailable), now_ }, now_);
+            if (call.isWrite() && !refusedText_.empty() && call.value_.find(refusedText_) != std::string::npos)
+                return done({ ObjectAnswer::failed(ObjectError::BadCall), now_ }, now_);
             SettledAnswer settled { store_.apply(call, now_), now_ };
             if (isNext(readBackKind_, true)) {
                 const auto found = store_.objects().find(call.key_);
--- a/libs/serving/include/serving/ServingSettings.h
+++ b/libs/serving/include/serving/ServingSettings.h
@@ -1,7 +1,7 @@
 // Settings of a serving node, read from one INI file. An invalid file is rejected with a list of all its errors.
 //
 //     [node]      name, failure-domain, region, regions, callers, ready, peers, seeds, runs-jobs, metrics, key-file
-//     [platform]  store, reads-per-second, writes-per-second
+//     [platform]  store, value-bytes, reads-per-second, writes-per-second
 //     [bounds]    grace-ms, engine-grace-ms, accept-ms, lost-hosts, lost-domains, lost-regions
 //     [quotas]    window-s, over, slack
 //     [disk]      folder, size-mb
@@ -13,6 +13,7 @@
 #pragma once
 
 #include "base/Endpoint.h"
+#include "objects/ObjectApi.h"
 #include "settings/Ini.h"
 #include "workspaces/QuotaSettings.h"
 
@@ -37,6 +38,7 @@
     bool runsJobs_ = false; // whether this node owns jobs and runs their items
     std::string keyFile_; // holds 64 hex digits that authenticate peers; empty: the network is trusted and peers are not authenticated
     Endpoint store_;
+    std::size_t storeValueBytes_ = maxObjectBytes; // maximum size of a value in the store
     double storeReadsPerSecond_ = 200; // by this node
     double storeWritesPerSecond_ = 100;
     Duration shutdownGrace_ = 8s; // from SIGTERM until the process must have exited
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -301,7 +301,9 @@
         return route ? RouteTable::pickService(*route, hash64(path)) : std::string();
     };
     outlets.isVersionServing_ = [this](std::string_view service, SoftwareVersionId version) { return board_.hasVersion(service, version); };
-    scheduler_ = std::make_unique<JobScheduler>(SchedulerSettings(), std::move(outlets));
+    SchedulerSettings schedulerSettings;
+    schedulerSettings.maxValueBytes_ = settings_.storeValueBytes_;
+    scheduler_ = std::make_unique<JobScheduler>(schedulerSettings, std::move(outlets));
     failures_ = std::make_unique<FailureReplicas>(*fleet_, *scheduler_, log_);
     runner_ = std::make_unique<ItemRunner>(context_, *scheduler_, ItemRunnerSettings());
     if (!settings_.runsJobs_)
--- a/libs/serving/src/ServingSettings.cpp
+++ b/libs/serving/src/ServingSettings.cpp
@@ -66,6 +66,7 @@
     {
         SectionReader reader(text, "platform", failures);
         settings.store_ = readEndpoint(reader, "store", false).value_or(Endpoint {});
+        settings.storeValueBytes_ = static_cast<std::size_t>(reader.integer("value-bytes", { 4096, 1'000'000'000 }, static_cast<std::int64_t>(settings.storeValueBytes_)));
         settings.storeReadsPerSecond_ = reader.real("reads-per-second", { 1, 1e6 }, settings.storeReadsPerSecond_);
         settings.storeWritesPerSecond_ = reader.real("writes-per-second", { 1, 1e6 }, settings.storeWritesPerSecond_);
         reader.finish();
