Serving: a spoilt or endless answer of an engine is no result of an item

What callers saw: an item whose first event an engine had spoilt was listed as completed without it. One event with bytes that are no text kept its whole job from being listed. Of events with two data lines only the second was in the text. Items whose engine sent a 500, a refusal, or lines that are no events, without end, weren't listed; answers without end counted as the engine's 500, so that a sound item was given up.

Cause: events without an id were passed over, and the first event could have any id; what is no text was found out by the store's refusal; a run without usable events had no limit of bytes or time. Class: input is judged where it is used, not where it enters.

- An event with only one of id and data, with junk in place of fields, or that isn't UTF-8, loses its run; the item goes on after its last sound event.
The events of an item follow one another from the first on (engines count from 0 or 1).
- Several data fields are joined by line feeds.
- A failure or refusal ends once 64 KB of its body have come; a run without an event for 10 s ends.
A text or event over its limit is the engine's fault, not a failure of the item.
- A probe of an engine has a limit of time as a whole (CallOptions::total_), so that a health answer without end keeps no engine out of use.

Failures and refusals without end have no test of their own yet.

--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -57,6 +57,7 @@
     std::string echoValue_ {};
     // Sent in place of Request::body_, without a copy. Released once it has been written.
     std::shared_ptr<const std::string> sharedBody_ {};
+    Duration total_ = Duration::zero(); // the call ends with NoProgress after so long, whatever comes; zero: no limit
 };
 
 // run_ is NotRun only when no byte of the request was handed to the socket; Ran when the answer's head was there.
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -141,6 +141,8 @@
         return other->startSoon(std::move(call));
     }
     call_ = std::move(call);
+    if (call_->options_.total_ > Duration::zero())
+        call_->until_ = SteadyClock::now() + call_->options_.total_;
     noteResumed();
     beginParsing();
     interimAnswers_ = 0;
@@ -455,6 +457,8 @@
 void ClientConnection::expectProgress(Duration bound)
 {
     deadline_ = SteadyClock::now() + bound;
+    if (call_)
+        deadline_ = std::min(deadline_, call_->until_);
     if (!timerArmed_ || deadline_ < armedUntil_)
         armTimer();
 }
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -48,6 +48,7 @@
     std::string outboundHead_; // the request line and headers as text
     std::shared_ptr<const std::string> outboundBody_; // null once it has been written
     bool isHead_ = false;
+    std::chrono::steady_clock::time_point until_ = std::chrono::steady_clock::time_point::max(); // CallOptions::total_ after its start
     // Invariants: sent_ is set before the first byte is handed to the socket; headSeen_ implies sent_.
     std::atomic<bool> sent_ = false;
     bool headSeen_ = false;
--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -170,6 +170,7 @@
         return;
     http::CallOptions options;
     options.idle_ = probeBound;
+    options.total_ = probeBound;
     options.fresh_ = true;
     engines_.fetch(entry->at_, { "GET", translation_.engineHealthPath_, {}, {} }, options, [this, engine](const Result<http::Response>& response, RunState) {
         const EngineEntry* known = board_.find(engine);
--- a/libs/serving/src/CrashWatch.cpp
+++ b/libs/serving/src/CrashWatch.cpp
@@ -103,6 +103,7 @@
         return;
     http::CallOptions options;
     options.idle_ = confirmationBound;
+    options.total_ = confirmationBound;
     options.fresh_ = true;
     context_.engines_.fetch(entry->at_, { "GET", context_.translation_.engineHealthPath_, {}, {} }, options, [this, engine](const Result<http::Response>& response, RunState) {
         confirming_.erase(engine);
--- a/libs/serving/src/EventScanner.cpp
+++ b/libs/serving/src/EventScanner.cpp
@@ -1,8 +1,11 @@
 // Parses fields line by line as the HTML standard defines them. Lines end in LF or CRLF.
 #include "EventScanner.h"
 
+#include "base/Utf8.h"
+
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace jj {
 
@@ -28,13 +31,19 @@
             if (line.ends_with('\r'))
                 line.remove_suffix(1);
             if (line.starts_with("data:")) {
-                event.data_ = valueOf(line, "data:");
+                const std::string_view value = valueOf(line, "data:");
+                if (std::exchange(event.hasData_, true))
+                    event.joinedData_ = std::string(event.data()).append("\n").append(value);
+                else
+                    event.firstData_ = value;
             } else if (line.starts_with("id:")) {
                 const std::string_view text = valueOf(line, "id:");
                 std::uint64_t id = 0;
                 const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), id);
                 if (error == std::errc() && stop == text.data() + text.size())
                     event.id_ = id;
+            } else if (!line.empty() && !line.starts_with(':') && !line.starts_with("event:") && !line.starts_with("retry:")) {
+                event.hasUnknownField_ = true;
             }
         }
         return event;
@@ -54,6 +63,13 @@
 
 } // namespace
 
+// Engines may add fields of their own to an event.
+bool StreamEvent::isSpoilt() const
+{
+    const bool isJunk = hasUnknownField_ && !hasData_ && !id_;
+    return isJunk || hasData_ != id_.has_value() || !isUtf8(data());
+}
+
 bool EventScanner::isInsideEvent() const
 {
     std::string_view rest = partial_;
--- a/libs/serving/src/EventScanner.h
+++ b/libs/serving/src/EventScanner.h
@@ -19,7 +19,16 @@
 struct StreamEvent {
     std::string_view raw_; // includes the empty line that ends the event
     std::optional<std::uint64_t> id_;
-    std::string_view data_; // of the last data field; several fields are not joined
+    bool hasData_ = false;
+    bool hasUnknownField_ = false; // a line that isn't a comment names no field of the format
+
+    // Returns the data fields, separated by line feeds.
+    std::string_view data() const { return joinedData_.empty() ? firstData_ : joinedData_; }
+    // Returns whether this can be no event as an engine writes it: bytes of it are lost or wrong.
+    bool isSpoilt() const;
+
+    std::string_view firstData_;
+    std::string joinedData_; // of several data fields; empty if there is one
 };
 
 // Measures the time between the events of one run.
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -38,6 +38,7 @@
     scheduler_.setRunTime(fromSeconds(meanRunSeconds_));
     // Before waiting items are started: while all slots are taken, those would take each slot that becomes free.
     leaveSilentEngines(now);
+    endEndlessAnswers(now);
     yieldOneItem(now);
     std::size_t starts = 0;
     while (starts < settings_.maxStartsPerPump_ && startOne(now))
@@ -84,6 +85,7 @@
     run->engine_ = pick.engine_;
     run->sentAt_ = now;
     run->heardAt_ = now;
+    run->usefulAt_ = now;
     run->scanner_ = EventScanner(context_.eventLimit());
     run->hold_ = context_.budget_->hold(http::ByteUse::Answers);
     run->fingerprints_ = context_.crashes_->fingerprintsOf(run->item_);
@@ -179,6 +181,7 @@
 void ItemRunner::onHead(const RunPtr& run, const http::ResponseHead& head)
 {
     run->status_ = head.status_;
+    run->usefulAt_ = context_.now();
     run->rejected_ = head.headers_.has(context_.translation_.headers_.notExecuted_) || head.status_ == statusMisdirected;
     if (!isCurrent(run))
         return reportLateRejection(*run);
@@ -191,27 +194,35 @@
     if (!isCurrent(run))
         return;
     recordBytes(*run);
-    if (run->status_ != http::statusOk || run->rejected_)
+    if (run->status_ != http::statusOk || run->rejected_) {
+        run->ignoredBytes_ += data.size();
+        if (run->ignoredBytes_ > settings_.maxIgnoredBytes_)
+            endWithoutEvents(run, "answerTooLong");
         return;
+    }
     bool isDiscontinuous = false;
     bool isVersionUncertain = false;
+    bool isSpoilt = false;
     const std::size_t events = run->scanner_.feed(data, [&](const StreamEvent& event) {
-        if (isDiscontinuous || isVersionUncertain || !event.id_)
+        if (isDiscontinuous || isVersionUncertain || isSpoilt)
+            return;
+        isSpoilt = event.isSpoilt();
+        if (isSpoilt || !event.id_)
             return;
         // The engine may have started again, with another version, since it was picked.
         isVersionUncertain = !run->firstEventAt_ && !context_.board_.isCurrent(run->engine_);
         onEvent(run);
         if (isVersionUncertain)
             return;
+        // Engines count from 0 or 1. A run without a position begins anew.
         std::optional<std::uint64_t>& lastEvent = run->item_.resumeAfter_;
-        // The first event of a new run may have any id; the ids of all further events are consecutive.
-        if (lastEvent && *event.id_ != *lastEvent + 1) {
-            isDiscontinuous = true;
+        isDiscontinuous = lastEvent ? *event.id_ != *lastEvent + 1 : *event.id_ > 1;
+        if (isDiscontinuous)
             return;
-        }
         lastEvent = event.id_;
-        run->textBytes_ += event.data_.size();
-        scheduler_.event(run->item_.id_, *event.id_, event.data_);
+        run->usefulAt_ = context_.now();
+        run->textBytes_ += event.data().size();
+        scheduler_.event(run->item_.id_, *event.id_, event.data());
     });
     context_.recordEvents(run->engine_, run->eventClock_, events);
     run->hold_.resize(run->scanner_.rest().empty() ? 0 : run->scanner_.rest().capacity());
@@ -221,12 +232,39 @@
         const EngineEntry* engine = context_.board_.find(run->engine_);
         context_.log_.line("answerOverLimit").with("engine", engine ? engine->name_ : "").with("error", error.message()).with("request", run->item_.item_).with("job", run->item_.job_).with("textBytes", run->item_.textBytes_ + run->textBytes_);
         context_.recordOverLimit(run->engine_, error);
-        return finish(run, RunResult::Failed, "overLimit");
+        // The engine has not failed the item: an answer that counts as one would give the item up for nothing.
+        return finish(run, RunResult::ResumeMismatch, "overLimit");
+    }
+    if (isSpoilt) {
+        onEngineLost(run, http::Error::Malformed);
+        return finish(run, RunResult::Interrupted, "spoilt");
     }
     if (isDiscontinuous || isVersionUncertain)
         finish(run, RunResult::ResumeMismatch, isDiscontinuous ? "outOfStep" : "versionUncertain");
 }
 
+// What is known of the answer counts; the rest of it isn't waited for.
+void ItemRunner::endWithoutEvents(const RunPtr& run, std::string_view why)
+{
+    const bool hasBegun = run->status_ == http::statusOk && !run->rejected_;
+    if (hasBegun)
+        onEngineLost(run, http::Error::NoProgress);
+    else
+        context_.recordOverLimit(run->engine_, http::Error::AnswerTooLarge);
+    finish(run, run->rejected_ ? RunResult::Released : RunResult::Interrupted, why);
+}
+
+void ItemRunner::endEndlessAnswers(TimePoint now)
+{
+    std::vector<RunPtr> endless;
+    for (const auto& [id, run] : runs_) {
+        if (run->status_ != 0 && now - run->usefulAt_ >= settings_.silenceLimit_)
+            endless.push_back(run);
+    }
+    for (const RunPtr& run : endless)
+        endWithoutEvents(run, "noEvent");
+}
+
 // ---- engines that fall silent
 
 void ItemRunner::recordBytes(Run& run)
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -24,7 +24,7 @@
     // An engine counts as silent after this long without a byte, several times the longest pause on a fully loaded engine. The item leaves
     // it if another engine has a free slot.
     Duration silenceTimeout_ = 1500ms;
-    // A run whose engine has been silent for this long is given up even if no other engine has a free slot.
+    // A run whose engine has been silent, or has sent no event, for this long is given up even if no other engine has a free slot.
     Duration silenceLimit_ = 10s;
     // Assumed duration of a run until one has been measured: that of 219 events on a busy engine.
     Duration assumedRunTime_ = 5s;
@@ -34,6 +34,7 @@
     // Maximum number of runs started by one call of pump(), so that nodes that see the same free slots at the same time don't all
     // take them.
     std::size_t maxStartsPerPump_ = 4;
+    std::size_t maxIgnoredBytes_ = 64U * 1024; // of the body of a failure or refusal, which is of no use
     // Text of an item over all its runs: a result has to fit into one answer to its reader.
     std::size_t maxTextBytes_ = 900U * 1024;
 };
@@ -61,6 +62,8 @@
         UpstreamId engine_;
         TimePoint sentAt_ {};
         TimePoint heardAt_ {}; // when the engine sent its last byte; the time of the send while there is none
+        TimePoint usefulAt_ {}; // when the head of the answer or the last event came; the time of the send while there is none
+        std::size_t ignoredBytes_ = 0; // of an answer that isn't a stream
         bool isSilent_ = false; // no byte has come for silenceTimeout_
         std::shared_ptr<http::Call> call_;
         int status_ = 0;
@@ -98,6 +101,9 @@
     EnginePick checkSilence(const RunPtr& run, TimePoint now);
     // Returns an engine that isn't silent and has a free slot for the item, or none.
     EnginePick pickOtherEngine(const Run& run, TimePoint now);
+    // Ends runs whose engine sends bytes but no event.
+    void endEndlessAnswers(TimePoint now);
+    void endWithoutEvents(const RunPtr& run, std::string_view why);
     // Records that a byte came from the run's engine.
     void recordBytes(Run& run);
     void onEvent(const RunPtr& run);
--- a/libs/serving/tests/EventScannerTest.cpp
+++ b/libs/serving/tests/EventScannerTest.cpp
@@ -22,7 +22,7 @@
     for (std::size_t at = 0; at < bytes.size(); at += piece) {
         scanner.feed(bytes.substr(at, piece), [&](const StreamEvent& event) {
             result.ids_.push_back(event.id_.value_or(0));
-            result.data_ += std::string(event.data_) + "|";
+            result.data_ += std::string(event.data()) + "|";
             result.raw_ += event.raw_;
         });
     }
@@ -42,6 +42,28 @@
     }
 }
 
+// Guards against a text that lacks the first lines of an event with several.
+TEST_CASE("serving: several data fields of an event are joined by line feeds")
+{
+    CHECK(scan("id: 1\ndata: one\ndata:\ndata: three\n\n", 5).data_ == "one\n\nthree|");
+}
+
+// Guards against a text that is taken for complete without an event of which bytes are wrong.
+TEST_CASE("serving: events of which bytes are lost or wrong are told from sound ones")
+{
+    const auto isSpoilt = [](std::string_view bytes) {
+        EventScanner scanner;
+        std::optional<bool> found;
+        scanner.feed(bytes, [&](const StreamEvent& event) { found = event.isSpoilt(); });
+        REQUIRE(found);
+        return *found;
+    };
+    for (const std::string_view sound : { "id: 1\ndata: one\n\n", "id: 1\ndata:\n\n", ": comment\n\n", "retry: 10\n\n", "event: x\nid: 1\ndata: one\n\n", "own-field: 7\nid: 1\ndata: \xc3\xa9\n\n" })
+        CHECK_FALSE(isSpoilt(sound));
+    for (const std::string_view spoilt : { "~~~~\n\n", "data: one\n\n", "id: 1\n\n", "id: 1\ndata: \xff\n\n", "id: x1\ndata: one\n\n", "~id: 1\ndata: one\n\n" })
+        CHECK(isSpoilt(spoilt));
+}
+
 // Guards against an engine that sends an event without end, whose bytes were held without bound.
 TEST_CASE("serving: the scanner gives up on an event over its limit")
 {
