HTTP client: bytes beyond an answer belong to no request

What callers saw: the next caller of a connection got 200 without signature and body, complete, while the engine ran its request.

Cause: an answer that named no request was taken as the expected one, and a kept connection was used without a look at what had come on it since its last answer. Class: bytes are attributed by their place, not by what they say.

Before a request is written on a kept connection, the connection is closed if bytes have come or the other side has closed it; nothing was sent, so another one serves. On a connection that was used before, an answer without the request's id is read over, as one with another id is.

--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -131,8 +131,11 @@
         call->outboundBody_ = nullptr;
         return connected_ && backToPool() ? void() : close();
     }
+    if (!closed_ && connected_ && !isQuiet())
+        close();
     if (closed_) {
-        // The peer closed this pooled connection after it was picked; nothing was sent, so another one may serve.
+        // The peer closed this pooled connection after it was picked, or sent what belongs to no call; nothing was sent, so another one may
+        // serve.
         auto other = std::make_shared<ClientConnection>(shared_, endpoint_);
         {
             const std::lock_guard lock(call->mutex_);
@@ -148,6 +151,7 @@
     interimAnswers_ = 0;
     written_ = false;
     readingOver_ = false;
+    isReused_ = connected_;
     if (connected_)
         send();
     else
@@ -164,6 +168,15 @@
     parser_->on_chunk_header(checkChunkLine_);
 }
 
+bool ClientConnection::isQuiet()
+{
+    error_code error;
+    socket_.non_blocking(true, error);
+    char byte = 0;
+    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return buffer_.size() == 0 && error == asio::error::would_block;
+}
+
 void ClientConnection::connect()
 {
     error_code error;
@@ -338,7 +351,7 @@
 
 // Failure met: an engine answers a request twice, and the second answer arrives when the next request of the connection waits. Handed
 // on, a caller would get another caller's bytes. Answers name the request that they belong to, so the wrong one shows in its head.
-// An answer that names none is taken as the expected one.
+// One that names none may be what the engine sent beyond an earlier answer of the connection.
 bool ClientConnection::isForeign() const
 {
     if (readingOver_)
@@ -347,7 +360,7 @@
         return false;
     const auto& fields = parser_->get();
     const auto found = fields.find(call_->options_.echoName_);
-    return found != fields.end() && found->value() != call_->options_.echoValue_;
+    return found == fields.end() ? isReused_ : found->value() != call_->options_.echoValue_;
 }
 
 // Drops what was parsed of a foreign answer; false when it was its connection's last, and the call has failed.
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -78,6 +78,8 @@
     void connect();
     void send();
     void beginParsing();
+    // Returns whether nothing has come on the unused connection, and the other side hasn't closed it.
+    bool isQuiet();
     bool isPaused() const { return call_ && call_->pacing_ == Pacing::Paused; }
     void noteResumed();
     void readSome();
@@ -117,6 +119,7 @@
     bool endsAfterRead_ = false; // the pending read has been cancelled, in order to end the call
     bool lingering_ = false; // the call has ended, this direction is closed, and what was on its way is awaited
     bool written_ = false;
+    bool isReused_ = false; // it has served a call before
     bool readingOver_ = false; // the answer that is being read belongs to an earlier request
     Duration keepAlive_ = Duration::max(); // as the other side named it
     bool timerArmed_ = false;
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -18,6 +18,8 @@
 import http11
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+# The build of the deploy file, or another one of the same sources.
+PROGRAM = pathlib.Path(os.environ.get("JJSERVE", ROOT / "target" / "platform" / "jjserve"))
 
 
 def is_trouble():
@@ -173,7 +175,7 @@
             os.makedirs(values["dataDir"], exist_ok=True)
         self.settings.write_text(render((ROOT / role["template"]).read_text(), [values]))
         words = [str(self.settings) if word.endswith("boot.json") else word for word in role["run"].split()]
-        self.process = subprocess.Popen([str(ROOT / words[0]), *words[1:]], cwd=ROOT, stdout=open(self.log, "a"), stderr=subprocess.STDOUT)
+        self.process = subprocess.Popen([str(PROGRAM), *words[1:]], cwd=ROOT, stdout=open(self.log, "a"), stderr=subprocess.STDOUT)
         self.starts += 1
         self.fleet.record(f"{self.name} started, process {self.process.pid}")
 
@@ -223,8 +225,8 @@
     fleet, status = None, 2
     record = Record(folder)
     try:
-        if not (ROOT / "target" / "platform" / "jjserve").exists():
-            raise CannotRun("the build of the deploy file is missing")
+        if not PROGRAM.exists():
+            raise CannotRun(f"the build is missing: {PROGRAM}")
         fleet = Fleet(record)
         held = asyncio.run(asyncio.wait_for(case(record, fleet), 115))
         status = 0 if held else 1
