--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -229,9 +229,7 @@
     const bool isTextTooLong = run->item_.textBytes_ + run->textBytes_ > settings_.maxTextBytes_;
     if (run->scanner_.isOverLimit() || isTextTooLong) {
         const std::error_code error = run->scanner_.isOverLimit() ? http::Error::EventTooLarge : http::Error::AnswerTooLarge;
-        const EngineEntry* engine = context_.board_.find(run->engine_);
-        context_.log_.line("answerOverLimit").with("engine", engine ? engine->name_ : "").with("error", error.message()).with("request", run->item_.item_).with("job", run->item_.job_).with("textBytes", run->item_.textBytes_ + run->textBytes_);
-        context_.recordOverLimit(run->engine_, error);
+        recordOverLimit(*run, error);
         // The engine has not failed the item: an answer that counts as one would give the item up for nothing.
         return finish(run, RunResult::ResumeMismatch, "overLimit");
     }
@@ -243,6 +241,13 @@
         finish(run, RunResult::ResumeMismatch, isDiscontinuous ? "outOfStep" : "versionUncertain");
 }
 
+void ItemRunner::recordOverLimit(const Run& run, std::error_code error)
+{
+    const EngineEntry* engine = context_.board_.find(run.engine_);
+    context_.log_.line("answerOverLimit").with("engine", engine ? engine->name_ : "").with("error", error.message()).with("request", run.item_.item_).with("job", run.item_.job_).with("textBytes", run.item_.textBytes_ + run.textBytes_);
+    context_.recordOverLimit(run.engine_, error);
+}
+
 // What is known of the answer counts; the rest of it isn't waited for.
 void ItemRunner::endWithoutEvents(const RunPtr& run, std::string_view why)
 {
@@ -250,7 +255,7 @@
     if (hasBegun)
         onEngineLost(run, http::Error::NoProgress);
     else
-        context_.recordOverLimit(run->engine_, http::Error::AnswerTooLarge);
+        recordOverLimit(*run, http::Error::AnswerTooLarge);
     finish(run, run->rejected_ ? RunResult::Released : RunResult::Interrupted, why);
 }
 
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -103,6 +103,7 @@
     EnginePick pickOtherEngine(const Run& run, TimePoint now);
     // Ends runs whose engine sends bytes but no event.
     void endEndlessAnswers(TimePoint now);
+    void recordOverLimit(const Run& run, std::error_code error);
     void endWithoutEvents(const RunPtr& run, std::string_view why);
     // Records that a byte came from the run's engine.
     void recordBytes(Run& run);
