--- a/libs/http/tests/CancelTest.cpp
+++ b/libs/http/tests/CancelTest.cpp
@@ -82,6 +82,35 @@
 
 } // namespace
 
+// Guards against a health check that is answered without end and is never decided.
+TEST_CASE("http: a call with a limit of time ends although bytes come without end")
+{
+    boost::asio::io_context serverIo;
+    tcp::acceptor acceptor(serverIo, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    std::thread server([&] {
+        tcp::socket socket(serverIo);
+        acceptor.accept(socket);
+        boost::system::error_code error;
+        boost::asio::write(socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")), error);
+        while (!error) {
+            boost::asio::write(socket, boost::asio::buffer(std::string("1\r\nx\r\n")), error);
+            std::this_thread::sleep_for(5ms);
+        }
+    });
+    boost::asio::io_context io;
+    Client client(io, {});
+    CallOptions options;
+    options.idle_ = 10s;
+    options.total_ = 200ms;
+    std::error_code error;
+    client.fetch({ "127.0.0.1", acceptor.local_endpoint().port() }, { "GET", "/health", {}, {} }, options, [&](const Result<Response>& response, RunState) { error = response ? std::error_code() : response.error(); });
+    const TimePoint begin = SystemClock().now();
+    io.run();
+    server.join();
+    CHECK(error == make_error_code(Error::NoProgress));
+    CHECK(SystemClock().now() - begin < 2s);
+}
+
 // Guards against a process that ends because of one header that is too long.
 TEST_CASE("http: a request that can't be encoded fails by itself, as not run")
 {
