--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -166,7 +166,8 @@
     if (!run->firstEventAt_ && !bindVersion())
         return;
     recordReplaced();
-    if (!run->isProven_ && context_.crashes_->lossPoint(run->firstEventAt_) == LossPoint::InAnswer) {
+    // An engine that sends junk has not begun an answer.
+    if (!run->isProven_ && !event.isSpoilt() && context_.crashes_->lossPoint(run->firstEventAt_) == LossPoint::InAnswer) {
         run->isProven_ = true;
         context_.crashes_->recordBegun(fingerprints_);
     }
