--- a/libs/base/tests/Utf8Test.cpp
+++ b/libs/base/tests/Utf8Test.cpp
@@ -6,7 +6,7 @@
 
 using namespace jj;
 
-TEST_CASE("base: well-formed UTF-8 is told from other bytes")
+TEST_CASE("base: well-formed UTF-8 is distinguished from other bytes")
 {
     for (const std::string text : { "", "abc", "\xc2\x80", "\xdf\xbf", "\xe0\xa0\x80", "\xed\x9f\xbf", "\xee\x80\x80", "\xef\xbf\xbf", "\xf0\x90\x80\x80", "\xf4\x8f\xbf\xbf", "a\xc3\xa9z" })
         CHECK(isUtf8(text));
--- a/libs/serving/tests/EventScannerTest.cpp
+++ b/libs/serving/tests/EventScannerTest.cpp
@@ -49,7 +49,7 @@
 }
 
 // Guards against a text that is taken for complete without an event of which bytes are wrong.
-TEST_CASE("serving: events of which bytes are lost or wrong are told from sound ones")
+TEST_CASE("serving: events of which bytes are lost or wrong are distinguished from sound ones")
 {
     const auto isSpoilt = [](std::string_view bytes) {
         EventScanner scanner;
