--- a/libs/crashes/tests/CrashSuspectsTest.cpp
+++ b/libs/crashes/tests/CrashSuspectsTest.cpp
@@ -365,7 +365,7 @@
     const CrashSettings settings;
     const TimePoint blockedAt = now;
     TimePoint triedAt = now;
-    int trials = 0;
+    std::uint64_t trials = 0;
     for (; now < blockedAt + 10min; now += 100ms) {
         REQUIRE(isBlocked(suspects, { shared, deadly }, now));
         CHECK(now - triedAt <= settings.itemTrialDelays_.back() + 100ms);
@@ -374,7 +374,7 @@
         suspects.recordItemTrial(deadly, now);
         triedAt = now;
         ++trials;
-        crash(suspects, static_cast<std::uint64_t>(100 + trials), { { shared, deadly } }, now);
+        crash(suspects, 100 + trials, { { shared, deadly } }, now);
     }
     CHECK(trials >= 59);
     suspects.recordAnswer(request({ shared, deadly }), now);
