Membership: a process that takes another's place is a change of its member

What callers saw: after a host had been killed and started again, requests with a part that crashes engines reached engines again.

Cause: a host that is back before the others suspect it goes from alive to alive, with a new incarnation alone, and that was no change of the member. So nobody took it for a host that has just started, and its crash records came with the next repetition, up to a second later. It sent requests with the part until then, and again after each further start. Class: a change that is told from two equal states is missed if the state has come back in between.

A new incarnation counts as a change now.

--- a/libs/membership/include/membership/Events.h
+++ b/libs/membership/include/membership/Events.h
@@ -74,7 +74,7 @@
     DatagramMessage message_;
 };
 
-// A member is new, or its state or leaving mark changed. Homes are to be rebuilt when its state or mark says so.
+// A member is new, runs as another process, or its state or leaving mark changed. Homes are to be rebuilt when its state or mark says so.
 struct MemberChanged {
     MemberRumor member_;
 };
--- a/libs/membership/include/membership/Members.h
+++ b/libs/membership/include/membership/Members.h
@@ -58,7 +58,7 @@
     struct Merged {
         bool isNew_ = false;
         bool standing_ = false; // incarnation, refutation or state moved on
-        bool state_ = false; // the state or the leaving mark differs from before
+        bool state_ = false; // the process, its state or its leaving mark differs from before
     };
 
     Merged merge(const MemberRumor& rumor, TimePoint now);
--- a/libs/membership/src/Members.cpp
+++ b/libs/membership/src/Members.cpp
@@ -51,7 +51,7 @@
         return merged;
 
     merged.standing_ = true;
-    merged.state_ = merged.state_ || standing.state_ != rumor.state_;
+    merged.state_ = merged.state_ || newProcess || standing.state_ != rumor.state_;
     if (countsAsLive(standing.state_))
         --live_;
     if (countsAsLive(rumor.state_))
--- a/libs/membership/tests/MembershipTest.cpp
+++ b/libs/membership/tests/MembershipTest.cpp
@@ -203,6 +203,27 @@
     CHECK(fleet.core(2).incarnation() > before);
 }
 
+// Guards against a host that has started again and gets no records from the others, which take it for the process before.
+TEST_CASE("a process that starts in place of another one, before it is missed, is a change of its member")
+{
+    DatagramFleet fleet = settled(6, 1, 16);
+    fleet.at(2).up_ = false;
+    fleet.run(100ms);
+    fleet.start(2);
+    const Incarnation started = fleet.core(2).incarnation();
+    const auto knowsStart = [&](std::size_t observer) {
+        const auto& told = fleet.at(observer).told_;
+        return std::any_of(told.begin(), told.end(), [&](const MembershipCommand& command) {
+            const auto* changed = std::get_if<MemberChanged>(&command);
+            return changed && changed->member_.node_ == fleet.id(2) && changed->member_.incarnation_ == started;
+        });
+    };
+    for (const std::size_t observer : { 0U, 1U, 3U, 4U, 5U }) {
+        CHECK(fleet.runUntil([&] { return knowsStart(observer); }, settleLimit));
+        CHECK_FALSE(everWas(fleet.at(observer), fleet.id(2), MemberState::Suspect));
+    }
+}
+
 TEST_CASE("a clock that jumps while the process runs changes nothing")
 {
     DatagramFleet fleet = settled(6, 1, 8);
