--- a/libs/membership/tests/MembershipTest.cpp
+++ b/libs/membership/tests/MembershipTest.cpp
@@ -212,8 +212,8 @@
     fleet.start(2);
     const Incarnation started = fleet.core(2).incarnation();
     const auto knowsStart = [&](std::size_t observer) {
-        const auto& told = fleet.at(observer).told_;
-        return std::any_of(told.begin(), told.end(), [&](const MembershipCommand& command) {
+        const auto& commands = fleet.at(observer).told_;
+        return std::any_of(commands.begin(), commands.end(), [&](const MembershipCommand& command) {
             const auto* changed = std::get_if<MemberChanged>(&command);
             return changed && changed->member_.node_ == fleet.id(2) && changed->member_.incarnation_ == started;
         });
