Serving: an event of which the id or the end of a line is wrong is no event to pass over

What callers saw: an item was listed as completed without its last event.

Cause: the scanner took a line that begins with "id:" and holds no number for an event without id and, if the line ran into the data line, without data. Such an event was neither spoilt nor of use, so an item passed over it. Before the last event the gap in the ids showed the loss; after the last one nothing did.

Change: an event is malformed if its id isn't one number, if a line is no field, or if other lines stand between its data lines (two events whose empty line is lost are read as one). Bytes that are no UTF-8 count wherever they stand. Unknown fields of engines are still allowed.

--- a/libs/serving/src/EventScanner.cpp
+++ b/libs/serving/src/EventScanner.cpp
@@ -4,6 +4,7 @@
 #include "base/Utf8.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <utility>
 
@@ -19,32 +20,54 @@
         return line;
     }
 
+    // Returns whether the line is a field, also one that the format doesn't know: engines may add fields of their own.
+    bool isField(std::string_view line)
+    {
+        const auto isNameCharacter = [](char character) { return std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '-' || character == '_'; };
+        const std::string_view name = line.substr(0, line.find(':'));
+        return name.size() < line.size() && !name.empty() && std::all_of(name.begin(), name.end(), isNameCharacter);
+    }
+
+    void addData(StreamEvent& event, std::string_view value)
+    {
+        if (std::exchange(event.hasData_, true))
+            event.joinedData_ = std::string(event.data()).append("\n").append(value);
+        else
+            event.firstData_ = value;
+    }
+
+    void setId(StreamEvent& event, std::string_view text)
+    {
+        std::uint64_t id = 0;
+        const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), id);
+        const bool isNumber = error == std::errc() && stop == text.data() + text.size();
+        event.isMalformed_ |= !isNumber || event.id_;
+        if (isNumber)
+            event.id_ = id;
+    }
+
+    // Without the empty line between two events, or the end of a line, two lines are read as one or two events as one.
     StreamEvent parse(std::string_view raw)
     {
         StreamEvent event;
         event.raw_ = raw;
         std::string_view rest = raw;
+        bool wasData = false;
         while (!rest.empty()) {
             const std::size_t end = rest.find('\n');
             std::string_view line = rest.substr(0, end);
             rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
             if (line.ends_with('\r'))
                 line.remove_suffix(1);
-            if (line.starts_with("data:")) {
-                const std::string_view value = valueOf(line, "data:");
-                if (std::exchange(event.hasData_, true))
-                    event.joinedData_ = std::string(event.data()).append("\n").append(value);
-                else
-                    event.firstData_ = value;
-            } else if (line.starts_with("id:")) {
-                const std::string_view text = valueOf(line, "id:");
-                std::uint64_t id = 0;
-                const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), id);
-                if (error == std::errc() && stop == text.data() + text.size())
-                    event.id_ = id;
-            } else if (!line.empty() && !line.starts_with(':') && !line.starts_with("event:") && !line.starts_with("retry:")) {
-                event.hasUnknownField_ = true;
-            }
+            const bool isData = line.starts_with("data:");
+            event.isMalformed_ |= isData && event.hasData_ && !wasData;
+            if (isData)
+                addData(event, valueOf(line, "data:"));
+            else if (line.starts_with("id:"))
+                setId(event, valueOf(line, "id:"));
+            else if (!line.empty() && !line.starts_with(':') && !isField(line))
+                event.isMalformed_ = true;
+            wasData = isData;
         }
         return event;
     }
@@ -63,12 +86,7 @@
 
 } // namespace
 
-// Engines may add fields of their own to an event.
-bool StreamEvent::isSpoilt() const
-{
-    const bool isJunk = hasUnknownField_ && !hasData_ && !id_;
-    return isJunk || hasData_ != id_.has_value() || !isUtf8(data());
-}
+bool StreamEvent::isCorrupt() const { return isMalformed_ || !isUtf8(raw_); }
 
 bool EventScanner::isInsideEvent() const
 {
--- a/libs/serving/src/EventScanner.h
+++ b/libs/serving/src/EventScanner.h
@@ -20,12 +20,14 @@
     std::string_view raw_; // includes the empty line that ends the event
     std::optional<std::uint64_t> id_;
     bool hasData_ = false;
-    bool hasUnknownField_ = false; // a line that isn't a comment names no field of the format
+    bool isMalformed_ = false; // a line is no field, the id isn't one number, or other lines stand between those of the data
 
     // Returns the data fields, separated by line feeds.
     std::string_view data() const { return joinedData_.empty() ? firstData_ : joinedData_; }
-    // Returns whether this can be no event as an engine writes it: bytes of it are lost or wrong.
-    bool isSpoilt() const;
+    // Returns whether bytes of it are lost or wrong, as far as that shows.
+    bool isCorrupt() const;
+    // Returns whether it is corrupt, or lacks the id or the data that each event of a stream with ids has.
+    bool isSpoilt() const { return hasData_ != id_.has_value() || isCorrupt(); }
 
     std::string_view firstData_;
     std::string joinedData_; // of several data fields; empty if there is one
--- a/libs/serving/tests/EventScannerTest.cpp
+++ b/libs/serving/tests/EventScannerTest.cpp
@@ -1,5 +1,6 @@
 // Tests that the scanner yields only complete events, however their bytes are split.
 #include "EventScanner.h"
+#include "base/Utf8.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -64,6 +65,36 @@
         CHECK(isSpoilt(spoilt));
 }
 
+// Guards against an event that is dropped in silence, or joined with the next one, because the end of one of its lines is wrong.
+TEST_CASE("serving: wrong bytes at any place of an event but within its data are recognised")
+{
+    const std::string first = "id: 5\ndata: five\n\n";
+    const std::string second = "id: 6\ndata: six\n\n";
+    const std::size_t data = first.find("five");
+    for (const std::string_view wrong : { "\xff\xfe\xf0\x80", "\xff", "~", "x", ":" }) {
+        for (std::size_t place = 0; place < first.size(); ++place) {
+            const bool isWithinData = place >= data && place + wrong.size() <= data + 4 && isUtf8(wrong);
+            const bool isSpaceBeforeData = place + 1 == data && wrong.size() == 1 && isUtf8(wrong);
+            std::string stream = first + second;
+            stream.replace(place, wrong.size(), wrong);
+            if (isWithinData || isSpaceBeforeData || stream == first + second)
+                continue;
+            EventScanner scanner;
+            std::vector<std::uint64_t> sound;
+            bool isFound = false;
+            scanner.feed(stream, [&](const StreamEvent& event) {
+                isFound = isFound || event.isSpoilt();
+                if (!isFound && event.id_)
+                    sound.push_back(*event.id_);
+            });
+            CAPTURE(place);
+            CAPTURE(stream);
+            CHECK(isFound);
+            CHECK(sound.empty());
+        }
+    }
+}
+
 // Guards against an engine that sends an event without end, whose bytes were held without bound.
 TEST_CASE("serving: the scanner gives up on an event over its limit")
 {
