Serving: a stream that may be resumed goes on from before an event of which bytes are wrong

Cause: items gave up a run at a spoilt event, streams did not look at it. The event was passed on, and only the gap in the ids, at the next event, ended the run.

Change: while another run is possible, a run ends before such an event, its engine is backed off, and the stream goes on elsewhere after the last sound event. Without another run the caller gets the engine's bytes as before. Streams without ids are judged by the form of their events alone. The line "streamSpoilt" names the last sound event.

--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -157,6 +157,11 @@
 {
     if (!isOpen(run))
         return;
+    if (mayRunAgain() && isUnusable(event)) {
+        line("streamSpoilt").with("lastEvent", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1).with("bytes", event.raw_.size());
+        context_.failed(run->engine_, EngineFault::Lost, http::Error::Malformed);
+        return lost(http::Error::Malformed);
+    }
     // Event ids must be consecutive, otherwise the resumed stream would skip or repeat events.
     const bool isDiscontinuous = hasAnswerStarted_ && lastEvent_ && event.id_ && *event.id_ != *lastEvent_ + 1;
     if (isDiscontinuous) {
@@ -184,6 +189,9 @@
     pendingEvents_.append(event.raw_);
 }
 
+// Streams of some engines have no ids, which shows once an event has come.
+bool RelayedRequest::isUnusable(const StreamEvent& event) const { return lastEvent_ ? event.isSpoilt() : event.isCorrupt(); }
+
 // The engine may have started again, with another version, since it was picked. Returns false if the run was given up for that.
 bool RelayedRequest::bindVersion()
 {
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -104,6 +104,8 @@
     void onEnd(const EngineRunPtr& run, http::AnswerEnd answerEnd);
     void onError(const EngineRunPtr& run, const http::CallFailure& failure);
     void onEvent(const EngineRunPtr& run, const StreamEvent& event);
+    // Returns whether another run should bring this event, because bytes of it are lost or wrong.
+    bool isUnusable(const StreamEvent& event) const;
     // Binds the request, at the first event of a run, to the software version of its engine.
     bool bindVersion();
 
