HTTP client tests: the answer of an engine is built before its call begins

Seen once, in the address sanitizer's step beside other work: "pause: while the byte budget is exhausted, answers are read in small pieces" failed, with an empty body. Traced: the stand-in engine wrote its 24 MB of text after it had accepted the connection. With the sanitizer and forty busy processes that alone took over the second that the test allows between two bytes, and the call ended with "no byte within the idle bound", 6 of 6 calls; alone it took 0.74 to 0.82 s. The text is built before the call now, the bound is unchanged, and the test checks that the call ended without an error.

--- a/libs/http/tests/PauseTest.cpp
+++ b/libs/http/tests/PauseTest.cpp
@@ -119,7 +119,8 @@
     constexpr std::size_t smallPiece = 4 * kib;
     const auto budget = ByteBudget::create({ 512 * kib, 16 * kib, 128 * kib }).value();
     ByteHold other = budget->hold(ByteUse::Uploads);
-    const ScriptedEngine engine([] { return Script { answerOf(patternOf(longBytes)) }; });
+    const std::string body = patternOf(longBytes);
+    const ScriptedEngine engine([answer = answerOf(body)] { return Script { answer }; });
     for (const bool isExhausted : { false, true }) {
         other.resize(isExhausted ? 512 * kib : 0);
         std::size_t largest = 0;
@@ -131,7 +132,8 @@
             { .budget_ = budget });
         reader.send(engine.at());
         reader.runToEnd();
-        CHECK((reader.body_ == patternOf(longBytes)));
+        CHECK_FALSE(reader.error_);
+        CHECK((reader.body_ == body));
         CHECK((largest <= smallPiece) == isExhausted);
     }
 }
