Logs: each line is a JSON text whatever bytes a caller or an engine sends

What operators saw: a reader of JSON stopped at lines of a request whose id holds bytes that are no UTF-8. A value that was cut at its limit of 200 bytes inside a character, and a number that isn't finite, had the same effect.

Cause: both logs escaped quotes and control characters only. Boost.JSON's serializer writes the bytes of a string as they are.

Change: bytes that belong to no well-formed character are replaced by U+FFFD, a cut value ends with a whole character, and a number that isn't finite is null; in the decision log, in the log of the parts, and in the events of the time line.

Evidence: each of the new tests fails on the code before.

--- a/libs/base/src/Utf8.cpp
+++ b/libs/base/src/Utf8.cpp
@@ -1,6 +1,7 @@
 // The ranges of RFC 3629, section 4.
 #include "base/Utf8.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 
@@ -8,6 +9,8 @@
 
 namespace {
 
+    bool isContinuation(char byte) { return (static_cast<std::uint8_t>(byte) & 0xc0U) == 0x80; }
+
     // Of a sequence that begins with a byte above 0x7f.
     struct SequenceForm {
         std::size_t length_ = 0; // 0: no sequence begins so
@@ -26,29 +29,59 @@
         return {};
     }
 
+    // Returns the length of the character that begins here; 0 if the bytes are no well-formed sequence.
+    std::size_t characterBytes(std::string_view bytes)
+    {
+        const auto first = static_cast<std::uint8_t>(bytes.front());
+        if (first < 0x80)
+            return 1;
+        const SequenceForm form = formOf(first);
+        if (form.length_ == 0 || bytes.size() < form.length_)
+            return 0;
+        const auto second = static_cast<std::uint8_t>(bytes[1]);
+        if (second < form.secondMin_ || second > form.secondMax_)
+            return 0;
+        for (std::size_t next = 2; next < form.length_; ++next) {
+            if (!isContinuation(bytes[next]))
+                return 0;
+        }
+        return form.length_;
+    }
+
 } // namespace
 
 bool isUtf8(std::string_view bytes)
 {
-    for (std::size_t at = 0; at < bytes.size();) {
-        const auto first = static_cast<std::uint8_t>(bytes[at]);
-        if (first < 0x80) {
-            ++at;
-            continue;
-        }
-        const SequenceForm form = formOf(first);
-        if (form.length_ == 0 || bytes.size() - at < form.length_)
+    while (!bytes.empty()) {
+        const std::size_t length = characterBytes(bytes);
+        if (length == 0)
             return false;
-        const auto second = static_cast<std::uint8_t>(bytes[at + 1]);
-        if (second < form.secondMin_ || second > form.secondMax_)
-            return false;
-        for (std::size_t next = 2; next < form.length_; ++next) {
-            if ((static_cast<std::uint8_t>(bytes[at + next]) & 0xc0U) != 0x80)
-                return false;
-        }
-        at += form.length_;
+        bytes.remove_prefix(length);
     }
     return true;
 }
 
+std::string toUtf8(std::string_view bytes)
+{
+    constexpr std::string_view replacement = "\xef\xbf\xbd";
+    std::string text;
+    text.reserve(bytes.size());
+    while (!bytes.empty()) {
+        const std::size_t length = characterBytes(bytes);
+        text.append(length > 0 ? bytes.substr(0, length) : replacement);
+        bytes.remove_prefix(std::max<std::size_t>(length, 1));
+    }
+    return text;
+}
+
+std::string_view utf8Prefix(std::string_view text, std::size_t maxBytes)
+{
+    if (text.size() <= maxBytes)
+        return text;
+    std::size_t end = maxBytes;
+    while (end > 0 && isContinuation(text[end]))
+        --end;
+    return text.substr(0, end);
+}
+
 } // namespace jj
--- a/libs/events/src/EventJson.cpp
+++ b/libs/events/src/EventJson.cpp
@@ -1,4 +1,5 @@
 // Events as JSON lines, both ways.
+#include "base/Utf8.h"
 #include "events/TimelineEvent.h"
 
 #include <boost/json.hpp>
@@ -36,7 +37,7 @@
     void putText(json::object& line, std::string_view key, const std::string& text)
     {
         if (!text.empty())
-            line[key] = text;
+            line[key] = toUtf8(text);
     }
 
     template <class Number>
--- a/libs/events/tests/EventsTest.cpp
+++ b/libs/events/tests/EventsTest.cpp
@@ -75,6 +75,17 @@
         CHECK((eventKindFrom(toString(static_cast<EventKind>(kind))) == static_cast<EventKind>(kind)));
 }
 
+// Guards against lines that no JSON reader takes because a peer's name is no UTF-8.
+TEST_CASE("an event whose texts are no UTF-8 is written as JSON and read back")
+{
+    TimelineEvent event = full();
+    event.detail_.subject_ = "book\xff";
+    event.detail_.error_ = "\xc3\x28";
+    const auto back = eventFromJsonLine(toJsonLine(event));
+    REQUIRE(back);
+    CHECK(back->detail_.subject_ == "book\xef\xbf\xbd");
+}
+
 TEST_CASE("mutated event lines are skipped or read and never crash the reader")
 {
     std::mt19937_64 random(11);
--- a/libs/serving/src/DecisionLog.cpp
+++ b/libs/serving/src/DecisionLog.cpp
@@ -1,8 +1,11 @@
 // Lines are formatted by hand, without a JSON library, because each request logs several: a line takes about 1 µs.
 #include "DecisionLog.h"
 
+#include "base/Utf8.h"
+
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <fcntl.h>
 #include <unistd.h>
@@ -14,8 +17,10 @@
     constexpr std::size_t bufferBytes = 128 * 1024;
     constexpr Duration flushPeriod = 200ms;
 
-    void appendEscaped(std::string& out, std::string_view text)
+    void appendEscaped(std::string& out, std::string_view bytes)
     {
+        const std::string replaced = isUtf8(bytes) ? std::string() : toUtf8(bytes);
+        const std::string_view text = replaced.empty() ? bytes : replaced;
         constexpr unsigned char firstPrintable = 0x20;
         out.push_back('"');
         for (const char c : text) {
@@ -127,12 +132,14 @@
     appendEscaped(log_->buffer_, key);
     log_->buffer_.push_back(':');
     constexpr std::size_t maxValueBytes = 200;
-    appendEscaped(log_->buffer_, value.substr(0, maxValueBytes));
+    appendEscaped(log_->buffer_, utf8Prefix(value, maxValueBytes));
     return *this;
 }
 
 DecisionLog::Line& DecisionLog::Line::with(std::string_view key, double value)
 {
+    if (!std::isfinite(value))
+        return raw(key, "null");
     std::array<char, 32> text {};
     std::snprintf(text.data(), text.size(), "%.3f", value);
     return raw(key, text.data());
--- a/libs/serving/tests/DecisionLogTest.cpp
+++ b/libs/serving/tests/DecisionLogTest.cpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <boost/json.hpp>
+#include <cmath>
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <sstream>
@@ -99,6 +100,25 @@
     CHECK(lines.back().at("linesDropped").to_number<std::uint64_t>() >= missing);
 }
 
+// Guards against lines that a JSON reader refuses because a value of a caller or an engine is no UTF-8, or no number.
+TEST_CASE("serving: values that JSON can't hold are logged as a line of JSON")
+{
+    const Pipe pipe;
+    DecisionLog log("node-1", linesPerSecond, pipe.writeEnd());
+    log.line("sent").with("request", "\xff\xfe\xf0\x80").with("share", std::nan("")).with("rate", HUGE_VAL);
+    // The limit of a value falls inside a character.
+    for (std::size_t length = 195; length < 205; ++length)
+        log.line("sent").with("request", std::string(length, 'x') + "\xf0\x9f\x98\x80");
+    for (int byte = 0; byte < 256; ++byte)
+        log.line("sent").with("request", std::string(3, static_cast<char>(byte)) + "x");
+    log.flush();
+    const auto lines = linesOf(pipe.take());
+    REQUIRE(lines.size() == 267);
+    CHECK(lines[0].at("request").as_string() == "\xef\xbf\xbd\xef\xbf\xbd\xef\xbf\xbd\xef\xbf\xbd");
+    CHECK(lines[0].at("share").is_null());
+    CHECK(lines[0].at("rate").is_null());
+}
+
 TEST_CASE("serving: any bytes in a request id are logged as one line of JSON")
 {
     const Pipe pipe;
--- a/libs/telemetry/include/telemetry/Log.h
+++ b/libs/telemetry/include/telemetry/Log.h
@@ -18,13 +18,10 @@
 
 namespace jj {
 
-// What a field of a line may hold.
+// What a field of a line may hold. Bytes that are no UTF-8 are replaced, and a number that isn't finite is null.
 class LogValue {
 public:
-    LogValue(std::string_view text)
-        : value_(boost::json::string_view(text.data(), text.size()))
-    {
-    }
+    LogValue(std::string_view text);
     LogValue(const char* text)
         : LogValue(std::string_view(text))
     {
@@ -37,10 +34,7 @@
         : value_(number)
     {
     }
-    LogValue(double number)
-        : value_(number)
-    {
-    }
+    LogValue(double number);
 
     const boost::json::value& json() const { return value_; }
 
--- a/libs/telemetry/src/Log.cpp
+++ b/libs/telemetry/src/Log.cpp
@@ -1,10 +1,13 @@
 // log4cplus carries finished JSON lines; its own layouts know no JSON.
 #include "telemetry/Log.h"
 
+#include "base/Utf8.h"
+
 #include <atomic>
 #include <boost/algorithm/string/replace.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <cmath>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
@@ -75,6 +78,17 @@
 
 } // namespace
 
+LogValue::LogValue(std::string_view text)
+    : value_(boost::json::string(toUtf8(text)))
+{
+}
+
+LogValue::LogValue(double number)
+{
+    if (std::isfinite(number))
+        value_ = number;
+}
+
 void startLogs(const LogSettings& settings, std::string_view host)
 {
     LogState& shared = state();
--- a/libs/telemetry/tests/TelemetryTest.cpp
+++ b/libs/telemetry/tests/TelemetryTest.cpp
@@ -3,6 +3,7 @@
 #include "telemetry/Metrics.h"
 
 #include <boost/json/parse.hpp>
+#include <cmath>
 #include <doctest/doctest.h>
 #include <random>
 
@@ -18,6 +19,16 @@
     CHECK(object.at("ts").as_int64() == 5);
 }
 
+// Guards against lines that a JSON reader refuses because a peer's value is no UTF-8, or no number.
+TEST_CASE("a log line is JSON whatever bytes and numbers its fields hold")
+{
+    const std::string line = logLine(WallTime(), LogLevel::Info, "host", "part", "event", { { "text", std::string("a\xff") }, { "number", std::nan("") }, { "most", HUGE_VAL } });
+    const boost::json::object read = boost::json::parse(line).as_object();
+    CHECK(read.at("text").as_string() == "a\xef\xbf\xbd");
+    CHECK(read.at("number").is_null());
+    CHECK(read.at("most").is_null());
+}
+
 TEST_CASE("a hidden secret does not reach a log line")
 {
     // An operator pastes the token into a header with a typo; the refusal's text quotes the header, and the log quotes the text.
