Capacity: of engines with one slot, only every fourth keeps an item that is due from requests

What callers saw: requests refused with 503 (noSlotInTime) while items that were due soon held all engines of a service of one slot each.

Cause: on each engine one urgent item gives way to no request, so that requests can't hold up items for good. With one slot that item is the whole engine. The class: a limit that leaves a share where there is much, and nothing where there is little.

Change: a slot for requests remains beside the items that stay; of the engines that have no other slot, every fourth by id keeps its item. Each host knows the engines and their order, so no message is needed. An item that gives way goes on after its last event.

--- a/libs/capacity/include/capacity/CapacityBoard.h
+++ b/libs/capacity/include/capacity/CapacityBoard.h
@@ -205,6 +205,9 @@
     // version; none: on any.
     bool hasOtherEngine(std::string_view service, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version) const;
     std::vector<UpstreamId> enginesOf(std::string_view service) const;
+    // Returns how many items of the engine need not give way to online requests: `perEngine` if a slot for requests remains beside them. Of
+    // the engines where none does, every fourth keeps its items, so that requests can't hold up items for good, nor items requests.
+    std::uint16_t nonPreemptibleLimit(UpstreamId engine, std::uint16_t perEngine) const;
     // Records that a probe found the engine alive, so that a request may test it.
     void recordProbeSuccess(UpstreamId engine);
     // Applies the load that the engine itself reported a moment ago. It is used where it is higher than the sum of the node reports,
--- a/libs/capacity/src/CapacityPicks.cpp
+++ b/libs/capacity/src/CapacityPicks.cpp
@@ -127,6 +127,19 @@
     return found;
 }
 
+std::uint16_t CapacityBoard::nonPreemptibleLimit(UpstreamId engine, std::uint16_t perEngine) const
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end() || found->second.entry_.slots_ > perEngine)
+        return perEngine;
+    constexpr std::ptrdiff_t enginesPerProtected = 4;
+    const std::vector<Engine*>& engines = groups_.all(found->second.groupPlace_.service_, distanceOf(found->second));
+    const auto hasNoOtherSlot = [perEngine](const Engine* one) { return one->entry_.slots_ <= perEngine; };
+    const auto isBefore = [&](const Engine* one) { return hasNoOtherSlot(one) && one->entry_.id_ < engine; };
+    const std::ptrdiff_t protectedCount = std::count_if(engines.begin(), engines.end(), hasNoOtherSlot) / enginesPerProtected;
+    return std::count_if(engines.begin(), engines.end(), isBefore) < protectedCount ? perEngine : 0;
+}
+
 EnginePick CapacityBoard::pickOnline(std::string_view service, Duration bound, bool repeatable, std::span<const UpstreamId> tried, TimePoint now, SoftwareVersionId version, Duration maxEventGap)
 {
     expireReports(now);
--- a/libs/capacity/tests/CapacityBoardTest.cpp
+++ b/libs/capacity/tests/CapacityBoardTest.cpp
@@ -149,6 +149,24 @@
     CHECK(fixture.pickOnlineEngine().kind_ == PickKind::PreemptsBatch);
 }
 
+// Guards against items that hold all engines of one slot, so that requests are refused until their runs end.
+TEST_CASE("capacity: urgent items keep one slot of an engine with several, and every fourth engine with one")
+{
+    BoardFixture fixture(0);
+    for (std::uint64_t id = 1; id <= 9; ++id)
+        fixture.board_.upsert(engine(id, near, 1));
+    fixture.board_.upsert(engine(10, near, 2));
+    std::size_t kept = 0;
+    for (std::uint64_t id = 1; id <= 9; ++id)
+        kept += fixture.board_.nonPreemptibleLimit(UpstreamId(id), 1);
+    CHECK(kept == 2);
+    CHECK(fixture.board_.nonPreemptibleLimit(UpstreamId(10), 1) == 1);
+    for (std::uint64_t id = 4; id <= 9; ++id)
+        fixture.board_.remove(UpstreamId(id));
+    for (std::uint64_t id = 1; id <= 3; ++id)
+        CHECK(fixture.board_.nonPreemptibleLimit(UpstreamId(id), 1) == 0);
+}
+
 // Guards against requests that wait at their engine because the slot that an item gave up for them was given to another item.
 TEST_CASE("capacity: the slot of a preempted item goes to no other item before the request takes it")
 {
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -459,7 +459,7 @@
     std::map<UpstreamId, std::uint16_t> nonPreemptible;
     for (const auto& [id, run] : runs_) {
         std::uint16_t& count = nonPreemptible[run->engine_];
-        if (count < settings_.nonPreemptiblePerEngine_ && scheduler_.urgencyOf(id, now) == ItemUrgency::Urgent)
+        if (count < context_.board_.nonPreemptibleLimit(run->engine_, settings_.nonPreemptiblePerEngine_) && scheduler_.urgencyOf(id, now) == ItemUrgency::Urgent)
             ++count;
     }
     for (const auto& [engine, count] : nonPreemptible)
@@ -499,7 +499,7 @@
         chosenUsage = usage;
         chosenUrgency = urgency;
     }
-    const bool isNonPreemptible = chosenUrgency == ItemUrgency::Urgent && urgent <= settings_.nonPreemptiblePerEngine_;
+    const bool isNonPreemptible = chosenUrgency == ItemUrgency::Urgent && urgent <= context_.board_.nonPreemptibleLimit(engine, settings_.nonPreemptiblePerEngine_);
     if (!chosen || isNonPreemptible)
         return chosen != nullptr;
     context_.metrics_.metrics_.add(context_.metrics_.itemsPreempted_);
