Numbers from outside are read whole and in range, or not at all

Cause: each reader called the library by itself and ignored the end of the text, the sign, or the range; numbers of JSON were cut to fewer bits, and one over 64 bits was undefined.

Change: parseNumber() and parseHex() in base/Number.h take the place of the readers.

--- a/libs/base/src/Endpoint.cpp
+++ b/libs/base/src/Endpoint.cpp
@@ -3,10 +3,10 @@
 
 #include "base/Error.h"
 #include "base/Hash.h"
+#include "base/Number.h"
 
 #include <arpa/inet.h>
 #include <array>
-#include <charconv>
 
 namespace jj {
 
@@ -30,12 +30,11 @@
     const bool bracketed = address.size() > 2 && address.front() == '[' && address.back() == ']';
     if (bracketed)
         address = address.substr(1, address.size() - 2);
-    Endpoint endpoint { std::string(address), 0 };
-    const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), endpoint.port_);
+    const auto number = parseNumber<std::uint16_t>(port);
     const bool isV6 = address.find(':') != std::string_view::npos;
-    if (error != std::errc() || end != port.data() + port.size() || isV6 != bracketed || !isIpNumber(endpoint.address_))
+    if (!number || isV6 != bracketed || !isIpNumber(std::string(address)))
         return BaseError::BadNumber;
-    return endpoint;
+    return Endpoint { std::string(address), *number };
 }
 
 std::string toString(const Endpoint& endpoint)
--- a/libs/events/src/EventJson.cpp
+++ b/libs/events/src/EventJson.cpp
@@ -1,4 +1,5 @@
 // Events as JSON lines, both ways.
+#include "base/Number.h"
 #include "base/Utf8.h"
 #include "events/TimelineEvent.h"
 
@@ -116,14 +117,7 @@
     return text;
 }
 
-std::optional<std::uint64_t> idFromText(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
-    if (text.empty() || error != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
+std::optional<std::uint64_t> idFromText(std::string_view text) { return parseHex(text); }
 
 std::string toJsonLine(const TimelineEvent& event)
 {
--- a/libs/http/include/http/Message.h
+++ b/libs/http/include/http/Message.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/Error.h"
+#include "base/Time.h"
 
 #include <string>
 #include <string_view>
@@ -87,6 +88,9 @@
 
 std::error_code make_error_code(Error error);
 
+// Returns the time of a Retry-After header in seconds, also with a fraction; zero if it can't be read or isn't within an hour.
+Duration parseRetryAfter(std::string_view text);
+
 // The body that all errors have towards callers: {"error":{"code":…,"message":…,"run":…}}.
 // `code` is a typed name such as "http.BodyTooLarge". retryAfterSeconds below 0 leaves Retry-After out.
 Response errorResponse(int status, std::string_view code, std::string_view message, RunState run, int retryAfterSeconds = -1);
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -1,11 +1,12 @@
 // Connecting, sending, reading and giving back of one client connection.
 #include "ClientConnection.h"
 
+#include "base/Number.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <charconv>
 #include <utility>
 
 namespace jj::http::detail {
@@ -31,6 +32,9 @@
     // this side closes first: a second sooner than named, which is more than any delay on the way.
     constexpr Duration keepAliveMargin = std::chrono::seconds(1);
 
+    constexpr Duration minKeepAlive = std::chrono::milliseconds(100);
+
+    // A time that can't be read may be a short one.
     template <class Fields>
     Duration keepAliveOf(const Fields& fields)
     {
@@ -40,12 +44,9 @@
         const std::size_t place = value.find(key);
         if (place == std::string_view::npos)
             return Duration::max();
-        int seconds = 0;
         const std::string_view digits = value.substr(place + key.size());
-        const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-        if (error != std::errc() || end == digits.data())
-            return Duration::max();
-        return std::max<Duration>(std::chrono::seconds(seconds) - keepAliveMargin, std::chrono::milliseconds(100));
+        const auto seconds = parseNumber<std::int32_t>(digits.substr(0, digits.find_first_of(", ;")));
+        return std::max<Duration>(std::chrono::seconds(seconds.value_or(0)) - keepAliveMargin, minKeepAlive);
     }
 
 } // namespace
--- a/libs/http/src/Message.cpp
+++ b/libs/http/src/Message.cpp
@@ -1,6 +1,8 @@
 // Headers, targets and error bodies.
 #include "http/Message.h"
 
+#include "base/Number.h"
+
 #include <boost/beast/core/string.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -120,6 +122,12 @@
     return {};
 }
 
+Duration parseRetryAfter(std::string_view text)
+{
+    constexpr double maxSeconds = 3600;
+    return fromSeconds(parseNumber<double>(text, { 0, maxSeconds }).value_or(0));
+}
+
 Response errorResponse(int status, std::string_view code, std::string_view message, RunState run, int retryAfterSeconds)
 {
     const boost::json::value body = { { "error", { { "code", code }, { "message", message }, { "run", toString(run) } } } };
--- a/libs/jobs/src/JobRunner.cpp
+++ b/libs/jobs/src/JobRunner.cpp
@@ -1,8 +1,10 @@
 // Discovery, claims and loading. Items are in RunnerItems.cpp, commits in RunnerCommit.cpp.
 #include "jobs/JobRunner.h"
 
+#include "base/Number.h"
+
 #include <algorithm>
-#include <charconv>
+#include <limits>
 
 namespace jj {
 
@@ -172,11 +174,10 @@
 {
     const std::string key = openKey(context_.partitionOf(id), id);
     context_.call(ObjectCall::get(key), CallClass::Background, context_.now_ + context_.settings_.leaseTime_, [this, key](const SettledAnswer& answer) {
-        std::int64_t ms = 0;
-        const std::string& text = answer.answer_.value_;
-        if (!answer.ok() || std::from_chars(text.data(), text.data() + text.size(), ms).ec != std::errc())
+        const auto ms = parseNumber<std::int64_t>(answer.answer_.value_, { 0, std::numeric_limits<std::int64_t>::max() });
+        if (!answer.ok() || !ms)
             return;
-        if (context_.wall_ - WallTime(std::chrono::milliseconds(ms)) > context_.settings_.orphanAge_)
+        if (context_.wall_ - WallTime(std::chrono::milliseconds(*ms)) > context_.settings_.orphanAge_)
             context_.call(ObjectCall::remove(key, answer.answer_.version_), CallClass::Background, context_.now_ + context_.settings_.leaseTime_, [](const SettledAnswer&) {});
     });
 }
--- a/libs/jobs/src/Records.cpp
+++ b/libs/jobs/src/Records.cpp
@@ -2,10 +2,10 @@
 #include "jobs/Records.h"
 
 #include "base/Hash.h"
+#include "base/Number.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
-#include <charconv>
 
 namespace jj {
 
@@ -182,11 +182,10 @@
 Result<std::uint64_t> lastHexOf(std::string_view key)
 {
     const std::string_view name = key.substr(key.rfind('/') + 1);
-    std::uint64_t value = 0;
-    const auto [end, error] = std::from_chars(name.data(), name.data() + name.size(), value, 16);
-    if (error != std::errc() || end != name.data() + name.size())
+    const auto value = parseHex(name);
+    if (!value)
         return JobError::BadRecord;
-    return value;
+    return *value;
 }
 
 Result<WallTime> expiryOf(std::string_view key)
--- a/libs/ledger/src/SpooledJob.cpp
+++ b/libs/ledger/src/SpooledJob.cpp
@@ -2,8 +2,7 @@
 #include "ledger/SpooledJob.h"
 
 #include "base/Hash.h"
-
-#include <charconv>
+#include "base/Number.h"
 
 namespace jj {
 
@@ -21,13 +20,6 @@
         return part;
     }
 
-    template <class Number>
-    bool readNumber(std::string_view text, Number& number)
-    {
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number, decimal);
-        return error == std::errc() && end == text.data() + text.size();
-    }
-
 } // namespace
 
 std::string encode(const SpooledJob& job)
@@ -41,12 +33,14 @@
 
 Result<SpooledJob> decodeSpooledJob(std::string_view text)
 {
-    std::uint64_t checksum = 0;
-    if (!readNumber(takeLine(text), checksum) || checksum != hash64(text))
+    const auto checksum = parseNumber<std::uint64_t>(takeLine(text));
+    if (!checksum || *checksum != hash64(text))
         return LedgerError::BadRecord;
     SpooledJob job;
-    if (!readNumber(takeLine(text), job.rank_))
+    const auto rank = parseNumber<decltype(job.rank_)>(takeLine(text));
+    if (!rank)
         return LedgerError::BadRecord;
+    job.rank_ = *rank;
     job.submission_.job_ = takeLine(text);
     if (!isValidJobName(job.submission_.job_))
         return LedgerError::BadRecord;
--- a/libs/node/src/OperatorsServer.cpp
+++ b/libs/node/src/OperatorsServer.cpp
@@ -1,6 +1,7 @@
 // Status is put together from what each host published last; no call of an operator waits for an actor.
 #include "OperatorsServer.h"
 
+#include "base/Number.h"
 #include "follower/ConfigWrite.h"
 #include "settings/FleetConfig.h"
 
@@ -25,16 +26,12 @@
         return version.value();
     }
 
-    // "\"17\"" -> 17; none without the header.
+    // "\"17\"" -> 17; none without the header, and if it holds anything else.
     ConfigVersion versionOf(std::string_view etag)
     {
-        std::string digits;
-        for (const char letter : etag) {
-            if (letter >= '0' && letter <= '9')
-                digits += letter;
-        }
-        constexpr std::size_t mostDigits = 18;
-        return digits.empty() || digits.size() > mostDigits ? ConfigVersion() : ConfigVersion(std::stoull(digits));
+        const bool isQuoted = etag.size() > 2 && etag.front() == '"' && etag.back() == '"';
+        const auto version = parseNumber<std::uint64_t>(isQuoted ? etag.substr(1, etag.size() - 2) : etag);
+        return version ? ConfigVersion(*version) : ConfigVersion();
     }
 
 } // namespace
--- a/libs/objectclient/src/ObjectForms.cpp
+++ b/libs/objectclient/src/ObjectForms.cpp
@@ -1,8 +1,9 @@
 // docs/PLATFORM-PROTOCOLS.md, section "Object API", in code.
 #include "ObjectForms.h"
 
+#include "base/Number.h"
+
 #include <boost/json.hpp>
-#include <charconv>
 #include <sodium.h>
 
 namespace jj {
@@ -17,16 +18,8 @@
     {
         if (etag.size() < 3 || etag.front() != '"')
             return ObjectVersion::none();
-        std::uint64_t value = 0;
-        const auto [end, error] = std::from_chars(etag.data() + 1, etag.data() + etag.size() - 1, value);
-        return error == std::errc() && end == etag.data() + etag.size() - 1 ? ObjectVersion(value) : ObjectVersion::none();
-    }
-
-    Duration secondsOf(std::string_view text)
-    {
-        double value = 0;
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-        return error == std::errc() && value > 0 ? fromSeconds(value) : Duration::zero();
+        const auto value = etag.back() == '"' ? parseNumber<std::uint64_t>(etag.substr(1, etag.size() - 2)) : std::nullopt;
+        return value ? ObjectVersion(*value) : ObjectVersion::none();
     }
 
     std::string fromBase64(std::string_view text)
@@ -129,7 +122,7 @@
 {
     const auto failed = [&](ObjectError error) {
         ObjectAnswer answer = ObjectAnswer::failed(error);
-        answer.retryAfter_ = secondsOf(response.headers_.find("Retry-After"));
+        answer.retryAfter_ = http::parseRetryAfter(response.headers_.find("Retry-After"));
         return answer;
     };
     switch (response.status_) {
--- a/libs/serving/include/serving/Translation.h
+++ b/libs/serving/include/serving/Translation.h
@@ -83,7 +83,8 @@
     // Returns the parts of a prompt that other requests may have too, in the order of the prompt. `text` is the value of the header
     // promptParts_. An unreadable list has no parts.
     std::function<std::vector<Fingerprint>(std::string_view text)> parseSharedParts_;
-    std::function<std::optional<JobRequest>(const http::Request&)> parseJobRequest_;
+    // Returns none if the request is no call about a job.
+    std::function<std::optional<Checked<JobRequest>>(const http::Request&)> parseJobRequest_;
     std::function<Checked<JobSubmission>(const http::Request&)> parseSubmission_;
     std::function<std::string(const ReadAnswer&)> formatResults_;
 
--- a/libs/serving/src/EventScanner.cpp
+++ b/libs/serving/src/EventScanner.cpp
@@ -1,11 +1,11 @@
 // Parses fields line by line as the HTML standard defines them. Lines end in LF or CRLF.
 #include "EventScanner.h"
 
+#include "base/Number.h"
 #include "base/Utf8.h"
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
 #include <utility>
 
 namespace jj {
@@ -38,11 +38,9 @@
 
     void setId(StreamEvent& event, std::string_view text)
     {
-        std::uint64_t id = 0;
-        const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), id);
-        const bool isNumber = error == std::errc() && stop == text.data() + text.size();
-        event.isMalformed_ |= !isNumber || event.id_;
-        if (isNumber)
+        const auto id = parseNumber<std::uint64_t>(text);
+        event.isMalformed_ |= !id || event.id_;
+        if (id)
             event.id_ = id;
     }
 
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -3,10 +3,11 @@
 
 #include "Shares.h"
 #include "base/Hash.h"
+#include "base/Number.h"
 
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
-#include <charconv>
+#include <limits>
 
 namespace jj {
 
@@ -21,18 +22,20 @@
     constexpr int queueTargetMultiple = 4;
     // Used if the caller does not state how long it waits.
     constexpr Duration defaultDeadline = 30s;
+    constexpr Duration maxDeadline = 24h;
     constexpr std::size_t maxAttemptIdBytes = 256;
 
     bool isSameName(std::string_view name, std::string_view other) { return boost::beast::iequals(name, other); }
 
-    Duration deadlineOf(const http::Request& request, const HeaderNames& names)
+    // Returns how long the caller waits; none if it states no number of milliseconds.
+    std::optional<Duration> readDeadline(const http::Headers& headers, std::string_view name)
     {
-        const std::string_view text = request.headers_.find(names.timeLeft_);
-        std::int64_t milliseconds = 0;
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
-        if (text.empty() || error != std::errc() || milliseconds < 0)
+        if (!headers.has(name))
             return defaultDeadline;
-        return std::chrono::milliseconds(milliseconds);
+        const auto stated = parseNumber<std::int64_t>(headers.find(name), { 0, std::numeric_limits<std::int64_t>::max() });
+        if (!stated)
+            return std::nullopt;
+        return std::chrono::milliseconds(std::min<std::int64_t>(*stated, maxDeadline / 1ms));
     }
 
 } // namespace
@@ -50,7 +53,10 @@
 {
     const http::Request& request = exchange_->request();
     id_ = request.headers_.find(context_.translation_.headers_.attemptId_);
-    const Duration patience = deadlineOf(request, context_.translation_.headers_);
+    const auto stated = readDeadline(request.headers_, context_.translation_.headers_.timeLeft_);
+    if (!stated)
+        return refuseMalformed("request.BadDeadline", "the time that its caller waits is no whole number of milliseconds");
+    const Duration patience = *stated;
     deadline_ = arrivedAt_ + std::min(patience, route_.timeout_);
     fingerprints_ = context_.crashes_->fingerprintsOf(request);
     wasRefusedBefore_ = context_.queue_->isProbableRetry(route_.name_, patience, arrivedAt_);
@@ -82,11 +88,9 @@
     beganAs_ = id_;
     if (position.empty() && beganAs.empty())
         return true;
-    std::uint64_t event = 0;
-    const auto [end, error] = std::from_chars(position.data(), position.data() + position.size(), event);
-    const bool isNumber = !position.empty() && error == std::errc() && end == position.data() + position.size();
-    if (!isNumber || beganAs.size() > maxAttemptIdBytes) {
-        refuseMalformedResume(isNumber ? "the attempt id is too long" : "no event id that is a number");
+    const auto event = parseNumber<std::uint64_t>(position);
+    if (!event || beganAs.size() > maxAttemptIdBytes) {
+        refuseMalformed("request.BadResume", event ? "it resumes a stream, but the attempt id is too long" : "it resumes a stream, but has no event id that is a number");
         return false;
     }
     isResumedByCaller_ = true;
@@ -95,12 +99,10 @@
     return true;
 }
 
-void RelayedRequest::refuseMalformedResume(std::string_view why)
+void RelayedRequest::refuseMalformed(std::string_view code, std::string_view why)
 {
-    exchange_->respond(refusalResponse(context_.translation_, 400, "request.BadResume", std::string("the request resumes a stream, but has ").append(why).append("; it has not run"), RunState::NotRun, {}));
-    context_.metrics_.metrics_.add(context_.metrics_.failed_);
-    line("failed").with("status", 400).with("code", "request.BadResume").with("afterMs", context_.now() - arrivedAt_).with("runs", runs_);
-    end();
+    constexpr int statusMalformed = 400;
+    fail(statusMalformed, code, std::string("the request has not run: ").append(why), RunState::NotRun);
 }
 
 void RelayedRequest::resolveStream()
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -72,7 +72,8 @@
     void returnCredit();
     // Reads which stream the caller resumes. Returns false if the request is malformed and has been refused.
     bool readResume();
-    void refuseMalformedResume(std::string_view why);
+    // `why` is what can't be read of its header.
+    void refuseMalformed(std::string_view code, std::string_view why);
     // Finds the software version of the stream that the caller resumes, then sends the request.
     void resolveStream();
     void onResolved(const StreamResolution& resolution);
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -175,8 +175,12 @@
     auto caller = identifyCaller(*table, *route, key);
     if (!caller)
         return refuseUnknownCaller(*exchange, *route, key);
+    if (batchRoute && !*jobCall) {
+        log_.line("jobCallMalformed").with("path", request.path()).with("error", jobCall->error().message());
+        return exchange->respond(refusalResponse(translation_, 400, "job.BadCall", jobCall->error().message(), RunState::NotRun, {}));
+    }
     if (batchRoute)
-        return jobs_->call(std::move(exchange), *table, *caller, std::move(*jobCall));
+        return jobs_->call(std::move(exchange), *table, *caller, std::move(jobCall->value()));
     if (route->kind_ == RouteKind::Batch)
         return jobs_->submit(exchange, *table, *route, *caller);
     relay_->handle(std::move(exchange), table, *route, std::move(*caller));
--- a/libs/settings/src/Ini.cpp
+++ b/libs/settings/src/Ini.cpp
@@ -1,13 +1,13 @@
 // Boost.PropertyTree reads the text; the checks are ours.
 #include "settings/Ini.h"
 
+#include "base/Number.h"
 #include "settings/SettingsError.h"
 
 #include <boost/algorithm/string.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
-#include <charconv>
 #include <sstream>
 
 namespace jj {
@@ -41,16 +41,6 @@
         return result;
     }
 
-    template <class T>
-    std::optional<T> parseNumber(const std::string& text)
-    {
-        T value {};
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-        if (error != std::errc() || end != text.data() + text.size())
-            return std::nullopt;
-        return value;
-    }
-
     template <class T>
     std::string describeRange(Range<T> range)
     {
@@ -79,7 +69,7 @@
         ip = ip.substr(1, ip.size() - 2);
     boost::system::error_code error;
     boost::asio::ip::make_address(ip, error);
-    const auto port = parseNumber<std::uint16_t>(std::string(text.substr(colon + 1)));
+    const auto port = parseNumber<std::uint16_t>(text.substr(colon + 1));
     if (error || !port)
         return std::nullopt;
     return Address { ip, *port };
