HTTP: the body of an error is JSON whatever bytes its message repeats

A job whose id holds bytes that are no UTF-8 was refused with an error whose body no JSON reader takes: the message repeats the id. The same class as the lines of the log; odd_values_test.py reads each such body.

--- a/libs/http/src/Message.cpp
+++ b/libs/http/src/Message.cpp
@@ -2,6 +2,7 @@
 #include "http/Message.h"
 
 #include "base/Number.h"
+#include "base/Utf8.h"
 
 #include <boost/beast/core/string.hpp>
 #include <boost/json/serialize.hpp>
@@ -130,7 +131,7 @@
 
 Response errorResponse(int status, std::string_view code, std::string_view message, RunState run, int retryAfterSeconds)
 {
-    const boost::json::value body = { { "error", { { "code", code }, { "message", message }, { "run", toString(run) } } } };
+    const boost::json::value body = { { "error", { { "code", code }, { "message", toUtf8(message) }, { "run", toString(run) } } } };
     Response response { status, { { "Content-Type", "application/json" } }, boost::json::serialize(body) };
     if (retryAfterSeconds >= 0)
         response.headers_.add("Retry-After", std::to_string(retryAfterSeconds));
