Ledger: pages of items fit into a value of the store as the store counts it

Pages of a job's items were measured by the raw length of their fields against a fixed limit. A page of items whose headers hold many quotes grows fourfold in the store's JSON, is refused with 413, and its job is never accepted, or its copy on a disk never stored; a setting of another limit was ignored. On the code before, 100 items with 5,000 quotes each made one page of 2,004,393 bytes where 1,048,576 are allowed. Pages are measured as results already were, against the setting.

Hosts of one fleet split alike only if they run the same code: a job over 600 KB that an old and a new host store at the same moment could get pages of both.

--- a/libs/ledger/include/ledger/Acceptor.h
+++ b/libs/ledger/include/ledger/Acceptor.h
@@ -51,8 +51,10 @@
 public:
     using Done = std::function<void(const Acceptance&, TimePoint now)>;
 
-    explicit Acceptor(LedgerStore store)
+    // `maxValueBytes`: of a value in the store. The same on all hosts: several may write the pages of one job.
+    explicit Acceptor(LedgerStore store, std::size_t maxValueBytes = maxObjectBytes)
         : store_(std::move(store))
+        , maxValueBytes_(maxValueBytes)
     {
     }
 
@@ -61,6 +63,7 @@
 
 private:
     LedgerStore store_;
+    std::size_t maxValueBytes_;
 };
 
 } // namespace jj
--- a/libs/ledger/include/ledger/JobIntake.h
+++ b/libs/ledger/include/ledger/JobIntake.h
@@ -24,6 +24,7 @@
     // If a host hasn't answered a spool request after this time, another host is asked in its place. The host may be down without having
     // been detected as dead yet.
     Duration replaceHostAfter_ = 80ms;
+    std::size_t maxValueBytes_ = maxObjectBytes; // of a value in the store
 };
 
 struct IntakeAnswer {
--- a/libs/ledger/include/ledger/JobSpool.h
+++ b/libs/ledger/include/ledger/JobSpool.h
@@ -52,6 +52,7 @@
     // Copies older than this are dropped unread. The job may already have completed and been removed from the store, so that an upload
     // would run it a second time. Callers have stopped waiting long before. The value equals SchedulerSettings::retention_.
     Duration retention_ = 150s;
+    std::size_t maxValueBytes_ = maxObjectBytes; // of a value in the store
 };
 
 enum class SpoolNote : std::uint8_t {
@@ -84,7 +85,7 @@
         : disk_(std::move(disk))
         , settings_(settings)
         , outlets_(std::move(outlets))
-        , acceptor_(outlets_.store_)
+        , acceptor_(outlets_.store_, settings_.maxValueBytes_)
     {
     }
 
--- a/libs/ledger/include/ledger/Records.h
+++ b/libs/ledger/include/ledger/Records.h
@@ -107,8 +107,8 @@
 Result<std::vector<JobItem>> decodeItems(std::string_view text);
 Result<std::vector<JobResult>> decodeResults(std::string_view text);
 
-// Splits the items into pages that each fit into one object. Errors: NoItems, DuplicateItem, ItemTooLarge.
-Checked<std::vector<std::vector<JobItem>>> splitIntoPages(std::vector<JobItem> items);
+// Splits the items into pages that each fit into one value, as countFitting() does. Errors: NoItems, DuplicateItem, ItemTooLarge.
+Checked<std::vector<std::vector<JobItem>>> splitIntoPages(std::vector<JobItem> items, std::size_t valueBytes);
 
 // Decodes standard base64 with padding. Error: BadRecord.
 Result<std::string> fromBase64(std::string_view text);
--- a/libs/ledger/src/Acceptor.cpp
+++ b/libs/ledger/src/Acceptor.cpp
@@ -101,7 +101,7 @@
         return finish(attempt, AcceptOutcome::Invalid, now);
     }
     acceptance.items_ = submission.items_;
-    auto pages = splitIntoPages(std::move(submission.items_));
+    auto pages = splitIntoPages(std::move(submission.items_), maxValueBytes_);
     if (!pages) {
         acceptance.failure_ = pages.error();
         return finish(attempt, AcceptOutcome::Invalid, now);
--- a/libs/ledger/src/JobIntake.cpp
+++ b/libs/ledger/src/JobIntake.cpp
@@ -34,7 +34,7 @@
 JobIntake::JobIntake(IntakeSettings settings, IntakeOutlets outlets)
     : settings_(settings)
     , outlets_(std::move(outlets))
-    , acceptor_(outlets_.store_)
+    , acceptor_(outlets_.store_, settings_.maxValueBytes_)
 {
 }
 
--- a/libs/ledger/src/Records.cpp
+++ b/libs/ledger/src/Records.cpp
@@ -14,8 +14,7 @@
 
     namespace json = boost::json;
 
-    // Leaves space for the store's own fields and for escaping of the value.
-    constexpr std::size_t pageBytes = maxObjectBytes * 6 / 10;
+    constexpr std::size_t storeFieldsBytes = 1024; // the object's own fields
 
     class LedgerCategory : public std::error_category {
     public:
@@ -62,13 +61,11 @@
         }
     }
 
-    std::size_t sizeOf(const JobItem& item)
+    // Returns the bytes of one entry of a page as the store counts them.
+    template <class Entry>
+    std::size_t storedBytes(const Entry& entry)
     {
-        constexpr std::size_t punctuation = 32;
-        std::size_t size = punctuation + item.id_.size() + item.path_.size() + item.body_.size();
-        for (const auto& [name, value] : item.headers_)
-            size += name.size() + value.size() + punctuation;
-        return size;
+        return json::serialize(json::string(toJson(encode(std::vector { entry })))).size();
     }
 
 } // namespace
@@ -142,12 +139,10 @@
 
 std::size_t countFitting(const std::vector<JobResult>& results, std::size_t valueBytes)
 {
-    constexpr std::size_t storeFieldsBytes = 1024; // the object's own fields
     std::size_t bytes = storeFieldsBytes;
     std::size_t count = 0;
     for (const JobResult& result : results) {
-        const std::string record = encode(std::vector { result });
-        bytes += json::serialize(json::string(toJson(record))).size();
+        bytes += storedBytes(result);
         if (bytes > valueBytes)
             break;
         ++count;
@@ -210,22 +205,22 @@
     });
 }
 
-Checked<std::vector<std::vector<JobItem>>> splitIntoPages(std::vector<JobItem> items)
+Checked<std::vector<std::vector<JobItem>>> splitIntoPages(std::vector<JobItem> items, std::size_t valueBytes)
 {
     if (items.empty())
         return Failure { LedgerError::NoItems, {} };
     std::set<std::string> ids;
     std::vector<std::vector<JobItem>> pages(1);
-    std::size_t bytes = 0;
+    std::size_t bytes = storeFieldsBytes;
     for (JobItem& item : items) {
         if (!ids.insert(item.id_).second)
             return Failure { LedgerError::DuplicateItem, item.id_ };
-        const std::size_t size = sizeOf(item);
-        if (size > pageBytes)
+        const std::size_t size = storedBytes(item);
+        if (storeFieldsBytes + size > valueBytes)
             return Failure { LedgerError::ItemTooLarge, item.id_ };
-        if (bytes + size > pageBytes) {
+        if (bytes + size > valueBytes) {
             pages.emplace_back();
-            bytes = 0;
+            bytes = storeFieldsBytes;
         }
         bytes += size;
         pages.back().push_back(std::move(item));
--- a/libs/ledger/tests/SchedulerTest.cpp
+++ b/libs/ledger/tests/SchedulerTest.cpp
@@ -1,6 +1,8 @@
 // Life cycle of a job: submission, runs, reads, handover, removal.
 #include "LedgerWorld.h"
 
+#include <boost/json.hpp>
+
 using namespace jj;
 
 TEST_CASE("ledger: a job is accepted, runs, and completes with all results listed")
@@ -63,6 +65,26 @@
     CHECK(outcomeOf(large).failure_.code_ == LedgerError::ItemTooLarge);
 }
 
+// Guards against pages that the store refuses for good because the characters of their items are escaped twice.
+TEST_CASE("ledger: each page of items fits into a value of the store, whatever characters its items hold")
+{
+    constexpr std::size_t valueBytes = 64UL * 1024;
+    constexpr std::size_t headerBytes = 5000;
+    JobSubmission job = LedgerWorld::submission("j", 40);
+    for (JobItem& item : job.items_)
+        item.headers_.push_back({ "X-Quoted", std::string(headerBytes, '"') });
+    const auto pages = splitIntoPages(job.items_, valueBytes);
+    REQUIRE(pages.has_value());
+    std::size_t items = 0;
+    for (const std::vector<JobItem>& page : pages.value()) {
+        items += page.size();
+        CHECK(boost::json::serialize(boost::json::string(encode(page))).size() <= valueBytes);
+    }
+    CHECK(items == 40);
+    job.items_[7].body_.assign(valueBytes, 'A');
+    CHECK(splitIntoPages(job.items_, valueBytes).error().code_ == LedgerError::ItemTooLarge);
+}
+
 TEST_CASE("ledger: an item that fails is listed as errored after its attempts, one that can never succeed at once")
 {
     LedgerWorld world(8);
--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -63,7 +63,7 @@
     : context_(context)
     , scheduler_(scheduler)
     , acceptances_(acceptanceOutlets())
-    , intake_(IntakeSettings(), intakeOutlets(store))
+    , intake_({ .maxValueBytes_ = context.settings_.storeValueBytes_ }, intakeOutlets(store))
 {
 }
 
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -329,6 +329,7 @@
     }
     SpoolSettings spool;
     spool.maxBytes_ = settings_.diskBytes_ / spoolDivisor;
+    spool.maxValueBytes_ = settings_.storeValueBytes_;
     SpoolOutlets outlets;
     outlets.store_ = [this](ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) { store_->send(std::move(call), callClass, until, std::move(done)); };
     outlets.isStoreUnavailable_ = [this] { return store_->isUnreachable(); };
