--- a/libs/ledger/src/SpooledJob.cpp
+++ b/libs/ledger/src/SpooledJob.cpp
@@ -9,7 +9,6 @@
 namespace {
 
     constexpr char separator = '\n';
-    constexpr int decimal = 10;
 
     // Returns the text up to the next separator, and removes it and the separator from `text`.
     std::string_view takeLine(std::string_view& text)
