--- a/libs/serving/src/EventScanner.cpp
+++ b/libs/serving/src/EventScanner.cpp
@@ -44,7 +44,7 @@
             event.id_ = id;
     }
 
-    // Without the empty line between two events, or the end of a line, two lines are read as one or two events as one.
+    // A lost line end joins two lines or two events, so a field that stands twice or out of place makes the event malformed.
     StreamEvent parse(std::string_view raw)
     {
         StreamEvent event;
