--- a/libs/http/include/http/Message.h
+++ b/libs/http/include/http/Message.h
@@ -52,6 +52,7 @@
 struct ResponseHead {
     int status_ = 0;
     Headers headers_;
+    bool isOnUsedConnection_ = false; // the connection has served another call before
 };
 
 struct Response {
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -388,7 +388,7 @@
         call->headSeen_ = true;
         keepAlive_ = keepAliveOf(message);
         if (call->handlers_.onHead_)
-            call->handlers_.onHead_({ static_cast<int>(message.result_int()), copyHeaders(message) });
+            call->handlers_.onHead_({ static_cast<int>(message.result_int()), copyHeaders(message), isReused_ });
     }
     if (!message.body().empty() && !call->cancelled_) {
         const std::string data = std::move(message.body());
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -313,7 +313,9 @@
 void RelayedRequest::onNotExecuted()
 {
     const int status = run_->head_->status_;
-    line("notExecuted").with("status", status).with("offer", offers_);
+    const EngineEntry* engine = context_.board_.find(run_->engine_);
+    const bool isNamed = run_->head_->headers_.has(context_.translation_.headers_.attemptId_);
+    line("notExecuted").with("status", status).with("offer", offers_).with("engine", engine ? engine->name_ : "").with("address", engine ? toString(engine->at_) : "").with("named", isNamed ? "yes" : "no").with("connection", run_->head_->isOnUsedConnection_ ? "used" : "new");
     if (status == statusMisdirected)
         context_.failed(run_->engine_, EngineFault::NotConnected, {});
     else
@@ -336,7 +338,8 @@
     if (run == silentRun_)
         return onSilentRunFailed(hasRun, failure.code_);
     if (failure.run_ == RunState::NotRun) {
-        line("notConnected").with("error", failure.code_.message()).with("offer", offers_);
+        const EngineEntry* engine = context_.board_.find(run->engine_);
+        line("notConnected").with("error", failure.code_.message()).with("offer", offers_).with("engine", engine ? engine->name_ : "");
         context_.failed(run->engine_, EngineFault::NotConnected, failure.code_);
         --runs_;
         if (silentRun_)
