HTTP client: a request goes over no connection that has carried it before

What callers saw: a request that may run once was begun by two engines, or was answered 503 "not run" though an engine had run it.

Cause: answers are matched to requests by the attempt id, which is the same for all sends of one request. An engine that starts again is a new engine at its old address, so one request may go to one address twice: to an older entry, which refuses it (421 or 503), then to the current one, over the same kept connection. If the refusal comes a second time, it stands where the answer to the second send is due and names that request as well. The engine runs the request, the host reads that it hasn't, and sends it on.

The logs show 421 for the send to the old entry, 421 again for the send to the new one, and a third send that is answered. The new case of EarlierAnswerTest failed before (503 in place of 200).

Why this works: a second copy can only arrive on the connection that carried the first. A connection remembers the requests of its last 16 calls; a call takes another pooled connection or opens one.

--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -53,6 +53,7 @@
     bool fresh_ = false; // on a new connection: a pooled one may be half dead, which matters when a call may not be repeated
     // A header that the other side repeats in its answer. An answer with another value, or without it on a connection that was used before,
     // belongs to an earlier request of the connection, such as a second answer that came late: it is read over, and the one after it is waited for.
+    // A call goes over no connection that carried one with the same value lately, as nothing would tell their answers apart.
     std::string echoName_ {};
     std::string echoValue_ {};
     // Sent in place of Request::body_, without a copy. Released once it has been written.
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -3,9 +3,11 @@
 
 #include "ClientConnection.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <exception>
+#include <iterator>
 #include <utility>
 
 namespace jj::http {
@@ -43,18 +45,27 @@
         }
     }
 
-    std::shared_ptr<ClientConnection> pick(const std::shared_ptr<ClientShared>& shared, const Endpoint& endpoint, bool fresh)
+    // Takes the connection that was used last out of the pool. One that has carried the same request before is left: a second copy of that
+    // answer names the request as well, and would be taken for the answer to this call.
+    std::shared_ptr<ClientConnection> takePooled(ClientShared& shared, const Endpoint& endpoint, detail::CallIdentity identity)
     {
-        if (!fresh) {
-            const std::lock_guard lock(shared->mutex_);
-            const auto found = shared->pool_.find(endpoint);
-            if (found != shared->pool_.end() && !found->second.empty()) {
-                auto connection = std::move(found->second.back());
-                found->second.pop_back();
-                return connection;
-            }
-        }
-        return std::make_shared<ClientConnection>(shared, endpoint);
+        const std::lock_guard lock(shared.mutex_);
+        const auto found = shared.pool_.find(endpoint);
+        if (found == shared.pool_.end())
+            return nullptr;
+        auto& idle = found->second;
+        const auto newest = std::find_if(idle.rbegin(), idle.rend(), [identity](const auto& one) { return identity.isNone() || !one->hasCarried(identity); });
+        if (newest == idle.rend())
+            return nullptr;
+        auto connection = std::move(*newest);
+        idle.erase(std::next(newest).base());
+        return connection;
+    }
+
+    std::shared_ptr<ClientConnection> pick(const std::shared_ptr<ClientShared>& shared, const Endpoint& endpoint, const CallOptions& options)
+    {
+        auto connection = options.fresh_ ? nullptr : takePooled(*shared, endpoint, detail::identityOf(options));
+        return connection ? connection : std::make_shared<ClientConnection>(shared, endpoint);
     }
 
     // Collects a whole answer.
@@ -149,7 +160,7 @@
     }
     state->outboundHead_ = std::move(head.value());
     state->isHead_ = request.method_ == "HEAD";
-    const auto connection = pick(shared_, endpoint, options.fresh_);
+    const auto connection = pick(shared_, endpoint, options);
     state->connection_ = connection;
     connection->startSoon(state);
     return std::make_shared<Call>(std::move(state));
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -1,6 +1,7 @@
 // Connecting, sending, reading and giving back of one client connection.
 #include "ClientConnection.h"
 
+#include "base/Hash.h"
 #include "base/Number.h"
 
 #include <algorithm>
@@ -51,6 +52,11 @@
 
 } // namespace
 
+CallIdentity identityOf(const CallOptions& options)
+{
+    return options.echoName_.empty() || options.echoValue_.empty() ? CallIdentity::none() : idFromName<CallIdentity>(options.echoValue_);
+}
+
 ClientConnection::ClientConnection(std::shared_ptr<ClientShared> shared, Endpoint endpoint)
     : shared_(std::move(shared))
     , endpoint_(std::move(endpoint))
@@ -153,12 +159,21 @@
     written_ = false;
     readingOver_ = false;
     isReused_ = connected_;
+    noteCarried(identityOf(call_->options_));
     if (connected_)
         send();
     else
         connect();
 }
 
+void ClientConnection::noteCarried(CallIdentity identity)
+{
+    if (identity.isNone())
+        return;
+    carried_.at(nextCarried_) = identity;
+    nextCarried_ = (nextCarried_ + 1) % carried_.size();
+}
+
 void ClientConnection::beginParsing()
 {
     parser_.emplace();
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -2,8 +2,11 @@
 #pragma once
 
 #include "Codec.h"
+#include "base/Id.h"
 #include "http/Client.h"
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -20,6 +23,11 @@
 
 class ClientConnection;
 
+// Identifies the request of a call by a hash of its CallOptions::echoValue_.
+using CallIdentity = Id<struct CallIdentityTag>;
+// Returns none if the other side's answers don't name their requests.
+CallIdentity identityOf(const CallOptions& options);
+
 struct ClientShared {
     ClientShared(asio::io_context& io, ClientSettings settings)
         : io_(io)
@@ -73,8 +81,12 @@
     void resumeSoon(std::shared_ptr<CallState> call);
     void closeSoon();
 
+    // Returns whether one of the last calls of this pooled connection had this identity. ClientShared::mutex_ is held.
+    bool hasCarried(CallIdentity identity) const { return std::find(carried_.begin(), carried_.end(), identity) != carried_.end(); }
+
 private:
     void start(std::shared_ptr<CallState> call);
+    void noteCarried(CallIdentity identity);
     void connect();
     void send();
     void beginParsing();
@@ -120,6 +132,10 @@
     bool lingering_ = false; // the call has ended, this direction is closed, and what was on its way is awaited
     bool written_ = false;
     bool isReused_ = false; // it has served a call before
+    // Of its last calls, in no order. An answer that comes twice stands where that of one of the next calls is due, so few are enough.
+    // Changed only while it isn't in the pool.
+    std::array<CallIdentity, 16> carried_ {};
+    std::size_t nextCarried_ = 0; // place in carried_ that is overwritten next
     bool readingOver_ = false; // the answer that is being read belongs to an earlier request
     Duration keepAlive_ = Duration::max(); // as the other side named it
     bool timerArmed_ = false;
--- a/libs/http/tests/EarlierAnswerTest.cpp
+++ b/libs/http/tests/EarlierAnswerTest.cpp
@@ -13,6 +13,7 @@
 #include <doctest/doctest.h>
 #include <future>
 #include <optional>
+#include <sys/socket.h>
 #include <thread>
 
 using namespace jj;
@@ -128,3 +129,44 @@
     CHECK(failure->code_ == make_error_code(Error::Closed));
     CHECK((failure->run_ == RunState::OutcomeUnknown));
 }
+
+// Guards against a second copy of a refusal that counts as the answer to a later send of the same request, which the engine runs.
+TEST_CASE("a second answer to an earlier send of a request is no answer to a later one")
+{
+    boost::asio::io_context io;
+    tcp::acceptor listener(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    const Endpoint at { "127.0.0.1", listener.local_endpoint().port() };
+    const auto answer = [](const std::string& status) { return "HTTP/1.1 " + status + "\r\nEcho: same\r\nContent-Length: 0\r\n\r\n"; };
+    std::thread engine([&] {
+        tcp::socket first = listener.accept();
+        std::array<char, 4096> request {};
+        first.read_some(boost::asio::buffer(request));
+        boost::asio::write(first, boost::asio::buffer(answer("503 Full")));
+        std::thread late([&] {
+            std::array<char, 4096> next {};
+            boost::system::error_code ended;
+            if (first.read_some(boost::asio::buffer(next), ended) > 0)
+                boost::asio::write(first, boost::asio::buffer(answer("503 Full") + answer("200 OK")), ended);
+        });
+        boost::system::error_code ended;
+        tcp::socket second = listener.accept(ended);
+        if (!ended && second.read_some(boost::asio::buffer(request), ended) > 0)
+            boost::asio::write(second, boost::asio::buffer(answer("200 OK")), ended);
+        late.join();
+    });
+    Client client(io, {});
+    std::vector<int> statuses;
+    for (std::size_t send = 1; send <= 2; ++send) {
+        CallOptions options;
+        options.echoName_ = "Echo";
+        options.echoValue_ = "same";
+        client.fetch(at, {}, options, [&statuses](const Result<Response>& response, RunState) { statuses.push_back(response ? response.value().status_ : 0); });
+        while (statuses.size() < send)
+            io.run_one();
+    }
+    CHECK(statuses == std::vector<int> { 503, 200 });
+    client.dropPooled(at);
+    io.poll();
+    ::shutdown(listener.native_handle(), SHUT_RDWR);
+    engine.join();
+}
