Streams: the only version of a service needs a majority of the hosts

What callers saw (a report from another system, reproduced here): streams that had begun at a new version were taken up at hosts that had missed it, and went on at an engine of the old one.

Cause: without a record, a stream goes on if its service has had one version. One answer of another host was enough for that, also at the timeout. Hosts that were cut off or stood still while a version joined agree on the old one, and those in step may be gone, cut off or paused just then. Class: an absence is concluded from whoever answers.

The unit cases call what is new and were not run on the old code.

Peers of the former format of datagrams aren't understood.

--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -121,7 +121,7 @@
     // A stream goes on at the service where it began, as long as the route still leads there.
     const auto target = std::find_if(route_.targets_.begin(), route_.targets_.end(), [&](const RouteTarget& one) { return idFromName<ServiceId>(one.service_) == resolution.service_; });
     const bool isFound = !resolution.version_.isNone() && target != route_.targets_.end();
-    line("streamResolved").with("stream", beganAs_).with("how", nameOf(resolution.kind_)).with("version", resolution.version_.value()).with("isTarget", target != route_.targets_.end() ? "yes" : "no").with("afterMs", context_.now() - arrivedAt_);
+    line("streamResolved").with("stream", beganAs_).with("how", nameOf(resolution.kind_)).with("version", resolution.version_.value()).with("isTarget", target != route_.targets_.end() ? "yes" : "no").with("answers", resolution.answers_).with("otherHosts", resolution.otherHosts_).with("afterMs", context_.now() - arrivedAt_);
     context_.metrics_.metrics_.add(isFound ? context_.metrics_.streamsResumed_ : context_.metrics_.streamsUnknown_);
     if (!isFound)
         return refuseResume("streamUnknown", "stream.VersionUnknown", "no host knows which software version began the stream; the request has not run");
--- a/libs/serving/src/ReportMessages.cpp
+++ b/libs/serving/src/ReportMessages.cpp
@@ -35,7 +35,7 @@
     constexpr std::size_t waitingClassBytes = 10;
     constexpr std::size_t nodeBytes = 17;
 
-    constexpr std::string_view datagramLabel = "serving datagram 8";
+    constexpr std::string_view datagramLabel = "serving datagram 9";
 
     template <class T>
     void truncate(std::vector<T>& list, std::size_t maxSize) { list.resize(std::min(list.size(), maxSize)); }
@@ -236,7 +236,7 @@
 template <class Archive>
 void serialize(Archive& archive, StreamAnswer& answer)
 {
-    archive(answer.from_, answer.number_, Flag { answer.isRecorded_ }, answer.record_, answer.soleVersion_, Flag { answer.hasSeveralVersions_ });
+    archive(answer.from_, answer.number_, Flag { answer.isRecorded_ }, answer.record_, answer.soleVersion_, Flag { answer.hasSeveralVersions_ }, answer.seenVersion_);
 }
 
 template <class Archive>
--- a/libs/serving/src/StreamVersions.cpp
+++ b/libs/serving/src/StreamVersions.cpp
@@ -15,6 +15,9 @@
     // At most 2 MB.
     constexpr std::size_t maxRecords = 20'000;
     constexpr std::size_t replicas = 3;
+    constexpr std::size_t maxHostsAsked = 16; // about the version of one stream, besides the watchers
+    // A host that is down counts among those of which a majority must answer for so long: it may have been replaced by one with another name.
+    constexpr Duration downHostCounts = 600s;
     constexpr std::size_t maxRecordsPerDatagram = 40;
     constexpr Duration refreshPeriod = 100ms;
     // A longer gap between two ticks means that the process was paused and may have missed changes of engines.
@@ -34,9 +37,19 @@
 {
     ResolverOutlets outlets;
     outlets.self_ = fleet_.self();
-    outlets.replicasOf_ = [this](StreamId stream) { return chooseReplicas(stream.value(), candidates_, 2 * replicas); };
-    outlets.areThereOthers_ = [this] {
-        return std::any_of(fleet_.peers().begin(), fleet_.peers().end(), [](const Peer& peer) { return peer.state_ != MemberState::Left; });
+    outlets.replicasOf_ = [this](StreamId stream) { return chooseReplicas(stream.value(), candidates_, maxHostsAsked); };
+    outlets.watchers_ = [this] {
+        std::vector<NodeId> watchers;
+        for (const Peer& peer : fleet_.peers()) {
+            if (peer.isLive() && peer.watching_)
+                watchers.push_back(peer.node_);
+        }
+        return watchers;
+    };
+    outlets.countOthers_ = [this] {
+        const TimePoint now = SystemClock().now();
+        const auto counts = [now](const Peer& peer) { return peer.isLive() || (peer.state_ != MemberState::Left && now - peer.downSince_ < downHostCounts); };
+        return static_cast<std::size_t>(std::count_if(fleet_.peers().begin(), fleet_.peers().end(), counts));
     };
     outlets.ownAnswer_ = [this](const StreamQuery& query) { return answer(query, SystemClock().now()); };
     outlets.send_ = [this](NodeId to, const StreamQuery& query) { fleet_.send(to, query); };
@@ -101,6 +114,7 @@
     }
     answer.soleVersion_ = history_.soleVersion(query.service_, now);
     answer.hasSeveralVersions_ = history_.hasSeveralVersions(query.service_, now);
+    answer.seenVersion_ = history_.seenVersion(query.service_, now);
     return answer;
 }
 
--- a/libs/serving/tests/CallerTest.cpp
+++ b/libs/serving/tests/CallerTest.cpp
@@ -177,7 +177,7 @@
         QuotaNotice { { workspace }, {} },
         StreamRecords { { record, record } },
         StreamQuery { NodeId(1), 7, record.stream_, record.service_ },
-        StreamAnswer { NodeId(1), 7, true, record, SoftwareVersion("v2").id(), true },
+        StreamAnswer { NodeId(1), 7, true, record, SoftwareVersion("v2").id(), true, SoftwareVersion("v1").id() },
         SuspectRecords { NodeId(1), true, { { Fingerprint(7), 1, 2, 3s, 4s, { { UpstreamId(8), 5s }, { UpstreamId(9), 6s } } }, { Fingerprint(8), 255, 0, 0s, std::nullopt, {} } } },
         ShareReport { NodeId(1), Incarnation(2), 3, { { workspace, 4.25F }, { WorkspaceId(9), 0.02F } }, { { 0, 3 }, { 255, 1.5F } } },
         ShareSum { CellId(4), true, Incarnation(2), 3, { { workspace, 4.25F } }, { { 3, 7 } } },
@@ -205,7 +205,7 @@
     const StreamRecord record { streamIdOf("north", "a1"), ServiceId(3), SoftwareVersion("v1").id() };
     CHECK(encode(key, StreamRecords { { record } }).size() <= 56);
     CHECK(encode(key, StreamQuery { NodeId(1), 7, record.stream_, record.service_ }).size() <= 56);
-    CHECK(encode(key, StreamAnswer { NodeId(1), 7, true, record, record.version_, true }).size() <= 80);
+    CHECK(encode(key, StreamAnswer { NodeId(1), 7, true, record, record.version_, true, record.version_ }).size() <= 80);
 }
 
 TEST_CASE("messages about suspects: one crash is small, and the largest message fits into a frame")
--- a/libs/streams/include/streams/StreamMessages.h
+++ b/libs/streams/include/streams/StreamMessages.h
@@ -45,6 +45,8 @@
     // The only version of the query's service that any stream can have begun at, as far as the sender knows; none if there may be several.
     SoftwareVersionId soleVersion_;
     bool hasSeveralVersions_ = false; // the sender knows that streams of the service began at several versions
+    // The only version of the service that the sender has seen lately, however short its history is; none if it has seen none or several.
+    SoftwareVersionId seenVersion_;
 };
 
 } // namespace jj
--- a/libs/streams/include/streams/StreamResolver.h
+++ b/libs/streams/include/streams/StreamResolver.h
@@ -6,8 +6,8 @@
 //     resolver.tick(now);
 //
 // The hosts that hold the stream's record are asked, and asked again where their answer is lost. The first record decides. Without one,
-// the stream is known only if its service has had a single version, and at least one other host must have answered: a host that is cut off
-// may not know of a newer version.
+// the stream is known only if its service has had a single version. A host that was cut off or stood still may have missed a newer one,
+// and so may several at once, so a majority of the hosts must have answered, and none of them may know another version.
 #pragma once
 
 #include "base/Time.h"
@@ -21,8 +21,13 @@
 namespace jj {
 
 struct ResolverSettings {
-    // Hosts that are asked at first. The others are asked with the second try, since membership may not have noticed yet that some are down.
-    std::size_t askedAtFirst_ = 3;
+    // The first of the hosts that may hold the record: their answers are awaited, as are those of the watchers.
+    std::size_t awaitedReplicas_ = 3;
+    // In a large fleet so many hosts, this one included, stand for a majority.
+    std::size_t maxQuorum_ = 7;
+    // Hosts that are asked at first beyond a quorum. All are asked with the second try, since membership may not have noticed yet that some
+    // are down.
+    std::size_t spareHosts_ = 1;
     // Another region answers within 30 ms.
     Duration retryAfter_ = std::chrono::milliseconds(60);
     // Then the request is refused. Its caller can still ask another host.
@@ -34,6 +39,7 @@
     SoleVersion, // no record; the service has had one version for as long as streams can be resumed
     Unknown, // the hosts that answered hold no record, and the service has had several versions
     Unreachable, // no other host answered
+    NoQuorum, // one version, but too few hosts answered to be certain of it
     Contradicted, // hosts have reported different versions
 };
 std::string_view nameOf(ResolutionKind kind);
@@ -42,14 +48,18 @@
     ResolutionKind kind_ = ResolutionKind::Unknown;
     ServiceId service_; // valid if the version is known
     SoftwareVersionId version_; // none: the stream can't go on
+    std::size_t answers_ = 0; // of other hosts
+    std::size_t otherHosts_ = 0; // that are known
 };
 
 struct ResolverOutlets {
     NodeId self_;
     // Returns hosts that may hold the stream's record, the most probable first, and this host possibly among them.
     std::function<std::vector<NodeId>(StreamId)> replicasOf_;
-    // Whether other hosts are known, live or not.
-    std::function<bool()> areThereOthers_;
+    // Returns the hosts that hear of changes of engines first.
+    std::function<std::vector<NodeId>()> watchers_;
+    // Returns how many other hosts are known, live or not.
+    std::function<std::size_t()> countOthers_;
     // What this host knows itself.
     std::function<StreamAnswer(const StreamQuery&)> ownAnswer_;
     std::function<void(NodeId to, const StreamQuery&)> send_;
@@ -74,10 +84,11 @@
 private:
     struct Pending {
         StreamQuery query_;
-        std::vector<NodeId> unanswered_; // of those that were asked at first
-        std::vector<NodeId> others_; // that are asked with the second try, and haven't answered
-        bool isAnswered_ = false; // by another host
+        std::vector<NodeId> awaited_; // that haven't answered: without a record, the query doesn't end sooner
+        std::vector<NodeId> others_; // that haven't answered
+        std::size_t answers_ = 0; // of other hosts
         SoftwareVersionId soleVersion_; // as this host or another one states it; none: none has stated it
+        SoftwareVersionId seenVersion_; // by this host or another one; none: none has seen one
         bool isSoleVersionRefuted_ = false; // a host knows of several versions, or of another one
         TimePoint askedAt_ {};
         TimePoint until_ {};
@@ -85,7 +96,11 @@
     };
 
     void ask(std::uint32_t number, bool isFirstTry);
-    static void noteSoleVersion(Pending& pending, const StreamAnswer& answer);
+    static void noteVersions(Pending& pending, const StreamAnswer& answer);
+    // Returns whether so many other hosts have answered that at least one of all that were in step is among them.
+    bool hasQuorum(const Pending& pending) const;
+    std::size_t quorum() const;
+    bool isDecided(const Pending& pending) const;
     StreamResolution withoutRecord(const Pending& pending) const;
     static StreamResolution fromRecord(const StreamRecord& record);
     void finish(std::uint32_t number, const StreamResolution& resolution);
--- a/libs/streams/include/streams/VersionHistory.h
+++ b/libs/streams/include/streams/VersionHistory.h
@@ -36,7 +36,10 @@
     // Returns none if there were several versions for as long as a stream can be resumed, if there was none, or if this host hasn't followed
     // the engines for so long.
     SoftwareVersionId soleVersion(ServiceId service, TimePoint now) const;
-    // Returns whether several versions served for as long as a stream can be resumed. Unlike soleVersion(), this needs no long history.
+    // Returns the only version that served for as long as a stream can be resumed, as far as this host has seen; none if there was none or
+    // were several. Unlike soleVersion(), this needs no long history.
+    SoftwareVersionId seenVersion(ServiceId service, TimePoint now) const;
+    // Returns whether several versions served for as long as a stream can be resumed. This needs no long history either.
     bool hasSeveralVersions(ServiceId service, TimePoint now) const;
 
 private:
--- a/libs/streams/src/StreamResolver.cpp
+++ b/libs/streams/src/StreamResolver.cpp
@@ -1,4 +1,4 @@
-// A query ends with the first record, with the last answer, or at its timeout.
+// A query ends with the first record, with the answers that decide without one, or at its timeout.
 #include "streams/StreamResolver.h"
 
 #include <algorithm>
@@ -7,15 +7,15 @@
 
 std::string_view nameOf(ResolutionKind kind)
 {
-    static constexpr std::string_view names[] = { "recorded", "soleVersion", "unknown", "unreachable", "contradicted" };
+    static constexpr std::string_view names[] = { "recorded", "soleVersion", "unknown", "unreachable", "noQuorum", "contradicted" };
     return names[static_cast<std::size_t>(kind)];
 }
 
 StreamResolution StreamResolver::fromRecord(const StreamRecord& record)
 {
     if (record.version_.isNone())
-        return { ResolutionKind::Contradicted, record.service_, {} };
-    return { ResolutionKind::Recorded, record.service_, record.version_ };
+        return { ResolutionKind::Contradicted, record.service_, {}, 0, 0 };
+    return { ResolutionKind::Recorded, record.service_, record.version_, 0, 0 };
 }
 
 void StreamResolver::resolve(StreamId stream, ServiceId service, TimePoint now, Done done)
@@ -24,12 +24,23 @@
     const StreamAnswer own = outlets_.ownAnswer_(query);
     if (own.isRecorded_)
         return done(fromRecord(own.record_));
-    std::vector<NodeId> hosts = outlets_.replicasOf_(stream);
-    std::erase(hosts, outlets_.self_);
-    const auto firstOther = hosts.begin() + static_cast<std::ptrdiff_t>(std::min(hosts.size(), settings_.askedAtFirst_));
-    Pending pending { query, { hosts.begin(), firstOther }, { firstOther, hosts.end() }, false, {}, false, now, now + settings_.timeout_, std::move(done) };
-    noteSoleVersion(pending, own);
-    if (pending.unanswered_.empty())
+    Pending pending;
+    pending.query_ = query;
+    pending.askedAt_ = now;
+    pending.until_ = now + settings_.timeout_;
+    pending.done_ = std::move(done);
+    noteVersions(pending, own);
+    for (const NodeId host : outlets_.replicasOf_(stream)) {
+        if (host != outlets_.self_)
+            (pending.awaited_.size() < settings_.awaitedReplicas_ ? pending.awaited_ : pending.others_).push_back(host);
+    }
+    for (const NodeId host : outlets_.watchers_()) {
+        std::erase(pending.others_, host);
+        const bool isAwaited = std::find(pending.awaited_.begin(), pending.awaited_.end(), host) != pending.awaited_.end();
+        if (host != outlets_.self_ && !isAwaited)
+            pending.awaited_.push_back(host);
+    }
+    if (isDecided(pending))
         return pending.done_(withoutRecord(pending));
     pending_.emplace(query.number_, std::move(pending));
     ask(query.number_, true);
@@ -40,28 +51,52 @@
 {
     const Pending& pending = pending_.at(number);
     const StreamQuery query = pending.query_;
-    std::vector<NodeId> hosts = pending.unanswered_;
-    if (!isFirstTry)
-        hosts.insert(hosts.end(), pending.others_.begin(), pending.others_.end());
+    std::vector<NodeId> hosts = pending.awaited_;
+    const std::size_t wanted = isFirstTry ? quorum() + settings_.spareHosts_ : hosts.size() + pending.others_.size();
+    const std::size_t missing = wanted - std::min(wanted, hosts.size());
+    const auto end = pending.others_.begin() + static_cast<std::ptrdiff_t>(std::min(missing, pending.others_.size()));
+    hosts.insert(hosts.end(), pending.others_.begin(), end);
     for (const NodeId host : hosts)
         outlets_.send_(host, query);
 }
 
-void StreamResolver::noteSoleVersion(Pending& pending, const StreamAnswer& answer)
+void StreamResolver::noteVersions(Pending& pending, const StreamAnswer& answer)
+{
+    const auto note = [&pending](SoftwareVersionId& known, SoftwareVersionId version) {
+        pending.isSoleVersionRefuted_ = pending.isSoleVersionRefuted_ || (!version.isNone() && !known.isNone() && known != version);
+        known = version.isNone() ? known : version;
+    };
+    pending.isSoleVersionRefuted_ = pending.isSoleVersionRefuted_ || answer.hasSeveralVersions_;
+    note(pending.seenVersion_, answer.seenVersion_);
+    note(pending.soleVersion_, answer.soleVersion_);
+}
+
+std::size_t StreamResolver::quorum() const { return std::min((outlets_.countOthers_() + 1) / 2 + 1, settings_.maxQuorum_); }
+
+bool StreamResolver::hasQuorum(const Pending& pending) const { return pending.answers_ + 1 >= quorum(); }
+
+bool StreamResolver::isDecided(const Pending& pending) const
 {
-    const bool isDifferent = !answer.soleVersion_.isNone() && !pending.soleVersion_.isNone() && pending.soleVersion_ != answer.soleVersion_;
-    pending.isSoleVersionRefuted_ = pending.isSoleVersionRefuted_ || answer.hasSeveralVersions_ || isDifferent;
-    if (!answer.soleVersion_.isNone())
-        pending.soleVersion_ = answer.soleVersion_;
+    return pending.awaited_.empty() && (pending.others_.empty() || pending.isSoleVersionRefuted_ || hasQuorum(pending));
 }
 
 StreamResolution StreamResolver::withoutRecord(const Pending& pending) const
 {
-    if (!pending.isAnswered_ && outlets_.areThereOthers_())
-        return { ResolutionKind::Unreachable, {}, {} };
-    if (pending.soleVersion_.isNone() || pending.isSoleVersionRefuted_)
-        return { ResolutionKind::Unknown, {}, {} };
-    return { ResolutionKind::SoleVersion, pending.query_.service_, pending.soleVersion_ };
+    StreamResolution resolution;
+    resolution.answers_ = pending.answers_;
+    resolution.otherHosts_ = outlets_.countOthers_();
+    if (pending.answers_ == 0 && resolution.otherHosts_ > 0) {
+        resolution.kind_ = ResolutionKind::Unreachable;
+    } else if (pending.soleVersion_.isNone() || pending.isSoleVersionRefuted_) {
+        resolution.kind_ = ResolutionKind::Unknown;
+    } else if (!hasQuorum(pending)) {
+        resolution.kind_ = ResolutionKind::NoQuorum;
+    } else {
+        resolution.kind_ = ResolutionKind::SoleVersion;
+        resolution.service_ = pending.query_.service_;
+        resolution.version_ = pending.soleVersion_;
+    }
+    return resolution;
 }
 
 void StreamResolver::handle(const StreamAnswer& answer)
@@ -70,13 +105,13 @@
     if (found == pending_.end() || found->second.query_.stream_ != answer.record_.stream_)
         return;
     Pending& pending = found->second;
-    if (std::erase(pending.unanswered_, answer.from_) + std::erase(pending.others_, answer.from_) == 0)
+    if (std::erase(pending.awaited_, answer.from_) + std::erase(pending.others_, answer.from_) == 0)
         return;
-    pending.isAnswered_ = true;
+    ++pending.answers_;
     if (answer.isRecorded_)
         return finish(answer.number_, fromRecord(answer.record_));
-    noteSoleVersion(pending, answer);
-    if (pending.unanswered_.empty())
+    noteVersions(pending, answer);
+    if (isDecided(pending))
         finish(answer.number_, withoutRecord(pending));
 }
 
--- a/libs/streams/src/VersionHistory.cpp
+++ b/libs/streams/src/VersionHistory.cpp
@@ -61,10 +61,16 @@
     const auto found = services_.find(serviceId);
     if (found == services_.end() || followedSince_ == neverTime)
         return SoftwareVersionId::none();
-    const Service& service = found->second;
-    const bool isFollowedLongEnough = service.longestDeadline_ > Duration::zero() && now - followedSince_ >= lifetimeOf(service);
-    if (!isFollowedLongEnough || countRecent(service, now) != 1)
+    const bool isFollowedLongEnough = found->second.longestDeadline_ > Duration::zero() && now - followedSince_ >= lifetimeOf(found->second);
+    return isFollowedLongEnough ? seenVersion(serviceId, now) : SoftwareVersionId::none();
+}
+
+SoftwareVersionId VersionHistory::seenVersion(ServiceId serviceId, TimePoint now) const
+{
+    const auto found = services_.find(serviceId);
+    if (found == services_.end() || countRecent(found->second, now) != 1)
         return SoftwareVersionId::none();
+    const Service& service = found->second;
     const auto sole = std::find_if(service.versions_.begin(), service.versions_.end(), [&](const auto& entry) { return isRecent(service, entry.second, now); });
     return sole->first;
 }
--- a/libs/streams/tests/StreamsTest.cpp
+++ b/libs/streams/tests/StreamsTest.cpp
@@ -47,7 +47,8 @@
             ResolverOutlets outlets;
             outlets.self_ = node_;
             outlets.replicasOf_ = [&fleet](StreamId stream) { return fleet.replicasOf(stream); };
-            outlets.areThereOthers_ = [] { return true; };
+            outlets.watchers_ = [&fleet] { return fleet.watchers_; };
+            outlets.countOthers_ = [&fleet] { return fleet.hosts_.size() - 1; };
             outlets.ownAnswer_ = [this, &fleet](const StreamQuery& query) { return answer(query, fleet.now_); };
             outlets.send_ = [this, &fleet](NodeId to, const StreamQuery& query) { fleet.deliver(to, query, *this); };
             return outlets;
@@ -55,7 +56,7 @@
 
         StreamAnswer answer(const StreamQuery& query, TimePoint now) const
         {
-            StreamAnswer answer { node_, query.number_, false, { query.stream_, {}, {} }, history_.soleVersion(query.service_, now), history_.hasSeveralVersions(query.service_, now) };
+            StreamAnswer answer { node_, query.number_, false, { query.stream_, {}, {} }, history_.soleVersion(query.service_, now), history_.hasSeveralVersions(query.service_, now), history_.seenVersion(query.service_, now) };
             if (const StreamRecord* record = table_.find(query.stream_, now)) {
                 answer.isRecorded_ = true;
                 answer.record_ = *record;
@@ -78,7 +79,7 @@
             if (!host->isDown_)
                 candidates.push_back({ host->node_, host->domain_ });
         }
-        return chooseReplicas(stream.value(), candidates, 6);
+        return chooseReplicas(stream.value(), candidates, 16);
     }
 
     void record(const StreamRecord& record)
@@ -130,6 +131,7 @@
     std::size_t queries_ = 0;
     std::size_t lostQueries_ = 0; // the first ones
     std::set<NodeId> silent_; // down without being noticed
+    std::vector<NodeId> watchers_;
 };
 
 } // namespace
@@ -336,6 +338,55 @@
     CHECK(cutOff.resolver_.pending() == 0);
 }
 
+// Guards against a stream that goes on at the old version because all hosts that answer were cut off, or stood still, while a newer one joined.
+TEST_CASE("streams: hosts that are a minority don't agree on the only version")
+{
+    StreamFleet fleet(3, 4);
+    for (const auto& host : fleet.hosts_)
+        host->history_.addEngine(UpstreamId(1), service, v1, at(-100s));
+    const FailureDomainId cutOff = fleet.host(NodeId(1)).domain_;
+    for (const auto& host : fleet.hosts_) {
+        if (host->domain_ == cutOff)
+            continue;
+        host->history_.addEngine(UpstreamId(2), service, v2, fleet.now_);
+        fleet.silent_.insert(host->node_);
+    }
+    for (std::uint64_t stream = 0; stream < 20; ++stream)
+        CHECK((fleet.resolveAt(NodeId(1), StreamId(stream)).kind_ == ResolutionKind::NoQuorum));
+    // The cut ends, but its hosts haven't heard of the new version yet.
+    fleet.silent_.clear();
+    for (std::uint64_t stream = 0; stream < 20; ++stream)
+        CHECK((fleet.resolveAt(NodeId(1), StreamId(stream)).kind_ == ResolutionKind::Unknown));
+}
+
+// Guards against a claim of the old version beside a host that has just started and knows the newer one alone.
+TEST_CASE("streams: a host with a short history contradicts those that missed a version")
+{
+    StreamFleet fleet(1, 3);
+    for (const auto& host : fleet.hosts_)
+        host->history_.addEngine(UpstreamId(1), service, v1, at(-100s));
+    fleet.host(NodeId(2)).history_ = VersionHistory(margin, 300s);
+    fleet.host(NodeId(2)).history_.addEngine(UpstreamId(2), service, v2, fleet.now_);
+    CHECK((fleet.resolveAt(NodeId(1), StreamId(7)).kind_ == ResolutionKind::Unknown));
+}
+
+// Guards against a query that ends before the hosts that hear of engines first have answered.
+TEST_CASE("streams: the watchers of the store are asked about the only version")
+{
+    StreamFleet fleet(4, 6);
+    for (const auto& host : fleet.hosts_)
+        host->history_.addEngine(UpstreamId(1), service, v1, at(-100s));
+    for (std::uint64_t stream = 0; stream < 20; ++stream) {
+        const NodeId watcher = fleet.replicasOf(StreamId(stream)).back();
+        fleet.watchers_ = { watcher };
+        fleet.host(watcher).history_.addEngine(UpstreamId(2), service, v2, fleet.now_);
+        const NodeId asking = fleet.replicasOf(StreamId(stream)).front();
+        CHECK((fleet.resolveAt(asking, StreamId(stream)).kind_ == ResolutionKind::Unknown));
+        fleet.host(watcher).history_ = VersionHistory(margin, 300s);
+        fleet.host(watcher).history_.noteCallerDeadline(service, deadline);
+    }
+}
+
 TEST_CASE("streams: lost queries are sent again")
 {
     StreamFleet fleet(3, 2);
