--- a/libs/serving/src/StreamVersions.cpp
+++ b/libs/serving/src/StreamVersions.cpp
@@ -16,6 +16,7 @@
     constexpr std::size_t maxRecords = 20'000;
     constexpr std::size_t replicas = 3;
     constexpr std::size_t maxHostsAsked = 16; // about the version of one stream, besides the watchers
+    constexpr std::size_t maxWatchersAsked = 8; // there are two a region, but many for a moment after a start or an outage of the store
     // A host that is down counts among those of which a majority must answer for so long: it may have been replaced by one with another name.
     constexpr Duration downHostCounts = 600s;
     constexpr std::size_t maxRecordsPerDatagram = 40;
@@ -41,7 +42,7 @@
     outlets.watchers_ = [this] {
         std::vector<NodeId> watchers;
         for (const Peer& peer : fleet_.peers()) {
-            if (peer.isLive() && peer.watching_)
+            if (peer.isLive() && peer.watching_ && watchers.size() < maxWatchersAsked)
                 watchers.push_back(peer.node_);
         }
         return watchers;
--- a/libs/streams/tests/StreamsTest.cpp
+++ b/libs/streams/tests/StreamsTest.cpp
@@ -409,9 +409,9 @@
     fleet.lostQueries_ = 100;
     StreamResolution found { ResolutionKind::Unreachable, {}, {} };
     fleet.host(NodeId(1)).resolver_.resolve(StreamId(7), service, fleet.now_, [&](const StreamResolution& resolution) { found = resolution; });
-    fleet.host(NodeId(1)).resolver_.handle({ NodeId(2), 1, true, { StreamId(6), service, v1 }, {}, false });
+    fleet.host(NodeId(1)).resolver_.handle({ NodeId(2), 1, true, { StreamId(6), service, v1 }, {}, false, {} });
     CHECK(fleet.host(NodeId(1)).resolver_.pending() == 1);
-    fleet.host(NodeId(1)).resolver_.handle({ NodeId(2), 1, true, { StreamId(7), service, v1 }, {}, false });
+    fleet.host(NodeId(1)).resolver_.handle({ NodeId(2), 1, true, { StreamId(7), service, v1 }, {}, false, {} });
     CHECK(fleet.host(NodeId(1)).resolver_.pending() == 0);
     CHECK(found.version_ == v1);
 }
