Streams tests: the asking host is one that holds no record of the stream

The test took any host that isn't among those that may be asked. Up to sixteen are asked now, which are all twelve of the test, so none was left. It asks at the last one; the first three, which hold records, don't answer as before.

--- a/libs/streams/tests/StreamsTest.cpp
+++ b/libs/streams/tests/StreamsTest.cpp
@@ -259,11 +259,7 @@
     for (const auto& host : fleet.hosts_)
         host->history_.addEngine(UpstreamId(1), service, v1, at(-100s));
     const std::vector<NodeId> replicas = fleet.replicasOf(StreamId(7));
-    NodeId asking;
-    for (const auto& host : fleet.hosts_) {
-        if (std::find(replicas.begin(), replicas.end(), host->node_) == replicas.end())
-            asking = host->node_;
-    }
+    const NodeId asking = replicas.back(); // the first three hold records
     for (std::size_t place = 0; place < 3; ++place)
         fleet.silent_.insert(replicas[place]);
     CHECK((fleet.resolveAt(asking, StreamId(7)).kind_ == ResolutionKind::SoleVersion));
