Serving: a request without an attempt id goes over a new connection

What callers saw: 504 at their deadline in place of the engine's 400 at once.

Cause: answers that name no request are read over on connections that have carried others, as late answers to earlier requests. An engine refuses a request without an id in an answer that names none, so its own answer was read over. The stand-ins repeated an empty id, so no test showed it.

Evidence: odd_values_test.py, requests with and without an id in turn: 504 after 2.5 s of 2.5 s on the program before, 400 at once six times of six now. On a new connection no answer to another request can come.

--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -359,6 +359,7 @@
     options.idle_ = timeLeft() + 1s;
     options.echoName_ = context_.translation_.headers_.attemptId_;
     options.echoValue_ = id_;
+    options.fresh_ = id_.empty(); // nothing would tell its answer from a second one to an earlier request
     options.sharedBody_ = std::shared_ptr<const std::string>(exchange_, &exchange_->request().body_);
     http::CallHandlers handlers;
     handlers.onHead_ = [self = shared_from_this(), run](const http::ResponseHead& head) { self->onHead(run, head); };
