Streams: many hosts of one failure domain are no majority

In a large fleet seven answers stood for a majority. A failure domain that is cut off has more hosts than that, and after a second all hosts that are asked are of it.

Twelve of twenty are needed now, which no single failure domain gives while the twenty are spread over all, and if most known hosts are down, a majority of all. Watchers are asked beside the twenty and don't count.

StreamsTest, a third and a half of 120 hosts, before and after the others count as down: 0 of 80 streams resolved.

--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -134,7 +134,8 @@
     bool isReused_ = false; // it has served a call before
     // Of its last calls, in no order. An answer that comes twice stands where that of one of the next calls is due, so few are enough.
     // Changed only while it isn't in the pool.
-    std::array<CallIdentity, 16> carried_ {};
+    static constexpr std::size_t rememberedCalls = 16;
+    std::array<CallIdentity, rememberedCalls> carried_ {};
     std::size_t nextCarried_ = 0; // place in carried_ that is overwritten next
     bool readingOver_ = false; // the answer that is being read belongs to an earlier request
     Duration keepAlive_ = Duration::max(); // as the other side named it
--- a/libs/serving/src/StreamVersions.cpp
+++ b/libs/serving/src/StreamVersions.cpp
@@ -15,7 +15,7 @@
     // At most 2 MB.
     constexpr std::size_t maxRecords = 20'000;
     constexpr std::size_t replicas = 3;
-    constexpr std::size_t maxHostsAsked = 16; // about the version of one stream, besides the watchers
+    constexpr std::size_t maxHostsAsked = 20; // about the version of one stream, besides the watchers
     constexpr std::size_t maxWatchersAsked = 8; // there are two a region, but many for a moment after a start or an outage of the store
     // A host that is down counts among those of which a majority must answer for so long: it may have been replaced by one with another name.
     constexpr Duration downHostCounts = 600s;
@@ -49,8 +49,13 @@
     };
     outlets.countOthers_ = [this] {
         const TimePoint now = SystemClock().now();
-        const auto counts = [now](const Peer& peer) { return peer.isLive() || (peer.state_ != MemberState::Left && now - peer.downSince_ < downHostCounts); };
-        return static_cast<std::size_t>(std::count_if(fleet_.peers().begin(), fleet_.peers().end(), counts));
+        HostCounts counts;
+        for (const Peer& peer : fleet_.peers()) {
+            const bool isKnown = peer.isLive() || (peer.state_ != MemberState::Left && now - peer.downSince_ < downHostCounts);
+            counts.known_ += isKnown ? 1 : 0;
+            counts.live_ += peer.isLive() ? 1 : 0;
+        }
+        return counts;
     };
     outlets.ownAnswer_ = [this](const StreamQuery& query) { return answer(query, SystemClock().now()); };
     outlets.send_ = [this](NodeId to, const StreamQuery& query) { fleet_.send(to, query); };
--- a/libs/streams/include/streams/StreamResolver.h
+++ b/libs/streams/include/streams/StreamResolver.h
@@ -23,8 +23,9 @@
 struct ResolverSettings {
     // The first of the hosts that may hold the record: their answers are awaited, as are those of the watchers.
     std::size_t awaitedReplicas_ = 3;
-    // In a large fleet so many hosts, this one included, stand for a majority.
-    std::size_t maxQuorum_ = 7;
+    // In a large fleet so many answers, this host's included, stand for a majority: over half of the hosts that may be asked, which are spread
+    // evenly over the failure domains.
+    std::size_t maxQuorum_ = 12;
     // Hosts that are asked at first beyond a quorum. All are asked with the second try, since membership may not have noticed yet that some
     // are down.
     std::size_t spareHosts_ = 1;
@@ -52,14 +53,19 @@
     std::size_t otherHosts_ = 0; // that are known
 };
 
+struct HostCounts {
+    std::size_t known_ = 0; // live or not
+    std::size_t live_ = 0;
+};
+
 struct ResolverOutlets {
     NodeId self_;
-    // Returns hosts that may hold the stream's record, the most probable first, and this host possibly among them.
+    // Returns hosts that may hold the stream's record, the most probable first, and this host possibly among them. They are live, in as many
+    // failure domains as possible.
     std::function<std::vector<NodeId>(StreamId)> replicasOf_;
     // Returns the hosts that hear of changes of engines first.
     std::function<std::vector<NodeId>()> watchers_;
-    // Returns how many other hosts are known, live or not.
-    std::function<std::size_t()> countOthers_;
+    std::function<HostCounts()> countOthers_;
     // What this host knows itself.
     std::function<StreamAnswer(const StreamQuery&)> ownAnswer_;
     std::function<void(NodeId to, const StreamQuery&)> send_;
@@ -84,9 +90,12 @@
 private:
     struct Pending {
         StreamQuery query_;
-        std::vector<NodeId> awaited_; // that haven't answered: without a record, the query doesn't end sooner
-        std::vector<NodeId> others_; // that haven't answered
+        // Without a record, the query doesn't end before these have answered.
+        std::vector<NodeId> awaited_; // of the hosts that may hold the record
+        std::vector<NodeId> watchers_; // none of awaited_ and others_
+        std::vector<NodeId> others_; // further hosts that may hold the record, and haven't answered
         std::size_t answers_ = 0; // of other hosts
+        std::size_t quorumAnswers_ = 0; // of those, without watchers_: they aren't spread over the failure domains
         SoftwareVersionId soleVersion_; // as this host or another one states it; none: none has stated it
         SoftwareVersionId seenVersion_; // by this host or another one; none: none has seen one
         bool isSoleVersionRefuted_ = false; // a host knows of several versions, or of another one
@@ -97,9 +106,11 @@
 
     void ask(std::uint32_t number, bool isFirstTry);
     static void noteVersions(Pending& pending, const StreamAnswer& answer);
-    // Returns whether so many other hosts have answered that at least one of all that were in step is among them.
-    bool hasQuorum(const Pending& pending) const;
+    // Returns whether so many hosts have answered that one that is in step is among them, as long as those out of step are a minority.
+    bool hasQuorum(const Pending& pending) const { return pending.quorumAnswers_ + 1 >= quorum(); }
+    // Returns the number of answers that are needed, this host's included.
     std::size_t quorum() const;
+    // Returns whether the query ends without a record.
     bool isDecided(const Pending& pending) const;
     StreamResolution withoutRecord(const Pending& pending) const;
     static StreamResolution fromRecord(const StreamRecord& record);
--- a/libs/streams/src/StreamResolver.cpp
+++ b/libs/streams/src/StreamResolver.cpp
@@ -35,10 +35,10 @@
             (pending.awaited_.size() < settings_.awaitedReplicas_ ? pending.awaited_ : pending.others_).push_back(host);
     }
     for (const NodeId host : outlets_.watchers_()) {
-        std::erase(pending.others_, host);
         const bool isAwaited = std::find(pending.awaited_.begin(), pending.awaited_.end(), host) != pending.awaited_.end();
-        if (host != outlets_.self_ && !isAwaited)
-            pending.awaited_.push_back(host);
+        if (host == outlets_.self_ || isAwaited)
+            continue;
+        (std::erase(pending.others_, host) > 0 ? pending.awaited_ : pending.watchers_).push_back(host);
     }
     if (isDecided(pending))
         return pending.done_(withoutRecord(pending));
@@ -56,6 +56,7 @@
     const std::size_t missing = wanted - std::min(wanted, hosts.size());
     const auto end = pending.others_.begin() + static_cast<std::ptrdiff_t>(std::min(missing, pending.others_.size()));
     hosts.insert(hosts.end(), pending.others_.begin(), end);
+    hosts.insert(hosts.end(), pending.watchers_.begin(), pending.watchers_.end());
     for (const NodeId host : hosts)
         outlets_.send_(host, query);
 }
@@ -71,20 +72,25 @@
     note(pending.soleVersion_, answer.soleVersion_);
 }
 
-std::size_t StreamResolver::quorum() const { return std::min((outlets_.countOthers_() + 1) / 2 + 1, settings_.maxQuorum_); }
-
-bool StreamResolver::hasQuorum(const Pending& pending) const { return pending.answers_ + 1 >= quorum(); }
+// A host that is cut off together with many others finds most hosts down after a while, and then asks those that are cut off with it.
+std::size_t StreamResolver::quorum() const
+{
+    const HostCounts others = outlets_.countOthers_();
+    const std::size_t majority = (others.known_ + 1) / 2 + 1;
+    const bool isMajorityLive = others.live_ + 1 >= majority;
+    return isMajorityLive ? std::min(majority, settings_.maxQuorum_) : majority;
+}
 
 bool StreamResolver::isDecided(const Pending& pending) const
 {
-    return pending.awaited_.empty() && (pending.others_.empty() || pending.isSoleVersionRefuted_ || hasQuorum(pending));
+    return pending.awaited_.empty() && pending.watchers_.empty() && (pending.others_.empty() || pending.isSoleVersionRefuted_ || hasQuorum(pending));
 }
 
 StreamResolution StreamResolver::withoutRecord(const Pending& pending) const
 {
     StreamResolution resolution;
     resolution.answers_ = pending.answers_;
-    resolution.otherHosts_ = outlets_.countOthers_();
+    resolution.otherHosts_ = outlets_.countOthers_().known_;
     if (pending.answers_ == 0 && resolution.otherHosts_ > 0) {
         resolution.kind_ = ResolutionKind::Unreachable;
     } else if (pending.soleVersion_.isNone() || pending.isSoleVersionRefuted_) {
@@ -105,9 +111,12 @@
     if (found == pending_.end() || found->second.query_.stream_ != answer.record_.stream_)
         return;
     Pending& pending = found->second;
-    if (std::erase(pending.awaited_, answer.from_) + std::erase(pending.others_, answer.from_) == 0)
+    const std::size_t counted = std::erase(pending.awaited_, answer.from_) + std::erase(pending.others_, answer.from_);
+    const std::size_t uncounted = std::erase(pending.watchers_, answer.from_);
+    if (counted + uncounted == 0)
         return;
     ++pending.answers_;
+    pending.quorumAnswers_ += counted;
     if (answer.isRecorded_)
         return finish(answer.number_, fromRecord(answer.record_));
     noteVersions(pending, answer);
--- a/libs/streams/tests/StreamsTest.cpp
+++ b/libs/streams/tests/StreamsTest.cpp
@@ -48,7 +48,10 @@
             outlets.self_ = node_;
             outlets.replicasOf_ = [&fleet](StreamId stream) { return fleet.replicasOf(stream); };
             outlets.watchers_ = [&fleet] { return fleet.watchers_; };
-            outlets.countOthers_ = [&fleet] { return fleet.hosts_.size() - 1; };
+            outlets.countOthers_ = [&fleet] {
+                const auto live = std::count_if(fleet.hosts_.begin(), fleet.hosts_.end(), [](const auto& host) { return !host->isDown_; });
+                return HostCounts { fleet.hosts_.size() - 1, static_cast<std::size_t>(std::max<std::ptrdiff_t>(live - 1, 0)) };
+            };
             outlets.ownAnswer_ = [this, &fleet](const StreamQuery& query) { return answer(query, fleet.now_); };
             outlets.send_ = [this, &fleet](NodeId to, const StreamQuery& query) { fleet.deliver(to, query, *this); };
             return outlets;
@@ -79,7 +82,7 @@
             if (!host->isDown_)
                 candidates.push_back({ host->node_, host->domain_ });
         }
-        return chooseReplicas(stream.value(), candidates, 16);
+        return chooseReplicas(stream.value(), candidates, 20);
     }
 
     void record(const StreamRecord& record)
@@ -355,6 +358,27 @@
         CHECK((fleet.resolveAt(NodeId(1), StreamId(stream)).kind_ == ResolutionKind::Unknown));
 }
 
+// Guards against a failure domain of a large fleet that is cut off and has enough hosts for all that are asked.
+TEST_CASE("streams: many hosts of one failure domain are a minority too")
+{
+    for (const std::size_t domains : { 2U, 3U }) {
+        for (const bool isNoticed : { false, true }) {
+            StreamFleet fleet(domains, 120 / domains);
+            const FailureDomainId cutOff = fleet.host(NodeId(1)).domain_;
+            for (const auto& host : fleet.hosts_) {
+                host->history_.addEngine(UpstreamId(1), service, v1, at(-100s));
+                if (host->domain_ == cutOff)
+                    continue;
+                host->history_.addEngine(UpstreamId(2), service, v2, fleet.now_);
+                fleet.silent_.insert(host->node_);
+                host->isDown_ = isNoticed;
+            }
+            for (std::uint64_t stream = 0; stream < 20; ++stream)
+                CHECK((fleet.resolveAt(NodeId(1), StreamId(stream)).kind_ == ResolutionKind::NoQuorum));
+        }
+    }
+}
+
 // Guards against a claim of the old version beside a host that has just started and knows the newer one alone.
 TEST_CASE("streams: a host with a short history contradicts those that missed a version")
 {
