Comments of the streams' quorum: the field's terms, and the reason of the live majority

Comments said that hosts hear and tell; they receive and send updates. The reason why a fixed quorum doesn't hold on a host that finds most hosts dead was hard to read from its comment.

--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -352,7 +352,7 @@
     static constexpr std::string_view kinds[] = { "none", "free", "displaces", "queues" };
     const EngineUse use = context_.board_.useOf(run->engine_);
     line("sent").with("engine", entry->name_).with("address", toString(entry->at_)).with("software", softwareVersion_.name()).with("pick", kinds[static_cast<std::size_t>(pick.kind_)]).with("offer", offers_).with("questions", use.onlineRequests_).with("batchItems", use.batchItems_).with("sinceArrivalMs", run->sentAt_ - arrivedAt_).with("resumeAfter", lastEvent_ ? static_cast<std::int64_t>(*lastEvent_) : -1);
-    // A process that is killed must not take this line with it: it tells whether the request may have run.
+    // A process that is killed must not take this line with it: it is the evidence of whether the request may have run.
     if (!route_.isRepeatable())
         context_.log_.flush();
     http::CallOptions options;
--- a/libs/streams/include/streams/StreamResolver.h
+++ b/libs/streams/include/streams/StreamResolver.h
@@ -63,7 +63,7 @@
     // Returns hosts that may hold the stream's record, the most probable first, and this host possibly among them. They are live, in as many
     // failure domains as possible.
     std::function<std::vector<NodeId>(StreamId)> replicasOf_;
-    // Returns the hosts that hear of changes of engines first.
+    // Returns the hosts that watch the store, which receive changes of engines first.
     std::function<std::vector<NodeId>()> watchers_;
     std::function<HostCounts()> countOthers_;
     // What this host knows itself.
--- a/libs/streams/src/StreamResolver.cpp
+++ b/libs/streams/src/StreamResolver.cpp
@@ -72,7 +72,8 @@
     note(pending.soleVersion_, answer.soleVersion_);
 }
 
-// A host that is cut off together with many others finds most hosts down after a while, and then asks those that are cut off with it.
+// On a host that is cut off together with many others, membership declares the rest dead after a while, and all queries go to hosts that are
+// cut off as well. A fixed number of their answers would prove nothing.
 std::size_t StreamResolver::quorum() const
 {
     const HostCounts others = outlets_.countOthers_();
--- a/libs/streams/tests/StreamsTest.cpp
+++ b/libs/streams/tests/StreamsTest.cpp
@@ -352,7 +352,7 @@
     }
     for (std::uint64_t stream = 0; stream < 20; ++stream)
         CHECK((fleet.resolveAt(NodeId(1), StreamId(stream)).kind_ == ResolutionKind::NoQuorum));
-    // The cut ends, but its hosts haven't heard of the new version yet.
+    // The cut ends, but its hosts haven't received the new version yet.
     fleet.silent_.clear();
     for (std::uint64_t stream = 0; stream < 20; ++stream)
         CHECK((fleet.resolveAt(NodeId(1), StreamId(stream)).kind_ == ResolutionKind::Unknown));
@@ -390,7 +390,7 @@
     CHECK((fleet.resolveAt(NodeId(1), StreamId(7)).kind_ == ResolutionKind::Unknown));
 }
 
-// Guards against a query that ends before the hosts that hear of engines first have answered.
+// Guards against a query that ends before the hosts that receive changes of engines first have answered.
 TEST_CASE("streams: the watchers of the store are asked about the only version")
 {
     StreamFleet fleet(4, 6);
