--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -1,6 +1,7 @@
 // One proxied request, from its arrival until its answer, refusal or failure.
 //
-// RelayedRequest.cpp has the way to an engine, RelayAnswer.cpp the way back, RelaySilence.cpp what happens when nothing comes back.
+// RelayedRequest.cpp has the way to an engine, RelayAnswer.cpp the way back, RelayReaders.cpp callers that read slowly and limits of bytes,
+// RelaySilence.cpp what happens when nothing comes back.
 #pragma once
 
 #include "Caller.h"
