HTTP: the head of a message takes about its own bytes once it is parsed

What callers saw: 300 of them with a head of 16 KB in lines of four bytes, which is within the limits, took 179 MB of a host of 40 MB; 64 such requests in progress at engines that answer late took 46 MB. On hosts of the usual sizes that ends the process.

Cause: a header cost 80 bytes and more in Beast's container of fields and 64 in Headers, two strings each, for the whole of the request; trailers went into the same container. A head grew to 35 times its bytes.

Change: MessageParser keeps Beast's grammar (basic_parser) and writes names and values into one buffer of Headers, with two or more bytes for their sizes. Trailers, which nobody read, are dropped. Both directions use it, so an engine's head is bounded in the same way.

--- a/libs/http/include/http/Message.h
+++ b/libs/http/include/http/Message.h
@@ -4,6 +4,8 @@
 #include "base/Error.h"
 #include "base/Time.h"
 
+#include <cstddef>
+#include <iterator>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -16,26 +18,63 @@
     std::string value_;
 };
 
-// Names compare without regard to case; a name may stand more than once.
+// A header of a message, as Headers shows it. The views live as long as the Headers are left unchanged.
+struct HeaderView {
+    std::string_view name_;
+    std::string_view value_;
+};
+
+// Names compare without regard to case; a name may stand more than once. All names and values stand in one buffer, so that thousands of
+// short headers cost about their own bytes.
 class Headers {
 public:
+    class Iterator {
+    public:
+        using iterator_category = std::input_iterator_tag; // NOLINT(readability-identifier-naming): the names that std::iterator_traits asks for
+        using value_type = HeaderView; // NOLINT(readability-identifier-naming)
+        using difference_type = std::ptrdiff_t; // NOLINT(readability-identifier-naming)
+        using pointer = const HeaderView*; // NOLINT(readability-identifier-naming)
+        using reference = HeaderView; // NOLINT(readability-identifier-naming)
+
+        explicit Iterator(std::string_view rest)
+            : rest_(rest)
+        {
+        }
+
+        HeaderView operator*() const;
+        Iterator& operator++();
+        bool operator==(const Iterator& other) const { return rest_.size() == other.rest_.size(); }
+
+    private:
+        std::string_view rest_; // records from this header on
+    };
+
     Headers() = default;
     Headers(std::initializer_list<Header> headers)
-        : headers_(headers)
     {
+        for (const Header& header : headers)
+            add(header.name_, header.value_);
     }
 
     // The first value of `name`, or empty. The view lives as long as this object is left unchanged.
     std::string_view find(std::string_view name) const;
     bool has(std::string_view name) const;
-    void add(std::string name, std::string value) { headers_.push_back({ std::move(name), std::move(value) }); }
+    // The views must not be of this object.
+    void add(std::string_view name, std::string_view value);
 
-    auto begin() const { return headers_.begin(); }
-    auto end() const { return headers_.end(); }
-    std::size_t size() const { return headers_.size(); }
+    Iterator begin() const { return Iterator(records_); }
+    Iterator end() const { return Iterator({}); }
+    std::size_t size() const { return count_; }
+    // Memory that the headers take.
+    std::size_t bytes() const { return records_.empty() ? 0 : records_.capacity(); }
+    // Frees memory beyond the headers' own bytes.
+    void shrink() { records_.shrink_to_fit(); }
 
 private:
-    std::vector<Header> headers_;
+    // For each header the size of its name, the size of its value, the name and the value. A size is written in groups of seven bits, the
+    // lowest first, each in a byte whose highest bit says that another one follows.
+    std::string records_;
+    std::size_t count_ = 0;
 };
 
 struct Request {
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -26,7 +26,7 @@
         head.target(detail::lineSafe(request.target_));
         if (!request.headers_.has("Host"))
             head.set(boost::beast::http::field::host, toString(endpoint));
-        for (const Header& header : request.headers_) {
+        for (const HeaderView header : request.headers_) {
             if (!detail::isHopHeader(header.name_))
                 head.insert(detail::lineSafe(header.name_), detail::lineSafe(header.value_));
         }
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -148,12 +148,8 @@
 
 void ClientConnection::beginParsing()
 {
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(shared_->settings_.headerBytes_));
-    parser_->body_limit(boost::none);
+    parser_.emplace(shared_->settings_.headerBytes_, shared_->settings_.chunkLineBytes_);
     parser_->skip(call_->isHead_);
-    checkChunkLine_ = chunkLineCheck(shared_->settings_.chunkLineBytes_);
-    parser_->on_chunk_header(checkChunkLine_);
 }
 
 bool ClientConnection::isQuiet()
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -121,7 +121,6 @@
     asio::steady_timer timer_;
     beast::flat_buffer buffer_;
     std::optional<ResponseParser> parser_;
-    ChunkLineCheck checkChunkLine_; // called by the parser
     std::uint32_t interimAnswers_ = 0; // of the call
     std::shared_ptr<CallState> call_;
     bool connected_ = false;
--- a/libs/http/src/ClientReading.cpp
+++ b/libs/http/src/ClientReading.cpp
@@ -24,12 +24,10 @@
     constexpr Duration minKeepAlive = std::chrono::milliseconds(100);
 
     // A time that can't be read may be a short one.
-    template <class Fields>
-    Duration keepAliveOf(const Fields& fields)
+    Duration keepAliveOf(const Headers& headers)
     {
         constexpr std::string_view key = "timeout=";
-        const auto field = fields[beast::http::field::keep_alive];
-        const std::string_view value(field.data(), field.size());
+        const std::string_view value = headers.find("Keep-Alive");
         const std::size_t place = value.find(key);
         if (place == std::string_view::npos)
             return Duration::max();
@@ -151,7 +149,7 @@
         const auto tooLong = hadHead ? checkIncomplete(*parser_, buffer_, shared_->settings_.chunkLineBytes_, shared_->settings_.trailerBytes_) : std::nullopt;
         if (tooLong)
             return fail(*tooLong);
-        if (parser_->get().result_int() < firstFinalStatus) {
+        if (parser_->status() < firstFinalStatus) {
             if (++interimAnswers_ > shared_->settings_.interimAnswers_)
                 return fail(Error::TooManyInterimAnswers);
             beginParsing();
@@ -180,16 +178,15 @@
         return true;
     if (call_->headSeen_ || call_->options_.echoName_.empty())
         return false;
-    const auto& fields = parser_->get();
-    const auto found = fields.find(call_->options_.echoName_);
-    return found == fields.end() ? isReused_ : found->value() != call_->options_.echoValue_;
+    const std::string_view name = call_->options_.echoName_;
+    return parser_->headers().has(name) ? parser_->headers().find(name) != call_->options_.echoValue_ : isReused_;
 }
 
 // Drops what was parsed of a foreign answer; false when it was its connection's last, and the call has failed.
 bool ClientConnection::readOver()
 {
     readingOver_ = true;
-    parser_->get().body().clear();
+    parser_->body().clear();
     if (!parser_->is_done())
         return true;
     readingOver_ = false;
@@ -204,16 +201,14 @@
 bool ClientConnection::deliver()
 {
     const std::shared_ptr<CallState> call = call_;
-    auto& message = parser_->get();
     if (!call->headSeen_) {
         call->headSeen_ = true;
-        keepAlive_ = keepAliveOf(message);
+        keepAlive_ = keepAliveOf(parser_->headers());
         if (call->handlers_.onHead_)
-            call->handlers_.onHead_({ static_cast<int>(message.result_int()), copyHeaders(message), isReused_ });
+            call->handlers_.onHead_({ parser_->status(), parser_->headers(), isReused_ });
     }
-    if (!message.body().empty() && !call->cancelled_) {
-        const std::string data = std::move(message.body());
-        message.body().clear();
+    if (!parser_->body().empty() && !call->cancelled_) {
+        const std::string data = std::exchange(parser_->body(), {});
         call->bodyBytes_ += data.size();
         if (call->bodyLimit_ > 0 && call->bodyBytes_ > call->bodyLimit_) {
             fail(Error::AnswerTooLarge);
--- a/libs/http/src/Codec.h
+++ b/libs/http/src/Codec.h
@@ -1,4 +1,4 @@
-// What server and client share of Beast: the body type that hands pieces on, and heads as text. Private to this library.
+// What server and client share of Beast: the parser, and heads as text. Private to this library.
 #pragma once
 
 #include "http/Message.h"
@@ -8,15 +8,16 @@
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/message.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/optional/optional.hpp>
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace jj::http::detail {
 
@@ -24,53 +25,96 @@
 namespace beast = boost::beast;
 using beast::error_code;
 
-// A body that the parser appends to and the connection empties as it goes, so that a large body never stands in memory whole.
-// Unlike Beast's string_body it doesn't reserve what a Content-Length merely announces.
-struct AppendBody {
-    using value_type = std::string; // NOLINT(readability-identifier-naming): the name that Beast's Body concept asks for
-
-    class reader { // NOLINT(readability-identifier-naming): as above
-    public:
-        template <bool IsRequest, class Fields>
-        reader(beast::http::header<IsRequest, Fields>& /*header*/, value_type& body)
-            : body_(body)
-        {
-        }
+// Parses a message into the form of this library. Beast's own container of headers takes some 80 bytes for each one.
+//
+// The body is appended to, and emptied by the connection as it goes, so that a large body never stands in memory whole. Trailers are
+// dropped.
+template <bool IsRequest>
+class MessageParser : public beast::http::basic_parser<IsRequest> {
+public:
+    MessageParser(std::size_t headLimit, std::size_t chunkLineLimit)
+        : chunkLineLimit_(chunkLineLimit)
+    {
+        this->header_limit(static_cast<std::uint32_t>(headLimit));
+        this->body_limit(boost::none);
+    }
 
-        static void init(const boost::optional<std::uint64_t>& /*length*/, error_code& error) { error = {}; }
+    // Parses a part of a message and returns how many bytes were taken.
+    std::size_t parse(std::string_view data, error_code& error) { return this->put(asio::buffer(data), error); }
+
+    unsigned version() const { return version_; }
+    int status() const { return status_; }
+    const std::string& method() const { return method_; }
+    const std::string& target() const { return target_; }
+    const Headers& headers() const { return headers_; }
+    // A request whose body is empty.
+    Request takeHead() { return { std::move(method_), std::move(target_), std::exchange(headers_, {}), {} }; }
+    std::string& body() { return body_; }
+
+private:
+    using Length = boost::optional<std::uint64_t>;
+
+    void on_request_impl(beast::http::verb /*verb*/, beast::string_view method, beast::string_view target, int version, error_code& error) override
+    {
+        method_.assign(method.data(), method.size());
+        target_.assign(target.data(), target.size());
+        version_ = static_cast<unsigned>(version);
+        error = {};
+    }
 
-        template <class Buffers>
-        std::size_t put(const Buffers& buffers, error_code& error)
-        {
-            error = {};
-            std::size_t taken = 0;
-            for (const asio::const_buffer part : beast::buffers_range_ref(buffers)) {
-                body_.append(static_cast<const char*>(part.data()), part.size());
-                taken += part.size();
-            }
-            return taken;
-        }
+    void on_response_impl(int status, beast::string_view /*reason*/, int version, error_code& error) override
+    {
+        status_ = status;
+        version_ = static_cast<unsigned>(version);
+        error = {};
+    }
 
-        static void finish(error_code& error) { error = {}; }
+    void on_field_impl(beast::http::field /*field*/, beast::string_view name, beast::string_view value, error_code& error) override
+    {
+        if (!isInTrailers_)
+            headers_.add({ name.data(), name.size() }, { value.data(), value.size() });
+        error = {};
+    }
 
-    private:
-        value_type& body_;
-    };
-};
+    void on_header_impl(error_code& error) override
+    {
+        isInTrailers_ = true;
+        headers_.shrink();
+        error = {};
+    }
 
-using RequestParser = beast::http::request_parser<AppendBody>;
-using ResponseParser = beast::http::response_parser<AppendBody>;
+    void on_body_init_impl(const Length& /*length*/, error_code& error) override { error = {}; }
 
-// Called by the parser with each chunk's size and extensions.
-using ChunkLineCheck = std::function<void(std::uint64_t, beast::string_view, error_code&)>;
+    std::size_t on_body_impl(beast::string_view data, error_code& error) override
+    {
+        body_.append(data.data(), data.size());
+        error = {};
+        return data.size();
+    }
 
-inline ChunkLineCheck chunkLineCheck(std::size_t limit)
-{
-    return [limit](std::uint64_t, beast::string_view extensions, error_code& error) {
-        if (extensions.size() > limit)
+    void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view extensions, error_code& error) override
+    {
+        error = {};
+        if (extensions.size() > chunkLineLimit_)
             error = beast::http::error::bad_chunk_extension;
-    };
-}
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*left*/, beast::string_view data, error_code& error) override { return on_body_impl(data, error); }
+
+    void on_finish_impl(error_code& error) override { error = {}; }
+
+    std::size_t chunkLineLimit_;
+    bool isInTrailers_ = false; // header lines that come from now on are trailers
+    unsigned version_ = 11;
+    int status_ = 0;
+    std::string method_;
+    std::string target_;
+    Headers headers_;
+    std::string body_;
+};
+
+using RequestParser = MessageParser<true>;
+using ResponseParser = MessageParser<false>;
 
 // What remains in the buffer after feed() is the incomplete size line of a chunk, or the last chunk with incomplete trailers. Returns an
 // error if it is over its limit: the other side may send such a line without end.
@@ -109,7 +153,7 @@
     error = {};
     while (buffer.size() > 0 && !parser.is_done()) {
         const bool headBefore = parser.is_header_done();
-        const std::size_t taken = parser.put(buffer.data(), error);
+        const std::size_t taken = parser.parse({ static_cast<const char*>(buffer.data().data()), buffer.size() }, error);
         buffer.consume(taken);
         if (error == beast::http::error::need_more) {
             error = {};
@@ -157,19 +201,10 @@
 template <bool IsRequest>
 void addHeaders(beast::http::message<IsRequest, beast::http::empty_body>& message, const Headers& headers)
 {
-    for (const Header& header : headers)
+    for (const HeaderView header : headers)
         message.insert(lineSafe(header.name_), lineSafe(header.value_));
 }
 
-template <class Fields>
-Headers copyHeaders(const Fields& fields)
-{
-    Headers headers;
-    for (const auto& field : fields)
-        headers.add(std::string(field.name_string()), std::string(field.value()));
-    return headers;
-}
-
 // Headers of one connection, which nobody passes on.
 inline bool isHopHeader(std::string_view name)
 {
--- a/libs/http/src/Message.cpp
+++ b/libs/http/src/Message.cpp
@@ -73,6 +73,39 @@
         return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
     }
 
+    constexpr unsigned groupBits = 7;
+    constexpr unsigned char followBit = 0x80;
+
+    void appendSize(std::string& out, std::size_t size)
+    {
+        for (; size >= followBit; size >>= groupBits)
+            out.push_back(static_cast<char>((size & (followBit - 1)) | followBit));
+        out.push_back(static_cast<char>(size));
+    }
+
+    // Takes a size off the front of `rest`.
+    std::size_t takeSize(std::string_view& rest)
+    {
+        std::size_t size = 0;
+        for (unsigned shift = 0;; shift += groupBits) {
+            const auto group = static_cast<unsigned char>(rest.front());
+            rest.remove_prefix(1);
+            size |= static_cast<std::size_t>(group & (followBit - 1)) << shift;
+            if (group < followBit)
+                return size;
+        }
+    }
+
+    // Takes a header off the front of `records`.
+    HeaderView takeHeader(std::string_view& records)
+    {
+        const std::size_t nameBytes = takeSize(records);
+        const std::size_t valueBytes = takeSize(records);
+        const HeaderView header { records.substr(0, nameBytes), records.substr(nameBytes, valueBytes) };
+        records.remove_prefix(nameBytes + valueBytes);
+        return header;
+    }
+
     std::string percentDecoded(std::string_view text)
     {
         std::string out;
@@ -96,9 +129,30 @@
     return { static_cast<int>(error), category };
 }
 
+HeaderView Headers::Iterator::operator*() const
+{
+    std::string_view rest = rest_;
+    return takeHeader(rest);
+}
+
+Headers::Iterator& Headers::Iterator::operator++()
+{
+    takeHeader(rest_);
+    return *this;
+}
+
+void Headers::add(std::string_view name, std::string_view value)
+{
+    appendSize(records_, name.size());
+    appendSize(records_, value.size());
+    records_.append(name);
+    records_.append(value);
+    ++count_;
+}
+
 std::string_view Headers::find(std::string_view name) const
 {
-    for (const Header& header : headers_) {
+    for (const HeaderView header : *this) {
         if (boost::beast::iequals(header.name_, name))
             return header.value_;
     }
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -195,11 +195,7 @@
     if (buffer_.size() == 0)
         return false;
     if (!parser_) {
-        parser_.emplace();
-        parser_->header_limit(static_cast<std::uint32_t>(shared_->settings_.limits_.headerBytes_));
-        parser_->body_limit(boost::none);
-        checkChunkLine_ = chunkLineCheck(shared_->settings_.limits_.chunkLineBytes_);
-        parser_->on_chunk_header(checkChunkLine_);
+        parser_.emplace(shared_->settings_.limits_.headerBytes_, shared_->settings_.limits_.chunkLineBytes_);
         requestStart_ = SteadyClock::now();
         counted_ = true;
         ++shared_->exchanges_;
@@ -212,8 +208,7 @@
     if (!parser_->is_header_done())
         return false;
 
-    // The headers are taken now, because the parser adds the trailers of a chunked body to them.
-    head_ = Request { std::string(parser_->get().method_string()), std::string(parser_->get().target()), copyHeaders(parser_->get()), {} };
+    head_ = parser_->takeHead();
     BodyPlan plan;
     if (shared_->planner_)
         plan = shared_->planner_(head_);
@@ -230,7 +225,7 @@
         refuseUpload(parser_->content_length().value_or(0));
         return false;
     }
-    if (!bodyDone_ && beast::iequals(parser_->get()[beast::http::field::expect], "100-continue")) {
+    if (!bodyDone_ && beast::iequals(head_.headers_.find("Expect"), "100-continue")) {
         const std::lock_guard lock(mutex_);
         outbox_.pending_.append("HTTP/1.1 100 Continue\r\n\r\n");
         flushLocked();
@@ -285,9 +280,9 @@
     const std::shared_ptr<ByteBudget>& budget = shared_->settings_.budget_;
     if (!budget)
         return true;
-    const std::size_t bytes = parser_->get().body().size();
+    const std::size_t bytes = parser_->body().size();
     if (!fitsBudget(bytes - std::min(bytes, bodyHold_.bytes()))) {
-        std::string().swap(parser_->get().body());
+        std::string().swap(parser_->body());
         bodyHold_ = {};
         refuseUpload(bytes);
         return false;
@@ -306,14 +301,14 @@
     outbox_.started_ = false;
     outbox_.ended_ = false;
     outbox_.keepAlive_ = keepAlive;
-    outbox_.chunked_ = !parser_ || parser_->get().version() >= 11;
+    outbox_.chunked_ = !parser_ || parser_->version() >= 11;
 }
 
 void ServerConnection::handle(bool streamed)
 {
     beginTurn(parser_->keep_alive());
     Request request = std::exchange(head_, {});
-    request.body_ = std::exchange(parser_->get().body(), {});
+    request.body_ = std::exchange(parser_->body(), {});
     shared_->handler_(std::make_shared<Exchange>(shared_from_this(), outbox_.turn_, std::move(request), streamed, std::exchange(bodyHold_, {})));
 }
 
@@ -343,8 +338,7 @@
         return failBody(*tooLong);
     const bool wasDone = bodyDone_;
     bodyDone_ = parser_->is_done();
-    std::string data = std::move(parser_->get().body());
-    parser_->get().body().clear();
+    std::string data = std::exchange(parser_->body(), {});
     if (!data.empty() || bodyDone_ || wasDone)
         deliverPiece({ {}, std::move(data), bodyDone_ });
 }
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -198,7 +198,6 @@
     // its start, and the bytes that then arrive would be lost and older ones be seen twice.
     static constexpr std::size_t readBytes = 16 * 1024;
     std::optional<RequestParser> parser_;
-    ChunkLineCheck checkChunkLine_; // called by the parser
     ByteHold bodyHold_; // of the body that is being read
     std::atomic<bool> isCutOff_ = false;
     Request head_; // of the request that is being read; its body is empty
--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -204,7 +204,7 @@
 {
     const std::string_view connection = headers.find("Connection");
     http::Headers passed;
-    for (const http::Header& header : headers) {
+    for (const http::HeaderView header : headers) {
         if (!isHopByHopHeader(header.name_) && !isListed(connection, header.name_))
             passed.add(header.name_, header.value_);
     }
@@ -214,7 +214,7 @@
 std::string joinedValues(const http::Headers& headers, std::string_view name)
 {
     std::string values;
-    for (const http::Header& header : headers)
+    for (const http::HeaderView header : headers)
         appendIfNamed(values, header.name_, header.value_, name);
     return values;
 }
