HTTP: heads have a limit also if each of their lines arrives whole

What callers saw: a process that ended for want of memory under heads without end. Four clients took 630 MB of a host of 40 MB in 5 s.

Cause: Beast's limit for heads holds for the bytes that it has not taken yet. It takes lines one by one while a read ends at most one byte into the next line (two bytes further it waits for the end of the head, and the limit holds). Nothing added up what had been taken. Reads of 16 KB and lines of four bytes meet that case, as do lines of any length that are sent one by one with the first byte of the next. Engines' heads had the same gap.

Change: the parser adds up the bytes of a head over all reads, in both directions.

--- a/libs/http/src/Codec.h
+++ b/libs/http/src/Codec.h
@@ -33,14 +33,27 @@
 class MessageParser : public beast::http::basic_parser<IsRequest> {
 public:
     MessageParser(std::size_t headLimit, std::size_t chunkLineLimit)
-        : chunkLineLimit_(chunkLineLimit)
+        : headLimit_(headLimit)
+        , chunkLineLimit_(chunkLineLimit)
     {
         this->header_limit(static_cast<std::uint32_t>(headLimit));
         this->body_limit(boost::none);
     }
 
-    // Parses a part of a message and returns how many bytes were taken.
-    std::size_t parse(std::string_view data, error_code& error) { return this->put(asio::buffer(data), error); }
+    // Parses a part of a message and returns how many bytes were taken. Beast's limit for heads holds for what isn't taken yet: lines that
+    // arrive whole are taken one by one, so a head of such lines had no limit.
+    std::size_t parse(std::string_view data, error_code& error)
+    {
+        const bool isInHead = !this->is_header_done();
+        const std::size_t taken = this->put(asio::buffer(data), error);
+        if (!isInHead)
+            return taken;
+        headBytes_ += taken;
+        const std::size_t unfinished = this->is_header_done() ? 0 : data.size() - taken;
+        if (headBytes_ + unfinished > headLimit_ && (!error || error == beast::http::error::need_more))
+            error = beast::http::error::header_limit;
+        return taken;
+    }
 
     unsigned version() const { return version_; }
     int status() const { return status_; }
@@ -103,7 +116,9 @@
 
     void on_finish_impl(error_code& error) override { error = {}; }
 
+    std::size_t headLimit_;
     std::size_t chunkLineLimit_;
+    std::size_t headBytes_ = 0; // taken so far
     bool isInTrailers_ = false; // header lines that come from now on are trailers
     unsigned version_ = 11;
     int status_ = 0;
--- a/libs/http/tests/AnswerLimitsTest.cpp
+++ b/libs/http/tests/AnswerLimitsTest.cpp
@@ -130,3 +130,13 @@
     REQUIRE(outcome.response_);
     CHECK(outcome.response_->status_ == 200);
 }
+
+// Guards against a head that has no limit because each of its lines arrives whole.
+TEST_CASE("answers: a head of whole lines without end is cut off")
+{
+    Script script { "HTTP/1.1 200 OK\r\na", ":\r\na" };
+    script.pieceBytes_ = 4 * 1024; // arrives as it is sent, so that each read ends one byte into a line
+    script.pause_ = 1ms;
+    script.mostBytes_ = 512 * 1024;
+    checkCutOff(std::move(script), Error::HeaderTooLarge);
+}
--- a/libs/http/tests/RawPeers.h
+++ b/libs/http/tests/RawPeers.h
@@ -27,6 +27,8 @@
     std::string endless_ {}; // empty: nothing follows
     std::size_t mostBytes_ = 32 * 1024 * 1024; // far more than the kernel's buffers hold; the connection is closed after them
     Duration openFor_ {}; // how long the connection stays open after the text
+    std::size_t pieceBytes_ = std::size_t { 64 } * 1024; // sent at once of what is repeated, at least
+    Duration pause_ {}; // after each of these
 };
 
 // Answers one connection after the other by its script.
@@ -83,9 +85,10 @@
         std::size_t sent = script.text_.size();
         wasClosed_ = !sendAll(socket, script.text_);
         std::string piece;
-        while (!script.endless_.empty() && piece.size() < std::size_t { 64 } * 1024)
+        while (!script.endless_.empty() && piece.size() < script.pieceBytes_)
             piece += script.endless_;
         while (!piece.empty() && !wasClosed_ && sent < script.mostBytes_) {
+            std::this_thread::sleep_for(script.pause_);
             wasClosed_ = !sendAll(socket, piece);
             sent += piece.size();
         }
