Server: the input of clients counts towards the byte budget, and refused clients hold none

What callers saw: 1,000 of them that were refused with 431 and left their connections open took 61 MB of a host of 40 MB, 1,400 with heads of 30 KB that are never complete 53 MB: a host's memory was as large as its number of connections allowed.

Cause: the byte budget counted answers and bodies. What was read and not parsed yet, the parsed head, and the head of a request in progress weren't counted, and the buffer of a connection kept its capacity after a refusal, while the client was given time to read it.

Change: a third use, heads, has half of the budget's size to itself, so that heads and answers don't take each other's room. Input is counted before it is kept. Above three quarters of that limit, connections that wait for the rest of a head are closed, the longest first, and heads over 4 KB are refused as not run (503, host.NoBufferSpace); the last quarter is for small ones. Requests that are read ahead of an answer get half of the limit, then 1 KB a connection. A refused connection frees its input and drops what comes; it is closed once it has dropped more than a client within the limits could have sent. Bodies grow by an eighth instead of doubling.

--- a/libs/http/include/http/ByteBudget.h
+++ b/libs/http/include/http/ByteBudget.h
@@ -23,6 +23,7 @@
 enum class ByteUse : std::uint8_t {
     Answers, // queued for readers that haven't taken them yet
     Uploads, // bodies of requests that haven't ended
+    Heads, // of requests that haven't ended, and what has been read of the next ones; apart from the limit of the others
 };
 
 struct ByteBudgetSettings {
@@ -65,10 +66,12 @@
     static Result<std::shared_ptr<ByteBudget>> create(ByteBudgetSettings settings);
 
     ByteHold hold(ByteUse use) { return { shared_from_this(), use }; }
-    // Returns whether this many more bytes fit. Uploads get at most half of the budget, so that answers can always leave.
+    // Returns whether this many more bytes fit. Uploads get at most half of the budget, so that answers can always leave. Heads have
+    // headLimit() to themselves.
     bool hasRoom(ByteUse use, std::size_t bytes) const;
     std::size_t held(ByteUse use) const { return held_[static_cast<std::size_t>(use)]; }
     std::size_t limit() const { return settings_.limitBytes_; }
+    std::size_t headLimit() const { return settings_.limitBytes_ / 2; }
     // Returns the number of bytes from which a connection counts as full: an equal part of the budget for each connection that holds
     // answers, within the bounds of the settings.
     std::size_t share() const;
@@ -83,7 +86,7 @@
     void change(ByteUse use, std::size_t before, std::size_t after);
 
     ByteBudgetSettings settings_;
-    std::array<std::atomic<std::size_t>, 2> held_ {}; // by ByteUse
+    std::array<std::atomic<std::size_t>, 3> held_ {}; // by ByteUse
     std::atomic<std::size_t> answerHolders_ = 0; // holds of answers with at least one byte
 };
 
--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -67,10 +67,16 @@
     bool last_ = false;
 };
 
+// The bytes of a request as the byte budget counts them.
+struct RequestHolds {
+    ByteHold head_;
+    ByteHold body_;
+};
+
 // One request and its answer. All calls are safe from any thread; calls after the end or after the client left do nothing.
 class Exchange {
 public:
-    Exchange(std::shared_ptr<detail::ServerConnection> connection, std::uint64_t turn, Request request, bool bodyIsStreamed, ByteHold bodyHold);
+    Exchange(std::shared_ptr<detail::ServerConnection> connection, std::uint64_t turn, Request request, bool bodyIsStreamed, RequestHolds holds);
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
     // An exchange that is dropped without an answer is answered 500, so that no client waits for ever.
@@ -114,7 +120,7 @@
     std::uint64_t turn_; // which request of the connection this is; calls of an earlier one are ignored
     Request request_;
     bool bodyIsStreamed_;
-    ByteHold bodyHold_; // of request_.body_
+    RequestHolds holds_;
 };
 
 class Server {
@@ -152,6 +158,10 @@
     std::uint64_t readersCutOff() const;
     // Number of requests that were refused since the start because their body didn't fit into the byte budget.
     std::uint64_t uploadsRefused() const;
+    // Number of requests that were refused since the start because their header didn't fit into the byte budget.
+    std::uint64_t headsRefused() const;
+    // Number of connections that were closed since the start to make room for others: they waited for a whole request for longest.
+    std::uint64_t connectionsEvicted() const;
 
 private:
     explicit Server(std::shared_ptr<detail::ServerShared> shared);
--- a/libs/http/src/ByteBudget.cpp
+++ b/libs/http/src/ByteBudget.cpp
@@ -41,6 +41,8 @@
 
 bool ByteBudget::hasRoom(ByteUse use, std::size_t bytes) const
 {
+    if (use == ByteUse::Heads)
+        return held(ByteUse::Heads) + bytes <= headLimit();
     const std::size_t all = held(ByteUse::Answers) + held(ByteUse::Uploads);
     const bool fitsUploads = use != ByteUse::Uploads || held(ByteUse::Uploads) + bytes <= settings_.limitBytes_ / 2;
     return fitsUploads && all + bytes <= settings_.limitBytes_;
--- a/libs/http/src/Codec.h
+++ b/libs/http/src/Codec.h
@@ -25,6 +25,26 @@
 namespace beast = boost::beast;
 using beast::error_code;
 
+// Grows by an eighth instead of doubling: the byte budget counts capacities, and would be exhausted by memory that holds nothing.
+inline void reserveFor(std::string& text, std::size_t bytes)
+{
+    constexpr std::size_t smallBytes = 16 * 1024; // doubling wastes little below it
+    constexpr std::size_t growthDivisor = 8;
+    const std::size_t needed = text.size() + bytes;
+    if (needed <= text.capacity() || needed <= smallBytes)
+        return;
+    std::string larger; // std::string::reserve() at least doubles
+    larger.reserve(needed + needed / growthDivisor);
+    larger.append(text);
+    text.swap(larger);
+}
+
+// Memory that a text takes beside its object.
+inline std::size_t heapBytes(const std::string& text) { return text.capacity() > std::string().capacity() ? text.capacity() : 0; }
+
+// Memory that the head of a request takes.
+inline std::size_t headBytes(const Request& request) { return heapBytes(request.method_) + heapBytes(request.target_) + request.headers_.bytes(); }
+
 // Parses a message into the form of this library. Beast's own container of headers takes some 80 bytes for each one.
 //
 // The body is appended to, and emptied by the connection as it goes, so that a large body never stands in memory whole. Trailers are
@@ -63,6 +83,8 @@
     // A request whose body is empty.
     Request takeHead() { return { std::move(method_), std::move(target_), std::exchange(headers_, {}), {} }; }
     std::string& body() { return body_; }
+    // Memory that the head takes.
+    std::size_t headBytes() const { return heapBytes(method_) + heapBytes(target_) + headers_.bytes(); }
 
 private:
     using Length = boost::optional<std::uint64_t>;
@@ -100,6 +122,7 @@
 
     std::size_t on_body_impl(beast::string_view data, error_code& error) override
     {
+        reserveFor(body_, data.size());
         body_.append(data.data(), data.size());
         error = {};
         return data.size();
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -177,12 +177,16 @@
 
 std::uint64_t Server::uploadsRefused() const { return shared_->uploadsRefused_; }
 
-Exchange::Exchange(std::shared_ptr<ServerConnection> connection, std::uint64_t turn, Request request, bool bodyIsStreamed, ByteHold bodyHold)
+std::uint64_t Server::headsRefused() const { return shared_->headsRefused_; }
+
+std::uint64_t Server::connectionsEvicted() const { return shared_->evicted_; }
+
+Exchange::Exchange(std::shared_ptr<ServerConnection> connection, std::uint64_t turn, Request request, bool bodyIsStreamed, RequestHolds holds)
     : connection_(std::move(connection))
     , turn_(turn)
     , request_(std::move(request))
     , bodyIsStreamed_(bodyIsStreamed)
-    , bodyHold_(std::move(bodyHold))
+    , holds_(std::move(holds))
 {
 }
 
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -63,12 +63,15 @@
     , lastRead_(requestStart_)
     , lastWrite_(requestStart_)
 {
-    if (shared_->settings_.budget_)
-        outbox_.hold_ = shared_->settings_.budget_->hold(ByteUse::Answers);
+    if (!shared_->settings_.budget_)
+        return;
+    outbox_.hold_ = shared_->settings_.budget_->hold(ByteUse::Answers);
+    inputHold_ = shared_->settings_.budget_->hold(ByteUse::Heads);
 }
 
 ServerConnection::~ServerConnection()
 {
+    leaveWaiting();
     const std::lock_guard lock(shared_->mutex_);
     shared_->connections_.erase(this);
 }
@@ -81,6 +84,7 @@
         drain();
     if (phase_ == Phase::Closed)
         return;
+    joinWaiting();
     armTimer();
     readSome();
 }
@@ -113,12 +117,16 @@
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->close(); });
 }
 
-// A pipelining or uploading client waits beyond it. What isn't parsed isn't counted by the byte budget, so it is kept small.
+// A pipelining or uploading client waits beyond it. Requests that are read ahead take no more than half of what heads may take.
 std::size_t ServerConnection::bufferLimit() const
 {
+    constexpr std::size_t minReadAhead = 1024; // tells whether the client has left
     const ServerLimits& limits = shared_->settings_.limits_;
-    if (phase_ == Phase::Handling && (!bodyStreamed_ || bodyDone_))
+    const ByteBudget* budget = shared_->settings_.budget_.get();
+    if (dropsInput_)
         return readBytes;
+    if (isReadingAhead())
+        return budget && budget->held(ByteUse::Heads) > budget->headLimit() / 2 ? minReadAhead : readBytes;
     const std::size_t largestElement = std::max(limits.headerBytes_, limits.chunkLineBytes_ + limits.trailerBytes_);
     return largestElement + readBytes;
 }
@@ -139,7 +147,9 @@
     std::array<char, readBytes> input; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by the read
     if (!error)
         socket_.non_blocking(true, error);
-    const std::size_t bytes = error ? 0 : socket_.read_some(asio::buffer(input), error);
+    const std::size_t limit = bufferLimit();
+    const std::size_t wanted = std::min(readBytes, limit - std::min(limit, buffer_.size()));
+    const std::size_t bytes = error || wanted == 0 ? 0 : socket_.read_some(asio::buffer(input.data(), wanted), error);
     reading_ = false;
     if (error == asio::error::would_block)
         return readSome();
@@ -150,9 +160,13 @@
 {
     if (error)
         return onReadEnd(error);
-    buffer_.commit(asio::buffer_copy(buffer_.prepare(data.size()), asio::buffer(data)));
     lastRead_ = SteadyClock::now();
+    if (dropsInput_)
+        return discard(data.size());
+    if (!takeInput(data))
+        return;
     process();
+    countInput();
     readSome();
 }
 
@@ -182,8 +196,6 @@
             pumpBody();
             return;
         case Phase::Lingering:
-            buffer_.consume(buffer_.size());
-            return;
         case Phase::Closed:
             return;
         }
@@ -295,6 +307,7 @@
 
 void ServerConnection::beginTurn(bool keepAlive)
 {
+    leaveWaiting();
     phase_ = Phase::Handling;
     const std::lock_guard lock(mutex_);
     ++outbox_.turn_;
@@ -307,9 +320,13 @@
 void ServerConnection::handle(bool streamed)
 {
     beginTurn(parser_->keep_alive());
+    RequestHolds holds { {}, std::exchange(bodyHold_, {}) };
+    if (shared_->settings_.budget_)
+        holds.head_ = shared_->settings_.budget_->hold(ByteUse::Heads);
+    holds.head_.resize(headBytes(head_));
     Request request = std::exchange(head_, {});
     request.body_ = std::exchange(parser_->body(), {});
-    shared_->handler_(std::make_shared<Exchange>(shared_from_this(), outbox_.turn_, std::move(request), streamed, std::exchange(bodyHold_, {})));
+    shared_->handler_(std::make_shared<Exchange>(shared_from_this(), outbox_.turn_, std::move(request), streamed, std::move(holds)));
 }
 
 void ServerConnection::readBody(std::uint64_t turn, std::function<void(BodyPiece)> callback)
@@ -366,6 +383,7 @@
 {
     beginTurn(false);
     bodyStreamed_ = false;
+    dropInput();
     const std::error_code code = error;
     const bool hasFormat = error == Error::NoBufferSpace && shared_->settings_.formatRefusal_;
     respond(outbox_.turn_, hasFormat ? shared_->settings_.formatRefusal_(error) : errorResponse(statusOf(error), codeOf(error), code.message(), RunState::NotRun));
@@ -375,10 +393,10 @@
 void ServerConnection::linger()
 {
     phase_ = Phase::Lingering;
-    requestStart_ = SteadyClock::now();
+    joinWaiting();
+    dropInput();
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    buffer_.consume(buffer_.size());
     timer_.expires_after(lingerTime);
     timer_.async_wait([self = shared_from_this()](error_code error) {
         if (!error)
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -13,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <list>
 #include <mutex>
 #include <optional>
 #include <unordered_map>
@@ -47,6 +48,9 @@
     std::atomic<std::uint64_t> unadmitted_ = 0;
     std::atomic<std::uint64_t> readersCutOff_ = 0;
     std::atomic<std::uint64_t> uploadsRefused_ = 0;
+    std::atomic<std::uint64_t> headsRefused_ = 0;
+    std::atomic<std::uint64_t> evicted_ = 0;
+    std::atomic<bool> isRelievingHeads_ = false; // a look for heads to evict is posted
     std::atomic<bool> isRelieving_ = false; // the budget is exhausted, and stalled readers are looked for
     asio::steady_timer relief_; // used by whoever has set isRelieving_
 
@@ -54,6 +58,8 @@
     std::size_t wantedBytes_ = 0; // of the upload that was refused last
     std::chrono::steady_clock::time_point wantedUntil_ {};
     std::unordered_map<const void*, std::weak_ptr<ServerConnection>> connections_;
+    // Connections that wait for a whole request or for their client to close, the longest first. A connection that is being evicted isn't here.
+    std::list<ServerConnection*> waiting_;
 };
 
 // With less room, paused engines stay paused: one piece of an engine's answer. Smaller budgets exist in tests alone.
@@ -81,6 +87,8 @@
 // The same, until there is room for an upload of so many bytes or the stall time is over.
 void relieveBudgetFor(const std::shared_ptr<ServerShared>& shared, std::size_t uploadBytes);
 
+// Evicts connections that wait for the rest of a head, the longest first, until heads take half of their limit. Any thread.
+void relieveHeadsSoon(const std::shared_ptr<ServerShared>& shared);
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
     ServerConnection(std::shared_ptr<ServerShared> shared, tcp::socket socket);
@@ -112,6 +120,10 @@
     std::size_t heldBytes() const;
     // Closes the connection if its reader has taken no byte for ServerLimits::stallTime_. Any thread.
     void cutOffIfStalledSoon();
+    // Closes the connection unless it is at work on a request by then. ServerShared::mutex_ is held.
+    void evictSoonLocked();
+    // Returns the bytes of input that it holds. Any thread.
+    std::size_t inputBytes() const { return inputBytes_; }
     void onClosed(std::uint64_t turn, std::function<void()> callback);
     void readBody(std::uint64_t turn, std::function<void(BodyPiece)> callback);
 
@@ -161,13 +173,28 @@
     void flush();
     void writeSome();
     void finishTurn();
-    // Frees what the buffers keep after large messages. The capacity isn't counted, and idle connections may be many.
+    // Frees what the buffers keep after large messages, because idle connections may be many.
     void shrinkBuffers();
 
+    // Enters or leaves ServerShared::waiting_.
+    void joinWaiting();
+    void leaveWaiting();
+    void evict();
+    // Takes what was read into the buffer. Returns false if there is no room for it, and the request has been refused.
+    bool takeInput(std::string_view data);
+    bool hasRoomForInput(std::size_t bytes) const;
+    // Accounts for the memory of the input: the buffer, and the head that is being read.
+    void countInput();
+    // Frees the input; what comes from now on is read and dropped.
+    void dropInput();
+    void discard(std::size_t bytes);
+
     // Whether the kernel holds bytes that this process hasn't read yet.
     bool hasUnreadBytes() const;
     // Returns how much may be read before the handler or the parser takes it.
     std::size_t bufferLimit() const;
+    // Returns whether what comes is part of the next request.
+    bool isReadingAhead() const { return phase_ == Phase::Handling && (!bodyStreamed_ || bodyDone_); }
     void readSome();
     void onReadable(error_code error);
     void onRead(error_code error, std::string_view data);
@@ -198,7 +225,13 @@
     // its start, and the bytes that then arrive would be lost and older ones be seen twice.
     static constexpr std::size_t readBytes = 16 * 1024;
     std::optional<RequestParser> parser_;
+    bool dropsInput_ = false; // the client has been refused, or the last answer of the connection is written
+    std::size_t discarded_ = 0; // bytes that were dropped
+    ByteHold inputHold_; // of the buffer and the head that is being read
+    std::atomic<std::size_t> inputBytes_ = 0; // those of inputHold_
     ByteHold bodyHold_; // of the body that is being read
+    bool isWaiting_ = false; // it stands in ServerShared::waiting_, whose mutex guards this
+    std::list<ServerConnection*>::iterator waitingAt_; // if isWaiting_; guarded as above
     std::atomic<bool> isCutOff_ = false;
     Request head_; // of the request that is being read; its body is empty
     Phase phase_ = Phase::Head;
--- a/libs/http/src/ServerOutbox.cpp
+++ b/libs/http/src/ServerOutbox.cpp
@@ -14,20 +14,6 @@
 
     constexpr unsigned httpVersion = 11;
 
-    // Grows by an eighth instead of doubling: the byte budget counts capacities, and would be exhausted by memory that holds nothing.
-    void reserveFor(std::string& text, std::size_t bytes)
-    {
-        constexpr std::size_t smallBytes = 16 * 1024; // doubling wastes little below it
-        constexpr std::size_t growthDivisor = 8;
-        const std::size_t needed = text.size() + bytes;
-        if (needed <= text.capacity() || needed <= smallBytes)
-            return;
-        std::string larger; // std::string::reserve() at least doubles
-        larger.reserve(needed + needed / growthDivisor);
-        larger.append(text);
-        text.swap(larger);
-    }
-
     void appendPlain(std::string& out, std::string_view data)
     {
         reserveFor(out, data.size());
@@ -328,8 +314,10 @@
     if (!keepAlive || (shared_->draining_ && !hasReadMore))
         return linger();
     phase_ = Phase::Head;
+    joinWaiting();
     lastRead_ = std::chrono::steady_clock::now();
     process();
+    countInput();
     readSome();
 }
 
@@ -338,6 +326,7 @@
     if (phase_ == Phase::Closed)
         return;
     phase_ = Phase::Closed;
+    leaveWaiting();
     std::function<void()> closed;
     std::function<void()> drained;
     std::function<void()> writable;
@@ -356,6 +345,7 @@
         outbox_.hold_.resize(0);
     }
     bodyHold_ = {};
+    dropInput();
     error_code ignored;
     // An orderly close would be the end of such an answer.
     if (endsEarly)
--- a/libs/http/src/ServerRelief.cpp
+++ b/libs/http/src/ServerRelief.cpp
@@ -145,9 +145,6 @@
 
 void ServerConnection::shrinkBuffers()
 {
-    constexpr std::size_t keptBytes = 16 * 1024;
-    if (buffer_.size() == 0 && buffer_.capacity() > keptBytes)
-        buffer_.shrink_to_fit();
     clearBuffer(inFlight_);
     const std::lock_guard lock(mutex_);
     if (outbox_.pending_.empty())
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -61,6 +61,9 @@
     GaugeHandle bytesLimit_;
     GaugeHandle enginesSlow_; // slower than the median of their service
     GaugeHandle readersCutOff_; // callers that took no byte while the byte budget was exhausted, since the start
+    GaugeHandle bytesOfHeads_;
+    GaugeHandle headsRefused_; // requests whose header didn't fit into the byte budget, since the start
+    GaugeHandle connectionsEvicted_; // connections that were closed to make room for others, since the start
     GaugeHandle uploadsRefused_; // requests whose body didn't fit into the byte budget, since the start
     DistributionHandle firstEvent_; // ms from a request's arrival to the first bytes of its answer
     DistributionHandle accept_; // ms from a job submission's arrival to its acknowledgement
--- a/libs/serving/src/ServingOperator.cpp
+++ b/libs/serving/src/ServingOperator.cpp
@@ -21,6 +21,7 @@
 {
     metrics_.set(servingMetrics_.bytesForReaders_, static_cast<double>(budget_->held(http::ByteUse::Answers)));
     metrics_.set(servingMetrics_.bytesOfUploads_, static_cast<double>(budget_->held(http::ByteUse::Uploads)));
+    metrics_.set(servingMetrics_.bytesOfHeads_, static_cast<double>(budget_->held(http::ByteUse::Heads)));
     metrics_.set(servingMetrics_.bytesLimit_, static_cast<double>(budget_->limit()));
     const std::map<WorkspaceId, std::size_t> waiting = queue_->waitingByWorkspace();
     std::size_t allWaiting = 0;
@@ -33,6 +34,8 @@
         return;
     metrics_.set(servingMetrics_.readersCutOff_, static_cast<double>(callers_->readersCutOff()));
     metrics_.set(servingMetrics_.uploadsRefused_, static_cast<double>(callers_->uploadsRefused()));
+    metrics_.set(servingMetrics_.headsRefused_, static_cast<double>(callers_->headsRefused()));
+    metrics_.set(servingMetrics_.connectionsEvicted_, static_cast<double>(callers_->connectionsEvicted()));
 }
 
 void ServingNode::Parts::updateSlowEngines(TimePoint now)
@@ -65,9 +68,9 @@
         const QuotaGate::Totals& totals = quotas_->totals();
         line.with("quotaAdmitted", totals.admitted_).with("quotaRefused", totals.refused_).with("quotaAsked", totals.requested_).with("quotaReturned", totals.returned_).with("quotaUnanswered", totals.unanswered_);
     }
-    line.with("bytesForReaders", budget_->held(http::ByteUse::Answers)).with("bytesOfUploads", budget_->held(http::ByteUse::Uploads)).with("bytesLimit", budget_->limit());
+    line.with("bytesForReaders", budget_->held(http::ByteUse::Answers)).with("bytesOfUploads", budget_->held(http::ByteUse::Uploads)).with("bytesOfHeads", budget_->held(http::ByteUse::Heads)).with("bytesLimit", budget_->limit());
     if (callers_)
-        line.with("readersCutOff", callers_->readersCutOff()).with("uploadsRefused", callers_->uploadsRefused());
+        line.with("readersCutOff", callers_->readersCutOff()).with("uploadsRefused", callers_->uploadsRefused()).with("headsRefused", callers_->headsRefused()).with("connectionsEvicted", callers_->connectionsEvicted());
     for (const auto& [call, count] : store_->callCounts())
         line.with(std::string("store ").append(call), count);
 }
