Server: of too many connections those are closed that wait for a whole request for longest

What callers saw: with all connections taken by clients that send nothing, byte after byte, or bodies that never come, ordinary callers were refused with 503, 20 of 20 tries. 800 silent clients had 819 descriptors open of 700; with the limit of the system in force, all 2,200 were used, and those for engines and the store with them.

Cause: a connection was kept for as long as its time allowed, whoever else came. Connections beyond the limit were accepted, answered and kept for two seconds, each with a descriptor, so that their number had no limit. The limit followed the descriptors alone, not the memory.

Change: connections that wait for a whole request, or for their client to close, stand in a list, the longest first. Beyond the limit the first one is closed for each new one; a client sends its request as soon as it is connected, so an ordinary one is among the last. An idle connection on which a request has arrived stays, and a request that was handed on is never closed. If no connection waits, readers that are stalled are cut off and new connections are refused with an answer; with 64 beyond the limit they are closed unread, which lets a client try another host at once. All connections together get an eighth of the host's memory, at 4 KB each.

The unit test of the refusal had an idle connection in the way of the new one, which gives way now. It keeps that the refusal is typed, with a request in progress in the way, and checks besides that this one goes on.

--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -35,6 +35,7 @@
 struct ServerLimits {
     std::size_t headerBytes_ = 16 * 1024; // request line and headers together
     std::size_t bodyBytes_ = 1024 * 1024; // unless the body planner says otherwise
+    // With more, those are closed that wait for a whole request for longest. A few beyond it are refused with an answer.
     std::size_t connections_ = 4096;
     std::size_t chunkLineBytes_ = 4 * 1024; // of a chunk's size line, with its extensions
     std::size_t trailerBytes_ = 16 * 1024;
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -15,33 +15,41 @@
     using detail::tcp;
 
     constexpr std::size_t maxAcceptedAtOnce = 64; // other work of the event loop waits meanwhile
+    constexpr std::size_t maxBeyondLimit = 64; // connections beyond the limit that are being closed, or refused with an answer
     constexpr auto acceptRetry = std::chrono::milliseconds(100); // when the process is out of descriptors
 
     void acceptNext(const std::shared_ptr<ServerShared>& shared);
 
+    std::size_t connectionCount(ServerShared& shared)
+    {
+        const std::lock_guard lock(shared.mutex_);
+        return shared.connections_.size();
+    }
+
     void onAccepted(const std::shared_ptr<ServerShared>& shared, tcp::socket socket)
     {
+        const std::size_t limit = shared->settings_.limits_.connections_;
+        const std::size_t open = connectionCount(*shared);
+        const bool hasRoom = open < limit || detail::evictLongestWaiting(*shared);
+        if (open >= limit + maxBeyondLimit) {
+            detail::closeUnread(*shared, socket);
+            return;
+        }
         auto connection = std::make_shared<ServerConnection>(shared, std::move(socket));
-        bool tooMany = false;
         {
             const std::lock_guard lock(shared->mutex_);
-            tooMany = shared->connections_.size() >= shared->settings_.limits_.connections_;
             shared->connections_.emplace(connection.get(), connection);
         }
-        if (tooMany)
-            connection->refuse(Error::TooManyConnections);
-        else
-            connection->begin();
+        if (hasRoom)
+            return connection->begin();
+        detail::cutOffStalledReaders(*shared, maxBeyondLimit);
+        connection->refuse(Error::TooManyConnections);
     }
 
     void takeConnection(const std::shared_ptr<ServerShared>& shared, tcp::socket socket)
     {
-        if (shared->admits_ && !shared->admits_()) {
-            error_code ignored;
-            ++shared->unadmitted_;
-            socket.close(ignored);
-            return;
-        }
+        if (shared->admits_ && !shared->admits_())
+            return detail::closeUnread(*shared, socket);
         const auto executor = socket.get_executor();
         boost::asio::post(executor, [shared, socket = std::move(socket)]() mutable { onAccepted(shared, std::move(socket)); });
     }
@@ -165,11 +173,7 @@
     forEachConnection(*shared_, [](const std::shared_ptr<ServerConnection>& connection) { connection->drainSoon(); });
 }
 
-std::size_t Server::openConnections() const
-{
-    const std::lock_guard lock(shared_->mutex_);
-    return shared_->connections_.size();
-}
+std::size_t Server::openConnections() const { return connectionCount(*shared_); }
 
 std::size_t Server::openExchanges() const { return shared_->exchanges_; }
 
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -60,6 +60,7 @@
     std::unordered_map<const void*, std::weak_ptr<ServerConnection>> connections_;
     // Connections that wait for a whole request or for their client to close, the longest first. A connection that is being evicted isn't here.
     std::list<ServerConnection*> waiting_;
+    std::chrono::steady_clock::time_point cutOffAllowedAt_ {}; // of stalled readers, for want of connections
 };
 
 // With less room, paused engines stay paused: one piece of an engine's answer. Smaller budgets exist in tests alone.
@@ -89,6 +90,13 @@
 
 // Evicts connections that wait for the rest of a head, the longest first, until heads take half of their limit. Any thread.
 void relieveHeadsSoon(const std::shared_ptr<ServerShared>& shared);
+// Evicts the connection that waits for a whole request for longest. Returns false if none waits. Any thread.
+bool evictLongestWaiting(ServerShared& shared);
+// Closes a connection of which nothing has been read, so that its client can try another server at once.
+void closeUnread(ServerShared& shared, tcp::socket& socket);
+// Cuts off so many stalled readers at most, the longest first; does nothing if it has done so a moment ago. Any thread.
+void cutOffStalledReaders(ServerShared& shared, std::size_t count);
+
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
     ServerConnection(std::shared_ptr<ServerShared> shared, tcp::socket socket);
--- a/libs/http/src/ServerRelief.cpp
+++ b/libs/http/src/ServerRelief.cpp
@@ -86,6 +86,21 @@
         asio::post(shared->io_, [shared] { relieveBudget(shared); });
 }
 
+void cutOffStalledReaders(ServerShared& shared, std::size_t count)
+{
+    {
+        const std::lock_guard lock(shared.mutex_);
+        const auto now = SteadyClock::now();
+        if (now < shared.cutOffAllowedAt_)
+            return;
+        shared.cutOffAllowedAt_ = now + reliefPeriod;
+    }
+    std::vector<Stalled> stalled = stalledReaders(shared);
+    stalled.resize(std::min(stalled.size(), count));
+    for (const Stalled& reader : stalled)
+        reader.connection_->cutOffIfStalledSoon();
+}
+
 void relieveBudgetFor(const std::shared_ptr<ServerShared>& shared, std::size_t uploadBytes)
 {
     {
--- a/libs/http/src/ServerWaiting.cpp
+++ b/libs/http/src/ServerWaiting.cpp
@@ -1,7 +1,7 @@
-// Bounds the bytes that clients hold without sending a whole request.
+// Bounds what clients hold without sending a whole request: connections, and bytes of input.
 //
-// Connections that wait stand in one list, the longest first. When heads take too many bytes, the first ones are evicted. An ordinary client
-// sends its request as soon as it is connected, so it is among the last.
+// Connections that wait stand in one list, the longest first. When there are too many connections, or heads take too many bytes, the first
+// ones are evicted. An ordinary client sends its request as soon as it is connected, so it is among the last.
 #include "ServerConnection.h"
 
 #include <algorithm>
@@ -43,6 +43,22 @@
     });
 }
 
+bool evictLongestWaiting(ServerShared& shared)
+{
+    const std::lock_guard lock(shared.mutex_);
+    if (shared.waiting_.empty())
+        return false;
+    shared.waiting_.front()->evictSoonLocked();
+    return true;
+}
+
+void closeUnread(ServerShared& shared, tcp::socket& socket)
+{
+    error_code ignored;
+    ++shared.unadmitted_;
+    socket.close(ignored);
+}
+
 void ServerConnection::joinWaiting()
 {
     const std::lock_guard lock(shared_->mutex_);
--- a/libs/http/tests/LimitsTest.cpp
+++ b/libs/http/tests/LimitsTest.cpp
@@ -245,14 +245,18 @@
 {
     ServerLimits limits;
     limits.connections_ = 1;
-    Running running(limits, [](const std::shared_ptr<Exchange>& exchange) { exchange->respond({}); });
+    std::promise<std::shared_ptr<Exchange>> begun;
+    Running running(limits, [&begun](const std::shared_ptr<Exchange>& exchange) { begun.set_value(exchange); });
     boost::asio::io_context io;
     tcp::socket first = running.connect(io);
     boost::asio::write(first, boost::asio::buffer(plainGet));
-    std::array<char, 16> answer {};
-    CHECK(boost::asio::read(first, boost::asio::buffer(answer)) == answer.size()); // the first one is counted by now
+    const auto exchange = begun.get_future().get();
     tcp::socket second = running.connect(io);
     CHECK(readToEnd(second).find("http.TooManyConnections") != std::string::npos);
+    exchange->respond({ 200, {}, "the first one goes on" });
+    std::array<char, 12> answer {};
+    boost::asio::read(first, boost::asio::buffer(answer));
+    CHECK(std::string(answer.data(), answer.size()) == "HTTP/1.1 200");
 }
 
 // Guards against clients that wait for a crowded server although another one could serve them.
--- a/libs/http/tests/WaitingTest.cpp
+++ b/libs/http/tests/WaitingTest.cpp
@@ -176,3 +176,52 @@
     server.client("GET / HTTP/1.1\r\n" + lines(15 * kib) + "\r\n");
     CHECK(server.begun().size() == 1);
 }
+
+// Guards against requests in progress that are closed to make room.
+TEST_CASE("waiting: of too many connections those go that wait for a whole request for longest")
+{
+    ServerLimits limits;
+    limits.connections_ = 3;
+    Stepped server(limits);
+    tcp::socket& working = server.client(plainGet);
+    tcp::socket& incomplete = server.client("GET / HTTP/1.1\r\n");
+    tcp::socket& silent = server.client();
+    tcp::socket& third = server.client();
+    CHECK(Stepped::read(incomplete).isClosed_);
+    CHECK_FALSE(Stepped::read(silent).isClosed_);
+    CHECK(server.serves());
+    CHECK(Stepped::read(silent).isClosed_);
+    CHECK_FALSE(Stepped::read(third).isClosed_);
+    CHECK(Stepped::read(working).text_.starts_with("HTTP/1.1 200"));
+    CHECK(server.server().connectionsEvicted() == 2);
+}
+
+// Guards against a request that is closed unanswered because it arrives while its idle connection is evicted.
+TEST_CASE("waiting: an idle connection on which a request has arrived isn't evicted")
+{
+    ServerLimits limits;
+    limits.connections_ = 1;
+    Stepped server(limits);
+    tcp::socket& kept = server.client();
+    boost::asio::write(kept, boost::asio::buffer(plainGet)); // not read before the next connection is accepted
+    server.serves();
+    CHECK(Stepped::read(kept).text_.starts_with("HTTP/1.1 200"));
+    CHECK(server.server().connectionsEvicted() == 0);
+}
+
+// Guards against connections beyond the limit without bound, each of which is refused with an answer.
+TEST_CASE("waiting: few connections beyond the limit are open")
+{
+    ServerLimits limits;
+    limits.connections_ = 2;
+    Stepped server(limits);
+    server.client(plainGet);
+    server.client(plainGet);
+    constexpr std::size_t maxBeyondLimit = 64;
+    for (int client = 0; client < 100; ++client) {
+        server.client();
+        CHECK(server.server().openConnections() <= 2 + maxBeyondLimit);
+    }
+    for (const auto& exchange : server.begun())
+        exchange->respond({});
+}
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -48,6 +48,9 @@
     // Descriptors reserved for engines, peers, the store and files; the rest are for caller connections.
     constexpr std::size_t reservedDescriptors = 700;
     constexpr std::size_t minCallerConnections = 64;
+    // A connection takes some 3 KB beside what the byte budget counts; all of them get an eighth of the memory.
+    constexpr std::size_t connectionBytes = std::size_t { 4 } * 1024;
+    constexpr std::size_t memoryDivisor = 8;
     // Most bodies reach their engine within this time, which frees their bytes.
     constexpr Duration noSpaceRetry = 300ms;
     constexpr std::string_view zeroKey = "0000000000000000000000000000000000000000000000000000000000000000";
@@ -357,7 +360,9 @@
 
 std::size_t ServingNode::Parts::callerConnections() const
 {
-    return std::max(minCallerConnections, settings_.descriptors_ - std::min(settings_.descriptors_, reservedDescriptors));
+    const std::size_t byDescriptors = settings_.descriptors_ - std::min(settings_.descriptors_, reservedDescriptors);
+    const std::size_t byMemory = settings_.memoryBytes_ == 0 ? byDescriptors : settings_.memoryBytes_ / memoryDivisor / connectionBytes;
+    return std::max(minCallerConnections, std::min(byDescriptors, byMemory));
 }
 
 std::optional<Failure> ServingNode::Parts::openServers()
