Server: headers have the time that the configuration gives them

What callers saw: a header that isn't complete took its connection for 15 s, though the configuration gives headers 3 s.

Cause: one time for a header and its body, never below 15 s.

Change: headTime_, which the configuration sets; the time of the whole request stays. Neither time runs out while bytes wait to be read: after a pause of the process the rest of the request may be among them.

The unit test fails without it: no answer within 200 ms, 408 with it, and a body that takes longer than a header may is awaited.

--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -42,7 +42,8 @@
     std::size_t writeQueueBytes_ = 4 * 1024 * 1024; // without a byte budget, a stream's reader further behind than this is cut off
     // When the byte budget is exhausted, readers that have taken no byte for this long are cut off, those first that wait for longest.
     Duration stallTime_ = std::chrono::seconds(1);
-    Duration requestTime_ = std::chrono::seconds(15); // from a request's first byte to the end of its header or whole body
+    Duration headTime_ = std::chrono::seconds(15); // from a request's first byte to the end of its header
+    Duration requestTime_ = std::chrono::seconds(15); // from a request's first byte to the end of its whole body
     Duration idle_ = std::chrono::seconds(60); // keep-alive without a request; a client that sends no byte of a streamed body
     Duration writeTime_ = std::chrono::seconds(60); // a client that takes no byte of its answer, which can't be had again
 };
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -423,7 +423,9 @@
     const bool inMessage = phase_ == Phase::Body || (phase_ == Phase::Head && parser_);
     if (!inFlight_.empty() && now - lastWrite_ > limits.writeTime_)
         return close();
-    if (inMessage && now - requestStart_ > limits.requestTime_)
+    const Duration allowed = phase_ == Phase::Head ? std::min(limits.headTime_, limits.requestTime_) : limits.requestTime_;
+    // After a pause of the process the rest may be here.
+    if (inMessage && now - requestStart_ > allowed && !hasUnreadBytes())
         fail(Error::RequestTooSlow);
     else if (phase_ == Phase::Head && !parser_ && now - lastRead_ > limits.idle_)
         return close();
--- a/libs/http/tests/WaitingTest.cpp
+++ b/libs/http/tests/WaitingTest.cpp
@@ -225,3 +225,19 @@
     for (const auto& exchange : server.begun())
         exchange->respond({});
 }
+
+// Guards against connections that are taken for longer than a header may last.
+TEST_CASE("waiting: a header that isn't complete in its time is refused as not run, a body may last longer")
+{
+    ServerLimits limits;
+    limits.headTime_ = 30ms;
+    limits.requestTime_ = 10s;
+    limits.idle_ = 40ms; // how often times are looked at
+    Stepped server(limits);
+    tcp::socket& head = server.client("GET / HTTP/1.1\r\n");
+    tcp::socket& body = server.client("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n");
+    server.run(200ms);
+    CHECK(Stepped::read(head).text_.starts_with("HTTP/1.1 408"));
+    server.send(body, "whole");
+    CHECK(server.begun().size() == 1);
+}
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -146,7 +146,8 @@
         limits.bodyBytes_ = table->limits().bodyBytes_;
         limits.connections_ = callerConnections();
         limits.idle_ = table->limits().idle_;
-        limits.requestTime_ = std::max<Duration>(limits.requestTime_, table->limits().headerTime_);
+        limits.headTime_ = table->limits().headerTime_;
+        limits.requestTime_ = std::max<Duration>(limits.requestTime_, limits.headTime_);
         callers_->setLimits(limits);
     }
     if (fleet_)
