Serving: each connection of a caller has room for one to an engine

What was seen: 1,400 requests in progress at engines that answer late had 2,820 descriptors open of 2,200. With the system's limit in force, connections to engines fail, and the engines are held responsible.

Cause: all descriptors but 700 were for callers, and each request in progress takes two, the caller's and the engine's.

Change: half of what is beyond the reserve is for callers. The reserve is for idle connections to engines, peers, operators, the store and files.

--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -45,8 +45,9 @@
     constexpr Duration firstScanDelay = 600ms;
     // A lost transfer only delays the job, since the new owner also finds it by scanning the store.
     constexpr Duration transferTimeout = 600ms;
-    // Descriptors reserved for engines, peers, the store and files; the rest are for caller connections.
+    // Descriptors reserved for idle connections to engines, and for peers, operators, the store and files.
     constexpr std::size_t reservedDescriptors = 700;
+    constexpr std::size_t descriptorsPerRequest = 2; // the caller's connection, and one to the engine
     constexpr std::size_t minCallerConnections = 64;
     // A connection takes some 3 KB beside what the byte budget counts; all of them get an eighth of the memory.
     constexpr std::size_t connectionBytes = std::size_t { 4 } * 1024;
@@ -360,7 +361,7 @@
 
 std::size_t ServingNode::Parts::callerConnections() const
 {
-    const std::size_t byDescriptors = settings_.descriptors_ - std::min(settings_.descriptors_, reservedDescriptors);
+    const std::size_t byDescriptors = (settings_.descriptors_ - std::min(settings_.descriptors_, reservedDescriptors)) / descriptorsPerRequest;
     const std::size_t byMemory = settings_.memoryBytes_ == 0 ? byDescriptors : settings_.memoryBytes_ / memoryDivisor / connectionBytes;
     return std::max(minCallerConnections, std::min(byDescriptors, byMemory));
 }
