Server: empty lines before a request are ignored

What callers saw: 400 for a request behind one empty line. RFC 9112, 2.2 says that a server should ignore at least one.

Change: up to 16 empty lines before a request are ignored; more are refused with 400, and empty lines alone hold no input and don't keep a connection from being closed as idle.

--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -204,7 +204,7 @@
 
 bool ServerConnection::processHead()
 {
-    if (buffer_.size() == 0)
+    if (!parser_ && !skipEmptyLines())
         return false;
     if (!parser_) {
         parser_.emplace(shared_->settings_.limits_.headerBytes_, shared_->settings_.limits_.chunkLineBytes_);
@@ -309,6 +309,7 @@
 {
     leaveWaiting();
     phase_ = Phase::Handling;
+    emptyLines_ = 0;
     const std::lock_guard lock(mutex_);
     ++outbox_.turn_;
     outbox_.started_ = false;
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -196,6 +196,8 @@
     // Frees the input; what comes from now on is read and dropped.
     void dropInput();
     void discard(std::size_t bytes);
+    // Returns false if no request may begin: there is nothing but empty lines, or too many of them and the connection is refused.
+    bool skipEmptyLines();
 
     // Whether the kernel holds bytes that this process hasn't read yet.
     bool hasUnreadBytes() const;
@@ -233,6 +235,7 @@
     // its start, and the bytes that then arrive would be lost and older ones be seen twice.
     static constexpr std::size_t readBytes = 16 * 1024;
     std::optional<RequestParser> parser_;
+    std::size_t emptyLines_ = 0; // before the request that is awaited
     bool dropsInput_ = false; // the client has been refused, or the last answer of the connection is written
     std::size_t discarded_ = 0; // bytes that were dropped
     ByteHold inputHold_; // of the buffer and the head that is being read
--- a/libs/http/src/ServerOutbox.cpp
+++ b/libs/http/src/ServerOutbox.cpp
@@ -318,6 +318,8 @@
     lastRead_ = std::chrono::steady_clock::now();
     process();
     countInput();
+    if (shared_->draining_)
+        drain(); // what had been read may have been empty lines
     readSome();
 }
 
--- a/libs/http/src/ServerWaiting.cpp
+++ b/libs/http/src/ServerWaiting.cpp
@@ -149,4 +149,18 @@
     readSome();
 }
 
+bool ServerConnection::skipEmptyLines()
+{
+    constexpr std::string_view emptyLine = "\r\n";
+    constexpr std::size_t maxEmptyLines = 16; // RFC 9112, 2.2, wants at least one to be ignored
+    const auto text = [this] { return std::string_view(static_cast<const char*>(buffer_.data().data()), buffer_.size()); };
+    for (; text().starts_with(emptyLine); buffer_.consume(emptyLine.size())) {
+        if (++emptyLines_ > maxEmptyLines) {
+            fail(Error::Malformed);
+            return false;
+        }
+    }
+    return !emptyLine.starts_with(text());
+}
+
 } // namespace jj::http::detail
--- a/libs/http/tests/WaitingTest.cpp
+++ b/libs/http/tests/WaitingTest.cpp
@@ -241,3 +241,17 @@
     server.send(body, "whole");
     CHECK(server.begun().size() == 1);
 }
+
+// Guards against a caller whose request is refused because an empty line stands before it (RFC 9112, 2.2).
+TEST_CASE("waiting: empty lines before a request are ignored, but not without end")
+{
+    Stepped server(ServerLimits {});
+    tcp::socket& split = server.client("\r");
+    server.send(split, "\n\r\n" + plainGet);
+    CHECK(server.begun().size() == 1);
+    std::string many;
+    for (int line = 0; line < 17; ++line)
+        many += "\r\n";
+    CHECK(Stepped::read(server.client(many)).text_.starts_with("HTTP/1.1 400"));
+    CHECK(Stepped::read(server.client("\n" + plainGet)).text_.starts_with("HTTP/1.1 400"));
+}
