Server: a client that leaves behind requests that aren't read yet is noticed

What was seen: a client that had sent 16 KB ahead of its answer and left kept its connection, and its request an engine's slot, until the request ended.

Cause: reading stops when the buffer is full, and the end of the connection stands behind the bytes that aren't read.

Change: when times are looked at, the state of the connection is asked for if nothing is being read.

The unit test fails without it: the exchange stays open.

--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <netinet/tcp.h>
 
 namespace jj::http::detail {
 
@@ -107,6 +108,13 @@
     return socket_.available(error) > 0 && !error;
 }
 
+bool ServerConnection::hasClientClosed()
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    return ::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_state != TCP_ESTABLISHED;
+}
+
 void ServerConnection::drainSoon()
 {
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->drain(); });
@@ -424,6 +432,9 @@
     const bool inMessage = phase_ == Phase::Body || (phase_ == Phase::Head && parser_);
     if (!inFlight_.empty() && now - lastWrite_ > limits.writeTime_)
         return close();
+    // What the client has sent ahead fills the buffer, so that its end isn't read.
+    if (phase_ == Phase::Handling && !reading_ && hasClientClosed())
+        return close();
     const Duration allowed = phase_ == Phase::Head ? std::min(limits.headTime_, limits.requestTime_) : limits.requestTime_;
     // After a pause of the process the rest may be here.
     if (inMessage && now - requestStart_ > allowed && !hasUnreadBytes())
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -201,6 +201,8 @@
 
     // Whether the kernel holds bytes that this process hasn't read yet.
     bool hasUnreadBytes() const;
+    // Whether the client has closed its side, also if bytes before that wait to be read.
+    bool hasClientClosed();
     // Returns how much may be read before the handler or the parser takes it.
     std::size_t bufferLimit() const;
     // Returns whether what comes is part of the next request.
--- a/libs/http/tests/WaitingTest.cpp
+++ b/libs/http/tests/WaitingTest.cpp
@@ -226,6 +226,25 @@
         exchange->respond({});
 }
 
+// Guards against connections that stay taken by clients that have left, because nothing more is read from them.
+TEST_CASE("waiting: a client that has sent many requests ahead and leaves is noticed")
+{
+    ServerLimits limits;
+    limits.idle_ = 40ms; // how often times are looked at
+    Stepped server(limits);
+    std::string pages;
+    while (pages.size() < 64 * kib)
+        pages += plainGet;
+    tcp::socket& socket = server.client(pages);
+    REQUIRE(server.begun().size() == 1);
+    socket.close();
+    server.run(200ms);
+    CHECK(server.server().openExchanges() == 0);
+    server.begun().clear();
+    server.run();
+    CHECK(server.server().openConnections() == 0);
+}
+
 // Guards against connections that are taken for longer than a header may last.
 TEST_CASE("waiting: a header that isn't complete in its time is refused as not run, a body may last longer")
 {
