Serving: limits of the addresses for readiness, operators and peers

What was seen: 1,200 silent connections to the address for readiness checks had 1,219 descriptors open of 1,000; the addresses for metrics and peers were the same.

Cause: these servers had the library's limits, 4,096 connections each and no byte budget.

Change: 64 connections each for readiness and operators, heads and bodies of 16 KB, and a byte budget of their own, so that a host which is pressed by callers still tells whether it is ready. Peers get an eighth of the descriptors, 64 at least, and heads of 4 KB, as on the sending side.

--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -22,6 +22,7 @@
     constexpr std::uint32_t maxLoggedChanges = 20;
     constexpr Duration changeLogPeriod = 1s;
     constexpr std::size_t maxCallBytes = 16 * 1024 * 1024;
+    constexpr std::size_t maxHeadBytes = 4096;
     constexpr std::string_view callPath = "/peer";
 
     Udp::endpoint toUdpEndpoint(const PeerAddress& address) { return { boost::asio::ip::address_v4(address.ip_), address.port_ }; }
@@ -105,7 +106,7 @@
         : membership_(io, [&fleet](std::string_view bytes) { fleet.onMembershipDatagram(bytes); })
         , reports_(io, [&fleet](std::string_view bytes) { fleet.onReportDatagram(bytes); })
         , codec_(fleet.options_.key_, fleet.self_)
-        , client_(io, { .connectTime_ = 300ms, .pooledIdle_ = 20s, .pooledPerEndpoint_ = 8, .headerBytes_ = 4096, .bodyBytes_ = maxCallBytes })
+        , client_(io, { .connectTime_ = 300ms, .pooledIdle_ = 20s, .pooledPerEndpoint_ = 8, .headerBytes_ = maxHeadBytes, .bodyBytes_ = maxCallBytes })
     {
     }
 
@@ -146,7 +147,9 @@
         return BaseError::Closed;
     http::ServerSettings server;
     server.listen_ = toEndpoint(options_.at_);
+    server.limits_.headerBytes_ = maxHeadBytes;
     server.limits_.bodyBytes_ = maxCallBytes;
+    server.limits_.connections_ = options_.connections_;
     server.limits_.idle_ = 60s;
     const auto onCall = [this](const std::shared_ptr<http::Exchange>& exchange) {
         auto call = decodeCall(options_.key_, exchange->request().body_);
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -33,6 +33,7 @@
     WireKey key_;
     Incarnation incarnation_;
     MembershipSettings membership_;
+    std::size_t connections_ = 512; // of other nodes at once; beyond it, those are closed that have been idle for longest
 };
 
 struct FleetHandlers {
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -52,6 +52,11 @@
     // A connection takes some 3 KB beside what the byte budget counts; all of them get an eighth of the memory.
     constexpr std::size_t connectionBytes = std::size_t { 4 } * 1024;
     constexpr std::size_t memoryDivisor = 8;
+    // Of the addresses for readiness checks and for operators, which are asked by few.
+    constexpr std::size_t operatorConnections = 64;
+    constexpr std::size_t operatorBufferBytes = std::size_t { 2 } * 1024 * 1024;
+    constexpr std::size_t operatorRequestBytes = std::size_t { 16 } * 1024;
+    constexpr std::size_t peerConnectionsDivisor = 8; // of the descriptors
     // Most bodies reach their engine within this time, which frees their bytes.
     constexpr Duration noSpaceRetry = 300ms;
     constexpr std::string_view zeroKey = "0000000000000000000000000000000000000000000000000000000000000000";
@@ -69,6 +74,18 @@
         return http::ByteBudget::create(settings).value(); // the limit is never below the shares, see ServingSettings::bufferBytes()
     }
 
+    // These addresses have a budget of their own, so that a host that is pressed by callers still tells whether it is ready.
+    http::ServerSettings operatorServer(const Endpoint& listen, const std::shared_ptr<http::ByteBudget>& budget)
+    {
+        http::ServerSettings server;
+        server.listen_ = listen;
+        server.limits_.connections_ = operatorConnections;
+        server.limits_.headerBytes_ = operatorRequestBytes;
+        server.limits_.bodyBytes_ = operatorRequestBytes;
+        server.budget_ = budget;
+        return server;
+    }
+
     std::string readWord(const std::string& path)
     {
         std::ifstream file(path);
@@ -175,6 +192,7 @@
 std::optional<Failure> ServingNode::Parts::openFleet()
 {
     FleetOptions options;
+    options.connections_ = std::max(operatorConnections, settings_.descriptors_ / peerConnectionsDivisor);
     const auto at = PeerAddress::parse(toString(settings_.peers_));
     if (!at)
         return Failure { ServingError::PeersListenFailed, toString(settings_.peers_) };
@@ -385,18 +403,15 @@
         callers_ = std::move(opened.value());
         callers_->setAdmission([this] { return admitsConnection(); });
     }
+    const auto operatorBudget = makeBudget(operatorBufferBytes);
     if (settings_.ready_) {
-        http::ServerSettings server;
-        server.listen_ = *settings_.ready_;
-        auto opened = http::Server::create(io_, server, [this](const std::shared_ptr<http::Exchange>& exchange) { exchange->respond({ isReady() ? 200 : 503, {}, {} }); });
+        auto opened = http::Server::create(io_, operatorServer(*settings_.ready_, operatorBudget), [this](const std::shared_ptr<http::Exchange>& exchange) { exchange->respond({ isReady() ? 200 : 503, {}, {} }); });
         if (!opened)
             return Failure { ServingError::ReadyListenFailed, toString(*settings_.ready_) };
         ready_ = std::move(opened.value());
     }
     if (settings_.metrics_) {
-        http::ServerSettings server;
-        server.listen_ = *settings_.metrics_;
-        auto opened = http::Server::create(io_, server, [this](const std::shared_ptr<http::Exchange>& exchange) { onOperatorRequest(exchange); });
+        auto opened = http::Server::create(io_, operatorServer(*settings_.metrics_, operatorBudget), [this](const std::shared_ptr<http::Exchange>& exchange) { onOperatorRequest(exchange); });
         if (!opened)
             return Failure { ServingError::MetricsListenFailed, toString(*settings_.metrics_) };
         metricsServer_ = std::move(opened.value());
