Server: a connection counts twice only while a request is in progress on it

Change: the limit is again what is beyond the reserve; a connection with a request in progress counts as two. When a request begins beyond the limit, the connection that waits for longest is closed, as for a new connection.

--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -37,6 +37,7 @@
     std::size_t bodyBytes_ = 1024 * 1024; // unless the body planner says otherwise
     // With more, those are closed that wait for a whole request for longest. A few beyond it are refused with an answer.
     std::size_t connections_ = 4096;
+    std::size_t connectionsPerRequest_ = 1; // that one with a request in progress counts as: 2 if the handler opens another one for it
     std::size_t chunkLineBytes_ = 4 * 1024; // of a chunk's size line, with its extensions
     std::size_t trailerBytes_ = 16 * 1024;
     std::size_t writeQueueBytes_ = 4 * 1024 * 1024; // without a byte budget, a stream's reader further behind than this is cut off
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -20,18 +20,12 @@
 
     void acceptNext(const std::shared_ptr<ServerShared>& shared);
 
-    std::size_t connectionCount(ServerShared& shared)
-    {
-        const std::lock_guard lock(shared.mutex_);
-        return shared.connections_.size();
-    }
-
     void onAccepted(const std::shared_ptr<ServerShared>& shared, tcp::socket socket)
     {
         const std::size_t limit = shared->settings_.limits_.connections_;
-        const std::size_t open = connectionCount(*shared);
-        const bool hasRoom = open < limit || detail::evictLongestWaiting(*shared);
-        if (open >= limit + maxBeyondLimit) {
+        const std::size_t taken = detail::takenConnections(*shared);
+        const bool hasRoom = taken < limit || detail::evictLongestWaiting(*shared);
+        if (taken >= limit + maxBeyondLimit) {
             detail::closeUnread(*shared, socket);
             return;
         }
@@ -173,7 +167,11 @@
     forEachConnection(*shared_, [](const std::shared_ptr<ServerConnection>& connection) { connection->drainSoon(); });
 }
 
-std::size_t Server::openConnections() const { return connectionCount(*shared_); }
+std::size_t Server::openConnections() const
+{
+    const std::lock_guard lock(shared_->mutex_);
+    return shared_->connections_.size();
+}
 
 std::size_t Server::openExchanges() const { return shared_->exchanges_; }
 
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -329,6 +329,9 @@
 void ServerConnection::handle(bool streamed)
 {
     beginTurn(parser_->keep_alive());
+    const ServerLimits& limits = shared_->settings_.limits_;
+    if (limits.connectionsPerRequest_ > 1 && takenConnections(*shared_) > limits.connections_)
+        evictLongestWaiting(*shared_);
     RequestHolds holds { {}, std::exchange(bodyHold_, {}) };
     if (shared_->settings_.budget_)
         holds.head_ = shared_->settings_.budget_->hold(ByteUse::Heads);
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -90,6 +90,8 @@
 
 // Evicts connections that wait for the rest of a head, the longest first, until heads take half of their limit. Any thread.
 void relieveHeadsSoon(const std::shared_ptr<ServerShared>& shared);
+// Returns how many connections are taken, in the measure of ServerLimits::connections_. Any thread.
+std::size_t takenConnections(ServerShared& shared);
 // Evicts the connection that waits for a whole request for longest. Returns false if none waits. Any thread.
 bool evictLongestWaiting(ServerShared& shared);
 // Closes a connection of which nothing has been read, so that its client can try another server at once.
--- a/libs/http/src/ServerWaiting.cpp
+++ b/libs/http/src/ServerWaiting.cpp
@@ -43,6 +43,12 @@
     });
 }
 
+std::size_t takenConnections(ServerShared& shared)
+{
+    const std::lock_guard lock(shared.mutex_);
+    return shared.connections_.size() + (shared.settings_.limits_.connectionsPerRequest_ - 1) * shared.exchanges_;
+}
+
 bool evictLongestWaiting(ServerShared& shared)
 {
     const std::lock_guard lock(shared.mutex_);
--- a/libs/http/tests/WaitingTest.cpp
+++ b/libs/http/tests/WaitingTest.cpp
@@ -196,6 +196,31 @@
     CHECK(server.server().connectionsEvicted() == 2);
 }
 
+// Guards against requests in progress that leave no descriptors for what their handlers open.
+TEST_CASE("waiting: a connection with a request in progress counts as many as its handler needs")
+{
+    ServerLimits limits;
+    limits.connections_ = 4;
+    limits.connectionsPerRequest_ = 2;
+    Stepped server(limits);
+    tcp::socket& first = server.client();
+    tcp::socket& second = server.client();
+    tcp::socket& third = server.client();
+    tcp::socket& fourth = server.client();
+    CHECK_FALSE(Stepped::read(first).isClosed_);
+    server.send(fourth, plainGet);
+    CHECK(Stepped::read(first).isClosed_);
+    CHECK_FALSE(Stepped::read(second).isClosed_);
+    server.send(third, plainGet);
+    CHECK(Stepped::read(second).isClosed_);
+    CHECK(server.server().openConnections() == 2);
+    for (const auto& exchange : server.begun())
+        exchange->respond({ 200, {}, {} });
+    server.run();
+    CHECK(Stepped::read(third).text_.starts_with("HTTP/1.1 200"));
+    CHECK(Stepped::read(fourth).text_.starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a request that is closed unanswered because it arrives while its idle connection is evicted.
 TEST_CASE("waiting: an idle connection on which a request has arrived isn't evicted")
 {
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -47,7 +47,6 @@
     constexpr Duration transferTimeout = 600ms;
     // Descriptors reserved for idle connections to engines, and for peers, operators, the store and files.
     constexpr std::size_t reservedDescriptors = 700;
-    constexpr std::size_t descriptorsPerRequest = 2; // the caller's connection, and one to the engine
     constexpr std::size_t minCallerConnections = 64;
     // A connection takes some 3 KB beside what the byte budget counts; all of them get an eighth of the memory.
     constexpr std::size_t connectionBytes = std::size_t { 4 } * 1024;
@@ -379,7 +378,7 @@
 
 std::size_t ServingNode::Parts::callerConnections() const
 {
-    const std::size_t byDescriptors = (settings_.descriptors_ - std::min(settings_.descriptors_, reservedDescriptors)) / descriptorsPerRequest;
+    const std::size_t byDescriptors = settings_.descriptors_ - std::min(settings_.descriptors_, reservedDescriptors);
     const std::size_t byMemory = settings_.memoryBytes_ == 0 ? byDescriptors : settings_.memoryBytes_ / memoryDivisor / connectionBytes;
     return std::max(minCallerConnections, std::min(byDescriptors, byMemory));
 }
@@ -391,6 +390,7 @@
         server.listen_ = *settings_.callers_;
         server.limits_.headerBytes_ = 64 * 1024;
         server.limits_.connections_ = callerConnections();
+        server.limits_.connectionsPerRequest_ = connectionsPerRequest;
         server.budget_ = budget_;
         server.formatRefusal_ = [this](http::Error) {
             return refusalResponse(translation_, 503, "host.NoBufferSpace", "the host holds too many bytes for slow peers; the request has not run", RunState::NotRun, noSpaceRetry);
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -39,7 +39,9 @@
     std::optional<Failure> openFleet();
     std::optional<Failure> openServers();
     // Returns the maximum number of caller connections. The other descriptors are for engines, peers, the store and files.
+    // Returns how many connections callers may have; one with a request in progress counts as connectionsPerRequest.
     std::size_t callerConnections() const;
+    static constexpr std::size_t connectionsPerRequest = 2; // the caller's, and one to the engine
     void buildStore();
     void buildScheduler();
     void buildSpool();
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -145,6 +145,7 @@
         limits.headerBytes_ = std::max(table->limits().headerBytes_ * 2, limits.headerBytes_);
         limits.bodyBytes_ = table->limits().bodyBytes_;
         limits.connections_ = callerConnections();
+        limits.connectionsPerRequest_ = connectionsPerRequest;
         limits.idle_ = table->limits().idle_;
         limits.headTime_ = table->limits().headerTime_;
         limits.requestTime_ = std::max<Duration>(limits.requestTime_, limits.headTime_);
