--- a/libs/http/include/http/Message.h
+++ b/libs/http/include/http/Message.h
@@ -30,7 +30,7 @@
 public:
     class Iterator {
     public:
-        using iterator_category = std::input_iterator_tag; // NOLINT(readability-identifier-naming): the names that std::iterator_traits asks for
+        using iterator_category = std::input_iterator_tag; // NOLINT(readability-identifier-naming): names of std::iterator_traits
         using value_type = HeaderView; // NOLINT(readability-identifier-naming)
         using difference_type = std::ptrdiff_t; // NOLINT(readability-identifier-naming)
         using pointer = const HeaderView*; // NOLINT(readability-identifier-naming)
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -128,7 +128,7 @@
 // A pipelining or uploading client waits beyond it. Requests that are read ahead take no more than half of what heads may take.
 std::size_t ServerConnection::bufferLimit() const
 {
-    constexpr std::size_t minReadAhead = 1024; // tells whether the client has left
+    constexpr std::size_t minReadAhead = 1024; // enough to see that the client has left
     const ServerLimits& limits = shared_->settings_.limits_;
     const ByteBudget* budget = shared_->settings_.budget_.get();
     if (dropsInput_)
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -73,7 +73,7 @@
         return http::ByteBudget::create(settings).value(); // the limit is never below the shares, see ServingSettings::bufferBytes()
     }
 
-    // These addresses have a budget of their own, so that a host that is pressed by callers still tells whether it is ready.
+    // These addresses have a budget of their own, so that readiness is answered also while callers exhaust theirs.
     http::ServerSettings operatorServer(const Endpoint& listen, const std::shared_ptr<http::ByteBudget>& budget)
     {
         http::ServerSettings server;
