--- a/libs/http/include/http/Message.h
+++ b/libs/http/include/http/Message.h
@@ -72,7 +72,7 @@
 
 private:
     // For each header the size of its name, the size of its value, the name and the value. A size is written in groups of seven bits, the
-    // lowest first, each in a byte whose highest bit says that another one follows.
+    // lowest first, each in a byte whose highest bit is set if another one follows.
     std::string records_;
     std::size_t count_ = 0;
 };
