--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -109,6 +109,7 @@
     TimePoint due_ {};
     WallTime acceptedAt_ {}; // of the job
     std::size_t textBytes_ = 0; // of the events received in earlier runs
+    Duration confirmedAgo_ {}; // since the query that last confirmed that this node owns the job
 };
 
 // Whether an item can finish before it is due, estimated from the duration of recent runs.
@@ -195,6 +196,8 @@
     ItemRestarted, // its text was discarded, because no engine of the software version that wrote it serves
     JobDone,
     JobCancelled,
+    CancelMarkFound, // of a job that this node has in memory
+    CancelMarkRemoved,
     JobVoid,
     HandedOver,
     Removed,
@@ -209,6 +212,8 @@
     // Listed: number of results so far. For other kinds see where the event is reported.
     std::uint64_t count_ = 0;
     std::error_code error_;
+    ObjectVersion version_ = ObjectVersion::none(); // of the job's head, as this node knows it; none: it has no job, or the event isn't about the head
+    NodeId owner_ = NodeId::none(); // that the head names, if there is a version
 };
 
 struct SchedulerOutlets {
@@ -327,6 +332,8 @@
 
     Job* findOwnedJob(const JobName& name);
     void note(SchedulerNote note, std::string_view job, std::string_view item = {}, std::uint64_t count = 0, std::error_code error = {}) const;
+    // Reports an event of the job's head.
+    void noteHead(SchedulerNote note, std::string_view job, const JobHead& head, ObjectVersion version, std::uint64_t count = 0) const;
     void store(ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) { outlets_.store_(std::move(call), callClass, until, std::move(done)); }
     TimePoint dueAt(const JobHead& head, TimePoint now, WallTime wall) const;
 
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -9,7 +9,7 @@
 
 std::string_view toString(SchedulerNote note)
 {
-    static constexpr std::string_view names[] = { "jobAdopted", "jobLoaded", "jobTakenOver", "jobLost", "resultsListed", "pageConflict", "itemErrored", "itemTextRefused", "itemFailed", "itemRetried", "itemRestarted", "jobDone", "jobEnded", "jobVoid", "jobHandedOver", "jobRemoved", "jobStoreFailed" };
+    static constexpr std::string_view names[] = { "jobAdopted", "jobLoaded", "jobTakenOver", "jobLost", "resultsListed", "pageConflict", "itemErrored", "itemTextRefused", "itemFailed", "itemRetried", "itemRestarted", "jobDone", "jobEnded", "jobEndMarked", "jobEndMarkRemoved", "jobVoid", "jobHandedOver", "jobRemoved", "jobStoreFailed" };
     return names[static_cast<std::size_t>(note)];
 }
 
@@ -32,6 +32,14 @@
     outlets_.note_({ note, job, item, count, error });
 }
 
+void JobScheduler::noteHead(SchedulerNote note, std::string_view job, const JobHead& head, ObjectVersion version, std::uint64_t count) const
+{
+    SchedulerEvent event { note, job, {}, count, {} };
+    event.version_ = version;
+    event.owner_ = head.owner_;
+    outlets_.note_(event);
+}
+
 // Limits the time left to the job's run target: if the wall clock was set back, the job would otherwise be due in the far future.
 TimePoint JobScheduler::dueAt(const JobHead& head, TimePoint now, WallTime wall) const
 {
--- a/libs/ledger/src/SchedulerLoading.cpp
+++ b/libs/ledger/src/SchedulerLoading.cpp
@@ -44,7 +44,7 @@
         job->items_.back().item_ = std::move(item);
     }
     jobs_[job->name_] = job;
-    note(SchedulerNote::Adopted, job->name_, {}, job->head_.total_);
+    noteHead(SchedulerNote::Adopted, job->name_, job->head_, job->headVersion_, job->head_.total_);
     if (!job->isHeadRead_)
         return loadHead(job, now);
     // A newly accepted job has no results yet, so there is nothing to read. The head doesn't tell whether a job is new: its owner may have
@@ -227,7 +227,7 @@
     }
     job->progress_.clear();
     giveUpRejected(job, now);
-    note(SchedulerNote::Loaded, job->name_, {}, job->listed_.size());
+    noteHead(SchedulerNote::Loaded, job->name_, job->head_, job->headVersion_, job->listed_.size());
     completeIfDone(job, now);
     answerReaders(job);
 }
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -297,7 +297,7 @@
         job->pending_.clear();
         job->items_.clear();
         job->byId_.clear();
-        note(SchedulerNote::JobCancelled, job->name_, {}, job->listed_.size());
+        noteHead(SchedulerNote::JobCancelled, job->name_, job->head_, job->headVersion_, job->listed_.size());
         job->isCancelMarkDue_ = job->isTakenOver_;
         if (!job->isCancelMarkDue_)
             return answerCancelRequests(job, { ReadOutcome::Found, outlets_.self_ });
@@ -354,10 +354,15 @@
     // The mark of a job that no node has in memory is of no use. It is removed by the node that would own the job.
     if (found == jobs_.end() && outlets_.preferredOwner_(name, outlets_.self_) != outlets_.self_)
         return;
-    const auto clear = [this, name](bool, TimePoint at) { store(ObjectCall::remove(cancelMarkKey(name)), CallClass::Background, at + settings_.backgroundTimeout_, [](const SettledAnswer&, TimePoint) {}); };
+    const auto clear = [this, name](bool, TimePoint at) {
+        const Job* job = findOwnedJob(name);
+        job ? noteHead(SchedulerNote::CancelMarkRemoved, name, job->head_, job->headVersion_) : note(SchedulerNote::CancelMarkRemoved, name);
+        store(ObjectCall::remove(cancelMarkKey(name)), CallClass::Background, at + settings_.backgroundTimeout_, [](const SettledAnswer&, TimePoint) {});
+    };
     if (found == jobs_.end())
         return clear(true, now);
     // The head was cancelled before the mark was written, so nothing of the job runs until the head has been read.
+    noteHead(SchedulerNote::CancelMarkFound, name, found->second->head_, found->second->headVersion_);
     found->second->isMarkedCancelled_ = true;
     stopRuns(found->second, true);
     refresh(found->second, now, [job = found->second, clear](bool isOwner, TimePoint at) {
@@ -377,9 +382,9 @@
         if (head.state_ != JobState::Open)
             return done({ ReadOutcome::Found, head.owner_ });
         head.state_ = JobState::Cancelled;
-        store(ObjectCall::update(headKey(name), encode(head), version), CallClass::Accept, until, [this, name, until, done](const SettledAnswer& answer, TimePoint later) {
+        store(ObjectCall::update(headKey(name), encode(head), version), CallClass::Accept, until, [this, name, head, until, done](const SettledAnswer& answer, TimePoint later) {
             if (answer.ok()) {
-                note(SchedulerNote::JobCancelled, name);
+                noteHead(SchedulerNote::JobCancelled, name, head, answer.answer_.version_);
                 return writeCancelMark(name, until, done);
             }
             if (answer.is(ObjectError::Conflict) && later < until)
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -153,6 +153,7 @@
     if (item.events_ > 0)
         run.resumeAfter_ = item.lastEvent_;
     run.textBytes_ = item.text_.size();
+    run.confirmedAgo_ = now - chosen->confirmedAt_;
     return run;
 }
 
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -165,7 +165,7 @@
     request.headers_.add(names.expectInstance_, entry->name_);
     if (item.resumeAfter_)
         request.headers_.add(names.resumeAfter_, std::to_string(*item.resumeAfter_));
-    context_.log_.line("itemSent").with("request", item.item_).with("job", item.job_).with("engine", entry->name_).with("software", entry->softwareVersion_.name()).with("resumeAfter", item.resumeAfter_ ? static_cast<std::int64_t>(*item.resumeAfter_) : -1).with("dueInMs", item.due_ - run->sentAt_);
+    context_.log_.line("itemSent").with("request", item.item_).with("job", item.job_).with("engine", entry->name_).with("software", entry->softwareVersion_.name()).with("resumeAfter", item.resumeAfter_ ? static_cast<std::int64_t>(*item.resumeAfter_) : -1).with("dueInMs", item.due_ - run->sentAt_).with("confirmedAgoMs", item.confirmedAgo_);
     http::CallOptions options;
     options.idle_ = settings_.silenceLimit_;
     options.echoName_ = names.attemptId_;
--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -265,16 +265,18 @@
     }
     if (outcome == ReadOutcome::Found && !wasLocal)
         rememberOwner(job, pending->nextNode_);
-    respond(*pending, outcome, reply);
+    respond(*pending, outcome, wasLocal, reply);
 }
 
-void JobFront::respond(const PendingCall& pending, ReadOutcome outcome, const PeerReply& reply)
+void JobFront::respond(const PendingCall& pending, ReadOutcome outcome, bool wasLocal, const PeerReply& reply)
 {
     http::Exchange& exchange = *pending.exchange_;
     const int status = statusOf(outcome);
     const bool isUnsure = status == 503;
     if (outcome != ReadOutcome::Found)
         context_.log_.line("jobCallFailed").with("job", jobOf(pending.call_)).with("call", nameOf(pending.call_)).with("outcome", isUnsure ? "unsure" : "missing").with("hops", pending.hops_).with("afterMs", context_.now() - pending.startedAt_);
+    if (outcome == ReadOutcome::Found && std::holds_alternative<JobCancelRequest>(pending.call_))
+        context_.log_.line("jobEndAcknowledged").with("job", jobOf(pending.call_)).with("by", wasLocal ? "thisHost" : "owner").with("owner", wasLocal ? std::get<CancelAnswer>(reply).owner_.value() : pending.nextNode_.value()).with("hops", pending.hops_).with("afterMs", context_.now() - pending.startedAt_);
     if (isUnsure)
         return exchange.respond(refusalResponse(context_.translation_, status, "job.Unsure", "neither the job's owner nor the store can be asked now", RunState::NotRun, retryAfter));
     if (outcome == ReadOutcome::Missing)
--- a/libs/serving/src/JobFront.h
+++ b/libs/serving/src/JobFront.h
@@ -37,7 +37,8 @@
     // Answers from this node. `bypassOwner`: reads the store, whichever node owns the job.
     void answerLocally(const PendingCallPtr& pending, bool bypassOwner);
     void onReply(const PendingCallPtr& pending, ReadOutcome outcome, NodeId owner, bool wasLocal, const PeerReply& reply);
-    void respond(const PendingCall& pending, ReadOutcome outcome, const PeerReply& reply);
+    // `wasLocal`: the answer is this node's own.
+    void respond(const PendingCall& pending, ReadOutcome outcome, bool wasLocal, const PeerReply& reply);
     // Returns the last known owner if it is alive, else the preferred one.
     NodeId ownerOf(const JobName& job) const;
     void rememberOwner(const JobName& job, NodeId owner);
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -308,6 +308,8 @@
         line.with("job", event.job_).with("count", event.count_);
         if (!event.item_.empty())
             line.with("request", event.item_);
+        if (!event.version_.isNone())
+            line.with("version", event.version_.value()).with("owner", event.owner_.value());
         if (event.error_)
             line.with("error", event.error_.message());
     };
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -357,9 +357,7 @@
         return;
     if (key.starts_with(translation_.keys_.retirements_))
         return retirement_->onOrderFound(key);
-    const JobName job(jobOfCancelMark(key));
-    log_.line("endMarked").with("job", job);
-    scheduler_->handleCancelMark(job, now);
+    scheduler_->handleCancelMark(JobName(jobOfCancelMark(key)), now);
 }
 
 void ServingNode::Parts::onPeerCall(PeerCall call, const std::function<void(PeerReply)>& reply)
