--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -268,6 +268,17 @@
         return NodeId::none();
     }
 
+    // Starts the next item once the store has confirmed that its job is open.
+    std::optional<ItemRun> startNext(std::size_t index, bool onlyUrgent = false)
+    {
+        constexpr Duration confirmationTime = 100ms;
+        for (const TimePoint end = now_ + confirmationTime; now_ < end; advance(step)) {
+            if (auto run = scheduler(index).startNext("s", now_, SoftwareVersion().id(), onlyUrgent))
+                return run;
+        }
+        return std::nullopt;
+    }
+
     ReadAnswer read(std::size_t index, const JobName& job, std::uint32_t after = 0, Duration wait = {}, bool force = false)
     {
         std::optional<ReadAnswer> got;
@@ -321,6 +332,7 @@
     std::optional<std::string> service_ = "s";
     std::set<SoftwareVersionId> versionsServing_ { SoftwareVersion().id() };
     std::vector<std::string> starts_; // the item of each run that was started, in order
+    std::function<void(const ItemRun&)> onStart_ = [](const ItemRun&) {};
     std::map<JobName, std::string> workspaces_; // of jobs that have one
     std::map<std::string, double> usages_; // of workspaces
     std::size_t slots_ = 4; // maximum number of concurrent runs per host
@@ -465,6 +477,7 @@
             if (!run)
                 break;
             starts_.push_back(run->item_);
+            onStart_(*run);
             host.stepCounts_[run->id_] = 0;
             host.runs_.push_back(std::move(*run));
         }
