Jobs: a cancellation mark is removed by the job's owner alone

Cause: a worker without the job that took itself for its preferred owner removed the mark. One that has just started knows no other host, so after a start of everything each of them did; and an owner removed it also when its own read of the head had failed.

Change: only an owner that has read the head as cancelled removes the mark, and not one that has taken the job over, as the mark may be meant for a former owner; otherwise it goes with the job's other objects. Hosts without the job do nothing. The class: a message to one host that is consumed by whoever sees it first.

'late starts: a mark stays until the job's former owner has seen it' was added with the change and wasn't run without it.

--- a/libs/ledger/include/ledger/Records.h
+++ b/libs/ledger/include/ledger/Records.h
@@ -2,7 +2,8 @@
 //
 //   jobs/ID             head: the number of items, the owner, the state. Updated only if its version is unchanged.
 //   job-items/ID.P      page P of the items. Written once, when the job is accepted.
-//   job-ends/ID         mark: the job was cancelled bypassing its owner. The owner then reads the head again and removes the mark.
+//   job-ends/ID         mark: the job was cancelled bypassing its owner. The owner then stops its runs, reads the head and removes the mark.
+//                       A mark that no owner has seen is removed with the head.
 //   job-results/ID.K    page K of the results. Created only if absent, never changed. An empty page marks a change of the owner.
 //
 // A job is accepted when its head and all its item pages exist. The order of the result pages defines the positions of the results. A node
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -186,6 +186,8 @@
         store(ObjectCall::remove(resultPageKey(job->name_, page)), CallClass::Background, now + settings_.backgroundTimeout_, ignore);
     for (std::uint32_t page = 0; page < job->head_.itemPages_; ++page)
         store(ObjectCall::remove(itemPageKey(job->name_, page)), CallClass::Background, now + settings_.backgroundTimeout_, ignore);
+    if (job->head_.state_ == JobState::Cancelled)
+        store(ObjectCall::remove(cancelMarkKey(job->name_)), CallClass::Background, now + settings_.backgroundTimeout_, ignore);
     store(ObjectCall::remove(headKey(job->name_)), CallClass::Background, now + settings_.backgroundTimeout_, ignore);
     note(SchedulerNote::Removed, job->name_);
     drop(job->name_);
--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -337,9 +337,9 @@
 }
 
 // Writes a mark that the owner watches for, before a cancellation that bypasses it is acknowledged. The owner may be unreachable from this
-// node, or may have been considered dead and replaced, while it is alive and reaches the engines. Without the mark it would go on starting
-// items of the cancelled job until it next lists the heads, which may take 4 s and may return a stale list. Such cancellations are rare, so
-// the watch costs one call every 15 s.
+// node, or may have been considered dead and replaced, while it is alive and reaches the engines. It starts no more items once its last
+// confirmation has expired, but without the mark its runs would go on until it next lists the heads, which may take 4 s and may return a
+// stale list. Such cancellations are rare, so the watch costs one call every 15 s.
 void JobScheduler::writeCancelMark(const JobName& name, TimePoint until, const CancelDone& done)
 {
     store(ObjectCall::create(cancelMarkKey(name), "{}"), CallClass::Accept, until, [done](const SettledAnswer& answer, TimePoint) {
@@ -351,24 +351,22 @@
 void JobScheduler::handleCancelMark(const JobName& name, TimePoint now)
 {
     const auto found = jobs_.find(name);
-    // The mark of a job that no node has in memory is of no use. It is removed by the node that would own the job.
-    if (found == jobs_.end() && outlets_.preferredOwner_(name, outlets_.self_) != outlets_.self_)
-        return;
-    const auto clear = [this, name](bool, TimePoint at) {
-        const Job* job = findOwnedJob(name);
-        job ? noteHead(SchedulerNote::CancelMarkRemoved, name, job->head_, job->headVersion_) : note(SchedulerNote::CancelMarkRemoved, name);
-        store(ObjectCall::remove(cancelMarkKey(name)), CallClass::Background, at + settings_.backgroundTimeout_, [](const SettledAnswer&, TimePoint) {});
-    };
+    // The mark is meant for another node, which may not know of the job yet. It is removed with the job's other objects at the latest.
     if (found == jobs_.end())
-        return clear(true, now);
+        return;
+    const JobPtr job = found->second;
+    noteHead(SchedulerNote::CancelMarkFound, name, job->head_, job->headVersion_);
     // The head was cancelled before the mark was written, so nothing of the job runs until the head has been read.
-    noteHead(SchedulerNote::CancelMarkFound, name, found->second->head_, found->second->headVersion_);
-    found->second->questionOpen(now);
-    stopRuns(found->second, true);
-    refresh(found->second, now, [job = found->second, clear](bool isOwner, TimePoint at) {
-        // The mark won't be found again, so tick() repeats what failed here.
+    job->questionOpen(now);
+    stopRuns(job, true);
+    refresh(job, now, [this, job](bool isOwner, TimePoint at) {
+        // tick() repeats what failed here.
         job->isOwnershipUncertain_ = job->isOwnershipUncertain_ || !isOwner;
-        clear(isOwner, at);
+        // The mark may be meant for a former owner.
+        if (!isOwner || job->head_.state_ != JobState::Cancelled || job->isTakenOver_)
+            return;
+        noteHead(SchedulerNote::CancelMarkRemoved, job->name_, job->head_, job->headVersion_);
+        store(ObjectCall::remove(cancelMarkKey(job->name_)), CallClass::Background, at + settings_.backgroundTimeout_, [](const SettledAnswer&, TimePoint) {});
     });
 }
 
--- a/libs/ledger/tests/LateStartsTest.cpp
+++ b/libs/ledger/tests/LateStartsTest.cpp
@@ -93,6 +93,28 @@
     CHECK_FALSE(busy.world_.store_.core().objects().contains(cancelMarkKey("j")));
 }
 
+// Guards against a mark that is meant for a former owner, and that its successor removes.
+TEST_CASE("ledger: late starts: a mark stays until the job's former owner has seen it")
+{
+    BusyOwner busy(10);
+    LedgerWorld& world = busy.world_;
+    world.stepsPerEvent_ = 400; // no run ends meanwhile, whose result would show the former owner that it was replaced
+    world.submit(BusyOwner::entry, "j", items, BusyOwner::owner);
+    world.advance(100ms);
+    world.markDead(BusyOwner::owner);
+    world.scheduler(BusyOwner::entry).scan(false, world.now());
+    world.advance(200ms);
+    REQUIRE(world.notes_[SchedulerNote::TakenOver] == 1);
+    busy.end(BusyOwner::entry, false);
+    world.scheduler(BusyOwner::entry).handleCancelMark("j", world.now());
+    world.advance(100ms);
+    CHECK(world.store_.core().objects().contains(cancelMarkKey("j")));
+    REQUIRE_FALSE(world.host(BusyOwner::owner).runs_.empty());
+    world.scheduler(BusyOwner::owner).handleCancelMark("j", world.now());
+    world.advance(100ms);
+    CHECK(world.host(BusyOwner::owner).runs_.empty());
+}
+
 // Guards against a message that is overtaken by the end of its job: the host that the head names acknowledges the end without having the job.
 TEST_CASE("ledger: late starts: the message of an acceptance comes after the end")
 {
