Jobs: an end that meets a job which is void for a moment waits for what becomes of it

What callers would see: an acknowledged end, and a job that then goes on.

Cause: an owner marks a job void whose items didn't arrive, then reads once more whether they have, and opens it again. An end in between was answered from memory as done, because the job wasn't open.

Change: such an end waits until the job is opened again, and is then written, or until it is dropped, and then finds no job.

--- a/libs/ledger/src/SchedulerReads.cpp
+++ b/libs/ledger/src/SchedulerReads.cpp
@@ -252,8 +252,9 @@
     const auto found = jobs_.find(name);
     if (found != jobs_.end() && !force) {
         const JobPtr job = found->second;
-        // All results are in the store, so nothing of the job can run again, whatever its head says.
-        if ((!job->isOpen() && !job->isCancelMarkDue_) || job->isComplete())
+        // All results are in the store, so nothing of the job can run again, whatever its head says. A void job may be opened again.
+        const bool isEnded = !job->isOpen() && !job->isVoid() && !job->isCancelMarkDue_;
+        if (isEnded || job->isComplete())
             return done({ ReadOutcome::Found, outlets_.self_ });
         // The runs stop before the acknowledgement, and none starts while the head is being updated, so no item starts after the
         // acknowledgement.
@@ -282,7 +283,7 @@
 // job is complete, or belongs to another node (drop() repeats the call), or the cancellation is written.
 void JobScheduler::writeCancellation(const JobPtr& job, TimePoint now)
 {
-    if (job->cancelRequests_.empty() || job->isUpdatingHead_ || job->isWritingCancelMark_)
+    if (job->cancelRequests_.empty() || job->isUpdatingHead_ || job->isWritingCancelMark_ || job->isVoid())
         return;
     if (job->isCancelMarkDue_)
         return writeOwnCancelMark(job, now);
