Serving: a planned stop ends no request without an answer

What callers saw: requests that were complete late in the grace of a planned stop were passed on and cut without an answer, among them requests that may not be repeated (LOST).

Cause: nothing compared the time that is left with what a request needs, and the process ended whatever was still open.

Change: from the signal on a request is sent to an engine for the first time only if twice the mean time of an answer, or what is left of its own time, fits into the grace; else it is refused as not run, and its caller can go elsewhere while it has time. At the end each request without an answer gets one: not run if it wasn't sent, else a 502 that promises nothing. Requests with time left are served as before.

--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -93,6 +93,7 @@
     StreamVersions* streams_ = nullptr; // set before the event loop runs
     CrashWatch* crashes_ = nullptr; // set before the event loop runs
     std::shared_ptr<const RouteTable> table_ {}; // null until the first configuration is applied
+    TimePoint stopsAt_ = neverTime; // when requests without an answer are ended because the process stops; never: it doesn't stop
     TimePoint tickAt_ {}; // when the loop last ran its periodic work
     TimePoint stalledAt_ {}; // the first such time after a stop of the process; none: there was none
 
--- a/libs/serving/src/Relay.h
+++ b/libs/serving/src/Relay.h
@@ -9,9 +9,12 @@
 #include "Context.h"
 
 #include <memory>
+#include <unordered_set>
 
 namespace jj {
 
+class RelayedRequest;
+
 class Relay {
 public:
     explicit Relay(Context& context)
@@ -20,11 +23,13 @@
     }
 
     void handle(std::shared_ptr<http::Exchange> exchange, std::shared_ptr<const RouteTable> table, const Route& route, Caller caller);
-    std::size_t openRequests() const { return *openCount_; }
+    std::size_t openRequests() const { return open_->size(); }
+    // Answers the requests whose answer hasn't started, because the process ends.
+    void endUnanswered();
 
 private:
     Context& context_;
-    std::shared_ptr<std::size_t> openCount_ = std::make_shared<std::size_t>(0);
+    std::shared_ptr<std::unordered_set<RelayedRequest*>> open_ = std::make_shared<std::unordered_set<RelayedRequest*>>();
 };
 
 } // namespace jj
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -24,6 +24,8 @@
     constexpr Duration defaultDeadline = 30s;
     constexpr Duration maxDeadline = 24h;
     constexpr std::size_t maxAttemptIdBytes = 256;
+    // An answer may take longer than the mean by this factor.
+    constexpr int longestRunFactor = 2;
 
     bool isSameName(std::string_view name, std::string_view other) { return boost::beast::iequals(name, other); }
 
@@ -124,7 +126,7 @@
     line("streamResolved").with("stream", beganAs_).with("how", nameOf(resolution.kind_)).with("version", resolution.version_.value()).with("isTarget", target != route_.targets_.end() ? "yes" : "no").with("answers", resolution.answers_).with("otherHosts", resolution.otherHosts_).with("afterMs", context_.now() - arrivedAt_);
     context_.metrics_.metrics_.add(isFound ? context_.metrics_.streamsResumed_ : context_.metrics_.streamsUnknown_);
     if (!isFound)
-        return refuseResume("streamUnknown", "stream.VersionUnknown", "no host knows which software version began the stream; the request has not run");
+        return refuseNotRun("streamUnknown", "stream.VersionUnknown", "no host knows which software version began the stream; the request has not run");
     service_ = target->service_;
     boundVersion_ = resolution.version_;
     dispatch();
@@ -178,6 +180,8 @@
         return refuseRemovedKey();
     if (isBlocked())
         return refuseBlocked();
+    if (!hasTimeBeforeStop())
+        return refuseStopping();
     if (isResumed() && !context_.board_.hasVersion(service_, boundVersion_))
         return onVersionGone();
     allowLeftEngines();
@@ -228,11 +232,11 @@
     context_.metrics_.metrics_.add(context_.metrics_.versionGone_);
     if (hasAnswerStarted_ || mayHaveRun())
         return lost(http::Error::ConnectFailed);
-    refuseResume("versionGone", "stream.VersionGone", "no engine of the software version that began the stream serves; the request has not run");
+    refuseNotRun("versionGone", "stream.VersionGone", "no engine of the software version that began the stream serves; the request has not run");
 }
 
 // Unlike refuse(), this doesn't count as a refusal for lack of slots, from which the retry delays of other callers follow.
-void RelayedRequest::refuseResume(std::string_view reason, std::string_view code, std::string_view message)
+void RelayedRequest::refuseNotRun(std::string_view reason, std::string_view code, std::string_view message)
 {
     const Duration retry = std::min(minRetryAfter, maxRetryDelay());
     exchange_->respond(refusalResponse(context_.translation_, 503, code, message, RunState::NotRun, retry));
@@ -241,6 +245,26 @@
     end();
 }
 
+bool RelayedRequest::hasTimeBeforeStop() const
+{
+    if (context_.stopsAt_ == neverTime || mayHaveRun() || hasAnswerStarted_)
+        return true;
+    return context_.now() + std::min<Duration>(timeLeft(), context_.board_.meanRun() * longestRunFactor) <= context_.stopsAt_;
+}
+
+void RelayedRequest::refuseStopping() { refuseNotRun("stopping", "host.Stopping", "the host stops before an engine could answer; the request has not run"); }
+
+void RelayedRequest::onProcessStops()
+{
+    if (phase_ == Phase::Ended || hasAnswerStarted_)
+        return;
+    const bool ran = mayHaveRun();
+    releaseEngine();
+    if (ran)
+        return fail(502, "host.Stopping", "the host stops before the engine has answered; the request may have run", RunState::OutcomeUnknown);
+    refuseStopping();
+}
+
 void RelayedRequest::refuseRemovedKey()
 {
     line("keyRemoved").with("key", caller_.key_->shortText()).with("config", context_.table_->version());
@@ -320,9 +344,11 @@
 
 void RelayedRequest::send(const EnginePick& pick)
 {
-    // The verdict may have come while the request waited for a slot.
+    // The verdict may have come while the request waited for a slot, and the process may have got a signal.
     if (isBlocked())
         return refuseBlocked();
+    if (!hasTimeBeforeStop())
+        return refuseStopping();
     if (blockedBy_)
         context_.crashes_->beginTrial(*blockedBy_);
     const EngineEntry* entry = context_.board_.find(pick.engine_);
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 namespace jj {
@@ -35,7 +36,7 @@
     // and after four of them the load counts behind the choice are evidently wrong.
     static constexpr std::size_t maxOffers = 4;
 
-    RelayedRequest(Context& context, std::shared_ptr<http::Exchange> exchange, std::shared_ptr<const RouteTable> table, const Route& route, Caller caller, std::shared_ptr<std::size_t> open)
+    RelayedRequest(Context& context, std::shared_ptr<http::Exchange> exchange, std::shared_ptr<const RouteTable> table, const Route& route, Caller caller, std::shared_ptr<std::unordered_set<RelayedRequest*>> open)
         : context_(context)
         , exchange_(std::move(exchange))
         , table_(std::move(table))
@@ -45,17 +46,19 @@
         , pauseTimer_(context.io_)
         , silenceTimer_(context.io_)
         , readTimer_(context.io_)
-        , openCount_(std::move(open))
+        , open_(std::move(open))
         , arrivedAt_(context.now())
     {
-        ++*openCount_;
+        open_->insert(this);
     }
 
-    ~RelayedRequest() { --*openCount_; }
+    ~RelayedRequest() { open_->erase(this); }
     RelayedRequest(const RelayedRequest&) = delete;
     RelayedRequest& operator=(const RelayedRequest&) = delete;
 
     void begin();
+    // Answers the request if its answer hasn't started: as not run if it wasn't sent, else as a failure.
+    void onProcessStops();
 
 private:
     enum class Phase : std::uint8_t {
@@ -83,8 +86,11 @@
     bool isBlocked();
     void refuseBlocked();
     void onVersionGone();
-    // Refuses a request that resumes a stream, as not run.
-    void refuseResume(std::string_view reason, std::string_view code, std::string_view message);
+    // Refuses the request as not run, for another reason than a lack of slots.
+    void refuseNotRun(std::string_view reason, std::string_view code, std::string_view message);
+    void refuseStopping();
+    // Returns whether an engine is expected to answer before the process stops, or the request was sent before.
+    bool hasTimeBeforeStop() const;
     // Refuses a request whose key was removed while it waited.
     void refuseRemovedKey();
     // Returns how long an engine is expected to take for the first event.
@@ -224,7 +230,7 @@
     boost::asio::steady_timer readTimer_; // until the next readAfterPause()
     Claimant claimant_;
     std::size_t preemptionRequests_ = 0;
-    std::shared_ptr<std::size_t> openCount_;
+    std::shared_ptr<std::unordered_set<RelayedRequest*>> open_; // all open requests of the process
     const TimePoint arrivedAt_;
     TimePoint deadline_ {};
     std::string service_;
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -93,6 +93,8 @@
     void waitForSignal();
     void reload();
     bool isReady() const { return !draining_ && context_.table_ && catalog_->isInitialized(); }
+    // Returns when the process answers what is still open, shortly before the end of its grace period.
+    TimePoint stopTime() const;
     void beginDrain();
     void continueDrain(TimePoint now);
     NodeId nextPeer(bool ownRegionFirst);
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -421,15 +421,20 @@
     // start.
     settings_.acceptTimeout_ = newSettings.value().acceptTimeout_;
     settings_.shutdownGrace_ = newSettings.value().shutdownGrace_;
+    if (draining_)
+        context_.stopsAt_ = stopTime();
     log_.line("reloaded").with("graceMs", settings_.shutdownGrace_).with("acceptMs", settings_.acceptTimeout_);
 }
 
+TimePoint ServingNode::Parts::stopTime() const { return drainStartedAt_ + settings_.shutdownGrace_ - graceMargin; }
+
 void ServingNode::Parts::beginDrain()
 {
     if (draining_)
         return;
     draining_ = true;
     drainStartedAt_ = context_.now();
+    context_.stopsAt_ = stopTime();
     log_.line("stopping").with("requests", relay_->openRequests()).with("jobs", scheduler_->openJobs());
     fleet_->beginLeaving();
     scheduler_->beginLeaving(drainStartedAt_);
@@ -445,9 +450,10 @@
         return;
     }
     const bool isDrained = (!callers_ || (!listening_ && callers_->openExchanges() == 0)) && hasHandedOverAll() && !store_->hasQueuedCalls();
-    const bool isLate = elapsed >= settings_.shutdownGrace_ - graceMargin;
+    const bool isLate = now >= context_.stopsAt_;
     if (exitAt_ == neverTime && (isDrained || isLate)) {
         log_.line("stopped").with("late", isLate && !isDrained ? "yes" : "no").with("requests", relay_->openRequests()).with("jobs", scheduler_->openJobs());
+        relay_->endUnanswered();
         fleet_->finishLeaving();
         exitAt_ = now + finalSendTime;
     }
