Serving: the answer to a probe has a limit of 64 KB

What operators saw: a host that ran out of memory for bytes that engines sent without end.

Cause: a probe had the limit of whole answers, 16 MB, outside the byte budget; engines in trouble are probed beside each other.

Heads and interim answers without end were cut off before and still are.

Change: a call can limit the body of its answer; a probe has 64 KB, of which only the status is used.

--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -59,6 +59,7 @@
     // Sent in place of Request::body_, without a copy. Released once it has been written.
     std::shared_ptr<const std::string> sharedBody_ {};
     Duration total_ = Duration::zero(); // the call ends with NoProgress after so long, whatever comes; zero: no limit
+    std::size_t bodyBytes_ = 0; // of a whole answer (fetch); 0: ClientSettings::bodyBytes_
 };
 
 // run_ is NotRun only when no byte of the request was handed to the socket; Ran when the answer's head was there.
@@ -118,7 +119,7 @@
     std::shared_ptr<Call> send(const Endpoint& endpoint, const Request& request, const CallOptions& options, CallHandlers handlers);
 
     // Collects the whole answer. The handler gets an error for what failed below HTTP, and any status as a response. An answer over
-    // ClientSettings::bodyBytes_ ends the call with AnswerTooLarge and closes its connection.
+    // its limit ends the call with AnswerTooLarge and closes its connection.
     std::shared_ptr<Call> fetch(const Endpoint& endpoint, const Request& request, const CallOptions& options, WholeHandler handler);
 
     // A GET on a fresh connection: tells a dead peer from a connection that something in between has lost track of.
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -180,7 +180,7 @@
     handlers.onData_ = [collector](std::string_view data) { collector->response_.body_.append(data); };
     handlers.onEnd_ = [collector](AnswerEnd) { collector->handler_(std::move(collector->response_), RunState::Ran); };
     handlers.onError_ = [collector](const CallFailure& failure) { collector->handler_(failure.code_, failure.run_); };
-    return sendLimited(endpoint, request, options, std::move(handlers), shared_->settings_.bodyBytes_);
+    return sendLimited(endpoint, request, options, std::move(handlers), options.bodyBytes_ > 0 ? options.bodyBytes_ : shared_->settings_.bodyBytes_);
 }
 
 void Client::probe(const Endpoint& endpoint, std::string target, Duration bound, std::function<void(bool alive)> handler)
--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -19,6 +19,8 @@
     constexpr Duration stallMemory = 20ms;
     // A live engine answers within 1 ms, or within about 30 ms from another region.
     constexpr Duration probeBound = 250ms;
+    // Only the status of a probe's answer is used. Many engines may be probed at a time.
+    constexpr std::size_t maxProbeBytes = 64U * 1024;
 
     bool isHopByHopHeader(std::string_view name)
     {
@@ -174,6 +176,7 @@
     http::CallOptions options;
     options.idle_ = probeBound;
     options.total_ = probeBound;
+    options.bodyBytes_ = maxProbeBytes;
     options.fresh_ = true;
     engines_.fetch(entry->at_, { "GET", translation_.engineHealthPath_, {}, {} }, options, [this, engine](const Result<http::Response>& response, RunState) {
         const EngineEntry* known = board_.find(engine);
