Jobs: a job that may lack results starts no item until they are read

What callers would see: items that run again although another owner has listed them; if that one had completed the job and acknowledged its end, starts after the end.

Change: no item starts while results may be missing. Its test fails without the change.

--- a/libs/ledger/src/ScheduledJob.h
+++ b/libs/ledger/src/ScheduledJob.h
@@ -101,7 +101,7 @@
     JobKey key() const { return { name_, head_.acceptedAt_ }; }
     bool isOpen() const { return head_.state_ == JobState::Open; }
     bool isVoid() const { return head_.state_ == JobState::Void; }
-    bool mayRun() const { return isLoaded_ && isOpen() && isOpenConfirmed() && !isHandoverDue_ && !isCancelling_ && cancelRequests_.empty(); }
+    bool mayRun() const { return isLoaded_ && isOpen() && isOpenConfirmed() && !mayMissResults_ && !isHandoverDue_ && !isCancelling_ && cancelRequests_.empty(); }
     bool isOpenConfirmed() const { return openConfirmedAt_ != TimePoint(); }
     void confirmOpen(TimePoint queriedAt)
     {
--- a/libs/ledger/tests/LateStartsTest.cpp
+++ b/libs/ledger/tests/LateStartsTest.cpp
@@ -225,6 +225,23 @@
     busy.check();
 }
 
+// Guards against items that a new owner starts although another one has listed them, and may have acknowledged the job's end: the head says
+// that there may be results, and their pages can't be read.
+TEST_CASE("ledger: late starts: an owner that may lack results starts no item until it has read them")
+{
+    SingleOwner owner;
+    owner.load();
+    REQUIRE(owner.scheduler_.startNext("s", owner.now_));
+    owner.replaceForATime(1, { {} }, JobState::Open);
+    owner.now_ += SchedulerSettings().pauseThreshold_ + 1s;
+    owner.failingKind_ = "job-results/";
+    owner.scheduler_.tick(owner.now_, owner.wall());
+    REQUIRE(owner.failingKind_.empty());
+    CHECK_FALSE(owner.scheduler_.startNext("s", owner.now_));
+    owner.advance(SchedulerSettings().storeRetryDelay_ + SingleOwner::tickInterval);
+    CHECK(owner.scheduler_.startNext("s", owner.now_));
+}
+
 // Guards against a query that took too long and then holds up the items of other jobs.
 TEST_CASE("ledger: late starts: a job whose confirmation comes too late waits for another one and holds up no other job")
 {
