Serving: the age of a confirmation is taken at each start of an item

Cause: a turn of the loop reads the clock once, and a process that is suspended within the turn compared confirmations with the time before it.

Change: each start reads the clock, which also lets the scheduler notice the pause.

--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -76,7 +76,8 @@
     const EnginePick pick = context_.board_.pickBatch(service, onlyUrgent, due, {}, now, version);
     if (!pick.isSome())
         return false;
-    auto item = scheduler_.startNext(service, now, context_.board_.find(pick.engine_)->softwareVersion_.id(), onlyUrgent);
+    // The process may have been suspended since the turn began, and the scheduler's confirmations have an age.
+    auto item = scheduler_.startNext(service, context_.now(), context_.board_.find(pick.engine_)->softwareVersion_.id(), onlyUrgent);
     if (!item)
         return false;
     auto run = std::make_shared<Run>();
