--- a/libs/ledger/tests/LateStartsExploreTest.cpp
+++ b/libs/ledger/tests/LateStartsExploreTest.cpp
@@ -74,7 +74,7 @@
 
     JobName anyJob() { return "j" + std::to_string(pick(jobs_)); }
 
-    // A caller's call at one host, which asks the owner that it presumes, the owner that this one names, or writes the head itself.
+    // A caller's call at one host, which goes to the presumed owner, then to the owner that this one names, or writes the head itself.
     void end(const JobName& job, std::size_t entry)
     {
         if (!isUsable(entry))
--- a/libs/ledger/tests/LateStartsTest.cpp
+++ b/libs/ledger/tests/LateStartsTest.cpp
@@ -225,7 +225,7 @@
     busy.check();
 }
 
-// Guards against items that a new owner starts although another one has listed them, and may have acknowledged the job's end: the head says
+// Guards against items that a new owner starts although another one has listed them, and may have acknowledged the job's end: the head shows
 // that there may be results, and their pages can't be read.
 TEST_CASE("ledger: late starts: an owner that may lack results starts no item until it has read them")
 {
