--- a/review/6/case.py
+++ b/review/6/case.py
@@ -28,7 +28,7 @@
         if not trouble or engine.number != 0 or not grey["until"] or time.monotonic() > grey["until"]:
             return None
         counts["taken"] += 1
-        return "refuses" if counts["taken"] % OF < FAILS else None
+        return "refuses" if (counts["taken"] - 1) % OF >= OF - FAILS else None
 
     answers = []  # booking, attempt, status
     with Fleet(record) as fleet:
