Review cases: whatever isn't the verdict ends with 2

Cause: a fault of a stand-in, or any Python error, ended a case with Python's own code 1, which reads as a broken rule; a case whose trouble never took place said that the rule held; a signal left nothing to end the processes.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,14 +4,11 @@
 promise and sends the request again.
 """
 
-import pathlib
-import sys
 import threading
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common-2"))
 from client import Cut, configuration, new_id, request_bytes, route, send_once
-from deployment import ZONES, Fleet, play
+from deployment import ZONES, CannotRun, Fleet
 from engine import Engine
 
 ENGINES = 7  # one of them is 0.143 of all; the largest share is 0.15
@@ -56,7 +53,7 @@
                         break
                     time.sleep(min(float(headers.get("retry-after") or 0.05), 1.5))
 
-        threads = [threading.Thread(target=call, args=(place,)) for place in range(CALLERS)]
+        threads = [threading.Thread(target=call, args=(place,), daemon=True) for place in range(CALLERS)]
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -66,6 +63,9 @@
         for engine in engines:
             for _, attempt, request in engine.ran:
                 ran.setdefault(attempt, []).append(request["path"])
+    failures = sum(status in PROMISES or status >= 500 for _, _, status in answers)
+    if sum(status == 200 for _, _, status in answers) < len(answers) // 2 or (trouble and counts["taken"] < OF):
+        raise CannotRun(f"{len(answers)} attempts, {failures} of them failed; the failing engine had {counts['taken']} requests")
     broken = [f"REFUSED: {attempt} ({booking}) is answered {status} and has run" for booking, attempt, status in answers if status in PROMISES and attempt in ran]
     runs = {}
     for paths in ran.values():
@@ -74,5 +74,3 @@
     record(f"{len(answers)} attempts, {len(runs)} bookings have run; run more than once: {twice}")
     return broken
 
-
-play(case)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -4,14 +4,11 @@
 Once it has crashed three engines, it may reach engines in three further retries that are sent by machines in touch.
 """
 
-import pathlib
-import sys
 import threading
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common-2"))
 from client import Cut, configuration, new_id, request_bytes, route, send_once
-from deployment import ZONES, Fleet, play
+from deployment import ZONES, CannotRun, Fleet
 from engine import Engine
 
 ENGINES = 9
@@ -92,11 +89,9 @@
         time.sleep(1)
         over.set()
     if len(reached) < CRASHES:
-        return []
+        raise CannotRun(f"the request has crashed {len(reached)} engines only")
     third = reached[CRASHES - 1]
     counted = [at for at in reached[CRASHES:] if at > third + STABLE_S and not back_at - 1 < at < back_at + STABLE_S]
     record(f"the request has crashed {len(reached)} engines; {len(counted)} later than {STABLE_S} s after the third and sent by machines in touch")
     return [f"BUDGET: the request reaches engines in {len(counted)} retries after it has crashed the third"] if len(counted) > RETRIES else []
 
-
-play(case)
--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -12,7 +12,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import threading
 import time
@@ -251,11 +250,11 @@
         self.record, self.machines, self.engines = record, [], []
         if not PROGRAM.exists():
             raise CannotRun(f"{PROGRAM} is missing: run the build of the deploy file")
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store()
         ips = [f"127.0.{random.randrange(1, 250)}.{place + 1}" for place in range(edges + workers)]
         self.ports = free_ports(ips)
         self.seeds = [f"{ip}:{self.ports[2]}" for ip in ips[:3]]
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         zones = list(ZONES)
         for place, ip in enumerate(ips):
             carries = place < edges
@@ -311,21 +310,19 @@
     raise CannotRun("no free ports")
 
 
-def play(case):
-    """Runs case(record, trouble), which returns the ways in which the rule was broken; ends with the exit code of the case."""
-    folder = pathlib.Path(sys.argv[1])
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder / "record.txt")
+def verdict(case, folder):
+    """Runs case(record, trouble), which returns the ways in which the rule was broken. Returns the exit code of the case."""
+    record = Record(pathlib.Path(folder) / "record.txt")
     try:
-        broken = case(record, trouble)
+        broken = case(record, os.environ.get("TROUBLE", "1") != "0")
     except CannotRun as error:
         record(f"could not run: {error}")
         print("could not run:", error)
-        sys.exit(2)
+        return 2
     for line in broken:
         record(f"BROKEN: {line}")
         print("broken:", line)
-    verdict = "the rule was broken" if broken else "the rule held"
-    record(verdict)
-    print(verdict)
-    sys.exit(1 if broken else 0)
+    text = "the rule was broken" if broken else "the rule held"
+    record(text)
+    print(text)
+    return 1 if broken else 0
