--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,6 +15,7 @@
 GREY_S = 5
 FAILS, OF = 2, 5  # x = 0.4
 CALLERS, REQUESTS = 24, 14
+DEADLINE_MS = 5000
 PROMISES = (408, 421, 429, 503)
 
 
@@ -38,12 +39,12 @@
 
         def call(place):
             for number in range(REQUESTS):
-                booking = f"/book/{place}-{number}"
+                booking, begun = f"/book/{place}-{number}", time.monotonic()
                 for edge in (fleet.edges[place % 3], fleet.edges[(place + 1) % 3]):  # one retry, at another machine
                     attempt = new_id()
                     record(f"caller {place} sends {attempt} {booking} to {edge.name}")
                     try:
-                        status, headers, _ = send_once(edge.front, request_bytes("POST", booking, attempt, b"a booking"))
+                        status, headers, _ = send_once(edge.front, request_bytes("POST", booking, attempt, b"a booking", DEADLINE_MS - int(1000 * (time.monotonic() - begun))))
                     except (Cut, OSError, ValueError) as error:
                         status, headers = 0, {}
                         record(f"{attempt} is not answered: {error!r}")
--- a/review/common-2/engine.py
+++ b/review/common-2/engine.py
@@ -1,5 +1,6 @@
 """An engine as PROTOCOL.md describes it: answers requests with events, tells its state, and is listed in the store."""
 
+import json
 import socket
 import struct
 import threading
@@ -9,6 +10,9 @@
 
 EVENTS = 8
 PACE_S = 0.02
+SLOTS = 8
+TOKENS = 134354
+SILENT_BEATS = 3  # after which the entry of an engine that has ended is removed
 
 
 class Engine:
@@ -18,7 +22,7 @@
 
     def __init__(self, fleet, number, zone, service="bookhelp", behave=lambda engine, request: None):
         self.fleet, self.number, self.zone, self.service, self.behave = fleet, number, zone, service, behave
-        self.lock, self.ran, self.starts, self.seq, self.open, self.listener = threading.Lock(), [], 0, 0, set(), None
+        self.lock, self.ran, self.starts, self.running, self.open, self.listener = threading.Lock(), [], 0, 0, set(), None
         self.address = None
         fleet.engines.append(self)
         self.start()
@@ -40,8 +44,8 @@
         threading.Thread(target=self.accept, args=(listener,), daemon=True).start()
 
     def enter(self):
-        self.seq += 1
-        self.fleet.store.put("servers", self.id, {"service": self.service, "addr": "%s:%d" % self.address, "zone": self.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": self.seq, "born": self.born})
+        """An entry that is written again as it is changes nothing."""
+        self.fleet.store.put("servers", self.id, {"service": self.service, "addr": "%s:%d" % self.address, "zone": self.zone, "version": "v1", "slots": SLOTS, "state": "ready", "coldLeftMs": 0, "stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}], "seq": self.starts, "born": self.born})
 
     def beat(self):
         while True:
@@ -78,10 +82,11 @@
 
         def come_back():
             time.sleep(back_after_s)
-            self.fleet.store.remove("servers", gone)
             with self.lock:
                 self.start()
             self.fleet.record(f"engine {self.id} is back")
+            time.sleep(max(0.0, SILENT_BEATS * HEARTBEAT_S - back_after_s))
+            self.fleet.store.remove("servers", gone)
 
         threading.Thread(target=come_back, daemon=True).start()
 
@@ -108,15 +113,30 @@
 
     def answer(self, connection, request):
         headers = request["headers"]
-        load = f"X-Jayjunction-Server-Load: 0,0,8\r\nX-Jayjunction-Instance-Id: {self.id}\r\n"
+        load = f"X-Jayjunction-Server-Load: {min(self.running, SLOTS)},{max(0, self.running - SLOTS)},{SLOTS}\r\n"
         if request["method"] == "GET" and request["path"] in ("/health", "/report"):
-            connection.sendall(f"HTTP/1.1 200 OK\r\n{load}Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{{}}".encode())
+            report = {"stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}], "busy": False, "seq": 0, "waiting": max(0, self.running - SLOTS), "running": min(self.running, SLOTS), "kvUsed": 0, "kvTotal": TOKENS, "handles": 0}
+            body = json.dumps(report) if request["path"] == "/report" else ""
+            connection.sendall(f"HTTP/1.1 200 OK\r\nX-Jayjunction-Instance-Id: {self.id}\r\n{load}Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
             return True
         attempt = headers.get("x-jayjunction-attempt-id", "")
         named = f"X-Jayjunction-Attempt-Id: {attempt}\r\n"
         if headers.get("x-jayjunction-expect-instance", self.id) != self.id:
             connection.sendall(f"HTTP/1.1 421 Misdirected Request\r\n{named}X-Jayjunction-Instance-Id: {self.id}\r\nX-Jayjunction-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
             return True
+        if self.running >= SLOTS:  # it queues none
+            connection.sendall(f"HTTP/1.1 503 Service Unavailable\r\n{named}{load}X-Jayjunction-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
+            return True
+        with self.lock:
+            self.running += 1
+        try:
+            return self.run(connection, request, attempt, named, load)
+        finally:
+            with self.lock:
+                self.running -= 1
+
+    def run(self, connection, request, attempt, named, load):
+        headers = request["headers"]
         trouble = self.behave(self, request)
         self.ran.append((time.monotonic(), attempt, request))
         self.fleet.record(f"engine {self.id} runs {attempt} {request['path']}" + (f", and {trouble}" if trouble else ""))
