Serving: a failed run is not answered with a promise that it never began

Callers saw: an engine began a request that may run once and failed it with 503, without saying that it had not executed it. The host passed status and seal on. Requests that may be repeated got an engine's 408 or 429 at the first attempt, although another engine could have answered.

Cause: a status was passed on by its origin, whatever it promises for all runs of the request. Also if the promise is true of the last engine only (408 as not executed, after a run that was lost), or comes from a silent engine while a second run is open.

Now such a status is a failure of its engine like a 5xx, unless the engine states that it did not execute the request: the request runs elsewhere if it may, else its caller gets the host's 502 without a seal. A status that promises is passed on only if the only run of the request was rejected. That is all that can be known about runs, so no promise is false; statuses that promise nothing pass unchanged.

--- a/libs/serving/src/CrashWatch.cpp
+++ b/libs/serving/src/CrashWatch.cpp
@@ -1,6 +1,7 @@
 // Logs each crash with its suspects, each verdict with the engines that speak for it, and each contradiction.
 #include "CrashWatch.h"
 
+#include "Statuses.h"
 #include "base/Hash.h"
 
 #include <algorithm>
@@ -21,7 +22,6 @@
     constexpr Duration contradictionPeriod = 1s;
     // Further parts of a prompt are ignored.
     constexpr std::size_t maxParts = 64;
-    constexpr int firstNonSuccess = 300;
 
     Fingerprint contentOf(std::string_view host, std::string_view target, std::string_view body) { return Fingerprint(hash64(body, hash64(target, hash64(host)))); }
 
--- a/libs/serving/src/EngineRun.h
+++ b/libs/serving/src/EngineRun.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "EventScanner.h"
+#include "Statuses.h"
 #include "base/Id.h"
 #include "base/SoftwareVersion.h"
 #include "base/Time.h"
@@ -39,6 +40,10 @@
     EventClock eventClock_;
     http::ByteHold hold_; // of body_, deferred_ and the event that is being scanned
 
+    // Returns whether the engine may have begun to work on the request and answered with a failure. A status that promises the caller that its
+    // request has not run is a failure too, unless the engine states that it did not run it.
+    bool hasFailed() const { return head_ && !rejected_ && (head_->status_ >= firstServerError || promisesNotRun(head_->status_)); }
+
     // Capacities, because strings that grow have up to twice the memory of their bytes.
     std::size_t heldBytes() const
     {
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -2,6 +2,7 @@
 #include "ItemRunner.h"
 
 #include "Shares.h"
+#include "Statuses.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -11,7 +12,6 @@
 namespace {
 
     constexpr int statusImpossible = 422;
-    constexpr int statusMisdirected = 421;
     constexpr int statusFailed = 500;
     constexpr std::size_t maxEmptyRuns = 1000;
     // Weight of the latest run in the moving average of run times.
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -17,10 +17,6 @@
     // Between two looks whether a caller that is past its deadline still reads.
     constexpr Duration lateReaderInterval = 500ms;
 
-    constexpr int firstNonSuccess = 300;
-    constexpr int firstServerError = 500;
-    constexpr int statusMisdirected = 421;
-
 } // namespace
 
 // ---- the engine's answer
@@ -142,9 +138,9 @@
     }
     const http::ResponseHead& head = *run->head_;
     if (run == silentRun_) {
-        const bool mayAnswer = isReadingStream(*run) || (!hasAnswerStarted_ && !run->rejected_ && head.status_ < firstServerError);
+        const bool mayAnswer = isReadingStream(*run) || (!hasAnswerStarted_ && !run->rejected_ && !run->hasFailed());
         if (!mayAnswer)
-            return onSilentRunAnswered(head.status_ >= firstServerError);
+            return onSilentRunAnswered(run->hasFailed());
         if (!isCertainOfVersion(*run))
             return leaveSilentRun();
         // Its engine no longer works on the request, so that the second run may end instead.
@@ -156,10 +152,10 @@
         context_.crashes_->recordAnswer(fingerprints_, head.status_);
     // A 4xx status other than 421 and 429 means that the request itself is at fault. That answer is forwarded to the caller even
     // if the engine did not execute the request.
-    const bool isCallersFault = head.status_ >= 400 && head.status_ < firstServerError && head.status_ != 429 && head.status_ != statusMisdirected;
+    const bool isCallersFault = head.status_ >= 400 && head.status_ < firstServerError && head.status_ != statusTooManyRequests && head.status_ != statusMisdirected;
     if (run->rejected_ && !isCallersFault)
         return onNotExecuted();
-    if (head.status_ >= firstServerError)
+    if (run->hasFailed())
         context_.failed(run->engine_, EngineFault::Failure, {});
     else
         context_.board_.succeeded(run->engine_, context_.now());
@@ -167,7 +163,7 @@
         return finishStream(answerEnd);
     if (silentRun_)
         return returnToSilentRun();
-    const bool runsAgain = head.status_ >= firstServerError && !hasAnswerStarted_ && mayRunAgain();
+    const bool runsAgain = run->hasFailed() && !hasAnswerStarted_ && mayRunAgain();
     if (runsAgain) {
         line("runAgain").with("status", head.status_).with("runs", runs_);
         releaseEngine();
@@ -190,6 +186,8 @@
     if (hasAnswerStarted_)
         return lost(http::Error::Truncated); // an error response instead of the rest of a stream
     const int status = run_->head_->status_;
+    if (promisesNotRun(status) && !isOnlyRejected())
+        return failWithoutPromise(status);
     exchange_->respond({ status, endToEndHeaders(run_->head_->headers_), std::move(run_->body_) });
     const bool isSuccess = status < firstNonSuccess;
     if (isSuccess) {
@@ -201,6 +199,16 @@
     end();
 }
 
+bool RelayedRequest::isOnlyRejected() const { return run_->rejected_ && runs_ <= 1; }
+
+// The engine's seal vouches for its status, so the answer has neither.
+void RelayedRequest::failWithoutPromise(int status)
+{
+    const EngineEntry* engine = context_.board_.find(run_->engine_);
+    line("promiseWithheld").with("engine", engine ? engine->name_ : "").with("status", status).with("rejected", run_->rejected_ ? "yes" : "no").with("runs", runs_);
+    fail(statusBadGateway, "engine.Failed", "an engine failed with a status that promises that the request has not run; it may have run", RunState::OutcomeUnknown);
+}
+
 void RelayedRequest::onStreamBrokenOff(const EngineRunPtr& run, http::AnswerEnd answerEnd, StreamBreak streamBreak)
 {
     line("streamBrokenOff").with("why", nameOf(streamBreak)).with("end", nameOf(answerEnd)).with("restBytes", run->scanner_.rest().size());
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -132,6 +132,10 @@
     // Waits before the request is sent to another engine.
     void settle();
     void forwardBufferedAnswer(http::AnswerEnd answerEnd);
+    // Returns whether no engine has begun to work on the request: run_ is the only run, and its engine did not execute it.
+    bool isOnlyRejected() const;
+    // Answers a request that may have run, and whose engine failed with a status that promises the contrary.
+    void failWithoutPromise(int status);
     // Handles a stream that the engine broke off although its answer ended in order.
     void onStreamBrokenOff(const EngineRunPtr& run, http::AnswerEnd answerEnd, StreamBreak streamBreak);
     void finishStream(http::AnswerEnd answerEnd);
