Crashes: verdicts and spent trials outlast the end of all processes

Cause: verdicts and counts of trials stood in memory and were kept by telling other hosts, which fails if all end at once.

Verdicts are now objects of the platform's store, read once at the start of a process. A trial is counted there, conditional on the object's revision, before its request is sent; the request waits for that call, half a second at most, and is refused without its answer. So no end of processes and no lost answer makes a trial happen twice. Trials are due by the stored time of the verdict, so that ends of processes put off none; an answer or ten minutes without the request remove the object. No call for a request, two for a verdict, one for a trial, one at a start.

--- a/libs/crashes/include/crashes/CrashSuspects.h
+++ b/libs/crashes/include/crashes/CrashSuspects.h
@@ -118,6 +118,9 @@
     bool isItemTrialDue(Fingerprint suspect, TimePoint now) const;
     void recordItemTrial(Fingerprint suspect, TimePoint now);
     bool hasBlocked() const { return !blocked_.empty(); }
+    bool isBlocked(Fingerprint suspect) const { return blocked_.contains(suspect); }
+    // Returns for how long the suspect has been blocked; zero if it isn't.
+    Duration blockedAge(Fingerprint suspect, TimePoint now) const;
     std::size_t size() const { return suspects_.size(); }
 
     // ---- other hosts
@@ -127,6 +130,8 @@
         bool isCleared_ = false; // the record invalidates all crashes of the suspect that this host knew
     };
     MergeResult merge(const SuspectRecord& record, TimePoint now);
+    // Merges what is known of a suspect that was blocked before this process knew of it. Its trials are due by the time of that verdict.
+    void restore(const SuspectRecord& record, Duration blockedAge, TimePoint now);
     // Returns the next records that hosts which may have missed them should get: blocked suspects, and those with recent crashes.
     std::vector<SuspectRecord> recordsToRepeat(TimePoint now);
 
--- a/libs/crashes/src/CrashSuspects.cpp
+++ b/libs/crashes/src/CrashSuspects.cpp
@@ -120,6 +120,8 @@
     return std::max(Duration::zero(), found->second.activeAt_ + settings_.suspectLifetime_ - now);
 }
 
+Duration CrashSuspects::blockedAge(Fingerprint suspect, TimePoint now) const { return isBlocked(suspect) ? now - suspects_.at(suspect).blockedAt_ : Duration::zero(); }
+
 bool CrashSuspects::isTrialDue(Fingerprint suspect, std::size_t turn, TimePoint now) const
 {
     const auto found = suspects_.find(suspect);
@@ -335,6 +337,15 @@
     return result;
 }
 
+void CrashSuspects::restore(const SuspectRecord& record, Duration blockedAge, TimePoint now)
+{
+    merge(record, now);
+    if (!isBlocked(record.suspect_))
+        return;
+    Suspect& suspect = suspects_.at(record.suspect_);
+    suspect.blockedAt_ = std::min(suspect.blockedAt_, now - blockedAge);
+}
+
 std::vector<SuspectRecord> CrashSuspects::recordsToRepeat(TimePoint now)
 {
     std::vector<SuspectRecord> records;
--- a/libs/serving/src/CrashWatch.cpp
+++ b/libs/serving/src/CrashWatch.cpp
@@ -43,12 +43,23 @@
     return text.data();
 }
 
-CrashWatch::CrashWatch(Context& context, std::uint64_t seed)
+CrashWatch::CrashWatch(Context& context, std::uint64_t seed, StoreCalls store)
     : context_(context)
+    , verdicts_(suspects_, seed, verdictOutlets(std::move(store)))
     , random_(seed)
 {
 }
 
+VerdictStoreOutlets CrashWatch::verdictOutlets(StoreCalls store)
+{
+    VerdictStoreOutlets outlets;
+    outlets.store_ = std::move(store);
+    outlets.wallNow_ = [] { return SystemClock().wallNow(); };
+    outlets.isKeeper_ = [this](Fingerprint suspect) { return isKeeper(suspect); };
+    outlets.note_ = [this](VerdictNote note, std::string_view key, std::error_code error) { logVerdict(note, key, error); };
+    return outlets;
+}
+
 RequestFingerprints CrashWatch::fingerprintsOf(const http::Request& request) const
 {
     return fingerprintsOf(joinedValues(request.headers_, context_.translation_.headers_.promptParts_), contentOf(request.headers_.find("Host"), request.target_, request.body_));
@@ -86,7 +97,16 @@
     RequestFingerprints answered = request;
     if (status >= firstNonSuccess)
         answered.parts_.clear();
-    publish(suspects_.recordAnswer(answered, context_.now()), NodeId::none());
+    const std::vector<Fingerprint> cleared = suspects_.recordAnswer(answered, context_.now());
+    applyChanges(true);
+    publish(cleared, NodeId::none());
+}
+
+void CrashWatch::recordBegun(const RequestFingerprints& request)
+{
+    const std::vector<Fingerprint> cleared = suspects_.recordBegun(request, context_.now());
+    applyChanges(true);
+    publish(cleared, NodeId::none());
 }
 
 bool CrashWatch::mustSettle(const RequestFingerprints& request, LossPoint point) const
@@ -119,8 +139,8 @@
         return;
     const EngineEntry* entry = context_.board_.find(engine);
     context_.log_.line("crashSuspected").with("engine", entry ? entry->name_ : suspectName(Fingerprint(engine.value()))).with("suspects", joined(suspects)).with("count", suspects.size());
+    applyChanges(true);
     publish(suspects, NodeId::none());
-    logChanges();
 }
 
 // ---- decisions
@@ -128,12 +148,11 @@
 CrashWatch::Verdict CrashWatch::judge(const RequestFingerprints& request)
 {
     const auto blocked = suspects_.findBlocked(request, context_.now());
-    return { blocked, blocked && isOwnTrialDue(*blocked) };
+    return { blocked, blocked && (verdicts_.hasUnusedTrial(*blocked) || isOwnTrialDue(*blocked)) };
 }
 
 void CrashWatch::beginTrial(Fingerprint suspect)
 {
-    suspects_.recordTrial(suspect, context_.now());
     context_.log_.line("crashTrial").with("suspect", suspectName(suspect)).with("trial", suspects_.trials(suspect));
     publish({ suspect }, NodeId::none());
 }
@@ -154,7 +173,7 @@
 // next host.
 bool CrashWatch::isOwnTrialDue(Fingerprint suspect) const
 {
-    if (!suspects_.isTrialDue(suspect, 0, context_.now()))
+    if (!suspects_.isTrialDue(suspect, 0, context_.now()) || !verdicts_.mayClaimTrial(suspect, context_.now()))
         return false;
     const std::uint64_t round = mixHash(suspect.value(), suspects_.trials(suspect));
     const std::uint64_t own = mixHash(round, context_.fleet_->self().value());
@@ -179,7 +198,7 @@
     }
     publish(contradicted, message.from_, true);
     publish(cleared, NodeId::none());
-    logChanges();
+    applyChanges(false);
 }
 
 void CrashWatch::publish(const std::vector<Fingerprint>& suspects, NodeId to, bool isReply)
@@ -192,7 +211,6 @@
     }
     if (!records.empty())
         send(std::move(records), to, isReply);
-    logChanges();
 }
 
 void CrashWatch::send(std::vector<SuspectRecord> records, NodeId to, bool isReply)
@@ -215,8 +233,9 @@
 void CrashWatch::tick(TimePoint now)
 {
     suspects_.tick(now);
+    verdicts_.tick(now);
     std::erase_if(contradictedAt_, [now](const auto& entry) { return now - entry.second >= contradictionPeriod; });
-    logChanges();
+    applyChanges(false);
     if (now - repeatedAt_ < repeatPeriod)
         return;
     repeatedAt_ = now;
@@ -239,16 +258,40 @@
         send(records, receiver, false);
 }
 
-void CrashWatch::logChanges()
+// ---- verdicts
+
+bool CrashWatch::isKeeper(Fingerprint suspect) const
+{
+    const std::uint64_t own = mixHash(suspect.value(), context_.fleet_->self().value());
+    const auto& peers = context_.fleet_->peers();
+    return std::none_of(peers.begin(), peers.end(), [&](const Peer& peer) { return peer.isLive() && mixHash(suspect.value(), peer.node_.value()) < own; });
+}
+
+void CrashWatch::applyChanges(bool isOwnEvidence)
 {
     for (const VerdictChange& change : suspects_.takeChanges()) {
-        std::string engines;
-        for (const UpstreamId engine : change.engines_) {
-            const EngineEntry* entry = context_.board_.find(engine);
-            engines.append(engines.empty() ? "" : ",").append(entry ? entry->name_ : suspectName(Fingerprint(engine.value())));
-        }
-        context_.log_.line(change.isBlocked_ ? "suspectBlocked" : "suspectFreed").with("suspect", suspectName(change.suspect_)).with("kind", change.isContent_ ? "content" : "part").with("crashes", change.engines_.size()).with("engines", engines);
+        logChange(change);
+        verdicts_.onChange(change, isOwnEvidence, context_.now());
+    }
+}
+
+void CrashWatch::logChange(const VerdictChange& change)
+{
+    std::string engines;
+    for (const UpstreamId engine : change.engines_) {
+        const EngineEntry* entry = context_.board_.find(engine);
+        engines.append(engines.empty() ? "" : ",").append(entry ? entry->name_ : suspectName(Fingerprint(engine.value())));
     }
+    context_.log_.line(change.isBlocked_ ? "suspectBlocked" : "suspectFreed").with("suspect", suspectName(change.suspect_)).with("kind", change.isContent_ ? "content" : "part").with("crashes", change.engines_.size()).with("engines", engines).with("trials", suspects_.trials(change.suspect_));
+}
+
+void CrashWatch::logVerdict(VerdictNote note, std::string_view key, std::error_code error)
+{
+    static constexpr std::string_view names[] = { "verdictStored", "verdictRemoved", "verdictRead", "verdictUnreadable", "verdictCallFailed", "trialNotCounted" };
+    DecisionLog::Line entry = context_.log_.line(names[static_cast<std::size_t>(note)]);
+    entry.with("key", key);
+    if (error)
+        entry.with("error", error.message());
 }
 
 } // namespace jj
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -458,6 +458,8 @@
 {
     releaseEngine();
     phase_ = Phase::Ended;
+    if (trialOf_)
+        context_.crashes_->returnTrial(*std::exchange(trialOf_, std::nullopt));
     returnCredit();
     timer_.cancel();
     pauseTimer_.cancel();
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
 #include <limits>
+#include <utility>
 
 namespace jj {
 
@@ -179,7 +180,7 @@
     if (!isStillAllowed(*context_.table_, caller_))
         return refuseRemovedKey();
     if (isBlocked())
-        return refuseBlocked();
+        return handleBlocked();
     if (!hasTimeBeforeStop())
         return refuseStopping();
     if (isResumed() && !context_.board_.hasVersion(service_, boundVersion_))
@@ -207,7 +208,30 @@
 {
     const CrashWatch::Verdict verdict = context_.crashes_->judge(fingerprints_);
     blockedBy_ = verdict.blocked_;
-    return verdict.blocked_ && !verdict.isTrialDue_;
+    isTrialDue_ = verdict.isTrialDue_;
+    return verdict.blocked_ && verdict.blocked_ != trialOf_;
+}
+
+void RelayedRequest::handleBlocked()
+{
+    if (!isTrialDue_ || mayHaveRun() || hasAnswerStarted_)
+        return refuseBlocked();
+    phase_ = Phase::Claiming;
+    context_.crashes_->claimTrial(*blockedBy_, [weak = weak_from_this(), crashes = context_.crashes_, suspect = *blockedBy_](bool isGranted) {
+        const auto self = weak.lock();
+        if (self && self->phase_ == Phase::Claiming)
+            return self->onTrialClaimed(suspect, isGranted);
+        if (isGranted)
+            crashes->returnTrial(suspect);
+    });
+}
+
+void RelayedRequest::onTrialClaimed(Fingerprint suspect, bool isGranted)
+{
+    if (!isGranted)
+        return refuseBlocked();
+    trialOf_ = suspect;
+    dispatch();
 }
 
 // If an engine may have started this attempt, it fails instead, because a refusal states that the request did not run.
@@ -349,8 +373,8 @@
         return refuseBlocked();
     if (!hasTimeBeforeStop())
         return refuseStopping();
-    if (blockedBy_)
-        context_.crashes_->beginTrial(*blockedBy_);
+    if (trialOf_)
+        context_.crashes_->beginTrial(*std::exchange(trialOf_, std::nullopt));
     const EngineEntry* entry = context_.board_.find(pick.engine_);
     const EngineRunPtr run = std::make_shared<EngineRun>(context_.eventLimit(), context_.budget_->hold(http::ByteUse::Answers));
     run->engine_ = pick.engine_;
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -65,6 +65,7 @@
         Admitting, // waiting for the decision about its workspace's quota
         Resolving, // finding out which software version began the stream that its caller resumes
         Picking,
+        Claiming, // it may be a trial of what blocks it, and waits until the store has counted it
         Waiting, // queued for a slot
         Settling, // its engine was lost; waits until the hosts know which engines crashed
         Running, // sent to an engine whose answer has not ended
@@ -82,9 +83,12 @@
     void resolveStream();
     void onResolved(const StreamResolution& resolution);
     void dispatch();
-    // Returns whether requests like this one crash engines, so that it must not be sent. If it isn't and blockedBy_ is set, it is a trial.
+    // Returns whether requests like this one crash engines, so that it must not be sent.
     bool isBlocked();
     void refuseBlocked();
+    // Refuses a blocked request, or sends it as a trial if one is due.
+    void handleBlocked();
+    void onTrialClaimed(Fingerprint suspect, bool isGranted);
     void onVersionGone();
     // Refuses the request as not run, for another reason than a lack of slots.
     void refuseNotRun(std::string_view reason, std::string_view code, std::string_view message);
@@ -241,6 +245,8 @@
     std::string id_;
     RequestFingerprints fingerprints_; // what it may share with requests that crash engines
     std::optional<Fingerprint> blockedBy_; // the suspect that blocks it
+    bool isTrialDue_ = false; // of blockedBy_, at this host
+    std::optional<Fingerprint> trialOf_; // a suspect that doesn't block its next send, which is a trial; none once it was sent
     bool mustSettle_ = false; // its engine was lost, and a part of its prompt was never answered
     TimePoint lostAt_ {}; // when its last engine was lost or fell silent
     bool wasRefusedBefore_ = false; // the caller was probably refused before and would give up after another refusal
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -138,7 +138,7 @@
     context_.shares_ = shares_.get();
     streams_ = std::make_unique<StreamVersions>(*fleet_);
     context_.streams_ = streams_.get();
-    crashes_ = std::make_unique<CrashWatch>(context_, seed_);
+    crashes_ = std::make_unique<CrashWatch>(context_, seed_, [this](ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) { store_->send(std::move(call), callClass, until, std::move(done)); });
     context_.crashes_ = crashes_.get();
     queue_ = std::make_unique<SlotQueue>(context_);
     context_.queue_ = queue_.get();
--- a/libs/serving/tests/CrashWatchTest.cpp
+++ b/libs/serving/tests/CrashWatchTest.cpp
@@ -64,7 +64,7 @@
         , board_(CapacitySettings(), NodeId(1), {}, 1)
         , engines_(io_, { .connectTime_ = 100ms })
         , context_ { io_, settings_, translation_, log_, servingMetrics_, board_, engines_ }
-        , crashes_(context_, 1)
+        , crashes_(context_, 1, [](const ObjectCall&, CallClass, TimePoint, const SettledCompletion&) {}) // a store that never answers
     {
         translation_.engineHealthPath_ = "/health";
         openFleet();
