http: an answer that ends while its request is being written waits for the write

Callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The part came as a complete answer, with the engine's seal (MIXED).

Cause: the kernel reports a reset once. If the write gets it, the read that follows sees an ordered end, which counted as the end of the answer before the handler of the write had run.

Such an end now waits for the result of the write: an error makes the answer truncated, a success makes it complete. A reset is reported to the write if it is not reported to the read, so one of the two always tells. A failed write no longer ends the call by itself, so that an answer that is whole by its frame and had arrived before is read.

Evidence: on plain sockets, send fails with a reset, then recv returns what had arrived and then 0.

--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -129,6 +129,8 @@
     beginParsing();
     interimAnswers_ = 0;
     written_ = false;
+    writeFailed_ = false;
+    endsAfterWrite_ = false;
     readingOver_ = false;
     isReused_ = connected_;
     noteCarried(identityOf(call_->options_));
@@ -191,17 +193,23 @@
     auto body = std::exchange(call_->outboundBody_, nullptr); // lives as long as the write
     const std::array<asio::const_buffer, 2> outbound { asio::buffer(call_->outboundHead_), asio::buffer(*body) };
     asio::async_write(socket_, outbound, [self = shared_from_this(), call = call_, body = std::move(body)](error_code error, std::size_t bytes) {
-        if (self->closed_ || self->call_ != call)
-            return;
-        if (error) {
-            call->sent_ = bytes > 0;
-            return self->fail(Error::Closed);
-        }
-        self->written_ = true;
+        if (!self->closed_ && self->call_ == call)
+            self->onWritten(error, bytes);
     });
     readSome();
 }
 
+// After an error, what had arrived before is still read: it may be a whole answer.
+void ClientConnection::onWritten(error_code error, std::size_t bytes)
+{
+    written_ = !error;
+    writeFailed_ = static_cast<bool>(error);
+    if (error && !call_->headSeen_)
+        call_->sent_ = bytes > 0;
+    if (endsAfterWrite_)
+        onReadEnd(asio::error::eof);
+}
+
 void ClientConnection::finish(bool reusable, AnswerEnd end)
 {
     const std::shared_ptr<CallState> call = std::move(call_);
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -98,6 +98,7 @@
     void onReadable(error_code error);
     void onRead(error_code error, std::string_view data);
     void onReadEnd(error_code error);
+    void onWritten(error_code error, std::size_t bytes);
     void deliverReceived();
     void linger();
     void dropCall();
@@ -129,7 +130,9 @@
     bool reading_ = false;
     bool endsAfterRead_ = false; // the pending read has been cancelled, in order to end the call
     bool lingering_ = false; // the call has ended, this direction is closed, and what was on its way is awaited
-    bool written_ = false;
+    bool written_ = false; // the request, whole
+    bool writeFailed_ = false; // the connection was reset while the request was being written
+    bool endsAfterWrite_ = false; // what was read has ended in order; the write will show whether the connection was reset
     bool isReused_ = false; // it has served a call before
     // Of its last calls, in no order. An answer that comes twice stands where that of one of the next calls is due, so few are enough.
     // Changed only while it isn't in the pool.
--- a/libs/http/src/ClientReading.cpp
+++ b/libs/http/src/ClientReading.cpp
@@ -126,8 +126,12 @@
 {
     if (!call_)
         return close();
-    if (error != asio::error::eof || !parser_->is_header_done() || readingOver_)
+    if (error != asio::error::eof || !parser_->is_header_done() || readingOver_ || writeFailed_)
         return fail(call_->headSeen_ ? Error::Truncated : Error::Closed);
+    // The kernel reports a reset once. If the write gets it, the read sees an orderly end.
+    endsAfterWrite_ = !written_;
+    if (endsAfterWrite_)
+        return;
     error_code ended;
     parser_->put_eof(ended);
     if (ended || !parser_->is_done())
