http: an answer whose status the protocol doesn't know is malformed

Callers saw (MIXED): answers with status 600, 700 or 999 and the engine's seal; after 000, 001, 099 or 101 they waited until their time was over, also where another engine could have answered; and a body behind such a head that reads like an answer reached them as a success with the seal.

Cause: every status below 200 counted as an interim answer, after which the next head is due, and the parser took any three digits.

The parser of answers now refuses statuses outside 100 to 599, 101, for which nobody asks, and interim answers that announce a body. Such a call fails as malformed, so the request runs elsewhere or fails with 502, like after any bytes that are no answer. Interim answers without a body are passed over as before.

--- a/libs/http/src/ClientReading.cpp
+++ b/libs/http/src/ClientReading.cpp
@@ -15,7 +15,6 @@
     // At a time while the byte budget is exhausted: what comes of the next event with the end of one is held until the stream goes on.
     constexpr std::size_t smallReadBytes = 4 * 1024;
     constexpr std::size_t keptBytes = 2 * 1024; // of an empty buffer; most events are smaller
-    constexpr int firstFinalStatus = 200;
 
     // A request that is sent just when the other side closes an idle connection is lost, and nobody can tell whether it ran. So
     // this side closes first: a second sooner than named, which is more than any delay on the way.
@@ -153,7 +152,7 @@
         const auto tooLong = hadHead ? checkIncomplete(*parser_, buffer_, shared_->settings_.chunkLineBytes_, shared_->settings_.trailerBytes_) : std::nullopt;
         if (tooLong)
             return fail(*tooLong);
-        if (parser_->status() < firstFinalStatus) {
+        if (isInterim(parser_->status())) {
             if (++interimAnswers_ > shared_->settings_.interimAnswers_)
                 return fail(Error::TooManyInterimAnswers);
             beginParsing();
--- a/libs/http/src/Codec.h
+++ b/libs/http/src/Codec.h
@@ -45,6 +45,22 @@
 // Memory that the head of a request takes.
 inline std::size_t headBytes(const Request& request) { return heapBytes(request.method_) + heapBytes(request.target_) + request.headers_.bytes(); }
 
+// Statuses that a final answer or an interim one may have. A switch of protocols is neither, since nobody here asks for one.
+constexpr bool isStatus(int status)
+{
+    constexpr int first = 100;
+    constexpr int switchingProtocols = 101;
+    constexpr int last = 599;
+    return status >= first && status <= last && status != switchingProtocols;
+}
+
+// An interim answer has no body, and precedes the final one.
+constexpr bool isInterim(int status)
+{
+    constexpr int firstFinal = 200;
+    return isStatus(status) && status < firstFinal;
+}
+
 // Parses a message into the form of this library. Beast's own container of headers takes some 80 bytes for each one.
 //
 // The body is appended to, and emptied by the connection as it goes, so that a large body never stands in memory whole. Trailers are
@@ -102,6 +118,8 @@
         status_ = status;
         version_ = static_cast<unsigned>(version);
         error = {};
+        if (!isStatus(status))
+            error = beast::http::error::bad_status;
     }
 
     void on_field_impl(beast::http::field /*field*/, beast::string_view name, beast::string_view value, error_code& error) override
@@ -116,6 +134,9 @@
         isInTrailers_ = true;
         headers_.shrink();
         error = {};
+        // What follows would be taken for the final answer.
+        if (isInterim(status_) && (headers_.has("Content-Length") || headers_.has("Transfer-Encoding")))
+            error = beast::http::error::bad_field;
     }
 
     void on_body_init_impl(const Length& /*length*/, error_code& error) override { error = {}; }
