Serving: a success without its engine's signature is a lost answer

Cause: the adapter's table of headers didn't have the signature, and a success was any answer with a status from 200 to 299.

Such an answer is now lost at its head, before a byte goes to the caller: the request runs at another engine if it may, else it fails with 502. A stream that goes on elsewhere keeps the signature of its first engine. Items are treated alike. A signature that is missing shows wrong bytes in the head for certain, since the users' pages ask for one with each success.

--- a/libs/serving/include/serving/Translation.h
+++ b/libs/serving/include/serving/Translation.h
@@ -29,6 +29,7 @@
     std::string resumes_; // attempt id of the caller's attempt that brought the stream's first event
     std::string expectInstance_; // the only engine instance that may run the request
     std::string notExecuted_; // in an engine's response: the engine did not run the request
+    std::string seal_; // in an engine's response: its signature, without which a success doesn't count
     std::string load_; // in an engine's response: counts of running requests, waiting requests and slots
     std::string retryAfter_; // seconds, possibly with a fraction
     std::string credentials_; // holds the caller's key; never forwarded to engines
--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -2,6 +2,7 @@
 #include "Context.h"
 
 #include "CrashWatch.h"
+#include "Statuses.h"
 
 #include <algorithm>
 #include <array>
@@ -217,6 +218,11 @@
     return passed;
 }
 
+bool isUnsealedSuccess(const HeaderNames& names, const http::ResponseHead& head)
+{
+    return head.status_ < firstNonSuccess && !head.headers_.has(names.notExecuted_) && head.headers_.find(names.seal_).empty();
+}
+
 std::string joinedValues(const http::Headers& headers, std::string_view name)
 {
     std::string values;
--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -140,6 +140,9 @@
 // Returns the list of a prompt's parts as it came, cut to a length that fits into a log line.
 std::string_view partsForLog(std::string_view parts);
 
+// Returns whether an engine's answer is a success without its signature: bytes of its head are wrong.
+bool isUnsealedSuccess(const HeaderNames& names, const http::ResponseHead& head);
+
 // Returns whether a header of a caller's request or of a batch item reaches no engine, however it is spelled: the workspace header, which
 // only the node sets, and the caller's key if the configuration has workspaces.
 bool isWithheldHeader(const HeaderNames& names, const RouteTable* table, std::string_view name);
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -188,6 +188,12 @@
         return reportLateRejection(*run);
     recordBytes(*run);
     context_.observe(run->engine_, head.headers_);
+    if (!isUnsealedSuccess(context_.translation_.headers_, head))
+        return;
+    const EngineEntry* engine = context_.board_.find(run->engine_);
+    context_.log_.line("sealMissing").with("engine", engine ? engine->name_ : "").with("status", head.status_).with("request", run->item_.item_).with("job", run->item_.job_);
+    onEngineLost(run, http::Error::Malformed);
+    finish(run, RunResult::Interrupted, "unsealed");
 }
 
 void ItemRunner::onData(const RunPtr& run, std::string_view data)
--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -29,10 +29,22 @@
     run->head_ = head;
     context_.observe(run->engine_, head.headers_);
     run->rejected_ = head.headers_.has(context_.translation_.headers_.notExecuted_) || head.status_ == statusMisdirected;
+    // A stream that goes on keeps the signature of its first engine.
+    if (!hasAnswerStarted_ && isUnsealedSuccess(context_.translation_.headers_, head))
+        return onUnsealed(run);
     if (run == run_ && silentRun_ && !run->rejected_)
         leaveSilentRun();
 }
 
+void RelayedRequest::onUnsealed(const EngineRunPtr& run)
+{
+    const EngineEntry* engine = context_.board_.find(run->engine_);
+    line("sealMissing").with("engine", engine ? engine->name_ : "").with("status", run->head_->status_).with("runs", runs_);
+    if (run == silentRun_)
+        return onSilentRunFailed(true, http::Error::Malformed);
+    onEngineLost(http::Error::Malformed);
+}
+
 void RelayedRequest::onData(const EngineRunPtr& run, std::string_view data)
 {
     if (!isOpen(run))
--- a/libs/serving/src/RelayedRequest.h
+++ b/libs/serving/src/RelayedRequest.h
@@ -110,6 +110,8 @@
     void send(const EnginePick& pick);
     http::Request outgoingRequest(const EngineEntry& engine) const;
     void onHead(const EngineRunPtr& run, const http::ResponseHead& head);
+    // Handles a success without its engine's signature, of which the caller may get nothing.
+    void onUnsealed(const EngineRunPtr& run);
     void onData(const EngineRunPtr& run, std::string_view data);
     // Handles bytes of the run that the request goes on with.
     void handleData(const EngineRunPtr& run, std::string_view data);
