http: an answer to HEAD ends with its head

Callers saw: a refusal to HEAD left its body on the kept connection.

Cause: the server wrote bodies, pieces of streams and last chunks without regard to the method; only the client's side knew HEAD.

The outbox of a connection knows the method of its request and leaves out all of these, so that no handler can write a body there. The length of the body is named if the host knows it.

--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -324,6 +324,7 @@
     outbox_.ended_ = false;
     outbox_.keepAlive_ = keepAlive;
     outbox_.chunked_ = !parser_ || parser_->version() >= 11;
+    outbox_.isHead_ = head_.method_ == "HEAD";
 }
 
 void ServerConnection::handle(bool streamed)
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -152,6 +152,7 @@
         bool started_ = false;
         bool ended_ = false;
         bool chunked_ = false;
+        bool isHead_ = false; // the request's method is HEAD: its answer has no body
         bool endsWithConnection_ = false; // the answer has neither a length nor chunks
         bool closed_ = false;
         bool keepAlive_ = false;
--- a/libs/http/src/ServerOutbox.cpp
+++ b/libs/http/src/ServerOutbox.cpp
@@ -42,8 +42,10 @@
     addHeaders(head, headers);
     outbox_.endsWithConnection_ = !wholeBody && !outbox_.chunked_;
     const bool noBody = status == 204 || status == 304;
+    // An engine's answer to HEAD has no body here, and the length that it named isn't known any more.
+    const bool isLengthKnown = !noBody && wholeBody && (!outbox_.isHead_ || !wholeBody->empty());
     if (wholeBody)
-        noBody ? void() : head.content_length(wholeBody->size());
+        isLengthKnown ? head.content_length(wholeBody->size()) : void();
     else if (outbox_.chunked_)
         head.chunked(true);
     else
@@ -53,7 +55,7 @@
     if (!outbox_.keepAlive_)
         head.set(beast::http::field::connection, "close");
     outbox_.pending_.append(headText(head));
-    if (wholeBody && !noBody)
+    if (wholeBody && !noBody && !outbox_.isHead_)
         outbox_.pending_.append(*wholeBody);
     outbox_.started_ = true;
 }
@@ -82,7 +84,7 @@
 void ServerConnection::write(std::uint64_t turn, std::string_view data)
 {
     const std::lock_guard lock(mutex_);
-    if (!isCurrent(turn) || !outbox_.started_ || data.empty())
+    if (!isCurrent(turn) || !outbox_.started_ || data.empty() || outbox_.isHead_)
         return;
     // A reader that doesn't keep up would let the queue grow without bound; it is cut off and sees a truncated answer. With a budget, writers
     // stop at isQueueFull().
@@ -103,7 +105,7 @@
     const std::lock_guard lock(mutex_);
     if (!isCurrent(turn) || !outbox_.started_)
         return;
-    if (outbox_.chunked_)
+    if (outbox_.chunked_ && !outbox_.isHead_)
         outbox_.pending_.append("0\r\n\r\n");
     countLocked();
     outbox_.ended_ = true;
