Jobs: a host keeps no more jobs on its disk than it can upload in time

Cause: a disk took any number of jobs up to its size. Copies were uploaded by name, with calls that come after results, and each holder brought each job, so that two of three uploads found it in the store already.

A host now refuses copies beyond what it can upload in 10 s with half of its writes, and reports that it is full. Uploads go before its other calls and in the order of the copies, and the host that uploads a job tells the other holders. So what is accepted leaves the disks at a rate that the host was counted on for. A host that is full or leaves confirms a copy that it holds; before, an entry could call a job "not run" of which a leaving host had a copy.

--- a/libs/ledger/include/ledger/Acceptor.h
+++ b/libs/ledger/include/ledger/Acceptor.h
@@ -52,9 +52,10 @@
     using Done = std::function<void(const Acceptance&, TimePoint now)>;
 
     // `maxValueBytes`: of a value in the store. The same on all hosts: several may write the pages of one job.
-    explicit Acceptor(LedgerStore store, std::size_t maxValueBytes = maxObjectBytes)
+    explicit Acceptor(LedgerStore store, std::size_t maxValueBytes = maxObjectBytes, CallClass callClass = CallClass::Accept)
         : store_(std::move(store))
         , maxValueBytes_(maxValueBytes)
+        , callClass_(callClass)
     {
     }
 
@@ -64,6 +65,7 @@
 private:
     LedgerStore store_;
     std::size_t maxValueBytes_;
+    CallClass callClass_;
 };
 
 } // namespace jj
--- a/libs/ledger/include/ledger/JobSpool.h
+++ b/libs/ledger/include/ledger/JobSpool.h
@@ -2,7 +2,7 @@
 //
 //     JobSpool<FileDisk> spool(std::move(disk), settings, outlets);
 //     spool.load(now);                       // copies that an earlier process left
-//     spool.storeCopy(job, now);             // the copy is durable if this returns Spooled
+//     spool.storeCopy(job, true, now);       // the copy is durable if this returns Spooled
 //     spool.tick(now, wall);                 // uploads the copies to the store
 //
 // The disk is a template parameter: the daemon uses files, tests use memory that survives the end of a simulated process.
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jj {
@@ -40,6 +41,9 @@
 struct SpoolSettings {
     // Limit for all copies together. Beyond it a job is refused, and the sender asks another host.
     std::size_t maxBytes_ = 32U * 1024 * 1024;
+    // Limit for the number of copies: as many as this host can upload while their callers wait. What the store takes too slowly would be
+    // accepted and stay on the disks.
+    std::size_t maxCopies_ = 1000;
     // Delay before the first upload. The entry's own calls may still bring the job to the store; in nearly all cases they finish, and the
     // entry notifies this host, within this time.
     Duration firstUploadDelay_ = 1500ms;
@@ -73,6 +77,8 @@
     std::function<bool()> isStoreUnavailable_;
     std::function<NodeId(const JobName&)> ownerOf_;
     std::function<void(const JobName&, const Acceptance&)> notifyOwner_;
+    // Tells the other hosts that the store holds the job, so that they discard their copies without an upload.
+    std::function<void(const JobName&)> notifyHolders_;
     std::function<void(SpoolNote, const JobName&, std::error_code)> note_;
     // Called when the number of spooled jobs has changed.
     std::function<void()> sizeChanged_;
@@ -85,7 +91,7 @@
         : disk_(std::move(disk))
         , settings_(settings)
         , outlets_(std::move(outlets))
-        , acceptor_(outlets_.store_, settings_.maxValueBytes_)
+        , acceptor_(outlets_.store_, settings_.maxValueBytes_, uploadClass)
     {
     }
 
@@ -108,14 +114,17 @@
         outlets_.sizeChanged_();
     }
 
-    // Writes a copy of the job to the disk. Idempotent: a job that is already spooled is not written again.
-    SpoolOutcome storeCopy(const SpooledJob& job, TimePoint now)
+    // Writes a copy of the job to the disk. Idempotent: a job that is already spooled is not written again. If `acceptsNew` is false, a job
+    // that isn't is refused.
+    SpoolOutcome storeCopy(const SpooledJob& job, bool acceptsNew, TimePoint now)
     {
         const JobName& name = job.submission_.job_;
         if (copies_.contains(name))
             return SpoolOutcome::Spooled;
+        if (!acceptsNew)
+            return SpoolOutcome::Refused;
         const std::string text = encode(job);
-        if (bytes_ + text.size() > settings_.maxBytes_) {
+        if (isFull() || bytes_ + text.size() > settings_.maxBytes_) {
             outlets_.note_(SpoolNote::Refused, name, std::make_error_code(std::errc::no_space_on_device));
             return SpoolOutcome::Refused;
         }
@@ -144,20 +153,26 @@
     {
         if (copies_.empty() || outlets_.isStoreUnavailable_())
             return;
-        std::vector<JobName> due;
+        std::vector<std::pair<TimePoint, JobName>> due;
         for (const auto& [name, copy] : copies_) {
             if (!copy.isUploading_ && now >= copy.nextUploadAt_)
-                due.push_back(name);
+                due.emplace_back(copy.nextUploadAt_, name);
         }
-        for (const JobName& name : due) {
+        std::sort(due.begin(), due.end());
+        for (const auto& [dueAt, name] : due) {
             if (uploads_ < settings_.maxConcurrentUploads_)
                 upload(name, now, wall);
         }
     }
 
     std::size_t size() const { return copies_.size(); }
+    // Returns whether further jobs are refused.
+    bool isFull() const { return copies_.size() >= settings_.maxCopies_; }
 
 private:
+    // An acknowledged job that disks alone hold comes before all that can be written later.
+    static constexpr CallClass uploadClass = CallClass::Lease;
+
     struct Copy {
         std::size_t bytes_ = 0;
         TimePoint nextUploadAt_ {};
@@ -183,8 +198,10 @@
     void finishUpload(const JobName& name, const Acceptance& acceptance, TimePoint now)
     {
         --uploads_;
-        if (acceptance.outcome_ == AcceptOutcome::Accepted)
+        if (acceptance.outcome_ == AcceptOutcome::Accepted) {
             outlets_.notifyOwner_(name, acceptance);
+            outlets_.notifyHolders_(name);
+        }
         const auto copy = copies_.find(name);
         if (copy == copies_.end())
             return; // removed during the upload
--- a/libs/ledger/src/Acceptor.cpp
+++ b/libs/ledger/src/Acceptor.cpp
@@ -10,6 +10,7 @@
         JobName job_;
         Acceptance acceptance_;
         Acceptor::Done done_;
+        CallClass callClass_ = CallClass::Accept;
         TimePoint until_;
         std::size_t pendingCreates_ = 0; // creates without an answer
         bool headExisted_ = false; // before this submission
@@ -31,7 +32,7 @@
         head.owner_ = attempt->acceptance_.head_.owner_;
         head.acceptedAt_ = attempt->acceptance_.head_.acceptedAt_;
         attempt->acceptance_.head_ = head;
-        attempt->store_(ObjectCall::update(headKey(attempt->job_), encode(head), version), CallClass::Accept, attempt->until_, [attempt](const SettledAnswer& answer, TimePoint at) {
+        attempt->store_(ObjectCall::update(headKey(attempt->job_), encode(head), version), attempt->callClass_, attempt->until_, [attempt](const SettledAnswer& answer, TimePoint at) {
             attempt->acceptance_.headVersion_ = answer.answer_.version_;
             finish(attempt, answer.ok() ? AcceptOutcome::Accepted : AcceptOutcome::Unknown, at);
         });
@@ -39,7 +40,7 @@
 
     void checkExistingHead(const std::shared_ptr<AcceptAttempt>& attempt)
     {
-        attempt->store_(ObjectCall::get(headKey(attempt->job_)), CallClass::Accept, attempt->until_, [attempt](const SettledAnswer& answer, TimePoint at) {
+        attempt->store_(ObjectCall::get(headKey(attempt->job_)), attempt->callClass_, attempt->until_, [attempt](const SettledAnswer& answer, TimePoint at) {
             const Result<JobHead> head = answer.ok() ? decodeHead(answer.answer_.value_) : Result<JobHead>(LedgerError::BadRecord);
             if (!head)
                 return finish(attempt, AcceptOutcome::Unknown, at);
@@ -65,7 +66,7 @@
     void create(const std::shared_ptr<AcceptAttempt>& attempt, std::string key, std::string value, bool isHead)
     {
         ++attempt->pendingCreates_;
-        attempt->store_(ObjectCall::create(std::move(key), std::move(value)), CallClass::Accept, attempt->until_, [attempt, isHead](const SettledAnswer& answer, TimePoint now) {
+        attempt->store_(ObjectCall::create(std::move(key), std::move(value)), attempt->callClass_, attempt->until_, [attempt, isHead](const SettledAnswer& answer, TimePoint now) {
             const bool existed = answer.is(ObjectError::Conflict);
             if (isHead && answer.ok()) {
                 attempt->acceptance_.headVersion_ = answer.answer_.version_;
@@ -94,6 +95,7 @@
     attempt->store_ = store_;
     attempt->job_ = submission.job_;
     attempt->done_ = std::move(done);
+    attempt->callClass_ = callClass_;
     attempt->until_ = now + bound;
     Acceptance& acceptance = attempt->acceptance_;
     if (!isValidJobName(submission.job_)) {
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -364,7 +364,13 @@
             if (!acceptance.head_.owner_.isNone())
                 sendToOwner(indexOf(acceptance.head_.owner_), { job, acceptance.head_, acceptance.headVersion_, acceptance.items_, 0, !acceptance.isNew_, {} });
         };
-        SpoolOutlets spool { send, isAway, ownerOf, notifyOwner, [this](SpoolNote note, const JobName&, std::error_code) { ++spoolNotes_[note]; }, [] {} };
+        const auto notifyHolders = [this, index](const JobName& job) {
+            for (std::size_t other = 0; other < hosts_.size(); ++other) {
+                if (other != index)
+                    at(other, [this, other, job] { hosts_[other]->spool_->discardCopy(job); });
+            }
+        };
+        SpoolOutlets spool { send, isAway, ownerOf, notifyOwner, notifyHolders, [this](SpoolNote note, const JobName&, std::error_code) { ++spoolNotes_[note]; }, [] {} };
         host.spool_ = std::make_unique<JobSpool<MemoryDisk>>(host.disk_, SpoolSettings(), std::move(spool));
         host.spool_->load(now_);
         IntakeOutlets intake;
@@ -406,7 +412,7 @@
                 std::exchange(*open, {})(outcome, now);
         };
         spoolRequests_.push_back({ now_ + spoolTimeout, answer });
-        at(indexOf(to), [this, to, job = std::move(job), answer] { answer(hosts_[indexOf(to)]->spool_->storeCopy(job, now_), now_); });
+        at(indexOf(to), [this, to, job = std::move(job), answer] { answer(hosts_[indexOf(to)]->spool_->storeCopy(job, true, now_), now_); });
     }
 
     // Sends the records to all other hosts, and what these know back.
--- a/libs/ledger/tests/SpoolTest.cpp
+++ b/libs/ledger/tests/SpoolTest.cpp
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <unistd.h>
 
 using namespace jj;
@@ -208,15 +209,120 @@
     SpooledJob job { LedgerWorld::submission("j", items), 0 };
     settings.maxBytes_ = encode(job).size() + 1;
     const auto ignore = [](SpoolNote, const JobName&, std::error_code) {};
-    SpoolOutlets outlets { [](const ObjectCall&, CallClass, TimePoint, const SettledCompletion&) {}, [] { return true; }, [](const JobName&) { return NodeId(1); }, [](const JobName&, const Acceptance&) {}, ignore, [] {} };
+    SpoolOutlets outlets { [](const ObjectCall&, CallClass, TimePoint, const SettledCompletion&) {}, [] { return true; }, [](const JobName&) { return NodeId(1); }, [](const JobName&, const Acceptance&) {}, [](const JobName&) {}, ignore, [] {} };
     JobSpool<MemoryDisk> spool(disk, settings, outlets);
-    CHECK(spool.storeCopy(job, TimePoint(1s)) == SpoolOutcome::Spooled);
-    CHECK(spool.storeCopy(job, TimePoint(1s)) == SpoolOutcome::Spooled); // spooling the same job again needs no further space
+    CHECK(spool.storeCopy(job, true, TimePoint(1s)) == SpoolOutcome::Spooled);
+    CHECK(spool.storeCopy(job, true, TimePoint(1s)) == SpoolOutcome::Spooled); // spooling the same job again needs no further space
     job.submission_.job_ = "k";
-    CHECK(spool.storeCopy(job, TimePoint(1s)) == SpoolOutcome::Refused);
+    CHECK(spool.storeCopy(job, true, TimePoint(1s)) == SpoolOutcome::Refused);
     CHECK(disk.texts_->size() == 1);
 }
 
+namespace {
+
+// A spool whose calls to the store are recorded and not answered.
+class RecordedSpool {
+public:
+    explicit RecordedSpool(const SpoolSettings& settings = {})
+        : spool_(disk_, settings, outlets())
+    {
+    }
+
+    SpoolOutcome store(const JobName& job, bool acceptsNew = true) { return spool_.storeCopy({ LedgerWorld::submission(job, 1), 0 }, acceptsNew, now_); }
+    void runFor(Duration time)
+    {
+        now_ += time;
+        spool_.tick(now_, WallTime()); // when the jobs were accepted
+    }
+
+    MemoryDisk disk_;
+    std::vector<std::string> keys_; // of the calls
+    std::set<CallClass> classes_;
+
+private:
+    SpoolOutlets outlets()
+    {
+        SpoolOutlets outlets;
+        outlets.store_ = [this](const ObjectCall& call, CallClass callClass, TimePoint, const SettledCompletion&) {
+            keys_.push_back(call.key_);
+            classes_.insert(callClass);
+        };
+        outlets.isStoreUnavailable_ = [] { return false; };
+        outlets.ownerOf_ = [](const JobName&) { return NodeId(1); };
+        outlets.note_ = [](SpoolNote, const JobName&, std::error_code) {};
+        outlets.sizeChanged_ = [] {};
+        return outlets;
+    }
+
+    TimePoint now_ { 1s };
+
+public:
+    JobSpool<MemoryDisk> spool_;
+};
+
+} // namespace
+
+// Guards against jobs that are accepted on disks in greater number than the store takes, and stay there.
+TEST_CASE("ledger: a host refuses more copies than it can upload in time")
+{
+    SpoolSettings settings;
+    settings.maxCopies_ = 2;
+    RecordedSpool spool(settings);
+    CHECK(spool.store("a") == SpoolOutcome::Spooled);
+    CHECK(spool.store("b") == SpoolOutcome::Spooled);
+    CHECK(spool.spool_.isFull());
+    CHECK(spool.store("c") == SpoolOutcome::Refused);
+    CHECK(spool.disk_.texts_->size() == 2);
+    spool.spool_.discardCopy("a");
+    CHECK(spool.store("c") == SpoolOutcome::Spooled);
+}
+
+// Guards against a job that runs although it was refused: the host that refuses it has a copy of an earlier submission.
+TEST_CASE("ledger: a host that is full or leaves confirms the copies that it holds")
+{
+    SpoolSettings settings;
+    settings.maxCopies_ = 1;
+    RecordedSpool spool(settings);
+    CHECK(spool.store("a") == SpoolOutcome::Spooled);
+    CHECK(spool.store("a") == SpoolOutcome::Spooled);
+    CHECK(spool.store("a", false) == SpoolOutcome::Spooled);
+    CHECK(spool.store("b", false) == SpoolOutcome::Refused);
+}
+
+// Guards against jobs that wait on a disk until all jobs with lower names have been uploaded.
+TEST_CASE("ledger: copies are uploaded in the order in which they came, before other writes")
+{
+    SpoolSettings settings;
+    settings.maxConcurrentUploads_ = 2;
+    RecordedSpool spool(settings);
+    for (const char* job : { "c", "b", "a" }) {
+        CHECK(spool.store(job) == SpoolOutcome::Spooled);
+        spool.runFor(10ms);
+    }
+    spool.runFor(settings.firstUploadDelay_);
+    CHECK(spool.keys_ == std::vector { itemPageKey("c", 0), headKey("c"), itemPageKey("b", 0), headKey("b") });
+    CHECK(spool.classes_ == std::set { CallClass::Lease });
+}
+
+// Guards against hosts that spend most of their writes on copies of jobs that another host has uploaded.
+TEST_CASE("ledger: the host that uploads a job first tells the others, which discard their copies")
+{
+    LedgerWorld world(1, 3);
+    world.store_.core().setOutage(true);
+    world.advance(100ms);
+    for (const char* job : { "j", "k", "l" })
+        world.take(0, job, items);
+    world.advance(4s);
+    REQUIRE(world.spoolNotes_[SpoolNote::Spooled] == 6);
+    world.store_.core().setOutage(false);
+    world.advance(8s);
+    CHECK(world.spoolNotes_[SpoolNote::Stored] == 3);
+    CHECK(world.spoolNotes_[SpoolNote::AlreadyStored] == 0);
+    CHECK(world.spoolNotes_[SpoolNote::Discarded] == 3);
+    for (const char* job : { "j", "k", "l" })
+        expectDone(world, job);
+}
+
 // Guards against a job that runs although it was refused: a power loss undoes the removal of its copy, whose write had failed.
 TEST_CASE("ledger: a job whose copy may come back after a failed write isn't refused")
 {
@@ -228,9 +334,9 @@
         }
     };
     const auto ignore = [](SpoolNote, const JobName&, std::error_code) {};
-    SpoolOutlets outlets { [](const ObjectCall&, CallClass, TimePoint, const SettledCompletion&) {}, [] { return true; }, [](const JobName&) { return NodeId(1); }, [](const JobName&, const Acceptance&) {}, ignore, [] {} };
+    SpoolOutlets outlets { [](const ObjectCall&, CallClass, TimePoint, const SettledCompletion&) {}, [] { return true; }, [](const JobName&) { return NodeId(1); }, [](const JobName&, const Acceptance&) {}, [](const JobName&) {}, ignore, [] {} };
     JobSpool<FailingSync> spool(FailingSync {}, SpoolSettings(), outlets);
-    CHECK(spool.storeCopy({ LedgerWorld::submission("j", items), 0 }, TimePoint(1s)) == SpoolOutcome::Unknown);
+    CHECK(spool.storeCopy({ LedgerWorld::submission("j", items), 0 }, true, TimePoint(1s)) == SpoolOutcome::Unknown);
 }
 
 TEST_CASE("ledger: a spooled job survives encoding, and a damaged text doesn't decode")
--- a/libs/objects/include/objects/CallBudget.h
+++ b/libs/objects/include/objects/CallBudget.h
@@ -17,7 +17,7 @@
 
 // In order of urgency. A less urgent class leaves a reserve in the bucket to the more urgent ones.
 enum class CallClass : std::uint8_t {
-    Lease, // may overdraw the bucket by a few calls: a lapsed lease costs more than a refused call
+    Lease, // also uploads of acknowledged jobs; may overdraw the bucket by a few calls: a lapsed lease costs more than a refused call
     Commit,
     Accept,
     Read,
--- a/libs/serving/src/JobFront.cpp
+++ b/libs/serving/src/JobFront.cpp
@@ -140,6 +140,14 @@
     });
 }
 
+void JobFront::discardCopies(const JobName& job)
+{
+    for (const Peer& peer : context_.fleet_->peers()) {
+        if (peer.isLive() && peer.spooledJobs_ > 0)
+            removeSpooledCopy(peer.node_, job);
+    }
+}
+
 void JobFront::respond(const std::shared_ptr<http::Exchange>& exchange, const std::string& id, const JobName& job, const IntakeAnswer& answer, TimePoint startedAt, TimePoint now)
 {
     context_.log_.line("jobSubmitted").with("request", id).with("job", job).with("outcome", toString(answer.outcome_)).with("items", answer.items_).with("owner", answer.owner_.value()).with("afterMs", now - startedAt);
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -345,6 +345,10 @@
         return;
     // The spool may fill a quarter of the disk. The rest is for files that are being replaced and for other programs.
     constexpr std::size_t spoolDivisor = 4;
+    // A job that is accepted on disks can't be read until it is uploaded, and a part of this host's writes is for results.
+    constexpr Duration longestUpload = 10s;
+    constexpr double uploadShare = 0.5;
+    constexpr double writesPerUpload = 2; // an item page and the head
     auto disk = FileDisk::open(settings_.diskFolder_ + "/jobs");
     if (!disk) {
         log_.line("diskUnusable").with("folder", settings_.diskFolder_).with("error", disk.error().message());
@@ -353,11 +357,13 @@
     SpoolSettings spool;
     spool.maxBytes_ = settings_.diskBytes_ / spoolDivisor;
     spool.maxValueBytes_ = settings_.storeValueBytes_;
+    spool.maxCopies_ = std::max<std::size_t>(1, static_cast<std::size_t>(settings_.storeWritesPerSecond_ / writesPerUpload * uploadShare * toSeconds(longestUpload)));
     SpoolOutlets outlets;
     outlets.store_ = [this](ObjectCall call, CallClass callClass, TimePoint until, SettledCompletion done) { store_->send(std::move(call), callClass, until, std::move(done)); };
     outlets.isStoreUnavailable_ = [this] { return store_->isUnreachable(); };
     outlets.ownerOf_ = [this](const JobName& job) { return fleet_->preferredOwner(job, fleet_->self()); };
     outlets.notifyOwner_ = [this](const JobName& job, const Acceptance& acceptance) { jobs_->sendToOwner(job, acceptance); };
+    outlets.notifyHolders_ = [this](const JobName& job) { jobs_->discardCopies(job); };
     outlets.note_ = [this](SpoolNote note, const JobName& job, std::error_code error) {
         auto line = log_.line(toString(note));
         line.with("job", job);
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -45,7 +45,7 @@
     void buildStore();
     void buildScheduler();
     void buildSpool();
-    bool acceptsSpooledJobs() const { return spool_ && !draining_ && !fleet_->isLeaving(); }
+    bool acceptsSpooledJobs() const { return spool_ && !spool_->isFull() && !draining_ && !fleet_->isLeaving(); }
     // Returns whether some job may be spooled on a host's disk without being in the store yet.
     bool mayHaveSpooledJobs() const;
     bool hasHandedOverAll() const { return scheduler_->hasLeft() && (!spool_ || spool_->size() == 0); }
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -379,7 +379,7 @@
     if (const auto* request = std::get_if<BodyRequest>(&call))
         return scheduler_->body(request->job_, request->item_, false, now, [reply](BodyAnswer answer) { reply(std::move(answer)); });
     if (const auto* request = std::get_if<SpoolRequest>(&call))
-        return reply(SpoolReply { acceptsSpooledJobs() ? spool_->storeCopy(request->job_, now) : SpoolOutcome::Refused });
+        return reply(SpoolReply { spool_ ? spool_->storeCopy(request->job_, acceptsSpooledJobs(), now) : SpoolOutcome::Refused });
     if (const auto* request = std::get_if<DropSpooledRequest>(&call)) {
         if (spool_)
             spool_->discardCopy(request->job_);
