Crashes: a trial that wasn't sent is kept only while its suspect is blocked

A request whose trial was granted may end after an engine has answered another one with the same suspect. Its trial was kept then, and a later verdict would have had a trial that nobody had counted. And a request that holds a trial of one suspect claims none of a second one. Found by reading; the unit test of unused trials checks the first, not run without the change.

--- a/libs/crashes/include/crashes/VerdictStore.h
+++ b/libs/crashes/include/crashes/VerdictStore.h
@@ -55,7 +55,7 @@
     // Counts a trial and calls `done` with whether the caller may send its request; at once, or within the time of a store call.
     void claimTrial(Fingerprint suspect, TimePoint now, std::function<void(bool isGranted)> done);
     // Gives back a granted trial whose request was not sent, for the next one at this host.
-    void returnTrial(Fingerprint suspect) { unusedTrials_.insert(suspect); }
+    void returnTrial(Fingerprint suspect);
 
 private:
     struct Entry {
@@ -85,7 +85,7 @@
     std::uint64_t writes_ = 0; // so far, by this process
     // Suspects that are blocked, and those whose objects may stand although they are free.
     std::map<Fingerprint, Entry> entries_;
-    std::set<Fingerprint> unusedTrials_;
+    std::set<Fingerprint> unusedTrials_; // suspects that have been blocked ever since their trial was granted
     bool isRead_ = false; // all verdicts of the store were read
     bool isReading_ = false;
     std::size_t readCount_ = 0;
--- a/libs/crashes/src/VerdictStore.cpp
+++ b/libs/crashes/src/VerdictStore.cpp
@@ -31,8 +31,7 @@
 {
     Entry& entry = entries_[change.suspect_];
     entry.isOwn_ = isOwnEvidence;
-    if (!change.isBlocked_)
-        unusedTrials_.erase(change.suspect_);
+    unusedTrials_.erase(change.suspect_);
     if (isOwnEvidence)
         reconcile(change.suspect_, entry, now);
 }
@@ -186,6 +185,12 @@
     outlets_.store_(std::move(call), CallClass::Commit, now + trialCallTime, [this, suspect, done = std::move(done)](const SettledAnswer& answer, TimePoint at) { onTrialWritten(suspect, answer, at, done); });
 }
 
+void VerdictStore::returnTrial(Fingerprint suspect)
+{
+    if (suspects_.isBlocked(suspect))
+        unusedTrials_.insert(suspect);
+}
+
 void VerdictStore::onTrialWritten(Fingerprint suspect, const SettledAnswer& answer, TimePoint now, const std::function<void(bool)>& done)
 {
     Entry& entry = entries_[suspect];
--- a/libs/crashes/tests/VerdictStoreTest.cpp
+++ b/libs/crashes/tests/VerdictStoreTest.cpp
@@ -213,6 +213,8 @@
     host.verdicts().returnTrial(content);
     host.answer(contentRequest());
     CHECK_FALSE(host.verdicts().hasUnusedTrial(content));
+    host.verdicts().returnTrial(content);
+    CHECK_FALSE(host.verdicts().hasUnusedTrial(content));
 }
 
 // Guards against a request that an engine has answered and that is blocked again at the next start.
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -214,7 +214,7 @@
 
 void RelayedRequest::handleBlocked()
 {
-    if (!isTrialDue_ || mayHaveRun() || hasAnswerStarted_)
+    if (!isTrialDue_ || trialOf_ || mayHaveRun() || hasAnswerStarted_)
         return refuseBlocked();
     phase_ = Phase::Claiming;
     context_.crashes_->claimTrial(*blockedBy_, [weak = weak_from_this(), crashes = context_.crashes_, suspect = *blockedBy_](bool isGranted) {
