Jobs: items whose time is over at once are listed on one page

The items are all recorded before the commit now, so that such a job takes two writes. Unit test: two pages before, one now. x86_64.

--- a/libs/ledger/include/ledger/JobScheduler.h
+++ b/libs/ledger/include/ledger/JobScheduler.h
@@ -364,6 +364,8 @@
 
     // Results
     void finishItem(const JobPtr& job, std::size_t item, ResultState state, TimePoint now);
+    // The same, but leaves the commit to the caller.
+    void addResult(const JobPtr& job, std::size_t item, ResultState state, TimePoint now);
     void commitIfDue(const JobPtr& job, TimePoint now);
     void commit(const JobPtr& job, TimePoint now);
     void finishCommit(const JobPtr& job, const SettledAnswer& answer, TimePoint now);
--- a/libs/ledger/src/JobScheduler.cpp
+++ b/libs/ledger/src/JobScheduler.cpp
@@ -172,9 +172,10 @@
     if (!isOverdue)
         return;
     stopRuns(job, true);
+    // All of them before the commit, which would write a page for the first one alone.
     for (std::size_t itemIndex = 0; itemIndex < job->items_.size(); ++itemIndex) {
         if (job->items_[itemIndex].state_ == ItemState::Waiting)
-            finishItem(job, itemIndex, ResultState::Errored, now);
+            addResult(job, itemIndex, ResultState::Errored, now);
     }
 }
 
--- a/libs/ledger/src/SchedulerRuns.cpp
+++ b/libs/ledger/src/SchedulerRuns.cpp
@@ -284,6 +284,12 @@
 // ---- results
 
 void JobScheduler::finishItem(const JobPtr& job, std::size_t itemIndex, ResultState state, TimePoint now)
+{
+    addResult(job, itemIndex, state, now);
+    commitIfDue(job, now);
+}
+
+void JobScheduler::addResult(const JobPtr& job, std::size_t itemIndex, ResultState state, TimePoint now)
 {
     Item& item = job->items_[itemIndex];
     constexpr double meanGain = 0.1;
@@ -299,7 +305,6 @@
         job->pendingSince_ = now;
     job->pending_.push_back({ item.item_.id_, state, std::move(item.text_) });
     item.text_ = {};
-    commitIfDue(job, now);
 }
 
 void JobScheduler::commitIfDue(const JobPtr& job, TimePoint now)
--- a/libs/ledger/tests/SchedulerTest.cpp
+++ b/libs/ledger/tests/SchedulerTest.cpp
@@ -374,6 +374,19 @@
     CHECK(world.read(0, "j").results_.size() == 3);
 }
 
+// Guards against items of many jobs that aren't listed in time, because each job takes two pages for those whose time is over.
+TEST_CASE("ledger: the items of a job whose time is over at once are listed on one page")
+{
+    LedgerWorld world(18, 1);
+    world.service_ = std::nullopt; // nothing runs: no configuration is known
+    world.submit(0, "j", 8, 0);
+    world.advance(1s);
+    world.advance(LedgerWorld::submission("j", 8).head_.abandonAfter_ + 20s);
+    CHECK(world.notes_[SchedulerNote::ItemErrored] == 8);
+    CHECK(world.stored("j").size() == 8);
+    CHECK(world.notes_[SchedulerNote::Listed] == 1);
+}
+
 TEST_CASE("ledger: a job's objects are removed after its retention")
 {
     LedgerWorld world(21);
