--- a/libs/crashes/include/crashes/VerdictStore.h
+++ b/libs/crashes/include/crashes/VerdictStore.h
@@ -1,6 +1,6 @@
 // Keeps verdicts about suspects in the platform's store, so that they outlast the processes of all hosts.
 //
-// Hosts tell one another what they know, so the store is needed only after all of them have ended. Calls: one list at the start of a
+// Hosts exchange what they know, so the store is needed only after all of them have ended. Calls: one list at the start of a
 // process; for a verdict a write by the host whose evidence led to it, and one by its keeper, a live host that is chosen by a hash and
 // makes up for a writer that ends before; one for each trial; removals by the same two hosts once the suspect is free or forgotten. None
 // for a request.
--- a/libs/crashes/src/VerdictStore.cpp
+++ b/libs/crashes/src/VerdictStore.cpp
@@ -12,7 +12,7 @@
 
     constexpr Duration callTime = 5s;
     constexpr Duration retryPeriod = 1s;
-    // The request of the trial waits for so long.
+    // The request of the trial waits until this call has ended.
     constexpr Duration trialCallTime = 500ms;
     constexpr Duration reconcilePeriod = 1s;
     // Further verdicts of a store that holds more are left out.
--- a/libs/http/src/Codec.h
+++ b/libs/http/src/Codec.h
@@ -45,7 +45,7 @@
 // Memory that the head of a request takes.
 inline std::size_t headBytes(const Request& request) { return heapBytes(request.method_) + heapBytes(request.target_) + request.headers_.bytes(); }
 
-// Statuses that a final answer or an interim one may have. A switch of protocols is neither, since nobody here asks for one.
+// Statuses that a final answer or an interim one may have. A switch of protocols is neither, since no request here has an Upgrade header.
 constexpr bool isStatus(int status)
 {
     constexpr int first = 100;
--- a/libs/ledger/include/ledger/JobSpool.h
+++ b/libs/ledger/include/ledger/JobSpool.h
@@ -77,7 +77,7 @@
     std::function<bool()> isStoreUnavailable_;
     std::function<NodeId(const JobName&)> ownerOf_;
     std::function<void(const JobName&, const Acceptance&)> notifyOwner_;
-    // Tells the other hosts that the store holds the job, so that they discard their copies without an upload.
+    // Notifies the other hosts that the store holds the job, so that they discard their copies without an upload.
     std::function<void(const JobName&)> notifyHolders_;
     std::function<void(SpoolNote, const JobName&, std::error_code)> note_;
     // Called when the number of spooled jobs has changed.
--- a/libs/serving/src/JobFront.h
+++ b/libs/serving/src/JobFront.h
@@ -20,7 +20,7 @@
     void submit(const std::shared_ptr<http::Exchange>& exchange, const RouteTable& table, const Route& route, const Caller& caller);
     void call(std::shared_ptr<http::Exchange> exchange, const RouteTable& table, const Caller& caller, JobRequest call);
     // Sends a job that the store has accepted to its owner.
-    // Tells the hosts that hold copies of spooled jobs to discard those of this one, because the store holds the job.
+    // Makes the hosts that hold copies of spooled jobs discard those of this one, because the store holds the job.
     void discardCopies(const JobName& job);
     void sendToOwner(const JobName& job, const Acceptance& acceptance) { acceptances_.send(job, acceptance); }
     void tick(TimePoint now) { intake_.tick(now); }
--- a/libs/serving/src/Statuses.h
+++ b/libs/serving/src/Statuses.h
@@ -1,4 +1,4 @@
-// Status codes of answers, and what they tell a caller.
+// Status codes of answers, and what they promise a caller.
 #pragma once
 
 namespace jj {
