Crashes: the first start of the whole system lists no verdicts

The platform says in its settings when the whole system starts for the first time, with empty disks. The store can't hold a verdict then, so nothing is listed; a process that is told nothing lists. Ruled out: lists by some hosts for all others, since the time of a verdict isn't in the messages between hosts, and a host alone has to notice that it is alone.

--- a/libs/crashes/include/crashes/VerdictStore.h
+++ b/libs/crashes/include/crashes/VerdictStore.h
@@ -1,7 +1,7 @@
 // Keeps verdicts about suspects in the platform's store, so that they outlast the processes of all hosts.
 //
 // Hosts exchange what they know, so the store is needed only after all of them have ended. Calls: one list at the start of a
-// process; for a verdict a write by the host whose evidence led to it, and one by its keeper, a live host that is chosen by a hash and
+// process, but for the first start of the whole system; for a verdict a write by the host whose evidence led to it, and one by its keeper, a live host that is chosen by a hash and
 // makes up for a writer that ends before; one for each trial; removals by the same two hosts once the suspect is free or forgotten. None
 // for a request.
 //
@@ -41,8 +41,8 @@
 
 class VerdictStore {
 public:
-    // `suspects` must outlive this object. `seed` differs between processes.
-    VerdictStore(CrashSuspects& suspects, std::uint64_t seed, VerdictStoreOutlets outlets);
+    // `suspects` must outlive this object. `seed` differs between processes. `isEmpty`: the store holds no verdicts yet.
+    VerdictStore(CrashSuspects& suspects, std::uint64_t seed, bool isEmpty, VerdictStoreOutlets outlets);
 
     // Handles a change of a verdict. `isOwnEvidence`: it follows from a crash or an answer at this host.
     void onChange(const VerdictChange& change, bool isOwnEvidence, TimePoint now);
@@ -87,7 +87,7 @@
     // Suspects that are blocked, and those whose objects may stand although they are free.
     std::map<Fingerprint, Entry> entries_;
     std::set<Fingerprint> unusedTrials_; // suspects that have been blocked ever since their trial was granted
-    bool isRead_ = false; // all verdicts of the store were read
+    bool isRead_; // all verdicts of the store were read
     bool isReading_ = false;
     std::size_t readCount_ = 0;
     TimePoint nextReadAt_ {};
--- a/libs/crashes/src/VerdictStore.cpp
+++ b/libs/crashes/src/VerdictStore.cpp
@@ -20,10 +20,11 @@
 
 } // namespace
 
-VerdictStore::VerdictStore(CrashSuspects& suspects, std::uint64_t seed, VerdictStoreOutlets outlets)
+VerdictStore::VerdictStore(CrashSuspects& suspects, std::uint64_t seed, bool isEmpty, VerdictStoreOutlets outlets)
     : suspects_(suspects)
     , outlets_(std::move(outlets))
     , seed_(seed)
+    , isRead_(isEmpty)
 {
 }
 
--- a/libs/crashes/tests/VerdictStoreTest.cpp
+++ b/libs/crashes/tests/VerdictStoreTest.cpp
@@ -61,9 +61,9 @@
 // What a process knows of crashes. A new one knows nothing.
 class Host {
 public:
-    explicit Host(World& world, bool isKeeper = false, std::uint64_t seed = 1)
+    explicit Host(World& world, bool isKeeper = false, std::uint64_t seed = 1, bool isFirstStart = false)
         : world_(world)
-        , verdicts_(suspects_, seed, outlets(isKeeper))
+        , verdicts_(suspects_, seed, isFirstStart, outlets(isKeeper))
     {
     }
 
@@ -365,6 +365,19 @@
     CHECK(world.store_.counts().reads_ == reads);
 }
 
+TEST_CASE("at the first start of the whole system nothing is read, and verdicts are written as ever")
+{
+    World world;
+    Host host(world, true, 1, true);
+    host.runFor(1min);
+    CHECK(world.store_.counts().reads_ + world.store_.counts().writes_ == 0);
+    host.crash(contentRequest(), 3);
+    CHECK(world.isStored(content));
+    Host later(world);
+    later.runFor(500ms);
+    CHECK(later.isBlocked(contentRequest()));
+}
+
 TEST_CASE("objects of another writer are passed over")
 {
     World world;
--- a/libs/serving/include/serving/ServingSettings.h
+++ b/libs/serving/include/serving/ServingSettings.h
@@ -1,6 +1,6 @@
 // Settings of a serving node, read from one INI file. An invalid file is rejected with a list of all its errors.
 //
-//     [node]      name, failure-domain, region, regions, callers, ready, peers, seeds, runs-jobs, metrics, key-file
+//     [node]      name, failure-domain, region, regions, callers, ready, peers, seeds, runs-jobs, first-start, metrics, key-file
 //     [platform]  store, value-bytes, reads-per-second, writes-per-second
 //     [bounds]    grace-ms, engine-grace-ms, accept-ms, lost-hosts, lost-domains, lost-regions
 //     [quotas]    window-s, over, slack
@@ -36,6 +36,8 @@
     Endpoint peers_; // UDP and TCP for other nodes; the next higher port is used as well (UDP)
     std::vector<std::string> seeds_; // IP addresses
     bool runsJobs_ = false; // whether this node owns jobs and runs their items
+    // Whether the whole system starts for the first time, so that the store holds nothing of an earlier process.
+    bool isFirstStart_ = false;
     std::string keyFile_; // holds 64 hex digits that authenticate peers; empty: the network is trusted and peers are not authenticated
     Endpoint store_;
     std::size_t storeValueBytes_ = maxObjectBytes; // maximum size of a value in the store
--- a/libs/serving/src/CrashWatch.cpp
+++ b/libs/serving/src/CrashWatch.cpp
@@ -45,7 +45,7 @@
 
 CrashWatch::CrashWatch(Context& context, std::uint64_t seed, StoreCalls store)
     : context_(context)
-    , verdicts_(suspects_, seed, verdictOutlets(std::move(store)))
+    , verdicts_(suspects_, seed, context.settings_.isFirstStart_, verdictOutlets(std::move(store)))
     , random_(seed)
 {
 }
--- a/libs/serving/src/ServingSettings.cpp
+++ b/libs/serving/src/ServingSettings.cpp
@@ -58,6 +58,7 @@
                 reader.fail(SettingsError::BadValue, "seeds", seed, "IP or IP:PORT");
         }
         settings.runsJobs_ = reader.flag("runs-jobs", false);
+        settings.isFirstStart_ = reader.flag("first-start", false);
         settings.keyFile_ = reader.text("key-file", "");
         reader.finish();
     }
