--- a/libs/http/tests/EarlyAnswerTest.cpp
+++ b/libs/http/tests/EarlyAnswerTest.cpp
@@ -1,5 +1,6 @@
 // Answers that come before their request was written whole, on connections that are then reset or closed.
 #include "RawPeers.h"
+#include "http/BlockingClient.h"
 
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -120,3 +121,15 @@
         CHECK_FALSE(upload({ head + "Transfer-Encoding: chunked\r\n\r\n9\r\nbody", End::Close, pause }).response_);
     }
 }
+
+TEST_CASE("the blocking client takes no answer as complete whose connection is reset while the request is being written")
+{
+    Request request { "POST", "/", {}, std::string(bodyBytes, 'x') };
+    for (int round = 0; round < 20; ++round) {
+        EarlyEngine first({ head + "\r\npart of a body", End::Reset, 1ms });
+        BlockingClient client(std::chrono::seconds(10));
+        CHECK_FALSE(client.request(first.at(), request));
+        EarlyEngine second({ head + "\r\npart of a body", End::Close, 1ms });
+        CHECK_FALSE(client.stream(second.at(), request, [](std::string_view) { return true; }));
+    }
+}
--- a/libs/http/tests/StatusTest.cpp
+++ b/libs/http/tests/StatusTest.cpp
@@ -48,6 +48,17 @@
     }
 }
 
+TEST_CASE("a status that is none of the protocol is malformed after an interim answer too, and when it comes in pieces")
+{
+    for (const char* status : { "000", "101", "600" }) {
+        CHECK(fetch(answerOf("100", {}, {}) + answerOf("103", "Link: l\r\n", {}) + answerOf(status, framed(final), final)).error_ == Error::Malformed);
+        CHECK(fetch(answerOf("100", {}, {}) + answerOf(status, {}, {})).error_ == Error::Malformed);
+        const std::string begin = std::string("HTTP/1.1 ") + status[0];
+        const ScriptedEngine engine(Script { begin, std::string(status + 1) + " Odd\r\n\r\n", begin.size() + 1, 3s, 1, 20ms });
+        CHECK(fetchFrom(engine.at(), {}, {}, 2s).error_ == Error::Malformed);
+    }
+}
+
 TEST_CASE("interim answers precede the final one")
 {
     for (const char* status : { "100", "102", "103", "150", "199" }) {
