Observability: a process that ends or doesn't start says why in its log

A process that ends by a fault of its own writes `crashed` with the signal or the exception; a refused or failed start writes `settingsRefused` or `startFailed` with the address and the system's error, which http::Server and Fleet now return instead of a general one; `summary` has the peak of the memory, which tells an end by the system's memory limit. check-events.sh reads these lines too.

--- a/cmake/JayJunction.cmake
+++ b/cmake/JayJunction.cmake
@@ -42,7 +42,7 @@
 # Libraries without sockets or CAF: what the sanitizer builds of CI cover, and what is installed for others to embed.
 set(JJ_CORE_PARTS base tables wire events objects membership follower orders decisions jobs settings enginemodel replay workspaces shares streams routes capacity ledger crashes)
 # What the platform's daemon is made of.
-set(JJ_DAEMON_PARTS base tables wire events settings telemetry objects membership http workspaces shares streams routes capacity ledger crashes serving)
+set(JJ_DAEMON_PARTS base process tables wire events settings telemetry objects membership http workspaces shares streams routes capacity ledger crashes serving)
 # Parts that read outside bytes and are sanitized too, though they are not installed.
 # Not by the thread sanitizer: it doesn't know the fences that Asio uses and would report what is no race.
 if(NOT JJ_SANITIZE STREQUAL "thread")
--- a/libs/http/include/http/Message.h
+++ b/libs/http/include/http/Message.h
@@ -113,7 +113,6 @@
     ConnectTimedOut, // no connection within the bound
     NoProgress, // a connection without a byte for the idle bound
     Cancelled, // given up by this side
-    ListenFailed, // the address can't be listened on
     TooManyConnections, // over the connection limit
     ChunkLineTooLong, // the size line of a chunk, with its extensions, is over its limit
     TrailerTooLarge, // the trailers of a chunked body are over their limit
--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -132,7 +132,7 @@
     // Sees method, target and headers; the body is empty.
     using BodyPlanner = std::function<BodyPlan(const Request&)>;
 
-    // Errors: Error::ListenFailed.
+    // Errors: the system's, if the address can't be listened on.
     static Result<std::unique_ptr<Server>> create(boost::asio::io_context& io, ServerSettings settings, Handler handler, BodyPlanner planner = {});
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
--- a/libs/http/src/Message.cpp
+++ b/libs/http/src/Message.cpp
@@ -38,8 +38,6 @@
                 return "no byte within the idle bound";
             case Error::Cancelled:
                 return "given up by this side";
-            case Error::ListenFailed:
-                return "address cannot be listened on";
             case Error::TooManyConnections:
                 return "too many connections";
             case Error::ChunkLineTooLong:
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -82,12 +82,12 @@
         });
     }
 
-    bool listen(ServerShared& shared)
+    error_code listen(ServerShared& shared)
     {
         error_code error;
         const auto address = boost::asio::ip::make_address(shared.settings_.listen_.address_, error);
         if (error)
-            return false;
+            return error;
         const tcp::endpoint endpoint(address, shared.settings_.listen_.port_);
         shared.acceptor_.open(endpoint.protocol(), error);
         if (!error)
@@ -98,10 +98,9 @@
             shared.acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
         if (!error)
             shared.acceptor_.non_blocking(true, error);
-        if (error)
-            return false;
-        shared.local_ = { shared.settings_.listen_.address_, shared.acceptor_.local_endpoint(error).port() };
-        return !error;
+        if (!error)
+            shared.local_ = { shared.settings_.listen_.address_, shared.acceptor_.local_endpoint(error).port() };
+        return error;
     }
 
     template <class Action>
@@ -124,8 +123,8 @@
 Result<std::unique_ptr<Server>> Server::create(boost::asio::io_context& io, ServerSettings settings, Handler handler, BodyPlanner planner)
 {
     auto shared = std::make_shared<ServerShared>(io, std::move(settings), std::move(handler), std::move(planner));
-    if (!listen(*shared))
-        return Error::ListenFailed;
+    if (const error_code error = listen(*shared))
+        return error;
     acceptNext(shared);
     return std::unique_ptr<Server>(new Server(std::move(shared)));
 }
--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -59,7 +59,7 @@
         {
         }
 
-        bool open(const PeerAddress& address)
+        boost::system::error_code open(const PeerAddress& address)
         {
             boost::system::error_code error;
             socket_.open(Udp::v4(), error);
@@ -67,10 +67,9 @@
                 socket_.bind(toUdpEndpoint(address), error);
             if (!error)
                 socket_.non_blocking(true, error);
-            if (error)
-                return false;
-            receive();
-            return true;
+            if (!error)
+                receive();
+            return error;
         }
 
         // Drops the datagram if the socket buffer is full: receivers must cope with lost datagrams anyway.
@@ -131,20 +130,22 @@
 
 Fleet::~Fleet() { *alive_ = false; }
 
-Result<std::unique_ptr<Fleet>> Fleet::create(boost::asio::io_context& io, const FleetOptions& options, DecisionLog& log, FleetHandlers handlers)
+Checked<std::unique_ptr<Fleet>> Fleet::create(boost::asio::io_context& io, const FleetOptions& options, DecisionLog& log, FleetHandlers handlers)
 {
     std::unique_ptr<Fleet> fleet(new Fleet(io, options, log, std::move(handlers)));
-    if (auto opened = fleet->open(); !opened)
-        return opened.error();
+    if (const auto failure = fleet->open())
+        return *failure;
     return fleet;
 }
 
-Result<void> Fleet::open()
+std::optional<Failure> Fleet::open()
 {
     sockets_ = std::make_unique<Sockets>(io_, *this);
     createExchange();
-    if (!sockets_->membership_.open(options_.at_) || !sockets_->reports_.open(nextPort(options_.at_)))
-        return BaseError::Closed;
+    if (const auto error = sockets_->membership_.open(options_.at_))
+        return Failure { error, "UDP " + options_.at_.toString() };
+    if (const auto error = sockets_->reports_.open(nextPort(options_.at_)))
+        return Failure { error, "UDP " + nextPort(options_.at_).toString() };
     http::ServerSettings server;
     server.listen_ = toEndpoint(options_.at_);
     server.limits_.headerBytes_ = maxHeadBytes;
@@ -159,7 +160,10 @@
         }
         handlers_.onCall_(std::move(call.value()), [this, exchange](const PeerReply& reply) { exchange->respond({ 200, {}, encode(options_.key_, reply) }); });
     };
-    BOOST_OUTCOME_TRY(sockets_->server_, http::Server::create(io_, server, onCall));
+    auto opened = http::Server::create(io_, server, onCall);
+    if (!opened)
+        return Failure { opened.error(), "TCP " + options_.at_.toString() };
+    sockets_->server_ = std::move(opened.value());
     const WallTime wall = SystemClock().wallNow();
     core_ = std::make_unique<MembershipCore>(MembershipCore::Self { options_.at_, options_.region_, options_.domain_ }, options_.membership_, now_, wall, self_.value());
     HostsListed listed;
@@ -169,7 +173,7 @@
     }
     core_->handle(listed, now_, wall);
     runCommands();
-    return success();
+    return std::nullopt;
 }
 
 // ---- membership
--- a/libs/serving/src/Fleet.h
+++ b/libs/serving/src/Fleet.h
@@ -67,7 +67,8 @@
 class Fleet {
 public:
     // Returns an error if the ports of options.at_ can't be opened.
-    static Result<std::unique_ptr<Fleet>> create(boost::asio::io_context& io, const FleetOptions& options, DecisionLog& log, FleetHandlers handlers);
+    // Fails with the system's error and the address that can't be listened on.
+    static Checked<std::unique_ptr<Fleet>> create(boost::asio::io_context& io, const FleetOptions& options, DecisionLog& log, FleetHandlers handlers);
     ~Fleet();
 
     void tick(TimePoint now, WallTime wall);
@@ -137,7 +138,7 @@
 
     struct Sockets;
 
-    Result<void> open();
+    std::optional<Failure> open();
     void onMembershipDatagram(std::string_view bytes);
     void onReportDatagram(std::string_view bytes);
     void runCommands();
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -209,7 +209,7 @@
     options.incarnation_ = incarnation_;
     auto fleet = Fleet::create(io_, options, log_, fleetHandlers());
     if (!fleet)
-        return Failure { ServingError::PeersListenFailed, toString(settings_.peers_) };
+        return Failure { ServingError::PeersListenFailed, fleet.error().detail_ + ": " + fleet.error().code_.message() };
     fleet_ = std::move(fleet.value());
     context_.fleet_ = fleet_.get();
     const bool expectsOthers = std::any_of(options.seeds_.begin(), options.seeds_.end(), [&options](const PeerAddress& one) { return one != options.at_; });
@@ -407,7 +407,7 @@
         auto opened = http::Server::create(
             io_, server, [this](std::shared_ptr<http::Exchange> exchange) { onCallerRequest(std::move(exchange)); }, planner);
         if (!opened)
-            return Failure { ServingError::CallersListenFailed, toString(*settings_.callers_) };
+            return Failure { ServingError::CallersListenFailed, toString(*settings_.callers_) + ": " + opened.error().message() };
         callers_ = std::move(opened.value());
         callers_->setAdmission([this] { return admitsConnection(); });
     }
@@ -415,13 +415,13 @@
     if (settings_.ready_) {
         auto opened = http::Server::create(io_, operatorServer(*settings_.ready_, operatorBudget), [this](const std::shared_ptr<http::Exchange>& exchange) { exchange->respond({ isReady() ? 200 : 503, {}, {} }); });
         if (!opened)
-            return Failure { ServingError::ReadyListenFailed, toString(*settings_.ready_) };
+            return Failure { ServingError::ReadyListenFailed, toString(*settings_.ready_) + ": " + opened.error().message() };
         ready_ = std::move(opened.value());
     }
     if (settings_.metrics_) {
         auto opened = http::Server::create(io_, operatorServer(*settings_.metrics_, operatorBudget), [this](const std::shared_ptr<http::Exchange>& exchange) { onOperatorRequest(exchange); });
         if (!opened)
-            return Failure { ServingError::MetricsListenFailed, toString(*settings_.metrics_) };
+            return Failure { ServingError::MetricsListenFailed, toString(*settings_.metrics_) + ": " + opened.error().message() };
         metricsServer_ = std::move(opened.value());
     }
     return std::nullopt;
--- a/libs/serving/src/ServingOperator.cpp
+++ b/libs/serving/src/ServingOperator.cpp
@@ -3,6 +3,7 @@
 #include "ServingParts.h"
 
 #include <boost/json.hpp>
+#include <sys/resource.h>
 
 namespace jj {
 
@@ -13,6 +14,15 @@
     constexpr Duration summaryPeriod = 10s;
     constexpr Duration slowEnginesPeriod = 1s;
 
+    // The highest resident memory of the process since its start.
+    long peakMemoryMegabytes()
+    {
+        rusage usage {};
+        ::getrusage(RUSAGE_SELF, &usage);
+        constexpr long kilobytes = 1024;
+        return usage.ru_maxrss / kilobytes;
+    }
+
 } // namespace
 
 // ---- metrics and summaries
@@ -63,7 +73,7 @@
 void ServingNode::Parts::logSummary()
 {
     auto line = log_.line("summary");
-    line.with("requests", relay_->openRequests()).with("items", runner_->running()).with("jobs", scheduler_->openJobs()).with("config", config_->version()).with("peers", fleet_->livePeers()).with("slowEngines", slowEngines_).with("linesDroppedTotal", log_.dropped());
+    line.with("requests", relay_->openRequests()).with("items", runner_->running()).with("jobs", scheduler_->openJobs()).with("config", config_->version()).with("peers", fleet_->livePeers()).with("slowEngines", slowEngines_).with("linesDroppedTotal", log_.dropped()).with("memoryPeakMb", peakMemoryMegabytes());
     if (context_.table_ && context_.table_->workspaces()) {
         const QuotaGate::Totals& totals = quotas_->totals();
         line.with("quotaAdmitted", totals.admitted_).with("quotaRefused", totals.refused_).with("quotaAsked", totals.requested_).with("quotaReturned", totals.returned_).with("quotaUnanswered", totals.unanswered_);
--- a/scripts/check-events.sh
+++ b/scripts/check-events.sh
@@ -8,11 +8,11 @@
 import re
 import sys
 
-folders = ["libs/serving/src", "libs/ledger/src"]
+folders = ["libs/serving/src", "libs/ledger/src", "libs/process/src", "platform"]
 sources = "\n".join(path.read_text() for folder in folders for path in sorted(pathlib.Path(folder).glob("*.[ch]*")))
 rows = [line.split("|")[1] for line in pathlib.Path("docs/OPERATIONS.md").read_text().splitlines() if line.startswith("| `")]
 explained = {name for row in rows for name in re.findall(r"`(\w+)`", row)}
-written = set(re.findall(r'\bline\("(\w+)"', sources))
+written = set(re.findall(r'\b(?:line|writeFinalLine)\("(\w+)"', sources))
 for choice in re.findall(r'\bline\(([^;()]*\?[^;()]*)\)', sources) + re.findall(r'names\[\] = \{([^}]*"(?:job|kept|verdict)[A-Z][^}]*)\}', sources):
     written |= set(re.findall(r'"(\w+)"', choice))
 faults = [f"written and not explained: {name}" for name in sorted(written - explained)]
