jjserve: signals that no fault of the process raises don't end it

Callers lost all requests of a process whose log was no longer read: it ended by SIGPIPE at its next line. The same held for a log or disk file at the system's limit (SIGXFSZ) and for any stray signal (SIGUSR1, SIGALRM and others). Cause: the default action of a signal that nothing handles ends a process.

These signals are ignored, so that the write returns an error, which the log bounds and counts (jj_log_writes_failed, jj_log_lines_dropped: with the log gone, only the metrics address can tell).

--- a/libs/serving/src/Context.h
+++ b/libs/serving/src/Context.h
@@ -63,6 +63,8 @@
     GaugeHandle readersCutOff_; // callers that took no byte while the byte budget was exhausted, since the start
     GaugeHandle bytesOfHeads_;
     GaugeHandle headsRefused_; // requests whose header didn't fit into the byte budget, since the start
+    GaugeHandle logLinesDropped_; // because of their limits, or because the log takes no more
+    GaugeHandle logWritesFailed_; // because the log's reader is gone or its file can't grow
     GaugeHandle connectionsEvicted_; // connections that were closed to make room for others, since the start
     GaugeHandle uploadsRefused_; // requests whose body didn't fit into the byte budget, since the start
     DistributionHandle firstEvent_; // ms from a request's arrival to the first bytes of its answer
--- a/libs/serving/src/DecisionLog.cpp
+++ b/libs/serving/src/DecisionLog.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <cmath>
 #include <cstdio>
 #include <fcntl.h>
@@ -98,6 +99,8 @@
     const ssize_t written = ::write(descriptor_, buffer_.data(), buffer_.size());
     if (written > 0)
         buffer_.erase(0, static_cast<std::size_t>(written));
+    else if (written < 0 && errno != EAGAIN)
+        ++writesFailed_;
 }
 
 DecisionLog::Line::Line(DecisionLog* log, std::string_view event)
--- a/libs/serving/src/DecisionLog.h
+++ b/libs/serving/src/DecisionLog.h
@@ -6,7 +6,7 @@
 // Lines are buffered and written once per flushPeriod, or earlier when the buffer is half full. The number of lines per second
 // and the size of the buffer are limited, and writes do not block: otherwise a full pipe would stall the node, and a burst of
 // requests would spend CPU time on logging. Lines over the limits are dropped and counted, and the next line that is written
-// reports how many were dropped.
+// reports how many were dropped. The process must ignore SIGPIPE.
 #pragma once
 
 #include "base/Time.h"
@@ -56,6 +56,8 @@
     void flush();
     void flushIfDue(TimePoint now);
     std::uint64_t dropped() const { return droppedTotal_; }
+    // Writes that failed for another reason than a full pipe. What they held stays in the buffer.
+    std::uint64_t writesFailed() const { return writesFailed_; }
 
 private:
     friend class Line;
@@ -70,6 +72,7 @@
     TimePoint flushedAt_ {};
     std::uint64_t dropped_ = 0; // since the last line that was written
     std::uint64_t droppedTotal_ = 0;
+    std::uint64_t writesFailed_ = 0;
     std::string buffer_;
 };
 
--- a/libs/serving/src/ServingOperator.cpp
+++ b/libs/serving/src/ServingOperator.cpp
@@ -33,6 +33,8 @@
     metrics_.set(servingMetrics_.bytesOfUploads_, static_cast<double>(budget_->held(http::ByteUse::Uploads)));
     metrics_.set(servingMetrics_.bytesOfHeads_, static_cast<double>(budget_->held(http::ByteUse::Heads)));
     metrics_.set(servingMetrics_.bytesLimit_, static_cast<double>(budget_->limit()));
+    metrics_.set(servingMetrics_.logLinesDropped_, static_cast<double>(log_.dropped()));
+    metrics_.set(servingMetrics_.logWritesFailed_, static_cast<double>(log_.writesFailed()));
     const std::map<WorkspaceId, std::size_t> waiting = queue_->waitingByWorkspace();
     std::size_t allWaiting = 0;
     for (const auto& [workspace, count] : waiting)
--- a/libs/serving/tests/DecisionLogTest.cpp
+++ b/libs/serving/tests/DecisionLogTest.cpp
@@ -1,5 +1,6 @@
 // Tests the line budget of the decision log, its report of dropped lines, and escaping.
 #include "DecisionLog.h"
+#include "process/Signals.h"
 
 #include <array>
 #include <boost/json.hpp>
@@ -132,3 +133,22 @@
     CHECK(lines[0].at("request").as_string().size() == 200);
     CHECK(lines[0].at("waitMs").as_int64() == 250);
 }
+
+// Guards against a process that ends, grows or blocks because nobody reads its log any more.
+TEST_CASE("serving: a log whose reader is gone drops lines within its limits and counts its failures")
+{
+    ignoreStraySignals();
+    std::array<int, 2> ends {};
+    REQUIRE(::pipe(ends.data()) == 0);
+    ::close(ends[0]);
+    constexpr std::uint32_t unlimited = 1'000'000;
+    DecisionLog log("node-1", unlimited, ends[1]);
+    constexpr int offered = 2000;
+    for (int number = 0; number < offered; ++number) {
+        log.line("sent").with("request", std::string(200, 'x'));
+        log.flush();
+    }
+    CHECK(log.writesFailed() == offered);
+    CHECK(log.dropped() > 0);
+    ::close(ends[1]);
+}
