--- a/libs/process/tests/CrashReportTest.cpp
+++ b/libs/process/tests/CrashReportTest.cpp
@@ -46,6 +46,8 @@
     return ended;
 }
 
+void refuse() { throw std::runtime_error("no such thing"); }
+
 } // namespace
 
 // Guards against a process that ends by a fault of its own and leaves no line about it.
@@ -61,8 +63,7 @@
 // Guards against an exception of which only the signal of abort() is known.
 TEST_CASE("process: a process that an exception ends names the exception")
 {
-    const auto throwing = []() noexcept { throw std::runtime_error("no such thing"); };
-    const Ended ended = runApart(throwing);
+    const Ended ended = runApart([]() noexcept { refuse(); });
     CHECK(ended.signal_ == SIGABRT);
     CHECK(ended.output_.find("\"error\":\"no such thing\"") != std::string::npos);
 }
--- a/libs/serving/include/serving/ServingNode.h
+++ b/libs/serving/include/serving/ServingNode.h
@@ -25,6 +25,7 @@
     ReadyListenFailed,
     MetricsListenFailed,
     BadSeed,
+    SignalsUnavailable, // the system has no pipe for them
 };
 
 std::error_code make_error_code(ServingError error);
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <fstream>
 #include <random>
@@ -35,6 +34,8 @@
                 return "cannot listen on the address for metrics ([node] metrics)";
             case ServingError::BadSeed:
                 return "a seed is not an IP address";
+            case ServingError::SignalsUnavailable:
+                return "signals can't be taken";
             }
             return "unknown error";
         }
@@ -117,7 +118,6 @@
     , engines_(io_, { .connectTime_ = 250ms, .pooledIdle_ = 12s, .pooledPerEndpoint_ = 32, .headerBytes_ = 32 * 1024, .bodyBytes_ = 16 * 1024 * 1024, .budget_ = budget_ })
     , context_ { io_, settings_, translation_, log_, servingMetrics_, board_, engines_, budget_ }
     , timer_(io_)
-    , signals_(io_, SIGTERM, SIGINT, SIGHUP)
 {
 }
 
@@ -128,6 +128,10 @@
     if (!key)
         return Failure { ServingError::KeyUnreadable, settings_.keyFile_ };
     key_ = key.value();
+    auto signals = ProcessSignals::create(io_, [this](ProcessSignal signal) { onSignal(signal); });
+    if (!signals)
+        return Failure { ServingError::SignalsUnavailable, signals.error().message() };
+    signals_ = std::move(signals.value());
     buildStore();
     if (auto failure = openFleet())
         return failure;
@@ -444,7 +448,6 @@
 
 void ServingNode::run()
 {
-    parts_->waitForSignal();
     parts_->scheduleTick();
     while (!parts_->io_.stopped()) {
         // One handler that fails must not end the others.
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -21,9 +21,9 @@
 #include "StreamVersions.h"
 #include "ledger/FileDisk.h"
 #include "ledger/JobSpool.h"
+#include "process/Signals.h"
 #include "serving/ServingNode.h"
 
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <random>
 #include <set>
@@ -90,7 +90,7 @@
     // Handles a retirement or a cancellation mark that this node or a peer found. Ignored if this host runs no jobs.
     void handleObject(const std::string& key);
     void onConfig(const std::shared_ptr<const RouteTable>& table);
-    void waitForSignal();
+    void onSignal(ProcessSignal signal);
     void reload();
     bool isReady() const { return !draining_ && context_.table_ && catalog_->isInitialized(); }
     // Returns when the process answers what is still open, shortly before the end of its grace period.
@@ -141,7 +141,7 @@
     std::unique_ptr<http::Server> metricsServer_;
     boost::asio::steady_timer timer_;
     LoopLag loopLag_;
-    boost::asio::signal_set signals_;
+    std::unique_ptr<ProcessSignals> signals_;
     std::set<UpstreamId> probing_;
     std::size_t nextPeerIndex_ = 0;
     TimePoint nextScanAt_ {};
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -397,17 +397,12 @@
 
 // ---- signals and shutdown
 
-void ServingNode::Parts::waitForSignal()
+void ServingNode::Parts::onSignal(ProcessSignal signal)
 {
-    signals_.async_wait([this](const boost::system::error_code& error, int signal) {
-        if (error)
-            return;
-        if (signal == SIGHUP)
-            reload();
-        else
-            beginDrain();
-        waitForSignal();
-    });
+    if (signal == ProcessSignal::Reload)
+        reload();
+    else
+        beginDrain();
 }
 
 void ServingNode::Parts::reload()
