--- a/libs/serving/include/serving/ServingNode.h
+++ b/libs/serving/include/serving/ServingNode.h
@@ -26,6 +26,9 @@
     MetricsListenFailed,
     BadSeed,
     SignalsUnavailable, // the system has no pipe for them
+    StartFailed, // an exception of the system or a library
+    SettingsRefused,
+    StopRequested, // before the node had started
 };
 
 std::error_code make_error_code(ServingError error);
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -36,6 +36,12 @@
                 return "a seed is not an IP address";
             case ServingError::SignalsUnavailable:
                 return "signals can't be taken";
+            case ServingError::StartFailed:
+                return "the node can't be built";
+            case ServingError::SettingsRefused:
+                return "the settings are refused";
+            case ServingError::StopRequested:
+                return "stopped before the start was complete";
             }
             return "unknown error";
         }
@@ -397,6 +403,20 @@
 
 std::optional<Failure> ServingNode::Parts::openServers()
 {
+    const auto operatorBudget = makeBudget(operatorBufferBytes);
+    if (settings_.ready_) {
+        auto opened = http::Server::create(io_, operatorServer(*settings_.ready_, operatorBudget), [this](const std::shared_ptr<http::Exchange>& exchange) { exchange->respond({ isReady() ? 200 : 503, {}, {} }); });
+        if (!opened)
+            return Failure { ServingError::ReadyListenFailed, toString(*settings_.ready_) + ": " + opened.error().message() };
+        ready_ = std::move(opened.value());
+    }
+    if (settings_.metrics_) {
+        auto opened = http::Server::create(io_, operatorServer(*settings_.metrics_, operatorBudget), [this](const std::shared_ptr<http::Exchange>& exchange) { onOperatorRequest(exchange); });
+        if (!opened)
+            return Failure { ServingError::MetricsListenFailed, toString(*settings_.metrics_) + ": " + opened.error().message() };
+        metricsServer_ = std::move(opened.value());
+    }
+    // Last, so that a start that fails at another address accepts no caller.
     if (settings_.callers_) {
         http::ServerSettings server;
         server.listen_ = *settings_.callers_;
@@ -415,19 +435,6 @@
         callers_ = std::move(opened.value());
         callers_->setAdmission([this] { return admitsConnection(); });
     }
-    const auto operatorBudget = makeBudget(operatorBufferBytes);
-    if (settings_.ready_) {
-        auto opened = http::Server::create(io_, operatorServer(*settings_.ready_, operatorBudget), [this](const std::shared_ptr<http::Exchange>& exchange) { exchange->respond({ isReady() ? 200 : 503, {}, {} }); });
-        if (!opened)
-            return Failure { ServingError::ReadyListenFailed, toString(*settings_.ready_) + ": " + opened.error().message() };
-        ready_ = std::move(opened.value());
-    }
-    if (settings_.metrics_) {
-        auto opened = http::Server::create(io_, operatorServer(*settings_.metrics_, operatorBudget), [this](const std::shared_ptr<http::Exchange>& exchange) { onOperatorRequest(exchange); });
-        if (!opened)
-            return Failure { ServingError::MetricsListenFailed, toString(*settings_.metrics_) + ": " + opened.error().message() };
-        metricsServer_ = std::move(opened.value());
-    }
     return std::nullopt;
 }
 
