jjserve: settings that are being written don't end a process or hide the new ones

Callers found no process: one whose settings file was absent, empty or half written for a moment ended with 2 and had to be started again; at a SIGHUP the half was refused and the whole never read. Cause: one reading decided.

A file that can't be read or is empty is waited for. Settings with faults are refused once the same text has been refused for a second (StartRetry), at a start and at a reload alike; an operator's mistake still ends the process with 2. A file that is cut off at a place where it is valid can't be told from a whole one and is used.

--- a/libs/serving/include/serving/ServingNode.h
+++ b/libs/serving/include/serving/ServingNode.h
@@ -1,12 +1,12 @@
 // A serving node: everything that the platform's daemon process runs.
 //
-//     auto node = ServingNode::create(settings, translation);
+//     auto node = ServingNode::create(settings, translation, source);
 //     if (!node) ...
 //     node.value()->run();      // returns after SIGTERM has stopped the node
 //
 // On SIGTERM the node drains within its grace period without interrupting requests: it hands its jobs over to other nodes,
 // answers the open requests, and then run() returns. The readiness check fails as soon as the signal arrives. On SIGHUP the node
-// reloads its settings by calling `reload`.
+// reloads its settings from their source.
 #pragma once
 
 #include "base/Result.h"
@@ -33,11 +33,12 @@
 
 std::error_code make_error_code(ServingError error);
 
+// Reads the text of the settings; fails with the system's error. A file that is being written may be read in part.
+using SettingsSource = std::function<Result<std::string>()>;
+
 class ServingNode {
 public:
-    using Reload = std::function<Audited<ServingSettings>()>;
-
-    static Checked<std::unique_ptr<ServingNode>> create(const ServingSettings& settings, const Translation& translation, Reload reload);
+    static Checked<std::unique_ptr<ServingNode>> create(const ServingSettings& settings, const Translation& translation, SettingsSource source);
     ~ServingNode();
     ServingNode(const ServingNode&) = delete;
     ServingNode& operator=(const ServingNode&) = delete;
--- a/libs/serving/include/serving/ServingStart.h
+++ b/libs/serving/include/serving/ServingStart.h
@@ -1,6 +1,6 @@
 // Starts a serving node, and tries again for as long as what prevents it may pass.
 //
-//     auto node = startServing(readSettings, translation);
+//     auto node = startServing([&] { return readTextFile(path); }, translation);
 //     if (!node) ...                 // ServingError::SettingsRefused or ServingError::StopRequested
 //     node.value()->run();
 //
@@ -12,6 +12,6 @@
 namespace jj {
 
 // Returns a node, or why there will be none: the settings are refused, with their faults as the detail, or the process is to stop.
-Checked<std::unique_ptr<ServingNode>> startServing(const ServingNode::Reload& readSettings, const Translation& translation);
+Checked<std::unique_ptr<ServingNode>> startServing(const SettingsSource& source, const Translation& translation);
 
 } // namespace jj
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -110,10 +110,10 @@
 
 // ---- construction
 
-ServingNode::Parts::Parts(const ServingSettings& settings, const Translation& translation, Reload reload)
+ServingNode::Parts::Parts(const ServingSettings& settings, const Translation& translation, SettingsSource source)
     : settings_(settings)
     , translation_(translation)
-    , reload_(std::move(reload))
+    , source_(std::move(source))
     , log_(settings.name_, settings.logLinesPerSecond_, STDOUT_FILENO)
     , servingMetrics_(metrics_)
     , incarnation_(static_cast<std::uint64_t>(SystemClock().wallNow().time_since_epoch().count()))
@@ -445,9 +445,9 @@
 
 ServingNode::~ServingNode() = default;
 
-Checked<std::unique_ptr<ServingNode>> ServingNode::create(const ServingSettings& settings, const Translation& translation, Reload reload)
+Checked<std::unique_ptr<ServingNode>> ServingNode::create(const ServingSettings& settings, const Translation& translation, SettingsSource source)
 {
-    auto parts = std::make_unique<Parts>(settings, translation, std::move(reload));
+    auto parts = std::make_unique<Parts>(settings, translation, std::move(source));
     if (auto failure = parts->build())
         return *failure;
     return std::unique_ptr<ServingNode>(new ServingNode(std::move(parts)));
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -22,6 +22,7 @@
 #include "ledger/FileDisk.h"
 #include "ledger/JobSpool.h"
 #include "process/Signals.h"
+#include "process/StartRetry.h"
 #include "serving/ServingNode.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -33,7 +34,7 @@
 struct ServingNode::Parts {
     static constexpr Duration notReadyRetry = 300ms; // for callers of a node that can't answer yet
 
-    Parts(const ServingSettings& settings, const Translation& translation, Reload reload);
+    Parts(const ServingSettings& settings, const Translation& translation, SettingsSource source);
 
     std::optional<Failure> build();
     std::optional<Failure> openFleet();
@@ -91,7 +92,9 @@
     void handleObject(const std::string& key);
     void onConfig(const std::shared_ptr<const RouteTable>& table);
     void onSignal(ProcessSignal signal);
+    // Reads the settings again. A refusal is tried again until it stands, since the settings may be only half written.
     void reload();
+    void applySettings(const ServingSettings& settings);
     bool isReady() const { return !draining_ && context_.table_ && catalog_->isInitialized(); }
     // Returns when the process answers what is still open, shortly before the end of its grace period.
     TimePoint stopTime() const;
@@ -102,7 +105,7 @@
 
     ServingSettings settings_;
     const Translation& translation_;
-    Reload reload_;
+    SettingsSource source_;
     SystemClock clock_;
     boost::asio::io_context io_ { 1 };
     DecisionLog log_;
@@ -155,6 +158,8 @@
     TimePoint updateRetryAt_ = neverTime;
     UpdateBudget updateBudget_;
     bool needsFreshScan_ = true; // the next scan must not use stale data
+    std::optional<StartRetry> reloading_; // set while a reload is tried again
+    TimePoint reloadAt_ = neverTime;
     bool draining_ = false;
     bool listening_ = true;
     TimePoint drainStartedAt_ {};
--- a/libs/serving/src/ServingStart.cpp
+++ b/libs/serving/src/ServingStart.cpp
@@ -26,19 +26,19 @@
         log.flush();
     }
 
-    Failure refuse(std::string faults)
+    Failure refuse(const std::string& host, std::string faults)
     {
-        DecisionLog log = logOf({});
+        DecisionLog log = logOf(host);
         log.line("settingsRefused").with("faults", faults);
         log.flush();
         return { ServingError::SettingsRefused, std::move(faults) };
     }
 
-    Checked<std::unique_ptr<ServingNode>> createNode(const ServingSettings& settings, const Translation& translation, const ServingNode::Reload& readSettings)
+    Checked<std::unique_ptr<ServingNode>> createNode(const ServingSettings& settings, const Translation& translation, const SettingsSource& source)
     {
         // The system refuses an event queue, a thread or memory by exceptions.
         try {
-            return ServingNode::create(settings, translation, readSettings);
+            return ServingNode::create(settings, translation, source);
         } catch (const std::exception& exception) {
             return Failure { ServingError::StartFailed, exception.what() };
         }
@@ -46,24 +46,32 @@
 
 } // namespace
 
-Checked<std::unique_ptr<ServingNode>> startServing(const ServingNode::Reload& readSettings, const Translation& translation)
+Checked<std::unique_ptr<ServingNode>> startServing(const SettingsSource& source, const Translation& translation)
 {
     StartRetry retry;
     for (;;) {
+        std::string host;
+        std::string cause;
         // A request to reload that comes from here on is kept for the node.
         discardReloadRequest();
-        const auto settings = readSettings();
-        if (!settings)
-            return refuse(boost::algorithm::trim_copy(describe(settings.error())));
-        const std::string& host = settings.value().name_;
-        setFinalLineHost(host);
-        auto node = createNode(settings.value(), translation, readSettings);
-        if (node)
-            return node;
+        if (const auto text = source(); !text) {
+            cause = "the settings can't be read: " + text.error().message();
+        } else if (const auto settings = parseServingSettings(text.value()); !settings) {
+            cause = boost::algorithm::trim_copy(describe(settings.error()));
+            if (retry.recordRefusal(text.value(), SystemClock().now()))
+                return refuse(host, cause);
+        } else {
+            host = settings.value().name_;
+            setFinalLineHost(host);
+            auto node = createNode(settings.value(), translation, source);
+            if (node)
+                return node;
+            cause = node.error().message();
+        }
         if (isStopRequested())
             return Failure { ServingError::StopRequested, {} };
         const Duration delay = retry.nextDelay();
-        logDelay(host, node.error().message(), delay);
+        logDelay(host, cause, delay);
         std::this_thread::sleep_for(delay);
     }
 }
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -106,6 +106,8 @@
     scanJobs(now);
     if (draining_)
         continueDrain(now);
+    if (now >= reloadAt_)
+        reload();
     updateSlowEngines(now);
     logPeriodic(now);
     log_.flushIfDue(now);
@@ -399,23 +401,41 @@
 
 void ServingNode::Parts::onSignal(ProcessSignal signal)
 {
-    if (signal == ProcessSignal::Reload)
-        reload();
-    else
-        beginDrain();
+    if (signal == ProcessSignal::Stop)
+        return beginDrain();
+    reloading_.reset(); // the settings have changed again
+    reload();
 }
 
 void ServingNode::Parts::reload()
 {
-    const auto newSettings = reload_();
-    if (!newSettings) {
-        log_.line("reloadRefused").with("faults", describe(newSettings.error()));
+    const TimePoint now = context_.now();
+    if (!reloading_)
+        reloading_.emplace();
+    reloadAt_ = neverTime;
+    const auto text = source_();
+    const auto settings = text ? parseServingSettings(text.value()) : Audited<ServingSettings>(Failures { { text.error(), "the settings can't be read" } });
+    if (settings) {
+        reloading_.reset();
+        return applySettings(settings.value());
+    }
+    auto line = log_.line("reloadRefused");
+    line.with("faults", describe(settings.error()));
+    if (reloading_->recordRefusal(text ? text.value() : std::string(), now)) {
+        reloading_.reset();
         return;
     }
+    const Duration delay = reloading_->nextDelay();
+    reloadAt_ = now + delay;
+    line.with("retryMs", delay);
+}
+
+void ServingNode::Parts::applySettings(const ServingSettings& settings)
+{
     // Only these two settings can change while the process runs. Others, such as addresses and the region, apply from its next
     // start.
-    settings_.acceptTimeout_ = newSettings.value().acceptTimeout_;
-    settings_.shutdownGrace_ = newSettings.value().shutdownGrace_;
+    settings_.acceptTimeout_ = settings.acceptTimeout_;
+    settings_.shutdownGrace_ = settings.shutdownGrace_;
     if (draining_)
         context_.stopsAt_ = stopTime();
     log_.line("reloaded").with("graceMs", settings_.shutdownGrace_).with("acceptMs", settings_.acceptTimeout_);
