ledger: an entry of the disk that can't be read is an error, not an exception

Callers found no worker: one file of its disk that could not be read ended it by signal 6 at each start, and a temporary file that could not be removed left it without its disk. Cause: FileDisk read through stream iterators and listed by a range-based for, both of which throw, and at the start nothing catches; one leftover decided for the whole folder.

Files and folders are read with system calls and error codes, and a leftover is passed over. The unit test of both failed before at the leftover, which comes first in it.

--- a/libs/ledger/src/FileDisk.cpp
+++ b/libs/ledger/src/FileDisk.cpp
@@ -1,11 +1,10 @@
 // Disk of named texts in POSIX files; the only one that the daemon uses.
 #include "ledger/FileDisk.h"
 
+#include <array>
 #include <cerrno>
 #include <fcntl.h>
 #include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <unistd.h>
 
 namespace jj {
@@ -17,6 +16,7 @@
     // The suffixes make every valid job id a valid file name, even ".".
     constexpr std::string_view suffix = ".job";
     constexpr std::string_view temporarySuffix = ".part";
+    constexpr std::size_t readBytes = std::size_t { 16 } * 1024;
 
     std::error_code lastError() { return { errno, std::system_category() }; }
 
@@ -55,6 +55,18 @@
         return true;
     }
 
+    // Unlike a range-based for, which throws when the folder can't be read on.
+    Result<std::vector<fs::path>> listFolder(const std::string& folder)
+    {
+        std::vector<fs::path> paths;
+        std::error_code error;
+        for (fs::directory_iterator entry(folder, error); !error && entry != fs::directory_iterator(); entry.increment(error))
+            paths.push_back(entry->path());
+        if (error)
+            return error;
+        return paths;
+    }
+
 } // namespace
 
 Result<FileDisk> FileDisk::open(std::string folder)
@@ -64,44 +76,48 @@
     if (error)
         return error;
     FileDisk disk(std::move(folder));
-    std::vector<fs::path> leftovers;
-    for (const auto& entry : fs::directory_iterator(disk.folder_, error)) {
-        if (entry.path().extension() == temporarySuffix)
-            leftovers.push_back(entry.path());
+    BOOST_OUTCOME_TRY(const std::vector<fs::path> paths, listFolder(disk.folder_));
+    for (const fs::path& path : paths) {
+        // One that can't be removed is overwritten by the next write of that name, or is no file of ours.
+        std::error_code ignored;
+        if (path.extension() == temporarySuffix)
+            fs::remove(path, ignored);
     }
-    for (const fs::path& path : leftovers)
-        fs::remove(path, error);
-    if (error)
-        return error;
     BOOST_OUTCOME_TRY(disk.syncFolder());
     return disk;
 }
 
 Result<std::vector<std::string>> FileDisk::names()
 {
+    BOOST_OUTCOME_TRY(const std::vector<fs::path> paths, listFolder(folder_));
     std::vector<std::string> names;
-    std::error_code error;
-    for (const auto& entry : fs::directory_iterator(folder_, error)) {
-        std::string name = entry.path().filename().string();
+    for (const fs::path& path : paths) {
+        std::string name = path.filename().string();
         if (!name.ends_with(suffix))
             continue;
         name.resize(name.size() - suffix.size());
         names.push_back(std::move(name));
     }
-    if (error)
-        return error;
     return names;
 }
 
 Result<std::string> FileDisk::read(const std::string& name)
 {
-    std::ifstream file(pathOf(name), std::ios::binary);
-    if (!file)
-        return std::make_error_code(std::errc::no_such_file_or_directory);
-    std::string text { std::istreambuf_iterator<char>(file), {} };
-    if (file.bad())
-        return std::make_error_code(std::errc::io_error);
-    return text;
+    const Descriptor file(::open(pathOf(name).c_str(), O_RDONLY | O_CLOEXEC));
+    if (!file.isOpen())
+        return lastError();
+    std::string text;
+    std::array<char, readBytes> piece {};
+    for (;;) {
+        const ssize_t size = ::read(file.number(), piece.data(), piece.size());
+        if (size < 0 && errno == EINTR)
+            continue;
+        if (size < 0)
+            return lastError();
+        if (size == 0)
+            return text;
+        text.append(piece.data(), static_cast<std::size_t>(size));
+    }
 }
 
 Result<void> FileDisk::write(const std::string& name, std::string_view text)
--- a/libs/ledger/tests/SpoolTest.cpp
+++ b/libs/ledger/tests/SpoolTest.cpp
@@ -389,3 +389,19 @@
     CHECK_FALSE(disk.value().write("d", "no folder"));
     CHECK_FALSE(FileDisk::open("/proc/no-such-place/x"));
 }
+
+// Guards against a process that ends, or does without its disk, because of one entry that can't be read or removed.
+TEST_CASE("ledger: entries of a disk that can't be read or removed are errors of their own")
+{
+    const std::filesystem::path folder = std::filesystem::temp_directory_path() / ("jayjunction-odd-entries-" + std::to_string(::getpid()));
+    std::filesystem::create_directories(folder / "odd.job" / "inside");
+    std::filesystem::create_directories(folder / "odd.job.part" / "inside");
+    auto disk = FileDisk::open(folder.string());
+    REQUIRE(disk);
+    CHECK(disk.value().names().value() == std::vector<std::string> { "odd" });
+    CHECK(disk.value().read("odd").error() == std::errc::is_a_directory);
+    CHECK_FALSE(disk.value().remove("odd"));
+    CHECK(disk.value().write("sound", "text"));
+    CHECK(disk.value().read("sound").value() == "text");
+    std::filesystem::remove_all(folder);
+}
