ledger: a copy that can't be read for a moment is kept

Callers would lose an accepted job: a host that was out of descriptors when it read its disk, at its start or to upload a job, removed the file of the job. Cause: a failed read and a damaged text were handled alike. Found by looking for the cause of the entries that can't be read elsewhere.

A failed read leaves the file and is tried again, for 10 s in this process and at its next start; a text that is damaged is removed as before. Not played over processes.

--- a/libs/ledger/include/ledger/JobSpool.h
+++ b/libs/ledger/include/ledger/JobSpool.h
@@ -50,6 +50,7 @@
     // Delay between the first uploads of the hosts that spool the same job.
     Duration rankDelay_ = 1s;
     Duration retryDelay_ = 500ms;
+    std::uint32_t maxFailedReads_ = 20; // of one copy in a row
     // Timeout of one upload.
     Duration uploadTimeout_ = 2s;
     std::size_t maxConcurrentUploads_ = 4;
@@ -69,6 +70,7 @@
     // dropped: the write was never acknowledged or the disk is damaged. Without a job name: the disk's names can't be read.
     Unreadable,
     UploadFailed,
+    ReadFailed, // tried again later; the file stays
 };
 std::string_view toString(SpoolNote note);
 
@@ -102,7 +104,12 @@
             return outlets_.note_(SpoolNote::Unreadable, {}, names.error());
         for (const std::string& name : names.value()) {
             const auto text = disk_.read(name);
-            const auto job = text ? decodeSpooledJob(text.value()) : Result<SpooledJob>(text.error());
+            if (!text) {
+                copies_[name] = { 0, now + settings_.retryDelay_, false, 1 };
+                outlets_.note_(SpoolNote::ReadFailed, name, text.error());
+                continue;
+            }
+            const auto job = decodeSpooledJob(text.value());
             if (!job) {
                 const auto removed = disk_.remove(name);
                 outlets_.note_(SpoolNote::Unreadable, name, removed ? job.error() : removed.error());
@@ -177,12 +184,16 @@
         std::size_t bytes_ = 0;
         TimePoint nextUploadAt_ {};
         bool isUploading_ = false;
+        std::uint32_t failedReads_ = 0; // in a row
     };
 
     void upload(const JobName& name, TimePoint now, WallTime wall)
     {
         const auto text = disk_.read(name);
-        auto job = text ? decodeSpooledJob(text.value()) : Result<SpooledJob>(text.error());
+        if (!text)
+            return recordFailedRead(name, text.error(), now);
+        copies_.at(name).failedReads_ = 0;
+        auto job = decodeSpooledJob(text.value());
         if (!job)
             return drop(name, SpoolNote::Unreadable, job.error());
         JobSubmission& submission = job.value().submission_;
@@ -219,6 +230,20 @@
         }
     }
 
+    // A process that is out of descriptors can't read for a while, so the file stays. A copy that can't be read for long is left to a
+    // later process, since this one could neither leave nor say that it holds no jobs.
+    void recordFailedRead(const JobName& name, std::error_code error, TimePoint now)
+    {
+        Copy& copy = copies_.at(name);
+        copy.nextUploadAt_ = now + settings_.retryDelay_;
+        outlets_.note_(SpoolNote::ReadFailed, name, error);
+        if (++copy.failedReads_ < settings_.maxFailedReads_)
+            return;
+        bytes_ -= copy.bytes_;
+        copies_.erase(name);
+        outlets_.sizeChanged_();
+    }
+
     void drop(const JobName& name, SpoolNote note, std::error_code error)
     {
         bytes_ -= copies_.at(name).bytes_;
--- a/libs/ledger/tests/MemoryDisk.h
+++ b/libs/ledger/tests/MemoryDisk.h
@@ -17,6 +17,7 @@
 struct MemoryDisk {
     using Texts = std::map<std::string, std::string>;
     std::shared_ptr<Texts> texts_ = std::make_shared<Texts>();
+    std::shared_ptr<int> failingReads_ = std::make_shared<int>(0); // how many of the next reads fail
     std::shared_ptr<Texts> removed_ = std::make_shared<Texts>(); // a removal isn't synced, so a power loss may undo it
 
     Result<std::vector<std::string>> names() const
@@ -28,6 +29,10 @@
     }
     Result<std::string> read(const std::string& name) const
     {
+        if (*failingReads_ > 0) {
+            --*failingReads_;
+            return std::make_error_code(std::errc::too_many_files_open);
+        }
         const auto found = texts_->find(name);
         if (found == texts_->end())
             return std::make_error_code(std::errc::no_such_file_or_directory);
--- a/libs/ledger/tests/SpoolTest.cpp
+++ b/libs/ledger/tests/SpoolTest.cpp
@@ -362,6 +362,46 @@
     }
 }
 
+// Guards against an accepted job that is deleted because its host was out of descriptors when it read its disk.
+TEST_CASE("ledger: a copy that can't be read for a moment is kept and uploaded later")
+{
+    LedgerWorld world(4, 3);
+    world.store_.core().setOutage(true);
+    world.advance(100ms);
+    world.take(0, "j", items);
+    world.advance(20ms);
+    REQUIRE(world.outcomes_["j"] == std::vector { AcceptOutcome::Spooled });
+    for (std::size_t index = 0; index < 3; ++index)
+        *world.host(index).disk_.failingReads_ = 5;
+    world.advance(2s);
+    world.store_.core().setOutage(false);
+    world.advance(10s);
+    expectDone(world, "j");
+}
+
+// Guards against a host that can never leave because one file of its disk stays unreadable.
+TEST_CASE("ledger: a copy that stays unreadable is left to a later process")
+{
+    constexpr int always = 1'000'000;
+    MemoryDisk disk;
+    (*disk.texts_)["odd"] = "text";
+    *disk.failingReads_ = always;
+    std::vector<SpoolNote> notes;
+    SpoolOutlets outlets;
+    outlets.isStoreUnavailable_ = [] { return false; };
+    outlets.note_ = [&notes](SpoolNote note, const JobName&, std::error_code) { notes.push_back(note); };
+    outlets.sizeChanged_ = [] {};
+    JobSpool<MemoryDisk> spool(disk, {}, std::move(outlets));
+    TimePoint now(1s);
+    spool.load(now);
+    CHECK(spool.size() == 1);
+    for (const TimePoint end = now + 11s; now < end; now += 100ms)
+        spool.tick(now, LedgerWorld::wallStart);
+    CHECK(spool.size() == 0);
+    CHECK(disk.texts_->contains("odd"));
+    CHECK(std::count(notes.begin(), notes.end(), SpoolNote::ReadFailed) == static_cast<std::ptrdiff_t>(notes.size()));
+}
+
 TEST_CASE("ledger: files of a disk persist, and remainders of interrupted writes are removed")
 {
     const std::string folder = (std::filesystem::temp_directory_path() / ("jayjunction-spool-" + std::to_string(::getpid()))).string();
