http, serving, node: a handler that throws doesn't silence its socket

After one exception the process lived, and its address took nothing. Evidence (x86_64): the new test of the server throws in its accept handler; the next connection got no answer before.

Accepting and receiving go on whichever way the handler is left. Only the server's accept handler is covered by a test.

--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -76,9 +76,10 @@
                 });
                 return;
             }
+            // Accepting goes on after a connection that fails.
+            const std::shared_ptr<void> next(nullptr, [&shared](void*) { acceptNext(shared); });
             takeConnection(shared, std::move(socket));
             takeWaitingConnections(shared);
-            acceptNext(shared);
         });
     }
 
--- a/libs/http/tests/LimitsTest.cpp
+++ b/libs/http/tests/LimitsTest.cpp
@@ -292,6 +292,24 @@
     CHECK(read == 3);
 }
 
+// Guards against a server that lives and accepts no connection any more because one failed.
+TEST_CASE("a server goes on accepting after an exception has left its accept handler")
+{
+    Stepped stepped;
+    int asked = 0;
+    stepped.server().setAdmission([&asked] {
+        if (++asked == 1)
+            throw std::runtime_error("out of memory");
+        return true;
+    });
+    const tcp::socket failed = stepped.connect();
+    CHECK_THROWS_AS(stepped.run(), std::runtime_error);
+    tcp::socket next = stepped.connect();
+    boost::asio::write(next, boost::asio::buffer(plainGet));
+    stepped.run();
+    CHECK(next.available() > 0);
+}
+
 TEST_CASE("an exchange that its handler drops is answered and not left hanging")
 {
     Running running({}, [](const std::shared_ptr<Exchange>&) {});
--- a/libs/node/src/DatagramSocket.cpp
+++ b/libs/node/src/DatagramSocket.cpp
@@ -34,10 +34,11 @@
         socket_.async_receive_from(boost::asio::buffer(buffer_), from_, [self = shared_from_this()](const boost::system::error_code& error, std::size_t size) {
             if (error == boost::asio::error::operation_aborted || !self->socket_.is_open())
                 return;
+            // Receiving goes on after a datagram whose handler fails.
+            const std::shared_ptr<void> next(nullptr, [&self](void*) { self->receive(); });
             // Other errors are a peer's "port unreachable": the socket itself is well.
             if (!error)
                 self->handler_(std::string_view(self->buffer_.data(), size));
-            self->receive();
         });
     }
 
--- a/libs/node/src/PeerLinks.cpp
+++ b/libs/node/src/PeerLinks.cpp
@@ -82,6 +82,11 @@
 
 void PeerLinks::Shared::acceptNext()
 {
+    {
+        const std::lock_guard lock(mutex_);
+        if (stopped_)
+            return;
+    }
     acceptor_.async_accept(asio::make_strand(io_), [self = shared_from_this()](error_code error, tcp::socket socket) {
         if (error == asio::error::operation_aborted)
             return;
@@ -94,6 +99,8 @@
             });
             return;
         }
+        // Accepting goes on after a connection that fails.
+        const std::shared_ptr<void> next(nullptr, [&self](void*) { self->acceptNext(); });
         auto link = self->makeLink(std::move(socket), LinkSession::Side::Acceptor);
         if (link) {
             {
@@ -104,7 +111,6 @@
             }
             link->accept();
         }
-        self->acceptNext();
     });
 }
 
--- a/libs/serving/src/Fleet.cpp
+++ b/libs/serving/src/Fleet.cpp
@@ -85,10 +85,11 @@
             socket_.async_receive_from(boost::asio::buffer(buffer_), from_, [this](const boost::system::error_code& error, std::size_t size) {
                 if (error == boost::asio::error::operation_aborted)
                     return;
+                // Receiving goes on after a datagram whose handler fails.
+                const std::shared_ptr<void> next(nullptr, [this](void*) { receive(); });
                 // Other errors report an ICMP "port unreachable" of a peer; the socket itself still works.
                 if (!error)
                     handler_(std::string_view(buffer_.data(), size));
-                receive();
             });
         }
 
