jjnode: signals are taken from the first instruction to the last

Callers lost whatever a node was doing for them: SIGHUP, SIGPIPE and other signals that say nothing to a node ended it, at its start, while it served and while it drained; SIGTERM before the loop ran counted as a failure. Cause: only SIGTERM and SIGINT were handled, and only inside run(). Evidence (x86_64, tests/life/node_life_test.py on the code before): ended by signal 1 in three tests, by signal 15 in the fourth.

A ProcessSignals is opened as the last step that can fail in create(), so that a node that exists drains at SIGTERM as before; a reload has no meaning for it and is logged.

--- a/libs/node/include/node/Node.h
+++ b/libs/node/include/node/Node.h
@@ -24,6 +24,7 @@
     OperatorsListenFailed,
     EventsUnwritable,
     CoreRefused, // a core refused its settings
+    SignalsUnavailable, // the system has no pipe for them
 };
 
 std::error_code make_error_code(NodeError error);
@@ -36,6 +37,7 @@
 
 class Node {
 public:
+    // From here on SIGTERM and SIGINT begin a drain; SIGHUP is logged and has no effect. At most one node exists at a time.
     static Checked<std::unique_ptr<Node>> create(const NodeSettings& settings);
     ~Node();
     Node(const Node&) = delete;
@@ -43,7 +45,7 @@
 
     // Where it listens, with the ports that the system chose.
     NodeAddresses addresses() const;
-    // Handles SIGTERM and SIGINT as drains. Returns when the node has ended.
+    // Returns when the node has ended.
     void run();
     // From any thread; again is harmless.
     void drain();
--- a/libs/node/src/Node.cpp
+++ b/libs/node/src/Node.cpp
@@ -13,12 +13,12 @@
 #include "Runtime.h"
 #include "base/Hash.h"
 #include "http/Client.h"
+#include "process/Signals.h"
 #include "telemetry/Log.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <fstream>
 #include <thread>
@@ -63,6 +63,7 @@
     std::optional<Failure> openPeers(const WireKey& key);
     std::optional<Failure> openEvents();
     std::optional<Failure> openServers(std::string token);
+    std::optional<Failure> openSignals();
     void buildFleet(const WireKey& key);
     Result<void> buildCores();
     void onMessage(NodeId from, LinkMessage&& message);
@@ -80,7 +81,7 @@
     Log log_ { "node" };
     boost::asio::io_context io_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
-    std::unique_ptr<boost::asio::signal_set> signals_;
+    std::unique_ptr<ProcessSignals> signals_;
     std::unique_ptr<boost::asio::steady_timer> drainTimer_;
     std::unique_ptr<boost::asio::steady_timer> hostsTimer_;
     TimePoint drainBegan_;
@@ -232,6 +233,20 @@
     return std::nullopt;
 }
 
+std::optional<Failure> Node::Parts::openSignals()
+{
+    auto signals = ProcessSignals::create(io_, [this](ProcessSignal signal) {
+        if (signal == ProcessSignal::Stop)
+            beginDrain();
+        else
+            log_.info("reloadIgnored");
+    });
+    if (!signals)
+        return Failure { NodeError::SignalsUnavailable, signals.error().message() };
+    signals_ = std::move(signals.value());
+    return std::nullopt;
+}
+
 std::optional<Failure> Node::Parts::build()
 {
     const std::string keyText = readWord(settings_.keyFile_);
@@ -263,6 +278,8 @@
         io_, client_, view_, *fleet_, [this](Event event) { decisions_->feed(std::move(event)); }, settings_.times_.loadReport_);
     if (auto failure = openServers(std::move(token)))
         return failure;
+    if (auto failure = openSignals())
+        return failure;
     fleet_->start();
     poller_->start();
     hostsTimer_ = std::make_unique<boost::asio::steady_timer>(io_);
@@ -382,11 +399,6 @@
 void Node::run()
 {
     Parts& parts = *parts_;
-    parts.signals_ = std::make_unique<boost::asio::signal_set>(parts.io_, SIGTERM, SIGINT);
-    parts.signals_->async_wait([&parts](const boost::system::error_code& error, int) {
-        if (!error)
-            parts.beginDrain();
-    });
     for (std::thread& thread : parts.threads_)
         thread.join();
     parts.threads_.clear();
--- a/libs/node/src/NodeError.cpp
+++ b/libs/node/src/NodeError.cpp
@@ -25,6 +25,8 @@
                 return "the events file can't be written";
             case NodeError::CoreRefused:
                 return "a core refused its settings";
+            case NodeError::SignalsUnavailable:
+                return "signals can't be handled";
             }
             return "unknown node error";
         }
--- /dev/null
+++ b/tests/life/node_life_test.py
@@ -0,0 +1,149 @@
+"""jjnode from its first instruction to its last: it ends by SIGTERM, SIGINT, SIGKILL, a drain or refused settings and by nothing else."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "support"))
+from ports import free_port  # noqa: E402
+from processes import bin_folder, request  # noqa: E402
+
+BOUND_SECONDS = 20  # for a step that takes well under a second on an idle machine
+# A stray one of these ends a process that neither handles nor ignores it.
+STRAY_SIGNALS = [signal.SIGPIPE, signal.SIGXFSZ, signal.SIGUSR1, signal.SIGUSR2, signal.SIGALRM, signal.SIGVTALRM, signal.SIGPROF, signal.SIGIO, signal.SIGPWR]
+
+
+class NodeLifeTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory(prefix="jayjunction-life-")
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.settings, self.key, self.log, self.output = (self.folder / name for name in ("node.ini", "key", "log", "output"))
+        self.callers, self.operators, self.peers, store = (f"127.0.0.1:{free_port()}" for _ in range(4))
+        self.key.write_text("5e" * 32)
+        self.text = f"""[node]
+failure-domain = north
+region = land
+callers = {self.callers}
+operators = {self.operators}
+peers-listen = {self.peers}
+key-file = {self.key}
+[platform]
+store = {store}
+"""
+        self.settings.write_text(self.text)
+
+    def start(self, **how):
+        """`how`: further arguments of Popen."""
+        how = {"stdout": open(self.output, "ab"), "stderr": open(self.log, "ab"), **how}
+        process = subprocess.Popen([bin_folder() / "jjnode", "--config", self.settings], **how)
+        self.addCleanup(self.end, process, [file for file in how.values() if hasattr(file, "close")])
+        return process
+
+    @staticmethod
+    def end(process, files):
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+        for file in files:
+            file.close()
+
+    def until(self, what, condition):
+        end = time.monotonic() + BOUND_SECONDS
+        while time.monotonic() < end:
+            if value := condition():
+                return value
+            time.sleep(0.02)
+        return self.fail(f"not within {BOUND_SECONDS} s: {what}; log: {self.log.read_text()[-2000:]}")
+
+    def lines(self, event, path=None):
+        whole = (path or self.log).read_text().rpartition("\n")[0].splitlines()
+        return [line for line in (json.loads(text) for text in whole if text.startswith("{")) if line["event"] == event]
+
+    def answers(self):
+        try:
+            return request(self.operators, "GET", "/readyz", timeout=5).status > 0
+        except OSError:
+            return False
+
+    def wait_started(self, process):
+        self.until("the node answers, or has ended", lambda: process.poll() is not None or self.answers())
+        self.assertIsNone(process.poll(), self.log.read_text())
+
+    def check_lives(self, process, after):
+        self.assertTrue(self.answers(), after)
+        self.assertIsNone(process.poll(), after)
+
+    def check_stops(self, process):
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(timeout=BOUND_SECONDS), 0)
+
+    def started_on_a_pipe(self):
+        """A process that waits for its settings, and a function that hands them over."""
+        self.settings.unlink()
+        os.mkfifo(self.settings)
+        process = self.start()
+
+        def opened():
+            try:
+                return os.open(self.settings, os.O_WRONLY | os.O_NONBLOCK)
+            except OSError:
+                return None  # nobody reads yet
+
+        writer = self.until("the settings are being read", opened)
+
+        def hand_over():
+            os.write(writer, self.text.encode())
+            os.close(writer)
+
+        return process, hand_over
+
+    # Guards against a node that a signal without a meaning to it ends.
+    def test_stray_signals_do_not_end_a_node_that_serves(self):
+        process = self.start()
+        self.wait_started(process)
+        for number in [signal.SIGHUP, *STRAY_SIGNALS]:
+            process.send_signal(number)
+            time.sleep(0.02)
+            self.check_lives(process, signal.Signals(number).name)
+        self.until("SIGHUP is logged", lambda: self.lines("reloadIgnored"))
+        self.check_stops(process)
+        self.assertTrue(self.lines("drainDone"))
+
+    # Guards against signals that end a node before it has begun to handle them.
+    def test_stray_signals_do_not_end_a_node_that_starts(self):
+        process, hand_over = self.started_on_a_pipe()
+        for number in [signal.SIGHUP, *STRAY_SIGNALS]:
+            process.send_signal(number)
+            time.sleep(0.02)
+            self.assertIsNone(process.poll(), signal.Signals(number).name)
+        hand_over()
+        self.wait_started(process)
+        self.check_stops(process)
+
+    # Guards against a stop that looks like a failure because it came early.
+    def test_a_stop_at_start_ends_a_node_with_0(self):
+        process, _ = self.started_on_a_pipe()
+        self.check_stops(process)
+        self.assertTrue(self.lines("stopped", self.output))
+
+    # Guards against signals that end a node while it drains.
+    def test_signals_beside_a_drain_do_not_end_a_node(self):
+        process = self.start()
+        self.wait_started(process)
+        process.send_signal(signal.SIGTERM)
+        end = time.monotonic() + BOUND_SECONDS
+        while process.poll() is None and time.monotonic() < end:
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.0005)
+        self.assertEqual(process.poll(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
