jjnode: an end by a fault of the process says why

Callers found no node, and no line said why: neither an exception that nothing caught nor a signal of the processor left a trace. Cause: the default actions end a process silently. Evidence (x86_64): after SIGABRT standard output had no `crashed` line (the test of this commit on the code before).

reportCrashes() writes the last line, with the node's address, before the process ends by the same signal. The test passes.

--- a/tests/life/node_life_test.py
+++ b/tests/life/node_life_test.py
@@ -144,6 +144,14 @@
             time.sleep(0.0005)
         self.assertEqual(process.poll(), 0)
 
+    # Guards against a node that ends by a fault of its own without a word.
+    def test_a_node_that_crashes_names_the_signal(self):
+        process = self.start()
+        self.wait_started(process)
+        process.send_signal(signal.SIGABRT)
+        self.assertEqual(process.wait(timeout=BOUND_SECONDS), -signal.SIGABRT)
+        self.assertEqual([(line["signal"], line["host"]) for line in self.lines("crashed", self.output)], [("SIGABRT", self.peers)])
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- a/tools/jjnode/main.cpp
+++ b/tools/jjnode/main.cpp
@@ -1,5 +1,7 @@
 // Parses the command line, checks the settings, runs the node.
 #include "node/Node.h"
+#include "process/CrashReport.h"
+#include "process/FinalLine.h"
 #include "settings/NodeSettings.h"
 #include "telemetry/Log.h"
 
@@ -38,6 +40,7 @@
     app.add_flag("--check", checkOnly, "only check the settings");
     app.footer("Exit codes: 0 after a drain, 1 when the node can't start, 2 when the settings are refused.");
     CLI11_PARSE(app, argc, argv);
+    jj::reportCrashes();
     std::ifstream file(config);
     std::stringstream text;
     if (!file || !(text << file.rdbuf())) {
@@ -51,7 +54,9 @@
     }
     if (checkOnly)
         return 0;
-    jj::startLogs(settings.value().log_, settings.value().peersListen_.toString());
+    const std::string host = settings.value().peersListen_.toString();
+    jj::setFinalLineHost(host);
+    jj::startLogs(settings.value().log_, host);
     const int code = runNode(settings.value());
     jj::stopLogs();
     return code;
