jjnode: a log that nobody reads neither blocks a node nor falls silent

Callers got no answer while nobody read the standard error of a node: each thread that logged a line blocked on it. A node whose log had lost its reader once logged nothing for the next one. Cause: log4cplus's console appender writes through a C++ stream, which blocks, and which stays failed after one failed write. Evidence (x86_64, on the code before): after six lines beside a full pipe /readyz gave no answer; after a reader had left a named pipe and another had come, no line within 20 s.

A failed write leaves it usable. The write itself is shared with DecisionLog and StandardStreams (NonBlockingWrite). Lines that wait are written with the next line, not by a timer.

--- a/libs/process/src/StandardStreams.cpp
+++ b/libs/process/src/StandardStreams.cpp
@@ -1,5 +1,7 @@
 #include "process/StandardStreams.h"
 
+#include "process/NonBlockingWrite.h"
+
 #include <cerrno>
 #include <fcntl.h>
 #include <initializer_list>
@@ -14,11 +16,8 @@
         if (::fcntl(descriptor, F_GETFD) < 0 && errno == EBADF && ::open("/dev/null", O_RDWR) != descriptor)
             return;
     }
-    for (const int descriptor : { STDOUT_FILENO, STDERR_FILENO }) {
-        const int flags = ::fcntl(descriptor, F_GETFL);
-        if (flags >= 0)
-            ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
-    }
+    for (const int descriptor : { STDOUT_FILENO, STDERR_FILENO })
+        setNonBlocking(descriptor);
 }
 
 } // namespace jj
--- a/libs/serving/src/DecisionLog.cpp
+++ b/libs/serving/src/DecisionLog.cpp
@@ -2,14 +2,12 @@
 #include "DecisionLog.h"
 
 #include "base/Utf8.h"
+#include "process/NonBlockingWrite.h"
 
 #include <algorithm>
 #include <array>
-#include <cerrno>
 #include <cmath>
 #include <cstdio>
-#include <fcntl.h>
-#include <unistd.h>
 
 namespace jj {
 
@@ -49,9 +47,7 @@
     prefix_ = ",\"host\":";
     appendEscaped(prefix_, host);
     prefix_ += ",\"event\":";
-    const int flags = ::fcntl(descriptor_, F_GETFL);
-    if (flags >= 0)
-        ::fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+    setNonBlocking(descriptor_);
 }
 
 bool DecisionLog::reserveLine()
@@ -94,12 +90,7 @@
 
 void DecisionLog::flush()
 {
-    if (buffer_.empty())
-        return;
-    const ssize_t written = ::write(descriptor_, buffer_.data(), buffer_.size());
-    if (written > 0)
-        buffer_.erase(0, static_cast<std::size_t>(written));
-    else if (written < 0 && errno != EAGAIN)
+    if (writeAvailable(descriptor_, buffer_))
         ++writesFailed_;
 }
 
--- /dev/null
+++ b/libs/telemetry/src/DescriptorAppender.cpp
@@ -0,0 +1,57 @@
+#include "DescriptorAppender.h"
+
+#include "process/NonBlockingWrite.h"
+#include "telemetry/Log.h"
+
+#include <utility>
+
+namespace jj {
+
+DescriptorAppender::DescriptorAppender(int descriptor, std::string host)
+    : descriptor_(descriptor)
+    , host_(std::move(host))
+{
+    setNonBlocking(descriptor_);
+}
+
+DescriptorAppender::~DescriptorAppender() { destructorImpl(); }
+
+void DescriptorAppender::close()
+{
+    flush();
+    closed = true;
+}
+
+void DescriptorAppender::append(const log4cplus::spi::InternalLoggingEvent& event)
+{
+    flush();
+    if (dropped_ > 0 && buffer(droppedLine())) {
+        dropped_ = 0;
+        lastError_.clear();
+    }
+    if (!buffer(formatEvent(event)))
+        ++dropped_;
+    flush();
+}
+
+void DescriptorAppender::flush()
+{
+    if (const std::error_code error = writeAvailable(descriptor_, buffer_))
+        lastError_ = error.message();
+}
+
+bool DescriptorAppender::buffer(const std::string& line)
+{
+    if (buffer_.size() + line.size() > maxBufferedBytes)
+        return false;
+    buffer_ += line;
+    return true;
+}
+
+std::string DescriptorAppender::droppedLine() const
+{
+    const std::string_view cause = lastError_.empty() ? "not read" : std::string_view(lastError_);
+    return logLine(SystemClock().wallNow(), LogLevel::Warn, host_, "telemetry", "linesDropped", { { "count", dropped_ }, { "cause", cause } }) + '\n';
+}
+
+} // namespace jj
--- a/libs/telemetry/src/Log.cpp
+++ b/libs/telemetry/src/Log.cpp
@@ -1,6 +1,7 @@
 // log4cplus carries finished JSON lines; its own layouts know no JSON.
 #include "telemetry/Log.h"
 
+#include "DescriptorAppender.h"
 #include "base/Utf8.h"
 
 #include <atomic>
@@ -8,13 +9,13 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <cmath>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <memory>
 #include <mutex>
+#include <unistd.h>
 #include <vector>
 
 namespace jj {
@@ -97,7 +98,7 @@
     shared.host_ = host;
     log4cplus::SharedAppenderPtr appender;
     if (settings.file_.empty())
-        appender = new log4cplus::ConsoleAppender(true, true);
+        appender = new DescriptorAppender(STDERR_FILENO, shared.host_);
     else
         appender = new log4cplus::FileAppender(settings.file_, std::ios_base::app, true);
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
--- a/tests/life/node_life_test.py
+++ b/tests/life/node_life_test.py
@@ -15,6 +15,7 @@
 from processes import bin_folder, request  # noqa: E402
 
 BOUND_SECONDS = 20  # for a step that takes well under a second on an idle machine
+MORE_THAN_THREADS = 6  # lines, each of which would block a thread
 # A stray one of these ends a process that neither handles nor ignores it.
 STRAY_SIGNALS = [signal.SIGPIPE, signal.SIGXFSZ, signal.SIGUSR1, signal.SIGUSR2, signal.SIGALRM, signal.SIGVTALRM, signal.SIGPROF, signal.SIGIO, signal.SIGPWR]
 
@@ -38,10 +39,13 @@
 store = {store}
 """
         self.settings.write_text(self.text)
+        self.log.touch()
+        self.output.touch()
 
     def start(self, **how):
         """`how`: further arguments of Popen."""
-        how = {"stdout": open(self.output, "ab"), "stderr": open(self.log, "ab"), **how}
+        for stream, path in (("stdout", self.output), ("stderr", self.log)):
+            how[stream] = how.get(stream) or open(path, "ab")
         process = subprocess.Popen([bin_folder() / "jjnode", "--config", self.settings], **how)
         self.addCleanup(self.end, process, [file for file in how.values() if hasattr(file, "close")])
         return process
@@ -133,6 +137,60 @@
         self.check_stops(process)
         self.assertTrue(self.lines("stopped", self.output))
 
+    @staticmethod
+    def full_pipe():
+        """Both ends of a pipe that accepts no further byte."""
+        read_end, write_end = os.pipe()
+        os.set_blocking(write_end, False)
+        try:
+            while True:
+                os.write(write_end, b"x" * 4096)
+        except BlockingIOError:
+            pass
+        os.set_blocking(write_end, True)
+        return os.fdopen(read_end, "rb", buffering=0), os.fdopen(write_end, "wb", buffering=0)
+
+    # Guards against a node that its log blocks, and a log that stays silent once it was full.
+    def test_a_log_that_is_read_late_does_not_block_a_node_and_goes_on(self):
+        reader, writer = self.full_pipe()
+        process = self.start(stderr=writer)
+        self.addCleanup(reader.close)
+        writer.close()
+        self.wait_started(process)
+        for _ in range(MORE_THAN_THREADS):
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.1)
+        self.check_lives(process, "an unread log")
+        os.set_blocking(reader.fileno(), False)
+        text = b""
+
+        def went_on():
+            nonlocal text
+            process.send_signal(signal.SIGHUP)
+            text += reader.read() or b""
+            return text.count(b'"reloadIgnored"') > MORE_THAN_THREADS
+
+        self.until("lines from before and after", went_on)
+        lines = text.lstrip(b"x").splitlines()
+        self.assertEqual(json.loads(lines[0])["event"], "listening")
+        self.check_stops(process)
+
+    # Guards against a node that ends because the reader of its log is gone, and a log that stays silent for the next reader.
+    def test_a_log_goes_on_when_a_reader_is_back(self):
+        path = self.folder / "log.pipe"
+        os.mkfifo(path)
+        first = os.open(path, os.O_RDONLY | os.O_NONBLOCK)
+        process = self.start(stderr=open(path, "wb", buffering=0))
+        self.wait_started(process)
+        os.close(first)
+        for _ in range(3):
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.02)
+            self.check_lives(process, "a log without a reader")
+        with os.fdopen(os.open(path, os.O_RDONLY | os.O_NONBLOCK), "rb", buffering=0) as second:
+            self.until("the log goes on", lambda: process.send_signal(signal.SIGHUP) or b'"reloadIgnored"' in (second.read() or b""))
+        self.check_stops(process)
+
     # Guards against signals that end a node while it drains.
     def test_signals_beside_a_drain_do_not_end_a_node(self):
         process = self.start()
