jjnode: standard streams are prepared before anything is opened

A node started without descriptors 0 to 2 gave their numbers to its settings file, an eventfd and an epoll, and sent its log lines there; a socket in that place would have been a caller's or a peer's. A node whose first line nobody read never ended: it blocked before its loop. Cause: the numbers were taken for what they usually are, and writes block. Evidence (x86_64, on the code before): the test of closed streams named the three targets, that of standard output had not ended 20 s after SIGTERM.

prepareStandardStreams() opens the null device on closed ones and lets writes to the others fail instead of block.

--- a/tests/life/node_life_test.py
+++ b/tests/life/node_life_test.py
@@ -191,6 +191,15 @@
             self.until("the log goes on", lambda: process.send_signal(signal.SIGHUP) or b'"reloadIgnored"' in (second.read() or b""))
         self.check_stops(process)
 
+    # Guards against a node that never ends because its first line is never read.
+    def test_standard_output_that_nobody_reads_does_not_hold_a_node(self):
+        reader, writer = self.full_pipe()
+        self.addCleanup(reader.close)
+        process = self.start(stdout=writer)
+        writer.close()
+        self.wait_started(process)
+        self.check_stops(process)
+
     # Guards against signals that end a node while it drains.
     def test_signals_beside_a_drain_do_not_end_a_node(self):
         process = self.start()
@@ -210,6 +219,18 @@
         self.assertEqual(process.wait(timeout=BOUND_SECONDS), -signal.SIGABRT)
         self.assertEqual([(line["signal"], line["host"]) for line in self.lines("crashed", self.output)], [("SIGABRT", self.peers)])
 
+    # Guards against sockets that get the number of a closed standard stream, and log lines that are sent over them.
+    def test_closed_standard_streams_do_not_become_sockets(self):
+        def close_all():
+            for number in (0, 1, 2):
+                os.close(number)
+
+        process = self.start(preexec_fn=close_all)
+        self.wait_started(process)
+        targets = [os.readlink(f"/proc/{process.pid}/fd/{number}") for number in (0, 1, 2)]
+        self.assertEqual(targets, ["/dev/null"] * 3)
+        self.check_stops(process)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- a/tools/jjnode/main.cpp
+++ b/tools/jjnode/main.cpp
@@ -2,6 +2,7 @@
 #include "node/Node.h"
 #include "process/CrashReport.h"
 #include "process/FinalLine.h"
+#include "process/StandardStreams.h"
 #include "settings/NodeSettings.h"
 #include "telemetry/Log.h"
 
@@ -33,6 +34,7 @@
 
 int main(int argc, char** argv)
 {
+    jj::prepareStandardStreams();
     CLI::App app("jayjunction's daemon: one node of the fleet");
     std::string config;
     bool checkOnly = false;
