jjserve: signals hold against libraries and parents, and a blocked start can be stopped

A review of the change found, by runs (x86_64): a library that sets SIGHUP, SIGTERM or SIGPIPE to its default action in its initialisation won for the life of the process, since that comes after .preinit_array; SIGTERM that the parent had blocked never arrived; and a start blocked by its disk could not be stopped, since the handler had already been told of a loop. Settings that were absent for over a second at a reload were given up, while a start waits for them.

main() takes the signals again and unblocks them; stray ones are ignored only where their default action is in force, so that those of another runtime stay. The loop's handler is created as the last step of a start. A reload waits for settings that can't be read as long as a start does. An attempt to start is guarded as a whole.

--- a/libs/process/include/process/Signals.h
+++ b/libs/process/include/process/Signals.h
@@ -1,6 +1,6 @@
 // Signals of a daemon, from its first instruction to its last.
 //
-//     takeSignals();                                   // EarlySignals.cpp does it before any initialisation
+//     takeSignals();                                   // in main(); EarlySignals.cpp does it before any initialisation
 //     auto signals = ProcessSignals::create(io, [](ProcessSignal signal) { ... });
 //
 // SIGTERM and SIGINT ask the process to stop, SIGHUP to read its settings again. Without a ProcessSignals, a stop ends the process at
@@ -25,10 +25,12 @@
     Reload,
 };
 
-// Ignores the signals of the last paragraph.
+// Ignores the signals of the last paragraph, where their default action is in force. SIGQUIT, SIGTRAP, SIGSYS and real-time signals keep
+// theirs: debuggers and runtimes use them.
 void ignoreStraySignals() noexcept;
 
-// Installs the handlers, and ignores stray signals. Calls no function that is unsafe before the initialisation of the C++ runtime.
+// Installs the handlers, and ignores stray signals. Calls no function that is unsafe before the initialisation of the C++ runtime. Called
+// again in main(), it takes signals back from libraries that have changed them in their initialisation.
 void takeSignals() noexcept;
 
 // Forgets a request to reload that hasn't been handled: the settings are about to be read.
--- a/libs/process/src/Signals.cpp
+++ b/libs/process/src/Signals.cpp
@@ -72,12 +72,16 @@
 
 void ignoreStraySignals() noexcept
 {
-    struct sigaction action = {};
-    ::sigemptyset(&action.sa_mask);
-    action.sa_handler = SIG_IGN;
     // SIGTTOU and SIGTTIN stop a process that uses a terminal from the background.
-    for (const int number : { SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGTTOU, SIGTTIN })
+    for (const int number : { SIGPIPE, SIGXFSZ, SIGXCPU, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSTKFLT, SIGTTOU, SIGTTIN }) {
+        struct sigaction installed = {};
+        if (::sigaction(number, nullptr, &installed) != 0 || installed.sa_handler != SIG_DFL)
+            continue;
+        struct sigaction action = {};
+        ::sigemptyset(&action.sa_mask);
+        action.sa_handler = SIG_IGN;
         ::sigaction(number, &action, nullptr);
+    }
 }
 
 void takeSignals() noexcept
@@ -86,8 +90,14 @@
     ::sigemptyset(&action.sa_mask);
     action.sa_flags = SA_RESTART;
     action.sa_handler = onSignal;
-    for (const int number : { SIGTERM, SIGINT, SIGHUP })
+    sigset_t taken = {};
+    ::sigemptyset(&taken);
+    for (const int number : { SIGTERM, SIGINT, SIGHUP }) {
         ::sigaction(number, &action, nullptr);
+        ::sigaddset(&taken, number);
+    }
+    // Whoever started the process may have blocked them, which is inherited.
+    ::pthread_sigmask(SIG_UNBLOCK, &taken, nullptr);
     ignoreStraySignals();
 }
 
--- a/libs/serving/include/serving/ServingNode.h
+++ b/libs/serving/include/serving/ServingNode.h
@@ -26,7 +26,6 @@
     MetricsListenFailed,
     BadSeed,
     SignalsUnavailable, // the system has no pipe for them
-    StartFailed, // an exception of the system or a library
     SettingsRefused,
     StopRequested, // before the node had started
 };
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -36,8 +36,6 @@
                 return "a seed is not an IP address";
             case ServingError::SignalsUnavailable:
                 return "signals can't be taken";
-            case ServingError::StartFailed:
-                return "the node can't be built";
             case ServingError::SettingsRefused:
                 return "the settings are refused";
             case ServingError::StopRequested:
@@ -134,10 +132,6 @@
     if (!key)
         return Failure { ServingError::KeyUnreadable, settings_.keyFile_ };
     key_ = key.value();
-    auto signals = ProcessSignals::create(io_, [this](ProcessSignal signal) { onSignal(signal); });
-    if (!signals)
-        return Failure { ServingError::SignalsUnavailable, signals.error().message() };
-    signals_ = std::move(signals.value());
     buildStore();
     if (auto failure = openFleet())
         return failure;
@@ -157,6 +151,11 @@
     buildSpool();
     if (auto failure = openServers())
         return failure;
+    // Last: until then a stop ends the process at once, also while the disk or the system blocks the start.
+    auto signals = ProcessSignals::create(io_, [this](ProcessSignal signal) { onSignal(signal); });
+    if (!signals)
+        return Failure { ServingError::SignalsUnavailable, signals.error().message() };
+    signals_ = std::move(signals.value());
     const TimePoint now = context_.now();
     board_.setStart(now);
     board_.setHasConnection([this](const Endpoint& engine) { return engines_.hasPooled(engine); });
--- a/libs/serving/src/ServingStart.cpp
+++ b/libs/serving/src/ServingStart.cpp
@@ -26,21 +26,52 @@
         log.flush();
     }
 
-    Failure refuse(const std::string& host, std::string faults)
+    Failure refuse(std::string faults)
     {
-        DecisionLog log = logOf(host);
+        DecisionLog log = logOf({});
         log.line("settingsRefused").with("faults", faults);
         log.flush();
         return { ServingError::SettingsRefused, std::move(faults) };
     }
 
-    Checked<std::unique_ptr<ServingNode>> createNode(const ServingSettings& settings, const Translation& translation, const SettingsSource& source)
+    struct Attempt {
+        std::unique_ptr<ServingNode> node_; // null if it failed
+        std::string host_; // empty until the settings have been read
+        std::string cause_; // of the failure
+        bool isRefused_ = false; // and the refusal of the settings stands
+    };
+
+    Attempt attemptStart(const SettingsSource& source, const Translation& translation, StartRetry& retry)
+    {
+        Attempt attempt;
+        const auto text = source();
+        if (!text) {
+            attempt.cause_ = "the settings can't be read: " + text.error().message();
+            return attempt;
+        }
+        const auto settings = parseServingSettings(text.value());
+        if (!settings) {
+            attempt.cause_ = boost::algorithm::trim_copy(describe(settings.error()));
+            attempt.isRefused_ = retry.recordRefusal(text.value(), SystemClock().now());
+            return attempt;
+        }
+        attempt.host_ = settings.value().name_;
+        setFinalLineHost(attempt.host_);
+        auto node = ServingNode::create(settings.value(), translation, source);
+        if (node)
+            attempt.node_ = std::move(node.value());
+        else
+            attempt.cause_ = node.error().message();
+        return attempt;
+    }
+
+    // The system refuses an event queue, a thread or memory by exceptions.
+    Attempt attemptStartSafely(const SettingsSource& source, const Translation& translation, StartRetry& retry)
     {
-        // The system refuses an event queue, a thread or memory by exceptions.
         try {
-            return ServingNode::create(settings, translation, source);
+            return attemptStart(source, translation, retry);
         } catch (const std::exception& exception) {
-            return Failure { ServingError::StartFailed, exception.what() };
+            return { {}, {}, exception.what() };
         }
     }
 
@@ -50,28 +81,17 @@
 {
     StartRetry retry;
     for (;;) {
-        std::string host;
-        std::string cause;
         // A request to reload that comes from here on is kept for the node.
         discardReloadRequest();
-        if (const auto text = source(); !text) {
-            cause = "the settings can't be read: " + text.error().message();
-        } else if (const auto settings = parseServingSettings(text.value()); !settings) {
-            cause = boost::algorithm::trim_copy(describe(settings.error()));
-            if (retry.recordRefusal(text.value(), SystemClock().now()))
-                return refuse(host, cause);
-        } else {
-            host = settings.value().name_;
-            setFinalLineHost(host);
-            auto node = createNode(settings.value(), translation, source);
-            if (node)
-                return node;
-            cause = node.error().message();
-        }
+        Attempt attempt = attemptStartSafely(source, translation, retry);
+        if (attempt.node_)
+            return std::move(attempt.node_);
+        if (attempt.isRefused_)
+            return refuse(std::move(attempt.cause_));
         if (isStopRequested())
             return Failure { ServingError::StopRequested, {} };
         const Duration delay = retry.nextDelay();
-        logDelay(host, cause, delay);
+        logDelay(attempt.host_, attempt.cause_, delay);
         std::this_thread::sleep_for(delay);
     }
 }
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -421,7 +421,7 @@
     }
     auto line = log_.line("reloadRefused");
     line.with("faults", describe(settings.error()));
-    if (reloading_->recordRefusal(text ? text.value() : std::string(), now)) {
+    if (text && reloading_->recordRefusal(text.value(), now)) {
         reloading_.reset();
         return;
     }
