jjnode: a start that fails is tried again while its cause may pass

Callers found no node: one that was started while another process held one of its addresses, beside the drain of the one before it, or before its settings, key, token or events folder were whole, ended at once with 1 or 2. Cause: the first failed attempt ended the process. Evidence (x86_64, on the code before): each of the four addresses held for 2 s, a restart beside a drain, and a start with a taken address that was then to be stopped ended with 1; a start without its settings file ended with 2.

startNode() reads the settings anew for each attempt and builds a node anew, after the waits of StartRetry, and logs `startDelayed` with the cause; failures to listen now carry the system's error. Exceptions of a start count as failures, and what an attempt has opened is closed however it ends. The callers' address is opened last, so that an attempt that fails elsewhere accepts no caller. A stop during a wait ends the process at once with 0. Settings that stay refused, and those that a core refuses, end it with 2; exit code 1 is gone.

Test fleets start a node once instead of up to 40 times: the node itself has to wait for its address. They give it 30 s for its first line.

--- a/libs/node/include/node/Node.h
+++ b/libs/node/include/node/Node.h
@@ -1,6 +1,6 @@
 // One node of jayjunction: everything that the daemon `jjnode` runs.
 //
-//     auto node = Node::create(settings);
+//     auto node = Node::create(settings);      // startNode() tries again what may pass
 //     if (!node) ...
 //     node.value()->run();      // until SIGTERM or a drain has ended it
 //
@@ -25,6 +25,9 @@
     EventsUnwritable,
     CoreRefused, // a core refused its settings
     SignalsUnavailable, // the system has no pipe for them
+    StartFailed, // an exception of the system or a library
+    SettingsRefused,
+    StopRequested, // before the node had started
 };
 
 std::error_code make_error_code(NodeError error);
--- a/libs/node/src/DatagramSocket.cpp
+++ b/libs/node/src/DatagramSocket.cpp
@@ -62,7 +62,7 @@
     if (!error)
         state->socket_.bind(nativeOf(address), error);
     if (error)
-        return BaseError::Closed;
+        return error;
     state->socket_.non_blocking(true, error);
     state->receive();
     return std::unique_ptr<DatagramSocket>(new DatagramSocket(std::move(state)));
--- a/libs/node/src/DatagramSocket.h
+++ b/libs/node/src/DatagramSocket.h
@@ -19,7 +19,7 @@
 public:
     using Handler = std::function<void(std::string_view)>;
 
-    // Errors: BaseError::Closed when the address can't be bound. The handler runs on the io_context, one call at a time.
+    // Errors: the system's when the address can't be bound. The handler runs on the io_context, one call at a time.
     static Result<std::unique_ptr<DatagramSocket>> create(boost::asio::io_context& io, const PeerAddress& address, Handler handler);
     ~DatagramSocket();
 
--- a/libs/node/src/Node.cpp
+++ b/libs/node/src/Node.cpp
@@ -40,6 +40,11 @@
     // TCP on a port that the system chose, then UDP on the same: another process may hold it, so a few tries.
     constexpr int portTries = 16;
 
+    Failure failureAt(NodeError code, const std::string& place, std::error_code cause)
+    {
+        return { code, place + ": " + cause.message() };
+    }
+
     std::string readWord(const std::string& path)
     {
         std::ifstream file(path);
@@ -58,6 +63,9 @@
         , client_(io_, {})
     {
     }
+    ~Parts() { stop(); }
+    Parts(const Parts&) = delete;
+    Parts& operator=(const Parts&) = delete;
 
     std::optional<Failure> build();
     std::optional<Failure> openPeers(const WireKey& key);
@@ -133,19 +141,26 @@
         log_.warn("linkLost", { { "peer", idText(peer.value()) }, { "error", error.message() } });
         plane_->onLinkLost(peer, unsent);
     };
+    std::error_code error;
     for (int attempt = 0; attempt < portTries; ++attempt) {
         auto opened = PeerLinks::create(io_, key, { address.value(), incarnation_ }, links, handlers);
-        if (!opened)
+        if (!opened) {
+            error = opened.error();
             break;
+        }
         listen_ = opened.value()->local();
         auto socket = DatagramSocket::create(io_, listen_, [this](std::string_view bytes) { fleet_->onDatagram(bytes); });
-        if (!socket)
+        if (!socket) {
+            error = socket.error();
+            if (address.value().port_ != 0)
+                break;
             continue;
+        }
         links_ = std::move(opened.value());
         datagrams_ = std::move(socket.value());
         return std::nullopt;
     }
-    return Failure { NodeError::PeersListenFailed, settings_.peersListen_.toString() };
+    return failureAt(NodeError::PeersListenFailed, settings_.peersListen_.toString(), error);
 }
 
 std::optional<Failure> Node::Parts::openEvents()
@@ -154,7 +169,7 @@
         return std::nullopt;
     auto events = EventWriter::open(settings_.eventsFile_, { listen_.toString(), incarnation_ });
     if (!events)
-        return Failure { NodeError::EventsUnwritable, settings_.eventsFile_ };
+        return failureAt(NodeError::EventsUnwritable, settings_.eventsFile_, events.error());
     events_ = std::move(events.value());
     return std::nullopt;
 }
@@ -220,16 +235,17 @@
 
 std::optional<Failure> Node::Parts::openServers(std::string token)
 {
-    const CallersParts callersParts { view_, *plane_, *jobs_, metrics_, idFromName<RegionId>(settings_.region_), [this] { return nextRequest(); }, [this] { return view_.current() != nullptr; } };
-    auto callers = CallersServer::create(io_, settings_.callers_, settings_.limits_, callersParts);
-    if (!callers)
-        return Failure { NodeError::CallersListenFailed, settings_.callers_.toString() };
-    callers_ = std::move(callers.value());
     OperatorsParts operatorsParts { *fleet_, *jobs_, *plane_, *store_, metrics_, [this] { return decisions_->counts(); }, [this] { return isReady(); }, [this] { boost::asio::post(io_, [this] { beginDrain(); }); }, std::move(token) };
     auto operators = OperatorsServer::create(io_, settings_.operators_, operatorsParts);
     if (!operators)
-        return Failure { NodeError::OperatorsListenFailed, settings_.operators_.toString() };
+        return failureAt(NodeError::OperatorsListenFailed, settings_.operators_.toString(), operators.error());
     operators_ = std::move(operators.value());
+    // Last, so that an attempt that fails elsewhere accepts no caller.
+    const CallersParts callersParts { view_, *plane_, *jobs_, metrics_, idFromName<RegionId>(settings_.region_), [this] { return nextRequest(); }, [this] { return view_.current() != nullptr; } };
+    auto callers = CallersServer::create(io_, settings_.callers_, settings_.limits_, callersParts);
+    if (!callers)
+        return failureAt(NodeError::CallersListenFailed, settings_.callers_.toString(), callers.error());
+    callers_ = std::move(callers.value());
     return std::nullopt;
 }
 
@@ -276,10 +292,10 @@
         return Failure { NodeError::CoreRefused, "" };
     poller_ = std::make_unique<LoadPoller>(
         io_, client_, view_, *fleet_, [this](Event event) { decisions_->feed(std::move(event)); }, settings_.times_.loadReport_);
-    if (auto failure = openServers(std::move(token)))
-        return failure;
     if (auto failure = openSignals())
         return failure;
+    if (auto failure = openServers(std::move(token)))
+        return failure;
     fleet_->start();
     poller_->start();
     hostsTimer_ = std::make_unique<boost::asio::steady_timer>(io_);
@@ -378,16 +394,19 @@
 {
 }
 
-Node::~Node() { parts_->stop(); }
+Node::~Node() = default;
 
 Checked<std::unique_ptr<Node>> Node::create(const NodeSettings& settings)
 {
-    auto parts = std::make_unique<Parts>(settings);
-    if (auto failure = parts->build()) {
-        parts->stop();
-        return *failure;
+    // The system refuses an event queue, a thread or memory by exceptions.
+    try {
+        auto parts = std::make_unique<Parts>(settings);
+        if (auto failure = parts->build())
+            return *failure;
+        return std::unique_ptr<Node>(new Node(std::move(parts)));
+    } catch (const std::exception& exception) {
+        return Failure { NodeError::StartFailed, exception.what() };
     }
-    return std::unique_ptr<Node>(new Node(std::move(parts)));
 }
 
 NodeAddresses Node::addresses() const
--- a/libs/node/src/NodeError.cpp
+++ b/libs/node/src/NodeError.cpp
@@ -27,6 +27,12 @@
                 return "a core refused its settings";
             case NodeError::SignalsUnavailable:
                 return "signals can't be handled";
+            case NodeError::StartFailed:
+                return "the start failed";
+            case NodeError::SettingsRefused:
+                return "the settings are refused";
+            case NodeError::StopRequested:
+                return "stopped before the start";
             }
             return "unknown node error";
         }
--- a/libs/node/src/PeerLinks.cpp
+++ b/libs/node/src/PeerLinks.cpp
@@ -35,7 +35,7 @@
         std::vector<std::shared_ptr<PeerLink>> links_;
     };
 
-    bool listen();
+    std::error_code listen();
     void acceptNext();
     PeerLink::Owner owner();
     std::shared_ptr<PeerLink> makeLink(tcp::socket socket, LinkSession::Side side);
@@ -62,7 +62,7 @@
     std::unordered_map<const PeerLink*, std::shared_ptr<PeerLink>> strangers_; // accepted, before their Hello
 };
 
-bool PeerLinks::Shared::listen()
+std::error_code PeerLinks::Shared::listen()
 {
     error_code error;
     const tcp::endpoint endpoint(asio::ip::address_v4(self_.endpoint_.ip_), self_.endpoint_.port_);
@@ -74,10 +74,10 @@
     if (!error)
         acceptor_.listen(asio::socket_base::max_listen_connections, error);
     if (error)
-        return false;
+        return error;
     self_.endpoint_.port_ = acceptor_.local_endpoint(error).port();
     self_.node_ = nodeIdOf(self_.endpoint_);
-    return !error;
+    return error;
 }
 
 void PeerLinks::Shared::acceptNext()
@@ -245,8 +245,8 @@
     asio::io_context& io, const WireKey& key, const PeerIdentity& self, const PeerLinkSettings& settings, PeerLinkHandlers handlers)
 {
     auto shared = std::make_shared<Shared>(io, key, self, settings, std::move(handlers));
-    if (!shared->listen())
-        return BaseError::Closed;
+    if (const std::error_code error = shared->listen())
+        return error;
     shared->acceptNext();
     return std::unique_ptr<PeerLinks>(new PeerLinks(std::move(shared)));
 }
--- a/libs/node/src/PeerLinks.h
+++ b/libs/node/src/PeerLinks.h
@@ -49,7 +49,7 @@
 
 class PeerLinks {
 public:
-    // Errors: BaseError::Closed when the address can't be listened on.
+    // Errors: the system's when the address can't be listened on.
     static Result<std::unique_ptr<PeerLinks>> create(
         boost::asio::io_context& io, const WireKey& key, const PeerIdentity& self, const PeerLinkSettings& settings, PeerLinkHandlers handlers);
     // Closes all links without onLost_. Run the io_context until it is out of work, or destroy it, afterwards.
--- a/libs/telemetry/include/telemetry/Log.h
+++ b/libs/telemetry/include/telemetry/Log.h
@@ -44,7 +44,7 @@
 
 using LogFields = std::initializer_list<std::pair<std::string_view, LogValue>>;
 
-// Sets levels and the file (or standard error, whose writes no longer block then). `host` stands in each line. Call it once, before other threads start.
+// Sets levels and the file (or standard error, whose writes no longer block then). `host` stands in each line. Call it while no other thread logs.
 void startLogs(const LogSettings& settings, std::string_view host);
 void stopLogs();
 
--- a/libs/telemetry/src/Log.cpp
+++ b/libs/telemetry/src/Log.cpp
@@ -4,6 +4,7 @@
 #include "DescriptorAppender.h"
 #include "base/Utf8.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/algorithm/string/replace.hpp>
 #include <boost/json/object.hpp>
@@ -121,6 +122,8 @@
         return;
     LogState& shared = state();
     const std::lock_guard lock(shared.secretsLock_);
+    if (std::find(shared.secrets_.begin(), shared.secrets_.end(), secret) != shared.secrets_.end())
+        return;
     shared.secrets_.push_back(std::move(secret));
     shared.hasSecrets_.store(true, std::memory_order_release);
 }
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -16,6 +16,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -23,8 +24,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 START_SECONDS = 20
 STOP_SECONDS = 45
-RESTART_TRIES = 40
-RESTART_PAUSE = 0.25
+START_SECONDS = 30
 
 
 def http(method, url, body=None, headers=None, timeout=10):
@@ -45,7 +45,10 @@
         self.arguments = arguments
         self.log = open(os.path.join(folder, name + ".log"), "ab")
         self.process = subprocess.Popen(arguments, stdout=subprocess.PIPE, stderr=self.log, stdin=subprocess.DEVNULL)
+        bound = threading.Timer(START_SECONDS, self.process.kill)
+        bound.start()
         self.line = self.process.stdout.readline().decode().strip()
+        bound.cancel()
         if not self.line.startswith("listening"):
             self.kill()
             raise RuntimeError(f"{name} did not start: {open(self.log.name).read()[-2000:]}")
@@ -216,17 +219,8 @@
 
     def restart_node(self, number):
         """A new process on the same peer address, as on a host that was restarted."""
-        listen = self.nodes[number].peers
-        for attempt in range(RESTART_TRIES):
-            try:
-                self.nodes[number] = self.start_node(number, listen)
-                return self.nodes[number]
-            except RuntimeError:
-                # Meanwhile the system may have lent the port to an outgoing connection, for a moment.
-                if attempt + 1 == RESTART_TRIES:
-                    raise
-                time.sleep(RESTART_PAUSE)
-        return None
+        self.nodes[number] = self.start_node(number, self.nodes[number].peers)
+        return self.nodes[number]
 
     def node(self, number):
         return self.nodes[number]
--- a/tests/e2e/fleet.py
+++ b/tests/e2e/fleet.py
@@ -110,7 +110,7 @@
             domain=domain, region=region, callers=self.callers, operators=self.operators, peers=self.peers, seeds=seeds,
             folder=self.fleet.folder, index=self.index, store=self.fleet.store_links[self.index], lease=LEASE_MS))
         log = self.fleet.folder / f"node-{self.index}.err"
-        self.process = start_on_known_port(lambda: Process("jjnode", "--config", settings, log=log))
+        self.process = Process("jjnode", "--config", settings, log=log)
 
     def is_ready(self):
         return request(self.operators, "GET", "/readyz", timeout=5).status == 200
--- a/tests/life/node_life_test.py
+++ b/tests/life/node_life_test.py
@@ -4,9 +4,11 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import unittest
 
@@ -15,6 +17,8 @@
 from processes import bin_folder, request  # noqa: E402
 
 BOUND_SECONDS = 20  # for a step that takes well under a second on an idle machine
+REFUSED = 2  # exit code for settings that are refused
+HELD_SECONDS = 2  # how long an address stays taken
 MORE_THAN_THREADS = 6  # lines, each of which would block a thread
 # A stray one of these ends a process that neither handles nor ignores it.
 STRAY_SIGNALS = [signal.SIGPIPE, signal.SIGXFSZ, signal.SIGUSR1, signal.SIGUSR2, signal.SIGALRM, signal.SIGVTALRM, signal.SIGPROF, signal.SIGIO, signal.SIGPWR]
@@ -211,6 +215,100 @@
             time.sleep(0.0005)
         self.assertEqual(process.poll(), 0)
 
+    @staticmethod
+    def hold(address, kind):
+        holder = socket.socket(socket.AF_INET, kind)
+        host, port = address.split(":")
+        holder.bind((host, int(port)))
+        if kind == socket.SOCK_STREAM:
+            holder.listen()
+        return holder
+
+    def check_waits_for(self, address, kind):
+        holder = self.hold(address, kind)
+        threading.Timer(HELD_SECONDS, holder.close).start()
+        process = self.start()
+        self.wait_started(process)
+        waits = self.lines("startDelayed")
+        self.assertTrue(waits)
+        for line in waits:
+            self.assertIn(address, line["cause"])
+            self.assertIn("in use", line["cause"])
+            self.assertGreater(line["retryMs"], 0)
+        self.assertLess(len(os.listdir(f"/proc/{process.pid}/fd")), 60, "failed attempts leave no descriptors open")
+        self.check_stops(process)
+
+    # Each of the next four guards against a node that ends because another process holds one of its addresses for a while.
+    def test_a_start_waits_for_the_address_of_callers(self):
+        self.check_waits_for(self.callers, socket.SOCK_STREAM)
+
+    def test_a_start_waits_for_the_address_of_operators(self):
+        self.check_waits_for(self.operators, socket.SOCK_STREAM)
+
+    def test_a_start_waits_for_the_address_of_links_between_nodes(self):
+        self.check_waits_for(self.peers, socket.SOCK_STREAM)
+
+    def test_a_start_waits_for_the_address_of_datagrams_between_nodes(self):
+        self.check_waits_for(self.peers, socket.SOCK_DGRAM)
+
+    # Guards against a node that doesn't start because it was started before the one before it had ended.
+    def test_a_start_beside_a_drain_succeeds(self):
+        process = self.start()
+        self.wait_started(process)
+        for _ in range(3):
+            process.send_signal(signal.SIGTERM)
+            following = self.start()
+            self.assertEqual(process.wait(timeout=BOUND_SECONDS), 0)
+            self.wait_started(following)
+            process = following
+        self.check_stops(process)
+
+    # Guards against a node that ends because a file that it needs is written a moment later.
+    def test_a_start_waits_for_settings_key_token_and_events(self):
+        token, events = self.folder / "token", self.folder / "events" / "node.events"
+        whole = self.text.replace("[platform]", f"token-file = {token}\nevents-file = {events}\n[platform]")
+        self.settings.unlink()
+        self.key.write_text("")
+        process = self.start()
+        steps = [("can't be read", lambda: self.settings.write_text("")),
+                 ("can't be read", lambda: self.settings.write_text(whole[:60])),
+                 ("missing", lambda: self.settings.write_text(whole)),
+                 ("64 hex digits", lambda: self.key.write_text("5e" * 32)),
+                 ("token file", lambda: token.write_text("word")),
+                 ("events file", events.parent.mkdir)]
+        seen = 0
+
+        def names(cause):
+            return any(cause in line["cause"] for line in self.lines("startDelayed")[seen:])
+
+        for cause, step in steps:
+            self.until(cause, lambda cause=cause: process.poll() is not None or names(cause))
+            self.assertIsNone(process.poll(), cause)
+            seen = len(self.lines("startDelayed"))
+            step()
+        self.wait_started(process)
+        self.check_stops(process)
+
+    # Guards against settings that are refused without a word or with another exit code, and a node that waits for better ones for ever.
+    def test_refused_settings_end_a_node_with_2(self):
+        self.settings.write_text(self.text + "no-such-key = 1\n")
+        process = self.start()
+        self.assertEqual(process.wait(timeout=BOUND_SECONDS), REFUSED)
+        self.assertIn("no-such-key", self.lines("settingsRefused")[0]["faults"])
+        plain = [line for line in self.log.read_text().splitlines() if not line.startswith("{")]
+        self.assertTrue(any("no-such-key" in line for line in plain), plain)
+
+    # Guards against a node that can't be stopped while it waits, or that SIGHUP ends then.
+    def test_a_stop_ends_a_node_that_waits_at_once(self):
+        with self.hold(self.callers, socket.SOCK_STREAM):
+            process = self.start()
+            self.until("the node waits, or has ended", lambda: process.poll() is not None or self.lines("startDelayed"))
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.3)
+            self.assertIsNone(process.poll())
+            self.check_stops(process)
+            self.assertTrue(self.lines("stopped", self.output))
+
     # Guards against a node that ends by a fault of its own without a word.
     def test_a_node_that_crashes_names_the_signal(self):
         process = self.start()
--- a/tools/jjnode/main.cpp
+++ b/tools/jjnode/main.cpp
@@ -1,27 +1,40 @@
 // Parses the command line, checks the settings, runs the node.
-#include "node/Node.h"
+#include "node/NodeStart.h"
 #include "process/CrashReport.h"
-#include "process/FinalLine.h"
 #include "process/StandardStreams.h"
+#include "process/TextFile.h"
 #include "settings/NodeSettings.h"
 #include "telemetry/Log.h"
 
 #include <CLI/CLI.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
-constexpr int exitFailed = 1;
 constexpr int exitBadSettings = 2;
 
-int runNode(const jj::NodeSettings& settings)
+int checkSettings(const std::string& path)
 {
-    auto node = jj::Node::create(settings);
+    const auto text = jj::readTextFile(path);
+    if (!text) {
+        std::cerr << path << ": " << text.error().message() << std::endl;
+        return exitBadSettings;
+    }
+    const auto settings = jj::parseNodeSettings(text.value());
+    if (settings)
+        return 0;
+    std::cerr << jj::describe(settings.error());
+    return exitBadSettings;
+}
+
+int runNode(const std::string& path)
+{
+    auto node = jj::startNode([path] { return jj::readTextFile(path); });
     if (!node) {
+        if (node.error().code_ == jj::NodeError::StopRequested)
+            return 0;
         std::cerr << node.error().message() << std::endl;
-        return exitFailed;
+        return exitBadSettings;
     }
     const jj::NodeAddresses at = node.value()->addresses();
     std::cout << "listening callers=" << toString(at.callers_) << " operators=" << toString(at.operators_) << " peers=" << toString(at.peers_) << std::endl;
@@ -40,26 +53,12 @@
     bool checkOnly = false;
     app.add_option("--config", config, "settings in INI")->required();
     app.add_flag("--check", checkOnly, "only check the settings");
-    app.footer("Exit codes: 0 after a drain, 1 when the node can't start, 2 when the settings are refused.");
+    app.footer("Exit codes: 0 after a drain or a stop before the start, 2 when the settings are refused. A start that fails for another reason is tried again.");
     CLI11_PARSE(app, argc, argv);
-    jj::reportCrashes();
-    std::ifstream file(config);
-    std::stringstream text;
-    if (!file || !(text << file.rdbuf())) {
-        std::cerr << "can't read " << config << std::endl;
-        return exitBadSettings;
-    }
-    const auto settings = jj::parseNodeSettings(text.str());
-    if (!settings) {
-        std::cerr << jj::describe(settings.error());
-        return exitBadSettings;
-    }
     if (checkOnly)
-        return 0;
-    const std::string host = settings.value().peersListen_.toString();
-    jj::setFinalLineHost(host);
-    jj::startLogs(settings.value().log_, host);
-    const int code = runNode(settings.value());
+        return checkSettings(config);
+    jj::reportCrashes();
+    const int code = runNode(config);
     jj::stopLogs();
     return code;
 }
