ledger: entries of the disk that block or stay unreadable hold up neither a start nor a job

A review of the change found, by a run (x86_64): a pipe in place of a job's file blocked the start, and SIGTERM with it, for good (the code before ended at SIGTERM and did not start either); and, by reading, that a copy which could not be read for 10 s was left alone until the next process, though its job may stand on no other disk.

Only regular files are read, and none by a call that waits. A copy that stays unreadable no longer counts as kept, so that the host can leave, and is read again each 10 s.

--- a/libs/ledger/include/ledger/JobSpool.h
+++ b/libs/ledger/include/ledger/JobSpool.h
@@ -50,7 +50,8 @@
     // Delay between the first uploads of the hosts that spool the same job.
     Duration rankDelay_ = 1s;
     Duration retryDelay_ = 500ms;
-    std::uint32_t maxFailedReads_ = 20; // of one copy in a row
+    std::uint32_t maxFailedReads_ = 20; // of one copy in a row, until it no longer counts
+    Duration setAsideRetryDelay_ = 10s; // between reads of a copy that no longer counts
     // Timeout of one upload.
     Duration uploadTimeout_ = 2s;
     std::size_t maxConcurrentUploads_ = 4;
@@ -172,7 +173,8 @@
         }
     }
 
-    std::size_t size() const { return copies_.size(); }
+    // Returns the number of copies, without those that have been unreadable for long.
+    std::size_t size() const { return copies_.size() - setAside_; }
     // Returns whether further jobs are refused.
     bool isFull() const { return copies_.size() >= settings_.maxCopies_; }
 
@@ -192,7 +194,7 @@
         const auto text = disk_.read(name);
         if (!text)
             return recordFailedRead(name, text.error(), now);
-        copies_.at(name).failedReads_ = 0;
+        recordRead(copies_.at(name), text.value().size());
         auto job = decodeSpooledJob(text.value());
         if (!job)
             return drop(name, SpoolNote::Unreadable, job.error());
@@ -230,23 +232,36 @@
         }
     }
 
-    // A process that is out of descriptors can't read for a while, so the file stays. A copy that can't be read for long is left to a
-    // later process, since this one could neither leave nor say that it holds no jobs.
+    // A process that is out of descriptors can't read for a while, so the file stays. A copy that can't be read for long no longer counts,
+    // since the host could neither leave nor say that it holds no jobs; it is still tried, but seldom.
     void recordFailedRead(const JobName& name, std::error_code error, TimePoint now)
     {
         Copy& copy = copies_.at(name);
-        copy.nextUploadAt_ = now + settings_.retryDelay_;
         outlets_.note_(SpoolNote::ReadFailed, name, error);
-        if (++copy.failedReads_ < settings_.maxFailedReads_)
-            return;
-        bytes_ -= copy.bytes_;
-        copies_.erase(name);
-        outlets_.sizeChanged_();
+        if (copy.failedReads_ < settings_.maxFailedReads_ && ++copy.failedReads_ == settings_.maxFailedReads_) {
+            ++setAside_;
+            outlets_.sizeChanged_();
+        }
+        copy.nextUploadAt_ = now + (isSetAside(copy) ? settings_.setAsideRetryDelay_ : settings_.retryDelay_);
     }
 
+    void recordRead(Copy& copy, std::size_t bytes)
+    {
+        if (isSetAside(copy))
+            --setAside_;
+        copy.failedReads_ = 0;
+        bytes_ += bytes - copy.bytes_;
+        copy.bytes_ = bytes;
+    }
+
+    bool isSetAside(const Copy& copy) const { return copy.failedReads_ >= settings_.maxFailedReads_; }
+
     void drop(const JobName& name, SpoolNote note, std::error_code error)
     {
-        bytes_ -= copies_.at(name).bytes_;
+        const Copy& copy = copies_.at(name);
+        bytes_ -= copy.bytes_;
+        if (isSetAside(copy))
+            --setAside_;
         copies_.erase(name);
         // A power loss may bring the deleted copy back. Its upload then finds the job in the store, possibly with results.
         const auto removed = disk_.remove(name);
@@ -261,6 +276,7 @@
     std::map<JobName, Copy> copies_;
     std::size_t bytes_ = 0; // of all copies in copies_
     std::size_t uploads_ = 0;
+    std::size_t setAside_ = 0; // copies for which isSetAside() holds
 };
 
 } // namespace jj
--- a/libs/ledger/src/FileDisk.cpp
+++ b/libs/ledger/src/FileDisk.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <fcntl.h>
 #include <filesystem>
+#include <sys/stat.h>
 #include <unistd.h>
 
 namespace jj {
@@ -103,9 +104,13 @@
 
 Result<std::string> FileDisk::read(const std::string& name)
 {
-    const Descriptor file(::open(pathOf(name).c_str(), O_RDONLY | O_CLOEXEC));
-    if (!file.isOpen())
+    // Without O_NONBLOCK, opening a pipe would wait for its writer.
+    const Descriptor file(::open(pathOf(name).c_str(), O_RDONLY | O_CLOEXEC | O_NONBLOCK));
+    struct stat status = {};
+    if (!file.isOpen() || ::fstat(file.number(), &status) != 0)
         return lastError();
+    if (!S_ISREG(status.st_mode))
+        return std::make_error_code(std::errc::invalid_argument);
     std::string text;
     std::array<char, readBytes> piece {};
     for (;;) {
