jjserve, jjnode: standard error stays as the parent has it

The messages of both daemons, and the last line of a log, are written if they are taken at once and dropped otherwise, without the flag. jjnode takes its signals again in main(), as jjserve does. The destination of a log is still made non-blocking: standard output of jjserve, standard error of jjnode.

--- a/libs/process/src/FinalLine.cpp
+++ b/libs/process/src/FinalLine.cpp
@@ -1,6 +1,8 @@
 // Formats into a buffer on the stack: no allocation, no locale, no stream.
 #include "process/FinalLine.h"
 
+#include "process/StandardStreams.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdint>
@@ -57,7 +59,7 @@
 
         void write() const
         {
-            [[maybe_unused]] const ssize_t written = ::write(STDOUT_FILENO, bytes_.data(), size_);
+            writeAtOnce(STDOUT_FILENO, { bytes_.data(), size_ });
         }
 
     private:
--- a/tools/jjnode/main.cpp
+++ b/tools/jjnode/main.cpp
@@ -1,6 +1,7 @@
 // Parses the command line, checks the settings, runs the node.
 #include "node/NodeStart.h"
 #include "process/CrashReport.h"
+#include "process/Signals.h"
 #include "process/StandardStreams.h"
 #include "process/TextFile.h"
 #include "settings/NodeSettings.h"
@@ -8,6 +9,7 @@
 
 #include <CLI/CLI.hpp>
 #include <iostream>
+#include <unistd.h>
 
 namespace {
 
@@ -33,11 +35,11 @@
     if (!node) {
         if (node.error().code_ == jj::NodeError::StopRequested)
             return 0;
-        std::cerr << node.error().message() << std::endl;
+        jj::writeAtOnce(STDERR_FILENO, node.error().message() + "\n");
         return exitBadSettings;
     }
     const jj::NodeAddresses at = node.value()->addresses();
-    std::cout << "listening callers=" << toString(at.callers_) << " operators=" << toString(at.operators_) << " peers=" << toString(at.peers_) << std::endl;
+    jj::writeAtOnce(STDOUT_FILENO, "listening callers=" + toString(at.callers_) + " operators=" + toString(at.operators_) + " peers=" + toString(at.peers_) + "\n");
     jj::Log("node").info("listening", { { "callers", toString(at.callers_) }, { "operators", toString(at.operators_) }, { "peers", toString(at.peers_) } });
     node.value()->run();
     return 0;
@@ -47,6 +49,7 @@
 
 int main(int argc, char** argv)
 {
+    jj::takeSignals();
     jj::prepareStandardStreams();
     CLI::App app("jayjunction's daemon: one node of the fleet");
     std::string config;
