jjserve: a part that fails in each turn keeps neither the end nor the log from its turn

By reading, in the review: the drain, the reload and the log's flush were the last steps of a turn, so that an exception of any part before them, turn after turn, would have kept a process from ending at SIGTERM and its handlerFailed lines from the log. They come first. Not provoked by a test; the plays of a process's life and of its stop pass.

--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -76,6 +76,14 @@
 {
     const TimePoint now = context_.now();
     const WallTime wall = SystemClock().wallNow();
+    // First: a part below that fails in each turn must not keep the process from its end, nor its lines from the log.
+    log_.flushIfDue(now);
+    if (draining_)
+        continueDrain(now);
+    if (io_.stopped())
+        return;
+    if (now >= reloadAt_)
+        reload();
     fleet_->tick(now, wall);
     store_->tick(now);
     updateWatchRole();
@@ -104,13 +112,8 @@
     }
     probeEngines(now);
     scanJobs(now);
-    if (draining_)
-        continueDrain(now);
-    if (now >= reloadAt_)
-        reload();
     updateSlowEngines(now);
     logPeriodic(now);
-    log_.flushIfDue(now);
 }
 
 void ServingNode::Parts::probeEngines(TimePoint now)
