Tests: a held address in the plays of jjnode may be in TIME_WAIT

The holder of an address failed when connections of an earlier test still held it. SO_REUSEADDR lets it bind; other listeners are kept out all the same, so the play is as strict.

--- a/tests/life/node_life_test.py
+++ b/tests/life/node_life_test.py
@@ -218,6 +218,9 @@
     @staticmethod
     def hold(address, kind):
         holder = socket.socket(socket.AF_INET, kind)
+        # Connections of an earlier test may still hold the port in TIME_WAIT; other listeners are kept out all the same.
+        if kind == socket.SOCK_STREAM:
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         host, port = address.split(":")
         holder.bind((host, int(port)))
         if kind == socket.SOCK_STREAM:
