jjnode: a handler or a turn that throws ends alone

Callers would lose a whole node, or every decision of one of its actors, to one exception: a handler that threw on an io thread ended the process by std::terminate, and a turn that threw ended its actor, after which whatever was posted to it was dropped without a word. Cause: the threads ran their loop unguarded, and CAF ends an actor whose handler throws.

runPastFailures() runs the loop on, in both daemons, and turns are guarded alike. Each failure is logged as `handlerFailed`. That the io threads of a node use the loop is shown by no test of its own.

--- a/libs/node/src/Node.cpp
+++ b/libs/node/src/Node.cpp
@@ -13,6 +13,7 @@
 #include "Runtime.h"
 #include "base/Hash.h"
 #include "http/Client.h"
+#include "process/Loop.h"
 #include "process/Signals.h"
 #include "telemetry/Log.h"
 
@@ -301,7 +302,7 @@
     hostsTimer_ = std::make_unique<boost::asio::steady_timer>(io_);
     readHosts();
     for (int i = 0; i < settings_.ioThreads_; ++i)
-        threads_.emplace_back([this] { io_.run(); });
+        threads_.emplace_back([this] { runPastFailures(io_, [this](const std::exception& failure) { log_.error("handlerFailed", { { "error", failure.what() } }); }); });
     return std::nullopt;
 }
 
--- a/libs/node/src/Runtime.cpp
+++ b/libs/node/src/Runtime.cpp
@@ -1,6 +1,8 @@
 // CAF actors that run turns. Each actor is event-based and runs on the system's few threads.
 #include "Runtime.h"
 
+#include "telemetry/Log.h"
+
 #include <caf/all.hpp>
 
 namespace jj {
@@ -18,16 +20,26 @@
         Turn onTick_;
     };
 
+    // CAF would end the actor, and drop what is posted to it from then on.
+    void runPastFailure(const Turn& turn, TimePoint now)
+    {
+        try {
+            turn(now);
+        } catch (const std::exception& failure) {
+            Log("node").error("handlerFailed", { { "error", failure.what() } });
+        }
+    }
+
     caf::behavior runTurns(caf::stateful_actor<ActorState>* self, Duration period, const Turn& onTick)
     {
         self->state.onTick_ = onTick;
         const auto now = [self] { return std::chrono::time_point_cast<Duration>(self->clock().now()); };
         self->delayed_send(self, period, TickAtom::value);
         return {
-            [now](const TurnMessage& message) { message.run_(now()); },
+            [now](const TurnMessage& message) { runPastFailure(message.run_, now()); },
             [self, now, period](TickAtom) {
                 self->delayed_send(self, period, TickAtom::value);
-                self->state.onTick_(now());
+                runPastFailure(self->state.onTick_, now());
             },
             [self](StopAtom) { self->quit(); },
         };
--- a/libs/node/src/Runtime.h
+++ b/libs/node/src/Runtime.h
@@ -1,7 +1,7 @@
 // The CAF side of a node behind a header without CAF: actors that own one core each, and their clock.
 //
 // A CoreActor runs turns one after another, never two at once, so whatever it owns needs no lock. A turn receives the time of the
-// actor system's clock, which tests pause and advance.
+// actor system's clock, which tests pause and advance. A turn that throws is logged as `handlerFailed`; the next ones run.
 //
 //     Runtime runtime(threads);
 //     CoreActor actor = runtime.spawn(10ms, [&](TimePoint now) { core.tick(now); });
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -3,6 +3,7 @@
 
 #include "ServingParts.h"
 #include "base/Hash.h"
+#include "process/Loop.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -455,15 +456,10 @@
 void ServingNode::run()
 {
     parts_->scheduleTick();
-    while (!parts_->io_.stopped()) {
-        // One handler that fails must not end the others.
-        try {
-            parts_->io_.run();
-        } catch (const std::exception& exception) {
-            parts_->log_.line("handlerFailed").with("error", exception.what());
-            parts_->servingMetrics_.metrics_.add(parts_->servingMetrics_.handlersFailed_);
-        }
-    }
+    runPastFailures(parts_->io_, [this](const std::exception& exception) {
+        parts_->log_.line("handlerFailed").with("error", exception.what());
+        parts_->servingMetrics_.metrics_.add(parts_->servingMetrics_.handlersFailed_);
+    });
     parts_->log_.flush();
 }
 
