process: a failure that can't be reported doesn't end the loop

Callers would lose a process that is out of memory for a moment: reporting the exception of a handler allocates, and an exception that leaves the report left the loop's guard and ended the process by signal 6.

The unit test ended by terminate() before.

--- a/libs/node/src/Runtime.cpp
+++ b/libs/node/src/Runtime.cpp
@@ -1,6 +1,7 @@
 // CAF actors that run turns. Each actor is event-based and runs on the system's few threads.
 #include "Runtime.h"
 
+#include "process/Loop.h"
 #include "telemetry/Log.h"
 
 #include <caf/all.hpp>
@@ -21,13 +22,9 @@
     };
 
     // CAF would end the actor, and drop what is posted to it from then on.
-    void runPastFailure(const Turn& turn, TimePoint now)
+    void runTurn(const Turn& turn, TimePoint now)
     {
-        try {
-            turn(now);
-        } catch (const std::exception& failure) {
-            Log("node").error("handlerFailed", { { "error", failure.what() } });
-        }
+        runPastFailure([&] { turn(now); }, [](const std::exception& failure) { Log("node").error("handlerFailed", { { "error", failure.what() } }); });
     }
 
     caf::behavior runTurns(caf::stateful_actor<ActorState>* self, Duration period, const Turn& onTick)
@@ -36,10 +33,10 @@
         const auto now = [self] { return std::chrono::time_point_cast<Duration>(self->clock().now()); };
         self->delayed_send(self, period, TickAtom::value);
         return {
-            [now](const TurnMessage& message) { runPastFailure(message.run_, now()); },
+            [now](const TurnMessage& message) { runTurn(message.run_, now()); },
             [self, now, period](TickAtom) {
                 self->delayed_send(self, period, TickAtom::value);
-                runPastFailure(self->state.onTick_, now());
+                runTurn(self->state.onTick_, now());
             },
             [self](StopAtom) { self->quit(); },
         };
--- a/libs/process/tests/LoopTest.cpp
+++ b/libs/process/tests/LoopTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
+#include <new>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -39,3 +40,15 @@
     CHECK(!handled);
     CHECK(failures == 1);
 }
+
+// Guards against a process that ends because the failure of a handler could not be reported, or was no std::exception.
+TEST_CASE("process: a loop runs on after a failure that can't be reported")
+{
+    boost::asio::io_context io;
+    bool handled = false;
+    boost::asio::post(io, [] { throw std::runtime_error("first"); });
+    boost::asio::post(io, [] { throw 7; });
+    boost::asio::post(io, [&] { handled = true; });
+    runPastFailures(io, [](const std::exception&) { throw std::bad_alloc(); });
+    CHECK(handled);
+}
--- a/libs/serving/src/DecisionLog.cpp
+++ b/libs/serving/src/DecisionLog.cpp
@@ -44,6 +44,8 @@
     , descriptor_(descriptor)
     , lineBudget_(linesPerSecond)
 {
+    // A line must not fail for want of memory: an exception that is being logged would end the process.
+    buffer_.reserve(bufferBytes);
     prefix_ = ",\"host\":";
     appendEscaped(prefix_, host);
     prefix_ += ",\"event\":";
