--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -24,7 +24,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 START_SECONDS = 20
 STOP_SECONDS = 45
-START_SECONDS = 30
+FIRST_LINE_SECONDS = 30
 
 
 def http(method, url, body=None, headers=None, timeout=10):
@@ -45,7 +45,7 @@
         self.arguments = arguments
         self.log = open(os.path.join(folder, name + ".log"), "ab")
         self.process = subprocess.Popen(arguments, stdout=subprocess.PIPE, stderr=self.log, stdin=subprocess.DEVNULL)
-        bound = threading.Timer(START_SECONDS, self.process.kill)
+        bound = threading.Timer(FIRST_LINE_SECONDS, self.process.kill)
         bound.start()
         self.line = self.process.stdout.readline().decode().strip()
         bound.cancel()
