--- a/libs/process/src/CrashReport.cpp
+++ b/libs/process/src/CrashReport.cpp
@@ -1,3 +1,4 @@
+// Handlers of the signals and of std::terminate() that end a process by its own fault.
 #include "process/CrashReport.h"
 
 #include "process/FinalLine.h"
--- a/libs/process/src/NonBlockingWrite.cpp
+++ b/libs/process/src/NonBlockingWrite.cpp
@@ -1,3 +1,4 @@
+// Writes that return what the descriptor doesn't accept instead of waiting.
 #include "process/NonBlockingWrite.h"
 
 #include <cerrno>
--- a/libs/process/src/StandardStreams.cpp
+++ b/libs/process/src/StandardStreams.cpp
@@ -1,3 +1,4 @@
+// Uses system calls alone: it runs before other initialisation and in signal handlers.
 #include "process/StandardStreams.h"
 
 #include <algorithm>
--- a/libs/process/src/TextFile.cpp
+++ b/libs/process/src/TextFile.cpp
@@ -1,3 +1,4 @@
+// A file that can't be read is an error of the system, never an exception.
 #include "process/TextFile.h"
 
 #include <cerrno>
--- a/libs/telemetry/src/DescriptorAppender.cpp
+++ b/libs/telemetry/src/DescriptorAppender.cpp
@@ -1,3 +1,4 @@
+// The buffer in front of the descriptor, and the count of lines that had no room in it.
 #include "DescriptorAppender.h"
 
 #include "process/NonBlockingWrite.h"
