Observability: a loop that was held up says for how long, and what it computed meanwhile

A turn that came a second or more late left no line (overloaded needs four late wake-ups in a row), so that a disk that stalls, a process that is paused and a loop that is busy looked the same: a gap in the log. loopHeld has the delay and the processor time of the process in it.

--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -10,6 +10,7 @@
 #include "ItemRunner.h"
 #include "JobFront.h"
 #include "KindWatch.h"
+#include "LoopHold.h"
 #include "LoopLag.h"
 #include "Quotas.h"
 #include "Relay.h"
@@ -143,6 +144,7 @@
     std::unique_ptr<http::Server> ready_;
     std::unique_ptr<http::Server> metricsServer_;
     boost::asio::steady_timer timer_;
+    LoopHold loopHold_;
     LoopLag loopLag_;
     std::unique_ptr<ProcessSignals> signals_;
     std::set<UpstreamId> probing_;
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -2,6 +2,7 @@
 #include "ServingParts.h"
 
 #include <algorithm>
+#include <ctime>
 
 namespace jj {
 
@@ -26,6 +27,14 @@
     // An object found again within this time is a duplicate from the other watcher of the region.
     constexpr Duration duplicateWindow = 500ms;
 
+    // Of all threads of the process.
+    Duration processorTime()
+    {
+        timespec used {};
+        ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+        return std::chrono::duration_cast<Duration>(std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec));
+    }
+
     // Accepted jobs outlast the batch routes of their host. Calls about them then require a key, as on any route that is not public.
     const Route& droppedBatchRoute()
     {
@@ -53,6 +62,8 @@
 void ServingNode::Parts::recordLoopLag(TimePoint due)
 {
     context_.recordTick();
+    if (const auto held = loopHold_.recordWakeUp(due, context_.now(), processorTime))
+        log_.line("loopHeld").with("heldMs", held->heldFor_).with("processorMs", held->processorTime_);
     if (!loopLag_.recordWakeUp(due, context_.now()))
         return;
     log_.line(loopLag_.isOverloaded() ? "overloaded" : "overloadEnded").with("requests", relay_->openRequests()).with("connections", callers_ ? callers_->openConnections() : 0).with("unadmitted", callers_ ? callers_->unadmittedConnections() : 0);
