--- a/tests/life/node_life_test.py
+++ b/tests/life/node_life_test.py
@@ -136,6 +136,26 @@
         self.check_stops(process)
 
     # Guards against a stop that looks like a failure because it came early.
+    def test_signals_while_a_node_is_being_loaded_do_not_end_it(self):
+        """The dynamic linker waits for a library: a pipe is found in place of the file."""
+        libraries = self.folder / "libraries"
+        libraries.mkdir()
+        os.mkfifo(libraries / "libstdc++.so.6")
+        process = self.start(env={**os.environ, "LD_LIBRARY_PATH": str(libraries)})
+
+        def opened():
+            try:
+                return os.open(libraries / "libstdc++.so.6", os.O_WRONLY | os.O_NONBLOCK)
+            except OSError:
+                return None  # nobody reads yet
+
+        self.until("the library is being read", opened)
+        for number in [signal.SIGHUP] * 3 + STRAY_SIGNALS:
+            process.send_signal(number)
+            time.sleep(0.02)
+            self.assertIsNone(process.poll(), signal.Signals(number).name)
+        self.check_stops(process)
+
     def test_a_stop_at_start_ends_a_node_with_0(self):
         process, _ = self.started_on_a_pipe()
         self.check_stops(process)
