jjserve, jjnode: a small program takes signals and then loads the daemon

Callers saw a process that ended by itself right after its start (FAULT): SIGHUP, which operators send when settings change, came while the dynamic linker was still mapping the program and its libraries. No code of the program runs then, and the signal's default action ends the process.

Cause: the phase was as long as the daemon is large. Six libraries besides the C library's own and a program with some ten thousand relocations were mapped before .preinit_array ran; with a cold page cache, as after a power loss, each page of them came from the disk.

Change: the daemon is a module, and its program (launcher/) needs the C library alone. It ignores SIGHUP and stray signals, ends with 0 on SIGTERM, and loads the module, again while it can't be opened. JAYJUNCTION_MODULE names the module where the program's folder isn't visible under its own path; the deploy file sets it. A static program would be faster still, but DEPLOY.md asks for the system's C library.

Tests that failed before: signals-while-loading, program-needs-c-library-alone (process_life_test.py), signals while a node is being loaded do not end it (node_life_test.py).

--- a/cmake/JayJunction.cmake
+++ b/cmake/JayJunction.cmake
@@ -1,5 +1,6 @@
 # Build rules shared by every library, tool and test of the project.
 #
+# jj_daemon(NAME FOLDER [DEPS ...])  a daemon from main.cpp in its own folder: a program and, beside it, the module that it loads
 # jj_add_parts(FOLDER)            adds each subfolder that has a CMakeLists.txt, in the order of the layers below
 # jj_library(NAME [DEPS ...])     a library from src/*.cpp with public headers in include/NAME/
 # jj_test(NAME [DEPS ...])        a doctest program from tests/*.cpp, registered with CTest
@@ -9,6 +10,10 @@
 set(CMAKE_CXX_STANDARD_REQUIRED ON)
 set(CMAKE_CXX_EXTENSIONS OFF)
 set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+# Daemons are modules. Their own functions are called directly and inlined as in a program.
+set(CMAKE_POSITION_INDEPENDENT_CODE ON)
+set(CMAKE_CXX_VISIBILITY_PRESET hidden)
+set(CMAKE_VISIBILITY_INLINES_HIDDEN ON)
 if(NOT CMAKE_BUILD_TYPE)
   set(CMAKE_BUILD_TYPE RelWithDebInfo)
 endif()
@@ -27,7 +32,7 @@
 find_package(Boost 1.81 REQUIRED COMPONENTS json)
 
 add_library(jj_flags INTERFACE)
-target_compile_options(jj_flags INTERFACE -Wall -Wextra -Wshadow -Wnon-virtual-dtor -g1)
+target_compile_options(jj_flags INTERFACE -Wall -Wextra -Wshadow -Wnon-virtual-dtor -g1 -fno-semantic-interposition)
 if(JJ_WERROR)
   target_compile_options(jj_flags INTERFACE -Werror)
 endif()
@@ -121,6 +126,23 @@
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
 endfunction()
 
+# The program is small, so that it takes signals soon after its start (see libs/process/launcher/Launcher.cpp).
+function(jj_daemon name folder)
+  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  add_library(${name}_module MODULE main.cpp)
+  target_link_libraries(${name}_module PRIVATE ${ARG_DEPS} jj_flags Threads::Threads)
+  # Libraries that nothing calls stay out of the process: each costs memory on every host.
+  target_link_options(${name}_module PRIVATE -Wl,--as-needed -Wl,--gc-sections)
+  set_target_properties(${name}_module PROPERTIES OUTPUT_NAME ${name} LIBRARY_OUTPUT_DIRECTORY "${folder}")
+  add_executable(${name})
+  target_link_libraries(${name} PRIVATE process_launcher jj_flags)
+  target_compile_definitions(${name} PRIVATE JJ_DAEMON_MODULE="$<TARGET_FILE_NAME:${name}_module>")
+  target_compile_options(${name} PRIVATE -fno-exceptions)
+  target_link_options(${name} PRIVATE -Wl,--as-needed)
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${folder}" BUILD_RPATH "$ORIGIN" INSTALL_RPATH "$ORIGIN")
+  add_dependencies(${name} ${name}_module)
+endfunction()
+
 if(NOT JJ_DAEMON_ONLY)
   add_library(jj_doctest_main STATIC "${CMAKE_CURRENT_SOURCE_DIR}/cmake/doctest_main.cpp")
 endif()
--- a/libs/process/include/process/Signals.h
+++ b/libs/process/include/process/Signals.h
@@ -1,12 +1,11 @@
 // Signals of a daemon, from its first instruction to its last.
 //
-//     takeSignals();                                   // in main(); EarlySignals.cpp does it before any initialisation
+//     takeSignals();                                   // first, since the launcher has taken them only for the time of loading
 //     auto signals = ProcessSignals::create(io, [](ProcessSignal signal) { ... });
 //
 // SIGTERM and SIGINT ask the process to stop, SIGHUP to read its settings again. Without a ProcessSignals, a stop ends the process at
 // once with exit code 0, since nothing has begun yet or everything has ended; a request to reload is kept for the next ProcessSignals.
-// Other signals whose default action would end a process that has no fault of its own are ignored: a write whose reader is gone then
-// returns EPIPE, one beyond the limit of a file's size EFBIG.
+// Stray signals are ignored (see StraySignals.h).
 #pragma once
 
 #include "base/Result.h"
@@ -25,12 +24,7 @@
     Reload,
 };
 
-// Ignores the signals of the last paragraph, where their default action is in force. SIGQUIT, SIGTRAP, SIGSYS and real-time signals keep
-// theirs: debuggers and runtimes use them.
-void ignoreStraySignals() noexcept;
-
-// Installs the handlers, and ignores stray signals. Calls no function that is unsafe before the initialisation of the C++ runtime. Called
-// again in main(), it takes signals back from libraries that have changed them in their initialisation.
+// Installs the handlers, and ignores stray signals. Takes signals back from libraries that have changed them in their initialisation.
 void takeSignals() noexcept;
 
 // Forgets a request to reload that hasn't been handled: the settings are about to be read.
--- a/libs/process/src/Signals.cpp
+++ b/libs/process/src/Signals.cpp
@@ -3,6 +3,7 @@
 #include "process/Signals.h"
 
 #include "process/FinalLine.h"
+#include "process/StraySignals.h"
 
 #include <array>
 #include <atomic>
@@ -70,20 +71,6 @@
 
 } // namespace
 
-void ignoreStraySignals() noexcept
-{
-    // SIGTTOU and SIGTTIN stop a process that uses a terminal from the background.
-    for (const int number : { SIGPIPE, SIGXFSZ, SIGXCPU, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSTKFLT, SIGTTOU, SIGTTIN }) {
-        struct sigaction installed = {};
-        if (::sigaction(number, nullptr, &installed) != 0 || installed.sa_handler != SIG_DFL)
-            continue;
-        struct sigaction action = {};
-        ::sigemptyset(&action.sa_mask);
-        action.sa_handler = SIG_IGN;
-        ::sigaction(number, &action, nullptr);
-    }
-}
-
 void takeSignals() noexcept
 {
     struct sigaction action = {};
--- a/libs/serving/tests/DecisionLogTest.cpp
+++ b/libs/serving/tests/DecisionLogTest.cpp
@@ -1,6 +1,6 @@
 // Tests the line budget of the decision log, its report of dropped lines, and escaping.
 #include "DecisionLog.h"
-#include "process/Signals.h"
+#include "process/StraySignals.h"
 
 #include <array>
 #include <boost/json.hpp>
--- a/tools/jjnode/main.cpp
+++ b/tools/jjnode/main.cpp
@@ -1,6 +1,7 @@
 // Parses the command line, checks the settings, runs the node.
 #include "node/NodeStart.h"
 #include "process/CrashReport.h"
+#include "process/DaemonEntry.h"
 #include "process/Signals.h"
 #include "process/StandardStreams.h"
 #include "process/TextFile.h"
@@ -47,7 +48,7 @@
 
 } // namespace
 
-int main(int argc, char** argv)
+JJ_DAEMON_ENTRY(int argc, char** argv)
 {
     jj::takeSignals();
     jj::prepareStandardStreams();
