jjserve, jjnode: a log on a disk that stalls holds up no request, start or end

Callers got no answer for as long as the disk under the log stalled, at a host that had nothing else to do with it (RECOVER: after a return of all machines their disks are busiest, and logs of many hosts may lie on one).

Cause: a log that is a regular file has no non-blocking mode. DecisionLog and the appender of log4cplus wrote to it on the loop. Class: the loop waits for a device.

Change: DescriptorWriter writes files on a thread, in order, with a limit of bytes; beyond it lines are dropped and counted as before. An end waits 200 ms for the last lines. jjnode's log file goes the same way.

EngineCatalogTest read a log file right after flush(); it uses finish() now, its checks are the same.

--- a/libs/serving/src/DecisionLog.cpp
+++ b/libs/serving/src/DecisionLog.cpp
@@ -2,7 +2,6 @@
 #include "DecisionLog.h"
 
 #include "base/Utf8.h"
-#include "process/NonBlockingWrite.h"
 
 #include <algorithm>
 #include <array>
@@ -15,6 +14,8 @@
 
     constexpr std::size_t bufferBytes = 128 * 1024;
     constexpr Duration flushPeriod = 200ms;
+    // A process that ends waits so long for its last lines.
+    constexpr Duration finishTime = 200ms;
 
     void appendEscaped(std::string& out, std::string_view bytes)
     {
@@ -41,15 +42,19 @@
 
 DecisionLog::DecisionLog(const std::string& host, std::uint32_t linesPerSecond, int descriptor)
     : linesPerSecond_(linesPerSecond)
-    , descriptor_(descriptor)
+    , writer_(descriptor, bufferBytes)
     , lineBudget_(linesPerSecond)
 {
     // A line must not fail for want of memory: an exception that is being logged would end the process.
     buffer_.reserve(bufferBytes);
+    setHost(host);
+}
+
+void DecisionLog::setHost(std::string_view host)
+{
     prefix_ = ",\"host\":";
     appendEscaped(prefix_, host);
     prefix_ += ",\"event\":";
-    setNonBlocking(descriptor_);
 }
 
 bool DecisionLog::reserveLine()
@@ -92,10 +97,12 @@
 
 void DecisionLog::flush()
 {
-    if (writeAvailable(descriptor_, buffer_))
+    if (writer_.write(buffer_))
         ++writesFailed_;
 }
 
+void DecisionLog::finish() { writer_.finish(buffer_, finishTime); }
+
 DecisionLog::Line::Line(DecisionLog* log, std::string_view event)
     : log_(log)
 {
--- a/libs/serving/src/DecisionLog.h
+++ b/libs/serving/src/DecisionLog.h
@@ -4,12 +4,13 @@
 //     log.line("refused").with("request", id).with("reason", "noSlot").with("waitMs", 210);
 //
 // Lines are buffered and written once per flushPeriod, or earlier when the buffer is half full. The number of lines per second
-// and the size of the buffer are limited, and writes do not block: otherwise a full pipe would stall the node, and a burst of
+// and the size of the buffer are limited, and writes do not block: otherwise a full pipe or a slow disk would stall the node, and a burst of
 // requests would spend CPU time on logging. Lines over the limits are dropped and counted, and the next line that is written
 // reports how many were dropped. The process must ignore SIGPIPE.
 #pragma once
 
 #include "base/Time.h"
+#include "process/DescriptorWriter.h"
 
 #include <concepts>
 #include <cstdint>
@@ -51,12 +52,16 @@
 
     DecisionLog(const std::string& host, std::uint32_t linesPerSecond, int descriptor);
 
+    // Names the host in later lines.
+    void setHost(std::string_view host);
     Line line(std::string_view event);
     // Writes as much of the buffer as the descriptor accepts without blocking.
     void flush();
     void flushIfDue(TimePoint now);
+    // Writes the buffer, and waits for a moment if that needs a disk: the last call before the end of the process.
+    void finish();
     std::uint64_t dropped() const { return droppedTotal_; }
-    // Writes that failed for another reason than a full pipe. What they held stays in the buffer.
+    // Writes that failed for another reason than a full pipe or a slow disk. What they held stays in the buffer.
     std::uint64_t writesFailed() const { return writesFailed_; }
 
 private:
@@ -66,7 +71,7 @@
 
     std::string prefix_; // host field and event key, the same in every line
     double linesPerSecond_;
-    int descriptor_;
+    DescriptorWriter writer_;
     double lineBudget_; // lines that may be written now; refilled at linesPerSecond_
     TimePoint budgetUpdatedAt_ {};
     TimePoint flushedAt_ {};
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -460,7 +460,7 @@
         parts_->log_.line("handlerFailed").with("error", exception.what());
         parts_->servingMetrics_.metrics_.add(parts_->servingMetrics_.handlersFailed_);
     });
-    parts_->log_.flush();
+    parts_->log_.finish();
 }
 
 } // namespace jj
--- a/libs/serving/src/ServingStart.cpp
+++ b/libs/serving/src/ServingStart.cpp
@@ -16,21 +16,18 @@
 
     constexpr std::uint32_t linesPerSecond = 100;
 
-    // Starts are rare, so each line has a log of its own. The host is unknown until the settings have been read.
-    DecisionLog logOf(const std::string& host) { return { host, linesPerSecond, STDOUT_FILENO }; }
-
-    void logDelay(const std::string& host, const std::string& cause, Duration retry)
+    void logDelay(DecisionLog& log, const std::string& host, const std::string& cause, Duration retry)
     {
-        DecisionLog log = logOf(host);
+        log.setHost(host);
         log.line("startDelayed").with("cause", cause).with("retryMs", retry);
         log.flush();
     }
 
-    Failure refuse(std::string faults)
+    Failure refuse(DecisionLog& log, std::string faults)
     {
-        DecisionLog log = logOf({});
+        log.setHost({});
         log.line("settingsRefused").with("faults", faults);
-        log.flush();
+        log.finish();
         return { ServingError::SettingsRefused, std::move(faults) };
     }
 
@@ -79,19 +76,22 @@
 
 Checked<std::unique_ptr<ServingNode>> startServing(const SettingsSource& source, const Translation& translation)
 {
+    DecisionLog log({}, linesPerSecond, STDOUT_FILENO);
     StartRetry retry;
     for (;;) {
         // A request to reload that comes from here on is kept for the node.
         discardReloadRequest();
         Attempt attempt = attemptStartSafely(source, translation, retry);
-        if (attempt.node_)
+        if (attempt.node_) {
+            log.finish();
             return std::move(attempt.node_);
+        }
         if (attempt.isRefused_)
-            return refuse(std::move(attempt.cause_));
+            return refuse(log, std::move(attempt.cause_));
         if (isStopRequested())
             return Failure { ServingError::StopRequested, {} };
         const Duration delay = retry.nextDelay();
-        logDelay(attempt.host_, attempt.cause_, delay);
+        logDelay(log, attempt.host_, attempt.cause_, delay);
         std::this_thread::sleep_for(delay);
     }
 }
--- a/libs/serving/tests/EngineCatalogTest.cpp
+++ b/libs/serving/tests/EngineCatalogTest.cpp
@@ -150,7 +150,7 @@
         EngineCatalog catalog(
             translation, log, {}, [](const EngineEntry&) {}, [](const EngineEntry&) {});
         catalog.applyUpdate(watcher.catalog_.updateSince(0, {}), "watcher", {});
-        log.flush();
+        log.finish();
         std::rewind(file);
         int lines = 0;
         for (int character = std::fgetc(file); character != EOF; character = std::fgetc(file))
--- a/libs/telemetry/src/DescriptorAppender.cpp
+++ b/libs/telemetry/src/DescriptorAppender.cpp
@@ -1,7 +1,6 @@
 // The buffer in front of the descriptor, and the count of lines that had no room in it.
 #include "DescriptorAppender.h"
 
-#include "process/NonBlockingWrite.h"
 #include "telemetry/Log.h"
 
 #include <utility>
@@ -9,17 +8,16 @@
 namespace jj {
 
 DescriptorAppender::DescriptorAppender(int descriptor, std::string host)
-    : descriptor_(descriptor)
+    : writer_(descriptor, maxBufferedBytes)
     , host_(std::move(host))
 {
-    setNonBlocking(descriptor_);
 }
 
 DescriptorAppender::~DescriptorAppender() { destructorImpl(); }
 
 void DescriptorAppender::close()
 {
-    flush();
+    writer_.finish(buffer_, finishTime);
     closed = true;
 }
 
@@ -37,7 +35,7 @@
 
 void DescriptorAppender::flush()
 {
-    if (const std::error_code error = writeAvailable(descriptor_, buffer_))
+    if (const std::error_code error = writer_.write(buffer_))
         lastError_ = error.message();
 }
 
--- a/libs/telemetry/src/DescriptorAppender.h
+++ b/libs/telemetry/src/DescriptorAppender.h
@@ -1,10 +1,12 @@
-// Appender of log4cplus for a descriptor that may be full or without a reader, such as a pipe on standard error.
+// Appender of log4cplus for a descriptor that may be full, without a reader or on a slow disk, such as standard error.
 //
 // Writes do not block and a write that fails leaves the appender usable. Lines that the descriptor doesn't accept wait in a buffer and are
 // written before the next line. Lines for which the buffer has no room are dropped; a line `linesDropped` then gives their number.
 // The process must ignore SIGPIPE.
 #pragma once
 
+#include "process/DescriptorWriter.h"
+
 #include <cstdint>
 #include <log4cplus/appender.h>
 #include <string>
@@ -14,6 +16,7 @@
 class DescriptorAppender final : public log4cplus::Appender {
 public:
     static constexpr std::size_t maxBufferedBytes = std::size_t { 256 } * 1024;
+    static constexpr Duration finishTime = 200ms;
 
     // `host` stands in the lines that the appender itself adds. The descriptor stays open.
     DescriptorAppender(int descriptor, std::string host);
@@ -21,7 +24,7 @@
     DescriptorAppender(const DescriptorAppender&) = delete;
     DescriptorAppender& operator=(const DescriptorAppender&) = delete;
 
-    // Writes what the descriptor accepts; the rest of the buffer is lost.
+    // Writes what the descriptor accepts within finishTime; the rest of the buffer is lost.
     void close() override;
 
 protected:
@@ -33,7 +36,7 @@
     bool buffer(const std::string& line);
     std::string droppedLine() const;
 
-    int descriptor_;
+    DescriptorWriter writer_;
     std::string host_;
     std::string buffer_; // whole lines, but for the first, of which a part may have been written
     std::uint64_t dropped_ = 0; // since the last `linesDropped`
--- a/libs/telemetry/src/Log.cpp
+++ b/libs/telemetry/src/Log.cpp
@@ -3,19 +3,23 @@
 
 #include "DescriptorAppender.h"
 #include "base/Utf8.h"
+#include "process/StandardStreams.h"
 
 #include <algorithm>
 #include <atomic>
 #include <boost/algorithm/string/replace.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <cerrno>
 #include <cmath>
-#include <log4cplus/fileappender.h>
+#include <fcntl.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <system_error>
 #include <unistd.h>
 #include <vector>
 
@@ -29,6 +33,7 @@
     struct LogState {
         std::unique_ptr<log4cplus::Initializer> initializer_;
         std::string host_;
+        std::map<std::string, int> files_; // descriptors by path; they stay open, since a write to one may be under way
         std::mutex secretsLock_;
         std::vector<std::string> secrets_; // guarded by secretsLock_
         std::atomic<bool> hasSecrets_ = false;
@@ -67,6 +72,20 @@
 
     log4cplus::Logger loggerOf(std::string_view part) { return log4cplus::Logger::getInstance(std::string(part)); }
 
+    // If the file can't be opened, lines are dropped.
+    int openLogFile(const std::string& path)
+    {
+        if (const auto opened = state().files_.find(path); opened != state().files_.end())
+            return opened->second;
+        constexpr mode_t mode = 0644;
+        const int descriptor = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, mode);
+        if (descriptor < 0)
+            writeAtOnce(STDERR_FILENO, path + ": " + std::error_code(errno, std::generic_category()).message() + "\n");
+        else
+            state().files_[path] = descriptor;
+        return descriptor;
+    }
+
     std::string withoutSecrets(std::string line)
     {
         LogState& shared = state();
@@ -97,11 +116,8 @@
     if (!shared.initializer_)
         shared.initializer_ = std::make_unique<log4cplus::Initializer>();
     shared.host_ = host;
-    log4cplus::SharedAppenderPtr appender;
-    if (settings.file_.empty())
-        appender = new DescriptorAppender(STDERR_FILENO, shared.host_);
-    else
-        appender = new log4cplus::FileAppender(settings.file_, std::ios_base::app, true);
+    const int descriptor = settings.file_.empty() ? STDERR_FILENO : openLogFile(settings.file_);
+    log4cplus::SharedAppenderPtr appender(new DescriptorAppender(descriptor, shared.host_));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
--- a/libs/telemetry/tests/TelemetryTest.cpp
+++ b/libs/telemetry/tests/TelemetryTest.cpp
@@ -5,7 +5,11 @@
 #include <boost/json/parse.hpp>
 #include <cmath>
 #include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <random>
+#include <unistd.h>
 
 using namespace jj;
 
@@ -66,3 +70,26 @@
     CHECK(summary.p95_ == doctest::Approx(95).epsilon(0.05));
     CHECK(summary.largest_ <= 100);
 }
+
+// Guards against a log file that is opened anew, and a descriptor that stays open, at each attempt to start.
+TEST_CASE("telemetry: a log file has the lines of all starts of its log, through one descriptor")
+{
+    const std::filesystem::path path = std::filesystem::temp_directory_path() / ("jayjunction-log-" + std::to_string(::getpid()));
+    const auto openDescriptors = [] { return std::distance(std::filesystem::directory_iterator("/proc/self/fd"), {}); };
+    LogSettings settings;
+    settings.file_ = path.string();
+    startLogs(settings, "host");
+    const auto before = openDescriptors();
+    Log("part").info("first");
+    for (int attempt = 0; attempt < 10; ++attempt)
+        startLogs(settings, "host");
+    CHECK(openDescriptors() == before);
+    Log("part").info("second");
+    stopLogs();
+    std::ifstream file(path);
+    std::string lines;
+    for (std::string line; std::getline(file, line);)
+        lines += line.find("first") != std::string::npos ? "1" : line.find("second") != std::string::npos ? "2" : "";
+    CHECK(lines == "12");
+    std::filesystem::remove(path);
+}
