jjserve: a disk of kept jobs that stalls holds up neither a start nor the loop

Callers and peers got no answer from a worker while its disk took a copy of a job, and the host wasn't ready while its disk was listed at the start: for as long as the disk stalled.

Cause: FileDisk's calls, which sync, ran on the loop.

Change: BlockingCalls runs them on a thread, in their order; the spool of jobs takes completions. A request for a copy is answered once it is durable. A copy that is discarded while it is written is removed afterwards. Until an earlier process's copies have been read, a request for one is answered as unknown and no job is said not to exist. A host whose disk call takes 1 s keeps no further job; diskStalled and diskStallEnded say so. A folder that can't be opened is tried again.

New unit tests of the spool with a slow disk; SpoolTest's checks are the same, through completions.

--- a/libs/ledger/include/ledger/FileDisk.h
+++ b/libs/ledger/include/ledger/FileDisk.h
@@ -2,7 +2,7 @@
 //
 // A write goes to a temporary file in the same folder, which is synced and then renamed to its final name; then the folder is synced. After
 // a power loss a name therefore refers to a complete text or does not exist. A write costs two syncs, about one millisecond on the disks in
-// use.
+// use. All calls block, for seconds if the disk stalls.
 #pragma once
 
 #include "base/Result.h"
--- a/libs/ledger/src/JobSpool.cpp
+++ b/libs/ledger/src/JobSpool.cpp
@@ -5,7 +5,7 @@
 
 std::string_view toString(SpoolNote note)
 {
-    static constexpr std::string_view names[] = { "jobKept", "jobNotKept", "keptJobStored", "keptJobKnown", "keptJobForgotten", "keptJobOutdated", "keptJobUnreadable", "keptJobTriedInVain", "keptJobNotRead" };
+    static constexpr std::string_view names[] = { "jobKept", "jobNotKept", "keptJobStored", "keptJobKnown", "keptJobForgotten", "keptJobOutdated", "keptJobUnreadable", "keptJobTriedInVain", "keptJobNotRead", "diskUnusable" };
     return names[static_cast<std::size_t>(note)];
 }
 
--- a/libs/ledger/tests/LedgerWorld.h
+++ b/libs/ledger/tests/LedgerWorld.h
@@ -412,7 +412,7 @@
                 std::exchange(*open, {})(outcome, now);
         };
         spoolRequests_.push_back({ now_ + spoolTimeout, answer });
-        at(indexOf(to), [this, to, job = std::move(job), answer] { answer(hosts_[indexOf(to)]->spool_->storeCopy(job, true, now_), now_); });
+        at(indexOf(to), [this, to, job = std::move(job), answer] { hosts_[indexOf(to)]->spool_->storeCopy(job, true, now_, [this, answer](SpoolOutcome outcome) { answer(outcome, now_); }); });
     }
 
     // Sends the records to all other hosts, and what these know back.
--- a/libs/ledger/tests/MemoryDisk.h
+++ b/libs/ledger/tests/MemoryDisk.h
@@ -1,7 +1,7 @@
 // A disk in memory for the tests of the spool.
 #pragma once
 
-#include "base/Result.h"
+#include "ledger/JobSpool.h"
 
 #include <map>
 #include <memory>
@@ -20,35 +20,35 @@
     std::shared_ptr<int> failingReads_ = std::make_shared<int>(0); // how many of the next reads fail
     std::shared_ptr<Texts> removed_ = std::make_shared<Texts>(); // a removal isn't synced, so a power loss may undo it
 
-    Result<std::vector<std::string>> names() const
+    void names(const DiskCompletion<std::vector<std::string>>& done) const
     {
         std::vector<std::string> names;
         for (const auto& [name, text] : *texts_)
             names.push_back(name);
-        return names;
+        done(names);
     }
-    Result<std::string> read(const std::string& name) const
+    void read(const std::string& name, const DiskCompletion<std::string>& done) const
     {
         if (*failingReads_ > 0) {
             --*failingReads_;
-            return std::make_error_code(std::errc::too_many_files_open);
+            return done(std::make_error_code(std::errc::too_many_files_open));
         }
         const auto found = texts_->find(name);
         if (found == texts_->end())
-            return std::make_error_code(std::errc::no_such_file_or_directory);
-        return found->second;
+            return done(std::make_error_code(std::errc::no_such_file_or_directory));
+        done(found->second);
     }
-    Result<void> write(const std::string& name, std::string_view text) const
+    void write(const std::string& name, const std::string& text, const DiskCompletion<void>& done) const
     {
         (*texts_)[name] = text;
         removed_->erase(name);
-        return success();
+        done(success());
     }
-    Result<void> remove(const std::string& name) const
+    void remove(const std::string& name, const DiskCompletion<void>& done) const
     {
         if (auto text = texts_->extract(name))
             removed_->insert_or_assign(name, std::move(text.mapped()));
-        return success();
+        done(success());
     }
     // Undoes each removal with a chance of one half. Written texts are synced and remain.
     template <class Random>
--- a/libs/ledger/tests/SpoolTest.cpp
+++ b/libs/ledger/tests/SpoolTest.cpp
@@ -4,8 +4,10 @@
 
 #include "ledger/FileDisk.h"
 
+#include <deque>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <set>
 #include <unistd.h>
 
@@ -21,6 +23,16 @@
     world.checkResults(job);
 }
 
+// Of a spool whose disk completes its calls at once.
+template <class Disk>
+SpoolOutcome storeAtOnce(JobSpool<Disk>& spool, const SpooledJob& job, bool acceptsNew, TimePoint now)
+{
+    std::optional<SpoolOutcome> stored;
+    spool.storeCopy(job, acceptsNew, now, [&stored](SpoolOutcome outcome) { stored = outcome; });
+    REQUIRE(stored);
+    return *stored;
+}
+
 } // namespace
 
 // Guards against refusing jobs during an outage of the store. In an outage of four seconds, callers retried once, were refused again, and
@@ -211,10 +223,10 @@
     const auto ignore = [](SpoolNote, const JobName&, std::error_code) {};
     SpoolOutlets outlets { [](const ObjectCall&, CallClass, TimePoint, const SettledCompletion&) {}, [] { return true; }, [](const JobName&) { return NodeId(1); }, [](const JobName&, const Acceptance&) {}, [](const JobName&) {}, ignore, [] {} };
     JobSpool<MemoryDisk> spool(disk, settings, outlets);
-    CHECK(spool.storeCopy(job, true, TimePoint(1s)) == SpoolOutcome::Spooled);
-    CHECK(spool.storeCopy(job, true, TimePoint(1s)) == SpoolOutcome::Spooled); // spooling the same job again needs no further space
+    CHECK(storeAtOnce(spool, job, true, TimePoint(1s)) == SpoolOutcome::Spooled);
+    CHECK(storeAtOnce(spool, job, true, TimePoint(1s)) == SpoolOutcome::Spooled); // spooling the same job again needs no further space
     job.submission_.job_ = "k";
-    CHECK(spool.storeCopy(job, true, TimePoint(1s)) == SpoolOutcome::Refused);
+    CHECK(storeAtOnce(spool, job, true, TimePoint(1s)) == SpoolOutcome::Refused);
     CHECK(disk.texts_->size() == 1);
 }
 
@@ -228,7 +240,7 @@
     {
     }
 
-    SpoolOutcome store(const JobName& job, bool acceptsNew = true) { return spool_.storeCopy({ LedgerWorld::submission(job, 1), 0 }, acceptsNew, now_); }
+    SpoolOutcome store(const JobName& job, bool acceptsNew = true) { return storeAtOnce(spool_, { LedgerWorld::submission(job, 1), 0 }, acceptsNew, now_); }
     void runFor(Duration time)
     {
         now_ += time;
@@ -327,16 +339,170 @@
 TEST_CASE("ledger: a job whose copy may come back after a failed write isn't refused")
 {
     struct FailingSync : MemoryDisk {
-        Result<void> write(const std::string& name, std::string_view text) const
+        void write(const std::string& name, const std::string& text, const DiskCompletion<void>& done) const
         {
             (*texts_)[name] = text;
-            return std::make_error_code(std::errc::io_error);
+            done(std::make_error_code(std::errc::io_error));
         }
     };
     const auto ignore = [](SpoolNote, const JobName&, std::error_code) {};
     SpoolOutlets outlets { [](const ObjectCall&, CallClass, TimePoint, const SettledCompletion&) {}, [] { return true; }, [](const JobName&) { return NodeId(1); }, [](const JobName&, const Acceptance&) {}, [](const JobName&) {}, ignore, [] {} };
     JobSpool<FailingSync> spool(FailingSync {}, SpoolSettings(), outlets);
-    CHECK(spool.storeCopy({ LedgerWorld::submission("j", items), 0 }, true, TimePoint(1s)) == SpoolOutcome::Unknown);
+    CHECK(storeAtOnce(spool, { LedgerWorld::submission("j", items), 0 }, true, TimePoint(1s)) == SpoolOutcome::Unknown);
+}
+
+namespace {
+
+// A disk whose calls take effect when the test says so.
+class SlowDisk {
+public:
+    void names(DiskCompletion<std::vector<std::string>> done)
+    {
+        calls_->push_back([this, done = std::move(done)] { texts_.names(done); });
+    }
+    void read(const std::string& name, DiskCompletion<std::string> done)
+    {
+        calls_->push_back([this, name, done = std::move(done)] { texts_.read(name, done); });
+    }
+    void write(const std::string& name, std::string text, DiskCompletion<void> done)
+    {
+        calls_->push_back([this, name, text = std::move(text), done = std::move(done)] { texts_.write(name, text, done); });
+    }
+    void remove(const std::string& name, DiskCompletion<void> done)
+    {
+        calls_->push_back([this, name, done = std::move(done)] { texts_.remove(name, done); });
+    }
+
+    MemoryDisk texts_;
+    std::shared_ptr<std::deque<std::function<void()>>> calls_ = std::make_shared<std::deque<std::function<void()>>>();
+};
+
+class SlowSpool {
+public:
+    explicit SlowSpool(const SlowDisk& disk = {}, const SpoolSettings& settings = {})
+        : disk_(disk)
+        , spool_(disk, settings, outlets())
+    {
+    }
+
+    void store(const JobName& job, bool acceptsNew = true)
+    {
+        spool_.storeCopy({ LedgerWorld::submission(job, 1), 0 }, acceptsNew, TimePoint(1s), [this](SpoolOutcome outcome) { outcomes_.push_back(outcome); });
+    }
+    void runDisk()
+    {
+        while (!disk_.calls_->empty()) {
+            const auto call = std::move(disk_.calls_->front());
+            disk_.calls_->pop_front();
+            call();
+        }
+    }
+
+    SlowDisk disk_;
+    std::vector<SpoolOutcome> outcomes_;
+    std::vector<SpoolNote> notes_;
+
+private:
+    SpoolOutlets outlets()
+    {
+        SpoolOutlets outlets;
+        outlets.isStoreUnavailable_ = [] { return true; };
+        outlets.note_ = [this](SpoolNote note, const JobName&, std::error_code) { notes_.push_back(note); };
+        outlets.sizeChanged_ = [] {};
+        return outlets;
+    }
+
+public:
+    JobSpool<SlowDisk> spool_;
+};
+
+} // namespace
+
+// Guards against a job that is acknowledged before its copy is durable, by its first request or by one that comes again.
+TEST_CASE("ledger: a job is spooled only once the disk has its copy")
+{
+    SlowSpool spool;
+    spool.store("j");
+    spool.store("j", false);
+    CHECK(spool.outcomes_.empty());
+    CHECK(spool.spool_.size() == 1);
+    spool.runDisk();
+    CHECK(spool.outcomes_ == std::vector { SpoolOutcome::Spooled, SpoolOutcome::Spooled });
+    CHECK(spool.disk_.texts_.texts_->size() == 1);
+}
+
+// Guards against a copy that stays on the disk because it was discarded while it was being written.
+TEST_CASE("ledger: a copy that is discarded while it is written is removed afterwards")
+{
+    SlowSpool spool;
+    spool.store("j");
+    spool.spool_.discardCopy("j");
+    spool.runDisk();
+    CHECK(spool.spool_.size() == 0);
+    CHECK(spool.disk_.texts_.texts_->empty());
+    CHECK(spool.notes_ == std::vector { SpoolNote::Spooled, SpoolNote::Discarded });
+}
+
+// Guards against a job that runs although it was refused: an earlier process has left a copy that hasn't been read yet.
+TEST_CASE("ledger: while copies are being read, a job is neither spooled nor refused")
+{
+    SlowDisk disk;
+    disk.texts_.write("j", encode(SpooledJob { LedgerWorld::submission("j", 1), 0 }), [](const Result<void>&) {});
+    SlowSpool spool(disk);
+    spool.spool_.load(TimePoint(1s));
+    spool.store("j", false);
+    CHECK(spool.outcomes_ == std::vector { SpoolOutcome::Unknown });
+    CHECK_FALSE(spool.spool_.isLoaded());
+    spool.runDisk();
+    CHECK(spool.spool_.isLoaded());
+    spool.store("j", false);
+    CHECK(spool.outcomes_.back() == SpoolOutcome::Spooled);
+}
+
+// Guards against a host whose memory fills with copies that its disk doesn't take.
+TEST_CASE("ledger: copies that wait for a slow disk are limited by their bytes")
+{
+    SpoolSettings settings;
+    settings.maxUnwrittenBytes_ = encode(SpooledJob { LedgerWorld::submission("a", 1), 0 }).size() * 2;
+    SlowSpool spool({}, settings);
+    for (const char* job : { "a", "b", "c" })
+        spool.store(job);
+    CHECK(spool.outcomes_ == std::vector { SpoolOutcome::Refused });
+    spool.runDisk();
+    spool.store("c");
+    spool.runDisk();
+    CHECK(spool.outcomes_ == std::vector { SpoolOutcome::Refused, SpoolOutcome::Spooled, SpoolOutcome::Spooled, SpoolOutcome::Spooled });
+}
+
+TEST_CASE("ledger: a disk that can't be listed is tried again")
+{
+    struct AbsentDisk : MemoryDisk {
+        void names(const DiskCompletion<std::vector<std::string>>& done) const
+        {
+            if (*isAbsent_)
+                return done(std::make_error_code(std::errc::io_error));
+            MemoryDisk::names(done);
+        }
+        std::shared_ptr<bool> isAbsent_ = std::make_shared<bool>(true);
+    };
+    AbsentDisk disk;
+    disk.write("j", encode(SpooledJob { LedgerWorld::submission("j", 1), 0 }), [](const Result<void>&) {});
+    std::vector<SpoolNote> notes;
+    SpoolOutlets outlets;
+    outlets.isStoreUnavailable_ = [] { return true; };
+    outlets.note_ = [&notes](SpoolNote note, const JobName&, std::error_code) { notes.push_back(note); };
+    outlets.sizeChanged_ = [] {};
+    JobSpool<AbsentDisk> spool(disk, {}, std::move(outlets));
+    spool.load(TimePoint(1s));
+    CHECK_FALSE(spool.isUsable());
+    CHECK(storeAtOnce(spool, { LedgerWorld::submission("k", 1), 0 }, true, TimePoint(2s)) == SpoolOutcome::Refused);
+    *disk.isAbsent_ = false;
+    spool.tick(TimePoint(2s), WallTime());
+    CHECK_FALSE(spool.isUsable());
+    spool.tick(TimePoint(1s) + SpoolSettings().setAsideRetryDelay_, WallTime());
+    CHECK(spool.isUsable());
+    CHECK(spool.size() == 1);
+    CHECK(notes == std::vector { SpoolNote::DiskFailed });
 }
 
 TEST_CASE("ledger: a spooled job survives encoding, and a damaged text doesn't decode")
--- a/libs/serving/src/ServingNode.cpp
+++ b/libs/serving/src/ServingNode.cpp
@@ -246,7 +246,7 @@
         report.spoolsJobs_ = acceptsSpooledJobs();
         report.isStoreUnreachable_ = store_->isDirectFailing();
         report.isOverloaded_ = loopLag_.isOverloaded();
-        report.spooledJobs_ = spool_ ? static_cast<std::uint32_t>(spool_->size()) : 0;
+        report.spooledJobs_ = static_cast<std::uint32_t>(countSpooledJobs());
         return report;
     };
     handlers.ownVersions_ = [this] { return KnownVersions { config_->version(), catalog_->version() }; };
@@ -348,7 +348,7 @@
     retirement_ = std::make_unique<RetirementDuty>(*store_, translation_, log_, settings_.name_, begin, [this] { return hasHandedOverAll(); });
 }
 
-// If the disk can't be used, the node works without a spool and jobs are spooled on other hosts.
+// While the disk can't be used, jobs are spooled on other hosts.
 void ServingNode::Parts::buildSpool()
 {
     if (settings_.diskFolder_.empty())
@@ -359,11 +359,6 @@
     constexpr Duration longestUpload = 10s;
     constexpr double uploadShare = 0.5;
     constexpr double writesPerUpload = 2; // an item page and the head
-    auto disk = FileDisk::open(settings_.diskFolder_ + "/jobs");
-    if (!disk) {
-        log_.line("diskUnusable").with("folder", settings_.diskFolder_).with("error", disk.error().message());
-        return;
-    }
     SpoolSettings spool;
     spool.maxBytes_ = settings_.diskBytes_ / spoolDivisor;
     spool.maxValueBytes_ = settings_.storeValueBytes_;
@@ -376,12 +371,15 @@
     outlets.notifyHolders_ = [this](const JobName& job) { jobs_->discardCopies(job); };
     outlets.note_ = [this](SpoolNote note, const JobName& job, std::error_code error) {
         auto line = log_.line(toString(note));
-        line.with("job", job);
+        if (note == SpoolNote::DiskFailed)
+            line.with("folder", settings_.diskFolder_);
+        else
+            line.with("job", job);
         if (error)
             line.with("error", error.message());
     };
     outlets.sizeChanged_ = [this] { fleet_->publishReport(); };
-    spool_ = std::make_unique<JobSpool<FileDisk>>(std::move(disk.value()), spool, std::move(outlets));
+    spool_ = std::make_unique<JobSpool<BackgroundDisk>>(BackgroundDisk(diskCalls_, settings_.diskFolder_ + "/jobs"), spool, std::move(outlets));
     spool_->load(context_.now());
 }
 
@@ -391,7 +389,7 @@
     // of an outage, because no peer has reported its spooled jobs yet.
     constexpr Duration uploadTime = 5s;
     const bool wasAway = store_->isUnreachable() || context_.now() - store_->reachableSince() < uploadTime;
-    return wasAway || (spool_ && spool_->size() > 0) || fleet_->hasPeerWithSpooledJobs();
+    return wasAway || countSpooledJobs() > 0 || fleet_->hasPeerWithSpooledJobs();
 }
 
 std::size_t ServingNode::Parts::callerConnections() const
--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -1,6 +1,7 @@
 // The components of a serving node and the functions that connect them. Private to this library.
 #pragma once
 
+#include "BackgroundDisk.h"
 #include "ConfigFollower.h"
 #include "Context.h"
 #include "CrashWatch.h"
@@ -20,12 +21,13 @@
 #include "SlowEngineLog.h"
 #include "StoreLink.h"
 #include "StreamVersions.h"
-#include "ledger/FileDisk.h"
 #include "ledger/JobSpool.h"
+#include "process/BlockingCalls.h"
 #include "process/Signals.h"
 #include "process/StartRetry.h"
 #include "serving/ServingNode.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <random>
 #include <set>
@@ -47,10 +49,13 @@
     void buildStore();
     void buildScheduler();
     void buildSpool();
-    bool acceptsSpooledJobs() const { return spool_ && !spool_->isFull() && !draining_ && !fleet_->isLeaving(); }
+    void tickSpool(TimePoint now, WallTime wall);
+    bool acceptsSpooledJobs() const { return spool_ && spool_->isLoaded() && spool_->isUsable() && !isDiskStalled_ && !spool_->isFull() && !draining_ && !fleet_->isLeaving(); }
     // Returns whether some job may be spooled on a host's disk without being in the store yet.
     bool mayHaveSpooledJobs() const;
-    bool hasHandedOverAll() const { return scheduler_->hasLeft() && (!spool_ || spool_->size() == 0); }
+    bool hasHandedOverAll() const { return scheduler_->hasLeft() && countSpooledJobs() == 0; }
+    // Returns at least one while an earlier process's copies are being read.
+    std::size_t countSpooledJobs() const { return spool_ ? std::max<std::size_t>(spool_->size(), spool_->isLoaded() ? 0 : 1) : 0; }
     FleetHandlers fleetHandlers();
 
     void scheduleTick();
@@ -130,7 +135,9 @@
     std::unique_ptr<FailureReplicas> failures_;
     std::unique_ptr<ItemRunner> runner_;
     std::unique_ptr<JobFront> jobs_;
-    std::unique_ptr<JobSpool<FileDisk>> spool_; // null if this host has no usable disk
+    BlockingCalls diskCalls_ { io_ };
+    std::unique_ptr<JobSpool<BackgroundDisk>> spool_; // null if this host has no disk
+    bool isDiskStalled_ = false;
     std::unique_ptr<SlotQueue> queue_;
     std::unique_ptr<Quotas> quotas_;
     std::unique_ptr<Shares> shares_;
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr Duration tickPeriod = 20ms;
+    // A call on the disk that takes longer counts as stalled. Hosts that ask for a copy give up before.
+    constexpr Duration diskStallTime = 1s;
     // The platform checks readiness every second and removes a node after two failed checks. New connections arrive until then.
     constexpr Duration drainNoticeTime = 2300ms;
     // The process exits this long before the end of the grace period, after which it would be killed.
@@ -105,8 +107,7 @@
     crashes_->tick(now);
     scheduler_->tick(now, wall);
     jobs_->tick(now);
-    if (spool_)
-        spool_->tick(now, wall);
+    tickSpool(now, wall);
     if (!settings_.runsJobs_ && scheduler_->openJobs() > 0)
         scheduler_->handOverMisplaced(now);
     quotas_->tick(now);
@@ -127,6 +128,19 @@
     logPeriodic(now);
 }
 
+void ServingNode::Parts::tickSpool(TimePoint now, WallTime wall)
+{
+    if (!spool_)
+        return;
+    const Duration waited = diskCalls_.currentCallTime(now);
+    if (isDiskStalled_ != (waited >= diskStallTime)) {
+        isDiskStalled_ = !isDiskStalled_;
+        log_.line(isDiskStalled_ ? "diskStalled" : "diskStallEnded").with("folder", settings_.diskFolder_);
+        fleet_->publishReport();
+    }
+    spool_->tick(now, wall);
+}
+
 void ServingNode::Parts::probeEngines(TimePoint now)
 {
     const auto due = board_.enginesDueForProbe(now);
@@ -395,7 +409,7 @@
     if (const auto* request = std::get_if<BodyRequest>(&call))
         return scheduler_->body(request->job_, request->item_, false, now, [reply](BodyAnswer answer) { reply(std::move(answer)); });
     if (const auto* request = std::get_if<SpoolRequest>(&call))
-        return reply(SpoolReply { spool_ ? spool_->storeCopy(request->job_, acceptsSpooledJobs(), now) : SpoolOutcome::Refused });
+        return spool_ ? spool_->storeCopy(request->job_, acceptsSpooledJobs(), now, [reply](SpoolOutcome outcome) { reply(SpoolReply { outcome }); }) : reply(SpoolReply { SpoolOutcome::Refused });
     if (const auto* request = std::get_if<DropSpooledRequest>(&call)) {
         if (spool_)
             spool_->discardCopy(request->job_);
