jjserve: settings on a disk that stalls don't hold up the loop at a reload

Callers got no answer from a SIGHUP on, for as long as the disk of the settings stalled. It is read on a thread of its own now.

--- a/libs/serving/src/ServingParts.h
+++ b/libs/serving/src/ServingParts.h
@@ -100,6 +100,7 @@
     void onSignal(ProcessSignal signal);
     // Reads the settings again. A refusal is tried again until it stands, since the settings may be only half written.
     void reload();
+    void finishReload(const Result<std::string>& text);
     void applySettings(const ServingSettings& settings);
     bool isReady() const { return !draining_ && context_.table_ && catalog_->isInitialized(); }
     // Returns when the process answers what is still open, shortly before the end of its grace period.
@@ -136,6 +137,7 @@
     std::unique_ptr<ItemRunner> runner_;
     std::unique_ptr<JobFront> jobs_;
     BlockingCalls diskCalls_ { io_ };
+    BlockingCalls settingsCalls_ { io_ }; // a disk of kept jobs that stalls doesn't hold up a reload
     std::unique_ptr<JobSpool<BackgroundDisk>> spool_; // null if this host has no disk
     bool isDiskStalled_ = false;
     std::unique_ptr<SlotQueue> queue_;
--- a/libs/serving/src/ServingTurn.cpp
+++ b/libs/serving/src/ServingTurn.cpp
@@ -437,16 +437,20 @@
 
 void ServingNode::Parts::reload()
 {
-    const TimePoint now = context_.now();
-    if (!reloading_)
-        reloading_.emplace();
     reloadAt_ = neverTime;
-    const auto text = source_();
+    settingsCalls_.run(source_, [this](const Result<std::string>& text) { finishReload(text); });
+}
+
+void ServingNode::Parts::finishReload(const Result<std::string>& text)
+{
+    const TimePoint now = context_.now();
     const auto settings = text ? parseServingSettings(text.value()) : Audited<ServingSettings>(Failures { { text.error(), "the settings can't be read" } });
     if (settings) {
         reloading_.reset();
         return applySettings(settings.value());
     }
+    if (!reloading_)
+        reloading_.emplace();
     auto line = log_.line("reloadRefused");
     line.with("faults", describe(settings.error()));
     if (text && reloading_->recordRefusal(text.value(), now)) {
