Serving: headers that the host sets for an engine aren't taken from callers and items

Callers got 503 because of another caller's header: an item, or a request, with Expect-Instance or Expect-Version made each engine answer 421, and engines that answer so are given up. An item with Attempt-Id or Last-Event-Id was sent again and again and never listed: its engine's answers belonged to another run.

Cause: such headers were passed on beside the host's own. They are withheld now, from items also what belongs to a single run (attempt, position, time).

--- a/libs/serving/include/serving/Translation.h
+++ b/libs/serving/include/serving/Translation.h
@@ -35,6 +35,7 @@
     std::string credentials_; // holds the caller's key; never forwarded to engines
     std::string workspace_; // tells an engine the workspace of the request
     std::string promptParts_; // lists the parts of the request's prompt
+    std::string expectVersion_; // the only version of an engine's weights at which the request may run
 };
 
 // A caller's request about an existing job: read a page of results, read the result of one item, or cancel the job. Every other
--- a/libs/serving/src/Context.cpp
+++ b/libs/serving/src/Context.cpp
@@ -245,8 +245,10 @@
 
 bool isWithheldHeader(const HeaderNames& names, const RouteTable* table, std::string_view name)
 {
-    if (boost::beast::iequals(name, names.workspace_))
-        return true;
+    for (const std::string* own : { &names.workspace_, &names.expectInstance_, &names.expectVersion_ }) {
+        if (boost::beast::iequals(name, *own))
+            return true;
+    }
     return table && table->workspaces() && boost::beast::iequals(name, names.credentials_);
 }
 
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -5,6 +5,7 @@
 #include "Statuses.h"
 
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
 #include <boost/asio/post.hpp>
 
 namespace jj {
@@ -17,6 +18,12 @@
     // Weight of the latest run in the moving average of run times.
     constexpr double smoothingFactor = 0.1;
 
+    // Headers of a single run, which a job's item can't know.
+    bool isReplacedForItem(const HeaderNames& names, std::string_view name)
+    {
+        return boost::beast::iequals(name, names.attemptId_) || boost::beast::iequals(name, names.resumeAfter_) || boost::beast::iequals(name, names.timeLeft_);
+    }
+
 } // namespace
 
 ItemRunner::ItemRunner(Context& context, JobScheduler& scheduler, ItemRunnerSettings settings)
@@ -157,7 +164,7 @@
     const ItemRun& item = run->item_;
     http::Request request { "POST", item.path_, { { "Host", item.host_ } }, item.body_ };
     for (const auto& [name, value] : item.headers_) {
-        if (!isWithheldHeader(names, context_.table_.get(), name))
+        if (!isReplacedForItem(names, name) && !isWithheldHeader(names, context_.table_.get(), name))
             request.headers_.add(name, value);
     }
     if (!item.workspace_.empty())
--- a/libs/serving/src/RelayedRequest.cpp
+++ b/libs/serving/src/RelayedRequest.cpp
@@ -426,7 +426,7 @@
     const http::Request& request = exchange_->request();
     http::Request outgoing { request.method_, request.target_, {}, {} };
     for (const http::HeaderView header : endToEndHeaders(request.headers_)) {
-        const bool isReplaced = isSameName(header.name_, names.timeLeft_) || isSameName(header.name_, names.expectInstance_) || (hasAnswerStarted_ && isSameName(header.name_, names.resumeAfter_));
+        const bool isReplaced = isSameName(header.name_, names.timeLeft_) || (hasAnswerStarted_ && isSameName(header.name_, names.resumeAfter_));
         if (!isReplaced && !isWithheldHeader(names, table_.get(), header.name_))
             outgoing.headers_.add(header.name_, header.value_);
     }
