Store: an answer that never ends is given up

New routes and engines weren't used once a watch of the store was answered by a byte each half second: only silence ended a call. A call's answer has 5 s more than its bound for silence now.

--- a/libs/serving/src/StoreLink.cpp
+++ b/libs/serving/src/StoreLink.cpp
@@ -102,6 +102,7 @@
     ++callCounts_[std::string(verbName(call.verb_)).append(" ").append(call.key_.substr(0, call.key_.find('/')))];
     http::CallOptions options;
     options.idle_ = timeoutOf(call);
+    options.total_ = options.idle_ + settings_.transferTime_;
     client_.fetch(settings_.store_, translation_.buildStoreRequest_(call), options, [this, call, done = std::move(done)](const Result<http::Response>& response, RunState run) {
         // A connection that made no progress may be broken, and so may the other pooled connections.
         if (!response && response.error() == http::Error::NoProgress)
--- a/libs/serving/src/StoreLink.h
+++ b/libs/serving/src/StoreLink.h
@@ -24,6 +24,8 @@
     // A call without an answer for this long counts as lost. The store usually answers within milliseconds, and within some 250 ms
     // when it is slow.
     Duration answerTimeout_ = 1200ms;
+    // The longest time from then on until an answer that has begun is complete.
+    Duration transferTime_ = 5s;
     // Interval of direct tries while peers carry the calls.
     Duration directRetryInterval_ = 1s;
     // After this many peers in a row couldn't reach the store either, the store counts as unreachable and no peer is tried for
