Items: a run that brings nothing usable is ended, whatever it brings

An item waited for as long as its engine sent bytes that are no answer to it: an endless answer to another request, a head byte by byte, events without text. Only answers with a head of their own were bounded, and each event counted as progress.

--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -234,7 +234,8 @@
         if (isDiscontinuous)
             return;
         lastEvent = event.id_;
-        run->usefulAt_ = context_.now();
+        if (!event.data().empty())
+            run->usefulAt_ = context_.now();
         run->textBytes_ += event.data().size();
         scheduler_.event(run->item_.id_, *event.id_, event.data());
     });
@@ -265,8 +266,8 @@
 // What is known of the answer counts; the rest of it isn't waited for.
 void ItemRunner::endWithoutEvents(const RunPtr& run, std::string_view why)
 {
-    const bool hasBegun = run->status_ == http::statusOk && !run->rejected_;
-    if (hasBegun)
+    const bool mayHaveBegun = (run->status_ == 0 || run->status_ == http::statusOk) && !run->rejected_;
+    if (mayHaveBegun)
         onEngineLost(run, http::Error::NoProgress);
     else
         recordOverLimit(*run, http::Error::AnswerTooLarge);
@@ -277,7 +278,7 @@
 {
     std::vector<RunPtr> endless;
     for (const auto& [id, run] : runs_) {
-        if (run->status_ != 0 && now - run->usefulAt_ >= settings_.silenceLimit_)
+        if (now - run->usefulAt_ >= settings_.silenceLimit_)
             endless.push_back(run);
     }
     for (const RunPtr& run : endless)
--- a/libs/serving/src/ItemRunner.h
+++ b/libs/serving/src/ItemRunner.h
@@ -62,7 +62,7 @@
         UpstreamId engine_;
         TimePoint sentAt_ {};
         TimePoint heardAt_ {}; // when the engine sent its last byte; the time of the send while there is none
-        TimePoint usefulAt_ {}; // when the head of the answer or the last event came; the time of the send while there is none
+        TimePoint usefulAt_ {}; // when the head of the answer or the last event with text came; the time of the send while there is none
         std::size_t ignoredBytes_ = 0; // of an answer that isn't a stream
         bool isSilent_ = false; // no byte has come for silenceTimeout_
         std::shared_ptr<http::Call> call_;
