Serving: a stream without a position isn't begun anew in the same answer

A caller got an event twice: the first event of a stream that may be resumed had no id, the engine was lost, and the next one was asked from the start. Without the id of an event that was passed on the answer is broken off.

--- a/libs/serving/src/RelayAnswer.cpp
+++ b/libs/serving/src/RelayAnswer.cpp
@@ -324,7 +324,9 @@
 bool RelayedRequest::mayRepeat() const
 {
     const bool isVersionUnknown = hasAnswerStarted_ && boundVersion_.isNone();
-    return route_.isRepeatable() && !isVersionUnknown && timeLeft() > Duration::zero() && (isStream() || !hasAnswerStarted_);
+    // Another run would begin anew behind events that have no ids.
+    const bool isPositionUnknown = hasAnswerStarted_ && !lastEvent_;
+    return route_.isRepeatable() && !isVersionUnknown && !isPositionUnknown && timeLeft() > Duration::zero() && (isStream() || !hasAnswerStarted_);
 }
 
 void RelayedRequest::logLost(std::error_code error, bool goesOn)
