--- a/libs/process/launcher/Launcher.cpp
+++ b/libs/process/launcher/Launcher.cpp
@@ -56,7 +56,10 @@
 constexpr int earliestPriority = 101;
 __attribute__((constructor(earliestPriority))) void takeSignalsAtStart() { takeEarlySignals(); }
 #else
-void takeSignalsAtStart(int /*argc*/, char** /*argv*/, char** /*environment*/) { takeEarlySignals(); }
+void takeSignalsAtStart(int /*argc*/, char** /*argv*/, char** /*environment*/)
+{
+    takeEarlySignals();
+}
 
 // Runs before the initialisation of the C library and of preloaded ones.
 __attribute__((section(".preinit_array"), used)) void (*const takeSignalsEntry)(int, char**, char**) = takeSignalsAtStart;
--- a/libs/serving/src/ItemRunner.cpp
+++ b/libs/serving/src/ItemRunner.cpp
@@ -5,8 +5,8 @@
 #include "Statuses.h"
 
 #include <algorithm>
-#include <boost/beast/core/string.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace jj {
 
--- a/libs/telemetry/tests/TelemetryTest.cpp
+++ b/libs/telemetry/tests/TelemetryTest.cpp
@@ -89,7 +89,8 @@
     std::ifstream file(path);
     std::string lines;
     for (std::string line; std::getline(file, line);)
-        lines += line.find("first") != std::string::npos ? "1" : line.find("second") != std::string::npos ? "2" : "";
+        lines += line.find("first") != std::string::npos ? "1" : line.find("second") != std::string::npos ? "2"
+                                                                                                          : "";
     CHECK(lines == "12");
     std::filesystem::remove(path);
 }
