--- a/libs/process/launcher/Launcher.cpp
+++ b/libs/process/launcher/Launcher.cpp
@@ -5,9 +5,8 @@
 // loaded, SIGHUP is ignored, since no settings have been read, and SIGTERM ends the process with exit code 0. The module takes signals over
 // (see Signals.h).
 //
-// JJ_DAEMON_MODULE is the module's file name. It is searched for in the program's folder, unless the environment variable
-// JAYJUNCTION_MODULE names its path: a supervisor may have given the process another view of the files, in which the program's folder
-// isn't found.
+// The module is the file that the environment variable JAYJUNCTION_MODULE names, or else JJ_DAEMON_MODULE in the program's folder. A
+// supervisor may give the process another view of the files, in which the program's folder isn't found.
 #include "process/DaemonEntry.h"
 #include "process/FinalLine.h"
 #include "process/StraySignals.h"
@@ -69,7 +68,9 @@
 jj::DaemonEntry* loadDaemon()
 {
     const char* const path = std::getenv("JAYJUNCTION_MODULE");
-    void* const module = ::dlopen(path ? path : JJ_DAEMON_MODULE, RTLD_LAZY | RTLD_LOCAL);
+    void* module = path ? ::dlopen(path, RTLD_LAZY | RTLD_LOCAL) : nullptr;
+    if (!module)
+        module = ::dlopen(JJ_DAEMON_MODULE, RTLD_LAZY | RTLD_LOCAL);
     return module ? reinterpret_cast<jj::DaemonEntry*>(::dlsym(module, jj::daemonEntryName)) : nullptr;
 }
 
