--- a/libs/ledger/include/ledger/JobSpool.h
+++ b/libs/ledger/include/ledger/JobSpool.h
@@ -66,7 +66,7 @@
     AlreadyStored, // the store already held the job
     Discarded, // the entry reported that the store holds the job
     Expired, // dropped because the copy is older than the retention
-    // dropped: the write was never acknowledged or the disk is damaged. Without a job name: the disk's names can't be read.
+    // dropped: the write was never acknowledged or the disk is damaged
     Unreadable,
     UploadFailed,
     ReadFailed, // tried again later; the file stays
