--- a/libs/ledger/tests/SpoolTest.cpp
+++ b/libs/ledger/tests/SpoolTest.cpp
@@ -353,7 +353,7 @@
 
 namespace {
 
-// A disk whose calls take effect when the test says so.
+// A disk whose calls take effect in SlowSpool::runDisk().
 class SlowDisk {
 public:
     void names(DiskCompletion<std::vector<std::string>> done)
